--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup test demo binary format lint clean
+
+setup: $(STAMP)
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $(STAMP)
+
+test: $(STAMP)
+	$(BIN)/python -m testing.run_tests
+
+demo: $(STAMP)
+	$(BIN)/python -m testing.demo
+
+binary: $(STAMP)
+	mkdir -p dist
+	$(BIN)/shiv --quiet --constraint constraints.txt --compressed \
+		--console-script shallothinge --output-file dist/shallothinge .
+
+format: $(STAMP)
+	$(BIN)/isort --quiet src testing
+	$(BIN)/black --quiet src testing
+
+lint: $(STAMP)
+	$(BIN)/black --check --quiet src testing
+	$(BIN)/isort --check-only --quiet src testing
+	$(BIN)/flake8 src testing
+
+clean:
+	rm -rf $(VENV) build dist .demo
--- /dev/null
+++ b/src/shallothinge/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the modules that all slices share."""
--- /dev/null
+++ b/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Checks, golden sessions and trials that span several slices."""
--- /dev/null
+++ b/testing/run_tests.py
@@ -0,0 +1,117 @@
+"""Runs every test and check and prints one closing line of counts.
+
+Tests that KNOWN-RED.txt lists may fail; they are printed and do not fail
+the run. A listed test that passes is counted as passed.
+"""
+
+import os
+import pathlib
+import subprocess
+import sys
+import unittest
+
+import hypothesis
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+SOURCES = ('src', 'testing')
+CHECKS = (
+    ('formatter', ('black', '--check', '--quiet', *SOURCES)),
+    ('import order', ('isort', '--check-only', '--quiet', *SOURCES)),
+    ('linter', ('flake8', *SOURCES)),
+)
+
+
+class Result(unittest.TextTestResult):
+    """Collects the ids of the tests by their outcome."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.passed_ids = []
+        self.failed_ids = []
+
+    def addSuccess(self, test):
+        """Record a passed test."""
+        super().addSuccess(test)
+        self.passed_ids.append(test.id())
+
+    def addFailure(self, test, err):
+        """Record a failed test."""
+        super().addFailure(test, err)
+        self.failed_ids.append(test.id())
+
+    def addError(self, test, err):
+        """Record a test that ended with an error."""
+        super().addError(test, err)
+        self.failed_ids.append(test.id())
+
+    def addSubTest(self, test, subtest, err):
+        """Record a failed row of a test table."""
+        super().addSubTest(test, subtest, err)
+        if err is not None and test.id() not in self.failed_ids:
+            self.failed_ids.append(test.id())
+
+
+def known_red_ids() -> frozenset[str]:
+    """Return the ids of the tests that are listed as known failures."""
+    if not KNOWN_RED.exists():
+        return frozenset()
+    lines = KNOWN_RED.read_text(encoding='utf-8').splitlines()
+    return frozenset(
+        line.split()[1] for line in lines if line.startswith('test: ')
+    )
+
+
+def run_check(*, command: tuple[str, ...]) -> bool:
+    """Run one of the formatter and linter checks.
+
+    :returns: whether it found nothing.
+    """
+    done = subprocess.run(
+        (sys.executable, '-m', *command), cwd=ROOT, check=False
+    )
+    return done.returncode == 0
+
+
+def run_unit_tests() -> Result:
+    """Run all unit and property tests under both source folders."""
+    hypothesis.settings.register_profile(
+        'ci', derandomize=True, deadline=None, database=None
+    )
+    hypothesis.settings.load_profile('ci')
+    loader = unittest.TestLoader()
+    suite = unittest.TestSuite()
+    suite.addTests(loader.discover(str(ROOT / 'src'), top_level_dir='src'))
+    loader = unittest.TestLoader()
+    suite.addTests(loader.discover(str(ROOT / 'testing'), top_level_dir='.'))
+    runner = unittest.TextTestRunner(resultclass=Result, verbosity=1)
+    return runner.run(suite)
+
+
+def main() -> int:
+    """Run everything and return the exit status."""
+    os.chdir(ROOT)
+    passed = 0
+    failed = []
+    for name, command in CHECKS:
+        if run_check(command=command):
+            passed += 1
+        else:
+            failed.append(f'check: {name}')
+    result = run_unit_tests()
+    passed += len(result.passed_ids)
+    known = known_red_ids()
+    for test_id in result.failed_ids:
+        if test_id in known:
+            print(f'known red: {test_id}')
+        else:
+            failed.append(test_id)
+    for test_id in failed:
+        print(f'FAILED {test_id}')
+    sys.stderr.flush()
+    print(f'{passed} passed, {len(failed)} failed', flush=True)
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
