Add messages of all slices and authenticated zmq connections

Cause: the slices are built side by side and need one agreed set of messages, and processes with an untrusted key must get nothing. Found on the way: pyzmq's authenticator looks the ZAP domain up by exact name and hands the key over as Z85 text; with domain '*' every key was refused and the link test ran into its 120 s limit. Ruled out: the reactor shell, since the refusal was logged by the authenticator.

--- /dev/null
+++ b/src/shallothinge/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission and queueing of requests at an entry."""
--- /dev/null
+++ b/src/shallothinge/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent process beside each backend server."""
--- /dev/null
+++ b/src/shallothinge/allowances/__init__.py
@@ -0,0 +1,1 @@
+"""Token allowances of workspaces, handed to entries in slices."""
--- /dev/null
+++ b/src/shallothinge/bundles/__init__.py
@@ -0,0 +1,1 @@
+"""Versioned bundles and the serving configuration made from them."""
--- /dev/null
+++ b/src/shallothinge/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: terms, votes, entries, snapshots, membership."""
--- /dev/null
+++ b/src/shallothinge/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control process: replicated state and its shell."""
--- /dev/null
+++ b/src/shallothinge/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process that callers talk to."""
--- /dev/null
+++ b/src/shallothinge/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases under which entries and agents act."""
--- /dev/null
+++ b/src/shallothinge/leases/messages.py
@@ -0,0 +1,63 @@
+"""Messages between a lease holder and the control group."""
+
+import attrs
+
+from shallothinge.bundles.model import ServingConfig
+from shallothinge.errors import ErrorKind
+from shallothinge.membership.model import BackendServer
+from shallothinge.membership.model import MembershipUpdate
+
+
+@attrs.frozen(kw_only=True)
+class LeaseRequest:
+    """Holder to control: grant or renew a lease.
+
+    ``sequence`` pairs the answer with the holder's send time, from which
+    the lease counts. ``config_version`` is the newest configuration that
+    the holder obeys; ``members_version`` the membership that it holds, or
+    -1 if it wants no membership. An agent announces itself by ``server``.
+    """
+
+    holder_id: str
+    incarnation: str
+    role: str
+    sequence: int
+    config_version: int
+    members_version: int = -1
+    members_epoch: str = ''
+    server: BackendServer | None = None
+    leaving: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class LeaseGranted:
+    """Control to holder: act for ``duration_ms`` from the send time.
+
+    ``config`` is present if it is newer than the holder's. ``fence`` is a
+    number from the log, larger than any granted before to this holder's
+    backend server under another incarnation. ``members_epoch`` names the
+    leader whose membership versions count.
+    """
+
+    sequence: int
+    duration_ms: int
+    state_version: int
+    fence: int = 0
+    config: ServingConfig | None = None
+    members_epoch: str = ''
+    members: MembershipUpdate | None = None
+
+
+@attrs.frozen(kw_only=True)
+class LeaseRefused:
+    """Control to holder: no lease from this host now.
+
+    ``leader_id`` names the control host to ask, if one is known.
+    """
+
+    sequence: int
+    kind: ErrorKind
+    leader_id: str = ''
+
+
+MESSAGES = (LeaseRequest, LeaseGranted, LeaseRefused)
--- /dev/null
+++ b/src/shallothinge/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Durable ledger of tokens used."""
--- /dev/null
+++ b/src/shallothinge/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation and experiments."""
--- /dev/null
+++ b/src/shallothinge/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers that have announced themselves."""
--- /dev/null
+++ b/src/shallothinge/membership/model.py
@@ -0,0 +1,37 @@
+"""Data that a backend server's agent announces."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class BackendServer:
+    """One backend server as its agent announces it.
+
+    ``incarnation`` is new at each start of the agent. ``address`` is the
+    agent's zmq address and ``server_key`` its public key. ``models`` holds
+    ``name@version`` of each model loaded, ``services`` the plain services.
+    """
+
+    server_id: str
+    incarnation: str
+    address: str
+    zone: str
+    host: str
+    models: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+    memory_tokens: int = 0
+    checks_fencing: bool = False
+    leaving: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class MembershipUpdate:
+    """Changes of the membership since a version that the reader holds.
+
+    ``complete`` means that ``joined`` lists every backend server.
+    """
+
+    version: int
+    complete: bool
+    joined: tuple[BackendServer, ...] = ()
+    left: tuple[str, ...] = ()
--- /dev/null
+++ b/src/shallothinge/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line and the orders that it sends."""
--- /dev/null
+++ b/src/shallothinge/outages/__init__.py
@@ -0,0 +1,1 @@
+"""Availability zones and backend servers out of service."""
--- /dev/null
+++ b/src/shallothinge/protocol.py
@@ -0,0 +1,25 @@
+"""The set of all messages between the project's own processes."""
+
+from shallothinge import wire
+from shallothinge.allowances import messages as allowances
+from shallothinge.calls import messages as calls
+from shallothinge.leases import messages as leases
+from shallothinge.operators import messages as operators
+from shallothinge.reservations import messages as reservations
+from shallothinge.streams import messages as streams
+from shallothinge.transport import messages as transport
+
+
+def build_codec() -> wire.Codec:
+    """Return a codec for every message of the project."""
+    return wire.Codec(
+        message_types=(
+            *transport.MESSAGES,
+            *leases.MESSAGES,
+            *streams.MESSAGES,
+            *reservations.MESSAGES,
+            *calls.MESSAGES,
+            *allowances.MESSAGES,
+            *operators.MESSAGES,
+        )
+    )
--- /dev/null
+++ b/src/shallothinge/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of backend servers, and retries."""
--- /dev/null
+++ b/src/shallothinge/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files in TOML, checked."""
--- /dev/null
+++ b/src/shallothinge/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in backend servers for demos, tests and trials."""
--- /dev/null
+++ b/src/shallothinge/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Files that hold the log, synced before they count."""
--- /dev/null
+++ b/src/shallothinge/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Streams of generated tokens between an agent and an entry."""
--- /dev/null
+++ b/src/shallothinge/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated zmq connections between the project's processes."""
--- /dev/null
+++ b/src/shallothinge/transport/endpoint.py
@@ -0,0 +1,113 @@
+"""The listening end of connections: one bound socket, many peers."""
+
+from collections.abc import Callable
+import logging
+
+import attrs
+import zmq
+
+from shallothinge import wire
+from shallothinge.transport import authenticator
+from shallothinge.transport import keys
+from shallothinge.transport import messages
+from shallothinge.transport import reader
+
+LOG = logging.getLogger(__name__)
+
+QUEUE_MESSAGES = 10_000
+MAX_MESSAGE_BYTES = 32 * 1024 * 1024
+HANDSHAKE_MS = 3000
+
+
+@attrs.frozen(kw_only=True)
+class Peer:
+    """The other end of one connection.
+
+    ``route`` is unique for each connection; ``role`` comes from the key
+    that the peer proved to hold; the ids come from its ``Hello``.
+    """
+
+    route: bytes
+    role: str
+    process_id: str
+    incarnation: str
+
+
+class Endpoint:
+    """Accepts connections of peers whose keys are trusted.
+
+    :param on_message: called with the peer and each message but those of
+        this slice.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor,
+        context: zmq.Context,
+        address: str,
+        key_pair: keys.KeyPair,
+        trust: keys.Trust,
+        codec: wire.Codec,
+        on_message: Callable[[Peer, object], None],
+    ):
+        self._codec = codec
+        self._trust = trust
+        self._on_message = on_message
+        self._peers = {}
+        socket = context.socket(zmq.ROUTER)
+        socket.set(zmq.LINGER, 0)
+        socket.set(zmq.SNDHWM, QUEUE_MESSAGES)
+        socket.set(zmq.RCVHWM, QUEUE_MESSAGES)
+        socket.set(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        socket.set(zmq.HANDSHAKE_IVL, HANDSHAKE_MS)
+        socket.set(zmq.ROUTER_MANDATORY, 1)
+        socket.set(zmq.CURVE_SERVER, 1)
+        socket.set(zmq.CURVE_SECRETKEY, key_pair.secret.encode())
+        socket.set(zmq.CURVE_PUBLICKEY, key_pair.public.encode())
+        socket.set(zmq.ZAP_DOMAIN, authenticator.DOMAIN.encode())
+        socket.bind(address)
+        self.address = socket.getsockopt_string(zmq.LAST_ENDPOINT)
+        self._reader = reader.SocketReader(
+            reactor=reactor, socket=socket, on_frames=self._receive
+        )
+
+    def send(self, *, route: bytes, message: object) -> bool:
+        """Send to one connection without waiting.
+
+        :returns: False if the peer is gone or its queue is full.
+        """
+        return self._reader.send([route, self._codec.encode(message)])
+
+    def close(self) -> None:
+        """Stop listening and drop all connections."""
+        self._reader.close()
+
+    def _receive(self, frames) -> None:
+        route = frames[0].bytes
+        role = self._role_of(frames[-1])
+        if not role:
+            return
+        try:
+            message = self._codec.decode(frames[-1].bytes)
+        except wire.WireError:
+            LOG.warning('dropped a malformed message', extra={'role_of': role})
+            return
+        if isinstance(message, messages.Hello):
+            self._peers[route] = Peer(
+                route=route,
+                role=role,
+                process_id=message.process_id,
+                incarnation=message.incarnation,
+            )
+        elif isinstance(message, messages.Ping):
+            self.send(route=route, message=messages.Pong())
+        elif route in self._peers:
+            self._on_message(self._peers[route], message)
+
+    def _role_of(self, frame: zmq.Frame) -> str:
+        try:
+            public = frame.get('User-Id')
+        except zmq.ZMQError:
+            return ''
+        return self._trust.role_of(public=public)
--- /dev/null
+++ b/src/shallothinge/transport/reader.py
@@ -0,0 +1,105 @@
+"""A zmq socket as a reader of the Twisted reactor."""
+
+from collections.abc import Callable
+import logging
+
+from twisted.internet import interfaces
+import zmq
+from zope.interface import implementer
+
+LOG = logging.getLogger(__name__)
+
+MESSAGES_PER_TURN = 200
+
+
+@implementer(interfaces.IReadDescriptor)
+class SocketReader:
+    """Hands each message of a zmq socket to a function.
+
+    A zmq descriptor signals only changes, so the socket is drained after
+    each signal and looked at again after each send.
+
+    :param on_frames: called with the frames of each message.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor,
+        socket: zmq.Socket,
+        on_frames: Callable[[list[zmq.Frame]], None],
+    ):
+        self._reactor = reactor
+        self._socket = socket
+        self._on_frames = on_frames
+        self._descriptor = socket.getsockopt(zmq.FD)
+        self._scheduled = None
+        self._closed = False
+        reactor.addReader(self)
+        self._schedule()
+
+    def fileno(self) -> int:
+        """Return the descriptor that the reactor watches."""
+        return self._descriptor
+
+    def logPrefix(self) -> str:
+        """Return the name under which the reactor logs."""
+        return 'zmq'
+
+    def connectionLost(self, reason) -> None:
+        """Close the socket when the reactor stops."""
+        self.close()
+
+    def doRead(self) -> None:
+        """Hand over the waiting messages, a bounded number at a time."""
+        for _ in range(MESSAGES_PER_TURN):
+            if self._closed:
+                return
+            try:
+                frames = self._socket.recv_multipart(zmq.NOBLOCK, copy=False)
+            except zmq.Again:
+                return
+            except zmq.ZMQError:
+                LOG.exception('reading from a zmq socket failed')
+                return
+            self._deliver(frames)
+        self._schedule()
+
+    def send(self, frames: list[bytes]) -> bool:
+        """Send without waiting.
+
+        :returns: whether the message was queued to a connected peer.
+        """
+        if self._closed:
+            return False
+        try:
+            self._socket.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            return False
+        finally:
+            self._schedule()
+        return True
+
+    def close(self) -> None:
+        """Drop the socket and all that it still holds."""
+        if self._closed:
+            return
+        self._closed = True
+        self._reactor.removeReader(self)
+        if self._scheduled is not None and self._scheduled.active():
+            self._scheduled.cancel()
+        self._socket.close(linger=0)
+
+    def _schedule(self) -> None:
+        if self._scheduled is None and not self._closed:
+            self._scheduled = self._reactor.callLater(0, self._read_again)
+
+    def _read_again(self) -> None:
+        self._scheduled = None
+        self.doRead()
+
+    def _deliver(self, frames) -> None:
+        try:
+            self._on_frames(frames)
+        except Exception:
+            LOG.exception('handling a message failed')
--- /dev/null
+++ b/src/shallothinge/transport/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of connections between processes."""
