Add lease holder, control client, settings model and process base

Cause: entry and agent need the same lease rules, and the same way to reach whichever control host leads, before either can be built. Weighed: counting a lease from its receipt against counting from the holder's send time; a frozen holder would believe the first too long, so the send time less a drift allowance was chosen. Wall clocks were ruled out, since two hosts' clocks can't be compared.

--- /dev/null
+++ b/src/shallothinge/leases/client.py
@@ -0,0 +1,171 @@
+"""A process's connections to the control hosts.
+
+Keeps the lease alive and carries requests to whichever control host leads.
+"""
+
+import attrs
+from twisted.internet import defer
+
+from shallothinge import errors
+from shallothinge import process as processes
+from shallothinge.leases import holder as holders
+from shallothinge.leases import messages
+from shallothinge.settings import model
+
+RENEW_MS = 1000
+RETRY_MS = 250
+ASK_RETRY_MS = 400
+
+
+@attrs.define(kw_only=True)
+class _Question:
+    """A request that has not been answered yet."""
+
+    message: object
+    answered: defer.Deferred
+    ends_ms: int
+
+
+def id_of(message: object) -> str:
+    """Return the id that pairs a request with its answer."""
+    for name in ('request_id', 'claim_id', 'order_id'):
+        value = getattr(message, name, None)
+        if value is not None:
+            return value
+    return str(getattr(message, 'sequence', ''))
+
+
+class ControlClient:
+    """Renews a lease and asks control, following the leader.
+
+    :param hosts: the control hosts of the settings.
+    :param holder: the lease to keep, or None for a terminal.
+    """
+
+    def __init__(
+        self,
+        *,
+        process: processes.Process,
+        hosts: tuple[model.ControlHost, ...],
+        holder: holders.LeaseHolder | None,
+    ):
+        self._process = process
+        self._reactor = process.reactor
+        self._holder = holder
+        self._questions = {}
+        self._links = {}
+        for host in hosts:
+            self._links[host.process_id] = process.connect(
+                address=host.address, role='control', on_message=self._receive
+            )
+        self._order = list(self._links)
+        self._renewed_ms = None
+        self._closed = False
+
+    def start(self) -> None:
+        """Begin to renew the lease and to resend open questions."""
+        if self._holder is not None:
+            self._renew()
+        self._resend()
+
+    def close(self) -> None:
+        """Stop; open questions fail."""
+        self._closed = True
+        for link in self._links.values():
+            link.close()
+        for question in list(self._questions.values()):
+            self._fail(question)
+        self._questions.clear()
+
+    def renew_now(self) -> None:
+        """Send a lease request at once, for a change that can't wait."""
+        if self._holder is not None:
+            self._send(self._holder.next_request())
+
+    def ask(self, message: object, *, timeout_ms: int) -> defer.Deferred:
+        """Send a request until a control host answers it.
+
+        The request carries an id and may be resent under it.
+
+        :returns: fires with the answer, or fails with ``ServingError`` of
+            kind ``NO_LEASE`` after ``timeout_ms``.
+        """
+        question = _Question(
+            message=message,
+            answered=defer.Deferred(),
+            ends_ms=self._process.clock.now_ms() + timeout_ms,
+        )
+        self._questions[id_of(message)] = question
+        self._send(message)
+        return question.answered
+
+    def _send(self, message: object) -> bool:
+        for process_id in self._order:
+            if self._links[process_id].send(message):
+                return True
+            self._rotate(process_id)
+        return False
+
+    def _rotate(self, process_id: str) -> None:
+        if self._order[0] == process_id:
+            self._order = self._order[1:] + self._order[:1]
+
+    def _prefer(self, leader_id: str) -> None:
+        if leader_id in self._links:
+            self._order.remove(leader_id)
+            self._order.insert(0, leader_id)
+        else:
+            self._order = self._order[1:] + self._order[:1]
+
+    def _renew(self) -> None:
+        if self._closed:
+            return
+        now_ms = self._process.clock.now_ms()
+        due_ms = RENEW_MS if self._renewed_ms is not None else 0
+        if now_ms - (self._renewed_ms or 0) >= due_ms:
+            if self._unanswered_renewal():
+                self._rotate(self._order[0])
+            self._send(self._holder.next_request())
+        self._reactor.callLater(RETRY_MS / 1000, self._renew)
+
+    def _unanswered_renewal(self) -> bool:
+        if self._renewed_ms is None:
+            return False
+        elapsed_ms = self._process.clock.now_ms() - self._renewed_ms
+        return elapsed_ms > RENEW_MS + RETRY_MS
+
+    def _resend(self) -> None:
+        if self._closed:
+            return
+        now_ms = self._process.clock.now_ms()
+        for key, question in list(self._questions.items()):
+            if now_ms >= question.ends_ms:
+                del self._questions[key]
+                self._fail(question)
+            else:
+                self._send(question.message)
+        self._reactor.callLater(ASK_RETRY_MS / 1000, self._resend)
+
+    def _fail(self, question: _Question) -> None:
+        question.answered.errback(
+            errors.ServingError(
+                kind=errors.ErrorKind.NO_LEASE,
+                detail='no control host answered in time',
+            )
+        )
+
+    def _receive(self, message: object) -> None:
+        if isinstance(message, messages.LeaseGranted):
+            if self._holder.granted(message):
+                self._renewed_ms = self._process.clock.now_ms()
+        elif isinstance(message, messages.LeaseRefused):
+            self._prefer(message.leader_id)
+        elif isinstance(message, messages.ControlRefused):
+            self._prefer(message.leader_id)
+        else:
+            self._answer(message)
+
+    def _answer(self, message: object) -> None:
+        question = self._questions.pop(id_of(message), None)
+        if question is not None:
+            question.answered.callback(message)
--- /dev/null
+++ b/src/shallothinge/leases/holder.py
@@ -0,0 +1,137 @@
+"""The holder's side of a lease: what may be done, and until when."""
+
+import attrs
+
+from shallothinge import clock
+from shallothinge.bundles.model import ServingConfig
+from shallothinge.leases import messages
+from shallothinge.membership.model import BackendServer
+from shallothinge.membership.model import MembershipUpdate
+
+DRIFT_DIVISOR = 50
+PENDING_REQUESTS = 16
+
+
+class LeaseHolder:
+    """Lease, configuration and membership of one process.
+
+    The lease counts from the holder's own send time, less an allowance for
+    clock drift, so that it never outlives what control believes.
+
+    :param wants_members: whether to ask for the list of backend servers.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clock.Clock,
+        holder_id: str,
+        incarnation: str,
+        role: str,
+        wants_members: bool,
+    ):
+        self._clock = clock
+        self._holder_id = holder_id
+        self._incarnation = incarnation
+        self._role = role
+        self._wants_members = wants_members
+        self._sequence = 0
+        self._sent_ms = {}
+        self._ends_ms = None
+        self._members_version = -1
+        self._members_epoch = ''
+        self.config = ServingConfig()
+        self.members: dict[str, BackendServer] = {}
+        self.fence = 0
+        self.server: BackendServer | None = None
+        self.leaving = False
+
+    @property
+    def remaining_ms(self) -> int:
+        """Return for how long the holder may still act, 0 if not at all."""
+        if self._ends_ms is None:
+            return 0
+        return max(0, self._ends_ms - self._clock.now_ms())
+
+    def is_valid(self) -> bool:
+        """Return whether the holder may act now."""
+        return self.remaining_ms > 0
+
+    def next_request(self) -> messages.LeaseRequest:
+        """Return the request to send now; its send time is noted."""
+        self._sequence += 1
+        self._sent_ms[self._sequence] = self._clock.now_ms()
+        self._sent_ms.pop(self._sequence - PENDING_REQUESTS, None)
+        version = self._members_version if self._wants_members else -1
+        return messages.LeaseRequest(
+            holder_id=self._holder_id,
+            incarnation=self._incarnation,
+            role=self._role,
+            sequence=self._sequence,
+            config_version=self.config.state_version,
+            members_version=version,
+            members_epoch=self._members_epoch,
+            server=self.server,
+            leaving=self.leaving,
+        )
+
+    def granted(self, grant: messages.LeaseGranted) -> bool:
+        """Take a grant into account.
+
+        A grant for a configuration older than the one held is ignored, as
+        is one for a newer configuration that it does not carry.
+
+        :returns: whether the lease was renewed.
+        """
+        sent_ms = self._sent_ms.pop(grant.sequence, None)
+        if sent_ms is None:
+            return False
+        if grant.config is not None:
+            self._take_config(grant.config)
+        if grant.state_version != self.config.state_version:
+            return False
+        drift_ms = grant.duration_ms // DRIFT_DIVISOR
+        ends_ms = sent_ms + grant.duration_ms - drift_ms
+        self._ends_ms = max(ends_ms, self._ends_ms or 0)
+        self.fence = max(self.fence, grant.fence)
+        if grant.members is not None:
+            self._take_members(grant.members, epoch=grant.members_epoch)
+        return True
+
+    def _take_config(self, config: ServingConfig) -> None:
+        if config.state_version > self.config.state_version:
+            self.config = config
+
+    def _take_members(self, update: MembershipUpdate, *, epoch: str) -> None:
+        if update.complete:
+            self.members = {}
+        elif epoch != self._members_epoch:
+            return
+        elif update.version < self._members_version:
+            return
+        for server in update.joined:
+            self.members[server.server_id] = server
+        for server_id in update.left:
+            self.members.pop(server_id, None)
+        self._members_version = update.version
+        self._members_epoch = epoch
+
+
+@attrs.frozen(kw_only=True)
+class HolderState:
+    """A holder's state, for dumps."""
+
+    remaining_ms: int
+    config: ServingConfig
+    members: tuple[BackendServer, ...]
+    fence: int
+
+
+def describe(holder: LeaseHolder) -> HolderState:
+    """Return the state of a holder for a dump."""
+    return HolderState(
+        remaining_ms=holder.remaining_ms,
+        config=holder.config,
+        members=tuple(holder.members.values()),
+        fence=holder.fence,
+    )
--- a/src/shallothinge/leases/messages.py
+++ b/src/shallothinge/leases/messages.py
@@ -60,4 +60,18 @@
     leader_id: str = ''
 
 
-MESSAGES = (LeaseRequest, LeaseGranted, LeaseRefused)
+@attrs.frozen(kw_only=True)
+class ControlRefused:
+    """Control to any asker: this host did not take the request.
+
+    ``request_id`` repeats the id of the request (claim, slice, order or
+    query). ``leader_id`` names the control host to ask, if known.
+    """
+
+    request_id: str
+    kind: ErrorKind
+    leader_id: str = ''
+    detail: str = ''
+
+
+MESSAGES = (LeaseRequest, LeaseGranted, LeaseRefused, ControlRefused)
--- /dev/null
+++ b/src/shallothinge/process.py
@@ -0,0 +1,93 @@
+"""What every process of the system has: keys, sockets, clock, identity."""
+
+from collections.abc import Callable
+import pathlib
+import secrets
+
+import zmq
+
+from shallothinge import clock
+from shallothinge import protocol
+from shallothinge.settings import model
+from shallothinge.transport import authenticator
+from shallothinge.transport import endpoint
+from shallothinge.transport import keys
+from shallothinge.transport import link
+from shallothinge.transport import messages
+
+INCARNATION_BYTES = 8
+
+
+class Process:
+    """Keys, sockets, clock and identity of one running process.
+
+    :param settings: the process's own table of its settings file.
+    :param folder: folder of the settings file, for relative paths.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor,
+        settings: model.ProcessSettings,
+        folder: pathlib.Path,
+    ):
+        self.reactor = reactor
+        self.settings = settings
+        self.folder = folder
+        self.process_id = settings.process_id
+        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.clock = clock.MonotonicClock()
+        self.codec = protocol.build_codec()
+        self.key_pair = keys.read_key_pair(path=folder / settings.key_file)
+        self.trust = keys.read_trust(path=folder / settings.trust_file)
+        self._context = zmq.Context()
+        self._authenticator = authenticator.start(
+            context=self._context, trust=self.trust
+        )
+
+    def listen(
+        self, *, on_message: Callable[[endpoint.Peer, object], None]
+    ) -> endpoint.Endpoint:
+        """Listen on the process's own address."""
+        return endpoint.Endpoint(
+            reactor=self.reactor,
+            context=self._context,
+            address=self.settings.address,
+            key_pair=self.key_pair,
+            trust=self.trust,
+            codec=self.codec,
+            on_message=on_message,
+        )
+
+    def connect(
+        self,
+        *,
+        address: str,
+        role: str,
+        on_message: Callable[[object], None],
+        on_reset: Callable[[], None] | None = None,
+    ) -> link.Link:
+        """Open a connection to a process of a role.
+
+        The key that the other end must prove to hold is the role's.
+        """
+        return link.Link(
+            reactor=self.reactor,
+            context=self._context,
+            address=address,
+            server_key=self.trust.key_of(role=role),
+            key_pair=self.key_pair,
+            hello=messages.Hello(
+                process_id=self.process_id, incarnation=self.incarnation
+            ),
+            codec=self.codec,
+            clock=self.clock,
+            on_message=on_message,
+            on_reset=on_reset,
+        )
+
+    def close(self) -> None:
+        """Stop authentication and drop every connection."""
+        self._authenticator.stop()
+        self._context.destroy(linger=0)
--- /dev/null
+++ b/src/shallothinge/settings/model.py
@@ -0,0 +1,135 @@
+"""Settings of each role, as read from its TOML file.
+
+The names of the fields are the names of the keys in the file.
+"""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class ProcessSettings:
+    """What every role needs: table ``[process]``.
+
+    ``address`` is the zmq address that this process listens on;
+    ``key_file`` and ``trust_file`` are paths, relative to the file.
+    """
+
+    process_id: str
+    zone: str
+    host: str
+    address: str
+    key_file: str
+    trust_file: str
+    log_level: str = 'INFO'
+    metrics_address: str = ''
+
+
+@attrs.frozen(kw_only=True)
+class ControlHost:
+    """One control host: array of tables ``[[control_hosts]]``."""
+
+    process_id: str
+    address: str
+
+
+@attrs.frozen(kw_only=True)
+class LogSettings:
+    """The replicated log at a control host: table ``[log]``."""
+
+    data_folder: str
+    heartbeat_ms: int = 100
+    election_min_ms: int = 500
+    election_max_ms: int = 1000
+    snapshot_entries: int = 1000
+
+
+@attrs.frozen(kw_only=True)
+class LeaseSettings:
+    """Lease times, given by control: table ``[leases]``."""
+
+    duration_ms: int = 3000
+    member_silence_ms: int = 3000
+    idempotency_retention_days: int = 30
+
+
+@attrs.frozen(kw_only=True)
+class OperatorKey:
+    """An operator's Ed25519 public key, hex: ``[[operators]]``."""
+
+    name: str
+    public_key: str
+
+
+@attrs.frozen(kw_only=True)
+class ControlSettings:
+    """File of ``shallothinge control``."""
+
+    process: ProcessSettings
+    log: LogSettings
+    control_hosts: tuple[ControlHost, ...]
+    leases: LeaseSettings = LeaseSettings()
+    operators: tuple[OperatorKey, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class HttpSettings:
+    """Callers' side of an entry: table ``[http]``.
+
+    Without certificate and key the entry listens in plain HTTP.
+    """
+
+    address: str
+    certificate_file: str = ''
+    private_key_file: str = ''
+    max_body_bytes: int = 16 * 1024 * 1024
+    max_header_bytes: int = 16 * 1024
+    request_timeout_ms: int = 10_000
+
+
+@attrs.frozen(kw_only=True)
+class AdmissionSettings:
+    """Limits of an entry: table ``[admission]``."""
+
+    queue_requests: int = 2000
+    long_prompt_tokens: int = 100_000
+    long_share_percent: int = 40
+    retry_percent: int = 10
+    default_deadline_ms: int = 60_000
+    max_deadline_ms: int = 3_600_000
+    stop_wait_ms: int = 1000
+
+
+@attrs.frozen(kw_only=True)
+class EntrySettings:
+    """File of ``shallothinge entry``."""
+
+    process: ProcessSettings
+    http: HttpSettings
+    control_hosts: tuple[ControlHost, ...]
+    admission: AdmissionSettings = AdmissionSettings()
+
+
+@attrs.frozen(kw_only=True)
+class EngineSettings:
+    """The backend server beside an agent: table ``[backend]``.
+
+    ``kind`` is ``model`` or ``service``; ``url`` is its HTTP address.
+    """
+
+    kind: str
+    url: str
+    models: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+    memory_tokens: int = 0
+    checks_fencing: bool = False
+    cold_limit_tokens: int = 8_000
+    max_streams: int = 64
+
+
+@attrs.frozen(kw_only=True)
+class AgentSettings:
+    """File of ``shallothinge agent``."""
+
+    process: ProcessSettings
+    backend: EngineSettings
+    control_hosts: tuple[ControlHost, ...]
