--- a/src/shallothinge/leases/holder.py
+++ b/src/shallothinge/leases/holder.py
@@ -40,6 +40,7 @@
         self._ends_ms = None
         self._members_version = -1
         self._members_epoch = ''
+        self._members_sequence = 0
         self.config = ServingConfig()
         self.members: dict[str, BackendServer] = {}
         self.fence = 0
@@ -94,7 +95,8 @@
         ends_ms = sent_ms + grant.duration_ms - drift_ms
         self._ends_ms = max(ends_ms, self._ends_ms or 0)
         self.fence = max(self.fence, grant.fence)
-        if grant.members is not None:
+        if grant.sequence > self._members_sequence:
+            self._members_sequence = grant.sequence
             self._take_members(grant.members, epoch=grant.members_epoch)
         return True
 
@@ -102,7 +104,11 @@
         if config.state_version > self.config.state_version:
             self.config = config
 
-    def _take_members(self, update: MembershipUpdate, *, epoch: str) -> None:
+    def _take_members(
+        self, update: MembershipUpdate | None, *, epoch: str
+    ) -> None:
+        if update is None:
+            return
         if update.complete:
             self.members = {}
         elif epoch != self._members_epoch:
