Add frame batches and engine addresses to the messages

Cause: at many streams per agent one message a token costs more than the tokens, and an engine that runs a prompt over several engines needs the addresses of the others, which no message carried. Weighed: an address in MemoryReserved against one in the announcement; the announcement was chosen, since entries hold it already. All new fields have defaults, so older peers go on.

--- a/src/shallothinge/membership/model.py
+++ b/src/shallothinge/membership/model.py
@@ -10,6 +10,8 @@
     ``incarnation`` is new at each start of the agent. ``address`` is the
     agent's zmq address and ``server_key`` its public key. ``models`` holds
     ``name@version`` of each model loaded, ``services`` the plain services.
+    ``engine_url`` is the backend server's own HTTP address, for other
+    engines that hold a part of a prompt with it.
     """
 
     server_id: str
@@ -22,6 +24,7 @@
     memory_tokens: int = 0
     checks_fencing: bool = False
     leaving: bool = False
+    engine_url: str = ''
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallothinge/streams/messages.py
+++ b/src/shallothinge/streams/messages.py
@@ -29,11 +29,15 @@
 
 @attrs.frozen(kw_only=True)
 class SpanPart:
-    """One backend server's share of a prompt that spans several."""
+    """One backend server's share of a prompt that spans several.
+
+    ``url`` is the engine's address, as ``BackendServer.engine_url`` has it.
+    """
 
     server_id: str
     reservation_id: str
     tokens: int
+    url: str = ''
 
 
 @attrs.frozen(kw_only=True)
@@ -93,6 +97,13 @@
     tokens: tuple[str, ...]
 
 
+@attrs.frozen(kw_only=True)
+class FrameBatch:
+    """Agent to entry: the frames of several streams in one message."""
+
+    frames: tuple[StreamFrame, ...]
+
+
 @attrs.frozen(kw_only=True)
 class StreamFinished:
     """Agent to entry: the answer ends at ``offset``, whole."""
@@ -176,6 +187,7 @@
     StreamAccepted,
     StreamRefused,
     StreamFrame,
+    FrameBatch,
     StreamFinished,
     StreamFailed,
     ResumeStream,
