--- a/src/shallothinge/load/profile.py
+++ b/src/shallothinge/load/profile.py
@@ -39,27 +39,27 @@
     prompt_classes: tuple[PromptClass, ...]
     shared_prefix_tokens: int = 1024
 
-    @property
-    def has_long_prompts(self) -> bool:
-        """Return whether any class may exceed the long-prompt bound."""
-        return any(
-            kind.max_prompt_tokens > LONG_PROMPT_TOKENS
-            for kind in self.prompt_classes
-        )
-
-    def without_long_prompts(self) -> 'Profile':
-        """Return the same profile less its long prompts.
+    def restricted_to(self, names: tuple[str, ...]) -> 'Profile':
+        """Return the same profile with only the named prompt classes.
 
-        The other classes keep their absolute rate, so their shares no
-        longer add up to one.
+        The classes keep their absolute rate, so their shares no longer add
+        up to one.
         """
         kept = tuple(
-            kind
-            for kind in self.prompt_classes
-            if kind.max_prompt_tokens <= LONG_PROMPT_TOKENS
+            kind for kind in self.prompt_classes if kind.name in names
         )
         return attrs.evolve(self, prompt_classes=kept)
 
+    def without_long_prompts(self) -> 'Profile':
+        """Return the same profile less its long prompts."""
+        return self.restricted_to(
+            tuple(
+                kind.name
+                for kind in self.prompt_classes
+                if kind.max_prompt_tokens <= LONG_PROMPT_TOKENS
+            )
+        )
+
 
 SHORT = PromptClass(
     name='1k',
