Add stand-in backend servers, settings files and command line

Cause: every other part needs a backend server to talk to, and a settings file to start from.

The command line has control, entry, agent, standin and config check.

--- /dev/null
+++ b/src/shallothinge/operators/main.py
@@ -0,0 +1,56 @@
+"""The command line of the one binary."""
+
+import argparse
+from collections.abc import Sequence
+import sys
+
+import shallothinge
+from shallothinge.operators import exit_codes
+from shallothinge.operators import role_commands
+from shallothinge.operators import settings_commands
+
+COMMAND_GROUPS = (role_commands, settings_commands)
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the whole command line."""
+    lines = [
+        f'  {code.value:>3}  {meaning}'
+        for code, meaning in exit_codes.MEANINGS.items()
+    ]
+    parser = argparse.ArgumentParser(
+        prog='shallothinge',
+        description=shallothinge.__doc__,
+        epilog='exit statuses:\n' + '\n'.join(lines),
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        '--version', action='version', version=shallothinge.__version__
+    )
+    commands = parser.add_subparsers(
+        dest='command', metavar='COMMAND', required=True
+    )
+    for group in COMMAND_GROUPS:
+        group.add_commands(commands)
+    return parser
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run one command.
+
+    :param arguments: the command line without the program's name.
+    :returns: the exit status.
+    """
+    chosen = build_parser().parse_args(arguments)
+    try:
+        return int(chosen.run(chosen))
+    except ExceptionGroup as group:
+        for fault in group.exceptions:
+            print(fault, file=sys.stderr)
+        return int(exit_codes.ExitCode.BAD_INPUT)
+    except KeyboardInterrupt:
+        return int(exit_codes.ExitCode.INTERRUPTED)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/shallothinge/operators/role_commands.py
@@ -0,0 +1,93 @@
+"""Commands that run a process: a role, a stand-in or the load tool."""
+
+import argparse
+import importlib
+import pathlib
+
+from shallothinge import logs
+from shallothinge.operators import exit_codes
+from shallothinge.settings import load
+from shallothinge.standin import model as standin_model
+
+STANDIN_TYPES = {
+    'engine': standin_model.EngineFile,
+    'service': standin_model.ServiceFile,
+    'weights': standin_model.WeightStoreFile,
+}
+ROLE_HELP = {
+    'control': 'run a control host, which keeps the replicated state',
+    'entry': 'run an entry, which takes callers\' requests',
+    'agent': 'run an agent beside a backend server',
+}
+
+
+def add_commands(commands) -> None:
+    """Add the commands to the parser's list."""
+    for role, text in ROLE_HELP.items():
+        command = commands.add_parser(role, help=text, description=text)
+        _add_settings(command)
+        command.set_defaults(run=run_role, role=role)
+    _add_standin(commands)
+
+
+def _add_settings(command) -> None:
+    command.add_argument(
+        '--settings',
+        type=pathlib.Path,
+        required=True,
+        metavar='FILE',
+        help='TOML settings file; see docs/CONFIGURATION.md',
+    )
+
+
+def _add_standin(commands) -> None:
+    text = 'run a stand-in backend server or weight store, for tests'
+    command = commands.add_parser('standin', help=text, description=text)
+    command.add_argument('kind', choices=tuple(STANDIN_TYPES))
+    command.add_argument(
+        '--listen', required=True, metavar='IP:PORT', help='HTTP address'
+    )
+    _add_settings(command)
+    command.set_defaults(run=run_standin)
+
+
+def run_role(arguments: argparse.Namespace) -> int:
+    """Run a role until it is told to stop."""
+    from twisted.internet import reactor
+
+    settings = load.read(
+        path=arguments.settings,
+        file_type=load.ROLE_TYPES[arguments.role],
+    )
+    process = settings.process
+    logs.configure(
+        role=arguments.role,
+        process_id=process.process_id,
+        zone=process.zone,
+        host=process.host,
+        level=process.log_level,
+    )
+    module = importlib.import_module(f'shallothinge.{arguments.role}.process')
+    status = module.run(
+        settings=settings, folder=arguments.settings.parent, reactor=reactor
+    )
+    return status or exit_codes.ExitCode.OK
+
+
+def run_standin(arguments: argparse.Namespace) -> int:
+    """Run a stand-in until it is told to stop."""
+    from twisted.internet import reactor
+
+    from shallothinge.standin import process
+
+    settings = load.read(
+        path=arguments.settings, file_type=STANDIN_TYPES[arguments.kind]
+    )
+    logs.configure(
+        role=f'standin-{arguments.kind}',
+        process_id=arguments.listen,
+        zone='',
+        host='',
+    )
+    process.run(settings=settings, address=arguments.listen, reactor=reactor)
+    return exit_codes.ExitCode.OK
