Add the control state machine, leases, fences and bundles

Cause: entries and agents may act only under a lease that a control majority grants, and operators' changes must be ordered by one log. Ruled out: checking signatures while applying a command, since the keys come from settings that may differ between control hosts; the leader checks and logs the parsed bundle, or the refusal. Change: a deterministic state machine (bundles, outages, fencing numbers, first answers of orders), the leader's soft state (leases, members), a server that answers peers by role, and the process around them. Lease requests show the fencing number held, so that a new leader renews at once; holders count lapses; bundles list their zones.

--- /dev/null
+++ b/src/shallothinge/bundles/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Example bundles of the two deployments."""
--- a/src/shallothinge/bundles/model.py
+++ b/src/shallothinge/bundles/model.py
@@ -45,13 +45,17 @@
 
 @attrs.frozen(kw_only=True)
 class Bundle:
-    """One version of everything that operators decide in advance."""
+    """One version of everything that operators decide in advance.
+
+    ``zones`` names the availability zones of the deployment.
+    """
 
     version: int
     replaces_version: int
     models: tuple[ModelSpec, ...]
     services: tuple[ServiceSpec, ...]
     workspaces: tuple[WorkspaceSpec, ...]
+    zones: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/src/shallothinge/control/leadership.py
@@ -0,0 +1,149 @@
+"""Soft state of one leadership: leases and announced backend servers."""
+
+import attrs
+
+from shallothinge import clock
+from shallothinge.control import state
+from shallothinge.errors import ErrorKind
+from shallothinge.leases import messages
+from shallothinge.leases import table
+from shallothinge.membership import fences
+from shallothinge.membership import table as members
+from shallothinge.membership.model import MembershipUpdate
+from shallothinge.settings import model
+
+
+@attrs.frozen(kw_only=True)
+class FenceNeeded:
+    """The holder needs a fencing number from the log before a lease."""
+
+    server_id: str
+    incarnation: str
+
+
+class Leadership:
+    """Grants leases for as long as this host leads.
+
+    :param epoch: unique name of this leadership.
+    :param elected_ms: when it began, on ``clock``.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clock.Clock,
+        machine: state.ControlState,
+        settings: model.LeaseSettings,
+        epoch: str,
+        elected_ms: int,
+    ):
+        self._clock = clock
+        self._machine = machine
+        self.epoch = epoch
+        self._members_complete_ms = elected_ms + settings.member_silence_ms
+        self.leases = table.LeaseTable(
+            clock=clock,
+            duration_ms=settings.duration_ms,
+            elected_ms=elected_ms,
+        )
+        self.members = members.MemberTable(
+            clock=clock, epoch=epoch, silence_ms=settings.member_silence_ms
+        )
+
+    def fence_needed(
+        self, request: messages.LeaseRequest
+    ) -> FenceNeeded | None:
+        """Return the fence to commit before the request can be granted."""
+        if request.server is None:
+            return None
+        standing = self._standing_of(request)
+        if standing is not fences.Standing.NEW:
+            return None
+        return FenceNeeded(
+            server_id=request.holder_id, incarnation=request.incarnation
+        )
+
+    def answer(
+        self, request: messages.LeaseRequest
+    ) -> messages.LeaseGranted | messages.LeaseRefused:
+        """Answer a lease request.
+
+        To be called only after a majority confirmed, since the request
+        arrived, that this host leads.
+        """
+        if request.server is not None:
+            kind = self._refusal_of_server(request)
+            if kind is not None:
+                return messages.LeaseRefused(
+                    sequence=request.sequence, kind=kind
+                )
+        config = self._machine.data.config
+        duration_ms = self.leases.grant(
+            request=request, config_version=config.state_version
+        )
+        if request.server is not None:
+            self._announce(request)
+        is_behind = request.config_version < config.state_version
+        return messages.LeaseGranted(
+            sequence=request.sequence,
+            duration_ms=duration_ms,
+            state_version=config.state_version,
+            fence=self._fence_of(request),
+            config=config if is_behind else None,
+            members_epoch=self.epoch,
+            members=self._members_for(request),
+        )
+
+    def tidy(self) -> None:
+        """Drop leases that ran out and silent backend servers."""
+        self.leases.forget_ended()
+        self.members.drop_silent()
+
+    def _standing_of(self, request) -> fences.Standing:
+        return self._machine.data.fences.standing_of(
+            server_id=request.holder_id, incarnation=request.incarnation
+        )
+
+    def _fence_of(self, request) -> int:
+        if request.server is None:
+            return 0
+        return self._machine.data.fences.fence_of(server_id=request.holder_id)
+
+    def _refusal_of_server(self, request) -> ErrorKind | None:
+        """Return why an agent gets no lease now, or None.
+
+        A replaced incarnation gets none any more. The newest one waits
+        until its predecessor's lease has run out; one that shows the
+        newest fencing number was granted a lease before and needn't wait.
+        """
+        if self._standing_of(request) is not fences.Standing.CURRENT:
+            return ErrorKind.STALE_FENCE
+        if request.fence == self._fence_of(request):
+            return None
+        if not self.leases.is_settled:
+            return ErrorKind.NO_LEASE
+        if self.leases.predecessor_may_act(request):
+            return ErrorKind.NO_LEASE
+        return None
+
+    def _announce(self, request: messages.LeaseRequest) -> None:
+        server = request.server
+        if request.leaving:
+            server = attrs.evolve(server, leaving=True)
+        self.members.announce(server=server)
+
+    def _members_for(self, request) -> MembershipUpdate | None:
+        """Return the membership changes that a holder lacks.
+
+        A new leader has not heard of all backend servers yet; until it
+        has, holders keep what the previous leader told them.
+        """
+        if request.members_version < 0:
+            return None
+        is_complete = self._clock.now_ms() >= self._members_complete_ms
+        is_new_epoch = request.members_epoch != self.epoch
+        if request.members_epoch and is_new_epoch and not is_complete:
+            return None
+        return self.members.update_since(
+            version=request.members_version, epoch=request.members_epoch
+        )
--- /dev/null
+++ b/src/shallothinge/control/server.py
@@ -0,0 +1,373 @@
+"""Answers the messages of peers: proposes, reads or refuses.
+
+The leader answers; other hosts name the leader. Each request may be resent
+and is answered as at first, so a request whose answer was lost does no
+harm.
+"""
+
+from collections.abc import Callable
+import logging
+
+import attrs
+from twisted.internet import defer
+
+from shallothinge import clock as clocks
+from shallothinge.control import api
+from shallothinge.control import commands
+from shallothinge.control import leadership
+from shallothinge.control import orders
+from shallothinge.control import state
+from shallothinge.control import views
+from shallothinge.errors import ErrorKind
+from shallothinge.leases import client
+from shallothinge.leases import messages as leases
+from shallothinge.membership import messages as membership
+from shallothinge.operators import messages as operators
+from shallothinge.settings import model
+from shallothinge.transport import endpoint
+
+LOG = logging.getLogger(__name__)
+
+Handler = Callable[[endpoint.Peer, object], None]
+ORDERS = (
+    operators.SubmitBundle,
+    operators.SignOffBundle,
+    operators.RollBundle,
+    operators.SetZone,
+    operators.SetServer,
+)
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """Who may send a message, and what is done with it."""
+
+    roles: tuple[str, ...]
+    handle: Handler
+    needs_leader: bool = True
+
+
+@attrs.frozen(kw_only=True)
+class WaitingRequest:
+    """A lease request that waits for a majority's confirmation."""
+
+    peer: endpoint.Peer
+    request: leases.LeaseRequest
+
+
+class ControlServer:
+    """Handles the messages that a control host receives.
+
+    :param send: sends a message to a peer's route.
+    :param process_id: this host's id.
+    :param incarnation: unique to this start of the process.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: api.ReplicatedLog,
+        machine: state.ControlState,
+        settings: model.ControlSettings,
+        clock: clocks.Clock,
+        wall_clock: clocks.Clock,
+        send: Callable[..., bool],
+        incarnation: str,
+    ):
+        self._log = log
+        self._machine = machine
+        self._settings = settings
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._send = send
+        self._incarnation = incarnation
+        self._codec = commands.build_codec()
+        self._checker = orders.OrderChecker(operators=settings.operators)
+        self._leadership: leadership.Leadership | None = None
+        self._waiting: list[WaitingRequest] = []
+        self._confirming = False
+        self._fencing: set[leadership.FenceNeeded] = set()
+        self._routes = self._build_routes()
+
+    def _build_routes(self) -> dict[type, Route]:
+        operator = ('operator',)
+        routes = {
+            leases.LeaseRequest: Route(
+                roles=('entry', 'agent'), handle=self._request_lease
+            ),
+            operators.InForceRequested: Route(
+                roles=operator, handle=self._answer_in_force
+            ),
+            operators.QueryRequested: Route(
+                roles=operator, handle=self._answer_query
+            ),
+            operators.DumpRequested: Route(
+                roles=operator, handle=self._answer_dump, needs_leader=False
+            ),
+            operators.FoundCluster: Route(
+                roles=operator, handle=self._found, needs_leader=False
+            ),
+            operators.ChangeMembers: Route(
+                roles=operator, handle=self._change_members
+            ),
+        }
+        for order_type in ORDERS:
+            routes[order_type] = Route(
+                roles=operator, handle=self._carry_out_order
+            )
+        return routes
+
+    def receive(self, peer: endpoint.Peer, message: object) -> None:
+        """Handle a message of a peer."""
+        if peer.role == 'control':
+            self._log.receive(peer, message)
+            return
+        route = self._routes.get(type(message))
+        if route is None or peer.role not in route.roles:
+            LOG.warning(
+                'refused a message that the peer may not send',
+                extra={
+                    'peer': peer.process_id,
+                    'message_type': type(message).__name__,
+                },
+            )
+            self._refuse(peer, message, ErrorKind.FORBIDDEN)
+        elif route.needs_leader and not self._log.is_leader:
+            self._refuse(peer, message, ErrorKind.NOT_LEADER)
+        else:
+            route.handle(peer, message)
+
+    def tick(self) -> None:
+        """Do what is due from time to time on a leader."""
+        if self._log.is_leader:
+            self._current().tidy()
+
+    def propose(self, command: object) -> defer.Deferred:
+        """Commit a command; fire with its decoded answer."""
+        stamped = commands.Stamped(
+            now_ms=self._wall_clock.now_ms(),
+            command=self._codec.encode(command),
+        )
+        proposed = self._log.propose(self._codec.encode(stamped))
+        return proposed.addCallback(self._codec.decode)
+
+    def _current(self) -> leadership.Leadership:
+        """Return the soft state of the present leadership."""
+        elected_ms = self._log.elected_ms
+        epoch = f'{self._incarnation}-{elected_ms}'
+        if self._leadership is None or self._leadership.epoch != epoch:
+            self._leadership = leadership.Leadership(
+                clock=self._clock,
+                machine=self._machine,
+                settings=self._settings.leases,
+                epoch=epoch,
+                elected_ms=elected_ms,
+            )
+        return self._leadership
+
+    def _refuse(
+        self,
+        peer: endpoint.Peer,
+        message: object,
+        kind: ErrorKind,
+        detail: str = '',
+    ) -> None:
+        if isinstance(message, leases.LeaseRequest):
+            answer = leases.LeaseRefused(
+                sequence=message.sequence,
+                kind=kind,
+                leader_id=self._log.leader_id or '',
+            )
+        else:
+            answer = leases.ControlRefused(
+                request_id=client.id_of(message),
+                kind=kind,
+                leader_id=self._log.leader_id or '',
+                detail=detail,
+            )
+        self._send(route=peer.route, message=answer)
+
+    def _reply_with(
+        self, answered: defer.Deferred, peer: endpoint.Peer, message: object
+    ) -> None:
+        """Send what a deferred fires with, or that the leader is lost."""
+
+        def reply(answer):
+            self._send(route=peer.route, message=answer)
+
+        def refuse(failure):
+            LOG.info(
+                'a request was not committed',
+                extra={'cause': failure.getErrorMessage()},
+            )
+            self._refuse(peer, message, ErrorKind.NOT_LEADER)
+
+        answered.addCallbacks(reply, refuse)
+
+    def _propose_for(self, peer: endpoint.Peer, message: object) -> None:
+        self._reply_with(self.propose(message), peer, message)
+
+    def _read_for(
+        self,
+        peer: endpoint.Peer,
+        message: object,
+        read: Callable[[], object],
+    ) -> None:
+        confirmed = self._log.confirm_read()
+        confirmed.addCallback(lambda _: read())
+        self._reply_with(confirmed, peer, message)
+
+    def _request_lease(self, peer, request) -> None:
+        if not _is_own(peer, request):
+            self._refuse(peer, request, ErrorKind.FORBIDDEN)
+            return
+        waiting = WaitingRequest(peer=peer, request=request)
+        needed = self._current().fence_needed(request)
+        if needed is None:
+            self._confirm(waiting)
+        elif needed not in self._fencing:
+            self._fence(needed, waiting)
+
+    def _fence(
+        self, needed: leadership.FenceNeeded, waiting: WaitingRequest
+    ) -> None:
+        """Commit a fencing number, then go on with the request.
+
+        Requests that the holder sends meanwhile are dropped.
+        """
+        self._fencing.add(needed)
+        proposed = self.propose(
+            membership.FenceServer(
+                server_id=needed.server_id, incarnation=needed.incarnation
+            )
+        )
+        proposed.addBoth(self._fenced, needed)
+        proposed.addCallback(lambda _: self._confirm(waiting))
+        proposed.addErrback(
+            lambda _: self._refuse(
+                waiting.peer, waiting.request, ErrorKind.NOT_LEADER
+            )
+        )
+
+    def _fenced(self, result, needed):
+        self._fencing.discard(needed)
+        return result
+
+    def _confirm(self, waiting: WaitingRequest) -> None:
+        self._waiting.append(waiting)
+        self._confirm_waiting()
+
+    def _confirm_waiting(self) -> None:
+        """Confirm leadership once for all requests that wait by now.
+
+        Requests that arrive while a majority is being asked wait for the
+        next round: the confirmation must begin after their arrival.
+        """
+        if self._confirming or not self._waiting:
+            return
+        self._confirming = True
+        batch = self._waiting
+        self._waiting = []
+        confirmed = self._log.confirm_read()
+        confirmed.addCallback(lambda _: self._grant(batch))
+        confirmed.addErrback(lambda _: self._refuse_batch(batch))
+        confirmed.addCallback(lambda _: self._confirm_next())
+
+    def _confirm_next(self) -> None:
+        self._confirming = False
+        self._confirm_waiting()
+
+    def _grant(self, batch: list[WaitingRequest]) -> None:
+        current = self._current()
+        for waiting in batch:
+            answer = current.answer(waiting.request)
+            if isinstance(answer, leases.LeaseRefused):
+                answer = attrs.evolve(answer, leader_id=self._log.leader_id)
+            self._send(route=waiting.peer.route, message=answer)
+
+    def _refuse_batch(self, batch: list[WaitingRequest]) -> None:
+        for waiting in batch:
+            self._refuse(waiting.peer, waiting.request, ErrorKind.NOT_LEADER)
+
+    def _carry_out_order(self, peer, order) -> None:
+        command = self._checker.build_command(order)
+        self._reply_with(self.propose(command), peer, order)
+
+    def _answer_in_force(self, peer, request) -> None:
+        self._read_for(peer, request, lambda: self._in_force(request))
+
+    def _in_force(self, request) -> operators.InForceAnswered:
+        version = self._machine.data.config.state_version
+        if request.state_version > version:
+            return operators.InForceAnswered(
+                request_id=request.request_id, in_force=False
+            )
+        waiting = self._current().leases.waiting_for(
+            version=request.state_version
+        )
+        return operators.InForceAnswered(
+            request_id=request.request_id,
+            in_force=not waiting,
+            waiting_for=waiting,
+        )
+
+    def _answer_query(self, peer, request) -> None:
+        self._read_for(
+            peer,
+            request,
+            lambda: views.answer_query(
+                request=request,
+                data=self._machine.data,
+                current=self._current(),
+            ),
+        )
+
+    def _answer_dump(self, peer, request) -> None:
+        current = self._current() if self._log.is_leader else None
+        answer = operators.DumpAnswered(
+            request_id=request.request_id,
+            json_text=views.dump(
+                data=self._machine.data,
+                current=current,
+                replica=self._log.dump(),
+            ),
+        )
+        self._send(route=peer.route, message=answer)
+
+    def _found(self, peer, order) -> None:
+        try:
+            self._log.found(order.cluster_id, order.member_ids)
+        except ValueError as error:
+            answer = operators.OrderAnswered(
+                order_id=order.order_id,
+                kind=ErrorKind.VERSION_CONFLICT,
+                detail=str(error),
+            )
+        else:
+            answer = operators.OrderAnswered(order_id=order.order_id)
+        self._send(route=peer.route, message=answer)
+
+    def _change_members(self, peer, order) -> None:
+        if order.add_id:
+            changed = self._log.add_member(order.add_id)
+        else:
+            changed = self._log.remove_member(order.remove_id)
+        changed.addCallback(
+            lambda _: operators.OrderAnswered(order_id=order.order_id)
+        )
+        self._reply_with(changed, peer, order)
+
+
+def _is_own(peer: endpoint.Peer, request: leases.LeaseRequest) -> bool:
+    """Return whether a request speaks for the peer that sent it."""
+    if request.server is not None and peer.role != 'agent':
+        return False
+    if (
+        request.server is not None
+        and request.server.server_id != peer.process_id
+    ):
+        return False
+    return (
+        request.holder_id == peer.process_id
+        and request.incarnation == peer.incarnation
+    )
--- /dev/null
+++ b/src/shallothinge/control/state.py
@@ -0,0 +1,191 @@
+"""The deterministic state machine of the replicated log.
+
+Each committed command is applied once, in the order of the log, on every
+control host. Applying reads no clock: time is the leader's stamp.
+"""
+
+from collections.abc import Callable
+import hashlib
+
+import attrs
+from cattrs.preconf import msgpack as cattrs_msgpack
+import msgpack
+
+from shallothinge.bundles import messages as bundle_messages
+from shallothinge.bundles.model import ServingConfig
+from shallothinge.bundles.state import BundleStore
+from shallothinge.control import commands
+from shallothinge.control.answers import OrderAnswers
+from shallothinge.errors import ErrorKind
+from shallothinge.membership import messages as membership
+from shallothinge.membership.fences import Fences
+from shallothinge.operators import messages as operators
+from shallothinge.outages.state import Outages
+
+
+@attrs.define(kw_only=True)
+class StateData:
+    """Everything that survives: the state of each slice."""
+
+    now_ms: int = 0
+    config: ServingConfig = attrs.field(factory=ServingConfig)
+    orders: OrderAnswers = attrs.field(factory=OrderAnswers)
+    bundles: BundleStore = attrs.field(factory=BundleStore)
+    outages: Outages = attrs.field(factory=Outages)
+    fences: Fences = attrs.field(factory=Fences)
+
+
+def fingerprint(order: object) -> str:
+    """Return a hash that tells two orders apart."""
+    return hashlib.sha256(repr(order).encode()).hexdigest()
+
+
+class ControlState:
+    """Applies commands and hands out snapshots.
+
+    ``data`` holds the state after the last command applied.
+    """
+
+    def __init__(self):
+        self.data = StateData()
+        self._codec = commands.build_codec()
+        self._converter = cattrs_msgpack.make_converter()
+        self._handlers: dict[type, Callable[[object, int], object]] = {
+            commands.RefuseOrder: self._refuse_order,
+            bundle_messages.AcceptBundle: self._accept_bundle,
+            operators.SignOffBundle: self._sign_off,
+            operators.RollBundle: self._roll,
+            operators.SetZone: self._set_zone,
+            operators.SetServer: self._set_server,
+            membership.FenceServer: self._fence_server,
+        }
+
+    def apply(self, *, index: int, command: bytes) -> bytes:
+        """Apply one committed command.
+
+        :param index: its index in the log.
+        :param command: bytes of a ``Stamped`` command.
+        :returns: bytes of the answer.
+        :raises wire.WireError: if this release doesn't know the command;
+            the host must not go on without it.
+        """
+        stamped = self._codec.decode(command)
+        self.data.now_ms = max(self.data.now_ms, stamped.now_ms)
+        message = self._codec.decode(stamped.command)
+        answer = self._handlers[type(message)](message, index)
+        return self._codec.encode(answer)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return msgpack.packb(self._converter.unstructure(self.data))
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the state by a snapshot.
+
+        :raises cattrs.BaseValidationError: if it is not a snapshot.
+        """
+        fields = msgpack.unpackb(snapshot)
+        self.data = self._converter.structure(fields, StateData)
+
+    def _once(
+        self,
+        order: object,
+        carry_out: Callable[[], operators.OrderAnswered],
+        *,
+        order_hash: str = '',
+    ) -> operators.OrderAnswered:
+        order_hash = order_hash or fingerprint(order)
+        first = self.data.orders.find(
+            order_id=order.order_id, fingerprint=order_hash
+        )
+        if first is not None:
+            return first
+        answer = carry_out()
+        self.data.orders.store(
+            fingerprint=order_hash, answer=answer, now_ms=self.data.now_ms
+        )
+        return answer
+
+    def _refuse_order(self, command, index):
+        return self._once(
+            command.answer,
+            lambda: command.answer,
+            order_hash=command.fingerprint,
+        )
+
+    def _accept_bundle(self, command, index):
+        return self._once(
+            command,
+            lambda: self.data.bundles.accept(
+                command=command, now_ms=self.data.now_ms
+            ),
+            order_hash=command.fingerprint,
+        )
+
+    def _sign_off(self, order, index):
+        return self._once(
+            order,
+            lambda: self.data.bundles.sign_off(
+                order=order, now_ms=self.data.now_ms
+            ),
+        )
+
+    def _roll(self, order, index):
+        return self._once(order, lambda: self._roll_once(order, index))
+
+    def _roll_once(self, order, index):
+        answer = self.data.bundles.roll(
+            order=order, now_ms=self.data.now_ms, index=index
+        )
+        if answer.kind is None:
+            self._rebuild_config(index)
+        return answer
+
+    def _set_zone(self, order, index):
+        return self._once(order, lambda: self._set_zone_once(order, index))
+
+    def _set_zone_once(self, order, index):
+        bundle = self.data.config.bundle
+        zones = () if bundle is None else bundle.zones
+        if order.out and zones and order.zone not in zones:
+            return operators.OrderAnswered(
+                order_id=order.order_id,
+                kind=ErrorKind.NOT_FOUND,
+                detail=f'no zone {order.zone}; known: {", ".join(zones)}',
+            )
+        return self._answer_outage(
+            order, index, self.data.outages.set_zone(order=order)
+        )
+
+    def _set_server(self, order, index):
+        return self._once(
+            order,
+            lambda: self._answer_outage(
+                order, index, self.data.outages.set_server(order=order)
+            ),
+        )
+
+    def _answer_outage(self, order, index, changed):
+        if changed:
+            self._rebuild_config(index)
+        return operators.OrderAnswered(
+            order_id=order.order_id,
+            state_version=self.data.config.state_version,
+        )
+
+    def _rebuild_config(self, index: int) -> None:
+        record = self.data.bundles.in_force
+        self.data.config = ServingConfig(
+            state_version=index,
+            bundle=None if record is None else record.bundle,
+            zones_out=self.data.outages.zones,
+            servers_out=self.data.outages.servers,
+        )
+
+    def _fence_server(self, command, index):
+        self.data.fences.advance(
+            server_id=command.server_id,
+            incarnation=command.incarnation,
+            index=index,
+        )
+        return commands.Done()
--- a/src/shallothinge/leases/holder.py
+++ b/src/shallothinge/leases/holder.py
@@ -18,6 +18,10 @@
     The lease counts from the holder's own send time, less an allowance for
     clock drift, so that it never outlives what control believes.
 
+    ``lapses`` counts how often the lease had run out before a renewal:
+    what control handed out under the lease, such as slices of allowances,
+    is void after a lapse.
+
     :param wants_members: whether to ask for the list of backend servers.
     """
 
@@ -38,12 +42,13 @@
         self._sequence = 0
         self._sent_ms = {}
         self._ends_ms = None
-        self._members_version = -1
+        self._members_version = 0
         self._members_epoch = ''
         self._members_sequence = 0
         self.config = ServingConfig()
         self.members: dict[str, BackendServer] = {}
         self.fence = 0
+        self.lapses = 0
         self.server: BackendServer | None = None
         self.leaving = False
 
@@ -74,6 +79,7 @@
             members_epoch=self._members_epoch,
             server=self.server,
             leaving=self.leaving,
+            fence=self.fence,
         )
 
     def granted(self, grant: messages.LeaseGranted) -> bool:
@@ -91,6 +97,8 @@
             self._take_config(grant.config)
         if grant.state_version != self.config.state_version:
             return False
+        if self._ends_ms is not None and not self.is_valid():
+            self.lapses += 1
         drift_ms = grant.duration_ms // DRIFT_DIVISOR
         ends_ms = sent_ms + grant.duration_ms - drift_ms
         self._ends_ms = max(ends_ms, self._ends_ms or 0)
--- a/src/shallothinge/leases/messages.py
+++ b/src/shallothinge/leases/messages.py
@@ -14,8 +14,6 @@
 
     ``sequence`` pairs the answer with the holder's send time, from which
     the lease counts. ``config_version`` is the newest configuration that
-    the holder obeys; ``members_version`` the membership that it holds, or
-    -1 if it wants no membership. An agent announces itself by ``server``.
     """
 
     holder_id: str
@@ -27,6 +25,7 @@
     members_epoch: str = ''
     server: BackendServer | None = None
     leaving: bool = False
+    fence: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -74,4 +73,21 @@
     detail: str = ''
 
 
+@attrs.frozen(kw_only=True)
+class Holder:
+    """One start of a process that acts under leases."""
+
+    holder_id: str
+    incarnation: str
+
+
+@attrs.frozen(kw_only=True)
+class EndHolders:
+    """Command of the log: the leases of these holders have run out."""
+
+    holders: tuple[Holder, ...]
+
+
+COMMANDS = (EndHolders,)
+
 MESSAGES = (LeaseRequest, LeaseGranted, LeaseRefused, ControlRefused)
--- /dev/null
+++ b/src/shallothinge/membership/fences.py
@@ -0,0 +1,66 @@
+"""Replicated fencing numbers of backend servers.
+
+The log index at which an agent's incarnation was first seen is its fencing
+number. The incarnation fenced last is the only one that may get a lease.
+"""
+
+import enum
+
+import attrs
+
+PAST_INCARNATIONS = 16
+
+
+class Standing(enum.Enum):
+    """What is known of an incarnation of a backend server's agent."""
+
+    NEW = 'new'
+    CURRENT = 'current'
+    REPLACED = 'replaced'
+
+
+@attrs.frozen(kw_only=True)
+class FenceRecord:
+    """The newest incarnation of a backend server's agent."""
+
+    fence: int
+    incarnation: str
+    past: tuple[str, ...] = ()
+
+
+@attrs.define(kw_only=True)
+class Fences:
+    """Fencing numbers by backend server."""
+
+    by_server: dict[str, FenceRecord] = attrs.field(factory=dict)
+
+    def standing_of(self, *, server_id: str, incarnation: str) -> Standing:
+        """Return whether the incarnation is new, current or replaced."""
+        record = self.by_server.get(server_id)
+        if record is None:
+            return Standing.NEW
+        if record.incarnation == incarnation:
+            return Standing.CURRENT
+        if incarnation in record.past:
+            return Standing.REPLACED
+        return Standing.NEW
+
+    def fence_of(self, *, server_id: str) -> int:
+        """Return the fencing number of the newest incarnation, or 0."""
+        record = self.by_server.get(server_id)
+        return 0 if record is None else record.fence
+
+    def advance(self, *, server_id: str, incarnation: str, index: int) -> None:
+        """Make a new incarnation the newest; others leave it as it is."""
+        standing = self.standing_of(
+            server_id=server_id, incarnation=incarnation
+        )
+        if standing is not Standing.NEW:
+            return
+        past = ()
+        record = self.by_server.get(server_id)
+        if record is not None:
+            past = (*record.past, record.incarnation)[-PAST_INCARNATIONS:]
+        self.by_server[server_id] = FenceRecord(
+            fence=index, incarnation=incarnation, past=past
+        )
--- /dev/null
+++ b/src/shallothinge/membership/table.py
@@ -0,0 +1,95 @@
+"""Backend servers that are announcing themselves, as the leader sees them.
+
+Soft state: a new leader starts without any and learns them from the next
+lease requests. Readers hold a version and get what changed since.
+"""
+
+import attrs
+
+from shallothinge import clock
+from shallothinge.membership.model import BackendServer
+from shallothinge.membership.model import MembershipUpdate
+
+LEFT_KEPT = 1000
+
+
+@attrs.frozen(kw_only=True)
+class Member:
+    """A backend server with the version that changed it last."""
+
+    server: BackendServer
+    version: int
+    heard_ms: int
+
+
+class MemberTable:
+    """Backend servers by id, with the version of each change.
+
+    :param epoch: names this table; versions of another one don't count.
+    :param silence_ms: silence after which a backend server is dropped.
+    """
+
+    def __init__(self, *, clock: clock.Clock, epoch: str, silence_ms: int):
+        self._clock = clock
+        self._silence_ms = silence_ms
+        self.epoch = epoch
+        self._version = 0
+        self._members: dict[str, Member] = {}
+        self._left: dict[str, int] = {}
+        self._forgotten_version = 0
+
+    def announce(self, *, server: BackendServer) -> None:
+        """Take an announcement into account."""
+        known = self._members.get(server.server_id)
+        version = self._version
+        if known is None or known.server != server:
+            self._version += 1
+            version = self._version
+            self._left.pop(server.server_id, None)
+        else:
+            version = known.version
+        self._members[server.server_id] = Member(
+            server=server, version=version, heard_ms=self._clock.now_ms()
+        )
+
+    def drop_silent(self) -> None:
+        """Drop backend servers that have been silent for too long."""
+        oldest_ms = self._clock.now_ms() - self._silence_ms
+        for server_id, member in list(self._members.items()):
+            if member.heard_ms < oldest_ms:
+                self._drop(server_id)
+
+    def update_since(self, *, version: int, epoch: str) -> MembershipUpdate:
+        """Return what changed since the version that a reader holds."""
+        if epoch != self.epoch or version < self._forgotten_version:
+            return MembershipUpdate(
+                version=self._version, complete=True, joined=self.servers()
+            )
+        joined = [
+            member.server
+            for member in self._members.values()
+            if member.version > version
+        ]
+        left = [
+            server_id
+            for server_id, left_version in self._left.items()
+            if left_version > version
+        ]
+        return MembershipUpdate(
+            version=self._version,
+            complete=False,
+            joined=tuple(joined),
+            left=tuple(left),
+        )
+
+    def servers(self) -> tuple[BackendServer, ...]:
+        """Return all backend servers."""
+        return tuple(member.server for member in self._members.values())
+
+    def _drop(self, server_id: str) -> None:
+        del self._members[server_id]
+        self._version += 1
+        self._left[server_id] = self._version
+        if len(self._left) > LEFT_KEPT:
+            oldest = next(iter(self._left))
+            self._forgotten_version = self._left.pop(oldest)
--- /dev/null
+++ b/src/shallothinge/outages/state.py
@@ -0,0 +1,38 @@
+"""Replicated state of outages: zones and backend servers out of service."""
+
+import attrs
+
+from shallothinge.operators import messages
+
+
+@attrs.define(kw_only=True)
+class Outages:
+    """Sorted names of the zones and backend servers that are out."""
+
+    zones: tuple[str, ...] = ()
+    servers: tuple[str, ...] = ()
+
+    def set_zone(self, *, order: messages.SetZone) -> bool:
+        """Take a zone out or bring it back.
+
+        :returns: whether that changed anything.
+        """
+        before = self.zones
+        self.zones = _set(before, order.zone, order.out)
+        return self.zones != before
+
+    def set_server(self, *, order: messages.SetServer) -> bool:
+        """Take a backend server out or bring it back.
+
+        :returns: whether that changed anything.
+        """
+        before = self.servers
+        self.servers = _set(before, order.server_id, order.out)
+        return self.servers != before
+
+
+def _set(names: tuple[str, ...], name: str, out: bool) -> tuple[str, ...]:
+    others = {other for other in names if other != name}
+    if out:
+        others.add(name)
+    return tuple(sorted(others))
