Add the commands of operators

Cause: bundles, outages and the cluster of control hosts are driven from a terminal only.

Change: a terminal over the authenticated connections that resends an order under one id until it is answered; commands to found, repair and change the cluster, for bundles, outages, dumps and keys.

Ruled out: a founding order to one host only, since each empty host must know its cluster before it votes.

--- /dev/null
+++ b/src/shallothinge/operators/control_commands.py
@@ -0,0 +1,122 @@
+"""Commands that run control hosts and manage their cluster."""
+
+import argparse
+
+from shallothinge.operators import arguments as common
+from shallothinge.operators import exit_codes
+from shallothinge.operators import messages
+from shallothinge.operators import orders
+from shallothinge.operators import role_commands
+from shallothinge.operators import terminal as terminals
+
+
+def add_commands(commands) -> None:
+    """Add ``control`` to the parser's list."""
+    summary = 'run a control host, or manage the cluster of control hosts'
+    command = commands.add_parser('control', help=summary, description=summary)
+    role_commands.add_settings(command, required=False)
+    command.set_defaults(
+        run=run_or_explain, role='control', explain=command.error
+    )
+    actions = command.add_subparsers(dest='action', metavar='ACTION')
+    found_parser = actions.add_parser(
+        'found', help='found a cluster of the empty control hosts listed'
+    )
+    found_parser.add_argument('--cluster-id', required=True, metavar='ID')
+    common.add_order_arguments(found_parser)
+    found_parser.set_defaults(run=found)
+    repair_parser = actions.add_parser(
+        'repair',
+        help='replace a control host that lost its disk by itself, empty: '
+        'it is removed and added again, without a vote until it holds all',
+    )
+    _add_process_id(repair_parser)
+    repair_parser.set_defaults(run=repair)
+    _add_members(actions)
+
+
+def _add_members(actions) -> None:
+    members = actions.add_parser('members', help='change the members')
+    changes = members.add_subparsers(
+        dest='change', metavar='CHANGE', required=True
+    )
+    for name, text in (
+        ('add', 'add a control host, first without a vote'),
+        ('remove', 'remove a control host'),
+    ):
+        change = changes.add_parser(name, help=text)
+        _add_process_id(change)
+        change.set_defaults(run=change_members)
+
+
+def _add_process_id(command) -> None:
+    command.add_argument('process_id', metavar='PROCESS-ID')
+    common.add_order_arguments(command)
+
+
+def run_or_explain(arguments: argparse.Namespace) -> int:
+    """Run a control host, for which a settings file is needed."""
+    if arguments.settings is None:
+        arguments.explain('give --settings FILE or an ACTION')
+    return role_commands.run_role(arguments)
+
+
+def found(arguments: argparse.Namespace) -> int:
+    """Found a cluster: every listed host gets the same order."""
+
+    async def act(terminal: terminals.Terminal):
+        hosts = terminal.settings.control_hosts
+        order = messages.FoundCluster(
+            order_id=arguments.order_id or terminals.new_id(),
+            cluster_id=arguments.cluster_id,
+            member_ids=tuple(host.process_id for host in hosts),
+        )
+        status = exit_codes.ExitCode.OK
+        for host in hosts:
+            answer = await terminal.ask_process(
+                address=host.address, role='control', message=order
+            )
+            print(f'{host.process_id}: ', end='')
+            given = await orders.report(terminal, answer, wait=False)
+            status = max(status, given)
+        return status
+
+    return common.run_action(arguments, act)
+
+
+def change_members(arguments: argparse.Namespace) -> int:
+    """Add or remove a control host."""
+
+    async def act(terminal: terminals.Terminal):
+        field = f'{arguments.change}_id'
+        order = messages.ChangeMembers(
+            order_id=arguments.order_id or terminals.new_id(),
+            operator=terminal.operator,
+            **{field: arguments.process_id},
+        )
+        return await orders.give(terminal, order, wait=False)
+
+    return common.run_action(arguments, act)
+
+
+def repair(arguments: argparse.Namespace) -> int:
+    """Remove a control host that lost its disk and add it again."""
+
+    async def act(terminal: terminals.Terminal):
+        order_id = arguments.order_id or terminals.new_id()
+        removal = messages.ChangeMembers(
+            order_id=f'{order_id}-remove',
+            operator=terminal.operator,
+            remove_id=arguments.process_id,
+        )
+        status = await orders.give(terminal, removal, wait=False)
+        if status is not exit_codes.ExitCode.OK:
+            return status
+        addition = messages.ChangeMembers(
+            order_id=f'{order_id}-add',
+            operator=terminal.operator,
+            add_id=arguments.process_id,
+        )
+        return await orders.give(terminal, addition, wait=False)
+
+    return common.run_action(arguments, act)
--- a/src/shallothinge/operators/main.py
+++ b/src/shallothinge/operators/main.py
@@ -5,11 +5,24 @@
 import sys
 
 import shallothinge
+from shallothinge.operators import bundle_commands
+from shallothinge.operators import control_commands
+from shallothinge.operators import dump_commands
 from shallothinge.operators import exit_codes
+from shallothinge.operators import key_commands
+from shallothinge.operators import outage_commands
 from shallothinge.operators import role_commands
 from shallothinge.operators import settings_commands
 
-COMMAND_GROUPS = (role_commands, settings_commands)
+COMMAND_GROUPS = (
+    role_commands,
+    control_commands,
+    bundle_commands,
+    outage_commands,
+    dump_commands,
+    key_commands,
+    settings_commands,
+)
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -27,6 +40,7 @@
     parser.add_argument(
         '--version', action='version', version=shallothinge.__version__
     )
+    parser.set_defaults(takes_rest=False)
     commands = parser.add_subparsers(
         dest='command', metavar='COMMAND', required=True
     )
@@ -41,13 +55,20 @@
     :param arguments: the command line without the program's name.
     :returns: the exit status.
     """
-    chosen = build_parser().parse_args(arguments)
+    parser = build_parser()
+    chosen, rest = parser.parse_known_args(arguments)
+    if rest and not chosen.takes_rest:
+        parser.error(f'unrecognized arguments: {" ".join(rest)}')
+    chosen.rest = rest
     try:
         return int(chosen.run(chosen))
     except ExceptionGroup as group:
         for fault in group.exceptions:
             print(fault, file=sys.stderr)
         return int(exit_codes.ExitCode.BAD_INPUT)
+    except (OSError, ValueError) as error:
+        print(error, file=sys.stderr)
+        return int(exit_codes.ExitCode.BAD_INPUT)
     except KeyboardInterrupt:
         return int(exit_codes.ExitCode.INTERRUPTED)
 
--- a/src/shallothinge/operators/role_commands.py
+++ b/src/shallothinge/operators/role_commands.py
@@ -15,7 +15,6 @@
     'weights': standin_model.WeightStoreFile,
 }
 ROLE_HELP = {
-    'control': 'run a control host, which keeps the replicated state',
     'entry': 'run an entry, which takes callers\' requests',
     'agent': 'run an agent beside a backend server',
 }
@@ -25,16 +24,18 @@
     """Add the commands to the parser's list."""
     for role, text in ROLE_HELP.items():
         command = commands.add_parser(role, help=text, description=text)
-        _add_settings(command)
+        add_settings(command)
         command.set_defaults(run=run_role, role=role)
     _add_standin(commands)
+    _add_load(commands)
 
 
-def _add_settings(command) -> None:
+def add_settings(command, *, required: bool = True) -> None:
+    """Add the argument that names a settings file."""
     command.add_argument(
         '--settings',
         type=pathlib.Path,
-        required=True,
+        required=required,
         metavar='FILE',
         help='TOML settings file; see docs/CONFIGURATION.md',
     )
@@ -47,10 +48,16 @@
     command.add_argument(
         '--listen', required=True, metavar='IP:PORT', help='HTTP address'
     )
-    _add_settings(command)
+    add_settings(command)
     command.set_defaults(run=run_standin)
 
 
+def _add_load(commands) -> None:
+    text = 'send the load of a profile and report on the answers'
+    command = commands.add_parser('load', help=text, add_help=False)
+    command.set_defaults(run=run_load, takes_rest=True)
+
+
 def run_role(arguments: argparse.Namespace) -> int:
     """Run a role until it is told to stop."""
     from twisted.internet import reactor
@@ -91,3 +98,14 @@
     )
     process.run(settings=settings, address=arguments.listen, reactor=reactor)
     return exit_codes.ExitCode.OK
+
+
+def run_load(arguments: argparse.Namespace) -> int:
+    """Run the load tool, whose libraries no other command needs."""
+    from shallothinge.load import main as load_tool
+
+    parser = argparse.ArgumentParser(
+        prog='shallothinge load', description=load_tool.__doc__
+    )
+    load_tool.add_arguments(parser)
+    return load_tool.run(parser.parse_args(arguments.rest))
--- a/src/shallothinge/settings/model.py
+++ b/src/shallothinge/settings/model.py
@@ -133,3 +133,25 @@
     process: ProcessSettings
     backend: EngineSettings
     control_hosts: tuple[ControlHost, ...]
+
+
+@attrs.frozen(kw_only=True)
+class OperatorIdentity:
+    """Who gives orders from a terminal: table ``[operator]``.
+
+    ``signing_key_file`` holds the operator's Ed25519 private key,
+    ``key_file`` the curve key of the role ``operator``.
+    """
+
+    name: str
+    signing_key_file: str
+    key_file: str
+    trust_file: str
+
+
+@attrs.frozen(kw_only=True)
+class OperatorSettings:
+    """File that ``--operator-settings`` names."""
+
+    operator: OperatorIdentity
+    control_hosts: tuple[ControlHost, ...]
--- a/src/shallothinge/storage/tests/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the storage slice."""
