Serve metrics of each process by OpenTelemetry

Cause: operators need requests, first-token times, tokens, refusals, retries, lease time and queue length of each process.

Change: each process has a Metrics object with typed instruments on a registry of its own, served in the Prometheus text format when the settings name metrics_address.

Ruled out: the default registry, which is global, so that two processes in one test would share it; the exporter's own HTTP server, which is a thread.

--- a/src/shallothinge/process.py
+++ b/src/shallothinge/process.py
@@ -1,12 +1,14 @@
 """What every process of the system has: keys, sockets, clock, identity."""
 
 from collections.abc import Callable
+import logging
 import pathlib
 import secrets
 
 import zmq
 
 from shallothinge import clock
+from shallothinge import metrics
 from shallothinge import protocol
 from shallothinge.settings import model
 from shallothinge.transport import authenticator
@@ -15,6 +17,8 @@
 from shallothinge.transport import link
 from shallothinge.transport import messages
 
+LOG = logging.getLogger(__name__)
+
 INCARNATION_BYTES = 8
 
 
@@ -41,10 +45,17 @@
         self.codec = protocol.build_codec()
         self.key_pair = keys.read_key_pair(path=folder / settings.key_file)
         self.trust = keys.read_trust(path=folder / settings.trust_file)
+        self.metrics = metrics.Metrics(
+            role=self.key_pair.role,
+            process_id=settings.process_id,
+            zone=settings.zone,
+            host=settings.host,
+        )
         self._context = zmq.Context()
         self._authenticator = authenticator.start(
             context=self._context, trust=self.trust
         )
+        self._serve_metrics()
 
     def listen(
         self, *, on_message: Callable[[endpoint.Peer, object], None]
@@ -87,6 +98,21 @@
             on_reset=on_reset,
         )
 
+    def _serve_metrics(self) -> None:
+        if not self.settings.metrics_address:
+            return
+        listening = metrics.listen(
+            metrics=self.metrics,
+            address=self.settings.metrics_address,
+            reactor=self.reactor,
+        )
+        listening.addErrback(
+            lambda failure: LOG.error(
+                'metrics are not served',
+                extra={'cause': failure.getErrorMessage()},
+            )
+        )
+
     def close(self) -> None:
         """Stop authentication and drop every connection."""
         self._authenticator.stop()
