--- a/src/shallothinge/leases/client.py
+++ b/src/shallothinge/leases/client.py
@@ -61,6 +61,7 @@
         self._order = list(self._links)
         self._renewed_ms = None
         self._closed = False
+        self._timers = {}
 
     def start(self) -> None:
         """Begin to renew the lease and to resend open questions."""
@@ -71,6 +72,9 @@
     def close(self) -> None:
         """Stop; open questions fail."""
         self._closed = True
+        for timer in self._timers.values():
+            if timer.active():
+                timer.cancel()
         for link in self._links.values():
             link.close()
         for question in list(self._questions.values()):
@@ -126,7 +130,12 @@
             if self._unanswered_renewal():
                 self._rotate(self._order[0])
             self._send(self._holder.next_request())
-        self._reactor.callLater(RETRY_MS / 1000, self._renew)
+        self._later(RETRY_MS, self._renew)
+
+    def _later(self, delay_ms: int, function) -> None:
+        self._timers[function] = self._reactor.callLater(
+            delay_ms / 1000, function
+        )
 
     def _unanswered_renewal(self) -> bool:
         if self._renewed_ms is None:
@@ -144,7 +153,7 @@
                 self._fail(question)
             else:
                 self._send(question.message)
-        self._reactor.callLater(ASK_RETRY_MS / 1000, self._resend)
+        self._later(ASK_RETRY_MS, self._resend)
 
     def _fail(self, question: _Question) -> None:
         question.answered.errback(
