Add the entry process: callers' API, streams, service calls, stop

Cause: callers had nothing to talk to; this is the whole path at the entry, thin. EntrySettings has a defaulted table [routing]. Ruled out: splicing two generations after a failure; answering a call before its outcome is committed.

--- /dev/null
+++ b/src/shallothinge/admission/classes.py
@@ -0,0 +1,32 @@
+"""Classes of requests and what they mean under load."""
+
+import enum
+
+
+class RequestClass(enum.Enum):
+    """How urgent a request is."""
+
+    INTERACTIVE = 'interactive'
+    STANDARD = 'standard'
+    BATCH = 'batch'
+
+
+CLASS_WEIGHTS = {
+    RequestClass.INTERACTIVE: 16,
+    RequestClass.STANDARD: 4,
+    RequestClass.BATCH: 1,
+}
+
+ENGINE_PRIORITIES = {
+    RequestClass.INTERACTIVE: 0,
+    RequestClass.STANDARD: 10,
+    RequestClass.BATCH: 20,
+}
+
+LONG_PRIORITY = 5
+
+
+def engine_priority(*, request_class: RequestClass, is_long: bool) -> int:
+    """Return the priority for the engine; a lower one goes first."""
+    priority = ENGINE_PRIORITIES[request_class]
+    return priority + LONG_PRIORITY if is_long else priority
--- /dev/null
+++ b/src/shallothinge/entry/chat_run.py
@@ -0,0 +1,419 @@
+"""One chat completion from admission to its one final answer."""
+
+import logging
+import random
+from typing import Protocol
+
+import attrs
+
+from shallothinge import clock as clocks
+from shallothinge import errors
+from shallothinge import tokens as token_counts
+from shallothinge.admission import classes
+from shallothinge.bundles import model
+from shallothinge.entry import fleet as fleets
+from shallothinge.entry import requests
+from shallothinge.errors import ErrorKind
+from shallothinge.leases import holder as holders
+from shallothinge.routing import choice
+from shallothinge.routing import filters
+from shallothinge.routing import retries
+from shallothinge.streams import assembly
+from shallothinge.streams import messages
+
+LOG = logging.getLogger(__name__)
+
+MAX_REFUSALS_IN_A_ROW = 3
+ACCEPT_MS = 1500
+STALL_MS = 2000
+FINAL_REFUSALS = (ErrorKind.BAD_REQUEST, ErrorKind.PROMPT_TOO_LONG)
+
+
+class Sink(Protocol):
+    """The caller's end of one request; gets exactly one final call."""
+
+    def tokens(self, tokens: tuple[str, ...]) -> None:
+        """Take the next tokens of the answer."""
+
+    def complete(self, finished: messages.StreamFinished) -> None:
+        """End the answer, whole."""
+
+    def failed(self, error: errors.ServingError) -> None:
+        """End the request with an error."""
+
+
+class Owner(Protocol):
+    """What a run asks of the queue that started it."""
+
+    def wait_again(self, run: 'ChatRun', *, delay_ms: int) -> None:
+        """Let the run wait for another start."""
+
+    def ended(self, run: 'ChatRun') -> None:
+        """Forget the run, which has given its final answer."""
+
+
+@attrs.frozen(kw_only=True)
+class ChatJob:
+    """A chat completion that was checked against the bundle.
+
+    ``ends_ms`` is the instant of its deadline.
+    """
+
+    request_id: str
+    workspace: model.WorkspaceSpec
+    spec: model.ModelSpec
+    request: requests.ChatRequest
+    request_class: classes.RequestClass
+    ends_ms: int
+    is_long: bool
+
+    @property
+    def tokens(self) -> int:
+        """Return the tokens of prompt and longest answer."""
+        return self.request.prompt_tokens + self.request.max_tokens
+
+    @property
+    def model_key(self) -> str:
+        """Return ``name@version`` of the model."""
+        return f'{self.spec.name}@{self.spec.version}'
+
+    @property
+    def need(self) -> filters.Need:
+        """Return what a backend server must have."""
+        return filters.Need(
+            model=self.model_key, tokens=self.tokens, zones=self.spec.zones
+        )
+
+
+@attrs.frozen(kw_only=True)
+class RunUsage:
+    """Tokens that a request has used, as far as is known."""
+
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    generated_tokens: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Environment:
+    """What all runs of an entry share."""
+
+    clock: clocks.Clock
+    rng: random.Random
+    entry_id: str
+    holder: holders.LeaseHolder
+    fleet: fleets.Fleet
+    policy: choice.Policy
+    budget: retries.RetryBudget
+
+
+class ChatRun:
+    """Sends one request to backend servers until it ends.
+
+    :param owner: told when the run must wait or has ended.
+    :param sink: the caller's end.
+    """
+
+    def __init__(
+        self, *, job: ChatJob, env: Environment, owner: Owner, sink: Sink
+    ):
+        self.job = job
+        self.ended = False
+        self.server_id = ''
+        self.assembly = assembly.Assembly(request_id=job.request_id)
+        self.may_have_run = False
+        self.usage = RunUsage()
+        self._env = env
+        self._owner = owner
+        self._sink = sink
+        self._hashes = token_counts.block_hashes(job.request.prompt)
+        self._failures = 0
+        self._refused_by = set()
+        self._failed_on = set()
+        self._accepted = False
+        self._heard_ms = 0
+
+    @property
+    def remaining_ms(self) -> int:
+        """Return the time left until the deadline."""
+        return self.job.ends_ms - self._env.clock.now_ms()
+
+    def start(self) -> None:
+        """Send the request to a backend server, now that its turn came."""
+        if self.ended:
+            return
+        if not self._env.holder.is_valid():
+            self._fail(ErrorKind.NO_LEASE)
+            return
+        candidates = self._candidates()
+        if not candidates:
+            self._wait(ErrorKind.NO_BACKEND_SERVER)
+            return
+        chosen = self._env.policy.choose(
+            candidates=candidates, tokens=self.job.tokens
+        )
+        self._send(chosen.server_id)
+
+    def _candidates(self) -> tuple[choice.Candidate, ...]:
+        found = self._env.fleet.candidates(
+            need=self.job.need, hashes=self._hashes
+        )
+        fresh = [
+            candidate
+            for server_id, candidate in found.items()
+            if server_id not in self._refused_by
+        ]
+        preferred = [
+            each for each in fresh if each.server_id not in self._failed_on
+        ]
+        return tuple(preferred or fresh)
+
+    def _send(self, server_id: str) -> None:
+        attempt = self.assembly.begin_attempt()
+        message = self._start_message(attempt)
+        self.server_id = server_id
+        self._accepted = False
+        self._heard_ms = self._env.clock.now_ms()
+        self._env.fleet.begin(
+            server_id=server_id,
+            request_id=self.job.request_id,
+            tokens=self.job.tokens,
+        )
+        if not self._env.fleet.send(server_id=server_id, message=message):
+            self._leave_server(succeeded=None)
+            self._refused_by.add(server_id)
+            self._try_next(ErrorKind.NO_BACKEND_SERVER)
+
+    def _start_message(self, attempt: int) -> messages.StartStream:
+        job = self.job
+        return messages.StartStream(
+            request_id=job.request_id,
+            attempt=attempt,
+            entry_id=self._env.entry_id,
+            workspace=job.workspace.name,
+            model=job.spec.name,
+            model_version=job.spec.version,
+            adapter=job.request.adapter,
+            prompt=job.request.prompt,
+            prompt_tokens=job.request.prompt_tokens,
+            delivered=tuple(self.assembly.delivered),
+            max_tokens=job.request.max_tokens,
+            priority=classes.engine_priority(
+                request_class=job.request_class, is_long=job.is_long
+            ),
+            deadline_ms=max(1, self.remaining_ms),
+            state_version=self._env.holder.config.state_version,
+        )
+
+    def take(self, server_id: str, message: object) -> None:
+        """Take a message of the agent that runs the request."""
+        if self.ended or server_id != self.server_id:
+            return
+        if message.attempt != self.assembly.attempt:
+            return
+        self._heard_ms = self._env.clock.now_ms()
+        if isinstance(message, messages.StreamAccepted):
+            self._note_accepted()
+        elif isinstance(message, messages.StreamRefused):
+            self._take_refusal(message)
+        else:
+            self._note_accepted()
+            self._follow(self.assembly.take(message))
+
+    def _note_accepted(self) -> None:
+        self._accepted = True
+        self.may_have_run = True
+        self._refused_by.clear()
+
+    def _take_refusal(self, refusal: messages.StreamRefused) -> None:
+        """Go to another server, since this one ran nothing."""
+        if not self.assembly.is_running or self._accepted:
+            return
+        self.assembly.end_attempt()
+        server_id = self.server_id
+        self._leave_server(succeeded=None)
+        if refusal.kind in FINAL_REFUSALS:
+            self._fail(refusal.kind)
+            return
+        self._refused_by.add(server_id)
+        self._try_next(refusal.kind)
+
+    def _try_next(self, kind: ErrorKind) -> None:
+        self.assembly.end_attempt()
+        if len(self._refused_by) < MAX_REFUSALS_IN_A_ROW:
+            if self._candidates():
+                self.start()
+                return
+        self._wait(kind)
+
+    def _wait(self, kind: ErrorKind) -> None:
+        """Wait for another start, unless the deadline comes first."""
+        self._failures += 1
+        self._refused_by.clear()
+        delay_ms = retries.delay_ms(failures=self._failures, rng=self._env.rng)
+        if not retries.fits(delay_ms=delay_ms, remaining_ms=self.remaining_ms):
+            self._fail(kind)
+            return
+        self._owner.wait_again(self, delay_ms=delay_ms)
+
+    def _follow(self, step: assembly.Step | None) -> None:
+        if isinstance(step, assembly.Deliver):
+            self._sink.tokens(step.tokens)
+        elif isinstance(step, assembly.Resume):
+            self._send_resume(step)
+        elif isinstance(step, assembly.Complete):
+            self._complete(step.finished)
+        elif isinstance(step, assembly.AttemptEnded):
+            self._attempt_failed(step.kind)
+
+    def _complete(self, finished: messages.StreamFinished) -> None:
+        self._leave_server(succeeded=True)
+        self.usage = RunUsage(
+            prompt_tokens=finished.prompt_tokens,
+            cached_tokens=finished.cached_tokens,
+            generated_tokens=finished.offset,
+        )
+        self._end()
+        self._sink.complete(finished)
+
+    def _attempt_failed(self, kind: ErrorKind) -> None:
+        """Continue elsewhere from the prompt and the delivered tokens."""
+        self.assembly.end_attempt()
+        self._failed_on.add(self.server_id)
+        self._leave_server(succeeded=False)
+        if kind in FINAL_REFUSALS:
+            self._fail(kind)
+        elif not self._env.budget.take():
+            self._fail(kind)
+        else:
+            LOG.info(
+                'attempt failed; continuing on another backend server',
+                extra=self._log_fields(kind),
+            )
+            self._wait(kind)
+
+    def _log_fields(self, kind: ErrorKind) -> dict:
+        return {
+            'request_id': self.job.request_id,
+            'workspace': self.job.workspace.name,
+            'kind': kind.value,
+        }
+
+    def _leave_server(self, *, succeeded: bool | None) -> None:
+        self._env.fleet.end(
+            server_id=self.server_id,
+            request_id=self.job.request_id,
+            succeeded=succeeded,
+        )
+        self.server_id = ''
+
+    def _send_resume(self, step: assembly.Resume) -> None:
+        message = messages.ResumeStream(
+            request_id=self.job.request_id,
+            attempt=self.assembly.attempt,
+            entry_id=self._env.entry_id,
+            next_offset=step.next_offset,
+        )
+        self._env.fleet.send(server_id=self.server_id, message=message)
+
+    def connection_reset(self) -> None:
+        """Ask again for what the replaced connection may have lost."""
+        if self.assembly.is_running:
+            self._send_resume(self.assembly.resume())
+
+    def watch(self) -> None:
+        """Notice an agent that is gone and frames that were lost."""
+        if self.ended or not self.assembly.is_running:
+            return
+        if self._env.fleet.is_lost(server_id=self.server_id):
+            self.may_have_run = True
+            self._attempt_failed(ErrorKind.BACKEND_FAILED)
+            return
+        silent_ms = self._env.clock.now_ms() - self._heard_ms
+        limit_ms = STALL_MS if self._accepted else ACCEPT_MS
+        if silent_ms >= limit_ms:
+            self._heard_ms = self._env.clock.now_ms()
+            self._send_resume(self.assembly.resume())
+
+    def deadline_passed(self) -> None:
+        """Answer at once and release what the request holds."""
+        if self.ended:
+            return
+        if self._is_unknown_to_servers():
+            self._fail(ErrorKind.EXPIRED_NOT_RUN)
+        else:
+            self._fail(ErrorKind.DEADLINE_EXCEEDED)
+
+    def _is_unknown_to_servers(self) -> bool:
+        return not self.may_have_run and not self.assembly.is_running
+
+    def caller_left(self) -> None:
+        """Release everything; there is nobody to answer."""
+        if not self.ended:
+            self._fail(ErrorKind.CANCELLED)
+
+    def describe(self) -> dict:
+        """Return the state of the run, for dumps."""
+        return {
+            'request_id': self.job.request_id,
+            'workspace': self.job.workspace.name,
+            'model': self.job.model_key,
+            'class': self.job.request_class.value,
+            'tokens': self.job.tokens,
+            'remaining_ms': self.remaining_ms,
+            'server_id': self.server_id,
+            'attempt': self.assembly.attempt,
+            'next_offset': self.assembly.next_offset,
+        }
+
+    def refuse(self, kind: ErrorKind, *, retry_after_ms: int) -> None:
+        """Answer that the request was not taken."""
+        self._end()
+        self._sink.failed(
+            errors.ServingError(kind=kind, retry_after_ms=retry_after_ms)
+        )
+
+    def _fail(self, kind: ErrorKind) -> None:
+        kind = self._true_kind(kind)
+        self._cancel_stream()
+        self._estimate_usage()
+        self._end()
+        self._sink.failed(errors.ServingError(kind=kind))
+
+    def _estimate_usage(self) -> None:
+        """Count what a cut answer has used, since no engine reports it."""
+        if self.may_have_run:
+            self.usage = RunUsage(
+                prompt_tokens=self.job.request.prompt_tokens,
+                generated_tokens=len(self.assembly.delivered),
+            )
+
+    def _true_kind(self, kind: ErrorKind) -> ErrorKind:
+        """Return a kind whose statement about the work is true."""
+        is_timely = kind not in (
+            ErrorKind.CANCELLED,
+            ErrorKind.DEADLINE_EXCEEDED,
+        )
+        has_part = self.job.request.stream and self.assembly.delivered
+        if has_part and is_timely:
+            return ErrorKind.STREAM_BROKEN
+        says_not_run = (
+            errors.ANSWERS[kind].work_state is errors.WorkState.NOT_RUN
+        )
+        if says_not_run and not self._is_unknown_to_servers():
+            return ErrorKind.BACKEND_FAILED
+        return kind
+
+    def _cancel_stream(self) -> None:
+        if not self.server_id:
+            return
+        message = messages.CancelStream(
+            request_id=self.job.request_id, attempt=self.assembly.attempt
+        )
+        self._env.fleet.send(server_id=self.server_id, message=message)
+        self._leave_server(succeeded=None)
+
+    def _end(self) -> None:
+        self.ended = True
+        self.assembly.end_attempt()
+        self._owner.ended(self)
--- /dev/null
+++ b/src/shallothinge/entry/site.py
@@ -0,0 +1,227 @@
+"""The callers' API: paths, headers and checks of each request."""
+
+import hashlib
+import logging
+import secrets
+import urllib.parse
+
+import attrs
+from twisted.web import resource
+from twisted.web import server
+
+from shallothinge import clock as clocks
+from shallothinge import errors
+from shallothinge.entry import call_run
+from shallothinge.entry import calls
+from shallothinge.entry import chat_run
+from shallothinge.entry import chats
+from shallothinge.entry import requests
+from shallothinge.entry import sinks
+from shallothinge.entry import spend
+from shallothinge.entry import workspaces
+from shallothinge.errors import ErrorKind
+from shallothinge.leases import holder as holders
+from shallothinge.settings.model import AdmissionSettings
+
+LOG = logging.getLogger(__name__)
+
+CHAT_PATH = '/v1/chat/completions'
+SERVICES_PATH = '/v1/services/'
+REQUEST_ID_BYTES = 16
+MS_PER_SECOND = 1000
+TEXT = b'text/plain; charset=utf-8'
+
+
+@attrs.frozen(kw_only=True)
+class Services:
+    """What the callers' API passes requests to."""
+
+    clock: clocks.Clock
+    wall_clock: clocks.Clock
+    holder: holders.LeaseHolder
+    chats: chats.ChatService
+    calls: calls.CallsService
+    spending: spend.Spending
+    admission: AdmissionSettings
+
+
+class CallersApi(resource.Resource):
+    """Answers every path of the callers' API."""
+
+    isLeaf = True
+
+    def __init__(self, *, services: Services):
+        super().__init__()
+        self._services = services
+        self.is_ready = True
+
+    def render(self, request):
+        """Check a request and pass it on."""
+        request_id = secrets.token_hex(REQUEST_ID_BYTES)
+        response = sinks.Response(request=request, request_id=request_id)
+        try:
+            self._dispatch(request, response)
+        except errors.ServingError as error:
+            response.fail(error)
+        except Exception:
+            LOG.exception(
+                'a request met an unexpected fault',
+                extra={'request_id': request_id},
+            )
+            response.fail(errors.ServingError(kind=ErrorKind.INTERNAL))
+        return server.NOT_DONE_YET
+
+    def _dispatch(self, request, response: sinks.Response) -> None:
+        path = request.path.decode('ascii', 'replace')
+        method = request.method.decode('ascii', 'replace')
+        if path == '/livez' and method == 'GET':
+            response.end_whole(status=200, content_type=TEXT, body=b'ok\n')
+        elif path == '/readyz' and method == 'GET':
+            self._answer_ready(response)
+        elif path == CHAT_PATH and method == 'POST':
+            self._start_chat(request, response)
+        elif path.startswith(SERVICES_PATH):
+            self._start_call(request, response)
+        else:
+            raise errors.ServingError(
+                kind=ErrorKind.NOT_FOUND, detail=f'{method} {path[:200]}'
+            )
+
+    def _answer_ready(self, response: sinks.Response) -> None:
+        if not self.is_ready:
+            raise errors.ServingError(kind=ErrorKind.STOPPING)
+        if not self._services.holder.is_valid():
+            raise errors.ServingError(kind=ErrorKind.NO_LEASE)
+        response.end_whole(status=200, content_type=TEXT, body=b'ready\n')
+
+    def _authenticate(self, request):
+        return workspaces.authenticate(
+            authorization=_header(request, 'Authorization'),
+            bundle=self._services.holder.config.bundle,
+        )
+
+    def _terms(self, request) -> requests.Terms:
+        return requests.parse_terms(
+            deadline=_header(request, 'X-Deadline-Ms'),
+            request_class=_header(request, 'X-Request-Class'),
+            settings=self._services.admission,
+        )
+
+    def _start_chat(self, request, response: sinks.Response) -> None:
+        workspace = self._authenticate(request)
+        job = self._chat_job(request, response, workspace)
+        sink_type = sinks.WholeSink
+        if job.request.stream:
+            sink_type = sinks.StreamSink
+        sink = sink_type(
+            response=response,
+            model=job.model_key,
+            created_s=self._services.wall_clock.now_ms() // MS_PER_SECOND,
+        )
+        start = _ChatStart(
+            job=job, sink=sink, response=response, services=self._services
+        )
+        response.on_left = start.caller_left
+        self._services.spending.reserve(
+            request_id=job.request_id,
+            workspace=workspace,
+            tokens=job.tokens,
+            then=start.reserved,
+        )
+
+    def _chat_job(self, request, response, workspace) -> chat_run.ChatJob:
+        terms = self._terms(request)
+        parsed = requests.parse_chat(request.content.read())
+        spec = workspaces.allowed_model(
+            name=parsed.model,
+            adapter=parsed.adapter,
+            workspace=workspace,
+            bundle=self._services.holder.config.bundle,
+        )
+        tokens = parsed.prompt_tokens + parsed.max_tokens
+        if tokens > spec.context_tokens:
+            raise errors.ServingError(
+                kind=ErrorKind.PROMPT_TOO_LONG,
+                detail=(
+                    f'prompt and answer have {tokens} tokens; '
+                    f'allowed are {spec.context_tokens}'
+                ),
+            )
+        return chat_run.ChatJob(
+            request_id=response.request_id,
+            workspace=workspace,
+            spec=spec,
+            request=parsed,
+            request_class=terms.request_class,
+            ends_ms=self._services.clock.now_ms() + terms.deadline_ms,
+            is_long=tokens > self._services.admission.long_prompt_tokens,
+        )
+
+    def _start_call(self, request, response: sinks.Response) -> None:
+        workspace = self._authenticate(request)
+        terms = self._terms(request)
+        target = request.uri.decode('ascii', 'replace')
+        name, _, path = target[len(SERVICES_PATH) :].partition('/')
+        spec = workspaces.allowed_service(
+            name=urllib.parse.unquote(name),
+            workspace=workspace,
+            bundle=self._services.holder.config.bundle,
+        )
+        method = request.method.decode('ascii', 'replace')
+        body = request.content.read()
+        job = call_run.CallJob(
+            request_id=response.request_id,
+            workspace=workspace.name,
+            service=spec.name,
+            repeatable=spec.repeatable,
+            method=method,
+            path='/' + path,
+            body=body,
+            body_hash=hash_call(method=method, path=path, body=body),
+            idempotency_key=_header(request, 'Idempotency-Key'),
+            ends_ms=self._services.clock.now_ms() + terms.deadline_ms,
+        )
+        run = self._services.calls.submit(
+            job=job, sink=sinks.CallSink(response=response)
+        )
+        if run is not None:
+            response.on_left = run.caller_left
+
+
+class _ChatStart:
+    """Starts a chat completion once its tokens are set aside."""
+
+    def __init__(self, *, job, sink, response, services: Services):
+        self._job = job
+        self._sink = sink
+        self._response = response
+        self._services = services
+        self._run = None
+        self._left = False
+
+    def reserved(self, refusal: ErrorKind | None) -> None:
+        """Go on with the request, or refuse it."""
+        if refusal is not None:
+            self._sink.failed(errors.ServingError(kind=refusal))
+            return
+        self._run = self._services.chats.submit(job=self._job, sink=self._sink)
+        if self._left:
+            self._run.caller_left()
+
+    def caller_left(self) -> None:
+        """Cancel the request."""
+        self._left = True
+        if self._run is not None:
+            self._run.caller_left()
+
+
+def _header(request, name: str) -> str:
+    return request.getHeader(name) or ''
+
+
+def hash_call(*, method: str, path: str, body: bytes) -> str:
+    """Return the hash that tells equal calls from others."""
+    digest = hashlib.sha256()
+    digest.update(f'{method}\0{path}\0'.encode())
+    digest.update(body)
+    return digest.hexdigest()
--- a/src/shallothinge/settings/model.py
+++ b/src/shallothinge/settings/model.py
@@ -99,6 +99,19 @@
     stop_wait_ms: int = 1000
 
 
+@attrs.frozen(kw_only=True)
+class RoutingSettings:
+    """How an entry chooses backend servers: table ``[routing]``.
+
+    ``policy`` is ``random``, ``round_robin``, ``two_choices`` or
+    ``least_first_token``. ``max_servers`` bounds how many backend servers
+    of each model or service the entry keeps connections to; 0 means all.
+    """
+
+    policy: str = 'two_choices'
+    max_servers: int = 0
+
+
 @attrs.frozen(kw_only=True)
 class EntrySettings:
     """File of ``shallothinge entry``."""
@@ -107,6 +120,7 @@
     http: HttpSettings
     control_hosts: tuple[ControlHost, ...]
     admission: AdmissionSettings = AdmissionSettings()
+    routing: RoutingSettings = RoutingSettings()
 
 
 @attrs.frozen(kw_only=True)
