--- /dev/null
+++ b/src/shallothinge/consensus/log.py
@@ -0,0 +1,155 @@
+"""The entries of one replica's log that are held in memory."""
+
+import attrs
+
+from shallothinge.consensus import model
+
+ENTRY_OVERHEAD_BYTES = 64
+
+
+@attrs.frozen(kw_only=True)
+class _Placed:
+    """A configuration and the index of the entry that set it."""
+
+    index: int
+    configuration: model.Configuration
+
+
+class Log:
+    """Entries after a base, and the configurations that they set.
+
+    :param base: the entry before the first one held.
+    """
+
+    def __init__(
+        self, *, base: model.LogBase, entries: tuple[model.Entry, ...] = ()
+    ):
+        self._base = base
+        self._entries = []
+        self._configurations = [
+            _Placed(index=base.index, configuration=base.configuration)
+        ]
+        for entry in entries:
+            self.append(entry)
+
+    @property
+    def base(self) -> model.LogBase:
+        """Return the entry before the first one held."""
+        return self._base
+
+    @property
+    def entries(self) -> tuple[model.Entry, ...]:
+        """Return all entries held."""
+        return tuple(self._entries)
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self._base.index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self.term_at(self.last_index)
+
+    @property
+    def configuration(self) -> model.Configuration:
+        """Return the newest configuration, committed or not."""
+        return self._configurations[-1].configuration
+
+    @property
+    def configuration_index(self) -> int:
+        """Return the index of the entry that set the configuration."""
+        return self._configurations[-1].index
+
+    def holds(self, *, index: int, term: int) -> bool:
+        """Return whether the log has an entry of this index and term."""
+        if not self._base.index <= index <= self.last_index:
+            return False
+        return self.term_at(index) == term
+
+    def term_at(self, index: int) -> int:
+        """Return the term of the entry at an index.
+
+        :raises IndexError: if the log does not hold it.
+        """
+        if index == self._base.index:
+            return self._base.term
+        return self.entry_at(index).term
+
+    def entry_at(self, index: int) -> model.Entry:
+        """Return the entry at an index.
+
+        :raises IndexError: if the log does not hold it.
+        """
+        if not self._base.index < index <= self.last_index:
+            raise IndexError(f'the log does not hold entry {index}')
+        return self._entries[index - self._base.index - 1]
+
+    def first_index_of_term_at(self, index: int) -> int:
+        """Return the first index held whose term equals that at index."""
+        term = self.term_at(index)
+        while index > self._base.index + 1 and self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
+    def between(self, first: int, last: int) -> tuple[model.Entry, ...]:
+        """Return the entries from ``first`` to ``last``, both included."""
+        start = first - self._base.index - 1
+        return tuple(self._entries[start : last - self._base.index])
+
+    def batch(self, first: int, *, limit_bytes: int) -> tuple:
+        """Return entries from ``first`` on, at least one, up to a size."""
+        taken = []
+        size_bytes = 0
+        for index in range(first, self.last_index + 1):
+            entry = self.entry_at(index)
+            size_bytes += len(entry.data) + ENTRY_OVERHEAD_BYTES
+            if taken and size_bytes > limit_bytes:
+                break
+            taken.append(entry)
+        return tuple(taken)
+
+    def append(self, entry: model.Entry) -> None:
+        """Add the next entry.
+
+        :raises ValueError: if the entry's index does not follow.
+        """
+        if entry.index != self.last_index + 1:
+            raise ValueError(f'entry {entry.index} does not follow the log')
+        self._entries.append(entry)
+        if entry.configuration is not None:
+            placed = _Placed(
+                index=entry.index, configuration=entry.configuration
+            )
+            self._configurations.append(placed)
+
+    def truncate_from(self, index: int) -> None:
+        """Drop the entry at ``index`` and all after it."""
+        del self._entries[index - self._base.index - 1 :]
+        while self._configurations[-1].index >= index:
+            self._configurations.pop()
+
+    def configuration_at(self, index: int) -> model.Configuration:
+        """Return the configuration in force at an index."""
+        found = self._configurations[0]
+        for placed in self._configurations:
+            if placed.index <= index:
+                found = placed
+        return found.configuration
+
+    def compact(self, index: int) -> None:
+        """Drop the entries up to ``index``, which becomes the base."""
+        if index <= self._base.index:
+            return
+        base = model.LogBase(
+            index=index,
+            term=self.term_at(index),
+            configuration=self.configuration_at(index),
+        )
+        rest = self.between(index + 1, self.last_index)
+        self.__init__(base=base, entries=rest)
+
+    def reset(self, base: model.LogBase) -> None:
+        """Drop everything; the log starts after ``base``."""
+        self.__init__(base=base)
--- /dev/null
+++ b/src/shallothinge/consensus/membership.py
@@ -0,0 +1,146 @@
+"""Changes of the configuration, one at a time, through the log."""
+
+from shallothinge.consensus import model
+from shallothinge.consensus import replication
+from shallothinge.consensus import state as states
+
+
+class Membership:
+    """The leader's changes of the set of replicas.
+
+    A replica joins without a vote. When it holds all that is committed the
+    leader removes the former replica of the same process, if there is one,
+    and then gives the new one its vote.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: states.NodeState,
+        replication: replication.Replication,
+    ):
+        self._state = state
+        self._replication = replication
+
+    def add_learner(
+        self, now_ms: int, replica_id: str
+    ) -> model.Proposed | model.ProposalRefused:
+        """Let a replica join without a vote.
+
+        Another learner of the same process is dropped, as its disk is gone.
+        """
+        configuration = self._state.configuration
+        if replica_id in configuration.replicas:
+            return self._refused('the replica is already a member')
+        process_id = model.process_id_of(replica_id)
+        learners = tuple(
+            learner
+            for learner in configuration.learners
+            if model.process_id_of(learner) != process_id
+        )
+        return self._change(
+            now_ms,
+            voters=configuration.voters,
+            learners=(*learners, replica_id),
+        )
+
+    def remove(
+        self, now_ms: int, replica_id: str
+    ) -> model.Proposed | model.ProposalRefused:
+        """Remove a replica; a leader has to hand over first."""
+        configuration = self._state.configuration
+        if replica_id == self._state.replica_id:
+            return self._refused('the leader can not remove itself')
+        if replica_id not in configuration.replicas:
+            return self._refused('the replica is not a member')
+        return self._change(
+            now_ms,
+            voters=_without(configuration.voters, replica_id),
+            learners=_without(configuration.learners, replica_id),
+        )
+
+    def promote(
+        self, now_ms: int, replica_id: str
+    ) -> model.Proposed | model.ProposalRefused:
+        """Give a vote to a learner that holds all that is committed."""
+        configuration = self._state.configuration
+        if replica_id not in configuration.learners:
+            return self._refused('the replica is not a learner')
+        if not self._has_caught_up(replica_id):
+            return self._refused('the replica does not hold everything')
+        return self._change(
+            now_ms,
+            voters=(*configuration.voters, replica_id),
+            learners=_without(configuration.learners, replica_id),
+        )
+
+    def tick(self, now_ms: int) -> None:
+        """Promote a learner that has caught up."""
+        state = self._state
+        if state.leadership is None:
+            return
+        for learner in state.configuration.learners:
+            if self._has_caught_up(learner):
+                self._replace_or_promote(now_ms, learner)
+                return
+
+    def _replace_or_promote(self, now_ms: int, learner: str) -> None:
+        process_id = model.process_id_of(learner)
+        for voter in self._state.other_voters:
+            if model.process_id_of(voter) == process_id:
+                self.remove(now_ms, voter)
+                return
+        self.promote(now_ms, learner)
+
+    def _has_caught_up(self, replica_id: str) -> bool:
+        state = self._state
+        if state.leadership is None:
+            return False
+        if state.commit_index < state.leadership.first_index:
+            return False
+        progress = state.leadership.progress[replica_id]
+        return progress.match_index >= state.commit_index
+
+    def _change(
+        self, now_ms: int, *, voters: tuple, learners: tuple
+    ) -> model.Proposed | model.ProposalRefused:
+        """Append a configuration unless an earlier one may still fail.
+
+        Majorities of two configurations overlap only if they differ by
+        one vote, and only counting from a configuration that is committed.
+        """
+        state = self._state
+        if state.leadership is None:
+            return self._refused('not the leader')
+        if state.commit_index < state.leadership.first_index:
+            return self._refused('the leader has not committed an entry yet')
+        if state.commit_index < state.log.configuration_index:
+            return self._refused('another change is under way')
+        configuration = model.Configuration(voters=voters, learners=learners)
+        self._update_progress(now_ms, configuration)
+        return self._replication.append(
+            kind=model.EntryKind.CONFIGURATION, configuration=configuration
+        )
+
+    def _update_progress(
+        self, now_ms: int, configuration: model.Configuration
+    ) -> None:
+        state = self._state
+        former = state.leadership.progress
+        progress = {}
+        for replica_id in configuration.replicas:
+            if replica_id == state.replica_id:
+                continue
+            progress[replica_id] = former.get(replica_id) or states.Progress(
+                next_index=state.log.last_index + 1, heard_ms=now_ms
+            )
+        state.leadership.progress = progress
+
+    def _refused(self, reason: str) -> model.ProposalRefused:
+        return model.ProposalRefused(
+            leader_id=self._state.leader_id, reason=reason
+        )
+
+
+def _without(replica_ids: tuple[str, ...], dropped: str) -> tuple[str, ...]:
+    return tuple(one for one in replica_ids if one != dropped)
--- /dev/null
+++ b/src/shallothinge/consensus/node.py
@@ -0,0 +1,332 @@
+"""One replica of the log, as a state machine without input or output.
+
+Calls change the node's state; ``collect`` returns what they ask for. Its
+owner has to sync the records before any of the messages leaves.
+"""
+
+import random
+
+from shallothinge.consensus import election
+from shallothinge.consensus import founding
+from shallothinge.consensus import membership
+from shallothinge.consensus import messages
+from shallothinge.consensus import model
+from shallothinge.consensus import reads
+from shallothinge.consensus import replication
+from shallothinge.consensus import snapshots
+from shallothinge.consensus import state as states
+from shallothinge.consensus.model import Role
+
+
+class Node:
+    """One replica of the log.
+
+    :param replica_id: identity of the data folder.
+    :param rng: source of the election timeouts.
+    :param restored: what the data folder holds.
+    """
+
+    def __init__(
+        self,
+        *,
+        replica_id: str,
+        rng: random.Random,
+        timing: model.Timing,
+        restored: model.Restored,
+    ):
+        self._state = states.NodeState(
+            replica_id=replica_id, rng=rng, timing=timing, restored=restored
+        )
+        self._election = election.Election(
+            state=self._state, on_won=self._become_leader
+        )
+        self._snapshot_sender = snapshots.SnapshotSender(state=self._state)
+        self._snapshot_receiver = snapshots.SnapshotReceiver(state=self._state)
+        self._replication = replication.Replication(
+            state=self._state, snapshot_sender=self._snapshot_sender
+        )
+        self._reads = reads.Reads(state=self._state)
+        self._membership = membership.Membership(
+            state=self._state, replication=self._replication
+        )
+        self._handlers = {
+            messages.PreVoteRequest: self._election.on_pre_vote_request,
+            messages.PreVoteAnswer: self._election.on_pre_vote_answer,
+            messages.VoteRequest: self._election.on_vote_request,
+            messages.VoteAnswer: self._election.on_vote_answer,
+            messages.TransferRequest: self._election.on_transfer_request,
+            messages.AppendRequest: self._replication.on_append_request,
+            messages.SnapshotChunk: self._snapshot_receiver.on_chunk,
+            messages.AppendAnswer: self._on_leaders_answer,
+            messages.SnapshotAnswer: self._on_leaders_answer,
+        }
+
+    @property
+    def replica_id(self) -> str:
+        """Return the identity of this replica."""
+        return self._state.replica_id
+
+    @property
+    def cluster_id(self) -> str:
+        """Return the cluster's id, or '' if it has none yet."""
+        return self._state.cluster_id
+
+    @property
+    def role(self) -> Role:
+        """Return the role in the current term."""
+        return self._state.role
+
+    @property
+    def term(self) -> int:
+        """Return the newest term seen."""
+        return self._state.term
+
+    @property
+    def leader_id(self) -> str:
+        """Return the replica that leads, or '' if none is known."""
+        return self._state.leader_id
+
+    @property
+    def commit_index(self) -> int:
+        """Return the index of the last entry known to be committed."""
+        return self._state.commit_index
+
+    @property
+    def first_index_of_term(self) -> int:
+        """Return the index of the leader's first entry, 0 in others."""
+        leadership = self._state.leadership
+        return leadership.first_index if leadership else 0
+
+    @property
+    def timing(self) -> model.Timing:
+        """Return the times and sizes of the protocol."""
+        return self._state.timing
+
+    @property
+    def is_configuration_committed(self) -> bool:
+        """Return whether the newest configuration is committed."""
+        state = self._state
+        return state.commit_index >= state.log.configuration_index
+
+    @property
+    def configuration(self) -> model.Configuration:
+        """Return the newest configuration in the log."""
+        return self._state.configuration
+
+    @property
+    def log(self):
+        """Return the log, to be read only."""
+        return self._state.log
+
+    @property
+    def snapshot(self) -> model.Snapshot | None:
+        """Return the newest snapshot."""
+        return self._state.snapshot
+
+    def tick(self, now_ms: int) -> None:
+        """Do what the passing of time asks for."""
+        self._election.tick(now_ms)
+        self._membership.tick(now_ms)
+        self._tick_transfer(now_ms)
+
+    def receive(self, now_ms: int, sender_id: str, message: object) -> None:
+        """Take a message of another replica.
+
+        Messages that are meant for another replica or cluster are dropped.
+        """
+        if message.sender_id != sender_id:
+            return
+        if message.target_id != self.replica_id:
+            return
+        if isinstance(message, messages.FoundingRequest):
+            self._on_founding_request(message)
+            return
+        if not self._belongs(message):
+            return
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(now_ms, message)
+
+    def propose(
+        self, now_ms: int, command: bytes
+    ) -> model.Proposed | model.ProposalRefused:
+        """Append a command if this replica leads and is not handing over."""
+        state = self._state
+        if state.role is not Role.LEADER:
+            return model.ProposalRefused(leader_id=state.leader_id)
+        if state.leadership.transfer_to:
+            return model.ProposalRefused(
+                leader_id=state.leadership.transfer_to,
+                reason='the leader is handing over',
+            )
+        return self._replication.append(
+            kind=model.EntryKind.COMMAND, data=command
+        )
+
+    def request_read(self, now_ms: int, read_id: str) -> None:
+        """Ask for a confirmation that this replica leads."""
+        self._reads.request(read_id)
+
+    def add_learner(
+        self, now_ms: int, replica_id: str
+    ) -> model.Proposed | model.ProposalRefused:
+        """Let a replica join; it gets a vote once it has caught up."""
+        return self._membership.add_learner(now_ms, replica_id)
+
+    def remove(
+        self, now_ms: int, replica_id: str
+    ) -> model.Proposed | model.ProposalRefused:
+        """Remove a replica from the configuration."""
+        return self._membership.remove(now_ms, replica_id)
+
+    def transfer(self, now_ms: int) -> str:
+        """Hand the leadership to the voter that holds the most.
+
+        :returns: the voter's id, or '' if there is none to hand over to.
+        """
+        state = self._state
+        if state.role is not Role.LEADER or not state.other_voters:
+            return ''
+        target = max(
+            state.other_voters,
+            key=lambda voter: state.leadership.progress[voter].match_index,
+        )
+        state.leadership.transfer_to = target
+        state.leadership.transfer_ends_ms = (
+            now_ms + state.timing.election_max_ms
+        )
+        self._tick_transfer(now_ms)
+        return target
+
+    def found(self, *, name: str, replica_ids: tuple[str, ...]) -> bool:
+        """Found a cluster of these replicas, this one among them.
+
+        :returns: False if this replica belongs to a cluster already.
+        """
+        cluster = founding.cluster_of(name=name, replica_ids=replica_ids)
+        return self._take_founding(cluster)
+
+    def offer_founding(self, replica_id: str) -> None:
+        """Tell an empty replica that it is one of the first voters."""
+        cluster = self._state.cluster
+        if cluster is not None and replica_id in cluster.founders:
+            self._state.send(
+                messages.FoundingRequest,
+                target_id=replica_id,
+                founders=cluster.founders,
+            )
+
+    def compact(self, *, index: int, data: bytes) -> model.Snapshot:
+        """Take a snapshot at an applied entry and shorten the log.
+
+        The owner has to store the snapshot, then rewrite its log file.
+        """
+        snapshots.compact(state=self._state, index=index, data=data)
+        return self._state.snapshot
+
+    def collect(self, now_ms: int) -> model.Effects:
+        """Return what the calls since the last time ask for."""
+        state = self._state
+        if state.role is Role.LEADER:
+            self._send_as_leader(now_ms)
+        return state.take_effects()
+
+    def durable_records(self) -> tuple:
+        """Return the records of which the log file consists."""
+        state = self._state
+        records = [
+            model.HardState(term=state.term, voted_for=state.voted_for),
+            state.log.base,
+            *state.log.entries,
+        ]
+        if state.cluster is not None:
+            records.insert(0, state.cluster)
+        return tuple(records)
+
+    def _send_as_leader(self, now_ms: int) -> None:
+        if self._reads.start_round():
+            self._replication.send_round(now_ms)
+        self._replication.send_due(now_ms)
+        self._reads.confirm()
+
+    def _become_leader(self, now_ms: int) -> None:
+        state = self._state
+        state.set_role(Role.LEADER, leader_id=state.replica_id)
+        state.leadership = election.leadership_of(state=state, now_ms=now_ms)
+        state.append(election.noop_entry(state=state))
+        self._replication.advance_commit()
+
+    def _belongs(self, message: object) -> bool:
+        """Return whether the message is of the own cluster.
+
+        An empty replica joins the cluster whose leader sends it the log:
+        the leader names it only if it was added to the configuration.
+        """
+        state = self._state
+        if state.cluster is not None:
+            return message.cluster_id == state.cluster_id
+        joins = isinstance(
+            message, (messages.AppendRequest, messages.SnapshotChunk)
+        )
+        if joins:
+            state.cluster = model.Cluster(cluster_id=message.cluster_id)
+            state.records.append(state.cluster)
+        return joins
+
+    def _on_founding_request(self, message: messages.FoundingRequest) -> None:
+        if self.replica_id not in message.founders:
+            return
+        cluster = model.Cluster(
+            cluster_id=message.cluster_id, founders=message.founders
+        )
+        self._take_founding(cluster)
+
+    def _take_founding(self, cluster: model.Cluster) -> bool:
+        state = self._state
+        if state.cluster is not None:
+            return False
+        state.cluster = cluster
+        state.records.append(cluster)
+        state.set_term(founding.FOUNDING_TERM)
+        state.append(founding.founding_entry(cluster=cluster))
+        return True
+
+    def _on_leaders_answer(
+        self,
+        now_ms: int,
+        message: messages.AppendAnswer | messages.SnapshotAnswer,
+    ) -> None:
+        state = self._state
+        if message.term > state.term:
+            state.follow(now_ms=now_ms, term=message.term)
+            return
+        if state.role is not Role.LEADER or message.term < state.term:
+            return
+        progress = state.leadership.progress.get(message.sender_id)
+        if progress is None:
+            return
+        progress.heard_ms = now_ms
+        progress.acked_round = max(progress.acked_round, message.round)
+        if isinstance(message, messages.AppendAnswer):
+            self._replication.on_append_answer(now_ms, message)
+        else:
+            self._snapshot_sender.on_answer(message)
+        self._reads.confirm()
+        self._tick_transfer(now_ms)
+
+    def _tick_transfer(self, now_ms: int) -> None:
+        """Ask the successor to stand once it holds the whole log."""
+        state = self._state
+        leadership = state.leadership
+        if leadership is None or not leadership.transfer_to:
+            return
+        progress = leadership.progress.get(leadership.transfer_to)
+        if progress is None or now_ms >= leadership.transfer_ends_ms:
+            leadership.transfer_to = ''
+            return
+        if progress.match_index == state.log.last_index:
+            state.send(
+                messages.TransferRequest,
+                target_id=leadership.transfer_to,
+                term=state.term,
+            )
--- /dev/null
+++ b/src/shallothinge/consensus/snapshots.py
@@ -0,0 +1,166 @@
+"""Snapshots: compaction of the log and transfer in chunks."""
+
+import attrs
+
+from shallothinge.consensus import messages
+from shallothinge.consensus import model
+from shallothinge.consensus import state as states
+
+
+@attrs.define(kw_only=True)
+class _Incoming:
+    """The part of a snapshot that has arrived."""
+
+    index: int
+    index_term: int
+    total_bytes: int
+    data: bytearray = attrs.field(factory=bytearray)
+
+    def is_of(self, message: messages.SnapshotChunk) -> bool:
+        """Return whether the chunk belongs to this snapshot."""
+        return (
+            self.index == message.index
+            and self.index_term == message.index_term
+            and self.total_bytes == message.total_bytes
+        )
+
+
+def compact(*, state: states.NodeState, index: int, data: bytes) -> None:
+    """Take the state machine's state at ``index`` as the snapshot.
+
+    :raises ValueError: if entries up to the index were not handed out.
+    """
+    newest = state.snapshot.index if state.snapshot else 0
+    if not newest < index <= state.delivered_index:
+        raise ValueError(f'no snapshot can be taken at entry {index}')
+    state.snapshot = model.Snapshot(
+        index=index,
+        term=state.log.term_at(index),
+        configuration=state.log.configuration_at(index),
+        data=data,
+    )
+    state.log.compact(index - state.timing.kept_entries)
+
+
+class SnapshotSender:
+    """The leader's side of a transfer."""
+
+    def __init__(self, *, state: states.NodeState):
+        self._state = state
+
+    def send_chunk(self, replica_id: str) -> None:
+        """Send the next piece of a snapshot to a replica.
+
+        A transfer that has begun goes on with its snapshot, also if the
+        leader has taken a newer one since.
+        """
+        state = self._state
+        progress = state.leadership.progress[replica_id]
+        if progress.snapshot is None:
+            progress.snapshot = state.snapshot
+            progress.offset_bytes = 0
+        snapshot = progress.snapshot
+        end = progress.offset_bytes + state.timing.chunk_bytes
+        state.send(
+            messages.SnapshotChunk,
+            target_id=replica_id,
+            term=state.term,
+            index=snapshot.index,
+            index_term=snapshot.term,
+            configuration=snapshot.configuration,
+            offset_bytes=progress.offset_bytes,
+            total_bytes=len(snapshot.data),
+            data=snapshot.data[progress.offset_bytes : end],
+            round=state.leadership.round,
+        )
+
+    def on_answer(self, message: messages.SnapshotAnswer) -> None:
+        """Note how much of the snapshot the replica holds."""
+        progress = self._state.leadership.progress[message.sender_id]
+        snapshot = progress.snapshot
+        if snapshot is None or snapshot.index != message.index:
+            return
+        progress.in_flight = False
+        if not message.done:
+            progress.offset_bytes = message.offset_bytes
+            return
+        progress.snapshot = None
+        progress.match_index = max(progress.match_index, message.index)
+        progress.next_index = progress.match_index + 1
+
+
+class SnapshotReceiver:
+    """The follower's side of a transfer."""
+
+    def __init__(self, *, state: states.NodeState):
+        self._state = state
+        self._incoming: _Incoming | None = None
+
+    def on_chunk(self, now_ms: int, message: messages.SnapshotChunk) -> None:
+        """Take a piece; install the snapshot when it is whole."""
+        state = self._state
+        if message.term < state.term:
+            self._answer(message, offset_bytes=0, done=False)
+            return
+        state.follow(
+            now_ms=now_ms, term=message.term, leader_id=message.sender_id
+        )
+        if message.index <= state.commit_index:
+            self._incoming = None
+            self._answer(message, offset_bytes=0, done=True)
+            return
+        incoming = self._incoming_of(message)
+        if message.offset_bytes == len(incoming.data):
+            incoming.data += message.data
+        done = len(incoming.data) == message.total_bytes
+        self._answer(message, offset_bytes=len(incoming.data), done=done)
+        if done:
+            self._install(message, data=bytes(incoming.data))
+
+    def _incoming_of(self, message: messages.SnapshotChunk) -> _Incoming:
+        if self._incoming is None or not self._incoming.is_of(message):
+            self._incoming = _Incoming(
+                index=message.index,
+                index_term=message.index_term,
+                total_bytes=message.total_bytes,
+            )
+        return self._incoming
+
+    def _install(self, message: messages.SnapshotChunk, *, data: bytes):
+        state = self._state
+        self._incoming = None
+        state.snapshot = model.Snapshot(
+            index=message.index,
+            term=message.index_term,
+            configuration=message.configuration,
+            data=data,
+        )
+        if state.log.holds(index=message.index, term=message.index_term):
+            state.log.compact(message.index)
+        else:
+            base = model.LogBase(
+                index=message.index,
+                term=message.index_term,
+                configuration=message.configuration,
+            )
+            state.log.reset(base)
+        state.commit_to(message.index)
+        state.delivered_index = message.index
+        state.installed = state.snapshot
+
+    def _answer(
+        self,
+        message: messages.SnapshotChunk,
+        *,
+        offset_bytes: int,
+        done: bool,
+    ) -> None:
+        self._state.send(
+            messages.SnapshotAnswer,
+            target_id=message.sender_id,
+            term=self._state.term,
+            index=message.index,
+            offset_bytes=offset_bytes,
+            done=done,
+            round=message.round,
+        )
--- /dev/null
+++ b/src/shallothinge/consensus/state.py
@@ -0,0 +1,209 @@
+"""State that the duties of one replica share."""
+
+import random
+
+import attrs
+
+from shallothinge.consensus import log as logs
+from shallothinge.consensus import model
+from shallothinge.consensus.model import Role
+
+
+@attrs.define(kw_only=True)
+class Progress:
+    """What a leader knows of another replica."""
+
+    next_index: int
+    heard_ms: int
+    match_index: int = 0
+    acked_round: int = 0
+    sent_ms: int | None = None
+    sent_index: int = 0
+    in_flight: bool = False
+    snapshot: model.Snapshot | None = None
+    offset_bytes: int = 0
+
+
+@attrs.define(kw_only=True)
+class PendingRead:
+    """A read that waits for a majority to confirm the leadership."""
+
+    read_id: str
+    index: int
+    round: int
+
+
+@attrs.define(kw_only=True)
+class Leadership:
+    """State that a replica has only while it leads."""
+
+    first_index: int
+    elected_ms: int
+    progress: dict[str, Progress] = attrs.field(factory=dict)
+    round: int = 0
+    reads: list[PendingRead] = attrs.field(factory=list)
+    transfer_to: str = ''
+    transfer_ends_ms: int = 0
+
+
+class NodeState:
+    """Term, vote, log and role of one replica, and its unsent effects."""
+
+    def __init__(
+        self,
+        *,
+        replica_id: str,
+        rng: random.Random,
+        timing: model.Timing,
+        restored: model.Restored,
+    ):
+        self.replica_id = replica_id
+        self.rng = rng
+        self.timing = timing
+        self.cluster = restored.cluster
+        self.term = restored.hard_state.term
+        self.voted_for = restored.hard_state.voted_for
+        self.snapshot = restored.snapshot
+        self.log = _restored_log(restored)
+        self.commit_index = restored.snapshot.index if self.snapshot else 0
+        self.delivered_index = self.commit_index
+        self.role = Role.FOLLOWER
+        self.leader_id = ''
+        self.leadership: Leadership | None = None
+        self.heard_leader_ms: int | None = None
+        self.election_due_ms: int | None = None
+        self.records = []
+        self.messages = []
+        self.confirmed_reads = []
+        self.failed_reads = []
+        self.installed: model.Snapshot | None = None
+        self.role_changed = False
+
+    @property
+    def cluster_id(self) -> str:
+        """Return the cluster's id, or '' in a replica without one."""
+        return self.cluster.cluster_id if self.cluster else ''
+
+    @property
+    def configuration(self) -> model.Configuration:
+        """Return the newest configuration in the log."""
+        return self.log.configuration
+
+    @property
+    def is_voter(self) -> bool:
+        """Return whether the own log gives this replica a vote."""
+        return self.replica_id in self.configuration.voters
+
+    @property
+    def other_voters(self) -> tuple[str, ...]:
+        """Return the voters but this one."""
+        return tuple(
+            voter
+            for voter in self.configuration.voters
+            if voter != self.replica_id
+        )
+
+    def send(self, message_type: type, *, target_id: str, **fields) -> None:
+        """Queue a message that leaves after the records are synced."""
+        message = message_type(
+            cluster_id=self.cluster_id,
+            sender_id=self.replica_id,
+            target_id=target_id,
+            **fields,
+        )
+        self.messages.append(message)
+
+    def set_term(self, term: int, *, voted_for: str = '') -> None:
+        """Move to a term or vote in it, and record that."""
+        self.term = term
+        self.voted_for = voted_for
+        self.records.append(model.HardState(term=term, voted_for=voted_for))
+
+    def append(self, entry: model.Entry) -> None:
+        """Append an entry to the log and record it."""
+        self.log.append(entry)
+        self.records.append(entry)
+
+    def set_role(self, role: Role, *, leader_id: str = '') -> None:
+        """Change the role and the leader that is followed."""
+        if role is not Role.LEADER and self.leadership is not None:
+            for read in self.leadership.reads:
+                self.failed_reads.append(read.read_id)
+            self.leadership = None
+        if (role, leader_id) != (self.role, self.leader_id):
+            self.role = role
+            self.leader_id = leader_id
+            self.role_changed = True
+
+    def follow(self, *, now_ms: int, term: int, leader_id: str = '') -> None:
+        """Become a follower, in a newer term if it is newer.
+
+        :param leader_id: the leader that was heard, if one was.
+        """
+        if term > self.term:
+            self.set_term(term)
+            self.set_role(Role.FOLLOWER)
+        if leader_id:
+            self.heard_leader_ms = now_ms
+            self.reset_election_timer(now_ms=now_ms)
+        self.set_role(Role.FOLLOWER, leader_id=leader_id)
+
+    def reset_election_timer(self, *, now_ms: int) -> None:
+        """Draw the instant at which the next election starts."""
+        timeout_ms = self.rng.randint(
+            self.timing.election_min_ms, self.timing.election_max_ms
+        )
+        self.election_due_ms = now_ms + timeout_ms
+
+    def commit_to(self, index: int) -> None:
+        """Take entries up to an index as committed."""
+        self.commit_index = max(self.commit_index, index)
+
+    def take_effects(self) -> model.Effects:
+        """Return what has to be done and forget it."""
+        first = self.delivered_index + 1
+        committed = self.log.between(first, self.commit_index)
+        self.delivered_index = self.commit_index
+        effects = model.Effects(
+            snapshot=self.installed,
+            records=tuple(self.records),
+            messages=tuple(self.messages),
+            committed=committed,
+            reads=tuple(self.confirmed_reads),
+            failed_reads=tuple(self.failed_reads),
+            role=self._take_role(),
+        )
+        self.installed = None
+        self.records.clear()
+        self.messages.clear()
+        self.confirmed_reads.clear()
+        self.failed_reads.clear()
+        return effects
+
+    def _take_role(self) -> model.RoleChanged | None:
+        if not self.role_changed:
+            return None
+        self.role_changed = False
+        return model.RoleChanged(
+            role=self.role, term=self.term, leader_id=self.leader_id
+        )
+
+
+def _restored_log(restored: model.Restored) -> logs.Log:
+    """Return the log, or an empty one if the snapshot is ahead of it.
+
+    A crash between storing a received snapshot and rewriting the log
+    leaves entries that the snapshot replaces.
+    """
+    log = logs.Log(base=restored.base, entries=restored.entries)
+    snapshot = restored.snapshot
+    if snapshot is None or log.holds(index=snapshot.index, term=snapshot.term):
+        return log
+    if restored.base.index > snapshot.index:
+        raise ValueError('the log starts after the snapshot')
+    base = model.LogBase(
+        index=snapshot.index,
+        term=snapshot.term,
+        configuration=snapshot.configuration,
+    )
+    return logs.Log(base=base)
--- /dev/null
+++ b/src/shallothinge/control/joining.py
@@ -0,0 +1,218 @@
+"""Founding a cluster, and control hosts that join or leave it."""
+
+from collections.abc import Callable
+
+import attrs
+from twisted.internet import defer
+
+from shallothinge import errors
+from shallothinge.consensus import founding
+from shallothinge.consensus import messages
+from shallothinge.consensus import model
+from shallothinge.consensus import node as nodes
+
+ANNOUNCE_MS = 250
+FOUNDING_WAIT_MS = 10_000
+
+
+@attrs.frozen(kw_only=True)
+class _Founding:
+    """A founding that waits to hear all first voters."""
+
+    cluster_id: str
+    member_ids: tuple[str, ...]
+    ends_ms: int
+
+
+class Joining:
+    """Pairs the processes of control hosts with their data folders.
+
+    Replicas without a cluster announce themselves. They are taken in only
+    by a founding or an order of operators: the order to add the process,
+    or the repair that made the folder in place of a lost one.
+
+    :param broadcast: sends a message to every other control host.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: nodes.Node,
+        process_id: str,
+        rejoin: bool,
+        broadcast: Callable[[object], None],
+    ):
+        self._node = node
+        self._process_id = process_id
+        self._rejoin = rejoin
+        self._broadcast = broadcast
+        self._announced: dict[str, messages.ReplicaAnnounced] = {}
+        self._announce_due_ms = 0
+        self._founding: _Founding | None = None
+        self._founded: list[defer.Deferred] = []
+        self._additions: dict[str, defer.Deferred] = {}
+        self._removals: dict[str, defer.Deferred] = {}
+
+    def announced(self, message: messages.ReplicaAnnounced) -> None:
+        """Note a replica that has no cluster."""
+        process_id = model.process_id_of(message.sender_id)
+        self._announced[process_id] = message
+        self._node.offer_founding(message.sender_id)
+
+    def found(
+        self, now_ms: int, *, cluster_id: str, member_ids: tuple[str, ...]
+    ) -> defer.Deferred:
+        """Found a cluster once all its hosts have been heard.
+
+        :returns: fires with the cluster's id when a leader was elected.
+        """
+        if self._node.cluster_id:
+            if founding.name_of(self._node.cluster_id) != cluster_id:
+                return _conflict(f'belongs to {self._node.cluster_id}')
+        elif self._process_id not in member_ids:
+            return _conflict('a founder has to be a member')
+        elif self._founding is not None and (
+            self._founding.cluster_id != cluster_id
+        ):
+            return _conflict('another founding is under way')
+        else:
+            self._founding = _Founding(
+                cluster_id=cluster_id,
+                member_ids=tuple(member_ids),
+                ends_ms=now_ms + FOUNDING_WAIT_MS,
+            )
+        answered = defer.Deferred()
+        self._founded.append(answered)
+        return answered
+
+    def add(self, process_id: str) -> defer.Deferred:
+        """Add a process; fires when its replica has a vote."""
+        return _waiting(self._additions, process_id)
+
+    def remove(self, process_id: str) -> defer.Deferred:
+        """Remove a process; fires when that is committed."""
+        return _waiting(self._removals, process_id)
+
+    def tick(self, now_ms: int) -> None:
+        """Announce the own replica and drive what is under way."""
+        if not self._node.cluster_id:
+            self._announce(now_ms)
+            self._tick_founding(now_ms)
+        elif self._node.leader_id and self._founded:
+            waiting, self._founded = self._founded, []
+            for answered in waiting:
+                answered.callback(founding.name_of(self._node.cluster_id))
+        if self._node.role is model.Role.LEADER:
+            self._tick_additions(now_ms)
+            self._tick_removals(now_ms)
+
+    def fail_all(self, error: Callable[[], errors.ServingError]) -> None:
+        """Fail the changes under way, after the leadership was lost."""
+        waiting = list(self._additions.values())
+        waiting.extend(self._removals.values())
+        self._additions.clear()
+        self._removals.clear()
+        for answered in waiting:
+            answered.errback(error())
+
+    def _announce(self, now_ms: int) -> None:
+        if now_ms < self._announce_due_ms:
+            return
+        self._announce_due_ms = now_ms + ANNOUNCE_MS
+        self._broadcast(
+            messages.ReplicaAnnounced(
+                sender_id=self._node.replica_id, rejoin=self._rejoin
+            )
+        )
+
+    def _tick_founding(self, now_ms: int) -> None:
+        wanted = self._founding
+        if wanted is None:
+            return
+        replica_ids = [self._node.replica_id]
+        for process_id in wanted.member_ids:
+            if process_id in self._announced:
+                replica_ids.append(self._announced[process_id].sender_id)
+        if len(replica_ids) == len(set(wanted.member_ids)):
+            self._founding = None
+            self._node.found(
+                name=wanted.cluster_id, replica_ids=tuple(replica_ids)
+            )
+            for replica_id in replica_ids[1:]:
+                self._node.offer_founding(replica_id)
+        elif now_ms >= wanted.ends_ms:
+            self._fail_founding(wanted)
+
+    def _fail_founding(self, wanted: _Founding) -> None:
+        missing = [
+            process_id
+            for process_id in wanted.member_ids
+            if process_id not in self._announced
+            and process_id != self._process_id
+        ]
+        self._founding = None
+        waiting, self._founded = self._founded, []
+        for answered in waiting:
+            answered.errback(
+                errors.ServingError(
+                    kind=errors.ErrorKind.VERSION_CONFLICT,
+                    detail='not founded; no empty replica was heard of '
+                    f'{", ".join(missing)}: start it and found again',
+                )
+            )
+
+    def _tick_additions(self, now_ms: int) -> None:
+        configuration = self._node.configuration
+        members = {
+            model.process_id_of(voter) for voter in configuration.voters
+        }
+        for process_id, message in list(self._announced.items()):
+            replaces = message.rejoin and process_id in members
+            wanted = process_id in self._additions or replaces
+            if message.sender_id in configuration.replicas:
+                del self._announced[process_id]
+            elif wanted:
+                self._node.add_learner(now_ms, message.sender_id)
+        if not self._node.is_configuration_committed:
+            return
+        learners = {
+            model.process_id_of(learner) for learner in configuration.learners
+        }
+        for process_id in list(self._additions):
+            joined = process_id in members and process_id not in learners
+            if joined and process_id not in self._announced:
+                self._additions.pop(process_id).callback(None)
+
+    def _tick_removals(self, now_ms: int) -> None:
+        configuration = self._node.configuration
+        for process_id in list(self._removals):
+            replica_ids = [
+                replica_id
+                for replica_id in configuration.replicas
+                if model.process_id_of(replica_id) == process_id
+            ]
+            if replica_ids:
+                self._node.remove(now_ms, replica_ids[0])
+            elif self._node.is_configuration_committed:
+                self._removals.pop(process_id).callback(None)
+
+
+def _waiting(waiting: dict, process_id: str) -> defer.Deferred:
+    """Return a Deferred that fires with the one kept for a process."""
+    kept = waiting.setdefault(process_id, defer.Deferred())
+    answered = defer.Deferred()
+
+    def pass_on(result):
+        answered.callback(result)
+        return None
+
+    kept.addBoth(pass_on)
+    return answered
+
+
+def _conflict(detail: str) -> defer.Deferred:
+    return defer.fail(
+        errors.ServingError(
+            kind=errors.ErrorKind.VERSION_CONFLICT, detail=detail
+        )
+    )
--- /dev/null
+++ b/src/shallothinge/control/replica.py
@@ -0,0 +1,450 @@
+"""The shell of one replica: data folder, connections, state machine."""
+
+from collections.abc import Callable
+import logging
+import os
+import pathlib
+import random
+
+import attrs
+from twisted.internet import defer
+
+from shallothinge import errors
+from shallothinge.consensus import messages
+from shallothinge.consensus import model
+from shallothinge.consensus import node as nodes
+from shallothinge.control import joining
+from shallothinge.control import machine as machines
+from shallothinge.control import pending
+from shallothinge.settings import model as settings_model
+from shallothinge.storage import data_folder
+
+LOG = logging.getLogger(__name__)
+
+TICKS_PER_HEARTBEAT = 4
+KEPT_DIVISOR = 4
+EXIT_STORAGE_FAILED = 74
+
+
+@attrs.frozen(kw_only=True)
+class ReplicaDump:
+    """A replica's state, for dumps."""
+
+    replica_id: str
+    cluster_id: str
+    role: str
+    term: int
+    leader_id: str
+    elected_ms: int | None
+    commit_index: int
+    applied_index: int
+    last_index: int
+    snapshot_index: int
+    log_bytes: int
+    voters: tuple[str, ...]
+    learners: tuple[str, ...]
+    pending_proposals: int
+    pending_reads: int
+
+
+def end_process(error: Exception) -> None:
+    """End the process at once: what its disk holds is not known."""
+    LOG.critical('the replica failed; the process ends', exc_info=error)
+    os._exit(EXIT_STORAGE_FAILED)
+
+
+class Replica:
+    """One replica of the log and the state machine that it drives.
+
+    Proposals of one reactor turn are synced and sent together.
+
+    :param process: gives reactor, clock, identity and connections.
+    :param settings: the file of ``shallothinge control``.
+    :param machine: the state machine; restored from the data folder.
+    :param on_leadership: called with True when this replica leads and its
+        state machine holds all that was committed before, with False when
+        it leads no more.
+    :param on_failure: called when the data folder or the state machine
+        fails; it must not return in a running system.
+    :raises StorageError: if the data folder can not be used.
+    """
+
+    def __init__(
+        self,
+        *,
+        process,
+        settings: settings_model.ControlSettings,
+        machine: machines.StateMachine,
+        on_leadership: Callable[[bool], None] | None = None,
+        on_failure: Callable[[Exception], None] = end_process,
+        rng: random.Random | None = None,
+    ):
+        self._reactor = process.reactor
+        self._clock = process.clock
+        self._process_id = process.process_id
+        self._machine = machine
+        self._on_leadership = on_leadership
+        self._on_failure = on_failure
+        self._snapshot_entries = settings.log.snapshot_entries
+        self._tick_ms = settings.log.heartbeat_ms // TICKS_PER_HEARTBEAT
+        self._folder = data_folder.DataFolder(
+            path=process.folder / pathlib.Path(settings.log.data_folder),
+            process_id=process.process_id,
+        )
+        self._node = self._restore(settings.log, rng or random.Random())
+        self._pending = pending.PendingWork()
+        self._joining = joining.Joining(
+            node=self._node,
+            process_id=process.process_id,
+            rejoin=self._folder.identity.rejoin,
+            broadcast=self._broadcast,
+        )
+        self._links = _connect(process, settings)
+        self._led_term: int | None = None
+        self._ready = False
+        self._handed_over: list[defer.Deferred] = []
+        self._hand_over_ends_ms = 0
+        self._flush_call = None
+        self._tick_call = None
+        self._closed = False
+        self.elected_ms: int | None = None
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this replica leads and may answer."""
+        return self._ready
+
+    @property
+    def leader_id(self) -> str:
+        """Return the process id of the leader, or '' if none is known."""
+        return model.process_id_of(self._node.leader_id)
+
+    @property
+    def applied_index(self) -> int:
+        """Return the index up to which the state machine is."""
+        return self._applied_index
+
+    def start(self) -> None:
+        """Begin to take part."""
+        self._tick()
+
+    def close(self) -> None:
+        """Stop at once; open proposals and reads fail."""
+        if self._closed:
+            return
+        self._closed = True
+        for call in (self._flush_call, self._tick_call):
+            if call is not None and call.active():
+                call.cancel()
+        for link in self._links.values():
+            link.close()
+        self._folder.close()
+        self._pending.fail_all(leader_id='')
+        self._joining.fail_all(self._not_leader)
+        self._fire_handed_over()
+
+    def receive(self, peer, message: object) -> None:
+        """Take a message of another control host.
+
+        :param peer: the other end of the connection; only the control
+            role is heard, and only for replicas of its own process.
+        """
+        if self._closed or peer.role != 'control':
+            return
+        if model.process_id_of(message.sender_id) != peer.process_id:
+            LOG.warning('dropped a message under a foreign replica id')
+            return
+        if isinstance(message, messages.ReplicaAnnounced):
+            self._joining.announced(message)
+        else:
+            self._node.receive(
+                self._clock.now_ms(), message.sender_id, message
+            )
+        self._schedule_flush()
+
+    def propose(self, command: bytes) -> defer.Deferred:
+        """Replicate a command and apply it.
+
+        :returns: fires with the state machine's answer. Fails with
+            ``NotLeader`` if the command was not taken, and with
+            ``ServingError`` of kind ``INTERNAL`` if it may be committed
+            although the leadership was lost.
+        """
+        if self._closed:
+            return defer.fail(self._not_leader())
+        outcome = self._node.propose(self._clock.now_ms(), command)
+        if isinstance(outcome, model.ProposalRefused):
+            return defer.fail(
+                pending.NotLeader(
+                    leader_id=model.process_id_of(outcome.leader_id),
+                    detail=outcome.reason,
+                )
+            )
+        self._schedule_flush()
+        return self._pending.add_proposal(
+            index=outcome.index, term=outcome.term
+        )
+
+    def confirm_read(self) -> defer.Deferred:
+        """Confirm that the state machine holds all committed commands.
+
+        :returns: fires with None once a majority has confirmed that this
+            replica leads; fails with ``NotLeader``.
+        """
+        if self._closed:
+            return defer.fail(self._not_leader())
+        read_id, answered = self._pending.add_read()
+        self._node.request_read(self._clock.now_ms(), read_id)
+        self._schedule_flush()
+        return answered
+
+    def found(
+        self, *, cluster_id: str, member_ids: tuple[str, ...]
+    ) -> defer.Deferred:
+        """Found a cluster of these processes; idempotent.
+
+        :returns: fires with the cluster id when a leader was elected;
+            fails with ``VERSION_CONFLICT`` if a member is not heard or
+            belongs elsewhere.
+        """
+        return self._joining.found(
+            self._clock.now_ms(), cluster_id=cluster_id, member_ids=member_ids
+        )
+
+    def add_member(self, *, process_id: str) -> defer.Deferred:
+        """Add a control host; fires when its replica has a vote."""
+        if not self._ready:
+            return defer.fail(self._not_leader())
+        return self._joining.add(process_id)
+
+    def remove_member(self, *, process_id: str) -> defer.Deferred:
+        """Remove a control host; fires when that is committed.
+
+        A leader that is to be removed hands over and fails the call with
+        ``NotLeader``, which names its successor.
+        """
+        if not self._ready:
+            return defer.fail(self._not_leader())
+        if process_id == self._process_id:
+            successor = self._node.transfer(self._clock.now_ms())
+            self._schedule_flush()
+            return defer.fail(
+                pending.NotLeader(leader_id=model.process_id_of(successor))
+            )
+        return self._joining.remove(process_id)
+
+    def transfer_leadership(self) -> defer.Deferred:
+        """Hand over before a planned stop.
+
+        :returns: fires with None when this replica does not lead, or
+            could not hand over in time.
+        """
+        now_ms = self._clock.now_ms()
+        if self._closed or not self._node.transfer(now_ms):
+            return defer.succeed(None)
+        self._schedule_flush()
+        answered = defer.Deferred()
+        self._handed_over.append(answered)
+        self._hand_over_ends_ms = now_ms + self._node.timing.election_max_ms
+        return answered
+
+    def dump(self) -> ReplicaDump:
+        """Return the state of this replica."""
+        node = self._node
+        snapshot = node.snapshot
+        return ReplicaDump(
+            replica_id=node.replica_id,
+            cluster_id=node.cluster_id,
+            role=node.role.value,
+            term=node.term,
+            leader_id=node.leader_id,
+            elected_ms=self.elected_ms,
+            commit_index=node.commit_index,
+            applied_index=self._applied_index,
+            last_index=node.log.last_index,
+            snapshot_index=snapshot.index if snapshot else 0,
+            log_bytes=self._folder.log_bytes,
+            voters=node.configuration.voters,
+            learners=node.configuration.learners,
+            pending_proposals=self._pending.proposals,
+            pending_reads=self._pending.reads,
+        )
+
+    def _restore(
+        self, settings: settings_model.LogSettings, rng: random.Random
+    ) -> nodes.Node:
+        restored = self._folder.restored
+        node = nodes.Node(
+            replica_id=self._folder.identity.replica_id,
+            rng=rng,
+            timing=model.Timing(
+                heartbeat_ms=settings.heartbeat_ms,
+                election_min_ms=settings.election_min_ms,
+                election_max_ms=settings.election_max_ms,
+                kept_entries=settings.snapshot_entries // KEPT_DIVISOR,
+            ),
+            restored=restored,
+        )
+        self._folder.rewrite(node.durable_records())
+        self._applied_index = 0
+        if restored.snapshot is not None:
+            self._machine.restore(restored.snapshot.data)
+            self._applied_index = restored.snapshot.index
+        return node
+
+    def _tick(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._node.tick(now_ms)
+        self._joining.tick(now_ms)
+        self._flush()
+        if now_ms >= self._hand_over_ends_ms:
+            self._fire_handed_over()
+        if not self._closed:
+            self._tick_call = self._reactor.callLater(
+                self._tick_ms / 1000, self._tick
+            )
+
+    def _schedule_flush(self) -> None:
+        if self._flush_call is None and not self._closed:
+            self._flush_call = self._reactor.callLater(0, self._run_flush)
+
+    def _run_flush(self) -> None:
+        self._flush_call = None
+        self._flush()
+
+    def _flush(self) -> None:
+        """Do what the node asks for, the disk first."""
+        if self._closed:
+            return
+        effects = self._node.collect(self._clock.now_ms())
+        try:
+            self._store(effects)
+            self._send(effects.messages)
+            self._apply(effects)
+            if not self._closed:
+                self._compact_if_due()
+        except Exception as error:
+            self._fail(error)
+        if self._closed:
+            return
+        self._follow_role(effects.role)
+        self._answer_reads(effects)
+
+    def _fail(self, error: Exception) -> None:
+        """End without another word to the other replicas."""
+        self._on_failure(error)
+        self.close()
+
+    def _store(self, effects: model.Effects) -> None:
+        if effects.snapshot is not None:
+            self._folder.store_snapshot(effects.snapshot)
+            self._folder.rewrite(self._node.durable_records())
+        elif effects.records:
+            self._folder.append(effects.records)
+
+    def _send(self, outgoing: tuple[object, ...]) -> None:
+        for message in outgoing:
+            process_id = model.process_id_of(message.target_id)
+            link = self._links.get(process_id)
+            if link is not None:
+                link.send(message)
+
+    def _broadcast(self, message: object) -> None:
+        for link in self._links.values():
+            link.send(message)
+
+    def _apply(self, effects: model.Effects) -> None:
+        if effects.snapshot is not None:
+            self._machine.restore(effects.snapshot.data)
+            self._applied_index = effects.snapshot.index
+        for entry in effects.committed:
+            answer = b''
+            if entry.kind is model.EntryKind.COMMAND:
+                answer = self._machine.apply(
+                    index=entry.index, command=entry.data
+                )
+            self._applied_index = entry.index
+            self._pending.answer_proposal(
+                index=entry.index, term=entry.term, answer=answer
+            )
+
+    def _compact_if_due(self) -> None:
+        snapshot = self._node.snapshot
+        newest = snapshot.index if snapshot else 0
+        if self._applied_index - newest < self._snapshot_entries:
+            return
+        snapshot = self._node.compact(
+            index=self._applied_index, data=self._machine.snapshot()
+        )
+        self._folder.store_snapshot(snapshot)
+        self._folder.rewrite(self._node.durable_records())
+
+    def _follow_role(self, changed: model.RoleChanged | None) -> None:
+        if changed is not None:
+            LOG.info(
+                'role in the replicated log changed',
+                extra={
+                    'role_in_log': changed.role.value,
+                    'term': changed.term,
+                    'leader_id': changed.leader_id,
+                },
+            )
+        leads = self._node.role is model.Role.LEADER
+        if self._led_term is not None and (
+            not leads or self._led_term != self._node.term
+        ):
+            self._lose_leadership()
+        if leads and self._led_term is None:
+            self._led_term = self._node.term
+            self.elected_ms = self._clock.now_ms()
+        if leads and not self._ready:
+            if self._applied_index >= self._node.first_index_of_term:
+                self._ready = True
+                self._tell_leadership(True)
+
+    def _lose_leadership(self) -> None:
+        was_ready = self._ready
+        self._led_term = None
+        self._ready = False
+        self.elected_ms = None
+        self._pending.fail_all(leader_id=self.leader_id)
+        self._joining.fail_all(self._not_leader)
+        self._fire_handed_over()
+        if was_ready:
+            self._tell_leadership(False)
+
+    def _tell_leadership(self, leads: bool) -> None:
+        if self._on_leadership is not None:
+            self._on_leadership(leads)
+
+    def _answer_reads(self, effects: model.Effects) -> None:
+        for read in effects.reads:
+            self._pending.confirm_read(read_id=read.read_id, index=read.index)
+        for read_id in effects.failed_reads:
+            self._pending.fail_read(read_id=read_id, leader_id=self.leader_id)
+        self._pending.answer_reads(applied_index=self._applied_index)
+
+    def _fire_handed_over(self) -> None:
+        waiting, self._handed_over = self._handed_over, []
+        for answered in waiting:
+            answered.callback(None)
+
+    def _not_leader(self) -> errors.ServingError:
+        return pending.NotLeader(leader_id=self.leader_id)
+
+
+def _connect(process, settings: settings_model.ControlSettings) -> dict:
+    """Return a connection to each other control host, by process id."""
+    links = {}
+    for host in settings.control_hosts:
+        if host.process_id != process.process_id:
+            links[host.process_id] = process.connect(
+                address=host.address,
+                role='control',
+                on_message=_drop,
+            )
+    return links
+
+
+def _drop(message: object) -> None:
+    """Drop what a control host sends back: it uses its own connection."""
--- /dev/null
+++ b/src/shallothinge/control/tests/hosts.py
@@ -0,0 +1,194 @@
+"""Control hosts that are connected in memory, for tests of the shell."""
+
+import random
+
+import attrs
+from twisted.internet import defer
+from twisted.internet import task
+
+from shallothinge.control import replica as replicas
+from shallothinge.settings import model
+from shallothinge.transport import endpoint
+
+STEP_MS = 5
+HOST_IDS = ('c1', 'c2', 'c3')
+
+
+class ReactorClock:
+    """A clock that follows a Twisted test reactor."""
+
+    def __init__(self, *, reactor):
+        self._reactor = reactor
+
+    def now_ms(self) -> int:
+        """Return the reactor's time in milliseconds."""
+        return round(self._reactor.seconds() * 1000)
+
+
+class Journal:
+    """A state machine that keeps all commands."""
+
+    def __init__(self):
+        self.commands = []
+
+    def apply(self, *, index, command):
+        """Keep the command; the answer is how many there are."""
+        self.commands.append(command)
+        return str(len(self.commands)).encode()
+
+    def snapshot(self):
+        """Return the commands, one a line."""
+        return b'\n'.join(self.commands)
+
+    def restore(self, data):
+        """Take the commands back."""
+        self.commands = data.split(b'\n') if data else []
+
+
+@attrs.define(kw_only=True)
+class _Link:
+    """A connection that loses messages to hosts that are not there."""
+
+    hosts: 'Hosts'
+    sender_id: str
+    target_id: str
+
+    def send(self, message):
+        """Deliver in the next turn of the reactor."""
+        return self.hosts.send(self.sender_id, self.target_id, message)
+
+    def close(self):
+        """Nothing is held."""
+
+
+@attrs.define(kw_only=True)
+class _Process:
+    """What a replica needs of its process."""
+
+    hosts: 'Hosts'
+    process_id: str
+    reactor: task.Clock
+    clock: ReactorClock
+    folder: object
+
+    def connect(self, *, address, role, on_message):
+        """Open a connection; the address is the other host's id."""
+        return _Link(
+            hosts=self.hosts, sender_id=self.process_id, target_id=address
+        )
+
+
+class Hosts:
+    """Replicas of several hosts on one test reactor."""
+
+    def __init__(self, *, folder, host_ids=HOST_IDS, snapshot_entries=1000):
+        self.reactor = task.Clock()
+        self.folder = folder
+        self.host_ids = host_ids
+        self.snapshot_entries = snapshot_entries
+        self.replicas = {}
+        self.machines = {}
+        self.failures = []
+        self.cut = set()
+        self._rng = random.Random(7)
+        for host_id in host_ids:
+            self.start(host_id)
+
+    def start(self, host_id):
+        """Start a host's process."""
+        settings = model.ControlSettings(
+            process=None,
+            log=model.LogSettings(
+                data_folder=host_id, snapshot_entries=self.snapshot_entries
+            ),
+            control_hosts=tuple(
+                model.ControlHost(process_id=one, address=one)
+                for one in self.host_ids
+            ),
+        )
+        process = _Process(
+            hosts=self,
+            process_id=host_id,
+            reactor=self.reactor,
+            clock=ReactorClock(reactor=self.reactor),
+            folder=self.folder,
+        )
+        self.machines[host_id] = Journal()
+        self.replicas[host_id] = replicas.Replica(
+            process=process,
+            settings=settings,
+            machine=self.machines[host_id],
+            on_failure=self.failures.append,
+            rng=random.Random(self._rng.random()),
+        )
+        self.replicas[host_id].start()
+
+    def stop(self, host_id):
+        """Kill a host's process."""
+        self.replicas.pop(host_id).close()
+
+    def send(self, sender_id, target_id, message):
+        """Deliver a message unless one end is cut off."""
+        if self.cut & {sender_id, target_id}:
+            return False
+        peer = endpoint.Peer(
+            route=b'', role='control', process_id=sender_id, incarnation=''
+        )
+        self.reactor.callLater(0.001, self._deliver, target_id, peer, message)
+        return True
+
+    def _deliver(self, target_id, peer, message):
+        if target_id in self.replicas:
+            self.replicas[target_id].receive(peer, message)
+
+    def run(self, duration_ms):
+        """Let time pass."""
+        for _ in range(duration_ms // STEP_MS):
+            self.reactor.advance(STEP_MS / 1000)
+
+    def run_until(self, condition, *, limit_ms=20_000):
+        """Let time pass until a condition holds."""
+        for _ in range(limit_ms // STEP_MS):
+            if condition():
+                return
+            self.reactor.advance(STEP_MS / 1000)
+        raise AssertionError('the condition did not come to hold')
+
+    def found(self):
+        """Found a cluster of all hosts and wait for its leader."""
+        answered = self.replicas[self.host_ids[0]].found(
+            cluster_id='test', member_ids=self.host_ids
+        )
+        self.wait(answered)
+        self.run_until(self.leader)
+
+    def leader(self):
+        """Return the replica that leads, or None."""
+        for replica in self.replicas.values():
+            if replica.is_leader:
+                return replica
+        return None
+
+    def leader_host(self):
+        """Return the id of the host that leads."""
+        for host_id, replica in self.replicas.items():
+            if replica.is_leader:
+                return host_id
+        return ''
+
+    def wait(self, answered: defer.Deferred):
+        """Let time pass until a Deferred fires and return its result."""
+        results = []
+        answered.addBoth(results.append)
+        self.run_until(lambda: results)
+        return results[0]
+
+    def propose(self, command):
+        """Propose at the leader and return the answer."""
+        self.run_until(self.leader)
+        return self.wait(self.leader().propose(command))
+
+    def close(self):
+        """Stop all."""
+        for host_id in list(self.replicas):
+            self.stop(host_id)
--- a/src/shallothinge/protocol.py
+++ b/src/shallothinge/protocol.py
@@ -3,6 +3,7 @@
 from shallothinge import wire
 from shallothinge.allowances import messages as allowances
 from shallothinge.calls import messages as calls
+from shallothinge.consensus import messages as consensus
 from shallothinge.leases import messages as leases
 from shallothinge.operators import messages as operators
 from shallothinge.reservations import messages as reservations
@@ -21,5 +22,6 @@
             *calls.MESSAGES,
             *allowances.MESSAGES,
             *operators.MESSAGES,
+            *consensus.MESSAGES,
         )
     )
--- /dev/null
+++ b/src/shallothinge/storage/data_folder.py
@@ -0,0 +1,177 @@
+"""The data folder of one replica: its identity, log and snapshot."""
+
+from collections.abc import Iterable
+import fcntl
+import os
+import pathlib
+import secrets
+
+from shallothinge import wire
+from shallothinge.consensus import model
+from shallothinge.storage import errors
+from shallothinge.storage import files
+from shallothinge.storage import frames
+from shallothinge.storage import log_file
+
+LOG_NAME = 'log'
+SNAPSHOT_NAME = 'snapshot'
+LOCK_NAME = 'lock'
+DISK_ID_BYTES = 8
+
+
+class DataFolder:
+    """Files of one replica, locked against other processes.
+
+    The identity is the first record of the log file, so that a log that is
+    lost can not be taken for an empty one of the same replica.
+
+    :param rejoin: make a new identity that may replace a former one.
+    :param sync: flushes a descriptor to the disk.
+    :raises StorageError: if the folder is in use, damaged or incomplete.
+    """
+
+    def __init__(
+        self,
+        *,
+        path: pathlib.Path,
+        process_id: str,
+        rejoin: bool = False,
+        sync: files.Sync = os.fsync,
+    ):
+        self.path = path
+        self._sync = sync
+        self._codec = wire.Codec(message_types=model.RECORDS)
+        self._lock = _lock(path)
+        self._log_file = log_file.LogFile(
+            path=path / LOG_NAME, codec=self._codec, sync=sync
+        )
+        try:
+            if not (path / LOG_NAME).exists():
+                self._create(process_id=process_id, rejoin=rejoin)
+            self._read()
+        except errors.StorageError:
+            self.close()
+            raise
+        if model.process_id_of(self.identity.replica_id) != process_id:
+            self.close()
+            raise errors.StorageError(
+                f'{path}: belongs to {self.identity.replica_id}, not to '
+                f'{process_id}; name the right data_folder in the settings'
+            )
+
+    @property
+    def log_bytes(self) -> int:
+        """Return the size of the log file."""
+        return self._log_file.size_bytes
+
+    def append(self, records: Iterable) -> None:
+        """Write records and sync them.
+
+        :raises WriteFailed: if they are not known to be on the disk.
+        """
+        self._log_file.append(records)
+
+    def rewrite(self, records: Iterable) -> None:
+        """Replace the log's records by these, under the same identity.
+
+        :raises WriteFailed: if they are not known to be on the disk.
+        """
+        self._log_file.rewrite((self.identity, *records))
+
+    def store_snapshot(self, snapshot: model.Snapshot) -> None:
+        """Replace the snapshot.
+
+        :raises WriteFailed: if it is not known to be on the disk.
+        """
+        files.replace_file(
+            self.path / SNAPSHOT_NAME,
+            payload=self._codec.encode(snapshot),
+            salt=frames.new_salt(),
+            sync=self._sync,
+        )
+
+    def close(self) -> None:
+        """Close the files and release the folder."""
+        self._log_file.close()
+        if self._lock is not None:
+            os.close(self._lock)
+            self._lock = None
+
+    def _create(self, *, process_id: str, rejoin: bool) -> None:
+        if (self.path / SNAPSHOT_NAME).exists():
+            raise errors.StorageDamaged(
+                path=self.path / LOG_NAME,
+                offset_bytes=0,
+                detail='the file is missing beside a snapshot',
+            )
+        replica_id = model.make_replica_id(
+            process_id=process_id, disk_id=secrets.token_hex(DISK_ID_BYTES)
+        )
+        identity = model.Identity(replica_id=replica_id, rejoin=rejoin)
+        self._log_file.rewrite((identity,))
+        self._log_file.close()
+        files.sync_folder(self.path.parent, sync=self._sync)
+
+    def _read(self) -> None:
+        records = self._log_file.read()
+        self.identity = records[0]
+        self.restored = restore(records, snapshot=self._read_snapshot())
+
+    def _read_snapshot(self) -> model.Snapshot | None:
+        path = self.path / SNAPSHOT_NAME
+        if not path.exists():
+            return None
+        _, scan = files.read_frames(path)
+        if len(scan.payloads) != 1:
+            raise errors.StorageDamaged(
+                path=path,
+                offset_bytes=scan.whole_bytes,
+                detail='the snapshot does not match its checksum',
+            )
+        return self._codec.decode(scan.payloads[0])
+
+
+def restore(records: tuple, *, snapshot: model.Snapshot | None):
+    """Return the state that the records of a log file amount to.
+
+    An entry replaces the one of its index and all that follow.
+    """
+    cluster = None
+    hard_state = model.HardState()
+    base = model.LogBase()
+    entries = []
+    for record in records:
+        if isinstance(record, model.Cluster):
+            cluster = record
+        elif isinstance(record, model.HardState):
+            hard_state = record
+        elif isinstance(record, model.LogBase):
+            base = record
+            entries = []
+        elif isinstance(record, model.Entry):
+            del entries[record.index - base.index - 1 :]
+            entries.append(record)
+    return model.Restored(
+        cluster=cluster,
+        hard_state=hard_state,
+        base=base,
+        entries=tuple(entries),
+        snapshot=snapshot,
+    )
+
+
+def _lock(path: pathlib.Path) -> int:
+    try:
+        path.mkdir(mode=files.FOLDER_MODE, parents=True, exist_ok=True)
+        flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
+        descriptor = os.open(path / LOCK_NAME, flags, files.FILE_MODE)
+    except OSError as error:
+        raise errors.StorageError(f'{path}: {error.strerror}') from error
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError as error:
+        os.close(descriptor)
+        raise errors.FolderLocked(
+            f'{path}: another process uses this data folder'
+        ) from error
+    return descriptor
