Add durable claims of calls that run at most once

Cause: two entries with one key, a kill at any step or a resent message must never send a dispatch or a bond issuance twice. Ruled out: freeing a key when its entry's lease ends, since the call may be at the service; repeating every first answer word for word, since a grant that was freed meanwhile must not be given again. Change: claims by workspace, service and key; an outcome stays unknown until the entry or an operator resolves it; a claim can be given up before it arrives; outcomes pair with their own answers only, since a late repeat of a grant could pass for a stored outcome.

--- a/src/shallothinge/calls/messages.py
+++ b/src/shallothinge/calls/messages.py
@@ -121,6 +121,8 @@
 
     Exactly one of: ``answer`` present; ``not_run`` true, when the call
     never left or the last hop confirmed it; neither, outcome unknown.
+    ``claim_index`` is 0 if the claim's answer never arrived; with
+    ``not_run`` that gives the claim up, also if it arrives later.
     """
 
     claim_id: str
@@ -128,6 +130,11 @@
     answer: StoredAnswer | None = None
     not_run: bool = False
 
+    @property
+    def request_id(self) -> str:
+        """Return the id that pairs it with its answer only."""
+        return f'resolve:{self.claim_id}'
+
 
 @attrs.frozen(kw_only=True)
 class ClaimResolved:
@@ -135,6 +142,27 @@
 
     claim_id: str
 
+    @property
+    def request_id(self) -> str:
+        """Return the id of the request that it answers."""
+        return f'resolve:{self.claim_id}'
+
+
+@attrs.frozen(kw_only=True)
+class ResolveUnknownCall:
+    """Operator to control: how a call of unknown outcome ended.
+
+    ``answer`` is what repeats of the key get from now on; without one the
+    call did not run, and the key may be used again.
+    """
+
+    order_id: str
+    operator: str
+    workspace: str
+    service: str
+    idempotency_key: str
+    answer: StoredAnswer | None = None
+
 
 MESSAGES = (
     CallService,
@@ -147,4 +175,5 @@
     ClaimReplayed,
     ResolveClaim,
     ClaimResolved,
+    ResolveUnknownCall,
 )
