Wire claims, allowances and usage into control, and start the replica

Cause: the control process did not drive the replicated log yet, and the new state had no way in. Ruled out: refusing claims of holders that a new leader has not heard, since the loss of a leader alone must refuse nothing; only those whose lease surely ran out are refused, and their end is committed again as long as they hold claims or slices. Change: handlers for claims, slices and usage; leases' ends and old calls are committed by the leader; views of usage and unknown calls.

--- a/src/shallothinge/control/api.py
+++ b/src/shallothinge/control/api.py
@@ -7,19 +7,6 @@
 from shallothinge.transport import endpoint
 
 
-class StateMachine(Protocol):
-    """What the replicated log drives."""
-
-    def apply(self, *, index: int, command: bytes) -> bytes:
-        """Apply a committed command and return its answer."""
-
-    def snapshot(self) -> bytes:
-        """Return the whole state."""
-
-    def restore(self, snapshot: bytes) -> None:
-        """Replace the state by a snapshot."""
-
-
 class ReplicatedLog(Protocol):
     """One replica of the log.
 
@@ -28,7 +15,7 @@
 
     is_leader: bool
     leader_id: str
-    elected_ms: int
+    elected_ms: int | None
 
     def propose(self, command: bytes) -> defer.Deferred:
         """Fire with the answer once the command is committed and applied."""
@@ -43,14 +30,16 @@
     def receive(self, peer: endpoint.Peer, message: object) -> None:
         """Take a message of another control host."""
 
-    def found(self, cluster_id: str, member_ids: tuple[str, ...]) -> None:
-        """Found a cluster on an empty host."""
+    def found(
+        self, *, cluster_id: str, member_ids: tuple[str, ...]
+    ) -> defer.Deferred:
+        """Found a cluster of empty hosts; fire once it has a leader."""
 
-    def add_member(self, process_id: str) -> defer.Deferred:
-        """Add a replica, first without a vote."""
+    def add_member(self, *, process_id: str) -> defer.Deferred:
+        """Add a replica, first without a vote; fire once it has one."""
 
-    def remove_member(self, process_id: str) -> defer.Deferred:
-        """Remove a replica."""
+    def remove_member(self, *, process_id: str) -> defer.Deferred:
+        """Remove a replica; fire once that is committed."""
 
     def transfer_leadership(self) -> defer.Deferred:
         """Hand leadership to another replica."""
--- a/src/shallothinge/control/process.py
+++ b/src/shallothinge/control/process.py
@@ -45,6 +45,7 @@
 
     def start(self) -> None:
         """Begin to serve."""
+        self._replica.start()
         self._ticking.start(TICK_MS / 1000, now=False)
         self._process.reactor.addSystemEventTrigger(
             'before', 'shutdown', self._hand_over
--- a/src/shallothinge/control/server.py
+++ b/src/shallothinge/control/server.py
@@ -12,6 +12,9 @@
 from twisted.internet import defer
 
 from shallothinge import clock as clocks
+from shallothinge import errors
+from shallothinge.allowances import messages as allowances
+from shallothinge.calls import messages as calls
 from shallothinge.control import api
 from shallothinge.control import commands
 from shallothinge.control import leadership
@@ -21,6 +24,7 @@
 from shallothinge.errors import ErrorKind
 from shallothinge.leases import client
 from shallothinge.leases import messages as leases
+from shallothinge.leases import table
 from shallothinge.membership import messages as membership
 from shallothinge.operators import messages as operators
 from shallothinge.settings import model
@@ -35,7 +39,9 @@
     operators.RollBundle,
     operators.SetZone,
     operators.SetServer,
+    calls.ResolveUnknownCall,
 )
+MS_PER_DAY = 24 * 3600 * 1000
 
 
 @attrs.frozen(kw_only=True)
@@ -86,6 +92,7 @@
         self._leadership: leadership.Leadership | None = None
         self._waiting: list[WaitingRequest] = []
         self._confirming = False
+        self._maintaining = False
         self._fencing: set[leadership.FenceNeeded] = set()
         self._routes = self._build_routes()
 
@@ -111,6 +118,19 @@
                 roles=operator, handle=self._change_members
             ),
         }
+        entry = ('entry',)
+        routes[calls.ClaimCall] = Route(
+            roles=entry, handle=self._propose_under_lease
+        )
+        routes[calls.ResolveClaim] = Route(
+            roles=entry, handle=self._propose_for
+        )
+        routes[allowances.SliceRequested] = Route(
+            roles=entry, handle=self._propose_under_lease
+        )
+        routes[allowances.UsageReported] = Route(
+            roles=entry, handle=self._report_usage
+        )
         for order_type in ORDERS:
             routes[order_type] = Route(
                 roles=operator, handle=self._carry_out_order
@@ -141,6 +161,8 @@
         """Do what is due from time to time on a leader."""
         if self._log.is_leader:
             self._current().tidy()
+            self._end_silent_holders()
+            self._prune()
 
     def propose(self, command: object) -> defer.Deferred:
         """Commit a command; fire with its decoded answer."""
@@ -335,39 +357,113 @@
         self._send(route=peer.route, message=answer)
 
     def _found(self, peer, order) -> None:
-        try:
-            self._log.found(order.cluster_id, order.member_ids)
-        except ValueError as error:
-            answer = operators.OrderAnswered(
-                order_id=order.order_id,
-                kind=ErrorKind.VERSION_CONFLICT,
-                detail=str(error),
-            )
-        else:
-            answer = operators.OrderAnswered(order_id=order.order_id)
-        self._send(route=peer.route, message=answer)
+        founded = self._log.found(
+            cluster_id=order.cluster_id, member_ids=order.member_ids
+        )
+        self._reply_to_order(founded, peer, order)
 
     def _change_members(self, peer, order) -> None:
         if order.add_id:
-            changed = self._log.add_member(order.add_id)
+            changed = self._log.add_member(process_id=order.add_id)
+        else:
+            changed = self._log.remove_member(process_id=order.remove_id)
+        self._reply_to_order(changed, peer, order)
+
+    def _reply_to_order(self, done: defer.Deferred, peer, order) -> None:
+        """Answer an order that is not a command of the state machine."""
+
+        def accept(_):
+            return operators.OrderAnswered(order_id=order.order_id)
+
+        def refuse(failure):
+            failure.trap(errors.ServingError)
+            error = failure.value
+            if error.kind is ErrorKind.NOT_LEADER:
+                return failure
+            return operators.OrderAnswered(
+                order_id=order.order_id, kind=error.kind, detail=error.detail
+            )
+
+        done.addCallbacks(accept, refuse)
+        self._reply_with(done, peer, order)
+
+    def _report_usage(self, peer, report) -> None:
+        holder = leases.Holder(
+            holder_id=report.entry_id, incarnation=report.entry_incarnation
+        )
+        if _is_of(peer, holder):
+            self._propose_for(peer, report)
+        else:
+            self._refuse(peer, report, ErrorKind.FORBIDDEN)
+
+    def _propose_under_lease(self, peer, request) -> None:
+        """Commit an entry's request unless its lease surely ran out."""
+        holder = leases.Holder(
+            holder_id=request.entry_id, incarnation=request.entry_incarnation
+        )
+        if not _is_of(peer, holder):
+            self._refuse(peer, request, ErrorKind.FORBIDDEN)
+        elif not self._current().leases.may_act(holder):
+            self._refuse(peer, request, ErrorKind.NO_LEASE)
         else:
-            changed = self._log.remove_member(order.remove_id)
-        changed.addCallback(
-            lambda _: operators.OrderAnswered(order_id=order.order_id)
+            self._propose_for(peer, request)
+
+    def _end_silent_holders(self) -> None:
+        """Commit the end of holders whose leases have surely run out."""
+        may_act = self._current().leases.may_act
+        ended = [
+            holder
+            for holder in self._machine.data.active_holders()
+            if not may_act(holder)
+        ]
+        if ended:
+            ended.sort(
+                key=lambda holder: (holder.holder_id, holder.incarnation)
+            )
+            self._maintain(leases.EndHolders(holders=tuple(ended)))
+
+    def _prune(self) -> None:
+        retention_ms = (
+            self._settings.leases.idempotency_retention_days * MS_PER_DAY
+        )
+        before_ms = self._wall_clock.now_ms() - retention_ms
+        if self._machine.data.claims.has_idle_since(before_ms=before_ms):
+            self._maintain(commands.Prune(before_ms=before_ms))
+
+    def _maintain(self, command: object) -> None:
+        """Commit a command of this host's own, one at a time.
+
+        It is made anew at the next tick if it was not committed.
+        """
+        if self._maintaining:
+            return
+        self._maintaining = True
+        proposed = self.propose(command)
+        proposed.addErrback(
+            lambda failure: LOG.info(
+                'maintenance was not committed',
+                extra={'cause': failure.getErrorMessage()},
+            )
         )
-        self._reply_with(changed, peer, order)
+        proposed.addCallback(self._maintained)
+
+    def _maintained(self, _) -> None:
+        self._maintaining = False
+
+
+def _is_of(peer: endpoint.Peer, holder: leases.Holder) -> bool:
+    """Return whether a holder is the process that a peer is."""
+    return (
+        holder.holder_id == peer.process_id
+        and holder.incarnation == peer.incarnation
+    )
 
 
 def _is_own(peer: endpoint.Peer, request: leases.LeaseRequest) -> bool:
     """Return whether a request speaks for the peer that sent it."""
-    if request.server is not None and peer.role != 'agent':
-        return False
-    if (
-        request.server is not None
-        and request.server.server_id != peer.process_id
-    ):
+    if (request.server is not None) != (peer.role == 'agent'):
         return False
-    return (
-        request.holder_id == peer.process_id
-        and request.incarnation == peer.incarnation
-    )
+    if request.server is not None:
+        if request.server.server_id != peer.process_id:
+            return False
+    return _is_of(peer, table.holder_of(request))
--- a/src/shallothinge/control/state.py
+++ b/src/shallothinge/control/state.py
@@ -5,23 +5,32 @@
 """
 
 from collections.abc import Callable
+import datetime
 import hashlib
 
 import attrs
 from cattrs.preconf import msgpack as cattrs_msgpack
 import msgpack
 
+from shallothinge.allowances import messages as allowances
+from shallothinge.allowances.slices import Allowances
 from shallothinge.bundles import messages as bundle_messages
 from shallothinge.bundles.model import ServingConfig
 from shallothinge.bundles.state import BundleStore
+from shallothinge.calls import messages as calls
+from shallothinge.calls.claims import Claims
 from shallothinge.control import commands
 from shallothinge.control.answers import OrderAnswers
 from shallothinge.errors import ErrorKind
+from shallothinge.leases import messages as leases
+from shallothinge.ledger.state import Ledger
 from shallothinge.membership import messages as membership
 from shallothinge.membership.fences import Fences
 from shallothinge.operators import messages as operators
 from shallothinge.outages.state import Outages
 
+MS_PER_SECOND = 1000
+
 
 @attrs.define(kw_only=True)
 class StateData:
@@ -33,6 +42,21 @@
     bundles: BundleStore = attrs.field(factory=BundleStore)
     outages: Outages = attrs.field(factory=Outages)
     fences: Fences = attrs.field(factory=Fences)
+    claims: Claims = attrs.field(factory=Claims)
+    allowances: Allowances = attrs.field(factory=Allowances)
+    ledger: Ledger = attrs.field(factory=Ledger)
+
+    def active_holders(self) -> set[leases.Holder]:
+        """Return the holders whose end has consequences."""
+        return {*self.claims.running.values(), *self.allowances.holders()}
+
+    def allowance_of(self, *, workspace: str) -> int | None:
+        """Return a workspace's tokens a month, None if there is none."""
+        bundle = self.config.bundle
+        for spec in () if bundle is None else bundle.workspaces:
+            if spec.name == workspace:
+                return spec.allowance_tokens_per_month
+        return None
 
 
 def fingerprint(order: object) -> str:
@@ -40,6 +64,14 @@
     return hashlib.sha256(repr(order).encode()).hexdigest()
 
 
+def month_of(now_ms: int) -> str:
+    """Return the month (``YYYY-MM``, UTC) of Unix milliseconds."""
+    instant = datetime.datetime.fromtimestamp(
+        now_ms // MS_PER_SECOND, datetime.UTC
+    )
+    return instant.date().isoformat()[: len('2026-01')]
+
+
 class ControlState:
     """Applies commands and hands out snapshots.
 
@@ -58,6 +90,13 @@
             operators.SetZone: self._set_zone,
             operators.SetServer: self._set_server,
             membership.FenceServer: self._fence_server,
+            calls.ClaimCall: self._claim,
+            calls.ResolveClaim: self._resolve_claim,
+            calls.ResolveUnknownCall: self._resolve_unknown_call,
+            allowances.SliceRequested: self._grant_slice,
+            allowances.UsageReported: self._store_usage,
+            leases.EndHolders: self._end_holders,
+            commands.Prune: self._prune,
         }
 
     def apply(self, *, index: int, command: bytes) -> bytes:
@@ -71,6 +110,7 @@
         """
         stamped = self._codec.decode(command)
         self.data.now_ms = max(self.data.now_ms, stamped.now_ms)
+        self.data.allowances.begin_month(month=month_of(self.data.now_ms))
         message = self._codec.decode(stamped.command)
         answer = self._handlers[type(message)](message, index)
         return self._codec.encode(answer)
@@ -189,3 +229,56 @@
             index=index,
         )
         return commands.Done()
+
+    def _claim(self, request, index):
+        return self.data.claims.claim(
+            request=request, index=index, now_ms=self.data.now_ms
+        )
+
+    def _resolve_claim(self, request, index):
+        return self.data.claims.resolve(
+            request=request, now_ms=self.data.now_ms
+        )
+
+    def _resolve_unknown_call(self, order, index):
+        return self._once(
+            order,
+            lambda: self.data.claims.resolve_by_operator(
+                order=order, now_ms=self.data.now_ms
+            ),
+        )
+
+    def _grant_slice(self, request, index):
+        allowance_tokens = self.data.allowance_of(workspace=request.workspace)
+        if allowance_tokens is None:
+            return allowances.SliceGranted(
+                request_id=request.request_id,
+                workspace=request.workspace,
+                tokens=0,
+            )
+        return self.data.allowances.grant(
+            request=request, allowance_tokens=allowance_tokens
+        )
+
+    def _store_usage(self, report, index):
+        is_new = self.data.ledger.add(report=report, now_ms=self.data.now_ms)
+        if is_new:
+            self.data.allowances.settle(
+                holder=leases.Holder(
+                    holder_id=report.entry_id,
+                    incarnation=report.entry_incarnation,
+                ),
+                records=report.records,
+            )
+        return allowances.UsageStored(sequence=report.sequence)
+
+    def _end_holders(self, command, index):
+        self.data.claims.end_holders(
+            holders=command.holders, now_ms=self.data.now_ms
+        )
+        self.data.allowances.end_holders(holders=command.holders)
+        return commands.Done()
+
+    def _prune(self, command, index):
+        self.data.claims.prune(before_ms=command.before_ms)
+        return commands.Done()
--- a/src/shallothinge/control/views.py
+++ b/src/shallothinge/control/views.py
@@ -1,11 +1,13 @@
 """Views of the control state as JSON text, for operators."""
 
+import datetime
 import enum
 import json
 
 import attrs
 from cattrs.preconf import json as cattrs_json
 
+from shallothinge.allowances.messages import UsageRecord
 from shallothinge.control import leadership
 from shallothinge.control import state
 from shallothinge.errors import ErrorKind
@@ -45,6 +47,26 @@
     is_settled: bool
 
 
+@attrs.frozen(kw_only=True)
+class SpendingView:
+    """A workspace's month; an allowance of 0 is no limit."""
+
+    workspace: str
+    allowance_tokens: int
+    spent_tokens: int
+    held_tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class UsageView:
+    """The ledger's rows, with today by the leader's stamps (UTC)."""
+
+    month: str
+    today: str
+    rows: tuple[UsageRecord, ...]
+    workspaces: tuple[SpendingView, ...]
+
+
 def answer_query(
     *,
     request: messages.QueryRequested,
@@ -107,4 +129,38 @@
     return current.members.servers()
 
 
-_VIEWS = {'status': _status, 'bundles': _bundles, 'members': _members}
+def _usage(data, current) -> UsageView:
+    today = datetime.datetime.fromtimestamp(
+        data.now_ms // state.MS_PER_SECOND, datetime.UTC
+    )
+    bundle = data.config.bundle
+    specs = () if bundle is None else bundle.workspaces
+    return UsageView(
+        month=data.allowances.month,
+        today=today.date().isoformat(),
+        rows=data.ledger.rows(),
+        workspaces=tuple(_spending(data, spec) for spec in specs),
+    )
+
+
+def _spending(data, spec) -> SpendingView:
+    spend = data.allowances.by_workspace.get(spec.name)
+    return SpendingView(
+        workspace=spec.name,
+        allowance_tokens=spec.allowance_tokens_per_month,
+        spent_tokens=0 if spend is None else spend.spent_tokens,
+        held_tokens=0 if spend is None else spend.held_tokens,
+    )
+
+
+def _unknown_calls(data, current):
+    return data.claims.unknown()
+
+
+_VIEWS = {
+    'status': _status,
+    'bundles': _bundles,
+    'members': _members,
+    'usage': _usage,
+    'unknown_calls': _unknown_calls,
+}
--- a/src/shallothinge/operators/messages.py
+++ b/src/shallothinge/operators/messages.py
@@ -101,7 +101,8 @@
 class QueryRequested:
     """Operator to control: read one of the named views of the state.
 
-    ``view`` is one of ``status``, ``bundles``, ``usage``, ``members``.
+    ``view`` is one of ``status``, ``bundles``, ``usage``, ``members``,
+    ``unknown_calls``.
     """
 
     request_id: str
