Add orders under fencing numbers, rollout, and tests of the agent rules

Cause: a bundle names models that engines have to load, and some engines carry out an order with an old fencing number. Change: an agent gives no order before the orders of the incarnation before it have ended (lease by control, then the order timeout), and asks its lease and number again right before each order is written. A stream starts only after what a predecessor left was listed and released. The weight store is asked one load at a time and its Retry-After is kept. Shown by removing each rule in turn: without the wait the property test gives replace, 3.5 s, orders arriving newest first: fence goes back. With no check right before sending: freeze, replace, 10 s, thaw: fence goes back. Limit not cut on slow pace, cold report or new incarnation: warm, turn cold, 16000 tokens admitted to an engine that carries 8000. Found on the way: the first machine had too many rules to reach these in 300 runs; rules that belong together were joined until each was found.

--- a/src/shallothinge/agent/coldlimit.py
+++ b/src/shallothinge/agent/coldlimit.py
@@ -3,7 +3,8 @@
 The limit is small when an engine starts and doubles each time as much work
 as the limit has finished at the expected pace. It is cut back when the
 engine's incarnation changes, when the engine reports to be cold, and when
-its pace falls far behind what it was while warm.
+its pace falls far behind what it was while warm. A pace that stays for a
+long stretch of work becomes the expected one.
 """
 
 import collections
@@ -17,6 +18,7 @@
 RECENT_SAMPLES = 5
 BASELINE_WEIGHT = 0.05
 SLOW_FACTOR = 2.5
+RELEARN_FACTOR = 16
 
 
 class ColdLimit:
@@ -40,10 +42,10 @@
         self._cold_streams = min(COLD_STREAMS, full_streams)
         self._full_tokens = full_tokens
         self._full_streams = full_streams
-        self._incarnation = ''
+        self.incarnation = ''
         self._announced_cold = False
         self._suspected = False
-        self._baseline = None
+        self.baseline_ms = None
         self._cut_ms = 0
         self.cut()
 
@@ -52,6 +54,7 @@
         self.tokens = self._cold_tokens
         self.streams = self._cold_streams
         self._progress_tokens = 0
+        self._slow_tokens = 0
         self._cut_ms = self._clock.now_ms()
         self._recent = collections.deque(maxlen=RECENT_SAMPLES)
 
@@ -66,9 +69,9 @@
 
         :returns: whether it is another than before.
         """
-        if incarnation == self._incarnation:
+        if incarnation == self.incarnation:
             return False
-        self._incarnation = incarnation
+        self.incarnation = incarnation
         self._announced_cold = False
         self._suspected = False
         self.cut()
@@ -76,7 +79,7 @@
 
     def saw_load(self, *, cold: bool, incarnation: str) -> None:
         """Note the engine's lagged report on being cold."""
-        if incarnation != self._incarnation:
+        if incarnation != self.incarnation:
             return
         if cold and not self._announced_cold:
             self.cut()
@@ -87,7 +90,10 @@
 
     def finished(self, *, tokens: int) -> None:
         """Note finished work, which lets the limit grow."""
-        if self._announced_cold or self.is_full or self._is_slow():
+        if self._announced_cold or self.is_full:
+            return
+        if self._is_slow():
+            self._relearn(tokens)
             return
         if self._suspected and len(self._recent) < RECENT_SAMPLES:
             return
@@ -114,16 +120,21 @@
         self.tokens = min(self._full_tokens, self.tokens * GROWTH)
         self.streams = min(self._full_streams, self.streams * GROWTH)
 
+    def _relearn(self, tokens: int) -> None:
+        self._slow_tokens += tokens
+        if self._slow_tokens >= self._cold_tokens * RELEARN_FACTOR:
+            self.baseline_ms = statistics.median(self._recent)
+
     def _is_slow(self) -> bool:
-        if self._baseline is None or len(self._recent) < RECENT_SAMPLES:
+        if self.baseline_ms is None or len(self._recent) < RECENT_SAMPLES:
             return False
         recent = statistics.median(self._recent)
-        return recent > self._baseline * SLOW_FACTOR
+        return recent > self.baseline_ms * SLOW_FACTOR
 
     def _learn(self, ms_per_token: float) -> None:
-        if self._baseline is None:
+        if self.baseline_ms is None:
             if len(self._recent) == RECENT_SAMPLES:
-                self._baseline = statistics.median(self._recent)
+                self.baseline_ms = statistics.median(self._recent)
             return
-        change = ms_per_token - self._baseline
-        self._baseline += BASELINE_WEIGHT * change
+        change = ms_per_token - self.baseline_ms
+        self.baseline_ms += BASELINE_WEIGHT * change
--- a/src/shallothinge/agent/polls.py
+++ b/src/shallothinge/agent/polls.py
@@ -22,6 +22,7 @@
 HEALTH_MS = 200
 CACHE_MS = 500
 RECONCILE_MS = 1000
+FIRST_RECONCILE_MS = 100
 RELEASE_MS = 100
 RELEASED_STATUSES = (200, 204, 404)
 
@@ -68,6 +69,7 @@
         """Begin to poll."""
         self._repeat(self._check_health, HEALTH_MS)
         self._repeat(self._check_cache, CACHE_MS)
+        self._repeat(self._reconcile_first, FIRST_RECONCILE_MS)
         self._repeat(self._reconcile, RECONCILE_MS)
         self._repeat(self._release, RELEASE_MS)
 
@@ -129,6 +131,14 @@
         answer = yield self._engine.cache_events(after=self._cache.sequence)
         self._cache.take_events(answer.events)
 
+    @defer.inlineCallbacks
+    def _reconcile_first(self):
+        """Learn what a predecessor left; no stream starts before that."""
+        if self._running.reconciled or not self._authority.may_act():
+            return
+        yield self._reconcile()
+        self._running.reconciled = not len(self._releases)
+
     @defer.inlineCallbacks
     def _reconcile(self):
         held = {
--- a/src/shallothinge/agent/service.py
+++ b/src/shallothinge/agent/service.py
@@ -12,12 +12,15 @@
 from shallothinge.agent import calls
 from shallothinge.agent import coldlimit
 from shallothinge.agent import engine as engines
+from shallothinge.agent import fencing
 from shallothinge.agent import frames
 from shallothinge.agent import gate as gates
 from shallothinge.agent import holding
 from shallothinge.agent import http
+from shallothinge.agent import orders
 from shallothinge.agent import polls
 from shallothinge.agent import reconcile
+from shallothinge.agent import rollout
 from shallothinge.agent import stall
 from shallothinge.agent import status
 from shallothinge.agent import streams
@@ -162,6 +165,7 @@
             services=backend.services,
             send=self._send,
         )
+        self._orders = self._make_orders()
         self._polls = polls.EnginePolls(
             reactor=self._reactor,
             engine=self._engine,
@@ -174,7 +178,26 @@
             held=self.reserved,
             gate=self.gate,
             running=self.streams,
-            on_restart=self._engine_restarted,
+            on_restart=self._orders.engine_restarted,
+        )
+
+    def _make_orders(self) -> orders.OrderService:
+        backend = self._settings.backend
+        return orders.OrderService(
+            engine=self._engine,
+            authority=self.authority,
+            guard=fencing.FenceGuard(
+                clock=self._clock, engine_checks=backend.checks_fencing
+            ),
+            holder=self.holder,
+            control=self.control,
+            rollout=rollout.Rollout(
+                clock=self._clock,
+                zone=self._settings.process.zone,
+                initial_models=backend.models,
+            ),
+            watch=self.watch,
+            models_in_use=self.streams.models_in_use,
         )
 
     def _entry_handlers(self):
@@ -194,6 +217,7 @@
         self.control.start()
         if self._settings.backend.kind == MODEL_KIND:
             self._polls.start()
+            self._repeat(self._orders.look, HOUSEKEEPING_MS)
         self._repeat(self._stall.tick, stall.TICK_MS)
         self._repeat(self._keep_house, HOUSEKEEPING_MS)
         self._repeat(self._publish, status.STATUS_MS)
@@ -349,9 +373,6 @@
         unsent = len(self.table) + len(self.releases)
         return not (working or unsent or self.reserved.ids())
 
-    def _engine_restarted(self) -> None:
-        """Load again what a restarted engine has lost."""
-
     def _dump(self, peer, message) -> None:
         answer = operator_messages.DumpAnswered(
             request_id=message.request_id, json_text=self.describe()
--- a/src/shallothinge/agent/streams.py
+++ b/src/shallothinge/agent/streams.py
@@ -63,6 +63,7 @@
         self._running: dict[owned.StreamKey, running.EngineStream] = {}
         self._paces: dict[owned.StreamKey, paces.PaceMeter] = {}
         self.load = model.EngineLoad()
+        self.reconciled = False
 
     def __len__(self) -> int:
         """Return the number of streams on the engine."""
@@ -74,6 +75,10 @@
             key for key, stream in self._running.items() if stream.is_accepted
         )
 
+    def models_in_use(self) -> frozenset[str]:
+        """Return ``name@version`` of the models with streams."""
+        return frozenset(stream.model for stream in self._table.all())
+
     def report(self) -> messages.LoadReport:
         """Return the load as this process knows it now."""
         return messages.LoadReport(
@@ -120,7 +125,7 @@
             return permission.kind
         if waited_ms >= request.deadline_ms:
             return ErrorKind.EXPIRED_NOT_RUN
-        if not self._watch.is_serving():
+        if not self._watch.is_serving() or not self.reconciled:
             return ErrorKind.NO_BACKEND_SERVER
         return None
 
@@ -148,9 +153,6 @@
         return max(counted, request.prompt_tokens) + request.max_tokens
 
     def _completion(self, key, request) -> engines.Completion:
-        name = request.model
-        if request.model_version:
-            name = f'{request.model}@{request.model_version}'
         parts = tuple(
             engines.SpanReference(
                 reservation_id=part.reservation_id,
@@ -161,7 +163,7 @@
         )
         return engines.Completion(
             request_id=key.engine_id,
-            model=name,
+            model=owned.model_of(request),
             adapter=request.adapter,
             prompt=request.prompt,
             delivered=request.delivered,
@@ -294,6 +296,7 @@
             key=key, owner_id=owner_id, next_offset=request.next_offset
         )
         if resumed:
+            self._accept_again(key)
             self._sender.mark(key)
             return
         message = messages.StreamFailed(
@@ -305,6 +308,11 @@
         )
         self._send(owner_id, message)
 
+    def _accept_again(self, key: owned.StreamKey) -> None:
+        stream = self._running.get(key)
+        if stream is not None and stream.is_accepted:
+            self.accepted(key)
+
     def fail_all(self) -> None:
         """End every stream on the engine: it was lost or is frozen."""
         for key in list(self._running):
--- a/src/shallothinge/streams/owned.py
+++ b/src/shallothinge/streams/owned.py
@@ -73,6 +73,7 @@
     key: StreamKey
     owner_id: str
     workspace: str
+    model: str
     first_offset: int
     deadline_ms: int
     tokens: list[str] = attrs.field(factory=list)
@@ -195,6 +196,7 @@
             key=key,
             owner_id=owner_id,
             workspace=request.workspace,
+            model=model_of(request),
             first_offset=offset,
             sent_offset=offset,
             deadline_ms=self._clock.now_ms() + request.deadline_ms,
@@ -323,3 +325,10 @@
         for owner_id, owner in list(self._owners.items()):
             if owner_id not in owning and self._is_silent(owner, now_ms):
                 del self._owners[owner_id]
+
+
+def model_of(request: messages.StartStream) -> str:
+    """Return ``name@version`` of the model that a request asks for."""
+    if not request.model_version:
+        return request.model
+    return f'{request.model}@{request.model_version}'
