--- a/src/shallothinge/standin/engine.py
+++ b/src/shallothinge/standin/engine.py
@@ -7,77 +7,21 @@
 
 import collections
 from collections.abc import Callable
-import enum
 
 import attrs
 
 from shallothinge import clock
 from shallothinge import tokens
 from shallothinge.standin import answers
+from shallothinge.standin import batch
 from shallothinge.standin import events
 from shallothinge.standin import memory
 from shallothinge.standin import model
 
-FINISHED_KEPT_MS = 30_000
 MS_PER_SECOND = 1000
 SNAPSHOTS = 4096
 
 
-class StreamState(enum.Enum):
-    """Where a stream stands."""
-
-    WAITING = 'waiting'
-    RUNNING = 'running'
-    FINISHED = 'finished'
-
-
-@attrs.define(kw_only=True, eq=False)
-class Stream:
-    """One completion in the batch or waiting for it."""
-
-    request: model.CompletionRequest
-    answer: answers.Answer
-    arrival: int
-    prompt_tokens: int
-    hashes: tuple[str, ...]
-    prefill_left_tokens: int
-    state: StreamState = StreamState.WAITING
-    cached_tokens: int = 0
-    generated: list[str] = attrs.Factory(list)
-    finish_reason: str = ''
-    finished_ms: int = 0
-
-    @property
-    def request_id(self) -> str:
-        """Return the caller's id of the stream."""
-        return self.request.request_id
-
-    @property
-    def owner(self) -> str:
-        """Return the name under which the stream holds memory."""
-        return f'stream:{self.request.request_id}'
-
-    @property
-    def first_offset(self) -> int:
-        """Return the offset of the first token generated here."""
-        return len(self.request.delivered)
-
-    @property
-    def offset(self) -> int:
-        """Return the offset after the last token generated."""
-        return self.first_offset + len(self.generated)
-
-    @property
-    def total_tokens(self) -> int:
-        """Return the tokens that prompt and whole answer need."""
-        return self.prompt_tokens + self.request.max_tokens
-
-    @property
-    def rank(self) -> tuple[int, int]:
-        """Return the order of service, lowest first."""
-        return (self.request.priority, self.arrival)
-
-
 @attrs.frozen(kw_only=True)
 class Load:
     """Load as the engine reports it."""
@@ -91,26 +35,6 @@
     incarnation: str
 
 
-@attrs.define(kw_only=True)
-class Counters:
-    """What happened since the process started, for checks."""
-
-    streams_started: int = 0
-    streams_finished: int = 0
-    streams_cancelled: int = 0
-    streams_failed: int = 0
-    refused: int = 0
-    max_running: int = 0
-    max_running_cold: int = 0
-    peak_cold_tokens: int = 0
-    peak_held_tokens: int = 0
-    falls: int = 0
-    prompt_tokens: int = 0
-    cached_tokens: int = 0
-    generated_tokens: int = 0
-    duplicate_request_ids: int = 0
-
-
 class Engine:
     """State of a stand-in engine.
 
@@ -130,9 +54,8 @@
         self._arrivals = 0
         self._fence = 0
         self._seen_ids = set()
-        self.counters = Counters()
+        self.counters = batch.Counters()
         self.refuse_all = False
-        self.fail_after_tokens = None
         self.role = ''
         self._ready_ms = clock.now_ms()
         self._reset(cold=options.starts_cold)
@@ -145,7 +68,6 @@
         self._snapshots = collections.deque(maxlen=SNAPSHOTS)
         self.models = set(self._options.models)
         self.adapters = set(self._options.adapters)
-        self.streams: dict[str, Stream] = {}
         self.events = events.EventLog(
             clock=self._clock,
             lag_ms=self._options.event_lag_ms,
@@ -160,6 +82,12 @@
                 op='removed', block=block
             ),
         )
+        self.batch = batch.Batch(
+            clock=self._clock,
+            options=self._options,
+            engine_memory=self.memory,
+            counters=self.counters,
+        )
         self.reservations: dict[str, int] = {}
         self.exports: dict[str, tuple[str, ...]] = {}
         self._note_load()
@@ -172,10 +100,12 @@
     @property
     def idle(self) -> bool:
         """Return whether a step would find nothing to do."""
-        return all(
-            stream.state is StreamState.FINISHED
-            for stream in self.streams.values()
-        )
+        return self.batch.idle
+
+    @property
+    def streams(self) -> dict[str, batch.Stream]:
+        """Return the streams that are known, by request id."""
+        return self.batch.streams
 
     @property
     def cold_limit_tokens(self) -> int:
@@ -185,8 +115,7 @@
 
     def restart(self) -> None:
         """Lose everything and come back cold after the restart time."""
-        open_streams = [s for s in self.streams.values() if s.finished_ms == 0]
-        self.counters.streams_failed += len(open_streams)
+        self.counters.streams_failed += len(self.batch.open_streams())
         self._ready_ms = self._clock.now_ms() + self._options.restart_ms
         self._reset(cold=True)
 
@@ -207,7 +136,7 @@
             )
         self._fence = max(self._fence, fence)
 
-    def start(self, request: model.CompletionRequest) -> Stream:
+    def start(self, request: model.CompletionRequest) -> batch.Stream:
         """Take a completion into the queue.
 
         :raises model.EngineRefused: if the stream is not taken.
@@ -225,9 +154,8 @@
                 kind=model.Refusal.NOT_READY,
                 detail='fell over: cold and given more than it can carry',
             )
-        self.streams[request.request_id] = stream
         self._count_start(request)
-        self._admit()
+        self.batch.add(stream)
         self._note_load()
         return stream
 
@@ -247,7 +175,10 @@
                 kind=model.Refusal.MEMORY_FULL,
                 detail=f'needs {needed} tokens of memory',
             )
-        if self._count(StreamState.WAITING) >= self._options.max_waiting:
+        if (
+            self.batch.count(batch.StreamState.WAITING)
+            >= self._options.max_waiting
+        ):
             raise model.EngineRefused(kind=model.Refusal.OVERLOADED)
 
     def check_ready(self) -> None:
@@ -283,10 +214,10 @@
                     detail=f'no reservation {part.reservation_id}',
                 )
 
-    def _make_stream(self, request: model.CompletionRequest) -> Stream:
+    def _make_stream(self, request: model.CompletionRequest) -> batch.Stream:
         self._arrivals += 1
         prompt_tokens = tokens.count_tokens(request.prompt)
-        return Stream(
+        return batch.Stream(
             request=request,
             answer=answers.Answer(prompt=request.prompt),
             arrival=self._arrivals,
@@ -295,15 +226,12 @@
             prefill_left_tokens=prompt_tokens + len(request.delivered),
         )
 
-    def _falls_over(self, stream: Stream) -> bool:
+    def _falls_over(self, stream: batch.Stream) -> bool:
         if not self.cold:
             return False
-        carried = sum(
-            other.total_tokens
-            for other in self.streams.values()
-            if other.state is not StreamState.FINISHED
+        carried = stream.total_tokens + sum(
+            other.total_tokens for other in self.batch.open_streams()
         )
-        carried += stream.total_tokens
         if carried > self.cold_limit_tokens:
             return True
         peak = max(self.counters.peak_cold_tokens, carried)
@@ -316,29 +244,22 @@
             self.counters.duplicate_request_ids += 1
         self._seen_ids.add(request.request_id)
 
-    def _count(self, state: StreamState) -> int:
-        return sum(1 for s in self.streams.values() if s.state is state)
-
     def cancel(self, request_id: str) -> bool:
         """End a stream and release its memory.
 
         :returns: whether the stream was known.
         """
-        stream = self.streams.pop(request_id, None)
+        stream = self.batch.remove(request_id)
         if stream is None:
             return False
-        if stream.state is not StreamState.FINISHED:
+        if stream.state is not batch.StreamState.FINISHED:
             self.counters.streams_cancelled += 1
-        self.memory.release(stream.owner)
-        self._admit()
         self._note_load()
         return True
 
-    def fail(self, stream: Stream) -> None:
+    def fail(self, stream: batch.Stream) -> None:
         """End a stream without an end of its answer."""
-        self.counters.streams_failed += 1
-        self.streams.pop(stream.request_id, None)
-        self.memory.release(stream.owner)
+        self.batch.fail(stream)
 
     def reserve(self, *, reservation_id: str, reserved_tokens: int) -> None:
         """Hold memory for a part of a spanning prompt.
@@ -361,11 +282,10 @@
         if self.reservations.pop(reservation_id, None) is None:
             return False
         self.memory.release(f'reservation:{reservation_id}')
-        for stream in list(self.streams.values()):
+        for stream in self.batch.open_streams():
             names = {part.reservation_id for part in stream.request.parts}
-            running = stream.state is not StreamState.FINISHED
-            if running and reservation_id in names:
-                self.fail(stream)
+            if reservation_id in names:
+                self.batch.fail(stream)
         self._note_load()
         return True
 
@@ -424,11 +344,14 @@
     def step(self) -> None:
         """Do the work of one batch step."""
         self._steps += 1
-        self._forget_finished()
-        self._admit()
+        self.batch.forget_finished()
+        self.batch.admit()
         budget = self._step_budget_tokens()
-        budget -= self._decode()
-        self._prefill(budget)
+        if self._decodes_now():
+            decoded = self.batch.decode()
+            budget -= decoded * self._options.decode_cost_tokens
+            self._worked_tokens += decoded
+        self._worked_tokens += self.batch.prefill(budget)
         self._warm_up()
         self._note_peaks()
         self._note_load()
@@ -440,6 +363,11 @@
             self._snapshots.popleft()
         return self._snapshots[0][1]
 
+    def _decodes_now(self) -> bool:
+        if not self.cold:
+            return True
+        return self._steps % self._options.cold_slowdown == 0
+
     def _step_budget_tokens(self) -> int:
         rate = self._options.prefill_tokens_per_s
         budget = rate * self._options.step_ms // MS_PER_SECOND
@@ -447,104 +375,13 @@
             budget //= self._options.cold_slowdown
         return max(1, budget)
 
-    def _running(self) -> list[Stream]:
-        running = [
-            stream
-            for stream in self.streams.values()
-            if stream.state is StreamState.RUNNING
-        ]
-        return sorted(running, key=lambda stream: stream.rank)
-
-    def _admit(self) -> None:
-        running = self._count(StreamState.RUNNING)
-        waiting = [
-            stream
-            for stream in self.streams.values()
-            if stream.state is StreamState.WAITING
-        ]
-        for stream in sorted(waiting, key=lambda stream: stream.rank):
-            if running >= self._options.max_running:
-                return
-            if not self._hold(stream):
-                return
-            stream.state = StreamState.RUNNING
-            running += 1
-
-    def _hold(self, stream: Stream) -> bool:
-        if stream.request.parts:
-            return True
-        cached = self.memory.hold(
-            stream.owner,
-            total_tokens=stream.total_tokens,
-            hashes=stream.hashes,
-        )
-        if cached is None:
-            return False
-        stream.cached_tokens = cached
-        stream.prefill_left_tokens -= cached
-        return True
-
-    def _decode(self) -> int:
-        if self.cold and self._steps % self._options.cold_slowdown:
-            return 0
-        ready = [s for s in self._running() if s.prefill_left_tokens <= 0]
-        for stream in ready:
-            self._generate(stream)
-        self._worked_tokens += len(ready)
-        return len(ready) * self._options.decode_cost_tokens
-
-    def _generate(self, stream: Stream) -> None:
-        if stream.offset >= stream.request.max_tokens:
-            self._finish(stream, reason='length')
-            return
-        stream.generated.append(stream.answer.token(stream.offset))
-        self.counters.generated_tokens += 1
-        if self.fail_after_tokens is not None:
-            if len(stream.generated) >= self.fail_after_tokens:
-                self.fail_after_tokens = None
-                self.fail(stream)
-                return
-        if stream.offset >= stream.request.max_tokens:
-            self._finish(stream, reason='length')
-        elif stream.offset == self._options.answer_tokens:
-            self._finish(stream, reason='stop')
-
-    def _finish(self, stream: Stream, *, reason: str) -> None:
-        stream.state = StreamState.FINISHED
-        stream.finish_reason = reason
-        stream.finished_ms = self._clock.now_ms()
-        self.memory.release(stream.owner)
-        self.counters.streams_finished += 1
-        self.counters.prompt_tokens += stream.prompt_tokens
-        self.counters.cached_tokens += stream.cached_tokens
-
-    def _prefill(self, budget: int) -> None:
-        for stream in self._running():
-            if budget <= 0:
-                return
-            if stream.prefill_left_tokens <= 0:
-                continue
-            done = min(budget, stream.prefill_left_tokens)
-            stream.prefill_left_tokens -= done
-            budget -= done
-            self._worked_tokens += done
-            if stream.prefill_left_tokens == 0 and not stream.request.parts:
-                self.memory.store(stream.owner, hashes=stream.hashes)
-
     def _warm_up(self) -> None:
         if self._worked_tokens >= self._options.warm_up_tokens:
             self.cold = False
 
-    def _forget_finished(self) -> None:
-        oldest_ms = self._clock.now_ms() - FINISHED_KEPT_MS
-        for stream in list(self.streams.values()):
-            finished = stream.state is StreamState.FINISHED
-            if finished and stream.finished_ms <= oldest_ms:
-                del self.streams[stream.request_id]
-
     def _note_peaks(self) -> None:
         counters = self.counters
-        running = self._count(StreamState.RUNNING)
+        running = self.batch.count(batch.StreamState.RUNNING)
         counters.max_running = max(counters.max_running, running)
         if self.cold:
             counters.max_running_cold = max(counters.max_running_cold, running)
@@ -552,16 +389,12 @@
         counters.peak_held_tokens = max(counters.peak_held_tokens, held)
 
     def _note_load(self) -> None:
-        backlog = sum(
-            max(0, stream.prefill_left_tokens)
-            for stream in self.streams.values()
-        )
         load = Load(
-            running=self._count(StreamState.RUNNING),
-            waiting=self._count(StreamState.WAITING),
+            running=self.batch.count(batch.StreamState.RUNNING),
+            waiting=self.batch.count(batch.StreamState.WAITING),
             held_tokens=self.memory.held_tokens,
             memory_tokens=self._options.memory_tokens,
-            prefill_backlog_tokens=backlog,
+            prefill_backlog_tokens=self.batch.backlog_tokens,
             cold=self.cold,
             incarnation=self.incarnation,
         )
--- a/src/shallothinge/standin/engine_web.py
+++ b/src/shallothinge/standin/engine_web.py
@@ -9,6 +9,7 @@
 from twisted.web import client
 from twisted.web import server
 
+from shallothinge.standin import batch
 from shallothinge.standin import engine as engines
 from shallothinge.standin import model
 from shallothinge.standin import web
@@ -25,7 +26,7 @@
     """One connection that receives a stream's tokens."""
 
     request: server.Request
-    stream: engines.Stream
+    stream: batch.Stream
     next_offset: int
 
 
@@ -169,7 +170,7 @@
             self._send_tokens(reader)
             stream = reader.stream
             known = self._engine.streams.get(stream.request_id)
-            if stream.state is engines.StreamState.FINISHED:
+            if stream.state is batch.StreamState.FINISHED:
                 self._send_end(reader)
             elif known is not stream:
                 self._forget(reader)
@@ -280,7 +281,7 @@
     def _check_parts(self) -> None:
         self._part_timer = None
         for stream in list(self._engine.streams.values()):
-            finished = stream.state is engines.StreamState.FINISHED
+            finished = stream.state is batch.StreamState.FINISHED
             if not stream.request.parts or finished:
                 continue
             self._keep_checking_parts()
@@ -289,9 +290,9 @@
                     checked = self._check_part(part)
                     checked.addCallback(self._part_checked, stream)
 
-    def _part_checked(self, held: bool, stream: engines.Stream) -> None:
+    def _part_checked(self, held: bool, stream: batch.Stream) -> None:
         known = self._engine.streams.get(stream.request_id)
-        finished = stream.state is engines.StreamState.FINISHED
+        finished = stream.state is batch.StreamState.FINISHED
         if not held and known is stream and not finished:
             self._engine.fail(stream)
             self._flush()
@@ -402,7 +403,7 @@
         if faults.refuse_all is not None:
             self._engine.refuse_all = faults.refuse_all
         if faults.fail_after_tokens is not None:
-            self._engine.fail_after_tokens = faults.fail_after_tokens
+            self._engine.batch.fail_after_tokens = faults.fail_after_tokens
         if faults.turn_cold:
             self._engine.turn_cold()
         if faults.crash:
--- a/src/shallothinge/standin/process.py
+++ b/src/shallothinge/standin/process.py
@@ -12,6 +12,7 @@
 from shallothinge.standin import model
 from shallothinge.standin import service
 from shallothinge.standin import weights
+from shallothinge.standin import weights_web
 
 INCARNATION_BYTES = 6
 FILE_TYPES = {
@@ -42,7 +43,7 @@
     limit = weights.LoadLimit(
         clock=clock.MonotonicClock(), options=settings.weights
     )
-    return weights.WeightStoreResource(limit=limit)
+    return weights_web.WeightStoreResource(limit=limit)
 
 
 def listen(*, settings, address: str, reactor):
--- a/src/shallothinge/standin/tests/test_engine.py
+++ b/src/shallothinge/standin/tests/test_engine.py
@@ -9,6 +9,7 @@
 from shallothinge import clock as clocks
 from shallothinge import tokens
 from shallothinge.standin import answers
+from shallothinge.standin import batch
 from shallothinge.standin import engine as engines
 from shallothinge.standin import model
 
@@ -95,7 +96,7 @@
         engine = self.make(memory_tokens=3000)
         self.start(engine, 'r1', prompt=BLOCK_TEXT * 2, max_tokens=1)
         second = self.start(engine, 'r2', prompt='y' * 8192, max_tokens=1)
-        self.assertIs(engines.StreamState.WAITING, second.state)
+        self.assertIs(batch.StreamState.WAITING, second.state)
         self.run_until_idle(engine)
         self.assertTrue(second.finish_reason)
 
