--- a/src/shallothinge/wire.py
+++ b/src/shallothinge/wire.py
@@ -33,6 +33,11 @@
                 raise ValueError(f'two message classes are named {name}')
             self._types[name] = message_type
 
+    @property
+    def message_types(self) -> tuple[type, ...]:
+        """Return the classes that may be exchanged."""
+        return tuple(self._types.values())
+
     def encode(self, message: object) -> bytes:
         """Return the bytes of a message.
 
