Reserve memory on several backend servers for prompts above one's

Cause: a prompt larger than one engine's memory was refused by every gate until its deadline. Change: a plan reserves the parts one by one in ascending server order, waits a bounded time at a server without room, and releases all parts it ever asked for on each failure path; then the first server gets the stream with its span. Holds are named to the agents under an id of their own, so that an older try's memory expires. Ruled out: asking all servers at once (two prompts can then each hold half of what both need); holding parts under the request's id (a part whose answer was lost would be extended for as long as the request lives).

--- a/src/shallothinge/entry/call_run.py
+++ b/src/shallothinge/entry/call_run.py
@@ -10,7 +10,7 @@
 from shallothinge import errors
 from shallothinge.calls import messages
 from shallothinge.calls import runner
-from shallothinge.entry import chat_run
+from shallothinge.entry import chat_job
 from shallothinge.errors import ErrorKind
 from shallothinge.leases import holder as holders
 from shallothinge.routing import filters
@@ -59,7 +59,7 @@
 class CallEnvironment:
     """What all calls of an entry share."""
 
-    env: chat_run.Environment
+    env: chat_job.Environment
     control: Asker
     incarnation: str
     is_closing: Callable[[], bool]
--- a/src/shallothinge/entry/chat_run.py
+++ b/src/shallothinge/entry/chat_run.py
@@ -1,22 +1,16 @@
 """One chat completion from admission to its one final answer."""
 
 import logging
-import random
 from typing import Protocol
 
-import attrs
-
-from shallothinge import clock as clocks
 from shallothinge import errors
 from shallothinge import tokens as token_counts
 from shallothinge.admission import classes
-from shallothinge.bundles import model
-from shallothinge.entry import fleet as fleets
-from shallothinge.entry import requests
+from shallothinge.entry import chat_job
+from shallothinge.entry import span as spans
 from shallothinge.errors import ErrorKind
-from shallothinge.leases import holder as holders
+from shallothinge.reservations import plan as plans
 from shallothinge.routing import choice
-from shallothinge.routing import filters
 from shallothinge.routing import retries
 from shallothinge.streams import assembly
 from shallothinge.streams import messages
@@ -27,6 +21,7 @@
 ACCEPT_MS = 1500
 STALL_MS = 2000
 FINAL_REFUSALS = (ErrorKind.BAD_REQUEST, ErrorKind.PROMPT_TOO_LONG)
+FINAL_FAILURES = (*FINAL_REFUSALS, ErrorKind.DEADLINE_EXCEEDED)
 
 
 class Sink(Protocol):
@@ -52,61 +47,6 @@
         """Forget the run, which has given its final answer."""
 
 
-@attrs.frozen(kw_only=True)
-class ChatJob:
-    """A chat completion that was checked against the bundle.
-
-    ``ends_ms`` is the instant of its deadline.
-    """
-
-    request_id: str
-    workspace: model.WorkspaceSpec
-    spec: model.ModelSpec
-    request: requests.ChatRequest
-    request_class: classes.RequestClass
-    ends_ms: int
-    is_long: bool
-
-    @property
-    def tokens(self) -> int:
-        """Return the tokens of prompt and longest answer."""
-        return self.request.prompt_tokens + self.request.max_tokens
-
-    @property
-    def model_key(self) -> str:
-        """Return ``name@version`` of the model."""
-        return f'{self.spec.name}@{self.spec.version}'
-
-    @property
-    def need(self) -> filters.Need:
-        """Return what a backend server must have."""
-        return filters.Need(
-            model=self.model_key, tokens=self.tokens, zones=self.spec.zones
-        )
-
-
-@attrs.frozen(kw_only=True)
-class RunUsage:
-    """Tokens that a request has used, as far as is known."""
-
-    prompt_tokens: int = 0
-    cached_tokens: int = 0
-    generated_tokens: int = 0
-
-
-@attrs.frozen(kw_only=True)
-class Environment:
-    """What all runs of an entry share."""
-
-    clock: clocks.Clock
-    rng: random.Random
-    entry_id: str
-    holder: holders.LeaseHolder
-    fleet: fleets.Fleet
-    policy: choice.Policy
-    budget: retries.RetryBudget
-
-
 class ChatRun:
     """Sends one request to backend servers until it ends.
 
@@ -115,18 +55,25 @@
     """
 
     def __init__(
-        self, *, job: ChatJob, env: Environment, owner: Owner, sink: Sink
+        self,
+        *,
+        job: chat_job.ChatJob,
+        env: chat_job.Environment,
+        owner: Owner,
+        sink: Sink,
     ):
         self.job = job
         self.ended = False
         self.server_id = ''
         self.assembly = assembly.Assembly(request_id=job.request_id)
         self.may_have_run = False
-        self.usage = RunUsage()
+        self.usage = chat_job.RunUsage()
         self._env = env
         self._owner = owner
         self._sink = sink
         self._hashes = token_counts.block_hashes(job.request.prompt)
+        self._span: spans.Span | None = None
+        self._span_count = 0
         self._failures = 0
         self._refused_by = set()
         self._failed_on = set()
@@ -148,12 +95,64 @@
         candidates = self._candidates()
         if not candidates:
             self._wait(ErrorKind.NO_BACKEND_SERVER)
-            return
+        elif self._needs_span():
+            self._reserve_span(candidates)
+        else:
+            self._send_to_best(candidates)
+
+    def _send_to_best(self, candidates) -> None:
         chosen = self._env.policy.choose(
             candidates=candidates, tokens=self.job.tokens
         )
         self._send(chosen.server_id)
 
+    def _needs_span(self) -> bool:
+        largest = self._env.fleet.largest_tokens(need=self.job.need)
+        return self.job.tokens > plans.usable(largest)
+
+    def _reserve_span(self, candidates) -> None:
+        self._span_count += 1
+        plan_id = f'{self.job.request_id}.{self._span_count}'
+        parts = plans.choose_parts(
+            rooms=self._env.fleet.rooms(candidates=candidates),
+            tokens=self.job.tokens,
+            plan_id=plan_id,
+        )
+        if not parts:
+            self._wait(ErrorKind.MEMORY_FULL)
+            return
+        self._span = spans.Span(
+            env=self._env,
+            owner=self,
+            parts=parts,
+            plan_id=plan_id,
+            failures=self._failures,
+        )
+        self._span.start()
+
+    def take_reservation(self, message: object) -> None:
+        """Take an agent's answer to a reservation of this run."""
+        if self._span is not None:
+            self._span.take(message)
+
+    def span_ready(self) -> None:
+        """Start the stream, now that every part is held."""
+        self._send(self._span.first_server_id)
+
+    def span_failed(self, kind: ErrorKind) -> None:
+        """Try again later; nothing is held."""
+        self._span = None
+        if self.assembly.is_running:
+            self.may_have_run = True
+            self._attempt_failed(ErrorKind.BACKEND_FAILED)
+        else:
+            self._wait(kind)
+
+    def _release_span(self) -> None:
+        span, self._span = self._span, None
+        if span is not None:
+            span.release()
+
     def _candidates(self) -> tuple[choice.Candidate, ...]:
         found = self._env.fleet.candidates(
             need=self.job.need, hashes=self._hashes
@@ -177,7 +176,7 @@
         self._env.fleet.begin(
             server_id=server_id,
             request_id=self.job.request_id,
-            tokens=self.job.tokens,
+            tokens=0 if self._span else self.job.tokens,
         )
         if not self._env.fleet.send(server_id=server_id, message=message):
             self._leave_server(succeeded=None)
@@ -203,6 +202,7 @@
             ),
             deadline_ms=max(1, self.remaining_ms),
             state_version=self._env.holder.config.state_version,
+            span=self._span.stream_parts if self._span else (),
         )
 
     def take(self, server_id: str, message: object) -> None:
@@ -268,7 +268,7 @@
 
     def _complete(self, finished: messages.StreamFinished) -> None:
         self._leave_server(succeeded=True)
-        self.usage = RunUsage(
+        self.usage = chat_job.RunUsage(
             prompt_tokens=finished.prompt_tokens,
             cached_tokens=finished.cached_tokens,
             generated_tokens=finished.offset,
@@ -281,7 +281,7 @@
         self.assembly.end_attempt()
         self._failed_on.add(self.server_id)
         self._leave_server(succeeded=False)
-        if kind in FINAL_REFUSALS:
+        if kind in FINAL_FAILURES:
             self._fail(kind)
         elif not self._env.budget.take():
             self._fail(kind)
@@ -306,6 +306,7 @@
             succeeded=succeeded,
         )
         self.server_id = ''
+        self._release_span()
 
     def _send_resume(self, step: assembly.Resume) -> None:
         message = messages.ResumeStream(
@@ -323,6 +324,8 @@
 
     def watch(self) -> None:
         """Notice an agent that is gone and frames that were lost."""
+        if self._span is not None:
+            self._span.watch()
         if self.ended or not self.assembly.is_running:
             return
         if self._env.fleet.is_lost(server_id=self.server_id):
@@ -383,7 +386,7 @@
     def _estimate_usage(self) -> None:
         """Count what a cut answer has used, since no engine reports it."""
         if self.may_have_run:
-            self.usage = RunUsage(
+            self.usage = chat_job.RunUsage(
                 prompt_tokens=self.job.request.prompt_tokens,
                 generated_tokens=len(self.assembly.delivered),
             )
@@ -415,5 +418,6 @@
 
     def _end(self) -> None:
         self.ended = True
+        self._release_span()
         self.assembly.end_attempt()
         self._owner.ended(self)
--- a/src/shallothinge/entry/chats.py
+++ b/src/shallothinge/entry/chats.py
@@ -4,8 +4,10 @@
 
 from shallothinge import errors
 from shallothinge.admission import queue as queues
+from shallothinge.entry import chat_job
 from shallothinge.entry import chat_run
 from shallothinge.errors import ErrorKind
+from shallothinge.reservations import plan as plans
 
 
 class ChatService:
@@ -19,7 +21,7 @@
         self,
         *,
         reactor,
-        env: chat_run.Environment,
+        env: chat_job.Environment,
         limits: queues.QueueLimits,
         on_ended: Callable[[chat_run.ChatRun], None] = lambda run: None,
     ):
@@ -34,7 +36,7 @@
         self.is_stopping = False
 
     def submit(
-        self, *, job: chat_run.ChatJob, sink: chat_run.Sink
+        self, *, job: chat_job.ChatJob, sink: chat_run.Sink
     ) -> chat_run.ChatRun:
         """Admit a request or refuse it at once.
 
@@ -53,13 +55,17 @@
         self.pump_soon()
         return run
 
-    def _refusal_of(self, job: chat_run.ChatJob) -> queues.Refused | None:
+    def _refusal_of(self, job: chat_job.ChatJob) -> queues.Refused | None:
         if self.is_stopping:
             return _refused(ErrorKind.STOPPING)
         if not self._env.holder.is_valid():
             return _refused(ErrorKind.NO_LEASE)
         if not self._env.fleet.knows(need=job.need):
             return _refused(ErrorKind.NO_BACKEND_SERVER)
+        if job.tokens > plans.usable(
+            self._env.fleet.total_tokens(need=job.need)
+        ):
+            return _refused(ErrorKind.PROMPT_TOO_LONG)
         work = queues.Work(
             request_id=job.request_id,
             workspace=job.workspace.name,
@@ -73,7 +79,7 @@
             return outcome
         return None
 
-    def _queue_of(self, job: chat_run.ChatJob) -> queues.AdmissionQueue:
+    def _queue_of(self, job: chat_job.ChatJob) -> queues.AdmissionQueue:
         queue = self._queues.get(job.model_key)
         if queue is None:
             queue = queues.AdmissionQueue(
@@ -112,6 +118,13 @@
         if run is not None:
             run.take(server_id, message)
 
+    def take_reservation(self, message: object) -> None:
+        """Hand an answer about reserved memory to the run it belongs to."""
+        request_id = message.reservation_id.partition('.')[0]
+        run = self.runs.get(request_id)
+        if run is not None:
+            run.take_reservation(message)
+
     def connection_reset(self, server_id: str) -> None:
         """Resume what runs on a server whose connection was replaced."""
         for run in list(self.runs.values()):
--- a/src/shallothinge/entry/fleet.py
+++ b/src/shallothinge/entry/fleet.py
@@ -13,6 +13,7 @@
 from shallothinge import clock as clocks
 from shallothinge.leases import holder as holders
 from shallothinge.membership.model import BackendServer
+from shallothinge.reservations import plan as plans
 from shallothinge.routing import breaker as breakers
 from shallothinge.routing import choice
 from shallothinge.routing import filters
@@ -124,15 +125,51 @@
 
     def knows(self, *, need: filters.Need) -> bool:
         """Return whether a connected backend server has what is needed."""
-        return any(
-            filters.offers(server=each.server, need=need)
-            for each in self.connections.values()
-        )
+        return any(True for _ in self._offering(need=need))
 
     def capacity_tokens(self, *, need: filters.Need) -> int:
         """Return what the entry may have running on servers for a need."""
         return sum(each.free_tokens for each in self._usable(need=need))
 
+    def largest_tokens(self, *, need: filters.Need) -> int:
+        """Return the largest memory of one server that has what is needed."""
+        return max(
+            (each.server.memory_tokens for each in self._offering(need=need)),
+            default=0,
+        )
+
+    def total_tokens(self, *, need: filters.Need) -> int:
+        """Return the memory of all servers that have what is needed."""
+        offering = self._offering(need=need)
+        return sum(each.server.memory_tokens for each in offering)
+
+    def rooms(self, *, candidates) -> list[plans.Room]:
+        """Return the free memory of candidates, for a spanning prompt."""
+        found = []
+        for candidate in candidates:
+            connection = self.connections[candidate.server_id]
+            free_tokens = connection.free_tokens - connection.own_tokens
+            found.append(
+                plans.Room(
+                    server_id=candidate.server_id,
+                    url=connection.server.engine_url,
+                    free_tokens=free_tokens,
+                )
+            )
+        return found
+
+    def hold(self, *, server_id: str, hold_id: str, tokens: int) -> None:
+        """Count memory that is reserved at a backend server."""
+        connection = self.connections.get(server_id)
+        if connection is not None:
+            connection.in_flight[hold_id] = tokens
+
+    def unhold(self, *, server_id: str, hold_id: str) -> None:
+        """Count reserved memory no longer."""
+        connection = self.connections.get(server_id)
+        if connection is not None:
+            connection.in_flight.pop(hold_id, None)
+
     def send(self, *, server_id: str, message: object) -> bool:
         """Send to an agent.
 
@@ -200,6 +237,11 @@
             connection.link.close()
         self.connections.clear()
 
+    def _offering(self, *, need: filters.Need):
+        for connection in self.connections.values():
+            if filters.offers(server=connection.server, need=need):
+                yield connection
+
     def _usable(self, *, need: filters.Need):
         config = self._holder.config
         for connection in self.connections.values():
--- a/src/shallothinge/entry/process.py
+++ b/src/shallothinge/entry/process.py
@@ -17,6 +17,7 @@
 from shallothinge.entry import call_run
 from shallothinge.entry import calls
 from shallothinge.entry import channel
+from shallothinge.entry import chat_job
 from shallothinge.entry import chat_run
 from shallothinge.entry import chats
 from shallothinge.entry import fleet as fleets
@@ -25,6 +26,7 @@
 from shallothinge.leases import client as clients
 from shallothinge.leases import holder as holders
 from shallothinge.operators import messages as operators
+from shallothinge.reservations import messages as reservation_messages
 from shallothinge.routing import choice
 from shallothinge.routing import retries
 from shallothinge.settings import model
@@ -43,6 +45,10 @@
     call_messages.CallRefused,
     call_messages.CallFailed,
 )
+RESERVATION_ANSWERS = (
+    reservation_messages.MemoryReserved,
+    reservation_messages.ReservationRefused,
+)
 STREAM_ANSWERS = (
     stream_messages.StreamAccepted,
     stream_messages.StreamRefused,
@@ -103,9 +109,9 @@
             max_servers=self._settings.routing.max_servers,
         )
 
-    def _build_environment(self) -> chat_run.Environment:
+    def _build_environment(self) -> chat_job.Environment:
         rng = random.Random()
-        return chat_run.Environment(
+        return chat_job.Environment(
             clock=self.process.clock,
             rng=rng,
             entry_id=self.process.process_id,
@@ -226,6 +232,8 @@
             self.calls.take(server_id, message)
         elif isinstance(message, STREAM_ANSWERS):
             self.chats.take(server_id, message)
+        elif isinstance(message, RESERVATION_ANSWERS):
+            self.chats.take_reservation(message)
 
     def _connection_reset(self, server_id: str) -> None:
         self.chats.connection_reset(server_id)
--- a/src/shallothinge/entry/site.py
+++ b/src/shallothinge/entry/site.py
@@ -13,7 +13,7 @@
 from shallothinge import errors
 from shallothinge.entry import call_run
 from shallothinge.entry import calls
-from shallothinge.entry import chat_run
+from shallothinge.entry import chat_job
 from shallothinge.entry import chats
 from shallothinge.entry import requests
 from shallothinge.entry import sinks
@@ -129,7 +129,7 @@
             then=start.reserved,
         )
 
-    def _chat_job(self, request, response, workspace) -> chat_run.ChatJob:
+    def _chat_job(self, request, response, workspace) -> chat_job.ChatJob:
         terms = self._terms(request)
         parsed = requests.parse_chat(request.content.read())
         spec = workspaces.allowed_model(
@@ -147,7 +147,7 @@
                     f'allowed are {spec.context_tokens}'
                 ),
             )
-        return chat_run.ChatJob(
+        return chat_job.ChatJob(
             request_id=response.request_id,
             workspace=workspace,
             spec=spec,
