--- a/src/shallothinge/operators/control_commands.py
+++ b/src/shallothinge/operators/control_commands.py
@@ -1,6 +1,7 @@
 """Commands that run control hosts and manage their cluster."""
 
 import argparse
+import pathlib
 
 from shallothinge.operators import arguments as common
 from shallothinge.operators import exit_codes
@@ -8,6 +9,10 @@
 from shallothinge.operators import orders
 from shallothinge.operators import role_commands
 from shallothinge.operators import terminal as terminals
+from shallothinge.settings import load
+from shallothinge.settings import model
+from shallothinge.storage import data_folder
+from shallothinge.storage import errors
 
 
 def add_commands(commands) -> None:
@@ -27,10 +32,10 @@
     found_parser.set_defaults(run=found)
     repair_parser = actions.add_parser(
         'repair',
-        help='replace a control host that lost its disk by itself, empty: '
-        'it is removed and added again, without a vote until it holds all',
+        help='on a stopped host with a lost or damaged disk: make an empty '
+        'data folder that may replace the former one',
     )
-    _add_process_id(repair_parser)
+    role_commands.add_settings(repair_parser)
     repair_parser.set_defaults(run=repair)
     _add_members(actions)
 
@@ -62,7 +67,7 @@
 
 
 def found(arguments: argparse.Namespace) -> int:
-    """Found a cluster: every listed host gets the same order."""
+    """Found a cluster: the first listed host gathers the others."""
 
     async def act(terminal: terminals.Terminal):
         hosts = terminal.settings.control_hosts
@@ -71,15 +76,10 @@
             cluster_id=arguments.cluster_id,
             member_ids=tuple(host.process_id for host in hosts),
         )
-        status = exit_codes.ExitCode.OK
-        for host in hosts:
-            answer = await terminal.ask_process(
-                address=host.address, role='control', message=order
-            )
-            print(f'{host.process_id}: ', end='')
-            given = await orders.report(terminal, answer, wait=False)
-            status = max(status, given)
-        return status
+        answer = await terminal.ask_process(
+            address=hosts[0].address, role='control', message=order
+        )
+        return await orders.report(terminal, answer, wait=False)
 
     return common.run_action(arguments, act)
 
@@ -100,23 +100,40 @@
 
 
 def repair(arguments: argparse.Namespace) -> int:
-    """Remove a control host that lost its disk and add it again."""
+    """Make an empty data folder for a host whose disk was lost.
 
-    async def act(terminal: terminals.Terminal):
-        order_id = arguments.order_id or terminals.new_id()
-        removal = messages.ChangeMembers(
-            order_id=f'{order_id}-remove',
-            operator=terminal.operator,
-            remove_id=arguments.process_id,
-        )
-        status = await orders.give(terminal, removal, wait=False)
-        if status is not exit_codes.ExitCode.OK:
-            return status
-        addition = messages.ChangeMembers(
-            order_id=f'{order_id}-add',
-            operator=terminal.operator,
-            add_id=arguments.process_id,
-        )
-        return await orders.give(terminal, addition, wait=False)
+    A damaged folder is set aside, not deleted.
+    """
+    settings = load.read(
+        path=arguments.settings, file_type=model.ControlSettings
+    )
+    path = arguments.settings.parent / settings.log.data_folder
+    process_id = settings.process.process_id
+    if (path / data_folder.LOG_NAME).exists():
+        _check_unused(path, process_id=process_id)
+    if path.is_dir() and any(path.iterdir()):
+        aside = path.with_name(f'{path.name}.aside-{terminals.new_id()}')
+        path.rename(aside)
+        print(f'{path}: set aside as {aside}')
+    made = data_folder.DataFolder(
+        path=path, process_id=process_id, rejoin=True
+    )
+    made.close()
+    print(
+        f'{path}: empty, as {made.identity.replica_id}; start the host and '
+        'wait until "shallothinge dump" of the leader shows its vote'
+    )
+    return exit_codes.ExitCode.OK
 
-    return common.run_action(arguments, act)
+
+def _check_unused(path: pathlib.Path, *, process_id: str) -> None:
+    """Refuse a folder that a running process uses.
+
+    :raises FolderLocked: if one does.
+    """
+    try:
+        data_folder.DataFolder(path=path, process_id=process_id).close()
+    except errors.FolderLocked:
+        raise
+    except errors.StorageError as error:
+        print(error)
--- a/src/shallothinge/operators/main.py
+++ b/src/shallothinge/operators/main.py
@@ -13,6 +13,7 @@
 from shallothinge.operators import outage_commands
 from shallothinge.operators import role_commands
 from shallothinge.operators import settings_commands
+from shallothinge.storage import errors as storage
 
 COMMAND_GROUPS = (
     role_commands,
@@ -69,6 +70,9 @@
     except (OSError, ValueError) as error:
         print(error, file=sys.stderr)
         return int(exit_codes.ExitCode.BAD_INPUT)
+    except storage.StorageError as error:
+        print(error, file=sys.stderr)
+        return int(exit_codes.ExitCode.REFUSED)
     except KeyboardInterrupt:
         return int(exit_codes.ExitCode.INTERRUPTED)
 
