Give agents of a deployment a cold limit that fits their engines

Cause: make demo failed at the 300k-token prompt with cold_limit: agents start with 8,000 tokens and grow it by finished work only, so a long prompt alone never fits a fleet that has just started.

Ruled out: warming the fleet in the demo by traffic before the prompt, which hides what the setting is for.

Change: a deployment sets each agent's cold limit to half of what its engine carries while cold; the demo's engines carry as much while cold as while warm.

A long prompt to a fleet that is cold throughout is still refused at once with cold_limit.

--- a/testing/demo.py
+++ b/testing/demo.py
@@ -219,8 +219,23 @@
 
 
 def make_plan() -> plan.Plan:
-    """Return the demo's deployment."""
+    """Return the demo's deployment.
+
+    Its engines carry as much while cold as while warm, so that the long
+    prompt needs no traffic before it that warms the fleet up.
+    """
+    small = plan.small_plan()
     return plan.small_plan(
+        engines=tuple(
+            attrs.evolve(
+                engine,
+                options=attrs.evolve(
+                    engine.options,
+                    cold_limit_tokens=2 * engine.options.memory_tokens,
+                ),
+            )
+            for engine in small.engines
+        ),
         services=(
             plan.ServicePlan(zone='zone-1', name='jobs'),
             plan.ServicePlan(zone='zone-2', name='lookups'),
--- a/testing/deployment.py
+++ b/testing/deployment.py
@@ -33,6 +33,7 @@
 CLUSTER_ID = 'trial'
 STOP_ORDER = ('entry', 'agent', 'standin', 'control')
 POLL_S = 0.1
+COLD_MARGIN = 2
 START_TIMEOUT_S = 60
 STOP_TIMEOUT_S = 60
 COMMAND_TIMEOUT_S = 60
@@ -260,6 +261,7 @@
             'models': options.models,
             'memory_tokens': options.memory_tokens,
             'checks_fencing': options.checks_fencing,
+            'cold_limit_tokens': options.cold_limit_tokens // COLD_MARGIN,
             **engine.agent,
         }
         self._add_agent(name, engine.zone, ports, fields)
