Test the agent's streams, reservations, claims and faults around them

Cause: the promises about engine memory, whole answers and true refusals need tests that cause the faults they are meant for. Clients of the engine give up what they asked when closed.

--- a/src/shallothinge/agent/engine.py
+++ b/src/shallothinge/agent/engine.py
@@ -172,7 +172,8 @@
         return self._poll('/v1/cache', model.CacheListing)
 
     def close(self) -> defer.Deferred:
-        """Drop the kept connections."""
+        """Give up what is asked and drop the kept connections."""
+        self._http.close()
         return self._polls.close()
 
     @defer.inlineCallbacks
--- a/src/shallothinge/agent/http.py
+++ b/src/shallothinge/agent/http.py
@@ -234,6 +234,7 @@
         self._reactor = reactor
         self._url = url.rstrip('/')
         self._pool = client.HTTPConnectionPool(reactor, persistent=persistent)
+        self._asked: set[defer.Deferred] = set()
         self._pool.retryAutomatically = False
         self._pool.cachedConnectionTimeout = IDLE_CONNECTION_MS / 1000
 
@@ -284,10 +285,18 @@
         """
         asked = self._ask(**request)
         asked.addTimeout(timeout_ms / 1000, self._reactor)
+        self._asked.add(asked)
+        asked.addBoth(self._forget, asked)
         return asked
 
+    def _forget(self, result, asked: defer.Deferred):
+        self._asked.discard(asked)
+        return result
+
     def close(self) -> defer.Deferred:
-        """Drop the kept connections."""
+        """Give up what is asked and drop the kept connections."""
+        for asked in list(self._asked):
+            asked.cancel()
         return self._pool.closeCachedConnections()
 
 
--- a/src/shallothinge/agent/tests/fleet.py
+++ b/src/shallothinge/agent/tests/fleet.py
@@ -6,12 +6,15 @@
 from twisted.internet import defer
 from twisted.internet import reactor
 from twisted.internet import task
+from twisted.internet import tcp
 from twisted.trial import unittest
 from twisted.web import server
 
 from shallothinge import process as processes
+from shallothinge.agent import polls
 from shallothinge.agent import service as services
 from shallothinge.bundles import model as bundles
+from shallothinge.leases import client as clients
 from shallothinge.leases import messages as leases
 from shallothinge.settings import model
 from shallothinge.standin import model as standin_model
@@ -23,6 +26,13 @@
 LIMIT_S = 10
 LEASE_MS = 3000
 ANY_ADDRESS = 'tcp://127.0.0.1:*'
+SHORT_TIMES = (
+    (clients, 'RETRY_MS', 20),
+    (clients, 'RENEW_MS', 200),
+    (polls, 'HEALTH_MS', 50),
+    (polls, 'RECONCILE_MS', 200),
+    (polls, 'FIRST_RECONCILE_MS', 20),
+)
 ROLES = ('control', 'entry', 'agent')
 
 
@@ -63,6 +73,8 @@
     timeout = LIMIT_S
 
     def setUp(self):
+        for module, name, value in SHORT_TIMES:
+            self.patch(module, name, value)
         scratch = tempfile.TemporaryDirectory()
         self.addCleanup(scratch.cleanup)
         self.folder = pathlib.Path(scratch.name)
@@ -75,6 +87,15 @@
         self.control = FakeControl(process=self.process('control'))
         self.addCleanup(self.control.close)
         self.received = []
+        self.addCleanup(self._drop_connections)
+
+    @defer.inlineCallbacks
+    def _drop_connections(self):
+        """Abort what the HTTP servers still have open."""
+        for selectable in reactor.getReaders() + reactor.getWriters():
+            if isinstance(selectable, tcp.Connection):
+                selectable.abortConnection()
+        yield task.deferLater(reactor, WAIT_S, lambda: None)
 
     def process(self, role: str, *, name: str = '') -> processes.Process:
         """Return a new process of a role."""
@@ -104,9 +125,15 @@
         site = server.Site(resource)
         port = reactor.listenTCP(0, site, interface='127.0.0.1')
         self.addCleanup(port.stopListening)
+        self.addCleanup(self._stop_steps, resource)
         yield defer.succeed(None)
         return resource, f'http://127.0.0.1:{port.getHost().port}'
 
+    def _stop_steps(self, resource):
+        timer = getattr(resource, '_timer', None)
+        if timer is not None and timer.active():
+            timer.cancel()
+
     def start_agent(self, *, url: str, **backend) -> services.AgentService:
         """Start an agent beside a backend server."""
         fields = {
