--- a/src/shallothinge/load/caller.py
+++ b/src/shallothinge/load/caller.py
@@ -167,10 +167,8 @@
 
 def _judge(planned, prompt: str, progress: _Progress) -> str:
     text = ''.join(progress.tokens)
-    expected = ''.join(
-        answers.expected_token(prompt, offset)
-        for offset in range(planned.kind.answer_tokens)
-    )
+    answer = answers.Answer(prompt=prompt)
+    expected = answer.text(tokens=planned.kind.answer_tokens)
     if not expected.startswith(text):
         return result.WRONG
     if progress.finished and text == expected:
--- /dev/null
+++ b/testing/trials/__init__.py
@@ -0,0 +1,1 @@
+"""Trials of whole deployments in separate processes under faults."""
