Count the messages and bytes of each process's connections

Ruled out: reading the interface's counters, which mix all processes of a host. Change: one counter set for the listening address and one for the links to each role, published at /metrics. Bytes are those of the encoded messages; encryption and framing come on top.

--- a/src/shallothinge/process.py
+++ b/src/shallothinge/process.py
@@ -1,10 +1,12 @@
 """What every process of the system has: keys, sockets, clock, identity."""
 
 from collections.abc import Callable
+import functools
 import logging
 import pathlib
 import secrets
 
+import attrs
 import zmq
 
 from shallothinge import clock
@@ -16,6 +18,7 @@
 from shallothinge.transport import keys
 from shallothinge.transport import link
 from shallothinge.transport import messages
+from shallothinge.transport import traffic as traffics
 
 LOG = logging.getLogger(__name__)
 
@@ -51,6 +54,8 @@
             zone=settings.zone,
             host=settings.host,
         )
+        self.traffic = {role: traffics.Traffic() for role in keys.ROLES}
+        self._observe_traffic()
         self._context = zmq.Context()
         self._authenticator = authenticator.start(
             context=self._context, trust=self.trust
@@ -69,6 +74,7 @@
             trust=self.trust,
             codec=self.codec,
             on_message=on_message,
+            traffic=self.traffic[self.key_pair.role],
         )
 
     def connect(
@@ -96,8 +102,18 @@
             clock=self.clock,
             on_message=on_message,
             on_reset=on_reset,
+            traffic=self.traffic[role],
         )
 
+    def _observe_traffic(self) -> None:
+        """Publish the traffic of own listening address and of links."""
+        for role, traffic in self.traffic.items():
+            for field in attrs.fields(traffics.Traffic):
+                self.metrics.observe(
+                    name=f'connections_{role}_{field.name}',
+                    read=functools.partial(getattr, traffic, field.name),
+                )
+
     def _serve_metrics(self) -> None:
         if not self.settings.metrics_address:
             return
--- a/src/shallothinge/transport/endpoint.py
+++ b/src/shallothinge/transport/endpoint.py
@@ -11,6 +11,7 @@
 from shallothinge.transport import keys
 from shallothinge.transport import messages
 from shallothinge.transport import reader
+from shallothinge.transport import traffic as traffics
 
 LOG = logging.getLogger(__name__)
 
@@ -50,7 +51,9 @@
         trust: keys.Trust,
         codec: wire.Codec,
         on_message: Callable[[Peer, object], None],
+        traffic: traffics.Traffic | None = None,
     ):
+        self.traffic = traffic or traffics.Traffic()
         self._codec = codec
         self._trust = trust
         self._on_message = on_message
@@ -69,7 +72,10 @@
         socket.bind(address)
         self.address = socket.getsockopt_string(zmq.LAST_ENDPOINT)
         self._reader = reader.SocketReader(
-            reactor=reactor, socket=socket, on_frames=self._receive
+            reactor=reactor,
+            socket=socket,
+            on_frames=self._receive,
+            traffic=self.traffic,
         )
 
     def send(self, *, route: bytes, message: object) -> bool:
--- a/src/shallothinge/transport/link.py
+++ b/src/shallothinge/transport/link.py
@@ -12,6 +12,7 @@
 from shallothinge.transport import keys
 from shallothinge.transport import messages
 from shallothinge.transport import reader
+from shallothinge.transport import traffic as traffics
 
 LOG = logging.getLogger(__name__)
 
@@ -44,7 +45,9 @@
         clock: clock.Clock,
         on_message: Callable[[object], None],
         on_reset: Callable[[], None] | None = None,
+        traffic: traffics.Traffic | None = None,
     ):
+        self.traffic = traffic or traffics.Traffic()
         self._reactor = reactor
         self._context = context
         self._address = address
@@ -104,7 +107,10 @@
         socket.connect(self._address)
         self._greeted = False
         self._reader = reader.SocketReader(
-            reactor=self._reactor, socket=socket, on_frames=self._receive
+            reactor=self._reactor,
+            socket=socket,
+            on_frames=self._receive,
+            traffic=self.traffic,
         )
 
     def _greet(self) -> bool:
--- a/src/shallothinge/transport/reader.py
+++ b/src/shallothinge/transport/reader.py
@@ -7,6 +7,8 @@
 import zmq
 from zope.interface import implementer
 
+from shallothinge.transport import traffic as traffics
+
 LOG = logging.getLogger(__name__)
 
 MESSAGES_PER_TURN = 200
@@ -20,6 +22,7 @@
     each signal and looked at again after each send.
 
     :param on_frames: called with the frames of each message.
+    :param traffic: counts what passes.
     """
 
     def __init__(
@@ -28,7 +31,9 @@
         reactor,
         socket: zmq.Socket,
         on_frames: Callable[[list[zmq.Frame]], None],
+        traffic: traffics.Traffic,
     ):
+        self._traffic = traffic
         self._reactor = reactor
         self._socket = socket
         self._on_frames = on_frames
@@ -78,6 +83,7 @@
             return False
         finally:
             self._schedule()
+        self._traffic.count_sent(size_bytes=len(frames[-1]))
         return True
 
     def close(self) -> None:
@@ -99,6 +105,7 @@
         self.doRead()
 
     def _deliver(self, frames) -> None:
+        self._traffic.count_received(size_bytes=len(frames[-1]))
         try:
             self._on_frames(frames)
         except Exception:
