Add usage and forecast commands; build and check the one binary

Cause: operators forecast the month's bill; the product ships as one file whose processes start no other process.

The demo checks the children of every running process, the ledger's requests and prompt tokens, and prints the largest memory of each role.

Ruled out: one-file builds whose loader starts the program as a child; a plain zipapp, which can not import compiled packages.

It needs Python 3.11 on the host.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,8 @@
 	mkdir -p dist
 	$(BIN)/shiv --quiet --constraint constraints.txt --compressed \
 		--console-script shallothinge --output-file dist/shallothinge .
+	SHIV_ROOT=$(CURDIR)/build/shiv $(BIN)/python -m testing.demo \
+		--binary dist/shallothinge
 
 format: $(STAMP)
 	$(BIN)/isort --quiet src testing
--- a/src/shallothinge/operators/main.py
+++ b/src/shallothinge/operators/main.py
@@ -13,6 +13,7 @@
 from shallothinge.operators import outage_commands
 from shallothinge.operators import role_commands
 from shallothinge.operators import settings_commands
+from shallothinge.operators import usage_commands
 from shallothinge.storage import errors as storage
 
 COMMAND_GROUPS = (
@@ -20,6 +21,7 @@
     control_commands,
     bundle_commands,
     outage_commands,
+    usage_commands,
     dump_commands,
     key_commands,
     settings_commands,
--- a/testing/demo.py
+++ b/testing/demo.py
@@ -32,6 +32,9 @@
 LONG_TIMEOUT_S = 120
 BOOKING = {'flat': 12, 'trade': 'plumber'}
 BOOKING_KEY = 'booking-flat-12'
+BYTES_PER_MB = 1_000_000
+PROMPTS = 2
+USAGE_TIMEOUT_S = 10
 
 
 class DemoError(AssertionError):
@@ -153,6 +156,8 @@
             ('job status look-up', self._status),
             ('booking sent twice with one key', self._booking),
             ('engine memory', self._memory),
+            ('usage ledger', self._usage),
+            ('processes', self._processes),
         ]
 
     def _check_answer(self, answer, *, prompt, max_tokens) -> None:
@@ -217,6 +222,34 @@
         expect(held == 0, f'{held} tokens are still held')
         return 'no engine holds any'
 
+    def _usage(self) -> str:
+        ends_s = time.monotonic() + USAGE_TIMEOUT_S
+        while True:
+            view = json.loads(self._running.operate('usage', '--json'))
+            requests = sum(row['requests'] for row in view['rows'])
+            if requests == PROMPTS or time.monotonic() > ends_s:
+                break
+        expect(requests == PROMPTS, f'{requests} requests are in the ledger')
+        prompt_tokens = sum(row['prompt_tokens'] for row in view['rows'])
+        wanted = tokens.count_tokens(SHORT_PROMPT) + LONG_PROMPT_TOKENS
+        expect(prompt_tokens == wanted, f'{prompt_tokens} prompt tokens')
+        self._running.operate(
+            'forecast', '--plot', str(self._running.folder / 'forecast.html')
+        )
+        return f'{requests} requests, {prompt_tokens} prompt tokens, forecast'
+
+    def _processes(self) -> str:
+        parts = self._running.parts.values()
+        parents = [part.name for part in parts if part.children]
+        expect(not parents, f'started other processes: {parents}')
+        sizes = []
+        for role in deployment.STOP_ORDER:
+            largest = max(
+                part.memory_bytes for part in self._running.by_role(role)
+            )
+            sizes.append(f'{role} {largest / BYTES_PER_MB:.0f} MB')
+        return f'none started another; largest: {", ".join(sizes)}'
+
 
 def make_plan() -> plan.Plan:
     """Return the demo's deployment.
--- a/testing/deployment.py
+++ b/testing/deployment.py
@@ -72,6 +72,20 @@
         """Return whether the process was started and has not ended."""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def children(self) -> tuple[int, ...]:
+        """Return the ids of the processes that it has started."""
+        found = []
+        for path in pathlib.Path(f'/proc/{self.pid}/task').glob('*/children'):
+            found += [int(pid) for pid in path.read_text().split()]
+        return tuple(found)
+
+    @property
+    def memory_bytes(self) -> int:
+        """Return the memory that the process has resident."""
+        statm = pathlib.Path(f'/proc/{self.pid}/statm').read_text().split()
+        return int(statm[1]) * os.sysconf('SC_PAGE_SIZE')
+
 
 def free_ports(count: int) -> list[int]:
     """Return port numbers that nothing listens on at the moment."""
