Serve entry metrics, settle refused requests, test the decision cores

Cause: the entry had no metrics; a request that was refused after its tokens were set aside kept them for good; a request that waited for a slice of its allowance could be answered after its deadline; queue, routing, retries and allowances had no tests of their own. Change: OpenTelemetry instruments on metrics_address; every ended run, refused ones too, settles its tokens; the deadline runs while a slice is awaited.

--- a/src/shallothinge/entry/chat_run.py
+++ b/src/shallothinge/entry/chat_run.py
@@ -68,6 +68,9 @@
         self.assembly = assembly.Assembly(request_id=job.request_id)
         self.may_have_run = False
         self.usage = chat_job.RunUsage()
+        self.error_kind: ErrorKind | None = None
+        self.first_token_ms: int | None = None
+        self._begun_ms = env.clock.now_ms()
         self._env = env
         self._owner = owner
         self._sink = sink
@@ -258,6 +261,7 @@
 
     def _follow(self, step: assembly.Step | None) -> None:
         if isinstance(step, assembly.Deliver):
+            self._note_first_token()
             self._sink.tokens(step.tokens)
         elif isinstance(step, assembly.Resume):
             self._send_resume(step)
@@ -266,6 +270,11 @@
         elif isinstance(step, assembly.AttemptEnded):
             self._attempt_failed(step.kind)
 
+    def _note_first_token(self) -> None:
+        if self.first_token_ms is None:
+            now_ms = self._env.clock.now_ms()
+            self.first_token_ms = now_ms - self._begun_ms
+
     def _complete(self, finished: messages.StreamFinished) -> None:
         self._leave_server(succeeded=True)
         self.usage = chat_job.RunUsage(
@@ -371,6 +380,7 @@
 
     def refuse(self, kind: ErrorKind, *, retry_after_ms: int) -> None:
         """Answer that the request was not taken."""
+        self.error_kind = kind
         self._end()
         self._sink.failed(
             errors.ServingError(kind=kind, retry_after_ms=retry_after_ms)
@@ -380,6 +390,7 @@
         kind = self._true_kind(kind)
         self._cancel_stream()
         self._estimate_usage()
+        self.error_kind = kind
         self._end()
         self._sink.failed(errors.ServingError(kind=kind))
 
--- a/src/shallothinge/entry/chats.py
+++ b/src/shallothinge/entry/chats.py
@@ -144,14 +144,18 @@
     def ended(self, run: chat_run.ChatRun) -> None:
         """Forget a run."""
         request_id = run.job.request_id
-        if self.runs.pop(request_id, None) is None:
-            return
-        timer = self._deadlines.pop(request_id)
-        if timer.active():
-            timer.cancel()
-        self._queue_of(run.job).finished(request_id)
+        if self.runs.pop(request_id, None) is not None:
+            timer = self._deadlines.pop(request_id)
+            if timer.active():
+                timer.cancel()
+            self._queue_of(run.job).finished(request_id)
+            self.pump_soon()
         self._on_ended(run)
-        self.pump_soon()
+
+    @property
+    def waiting_count(self) -> int:
+        """Return how many requests are queued."""
+        return sum(queue.waiting_count for queue in self._queues.values())
 
     def describe(self) -> dict:
         """Return the state of every queue and run, for dumps."""
--- a/src/shallothinge/entry/process.py
+++ b/src/shallothinge/entry/process.py
@@ -11,6 +11,7 @@
 from twisted.internet import task
 
 from shallothinge import clock as clocks
+from shallothinge import metrics
 from shallothinge import process as processes
 from shallothinge.admission import queue as queues
 from shallothinge.calls import messages as call_messages
@@ -84,6 +85,7 @@
             role='entry',
             wants_members=True,
         )
+        self.metrics = self._build_metrics()
         self._endpoint = self.process.listen(on_message=self._answer_peer)
         self.control = clients.ControlClient(
             process=self.process,
@@ -98,6 +100,22 @@
         self._api = self._build_api()
         self._port = None
 
+    def _build_metrics(self) -> metrics.Metrics:
+        own = self._settings.process
+        built = metrics.Metrics(
+            role='entry',
+            process_id=own.process_id,
+            zone=own.zone,
+            host=own.host,
+        )
+        built.observe_lease(read_remaining_ms=lambda: self.holder.remaining_ms)
+        built.observe_queue(read_requests=lambda: self.chats.waiting_count)
+        built.observe(
+            name='requests_running', read=lambda: len(self.chats.runs)
+        )
+        built.observe(name='calls_running', read=lambda: len(self.calls.runs))
+        return built
+
     def _build_fleet(self) -> fleets.Fleet:
         return fleets.Fleet(
             clock=self.process.clock,
@@ -133,7 +151,7 @@
                 long_tokens=admission.long_prompt_tokens,
                 long_share_percent=admission.long_share_percent,
             ),
-            on_ended=self._settle,
+            on_ended=self._run_ended,
         )
 
     def _build_calls(self) -> calls.CallsService:
@@ -156,6 +174,7 @@
 
     def _build_api(self) -> site.CallersApi:
         services = site.Services(
+            reactor=self._reactor,
             clock=self.process.clock,
             wall_clock=clocks.WallClock(),
             holder=self.holder,
@@ -175,6 +194,7 @@
         """Listen for callers and join the control group."""
         self.control.start()
         self._port = self._listen_http()
+        self._listen_metrics()
         self._repeat(self._refresh, every_ms=REFRESH_MS)
         self._repeat(self._watch, every_ms=WATCH_MS)
         self._repeat(self.fleet.announce_owned, every_ms=OWNED_MS)
@@ -199,6 +219,19 @@
             int(port), caller_site, context, interface=interface
         )
 
+    def _listen_metrics(self) -> None:
+        address = self._settings.process.metrics_address
+        if not address:
+            return
+        listening = metrics.listen(
+            metrics=self.metrics, address=address, reactor=self._reactor
+        )
+        listening.addErrback(
+            lambda failure: LOG.error(
+                'metrics are not served: %s', failure.getErrorMessage()
+            )
+        )
+
     def _repeat(self, function, *, every_ms: int) -> None:
         def guarded():
             try:
@@ -239,6 +272,30 @@
         self.chats.connection_reset(server_id)
         self.calls.connection_reset(server_id)
 
+    def _run_ended(self, run: chat_run.ChatRun) -> None:
+        self._settle(run)
+        self._count(run)
+
+    def _count(self, run: chat_run.ChatRun) -> None:
+        request_class = run.job.request_class.value
+        outcome = run.error_kind.value if run.error_kind else 'finished'
+        self.metrics.count_request(
+            request_class=request_class, outcome=outcome
+        )
+        if run.error_kind is not None:
+            self.metrics.count_refusal(kind=run.error_kind)
+        if run.first_token_ms is not None:
+            self.metrics.record_first_token(
+                duration_ms=run.first_token_ms, request_class=request_class
+            )
+        for _ in range(1, run.assembly.attempt):
+            self.metrics.count_retry()
+        self.metrics.count_tokens(
+            workspace=run.job.workspace.name,
+            model=run.job.spec.name,
+            counts=metrics.TokenCounts(**attrs.asdict(run.usage)),
+        )
+
     def _settle(self, run: chat_run.ChatRun) -> None:
         usage = run.usage
         self.spending.settle(
--- a/src/shallothinge/entry/site.py
+++ b/src/shallothinge/entry/site.py
@@ -36,6 +36,7 @@
 class Services:
     """What the callers' API passes requests to."""
 
+    reactor: object
     clock: clocks.Clock
     wall_clock: clocks.Clock
     holder: holders.LeaseHolder
@@ -118,9 +119,7 @@
             model=job.model_key,
             created_s=self._services.wall_clock.now_ms() // MS_PER_SECOND,
         )
-        start = _ChatStart(
-            job=job, sink=sink, response=response, services=self._services
-        )
+        start = _ChatStart(job=job, sink=sink, services=self._services)
         response.on_left = start.caller_left
         self._services.spending.reserve(
             request_id=job.request_id,
@@ -191,26 +190,44 @@
 class _ChatStart:
     """Starts a chat completion once its tokens are set aside."""
 
-    def __init__(self, *, job, sink, response, services: Services):
+    def __init__(self, *, job, sink, services: Services):
         self._job = job
         self._sink = sink
-        self._response = response
         self._services = services
         self._run = None
-        self._left = False
+        self._over = False
+        remaining_ms = job.ends_ms - services.clock.now_ms()
+        self._timer = services.reactor.callLater(
+            max(0, remaining_ms) / 1000, self._deadline_passed
+        )
 
     def reserved(self, refusal: ErrorKind | None) -> None:
         """Go on with the request, or refuse it."""
-        if refusal is not None:
+        if self._timer.active():
+            self._timer.cancel()
+        if self._over:
+            self._give_tokens_back()
+        elif refusal is not None:
             self._sink.failed(errors.ServingError(kind=refusal))
-            return
-        self._run = self._services.chats.submit(job=self._job, sink=self._sink)
-        if self._left:
-            self._run.caller_left()
+        else:
+            self._run = self._services.chats.submit(
+                job=self._job, sink=self._sink
+            )
+
+    def _give_tokens_back(self) -> None:
+        self._services.spending.settle_unused(
+            request_id=self._job.request_id,
+            workspace=self._job.workspace.name,
+        )
+
+    def _deadline_passed(self) -> None:
+        self._over = True
+        error = errors.ServingError(kind=ErrorKind.EXPIRED_NOT_RUN)
+        self._sink.failed(error)
 
     def caller_left(self) -> None:
         """Cancel the request."""
-        self._left = True
+        self._over = True
         if self._run is not None:
             self._run.caller_left()
 
--- a/src/shallothinge/entry/spend.py
+++ b/src/shallothinge/entry/spend.py
@@ -118,6 +118,10 @@
         for _, _, then in self._waiting.pop(workspace, []):
             then(ErrorKind.NO_LEASE)
 
+    def settle_unused(self, *, request_id: str, workspace: str) -> None:
+        """Give back what a request that never ran has set aside."""
+        self._book.settle(request_id=request_id, workspace=workspace, tokens=0)
+
     def settle(
         self,
         *,
@@ -130,11 +134,12 @@
     ) -> None:
         """Book what a request has used; all 0 if it never ran."""
         used_tokens = prompt_tokens + generated_tokens
+        if not used_tokens:
+            self.settle_unused(request_id=request_id, workspace=workspace)
+            return
         self._book.settle(
             request_id=request_id, workspace=workspace, tokens=used_tokens
         )
-        if not used_tokens:
-            return
         self._usage.add(
             key=usage.UsageKey(
                 workspace=workspace, model=model_key, day=self._today()
--- /dev/null
+++ b/src/shallothinge/routing/tests/test_retries.py
@@ -0,0 +1,69 @@
+"""Tests of the retry budget and of the delays between retries."""
+
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+
+from shallothinge.routing import retries
+
+PERCENT = 10
+BURST = 20
+
+
+class BudgetTest(unittest.TestCase):
+    """Retries against fresh requests."""
+
+    @hypothesis.settings(max_examples=200, derandomize=True, deadline=None)
+    @hypothesis.given(events=st.lists(st.booleans(), max_size=400))
+    def test_retries_stay_within_their_share(self, events):
+        budget = retries.RetryBudget(percent=PERCENT, burst=BURST)
+        for is_fresh in events:
+            if is_fresh:
+                budget.fresh()
+            else:
+                budget.take()
+            allowed = BURST + budget.fresh_count * PERCENT / 100
+            self.assertLessEqual(budget.retry_count, allowed)
+
+    def test_outage_of_everything_makes_no_storm(self):
+        budget = retries.RetryBudget(percent=PERCENT, burst=BURST)
+        sent = 0
+        for _ in range(10_000):
+            budget.fresh()
+            sent += 1
+            while budget.take():
+                sent += 1
+        self.assertLessEqual(sent, 10_000 * 1.1 + BURST)
+
+    def test_idle_time_saves_no_more_than_the_burst(self):
+        budget = retries.RetryBudget(percent=PERCENT, burst=BURST)
+        for _ in range(100_000):
+            budget.fresh()
+        taken = sum(budget.take() for _ in range(1000))
+        self.assertEqual(BURST, taken)
+
+
+class DelayTest(unittest.TestCase):
+    """Full jitter."""
+
+    def test_delay_is_spread_from_zero_to_a_growing_ceiling(self):
+        rng = random.Random(1)
+        for failures in range(0, 40, 4):
+            with self.subTest(failures=failures):
+                delays = [
+                    retries.delay_ms(failures=failures, rng=rng)
+                    for _ in range(500)
+                ]
+                ceiling = min(
+                    retries.MAX_DELAY_MS, retries.BASE_DELAY_MS << failures
+                )
+                self.assertGreaterEqual(min(delays), 1)
+                self.assertLessEqual(max(delays), ceiling)
+                self.assertLess(min(delays), ceiling / 4)
+                self.assertGreater(max(delays), ceiling * 3 / 4)
+
+    def test_retry_never_starts_past_the_deadline(self):
+        self.assertFalse(retries.fits(delay_ms=10, remaining_ms=10))
+        self.assertTrue(retries.fits(delay_ms=9, remaining_ms=10))
