Warm idle engines up, refuse what a newer bundle took away, test calls

Cause: the limit of a cold engine grows by finished work only, so on an idle fleet a prompt above the limit was refused for ever; the demo had to set its cold limit to the whole memory. Weighed: letting the limit grow with time, or trusting an engine that does not report to be cold; both would give full load to an engine that turned cold without warning. So the agent runs prompts of its own within half of the limit, only after work was refused for the limit and while the engine has little to do, at the lowest priority. They are not in any workspace's usage. Also: an entry that acted on an older configuration may not start what the agent's newer bundle took away; service module split (dump, announcement).

--- a/src/shallothinge/agent/authority.py
+++ b/src/shallothinge/agent/authority.py
@@ -62,6 +62,26 @@
             return Denied(kind=ErrorKind.NO_LEASE, renew=True)
         return self._check_lease()
 
+    def may_use(
+        self, *, state_version: int, workspace: str, name: str
+    ) -> bool:
+        """Return whether a workspace may still use a model or service.
+
+        Only looked at for an asker that acted on an older configuration;
+        the others have checked it against this one.
+
+        :param name: a service, or ``name@version`` of a model.
+        """
+        config = self._holder.config
+        if state_version >= config.state_version or config.bundle is None:
+            return True
+        names = {name, name.partition('@')[0]}
+        return any(
+            names.intersection(spec.models + spec.services)
+            for spec in config.bundle.workspaces
+            if spec.name == workspace
+        )
+
     def _check_lease(self) -> Permitted | Denied:
         config = self._holder.config
         if not self._holder.is_valid():
--- a/src/shallothinge/agent/calls.py
+++ b/src/shallothinge/agent/calls.py
@@ -91,6 +91,12 @@
             return permission.kind
         if waited_ms >= request.deadline_ms:
             return ErrorKind.EXPIRED_NOT_RUN
+        if not self._authority.may_use(
+            state_version=request.state_version,
+            workspace=request.workspace,
+            name=request.service,
+        ):
+            return ErrorKind.FORBIDDEN
         if request.service not in self._services:
             return ErrorKind.NO_BACKEND_SERVER
         if not request.claim_index and not self._is_repeatable(request):
--- a/src/shallothinge/agent/polls.py
+++ b/src/shallothinge/agent/polls.py
@@ -15,7 +15,6 @@
 from shallothinge.agent import streams
 from shallothinge.agent import watch as watches
 from shallothinge.reservations import table as reservations
-from shallothinge.streams import owned
 
 LOG = logging.getLogger(__name__)
 
@@ -30,6 +29,8 @@
 class EnginePolls:
     """Watches health, load, cache and holdings of one engine.
 
+    :param owned_ids: returns the engine's ids of the streams that have an
+        owner here.
     :param on_restart: called when the engine has restarted, so that what
         it was ordered to load is loaded again.
     """
@@ -44,7 +45,7 @@
         limit: coldlimit.ColdLimit,
         cache: status.CacheView,
         releases: reconcile.ReleaseQueue,
-        table: owned.StreamTable,
+        owned_ids,
         held: reservations.ReservationTable,
         gate: gates.Gate,
         running: streams.StreamService,
@@ -57,7 +58,7 @@
         self._limit = limit
         self._cache = cache
         self._releases = releases
-        self._table = table
+        self._owned_ids = owned_ids
         self._held = held
         self._gate = gate
         self._running = running
@@ -150,7 +151,7 @@
         self._release_unowned(
             reconcile.Collection.STREAMS,
             [stream.request_id for stream in listing],
-            self._table.engine_ids(),
+            self._owned_ids(),
         )
         reserved = yield self._engine.reservations()
         self._release_unowned(
--- a/src/shallothinge/agent/service.py
+++ b/src/shallothinge/agent/service.py
@@ -1,16 +1,16 @@
 """Takes the messages of entries and operators, and keeps time."""
 
-import json
 import logging
 
-import attrs
 from twisted.internet import defer
 from twisted.internet import task
 
 from shallothinge import process as processes
+from shallothinge.agent import announce
 from shallothinge.agent import authority as authorities
 from shallothinge.agent import calls
 from shallothinge.agent import coldlimit
+from shallothinge.agent import dump
 from shallothinge.agent import engine as engines
 from shallothinge.agent import fencing
 from shallothinge.agent import frames
@@ -24,12 +24,13 @@
 from shallothinge.agent import stall
 from shallothinge.agent import status
 from shallothinge.agent import streams
+from shallothinge.agent import warming
+from shallothinge.agent import warmup
 from shallothinge.agent import watch as watches
 from shallothinge.calls import messages as call_messages
 from shallothinge.calls import once
 from shallothinge.leases import client as clients
 from shallothinge.leases import holder as holders
-from shallothinge.membership.model import BackendServer
 from shallothinge.operators import messages as operator_messages
 from shallothinge.reservations import messages as reservation_messages
 from shallothinge.reservations import table as reservations
@@ -72,25 +73,10 @@
 
     def _make_lease(self) -> None:
         own = self._settings.process
-        backend = self._settings.backend
-        self.holder = holders.LeaseHolder(
-            clock=self._clock,
-            holder_id=own.process_id,
-            incarnation=self._process.incarnation,
-            role='agent',
-            wants_members=False,
-        )
-        self.holder.server = BackendServer(
-            server_id=own.process_id,
-            incarnation=self._process.incarnation,
+        self.holder = announce.make_holder(
+            settings=self._settings,
+            process=self._process,
             address=self.address,
-            zone=own.zone,
-            host=own.host,
-            models=backend.models,
-            services=backend.services,
-            memory_tokens=backend.memory_tokens,
-            checks_fencing=backend.checks_fencing,
-            engine_url=backend.url,
         )
         self.control = clients.ControlClient(
             process=self._process,
@@ -118,6 +104,7 @@
         self.claims = once.ClaimLog()
         self.cache = status.CacheView()
         self.watch = watches.EngineWatch(clock=self._clock)
+        self._warm_up = warmup.WarmUp(clock=self._clock)
         self._status = status.StatusBuilder(
             clock=self._clock, cache=self.cache
         )
@@ -142,6 +129,7 @@
             watch=self.watch,
             releases=self.releases,
             table=self.table,
+            warm_up=self._warm_up,
             sender=self._sender,
             send=self._send,
         )
@@ -152,6 +140,7 @@
             watch=self.watch,
             releases=self.releases,
             table=self.reserved,
+            warm_up=self._warm_up,
             send=self._send,
         )
         self.calls = calls.CallService(
@@ -165,7 +154,13 @@
             services=backend.services,
             send=self._send,
         )
+        self._rollout = rollout.Rollout(
+            clock=self._clock,
+            zone=self._settings.process.zone,
+            initial_models=backend.models,
+        )
         self._orders = self._make_orders()
+        self.warming = self._make_warming()
         self._polls = polls.EnginePolls(
             reactor=self._reactor,
             engine=self._engine,
@@ -174,7 +169,7 @@
             limit=self.limit,
             cache=self.cache,
             releases=self.releases,
-            table=self.table,
+            owned_ids=self._owned_ids,
             held=self.reserved,
             gate=self.gate,
             running=self.streams,
@@ -191,15 +186,29 @@
             ),
             holder=self.holder,
             control=self.control,
-            rollout=rollout.Rollout(
-                clock=self._clock,
-                zone=self._settings.process.zone,
-                initial_models=backend.models,
-            ),
+            rollout=self._rollout,
             watch=self.watch,
             models_in_use=self.streams.models_in_use,
         )
 
+    def _make_warming(self) -> warming.WarmUpRunner:
+        return warming.WarmUpRunner(
+            reactor=self._reactor,
+            clock=self._clock,
+            name=f'warm-up-{self._process.incarnation}',
+            engine=self._engine,
+            authority=self.authority,
+            gate=self.gate,
+            limit=self.limit,
+            watch=self.watch,
+            releases=self.releases,
+            warm_up=self._warm_up,
+            models=lambda: self._rollout.models,
+        )
+
+    def _owned_ids(self) -> frozenset[str]:
+        return self.table.engine_ids() | self.warming.engine_ids()
+
     def _entry_handlers(self):
         return {
             messages.StartStream: self._start_stream,
@@ -218,6 +227,7 @@
         if self._settings.backend.kind == MODEL_KIND:
             self._polls.start()
             self._repeat(self._orders.look, HOUSEKEEPING_MS)
+            self._repeat(self.warming.look, HOUSEKEEPING_MS)
         self._repeat(self._stall.tick, stall.TICK_MS)
         self._repeat(self._keep_house, HOUSEKEEPING_MS)
         self._repeat(self._publish, status.STATUS_MS)
@@ -258,6 +268,7 @@
                 loop.stop()
         self._polls.close()
         self.streams.close()
+        self.warming.close()
         self._sender.close()
         self._engine.close()
         self.control.close()
@@ -370,6 +381,7 @@
 
     def _is_idle(self) -> bool:
         working = len(self.streams) + len(self.calls)
+        working += len(self.warming.engine_ids())
         unsent = len(self.table) + len(self.releases)
         return not (working or unsent or self.reserved.ids())
 
@@ -381,41 +393,24 @@
 
     def describe(self) -> str:
         """Return the whole state as JSON text."""
-        state = AgentState(
-            process_id=self._process.process_id,
-            incarnation=self._process.incarnation,
-            lease=holders.describe(self.holder),
-            announced=self.holder.server,
-            stopping=self.authority.stopping,
-            load=self.streams.report(),
-            limit_streams=self.limit.streams,
-            engine_incarnation=self.watch.incarnation,
-            engine_serving=self.watch.is_serving(),
-            streams=self.table.all(),
-            reservations=self.reserved.all(),
-            releases=self.releases.all(),
-            cached_blocks=len(self.cache.blocks),
+        return dump.to_json(
+            dump.AgentState(
+                process_id=self._process.process_id,
+                incarnation=self._process.incarnation,
+                lease=holders.describe(self.holder),
+                announced=self.holder.server,
+                stopping=self.authority.stopping,
+                load=self.streams.report(),
+                limit_streams=self.limit.streams,
+                pace_ms_per_token=self.limit.baseline_ms,
+                engine_incarnation=self.watch.incarnation,
+                engine_serving=self.watch.is_serving(),
+                streams=self.table.all(),
+                reservations=self.reserved.all(),
+                releases=self.releases.all(),
+                cached_blocks=len(self.cache.blocks),
+            )
         )
-        return json.dumps(attrs.asdict(state), default=str)
-
-
-@attrs.frozen(kw_only=True)
-class AgentState:
-    """An agent's state, for dumps."""
-
-    process_id: str
-    incarnation: str
-    lease: holders.HolderState
-    announced: BackendServer
-    stopping: bool
-    load: messages.LoadReport
-    limit_streams: int
-    engine_incarnation: str
-    engine_serving: bool
-    streams: tuple[owned.OwnedStream, ...]
-    reservations: tuple[reservations.Reservation, ...]
-    releases: tuple[reconcile.Holding, ...]
-    cached_blocks: int
 
 
 def _pass_on(result, waiting: defer.Deferred):
--- a/src/shallothinge/agent/streams.py
+++ b/src/shallothinge/agent/streams.py
@@ -14,6 +14,7 @@
 from shallothinge.agent import pace as paces
 from shallothinge.agent import reconcile
 from shallothinge.agent import running
+from shallothinge.agent import warmup
 from shallothinge.agent import watch as watches
 from shallothinge.errors import ErrorKind
 from shallothinge.streams import messages
@@ -44,6 +45,7 @@
         watch: watches.EngineWatch,
         releases: reconcile.ReleaseQueue,
         table: owned.StreamTable,
+        warm_up: warmup.WarmUp,
         sender: frames.FrameSender,
         send,
     ):
@@ -58,6 +60,7 @@
         self._watch = watch
         self._releases = releases
         self._table = table
+        self._warm_up = warm_up
         self._sender = sender
         self._send = send
         self._running: dict[owned.StreamKey, running.EngineStream] = {}
@@ -125,6 +128,12 @@
             return permission.kind
         if waited_ms >= request.deadline_ms:
             return ErrorKind.EXPIRED_NOT_RUN
+        if not request.delivered and not self._authority.may_use(
+            state_version=request.state_version,
+            workspace=request.workspace,
+            name=owned.model_of(request),
+        ):
+            return ErrorKind.FORBIDDEN
         if not self._watch.is_serving() or not self.reconciled:
             return ErrorKind.NO_BACKEND_SERVER
         return None
@@ -134,6 +143,8 @@
         admitted = self._gate.admit(key=key, work=work)
         if isinstance(admitted, gates.Refused):
             self._table.remove(key)
+            if admitted.kind is ErrorKind.COLD_LIMIT:
+                self._warm_up.refused()
             self._refuse(owner_id, key, admitted.kind)
             return
         stream = running.EngineStream(
--- a/src/shallothinge/agent/tests/test_cores.py
+++ b/src/shallothinge/agent/tests/test_cores.py
@@ -75,6 +75,40 @@
                 answer = checked.may_begin(state_version=version)
                 self.assertEqual(expected, getattr(answer, 'kind', None))
 
+    def test_older_asker_may_not_use_what_the_bundle_took_away(self):
+        workspace = bundles.WorkspaceSpec(
+            name='jenga-fix',
+            key_hashes=(),
+            models=('small@1',),
+            services=('booking',),
+        )
+        bundle = bundles.Bundle(
+            version=1,
+            replaces_version=0,
+            models=(),
+            services=(),
+            workspaces=(workspace,),
+        )
+        holder = make_holder(manual_clock=clock.ManualClock(), bundle=bundle)
+        checked = authority.Authority(
+            holder=holder, server_id='agent-1', zone='z'
+        )
+        rows = (
+            ('granted model', VERSION - 1, 'jenga-fix', 'small@1', True),
+            ('granted service', VERSION - 1, 'jenga-fix', 'booking', True),
+            ('older version', VERSION - 1, 'jenga-fix', 'small@0', False),
+            ('unknown workspace', VERSION - 1, 'pwani', 'small@1', False),
+            ('checked by the asker', VERSION, 'pwani', 'small@1', True),
+        )
+        for name, version, workspace_name, used, expected in rows:
+            with self.subTest(name):
+                answer = checked.may_use(
+                    state_version=version,
+                    workspace=workspace_name,
+                    name=used,
+                )
+                self.assertEqual(expected, answer)
+
     def test_superseded_agent_may_not_act(self):
         checked = authority.Authority(
             holder=make_holder(manual_clock=clock.ManualClock()),
--- a/src/shallothinge/agent/tests/test_faults.py
+++ b/src/shallothinge/agent/tests/test_faults.py
@@ -240,6 +240,19 @@
         yield self.until(lambda: self.got(messages.StreamFinished))
         self.assertEqual(60, len(self.tokens('r1')))
 
+    @defer.inlineCallbacks
+    def test_idle_engine_is_warmed_up_for_work_above_its_limit(self):
+        yield self.start(cold_limit_tokens=16_000)
+        large = self.reserve(tokens=100_000)
+        yield self.deliver(self.entry, large)
+        yield self.until(lambda: self.got(reservations.ReservationRefused))
+        refused = self.got(reservations.ReservationRefused)[0]
+        self.assertEqual(ErrorKind.COLD_LIMIT, refused.kind)
+        yield self.until(lambda: self.agent.limit.is_full)
+        yield self.deliver(self.entry, large)
+        yield self.until(lambda: self.got(reservations.MemoryReserved))
+        self.assertEqual(0, self.engine.counters.falls)
+
     @defer.inlineCallbacks
     def test_models_of_the_bundle_are_loaded_and_announced(self):
         yield self.start(checks_fencing=True)
