--- a/src/shallothinge/operators/main.py
+++ b/src/shallothinge/operators/main.py
@@ -6,6 +6,7 @@
 
 import shallothinge
 from shallothinge.operators import bundle_commands
+from shallothinge.operators import call_commands
 from shallothinge.operators import control_commands
 from shallothinge.operators import dump_commands
 from shallothinge.operators import exit_codes
@@ -20,6 +21,7 @@
     role_commands,
     control_commands,
     bundle_commands,
+    call_commands,
     outage_commands,
     usage_commands,
     dump_commands,
--- a/src/shallothinge/settings/check.py
+++ b/src/shallothinge/settings/check.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable
 import logging
 import pathlib
+import random
 
 import attrs
 
+from shallothinge.routing import choice
 from shallothinge.settings import addresses
 from shallothinge.settings import faults
 from shallothinge.settings import model
@@ -40,6 +42,7 @@
             self._check_operators(settings.operators)
         if isinstance(settings, model.EntrySettings):
             self._check_http(settings.http)
+            self._check_routing(settings.routing)
         if isinstance(settings, model.AgentSettings):
             self._check_backend(settings.backend)
 
@@ -150,6 +153,13 @@
             self._check_file(f'http.{name}', getattr(http, name))
         self._check_mode('http.private_key_file', http.private_key_file)
 
+    def _check_routing(self, routing: model.RoutingSettings) -> None:
+        try:
+            choice.build(name=routing.policy, rng=random.Random(0))
+        except ValueError as error:
+            allowed = str(error).partition('allowed: ')[2]
+            self._fault('routing.policy', repr(routing.policy), allowed)
+
     def _check_file(self, key: str, name: str) -> None:
         if name and not (self._folder / name).is_file():
             self._fault(key, f'no file {name}', 'a file that exists')
--- a/src/shallothinge/settings/tests/test_load.py
+++ b/src/shallothinge/settings/tests/test_load.py
@@ -90,6 +90,20 @@
         [fault] = self.faults(AGENT)
         self.assertIn('chmod 600', fault.found)
 
+    def test_unknown_policy_lists_the_known_ones(self):
+        text = AGENT.replace('7001', '7002')
+        text = text[: text.index('[backend]')]
+        text += '[http]\naddress = "127.0.0.1:8080"\n'
+        text += '[routing]\npolicy = "best"\n'
+        text += AGENT[AGENT.index('[[control_hosts]]') :]
+        path = self.folder / 'entry.toml'
+        path.write_text(text, encoding='utf-8')
+        with self.assertRaises(ExceptionGroup) as caught:
+            load.read(path=path, file_type=model.EntrySettings)
+        [fault] = caught.exception.exceptions
+        self.assertEqual('routing.policy', fault.key)
+        self.assertIn('two_choices', fault.allowed)
+
     def test_role_is_known_by_its_tables(self):
         path = self.folder / 'agent.toml'
         path.write_text(AGENT, encoding='utf-8')
