--- a/src/shallothinge/control/state.py
+++ b/src/shallothinge/control/state.py
@@ -12,6 +12,7 @@
 from cattrs.preconf import msgpack as cattrs_msgpack
 import msgpack
 
+from shallothinge import wire
 from shallothinge.allowances import messages as allowances
 from shallothinge.allowances.slices import Allowances
 from shallothinge.bundles import messages as bundle_messages
@@ -76,11 +77,13 @@
     """Applies commands and hands out snapshots.
 
     ``data`` holds the state after the last command applied.
+
+    :param codec: codec of the commands, if one is at hand.
     """
 
-    def __init__(self):
+    def __init__(self, *, codec: wire.Codec | None = None):
         self.data = StateData()
-        self._codec = commands.build_codec()
+        self._codec = codec or commands.build_codec()
         self._converter = cattrs_msgpack.make_converter()
         self._handlers: dict[type, Callable[[object, int], object]] = {
             commands.RefuseOrder: self._refuse_order,
