Nudge holders after a change, and send unchanged bundles once

Each outage also carried the whole bundle again. Change: the leader nudges the holders, at most every 500 ms; a holder that took a newer configuration renews at once to confirm it; a holder that has the bundle in force gets the rest of the configuration only.

--- a/src/shallothinge/control/leadership.py
+++ b/src/shallothinge/control/leadership.py
@@ -3,6 +3,7 @@
 import attrs
 
 from shallothinge import clock
+from shallothinge.bundles.model import ServingConfig
 from shallothinge.control import state
 from shallothinge.errors import ErrorKind
 from shallothinge.leases import messages
@@ -84,6 +85,9 @@
         if request.server is not None:
             self._announce(request)
         is_behind = request.config_version < config.state_version
+        keeps_bundle = is_behind and _holds_bundle(request, config)
+        if keeps_bundle:
+            config = attrs.evolve(config, bundle=None)
         return messages.LeaseGranted(
             sequence=request.sequence,
             duration_ms=duration_ms,
@@ -92,6 +96,7 @@
             config=config if is_behind else None,
             members_epoch=self.epoch,
             members=self._members_for(request),
+            keeps_bundle=keeps_bundle,
         )
 
     def tidy(self) -> None:
@@ -147,3 +152,15 @@
         return self.members.update_since(
             version=request.members_version, epoch=request.members_epoch
         )
+
+
+def _holds_bundle(
+    request: messages.LeaseRequest, config: ServingConfig
+) -> bool:
+    """Return whether the holder has the bundle in force.
+
+    Versions in force only grow, so a version names one bundle.
+    """
+    if config.bundle is None:
+        return False
+    return request.bundle_version == config.bundle.version
--- a/src/shallothinge/control/server.py
+++ b/src/shallothinge/control/server.py
@@ -41,6 +41,7 @@
     operators.SetServer,
     calls.ResolveUnknownCall,
 )
+NUDGE_MS = 500
 MS_PER_DAY = 24 * 3600 * 1000
 
 
@@ -93,6 +94,9 @@
         self._waiting: list[WaitingRequest] = []
         self._confirming = False
         self._maintaining = False
+        self._nudged_version = 0
+        self._nudged_ms = 0
+        self._routes_of_holders: dict[leases.Holder, bytes] = {}
         self._fencing: set[leadership.FenceNeeded] = set()
         self._routes = self._build_routes()
 
@@ -161,6 +165,8 @@
         """Do what is due from time to time on a leader."""
         if self._log.is_leader:
             self._current().tidy()
+            self._forget_routes()
+            self._nudge_holders()
             self._end_silent_holders()
             self._prune()
 
@@ -171,7 +177,28 @@
             command=self._codec.encode(command),
         )
         proposed = self._log.propose(self._codec.encode(stamped))
-        return proposed.addCallback(self._codec.decode)
+        return proposed.addCallback(self._committed)
+
+    def _committed(self, answer: bytes) -> object:
+        self._nudge_holders()
+        return self._codec.decode(answer)
+
+    def _nudge_holders(self) -> None:
+        """Tell holders of a new configuration, at intervals.
+
+        A change between two nudges goes with the next one.
+        """
+        version = self._machine.data.config.state_version
+        if version <= self._nudged_version:
+            return
+        now_ms = self._clock.now_ms()
+        if now_ms - self._nudged_ms < NUDGE_MS:
+            return
+        self._nudged_version = version
+        self._nudged_ms = now_ms
+        nudge = leases.LeaseNudge(state_version=version)
+        for route in self._routes_of_holders.values():
+            self._send(route=route, message=nudge)
 
     def _current(self) -> leadership.Leadership:
         """Return the soft state of the present leadership."""
@@ -303,8 +330,11 @@
         current = self._current()
         for waiting in batch:
             answer = current.answer(waiting.request)
+            holder = table.holder_of(waiting.request)
             if isinstance(answer, leases.LeaseRefused):
                 answer = attrs.evolve(answer, leader_id=self._log.leader_id)
+            else:
+                self._routes_of_holders[holder] = waiting.peer.route
             self._send(route=waiting.peer.route, message=answer)
 
     def _refuse_batch(self, batch: list[WaitingRequest]) -> None:
@@ -408,6 +438,12 @@
         else:
             self._propose_for(peer, request)
 
+    def _forget_routes(self) -> None:
+        known = set(self._current().leases.holders())
+        for holder in list(self._routes_of_holders):
+            if holder not in known:
+                del self._routes_of_holders[holder]
+
     def _end_silent_holders(self) -> None:
         """Commit the end of holders whose leases have surely run out."""
         may_act = self._current().leases.may_act
--- a/src/shallothinge/control/tests/test_server.py
+++ b/src/shallothinge/control/tests/test_server.py
@@ -2,7 +2,10 @@
 
 import unittest
 
+import attrs
+
 from shallothinge.bundles.tests import samples
+from shallothinge.calls import messages as calls
 from shallothinge.control.tests import fakes
 from shallothinge.errors import ErrorKind
 from shallothinge.leases import holder as holders
@@ -153,6 +156,53 @@
         self.assertTrue(self.bench.in_force(version).in_force)
         self.assertFalse(frozen.is_valid())
 
+    def test_holders_are_nudged_once_for_changes_in_quick_succession(self):
+        self._lease(self._holder('e1'))
+        nudges = []
+        for out in (True, False):
+            self.bench.set_zone('a', out=out)
+            nudges += self.bench.sent[:-1]
+        self.assertEqual([leases.LeaseNudge(state_version=1)], nudges)
+        self.bench.clock.advance(duration_ms=500)
+        self.bench.sent.clear()
+        self.bench.server.tick()
+        self.assertEqual([leases.LeaseNudge(state_version=2)], self.bench.sent)
+
+    def test_bundle_is_not_sent_again_for_an_outage(self):
+        entry = self._holder('e1')
+        self.bench.put_in_force(samples.bundle_text())
+        self.assertIsNotNone(self._lease(entry).config.bundle)
+        self.bench.set_zone('a', out=True)
+        grant = self._lease(entry)
+        self.assertIsNone(grant.config.bundle)
+        self.assertEqual(('a',), entry.config.zones_out)
+        self.assertEqual(1, entry.config.bundle.version)
+
+    def test_claims_end_with_the_lease_of_their_entry(self):
+        entry = self._holder('e1')
+        self._lease(entry)
+        claim = calls.ClaimCall(
+            claim_id='c1',
+            workspace='w',
+            service='s',
+            idempotency_key='k',
+            body_hash='b',
+            entry_id='e1',
+            entry_incarnation='1',
+        )
+        self.bench.ask(claim, role='entry', process_id='e1')
+        self.bench.clock.advance(duration_ms=2999)
+        self.bench.server.tick()
+        self.assertEqual((), self.bench.machine.data.claims.unknown())
+        self.bench.clock.advance(duration_ms=1)
+        self.bench.server.tick()
+        self.assertEqual(1, len(self.bench.machine.data.claims.unknown()))
+        late = attrs.evolve(claim, claim_id='c2')
+        answer = self.bench.ask(late, role='entry', process_id='e1')
+        self.assertEqual(ErrorKind.NO_LEASE, answer.kind)
+        answer = self.bench.ask(late, role='entry', process_id='e2')
+        self.assertEqual(ErrorKind.FORBIDDEN, answer.kind)
+
 
 class OrderTest(unittest.TestCase):
     """The life of a bundle, and orders sent twice."""
@@ -212,7 +262,13 @@
 
     def test_views_are_json(self):
         self.bench.put_in_force(samples.bundle_text())
-        for view in ('status', 'bundles', 'members'):
+        for view in (
+            'status',
+            'bundles',
+            'members',
+            'usage',
+            'unknown_calls',
+        ):
             with self.subTest(view=view):
                 answer = self.bench.ask(
                     operators.QueryRequested(request_id='1', view=view),
--- a/src/shallothinge/leases/client.py
+++ b/src/shallothinge/leases/client.py
@@ -165,8 +165,9 @@
 
     def _receive(self, message: object) -> None:
         if isinstance(message, messages.LeaseGranted):
-            if self._holder.granted(message):
-                self._renewed_ms = self._process.clock.now_ms()
+            self._take_grant(message)
+        elif isinstance(message, messages.LeaseNudge):
+            self._take_nudge(message)
         elif isinstance(message, messages.LeaseRefused):
             self._prefer(message.leader_id)
         elif isinstance(message, messages.ControlRefused):
@@ -174,6 +175,18 @@
         else:
             self._answer(message)
 
+    def _take_grant(self, grant: messages.LeaseGranted) -> None:
+        version = self._holder.config.state_version
+        if self._holder.granted(grant):
+            self._renewed_ms = self._process.clock.now_ms()
+        if self._holder.config.state_version > version:
+            # The next request confirms the change, which others wait for.
+            self.renew_now()
+
+    def _take_nudge(self, nudge: messages.LeaseNudge) -> None:
+        if nudge.state_version > self._holder.config.state_version:
+            self.renew_now()
+
     def _answer(self, message: object) -> None:
         question = self._questions.pop(id_of(message), None)
         if question is not None:
--- a/src/shallothinge/leases/holder.py
+++ b/src/shallothinge/leases/holder.py
@@ -80,6 +80,7 @@
             server=self.server,
             leaving=self.leaving,
             fence=self.fence,
+            bundle_version=self._bundle_version(),
         )
 
     def granted(self, grant: messages.LeaseGranted) -> bool:
@@ -94,7 +95,7 @@
         if sent_ms is None:
             return False
         if grant.config is not None:
-            self._take_config(grant.config)
+            self._take_config(grant)
         if grant.state_version != self.config.state_version:
             return False
         if self._ends_ms is not None and not self.is_valid():
@@ -108,9 +109,17 @@
             self._take_members(grant.members, epoch=grant.members_epoch)
         return True
 
-    def _take_config(self, config: ServingConfig) -> None:
-        if config.state_version > self.config.state_version:
-            self.config = config
+    def _bundle_version(self) -> int:
+        bundle = self.config.bundle
+        return 0 if bundle is None else bundle.version
+
+    def _take_config(self, grant: messages.LeaseGranted) -> None:
+        config = grant.config
+        if config.state_version <= self.config.state_version:
+            return
+        if grant.keeps_bundle:
+            config = attrs.evolve(config, bundle=self.config.bundle)
+        self.config = config
 
     def _take_members(
         self, update: MembershipUpdate | None, *, epoch: str
--- a/src/shallothinge/leases/messages.py
+++ b/src/shallothinge/leases/messages.py
@@ -26,13 +26,15 @@
     server: BackendServer | None = None
     leaving: bool = False
     fence: int = 0
+    bundle_version: int = 0
 
 
 @attrs.frozen(kw_only=True)
 class LeaseGranted:
     """Control to holder: act for ``duration_ms`` from the send time.
 
-    ``config`` is present if it is newer than the holder's. ``fence`` is a
+    ``config`` is present if it is newer than the holder's; if its bundle is
+    the one that the holder has, ``keeps_bundle`` stands for it. ``fence`` is a
     number from the log, larger than any granted before to this holder's
     backend server under another incarnation. ``members_epoch`` names the
     leader whose membership versions count.
@@ -45,6 +47,14 @@
     config: ServingConfig | None = None
     members_epoch: str = ''
     members: MembershipUpdate | None = None
+    keeps_bundle: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class LeaseNudge:
+    """Control to holder: renew now, the configuration has changed."""
+
+    state_version: int
 
 
 @attrs.frozen(kw_only=True)
@@ -90,4 +100,10 @@
 
 COMMANDS = (EndHolders,)
 
-MESSAGES = (LeaseRequest, LeaseGranted, LeaseRefused, ControlRefused)
+MESSAGES = (
+    LeaseRequest,
+    LeaseGranted,
+    LeaseNudge,
+    LeaseRefused,
+    ControlRefused,
+)
