Let a spanning prompt use a server again on which an attempt failed

Cause: after a failed attempt only other servers were asked for room; a prompt that needs all of the fleet then never started again and ran into its deadline. Ruled out: forgetting failed servers altogether; a small prompt is better off elsewhere. Change: parts are chosen among servers without a failed attempt and, if those have too little room, among all. Conclusion: the retry of a spanning prompt works on a fleet it fills.

--- a/src/shallothinge/entry/chat_run.py
+++ b/src/shallothinge/entry/chat_run.py
@@ -116,11 +116,7 @@
     def _reserve_span(self, candidates) -> None:
         self._span_count += 1
         plan_id = f'{self.job.request_id}.{self._span_count}'
-        parts = plans.choose_parts(
-            rooms=self._env.fleet.rooms(candidates=candidates),
-            tokens=self.job.tokens,
-            plan_id=plan_id,
-        )
+        parts = self._choose_parts(candidates, plan_id)
         if not parts:
             self._wait(ErrorKind.MEMORY_FULL)
             return
@@ -133,6 +129,18 @@
         )
         self._span.start()
 
+    def _choose_parts(self, preferred, plan_id: str):
+        """Return parts on servers that did not fail, or else on any."""
+        for candidates in (preferred, self._fresh_candidates()):
+            parts = plans.choose_parts(
+                rooms=self._env.fleet.rooms(candidates=candidates),
+                tokens=self.job.tokens,
+                plan_id=plan_id,
+            )
+            if parts:
+                return parts
+        return ()
+
     def take_reservation(self, message: object) -> None:
         """Take an agent's answer to a reservation of this run."""
         if self._span is not None:
@@ -157,18 +165,22 @@
             span.release()
 
     def _candidates(self) -> tuple[choice.Candidate, ...]:
+        """Return servers to try; those that failed only if none is left."""
+        fresh = self._fresh_candidates()
+        preferred = tuple(
+            each for each in fresh if each.server_id not in self._failed_on
+        )
+        return preferred or fresh
+
+    def _fresh_candidates(self) -> tuple[choice.Candidate, ...]:
         found = self._env.fleet.candidates(
             need=self.job.need, hashes=self._hashes
         )
-        fresh = [
+        return tuple(
             candidate
             for server_id, candidate in found.items()
             if server_id not in self._refused_by
-        ]
-        preferred = [
-            each for each in fresh if each.server_id not in self._failed_on
-        ]
-        return tuple(preferred or fresh)
+        )
 
     def _send(self, server_id: str) -> None:
         attempt = self.assembly.begin_attempt()
