--- a/src/shallothinge/entry/channel.py
+++ b/src/shallothinge/entry/channel.py
@@ -35,16 +35,14 @@
 
 
 class CallerChannel(http.HTTPChannel):
-    """One connection of a caller.
-
-    ``limits`` and ``is_rejected`` are set by the site.
-    """
+    """One connection of a caller; the site sets its limits."""
 
     def __init__(self):
         super().__init__()
         self.limits = HttpSettings(address='')
         self._rejected = False
         self._receiving = None
+        self._lingering = None
 
     def apply_limits(self, limits: HttpSettings) -> None:
         """Set the limits, before the first byte is read."""
@@ -74,8 +72,9 @@
             super().allContentReceived()
 
     def connectionLost(self, reason):
-        """Stop the timer."""
+        """Stop the timers."""
         self._stop_timer()
+        _cancel(self._lingering)
         super().connectionLost(reason)
 
     def check_body_bytes(self, total_bytes: int) -> bool:
@@ -140,12 +139,18 @@
             request_id='',
         )
         self.transport.write(_response_bytes(reply))
-        self.callLater(LINGER_MS / 1000, self.transport.loseConnection)
+        self._lingering = self.callLater(
+            LINGER_MS / 1000, self.transport.loseConnection
+        )
 
     def _stop_timer(self) -> None:
         timer, self._receiving = self._receiving, None
-        if timer is not None and timer.active():
-            timer.cancel()
+        _cancel(timer)
+
+
+def _cancel(timer) -> None:
+    if timer is not None and timer.active():
+        timer.cancel()
 
 
 def _response_bytes(reply: answers.ErrorReply) -> bytes:
--- a/src/shallothinge/entry/chat_run.py
+++ b/src/shallothinge/entry/chat_run.py
@@ -4,20 +4,17 @@
 from typing import Protocol
 
 from shallothinge import errors
-from shallothinge import tokens as token_counts
 from shallothinge.admission import classes
 from shallothinge.entry import chat_job
+from shallothinge.entry import selection
 from shallothinge.entry import span as spans
 from shallothinge.errors import ErrorKind
-from shallothinge.reservations import plan as plans
-from shallothinge.routing import choice
 from shallothinge.routing import retries
 from shallothinge.streams import assembly
 from shallothinge.streams import messages
 
 LOG = logging.getLogger(__name__)
 
-MAX_REFUSALS_IN_A_ROW = 3
 ACCEPT_MS = 1500
 STALL_MS = 2000
 FINAL_REFUSALS = (ErrorKind.BAD_REQUEST, ErrorKind.PROMPT_TOO_LONG)
@@ -74,12 +71,10 @@
         self._env = env
         self._owner = owner
         self._sink = sink
-        self._hashes = token_counts.block_hashes(job.request.prompt)
+        self._selection = selection.Selection(job=job, env=env)
         self._span: spans.Span | None = None
         self._span_count = 0
         self._failures = 0
-        self._refused_by = set()
-        self._failed_on = set()
         self._accepted = False
         self._heard_ms = 0
 
@@ -95,28 +90,18 @@
         if not self._env.holder.is_valid():
             self._fail(ErrorKind.NO_LEASE)
             return
-        candidates = self._candidates()
+        candidates = self._selection.candidates()
         if not candidates:
             self._wait(ErrorKind.NO_BACKEND_SERVER)
-        elif self._needs_span():
-            self._reserve_span(candidates)
+        elif self._selection.needs_span:
+            self._reserve_span()
         else:
-            self._send_to_best(candidates)
+            self._send(self._selection.best(candidates))
 
-    def _send_to_best(self, candidates) -> None:
-        chosen = self._env.policy.choose(
-            candidates=candidates, tokens=self.job.tokens
-        )
-        self._send(chosen.server_id)
-
-    def _needs_span(self) -> bool:
-        largest = self._env.fleet.largest_tokens(need=self.job.need)
-        return self.job.tokens > plans.usable(largest)
-
-    def _reserve_span(self, candidates) -> None:
+    def _reserve_span(self) -> None:
         self._span_count += 1
         plan_id = f'{self.job.request_id}.{self._span_count}'
-        parts = self._choose_parts(candidates, plan_id)
+        parts = self._selection.parts(plan_id=plan_id)
         if not parts:
             self._wait(ErrorKind.MEMORY_FULL)
             return
@@ -129,18 +114,6 @@
         )
         self._span.start()
 
-    def _choose_parts(self, preferred, plan_id: str):
-        """Return parts on servers that did not fail, or else on any."""
-        for candidates in (preferred, self._fresh_candidates()):
-            parts = plans.choose_parts(
-                rooms=self._env.fleet.rooms(candidates=candidates),
-                tokens=self.job.tokens,
-                plan_id=plan_id,
-            )
-            if parts:
-                return parts
-        return ()
-
     def take_reservation(self, message: object) -> None:
         """Take an agent's answer to a reservation of this run."""
         if self._span is not None:
@@ -164,24 +137,6 @@
         if span is not None:
             span.release()
 
-    def _candidates(self) -> tuple[choice.Candidate, ...]:
-        """Return servers to try; those that failed only if none is left."""
-        fresh = self._fresh_candidates()
-        preferred = tuple(
-            each for each in fresh if each.server_id not in self._failed_on
-        )
-        return preferred or fresh
-
-    def _fresh_candidates(self) -> tuple[choice.Candidate, ...]:
-        found = self._env.fleet.candidates(
-            need=self.job.need, hashes=self._hashes
-        )
-        return tuple(
-            candidate
-            for server_id, candidate in found.items()
-            if server_id not in self._refused_by
-        )
-
     def _send(self, server_id: str) -> None:
         attempt = self.assembly.begin_attempt()
         message = self._start_message(attempt)
@@ -195,7 +150,7 @@
         )
         if not self._env.fleet.send(server_id=server_id, message=message):
             self._leave_server(succeeded=None)
-            self._refused_by.add(server_id)
+            self._selection.refused(server_id)
             self._try_next(ErrorKind.NO_BACKEND_SERVER)
 
     def _start_message(self, attempt: int) -> messages.StartStream:
@@ -238,7 +193,7 @@
     def _note_accepted(self) -> None:
         self._accepted = True
         self.may_have_run = True
-        self._refused_by.clear()
+        self._selection.forget_refusals()
 
     def _take_refusal(self, refusal: messages.StreamRefused) -> None:
         """Go to another server, since this one ran nothing."""
@@ -250,21 +205,20 @@
         if refusal.kind in FINAL_REFUSALS:
             self._fail(refusal.kind)
             return
-        self._refused_by.add(server_id)
+        self._selection.refused(server_id)
         self._try_next(refusal.kind)
 
     def _try_next(self, kind: ErrorKind) -> None:
         self.assembly.end_attempt()
-        if len(self._refused_by) < MAX_REFUSALS_IN_A_ROW:
-            if self._candidates():
-                self.start()
-                return
-        self._wait(kind)
+        if self._selection.may_ask_another:
+            self.start()
+        else:
+            self._wait(kind)
 
     def _wait(self, kind: ErrorKind) -> None:
         """Wait for another start, unless the deadline comes first."""
         self._failures += 1
-        self._refused_by.clear()
+        self._selection.forget_refusals()
         delay_ms = retries.delay_ms(failures=self._failures, rng=self._env.rng)
         if not retries.fits(delay_ms=delay_ms, remaining_ms=self.remaining_ms):
             self._fail(kind)
@@ -300,7 +254,7 @@
     def _attempt_failed(self, kind: ErrorKind) -> None:
         """Continue elsewhere from the prompt and the delivered tokens."""
         self.assembly.end_attempt()
-        self._failed_on.add(self.server_id)
+        self._selection.failed(self.server_id)
         self._leave_server(succeeded=False)
         if kind in FINAL_FAILURES:
             self._fail(kind)
--- a/src/shallothinge/entry/tests/test_process.py
+++ b/src/shallothinge/entry/tests/test_process.py
@@ -13,6 +13,7 @@
 from twisted.web import client
 from twisted.web import http_headers
 
+from shallothinge.allowances import messages as allowances
 from shallothinge.calls import messages as calls
 from shallothinge.entry.tests import fakes
 from shallothinge.errors import ErrorKind
@@ -23,7 +24,7 @@
 TOKENS = 5
 
 
-class EntryTest(unittest.TestCase):
+class EntryTestCase(unittest.TestCase):
     """One entry, one control host, two agents, callers over HTTP."""
 
     timeout = 15
@@ -62,6 +63,8 @@
         return self.until(self._is_connected)
 
     def _is_connected(self):
+        if not self.entry.holder.is_valid():
+            self.entry.control.renew_now()
         self.entry.fleet.announce_owned()
         agents = self.agents.values()
         return all(agent.of_type(streams.StreamsOwned) for agent in agents)
@@ -110,6 +113,17 @@
         for agent in self.agents.values():
             agent.script = script
 
+    def all_sent(self, message_type):
+        """Return the messages of a type that any agent got."""
+        found = []
+        for agent in self.agents.values():
+            found.extend(agent.of_type(message_type))
+        return found
+
+
+class EntryTest(EntryTestCase):
+    """What callers see."""
+
     @defer.inlineCallbacks
     def test_whole_answer_in_one_piece(self):
         response, content = yield self.chat()
@@ -189,13 +203,7 @@
         self.assertEqual(200, response.code)
         self.assertIn(b'"code": "deadline_exceeded"', content)
         self.assertNotIn(b'[DONE]', content)
-        yield self.until(lambda: self._all(streams.CancelStream))
-
-    def _all(self, message_type):
-        found = []
-        for agent in self.agents.values():
-            found.extend(agent.of_type(message_type))
-        return found
+        yield self.until(lambda: self.all_sent(streams.CancelStream))
 
     @defer.inlineCallbacks
     def test_without_lease_new_work_is_refused(self):
@@ -206,7 +214,7 @@
         error = json.loads(content)['error']
         self.assertEqual('no_lease', error['code'])
         self.assertEqual('not_run', error['work_state'])
-        self.assertEqual([], self._all(streams.StartStream))
+        self.assertEqual([], self.all_sent(streams.StartStream))
 
     @defer.inlineCallbacks
     def test_bad_input_gets_a_clear_error(self):
@@ -253,7 +261,7 @@
         )
         self.assertEqual(400, response.code)
         self.assertEqual('key_required', json.loads(content)['error']['code'])
-        self.assertEqual([], self._all(calls.CallService))
+        self.assertEqual([], self.all_sent(calls.CallService))
 
     @defer.inlineCallbacks
     def test_booking_sent_twice_runs_once(self):
@@ -264,7 +272,7 @@
             )
             answers.append(content)
         self.assertEqual([b'ran /jobs', b'ran /jobs'], answers)
-        self.assertEqual(1, len(self._all(calls.CallService)))
+        self.assertEqual(1, len(self.all_sent(calls.CallService)))
 
     @defer.inlineCallbacks
     def test_planned_stop_finishes_streams_and_refuses_new_ones(self):
@@ -299,6 +307,24 @@
                     self.entry.chats.take(server_id, message)
                 return
 
+    @defer.inlineCallbacks
+    def test_disconnected_caller_frees_the_engine(self):
+        self.script_all(lambda message: [])
+        asked = self.chat()
+        yield self.until(lambda: self.all_sent(streams.StartStream))
+        asked.cancel()
+        yield self.assertFailure(asked, client.ResponseNeverReceived)
+        yield self.until(lambda: self.all_sent(streams.CancelStream))
+
+    @defer.inlineCallbacks
+    def test_usage_is_stored_before_the_process_ends(self):
+        yield self.chat()
+        yield self.entry.stop()
+        (report,) = self.control.of_type(allowances.UsageReported)
+        (record,) = report.records
+        self.assertEqual('repairs', record.workspace)
+        self.assertEqual(TOKENS, record.generated_tokens)
+
     @defer.inlineCallbacks
     def test_dump_holds_the_state(self):
         yield self.chat()
@@ -322,3 +348,18 @@
         yield self.until(lambda: link.send(request))
         answer = yield answered
         self.assertEqual('e1', json.loads(answer.json_text)['process_id'])
+
+
+class AllowanceTest(EntryTestCase):
+    """A workspace with an allowance."""
+
+    workspace_changes = {'allowance_tokens_per_month': 1000}
+
+    @defer.inlineCallbacks
+    def test_used_up_allowance_refuses_before_anything_runs(self):
+        self.control.slice_tokens = 0
+        response, content = yield self.chat()
+        self.assertEqual(429, response.code)
+        error = json.loads(content)['error']
+        self.assertEqual('allowance_exhausted', error['code'])
+        self.assertEqual([], self.all_sent(streams.StartStream))
