Serve the entry's own metrics, and those of agents

Cause: an entry made a second Metrics object for the address that its Process already served, so that /metrics had none of its counts and each entry logged that the address was in use. Agents published no lease.

Change: the entry's instruments are those of its Process. Agents publish their lease, the gate's load and limit, and count refusals by kind. The demo reads /metrics of every process and checks the count of finished requests and the leases.

--- a/src/shallothinge/agent/service.py
+++ b/src/shallothinge/agent/service.py
@@ -15,6 +15,7 @@
 from shallothinge.agent import fencing
 from shallothinge.agent import frames
 from shallothinge.agent import gate as gates
+from shallothinge.agent import gauges
 from shallothinge.agent import holding
 from shallothinge.agent import http
 from shallothinge.agent import orders
@@ -65,6 +66,7 @@
         self.address = self._endpoint.address
         self._make_lease()
         self._make_tables()
+        gauges.observe(own=process.metrics, holder=self.holder, gate=self.gate)
         self._make_engine()
         self._handlers = self._entry_handlers()
         self._loops = []
@@ -348,6 +350,7 @@
             self.control.renew_now()
 
     def _send(self, owner_id: str, message: object) -> None:
+        gauges.count_answer(own=self._process.metrics, message=message)
         route = self.table.route_of(owner_id)
         if route is not None:
             self._endpoint.send(route=route, message=message)
--- a/src/shallothinge/entry/process.py
+++ b/src/shallothinge/entry/process.py
@@ -85,7 +85,7 @@
             role='entry',
             wants_members=True,
         )
-        self.metrics = self._build_metrics()
+        self.metrics = self._observe()
         self._endpoint = self.process.listen(on_message=self._answer_peer)
         self.control = clients.ControlClient(
             process=self.process,
@@ -100,14 +100,8 @@
         self._api = self._build_api()
         self._port = None
 
-    def _build_metrics(self) -> metrics.Metrics:
-        own = self._settings.process
-        built = metrics.Metrics(
-            role='entry',
-            process_id=own.process_id,
-            zone=own.zone,
-            host=own.host,
-        )
+    def _observe(self) -> metrics.Metrics:
+        built = self.process.metrics
         built.observe_lease(read_remaining_ms=lambda: self.holder.remaining_ms)
         built.observe_queue(read_requests=lambda: self.chats.waiting_count)
         built.observe(
@@ -194,7 +188,6 @@
         """Listen for callers and join the control group."""
         self.control.start()
         self._port = self._listen_http()
-        self._listen_metrics()
         self._repeat(self._refresh, every_ms=REFRESH_MS)
         self._repeat(self._watch, every_ms=WATCH_MS)
         self._repeat(self.fleet.announce_owned, every_ms=OWNED_MS)
@@ -219,19 +212,6 @@
             int(port), caller_site, context, interface=interface
         )
 
-    def _listen_metrics(self) -> None:
-        address = self._settings.process.metrics_address
-        if not address:
-            return
-        listening = metrics.listen(
-            metrics=self.metrics, address=address, reactor=self._reactor
-        )
-        listening.addErrback(
-            lambda failure: LOG.error(
-                'metrics are not served: %s', failure.getErrorMessage()
-            )
-        )
-
     def _repeat(self, function, *, every_ms: int) -> None:
         def guarded():
             try:
--- a/testing/demo.py
+++ b/testing/demo.py
@@ -157,6 +157,7 @@
             ('booking sent twice with one key', self._booking),
             ('engine memory', self._memory),
             ('usage ledger', self._usage),
+            ('metrics', self._metrics),
             ('processes', self._processes),
         ]
 
@@ -238,6 +239,26 @@
         )
         return f'{requests} requests, {prompt_tokens} prompt tokens, forecast'
 
+    def _metrics(self) -> str:
+        finished = 0
+        for part in self._running.parts.values():
+            if not part.metrics_url:
+                continue
+            with urllib.request.urlopen(part.metrics_url) as response:
+                text = response.read().decode()
+            if part.role != 'control':
+                expect(
+                    'lease_remaining_milliseconds' in text,
+                    f'{part.name} does not publish its lease',
+                )
+            finished += sum(
+                float(line.rpartition(' ')[2])
+                for line in text.splitlines()
+                if line.startswith('requests_total{outcome="finished"')
+            )
+        expect(finished == PROMPTS, f'{finished:g} finished requests counted')
+        return f'{finished:g} finished requests counted'
+
     def _processes(self) -> str:
         parts = self._running.parts.values()
         parents = [part.name for part in parts if part.children]
