Drop an entry's slices and unsent claims after its lease lapsed

Cause: control ends an entry's claims and slices once its lease surely ran out, but a thawed entry renewed its lease and went on with both: a call could be sent after an operator had freed its key, and tokens were spent that control had handed to others. Ruled out: refusing renewals to ended incarnations, which would cost a restart for each freeze; ending slices at each renewal with a lapse, as a new leader does not know which lapses it has seen. Change: an entry sends a claimed call only if its lease held since the claim, drops its slices after a lapse, and tells its lapses when it asks, so that control takes void slices back also if it noticed nothing.

--- a/src/shallothinge/allowances/book.py
+++ b/src/shallothinge/allowances/book.py
@@ -105,6 +105,15 @@
         account.asking = False
         account.demand_tokens = 0
 
+    def drop_slices(self) -> None:
+        """Forget all that was handed over: the entry's lease lapsed.
+
+        What running requests had reserved does not come back.
+        """
+        for account in self._accounts.values():
+            account.available_tokens = 0
+            account.reserved = {}
+
     def describe(self) -> dict:
         """Return the accounts, for dumps."""
         return {
--- a/src/shallothinge/allowances/messages.py
+++ b/src/shallothinge/allowances/messages.py
@@ -7,7 +7,9 @@
 class SliceRequested:
     """Entry to control: hand over tokens of a workspace's allowance.
 
-    ``request_id`` is the same when the request is resent.
+    ``request_id`` is the same when the request is resent. ``lapses`` is how
+    often the entry's lease lapsed; slices from before a lapse are void.
+    ``tokens`` below 0 hands back tokens that the entry holds unspent.
     """
 
     request_id: str
@@ -15,6 +17,7 @@
     entry_incarnation: str
     workspace: str
     tokens: int
+    lapses: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallothinge/allowances/slices.py
+++ b/src/shallothinge/allowances/slices.py
@@ -45,7 +45,8 @@
 class Allowances:
     """Spending by workspace in one month (``YYYY-MM``, UTC).
 
-    ``answers`` holds each entry's last grants, for resent requests.
+    ``answers`` holds each entry's last grants, for resent requests;
+    ``lapses`` how often an entry's lease lapsed, if it did.
     """
 
     month: str = ''
@@ -53,6 +54,7 @@
     answers: dict[str, tuple[messages.SliceGranted, ...]] = attrs.field(
         factory=dict
     )
+    lapses: dict[str, int] = attrs.field(factory=dict)
 
     def begin_month(self, *, month: str) -> None:
         """Start a month, if it is a new one.
@@ -85,8 +87,12 @@
         for answer in self.answers.get(name, ()):
             if answer.request_id == request.request_id:
                 return answer
+        known_lapses = self.lapses.get(name, 0)
+        if request.lapses > known_lapses:
+            self._drop_slices(name)
+            self.lapses[name] = request.lapses
         tokens = 0
-        if allowance_tokens:
+        if allowance_tokens and request.lapses >= known_lapses:
             tokens = self._hand_over(holder, request, allowance_tokens)
         answer = messages.SliceGranted(
             request_id=request.request_id,
@@ -117,10 +123,8 @@
     def end_holders(self, *, holders: tuple[Holder, ...]) -> None:
         """Return the unspent part of slices whose holders' leases ended."""
         for holder in holders:
-            name = _name_of(holder)
-            self.answers.pop(name, None)
-            for spend in self.by_workspace.values():
-                spend.slices.pop(name, None)
+            self._drop_slices(_name_of(holder))
+            self.lapses.pop(_name_of(holder), None)
 
     def holders(self) -> set[Holder]:
         """Return the entries that hold slices."""
@@ -145,6 +149,11 @@
             )
         return tokens
 
+    def _drop_slices(self, name: str) -> None:
+        self.answers.pop(name, None)
+        for spend in self.by_workspace.values():
+            spend.slices.pop(name, None)
+
     def _spend_of(self, workspace: str) -> WorkspaceSpend:
         return self.by_workspace.setdefault(workspace, WorkspaceSpend())
 
--- a/src/shallothinge/allowances/tests/test_slices.py
+++ b/src/shallothinge/allowances/tests/test_slices.py
@@ -1,5 +1,7 @@
 """Tests of allowances: the sum of all slices stays within them."""
 
+import unittest
+
 import attrs
 from hypothesis import settings
 from hypothesis import stateful
@@ -22,9 +24,40 @@
     available: int = 0
     unreported: list = attrs.field(factory=list)
     requests: list = attrs.field(factory=list)
+    lapses: int = 0
     answered: set = attrs.field(factory=set)
 
 
+class LapseTest(unittest.TestCase):
+    """Slices of an entry whose lease lapsed unnoticed."""
+
+    def _ask(self, allowances, *, tokens, lapses):
+        return allowances.grant(
+            request=messages.SliceRequested(
+                request_id=f'{tokens}-{lapses}',
+                entry_id='e1',
+                entry_incarnation='1',
+                workspace='w',
+                tokens=tokens,
+                lapses=lapses,
+            ),
+            allowance_tokens=ALLOWANCE_TOKENS,
+        ).tokens
+
+    def test_void_slices_return_when_the_entry_asks_again(self):
+        allowances = slices.Allowances()
+        self.assertEqual(90, self._ask(allowances, tokens=90, lapses=0))
+        self.assertEqual(80, self._ask(allowances, tokens=80, lapses=1))
+        self.assertEqual(0, self._ask(allowances, tokens=5, lapses=0))
+        self.assertEqual(80, allowances.by_workspace['w'].held_tokens)
+
+    def test_tokens_can_be_handed_back(self):
+        allowances = slices.Allowances()
+        self._ask(allowances, tokens=90, lapses=0)
+        self.assertEqual(-90, self._ask(allowances, tokens=-95, lapses=0))
+        self.assertEqual(0, allowances.by_workspace['w'].held_tokens)
+
+
 class AllowanceMachine(stateful.RuleBasedStateMachine):
     """Entries ask, spend, report, lapse; messages are lost or repeated.
 
@@ -59,6 +92,7 @@
                 entry_incarnation=entry.holder.incarnation,
                 workspace='w',
                 tokens=tokens,
+                lapses=entry.lapses,
             )
         )
 
@@ -74,7 +108,9 @@
         answer = self.allowances.grant(
             request=request, allowance_tokens=ALLOWANCE_TOKENS
         )
-        if not lost and request.request_id not in entry.answered:
+        if request.lapses != entry.lapses or lost:
+            return
+        if request.request_id not in entry.answered:
             entry.answered.add(request.request_id)
             entry.available += answer.tokens
 
@@ -108,17 +144,22 @@
         )
         entry.unreported = []
 
-    @stateful.rule(number=numbers)
-    def lapse(self, number):
-        """An entry's lease runs out; it drops its slices, then control."""
+    @stateful.rule(number=numbers, noticed=strategies.booleans())
+    def lapse(self, number, noticed):
+        """An entry's lease runs out; it drops its slices, then control.
+
+        Control may not notice a short lapse; requests from before it may
+        arrive later.
+        """
         entry = self.entries[number]
         self.lost_tokens += sum(
             slices.charged_tokens(record) for record in entry.unreported
         )
         entry.available = 0
         entry.unreported = []
-        entry.requests = []
-        self.allowances.end_holders(holders=(entry.holder,))
+        entry.lapses += 1
+        if noticed:
+            self.allowances.end_holders(holders=(entry.holder,))
 
     @stateful.precondition(lambda self: self.month + 1 < len(MONTHS))
     @stateful.rule()
--- a/src/shallothinge/entry/call_run.py
+++ b/src/shallothinge/entry/call_run.py
@@ -87,6 +87,7 @@
         self._claim_id = secrets.token_hex(16)
         self._tried = set()
         self._done = False
+        self._lapses = shared.holder.lapses
         self._runner = runner.CallRunner(
             repeatable=job.repeatable, may_retry=shared.env.budget.take
         )
@@ -194,7 +195,7 @@
 
     def _send(self, action: runner.Send) -> None:
         server_id = self._choose()
-        if not self._shared.holder.is_valid():
+        if not self._may_act():
             self._perform(self._runner.not_sent(ErrorKind.NO_LEASE))
             return
         if not server_id:
@@ -216,6 +217,16 @@
             )
             self._perform(steps)
 
+    def _may_act(self) -> bool:
+        """Return whether the lease has been valid since the claim.
+
+        After a lapse control may have ended the claim, and an operator may
+        have freed its key.
+        """
+        holder = self._shared.holder
+        lapsed = holder.lapses != self._lapses
+        return holder.is_valid() and (self.job.repeatable or not lapsed)
+
     def _choose(self) -> str:
         need = filters.Need(service=self.job.service)
         found = self._shared.env.fleet.candidates(need=need)
--- a/src/shallothinge/entry/process.py
+++ b/src/shallothinge/entry/process.py
@@ -164,6 +164,7 @@
             control=self.control,
             entry_id=self.process.process_id,
             incarnation=self.process.incarnation,
+            read_lapses=lambda: self.holder.lapses,
         )
 
     def _build_api(self) -> site.CallersApi:
--- a/src/shallothinge/entry/spend.py
+++ b/src/shallothinge/entry/spend.py
@@ -24,6 +24,7 @@
 
     :param control: asks control; see ``leases.client.ControlClient``.
     :param wall_clock: tells the day that usage counts for.
+    :param read_lapses: tells how often the entry's lease has lapsed.
     """
 
     def __init__(
@@ -34,6 +35,7 @@
         control,
         entry_id: str,
         incarnation: str,
+        read_lapses: Callable[[], int],
     ):
         self._wall_clock = wall_clock
         self._control = control
@@ -43,6 +45,8 @@
         self._usage = usage.UsageBook(
             entry_id=entry_id, entry_incarnation=incarnation
         )
+        self._read_lapses = read_lapses
+        self._lapses = read_lapses()
         self._waiting = {}
         self._reporting = False
 
@@ -67,6 +71,7 @@
         if not workspace.allowance_tokens_per_month:
             then(None)
             return
+        self._drop_void_slices()
         name = workspace.name
         verdict = self._book.reserve(
             request_id=request_id, workspace=name, tokens=tokens
@@ -90,15 +95,31 @@
             entry_incarnation=self._incarnation,
             workspace=workspace,
             tokens=tokens,
+            lapses=self._lapses,
         )
         asked = self._control.ask(request, timeout_ms=ASK_TIMEOUT_MS)
         asked.addCallbacks(
-            self._granted, lambda _: self._not_granted(workspace)
+            self._granted,
+            lambda _: self._not_granted(workspace),
+            callbackArgs=(request.lapses,),
         )
         asked.addErrback(_log_failure)
 
-    def _granted(self, grant: messages.SliceGranted) -> None:
-        self._book.granted(grant)
+    def _drop_void_slices(self) -> None:
+        """Drop what was handed over under a lease that lapsed.
+
+        Control may have handed it to others since.
+        """
+        if self._lapses != self._read_lapses():
+            self._lapses = self._read_lapses()
+            self._book.drop_slices()
+
+    def _granted(self, grant: messages.SliceGranted, lapses: int) -> None:
+        self._drop_void_slices()
+        if lapses == self._lapses:
+            self._book.granted(grant)
+        else:
+            self._book.not_granted(workspace=grant.workspace)
         for request_id, tokens, then in self._waiting.pop(grant.workspace, []):
             verdict = self._book.reserve(
                 request_id=request_id, workspace=grant.workspace, tokens=tokens
