--- a/src/shallothinge/leases/client.py
+++ b/src/shallothinge/leases/client.py
@@ -133,6 +133,9 @@
         self._later(RETRY_MS, self._renew)
 
     def _later(self, delay_ms: int, function) -> None:
+        # The owner may have closed this client while a question failed.
+        if self._closed:
+            return
         self._timers[function] = self._reactor.callLater(
             delay_ms / 1000, function
         )
