--- a/src/shallothinge/consensus/membership.py
+++ b/src/shallothinge/consensus/membership.py
@@ -117,11 +117,31 @@
         if state.commit_index < state.log.configuration_index:
             return self._refused('another change is under way')
         configuration = model.Configuration(voters=voters, learners=learners)
+        if not self._is_reachable(now_ms, configuration):
+            return self._refused('no majority of the new voters is heard')
         self._update_progress(now_ms, configuration)
         return self._replication.append(
             kind=model.EntryKind.CONFIGURATION, configuration=configuration
         )
 
+    def _is_reachable(
+        self, now_ms: int, configuration: model.Configuration
+    ) -> bool:
+        """Return whether the change could be committed at present.
+
+        Removing a healthy replica while others are lost would leave an
+        entry that no majority can commit or replace.
+        """
+        heard = 0
+        for voter in configuration.voters:
+            progress = self._state.leadership.progress.get(voter)
+            if progress is None:
+                heard += voter == self._state.replica_id
+            else:
+                silent_ms = now_ms - progress.heard_ms
+                heard += silent_ms <= self._state.timing.election_min_ms
+        return heard >= configuration.quorum
+
     def _update_progress(
         self, now_ms: int, configuration: model.Configuration
     ) -> None:
--- a/src/shallothinge/consensus/node.py
+++ b/src/shallothinge/consensus/node.py
@@ -99,11 +99,12 @@
 
     @property
     def is_unattached(self) -> bool:
-        """Return whether no leader sends to this replica without a vote.
+        """Return whether no leader sends to this replica.
 
-        It was never added, or the change that added it was not committed.
+        It may not have been added, the change that added it may not have
+        been committed, or it was removed without hearing of it.
         """
-        return not self._state.is_voter and not self._state.leader_id
+        return not self._state.leader_id
 
     @property
     def timing(self) -> model.Timing:
--- a/src/shallothinge/consensus/replication.py
+++ b/src/shallothinge/consensus/replication.py
@@ -66,12 +66,13 @@
         """Send a heartbeat of the current round to every replica.
 
         Entries that are under way are not sent again with it. A replica
-        that takes a snapshot gets the round with the next piece.
+        that needs a snapshot gets the round with the next piece.
         """
+        base_index = self._state.log.base.index
         for replica_id, progress in self._state.leadership.progress.items():
             if not progress.in_flight:
                 self.send_to(now_ms, replica_id)
-            elif progress.snapshot is None:
+            elif progress.next_index > base_index:
                 self._send_entries(replica_id, ())
 
     def on_append_request(
--- a/src/shallothinge/consensus/tests/test_node.py
+++ b/src/shallothinge/consensus/tests/test_node.py
@@ -217,6 +217,19 @@
         self.assertIsInstance(first, model.Proposed)
         self.assertIsInstance(second, model.ProposalRefused)
 
+    def test_removal_that_leaves_no_majority_is_refused(self):
+        leader = self.simulated.leader()
+        others = [
+            voter
+            for voter in leader.node.configuration.voters
+            if voter != leader.disk.replica_id
+        ]
+        self.simulated.kill(model.process_id_of(others[0]))
+        self.simulated.run(cluster.TIMING.election_max_ms)
+        refused = leader.node.remove(self.simulated.now_ms, others[1])
+        self.assertIsInstance(refused, model.ProposalRefused)
+        self.simulated.commit()
+
     def test_learner_of_an_uncommitted_change_is_added_again(self):
         self.simulated.add_host('d')
         self.simulated.wanted.add('d')
@@ -318,6 +331,14 @@
         self.simulated.run(1000)
         self.assertEqual(confirmed, self.simulated.confirmed_reads)
 
+    def test_leader_serves_while_a_replica_is_behind_its_snapshot(self):
+        for other in 'abc':
+            self.simulated.cuts.add((other, self.follower.process_id))
+        self.simulated.commit(10)
+        self.simulated.compact(self.leader)
+        self.simulated.read(self.leader)
+        self.simulated.check_recovery()
+
     def test_restart_after_hundreds_of_changes(self):
         for _ in range(6):
             self.simulated.commit(50)
--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -133,6 +133,7 @@
         if self._closed:
             return
         self._closed = True
+        self._ready = False
         for call in (self._flush_call, self._tick_call):
             if call is not None and call.active():
                 call.cancel()
--- /dev/null
+++ b/src/shallothinge/storage/tests/test_data_folder.py
@@ -0,0 +1,190 @@
+"""Tests of what a data folder holds after crashes and damage."""
+
+import os
+import pathlib
+import shutil
+import tempfile
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies
+
+from shallothinge.consensus import model
+from shallothinge.storage import data_folder
+from shallothinge.storage import errors
+from shallothinge.storage import frames
+
+
+def entry(index, *, term=1, data=b'x'):
+    """Return an entry of the log."""
+    return model.Entry(index=index, term=term, data=data)
+
+
+SNAPSHOT = model.Snapshot(
+    index=2, term=1, configuration=model.Configuration(), data=b'state'
+)
+
+
+class DataFolderTest(unittest.TestCase):
+    """One data folder, opened again and again."""
+
+    def setUp(self):
+        self.path = pathlib.Path(tempfile.mkdtemp()) / 'data'
+        self.addCleanup(shutil.rmtree, self.path.parent)
+
+    def open(self, **kwargs):
+        folder = data_folder.DataFolder(
+            path=self.path, process_id='c1', **kwargs
+        )
+        self.addCleanup(folder.close)
+        return folder
+
+    def write(self, *batches):
+        """Write batches of records and return the log's path."""
+        folder = self.open()
+        for batch in batches:
+            folder.append(batch)
+        folder.close()
+        return self.path / data_folder.LOG_NAME
+
+    def test_records_come_back(self):
+        self.write(
+            (model.Cluster(cluster_id='x'), model.HardState(term=3)),
+            (entry(1), entry(2), entry(3)),
+            (entry(2, term=2),),
+        )
+        restored = self.open().restored
+        self.assertEqual('x', restored.cluster.cluster_id)
+        self.assertEqual(3, restored.hard_state.term)
+        self.assertEqual((entry(1), entry(2, term=2)), restored.entries)
+
+    def test_identity_is_kept_and_a_new_folder_is_another_replica(self):
+        first = self.open().identity
+        shutil.rmtree(self.path)
+        second = self.open(rejoin=True)
+        self.assertNotEqual(first.replica_id, second.identity.replica_id)
+        second.close()
+        self.assertEqual(second.identity, self.open().identity)
+
+    def test_torn_last_write_is_cut_at_every_length(self):
+        path = self.write((entry(1),))
+        whole = path.stat().st_size
+        self.write((entry(2),))
+        data = path.read_bytes()
+        for size_bytes in range(whole + 1, len(data)):
+            with self.subTest(size_bytes=size_bytes):
+                path.write_bytes(data[:size_bytes])
+                folder = self.open()
+                self.assertEqual((entry(1),), folder.restored.entries)
+                folder.append((entry(2, term=9),))
+                folder.close()
+                folder = self.open()
+                self.assertEqual(9, folder.restored.entries[1].term)
+                folder.close()
+
+    def test_damage_before_the_last_write_is_refused_at_every_byte(self):
+        path = self.write((entry(1),), (entry(2),))
+        data = path.read_bytes()
+        last = data.rfind(frames.FRAME_MAGIC)
+        for offset in range(last):
+            damaged = bytearray(data)
+            damaged[offset] ^= 0x40
+            path.write_bytes(damaged)
+            with self.assertRaises(errors.StorageError) as caught:
+                self.open()
+            self.assertIn(str(path), str(caught.exception))
+            self.assertIn(errors.REPAIR_PAGE, str(caught.exception))
+            self.assertIn('at byte', str(caught.exception))
+        path.write_bytes(data)
+        self.assertEqual(2, len(self.open().restored.entries))
+
+    def test_damaged_snapshot_is_refused(self):
+        folder = self.open()
+        folder.store_snapshot(SNAPSHOT)
+        folder.close()
+        path = self.path / data_folder.SNAPSHOT_NAME
+        data = bytearray(path.read_bytes())
+        data[-1] ^= 1
+        path.write_bytes(data)
+        with self.assertRaises(errors.StorageDamaged):
+            self.open()
+
+    def test_lost_log_beside_a_snapshot_is_no_empty_folder(self):
+        folder = self.open()
+        folder.store_snapshot(SNAPSHOT)
+        folder.close()
+        (self.path / data_folder.LOG_NAME).unlink()
+        with self.assertRaises(errors.StorageDamaged):
+            self.open()
+
+    def test_folder_is_used_by_one_process_only(self):
+        self.open()
+        with self.assertRaises(errors.FolderLocked):
+            self.open()
+
+    def test_folder_of_another_process_is_refused(self):
+        self.open().close()
+        with self.assertRaises(errors.StorageError):
+            data_folder.DataFolder(path=self.path, process_id='c2')
+
+    def test_failed_sync_is_reported(self):
+        self.open().close()
+        failing = []
+
+        def sync(descriptor):
+            if failing:
+                raise OSError(5, 'Input/output error')
+            os.fsync(descriptor)
+
+        folder = self.open(sync=sync)
+        failing.append(True)
+        table = (
+            ('append', lambda: folder.append((entry(1),))),
+            ('snapshot', lambda: folder.store_snapshot(SNAPSHOT)),
+            ('rewrite', lambda: folder.rewrite(())),
+        )
+        for name, write in table:
+            with self.subTest(name):
+                with self.assertRaises(errors.WriteFailed):
+                    write()
+
+    def test_each_write_syncs_the_file_and_a_replacement_its_folder(self):
+        synced = []
+
+        def sync(descriptor):
+            synced.append(os.readlink(f'/proc/self/fd/{descriptor}'))
+            os.fsync(descriptor)
+
+        folder = self.open(sync=sync)
+        synced.clear()
+        folder.append((entry(1),))
+        self.assertEqual([str(self.path / 'log')], synced)
+        synced.clear()
+        folder.store_snapshot(SNAPSHOT)
+        self.assertEqual(
+            [str(self.path / 'snapshot.new'), str(self.path)], synced
+        )
+
+
+class FramesTest(unittest.TestCase):
+    """Frames and the bytes between them."""
+
+    @given(
+        payloads=strategies.lists(strategies.binary(max_size=40), max_size=5),
+        cut=strategies.integers(0, 300),
+    )
+    def test_any_prefix_is_a_torn_tail(self, payloads, cut):
+        salt = b'salty123'
+        data = frames.encode_header(salt=salt)
+        for payload in payloads:
+            data += frames.encode_frame(payload, salt=salt)
+        found = frames.scan(data[: frames.HEADER_BYTES + cut], salt=salt)
+        self.assertFalse(found.damaged)
+        whole = tuple(payloads[: len(found.payloads)])
+        self.assertEqual(whole, found.payloads)
+
+    def test_frame_inside_a_payload_is_not_taken_for_one(self):
+        other = frames.encode_frame(b'inner', salt=b'another1')
+        frame = frames.encode_frame(other * 3, salt=b'salty123')
+        data = frames.encode_header(salt=b'salty123') + frame[:-1]
+        self.assertFalse(frames.scan(data, salt=b'salty123').damaged)
