--- a/src/shallothinge/consensus/tests/test_node.py
+++ b/src/shallothinge/consensus/tests/test_node.py
@@ -164,6 +164,42 @@
                 )
                 self.assertEqual(committed, node.commit_index)
 
+    def test_read_at_a_new_leader_waits_for_its_first_entry(self):
+        node = build_node(entries=3)
+        elect(node)
+        node.request_read(10_000, 'r1')
+        node.collect(10_000)
+        answer(
+            node,
+            messages.AppendAnswer,
+            sender_id='b/2',
+            term=2,
+            accepted=True,
+            prev_index=3,
+            match_index=3,
+            round=1,
+        )
+        reads = node.collect(10_000).reads
+        self.assertEqual([4], [read.index for read in reads])
+
+    def test_change_waits_for_an_entry_of_the_own_term(self):
+        node = build_node(entries=3)
+        elect(node)
+        refused = node.add_learner(10_000, 'd/4')
+        self.assertIsInstance(refused, model.ProposalRefused)
+        answer(
+            node,
+            messages.AppendAnswer,
+            sender_id='b/2',
+            term=2,
+            accepted=True,
+            prev_index=3,
+            match_index=4,
+            round=0,
+        )
+        added = node.add_learner(10_000, 'd/4')
+        self.assertIsInstance(added, model.Proposed)
+
     def test_message_is_bounded_in_bytes(self):
         node = build_node(entries=200)
         elect(node)
--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -370,10 +370,17 @@
             )
 
     def _compact_if_due(self) -> None:
+        """Take a snapshot once the log has grown past the last one.
+
+        A large state is not written more often than the log writes as many
+        bytes, so that snapshots cost at most as much as the log.
+        """
         snapshot = self._node.snapshot
         newest = snapshot.index if snapshot else 0
         if self._applied_index - newest < self._snapshot_entries:
             return
+        if snapshot and self._folder.log_bytes < len(snapshot.data):
+            return
         snapshot = self._node.compact(
             index=self._applied_index, data=self._machine.snapshot()
         )
--- a/src/shallothinge/control/tests/test_replica.py
+++ b/src/shallothinge/control/tests/test_replica.py
@@ -155,6 +155,20 @@
         self.hosts.run_until(lambda: len(machine.commands) == 100)
         self.assertGreater(self.hosts.replicas['c3'].dump().snapshot_index, 50)
 
+    def test_large_state_is_not_written_more_often_than_the_log(self):
+        self.hosts.close()
+        shutil.rmtree(self.folder)
+        self.folder.mkdir()
+        self.hosts = hosts.Hosts(folder=self.folder, snapshot_entries=5)
+        self.addCleanup(self.hosts.close)
+        self.hosts.found()
+        self.hosts.propose(b'x' * 20_000)
+        for number in range(30):
+            self.hosts.propose(b'y')
+        self.assertLess(self.hosts.leader().dump().snapshot_index, 15)
+        self.hosts.propose(b'x' * 30_000)
+        self.assertGreater(self.hosts.leader().dump().snapshot_index, 30)
+
     def test_members_are_removed_and_added(self):
         self.hosts.found()
         self.hosts.run_until(self.hosts.leader)
