Ask the named leader before turning to another control host

Cause: each retry of a lease renewal turned away from the host asked first, also when a follower had just named it as the leader, so with one silent host the leader was never asked (the test before this commit). Ruled out: longer leases, which would only hide it. Change: turn to the next host only if the one asked last gave no answer.

--- a/src/shallothinge/leases/client.py
+++ b/src/shallothinge/leases/client.py
@@ -60,6 +60,7 @@
             )
         self._order = list(self._links)
         self._renewed_ms = None
+        self._unanswered_id = ''
         self._closed = False
         self._timers = {}
 
@@ -84,7 +85,7 @@
     def renew_now(self) -> None:
         """Send a lease request at once, for a change that can't wait."""
         if self._holder is not None:
-            self._send(self._holder.next_request())
+            self._send_renewal()
 
     def ask(self, message: object, *, timeout_ms: int) -> defer.Deferred:
         """Send a request until a control host answers it.
@@ -111,6 +112,7 @@
         return False
 
     def _rotate(self, process_id: str) -> None:
+        """Turn to the next host if this one is asked first."""
         if self._order[0] == process_id:
             self._order = self._order[1:] + self._order[:1]
 
@@ -127,11 +129,14 @@
         now_ms = self._process.clock.now_ms()
         due_ms = RENEW_MS if self._renewed_ms is not None else 0
         if now_ms - (self._renewed_ms or 0) >= due_ms:
-            if self._unanswered_renewal():
-                self._rotate(self._order[0])
-            self._send(self._holder.next_request())
+            self._rotate(self._unanswered_id)
+            self._send_renewal()
         self._later(RETRY_MS, self._renew)
 
+    def _send_renewal(self) -> None:
+        if self._send(self._holder.next_request()):
+            self._unanswered_id = self._order[0]
+
     def _later(self, delay_ms: int, function) -> None:
         # The owner may have closed this client while a question failed.
         if self._closed:
@@ -140,12 +145,6 @@
             delay_ms / 1000, function
         )
 
-    def _unanswered_renewal(self) -> bool:
-        if self._renewed_ms is None:
-            return False
-        elapsed_ms = self._process.clock.now_ms() - self._renewed_ms
-        return elapsed_ms > RENEW_MS + RETRY_MS
-
     def _resend(self) -> None:
         if self._closed:
             return
@@ -172,6 +171,7 @@
         elif isinstance(message, messages.LeaseNudge):
             self._take_nudge(message)
         elif isinstance(message, messages.LeaseRefused):
+            self._unanswered_id = ''
             self._prefer(message.leader_id)
         elif isinstance(message, messages.ControlRefused):
             self._prefer(message.leader_id)
