Take long requests durably and fetch them by id

Cause: a portfolio review must finish however long it waits, also when the entry that took it or runs it is lost. Ruled out: a queue in the entry, which dies with it; counting refused attempts, which would fail a job in a busy hour; claims that an entry gives up asking for, since a job would run under an entry that doesn't know of it. Change: a jobs slice in the replicated state (submit, claim, finish, fetch), a worker in each entry, /v1/jobs; starting a chat completion moved to a module of its own, as jobs start them too.

--- a/src/shallothinge/control/commands.py
+++ b/src/shallothinge/control/commands.py
@@ -10,6 +10,7 @@
 from shallothinge.allowances import messages as allowances
 from shallothinge.bundles import messages as bundles
 from shallothinge.calls import messages as calls
+from shallothinge.jobs import messages as jobs
 from shallothinge.leases import messages as leases
 from shallothinge.membership import messages as membership
 from shallothinge.operators import messages as operators
@@ -37,9 +38,13 @@
 
 @attrs.frozen(kw_only=True)
 class Prune:
-    """Forget answered calls that have been idle since before a time."""
+    """Forget calls and jobs that ended before a time.
+
+    ``jobs_before_ms`` is the time for jobs.
+    """
 
     before_ms: int
+    jobs_before_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -59,6 +64,7 @@
             *leases.COMMANDS,
             *membership.COMMANDS,
             *allowances.MESSAGES,
+            *jobs.COMMANDS,
             *calls.MESSAGES,
             *operators.MESSAGES,
         )
--- a/src/shallothinge/control/server.py
+++ b/src/shallothinge/control/server.py
@@ -22,6 +22,7 @@
 from shallothinge.control import state
 from shallothinge.control import views
 from shallothinge.errors import ErrorKind
+from shallothinge.jobs import messages as jobs
 from shallothinge.leases import client
 from shallothinge.leases import messages as leases
 from shallothinge.leases import table
@@ -42,6 +43,7 @@
     calls.ResolveUnknownCall,
 )
 NUDGE_MS = 500
+JOB_RETENTION_DAYS = 7
 MS_PER_DAY = 24 * 3600 * 1000
 
 
@@ -135,6 +137,10 @@
         routes[allowances.UsageReported] = Route(
             roles=entry, handle=self._report_usage
         )
+        routes[jobs.SubmitJob] = Route(roles=entry, handle=self._propose_for)
+        routes[jobs.ClaimJob] = Route(roles=entry, handle=self._claim_job)
+        routes[jobs.FinishJob] = Route(roles=entry, handle=self._propose_for)
+        routes[jobs.FetchJob] = Route(roles=entry, handle=self._fetch_job)
         for order_type in ORDERS:
             routes[order_type] = Route(
                 roles=operator, handle=self._carry_out_order
@@ -417,6 +423,22 @@
         done.addCallbacks(accept, refuse)
         self._reply_with(done, peer, order)
 
+    def _claim_job(self, peer, request) -> None:
+        """Commit a claim only if a job waits; entries ask all the time."""
+        held = self._machine.data.jobs
+        if held.queued or held.has_claim(claim_id=request.request_id):
+            self._propose_under_lease(peer, request)
+        else:
+            none = jobs.JobClaimed(request_id=request.request_id)
+            self._send(route=peer.route, message=none)
+
+    def _fetch_job(self, peer, request) -> None:
+        self._read_for(
+            peer,
+            request,
+            lambda: self._machine.data.jobs.fetch(request=request),
+        )
+
     def _report_usage(self, peer, report) -> None:
         holder = leases.Holder(
             holder_id=report.entry_id, incarnation=report.entry_incarnation
@@ -462,9 +484,18 @@
         retention_ms = (
             self._settings.leases.idempotency_retention_days * MS_PER_DAY
         )
-        before_ms = self._wall_clock.now_ms() - retention_ms
-        if self._machine.data.claims.has_idle_since(before_ms=before_ms):
-            self._maintain(commands.Prune(before_ms=before_ms))
+        now_ms = self._wall_clock.now_ms()
+        before_ms = now_ms - retention_ms
+        jobs_before_ms = now_ms - JOB_RETENTION_DAYS * MS_PER_DAY
+        data = self._machine.data
+        if data.claims.has_idle_since(
+            before_ms=before_ms
+        ) or data.jobs.has_idle_since(before_ms=jobs_before_ms):
+            self._maintain(
+                commands.Prune(
+                    before_ms=before_ms, jobs_before_ms=jobs_before_ms
+                )
+            )
 
     def _maintain(self, command: object) -> None:
         """Commit a command of this host's own, one at a time.
--- a/src/shallothinge/control/state.py
+++ b/src/shallothinge/control/state.py
@@ -23,6 +23,8 @@
 from shallothinge.control import commands
 from shallothinge.control.answers import OrderAnswers
 from shallothinge.errors import ErrorKind
+from shallothinge.jobs import messages as jobs
+from shallothinge.jobs.state import Jobs
 from shallothinge.leases import messages as leases
 from shallothinge.ledger.state import Ledger
 from shallothinge.membership import messages as membership
@@ -46,10 +48,15 @@
     claims: Claims = attrs.field(factory=Claims)
     allowances: Allowances = attrs.field(factory=Allowances)
     ledger: Ledger = attrs.field(factory=Ledger)
+    jobs: Jobs = attrs.field(factory=Jobs)
 
     def active_holders(self) -> set[leases.Holder]:
         """Return the holders whose end has consequences."""
-        return {*self.claims.running.values(), *self.allowances.holders()}
+        return {
+            *self.claims.running.values(),
+            *self.allowances.holders(),
+            *self.jobs.running.values(),
+        }
 
     def allowance_of(self, *, workspace: str) -> int | None:
         """Return a workspace's tokens a month, None if there is none."""
@@ -99,6 +106,9 @@
             allowances.SliceRequested: self._grant_slice,
             allowances.UsageReported: self._store_usage,
             leases.EndHolders: self._end_holders,
+            jobs.SubmitJob: self._submit_job,
+            jobs.ClaimJob: self._claim_job,
+            jobs.FinishJob: self._finish_job,
             commands.Prune: self._prune,
         }
 
@@ -280,8 +290,27 @@
             holders=command.holders, now_ms=self.data.now_ms
         )
         self.data.allowances.end_holders(holders=command.holders)
+        self.data.jobs.end_holders(
+            holders=command.holders, index=index, now_ms=self.data.now_ms
+        )
         return commands.Done()
 
     def _prune(self, command, index):
         self.data.claims.prune(before_ms=command.before_ms)
+        self.data.jobs.prune(before_ms=command.jobs_before_ms)
         return commands.Done()
+
+    def _submit_job(self, request, index):
+        return self.data.jobs.submit(
+            request=request, index=index, now_ms=self.data.now_ms
+        )
+
+    def _claim_job(self, request, index):
+        return self.data.jobs.claim(
+            request=request, index=index, now_ms=self.data.now_ms
+        )
+
+    def _finish_job(self, request, index):
+        return self.data.jobs.finish(
+            request=request, index=index, now_ms=self.data.now_ms
+        )
--- a/src/shallothinge/control/tests/test_state.py
+++ b/src/shallothinge/control/tests/test_state.py
@@ -13,6 +13,7 @@
 from shallothinge.calls import messages as calls
 from shallothinge.control import commands
 from shallothinge.control import state
+from shallothinge.jobs import messages as jobs
 from shallothinge.leases import messages as leases
 from shallothinge.membership import messages as membership
 from shallothinge.operators import messages as operators
@@ -116,6 +117,9 @@
             ),
         ),
     ),
+    jobs.SubmitJob(request_id='j1', workspace='w', body=b'x'),
+    jobs.ClaimJob(request_id='q1', entry_id='e1', entry_incarnation='1'),
+    jobs.FinishJob(request_id='q2', job_id='j1', claim_index=3, answer=ANSWER),
     leases.EndHolders(holders=(HOLDER,)),
     commands.Prune(before_ms=2000),
     commands.RefuseOrder(
--- a/src/shallothinge/entry/process.py
+++ b/src/shallothinge/entry/process.py
@@ -20,8 +20,10 @@
 from shallothinge.entry import channel
 from shallothinge.entry import chat_job
 from shallothinge.entry import chat_run
+from shallothinge.entry import chat_start
 from shallothinge.entry import chats
 from shallothinge.entry import fleet as fleets
+from shallothinge.entry import jobs
 from shallothinge.entry import site
 from shallothinge.entry import spend
 from shallothinge.leases import client as clients
@@ -39,6 +41,7 @@
 WATCH_MS = 250
 OWNED_MS = 1000
 USAGE_MS = 1000
+JOBS_MS = 1000
 DRAIN_POLL_MS = 50
 FLUSH_MS = 5000
 CALL_ANSWERS = (
@@ -97,6 +100,7 @@
         self.chats = self._build_chats()
         self.calls = self._build_calls()
         self.spending = self._build_spending()
+        self.jobs = self._build_jobs()
         self._api = self._build_api()
         self._port = None
 
@@ -167,16 +171,31 @@
             read_lapses=lambda: self.holder.lapses,
         )
 
+    def _build_jobs(self) -> jobs.JobService:
+        return jobs.JobService(
+            services=chat_start.ChatServices(**self._chat_services()),
+            wall_clock=clocks.WallClock(),
+            control=self.control,
+            entry_id=self.process.process_id,
+            incarnation=self.process.incarnation,
+        )
+
+    def _chat_services(self) -> dict:
+        return {
+            'reactor': self._reactor,
+            'clock': self.process.clock,
+            'holder': self.holder,
+            'chats': self.chats,
+            'spending': self.spending,
+            'admission': self._settings.admission,
+        }
+
     def _build_api(self) -> site.CallersApi:
         services = site.Services(
-            reactor=self._reactor,
-            clock=self.process.clock,
             wall_clock=clocks.WallClock(),
-            holder=self.holder,
-            chats=self.chats,
             calls=self.calls,
-            spending=self.spending,
-            admission=self._settings.admission,
+            jobs=self.jobs,
+            **self._chat_services(),
         )
         return site.CallersApi(services=services)
 
@@ -193,6 +212,7 @@
         self._repeat(self._watch, every_ms=WATCH_MS)
         self._repeat(self.fleet.announce_owned, every_ms=OWNED_MS)
         self._repeat(self.spending.report, every_ms=USAGE_MS)
+        self._repeat(self.jobs.claim_next, every_ms=JOBS_MS)
 
     def _listen_http(self):
         http = self._settings.http
@@ -304,6 +324,7 @@
             'fleet': self.fleet.describe(),
             'chats': self.chats.describe(),
             'calls': self.calls.describe(),
+            'jobs': self.jobs.describe(),
             'allowances': self.spending.describe(),
             'retries': {
                 'fresh': self._env.budget.fresh_count,
@@ -336,7 +357,7 @@
         self._drain()
 
     def _drain(self) -> None:
-        if self.chats.runs or self.calls.runs:
+        if self.chats.runs or self.calls.runs or self.jobs.is_busy:
             self._reactor.callLater(DRAIN_POLL_MS / 1000, self._drain)
             return
         self._flush(ends_ms=self.process.clock.now_ms() + FLUSH_MS)
@@ -358,6 +379,7 @@
         if self._closed:
             return
         self._closed = True
+        self.jobs.is_closed = True
         for loop in self._loops:
             loop.stop()
         self._port.stopListening()
--- a/src/shallothinge/entry/site.py
+++ b/src/shallothinge/entry/site.py
@@ -14,36 +14,30 @@
 from shallothinge.entry import call_run
 from shallothinge.entry import calls
 from shallothinge.entry import chat_job
-from shallothinge.entry import chats
+from shallothinge.entry import chat_start
+from shallothinge.entry import jobs
 from shallothinge.entry import requests
 from shallothinge.entry import sinks
-from shallothinge.entry import spend
 from shallothinge.entry import workspaces
 from shallothinge.errors import ErrorKind
-from shallothinge.leases import holder as holders
-from shallothinge.settings.model import AdmissionSettings
 
 LOG = logging.getLogger(__name__)
 
 CHAT_PATH = '/v1/chat/completions'
 SERVICES_PATH = '/v1/services/'
+JOBS_PATH = '/v1/jobs'
 REQUEST_ID_BYTES = 16
 MS_PER_SECOND = 1000
 TEXT = b'text/plain; charset=utf-8'
 
 
 @attrs.frozen(kw_only=True)
-class Services:
+class Services(chat_start.ChatServices):
     """What the callers' API passes requests to."""
 
-    reactor: object
-    clock: clocks.Clock
     wall_clock: clocks.Clock
-    holder: holders.LeaseHolder
-    chats: chats.ChatService
     calls: calls.CallsService
-    spending: spend.Spending
-    admission: AdmissionSettings
+    jobs: jobs.JobService
 
 
 class CallersApi(resource.Resource):
@@ -81,6 +75,11 @@
             self._answer_ready(response)
         elif path == CHAT_PATH and method == 'POST':
             self._start_chat(request, response)
+        elif path == JOBS_PATH and method == 'POST':
+            self._submit_job(request, response)
+        elif path.startswith(JOBS_PATH + '/') and method == 'GET':
+            job_id = path.removeprefix(JOBS_PATH + '/')
+            self._fetch_job(request, response, job_id)
         elif path.startswith(SERVICES_PATH):
             self._start_call(request, response)
         else:
@@ -119,41 +118,39 @@
             model=job.model_key,
             created_s=self._services.wall_clock.now_ms() // MS_PER_SECOND,
         )
-        start = _ChatStart(job=job, sink=sink, services=self._services)
-        response.on_left = start.caller_left
-        self._services.spending.reserve(
-            request_id=job.request_id,
-            workspace=workspace,
-            tokens=job.tokens,
-            then=start.reserved,
+        start = chat_start.ChatStart(
+            job=job, sink=sink, services=self._services
         )
+        response.on_left = start.caller_left
+        start.begin()
 
     def _chat_job(self, request, response, workspace) -> chat_job.ChatJob:
-        terms = self._terms(request)
-        parsed = requests.parse_chat(request.content.read())
-        spec = workspaces.allowed_model(
-            name=parsed.model,
-            adapter=parsed.adapter,
-            workspace=workspace,
-            bundle=self._services.holder.config.bundle,
-        )
-        tokens = parsed.prompt_tokens + parsed.max_tokens
-        if tokens > spec.context_tokens:
-            raise errors.ServingError(
-                kind=ErrorKind.PROMPT_TOO_LONG,
-                detail=(
-                    f'prompt and answer have {tokens} tokens; '
-                    f'allowed are {spec.context_tokens}'
-                ),
-            )
-        return chat_job.ChatJob(
+        return chat_start.build_job(
             request_id=response.request_id,
             workspace=workspace,
-            spec=spec,
-            request=parsed,
-            request_class=terms.request_class,
-            ends_ms=self._services.clock.now_ms() + terms.deadline_ms,
-            is_long=tokens > self._services.admission.long_prompt_tokens,
+            terms=self._terms(request),
+            parsed=requests.parse_chat(request.content.read()),
+            services=self._services,
+        )
+
+    def _submit_job(self, request, response: sinks.Response) -> None:
+        """Take a request durably; it is checked as if it began now."""
+        workspace = self._authenticate(request)
+        if not self.is_ready:
+            raise errors.ServingError(kind=ErrorKind.STOPPING)
+        job = self._chat_job(request, response, workspace)
+        request.content.seek(0)
+        self._services.jobs.submit(
+            job=job,
+            body=request.content.read(),
+            idempotency_key=_header(request, 'Idempotency-Key'),
+            response=response,
+        )
+
+    def _fetch_job(self, request, response, job_id: str) -> None:
+        workspace = self._authenticate(request)
+        self._services.jobs.fetch(
+            job_id=job_id, workspace=workspace.name, response=response
         )
 
     def _start_call(self, request, response: sinks.Response) -> None:
@@ -187,51 +184,6 @@
             response.on_left = run.caller_left
 
 
-class _ChatStart:
-    """Starts a chat completion once its tokens are set aside."""
-
-    def __init__(self, *, job, sink, services: Services):
-        self._job = job
-        self._sink = sink
-        self._services = services
-        self._run = None
-        self._over = False
-        remaining_ms = job.ends_ms - services.clock.now_ms()
-        self._timer = services.reactor.callLater(
-            max(0, remaining_ms) / 1000, self._deadline_passed
-        )
-
-    def reserved(self, refusal: ErrorKind | None) -> None:
-        """Go on with the request, or refuse it."""
-        if self._timer.active():
-            self._timer.cancel()
-        if self._over:
-            self._give_tokens_back()
-        elif refusal is not None:
-            self._sink.failed(errors.ServingError(kind=refusal))
-        else:
-            self._run = self._services.chats.submit(
-                job=self._job, sink=self._sink
-            )
-
-    def _give_tokens_back(self) -> None:
-        self._services.spending.settle_unused(
-            request_id=self._job.request_id,
-            workspace=self._job.workspace.name,
-        )
-
-    def _deadline_passed(self) -> None:
-        self._over = True
-        error = errors.ServingError(kind=ErrorKind.EXPIRED_NOT_RUN)
-        self._sink.failed(error)
-
-    def caller_left(self) -> None:
-        """Cancel the request."""
-        self._over = True
-        if self._run is not None:
-            self._run.caller_left()
-
-
 def _header(request, name: str) -> str:
     return request.getHeader(name) or ''
 
--- a/src/shallothinge/protocol.py
+++ b/src/shallothinge/protocol.py
@@ -4,6 +4,7 @@
 from shallothinge.allowances import messages as allowances
 from shallothinge.calls import messages as calls
 from shallothinge.consensus import messages as consensus
+from shallothinge.jobs import messages as jobs
 from shallothinge.leases import messages as leases
 from shallothinge.operators import messages as operators
 from shallothinge.reservations import messages as reservations
@@ -21,6 +22,7 @@
             *reservations.MESSAGES,
             *calls.MESSAGES,
             *allowances.MESSAGES,
+            *jobs.MESSAGES,
             *operators.MESSAGES,
             *consensus.MESSAGES,
         )
