Warm engines up without waiting for refusals

Cause: a trial of the demo with its stand-ins' usual cold limit: the 300k-token prompt was refused with memory_full after 62 s. Entries plan reservations by the limit that agents report, so they asked for nothing above it, no refusal took place and no warm-up ran. Ruled out: the gate, since the agents' dumps showed no request at all. Change: an agent whose limit is not full and whose engine has little to do runs warm-up prompts, one after another, and waits only after one that the engine did not finish. A cold limit as large as the memory means that no warm-up is needed.

--- a/src/shallothinge/agent/coldlimit.py
+++ b/src/shallothinge/agent/coldlimit.py
@@ -24,7 +24,8 @@
 class ColdLimit:
     """The limit in tokens and in streams.
 
-    :param cold_tokens: limit of a cold engine, in tokens.
+    :param cold_tokens: limit of a cold engine, in tokens; one as large as
+        the full limit means that cold engines carry as much as warm ones.
     :param full_tokens: limit of a warm engine, in tokens.
     :param full_streams: limit of a warm engine, in streams.
     """
@@ -39,7 +40,9 @@
     ):
         self._clock = clock
         self._cold_tokens = min(cold_tokens, full_tokens)
-        self._cold_streams = min(COLD_STREAMS, full_streams)
+        self._cold_streams = full_streams
+        if cold_tokens < full_tokens:
+            self._cold_streams = min(COLD_STREAMS, full_streams)
         self._full_tokens = full_tokens
         self._full_streams = full_streams
         self.incarnation = ''
--- a/src/shallothinge/agent/holding.py
+++ b/src/shallothinge/agent/holding.py
@@ -10,7 +10,6 @@
 from shallothinge.agent import gate as gates
 from shallothinge.agent import http
 from shallothinge.agent import reconcile
-from shallothinge.agent import warmup
 from shallothinge.agent import watch as watches
 from shallothinge.errors import ErrorKind
 from shallothinge.reservations import messages
@@ -36,7 +35,6 @@
         watch: watches.EngineWatch,
         releases: reconcile.ReleaseQueue,
         table: tables.ReservationTable,
-        warm_up: warmup.WarmUp,
         send,
     ):
         self._engine = engine
@@ -45,7 +43,6 @@
         self._watch = watch
         self._releases = releases
         self._table = table
-        self._warm_up = warm_up
         self._send = send
 
     def reserve(
@@ -91,11 +88,9 @@
         if not self._watch.is_serving():
             return ErrorKind.NO_BACKEND_SERVER
         admitted = self._gate.may_reserve(tokens=request.tokens)
-        if not isinstance(admitted, gates.Refused):
-            return None
-        if admitted.kind is ErrorKind.COLD_LIMIT:
-            self._warm_up.refused()
-        return admitted.kind
+        if isinstance(admitted, gates.Refused):
+            return admitted.kind
+        return None
 
     @defer.inlineCallbacks
     def _ask_engine(self, owner_id, request):
--- a/src/shallothinge/agent/service.py
+++ b/src/shallothinge/agent/service.py
@@ -106,7 +106,6 @@
         self.claims = once.ClaimLog()
         self.cache = status.CacheView()
         self.watch = watches.EngineWatch(clock=self._clock)
-        self._warm_up = warmup.WarmUp(clock=self._clock)
         self._status = status.StatusBuilder(
             clock=self._clock, cache=self.cache
         )
@@ -131,7 +130,6 @@
             watch=self.watch,
             releases=self.releases,
             table=self.table,
-            warm_up=self._warm_up,
             sender=self._sender,
             send=self._send,
         )
@@ -142,7 +140,6 @@
             watch=self.watch,
             releases=self.releases,
             table=self.reserved,
-            warm_up=self._warm_up,
             send=self._send,
         )
         self.calls = calls.CallService(
@@ -204,7 +201,7 @@
             limit=self.limit,
             watch=self.watch,
             releases=self.releases,
-            warm_up=self._warm_up,
+            warm_up=warmup.WarmUp(clock=self._clock),
             models=lambda: self._rollout.models,
         )
 
--- a/src/shallothinge/agent/streams.py
+++ b/src/shallothinge/agent/streams.py
@@ -14,7 +14,6 @@
 from shallothinge.agent import pace as paces
 from shallothinge.agent import reconcile
 from shallothinge.agent import running
-from shallothinge.agent import warmup
 from shallothinge.agent import watch as watches
 from shallothinge.errors import ErrorKind
 from shallothinge.streams import messages
@@ -45,7 +44,6 @@
         watch: watches.EngineWatch,
         releases: reconcile.ReleaseQueue,
         table: owned.StreamTable,
-        warm_up: warmup.WarmUp,
         sender: frames.FrameSender,
         send,
     ):
@@ -60,7 +58,6 @@
         self._watch = watch
         self._releases = releases
         self._table = table
-        self._warm_up = warm_up
         self._sender = sender
         self._send = send
         self._running: dict[owned.StreamKey, running.EngineStream] = {}
@@ -143,8 +140,6 @@
         admitted = self._gate.admit(key=key, work=work)
         if isinstance(admitted, gates.Refused):
             self._table.remove(key)
-            if admitted.kind is ErrorKind.COLD_LIMIT:
-                self._warm_up.refused()
             self._refuse(owner_id, key, admitted.kind)
             return
         stream = running.EngineStream(
--- a/src/shallothinge/agent/warming.py
+++ b/src/shallothinge/agent/warming.py
@@ -116,6 +116,10 @@
         unique = f'{self._key.engine_id} '
         return (unique + 'warm up ' * size_bytes)[:size_bytes]
 
+    def _give_up(self) -> None:
+        self._warm_up.failed()
+        self._end()
+
     def _end(self) -> None:
         holding = reconcile.Holding(
             collection=reconcile.Collection.STREAMS,
@@ -132,7 +136,7 @@
 
     def refused(self, key, kind, retry_after_ms: int) -> None:
         """Give this prompt up."""
-        self._end()
+        self._give_up()
 
     def generated(self, key, event: model.TokensGenerated) -> owned.Extent:
         """Measure the pace; the tokens are of no use."""
@@ -149,13 +153,13 @@
 
     def finished(self, key, event: model.GenerationFinished) -> None:
         """Count the work, which lets the limit grow."""
-        self._end()
         fresh_tokens = event.prompt_tokens - event.cached_tokens
         self._limit.finished(tokens=fresh_tokens + event.generated_tokens)
+        self._end()
 
     def failed(self, key, kind) -> None:
         """Give this prompt up."""
-        self._end()
+        self._give_up()
 
     def next_offset(self, key) -> int:
         """Return the offset of the next token to come."""
--- a/src/shallothinge/agent/warmup.py
+++ b/src/shallothinge/agent/warmup.py
@@ -1,14 +1,14 @@
 """When an agent gives its engine work of its own, to let the limit grow.
 
-The limit of a cold engine grows by finished work only. Work that is larger
-than the limit could wait for ever on an idle engine, so the agent then runs
-prompts of its own within the limit.
+The limit of a cold engine grows by finished work only. Entries send nothing
+that is larger than the limit, so that an idle engine would stay cold. The
+agent then runs prompts of its own within the limit.
 """
 
 from shallothinge import clock
 from shallothinge.agent import coldlimit
 
-WANTED_MS = 10_000
+PAUSE_MS = 500
 SHARE_DIVISOR = 2
 BUSY_DIVISOR = 4
 ANSWER_TOKENS = 16
@@ -19,11 +19,11 @@
 
     def __init__(self, *, clock: clock.Clock):
         self._clock = clock
-        self._wanted_ms = None
+        self._due_ms = 0
 
-    def refused(self) -> None:
-        """Note that work was refused for the limit."""
-        self._wanted_ms = self._clock.now_ms()
+    def failed(self) -> None:
+        """Note that the engine did not finish a prompt; wait a while."""
+        self._due_ms = self._clock.now_ms() + PAUSE_MS
 
     def next_tokens(
         self, *, limit: coldlimit.ColdLimit, held_tokens: int
@@ -35,9 +35,7 @@
 
         :param held_tokens: tokens of the work under way.
         """
-        if self._wanted_ms is None or limit.is_full:
-            return 0
-        if self._clock.now_ms() - self._wanted_ms > WANTED_MS:
+        if limit.is_full or self._clock.now_ms() < self._due_ms:
             return 0
         if held_tokens > limit.tokens // BUSY_DIVISOR:
             return 0
