Check the log's rules by breaking them; split the replica's shell

Cause: broken one at a time, some rules were not missed by the property test: messages that leave before the sync, and elections without a pre-vote. No test at all missed the rule that a change of members waits for the first entry of the leader's own term. Change: two more steps of the property test (followers that crash in a write before their leader dies; a host that returns after long silence and must change no term) and a test of the third rule. control/replica.py is split: dump and connections have modules of their own. No behaviour changes. Shown, each rule broken alone, before and after: messages before the sync passed, now "the leader lacks entry 3"; no pre-vote passed, now "a returning host deposed the leader"; change before an own entry passed, now fails its focused test. Also failing with the rule broken: term not recorded ("logs differ at (26, 7)"), vote without log check ("the leader lacks entry 20"), no check of the previous entry ("logs differ at (24, 5)"), a quorum one too small ("the leader lacks entry 3"). Caught by focused tests only: commit of an entry of an old term, vote not recorded, two changes at once, reads without a majority.

--- a/src/shallothinge/consensus/tests/test_faults.py
+++ b/src/shallothinge/consensus/tests/test_faults.py
@@ -89,6 +89,22 @@
         self.read()
         self.cluster.run(200)
 
+    @stateful.rule(process_id=HOSTS)
+    def silent_host_returns(self, process_id):
+        """Cut one host off for long; its return must change no term."""
+        self.cluster.heal()
+        self.cluster.run(3000)
+        leader = self.cluster.leader()
+        if leader is None or leader.process_id == process_id:
+            return
+        term = leader.node.term
+        self.cut_off(process_id)
+        self.cluster.run(3000)
+        self.cluster.cuts.clear()
+        self.cluster.run(1000)
+        if (leader.node.role, leader.node.term) != (model.Role.LEADER, term):
+            raise AssertionError('a returning host deposed the leader')
+
     @stateful.rule()
     def kill_leader(self):
         leader = self.cluster.leader()
@@ -121,6 +137,22 @@
     def crash_in_next_write(self, process_id, point):
         self.cluster.hosts[process_id].crash = point
 
+    @stateful.rule(point=strategies.sampled_from(('before', 'after')))
+    def crash_followers_in_write_then_leader(self, point):
+        leader = self.cluster.leader()
+        if leader is None:
+            return
+        for host in self.cluster.hosts.values():
+            if host is not leader:
+                host.crash = point
+        self.propose(2)
+        self.cluster.run(100)
+        self.cluster.kill(leader.process_id)
+        for host in self.cluster.hosts.values():
+            if host is not leader:
+                self.cluster.start(host.process_id)
+        self.cluster.run(2000)
+
     @stateful.rule(process_id=HOSTS)
     def lose_disk(self, process_id):
         if self.cluster.may_lose_disk(process_id):
--- a/src/shallothinge/consensus/tests/test_node.py
+++ b/src/shallothinge/consensus/tests/test_node.py
@@ -184,7 +184,20 @@
 
     def test_change_waits_for_an_entry_of_the_own_term(self):
         node = build_node(entries=3)
+        answer(
+            node,
+            messages.AppendRequest,
+            sender_id='b/2',
+            term=1,
+            prev_index=3,
+            prev_term=1,
+            entries=(),
+            commit_index=3,
+            round=0,
+        )
+        node.tick(20_000)
         elect(node)
+        self.assertTrue(node.is_configuration_committed)
         refused = node.add_learner(10_000, 'd/4')
         self.assertIsInstance(refused, model.ProposalRefused)
         answer(
--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -6,7 +6,6 @@
 import pathlib
 import random
 
-import attrs
 from twisted.internet import defer
 
 from shallothinge import errors
@@ -16,6 +15,8 @@
 from shallothinge.control import joining
 from shallothinge.control import machine as machines
 from shallothinge.control import pending
+from shallothinge.control import replica_dump
+from shallothinge.control import replica_links
 from shallothinge.settings import model as settings_model
 from shallothinge.storage import data_folder
 
@@ -26,27 +27,6 @@
 EXIT_STORAGE_FAILED = 74
 
 
-@attrs.frozen(kw_only=True)
-class ReplicaDump:
-    """A replica's state, for dumps."""
-
-    replica_id: str
-    cluster_id: str
-    role: str
-    term: int
-    leader_id: str
-    elected_ms: int | None
-    commit_index: int
-    applied_index: int
-    last_index: int
-    snapshot_index: int
-    log_bytes: int
-    voters: tuple[str, ...]
-    learners: tuple[str, ...]
-    pending_proposals: int
-    pending_reads: int
-
-
 def end_process(error: Exception) -> None:
     """End the process at once: what its disk holds is not known."""
     LOG.critical('the replica failed; the process ends', exc_info=error)
@@ -93,13 +73,15 @@
         )
         self._node = self._restore(settings.log, rng or random.Random())
         self._pending = pending.PendingWork()
+        self._links = replica_links.ReplicaLinks(
+            process=process, settings=settings
+        )
         self._joining = joining.Joining(
             node=self._node,
             process_id=process.process_id,
             rejoin=self._folder.identity.rejoin,
-            broadcast=self._broadcast,
+            broadcast=self._links.broadcast,
         )
-        self._links = _connect(process, settings)
         self._led_term: int | None = None
         self._ready = False
         self._handed_over: list[defer.Deferred] = []
@@ -137,8 +119,7 @@
         for call in (self._flush_call, self._tick_call):
             if call is not None and call.active():
                 call.cancel()
-        for link in self._links.values():
-            link.close()
+        self._links.close()
         self._folder.close()
         self._pending.fail_all(leader_id='')
         self._joining.fail_all(self._not_leader)
@@ -249,26 +230,14 @@
         self._hand_over_ends_ms = now_ms + self._node.timing.election_max_ms
         return answered
 
-    def dump(self) -> ReplicaDump:
+    def dump(self) -> replica_dump.ReplicaDump:
         """Return the state of this replica."""
-        node = self._node
-        snapshot = node.snapshot
-        return ReplicaDump(
-            replica_id=node.replica_id,
-            cluster_id=node.cluster_id,
-            role=node.role.value,
-            term=node.term,
-            leader_id=node.leader_id,
-            elected_ms=self.elected_ms,
-            commit_index=node.commit_index,
+        return replica_dump.describe(
+            node=self._node,
+            work=self._pending,
             applied_index=self._applied_index,
-            last_index=node.log.last_index,
-            snapshot_index=snapshot.index if snapshot else 0,
+            elected_ms=self.elected_ms,
             log_bytes=self._folder.log_bytes,
-            voters=node.configuration.voters,
-            learners=node.configuration.learners,
-            pending_proposals=self._pending.proposals,
-            pending_reads=self._pending.reads,
         )
 
     def _restore(
@@ -320,7 +289,8 @@
         effects = self._node.collect(self._clock.now_ms())
         try:
             self._store(effects)
-            self._send(effects.messages)
+            for message in effects.messages:
+                self._links.send(message)
             self._apply(effects)
             if not self._closed:
                 self._compact_if_due()
@@ -343,17 +313,6 @@
         elif effects.records:
             self._folder.append(effects.records)
 
-    def _send(self, outgoing: tuple[object, ...]) -> None:
-        for message in outgoing:
-            process_id = model.process_id_of(message.target_id)
-            link = self._links.get(process_id)
-            if link is not None:
-                link.send(message)
-
-    def _broadcast(self, message: object) -> None:
-        for link in self._links.values():
-            link.send(message)
-
     def _apply(self, effects: model.Effects) -> None:
         if effects.snapshot is not None:
             self._machine.restore(effects.snapshot.data)
@@ -439,20 +398,3 @@
 
     def _not_leader(self) -> errors.ServingError:
         return pending.NotLeader(leader_id=self.leader_id)
-
-
-def _connect(process, settings: settings_model.ControlSettings) -> dict:
-    """Return a connection to each other control host, by process id."""
-    links = {}
-    for host in settings.control_hosts:
-        if host.process_id != process.process_id:
-            links[host.process_id] = process.connect(
-                address=host.address,
-                role='control',
-                on_message=_drop,
-            )
-    return links
-
-
-def _drop(message: object) -> None:
-    """Drop what a control host sends back: it uses its own connection."""
--- /dev/null
+++ b/src/shallothinge/control/replica_dump.py
@@ -0,0 +1,56 @@
+"""The state of a replica as it is shown in dumps."""
+
+import attrs
+
+from shallothinge.consensus import node as nodes
+from shallothinge.control import pending
+
+
+@attrs.frozen(kw_only=True)
+class ReplicaDump:
+    """A replica's state, for dumps."""
+
+    replica_id: str
+    cluster_id: str
+    role: str
+    term: int
+    leader_id: str
+    elected_ms: int | None
+    commit_index: int
+    applied_index: int
+    last_index: int
+    snapshot_index: int
+    log_bytes: int
+    voters: tuple[str, ...]
+    learners: tuple[str, ...]
+    pending_proposals: int
+    pending_reads: int
+
+
+def describe(
+    *,
+    node: nodes.Node,
+    work: pending.PendingWork,
+    applied_index: int,
+    elected_ms: int | None,
+    log_bytes: int,
+) -> ReplicaDump:
+    """Return the state of a replica."""
+    snapshot = node.snapshot
+    return ReplicaDump(
+        replica_id=node.replica_id,
+        cluster_id=node.cluster_id,
+        role=node.role.value,
+        term=node.term,
+        leader_id=node.leader_id,
+        elected_ms=elected_ms,
+        commit_index=node.commit_index,
+        applied_index=applied_index,
+        last_index=node.log.last_index,
+        snapshot_index=snapshot.index if snapshot else 0,
+        log_bytes=log_bytes,
+        voters=node.configuration.voters,
+        learners=node.configuration.learners,
+        pending_proposals=work.proposals,
+        pending_reads=work.reads,
+    )
