--- a/src/shallothinge/calls/claims.py
+++ b/src/shallothinge/calls/claims.py
@@ -187,6 +187,15 @@
             if withdrawn_ms < before_ms:
                 del self.withdrawn[claim_id]
 
+    def restore(self, records: dict[str, ClaimRecord]) -> None:
+        """Take the records of a snapshot, and find their claims' keys."""
+        self.by_key = records
+        self.keys = {}
+        for key, record in records.items():
+            self.keys[record.claim_id] = key
+            for past in record.past:
+                self.keys[past.claim_id] = key
+
     def unknown(self) -> tuple[ClaimRecord, ...]:
         """Return the calls whose outcome is unknown."""
         return tuple(
--- a/src/shallothinge/control/answers.py
+++ b/src/shallothinge/control/answers.py
@@ -59,8 +59,11 @@
         self.by_id[answer.order_id] = FirstAnswer(
             fingerprint=fingerprint, answered_ms=now_ms, answer=answer
         )
-        for order_id, first in list(self.by_id.items()):
-            recent = first.answered_ms > now_ms - KEPT_MS
-            if recent and len(self.by_id) <= KEPT_ORDERS:
-                break
-            del self.by_id[order_id]
+        while self._has_outdated(now_ms):
+            del self.by_id[next(iter(self.by_id))]
+
+    def _has_outdated(self, now_ms: int) -> bool:
+        if len(self.by_id) > KEPT_ORDERS:
+            return True
+        oldest = next(iter(self.by_id.values()))
+        return oldest.answered_ms <= now_ms - KEPT_MS
--- a/src/shallothinge/control/server.py
+++ b/src/shallothinge/control/server.py
@@ -43,6 +43,7 @@
     calls.ResolveUnknownCall,
 )
 NUDGE_MS = 500
+SWEEP_MS = 1000
 JOB_RETENTION_DAYS = 7
 MS_PER_DAY = 24 * 3600 * 1000
 
@@ -98,6 +99,7 @@
         self._maintaining = False
         self._nudged_version = 0
         self._nudged_ms = 0
+        self._swept_ms = 0
         self._routes_of_holders: dict[leases.Holder, bytes] = {}
         self._fencing: set[leadership.FenceNeeded] = set()
         self._routes = self._build_routes()
@@ -173,8 +175,7 @@
             self._current().tidy()
             self._forget_routes()
             self._nudge_holders()
-            self._end_silent_holders()
-            self._prune()
+            self._sweep()
 
     def propose(self, command: object) -> defer.Deferred:
         """Commit a command; fire with its decoded answer."""
@@ -466,6 +467,14 @@
             if holder not in known:
                 del self._routes_of_holders[holder]
 
+    def _sweep(self) -> None:
+        """Look through the state for what has ended, at intervals."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._swept_ms >= SWEEP_MS:
+            self._swept_ms = now_ms
+            self._end_silent_holders()
+            self._prune()
+
     def _end_silent_holders(self) -> None:
         """Commit the end of holders whose leases have surely run out."""
         may_act = self._current().leases.may_act
--- a/src/shallothinge/control/state.py
+++ b/src/shallothinge/control/state.py
@@ -19,8 +19,11 @@
 from shallothinge.bundles.model import ServingConfig
 from shallothinge.bundles.state import BundleStore
 from shallothinge.calls import messages as calls
+from shallothinge.calls.claims import ClaimRecord
 from shallothinge.calls.claims import Claims
 from shallothinge.control import commands
+from shallothinge.control import snapshots
+from shallothinge.control.answers import FirstAnswer
 from shallothinge.control.answers import OrderAnswers
 from shallothinge.errors import ErrorKind
 from shallothinge.jobs import messages as jobs
@@ -92,6 +95,12 @@
         self.data = StateData()
         self._codec = codec or commands.build_codec()
         self._converter = cattrs_msgpack.make_converter()
+        self._claims_cache = snapshots.RecordCache(
+            converter=self._converter, record_type=ClaimRecord
+        )
+        self._orders_cache = snapshots.RecordCache(
+            converter=self._converter, record_type=FirstAnswer
+        )
         self._handlers: dict[type, Callable[[object, int], object]] = {
             commands.RefuseOrder: self._refuse_order,
             bundle_messages.AcceptBundle: self._accept_bundle,
@@ -130,7 +139,18 @@
 
     def snapshot(self) -> bytes:
         """Return the whole state."""
-        return msgpack.packb(self._converter.unstructure(self.data))
+        small = attrs.evolve(
+            self.data,
+            claims=attrs.evolve(self.data.claims, by_key={}, keys={}),
+            orders=OrderAnswers(),
+        )
+        return msgpack.packb(
+            {
+                'data': self._converter.unstructure(small),
+                'claims': self._claims_cache.encode(self.data.claims.by_key),
+                'orders': self._orders_cache.encode(self.data.orders.by_id),
+            }
+        )
 
     def restore(self, snapshot: bytes) -> None:
         """Replace the state by a snapshot.
@@ -138,7 +158,9 @@
         :raises cattrs.BaseValidationError: if it is not a snapshot.
         """
         fields = msgpack.unpackb(snapshot)
-        self.data = self._converter.structure(fields, StateData)
+        self.data = self._converter.structure(fields['data'], StateData)
+        self.data.claims.restore(self._claims_cache.decode(fields['claims']))
+        self.data.orders.by_id = self._orders_cache.decode(fields['orders'])
 
     def _once(
         self,
