--- a/testing/measure_log.py
+++ b/testing/measure_log.py
@@ -214,7 +214,7 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--duration-ms', type=int, default=5000)
     parser.add_argument('--failovers', type=int, default=25)
-    parser.add_argument('--folder', type=pathlib.Path, default='.')
+    parser.add_argument('--folder', type=pathlib.Path, help='on the disk')
     arguments = parser.parse_args()
     rng = random.Random(arguments.seed)
     result = {'seed': arguments.seed, 'command_bytes': COMMAND_BYTES}
