Greet a process again that was restarted while a connection stood

When the process behind an address is restarted within the 2 s of silence that a link waits for, the socket connects again by itself. The link believed that it had greeted, pings were answered, and the new process dropped every other message for lack of a greeting, for ever. This is so for every connection of the system, not only of control hosts. Ruled out: not answering pings without a greeting, since the link would be replaced only after 2 s, and until then a restarted host hears nobody. Change: the endpoint answers any message on a connection without a greeting with HelloRequested; the link greets again and tells its owner as for a new connection, so that the owner resumes. Failing first: the new test of a restarted endpoint ended with CancelledError after 10 s without an answer; it passes now, the three tests in 0.9 s. Also a test that a candidate is not heard while a leader is: no test had missed that rule when it was taken out.

--- a/src/shallothinge/consensus/tests/test_node.py
+++ b/src/shallothinge/consensus/tests/test_node.py
@@ -95,6 +95,35 @@
                 )
                 self.assertEqual(granted, got)
 
+    def test_candidate_is_not_heard_while_a_leader_is(self):
+        for transfer in (False, True):
+            with self.subTest(transfer=transfer):
+                node = build_node()
+                heartbeat = {
+                    'prev_index': 1,
+                    'prev_term': 1,
+                    'entries': (),
+                    'commit_index': 1,
+                    'round': 0,
+                }
+                answer(
+                    node,
+                    messages.AppendRequest,
+                    sender_id='b/2',
+                    term=2,
+                    **heartbeat,
+                )
+                answer(
+                    node,
+                    messages.VoteRequest,
+                    sender_id='c/3',
+                    term=9,
+                    last_index=9,
+                    last_term=2,
+                    transfer=transfer,
+                )
+                self.assertEqual(9 if transfer else 2, node.term)
+
     def test_vote_survives_a_restart(self):
         simulated = cluster.Cluster()
         simulated.found()
--- a/src/shallothinge/transport/endpoint.py
+++ b/src/shallothinge/transport/endpoint.py
@@ -106,9 +106,11 @@
                 process_id=message.process_id,
                 incarnation=message.incarnation,
             )
+        elif route not in self._peers:
+            self.send(route=route, message=messages.HelloRequested())
         elif isinstance(message, messages.Ping):
             self.send(route=route, message=messages.Pong())
-        elif route in self._peers:
+        else:
             self._on_message(self._peers[route], message)
 
     def _role_of(self, frame: zmq.Frame) -> str:
--- a/src/shallothinge/transport/link.py
+++ b/src/shallothinge/transport/link.py
@@ -62,6 +62,7 @@
         self._reader = None
         self._heard_ms = clock.now_ms()
         self._greeted = False
+        self._greeted_again_ms = clock.now_ms() - PING_MS
         self._connect()
         self._timer = reactor.callLater(
             PING_MS / 1000, self._check_for_silence
@@ -127,9 +128,27 @@
         except wire.WireError:
             LOG.warning('dropped a malformed message from an endpoint')
             return
-        if not isinstance(message, messages.Pong):
+        if isinstance(message, messages.HelloRequested):
+            self._greet_again()
+        elif not isinstance(message, messages.Pong):
             self._on_message(message)
 
+    def _greet_again(self) -> None:
+        """Greet the process that took the place of the one greeted before.
+
+        The socket connects again by itself when its peer is restarted, so
+        there was no silence to notice. Several messages may have been
+        answered so before the greeting arrives; the first one counts.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms - self._greeted_again_ms < PING_MS:
+            return
+        self._greeted_again_ms = now_ms
+        self._greeted = False
+        self._greet()
+        if self._on_reset is not None:
+            self._on_reset()
+
     def _check_for_silence(self) -> None:
         if self._closed:
             return
--- a/src/shallothinge/transport/messages.py
+++ b/src/shallothinge/transport/messages.py
@@ -21,4 +21,13 @@
     """Answer to ``Ping``."""
 
 
-MESSAGES = (Hello, Ping, Pong)
+@attrs.frozen(kw_only=True)
+class HelloRequested:
+    """Answer to any message on a connection without a ``Hello``.
+
+    The process behind the address was replaced, and the connection was
+    made again without its user being told.
+    """
+
+
+MESSAGES = (Hello, Ping, Pong, HelloRequested)
--- a/src/shallothinge/transport/tests/test_link.py
+++ b/src/shallothinge/transport/tests/test_link.py
@@ -2,6 +2,7 @@
 
 from twisted.internet import defer
 from twisted.internet import reactor
+from twisted.internet import task
 from twisted.trial import unittest
 import zmq
 
@@ -29,16 +30,19 @@
         )
         self.addCleanup(self.authenticator.stop)
         self.received = defer.Deferred()
-        self.endpoint = endpoint.Endpoint(
+        self.endpoint = self._listen('tcp://127.0.0.1:*')
+        self.addCleanup(self.endpoint.close)
+
+    def _listen(self, address):
+        return endpoint.Endpoint(
             reactor=reactor,
             context=self.context,
-            address='tcp://127.0.0.1:*',
+            address=address,
             key_pair=self.server,
             trust=self.trust,
             codec=protocol.build_codec(),
             on_message=self._answer,
         )
-        self.addCleanup(self.endpoint.close)
 
     def _answer(self, peer, message):
         answer = operators.DumpAnswered(
@@ -59,6 +63,7 @@
             on_message=self._heard,
         )
         self.addCleanup(opened.close)
+        self.opened = opened
         return opened
 
     def _heard(self, message):
@@ -77,6 +82,35 @@
         answer = yield self.received
         self.assertEqual('entry', answer.json_text)
 
+    @defer.inlineCallbacks
+    def test_endpoint_that_was_restarted_at_once_is_heard_again(self):
+        self._ask_until_sent(self._link(pair=self.client))
+        yield self.received
+        address = self.endpoint.address
+        self.endpoint.close()
+        self.received = defer.Deferred()
+        self.endpoint = yield self._listen_again(address)
+        self.addCleanup(self.endpoint.close)
+        asking = task.LoopingCall(self._ask_once, self.opened)
+        asking.start(0.1)
+        self.addCleanup(asking.stop)
+        timer = reactor.callLater(10, self.received.cancel)
+        answer = yield self.received
+        timer.cancel()
+        self.assertEqual('entry', answer.json_text)
+
+    @defer.inlineCallbacks
+    def _listen_again(self, address):
+        """Listen once the closed socket has let go of its address."""
+        while True:
+            try:
+                return self._listen(address)
+            except zmq.ZMQError:
+                yield task.deferLater(reactor, 0.02)
+
+    def _ask_once(self, opened):
+        opened.send(operators.DumpRequested(request_id='r2'))
+
     @defer.inlineCallbacks
     def test_unknown_key_gets_nothing(self):
         stranger = keys.generate_key_pair(role='entry')
