--- a/src/shallothinge/agent/service.py
+++ b/src/shallothinge/agent/service.py
@@ -46,6 +46,11 @@
 ENTRY_ROLE = 'entry'
 OPERATOR_ROLE = 'operator'
 MODEL_KIND = 'model'
+REFUSALS = (
+    messages.StreamRefused,
+    call_messages.CallRefused,
+    reservation_messages.ReservationRefused,
+)
 
 
 class AgentService:
@@ -69,10 +74,26 @@
         gauges.observe(own=process.metrics, holder=self.holder, gate=self.gate)
         self._make_engine()
         self._handlers = self._entry_handlers()
+        self._observe()
         self._loops = []
         self._stopped = None
         self._leaving_ms = 0
 
+    def _observe(self) -> None:
+        numbers = {
+            'streams_running': lambda: len(self.streams),
+            'calls_running': lambda: len(self.calls),
+            'held_tokens': lambda: self.gate.held_tokens,
+            'limit_tokens': lambda: self.gate.limit_tokens,
+            'releases_pending': lambda: len(self.releases),
+        }
+        metrics = self._process.metrics
+        metrics.observe_lease(
+            read_remaining_ms=lambda: self.holder.remaining_ms
+        )
+        for name, read in numbers.items():
+            metrics.observe(name=name, read=read)
+
     def _make_lease(self) -> None:
         own = self._settings.process
         self.holder = announce.make_holder(
@@ -348,6 +369,8 @@
 
     def _send(self, owner_id: str, message: object) -> None:
         gauges.count_answer(own=self._process.metrics, message=message)
+        if isinstance(message, REFUSALS):
+            self._process.metrics.count_refusal(kind=message.kind)
         route = self.table.route_of(owner_id)
         if route is not None:
             self._endpoint.send(route=route, message=message)
