Admit with care while tokens are late; check owners; bound a stop

Reading the code again also showed that any entry could cancel another's stream or reservation by its id, that a stop waited for releases on an engine that is gone, and that a deadline did not count the time that a request had waited unread. Change: while the running streams bring no tokens for 2.5 times the usual pace, only what a cold engine carries is admitted; cancellations and releases count from their owner only; a stop waits for releases only while the engine answers; the waited time is taken off the deadline.

--- a/src/shallothinge/agent/coldlimit.py
+++ b/src/shallothinge/agent/coldlimit.py
@@ -19,6 +19,7 @@
 BASELINE_WEIGHT = 0.05
 SLOW_FACTOR = 2.5
 RELEARN_FACTOR = 16
+MIN_OVERDUE_MS = 30
 
 
 class ColdLimit:
@@ -39,7 +40,7 @@
         full_streams: int,
     ):
         self._clock = clock
-        self._cold_tokens = min(cold_tokens, full_tokens)
+        self.cold_tokens = min(cold_tokens, full_tokens)
         self._cold_streams = full_streams
         if cold_tokens < full_tokens:
             self._cold_streams = min(COLD_STREAMS, full_streams)
@@ -54,7 +55,7 @@
 
     def cut(self) -> None:
         """Go back to the limit of a cold engine."""
-        self.tokens = self._cold_tokens
+        self.tokens = self.cold_tokens
         self.streams = self._cold_streams
         self._progress_tokens = 0
         self._slow_tokens = 0
@@ -114,9 +115,19 @@
             self._suspected = False
             self._learn(ms_per_token)
 
+    def is_overdue(self, *, silent_ms: int) -> bool:
+        """Return whether tokens are late enough to be careful.
+
+        :param silent_ms: time since any running stream brought tokens.
+        """
+        if self.baseline_ms is None:
+            return False
+        expected_ms = self.baseline_ms * SLOW_FACTOR
+        return silent_ms > max(expected_ms, MIN_OVERDUE_MS)
+
     def _suspect(self) -> None:
         self._suspected = True
-        if self.tokens > self._cold_tokens:
+        if self.tokens > self.cold_tokens:
             self.cut()
 
     def _grow(self) -> None:
@@ -125,7 +136,7 @@
 
     def _relearn(self, tokens: int) -> None:
         self._slow_tokens += tokens
-        if self._slow_tokens >= self._cold_tokens * RELEARN_FACTOR:
+        if self._slow_tokens >= self.cold_tokens * RELEARN_FACTOR:
             self.baseline_ms = statistics.median(self._recent)
 
     def _is_slow(self) -> bool:
--- a/src/shallothinge/agent/gate.py
+++ b/src/shallothinge/agent/gate.py
@@ -67,9 +67,18 @@
         """Return the present limit, in tokens."""
         return self._limit.tokens
 
-    def admit(self, *, key: object, work: Work) -> Admitted | Refused:
-        """Decide on work; what is admitted counts until released."""
+    def admit(
+        self, *, key: object, work: Work, careful: bool = False
+    ) -> Admitted | Refused:
+        """Decide on work; what is admitted counts until released.
+
+        :param careful: whether the engine may have turned cold just now,
+            so that only what a cold one carries is admitted.
+        """
         refusal = self._refusal(work)
+        cold_tokens = self._limit.cold_tokens
+        if careful and self.held_tokens + work.tokens > cold_tokens:
+            refusal = ErrorKind.COLD_LIMIT
         if refusal is not None:
             return Refused(kind=refusal)
         self.hold(key=key, work=work)
--- a/src/shallothinge/agent/pace.py
+++ b/src/shallothinge/agent/pace.py
@@ -17,6 +17,11 @@
         self._since_ms = None
         self._count = 0
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the stream brought tokens."""
+        return self._since_ms is not None
+
     def saw_tokens(self, *, count: int) -> float | None:
         """Note tokens.
 
--- a/src/shallothinge/agent/service.py
+++ b/src/shallothinge/agent/service.py
@@ -334,7 +334,9 @@
         self.streams.resume(owner_id=owner_id, request=message)
 
     def _cancel_stream(self, owner_id, message) -> None:
-        self.streams.cancel(streams.key_of(message))
+        key = streams.key_of(message)
+        if self.table.is_owner(key=key, owner_id=owner_id):
+            self.streams.cancel(key)
 
     def _streams_owned(self, owner_id, message) -> None:
         request_ids = frozenset(message.request_ids)
@@ -353,7 +355,8 @@
         self.holdings.reserve(owner_id=owner_id, request=message)
 
     def _release(self, owner_id, message) -> None:
-        self.holdings.release(message.reservation_id)
+        if message.reservation_id in self.reserved.of_owner(owner_id):
+            self.holdings.release(message.reservation_id)
 
     def _call(self, owner_id, message) -> None:
         self._renew_if_older(message.state_version)
@@ -405,8 +408,12 @@
     def _is_idle(self) -> bool:
         working = len(self.streams) + len(self.calls)
         working += len(self.warming.engine_ids())
-        unsent = len(self.table) + len(self.releases)
-        return not (working or unsent or self.reserved.ids())
+        unsent = len(self.table) + len(self.reserved.ids())
+        if self.watch.is_serving():
+            # What a dead engine holds can not be released; its next agent
+            # lists it.
+            unsent += len(self.releases)
+        return not (working or unsent)
 
     def _dump(self, peer, message) -> None:
         answer = operator_messages.DumpAnswered(
--- a/src/shallothinge/agent/streams.py
+++ b/src/shallothinge/agent/streams.py
@@ -64,6 +64,7 @@
         self._paces: dict[owned.StreamKey, paces.PaceMeter] = {}
         self.load = model.EngineLoad()
         self.reconciled = False
+        self._tokens_ms = 0
 
     def __len__(self) -> int:
         """Return the number of streams on the engine."""
@@ -105,7 +106,10 @@
             return
         older = self._table.older_attempt(key)
         started = self._table.start(
-            key=key, owner_id=owner_id, request=request
+            key=key,
+            owner_id=owner_id,
+            request=request,
+            waited_ms=waited_ms,
         )
         if started is owned.Start.REUSED:
             self._refuse(owner_id, key, ErrorKind.BAD_REQUEST)
@@ -137,7 +141,9 @@
 
     def _admit(self, owner_id, key, request) -> None:
         work = gates.Work(tokens=self._tokens_of(request))
-        admitted = self._gate.admit(key=key, work=work)
+        admitted = self._gate.admit(
+            key=key, work=work, careful=self._is_overdue()
+        )
         if isinstance(admitted, gates.Refused):
             self._table.remove(key)
             self._refuse(owner_id, key, admitted.kind)
@@ -152,6 +158,13 @@
             may_send=self._authority.may_act,
         )
 
+    def _is_overdue(self) -> bool:
+        """Return whether streams that bring tokens have stopped to."""
+        if not any(pace.has_begun for pace in self._paces.values()):
+            return False
+        silent_ms = self._clock.now_ms() - self._tokens_ms
+        return self._limit.is_overdue(silent_ms=silent_ms)
+
     def _tokens_of(self, request: messages.StartStream) -> int:
         if request.span:
             return 0
@@ -237,6 +250,7 @@
         )
         if extent is owned.Extent.NEXT:
             self._sender.mark(key)
+            self._tokens_ms = self._clock.now_ms()
             pace = self._paces[key].saw_tokens(count=len(event.tokens))
             if pace is not None:
                 self._limit.saw_pace(ms_per_token=pace)
--- a/src/shallothinge/agent/tests/test_coldlimit.py
+++ b/src/shallothinge/agent/tests/test_coldlimit.py
@@ -101,6 +101,16 @@
         self.limit.finished(tokens=COLD_TOKENS)
         self.assertEqual(COLD_TOKENS * 2, self.limit.tokens)
 
+    def test_late_tokens_ask_for_care(self):
+        self.assertFalse(self.limit.is_overdue(silent_ms=1000))
+        warm_up(self.limit)
+        self.assertFalse(
+            self.limit.is_overdue(silent_ms=coldlimit.MIN_OVERDUE_MS)
+        )
+        self.assertTrue(
+            self.limit.is_overdue(silent_ms=coldlimit.MIN_OVERDUE_MS + 1)
+        )
+
     def test_lasting_pace_becomes_the_expected_one(self):
         warm_up(self.limit)
         turn_slow(self.limit)
--- a/src/shallothinge/agent/tests/test_faults.py
+++ b/src/shallothinge/agent/tests/test_faults.py
@@ -97,6 +97,18 @@
         )
         yield self.engine_is_empty()
 
+    @defer.inlineCallbacks
+    def test_stream_of_another_entry_is_left_alone(self):
+        yield self.start()
+        yield self.run_stream(max_tokens=60)
+        other = self.connect_entry(self.agent, name='entry-2')
+        yield self.deliver(
+            other, messages.CancelStream(request_id='r1', attempt=1)
+        )
+        yield self.deliver(other, messages.StreamsOwned(entry_id='entry-1'))
+        yield self.until(lambda: self.got(messages.StreamFinished))
+        self.assertEqual(60, len(self.tokens('r1')))
+
     @defer.inlineCallbacks
     def test_half_made_reservation_expires(self):
         yield self.start()
--- a/src/shallothinge/agent/tests/test_gate.py
+++ b/src/shallothinge/agent/tests/test_gate.py
@@ -56,6 +56,24 @@
         self.assertEqual(ErrorKind.OVERLOADED, self.admit('middle', 9000))
         self.assertIsNone(self.admit('short', 1000))
 
+    def test_careful_admission_keeps_to_the_cold_limit(self):
+        limit = coldlimit.ColdLimit(
+            clock=clock.ManualClock(),
+            cold_tokens=8000,
+            full_tokens=MEMORY_TOKENS,
+            full_streams=STREAMS,
+        )
+        while not limit.is_full:
+            limit.finished(tokens=MEMORY_TOKENS)
+        careful = gate.Gate(limit=limit, memory_tokens=MEMORY_TOKENS)
+        rows = ((8000, True, None), (1, True, 'cold_limit'), (1, False, None))
+        for key, (tokens, is_careful, expected) in enumerate(rows):
+            answer = careful.admit(
+                key=key, work=gate.Work(tokens=tokens), careful=is_careful
+            )
+            kind = getattr(answer, 'kind', None)
+            self.assertEqual(expected, kind and kind.value)
+
     def test_release_gives_everything_back(self):
         self.admit('a', 50_000)
         self.gate.release(key='a')
--- a/src/shallothinge/streams/owned.py
+++ b/src/shallothinge/streams/owned.py
@@ -135,6 +135,11 @@
             if stream.ending is None
         )
 
+    def is_owner(self, *, key: StreamKey, owner_id: str) -> bool:
+        """Return whether a stream is held and belongs to an owner."""
+        stream = self._streams.get(key)
+        return stream is not None and stream.owner_id == owner_id
+
     def route_of(self, owner_id: str) -> bytes | None:
         """Return the connection to send to an owner on, if any."""
         owner = self._owners.get(owner_id)
@@ -179,9 +184,17 @@
         )
 
     def start(
-        self, *, key: StreamKey, owner_id: str, request: messages.StartStream
+        self,
+        *,
+        key: StreamKey,
+        owner_id: str,
+        request: messages.StartStream,
+        waited_ms: int = 0,
     ) -> Start:
-        """Take a stream in, unless its id was used before."""
+        """Take a stream in, unless its id was used before.
+
+        :param waited_ms: how long the request may have waited unread.
+        """
         held = self._streams.get(key)
         if held is not None and held.owner_id == owner_id:
             return Start.REPEATED
@@ -199,7 +212,9 @@
             model=model_of(request),
             first_offset=offset,
             sent_offset=offset,
-            deadline_ms=self._clock.now_ms() + request.deadline_ms,
+            deadline_ms=(
+                self._clock.now_ms() + request.deadline_ms - waited_ms
+            ),
         )
         return Start.NEW
 
