Send agents the configuration without hashes of API keys

Cause: each agent got the hashes of all workspaces' API keys, which only entries check, and a third of the bytes of a bundle were those hashes. Ruled out: a type of its own for agents, which would have to follow each change of the bundle. Change: the leader keeps the configuration without the hashes for agents. Failing first: without it the test finds the hash at the agent.

--- a/src/shallothinge/control/leadership.py
+++ b/src/shallothinge/control/leadership.py
@@ -41,6 +41,7 @@
         self._clock = clock
         self._machine = machine
         self.epoch = epoch
+        self._agents_config = ServingConfig()
         self._members_complete_ms = elected_ms + settings.member_silence_ms
         self.leases = table.LeaseTable(
             clock=clock,
@@ -84,6 +85,8 @@
         )
         if request.server is not None:
             self._announce(request)
+        if request.server is not None:
+            config = self._config_for_agents()
         is_behind = request.config_version < config.state_version
         keeps_bundle = is_behind and _holds_bundle(request, config)
         if keeps_bundle:
@@ -99,6 +102,16 @@
             keeps_bundle=keeps_bundle,
         )
 
+    def _config_for_agents(self) -> ServingConfig:
+        """Return the configuration without the hashes of API keys.
+
+        Agents don't check keys, so they needn't have them.
+        """
+        config = self._machine.data.config
+        if self._agents_config.state_version != config.state_version:
+            self._agents_config = _without_key_hashes(config)
+        return self._agents_config
+
     def tidy(self) -> None:
         """Drop leases that ran out and silent backend servers."""
         self.leases.forget_ended()
@@ -164,3 +177,14 @@
     if config.bundle is None:
         return False
     return request.bundle_version == config.bundle.version
+
+
+def _without_key_hashes(config: ServingConfig) -> ServingConfig:
+    if config.bundle is None:
+        return config
+    workspaces = tuple(
+        attrs.evolve(workspace, key_hashes=())
+        for workspace in config.bundle.workspaces
+    )
+    bundle = attrs.evolve(config.bundle, workspaces=workspaces)
+    return attrs.evolve(config, bundle=bundle)
--- a/src/shallothinge/control/tests/test_server.py
+++ b/src/shallothinge/control/tests/test_server.py
@@ -179,6 +179,16 @@
         self.assertEqual(('a',), entry.config.zones_out)
         self.assertEqual(1, entry.config.bundle.version)
 
+    def test_agents_get_no_hashes_of_api_keys(self):
+        entry = self._holder('e1')
+        agent = self._holder('s1', agent=True)
+        self.bench.put_in_force(samples.bundle_text())
+        hashes = []
+        for holder in (entry, agent):
+            self._lease(holder)
+            hashes.append(holder.config.bundle.workspaces[0].key_hashes)
+        self.assertEqual([(samples.KEY_HASH,), ()], hashes)
+
     def test_claims_end_with_the_lease_of_their_entry(self):
         entry = self._holder('e1')
         self._lease(entry)
