--- a/src/shallothinge/entry/chat_job.py
+++ b/src/shallothinge/entry/chat_job.py
@@ -44,7 +44,17 @@
     def need(self) -> filters.Need:
         """Return what a backend server must have."""
         return filters.Need(
-            model=self.model_key, tokens=self.tokens, zones=self.spec.zones
+            model=self.model_key,
+            tokens=self.tokens,
+            zones=self.spec.zones,
+            priority=self.priority,
+        )
+
+    @property
+    def priority(self) -> int:
+        """Return the priority at the engine; a lower one goes first."""
+        return classes.engine_priority(
+            request_class=self.request_class, is_long=self.is_long
         )
 
 
--- a/src/shallothinge/entry/chat_run.py
+++ b/src/shallothinge/entry/chat_run.py
@@ -4,8 +4,8 @@
 from typing import Protocol
 
 from shallothinge import errors
-from shallothinge.admission import classes
 from shallothinge.entry import chat_job
+from shallothinge.entry import outcomes
 from shallothinge.entry import selection
 from shallothinge.entry import span as spans
 from shallothinge.errors import ErrorKind
@@ -147,6 +147,7 @@
             server_id=server_id,
             request_id=self.job.request_id,
             tokens=0 if self._span else self.job.tokens,
+            priority=self.job.priority,
         )
         if not self._env.fleet.send(server_id=server_id, message=message):
             self._leave_server(succeeded=None)
@@ -167,9 +168,7 @@
             prompt_tokens=job.request.prompt_tokens,
             delivered=tuple(self.assembly.delivered),
             max_tokens=job.request.max_tokens,
-            priority=classes.engine_priority(
-                request_class=job.request_class, is_long=job.is_long
-            ),
+            priority=job.priority,
             deadline_ms=max(1, self.remaining_ms),
             state_version=self._env.holder.config.state_version,
             span=self._span.stream_parts if self._span else (),
@@ -228,6 +227,9 @@
     def _follow(self, step: assembly.Step | None) -> None:
         if isinstance(step, assembly.Deliver):
             self._note_first_token()
+            self._env.fleet.prefilled(
+                server_id=self.server_id, request_id=self.job.request_id
+            )
             self._sink.tokens(step.tokens)
         elif isinstance(step, assembly.Resume):
             self._send_resume(step)
@@ -353,7 +355,12 @@
         )
 
     def _fail(self, kind: ErrorKind) -> None:
-        kind = self._true_kind(kind)
+        has_part = self.job.request.stream and self.assembly.delivered
+        kind = outcomes.true_kind(
+            kind,
+            may_have_run=not self._is_unknown_to_servers(),
+            has_part=bool(has_part),
+        )
         self._cancel_stream()
         self._estimate_usage()
         self.error_kind = kind
@@ -368,22 +375,6 @@
                 generated_tokens=len(self.assembly.delivered),
             )
 
-    def _true_kind(self, kind: ErrorKind) -> ErrorKind:
-        """Return a kind whose statement about the work is true."""
-        is_timely = kind not in (
-            ErrorKind.CANCELLED,
-            ErrorKind.DEADLINE_EXCEEDED,
-        )
-        has_part = self.job.request.stream and self.assembly.delivered
-        if has_part and is_timely:
-            return ErrorKind.STREAM_BROKEN
-        says_not_run = (
-            errors.ANSWERS[kind].work_state is errors.WorkState.NOT_RUN
-        )
-        if says_not_run and not self._is_unknown_to_servers():
-            return ErrorKind.BACKEND_FAILED
-        return kind
-
     def _cancel_stream(self) -> None:
         if not self.server_id:
             return
--- a/src/shallothinge/entry/fleet.py
+++ b/src/shallothinge/entry/fleet.py
@@ -27,11 +27,20 @@
 LOST_MS = 4000
 
 
+@attrs.frozen(kw_only=True)
+class Prefill:
+    """A prompt that has no first token yet."""
+
+    tokens: int
+    priority: int
+
+
 @attrs.define(kw_only=True)
 class Connection:
     """A backend server with its connection and the entry's own counts.
 
-    ``in_flight`` holds the tokens of each request by its id.
+    ``in_flight`` holds the tokens of each request by its id, and
+    ``prefilling`` those requests that have no first token yet.
     """
 
     server: BackendServer
@@ -40,6 +49,7 @@
     load: messages.LoadReport | None = None
     prefixes: views.PrefixView = attrs.field(factory=views.PrefixView)
     in_flight: dict = attrs.field(factory=dict)
+    prefilling: dict = attrs.field(factory=dict)
     is_member: bool = True
     is_stopping: bool = False
 
@@ -48,6 +58,14 @@
         """Return the entry's own tokens in flight there."""
         return sum(self.in_flight.values())
 
+    def prefill_tokens_before(self, *, priority: int) -> int:
+        """Return the own prefill that goes before a new request's."""
+        return sum(
+            each.tokens
+            for each in self.prefilling.values()
+            if each.priority <= priority
+        )
+
     @property
     def limit_tokens(self) -> int:
         """Return the limit of its gate, as last known."""
@@ -119,7 +137,9 @@
         found = {}
         for connection in self._usable(need=need):
             if connection.breaker.allows():
-                candidate = _candidate(connection, hashes=hashes)
+                candidate = _candidate(
+                    connection, hashes=hashes, priority=need.priority
+                )
                 found[candidate.server_id] = candidate
         return found
 
@@ -178,12 +198,28 @@
         connection = self.connections.get(server_id)
         return connection is not None and connection.link.send(message)
 
-    def begin(self, *, server_id: str, request_id: str, tokens: int) -> None:
+    def begin(
+        self,
+        *,
+        server_id: str,
+        request_id: str,
+        tokens: int,
+        priority: int = 0,
+    ) -> None:
         """Count a request as in flight at a backend server."""
         connection = self.connections[server_id]
         connection.in_flight[request_id] = tokens
+        connection.prefilling[request_id] = Prefill(
+            tokens=tokens, priority=priority
+        )
         connection.breaker.sent()
 
+    def prefilled(self, *, server_id: str, request_id: str) -> None:
+        """Note that a request got its first token."""
+        connection = self.connections.get(server_id)
+        if connection is not None:
+            connection.prefilling.pop(request_id, None)
+
     def end(
         self, *, server_id: str, request_id: str, succeeded: bool | None
     ) -> None:
@@ -194,6 +230,7 @@
         connection = self.connections.get(server_id)
         if connection is None:
             return
+        connection.prefilling.pop(request_id, None)
         if connection.in_flight.pop(request_id, None) is None:
             return
         if succeeded is None:
@@ -313,7 +350,7 @@
 
 
 def _candidate(
-    connection: Connection, *, hashes: tuple[str, ...]
+    connection: Connection, *, hashes: tuple[str, ...], priority: int
 ) -> choice.Candidate:
     load = connection.load
     return choice.Candidate(
@@ -321,6 +358,7 @@
         zone=connection.server.zone,
         limit_tokens=connection.limit_tokens,
         own_tokens=connection.own_tokens,
+        own_prefill_tokens=connection.prefill_tokens_before(priority=priority),
         reported_tokens=load.held_tokens if load else 0,
         backlog_tokens=load.prefill_backlog_tokens if load else 0,
         waiting=load.waiting if load else 0,
--- a/src/shallothinge/routing/choice.py
+++ b/src/shallothinge/routing/choice.py
@@ -19,7 +19,9 @@
 class Candidate:
     """One backend server as the entry sees it.
 
-    ``own_tokens`` are the entry's own tokens in flight there;
+    ``own_tokens`` are the entry's own tokens in flight there, of which
+    ``own_prefill_tokens`` belong to prompts that have no first token yet
+    and go before the request by their priority;
     ``reported_tokens`` and ``backlog_tokens`` come from its last report;
     ``cached_tokens`` of the prompt are in its prefix cache.
     """
@@ -28,6 +30,7 @@
     zone: str = ''
     limit_tokens: int = 0
     own_tokens: int = 0
+    own_prefill_tokens: int = 0
     reported_tokens: int = 0
     backlog_tokens: int = 0
     waiting: int = 0
@@ -110,20 +113,29 @@
 def draw(
     candidates: tuple[Candidate, ...], *, rng: random.Random
 ) -> list[Candidate]:
-    """Return two random candidates and the one with the longest prefix."""
+    """Return two random candidates and one with the longest prefix.
+
+    Of several with equal prefixes a random one is drawn, so that a prefix
+    that all requests share does not lead them all to one server.
+    """
     count = min(TWO_CHOICES, len(candidates))
     drawn = rng.sample(candidates, count)
-    best = max(candidates, key=lambda each: each.cached_tokens)
-    if best.cached_tokens > 0 and best not in drawn:
-        drawn.append(best)
+    longest = max(each.cached_tokens for each in candidates)
+    if longest > max(each.cached_tokens for each in drawn):
+        best = [each for each in candidates if each.cached_tokens == longest]
+        drawn.append(rng.choice(best))
     return drawn
 
 
 def first_token_ms(candidate: Candidate, *, tokens: int) -> float:
-    """Return the estimated time to the first token, in milliseconds."""
+    """Return the estimated time to the first token, in milliseconds.
+
+    The reported backlog is left out: it does not tell urgent prompts from
+    long ones that any other goes before.
+    """
     fresh_tokens = max(0, tokens - candidate.cached_tokens)
-    backlog_tokens = max(candidate.backlog_tokens, candidate.own_tokens)
-    estimate_ms = (fresh_tokens + backlog_tokens) / PREFILL_TOKENS_PER_MS
+    work_tokens = fresh_tokens + candidate.own_prefill_tokens
+    estimate_ms = work_tokens / PREFILL_TOKENS_PER_MS
     estimate_ms += candidate.waiting * WAITING_MS
     if candidate.cold:
         estimate_ms += COLD_PENALTY_MS
@@ -133,7 +145,8 @@
 class LeastFirstToken:
     """The least estimated time to first token of two random candidates.
 
-    Ties go to the candidate with more free memory.
+    Candidates without enough free memory come last; ties go to the one
+    with more of it.
     """
 
     def __init__(self, *, rng: random.Random):
@@ -147,6 +160,7 @@
         return min(
             drawn,
             key=lambda each: (
+                load_ratio(each, tokens=tokens) > 1,
                 first_token_ms(each, tokens=tokens),
                 load_ratio(each, tokens=tokens),
             ),
--- a/src/shallothinge/routing/filters.py
+++ b/src/shallothinge/routing/filters.py
@@ -12,12 +12,14 @@
 
     ``model`` is ``name@version``, empty for a call to ``service``.
     ``tokens`` counts prompt and answer. ``zones`` empty means all.
+    ``priority`` is the request's at the engine; a lower one goes first.
     """
 
     model: str = ''
     service: str = ''
     tokens: int = 0
     zones: tuple[str, ...] = ()
+    priority: int = 0
 
 
 def is_in_service(*, server: BackendServer, config: ServingConfig) -> bool:
--- a/src/shallothinge/settings/model.py
+++ b/src/shallothinge/settings/model.py
@@ -108,7 +108,7 @@
     of each model or service the entry keeps connections to; 0 means all.
     """
 
-    policy: str = 'two_choices'
+    policy: str = 'least_first_token'
     max_servers: int = 0
 
 
