Ping only when nothing was heard; forget connections that are gone

Cause: control connections carried a ping every 500 ms although a lease renewal passes each second, and an endpoint kept an entry for every connection that it ever saw. Ruled out: dropping pings altogether, as a connection that something in between has lost would then be noticed only by its user's next request. Change: pings only after 1 s without any message, silence limit 2.5 s; an endpoint forgets connections not heard for 60 s.

--- a/src/shallothinge/transport/endpoint.py
+++ b/src/shallothinge/transport/endpoint.py
@@ -4,6 +4,7 @@
 import logging
 
 import attrs
+from twisted.internet import task
 import zmq
 
 from shallothinge import wire
@@ -18,6 +19,7 @@
 QUEUE_MESSAGES = 10_000
 MAX_MESSAGE_BYTES = 32 * 1024 * 1024
 HANDSHAKE_MS = 3000
+FORGET_S = 60
 
 
 @attrs.frozen(kw_only=True)
@@ -57,7 +59,11 @@
         self._codec = codec
         self._trust = trust
         self._on_message = on_message
-        self._peers = {}
+        self._reactor = reactor
+        self._peers: dict[bytes, Peer] = {}
+        self._heard_s: dict[bytes, float] = {}
+        self._forgetting = task.LoopingCall(self._forget_silent)
+        self._forgetting.clock = reactor
         socket = context.socket(zmq.ROUTER)
         socket.set(zmq.LINGER, 0)
         socket.set(zmq.SNDHWM, QUEUE_MESSAGES)
@@ -77,6 +83,7 @@
             on_frames=self._receive,
             traffic=self.traffic,
         )
+        self._forgetting.start(FORGET_S, now=False)
 
     def send(self, *, route: bytes, message: object) -> bool:
         """Send to one connection without waiting.
@@ -87,6 +94,8 @@
 
     def close(self) -> None:
         """Stop listening and drop all connections."""
+        if self._forgetting.running:
+            self._forgetting.stop()
         self._reader.close()
 
     def _receive(self, frames) -> None:
@@ -99,6 +108,9 @@
         except wire.WireError:
             LOG.warning('dropped a malformed message', extra={'role_of': role})
             return
+        self._handle(route, role, message)
+
+    def _handle(self, route: bytes, role: str, message: object) -> None:
         if isinstance(message, messages.Hello):
             self._peers[route] = Peer(
                 route=route,
@@ -106,12 +118,23 @@
                 process_id=message.process_id,
                 incarnation=message.incarnation,
             )
-        elif route not in self._peers:
+        peer = self._peers.get(route)
+        if peer is None:
             self.send(route=route, message=messages.HelloRequested())
-        elif isinstance(message, messages.Ping):
+            return
+        self._heard_s[route] = self._reactor.seconds()
+        if isinstance(message, messages.Ping):
             self.send(route=route, message=messages.Pong())
-        else:
-            self._on_message(self._peers[route], message)
+        elif not isinstance(message, messages.Hello):
+            self._on_message(peer, message)
+
+    def _forget_silent(self) -> None:
+        """Forget connections that were not heard for long."""
+        now_s = self._reactor.seconds()
+        for route, heard_s in list(self._heard_s.items()):
+            if now_s - heard_s > FORGET_S:
+                del self._heard_s[route]
+                del self._peers[route]
 
     def _role_of(self, frame: zmq.Frame) -> str:
         try:
--- a/src/shallothinge/transport/link.py
+++ b/src/shallothinge/transport/link.py
@@ -16,8 +16,9 @@
 
 LOG = logging.getLogger(__name__)
 
-PING_MS = 500
-SILENCE_MS = 2000
+CHECK_MS = 500
+PING_MS = 1000
+SILENCE_MS = 2500
 ROUTE_BYTES = 12
 
 
@@ -25,11 +26,12 @@
     """A connection to one endpoint that is replaced when it goes silent.
 
     Each replacement is a new connection under a new route; ``on_reset`` is
-    called then, so that the owner can resume what was under way.
+    called then, and when the other end was restarted, so that the owner can
+    resume what was under way.
 
     :param server_key: public key that the endpoint must prove to hold.
     :param on_message: called with each message of the endpoint.
-    :param on_reset: called after a new connection replaced a silent one.
+    :param on_reset: called when the other end may have lost messages.
     """
 
     def __init__(
@@ -65,7 +67,7 @@
         self._greeted_again_ms = clock.now_ms() - PING_MS
         self._connect()
         self._timer = reactor.callLater(
-            PING_MS / 1000, self._check_for_silence
+            CHECK_MS / 1000, self._check_for_silence
         )
 
     @property
@@ -146,17 +148,17 @@
         self._greeted_again_ms = now_ms
         self._greeted = False
         self._greet()
-        if self._on_reset is not None:
-            self._on_reset()
+        self._tell_reset()
 
     def _check_for_silence(self) -> None:
         if self._closed:
             return
         if self.silent_ms > SILENCE_MS:
             self._replace()
-        self.send(messages.Ping())
+        if self.silent_ms >= PING_MS:
+            self.send(messages.Ping())
         self._timer = self._reactor.callLater(
-            PING_MS / 1000, self._check_for_silence
+            CHECK_MS / 1000, self._check_for_silence
         )
 
     def _replace(self) -> None:
@@ -167,5 +169,8 @@
         self._reader.close()
         self._heard_ms = self._clock.now_ms()
         self._connect()
+        self._tell_reset()
+
+    def _tell_reset(self) -> None:
         if self._on_reset is not None:
             self._on_reset()
