Connect only to the control host that is asked, and others at need

Cause: each holder kept a connection to every control host, so a leader's followers carried as many idle connections as the leader. Weighed: keeping them open makes failover one retry (250 ms) quicker, which a lease of 3 s renewed each second has room for. Change: connections open when first needed and close after 10 s unused.

--- a/src/shallothinge/leases/client.py
+++ b/src/shallothinge/leases/client.py
@@ -11,10 +11,12 @@
 from shallothinge.leases import holder as holders
 from shallothinge.leases import messages
 from shallothinge.settings import model
+from shallothinge.transport import link
 
 RENEW_MS = 1000
 RETRY_MS = 250
 ASK_RETRY_MS = 400
+IDLE_MS = 10_000
 
 
 @attrs.define(kw_only=True)
@@ -53,12 +55,10 @@
         self._reactor = process.reactor
         self._holder = holder
         self._questions = {}
+        self._addresses = {host.process_id: host.address for host in hosts}
         self._links = {}
-        for host in hosts:
-            self._links[host.process_id] = process.connect(
-                address=host.address, role='control', on_message=self._receive
-            )
-        self._order = list(self._links)
+        self._used_ms = {}
+        self._order = list(self._addresses)
         self._renewed_ms = None
         self._unanswered_id = ''
         self._closed = False
@@ -76,8 +76,8 @@
         for timer in self._timers.values():
             if timer.active():
                 timer.cancel()
-        for link in self._links.values():
-            link.close()
+        for opened in self._links.values():
+            opened.close()
         for question in list(self._questions.values()):
             self._fail(question)
         self._questions.clear()
@@ -106,18 +106,37 @@
 
     def _send(self, message: object) -> bool:
         for process_id in self._order:
-            if self._links[process_id].send(message):
+            if self._link_to(process_id).send(message):
+                self._used_ms[process_id] = self._process.clock.now_ms()
                 return True
             self._rotate(process_id)
         return False
 
+    def _link_to(self, process_id: str) -> link.Link:
+        if process_id not in self._links:
+            self._links[process_id] = self._process.connect(
+                address=self._addresses[process_id],
+                role='control',
+                on_message=self._receive,
+            )
+            self._used_ms[process_id] = self._process.clock.now_ms()
+        return self._links[process_id]
+
+    def _close_idle_links(self) -> None:
+        """Keep only the connection to the host that is asked first."""
+        unused_since_ms = self._process.clock.now_ms() - IDLE_MS
+        for process_id in self._order[1:]:
+            used_ms = self._used_ms.get(process_id, unused_since_ms)
+            if process_id in self._links and used_ms < unused_since_ms:
+                self._links.pop(process_id).close()
+
     def _rotate(self, process_id: str) -> None:
         """Turn to the next host if this one is asked first."""
         if self._order[0] == process_id:
             self._order = self._order[1:] + self._order[:1]
 
     def _prefer(self, leader_id: str) -> None:
-        if leader_id in self._links:
+        if leader_id in self._addresses:
             self._order.remove(leader_id)
             self._order.insert(0, leader_id)
         else:
@@ -155,6 +174,7 @@
                 self._fail(question)
             else:
                 self._send(question.message)
+        self._close_idle_links()
         self._later(ASK_RETRY_MS, self._resend)
 
     def _fail(self, question: _Question) -> None:
