--- a/src/shallothinge/control/repair.py
+++ b/src/shallothinge/control/repair.py
@@ -12,7 +12,7 @@
 KEPT_NAMES = (data_folder.LOG_NAME, data_folder.SNAPSHOT_NAME)
 
 
-class RepairRefused(Exception):
+class RepairRefused(errors.StorageError):
     """The repair was not done; the text names the reason and the fix."""
 
 
@@ -82,7 +82,7 @@
         raise RepairRefused(
             f'{folder}: can be read and belongs to cluster '
             f'{former.restored.cluster.cluster_id}; start the process '
-            'instead, or repeat with the option to discard a healthy folder'
+            'instead, or repeat with --discard-healthy'
         )
     return former.identity.replica_id
 
--- a/src/shallothinge/operators/control_commands.py
+++ b/src/shallothinge/operators/control_commands.py
@@ -1,8 +1,8 @@
 """Commands that run control hosts and manage their cluster."""
 
 import argparse
-import pathlib
 
+from shallothinge.control import repair as repairs
 from shallothinge.operators import arguments as common
 from shallothinge.operators import exit_codes
 from shallothinge.operators import messages
@@ -11,8 +11,6 @@
 from shallothinge.operators import terminal as terminals
 from shallothinge.settings import load
 from shallothinge.settings import model
-from shallothinge.storage import data_folder
-from shallothinge.storage import errors
 
 
 def add_commands(commands) -> None:
@@ -36,6 +34,11 @@
         'data folder that may replace the former one',
     )
     role_commands.add_settings(repair_parser)
+    repair_parser.add_argument(
+        '--discard-healthy',
+        action='store_true',
+        help='also replace a folder that can be read and is in a cluster',
+    )
     repair_parser.set_defaults(run=repair)
     _add_members(actions)
 
@@ -102,38 +105,22 @@
 def repair(arguments: argparse.Namespace) -> int:
     """Make an empty data folder for a host whose disk was lost.
 
-    A damaged folder is set aside, not deleted.
+    Its files are set aside, not deleted.
     """
     settings = load.read(
         path=arguments.settings, file_type=model.ControlSettings
     )
     path = arguments.settings.parent / settings.log.data_folder
     process_id = settings.process.process_id
-    if (path / data_folder.LOG_NAME).exists():
-        _check_unused(path, process_id=process_id)
-    if path.is_dir() and any(path.iterdir()):
-        aside = path.with_name(f'{path.name}.aside-{terminals.new_id()}')
-        path.rename(aside)
-        print(f'{path}: set aside as {aside}')
-    made = data_folder.DataFolder(
-        path=path, process_id=process_id, rejoin=True
+    done = repairs.repair(
+        folder=path,
+        process_id=process_id,
+        discard_healthy=arguments.discard_healthy,
     )
-    made.close()
+    if done.aside is not None:
+        print(f'{path}: former files set aside in {done.aside}')
     print(
-        f'{path}: empty, as {made.identity.replica_id}; start the host and '
+        f'{path}: empty, as {done.replica_id}; start the host and '
         'wait until "shallothinge dump" of the leader shows its vote'
     )
     return exit_codes.ExitCode.OK
-
-
-def _check_unused(path: pathlib.Path, *, process_id: str) -> None:
-    """Refuse a folder that a running process uses.
-
-    :raises FolderLocked: if one does.
-    """
-    try:
-        data_folder.DataFolder(path=path, process_id=process_id).close()
-    except errors.FolderLocked:
-        raise
-    except errors.StorageError as error:
-        print(error)
--- a/src/shallothinge/operators/tests/test_commands.py
+++ b/src/shallothinge/operators/tests/test_commands.py
@@ -127,5 +127,5 @@
         self.assertNotEqual(
             before.identity.replica_id, after.identity.replica_id
         )
-        kept = list(part.data_folder.parent.glob('*.aside-*'))
+        kept = list(part.data_folder.glob('discarded-*/log'))
         self.assertEqual(1, len(kept))
