--- /dev/null
+++ b/testing/measures/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of whole deployments in separate processes."""
