Run the baseline policies in the measures; add trials of lost disks

Cause: the routing policy is a setting of its own table, and the first comparison ended with a TypeError after our own arm; two faults of the list had no trial: a second host lost right after a repair, and all control hosts restarted after many changes. Change: plans carry the routing settings; two scenarios more.

--- a/testing/deployment.py
+++ b/testing/deployment.py
@@ -265,6 +265,7 @@
                 http=model.HttpSettings(address=f'{HOST}:{ports[2]}'),
                 control_hosts=self._control_hosts,
                 admission=self.plan.admission,
+                routing=self.plan.routing,
             )
             url = f'http://{HOST}:{ports[2]}'
             self._add_part(settings, role='entry', url=url)
--- a/testing/measures/serving.py
+++ b/testing/measures/serving.py
@@ -28,16 +28,27 @@
     prefill_tokens_per_s=20_000,
     step_ms=20,
 )
+UNBOUNDED = settings.AdmissionSettings(long_share_percent=100)
+
+
+@attrs.frozen(kw_only=True)
+class Arm:
+    """Settings of the entries under one policy."""
+
+    routing: settings.RoutingSettings = settings.RoutingSettings()
+    admission: settings.AdmissionSettings = settings.AdmissionSettings()
+
+
 ARMS = {
-    'shallothinge': {},
-    'round robin, long prompts unbounded': {
-        'policy': 'round_robin',
-        'long_share_percent': 100,
-    },
-    'random, long prompts unbounded': {
-        'policy': 'random',
-        'long_share_percent': 100,
-    },
+    'shallothinge': Arm(),
+    'round robin, long prompts unbounded': Arm(
+        routing=settings.RoutingSettings(policy='round_robin'),
+        admission=UNBOUNDED,
+    ),
+    'random, long prompts unbounded': Arm(
+        routing=settings.RoutingSettings(policy='random'),
+        admission=UNBOUNDED,
+    ),
 }
 SHORT_CLASSES = ('1k', '10k')
 LONG_CLASSES = ('100k', '1M')
@@ -53,8 +64,12 @@
     engines = tuple(
         attrs.evolve(engine, options=ENGINE) for engine in plan.engines
     )
-    admission = settings.AdmissionSettings(**ARMS[arm])
-    plan = attrs.evolve(plan, engines=engines, admission=admission)
+    plan = attrs.evolve(
+        plan,
+        engines=engines,
+        admission=ARMS[arm].admission,
+        routing=ARMS[arm].routing,
+    )
     fleet = fleets.Fleet(folder=folder, plan=plan)
     fleet.write_settings()
     fleet.start()
--- a/testing/plan.py
+++ b/testing/plan.py
@@ -58,6 +58,7 @@
     )
     service_specs: tuple[ServiceSpec, ...] = ()
     admission: settings.AdmissionSettings = settings.AdmissionSettings()
+    routing: settings.RoutingSettings = settings.RoutingSettings()
     leases: settings.LeaseSettings = settings.LeaseSettings()
     log_level: str = 'INFO'
 
--- a/testing/trials/fleet.py
+++ b/testing/trials/fleet.py
@@ -1,9 +1,11 @@
 """Actions on a running deployment that trials are put together from."""
 
 import itertools
+import json
 import pathlib
 import shutil
 import subprocess
+import time
 
 from shallothinge.standin import model as standin
 from testing import deployment
@@ -11,6 +13,8 @@
 
 ENGINES = 6
 WORKSPACES = 10
+REPAIR_S = 20
+ELECTION_S = 3
 ENGINE = standin.EngineOptions(
     models=(plans.MODEL_ID,),
     memory_tokens=150_000,
@@ -83,6 +87,54 @@
         self.kill(name)
         return name
 
+    def repair(self, name: str) -> None:
+        """Let a control host without a disk join again, with a vote."""
+        settings = self.folder / f'{name}.toml'
+        command = (
+            *deployment.SOURCE_PROGRAM,
+            'control',
+            'repair',
+            '--settings',
+            str(settings),
+        )
+        subprocess.run(command, check=True, capture_output=True)
+        self.start_part(name)
+        ends_s = time.monotonic() + REPAIR_S
+        while not self._has_vote(name):
+            if time.monotonic() > ends_s:
+                raise deployment.DeploymentError(f'{name} got no vote')
+            time.sleep(deployment.POLL_S)
+
+    def _has_vote(self, name: str) -> bool:
+        done = self.run_command('dump', self.parts[name].address)
+        if done.returncode != 0:
+            return False
+        replica = json.loads(done.stdout)['replica']
+        return replica['replica_id'] in replica['voters']
+
+    def config_version(self) -> int:
+        """Return the version of the configuration at the leader."""
+        status = json.loads(self.operate('bundle', 'status'))
+        return status['state_version']
+
+    def restart_controls(self) -> None:
+        """Kill every control host and start them again.
+
+        :raises DeploymentError: if the configuration went back.
+        """
+        before = self.config_version()
+        parts = self.by_role('control')
+        for part in parts:
+            self.kill(part.name)
+        for part in parts:
+            self.start_part(part.name)
+        time.sleep(ELECTION_S)
+        after = self.config_version()
+        if after < before:
+            raise deployment.DeploymentError(
+                f'the configuration went back from {before} to {after}'
+            )
+
     def lose_disk(self, name: str) -> None:
         """Kill a control host and delete its data folder."""
         self.kill(name)
--- a/testing/trials/scenarios.py
+++ b/testing/trials/scenarios.py
@@ -7,6 +7,7 @@
 from testing.trials import fleet as fleets
 
 ZONE = 'zone-1'
+CHANGES = 40
 
 
 @attrs.frozen(kw_only=True)
@@ -67,6 +68,13 @@
             fleet.start_part(part.name)
 
 
+def _change_often(fleet: fleets.Fleet) -> None:
+    """Make many changes of configuration."""
+    for number in range(CHANGES):
+        order = 'out' if number % 2 == 0 else 'in'
+        fleet.operate('backend', order, 'agent-engine-6')
+
+
 SCENARIOS = {
     'no-fault': Scenario(shows='the same load without a fault', steps=()),
     'leader-killed': Scenario(
@@ -146,4 +154,22 @@
             (19, 'start agent', _restart('agent-service-1')),
         ),
     ),
+    'lost-disks': Scenario(
+        shows='a second host is lost right after the repair of the first',
+        load_s=40,
+        steps=_steps(
+            (5, 'lose disk', lambda fleet: fleet.lose_disk('control-3')),
+            (7, 'repair', lambda fleet: fleet.repair('control-3')),
+            (8, 'lose disk', lambda fleet: fleet.lose_disk('control-1')),
+            (25, 'repair', lambda fleet: fleet.repair('control-1')),
+        ),
+    ),
+    'control-restarted': Scenario(
+        shows='all control hosts restart after many changes',
+        load_s=60,
+        steps=_steps(
+            (2, 'many changes', _change_often),
+            (45, 'restart', lambda fleet: fleet.restart_controls()),
+        ),
+    ),
 }
