Move measurements out of the tests' folder into experiments

Change: testing/measures and testing/measure_*.py stand in experiments/; pages name the new commands; the checks cover the folder.

--- a/Makefile
+++ b/Makefile
@@ -26,13 +26,13 @@
 		--binary dist/shallothinge
 
 format: $(STAMP)
-	$(BIN)/isort --quiet src testing
-	$(BIN)/black --quiet src testing
+	$(BIN)/isort --quiet src testing experiments
+	$(BIN)/black --quiet src testing experiments
 
 lint: $(STAMP)
-	$(BIN)/black --check --quiet src testing
-	$(BIN)/isort --check-only --quiet src testing
-	$(BIN)/flake8 src testing
+	$(BIN)/black --check --quiet src testing experiments
+	$(BIN)/isort --check-only --quiet src testing experiments
+	$(BIN)/flake8 src testing experiments
 
 clean:
 	rm -rf $(VENV) build dist .demo
--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: each prints or writes figures and fails on none."""
--- a/testing/measures/fleet_size.py
+++ b/experiments/fleet_size.py
@@ -12,12 +12,12 @@
 import tempfile
 import time
 
+from experiments import proc
 from shallothinge.load import result
 from shallothinge.operators import messages
 from shallothinge.operators import terminal as terminals
 from shallothinge.settings import load as settings_files
 from shallothinge.settings import model
-from testing.measures import proc
 from testing.trials import fleet as fleets
 
 SIZES = (3, 6, 12, 24)
--- a/testing/log_replica.py
+++ b/experiments/log_replica.py
@@ -1,7 +1,7 @@
 """One replica of the log as a process of its own, for measurements.
 
 Reads orders as JSON lines from standard input and answers each with a JSON
-line on standard output. Started by ``testing.measure_log``.
+line on standard output. Started by ``experiments.measure_log``.
 """
 
 import json
--- a/testing/measure_cold.py
+++ b/experiments/measure_cold.py
@@ -16,9 +16,9 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from experiments import measure_agent
 from shallothinge.standin import model as standin
 from testing import deployment
-from testing import measure_agent
 from testing import plan as plans
 
 CALLERS = 3
--- a/testing/measure_control.py
+++ b/experiments/measure_control.py
@@ -2,7 +2,7 @@
 
 Prints JSON: processor time and bytes by number of holders, workspaces and
 records, without sockets, encryption and disk. Run
-``python -m testing.measure_control``.
+``python -m experiments.measure_control``.
 """
 
 import json
--- a/testing/measure_log.py
+++ b/experiments/measure_log.py
@@ -31,7 +31,7 @@
         self._command = (
             sys.executable,
             '-m',
-            'testing.log_replica',
+            'experiments.log_replica',
             str(folder),
             process_id,
             json.dumps(addresses),
--- a/testing/measures/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Measurements of whole deployments in separate processes."""
--- a/testing/run_tests.py
+++ b/testing/run_tests.py
@@ -14,7 +14,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
-SOURCES = ('src', 'testing')
+SOURCES = ('src', 'testing', 'experiments')
 CHECKS = (
     ('formatter', ('black', '--check', '--quiet', *SOURCES)),
     ('import order', ('isort', '--check-only', '--quiet', *SOURCES)),
