Split the control server: lease granting and maintenance apart

Change: control/granting.py answers lease requests and nudges holders, control/maintenance.py ends silent holders and prunes; the server routes messages. No behaviour changes.

--- /dev/null
+++ b/src/shallothinge/control/maintenance.py
@@ -0,0 +1,99 @@
+"""What a leader commits of its own accord: ends of holders, pruning."""
+
+from collections.abc import Callable
+import logging
+
+from twisted.internet import defer
+
+from shallothinge import clock as clocks
+from shallothinge.control import commands
+from shallothinge.control import leadership
+from shallothinge.control import state
+from shallothinge.leases import messages as leases
+
+LOG = logging.getLogger(__name__)
+
+SWEEP_MS = 1000
+JOB_RETENTION_DAYS = 7
+MS_PER_DAY = 24 * 3600 * 1000
+
+
+class Maintenance:
+    """Looks through the replicated state for what has ended.
+
+    :param propose: commits a command; returns a Deferred.
+    :param retention_days: how long idempotency keys are kept.
+    """
+
+    def __init__(
+        self,
+        *,
+        machine: state.ControlState,
+        clock: clocks.Clock,
+        wall_clock: clocks.Clock,
+        propose: Callable[[object], defer.Deferred],
+        retention_days: int,
+    ):
+        self._machine = machine
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._propose = propose
+        self._retention_ms = retention_days * MS_PER_DAY
+        self._maintaining = False
+        self._swept_ms = 0
+
+    def sweep(self, *, current: leadership.Leadership) -> None:
+        """Look through the state for what has ended, at intervals."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._swept_ms >= SWEEP_MS:
+            self._swept_ms = now_ms
+            self._end_silent_holders(current)
+            self._prune()
+
+    def _end_silent_holders(self, current: leadership.Leadership) -> None:
+        """Commit the end of holders whose leases have surely run out."""
+        may_act = current.leases.may_act
+        ended = [
+            holder
+            for holder in self._machine.data.active_holders()
+            if not may_act(holder)
+        ]
+        if ended:
+            ended.sort(
+                key=lambda holder: (holder.holder_id, holder.incarnation)
+            )
+            self._maintain(leases.EndHolders(holders=tuple(ended)))
+
+    def _prune(self) -> None:
+        now_ms = self._wall_clock.now_ms()
+        before_ms = now_ms - self._retention_ms
+        jobs_before_ms = now_ms - JOB_RETENTION_DAYS * MS_PER_DAY
+        data = self._machine.data
+        if data.claims.has_idle_since(
+            before_ms=before_ms
+        ) or data.jobs.has_idle_since(before_ms=jobs_before_ms):
+            self._maintain(
+                commands.Prune(
+                    before_ms=before_ms, jobs_before_ms=jobs_before_ms
+                )
+            )
+
+    def _maintain(self, command: object) -> None:
+        """Commit a command of this host's own, one at a time.
+
+        It is made anew at the next tick if it was not committed.
+        """
+        if self._maintaining:
+            return
+        self._maintaining = True
+        proposed = self._propose(command)
+        proposed.addErrback(
+            lambda failure: LOG.info(
+                'maintenance was not committed',
+                extra={'cause': failure.getErrorMessage()},
+            )
+        )
+        proposed.addCallback(self._maintained)
+
+    def _maintained(self, _) -> None:
+        self._maintaining = False
--- a/src/shallothinge/control/server.py
+++ b/src/shallothinge/control/server.py
@@ -17,7 +17,9 @@
 from shallothinge.calls import messages as calls
 from shallothinge.control import api
 from shallothinge.control import commands
+from shallothinge.control import granting
 from shallothinge.control import leadership
+from shallothinge.control import maintenance
 from shallothinge.control import orders
 from shallothinge.control import state
 from shallothinge.control import views
@@ -25,8 +27,6 @@
 from shallothinge.jobs import messages as jobs
 from shallothinge.leases import client
 from shallothinge.leases import messages as leases
-from shallothinge.leases import table
-from shallothinge.membership import messages as membership
 from shallothinge.operators import messages as operators
 from shallothinge.settings import model
 from shallothinge.transport import endpoint
@@ -42,10 +42,6 @@
     operators.SetServer,
     calls.ResolveUnknownCall,
 )
-NUDGE_MS = 500
-SWEEP_MS = 1000
-JOB_RETENTION_DAYS = 7
-MS_PER_DAY = 24 * 3600 * 1000
 
 
 @attrs.frozen(kw_only=True)
@@ -57,14 +53,6 @@
     needs_leader: bool = True
 
 
-@attrs.frozen(kw_only=True)
-class WaitingRequest:
-    """A lease request that waits for a majority's confirmation."""
-
-    peer: endpoint.Peer
-    request: leases.LeaseRequest
-
-
 class ControlServer:
     """Handles the messages that a control host receives.
 
@@ -94,21 +82,29 @@
         self._codec = commands.build_codec()
         self._checker = orders.OrderChecker(operators=settings.operators)
         self._leadership: leadership.Leadership | None = None
-        self._waiting: list[WaitingRequest] = []
-        self._confirming = False
-        self._maintaining = False
-        self._nudged_version = 0
-        self._nudged_ms = 0
-        self._swept_ms = 0
-        self._routes_of_holders: dict[leases.Holder, bytes] = {}
-        self._fencing: set[leadership.FenceNeeded] = set()
+        self._granter = granting.LeaseGranter(
+            log=log,
+            machine=machine,
+            clock=clock,
+            current=self._current,
+            propose=self.propose,
+            refuse=self._refuse,
+            send=send,
+        )
+        self._maintenance = maintenance.Maintenance(
+            machine=machine,
+            clock=clock,
+            wall_clock=wall_clock,
+            propose=self.propose,
+            retention_days=settings.leases.idempotency_retention_days,
+        )
         self._routes = self._build_routes()
 
     def _build_routes(self) -> dict[type, Route]:
         operator = ('operator',)
         routes = {
             leases.LeaseRequest: Route(
-                roles=('entry', 'agent'), handle=self._request_lease
+                roles=('entry', 'agent'), handle=self._granter.request
             ),
             operators.InForceRequested: Route(
                 roles=operator, handle=self._answer_in_force
@@ -173,9 +169,9 @@
         """Do what is due from time to time on a leader."""
         if self._log.is_leader:
             self._current().tidy()
-            self._forget_routes()
-            self._nudge_holders()
-            self._sweep()
+            self._granter.forget_routes()
+            self._granter.nudge_holders()
+            self._maintenance.sweep(current=self._current())
 
     def propose(self, command: object) -> defer.Deferred:
         """Commit a command; fire with its decoded answer."""
@@ -187,26 +183,9 @@
         return proposed.addCallback(self._committed)
 
     def _committed(self, answer: bytes) -> object:
-        self._nudge_holders()
+        self._granter.nudge_holders()
         return self._codec.decode(answer)
 
-    def _nudge_holders(self) -> None:
-        """Tell holders of a new configuration, at intervals.
-
-        A change between two nudges goes with the next one.
-        """
-        version = self._machine.data.config.state_version
-        if version <= self._nudged_version:
-            return
-        now_ms = self._clock.now_ms()
-        if now_ms - self._nudged_ms < NUDGE_MS:
-            return
-        self._nudged_version = version
-        self._nudged_ms = now_ms
-        nudge = leases.LeaseNudge(state_version=version)
-        for route in self._routes_of_holders.values():
-            self._send(route=route, message=nudge)
-
     def _current(self) -> leadership.Leadership:
         """Return the soft state of the present leadership."""
         elected_ms = self._log.elected_ms
@@ -273,81 +252,6 @@
         confirmed.addCallback(lambda _: read())
         self._reply_with(confirmed, peer, message)
 
-    def _request_lease(self, peer, request) -> None:
-        if not _is_own(peer, request):
-            self._refuse(peer, request, ErrorKind.FORBIDDEN)
-            return
-        waiting = WaitingRequest(peer=peer, request=request)
-        needed = self._current().fence_needed(request)
-        if needed is None:
-            self._confirm(waiting)
-        elif needed not in self._fencing:
-            self._fence(needed, waiting)
-
-    def _fence(
-        self, needed: leadership.FenceNeeded, waiting: WaitingRequest
-    ) -> None:
-        """Commit a fencing number, then go on with the request.
-
-        Requests that the holder sends meanwhile are dropped.
-        """
-        self._fencing.add(needed)
-        proposed = self.propose(
-            membership.FenceServer(
-                server_id=needed.server_id, incarnation=needed.incarnation
-            )
-        )
-        proposed.addBoth(self._fenced, needed)
-        proposed.addCallback(lambda _: self._confirm(waiting))
-        proposed.addErrback(
-            lambda _: self._refuse(
-                waiting.peer, waiting.request, ErrorKind.NOT_LEADER
-            )
-        )
-
-    def _fenced(self, result, needed):
-        self._fencing.discard(needed)
-        return result
-
-    def _confirm(self, waiting: WaitingRequest) -> None:
-        self._waiting.append(waiting)
-        self._confirm_waiting()
-
-    def _confirm_waiting(self) -> None:
-        """Confirm leadership once for all requests that wait by now.
-
-        Requests that arrive while a majority is being asked wait for the
-        next round: the confirmation must begin after their arrival.
-        """
-        if self._confirming or not self._waiting:
-            return
-        self._confirming = True
-        batch = self._waiting
-        self._waiting = []
-        confirmed = self._log.confirm_read()
-        confirmed.addCallback(lambda _: self._grant(batch))
-        confirmed.addErrback(lambda _: self._refuse_batch(batch))
-        confirmed.addCallback(lambda _: self._confirm_next())
-
-    def _confirm_next(self) -> None:
-        self._confirming = False
-        self._confirm_waiting()
-
-    def _grant(self, batch: list[WaitingRequest]) -> None:
-        current = self._current()
-        for waiting in batch:
-            answer = current.answer(waiting.request)
-            holder = table.holder_of(waiting.request)
-            if isinstance(answer, leases.LeaseRefused):
-                answer = attrs.evolve(answer, leader_id=self._log.leader_id)
-            else:
-                self._routes_of_holders[holder] = waiting.peer.route
-            self._send(route=waiting.peer.route, message=answer)
-
-    def _refuse_batch(self, batch: list[WaitingRequest]) -> None:
-        for waiting in batch:
-            self._refuse(waiting.peer, waiting.request, ErrorKind.NOT_LEADER)
-
     def _carry_out_order(self, peer, order) -> None:
         command = self._checker.build_command(order)
         self._reply_with(self.propose(command), peer, order)
@@ -444,7 +348,7 @@
         holder = leases.Holder(
             holder_id=report.entry_id, incarnation=report.entry_incarnation
         )
-        if _is_of(peer, holder):
+        if granting.is_of(peer, holder):
             self._propose_for(peer, report)
         else:
             self._refuse(peer, report, ErrorKind.FORBIDDEN)
@@ -454,92 +358,9 @@
         holder = leases.Holder(
             holder_id=request.entry_id, incarnation=request.entry_incarnation
         )
-        if not _is_of(peer, holder):
+        if not granting.is_of(peer, holder):
             self._refuse(peer, request, ErrorKind.FORBIDDEN)
         elif not self._current().leases.may_act(holder):
             self._refuse(peer, request, ErrorKind.NO_LEASE)
         else:
             self._propose_for(peer, request)
-
-    def _forget_routes(self) -> None:
-        known = set(self._current().leases.holders())
-        for holder in list(self._routes_of_holders):
-            if holder not in known:
-                del self._routes_of_holders[holder]
-
-    def _sweep(self) -> None:
-        """Look through the state for what has ended, at intervals."""
-        now_ms = self._clock.now_ms()
-        if now_ms - self._swept_ms >= SWEEP_MS:
-            self._swept_ms = now_ms
-            self._end_silent_holders()
-            self._prune()
-
-    def _end_silent_holders(self) -> None:
-        """Commit the end of holders whose leases have surely run out."""
-        may_act = self._current().leases.may_act
-        ended = [
-            holder
-            for holder in self._machine.data.active_holders()
-            if not may_act(holder)
-        ]
-        if ended:
-            ended.sort(
-                key=lambda holder: (holder.holder_id, holder.incarnation)
-            )
-            self._maintain(leases.EndHolders(holders=tuple(ended)))
-
-    def _prune(self) -> None:
-        retention_ms = (
-            self._settings.leases.idempotency_retention_days * MS_PER_DAY
-        )
-        now_ms = self._wall_clock.now_ms()
-        before_ms = now_ms - retention_ms
-        jobs_before_ms = now_ms - JOB_RETENTION_DAYS * MS_PER_DAY
-        data = self._machine.data
-        if data.claims.has_idle_since(
-            before_ms=before_ms
-        ) or data.jobs.has_idle_since(before_ms=jobs_before_ms):
-            self._maintain(
-                commands.Prune(
-                    before_ms=before_ms, jobs_before_ms=jobs_before_ms
-                )
-            )
-
-    def _maintain(self, command: object) -> None:
-        """Commit a command of this host's own, one at a time.
-
-        It is made anew at the next tick if it was not committed.
-        """
-        if self._maintaining:
-            return
-        self._maintaining = True
-        proposed = self.propose(command)
-        proposed.addErrback(
-            lambda failure: LOG.info(
-                'maintenance was not committed',
-                extra={'cause': failure.getErrorMessage()},
-            )
-        )
-        proposed.addCallback(self._maintained)
-
-    def _maintained(self, _) -> None:
-        self._maintaining = False
-
-
-def _is_of(peer: endpoint.Peer, holder: leases.Holder) -> bool:
-    """Return whether a holder is the process that a peer is."""
-    return (
-        holder.holder_id == peer.process_id
-        and holder.incarnation == peer.incarnation
-    )
-
-
-def _is_own(peer: endpoint.Peer, request: leases.LeaseRequest) -> bool:
-    """Return whether a request speaks for the peer that sent it."""
-    if (request.server is not None) != (peer.role == 'agent'):
-        return False
-    if request.server is not None:
-        if request.server.server_id != peer.process_id:
-            return False
-    return _is_of(peer, table.holder_of(request))
--- a/src/shallothinge/control/tests/test_server.py
+++ b/src/shallothinge/control/tests/test_server.py
@@ -6,7 +6,7 @@
 
 from shallothinge.bundles.tests import samples
 from shallothinge.calls import messages as calls
-from shallothinge.control import server
+from shallothinge.control import maintenance
 from shallothinge.control.tests import fakes
 from shallothinge.errors import ErrorKind
 from shallothinge.leases import holder as holders
@@ -205,7 +205,7 @@
         self.bench.clock.advance(duration_ms=2999)
         self.bench.server.tick()
         self.assertEqual((), self.bench.machine.data.claims.unknown())
-        self.bench.clock.advance(duration_ms=server.SWEEP_MS)
+        self.bench.clock.advance(duration_ms=maintenance.SWEEP_MS)
         self.bench.server.tick()
         self.assertEqual(1, len(self.bench.machine.data.claims.unknown()))
         late = attrs.evolve(claim, claim_id='c2')
