--- a/src/shallothinge/entry/process.py
+++ b/src/shallothinge/entry/process.py
@@ -24,6 +24,7 @@
 from shallothinge.entry import chats
 from shallothinge.entry import fleet as fleets
 from shallothinge.entry import jobs
+from shallothinge.entry import readiness
 from shallothinge.entry import site
 from shallothinge.entry import spend
 from shallothinge.leases import client as clients
@@ -101,6 +102,11 @@
         self.calls = self._build_calls()
         self.spending = self._build_spending()
         self.jobs = self._build_jobs()
+        self._readiness = readiness.Readiness(
+            clock=self.process.clock,
+            holder=self.holder,
+            knows=lambda need: self.fleet.knows(need=need),
+        )
         self._api = self._build_api()
         self._port = None
 
@@ -195,6 +201,7 @@
             wall_clock=clocks.WallClock(),
             calls=self.calls,
             jobs=self.jobs,
+            readiness=self._readiness,
             **self._chat_services(),
         )
         return site.CallersApi(services=services)
@@ -346,7 +353,7 @@
         if self._stopped is None:
             self._stopped = defer.Deferred()
             LOG.info('stopping: no longer ready, finishing work under way')
-            self._api.is_ready = False
+            self._readiness.is_stopping = True
             wait_ms = self._settings.admission.stop_wait_ms
             self._reactor.callLater(wait_ms / 1000, self._take_no_more)
         return self._stopped
--- a/src/shallothinge/entry/site.py
+++ b/src/shallothinge/entry/site.py
@@ -16,6 +16,7 @@
 from shallothinge.entry import chat_job
 from shallothinge.entry import chat_start
 from shallothinge.entry import jobs
+from shallothinge.entry import readiness
 from shallothinge.entry import requests
 from shallothinge.entry import sinks
 from shallothinge.entry import workspaces
@@ -38,6 +39,7 @@
     wall_clock: clocks.Clock
     calls: calls.CallsService
     jobs: jobs.JobService
+    readiness: readiness.Readiness
 
 
 class CallersApi(resource.Resource):
@@ -48,7 +50,6 @@
     def __init__(self, *, services: Services):
         super().__init__()
         self._services = services
-        self.is_ready = True
 
     def render(self, request):
         """Check a request and pass it on."""
@@ -88,10 +89,9 @@
             )
 
     def _answer_ready(self, response: sinks.Response) -> None:
-        if not self.is_ready:
-            raise errors.ServingError(kind=ErrorKind.STOPPING)
-        if not self._services.holder.is_valid():
-            raise errors.ServingError(kind=ErrorKind.NO_LEASE)
+        refusal = self._services.readiness.refusal()
+        if refusal is not None:
+            raise errors.ServingError(kind=refusal)
         response.end_whole(status=200, content_type=TEXT, body=b'ready\n')
 
     def _authenticate(self, request):
@@ -136,7 +136,7 @@
     def _submit_job(self, request, response: sinks.Response) -> None:
         """Take a request durably; it is checked as if it began now."""
         workspace = self._authenticate(request)
-        if not self.is_ready:
+        if self._services.readiness.is_stopping:
             raise errors.ServingError(kind=ErrorKind.STOPPING)
         job = self._chat_job(request, response, workspace)
         request.content.seek(0)
