--- a/experiments/serving.py
+++ b/experiments/serving.py
@@ -111,6 +111,15 @@
     return rows
 
 
+def _order(arguments: argparse.Namespace) -> list[tuple[str, tuple]]:
+    """Return the parts of a slowdown run in the order asked for."""
+    parts = [
+        ('alone', SHORT_CLASSES),
+        ('mixed', SHORT_CLASSES + LONG_CLASSES),
+    ]
+    return parts[::-1] if arguments.mixed_first else parts
+
+
 def measure_slowdown(arm: str, arguments: argparse.Namespace) -> dict:
     """Send short requests without and with long ones; compare."""
     callers = profile.PROFILES[arguments.profile]
@@ -118,21 +127,17 @@
         path = pathlib.Path(folder) / 'fleet'
         fleet = start_fleet(folder=path, callers=callers, arm=arm)
         try:
-            alone = send(
-                fleet,
-                label='alone',
-                classes=SHORT_CLASSES,
-                arguments=arguments,
-            )
-            mixed = send(
-                fleet,
-                label='mixed',
-                classes=SHORT_CLASSES + LONG_CLASSES,
-                arguments=arguments,
-            )
+            parts = {
+                label: send(
+                    fleet, label=label, classes=classes, arguments=arguments
+                )
+                for label, classes in _order(arguments)
+            }
             held = fleet.wait_memory_free()
         finally:
             fleet.kill_all()
+    alone = parts['alone']
+    mixed = parts['mixed']
     ratios = {
         name: {
             percentile: round(
@@ -207,6 +212,9 @@
     parser.add_argument('--rate-per-s', type=float, default=25.0)
     parser.add_argument('--duration-s', type=float, default=40.0)
     parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument(
+        '--mixed-first', action='store_true', help='long prompts come first'
+    )
     parser.add_argument('--arm', action='append', choices=list(ARMS))
     parser.add_argument('--output', type=pathlib.Path, metavar='JSON')
     parser.add_argument('--report', type=pathlib.Path, metavar='HTML')
