Answer dumps of entries and agents to operators only

Cause: a dump holds the whole state; control answers it to the operator role only, while entries and agents answered any trusted role, and the agent's constant for the role stood unused. Change: both check the role. The entry's test asked with the key of a control host, which the rule now refuses; it asks with an operator's key and also checks that a control host gets no dump, so it is stricter.

--- a/src/shallothinge/agent/service.py
+++ b/src/shallothinge/agent/service.py
@@ -115,7 +115,8 @@
         self._endpoint.close()
 
     def _receive(self, peer, message) -> None:
-        if isinstance(message, operator_messages.DumpRequested):
+        is_dump = isinstance(message, operator_messages.DumpRequested)
+        if is_dump and peer.role == OPERATOR_ROLE:
             self._dump(peer, message)
             return
         handler = self._handlers.get(type(message))
--- a/src/shallothinge/entry/process.py
+++ b/src/shallothinge/entry/process.py
@@ -316,7 +316,8 @@
         )
 
     def _answer_peer(self, peer, message: object) -> None:
-        if isinstance(message, operators.DumpRequested):
+        is_dump = isinstance(message, operators.DumpRequested)
+        if is_dump and peer.role == 'operator':
             answer = operators.DumpAnswered(
                 request_id=message.request_id, json_text=self.dump()
             )
--- a/src/shallothinge/entry/tests/test_process.py
+++ b/src/shallothinge/entry/tests/test_process.py
@@ -13,6 +13,7 @@
 from twisted.web import client
 from twisted.web import http_headers
 
+from shallothinge import process as processes
 from shallothinge.allowances import messages as allowances
 from shallothinge.calls import messages as calls
 from shallothinge.entry.tests import fakes
@@ -335,19 +336,33 @@
         )
         self.assertEqual([], state['chats']['runs'])
 
-    @defer.inlineCallbacks
-    def test_dump_is_answered_over_the_own_address(self):
-        answered = defer.Deferred()
-        link = self.control.process.connect(
+    def _ask_for_dump(self, process, *, on_message):
+        link = process.connect(
             address=self.entry._endpoint.address,
             role='entry',
-            on_message=answered.callback,
+            on_message=on_message,
         )
         self.addCleanup(link.close)
         request = operators.DumpRequested(request_id='r1')
-        yield self.until(lambda: link.send(request))
+        return self.until(lambda: link.send(request))
+
+    @defer.inlineCallbacks
+    def test_dump_is_answered_to_operators_only(self):
+        operator = processes.Process(
+            reactor=reactor,
+            settings=fakes.process_settings('o1', 'operator'),
+            folder=self.folder,
+        )
+        self.addCleanup(operator.close)
+        answered = defer.Deferred()
+        others = []
+        yield self._ask_for_dump(
+            self.control.process, on_message=others.append
+        )
+        yield self._ask_for_dump(operator, on_message=answered.callback)
         answer = yield answered
         self.assertEqual('e1', json.loads(answer.json_text)['process_id'])
+        self.assertEqual([], others)
 
 
 class AllowanceTest(EntryTestCase):
