Use the library's body producer and one constant for a second

Cause: a last read of the whole change. load/caller.py had a body producer of its own although twisted.web.client brings one; eight modules and two of the load tool wrote out the milliseconds of a second that clock.py names; experiments/fleet_size.py built the same table of costs twice. Change: each of the three uses the one piece. No behaviour changes.

--- a/experiments/fleet_size.py
+++ b/experiments/fleet_size.py
@@ -65,26 +65,30 @@
     costs = {}
     for role in ROLES:
         names = [part.name for part in fleet.by_role(role)]
-        pairs = [(before[name], after[name]) for name in names]
-        costs[role] = {
-            'cpu_percent': _mean_rate(pairs, 'cpu_s') * 100,
-            'memory_mb': statistics.mean(
-                later.memory_bytes / 1e6 for _, later in pairs
-            ),
-            'control_bytes_per_s': _mean_rate(pairs, 'control_bytes'),
-            'control_messages_per_s': _mean_rate(pairs, 'control_messages'),
-        }
+        costs[role] = _costs_of(names, before=before, after=after)
     leader = fleet.find_leader().name
-    pair = [(before[leader], after[leader])]
-    costs['leader'] = {
-        'cpu_percent': _mean_rate(pair, 'cpu_s') * 100,
-        'memory_mb': after[leader].memory_bytes / 1e6,
-        'control_bytes_per_s': _mean_rate(pair, 'control_bytes'),
-        'control_messages_per_s': _mean_rate(pair, 'control_messages'),
-    }
+    costs['leader'] = _costs_of([leader], before=before, after=after)
     return costs
 
 
+def _costs_of(
+    names: list[str],
+    *,
+    before: dict[str, proc.Usage],
+    after: dict[str, proc.Usage],
+) -> dict[str, float]:
+    """Return the mean use of the named processes between two readings."""
+    pairs = [(before[name], after[name]) for name in names]
+    return {
+        'cpu_percent': _mean_rate(pairs, 'cpu_s') * 100,
+        'memory_mb': statistics.mean(
+            later.memory_bytes / 1e6 for _, later in pairs
+        ),
+        'control_bytes_per_s': _mean_rate(pairs, 'control_bytes'),
+        'control_messages_per_s': _mean_rate(pairs, 'control_messages'),
+    }
+
+
 def _read_all(fleet: fleets.Fleet) -> dict[str, proc.Usage]:
     return {
         part.name: proc.read_usage(part)
--- a/src/shallothinge/control/state.py
+++ b/src/shallothinge/control/state.py
@@ -21,6 +21,7 @@
 from shallothinge.calls import messages as calls
 from shallothinge.calls.claims import ClaimRecord
 from shallothinge.calls.claims import Claims
+from shallothinge.clock import MS_PER_SECOND
 from shallothinge.control import commands
 from shallothinge.control import snapshots
 from shallothinge.control.answers import FirstAnswer
@@ -35,8 +36,6 @@
 from shallothinge.operators import messages as operators
 from shallothinge.outages.state import Outages
 
-MS_PER_SECOND = 1000
-
 
 @attrs.define(kw_only=True)
 class StateData:
--- a/src/shallothinge/entry/answers.py
+++ b/src/shallothinge/entry/answers.py
@@ -5,9 +5,9 @@
 import attrs
 
 from shallothinge import errors
+from shallothinge.clock import MS_PER_SECOND
 from shallothinge.streams import messages
 
-MS_PER_SECOND = 1000
 DONE = b'data: [DONE]\n\n'
 
 
--- a/src/shallothinge/entry/jobs.py
+++ b/src/shallothinge/entry/jobs.py
@@ -12,6 +12,7 @@
 from shallothinge.admission import classes
 from shallothinge.bundles import model
 from shallothinge.calls.messages import StoredAnswer
+from shallothinge.clock import MS_PER_SECOND
 from shallothinge.entry import answers
 from shallothinge.entry import chat_job
 from shallothinge.entry import chat_start
@@ -27,7 +28,6 @@
 KEEP_ASKING_MS = 60_000
 MAX_RUNNING = 4
 MIN_WAIT_MS = 1000
-MS_PER_SECOND = 1000
 ACCEPTED = 202
 JOB_ID_DIGITS = 32
 JSON_TEXT = 'application/json'
--- a/src/shallothinge/entry/site.py
+++ b/src/shallothinge/entry/site.py
@@ -11,6 +11,7 @@
 
 from shallothinge import clock as clocks
 from shallothinge import errors
+from shallothinge.clock import MS_PER_SECOND
 from shallothinge.entry import call_run
 from shallothinge.entry import calls
 from shallothinge.entry import chat_job
@@ -28,7 +29,6 @@
 SERVICES_PATH = '/v1/services/'
 JOBS_PATH = '/v1/jobs'
 REQUEST_ID_BYTES = 16
-MS_PER_SECOND = 1000
 TEXT = b'text/plain; charset=utf-8'
 
 
--- a/src/shallothinge/entry/spend.py
+++ b/src/shallothinge/entry/spend.py
@@ -10,13 +10,13 @@
 from shallothinge.allowances import messages
 from shallothinge.allowances import usage
 from shallothinge.bundles import model
+from shallothinge.clock import MS_PER_SECOND
 from shallothinge.errors import ErrorKind
 
 LOG = logging.getLogger(__name__)
 
 ASK_TIMEOUT_MS = 5000
 REPORT_TIMEOUT_MS = 10_000
-MS_PER_SECOND = 1000
 
 
 class Spending:
--- a/src/shallothinge/ledger/state.py
+++ b/src/shallothinge/ledger/state.py
@@ -9,12 +9,12 @@
 import attrs
 
 from shallothinge.allowances import messages
+from shallothinge.clock import MS_PER_SECOND
 from shallothinge.leases.messages import Holder
 
 DAYS_KEPT = 93
 REPORTS_KEPT_MS = 7 * 24 * 3600 * 1000
 MONTH_DIGITS = len('2026-01')
-MS_PER_SECOND = 1000
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallothinge/load/caller.py
+++ b/src/shallothinge/load/caller.py
@@ -1,5 +1,6 @@
 """Sends one request over HTTP and judges the answer that comes back."""
 
+import io
 import json
 import time
 
@@ -8,8 +9,6 @@
 from twisted.internet import protocol
 from twisted.web import client
 from twisted.web import http_headers
-from twisted.web import iweb
-from zope.interface import implementer
 
 from shallothinge import sse
 from shallothinge.load import result
@@ -20,29 +19,6 @@
 MAX_CONNECTIONS = 1000
 
 
-@implementer(iweb.IBodyProducer)
-class _Body:
-    """A request body that is written at once."""
-
-    def __init__(self, *, data: bytes):
-        self._data = data
-        self.length = len(data)
-
-    def startProducing(self, consumer):
-        """Write the whole body."""
-        consumer.write(self._data)
-        return defer.succeed(None)
-
-    def pauseProducing(self):
-        """Nothing to pause; the body is written already."""
-
-    def resumeProducing(self):
-        """Nothing to resume; the body is written already."""
-
-    def stopProducing(self):
-        """Nothing to stop; the body is written already."""
-
-
 @attrs.define(kw_only=True)
 class _Progress:
     """What has been seen of one streamed answer."""
@@ -154,7 +130,10 @@
             }
         )
         response = yield self._agent.request(
-            b'POST', url.encode(), headers, _Body(data=body.encode())
+            b'POST',
+            url.encode(),
+            headers,
+            client.FileBodyProducer(io.BytesIO(body.encode())),
         )
         if response.code != 200:
             text = yield client.readBody(response)
--- a/src/shallothinge/load/main.py
+++ b/src/shallothinge/load/main.py
@@ -9,13 +9,12 @@
 from twisted.internet import defer
 from twisted.internet import reactor
 
+from shallothinge import clock
 from shallothinge.load import caller
 from shallothinge.load import profile
 from shallothinge.load import report
 from shallothinge.load import runner
 
-MS_PER_SECOND = 1000
-
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Declare the command's arguments."""
@@ -89,7 +88,7 @@
         target=target,
         callers=callers,
         rate_per_s=arguments.rate_per_s,
-        duration_ms=round(arguments.duration_s * MS_PER_SECOND),
+        duration_ms=round(arguments.duration_s * clock.MS_PER_SECOND),
         seed=arguments.seed,
     )
     return collector
--- a/src/shallothinge/load/schedule.py
+++ b/src/shallothinge/load/schedule.py
@@ -6,10 +6,10 @@
 
 import attrs
 
+from shallothinge import clock
 from shallothinge.load import profile
 from shallothinge.tokens import BYTES_PER_TOKEN
 
-MS_PER_SECOND = 1000
 WORDS = ('lease', 'clause', 'tenant', 'bond', 'repair', 'tender', 'site')
 
 
@@ -66,7 +66,7 @@
     arrivals = []
     for kind in callers.prompt_classes:
         rng = random.Random(f'{seed}/{kind.name}')
-        rate_per_ms = rate_per_s * kind.share / MS_PER_SECOND
+        rate_per_ms = rate_per_s * kind.share / clock.MS_PER_SECOND
         at_ms = rng.expovariate(rate_per_ms)
         while at_ms < duration_ms:
             arrivals.append((at_ms, kind, _draw(rng, kind, callers)))
--- a/src/shallothinge/operators/arguments.py
+++ b/src/shallothinge/operators/arguments.py
@@ -3,13 +3,13 @@
 import argparse
 import pathlib
 
+from shallothinge.clock import MS_PER_SECOND
 from shallothinge.operators import terminal
 from shallothinge.settings import load
 from shallothinge.settings import model
 
 DEFAULT_SETTINGS = pathlib.Path('operator.toml')
 DEFAULT_TIMEOUT_S = 15
-MS_PER_SECOND = 1000
 
 
 def add_terminal_arguments(command: argparse.ArgumentParser) -> None:
--- a/src/shallothinge/standin/engine.py
+++ b/src/shallothinge/standin/engine.py
@@ -12,13 +12,13 @@
 
 from shallothinge import clock
 from shallothinge import tokens
+from shallothinge.clock import MS_PER_SECOND
 from shallothinge.standin import answers
 from shallothinge.standin import batch
 from shallothinge.standin import events
 from shallothinge.standin import memory
 from shallothinge.standin import model
 
-MS_PER_SECOND = 1000
 SNAPSHOTS = 4096
 
 
