--- a/src/shallothinge/agent/process.py
+++ b/src/shallothinge/agent/process.py
@@ -5,6 +5,7 @@
 from shallothinge import process as processes
 from shallothinge.agent import service as services
 from shallothinge.settings import model
+from shallothinge.settings import watch
 
 
 def start(
@@ -16,6 +17,7 @@
     finished. Telling it again changes nothing.
 
     :param folder: folder of the settings file, for relative paths.
+    :param changes: tells of changed settings; none is used before a restart.
     """
     process = processes.Process(
         reactor=reactor, settings=settings.process, folder=folder
@@ -29,7 +31,11 @@
 
 
 def run(
-    *, settings: model.AgentSettings, folder: pathlib.Path, reactor
+    *,
+    settings: model.AgentSettings,
+    folder: pathlib.Path,
+    reactor,
+    changes: watch.SettingsWatch | None = None,
 ) -> None:
     """Run an agent until SIGTERM, then finish what runs."""
     start(settings=settings, folder=folder, reactor=reactor)
--- a/src/shallothinge/bundles/model.py
+++ b/src/shallothinge/bundles/model.py
@@ -62,10 +62,12 @@
 class ServingConfig:
     """The configuration in force, as lease holders receive it.
 
-    ``state_version`` orders all changes, of bundles and of outages.
+    ``state_version`` orders all changes, of bundles, routes and outages.
     """
 
     state_version: int = 0
     bundle: Bundle | None = None
     zones_out: tuple[str, ...] = ()
     servers_out: tuple[str, ...] = ()
+    routes_version: int = 0
+    routes_document: bytes = attrs.field(default=b'', repr=False)
--- a/src/shallothinge/clock.py
+++ b/src/shallothinge/clock.py
@@ -20,11 +20,15 @@
 
 
 class MonotonicClock:
-    """The host's monotonic clock."""
+    """The host's monotonic clock.
+
+    It goes on while the host is suspended: a lease that ran out meanwhile
+    must not look valid afterwards.
+    """
 
     def now_ms(self) -> int:
         """Return milliseconds since an arbitrary origin of this host."""
-        return time.monotonic_ns() // NS_PER_MS
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS
 
 
 class WallClock:
--- a/src/shallothinge/consensus/membership.py
+++ b/src/shallothinge/consensus/membership.py
@@ -10,7 +10,8 @@
 
     A replica joins without a vote. When it holds all that is committed the
     leader removes the former replica of the same process, if there is one,
-    and then gives the new one its vote.
+    or one that has been silent for long, and then gives the new one its
+    vote.
     """
 
     def __init__(
@@ -90,8 +91,17 @@
             if model.process_id_of(voter) == process_id:
                 self.remove(now_ms, voter)
                 return
+        for voter in self._state.other_voters:
+            if self._is_lost(now_ms, voter):
+                self.remove(now_ms, voter)
+                return
         self.promote(now_ms, learner)
 
+    def _is_lost(self, now_ms: int, voter: str) -> bool:
+        limit_ms = self._state.timing.replace_silent_ms
+        progress = self._state.leadership.progress[voter]
+        return 0 < limit_ms < now_ms - progress.heard_ms
+
     def _has_caught_up(self, replica_id: str) -> bool:
         state = self._state
         if state.leadership is None:
--- a/src/shallothinge/consensus/model.py
+++ b/src/shallothinge/consensus/model.py
@@ -31,7 +31,9 @@
     The election timeout is drawn between ``election_min_ms`` and
     ``election_max_ms``; ``batch_bytes`` bounds the entries of one message
     and ``chunk_bytes`` a piece of a snapshot. ``kept_entries`` remain in
-    the log behind a snapshot for replicas that are a little late.
+    the log behind a snapshot for replicas that are a little late. A voter
+    that was silent for ``replace_silent_ms`` makes way for a learner that
+    has caught up; 0 keeps all.
     """
 
     heartbeat_ms: int = 100
@@ -40,6 +42,7 @@
     batch_bytes: int = 256 * 1024
     chunk_bytes: int = 256 * 1024
     kept_entries: int = 200
+    replace_silent_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallothinge/control/api.py
+++ b/src/shallothinge/control/api.py
@@ -10,12 +10,14 @@
 class ReplicatedLog(Protocol):
     """One replica of the log.
 
-    ``elected_ms`` is when this host was elected, on its own clock.
+    ``elected_ms`` is when this host was elected, on its own clock;
+    ``member_ids`` are the process ids of the cluster's members.
     """
 
     is_leader: bool
     leader_id: str
     elected_ms: int | None
+    member_ids: tuple[str, ...]
 
     def propose(self, command: bytes) -> defer.Deferred:
         """Fire with the answer once the command is committed and applied."""
--- a/src/shallothinge/control/commands.py
+++ b/src/shallothinge/control/commands.py
@@ -14,6 +14,7 @@
 from shallothinge.leases import messages as leases
 from shallothinge.membership import messages as membership
 from shallothinge.operators import messages as operators
+from shallothinge.routes import messages as routes
 
 
 @attrs.frozen(kw_only=True)
@@ -67,5 +68,6 @@
             *jobs.COMMANDS,
             *calls.MESSAGES,
             *operators.MESSAGES,
+            *routes.COMMANDS,
         )
     )
--- a/src/shallothinge/control/granting.py
+++ b/src/shallothinge/control/granting.py
@@ -55,6 +55,7 @@
         self._waiting: list[WaitingRequest] = []
         self._confirming = False
         self._nudged_version = 0
+        self._nudged_members = ('', 0)
         self._nudged_ms = 0
         self._routes_of_holders: dict[leases.Holder, bytes] = {}
         self._fencing: set[leadership.FenceNeeded] = set()
@@ -141,14 +142,22 @@
         A change between two nudges goes with the next one.
         """
         version = self._machine.data.config.state_version
-        if version <= self._nudged_version:
+        members = self._current().members
+        members_version = (members.epoch, members.version)
+        if (
+            version <= self._nudged_version
+            and members_version == self._nudged_members
+        ):
             return
         now_ms = self._clock.now_ms()
         if now_ms - self._nudged_ms < NUDGE_MS:
             return
         self._nudged_version = version
+        self._nudged_members = members_version
         self._nudged_ms = now_ms
-        nudge = leases.LeaseNudge(state_version=version)
+        nudge = leases.LeaseNudge(
+            state_version=version, members_version=members.version
+        )
         for route in self._routes_of_holders.values():
             self._send(route=route, message=nudge)
 
--- a/src/shallothinge/control/joining.py
+++ b/src/shallothinge/control/joining.py
@@ -32,6 +32,8 @@
     process, or the repair that made the folder in place of a lost one.
 
     :param broadcast: sends a message to every other control host.
+    :param takes_all: take in every replica that announces itself, where
+        hosts find each other and nobody orders additions.
     """
 
     def __init__(
@@ -41,11 +43,13 @@
         process_id: str,
         rejoin: bool,
         broadcast: Callable[[object], None],
+        takes_all: bool = False,
     ):
         self._node = node
         self._process_id = process_id
         self._rejoin = rejoin
         self._broadcast = broadcast
+        self._takes_all = takes_all
         self._announced: dict[str, messages.ReplicaAnnounced] = {}
         self._announce_due_ms = 0
         self._founding: _Founding | None = None
@@ -170,7 +174,8 @@
         }
         for process_id, message in list(self._announced.items()):
             replaces = message.rejoin and process_id in members
-            wanted = process_id in self._additions or replaces
+            ordered = process_id in self._additions or self._takes_all
+            wanted = ordered or replaces
             if message.sender_id in configuration.replicas:
                 del self._announced[process_id]
             elif wanted:
--- a/src/shallothinge/control/leadership.py
+++ b/src/shallothinge/control/leadership.py
@@ -1,5 +1,8 @@
 """Soft state of one leadership: leases and announced backend servers."""
 
+from collections.abc import Callable
+import hashlib
+
 import attrs
 
 from shallothinge import clock
@@ -9,10 +12,13 @@
 from shallothinge.leases import messages
 from shallothinge.leases import table
 from shallothinge.membership import fences
+from shallothinge.membership import heartbeats
 from shallothinge.membership import table as members
 from shallothinge.membership.model import MembershipUpdate
 from shallothinge.settings import model
 
+DIGEST_HEX_DIGITS = 12
+
 
 @attrs.frozen(kw_only=True)
 class FenceNeeded:
@@ -27,6 +33,7 @@
 
     :param epoch: unique name of this leadership.
     :param elected_ms: when it began, on ``clock``.
+    :param read_control_ids: returns the ids of the control hosts.
     """
 
     def __init__(
@@ -37,11 +44,14 @@
         settings: model.LeaseSettings,
         epoch: str,
         elected_ms: int,
+        read_control_ids: Callable[[], tuple[str, ...]] = tuple,
     ):
         self._clock = clock
+        self._read_control_ids = read_control_ids
         self._machine = machine
         self.epoch = epoch
         self._agents_config = ServingConfig()
+        self._address_of_holder: dict[messages.Holder, str] = {}
         self._members_complete_ms = elected_ms + settings.member_silence_ms
         self.leases = table.LeaseTable(
             clock=clock,
@@ -51,6 +61,9 @@
         self.members = members.MemberTable(
             clock=clock, epoch=epoch, silence_ms=settings.member_silence_ms
         )
+        self.heartbeats = heartbeats.HeartbeatLog(
+            clock=clock, members=self.members
+        )
 
     def fence_needed(
         self, request: messages.LeaseRequest
@@ -91,6 +104,12 @@
         keeps_bundle = is_behind and _holds_bundle(request, config)
         if keeps_bundle:
             config = attrs.evolve(config, bundle=None)
+        keeps_routes = is_behind and _holds_routes(request, config)
+        if keeps_routes:
+            config = attrs.evolve(config, routes_document=b'')
+        self._note_address(request)
+        digest = self._peers_digest() if request.address else ''
+        knows_peers = request.peers_digest == digest
         return messages.LeaseGranted(
             sequence=request.sequence,
             duration_ms=duration_ms,
@@ -100,8 +119,30 @@
             members_epoch=self.epoch,
             members=self._members_for(request),
             keeps_bundle=keeps_bundle,
+            keeps_routes=keeps_routes,
+            peers=() if knows_peers else tuple(sorted(self._addresses())),
+            control_ids=() if knows_peers else self._read_control_ids(),
+            peers_digest='' if knows_peers else digest,
         )
 
+    def _note_address(self, request: messages.LeaseRequest) -> None:
+        if request.address:
+            holder = table.holder_of(request)
+            self._address_of_holder[holder] = request.address
+
+    def _addresses(self) -> set[str]:
+        """Return the addresses of the holders whose leases may run."""
+        known = set(self.leases.holders())
+        for holder in list(self._address_of_holder):
+            if holder not in known:
+                del self._address_of_holder[holder]
+        return set(self._address_of_holder.values())
+
+    def _peers_digest(self) -> str:
+        known = [*sorted(self._addresses()), *self._read_control_ids()]
+        text = ' '.join(known)
+        return hashlib.sha256(text.encode()).hexdigest()[:DIGEST_HEX_DIGITS]
+
     def _config_for_agents(self) -> ServingConfig:
         """Return the configuration without the hashes of API keys.
 
@@ -116,6 +157,7 @@
         """Drop leases that ran out and silent backend servers."""
         self.leases.forget_ended()
         self.members.drop_silent()
+        self.heartbeats.forget_old()
 
     def _standing_of(self, request) -> fences.Standing:
         return self._machine.data.fences.standing_of(
@@ -179,6 +221,15 @@
     return request.bundle_version == config.bundle.version
 
 
+def _holds_routes(
+    request: messages.LeaseRequest, config: ServingConfig
+) -> bool:
+    """Return whether the holder has the route table in force."""
+    if not config.routes_version:
+        return False
+    return request.routes_version == config.routes_version
+
+
 def _without_key_hashes(config: ServingConfig) -> ServingConfig:
     if config.bundle is None:
         return config
--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -24,6 +24,9 @@
 
 TICKS_PER_HEARTBEAT = 4
 KEPT_DIVISOR = 4
+# A voter may be replaced by a new host once it was silent for longer than a
+# restart or an election takes.
+REPLACE_SILENT_MS = 2500
 EXIT_STORAGE_FAILED = 74
 
 
@@ -65,11 +68,13 @@
         self._machine = machine
         self._on_leadership = on_leadership
         self._on_failure = on_failure
+        self._discovery = settings.discovery
         self._snapshot_entries = settings.log.snapshot_entries
         self._tick_ms = settings.log.heartbeat_ms // TICKS_PER_HEARTBEAT
         self._folder = data_folder.DataFolder(
             path=process.folder / pathlib.Path(settings.log.data_folder),
             process_id=process.process_id,
+            rejoin=_rejoins(settings.discovery),
         )
         self._node = self._restore(settings.log, rng or random.Random())
         self._pending = pending.PendingWork()
@@ -81,6 +86,7 @@
             process_id=process.process_id,
             rejoin=self._folder.identity.rejoin,
             broadcast=self._links.broadcast,
+            takes_all=settings.discovery is not None,
         )
         self._led_term: int | None = None
         self._ready = False
@@ -133,11 +139,14 @@
         """
         if self._closed or peer.role != 'control':
             return
-        if model.process_id_of(message.sender_id) != peer.process_id:
-            LOG.warning('dropped a message under a foreign replica id')
-            return
+        is_own = model.process_id_of(message.sender_id) == peer.process_id
         if isinstance(message, messages.ReplicaAnnounced):
             self._joining.announced(message)
+            if is_own and self.leader_id not in ('', self._process_id):
+                self._links.send_to(self.leader_id, message)
+        elif not is_own:
+            LOG.warning('dropped a message under a foreign replica id')
+            return
         else:
             self._node.receive(
                 self._clock.now_ms(), message.sender_id, message
@@ -230,6 +239,19 @@
         self._hand_over_ends_ms = now_ms + self._node.timing.election_max_ms
         return answered
 
+    @property
+    def member_ids(self) -> tuple[str, ...]:
+        """Return the process ids of the members of the cluster."""
+        return tuple(
+            model.process_id_of(replica_id)
+            for replica_id in self._node.configuration.replicas
+        )
+
+    @property
+    def has_cluster(self) -> bool:
+        """Return whether this replica belongs to a cluster."""
+        return bool(self._node.cluster_id)
+
     def dump(self) -> replica_dump.ReplicaDump:
         """Return the state of this replica."""
         return replica_dump.describe(
@@ -244,6 +266,7 @@
         self, settings: settings_model.LogSettings, rng: random.Random
     ) -> nodes.Node:
         restored = self._folder.restored
+        discovery = self._discovery
         node = nodes.Node(
             replica_id=self._folder.identity.replica_id,
             rng=rng,
@@ -252,6 +275,7 @@
                 election_min_ms=settings.election_min_ms,
                 election_max_ms=settings.election_max_ms,
                 kept_entries=settings.snapshot_entries // KEPT_DIVISOR,
+                replace_silent_ms=_replace_silent_ms(discovery),
             ),
             restored=restored,
         )
@@ -398,3 +422,22 @@
 
     def _not_leader(self) -> errors.ServingError:
         return pending.NotLeader(leader_id=self.leader_id)
+
+
+def _rejoins(discovery: settings_model.DiscoverySettings | None) -> bool:
+    """Return whether an empty data folder stands for one that was lost.
+
+    Hosts that find each other repair themselves: but at the first start of
+    a deployment, an empty folder is that of a host that lost its disk.
+    """
+    return discovery is not None and not discovery.may_found
+
+
+def _replace_silent_ms(
+    discovery: settings_model.DiscoverySettings | None,
+) -> int:
+    """Return the silence after which a voter may be replaced, 0 for never.
+
+    Where the control hosts are listed, operators order each replacement.
+    """
+    return 0 if discovery is None else REPLACE_SILENT_MS
--- a/src/shallothinge/control/replica_links.py
+++ b/src/shallothinge/control/replica_links.py
@@ -1,31 +1,63 @@
 """Connections of a replica to the other control hosts."""
 
 from shallothinge.consensus import model
+from shallothinge.control import discovery
 from shallothinge.settings import model as settings_model
 
+# Well past the time that a restarted host takes to be heard again.
+KEPT_SILENT_MS = 10_000
+
 
 class ReplicaLinks:
     """One connection to each other control host of the settings.
 
     Each host sends on its own connections only, so nothing is received
     here. What can not be sent is lost; the protocol sends it again.
+
+    With discovery the ids of control hosts are their addresses, and a
+    connection is opened to each host that is sent to.
     """
 
     def __init__(self, *, process, settings: settings_model.ControlSettings):
+        self._process = process
+        self._is_open = settings.discovery is not None
         self._links = {}
-        for host in settings.control_hosts:
+        for host in discovery.hosts_of(settings):
             if host.process_id != process.process_id:
-                self._links[host.process_id] = process.connect(
-                    address=host.address, role='control', on_message=_drop
-                )
+                self._connect(host.process_id, host.address)
 
-    def send(self, message: object) -> None:
-        """Send to the process of the replica that the message names."""
-        process_id = model.process_id_of(message.target_id)
+    def _connect(self, process_id: str, address: str):
+        link = self._process.connect(
+            address=address, role='control', on_message=_drop
+        )
+        self._links[process_id] = link
+        return link
+
+    def _find(self, process_id: str):
         link = self._links.get(process_id)
+        if link is None and self._is_open:
+            address = discovery.address_of(process_id)
+            return self._connect(process_id, address)
+        return link
+
+    def keep(self, process_ids: tuple[str, ...]) -> None:
+        """Drop connections to hosts that neither seed nor take part."""
+        if not self._is_open or not process_ids:
+            return
+        for process_id in set(self._links) - set(process_ids):
+            if self._links[process_id].silent_ms > KEPT_SILENT_MS:
+                self._links.pop(process_id).close()
+
+    def send_to(self, process_id: str, message: object) -> None:
+        """Send to a control host, if it can be reached."""
+        link = self._find(process_id)
         if link is not None:
             link.send(message)
 
+    def send(self, message: object) -> None:
+        """Send to the process of the replica that the message names."""
+        self.send_to(model.process_id_of(message.target_id), message)
+
     def broadcast(self, message: object) -> None:
         """Send to every other control host."""
         for link in self._links.values():
--- a/src/shallothinge/control/server.py
+++ b/src/shallothinge/control/server.py
@@ -27,7 +27,9 @@
 from shallothinge.jobs import messages as jobs
 from shallothinge.leases import client
 from shallothinge.leases import messages as leases
+from shallothinge.membership import messages as membership
 from shallothinge.operators import messages as operators
+from shallothinge.routes import messages as route_messages
 from shallothinge.settings import model
 from shallothinge.transport import endpoint
 
@@ -143,14 +145,37 @@
             routes[order_type] = Route(
                 roles=operator, handle=self._carry_out_order
             )
+        routes.update(self._build_fleet_routes())
         return routes
 
+    def _build_fleet_routes(self) -> dict[type, Route]:
+        """Return what control hosts pass on for callers of their HTTP API."""
+        roles = ('control', 'operator')
+        return {
+            route_messages.StoreRoutes: Route(
+                roles=roles, handle=self._propose_for
+            ),
+            route_messages.FetchRoutes: Route(
+                roles=roles, handle=self._fetch_routes
+            ),
+            operators.SetZone: Route(
+                roles=roles, handle=self._carry_out_order
+            ),
+            membership.Heartbeat: Route(
+                roles=roles, handle=self._take_heartbeat
+            ),
+            membership.ServerGone: Route(
+                roles=roles, handle=self._take_server_gone
+            ),
+        }
+
     def receive(self, peer: endpoint.Peer, message: object) -> None:
         """Handle a message of a peer."""
-        if peer.role == 'control':
+        route = self._routes.get(type(message))
+        is_replicas = route is None or 'control' not in route.roles
+        if peer.role == 'control' and is_replicas:
             self._log.receive(peer, message)
             return
-        route = self._routes.get(type(message))
         if route is None or peer.role not in route.roles:
             LOG.warning(
                 'refused a message that the peer may not send',
@@ -197,6 +222,7 @@
                 settings=self._settings.leases,
                 epoch=epoch,
                 elected_ms=elected_ms,
+                read_control_ids=lambda: self._log.member_ids,
             )
         return self._leadership
 
@@ -253,7 +279,14 @@
         self._reply_with(confirmed, peer, message)
 
     def _carry_out_order(self, peer, order) -> None:
-        command = self._checker.build_command(order)
+        """Check and commit an order.
+
+        A control host vouches for what it passes on for the callers of its
+        HTTP API, who have no keys of their own.
+        """
+        command = order
+        if peer.role != 'control':
+            command = self._checker.build_command(order)
         self._reply_with(self.propose(command), peer, order)
 
     def _answer_in_force(self, peer, request) -> None:
@@ -328,6 +361,43 @@
         done.addCallbacks(accept, refuse)
         self._reply_with(done, peer, order)
 
+    def _take_heartbeat(self, peer, beat) -> None:
+        is_taken = self._current().heartbeats.take(beat)
+        if not is_taken:
+            LOG.info(
+                'ignored an outdated heartbeat',
+                extra={
+                    'server_id': beat.server.server_id,
+                    'sequence': beat.sequence,
+                },
+            )
+        self._answer_heartbeat(peer, beat)
+
+    def _take_server_gone(self, peer, order) -> None:
+        self._current().heartbeats.gone(order)
+        LOG.info(
+            'a backend server is gone', extra={'server_id': order.server_id}
+        )
+        self._answer_heartbeat(peer, order)
+
+    def _answer_heartbeat(self, peer, message) -> None:
+        answer = membership.HeartbeatTaken(
+            request_id=message.request_id, leader_id=self._log.leader_id
+        )
+        self._send(route=peer.route, message=answer)
+        self._granter.nudge_holders()
+
+    def _fetch_routes(self, peer, request) -> None:
+        self._read_for(
+            peer,
+            request,
+            lambda: route_messages.RoutesFetched(
+                request_id=request.request_id,
+                version=self._machine.data.routes.version,
+                document=self._machine.data.routes.document,
+            ),
+        )
+
     def _claim_job(self, peer, request) -> None:
         """Commit a claim only if a job waits; entries ask all the time."""
         held = self._machine.data.jobs
--- a/src/shallothinge/control/state.py
+++ b/src/shallothinge/control/state.py
@@ -35,6 +35,8 @@
 from shallothinge.membership.fences import Fences
 from shallothinge.operators import messages as operators
 from shallothinge.outages.state import Outages
+from shallothinge.routes import messages as routes
+from shallothinge.routes.state import RouteStore
 
 
 @attrs.define(kw_only=True)
@@ -51,6 +53,7 @@
     allowances: Allowances = attrs.field(factory=Allowances)
     ledger: Ledger = attrs.field(factory=Ledger)
     jobs: Jobs = attrs.field(factory=Jobs)
+    routes: RouteStore = attrs.field(factory=RouteStore)
 
     def active_holders(self) -> set[leases.Holder]:
         """Return the holders whose end has consequences."""
@@ -118,6 +121,7 @@
             jobs.ClaimJob: self._claim_job,
             jobs.FinishJob: self._finish_job,
             commands.Prune: self._prune,
+            routes.StoreRoutes: self._store_routes,
         }
 
     def apply(self, *, index: int, command: bytes) -> bytes:
@@ -254,6 +258,15 @@
             bundle=None if record is None else record.bundle,
             zones_out=self.data.outages.zones,
             servers_out=self.data.outages.servers,
+            routes_version=self.data.routes.version,
+            routes_document=self.data.routes.document,
+        )
+
+    def _store_routes(self, order, index):
+        if self.data.routes.store(order):
+            self._rebuild_config(index)
+        return routes.RoutesStored(
+            request_id=order.request_id, version=self.data.routes.version
         )
 
     def _fence_server(self, command, index):
--- a/src/shallothinge/entry/process.py
+++ b/src/shallothinge/entry/process.py
@@ -34,6 +34,7 @@
 from shallothinge.routing import choice
 from shallothinge.routing import retries
 from shallothinge.settings import model
+from shallothinge.settings import watch
 from shallothinge.streams import messages as stream_messages
 
 LOG = logging.getLogger(__name__)
@@ -398,11 +399,16 @@
 
 
 def run(
-    *, settings: model.EntrySettings, folder: pathlib.Path, reactor
+    *,
+    settings: model.EntrySettings,
+    folder: pathlib.Path,
+    reactor,
+    changes: watch.SettingsWatch | None = None,
 ) -> None:
     """Run an entry until it is told to stop.
 
     :param folder: folder of the settings file, for relative paths.
+    :param changes: tells of changed settings; none is used before a restart.
     """
     entry = EntryProcess(settings=settings, folder=folder, reactor=reactor)
     entry.start()
--- /dev/null
+++ b/src/shallothinge/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: forwards HTTP requests straight to backend servers."""
--- /dev/null
+++ b/src/shallothinge/gateway/forwarding.py
@@ -0,0 +1,405 @@
+"""A caller's request from its acceptance to the end of its answer."""
+
+import logging
+
+import attrs
+
+from shallothinge import errors
+from shallothinge.errors import ErrorKind
+from shallothinge.gateway import attempt as attempts
+from shallothinge.gateway import model
+from shallothinge.gateway import parts as shared
+from shallothinge.gateway import policy
+from shallothinge.gateway.policy import Cause
+from shallothinge.http1 import event_stream
+from shallothinge.http1 import server as http_server
+from shallothinge.placement import choice
+from shallothinge.placement import fleet
+from shallothinge.routes import model as routes
+
+LOG = logging.getLogger(__name__)
+
+MS_PER_SECOND = 1000
+# How often a queued request looks for room again. Servers' slots free up at
+# the pace of streams, some tens a second over a fleet.
+LOOK_AGAIN_MS = 20
+# A first event is overdue after this multiple of the time expected and this
+# share of its objective; by then another server is the better bet.
+OVERDUE_FACTOR = 3.0
+OVERDUE_SHARE = 2.0
+OVERDUE_LEAST_MS = 1000.0
+# A stream stands still after this multiple of its longest allowed pause.
+# Callers leave after eight times that pause, or two seconds if it is longer.
+STILL_FACTOR = 2.5
+STILL_LEAST_MS = 500.0
+
+
+@attrs.frozen(kw_only=True)
+class Accepted:
+    """A request that may be served, and where."""
+
+    request: model.CallerRequest
+    route: routes.Route
+    service: routes.Service
+    workspace: str
+    urgency: int | None
+
+
+class Forwarding:
+    """Sends one request to backend servers until it has its answer."""
+
+    def __init__(
+        self,
+        *,
+        parts: shared.Parts,
+        exchange: http_server.Exchange,
+        accepted: Accepted,
+    ):
+        self._parts = parts
+        self._exchange = exchange
+        self._accepted = accepted
+        self._request = accepted.request
+        self._route = accepted.route
+        self._started_ms = exchange.received_ms
+        self._ends_ms = self._started_ms + self._time_limit_ms()
+        self._tried_ids: set[str] = set()
+        self._progress = policy.Progress()
+        self._attempt: attempts.Attempt | None = None
+        self._head: model.AnswerHead | None = None
+        self._last_event_id = accepted.request.last_event_id
+        self._first_event_ms: int | None = None
+        self._queued_ms = 0
+        self._is_over = False
+        self._look_again = None
+        self._deadline = None
+
+    def start(self) -> None:
+        """Begin to look for a backend server."""
+        self._exchange.on_gone = self._on_gone
+        self._parts.budget.fresh()
+        self._deadline = self._parts.reactor.callLater(
+            max(0, self._remaining_ms()) / MS_PER_SECOND, self._on_deadline
+        )
+        self._place()
+
+    def _time_limit_ms(self) -> int:
+        limit_ms = self._route.timeout_ms
+        if self._request.deadline_ms is not None:
+            limit_ms = min(limit_ms, self._request.deadline_ms)
+        return limit_ms
+
+    def _remaining_ms(self) -> int:
+        return self._ends_ms - self._parts.clock.now_ms()
+
+    def _place(self) -> None:
+        """Choose a server and send, or wait for room."""
+        self._look_again = None
+        if self._is_over:
+            return
+        if not self._parts.holder.is_valid():
+            self._refuse(errors.ServingError(kind=ErrorKind.NO_LEASE))
+            return
+        candidates = self._parts.servers.candidates(
+            service=self._accepted.service.name,
+            tried_ids=frozenset(self._tried_ids),
+        )
+        if not candidates:
+            self._give_up_without_servers()
+            return
+        placed = self._parts.chooser.choose(
+            demand=self._demand(), candidates=candidates
+        )
+        if isinstance(placed, choice.NoRoom) or not self._may_send(placed):
+            self._wait()
+        else:
+            self._send(placed)
+
+    def _demand(self) -> choice.Demand:
+        elapsed_ms = self._parts.clock.now_ms() - self._started_ms
+        return choice.Demand(
+            service=self._accepted.service,
+            tokens=self._request.prompt_tokens,
+            objective_ms=max(1, self._route.objective_ms - elapsed_ms),
+            pause_objective_ms=self._route.pause_objective_ms,
+            zone=self._parts.zone,
+        )
+
+    def _may_send(self, placed: choice.Placement) -> bool:
+        return self._parts.servers.may_send(
+            server_id=placed.server_id, service=self._accepted.service
+        )
+
+    def _wait(self) -> None:
+        self._queued_ms += LOOK_AGAIN_MS
+        self._look_again = self._parts.reactor.callLater(
+            LOOK_AGAIN_MS / MS_PER_SECOND, self._place
+        )
+
+    def _send(self, placed: choice.Placement) -> None:
+        server = self._parts.servers.find(placed.server_id)
+        helpers = self._find_helpers(placed)
+        order = model.ForwardOrder(
+            request=self._request,
+            server_id=server.server_id,
+            workspace=self._accepted.workspace,
+            remaining_ms=self._remaining_ms(),
+            last_event_id=self._last_event_id,
+            helper_addresses=helpers,
+            urgency=self._accepted.urgency,
+        )
+        is_stream = self._route.kind is routes.RequestKind.STREAMING
+        self._tried_ids.add(server.server_id)
+        self._attempt = attempts.Attempt(
+            parts=self._parts,
+            order=order,
+            placement=placed,
+            work=self._work_at(placed, is_stream=is_stream),
+            is_stream=is_stream,
+            owner=self,
+        )
+        LOG.info(
+            'request placed',
+            extra={
+                **self._identity(),
+                'server_id': server.server_id,
+                'helper_ids': placed.helper_ids,
+                'expected_ms': round(placed.first_event_ms),
+                'remaining_ms': order.remaining_ms,
+                'attempt': self._progress.sent + 1,
+                'queued_ms': self._queued_ms,
+                'active': placed.load.active,
+                'backlog_ms': round(placed.load.backlog_ms),
+                'report_count': self._parts.load.peer_count,
+                'report_age_ms': self._parts.load.oldest_report_ms,
+                'last_event_id': self._last_event_id,
+                'members_version': self._parts.holder.members_version,
+                'routes_version': self._parts.holder.config.routes_version,
+                'lease_ms': self._parts.holder.remaining_ms,
+            },
+        )
+        self._attempt.start(address=server.address)
+        if is_stream and self._may_try_again():
+            self._attempt.expect_within(self._overdue_ms(placed))
+
+    def _may_try_again(self) -> bool:
+        """Return whether another server could take over from this one."""
+        progress = attrs.evolve(
+            self._progress, sent=self._progress.sent + 1, may_have_run=True
+        )
+        return policy.may_repeat(
+            route=self._route,
+            progress=progress,
+            remaining_ms=self._remaining_ms(),
+        )
+
+    def _work_at(
+        self, placed: choice.Placement, *, is_stream: bool
+    ) -> fleet.Work:
+        return fleet.Work(
+            server_id=placed.server_id,
+            read_ms=placed.part_ms,
+            started_ms=self._parts.clock.now_ms(),
+            due_ms=self._started_ms + self._route.objective_ms,
+            pause_ms=self._route.pause_objective_ms if is_stream else 0,
+            weight=choice.weight_of(self._request.prompt_tokens),
+        )
+
+    def _find_helpers(self, placed: choice.Placement) -> tuple[str, ...]:
+        found = []
+        for helper_id in placed.helper_ids:
+            helper = self._parts.servers.find(helper_id)
+            if helper is not None:
+                found.append(helper.address)
+        return tuple(found)
+
+    def _overdue_ms(self, placed: choice.Placement) -> float:
+        share_ms = OVERDUE_SHARE * self._route.objective_ms
+        return max(
+            OVERDUE_LEAST_MS,
+            OVERDUE_FACTOR * placed.first_event_ms + share_ms,
+        )
+
+    def _still_ms(self) -> float:
+        pause_ms = self._route.pause_objective_ms
+        return STILL_LEAST_MS + STILL_FACTOR * pause_ms
+
+    def on_stream_head(self, head: model.AnswerHead) -> None:
+        """Keep the first server's head; the caller gets it with an event."""
+        if not self._exchange.is_begun:
+            self._head = head
+
+    def on_event(self, event: event_stream.StreamEvent) -> None:
+        """Pass an event on."""
+        if _is_repeated(event.event_id, self._last_event_id):
+            return
+        if not self._exchange.is_begun:
+            self._first_event_ms = self._parts.clock.now_ms()
+            self._exchange.begin(
+                status=self._head.status, headers=self._head.headers
+            )
+        self._last_event_id = event.event_id or self._last_event_id
+        self._exchange.write(event.data)
+        if self._attempt is not None and self._may_try_again():
+            self._attempt.expect_within(self._still_ms())
+
+    def on_stream_end(self, rest: bytes) -> None:
+        """End the caller's stream as complete."""
+        if not self._exchange.is_begun:
+            self._exchange.begin(
+                status=self._head.status, headers=self._head.headers
+            )
+        self._parts.servers.answered(self._attempt.server_id)
+        self._exchange.write(rest)
+        self._end('finished', status=self._head.status)
+        self._exchange.finish()
+
+    def on_answer(self, head: model.AnswerHead, body: bytes) -> None:
+        """Pass a whole answer on."""
+        self._parts.servers.answered(self._attempt.server_id)
+        self._end('finished', status=head.status)
+        self._exchange.respond(
+            status=head.status, headers=head.headers, body=body
+        )
+
+    def on_failed(self, outcome: attempts.Outcome) -> None:
+        """Try another server, or give up."""
+        server_id = self._attempt.server_id
+        self._attempt = None
+        self._progress = attrs.evolve(
+            self._progress,
+            sent=self._progress.sent + outcome.may_have_run,
+            refused=self._progress.refused
+            + (outcome.was_sent and not outcome.may_have_run),
+            may_have_run=self._progress.may_have_run or outcome.may_have_run,
+            has_begun_answer=self._exchange.is_begun,
+        )
+        if outcome.cause is not Cause.SERVER_ERROR:
+            self._parts.servers.failed(server_id)
+        LOG.info(
+            'attempt failed',
+            extra={
+                **self._identity(),
+                'server_id': server_id,
+                'cause': outcome.cause.value,
+                'detail': outcome.detail,
+                'may_have_run': outcome.may_have_run,
+                'sent': self._progress.sent,
+                'last_event_id': self._last_event_id,
+            },
+        )
+        if self._may_repeat(outcome):
+            self._place()
+        else:
+            self._fail(outcome)
+
+    def _may_repeat(self, outcome: attempts.Outcome) -> bool:
+        allowed = policy.may_repeat(
+            route=self._route,
+            progress=self._progress,
+            remaining_ms=self._remaining_ms(),
+        )
+        if not allowed:
+            return False
+        # Only what has arrived somewhere counts as a repeat.
+        has_arrived = self._progress.sent + self._progress.refused > 0
+        return not has_arrived or self._parts.budget.take()
+
+    def _fail(self, outcome: attempts.Outcome) -> None:
+        """Give the caller the final answer for a failed request."""
+        if self._exchange.is_begun:
+            self._cut(outcome.cause.value)
+        elif outcome.answer is not None and not outcome.answer.is_unrun:
+            self._end('server_error', status=outcome.answer.status)
+            self._exchange.respond(
+                status=outcome.answer.status,
+                headers=outcome.answer.headers,
+                body=outcome.body,
+            )
+        else:
+            self._refuse(
+                policy.final_error(
+                    route=self._route,
+                    progress=self._progress,
+                    cause=outcome.cause,
+                )
+            )
+
+    def _give_up_without_servers(self) -> None:
+        if self._exchange.is_begun:
+            self._cut('no server to resume at')
+        elif self._progress.may_have_run:
+            self._refuse(errors.ServingError(kind=ErrorKind.BACKEND_FAILED))
+        else:
+            self._refuse(errors.ServingError(kind=ErrorKind.NO_BACKEND_SERVER))
+
+    def _on_deadline(self) -> None:
+        self._deadline = None
+        self._drop_attempt(may_have_run=True)
+        if self._exchange.is_begun:
+            self._cut('deadline')
+        else:
+            self._refuse(policy.deadline_error(self._progress))
+
+    def _on_gone(self) -> None:
+        self._drop_attempt(may_have_run=True)
+        self._end('caller_gone', status=0)
+
+    def _drop_attempt(self, *, may_have_run: bool) -> None:
+        if self._attempt is not None:
+            self._progress = attrs.evolve(
+                self._progress, may_have_run=may_have_run
+            )
+            self._attempt.cancel()
+            self._attempt = None
+
+    def _refuse(self, error: errors.ServingError) -> None:
+        if self._exchange.is_begun:
+            self._cut(error.kind.value)
+            return
+        status, headers, body = self._parts.dialect.write_error(
+            error=error, request_id=self._request.request_id
+        )
+        self._end(error.kind.value, status=status)
+        self._exchange.respond(status=status, headers=headers, body=body)
+
+    def _cut(self, cause: str) -> None:
+        """End an answer that has begun so that it looks cut."""
+        self._end(f'cut: {cause}', status=0)
+        self._exchange.abort()
+
+    def _end(self, outcome: str, *, status: int) -> None:
+        """Note the end of the request; stop its timers."""
+        self._is_over = True
+        for timer in (self._deadline, self._look_again):
+            if timer is not None and timer.active():
+                timer.cancel()
+        now_ms = self._parts.clock.now_ms()
+        first_ms = self._first_event_ms
+        LOG.info(
+            'request ended',
+            extra={
+                **self._identity(),
+                'outcome': outcome,
+                'status': status,
+                'sent': self._progress.sent + (self._attempt is not None),
+                'queued_ms': self._queued_ms,
+                'first_event_ms': first_ms and first_ms - self._started_ms,
+                'total_ms': now_ms - self._started_ms,
+                'objective_ms': self._route.objective_ms,
+            },
+        )
+
+    def _identity(self) -> dict[str, str | int]:
+        return {
+            'request_id': self._request.request_id,
+            'route': self._route.name,
+            'workspace': self._accepted.workspace,
+            'prompt_tokens': self._request.prompt_tokens,
+        }
+
+
+def _is_repeated(event_id: str, last_id: str) -> bool:
+    """Return whether an event has been passed on before."""
+    if not event_id.isdigit() or not last_id.isdigit():
+        return False
+    return int(event_id) <= int(last_id)
--- /dev/null
+++ b/src/shallothinge/gateway/ingress.py
@@ -0,0 +1,139 @@
+"""Decides for each request whether it is served, and on which route."""
+
+import logging
+
+from shallothinge import errors
+from shallothinge.errors import ErrorKind
+from shallothinge.gateway import forwarding
+from shallothinge.gateway import model
+from shallothinge.gateway import parts as shared
+from shallothinge.http1 import server as http_server
+from shallothinge.routes import lookup
+from shallothinge.routes import model as routes
+
+LOG = logging.getLogger(__name__)
+
+MAX_URGENCY = 9
+
+
+class Ingress:
+    """Takes requests and forwards those that the routes allow.
+
+    :ivar is_draining: the balancer is to send no more connections.
+    :ivar is_stopping: no request is taken any more.
+    """
+
+    def __init__(self, *, parts: shared.Parts):
+        self._parts = parts
+        self._index = lookup.RouteIndex(table=routes.RouteTable())
+        self.is_draining = False
+        self.is_stopping = False
+
+    @property
+    def index(self) -> lookup.RouteIndex:
+        """Return the route table in force, prepared for look-ups."""
+        config = self._parts.holder.config
+        if config.routes_version != self._index.table.version:
+            table = self._parts.dialect.read_routes(config.routes_document)
+            self._index = lookup.RouteIndex(table=table)
+            LOG.info(
+                'route table in force',
+                extra={
+                    'routes_version': table.version,
+                    'route_count': len(table.routes),
+                },
+            )
+        return self._index
+
+    def handle(self, exchange: http_server.Exchange) -> None:
+        """Forward or refuse a request."""
+        request = None
+        try:
+            request = self._parts.dialect.read_request(
+                head=exchange.head, body=exchange.body
+            )
+            accepted = self._accept(request)
+        except errors.ServingError as error:
+            self._refuse(exchange, request, error)
+            return
+        forwarding.Forwarding(
+            parts=self._parts, exchange=exchange, accepted=accepted
+        ).start()
+
+    def _accept(self, request: model.CallerRequest) -> forwarding.Accepted:
+        """Return the request with its route.
+
+        :raises ServingError: if it is not to be served.
+        """
+        if self.is_stopping:
+            raise errors.ServingError(kind=ErrorKind.STOPPING)
+        if not self._parts.holder.is_valid():
+            raise errors.ServingError(kind=ErrorKind.NO_LEASE)
+        index = self.index
+        if not index.table.version:
+            raise errors.ServingError(
+                kind=ErrorKind.NO_LEASE, detail='no routes are known yet'
+            )
+        route = index.find_route(host=request.host, path=request.target)
+        if route is None:
+            raise errors.ServingError(
+                kind=ErrorKind.NOT_FOUND, detail='no such route'
+            )
+        workspace = self._find_workspace(index, route, request)
+        name = lookup.choose_service(route=route, rng=self._parts.rng)
+        priority = route.priority
+        if workspace is not None and workspace.priority is not None:
+            priority = workspace.priority
+        return forwarding.Accepted(
+            request=request,
+            route=route,
+            service=index.find_service(name),
+            workspace='' if workspace is None else workspace.name,
+            urgency=(
+                min(MAX_URGENCY, priority)
+                if self._is_prompt(request)
+                else None
+            ),
+        )
+
+    def _is_prompt(self, request: model.CallerRequest) -> bool:
+        return request.prompt_tokens > 0
+
+    def _find_workspace(
+        self,
+        index: lookup.RouteIndex,
+        route: routes.Route,
+        request: model.CallerRequest,
+    ) -> routes.Workspace | None:
+        workspace = index.find_workspace(request.api_key)
+        if workspace is not None or route.is_anonymous:
+            return workspace
+        if not index.has_workspaces:
+            return None
+        raise errors.ServingError(
+            kind=ErrorKind.UNAUTHENTICATED, detail='unknown API key'
+        )
+
+    def _refuse(
+        self,
+        exchange: http_server.Exchange,
+        request: model.CallerRequest | None,
+        error: errors.ServingError,
+    ) -> None:
+        request_id = '' if request is None else request.request_id
+        status, headers, body = self._parts.dialect.write_error(
+            error=error, request_id=request_id
+        )
+        LOG.info(
+            'request refused',
+            extra={
+                'request_id': request_id,
+                'outcome': error.kind.value,
+                'detail': error.detail,
+                'status': status,
+                'target': exchange.head.target,
+                'routes_version': self._parts.holder.config.routes_version,
+                'lease_ms': self._parts.holder.remaining_ms,
+            },
+        )
+        exchange.respond(status=status, headers=headers, body=body)
--- /dev/null
+++ b/src/shallothinge/gateway/parts.py
@@ -0,0 +1,31 @@
+"""What the requests of a gateway share."""
+
+import random
+
+import attrs
+
+from shallothinge import clock as clocks
+from shallothinge.gateway import model
+from shallothinge.gateway import servers
+from shallothinge.http1 import client
+from shallothinge.leases import holder as holders
+from shallothinge.placement import choice
+from shallothinge.placement import fleet
+from shallothinge.routing import retries
+
+
+@attrs.frozen(kw_only=True)
+class Parts:
+    """What the requests of a gateway share."""
+
+    reactor: object
+    clock: clocks.Clock
+    rng: random.Random
+    dialect: model.Dialect
+    holder: holders.LeaseHolder
+    servers: servers.Servers
+    load: fleet.FleetLoad
+    chooser: choice.Chooser
+    budget: retries.RetryBudget
+    caller: client.Caller
+    zone: str
--- /dev/null
+++ b/src/shallothinge/gateway/process.py
@@ -0,0 +1,229 @@
+"""The gateway process: sockets and timers around the requests."""
+
+import logging
+import pathlib
+import random
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from shallothinge import process as processes
+from shallothinge.control import discovery
+from shallothinge.gateway import coldshare
+from shallothinge.gateway import ingress as ingresses
+from shallothinge.gateway import parts as shared
+from shallothinge.gateway import peers as gateways
+from shallothinge.gateway import readiness as readinesses
+from shallothinge.gateway import servers
+from shallothinge.http1 import client as http_client
+from shallothinge.http1 import server as http_server
+from shallothinge.leases import client as clients
+from shallothinge.leases import holder as holders
+from shallothinge.placement import choice
+from shallothinge.placement import fleet
+from shallothinge.platform import dialect
+from shallothinge.platform import names
+from shallothinge.routing import retries
+from shallothinge.settings import model
+from shallothinge.settings import watch
+
+LOG = logging.getLogger(__name__)
+
+MS_PER_SECOND = 1000
+# Two round trips between zones and a connection's set-up take under 10 ms;
+# the rest is for a process that waits for its turn on the processor.
+CONNECT_TIMEOUT_MS = 150
+TICK_MS = 250
+# A gateway may use this part of what all may repeat, as shares are counted
+# over windows that slide.
+RETRY_PART = 0.8
+# Half of the slack: a window sees savings of up to two of the gateway's own.
+SLACK_PART = 0.5
+
+
+class GatewayProcess:
+    """One gateway."""
+
+    def __init__(
+        self, *, settings: model.GatewaySettings, folder: pathlib.Path, reactor
+    ):
+        self._settings = settings
+        self._reactor = reactor
+        self._process = processes.Process(
+            reactor=reactor, settings=settings.process, folder=folder
+        )
+        address = settings.process.address
+        self._holder = holders.LeaseHolder(
+            clock=self._process.clock,
+            holder_id=self._process.process_id,
+            incarnation=self._process.incarnation,
+            role='entry',
+            wants_members=True,
+            address=address,
+        )
+        self._control = clients.ControlClient(
+            process=self._process,
+            hosts=discovery.hosts_of(settings),
+            holder=self._holder,
+            learns_hosts=True,
+        )
+        self._parts = self._build_parts()
+        self._ingress = ingresses.Ingress(parts=self._parts)
+        self._readiness = readinesses.Readiness(
+            holder=self._holder, ingress=self._ingress
+        )
+        self._peers = gateways.Peers(
+            process=self._process,
+            holder=self._holder,
+            load=self._parts.load,
+            address=address,
+        )
+        self._endpoint = self._process.listen(on_message=self._peers.receive)
+        self._callers = self._build_site(self._ingress.handle)
+        self._probes = self._build_site(self._answer_probe)
+        self._ticking = task.LoopingCall(self._tick)
+        self._ticking.clock = reactor
+        self._had_lease = False
+        self._stopping_ms = 0
+
+    def _build_parts(self) -> shared.Parts:
+        clock = self._process.clock
+        rng = random.Random()
+        load = fleet.FleetLoad(clock=clock)
+        cold = coldshare.ColdShare(
+            clock=clock, slack_requests=self._settings.cold.slack_requests
+        )
+        return shared.Parts(
+            reactor=self._reactor,
+            clock=clock,
+            rng=rng,
+            dialect=dialect.PlatformDialect(),
+            holder=self._holder,
+            servers=servers.Servers(
+                clock=clock, holder=self._holder, load=load, cold=cold
+            ),
+            load=load,
+            chooser=choice.Chooser(rng=rng),
+            budget=retries.RetryBudget(
+                percent=int(RETRY_PART * self._settings.retries.percent),
+                burst=1,
+            ),
+            caller=http_client.Caller(
+                reactor=self._reactor, connect_timeout_ms=CONNECT_TIMEOUT_MS
+            ),
+            zone=self._settings.process.zone,
+        )
+
+    def _build_site(self, handle) -> http_server.Site:
+        return http_server.Site(
+            reactor=self._reactor,
+            clock=self._process.clock,
+            handle=handle,
+            refusal=dialect.write_refusal,
+        )
+
+    def start(self) -> None:
+        """Begin to serve."""
+        callers = self._settings.callers
+        http_server.listen(
+            site=self._callers, address=callers.address, reactor=self._reactor
+        )
+        http_server.listen(
+            site=self._probes,
+            address=callers.readiness_address,
+            reactor=self._reactor,
+        )
+        self._control.start()
+        self._peers.start()
+        self._ticking.start(TICK_MS / MS_PER_SECOND, now=False)
+        self._reactor.addSystemEventTrigger('before', 'shutdown', self._stop)
+        LOG.info(
+            'gateway started',
+            extra={
+                'address': callers.address,
+                'incarnation': self._process.incarnation,
+                'seeds': self._settings.discovery.seeds,
+            },
+        )
+
+    def learn_seeds(self, changed: model.GatewaySettings) -> None:
+        """Ask control hosts that the settings name by now."""
+        self._control.learn_hosts(discovery.seed_ids(changed.discovery))
+
+    def _answer_probe(self, exchange: http_server.Exchange) -> None:
+        refusal = self._readiness.refusal()
+        if exchange.head.target != names.READINESS:
+            status = 404
+        else:
+            status = 200 if refusal is None else 503
+        body = b'ready\n' if refusal is None else refusal.value.encode()
+        exchange.respond(status=status, headers=(), body=body)
+
+    def _tick(self) -> None:
+        self._follow_lease()
+        limits = self._ingress.index.table.limits
+        self._callers.limits = http_server.Limits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            header_timeout_ms=limits.header_timeout_ms,
+            idle_timeout_ms=limits.idle_timeout_ms,
+        )
+        count = max(1, len(self._holder.peers))
+        slack = self._settings.retries.slack_requests
+        self._parts.budget.limit_burst(max(1, int(SLACK_PART * slack / count)))
+
+    def _follow_lease(self) -> None:
+        has_lease = self._holder.is_valid()
+        if has_lease != self._had_lease:
+            self._had_lease = has_lease
+            LOG.info(
+                'lease gained' if has_lease else 'lease lost',
+                extra={
+                    'state_version': self._holder.config.state_version,
+                    'routes_version': self._holder.config.routes_version,
+                    'server_count': len(self._holder.members),
+                },
+            )
+
+    def _stop(self) -> defer.Deferred:
+        """Drain: tell the balancer, then end with the last request."""
+        LOG.info('gateway is stopping')
+        self._stopping_ms = self._process.clock.now_ms()
+        self._ingress.is_draining = True
+        self._callers.is_stopping = True
+        drained = defer.Deferred()
+        self._check_drained(drained)
+        return drained
+
+    def _check_drained(self, drained: defer.Deferred) -> None:
+        callers = self._settings.callers
+        passed_ms = self._process.clock.now_ms() - self._stopping_ms
+        if passed_ms >= callers.stop_wait_ms:
+            self._ingress.is_stopping = True
+            self._callers.close_idle()
+            if self._callers.is_quiet() or passed_ms >= callers.stop_limit_ms:
+                LOG.info('gateway stopped', extra={'after_ms': passed_ms})
+                drained.callback(None)
+                return
+        self._reactor.callLater(
+            TICK_MS / MS_PER_SECOND, self._check_drained, drained
+        )
+
+
+def run(
+    *,
+    settings: model.GatewaySettings,
+    folder: pathlib.Path,
+    reactor,
+    changes: watch.SettingsWatch | None = None,
+) -> None:
+    """Run a gateway until the reactor stops.
+
+    :param folder: folder of the settings file, for relative paths.
+    :param changes: tells of changed settings, of which the seeds are used.
+    """
+    process = GatewayProcess(settings=settings, folder=folder, reactor=reactor)
+    process.start()
+    if changes is not None:
+        changes.subscribe(process.learn_seeds)
+    reactor.run()
--- /dev/null
+++ b/src/shallothinge/gateway/readiness.py
@@ -0,0 +1,26 @@
+"""Whether the balancer may give a gateway new connections."""
+
+from shallothinge.errors import ErrorKind
+from shallothinge.gateway import ingress as ingresses
+from shallothinge.leases import holder as holders
+
+
+class Readiness:
+    """Ready with a valid lease, routes, and at least one backend server."""
+
+    def __init__(
+        self, *, holder: holders.LeaseHolder, ingress: ingresses.Ingress
+    ):
+        self._holder = holder
+        self._ingress = ingress
+
+    def refusal(self) -> ErrorKind | None:
+        """Return why the gateway is not ready, or None if it is."""
+        if self._ingress.is_draining:
+            return ErrorKind.STOPPING
+        has_routes = bool(self._holder.config.routes_version)
+        if not self._holder.is_valid() or not has_routes:
+            return ErrorKind.NO_LEASE
+        if not self._holder.members:
+            return ErrorKind.NO_BACKEND_SERVER
+        return None
--- /dev/null
+++ b/src/shallothinge/gateway/servers.py
@@ -0,0 +1,150 @@
+"""The backend servers that a gateway may send to at present."""
+
+import logging
+
+import attrs
+
+from shallothinge import clock as clocks
+from shallothinge.gateway import coldshare
+from shallothinge.leases import holder as holders
+from shallothinge.membership.model import BackendServer
+from shallothinge.placement import choice
+from shallothinge.placement import fleet
+from shallothinge.routes import model as routes
+from shallothinge.routing import breaker
+
+LOG = logging.getLogger(__name__)
+
+# One failure is enough to look elsewhere first: there are other servers.
+FAILURES_TO_AVOID = 1
+AVOID_MS = 400
+MAX_AVOID_MS = 4000
+# What a server runs at once if it doesn't say.
+DEFAULT_SLOTS = 1
+
+
+@attrs.define(kw_only=True)
+class _Known:
+    """A listed server and what this gateway saw of it."""
+
+    server: BackendServer
+    cold_until_ms: int
+    breaker: breaker.Breaker
+
+
+class Servers:
+    """Candidates for requests, from the list that control keeps.
+
+    :param load: work under way, of all gateways.
+    :param cold: this gateway's share of cold servers' rates.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        holder: holders.LeaseHolder,
+        load: fleet.FleetLoad,
+        cold: coldshare.ColdShare,
+    ):
+        self._clock = clock
+        self._holder = holder
+        self._load = load
+        self._cold = cold
+        self._known: dict[str, _Known] = {}
+
+    def find(self, server_id: str) -> BackendServer | None:
+        """Return a listed server."""
+        known = self._known.get(server_id)
+        return None if known is None else known.server
+
+    def candidates(
+        self, *, service: str, tried_ids: frozenset[str]
+    ) -> tuple[choice.Candidate, ...]:
+        """Return the servers of a service that may get a request now.
+
+        Servers that failed of late are left out while others are there.
+        """
+        self._refresh()
+        listed = [
+            known
+            for known in self._known.values()
+            if service in known.server.services
+            and known.server.server_id not in tried_ids
+            and self._may_get_work(known.server)
+        ]
+        sound = [known for known in listed if known.breaker.allows()]
+        loads = self._load.loads()
+        now_ms = self._clock.now_ms()
+        return tuple(
+            choice.Candidate(
+                server_id=known.server.server_id,
+                zone=known.server.zone,
+                slots=known.server.slots or DEFAULT_SLOTS,
+                is_cold=known.cold_until_ms > now_ms,
+                load=loads.get(known.server.server_id, fleet.ServerLoad()),
+            )
+            for known in sound or listed
+        )
+
+    def may_send(self, *, server_id: str, service: routes.Service) -> bool:
+        """Return whether a server's cold limit lets a request through.
+
+        To be called once for each request that is then sent.
+        """
+        known = self._known.get(server_id)
+        if known is None or service.cold_requests_per_s <= 0:
+            return True
+        if known.cold_until_ms <= self._clock.now_ms():
+            return True
+        return self._cold.take(
+            server_id=server_id,
+            rate_per_s=service.cold_requests_per_s,
+            gateway_count=max(1, len(self._holder.peers)),
+        )
+
+    def answered(self, server_id: str) -> None:
+        """Note an answer that speaks for a server."""
+        if server_id in self._known:
+            self._known[server_id].breaker.succeeded()
+
+    def failed(self, server_id: str) -> None:
+        """Note a failure that speaks against a server."""
+        if server_id in self._known:
+            self._known[server_id].breaker.failed()
+
+    def _may_get_work(self, server: BackendServer) -> bool:
+        config = self._holder.config
+        return not (
+            server.leaving
+            or server.zone in config.zones_out
+            or server.server_id in config.servers_out
+        )
+
+    def _refresh(self) -> None:
+        """Take over the holder's list."""
+        members = self._holder.members
+        for server_id in set(self._known) - set(members):
+            del self._known[server_id]
+        now_ms = self._clock.now_ms()
+        for server_id, server in members.items():
+            known = self._known.get(server_id)
+            if known is not None and known.server is server:
+                continue
+            is_new = known is None or (
+                known.server.incarnation != server.incarnation
+            )
+            self._known[server_id] = _Known(
+                server=server,
+                cold_until_ms=now_ms + server.cold_ms,
+                breaker=self._new_breaker() if is_new else known.breaker,
+            )
+        self._cold.forget(known_ids=set(members))
+
+    def _new_breaker(self) -> breaker.Breaker:
+        return breaker.Breaker(
+            clock=self._clock,
+            failures_to_open=FAILURES_TO_AVOID,
+            open_ms=AVOID_MS,
+            max_open_ms=MAX_AVOID_MS,
+        )
--- /dev/null
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -0,0 +1,227 @@
+"""A gateway's request path without sockets: servers are played by tests."""
+
+import json
+import random
+
+import attrs
+from twisted.internet import task
+
+from shallothinge import clock
+from shallothinge.bundles.model import ServingConfig
+from shallothinge.gateway import coldshare
+from shallothinge.gateway import ingress
+from shallothinge.gateway import parts as shared
+from shallothinge.gateway import servers
+from shallothinge.http1 import client
+from shallothinge.http1 import messages
+from shallothinge.membership.model import BackendServer
+from shallothinge.placement import choice
+from shallothinge.placement import fleet
+from shallothinge.platform import dialect
+from shallothinge.platform import routes
+from shallothinge.platform.tests import samples
+from shallothinge.routing import retries
+
+REQUEST_ID = '9c41'
+SIGNED = (
+    ('request-attempt-id', REQUEST_ID),
+    ('response-signature', 'signature'),
+)
+
+
+class Holder:
+    """A lease that tests grant and take away."""
+
+    def __init__(self):
+        self.is_leased = True
+        self.config = ServingConfig()
+        self.members = {}
+        self.members_version = 1
+        self.peers = ('tcp://one',)
+
+    @property
+    def remaining_ms(self):
+        """Return how long the lease runs."""
+        return 1000 if self.is_leased else 0
+
+    def is_valid(self):
+        """Return whether the lease runs."""
+        return self.is_leased
+
+
+class Caller:
+    """Keeps what would be sent to backend servers."""
+
+    def __init__(self):
+        self.calls = []
+
+    def call(self, *, address, head, body, listener):
+        """Note a call; the test plays the answer."""
+        call = Call(address=address, head=head, body=body, listener=listener)
+        self.calls.append(call)
+        return call
+
+
+@attrs.define(kw_only=True)
+class Call:
+    """One request to a backend server."""
+
+    address: str
+    head: messages.RequestHead
+    body: bytes
+    listener: object
+    is_cancelled: bool = False
+
+    def cancel(self):
+        """Note that the request was dropped."""
+        self.is_cancelled = True
+
+    def answer(self, status, *, headers=SIGNED, body=b'', ends=True):
+        """Play an answer."""
+        self.listener.on_head(
+            messages.ResponseHead(status=status, headers=headers)
+        )
+        if body:
+            self.listener.on_data(body)
+        if ends:
+            self.listener.on_end()
+
+    def refuse(self):
+        """Play a server that is full."""
+        headers = (('request-attempt-id', REQUEST_ID), ('not-executed', '1'))
+        self.listener.on_head(
+            messages.ResponseHead(status=503, headers=headers)
+        )
+
+    def fail(self, *, was_sent):
+        """Play a connection that breaks or never comes about."""
+        kind = client.FailureKind.BROKEN
+        if not was_sent:
+            kind = client.FailureKind.NOT_CONNECTED
+        self.listener.on_failure(client.Failure(kind=kind, was_sent=was_sent))
+
+
+@attrs.define(kw_only=True)
+class Exchange:
+    """A caller's request, and what the caller gets."""
+
+    head: messages.RequestHead
+    body: bytes = b''
+    received_ms: int = 0
+    on_gone: object = None
+    is_begun: bool = False
+    status: int | None = None
+    headers: tuple = ()
+    received: bytes = b''
+    is_whole: bool = False
+    is_cut: bool = False
+
+    def respond(self, *, status, headers, body):
+        """Take a whole answer."""
+        self.begin(status=status, headers=headers)
+        self.write(body)
+        self.finish()
+
+    def begin(self, *, status, headers):
+        """Take the head of an answer."""
+        assert self.status is None
+        self.is_begun = True
+        self.status, self.headers = status, dict(headers)
+
+    def write(self, data):
+        """Take a piece of the body."""
+        self.received += data
+
+    def finish(self):
+        """Take the end."""
+        assert not self.is_whole and not self.is_cut
+        self.is_whole = True
+
+    def abort(self):
+        """Take a cut."""
+        assert not self.is_whole
+        self.is_cut = True
+
+
+class Rig:
+    """Gateway parts around fakes."""
+
+    def __init__(self, *, configuration=None, server_count=3):
+        self.reactor = task.Clock()
+        self.clock = clock.ManualClock(start_ms=1000)
+        self.holder = Holder()
+        self.caller = Caller()
+        self.load = fleet.FleetLoad(clock=self.clock)
+        rng = random.Random(1)
+        self.parts = shared.Parts(
+            reactor=self.reactor,
+            clock=self.clock,
+            rng=rng,
+            dialect=dialect.PlatformDialect(),
+            holder=self.holder,
+            servers=servers.Servers(
+                clock=self.clock,
+                holder=self.holder,
+                load=self.load,
+                cold=coldshare.ColdShare(clock=self.clock, slack_requests=5),
+            ),
+            load=self.load,
+            chooser=choice.Chooser(rng=rng),
+            budget=retries.RetryBudget(percent=16, burst=10),
+            caller=self.caller,
+            zone='z1',
+        )
+        self.ingress = ingress.Ingress(parts=self.parts)
+        self.configure(configuration or samples.configuration())
+        for index in range(server_count):
+            self.add_server('llm', index)
+            self.add_server('desk', index)
+
+    def configure(self, configuration):
+        """Put a configuration in force."""
+        content = json.dumps(configuration).encode()
+        self.holder.config = attrs.evolve(
+            self.holder.config,
+            routes_version=configuration['version'],
+            routes_document=routes.pack(content),
+        )
+
+    def add_server(self, service, index, **fields):
+        """List a backend server."""
+        server_id = f'{service}-{index}'
+        self.holder.members[server_id] = BackendServer(
+            **{
+                'server_id': server_id,
+                'incarnation': '1',
+                'address': f'10.0.0.{index}:{len(service)}',
+                'zone': 'z1',
+                'host': '',
+                'services': (service,),
+                'slots': 8,
+                **fields,
+            }
+        )
+
+    def advance(self, duration_ms):
+        """Let time pass."""
+        self.clock.advance(duration_ms=duration_ms)
+        self.reactor.advance(duration_ms / 1000)
+
+    def request(self, path, *, tokens=0, deadline_ms=5000, **fields):
+        """Send a caller's request; return its exchange."""
+        headers = {
+            'host': 'a.example',
+            'request-attempt-id': REQUEST_ID,
+            'credential': 'k1',
+            'deadline-milliseconds': str(deadline_ms),
+            **({'token-counts': f'{tokens},10'} if tokens else {}),
+            **fields,
+        }
+        exchange = Exchange(
+            head=messages.RequestHead(
+                method='POST', target=path, headers=tuple(headers.items())
+            ),
+            received_ms=self.clock.now_ms(),
+        )
+        self.ingress.handle(exchange)
+        return exchange
--- /dev/null
+++ b/src/shallothinge/gateway/tests/test_forwarding.py
@@ -0,0 +1,178 @@
+"""Tests of a request's way to backend servers and back."""
+
+import unittest
+
+from shallothinge.gateway.tests import rig
+from shallothinge.platform.tests import samples
+
+STREAM = '/lohu930/1'
+BOOKING = '/book/1'
+
+
+def event(number):
+    return f'id: {number}\ndata: {number}\n\n'.encode()
+
+
+def only_engines():
+    """Return the sample with its streams going to engines alone."""
+    fields = samples.configuration()
+    del fields['routes'][0]['traffic-split']
+    fields['routes'][0]['service'] = 'llm'
+    return fields
+
+
+class ForwardingTest(unittest.TestCase):
+    """What callers get when backend servers fail or are full."""
+
+    def setUp(self):
+        self.rig = rig.Rig(configuration=only_engines())
+
+    @property
+    def calls(self):
+        return self.rig.caller.calls
+
+    def test_answer_is_passed_on(self):
+        exchange = self.rig.request(BOOKING)
+        self.calls[0].answer(200, body=b'done')
+        self.assertEqual((200, b'done'), (exchange.status, exchange.received))
+        self.assertEqual('signature', exchange.headers['response-signature'])
+        self.assertEqual({}, self.rig.load.loads())
+
+    def test_refused_requests(self):
+        cases = (
+            ('/none/1', {}, 404),
+            (BOOKING, {'credential': 'unknown'}, 401),
+            (BOOKING, {'deadline-milliseconds': 'x'}, 400),
+        )
+        for path, fields, status in cases:
+            with self.subTest(path=path, fields=fields):
+                exchange = self.rig.request(path, **fields)
+                self.assertEqual(status, exchange.status)
+        self.rig.holder.is_leased = False
+        self.assertEqual(503, self.rig.request(BOOKING).status)
+        self.assertEqual([], self.calls)
+
+    def test_booking_goes_elsewhere_only_if_it_surely_did_not_run(self):
+        for fail, sent in (
+            (lambda call: call.refuse(), 2),
+            (lambda call: call.fail(was_sent=False), 2),
+            (lambda call: call.fail(was_sent=True), 1),
+            (lambda call: call.answer(500, headers=()), 1),
+        ):
+            self.setUp()
+            exchange = self.rig.request(BOOKING)
+            fail(self.calls[0])
+            self.assertEqual(sent, len(self.calls))
+            if sent == 1:
+                self.assertEqual(502, exchange.status)
+
+    def test_booking_with_unknown_outcome_at_its_deadline(self):
+        exchange = self.rig.request(BOOKING, deadline_ms=800)
+        self.rig.advance(800)
+        self.assertEqual(504, exchange.status)
+        self.assertTrue(self.calls[0].is_cancelled)
+
+    def test_servers_own_failure_is_passed_on_with_its_signature(self):
+        exchange = self.rig.request(BOOKING)
+        self.calls[0].answer(500, body=b'failed')
+        self.assertEqual(
+            (500, b'failed'), (exchange.status, exchange.received)
+        )
+
+    def test_stream_resumes_elsewhere_without_a_gap(self):
+        exchange = self.rig.request(STREAM, tokens=5000)
+        first = self.calls[0]
+        first.answer(200, body=event(1) + event(2) + b'id: 3', ends=False)
+        first.fail(was_sent=True)
+        second = self.calls[1]
+        self.assertNotEqual(first.address, second.address)
+        self.assertEqual('2', second.head.get('last-event-id'))
+        second.answer(
+            200,
+            headers=(*rig.SIGNED, ('x', 'second')),
+            body=event(2) + event(3),
+        )
+        self.assertEqual(event(1) + event(2) + event(3), exchange.received)
+        self.assertTrue(exchange.is_whole)
+        self.assertNotIn('x', exchange.headers)
+
+    def test_stream_that_can_not_resume_is_cut(self):
+        fields = only_engines()
+        fields['routes'][0]['resume-streams'] = False
+        self.rig = rig.Rig(configuration=fields)
+        exchange = self.rig.request(STREAM, tokens=5000)
+        self.calls[0].answer(200, body=event(1), ends=False)
+        self.calls[0].fail(was_sent=True)
+        self.assertTrue(exchange.is_cut)
+        self.assertEqual(1, len(self.calls))
+
+    def test_success_without_signature_is_not_passed_on(self):
+        exchange = self.rig.request(BOOKING)
+        self.calls[0].answer(
+            200, headers=rig.SIGNED[:1], body=b'?', ends=False
+        )
+        self.assertEqual(502, exchange.status)
+
+    def test_answer_to_another_request_is_not_passed_on(self):
+        headers = (('request-attempt-id', 'other'), rig.SIGNED[1])
+        exchange = self.rig.request(BOOKING)
+        self.calls[0].answer(200, headers=headers, body=b'?', ends=False)
+        self.assertEqual(502, exchange.status)
+
+    def test_work_is_dropped_when_the_caller_goes(self):
+        exchange = self.rig.request(STREAM, tokens=5000)
+        exchange.on_gone()
+        self.assertTrue(self.calls[0].is_cancelled)
+        self.assertEqual({}, self.rig.load.loads())
+        self.rig.advance(10_000)
+        self.assertEqual(1, len(self.calls))
+
+    def test_full_service_is_refused_truthfully(self):
+        exchange = self.rig.request(BOOKING)
+        for call in self.calls:
+            call.refuse()
+        self.assertEqual(503, exchange.status)
+        self.assertIn('retry-after', exchange.headers)
+
+    def test_lease_is_checked_before_each_send(self):
+        exchange = self.rig.request(BOOKING)
+        self.rig.holder.is_leased = False
+        self.calls[0].fail(was_sent=False)
+        self.assertEqual((1, 503), (len(self.calls), exchange.status))
+
+    def test_no_new_work_for_zones_that_are_out_and_leaving_servers(self):
+        for server_id in ('desk-0', 'desk-1'):
+            del self.rig.holder.members[server_id]
+        self.rig.add_server('desk', 2, leaving=True)
+        self.assertEqual(503, self.rig.request(BOOKING).status)
+        self.rig.add_server('desk', 2)
+        self.rig.request(BOOKING)
+        self.assertEqual(1, len(self.calls))
+
+    def test_long_prompt_gets_helpers_and_counts_at_each_of_them(self):
+        fields = only_engines()
+        fields['routes'][0]['target-latency-ms'] = 3000
+        self.rig = rig.Rig(configuration=fields)
+        self.rig.request(STREAM, tokens=182_000)
+        helpers = self.calls[0].head.get('helpers').split(',')
+        self.assertEqual(2, len(helpers))
+        self.assertNotIn(self.calls[0].address, helpers)
+        loads = self.rig.load.loads()
+        self.assertEqual(2, sum(load.helping for load in loads.values()))
+        self.calls[0].answer(200, body=event(1), ends=False)
+        loads = self.rig.load.loads()
+        self.assertEqual(0, sum(load.helping for load in loads.values()))
+
+    def test_silent_server_is_left_only_if_another_may_take_over(self):
+        exchange = self.rig.request(STREAM, tokens=5000)
+        self.rig.advance(2000)
+        self.assertTrue(self.calls[0].is_cancelled)
+        self.rig.advance(2000)
+        self.assertEqual(2, len(self.calls))
+        self.assertFalse(self.calls[1].is_cancelled)
+        self.calls[1].answer(200, body=event(1))
+        self.assertTrue(exchange.is_whole)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/src/shallothinge/gateway/tests/test_policy.py
@@ -0,0 +1,119 @@
+"""Tests of what follows a failed attempt."""
+
+import unittest
+
+from shallothinge import clock
+from shallothinge import errors
+from shallothinge.errors import ErrorKind
+from shallothinge.gateway import coldshare
+from shallothinge.gateway import policy
+from shallothinge.routes import model
+
+
+def make_route(kind, *, is_resumable=False, attempts=2):
+    return model.Route(
+        name='r',
+        host='h',
+        path_prefix='/',
+        kind=kind,
+        timeout_ms=1000,
+        split=(model.Split(service='s', weight=1),),
+        attempts=attempts,
+        is_resumable=is_resumable,
+    )
+
+
+SAFE = make_route(model.RequestKind.SAFE)
+UNSAFE = make_route(model.RequestKind.UNSAFE)
+STREAM = make_route(model.RequestKind.STREAMING)
+RESUMABLE = make_route(model.RequestKind.STREAMING, is_resumable=True)
+
+
+class RepeatTest(unittest.TestCase):
+    """What may have run is repeated only where that does no harm."""
+
+    def test_may_repeat(self):
+        ran = policy.Progress(sent=1, may_have_run=True)
+        refused = policy.Progress(refused=1)
+        cases = (
+            (SAFE, ran, True),
+            (RESUMABLE, ran, True),
+            (UNSAFE, ran, False),
+            (STREAM, ran, False),
+            (UNSAFE, refused, True),
+            (STREAM, refused, True),
+            (SAFE, policy.Progress(sent=2, may_have_run=True), False),
+            (SAFE, policy.Progress(refused=policy.MAX_REFUSALS + 1), False),
+        )
+        for route, progress, expected in cases:
+            with self.subTest(route=route, progress=progress):
+                self.assertEqual(
+                    expected,
+                    policy.may_repeat(
+                        route=route, progress=progress, remaining_ms=100
+                    ),
+                )
+
+    def test_nothing_is_repeated_past_the_deadline(self):
+        self.assertFalse(
+            policy.may_repeat(
+                route=SAFE, progress=policy.Progress(), remaining_ms=0
+            )
+        )
+
+    def test_refusal_as_not_run_is_true(self):
+        for route in (SAFE, UNSAFE, STREAM, RESUMABLE):
+            for may_have_run in (False, True):
+                progress = policy.Progress(may_have_run=may_have_run)
+                for error in (
+                    policy.final_error(
+                        route=route,
+                        progress=progress,
+                        cause=policy.Cause.BROKEN,
+                    ),
+                    policy.deadline_error(progress),
+                ):
+                    says_not_run = (
+                        error.answer.work_state is errors.WorkState.NOT_RUN
+                    )
+                    self.assertEqual(not may_have_run, says_not_run)
+
+    def test_unknown_outcome_is_named_so(self):
+        error = policy.final_error(
+            route=UNSAFE,
+            progress=policy.Progress(sent=1, may_have_run=True),
+            cause=policy.Cause.BROKEN,
+        )
+        self.assertIs(ErrorKind.OUTCOME_UNKNOWN, error.kind)
+
+
+class ColdShareTest(unittest.TestCase):
+    """Gateways together keep to what a cold server bears."""
+
+    def test_sum_over_gateways_in_any_second(self):
+        for count in (1, 2, 8, 24):
+            for rate_per_s in (28.0, 38.0):
+                with self.subTest(count=count, rate_per_s=rate_per_s):
+                    sent_ms = self._flood(count=count, rate_per_s=rate_per_s)
+                    most = max(
+                        sum(at <= other < at + 1000 for other in sent_ms)
+                        for at in sent_ms
+                    )
+                    self.assertLessEqual(most, 1.5 * rate_per_s + 5)
+                    self.assertGreater(len(sent_ms), rate_per_s / 2)
+
+    def _flood(self, *, count, rate_per_s):
+        ticking = clock.ManualClock()
+        shares = [
+            coldshare.ColdShare(clock=ticking, slack_requests=5)
+            for _ in range(count)
+        ]
+        sent_ms = []
+        for _ in range(300):
+            ticking.advance(duration_ms=10)
+            for share in shares:
+                if share.take(
+                    server_id='s', rate_per_s=rate_per_s, gateway_count=count
+                ):
+                    sent_ms.append(ticking.now_ms())
+        return sent_ms
--- /dev/null
+++ b/src/shallothinge/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 over Twisted connections, parsed by h11."""
--- /dev/null
+++ b/src/shallothinge/http1/client.py
@@ -0,0 +1,235 @@
+"""One request to a backend server, on a connection of its own.
+
+A kept connection may be closed by the other side just as a request is
+written to it, and an answer to an earlier request may still arrive on it. A
+new connection for each request rules out both, and nothing here sends a
+request a second time by itself.
+"""
+
+import enum
+import socket
+from typing import Protocol
+
+import attrs
+import h11
+from twisted.internet import error as net_errors
+from twisted.internet import protocol
+
+from shallothinge.http1 import messages
+
+MS_PER_SECOND = 1000
+# Unacknowledged bytes or unanswered probes for this long mean that the host
+# is dead or behind a cut; a closed port answers at once.
+DEAD_PEER_MS = 2000
+PROBE_IDLE_S = 1
+PROBE_INTERVAL_S = 1
+PROBE_COUNT = 2
+
+
+class FailureKind(enum.Enum):
+    """How an exchange failed."""
+
+    NOT_CONNECTED = 'not_connected'
+    BROKEN = 'broken'
+    MALFORMED = 'malformed'
+
+
+@attrs.frozen(kw_only=True)
+class Failure:
+    """Why there is no whole answer.
+
+    ``was_sent`` is False only if not one byte of the request left.
+    """
+
+    kind: FailureKind
+    was_sent: bool
+    detail: str = ''
+
+
+class Listener(Protocol):
+    """What the owner of an exchange is told."""
+
+    def on_head(self, head: messages.ResponseHead) -> None:
+        """The head of the answer has arrived."""
+
+    def on_data(self, data: bytes) -> None:
+        """A piece of the body has arrived."""
+
+    def on_end(self) -> None:
+        """The answer is complete."""
+
+    def on_failure(self, failure: Failure) -> None:
+        """There will be no whole answer."""
+
+
+class ClientExchange(protocol.Protocol):
+    """Sends one request and reads one answer."""
+
+    def __init__(
+        self, *, head: messages.RequestHead, body: bytes, listener: Listener
+    ):
+        self._head = head
+        self._body = body
+        self._listener = listener
+        self._http = h11.Connection(h11.CLIENT)
+        self._was_sent = False
+        self._is_done = False
+
+    def connectionMade(self) -> None:
+        """Send the request."""
+        if self._is_done:
+            self.transport.abortConnection()
+            return
+        self.transport.setTcpNoDelay(True)
+        _watch_for_dead_peer(self.transport.getHandle())
+        fields = messages.encode(
+            (
+                *self._head.headers,
+                ('connection', 'close'),
+                *_length_fields(self._head.method, self._body),
+            )
+        )
+        request = h11.Request(
+            method=self._head.method, target=self._head.target, headers=fields
+        )
+        data = self._http.send(request)
+        if self._body:
+            data += self._http.send(h11.Data(data=self._body))
+        data += self._http.send(h11.EndOfMessage())
+        self._was_sent = True
+        self.transport.write(data)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Read the answer; bytes after its end belong to nothing."""
+        if not self._is_done:
+            self._feed(data)
+
+    def connectionLost(self, reason=protocol.connectionDone) -> None:
+        """End an answer that lasts until its connection closes."""
+        if self._is_done:
+            return
+        if reason.check(net_errors.ConnectionDone):
+            self._feed(b'')
+        self._fail(FailureKind.BROKEN, reason.getErrorMessage())
+
+    def not_connected(self, detail: str) -> None:
+        """There is no connection, so nothing was sent."""
+        self._fail(FailureKind.NOT_CONNECTED, detail)
+
+    def cancel(self) -> None:
+        """Drop the exchange; nothing more is told."""
+        self._is_done = True
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._http.receive_data(data)
+            while not self._is_done:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA:
+                    return
+                if event is h11.PAUSED or isinstance(
+                    event, h11.ConnectionClosed
+                ):
+                    return
+                self._take(event)
+        except h11.RemoteProtocolError as error:
+            # A close before the end of the body also counts as malformed
+            # to h11; both mean that the answer is not whole.
+            kind = FailureKind.MALFORMED if data else FailureKind.BROKEN
+            self._fail(kind, str(error))
+
+    def _take(self, event) -> None:
+        if isinstance(event, h11.Response):
+            self._listener.on_head(
+                messages.ResponseHead(
+                    status=event.status_code,
+                    headers=messages.decode(event.headers),
+                )
+            )
+        elif isinstance(event, h11.Data):
+            self._listener.on_data(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._is_done = True
+            self.transport.loseConnection()
+            self._listener.on_end()
+
+    def _fail(self, kind: FailureKind, detail: str) -> None:
+        if self._is_done:
+            return
+        self._is_done = True
+        if self.transport is not None:
+            self.transport.abortConnection()
+        self._listener.on_failure(
+            Failure(kind=kind, was_sent=self._was_sent, detail=detail)
+        )
+
+
+class _Factory(protocol.ClientFactory):
+    """Connects one exchange."""
+
+    noisy = False
+
+    def __init__(self, *, exchange: ClientExchange):
+        self._exchange = exchange
+
+    def buildProtocol(self, addr) -> ClientExchange:
+        """Return the exchange."""
+        return self._exchange
+
+    def clientConnectionFailed(self, connector, reason) -> None:
+        """Tell that nothing was sent."""
+        self._exchange.not_connected(reason.getErrorMessage())
+
+
+class Caller:
+    """Sends requests to backend servers.
+
+    :param connect_timeout_ms: how long a connection may take.
+    """
+
+    def __init__(self, *, reactor, connect_timeout_ms: int):
+        self._reactor = reactor
+        self._connect_timeout_ms = connect_timeout_ms
+
+    def call(
+        self,
+        *,
+        address: str,
+        head: messages.RequestHead,
+        body: bytes,
+        listener: Listener,
+    ) -> ClientExchange:
+        """Send a request to ``IP:PORT``.
+
+        :returns: the exchange, to cancel it.
+        """
+        exchange = ClientExchange(head=head, body=body, listener=listener)
+        host, _, port = address.rpartition(':')
+        self._reactor.connectTCP(
+            host,
+            int(port),
+            _Factory(exchange=exchange),
+            timeout=self._connect_timeout_ms / MS_PER_SECOND,
+        )
+        return exchange
+
+
+def _length_fields(method: str, body: bytes) -> messages.Headers:
+    if not body and method in ('GET', 'HEAD', 'DELETE', 'OPTIONS'):
+        return ()
+    return (('content-length', str(len(body))),)
+
+
+def _watch_for_dead_peer(handle: socket.socket) -> None:
+    """Let the kernel end a connection to a host that is gone."""
+    handle.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, DEAD_PEER_MS
+    )
+    handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
+    handle.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S
+    )
+    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
--- /dev/null
+++ b/src/shallothinge/http1/server.py
@@ -0,0 +1,354 @@
+"""Requests that arrive on connections, and the answers to them."""
+
+from collections.abc import Callable
+import logging
+
+import attrs
+import h11
+from twisted.internet import protocol
+
+from shallothinge.http1 import messages
+
+LOG = logging.getLogger(__name__)
+
+MS_PER_SECOND = 1000
+# A caller that was refused gets this long to stop sending before the
+# connection is cut, so that it can read the answer (RFC 9112, section 9.6).
+LINGER_MS = 1000
+MAX_WAITING_BYTES = 64 * 1024
+NO_BODY_STATUSES = (204, 304)
+
+
+@attrs.frozen(kw_only=True)
+class Limits:
+    """What a caller may send, and for how long it may be slow or idle."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+class Exchange:
+    """One request and the answer to it.
+
+    :ivar on_gone: called without arguments if the caller goes away before
+        the answer is complete.
+    """
+
+    def __init__(
+        self,
+        *,
+        connection: 'ServerConnection',
+        head: messages.RequestHead,
+        body: bytes,
+        received_ms: int,
+    ):
+        self._connection = connection
+        self.head = head
+        self.body = body
+        self.received_ms = received_ms
+        self.on_gone: Callable[[], None] | None = None
+        self.is_begun = False
+        self.is_ended = False
+
+    def respond(
+        self, *, status: int, headers: messages.Headers, body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        fields = (*headers, ('content-length', str(len(body))))
+        self.begin(status=status, headers=fields)
+        self.write(body)
+        self.finish()
+
+    def begin(self, *, status: int, headers: messages.Headers) -> None:
+        """Send the head of an answer whose body follows."""
+        if not self.is_ended:
+            self.is_begun = True
+            self._connection.send_head(status=status, headers=headers)
+
+    def write(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        if data and not self.is_ended:
+            self._connection.send_data(data)
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+        if not self.is_ended:
+            self.is_ended = True
+            self._connection.end_exchange()
+
+    def abort(self) -> None:
+        """Cut the connection: the answer must not look complete."""
+        if not self.is_ended:
+            self.is_ended = True
+            self._connection.cut()
+
+
+class ServerConnection(protocol.Protocol):
+    """One connection of a caller; answers one request at a time."""
+
+    def __init__(self, *, site: 'Site'):
+        self._site = site
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=site.limits.header_bytes
+        )
+        self._head: messages.RequestHead | None = None
+        self._body = bytearray()
+        self._exchange: Exchange | None = None
+        self._timer = None
+        self._is_closing = False
+        self._is_paused = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is being read or answered."""
+        return self._exchange is None and self._head is None
+
+    def connectionMade(self) -> None:
+        """Watch how long the caller takes for its first request."""
+        self.transport.setTcpNoDelay(True)
+        self._set_timer(self._site.limits.idle_timeout_ms)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Read requests."""
+        if self._is_closing:
+            return
+        if self.is_idle and not self._http.trailing_data[0]:
+            self._set_timer(self._site.limits.header_timeout_ms)
+        try:
+            self._http.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            self._refuse(error.error_status_hint)
+            return
+        self._read_events()
+
+    def connectionLost(self, reason=protocol.connectionDone) -> None:
+        """Tell the owner of the request under way."""
+        self._cancel_timer()
+        self._is_closing = True
+        self._site.connections.discard(self)
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None and not exchange.is_ended:
+            exchange.is_ended = True
+            if exchange.on_gone is not None:
+                exchange.on_gone()
+
+    def send_head(self, *, status: int, headers: messages.Headers) -> None:
+        """Send the head of an answer."""
+        fields = list(headers)
+        if self._site.is_stopping:
+            fields.append(('connection', 'close'))
+        self._send(
+            h11.Response(
+                status_code=status, headers=messages.encode(tuple(fields))
+            )
+        )
+
+    def send_data(self, data: bytes) -> None:
+        """Send a piece of the body of an answer."""
+        self._send(h11.Data(data=data))
+
+    def end_exchange(self) -> None:
+        """End an answer; go on with the next request."""
+        self._send(h11.EndOfMessage())
+        self._exchange = None
+        if self._http.our_state is h11.MUST_CLOSE:
+            self._close_gently()
+            return
+        if self._http.their_state is not h11.DONE:
+            self._close_gently()
+            return
+        self._http.start_next_cycle()
+        self._resume()
+        self._set_timer(self._site.limits.idle_timeout_ms)
+        self._read_events()
+
+    def cut(self) -> None:
+        """Reset the connection."""
+        self._exchange = None
+        self._is_closing = True
+        self.transport.abortConnection()
+
+    def close_if_idle(self) -> None:
+        """Close a connection on which no request is under way."""
+        if self.is_idle and not self._is_closing:
+            self._close_gently()
+
+    def _send(self, event) -> None:
+        try:
+            data = self._http.send(event)
+        except h11.LocalProtocolError:
+            LOG.exception('an answer could not be framed; the caller is cut')
+            self.cut()
+            return
+        if data:
+            self.transport.write(data)
+
+    def _read_events(self) -> None:
+        while not self._is_closing and self._exchange is None:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                self._refuse(error.error_status_hint)
+                return
+            if event is h11.NEED_DATA:
+                self._send_continue()
+                return
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                return
+            self._take(event)
+        self._bound_waiting()
+
+    def _take(self, event) -> None:
+        if isinstance(event, h11.Request):
+            self._take_head(event)
+        elif isinstance(event, h11.Data):
+            self._body += event.data
+            if len(self._body) > self._site.limits.body_bytes:
+                self._refuse(413)
+        elif isinstance(event, h11.EndOfMessage):
+            self._take_request()
+
+    def _take_head(self, event: h11.Request) -> None:
+        head = messages.RequestHead(
+            method=event.method.decode('ascii'),
+            target=event.target.decode('latin-1'),
+            headers=messages.decode(event.headers),
+        )
+        length = head.get('content-length')
+        if length and head.get('transfer-encoding'):
+            # Two framings are how requests are smuggled.
+            self._refuse(400)
+            return
+        if length and int(length) > self._site.limits.body_bytes:
+            self._refuse(413)
+            return
+        self._head = head
+        self._body.clear()
+        self._set_timer(self._site.limits.idle_timeout_ms)
+
+    def _take_request(self) -> None:
+        self._cancel_timer()
+        exchange = Exchange(
+            connection=self,
+            head=self._head,
+            body=bytes(self._body),
+            received_ms=self._site.clock.now_ms(),
+        )
+        self._head = None
+        self._body.clear()
+        self._exchange = exchange
+        self._site.handle(exchange)
+
+    def _send_continue(self) -> None:
+        if self._http.they_are_waiting_for_100_continue:
+            self._send(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _bound_waiting(self) -> None:
+        """Stop reading while a caller sends ahead of its answer."""
+        waiting = len(self._http.trailing_data[0])
+        if waiting > MAX_WAITING_BYTES and not self._is_paused:
+            self._is_paused = True
+            self.transport.pauseProducing()
+
+    def _resume(self) -> None:
+        if self._is_paused:
+            self._is_paused = False
+            self.transport.resumeProducing()
+
+    def _refuse(self, status: int) -> None:
+        """Refuse what can't be read, and close."""
+        self._cancel_timer()
+        self._is_closing = True
+        headers, body = self._site.refusal(status)
+        fields = (
+            *headers,
+            ('content-length', str(len(body))),
+            ('connection', 'close'),
+        )
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            response = h11.Response(
+                status_code=status, headers=messages.encode(fields)
+            )
+            for event in (response, h11.Data(data=body), h11.EndOfMessage()):
+                self.transport.write(self._http.send(event))
+        self._close_gently()
+
+    def _close_gently(self) -> None:
+        """Close, but let the caller read what was sent."""
+        self._is_closing = True
+        self._resume()
+        self.transport.loseWriteConnection()
+        self._set_timer(LINGER_MS)
+
+    def _set_timer(self, duration_ms: int) -> None:
+        self._cancel_timer()
+        self._timer = self._site.reactor.callLater(
+            duration_ms / MS_PER_SECOND, self._on_timer
+        )
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        if self._is_closing:
+            self.transport.abortConnection()
+        elif self.is_idle and not self._http.trailing_data[0]:
+            self._close_gently()
+        else:
+            self._refuse(408)
+
+
+class Site(protocol.Factory):
+    """Hands requests to a function and keeps the connections.
+
+    :param handle: called with each ``Exchange``.
+    :param refusal: returns headers and body of an answer by its status, for
+        what can't be read as a request.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor,
+        clock,
+        handle: Callable[[Exchange], None],
+        refusal: Callable[[int], tuple[messages.Headers, bytes]],
+        limits: Limits = Limits(),
+    ):
+        self.reactor = reactor
+        self.clock = clock
+        self.handle = handle
+        self.refusal = refusal
+        self.limits = limits
+        self.is_stopping = False
+        self.connections: set[ServerConnection] = set()
+
+    def buildProtocol(self, addr) -> ServerConnection:
+        """Return the protocol of a new connection."""
+        connection = ServerConnection(site=self)
+        connection.factory = self
+        self.connections.add(connection)
+        return connection
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    def is_quiet(self) -> bool:
+        """Return whether no request is under way."""
+        return all(connection.is_idle for connection in self.connections)
+
+
+def listen(*, site: Site, address: str, reactor, backlog: int = 511):
+    """Listen on ``IP:PORT``; return the listening port.
+
+    :raises CannotListenError: if the address is in use.
+    """
+    host, _, port = address.rpartition(':')
+    return reactor.listenTCP(int(port), site, interface=host, backlog=backlog)
--- /dev/null
+++ b/src/shallothinge/http1/tests/test_client.py
@@ -0,0 +1,116 @@
+"""Tests of one request to a backend server."""
+
+import unittest
+
+from twisted.internet import error as net_errors
+from twisted.python import failure
+
+from shallothinge.http1 import client
+from shallothinge.http1 import event_stream
+from shallothinge.http1 import messages
+from shallothinge.http1.client import FailureKind
+from shallothinge.http1.tests import fakes
+
+DONE = failure.Failure(net_errors.ConnectionDone())
+LOST = failure.Failure(net_errors.ConnectionLost())
+
+
+class ClientTest(unittest.TestCase):
+    """What a backend server sends, and what its owner is told."""
+
+    def setUp(self):
+        self.listener = fakes.Listener()
+        self.exchange = client.ClientExchange(
+            head=messages.RequestHead(
+                method='POST', target='/a', headers=(('host', 'h'),)
+            ),
+            body=b'abc',
+            listener=self.listener,
+        )
+        self.transport = fakes.Transport()
+        self.exchange.makeConnection(self.transport)
+
+    def test_request_is_sent_whole(self):
+        sent = self.transport.value()
+        self.assertTrue(sent.startswith(b'POST /a HTTP/1.1\r\n'))
+        self.assertTrue(sent.endswith(b'\r\n\r\nabc'))
+        self.assertIn(b'content-length: 3', sent.lower())
+
+    def test_answers_that_are_whole(self):
+        cases = (
+            (b'Content-Length: 2\r\n\r\nok', None),
+            (b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n', None),
+            (b'Content-Length: 2\r\n\r\nokHTTP/1.1 200 extra', None),
+            (b'\r\nok', DONE),
+        )
+        for rest, reason in cases:
+            with self.subTest(rest=rest):
+                self.setUp()
+                self.exchange.dataReceived(b'HTTP/1.1 200 OK\r\n' + rest)
+                if reason is not None:
+                    self.assertFalse(self.listener.has_ended)
+                    self.exchange.connectionLost(reason)
+                self.assertTrue(self.listener.has_ended)
+                self.assertEqual(b'ok', self.listener.body)
+                self.assertIsNone(self.listener.failure)
+
+    def test_answers_that_are_not(self):
+        head = b'HTTP/1.1 200 OK\r\n'
+        cases = (
+            (b'', DONE, FailureKind.BROKEN),
+            (b'', LOST, FailureKind.BROKEN),
+            (head + b'Content-Length: 3\r\n\r\nok', DONE, FailureKind.BROKEN),
+            (head + b'\r\nok', LOST, FailureKind.BROKEN),
+            (b'\x00nonsense\r\n\r\n', None, FailureKind.MALFORMED),
+        )
+        for data, reason, kind in cases:
+            with self.subTest(data=data, reason=reason):
+                self.setUp()
+                if data:
+                    self.exchange.dataReceived(data)
+                if reason is not None:
+                    self.exchange.connectionLost(reason)
+                self.assertFalse(self.listener.has_ended)
+                self.assertIs(kind, self.listener.failure.kind)
+                self.assertTrue(self.listener.failure.was_sent)
+
+    def test_without_a_connection_nothing_was_sent(self):
+        exchange = client.ClientExchange(
+            head=messages.RequestHead(method='GET', target='/', headers=()),
+            body=b'',
+            listener=self.listener,
+        )
+        exchange.not_connected('refused')
+        self.assertFalse(self.listener.failure.was_sent)
+
+    def test_nothing_is_told_after_cancel(self):
+        self.exchange.cancel()
+        self.exchange.dataReceived(b'HTTP/1.1 200 OK\r\n\r\n')
+        self.exchange.connectionLost(DONE)
+        self.assertTrue(self.transport.was_aborted)
+        self.assertIsNone(self.listener.head)
+        self.assertIsNone(self.listener.failure)
+
+
+class EventSplitterTest(unittest.TestCase):
+    """Only whole events leave."""
+
+    def test_events_over_pieces(self):
+        splitter = event_stream.EventSplitter()
+        events = []
+        for data in (b'id: 1\nda', b'ta: a\n', b'\nid:2\r\n\r\n', b': c\n\nx'):
+            events += splitter.feed(data)
+        self.assertEqual(
+            [
+                ('1', b'id: 1\ndata: a\n\n'),
+                ('2', b'id:2\r\n\r\n'),
+                ('', b': c\n\n'),
+            ],
+            [(event.event_id, event.data) for event in events],
+        )
+        self.assertEqual(b'x', splitter.rest)
+
+    def test_event_without_end(self):
+        splitter = event_stream.EventSplitter()
+        with self.assertRaises(event_stream.EventTooLong):
+            splitter.feed(b'x' * (event_stream.MAX_EVENT_BYTES + 1))
--- /dev/null
+++ b/src/shallothinge/http1/tests/test_server.py
@@ -0,0 +1,139 @@
+"""Tests of requests that arrive on connections."""
+
+import unittest
+
+from twisted.internet import task
+
+from shallothinge import clock
+from shallothinge.http1 import server
+from shallothinge.http1.tests import fakes
+
+GET = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+OK = b'HTTP/1.1 200 '
+
+
+class ServerTest(unittest.TestCase):
+    """One connection of a caller."""
+
+    def setUp(self):
+        self.reactor = task.Clock()
+        self.exchanges = []
+        self.site = server.Site(
+            reactor=self.reactor,
+            clock=clock.ManualClock(),
+            handle=self.exchanges.append,
+            refusal=lambda status: ((), b'refused'),
+            limits=server.Limits(
+                header_bytes=200,
+                body_bytes=10,
+                header_timeout_ms=3000,
+                idle_timeout_ms=15000,
+            ),
+        )
+        self.connection = self.site.buildProtocol(None)
+        self.transport = fakes.Transport()
+        self.connection.makeConnection(self.transport)
+
+    def receive(self, data):
+        self.connection.dataReceived(data)
+
+    def respond(self, exchange):
+        exchange.respond(status=200, headers=(), body=b'yes')
+
+    def test_whole_request_is_handed_over(self):
+        self.receive(b'POST /a?b HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n')
+        self.receive(b'Content-Length: 3\r\n\r\nab')
+        self.assertEqual([], self.exchanges)
+        self.receive(b'c')
+        (exchange,) = self.exchanges
+        self.assertEqual('/a?b', exchange.head.target)
+        self.assertEqual('1', exchange.head.get('x-a'))
+        self.assertEqual(b'abc', exchange.body)
+
+    def test_chunked_body(self):
+        self.receive(b'POST /a HTTP/1.1\r\nHost: h\r\n')
+        self.receive(b'Transfer-Encoding: chunked\r\n\r\n')
+        self.receive(b'2\r\nab\r\n1\r\nc\r\n0\r\n\r\n')
+        self.assertEqual(b'abc', self.exchanges[0].body)
+
+    def test_second_request_waits_for_the_first_answer(self):
+        self.receive(GET + GET.replace(b'/a', b'/b'))
+        self.assertEqual(1, len(self.exchanges))
+        self.respond(self.exchanges[0])
+        self.assertEqual('/b', self.exchanges[1].head.target)
+        self.respond(self.exchanges[1])
+        self.assertEqual(2, self.transport.value().count(OK))
+        self.assertFalse(self.transport.disconnecting)
+
+    def test_what_can_not_be_read_is_refused(self):
+        cases = (
+            (b'nonsense\r\n\r\n', b'400'),
+            (b'GET /a HTTP/1.1\r\nX: ' + b'x' * 300, b'431'),
+            (
+                b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n',
+                b'413',
+            ),
+            (
+                b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\n',
+                b'400',
+            ),
+            (
+                b'POST / HTTP/1.1\r\nHost: h\r\n'
+                b'Transfer-Encoding: chunked\r\n\r\nb\r\n01234567890\r\n',
+                b'413',
+            ),
+        )
+        for data, status in cases:
+            with self.subTest(data=data):
+                self.setUp()
+                self.receive(data)
+                answer = self.transport.value()
+                self.assertTrue(answer.startswith(b'HTTP/1.1 ' + status))
+                self.assertEqual([], self.exchanges)
+                self.assertTrue(self.transport.was_half_closed)
+
+    def test_slow_head_is_refused_and_idle_connection_closed(self):
+        self.receive(b'GET /a HT')
+        self.reactor.advance(3.1)
+        self.assertTrue(self.transport.value().startswith(b'HTTP/1.1 408'))
+        self.setUp()
+        self.reactor.advance(14.9)
+        self.assertFalse(self.transport.was_half_closed)
+        self.reactor.advance(0.2)
+        self.assertEqual(b'', self.transport.value())
+        self.assertTrue(self.transport.was_half_closed)
+
+    def test_cut_answer_does_not_look_complete(self):
+        self.receive(GET)
+        exchange = self.exchanges[0]
+        exchange.begin(status=200, headers=())
+        exchange.write(b'part')
+        exchange.abort()
+        self.assertTrue(self.transport.was_aborted)
+        self.assertNotIn(b'0\r\n\r\n', self.transport.value())
+
+    def test_owner_is_told_that_the_caller_has_gone(self):
+        self.receive(GET)
+        gone = []
+        self.exchanges[0].on_gone = lambda: gone.append(True)
+        self.connection.connectionLost()
+        self.assertEqual([True], gone)
+        self.respond(self.exchanges[0])
+        self.assertEqual(b'', self.transport.value())
+
+    def test_stopping_site_asks_to_close(self):
+        self.receive(GET)
+        self.site.is_stopping = True
+        self.respond(self.exchanges[0])
+        self.assertIn(b'connection: close', self.transport.value().lower())
+        self.assertTrue(self.transport.was_half_closed)
+
+    def test_only_idle_connections_are_closed(self):
+        self.receive(GET)
+        self.site.close_idle()
+        self.assertFalse(self.transport.was_half_closed)
+        self.assertFalse(self.site.is_quiet())
+        self.respond(self.exchanges[0])
+        self.site.close_idle()
+        self.assertTrue(self.transport.was_half_closed)
--- a/src/shallothinge/leases/client.py
+++ b/src/shallothinge/leases/client.py
@@ -42,6 +42,8 @@
 
     :param hosts: the control hosts of the settings.
     :param holder: the lease to keep, or None for a terminal.
+    :param learns_hosts: whether hosts that control names are asked too;
+        their ids are then their addresses.
     """
 
     def __init__(
@@ -50,10 +52,12 @@
         process: processes.Process,
         hosts: tuple[model.ControlHost, ...],
         holder: holders.LeaseHolder | None,
+        learns_hosts: bool = False,
     ):
         self._process = process
         self._reactor = process.reactor
         self._holder = holder
+        self._learns_hosts = learns_hosts
         self._questions = {}
         self._addresses = {host.process_id: host.address for host in hosts}
         self._links = {}
@@ -135,7 +139,16 @@
         if self._order[0] == process_id:
             self._order = self._order[1:] + self._order[:1]
 
+    def learn_hosts(self, process_ids: tuple[str, ...]) -> None:
+        """Note control hosts that may be asked."""
+        for process_id in process_ids:
+            if process_id not in self._addresses:
+                self._addresses[process_id] = f'tcp://{process_id}'
+                self._order.append(process_id)
+
     def _prefer(self, leader_id: str) -> None:
+        if leader_id and self._learns_hosts:
+            self.learn_hosts((leader_id,))
         if leader_id in self._addresses:
             self._order.remove(leader_id)
             self._order.insert(0, leader_id)
@@ -194,11 +207,22 @@
             self._unanswered_id = ''
             self._prefer(message.leader_id)
         elif isinstance(message, messages.ControlRefused):
-            self._prefer(message.leader_id)
+            self._take_refusal(message)
         else:
             self._answer(message)
 
+    def _take_refusal(self, refusal: messages.ControlRefused) -> None:
+        """Ask the leader that was named at once, others after a while."""
+        leader_id = refusal.leader_id
+        is_new = bool(leader_id) and leader_id != self._order[0]
+        self._prefer(leader_id)
+        question = self._questions.get(refusal.request_id)
+        if question is not None and is_new:
+            self._send(question.message)
+
     def _take_grant(self, grant: messages.LeaseGranted) -> None:
+        if self._learns_hosts:
+            self.learn_hosts(grant.control_ids)
         version = self._holder.config.state_version
         if self._holder.granted(grant):
             self._renewed_ms = self._process.clock.now_ms()
@@ -207,7 +231,8 @@
             self.renew_now()
 
     def _take_nudge(self, nudge: messages.LeaseNudge) -> None:
-        if nudge.state_version > self._holder.config.state_version:
+        is_behind = nudge.state_version > self._holder.config.state_version
+        if is_behind or nudge.members_version > self._holder.members_version:
             self.renew_now()
 
     def _answer(self, message: object) -> None:
--- a/src/shallothinge/leases/holder.py
+++ b/src/shallothinge/leases/holder.py
@@ -23,6 +23,7 @@
     is void after a lapse.
 
     :param wants_members: whether to ask for the list of backend servers.
+    :param address: zmq address that other holders of the role may use.
     """
 
     def __init__(
@@ -33,12 +34,15 @@
         incarnation: str,
         role: str,
         wants_members: bool,
+        address: str = '',
     ):
         self._clock = clock
         self._holder_id = holder_id
         self._incarnation = incarnation
         self._role = role
         self._wants_members = wants_members
+        self._address = address
+        self._peers_digest = ''
         self._sequence = 0
         self._sent_ms = {}
         self._ends_ms = None
@@ -47,6 +51,7 @@
         self._members_sequence = 0
         self.config = ServingConfig()
         self.members: dict[str, BackendServer] = {}
+        self.peers: tuple[str, ...] = ()
         self.fence = 0
         self.lapses = 0
         self.server: BackendServer | None = None
@@ -59,6 +64,11 @@
             return 0
         return max(0, self._ends_ms - self._clock.now_ms())
 
+    @property
+    def members_version(self) -> int:
+        """Return the version of the list of backend servers held."""
+        return self._members_version
+
     def is_valid(self) -> bool:
         """Return whether the holder may act now."""
         return self.remaining_ms > 0
@@ -81,6 +91,9 @@
             leaving=self.leaving,
             fence=self.fence,
             bundle_version=self._bundle_version(),
+            routes_version=self.config.routes_version,
+            address=self._address,
+            peers_digest=self._peers_digest,
         )
 
     def granted(self, grant: messages.LeaseGranted) -> bool:
@@ -104,6 +117,9 @@
         ends_ms = sent_ms + grant.duration_ms - drift_ms
         self._ends_ms = max(ends_ms, self._ends_ms or 0)
         self.fence = max(self.fence, grant.fence)
+        if grant.peers_digest:
+            self.peers = grant.peers
+            self._peers_digest = grant.peers_digest
         if grant.sequence > self._members_sequence:
             self._members_sequence = grant.sequence
             self._take_members(grant.members, epoch=grant.members_epoch)
@@ -119,6 +135,10 @@
             return
         if grant.keeps_bundle:
             config = attrs.evolve(config, bundle=self.config.bundle)
+        if grant.keeps_routes:
+            config = attrs.evolve(
+                config, routes_document=self.config.routes_document
+            )
         self.config = config
 
     def _take_members(
--- a/src/shallothinge/leases/messages.py
+++ b/src/shallothinge/leases/messages.py
@@ -14,6 +14,7 @@
 
     ``sequence`` pairs the answer with the holder's send time, from which
     the lease counts. ``config_version`` is the newest configuration that
+    the holder has, ``peers_digest`` names the list of peers that it has.
     """
 
     holder_id: str
@@ -27,6 +28,9 @@
     leaving: bool = False
     fence: int = 0
     bundle_version: int = 0
+    routes_version: int = 0
+    address: str = ''
+    peers_digest: str = ''
 
 
 @attrs.frozen(kw_only=True)
@@ -37,7 +41,9 @@
     the one that the holder has, ``keeps_bundle`` stands for it. ``fence`` is a
     number from the log, larger than any granted before to this holder's
     backend server under another incarnation. ``members_epoch`` names the
-    leader whose membership versions count.
+    leader whose membership versions count. ``peers`` are the addresses of
+    the holders that may be written to, ``control_ids`` the control hosts;
+    both are present if ``peers_digest`` is, which names them.
     """
 
     sequence: int
@@ -48,13 +54,22 @@
     members_epoch: str = ''
     members: MembershipUpdate | None = None
     keeps_bundle: bool = False
+    keeps_routes: bool = False
+    peers: tuple[str, ...] = ()
+    control_ids: tuple[str, ...] = ()
+    peers_digest: str = ''
 
 
 @attrs.frozen(kw_only=True)
 class LeaseNudge:
-    """Control to holder: renew now, the configuration has changed."""
+    """Control to holder: renew now, something has changed.
+
+    ``members_version`` is the leader's version of the list of backend
+    servers.
+    """
 
     state_version: int
+    members_version: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/src/shallothinge/membership/heartbeats.py
@@ -0,0 +1,80 @@
+"""Which heartbeats of backend servers still count.
+
+Heartbeats may arrive late: after a newer one, after the backend server has
+gone, or after another one has started at its address.
+"""
+
+import attrs
+
+from shallothinge import clock as clocks
+from shallothinge.membership import messages
+from shallothinge.membership.table import MemberTable
+
+# Longer than a heartbeat is known to be held up by a cut link.
+GONE_KEPT_MS = 60_000
+
+
+@attrs.define(kw_only=True)
+class _Seen:
+    """The newest word of one backend server."""
+
+    started_ms: int
+    sequence: int
+    address: str
+    gone_ms: int | None = None
+
+
+class HeartbeatLog:
+    """Feeds a member table with the heartbeats that count."""
+
+    def __init__(self, *, clock: clocks.Clock, members: MemberTable):
+        self._clock = clock
+        self._members = members
+        self._seen: dict[str, _Seen] = {}
+
+    def take(self, beat: messages.Heartbeat) -> bool:
+        """Take a heartbeat into account.
+
+        :returns: False if it is outdated and was ignored.
+        """
+        server = beat.server
+        if self._is_outdated(beat):
+            return False
+        for server_id, seen in list(self._seen.items()):
+            if server_id == server.server_id or seen.gone_ms is not None:
+                continue
+            if seen.address == server.address:
+                if seen.started_ms > beat.started_ms:
+                    return False
+                self._end(server_id)
+        self._seen[server.server_id] = _Seen(
+            started_ms=beat.started_ms,
+            sequence=beat.sequence,
+            address=server.address,
+        )
+        self._members.announce(server=server)
+        return True
+
+    def gone(self, order: messages.ServerGone) -> None:
+        """Drop a backend server; its late heartbeats don't count."""
+        if order.server_id in self._seen:
+            self._end(order.server_id)
+
+    def forget_old(self) -> None:
+        """Forget backend servers that went long ago."""
+        oldest_ms = self._clock.now_ms() - GONE_KEPT_MS
+        for server_id, seen in list(self._seen.items()):
+            if seen.gone_ms is not None and seen.gone_ms < oldest_ms:
+                del self._seen[server_id]
+
+    def _is_outdated(self, beat: messages.Heartbeat) -> bool:
+        seen = self._seen.get(beat.server.server_id)
+        if seen is None:
+            return False
+        if beat.started_ms != seen.started_ms:
+            return beat.started_ms < seen.started_ms
+        return seen.gone_ms is not None or beat.sequence <= seen.sequence
+
+    def _end(self, server_id: str) -> None:
+        self._seen[server_id].gone_ms = self._clock.now_ms()
+        self._members.withdraw(server_id=server_id)
--- a/src/shallothinge/membership/messages.py
+++ b/src/shallothinge/membership/messages.py
@@ -1,7 +1,9 @@
-"""Commands of the replicated log about backend servers."""
+"""Commands and messages about backend servers."""
 
 import attrs
 
+from shallothinge.membership.model import BackendServer
+
 
 @attrs.frozen(kw_only=True)
 class FenceServer:
@@ -11,4 +13,35 @@
     incarnation: str
 
 
+@attrs.frozen(kw_only=True)
+class Heartbeat:
+    """A backend server without an agent announces itself.
+
+    ``started_ms`` tells its incarnations apart and ``sequence`` orders the
+    heartbeats of one incarnation.
+    """
+
+    request_id: str
+    server: BackendServer
+    started_ms: int
+    sequence: int
+
+
+@attrs.frozen(kw_only=True)
+class ServerGone:
+    """A backend server says that it takes no new work any more."""
+
+    request_id: str
+    server_id: str
+
+
+@attrs.frozen(kw_only=True)
+class HeartbeatTaken:
+    """Answer to both; ``leader_id`` is the control host that leads."""
+
+    request_id: str
+    leader_id: str
+
+
 COMMANDS = (FenceServer,)
+MESSAGES = (Heartbeat, ServerGone, HeartbeatTaken)
--- a/src/shallothinge/membership/model.py
+++ b/src/shallothinge/membership/model.py
@@ -11,7 +11,10 @@
     agent's zmq address and ``server_key`` its public key. ``models`` holds
     ``name@version`` of each model loaded, ``services`` the plain services.
     ``engine_url`` is the backend server's own HTTP address, for other
-    engines that hold a part of a prompt with it.
+    engines that hold a part of a prompt with it. A backend server without
+    an agent announces itself: ``address`` is then its ``IP:PORT``,
+    ``slots`` how many requests it runs at once, and ``cold_ms`` for how
+    much longer it is cold.
     """
 
     server_id: str
@@ -25,6 +28,9 @@
     checks_fencing: bool = False
     leaving: bool = False
     engine_url: str = ''
+    software_version: str = ''
+    cold_ms: int = 0
+    slots: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallothinge/membership/table.py
+++ b/src/shallothinge/membership/table.py
@@ -38,6 +38,16 @@
         self._left: dict[str, int] = {}
         self._forgotten_version = 0
 
+    @property
+    def version(self) -> int:
+        """Return the version of the last change."""
+        return self._version
+
+    def withdraw(self, *, server_id: str) -> None:
+        """Drop a backend server that says that it is gone."""
+        if server_id in self._members:
+            self._drop(server_id)
+
     def announce(self, *, server: BackendServer) -> None:
         """Take an announcement into account."""
         known = self._members.get(server.server_id)
--- /dev/null
+++ b/src/shallothinge/membership/tests/test_heartbeats.py
@@ -0,0 +1,69 @@
+"""Tests of heartbeats that come late or out of order."""
+
+import unittest
+
+from shallothinge import clock
+from shallothinge.membership import heartbeats
+from shallothinge.membership import messages
+from shallothinge.membership import model
+from shallothinge.membership import table
+
+
+def beat(server_id, *, started_ms=1, sequence=1, address='a:1', leaving=False):
+    return messages.Heartbeat(
+        request_id='r',
+        server=model.BackendServer(
+            server_id=server_id,
+            incarnation=str(started_ms),
+            address=address,
+            zone='z',
+            host='',
+            leaving=leaving,
+        ),
+        started_ms=started_ms,
+        sequence=sequence,
+    )
+
+
+class HeartbeatLogTest(unittest.TestCase):
+    """Only news counts."""
+
+    def setUp(self):
+        self.clock = clock.ManualClock()
+        self.members = table.MemberTable(
+            clock=self.clock, epoch='e', silence_ms=4000
+        )
+        self.log = heartbeats.HeartbeatLog(
+            clock=self.clock, members=self.members
+        )
+
+    def listed(self):
+        return {
+            server.server_id: server.leaving
+            for server in self.members.servers()
+        }
+
+    def test_late_heartbeat_does_not_undo_leaving(self):
+        self.log.take(beat('i', sequence=3, leaving=True))
+        self.assertFalse(self.log.take(beat('i', sequence=2)))
+        self.assertEqual({'i': True}, self.listed())
+
+    def test_late_heartbeat_does_not_bring_back_what_is_gone(self):
+        self.log.take(beat('i', sequence=3))
+        self.log.gone(messages.ServerGone(request_id='r', server_id='i'))
+        self.assertFalse(self.log.take(beat('i', sequence=4)))
+        self.assertEqual({}, self.listed())
+
+    def test_restart_under_the_same_id_counts_anew(self):
+        self.log.take(beat('i', started_ms=5, sequence=9))
+        self.log.gone(messages.ServerGone(request_id='r', server_id='i'))
+        self.assertTrue(self.log.take(beat('i', started_ms=8, sequence=1)))
+        self.assertFalse(self.log.take(beat('i', started_ms=5, sequence=10)))
+        self.assertEqual({'i': False}, self.listed())
+
+    def test_newer_server_at_an_address_replaces_the_older_one(self):
+        self.log.take(beat('old', started_ms=5))
+        self.assertTrue(self.log.take(beat('new', started_ms=8)))
+        self.assertEqual({'new': False}, self.listed())
+        self.assertFalse(self.log.take(beat('old', started_ms=5, sequence=7)))
+        self.assertEqual({'new': False}, self.listed())
--- a/src/shallothinge/operators/role_commands.py
+++ b/src/shallothinge/operators/role_commands.py
@@ -7,6 +7,7 @@
 from shallothinge import logs
 from shallothinge.operators import exit_codes
 from shallothinge.settings import load
+from shallothinge.settings import watch
 from shallothinge.standin import model as standin_model
 
 STANDIN_TYPES = {
@@ -17,6 +18,8 @@
 ROLE_HELP = {
     'entry': 'run an entry, which takes callers\' requests',
     'agent': 'run an agent beside a backend server',
+    'gateway': 'run a gateway, which forwards HTTP requests to backend '
+    'servers without agents',
 }
 
 
@@ -25,6 +28,7 @@
     for role, text in ROLE_HELP.items():
         command = commands.add_parser(role, help=text, description=text)
         add_settings(command)
+        add_folder(command)
         command.set_defaults(run=run_role, role=role)
     _add_standin(commands)
     _add_load(commands)
@@ -41,6 +45,17 @@
     )
 
 
+def add_folder(command) -> None:
+    """Add the argument that names the folder of relative paths."""
+    command.add_argument(
+        '--folder',
+        type=pathlib.Path,
+        metavar='FOLDER',
+        help='folder of relative paths in the settings; that of the file '
+        'if not given',
+    )
+
+
 def _add_standin(commands) -> None:
     text = 'run a stand-in backend server or weight store, for tests'
     command = commands.add_parser('standin', help=text, description=text)
@@ -62,10 +77,15 @@
     """Run a role until it is told to stop."""
     from twisted.internet import reactor
 
+    folder = arguments.folder or arguments.settings.parent
+    file_type = load.ROLE_TYPES[arguments.role]
     settings = load.read(
-        path=arguments.settings,
-        file_type=load.ROLE_TYPES[arguments.role],
+        path=arguments.settings, file_type=file_type, folder=folder
+    )
+    changes = watch.SettingsWatch(
+        path=arguments.settings, file_type=file_type, folder=folder
     )
+    changes.install(reactor)
     process = settings.process
     logs.configure(
         role=arguments.role,
@@ -76,7 +96,7 @@
     )
     module = importlib.import_module(f'shallothinge.{arguments.role}.process')
     status = module.run(
-        settings=settings, folder=arguments.settings.parent, reactor=reactor
+        settings=settings, folder=folder, reactor=reactor, changes=changes
     )
     return status or exit_codes.ExitCode.OK
 
--- /dev/null
+++ b/src/shallothinge/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of backend servers from what all gateways have under way."""
--- /dev/null
+++ b/src/shallothinge/placement/fleet.py
@@ -0,0 +1,295 @@
+"""Work under way at each backend server, of this gateway and its peers."""
+
+from collections.abc import Callable
+
+import attrs
+
+from shallothinge import clock as clocks
+from shallothinge.placement import messages
+
+# Reports are repeated each second; one that is missing three times is of a
+# gateway that stopped or can't be heard.
+REPORT_KEPT_MS = 3500
+# A read that should be over by now is thought to take this much longer.
+OVERDUE_READ_MS = 20.0
+PERCENT = 100
+
+
+@attrs.define(kw_only=True)
+class Work:
+    """One request at one backend server.
+
+    ``started_ms`` and ``due_ms`` are instants of the own clock.
+
+    :ivar is_writing: whether its first event has arrived.
+    :ivar is_helping: whether the server only reads a part for another.
+    """
+
+    server_id: str
+    read_ms: float
+    started_ms: int
+    due_ms: int = 0
+    pause_ms: int = 0
+    weight: float = 1.0
+    is_writing: bool = False
+    is_helping: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class PendingRead:
+    """A read that a server has to do for a request of its own.
+
+    ``ends_in_ms`` is when it is expected to end, ``due_in_ms`` when it is
+    late.
+    """
+
+    ends_in_ms: float
+    due_in_ms: float
+    weight: float
+
+
+@attrs.frozen(kw_only=True)
+class Writer:
+    """A stream that a server writes."""
+
+    pause_ms: int
+    weight: float
+
+
+@attrs.frozen(kw_only=True)
+class ServerLoad:
+    """Work at one backend server.
+
+    ``active`` counts requests in its slots, ``helping`` the parts that it
+    reads for others. Those go first: ``helping_ms`` is how long they take
+    still, ``backlog_ms`` how long all reads take.
+    """
+
+    active: int = 0
+    helping: int = 0
+    backlog_ms: float = 0.0
+    helping_ms: float = 0.0
+    reads: tuple[PendingRead, ...] = ()
+    writers: tuple[Writer, ...] = ()
+
+
+@attrs.define(kw_only=True)
+class _PeerWork:
+    """The work of a peer, as far as it has reported it."""
+
+    sequence: int = 0
+    is_complete: bool = False
+    heard_ms: int = 0
+    works: dict[int, Work] = attrs.field(factory=dict)
+
+
+@attrs.define(kw_only=True)
+class _Unreported:
+    """What has changed since the last report."""
+
+    started: set[int] = attrs.field(factory=set)
+    writing: set[int] = attrs.field(factory=set)
+    ended: set[int] = attrs.field(factory=set)
+
+
+class FleetLoad:
+    """Adds up the own work and what the peers report.
+
+    :param on_change: called with whether other gateways should know at once
+        when the own work has changed.
+    """
+
+    def __init__(self, *, clock: clocks.Clock):
+        self._clock = clock
+        self._own: dict[int, Work] = {}
+        self._peers: dict[str, _PeerWork] = {}
+        self._next_id = 0
+        self._sequence = 0
+        self._unreported = _Unreported()
+        self.on_change: Callable[[bool], None] | None = None
+
+    def start(self, work: Work) -> int:
+        """Note that a request was sent.
+
+        :returns: an id for ``first_event`` and ``end``.
+        """
+        self._next_id += 1
+        self._own[self._next_id] = work
+        self._unreported.started.add(self._next_id)
+        self._changed(is_urgent=True)
+        return self._next_id
+
+    def first_event(self, work_id: int) -> None:
+        """Note that a backend server has read the prompt."""
+        work = self._own.get(work_id)
+        if work is not None and not work.is_writing:
+            work.is_writing = True
+            self._unreported.writing.add(work_id)
+            self._changed(is_urgent=False)
+
+    def end(self, work_id: int) -> None:
+        """Note that a request has ended at its backend server."""
+        if self._own.pop(work_id, None) is not None:
+            if work_id in self._unreported.started:
+                self._unreported.started.discard(work_id)
+            else:
+                self._unreported.ended.add(work_id)
+            self._unreported.writing.discard(work_id)
+            self._changed(is_urgent=False)
+
+    def _changed(self, *, is_urgent: bool) -> None:
+        if self.on_change is not None:
+            self.on_change(is_urgent)
+
+    def report(self, *, complete: bool) -> messages.LoadReported:
+        """Return the next report for the peers."""
+        self._sequence += 1
+        changes, self._unreported = self._unreported, _Unreported()
+        now_ms = self._clock.now_ms()
+        started = self._own if complete else changes.started
+        return messages.LoadReported(
+            sequence=self._sequence,
+            complete=complete,
+            started=tuple(
+                _pack(work_id, self._own[work_id], now_ms)
+                for work_id in started
+            ),
+            writing=() if complete else tuple(changes.writing),
+            ended=() if complete else tuple(changes.ended),
+        )
+
+    def heard(self, *, peer: str, report: messages.LoadReported) -> None:
+        """Take a peer's report; one that came late is ignored.
+
+        :param peer: id of one start of the peer's process.
+        """
+        known = self._peers.setdefault(peer, _PeerWork())
+        if report.sequence <= known.sequence:
+            return
+        if report.complete:
+            known.works.clear()
+            known.is_complete = True
+        elif report.sequence != known.sequence + 1:
+            known.is_complete = False
+        now_ms = self._clock.now_ms()
+        known.sequence = report.sequence
+        known.heard_ms = now_ms
+        for fields in report.started:
+            work_id, work = _unpack(fields, now_ms)
+            known.works[work_id] = work
+        for work_id in report.writing:
+            if work_id in known.works:
+                known.works[work_id].is_writing = True
+        for work_id in report.ended:
+            known.works.pop(work_id, None)
+
+    def forget_silent(self) -> None:
+        """Drop the reports of peers that were not heard for long."""
+        oldest_ms = self._clock.now_ms() - REPORT_KEPT_MS
+        for peer, known in list(self._peers.items()):
+            if known.heard_ms < oldest_ms:
+                del self._peers[peer]
+
+    @property
+    def peer_count(self) -> int:
+        """Return how many peers' reports are held without a gap."""
+        return sum(known.is_complete for known in self._peers.values())
+
+    @property
+    def oldest_report_ms(self) -> int:
+        """Return the age of the oldest report that is held."""
+        heard = [known.heard_ms for known in self._peers.values()]
+        return self._clock.now_ms() - min(heard) if heard else 0
+
+    def loads(self) -> dict[str, ServerLoad]:
+        """Return the load of each backend server that has any."""
+        now_ms = self._clock.now_ms()
+        by_server: dict[str, list[Work]] = {}
+        for work in self._all():
+            by_server.setdefault(work.server_id, []).append(work)
+        return {
+            server_id: load_of(works, now_ms)
+            for server_id, works in by_server.items()
+        }
+
+    def _all(self):
+        yield from self._own.values()
+        for known in self._peers.values():
+            yield from known.works.values()
+
+
+def _pack(work_id: int, work: Work, now_ms: int) -> tuple:
+    """Return a work as a report carries it, with relative times."""
+    return (
+        work_id,
+        work.server_id,
+        round(work.read_ms),
+        now_ms - work.started_ms,
+        work.due_ms - now_ms,
+        work.pause_ms,
+        round(work.weight * PERCENT),
+        int(work.is_helping),
+        int(work.is_writing),
+    )
+
+
+def _unpack(fields: tuple, now_ms: int) -> tuple[int, Work]:
+    """Return the id and the work that a report carries."""
+    named = dict(zip(messages.WORK_FIELDS, fields, strict=True))
+    return named['work_id'], Work(
+        server_id=named['server_id'],
+        read_ms=named['read_ms'],
+        started_ms=now_ms - named['age_ms'],
+        due_ms=now_ms + named['due_ms'],
+        pause_ms=named['pause_ms'],
+        weight=named['weight_percent'] / PERCENT,
+        is_helping=bool(named['is_helping']),
+        is_writing=bool(named['is_writing']),
+    )
+
+
+def load_of(works: list[Work], now_ms: int) -> ServerLoad:
+    """Return the load of one server from its work.
+
+    A server reads parts for others first, in the order of their arrival,
+    and then its own prompts. Streams that it writes don't keep it from
+    reading, but their events wait for the end of a pass.
+    """
+    reading = sorted(
+        (work for work in works if not work.is_writing),
+        key=lambda work: (not work.is_helping, work.started_ms),
+    )
+    # What it has done since the oldest of them arrived is taken off the
+    # first in its order.
+    done_ms = 0.0
+    if reading:
+        done_ms = now_ms - min(work.started_ms for work in reading)
+    ends_in_ms = helping_ms = 0.0
+    reads = []
+    for work in reading:
+        left_ms = work.read_ms - done_ms
+        done_ms = max(0.0, done_ms - work.read_ms)
+        ends_in_ms += max(left_ms, OVERDUE_READ_MS)
+        if work.is_helping:
+            helping_ms = ends_in_ms
+        else:
+            reads.append(
+                PendingRead(
+                    ends_in_ms=ends_in_ms,
+                    due_in_ms=work.due_ms - now_ms,
+                    weight=work.weight,
+                )
+            )
+    helping = sum(work.is_helping for work in works)
+    return ServerLoad(
+        active=len(works) - helping,
+        helping=helping,
+        backlog_ms=ends_in_ms,
+        helping_ms=helping_ms,
+        reads=tuple(reads),
+        writers=tuple(
+            Writer(pause_ms=work.pause_ms, weight=work.weight)
+            for work in works
+            if work.is_writing and work.pause_ms and not work.is_helping
+        ),
+    )
--- /dev/null
+++ b/src/shallothinge/placement/tests/play.py
@@ -0,0 +1,212 @@
+"""Plays a load on engines that keep to the cost model, with one decider.
+
+Passes, pieces of prompts, parts for others and the pauses of streams follow
+the engine's description; what is left out is the time on the network.
+"""
+
+import collections
+import heapq
+import itertools
+
+import attrs
+
+from shallothinge import clock
+from shallothinge.placement import choice
+from shallothinge.placement import fleet
+from shallothinge.routes import model
+
+TOKENS_OF_EVENT = 34
+
+
+@attrs.define(kw_only=True, eq=False)
+class Request:
+    """A stream that a caller asks for, and what the caller got."""
+
+    at_ms: float
+    tokens: int
+    events: int
+    objective_ms: float
+    pause_ms: int
+    parts_left: int = 0
+    events_left: int = 0
+    first_ms: float | None = None
+    last_ms: float = 0.0
+    longest_pause_ms: float = 0.0
+    work_ids: tuple[int, ...] = ()
+    server: 'Server | None' = None
+
+    @property
+    def is_in_time(self) -> bool:
+        """Return whether first event and pauses kept their bounds."""
+        if self.first_ms is None or self.events_left:
+            return False
+        return (
+            self.first_ms <= self.objective_ms
+            and self.longest_pause_ms <= self.pause_ms
+        )
+
+
+@attrs.define(kw_only=True, eq=False)
+class Read:
+    """A part of a prompt that a server reads."""
+
+    request: Request
+    tokens_left: float
+    ms_per_token: float
+
+
+class Server:
+    """One engine."""
+
+    def __init__(self, *, engine: model.EngineCost):
+        self.engine = engine
+        self.parts = collections.deque()
+        self.reads = collections.deque()
+        self.writers: list[Request] = []
+        self.is_running = False
+
+    def has_work(self) -> bool:
+        """Return whether there is anything to do."""
+        return bool(self.parts or self.reads or self.writers)
+
+    def run_pass(self) -> tuple[float, list[Request]]:
+        """Return how long the next pass takes and the reads it ends."""
+        steps = self.engine.steps_per_pass if self.writers else 1
+        spent_ms = steps * self.engine.step_ms
+        ended = []
+        for _ in range(steps):
+            queue = self.parts or self.reads
+            if not queue:
+                break
+            read = queue[0]
+            tokens = min(self.engine.chunk_tokens, read.tokens_left)
+            read.tokens_left -= tokens
+            spent_ms += tokens * read.ms_per_token
+            if read.tokens_left <= 0:
+                queue.popleft()
+                ended.append(read.request)
+        return spent_ms, ended
+
+
+class Play:
+    """Plays requests on servers, placed by a chooser."""
+
+    def __init__(self, *, service: model.Service, server_count: int, chooser):
+        self.service = service
+        self.chooser = chooser
+        self.clock = clock.ManualClock()
+        self.load = fleet.FleetLoad(clock=self.clock)
+        self.servers = {
+            f's{index}': Server(engine=service.engine)
+            for index in range(server_count)
+        }
+        self._events = []
+        self._order = itertools.count()
+        self._refused = []
+
+    def run(self, requests) -> None:
+        """Play all requests to their end."""
+        for request in requests:
+            self._at(request.at_ms, self._arrive, request)
+        while self._events:
+            at_ms, _, function, argument = heapq.heappop(self._events)
+            self.clock.advance(
+                duration_ms=max(0, int(at_ms) - self.clock.now_ms())
+            )
+            function(at_ms, argument)
+
+    def _at(self, at_ms, function, argument) -> None:
+        entry = (at_ms, next(self._order), function, argument)
+        heapq.heappush(self._events, entry)
+
+    def _arrive(self, now_ms, request) -> None:
+        loads = self.load.loads()
+        placed = self.chooser.choose(
+            demand=choice.Demand(
+                service=self.service,
+                tokens=request.tokens,
+                objective_ms=request.objective_ms - (now_ms - request.at_ms),
+                pause_objective_ms=request.pause_ms,
+                zone='z',
+            ),
+            candidates=tuple(
+                choice.Candidate(
+                    server_id=server_id,
+                    zone='z',
+                    slots=self.service.engine.slots,
+                    is_cold=False,
+                    load=loads.get(server_id, fleet.ServerLoad()),
+                )
+                for server_id in self.servers
+            ),
+        )
+        if isinstance(placed, choice.NoRoom):
+            if now_ms - request.at_ms < 10_000:
+                self._at(now_ms + 20, self._arrive, request)
+            return
+        self._start(now_ms, request, placed)
+
+    def _start(self, now_ms, request, placed) -> None:
+        read_ms = self.service.engine.read_ms(request.tokens)
+        ids = (placed.server_id, *placed.helper_ids)
+        request.parts_left = len(ids)
+        request.events_left = request.events
+        work = fleet.Work(
+            server_id=placed.server_id,
+            read_ms=placed.part_ms,
+            started_ms=self.clock.now_ms(),
+            due_ms=int(request.at_ms + request.objective_ms),
+            pause_ms=request.pause_ms,
+            weight=choice.weight_of(request.tokens),
+        )
+        works = [work] + [
+            attrs.evolve(work, server_id=one, is_helping=True)
+            for one in placed.helper_ids
+        ]
+        request.work_ids = tuple(self.load.start(one) for one in works)
+        request.server = self.servers[placed.server_id]
+        for index, server_id in enumerate(ids):
+            server = self.servers[server_id]
+            read = Read(
+                request=request,
+                tokens_left=request.tokens / len(ids),
+                ms_per_token=read_ms / request.tokens,
+            )
+            (server.parts if index else server.reads).append(read)
+            self._wake(now_ms, server)
+
+    def _wake(self, now_ms, server) -> None:
+        if not server.is_running and server.has_work():
+            server.is_running = True
+            spent_ms, ended = server.run_pass()
+            writers = tuple(server.writers)
+            self._at(
+                now_ms + spent_ms, self._end_pass, (server, ended, writers)
+            )
+
+    def _end_pass(self, now_ms, argument) -> None:
+        server, ended, writers = argument
+        server.is_running = False
+        for request in writers:
+            self._write(now_ms, server, request)
+        for request in ended:
+            request.parts_left -= 1
+            if not request.parts_left:
+                request.server.writers.append(request)
+                self._wake(now_ms, request.server)
+        self._wake(now_ms, server)
+
+    def _write(self, now_ms, server, request) -> None:
+        if request.first_ms is None:
+            request.first_ms = now_ms - request.at_ms
+            self.load.first_event(request.work_ids[0])
+            for work_id in request.work_ids[1:]:
+                self.load.end(work_id)
+        else:
+            pause_ms = now_ms - request.last_ms
+            request.longest_pause_ms = max(request.longest_pause_ms, pause_ms)
+        request.last_ms = now_ms
+        request.events_left -= 1
+        if not request.events_left:
+            server.writers.remove(request)
+            self.load.end(request.work_ids[0])
--- /dev/null
+++ b/src/shallothinge/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the platform of the prepared machines."""
--- /dev/null
+++ b/src/shallothinge/platform/control_api.py
@@ -0,0 +1,190 @@
+"""HTTP API of control hosts for the platform's operator and servers."""
+
+import json
+import logging
+
+from shallothinge import errors
+from shallothinge.control import fleet
+from shallothinge.http1 import server as http_server
+from shallothinge.membership.model import BackendServer
+from shallothinge.platform import names
+from shallothinge.platform import routes
+
+LOG = logging.getLogger(__name__)
+
+JSON = (('content-type', 'application/json'),)
+
+
+class ControlApi:
+    """Translates HTTP requests into orders for the leader.
+
+    :param http_port: port of this API on every control host.
+    """
+
+    def __init__(self, *, orders: fleet.FleetOrders, http_port: str):
+        self._orders = orders
+        self._http_port = http_port
+
+    def handle(self, exchange: http_server.Exchange) -> None:
+        """Answer one request."""
+        method, target = exchange.head.method, exchange.head.target
+        path = target.partition('?')[0]
+        if path == names.CONFIGURATION and method == 'PUT':
+            self._put_configuration(exchange)
+        elif path == names.CONFIGURATION and method == 'GET':
+            self._get_configuration(exchange)
+        elif path.startswith(names.SERVERS) and method == 'PUT':
+            self._take_heartbeat(exchange, path[len(names.SERVERS) :])
+        elif path.startswith(names.SERVERS) and method == 'DELETE':
+            self._take_gone(exchange, path[len(names.SERVERS) :])
+        elif path.startswith(names.EVACUATION) and method in (
+            'POST',
+            'DELETE',
+        ):
+            zone = path[len(names.EVACUATION) :]
+            self._set_zone(exchange, zone, is_out=method == 'POST')
+        else:
+            _answer(exchange, 404, {'error': 'no such path'})
+
+    def _put_configuration(self, exchange) -> None:
+        try:
+            table = routes.read(exchange.body)
+        except routes.InvalidConfiguration as error:
+            LOG.warning(
+                'refused an invalid configuration',
+                extra={'detail': str(error)},
+            )
+            _answer(exchange, 400, {'error': str(error)})
+            return
+        done = self._orders.store_routes(
+            version=table.version, document=routes.pack(exchange.body)
+        )
+
+        def stored(answer):
+            LOG.info(
+                'configuration acknowledged',
+                extra={
+                    'routes_version': table.version,
+                    'in_force_version': answer.version,
+                },
+            )
+            _answer(exchange, 200, {'version': answer.version})
+
+        self._finish(exchange, done, stored)
+
+    def _get_configuration(self, exchange) -> None:
+        def fetched(answer):
+            if not answer.version:
+                _answer(exchange, 503, {'error': 'no configuration yet'})
+            else:
+                exchange.respond(
+                    status=200,
+                    headers=JSON,
+                    body=routes.unpack(answer.document),
+                )
+
+        self._finish(exchange, self._orders.fetch_routes(), fetched)
+
+    def _take_heartbeat(self, exchange, server_id: str) -> None:
+        try:
+            fields = json.loads(exchange.body)
+            server = _read_server(server_id, fields)
+            started_ms, sequence = fields.get('born', 0), fields['sequence']
+        except (ValueError, TypeError, KeyError, AttributeError) as error:
+            LOG.warning(
+                'ignored a malformed heartbeat',
+                extra={'server_id': server_id, 'detail': repr(error)},
+            )
+            _answer(exchange, 400, {'error': 'malformed heartbeat'})
+            return
+        done = self._orders.take_heartbeat(
+            server=server, started_ms=started_ms, sequence=sequence
+        )
+        self._finish(
+            exchange, done, lambda answer: self._acknowledge(exchange, answer)
+        )
+
+    def _take_gone(self, exchange, server_id: str) -> None:
+        done = self._orders.take_gone(server_id=server_id)
+        self._finish(
+            exchange, done, lambda answer: self._acknowledge(exchange, answer)
+        )
+
+    def _acknowledge(self, exchange, answer) -> None:
+        """Name the leader's address, which saves a hop later on."""
+        host = answer.leader_id.rpartition(':')[0]
+        fields = {}
+        if host:
+            fields['heartbeat-address'] = f'{host}:{self._http_port}'
+        _answer(exchange, 200, fields)
+
+    def _set_zone(self, exchange, zone: str, *, is_out: bool) -> None:
+        def done(answer):
+            if answer.kind is not None:
+                raise errors.ServingError(
+                    kind=answer.kind, detail=answer.detail
+                )
+            LOG.info(
+                'zone ordered out' if is_out else 'zone ordered back',
+                extra={'of_zone': zone, 'state_version': answer.state_version},
+            )
+            _answer(exchange, 200, {})
+
+        self._finish(
+            exchange, self._orders.set_zone(zone=zone, is_out=is_out), done
+        )
+
+    def _finish(self, exchange, deferred, answer) -> None:
+        """Answer once the leader has, or that it can't be reached."""
+
+        def refuse(failure):
+            LOG.warning(
+                'an order got no answer from the leader',
+                extra={
+                    'target': exchange.head.target,
+                    'cause': failure.getErrorMessage(),
+                },
+            )
+            if not failure.check(errors.ServingError):
+                LOG.error(
+                    'answering failed', extra={'trace': failure.getTraceback()}
+                )
+            _answer(exchange, 503, {'error': 'no leader answered'})
+
+        deferred.addCallback(answer)
+        deferred.addErrback(refuse)
+
+
+def _answer(exchange, status: int, fields: dict) -> None:
+    exchange.respond(
+        status=status, headers=JSON, body=json.dumps(fields).encode()
+    )
+
+
+def _read_server(server_id: str, fields: dict) -> BackendServer:
+    """Return the backend server that a heartbeat announces.
+
+    :raises ValueError: if it is in no known state.
+    """
+    state = fields['state']
+    if state not in (names.READY, names.DRAINING):
+        raise ValueError(f'unknown state {state!r}')
+    for name in ('service', 'address', 'zone'):
+        if not isinstance(fields[name], str) or not fields[name]:
+            raise TypeError(f'{name} is not a text')
+    for name in ('slots', 'sequence', 'born'):
+        if type(fields.get(name, 0)) is not int:
+            raise TypeError(f'{name} is not a whole number')
+    return BackendServer(
+        server_id=server_id,
+        # When the server was started, in Unix milliseconds.
+        incarnation=str(fields.get('born', 0)),
+        address=fields['address'],
+        zone=fields['zone'],
+        host='',
+        services=(fields['service'],),
+        leaving=state == names.DRAINING,
+        software_version=str(fields.get('version', '')),
+        cold_ms=int(fields.get('cold-remaining-ms') or 0),
+        slots=fields['slots'],
+    )
--- /dev/null
+++ b/src/shallothinge/platform/dialect.py
@@ -0,0 +1,140 @@
+"""Requests and answers between callers and backend servers."""
+
+import json
+
+from shallothinge import errors
+from shallothinge.errors import ErrorKind
+from shallothinge.gateway import model
+from shallothinge.http1 import messages
+from shallothinge.platform import names
+from shallothinge.platform import routes
+
+MS_PER_SECOND = 1000
+# Fields that are read here and written anew, or meant for the gateway alone.
+OWN_FIELDS = frozenset(
+    (
+        names.API_KEY,
+        names.WORKSPACE,
+        names.DEADLINE_MS,
+        names.EXPECTED_SERVER,
+        names.URGENCY,
+        names.HELPERS,
+        names.LAST_EVENT_ID,
+        'expect',
+    )
+)
+# 429, 503, 408 and 421 promise here that a request has not run.
+PROMISING_STATUSES = (408, 421, 429, 503)
+UNKNOWN_OUTCOME_STATUS = 502
+
+
+class PlatformDialect:
+    """The headers of the platform's callers and backend servers."""
+
+    def read_routes(self, document: bytes):
+        """Return the route table of a document that was accepted."""
+        return routes.read_document(document)
+
+    def read_request(
+        self, *, head: messages.RequestHead, body: bytes
+    ) -> model.CallerRequest:
+        """Return a caller's request."""
+        passed = tuple(
+            (name, value)
+            for name, value in messages.end_to_end(head.headers)
+            if name not in OWN_FIELDS
+        )
+        return model.CallerRequest(
+            request_id=head.get(names.REQUEST_ID),
+            method=head.method,
+            target=head.target,
+            host=head.get('host'),
+            headers=passed,
+            body=body,
+            api_key=head.get(names.API_KEY),
+            deadline_ms=_read_deadline(head),
+            prompt_tokens=_read_prompt_tokens(head),
+            last_event_id=head.get(names.LAST_EVENT_ID),
+        )
+
+    def write_request(self, order: model.ForwardOrder) -> messages.RequestHead:
+        """Return the head of the request to a backend server."""
+        fields = [
+            *order.request.headers,
+            (names.DEADLINE_MS, str(max(1, order.remaining_ms))),
+            (names.EXPECTED_SERVER, order.server_id),
+        ]
+        if order.workspace:
+            fields.append((names.WORKSPACE, order.workspace))
+        if order.last_event_id:
+            fields.append((names.LAST_EVENT_ID, order.last_event_id))
+        if order.urgency is not None:
+            fields.append((names.URGENCY, str(order.urgency)))
+        if order.helper_addresses:
+            fields.append((names.HELPERS, ','.join(order.helper_addresses)))
+        return messages.RequestHead(
+            method=order.request.method,
+            target=order.request.target,
+            headers=tuple(fields),
+        )
+
+    def read_answer(self, head: messages.ResponseHead) -> model.AnswerHead:
+        """Return the head of a backend server's answer."""
+        field_names = {name for name, _ in head.headers}
+        return model.AnswerHead(
+            status=head.status,
+            headers=messages.end_to_end(head.headers),
+            request_id=head.get(names.REQUEST_ID),
+            is_signed=bool(head.get(names.SIGNATURE)),
+            is_unrun=names.UNRUN in field_names or head.status == 421,
+            is_other_server=head.status == 421,
+            fault_address=head.get(names.FAULT_ADDRESS),
+        )
+
+    def write_error(
+        self, *, error: errors.ServingError, request_id: str
+    ) -> tuple[int, messages.Headers, bytes]:
+        """Return status, headers and body of an error's answer."""
+        answer = error.answer
+        status = answer.http_status
+        is_unrun = answer.work_state is errors.WorkState.NOT_RUN
+        if status in PROMISING_STATUSES and not is_unrun:
+            status = UNKNOWN_OUTCOME_STATUS
+        fields = [('content-type', 'application/json')]
+        if request_id:
+            fields.append((names.REQUEST_ID, request_id))
+        if error.retry_after_ms:
+            after_s = error.retry_after_ms / MS_PER_SECOND
+            fields.append((names.RETRY_AFTER_S, f'{after_s:g}'))
+        content = {'error': error.kind.value, 'message': answer.meaning}
+        if error.detail:
+            content['detail'] = error.detail
+        return status, tuple(fields), json.dumps(content).encode()
+
+
+def write_refusal(status: int) -> tuple[messages.Headers, bytes]:
+    """Return headers and body of an answer to what is no request."""
+    body = json.dumps({'error': 'malformed', 'status': status}).encode()
+    return (('content-type', 'application/json'),), body
+
+
+def _read_deadline(head: messages.RequestHead) -> int | None:
+    text = head.get(names.DEADLINE_MS)
+    if not text:
+        return None
+    if not text.isdigit():
+        raise errors.ServingError(
+            kind=ErrorKind.BAD_REQUEST,
+            detail=f'{names.DEADLINE_MS} is not a whole number',
+        )
+    return int(text)
+
+
+def _read_prompt_tokens(head: messages.RequestHead) -> int:
+    """Return the prompt's tokens; other parts of the field follow a comma.
+
+    A field that can't be read costs the caller no answer: the number only
+    serves to choose a server.
+    """
+    text = head.get(names.TOKEN_COUNTS).partition(',')[0].strip()
+    return int(text) if text.isdigit() else 0
--- /dev/null
+++ b/src/shallothinge/platform/names.py
@@ -0,0 +1,33 @@
+"""Names of headers, paths and fields on the platform's wire.
+
+Header names are in lower case, as ``http1`` gives them.
+"""
+
+# Headers of requests.
+REQUEST_ID = 'request-attempt-id'
+DEADLINE_MS = 'deadline-milliseconds'
+API_KEY = 'credential'
+WORKSPACE = 'tenant'
+# Number of prompt tokens, a comma, and the largest number of output tokens.
+TOKEN_COUNTS = 'token-counts'
+LAST_EVENT_ID = 'last-event-id'
+EXPECTED_SERVER = 'expected-instance'
+URGENCY = 'request-urgency'
+HELPERS = 'helpers'
+
+# Headers of answers.
+SIGNATURE = 'response-signature'
+# Present, whatever its value, if the server did not run the request.
+UNRUN = 'not-executed'
+# The address of the helper to blame, on a 421 or 503.
+FAULT_ADDRESS = 'at-server'
+RETRY_AFTER_S = 'retry-after'
+
+# Paths of the control API.
+CONFIGURATION = '/configuration'
+SERVERS = '/instances/'
+EVACUATION = '/evacuation/'
+READINESS = '/readiness'
+
+DRAINING = 'draining'
+READY = 'ready'
--- /dev/null
+++ b/src/shallothinge/platform/routes.py
@@ -0,0 +1,170 @@
+"""Reads the platform's configuration into the product's route table."""
+
+import json
+import zlib
+
+from shallothinge.routes import model
+
+# Documents repeat the same few names hundreds of times.
+COMPRESSION_LEVEL = 6
+
+
+class InvalidConfiguration(ValueError):
+    """A configuration that must not be put in force; the text says why."""
+
+
+def pack(content: bytes) -> bytes:
+    """Return the document that is stored for a configuration's JSON."""
+    return zlib.compress(content, COMPRESSION_LEVEL)
+
+
+def unpack(document: bytes) -> bytes:
+    """Return the JSON of a stored document."""
+    return zlib.decompress(document)
+
+
+def read_document(document: bytes) -> model.RouteTable:
+    """Return the route table of a stored document."""
+    return read(unpack(document))
+
+
+def read(content: bytes) -> model.RouteTable:
+    """Return the route table of a configuration's JSON.
+
+    :raises InvalidConfiguration: if it can't be read in full or contradicts
+        itself.
+    """
+    try:
+        fields = json.loads(content)
+        table = _read_table(fields)
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        raise InvalidConfiguration(f'malformed: {error!r}') from error
+    _check(table)
+    return table
+
+
+def _read_table(fields: dict) -> model.RouteTable:
+    limits = fields.get('limits') or {}
+    usual = model.CallerLimits()
+    return model.RouteTable(
+        version=_whole(fields['version']),
+        routes=tuple(_read_route(one) for one in fields['routes']),
+        services=tuple(_read_service(one) for one in fields['services']),
+        workspaces=tuple(
+            _read_workspace(one) for one in fields.get('tenants') or ()
+        ),
+        limits=model.CallerLimits(
+            header_bytes=limits.get('header-bytes', usual.header_bytes),
+            body_bytes=limits.get('body-bytes', usual.body_bytes),
+            header_timeout_ms=limits.get(
+                'header-timeout-ms', usual.header_timeout_ms
+            ),
+            idle_timeout_ms=limits.get(
+                'idle-timeout-ms', usual.idle_timeout_ms
+            ),
+        ),
+    )
+
+
+def _read_route(fields: dict) -> model.Route:
+    timeout_ms = _whole(fields['timeout-ms'])
+    return model.Route(
+        name=fields.get('name', ''),
+        host=_text(fields['host']),
+        path_prefix=_text(fields['path-prefix']),
+        kind=model.RequestKind(fields['kind']),
+        timeout_ms=timeout_ms,
+        split=_read_split(fields),
+        objective_ms=fields.get('target-latency-ms') or timeout_ms,
+        pause_objective_ms=fields.get('target-gap-ms') or 1000,
+        priority=fields.get('priority', 1),
+        attempts=fields.get('attempts', 1),
+        is_anonymous=bool(fields.get('allow-anonymous', False)),
+        is_resumable=bool(fields.get('resume-streams', False)),
+    )
+
+
+def _read_split(fields: dict) -> tuple[model.Split, ...]:
+    if fields.get('traffic-split'):
+        return tuple(
+            model.Split(service=_text(one['service']), weight=one['weight'])
+            for one in fields['traffic-split']
+        )
+    return (model.Split(service=_text(fields['service']), weight=1),)
+
+
+def _read_service(fields: dict) -> model.Service:
+    engine = fields.get('engine')
+    return model.Service(
+        name=_text(fields['name']),
+        health_path=fields.get('health-check-path', '/'),
+        max_connections=fields.get('connection-limit', 0),
+        cold_requests_per_s=fields.get('cold-per-s', 0.0),
+        engine=_read_engine(engine) if engine else None,
+    )
+
+
+def _read_engine(fields: dict) -> model.EngineCost:
+    return model.EngineCost(
+        slots=fields['slots'],
+        memory_tokens=fields['kv-cache-tokens'],
+        step_ms=fields['step_ms'],
+        read_tokens_per_ms=fields['read_per_s'] / 1000,
+        pair_ms_per_million=fields['pairs_per_m'],
+        chunk_tokens=fields['chunk'],
+        steps_per_pass=fields['stride'],
+    )
+
+
+def _read_workspace(fields: dict) -> model.Workspace:
+    return model.Workspace(
+        name=_text(fields['name']),
+        api_keys=tuple(_text(key) for key in fields['api-keys']),
+        priority=fields.get('priority'),
+    )
+
+
+def _whole(value: object) -> int:
+    if type(value) is not int:
+        raise TypeError(f'{value!r} is not a whole number')
+    return value
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str) or not value:
+        raise TypeError(f'{value!r} is not a text')
+    return value
+
+
+def _check(table: model.RouteTable) -> None:
+    names = {service.name for service in table.services}
+    places = set()
+    for route in table.routes:
+        if route.timeout_ms <= 0:
+            raise InvalidConfiguration(f'{route.name}: no timeout')
+        for split in route.split:
+            if split.service not in names:
+                raise InvalidConfiguration(
+                    f'{route.name}: unknown service {split.service}'
+                )
+        if sum(split.weight for split in route.split) <= 0:
+            raise InvalidConfiguration(f'{route.name}: weights add up to 0')
+        place = (route.host.lower(), route.path_prefix)
+        if place in places:
+            raise InvalidConfiguration(
+                f'{route.name}: another route has host {place[0]} and '
+                f'prefix {place[1]}'
+            )
+        places.add(place)
+    _check_keys(table)
+
+
+def _check_keys(table: model.RouteTable) -> None:
+    holder_by_key = {}
+    for workspace in table.workspaces:
+        for api_key in workspace.api_keys:
+            holder = holder_by_key.setdefault(api_key, workspace.name)
+            if holder != workspace.name:
+                raise InvalidConfiguration(
+                    f'{holder} and {workspace.name} share an API key'
+                )
--- /dev/null
+++ b/src/shallothinge/platform/tests/samples.py
@@ -0,0 +1,63 @@
+"""A configuration as the platform's operator sends it."""
+
+import copy
+
+CONFIGURATION = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r-1',
+            'host': 'a.example',
+            'path-prefix': '/lohu930/',
+            'kind': 'streaming',
+            'timeout-ms': 10000,
+            'target-latency-ms': 300,
+            'priority': 1,
+            'traffic-split': [
+                {'service': 'llm', 'weight': 90},
+                {'service': 'desk', 'weight': 10},
+            ],
+            'attempts': 2,
+            'allow-anonymous': False,
+            'sticky-sessions': True,
+            'resume-streams': True,
+            'target-gap-ms': 250,
+        },
+        {
+            'name': 'r-2',
+            'host': 'a.example',
+            'path-prefix': '/book/',
+            'kind': 'unsafe',
+            'timeout-ms': 1500,
+            'service': 'desk',
+        },
+    ],
+    'services': [
+        {
+            'name': 'llm',
+            'health-check-path': '/health',
+            'connection-limit': 354,
+            'cold-per-s': 38.0,
+            'engine': {
+                'slots': 8,
+                'kv-cache-tokens': 405000,
+                'stride': 34,
+                'step_ms': 1.31,
+                'read_per_s': 154000.0,
+                'pairs_per_m': 0.162,
+                'chunk': 2048,
+            },
+        },
+        {'name': 'desk', 'cold-per-s': 0.0},
+    ],
+    'limits': {'header-bytes': 16384, 'body-bytes': 1000},
+    'tenants': [
+        {'name': 'w1', 'api-keys': ['k1', 'k2'], 'priority': 1},
+        {'name': 'w2', 'api-keys': ['k3']},
+    ],
+}
+
+
+def configuration(**changes):
+    """Return a copy of the sample with changed top-level fields."""
+    return {**copy.deepcopy(CONFIGURATION), **changes}
--- /dev/null
+++ b/src/shallothinge/platform/tests/test_dialect.py
@@ -0,0 +1,131 @@
+"""Tests of the headers between callers and backend servers."""
+
+import unittest
+
+from shallothinge import errors
+from shallothinge.errors import ErrorKind
+from shallothinge.gateway import model
+from shallothinge.http1 import messages
+from shallothinge.platform import dialect
+
+REQUEST = messages.RequestHead(
+    method='POST',
+    target='/lohu930/2f',
+    headers=(
+        ('host', 'a.example'),
+        ('request-attempt-id', '9c41'),
+        ('last-event-id', '12'),
+        ('model', 'm'),
+        ('token-counts', '1460,80'),
+        ('deadline-milliseconds', '10000'),
+        ('credential', 'secret'),
+        ('tenant', 'forged'),
+        ('expected-instance', 'forged'),
+        ('request-urgency', '0'),
+        ('helpers', '10.0.0.1:1'),
+        ('connection', 'x-hop'),
+        ('x-hop', '1'),
+        ('x-other', '2'),
+        ('content-length', '3'),
+    ),
+)
+
+
+class RequestTest(unittest.TestCase):
+    """What a caller sends and what a backend server gets."""
+
+    def setUp(self):
+        self.dialect = dialect.PlatformDialect()
+        self.request = self.dialect.read_request(head=REQUEST, body=b'abc')
+
+    def test_fields_are_read(self):
+        self.assertEqual('9c41', self.request.request_id)
+        self.assertEqual(1460, self.request.prompt_tokens)
+        self.assertEqual(10000, self.request.deadline_ms)
+        self.assertEqual('12', self.request.last_event_id)
+        self.assertEqual('secret', self.request.api_key)
+
+    def test_key_and_forged_fields_are_not_passed_on(self):
+        head = self.dialect.write_request(
+            model.ForwardOrder(
+                request=self.request,
+                server_id='i-1',
+                workspace='w1',
+                remaining_ms=900,
+                last_event_id='15',
+                helper_addresses=('10.0.0.2:1', '10.0.0.3:1'),
+                urgency=1,
+            )
+        )
+        self.assertEqual(('POST', '/lohu930/2f'), (head.method, head.target))
+        self.assertEqual(
+            {
+                'host': 'a.example',
+                'request-attempt-id': '9c41',
+                'model': 'm',
+                'token-counts': '1460,80',
+                'x-other': '2',
+                'deadline-milliseconds': '900',
+                'expected-instance': 'i-1',
+                'tenant': 'w1',
+                'last-event-id': '15',
+                'request-urgency': '1',
+                'helpers': '10.0.0.2:1,10.0.0.3:1',
+            },
+            dict(head.headers),
+        )
+        self.assertEqual(len(dict(head.headers)), len(head.headers))
+
+    def test_malformed_deadline_is_refused(self):
+        head = messages.RequestHead(
+            method='GET',
+            target='/',
+            headers=(('deadline-milliseconds', 'soon'),),
+        )
+        with self.assertRaises(errors.ServingError) as caught:
+            self.dialect.read_request(head=head, body=b'')
+        self.assertIs(ErrorKind.BAD_REQUEST, caught.exception.kind)
+
+
+class AnswerTest(unittest.TestCase):
+    """What a backend server answers and what a caller gets."""
+
+    def setUp(self):
+        self.dialect = dialect.PlatformDialect()
+
+    def test_answers_are_told_apart(self):
+        cases = (
+            (200, (('response-signature', 's'),), True, False),
+            (200, (), False, False),
+            (500, (('response-signature', 's'),), True, False),
+            (503, (('not-executed', ''),), False, True),
+            (503, (), False, False),
+            (421, (), False, True),
+        )
+        for status, headers, is_signed, is_unrun in cases:
+            with self.subTest(status=status, headers=headers):
+                answer = self.dialect.read_answer(
+                    messages.ResponseHead(status=status, headers=headers)
+                )
+                self.assertEqual(is_signed, answer.is_signed)
+                self.assertEqual(is_unrun, answer.is_unrun)
+
+    def test_only_what_did_not_run_gets_a_promising_status(self):
+        for kind in ErrorKind:
+            with self.subTest(kind=kind):
+                error = errors.ServingError(kind=kind)
+                status, _, _ = self.dialect.write_error(
+                    error=error, request_id='9c41'
+                )
+                if error.answer.work_state is not errors.WorkState.NOT_RUN:
+                    self.assertNotIn(status, dialect.PROMISING_STATUSES)
+
+    def test_refusal_tells_when_to_come_back(self):
+        error = errors.ServingError(
+            kind=ErrorKind.OVERLOADED, retry_after_ms=250
+        )
+        status, headers, _ = self.dialect.write_error(
+            error=error, request_id='9c41'
+        )
+        self.assertEqual(503, status)
+        self.assertEqual('0.25', dict(headers)['retry-after'])
--- a/src/shallothinge/process.py
+++ b/src/shallothinge/process.py
@@ -46,7 +46,10 @@
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
         self.clock = clock.MonotonicClock()
         self.codec = protocol.build_codec()
-        self.key_pair = keys.read_key_pair(path=folder / settings.key_file)
+        self.key_pair = keys.read_key_pair(
+            path=folder / settings.key_file,
+            is_private=settings.is_host_shared,
+        )
         self.trust = keys.read_trust(path=folder / settings.trust_file)
         self.metrics = metrics.Metrics(
             role=self.key_pair.role,
--- a/src/shallothinge/protocol.py
+++ b/src/shallothinge/protocol.py
@@ -6,8 +6,11 @@
 from shallothinge.consensus import messages as consensus
 from shallothinge.jobs import messages as jobs
 from shallothinge.leases import messages as leases
+from shallothinge.membership import messages as membership
 from shallothinge.operators import messages as operators
+from shallothinge.placement import messages as placement
 from shallothinge.reservations import messages as reservations
+from shallothinge.routes import messages as routes
 from shallothinge.streams import messages as streams
 from shallothinge.transport import messages as transport
 
@@ -24,6 +27,9 @@
             *allowances.MESSAGES,
             *jobs.MESSAGES,
             *operators.MESSAGES,
+            *routes.MESSAGES,
+            *membership.MESSAGES,
+            *placement.MESSAGES,
             *consensus.MESSAGES,
         )
     )
--- /dev/null
+++ b/src/shallothinge/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes from callers to services, as operators order them."""
--- /dev/null
+++ b/src/shallothinge/routes/model.py
@@ -0,0 +1,133 @@
+"""Routes, services, workspaces and limits of one version."""
+
+import enum
+
+import attrs
+
+MS_PER_MILLION_PAIRS_UNIT = 1_000_000
+
+
+class RequestKind(enum.Enum):
+    """What may be repeated: ``SAFE`` requests may, ``UNSAFE`` may not.
+
+    ``STREAMING`` requests are unsafe unless their route is resumable.
+    """
+
+    SAFE = 'safe'
+    UNSAFE = 'unsafe'
+    STREAMING = 'streaming'
+
+
+@attrs.frozen(kw_only=True)
+class EngineCost:
+    """Time that a model engine needs, from the service's description.
+
+    Reading ``n`` prompt tokens takes ``n / read_tokens_per_ms`` plus
+    ``pair_ms_per_million`` for each million of the ``n * n / 2`` pairs of
+    tokens. ``chunk_tokens`` are read in one step at most; a pass with
+    writing requests has ``steps_per_pass`` steps.
+    """
+
+    slots: int
+    memory_tokens: int
+    step_ms: float
+    read_tokens_per_ms: float
+    pair_ms_per_million: float
+    chunk_tokens: int
+    steps_per_pass: int
+
+    def read_ms(self, tokens: int) -> float:
+        """Return how long one engine reads a prompt alone."""
+        pairs = tokens * tokens / 2
+        return (
+            tokens / self.read_tokens_per_ms
+            + pairs / MS_PER_MILLION_PAIRS_UNIT * self.pair_ms_per_million
+        )
+
+    @property
+    def pass_ms(self) -> float:
+        """Return how long a pass with writers and no reads takes."""
+        return self.step_ms * self.steps_per_pass
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """A group of interchangeable backend servers.
+
+    ``cold_requests_per_s`` is what a backend server bears while it is
+    cold, 0 if it is never cold.
+    """
+
+    name: str
+    health_path: str = '/'
+    max_connections: int = 0
+    cold_requests_per_s: float = 0.0
+    engine: EngineCost | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Split:
+    """A service's share of a route's requests."""
+
+    service: str
+    weight: int
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """Where the requests of one host and path prefix go.
+
+    ``objective_ms`` bounds the first event or the answer of a request that
+    is in time, ``pause_objective_ms`` the pause between two events.
+    ``attempts`` bounds the backend servers that one request is sent to.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RequestKind
+    timeout_ms: int
+    split: tuple[Split, ...]
+    objective_ms: int = 1000
+    pause_objective_ms: int = 1000
+    priority: int = 1
+    attempts: int = 2
+    is_anonymous: bool = False
+    is_resumable: bool = False
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Return whether a request may run more than once."""
+        if self.kind is RequestKind.STREAMING:
+            return self.is_resumable
+        return self.kind is RequestKind.SAFE
+
+
+@attrs.frozen(kw_only=True)
+class Workspace:
+    """A workspace and the API keys of its callers."""
+
+    name: str
+    api_keys: tuple[str, ...] = attrs.field(repr=False)
+    priority: int | None = None
+
+
+@attrs.frozen(kw_only=True)
+class CallerLimits:
+    """What a caller may send, and for how long it may be slow or idle."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+@attrs.frozen(kw_only=True)
+class RouteTable:
+    """All routes of one version."""
+
+    version: int = 0
+    routes: tuple[Route, ...] = ()
+    services: tuple[Service, ...] = ()
+    workspaces: tuple[Workspace, ...] = ()
+    limits: CallerLimits = CallerLimits()
--- /dev/null
+++ b/src/shallothinge/routes/state.py
@@ -0,0 +1,27 @@
+"""The replicated route table."""
+
+import attrs
+
+from shallothinge.routes import messages
+
+
+@attrs.define(kw_only=True)
+class RouteStore:
+    """The newest route table that was accepted; version 0 if none was."""
+
+    version: int = 0
+    document: bytes = attrs.field(default=b'', repr=False)
+
+    def store(self, order: messages.StoreRoutes) -> bool:
+        """Take a table if it is newer than the one held.
+
+        Content under the version held is ignored: a version names one
+        table for ever.
+
+        :returns: whether the table changed.
+        """
+        if order.version <= self.version:
+            return False
+        self.version = order.version
+        self.document = order.document
+        return True
--- a/src/shallothinge/routing/breaker.py
+++ b/src/shallothinge/routing/breaker.py
@@ -8,12 +8,27 @@
 
 
 class Breaker:
-    """Closed, open or half-open state towards one backend server."""
+    """Closed, open or half-open state towards one backend server.
 
-    def __init__(self, *, clock: clocks.Clock):
+    :param failures_to_open: failures in a row after which it opens.
+    :param open_ms: how long it stays open at first.
+    :param max_open_ms: how long it stays open at most.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        failures_to_open: int = FAILURES_TO_OPEN,
+        open_ms: int = OPEN_MS,
+        max_open_ms: int = MAX_OPEN_MS,
+    ):
         self._clock = clock
+        self._failures_to_open = failures_to_open
+        self._first_open_ms = open_ms
+        self._max_open_ms = max_open_ms
         self._failures = 0
-        self._open_ms = OPEN_MS
+        self._open_ms = open_ms
         self._until_ms = None
         self._probing = False
 
@@ -31,7 +46,7 @@
     def succeeded(self) -> None:
         """Close after an answer."""
         self._failures = 0
-        self._open_ms = OPEN_MS
+        self._open_ms = self._first_open_ms
         self._until_ms = None
         self._probing = False
 
@@ -43,8 +58,8 @@
         """Count a failure; opens after several in a row."""
         self._failures += 1
         if self._until_ms is not None:
-            self._open_ms = min(MAX_OPEN_MS, 2 * self._open_ms)
-        elif self._failures < FAILURES_TO_OPEN:
+            self._open_ms = min(self._max_open_ms, 2 * self._open_ms)
+        elif self._failures < self._failures_to_open:
             return
         self._probing = False
         self._until_ms = self._clock.now_ms() + self._open_ms
--- a/src/shallothinge/routing/retries.py
+++ b/src/shallothinge/routing/retries.py
@@ -17,12 +17,20 @@
 
     def __init__(self, *, percent: int, burst: int = 20):
         self._percent = percent
-        self._cap = burst * PERCENT
+        self._cap = 0
+        self.limit_burst(burst)
         self._saved = self._cap
         self.fresh_count = 0
         self.retry_count = 0
         self.denied_count = 0
 
+    def limit_burst(self, burst: int) -> None:
+        """Change how many retries may be saved up."""
+        cap = burst * PERCENT
+        if self._cap:
+            self._saved = min(self._saved, cap)
+        self._cap = cap
+
     def fresh(self) -> None:
         """Count one fresh request."""
         self.fresh_count += 1
--- a/src/shallothinge/settings/check.py
+++ b/src/shallothinge/settings/check.py
@@ -1,6 +1,7 @@
 """Checks of settings that need more than one value, or the file system."""
 
 from collections.abc import Callable
+import functools
 import logging
 import pathlib
 import random
@@ -35,7 +36,10 @@
         """Check the settings of any role."""
         if hasattr(settings, 'process'):
             self._check_process(settings.process)
-        if hasattr(settings, 'control_hosts'):
+        discovery = getattr(settings, 'discovery', None)
+        if discovery is not None:
+            self._check_discovery(discovery)
+        elif hasattr(settings, 'control_hosts'):
             self._check_control_hosts(settings)
         if isinstance(settings, model.ControlSettings):
             self._check_log(settings.log)
@@ -64,8 +68,11 @@
         self._check_keys(process)
 
     def _check_keys(self, process: model.ProcessSettings) -> None:
+        read_key_pair = functools.partial(
+            keys.read_key_pair, is_private=process.is_host_shared
+        )
         for name, read in (
-            ('key_file', keys.read_key_pair),
+            ('key_file', read_key_pair),
             ('trust_file', keys.read_trust),
         ):
             try:
@@ -77,6 +84,14 @@
                     'a file made by "shallothinge keys"',
                 )
 
+    def _check_discovery(self, discovery: model.DiscoverySettings) -> None:
+        if not discovery.seeds:
+            self._fault('discovery.seeds', 'no address', 'IP:PORT of a host')
+        for index, seed in enumerate(discovery.seeds):
+            host, _, port = seed.rpartition(':')
+            if not host or not port.isdigit():
+                self._fault(f'discovery.seeds[{index}]', repr(seed), 'IP:PORT')
+
     def _check_control_hosts(self, settings) -> None:
         hosts = settings.control_hosts
         if len(hosts) not in CONTROL_COUNTS:
--- a/src/shallothinge/settings/load.py
+++ b/src/shallothinge/settings/load.py
@@ -15,14 +15,26 @@
     'control': model.ControlSettings,
     'entry': model.EntrySettings,
     'agent': model.AgentSettings,
+    'gateway': model.GatewaySettings,
 }
-ROLE_TABLES = (('log', 'control'), ('http', 'entry'), ('backend', 'agent'))
+ROLE_TABLES = (
+    ('log', 'control'),
+    ('http', 'entry'),
+    ('backend', 'agent'),
+    ('callers', 'gateway'),
+)
 
 
-def read(*, path: pathlib.Path, file_type: type):
+def read(
+    *,
+    path: pathlib.Path,
+    file_type: type,
+    folder: pathlib.Path | None = None,
+):
     """Return the settings that a file holds.
 
     :param file_type: the class of the whole file.
+    :param folder: folder of relative paths in it, its own if not given.
     :raises ExceptionGroup: of ``SettingsFault``, with every fault found.
     """
     text, tables = _parse(path)
@@ -30,7 +42,7 @@
     shape.check_table(table=tables, table_type=file_type, key='', found=found)
     found.raise_all()
     settings = cattrs.Converter().structure(tables, file_type)
-    check.check(settings=settings, folder=path.parent, found=found)
+    check.check(settings=settings, folder=folder or path.parent, found=found)
     found.raise_all()
     return settings
 
@@ -48,7 +60,8 @@
     found.add(
         key='(file)',
         found=f'the tables {", ".join(tables) or "none"}',
-        allowed='log (control), http (entry) or backend (agent)',
+        allowed='log (control), http (entry), backend (agent) or '
+        'callers (gateway)',
     )
     found.raise_all()
 
--- a/src/shallothinge/settings/model.py
+++ b/src/shallothinge/settings/model.py
@@ -12,6 +12,8 @@
 
     ``address`` is the zmq address that this process listens on;
     ``key_file`` and ``trust_file`` are paths, relative to the file.
+    ``is_host_shared`` is false where no other user is on the host, so that
+    the key file's mode doesn't matter.
     """
 
     process_id: str
@@ -22,6 +24,7 @@
     trust_file: str
     log_level: str = 'INFO'
     metrics_address: str = ''
+    is_host_shared: bool = True
 
 
 @attrs.frozen(kw_only=True)
@@ -32,9 +35,29 @@
     address: str
 
 
+@attrs.frozen(kw_only=True)
+class DiscoverySettings:
+    """How control hosts find each other: table ``[discovery]``.
+
+    Replaces ``[[control_hosts]]`` where their number isn't known: the
+    hosts learn of each other from ``seeds``, addresses ``IP:PORT`` of some
+    of them, of which only the IP counts. ``port`` is the zmq port of every
+    control host. ``may_found`` allows the seeds to found a cluster, at the
+    very first start of a deployment only.
+    """
+
+    seeds: tuple[str, ...]
+    port: int
+    may_found: bool = False
+
+
 @attrs.frozen(kw_only=True)
 class LogSettings:
-    """The replicated log at a control host: table ``[log]``."""
+    """The replicated log at a control host: table ``[log]``.
+
+    Without a ``data_folder`` the host keeps no replica and passes what it
+    is asked on to the others.
+    """
 
     data_folder: str
     heartbeat_ms: int = 100
@@ -60,13 +83,22 @@
     public_key: str
 
 
+@attrs.frozen(kw_only=True)
+class ControlApiSettings:
+    """HTTP API of a control host: table ``[api]``; none without address."""
+
+    address: str = ''
+
+
 @attrs.frozen(kw_only=True)
 class ControlSettings:
     """File of ``shallothinge control``."""
 
     process: ProcessSettings
     log: LogSettings
-    control_hosts: tuple[ControlHost, ...]
+    control_hosts: tuple[ControlHost, ...] = ()
+    discovery: DiscoverySettings | None = None
+    api: ControlApiSettings = ControlApiSettings()
     leases: LeaseSettings = LeaseSettings()
     operators: tuple[OperatorKey, ...] = ()
 
@@ -123,6 +155,56 @@
     routing: RoutingSettings = RoutingSettings()
 
 
+@attrs.frozen(kw_only=True)
+class CallersSettings:
+    """Callers' side of a gateway: table ``[callers]``.
+
+    ``readiness_address`` answers the balancer. ``stop_wait_ms`` is how long
+    the gateway still takes requests after it was told to stop, until the
+    balancer has noticed; ``stop_limit_ms`` is when it ends at the latest.
+    """
+
+    address: str
+    readiness_address: str
+    stop_wait_ms: int = 2500
+    stop_limit_ms: int = 7400
+
+
+@attrs.frozen(kw_only=True)
+class RetrySettings:
+    """Repeats of all gateways together: table ``[retries]``.
+
+    In any ``window_ms`` a service may get ``percent`` of its requests and
+    ``slack_requests`` more as repeats.
+    """
+
+    percent: int = 20
+    slack_requests: int = 100
+    window_ms: int = 10_000
+
+
+@attrs.frozen(kw_only=True)
+class ColdSettings:
+    """What a cold backend server may get: table ``[cold]``.
+
+    In any second a cold backend server gets no more than its service's
+    rate and ``slack_requests``, from all gateways together.
+    """
+
+    slack_requests: int = 5
+
+
+@attrs.frozen(kw_only=True)
+class GatewaySettings:
+    """File of ``shallothinge gateway``."""
+
+    process: ProcessSettings
+    callers: CallersSettings
+    discovery: DiscoverySettings
+    retries: RetrySettings = RetrySettings()
+    cold: ColdSettings = ColdSettings()
+
+
 @attrs.frozen(kw_only=True)
 class EngineSettings:
     """The backend server beside an agent: table ``[backend]``.
--- a/src/shallothinge/transport/keys.py
+++ b/src/shallothinge/transport/keys.py
@@ -97,14 +97,16 @@
         raise KeyFileError(f'{path}: {error}') from error
 
 
-def read_key_pair(*, path: pathlib.Path) -> KeyPair:
+def read_key_pair(*, path: pathlib.Path, is_private: bool = True) -> KeyPair:
     """Read a key pair.
 
+    :param is_private: whether other users of the host must not be able to
+        read the file.
     :raises KeyFileError: if the file is missing, malformed or readable by
         others.
     """
     fields = _read_toml(path)
-    if path.stat().st_mode & 0o077:
+    if is_private and path.stat().st_mode & 0o077:
         raise KeyFileError(f'{path}: readable by others; run chmod 600 on it')
     try:
         return KeyPair(**fields)
--- a/testing/doc_tables.py
+++ b/testing/doc_tables.py
@@ -6,6 +6,7 @@
 
 import pathlib
 import sys
+import types
 import typing
 
 import attrs
@@ -22,6 +23,7 @@
     ('control', model.ControlSettings),
     ('entry', model.EntrySettings),
     ('agent', model.AgentSettings),
+    ('gateway', model.GatewaySettings),
     ('operator', model.OperatorSettings),
 )
 
@@ -73,6 +75,8 @@
     if typing.get_origin(wanted) is tuple:
         wanted = typing.get_args(wanted)[0]
         table_name = f'[[{name}]]'
+    if isinstance(wanted, types.UnionType):
+        wanted = typing.get_args(wanted)[0]
     hints = typing.get_type_hints(wanted)
     return [
         (
