Let new control hosts take a lost one's place; price reads by lateness; metrics

Cause: a new control host got its vote while a lost one still had its own: of four voters one was dead, and the next loss stopped everything (found by control.tests.test_discovery, which failed first). Short prompts were late behind passes that the price did not count, long ones behind parts for others.

Change: a learner waits while a voter may be lost, and then takes its place. Choice counts the passes of a server that writes streams, grades lateness, and keeps idle servers for long prompts. Gateways count requests, refusals and repeats.

Whole test suite not yet run on this commit.

--- a/src/shallothinge/agent/tests/fleet.py
+++ b/src/shallothinge/agent/tests/fleet.py
@@ -176,6 +176,16 @@
         while not condition():
             yield task.deferLater(reactor, WAIT_S, lambda: None)
 
+    def end_lease(self, agent) -> None:
+        """End an agent's lease for good, whatever grants are on their way.
+
+        A grant that was sent before control stopped granting would make
+        the lease valid again.
+        """
+        self.control.granting = False
+        self.patch(agent.holder, 'granted', lambda grant: False)
+        agent.holder._ends_ms = 0
+
     def deliver(self, link, message):
         """Send a message as soon as the connection stands."""
         return self.until(lambda: link.send(message))
--- a/src/shallothinge/agent/tests/test_calls.py
+++ b/src/shallothinge/agent/tests/test_calls.py
@@ -71,8 +71,7 @@
     @defer.inlineCallbacks
     def test_refused_call_is_not_run(self):
         yield self.start()
-        self.control.granting = False
-        self.agent.holder._ends_ms = 0
+        self.end_lease(self.agent)
         yield self.deliver(self.entry, self.call('c1'))
         yield self.deliver(self.entry, self.call('c2', service='other'))
         yield self.until(lambda: len(self.got(calls.CallRefused)) == 2)
--- a/src/shallothinge/agent/tests/test_faults.py
+++ b/src/shallothinge/agent/tests/test_faults.py
@@ -163,8 +163,7 @@
     def test_cut_off_agent_takes_no_work_and_finishes_what_runs(self):
         yield self.start()
         yield self.run_stream(max_tokens=30)
-        self.control.granting = False
-        self.agent.holder._ends_ms = 0
+        self.end_lease(self.agent)
         yield self.deliver(self.entry, fleet.start_message('r2'))
         yield self.until(lambda: self.got(messages.StreamRefused))
         yield self.until(lambda: self.got(messages.StreamFinished))
--- a/src/shallothinge/consensus/membership.py
+++ b/src/shallothinge/consensus/membership.py
@@ -4,6 +4,10 @@
 from shallothinge.consensus import replication
 from shallothinge.consensus import state as states
 
+# A voter that missed this many heartbeats may be lost. Until that is known a
+# learner waits: it is either one voter more, or takes the lost one's place.
+DOUBT_HEARTBEATS = 1.5
+
 
 class Membership:
     """The leader's changes of the set of replicas.
@@ -91,16 +95,31 @@
             if model.process_id_of(voter) == process_id:
                 self.remove(now_ms, voter)
                 return
-        for voter in self._state.other_voters:
-            if self._is_lost(now_ms, voter):
-                self.remove(now_ms, voter)
-                return
-        self.promote(now_ms, learner)
-
-    def _is_lost(self, now_ms: int, voter: str) -> bool:
+        doubtful = [
+            voter
+            for voter in self._state.other_voters
+            if self._is_doubtful(now_ms, voter)
+        ]
+        if not doubtful or not self._state.timing.replace_silent_ms:
+            self.promote(now_ms, learner)
+            return
+        longest = max(doubtful, key=lambda one: self._silent_ms(now_ms, one))
         limit_ms = self._state.timing.replace_silent_ms
+        if self._silent_ms(now_ms, longest) > limit_ms:
+            self.remove(now_ms, longest)
+
+    def _is_doubtful(self, now_ms: int, voter: str) -> bool:
+        """Return whether a voter may be lost.
+
+        One that has not yet answered this leader may be, too.
+        """
+        doubt_ms = DOUBT_HEARTBEATS * self._state.timing.heartbeat_ms
         progress = self._state.leadership.progress[voter]
-        return 0 < limit_ms < now_ms - progress.heard_ms
+        has_answered = progress.match_index > 0
+        return not has_answered or self._silent_ms(now_ms, voter) > doubt_ms
+
+    def _silent_ms(self, now_ms: int, voter: str) -> int:
+        return now_ms - self._state.leadership.progress[voter].heard_ms
 
     def _has_caught_up(self, replica_id: str) -> bool:
         state = self._state
--- a/src/shallothinge/control/tests/hosts.py
+++ b/src/shallothinge/control/tests/hosts.py
@@ -11,6 +11,7 @@
 from shallothinge.transport import endpoint
 
 STEP_MS = 5
+PORT = 7000
 HOST_IDS = ('c1', 'c2', 'c3')
 
 
@@ -72,17 +73,22 @@
     folder: object
 
     def connect(self, *, address, role, on_message):
-        """Open a connection; the address is the other host's id."""
+        """Open a connection; the address tells the other host's id."""
         return _Link(
-            hosts=self.hosts, sender_id=self.process_id, target_id=address
+            hosts=self.hosts,
+            sender_id=self.process_id,
+            target_id=address.removeprefix('tcp://'),
         )
 
 
 class Hosts:
     """Replicas of several hosts on one test reactor."""
 
-    def __init__(self, *, folder, host_ids=HOST_IDS, snapshot_entries=1000):
+    def __init__(
+        self, *, folder, host_ids=HOST_IDS, snapshot_entries=1000, seeds=()
+    ):
         self.reactor = task.Clock()
+        self.seeds = seeds
         self.folder = folder
         self.host_ids = host_ids
         self.snapshot_entries = snapshot_entries
@@ -94,8 +100,11 @@
         for host_id in host_ids:
             self.start(host_id)
 
-    def start(self, host_id):
-        """Start a host's process."""
+    def start(self, host_id, *, may_found=False):
+        """Start a host's process.
+
+        :param may_found: whether this is a deployment's first start.
+        """
         settings = model.ControlSettings(
             process=None,
             log=model.LogSettings(
@@ -105,6 +114,7 @@
                 model.ControlHost(process_id=one, address=one)
                 for one in self.host_ids
             ),
+            discovery=self._discovery(may_found),
         )
         process = _Process(
             hosts=self,
@@ -123,6 +133,13 @@
         )
         self.replicas[host_id].start()
 
+    def _discovery(self, may_found):
+        if not self.seeds:
+            return None
+        return model.DiscoverySettings(
+            seeds=self.seeds, port=PORT, may_found=may_found
+        )
+
     def stop(self, host_id):
         """Kill a host's process."""
         self.replicas.pop(host_id).close()
--- /dev/null
+++ b/src/shallothinge/control/tests/test_discovery.py
@@ -0,0 +1,91 @@
+"""Tests of control hosts that find each other from the seeds."""
+
+import pathlib
+import shutil
+import tempfile
+import unittest
+
+from shallothinge.control.tests import hosts
+
+IDS = tuple(f'10.0.0.{number}:{hosts.PORT}' for number in range(1, 7))
+SEEDS = tuple(f'10.0.0.{number}:80' for number in range(1, 4))
+
+
+class DiscoveryTest(unittest.TestCase):
+    """Six hosts, three of which are seeds."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.hosts = hosts.Hosts(folder=self.folder, host_ids=(), seeds=SEEDS)
+        self.addCleanup(self.hosts.close)
+
+    def found(self, host_ids=IDS):
+        """Start hosts for the first time and let all of them join."""
+        for host_id in host_ids:
+            self.hosts.start(host_id, may_found=True)
+        self.hosts.wait(
+            self.hosts.replicas[IDS[0]].found(
+                cluster_id='test', member_ids=IDS[:3]
+            )
+        )
+        self.run_until_voters(host_ids)
+
+    def run_until_voters(self, host_ids):
+        def are_voters():
+            leader = self.hosts.leader()
+            if leader is None:
+                return False
+            voters = {one.rpartition('/')[0] for one in leader.dump().voters}
+            return voters == set(host_ids)
+
+        self.hosts.run_until(are_voters)
+
+    def test_hosts_beside_the_seeds_join_by_themselves(self):
+        self.found()
+        for host_id in IDS:
+            self.assertEqual(
+                set(IDS), set(self.hosts.replicas[host_id].member_ids)
+            )
+
+    def test_two_of_six_may_be_lost(self):
+        self.found()
+        self.hosts.propose(b'one')
+        for host_id in IDS[:2]:
+            self.hosts.stop(host_id)
+        self.assertEqual(b'2', self.hosts.propose(b'two'))
+
+    def test_host_that_lost_its_disk_joins_again(self):
+        self.found(IDS[:3])
+        self.hosts.propose(b'one')
+        self.hosts.stop(IDS[1])
+        shutil.rmtree(self.folder / IDS[1])
+        self.hosts.start(IDS[1])
+        self.hosts.run(3000)
+        self.run_until_voters(IDS[:3])
+        self.hosts.stop(IDS[0])
+        self.assertEqual(b'2', self.hosts.propose(b'two'))
+
+    def test_new_host_takes_the_place_of_a_lost_one(self):
+        self.found(IDS[:3])
+        self.hosts.propose(b'one')
+        self.hosts.stop(self.hosts.leader_host())
+        left = set(self.hosts.replicas)
+        self.hosts.start(IDS[5])
+        self.run_until_voters(left | {IDS[5]})
+        self.assertEqual(b'2', self.hosts.propose(b'two'))
+
+    def test_host_that_was_replaced_while_frozen_joins_again(self):
+        self.found(IDS[:3])
+        self.hosts.cut = {IDS[2]}
+        self.hosts.start(IDS[5])
+        self.run_until_voters({IDS[0], IDS[1], IDS[5]})
+        self.hosts.cut = set()
+        self.run_until_voters({IDS[0], IDS[1], IDS[2], IDS[5]})
+
+    def test_empty_hosts_after_the_first_start_found_nothing(self):
+        for host_id in IDS[:3]:
+            self.hosts.start(host_id)
+        self.hosts.run(5000)
+        self.assertIsNone(self.hosts.leader())
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -288,6 +288,7 @@
             },
         )
         if self._may_repeat(outcome):
+            self._parts.metrics.count_retry()
             self._place()
         else:
             self._fail(outcome)
@@ -326,7 +327,7 @@
 
     def _give_up_without_servers(self) -> None:
         if self._exchange.is_begun:
-            self._cut('no server to resume at')
+            self._cut('no_backend_server')
         elif self._progress.may_have_run:
             self._refuse(errors.ServingError(kind=ErrorKind.BACKEND_FAILED))
         else:
@@ -359,12 +360,13 @@
         status, headers, body = self._parts.dialect.write_error(
             error=error, request_id=self._request.request_id
         )
+        self._parts.metrics.count_refusal(kind=error.kind)
         self._end(error.kind.value, status=status)
         self._exchange.respond(status=status, headers=headers, body=body)
 
     def _cut(self, cause: str) -> None:
         """End an answer that has begun so that it looks cut."""
-        self._end(f'cut: {cause}', status=0)
+        self._end(f'cut_{cause}', status=0)
         self._exchange.abort()
 
     def _end(self, outcome: str, *, status: int) -> None:
@@ -375,6 +377,14 @@
                 timer.cancel()
         now_ms = self._parts.clock.now_ms()
         first_ms = self._first_event_ms
+        self._parts.metrics.count_request(
+            request_class=self._accepted.service.name, outcome=outcome
+        )
+        if first_ms is not None:
+            self._parts.metrics.record_first_token(
+                duration_ms=first_ms - self._started_ms,
+                request_class=self._accepted.service.name,
+            )
         LOG.info(
             'request ended',
             extra={
--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -124,6 +124,7 @@
         status, headers, body = self._parts.dialect.write_error(
             error=error, request_id=request_id
         )
+        self._parts.metrics.count_refusal(kind=error.kind)
         LOG.info(
             'request refused',
             extra={
--- a/src/shallothinge/gateway/parts.py
+++ b/src/shallothinge/gateway/parts.py
@@ -5,6 +5,7 @@
 import attrs
 
 from shallothinge import clock as clocks
+from shallothinge import metrics as metering
 from shallothinge.gateway import model
 from shallothinge.gateway import servers
 from shallothinge.http1 import client
@@ -28,4 +29,5 @@
     chooser: choice.Chooser
     budget: retries.RetryBudget
     caller: client.Caller
+    metrics: metering.Metrics
     zone: str
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -111,6 +111,7 @@
             caller=http_client.Caller(
                 reactor=self._reactor, connect_timeout_ms=CONNECT_TIMEOUT_MS
             ),
+            metrics=self._process.metrics,
             zone=self._settings.process.zone,
         )
 
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from unittest import mock
 
 import attrs
 from twisted.internet import task
@@ -169,6 +170,7 @@
             chooser=choice.Chooser(rng=rng),
             budget=retries.RetryBudget(percent=16, burst=10),
             caller=self.caller,
+            metrics=mock.Mock(),
             zone='z1',
         )
         self.ingress = ingress.Ingress(parts=self.parts)
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -23,9 +23,9 @@
 # is for what is not modelled (lag of reports, load of other gateways).
 SAFE_SHARE = 0.5
 # A first event is worth a little more the sooner it comes.
-SPEED_PRICE = 0.1
+SPEED_PRICE = 0.05
 # Opening an idle server for a short prompt takes it from the long ones.
-OPENING_PRICE = 0.03
+OPENING_PRICE = 0.1
 # Each request beyond this share of the slots makes a full server likelier.
 CROWDED_SHARE = 0.75
 CROWDED_PRICE = 0.5
@@ -38,11 +38,19 @@
 QUEUE_TURNS = 3
 # A helper's part costs its server a pass, however small it is.
 HELPER_PRICE = 0.02
-MAX_HELPERS = 7
+MAX_HELPERS = 11
+# Own reads wait for all parts for others, also for those that come later: a
+# part costs them more than the one delay that can be foreseen.
+OWN_READ_FACTOR = 2.0
 # Reads below this are not worth a helper.
 SPLIT_READ_MS = 100.0
-# Scale on which it matters how late a late answer is.
-LATE_SCALE_MS = 2000.0
+# What a late answer loses of its value, the rest goes as it gets later
+# still: callers give up after some multiples of the objective.
+LATE_LOSS = 0.6
+LATE_SCALE = 3.0
+LATE_SCALE_MS = 3000.0
+PASSES_WITH_WRITERS = 2.5
+PASSES_ALONE = 1.0
 JITTER = 0.01
 
 
@@ -161,7 +169,7 @@
                 break
             ready_ms = max(part.ready_ms for part in parts)
             price = sum(part.price for part in parts)
-            price += weight_of(demand.tokens) * lateness(
+            price += weight_of(demand.tokens) * delay_price(
                 ready_ms, demand.objective_ms
             )
             if best is None or price < best_price:
@@ -188,7 +196,7 @@
             weight = weight_of(demand.tokens)
 
             def total(part: _Part) -> float:
-                return part.price + weight * lateness(
+                return part.price + weight * delay_price(
                     part.ready_ms, demand.objective_ms
                 )
 
@@ -214,10 +222,20 @@
         return _Part(
             candidate=one,
             price=price,
-            ready_ms=ahead_ms + part_ms + (pass_ms if load.writers else 0.0),
+            ready_ms=ahead_ms + part_ms + _passes(load) * pass_ms,
         )
 
 
+def _passes(load: fleet.ServerLoad) -> float:
+    """Return the passes that a first event takes beside the read itself.
+
+    A server without streams begins at once and writes in the next pass;
+    with streams the pass under way has to end first, and the read is over
+    only with its own pass.
+    """
+    return PASSES_WITH_WRITERS if load.writers else PASSES_ALONE
+
+
 def _price_for_writers(load: fleet.ServerLoad, pause_ms: float) -> float:
     """Return what a pause costs the streams that are being written.
 
@@ -232,7 +250,7 @@
 
 def _price_for_reads(load: fleet.ServerLoad, part_ms: float) -> float:
     """Return what a part for another server costs the own reads behind."""
-    return sum(
+    return OWN_READ_FACTOR * sum(
         read.weight
         * (
             lateness(read.ends_in_ms + part_ms, read.due_in_ms)
@@ -248,16 +266,26 @@
 
 
 def lateness(expected_ms: float, objective_ms: float) -> float:
-    """Return how likely an expected time misses its objective, 0 to 1.
+    """Return what is likely lost by missing an objective, 0 to 1.
 
-    A small part of it falls due before, so that sooner is better.
+    A late answer loses part of its value, and more the later it is.
     """
     if objective_ms <= 0:
-        # Late already; what comes much later still is a little worse.
-        return 1.0 + SPEED_PRICE * min(expected_ms / LATE_SCALE_MS, 2.0)
+        much = min(1.0, expected_ms / LATE_SCALE_MS)
+        return LATE_LOSS + (1 - LATE_LOSS) * much
     used = expected_ms / objective_ms
     likely = min(1.0, max(0.0, (used - SAFE_SHARE) / (1 - SAFE_SHARE)))
-    return SPEED_PRICE * min(used, 2.0) + (1 - SPEED_PRICE) * likely
+    much = min(1.0, max(0.0, (used - 1.0) / LATE_SCALE))
+    return LATE_LOSS * likely + (1 - LATE_LOSS) * much
+
+
+def delay_price(expected_ms: float, objective_ms: float) -> float:
+    """Return what a first event's time costs its own request.
+
+    Of two times that are both safe the sooner is better.
+    """
+    used = expected_ms / max(objective_ms, 1.0)
+    return lateness(expected_ms, objective_ms) + SPEED_PRICE * min(used, 1.0)
 
 
 def _has_room(one: Candidate, *, has_engine: bool) -> bool:
--- /dev/null
+++ b/src/shallothinge/placement/tests/test_choice.py
@@ -0,0 +1,205 @@
+"""Tests of placing prompts of very unlike lengths."""
+
+import random
+import unittest
+
+from shallothinge.placement import choice
+from shallothinge.placement import fleet
+from shallothinge.placement.tests import play
+from shallothinge.routes import model
+
+ENGINE = model.EngineCost(
+    slots=8,
+    memory_tokens=405_000,
+    step_ms=1.31,
+    read_tokens_per_ms=154.0,
+    pair_ms_per_million=0.162,
+    chunk_tokens=2048,
+    steps_per_pass=34,
+)
+LLM = model.Service(name='llm', engine=ENGINE)
+DESK = model.Service(name='desk')
+
+
+def candidate(server_id, **fields):
+    return choice.Candidate(
+        **{
+            'server_id': server_id,
+            'zone': 'z',
+            'slots': 8,
+            'is_cold': False,
+            **fields,
+        }
+    )
+
+
+def demand(*, service=LLM, tokens=5_000, objective_ms=300.0):
+    return choice.Demand(
+        service=service,
+        tokens=tokens,
+        objective_ms=objective_ms,
+        pause_objective_ms=250,
+        zone='z',
+    )
+
+
+READING = fleet.ServerLoad(active=1, backlog_ms=900.0, helping_ms=900.0)
+WRITING = fleet.ServerLoad(
+    active=3, writers=(fleet.Writer(pause_ms=250, weight=1.5),) * 3
+)
+FULL = fleet.ServerLoad(active=8)
+
+
+class ChooserTest(unittest.TestCase):
+    """Single choices."""
+
+    def setUp(self):
+        self.chooser = choice.Chooser(rng=random.Random(1))
+
+    def choose(self, wanted, *candidates):
+        return self.chooser.choose(demand=wanted, candidates=candidates)
+
+    def test_short_prompt_does_not_wait_behind_a_long_read(self):
+        placed = self.choose(
+            demand(), candidate('busy', load=READING), candidate('idle')
+        )
+        self.assertEqual('idle', placed.server_id)
+
+    def test_short_prompt_joins_streams_and_leaves_servers_idle(self):
+        placed = self.choose(
+            demand(), candidate('idle'), candidate('writing', load=WRITING)
+        )
+        self.assertEqual('writing', placed.server_id)
+        self.assertEqual((), placed.helper_ids)
+
+    def test_long_read_keeps_off_streams_that_it_would_hold_up(self):
+        placed = self.choose(
+            demand(tokens=100_000, objective_ms=3000.0),
+            candidate('writing', load=WRITING),
+            candidate('idle-1'),
+            candidate('idle-2'),
+        )
+        self.assertNotIn('writing', (placed.server_id, *placed.helper_ids))
+
+    def test_prompt_too_long_for_one_server_is_spread(self):
+        servers = [candidate(f's{index}') for index in range(12)]
+        placed = self.choose(
+            demand(tokens=260_000, objective_ms=4057.0), *servers
+        )
+        self.assertLess(placed.first_event_ms, 4057)
+        self.assertEqual(
+            1 + len(placed.helper_ids),
+            len({placed.server_id, *placed.helper_ids}),
+        )
+
+    def test_server_that_helps_as_many_as_it_has_slots_is_no_helper(self):
+        helping = fleet.ServerLoad(helping=8)
+        placed = self.choose(
+            demand(tokens=260_000, objective_ms=4057.0),
+            candidate('a'),
+            candidate('b'),
+            candidate('helping', load=helping),
+        )
+        self.assertNotIn('helping', placed.helper_ids)
+
+    def test_no_room_is_told(self):
+        for service in (LLM, DESK):
+            full = fleet.ServerLoad(active=8 * choice.QUEUE_TURNS)
+            placed = self.choose(
+                demand(service=service), candidate('s', load=full)
+            )
+            self.assertIsInstance(placed, choice.NoRoom)
+            self.assertGreater(placed.free_in_ms, 0)
+
+    def test_call_goes_to_the_least_busy_server(self):
+        placed = self.choose(
+            demand(service=DESK),
+            candidate('busy', load=fleet.ServerLoad(active=4)),
+            candidate('calm', load=fleet.ServerLoad(active=1)),
+            candidate('full', load=FULL),
+        )
+        self.assertEqual('calm', placed.server_id)
+
+    def test_cold_server_is_the_last_choice(self):
+        placed = self.choose(
+            demand(service=DESK),
+            candidate('cold', is_cold=True),
+            candidate('warm', load=fleet.ServerLoad(active=5)),
+        )
+        self.assertEqual('warm', placed.server_id)
+
+
+class LeastActive:
+    """Baseline: the server with the fewest requests, without helpers."""
+
+    def choose(self, *, demand, candidates):
+        """Return the candidate with the fewest requests."""
+        best = min(candidates, key=lambda one: one.load.active)
+        return choice.Placement(
+            server_id=best.server_id,
+            helper_ids=(),
+            part_ms=demand.service.engine.read_ms(demand.tokens),
+            first_event_ms=0.0,
+            load=best.load,
+        )
+
+
+class HeavyLoadTest(unittest.TestCase):
+    """The load: bursts of long prompts beside short ones on 21 servers.
+
+    Rates and sizes are those of an afternoon on which three times as many
+    portfolios as usual are reviewed and fewer short questions come.
+    """
+
+    SHORT = (300.0, 250, 38)
+    MIDDLE = (1500.0, 600, 23)
+    LONG = (3000.0, 1000, 19)
+
+    def requests(self, seed):
+        """Return ten seconds of the load."""
+        rng = random.Random(seed)
+        made = []
+        for count, tokens, spread, kind in (
+            (80, 4_000, 0.9, self.SHORT),
+            (15, 42_000, 0.4, self.MIDDLE),
+            (14, 160_000, 0.5, self.LONG),
+        ):
+            objective_ms, pause_ms, events = kind
+            for _ in range(count):
+                size = int(tokens * rng.lognormvariate(0, spread))
+                made.append(
+                    play.Request(
+                        at_ms=rng.uniform(0, 10_000),
+                        tokens=min(size, 400_000),
+                        events=events,
+                        objective_ms=objective_ms,
+                        pause_ms=pause_ms,
+                    )
+                )
+        return sorted(made, key=lambda request: request.at_ms)
+
+    def share_in_time(self, chooser, seed):
+        """Return the share of callers served in time, by kind."""
+        requests = self.requests(seed)
+        play.Play(service=LLM, server_count=21, chooser=chooser).run(requests)
+        return {
+            kind: sum(one.is_in_time for one in chosen) / len(chosen)
+            for kind in (self.SHORT, self.MIDDLE, self.LONG)
+            if (
+                chosen := [
+                    one for one in requests if one.objective_ms == kind[0]
+                ]
+            )
+        }
+
+    def test_callers_of_all_lengths_are_served_in_time(self):
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                ours = self.share_in_time(
+                    choice.Chooser(rng=random.Random(seed)), seed
+                )
+                plain = self.share_in_time(LeastActive(), seed)
+                for kind in ours:
+                    self.assertGreaterEqual(ours[kind], 0.8)
+                    self.assertGreaterEqual(ours[kind], plain[kind])
+                self.assertGreater(ours[self.LONG], plain[self.LONG] + 0.2)
