--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -6,6 +6,7 @@
 
 from shallothinge.gateway import model
 from shallothinge.gateway import parts as shared
+from shallothinge.gateway import reservation
 from shallothinge.gateway.policy import Cause
 from shallothinge.http1 import client
 from shallothinge.http1 import event_stream
@@ -21,13 +22,16 @@
     """How an attempt failed.
 
     ``answer`` and ``body`` hold the server's own failure, if it gave one
-    that is whole and signed.
+    that is whole and signed. ``fault_address`` or ``fault_id`` names the
+    helper that is to blame, if one is.
     """
 
     cause: Cause
     may_have_run: bool
     was_sent: bool
     detail: str = ''
+    fault_address: str = ''
+    fault_id: str = ''
     answer: model.AnswerHead | None = None
     body: bytes = attrs.field(default=b'', repr=False)
 
@@ -81,6 +85,7 @@
         self._is_over = False
         self._timer = None
         self._exchange = None
+        self._reservation = None
         self._work_ids = self._count_work(work)
 
     @property
@@ -89,12 +94,56 @@
         return self._placement.server_id
 
     def start(self, *, address: str) -> None:
-        """Send the request."""
+        """Send the request, once all the memory for it is reserved."""
+        if not self._placement.shares:
+            self._send(address)
+            return
+        self._reservation = reservation.Reservation(
+            parts=self._parts, shares=self._placement.shares
+        )
+        self._reservation.reserve(
+            on_held=lambda: self._send(address),
+            on_refused=self._on_no_memory,
+        )
+
+    def _send(self, address: str) -> None:
+        if self._is_over:
+            return
+        order = attrs.evolve(self._order, helpers=self._helpers())
         self._exchange = self._parts.caller.call(
             address=address,
-            head=self._parts.dialect.write_request(self._order),
+            head=self._parts.dialect.write_request(order),
             body=self._order.request.body,
             listener=self,
+            may_send=self._parts.holder.is_valid,
+        )
+
+    def _helpers(self) -> tuple[model.Helper, ...]:
+        found = []
+        for server_id in self._placement.helper_ids:
+            server = self._parts.servers.find(server_id)
+            ticket_id = ''
+            if self._reservation is not None:
+                ticket_id = self._reservation.ticket_at(server_id)
+            if server is not None:
+                found.append(
+                    model.Helper(address=server.address, ticket_id=ticket_id)
+                )
+        return tuple(found)
+
+    def _on_no_memory(self, server_id: str) -> None:
+        """A helper has no memory: nothing was sent yet."""
+        if self._is_over:
+            return
+        self._end()
+        self._owner.on_failed(
+            Outcome(
+                cause=Cause.NO_MEMORY,
+                may_have_run=False,
+                was_sent=False,
+                detail=f'no memory at {server_id}',
+                fault_id=server_id,
+            )
         )
 
     def expect_within(self, duration_ms: float) -> None:
@@ -203,6 +252,7 @@
                 may_have_run=False,
                 was_sent=True,
                 detail=detail,
+                fault_address=answer.fault_address,
                 answer=answer,
             )
         )
@@ -216,21 +266,37 @@
         if self._is_over:
             return
         self._end()
-        self._exchange.cancel()
+        may_have_run = self._exchange is not None
+        if self._exchange is not None:
+            self._exchange.cancel()
         self._owner.on_failed(
             Outcome(
-                cause=cause, may_have_run=True, was_sent=True, detail=detail
+                cause=cause,
+                may_have_run=may_have_run,
+                was_sent=may_have_run,
+                detail=detail,
             )
         )
 
     def _count_work(self, work: fleet.Work) -> list[int]:
+        shares = {
+            share.server_id: share.tokens for share in self._placement.shares
+        }
         helping = [
-            attrs.evolve(work, server_id=helper_id, is_helping=True)
+            attrs.evolve(
+                work,
+                server_id=helper_id,
+                is_helping=True,
+                memory_tokens=shares.get(helper_id, 0),
+            )
             for helper_id in self._placement.helper_ids
         ]
         return [self._parts.load.start(one) for one in (work, *helping)]
 
     def _end_helpers(self) -> None:
+        """Note that the parts are read; reserved memory is still held."""
+        if self._reservation is not None:
+            return
         for work_id in self._work_ids[1:]:
             self._parts.load.end(work_id)
         del self._work_ids[1:]
@@ -240,6 +306,8 @@
         self._stop_timer()
         for work_id in self._work_ids:
             self._parts.load.end(work_id)
+        if self._reservation is not None:
+            self._reservation.release()
 
     def _stop_timer(self) -> None:
         if self._timer is not None and self._timer.active():
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -119,6 +119,7 @@
         return choice.Demand(
             service=self._accepted.service,
             tokens=self._request.prompt_tokens,
+            answer_tokens=self._request.answer_tokens,
             objective_ms=max(1, self._route.objective_ms - elapsed_ms),
             pause_objective_ms=self._route.pause_objective_ms,
             zone=self._parts.zone,
@@ -137,14 +138,12 @@
 
     def _send(self, placed: choice.Placement) -> None:
         server = self._parts.servers.find(placed.server_id)
-        helpers = self._find_helpers(placed)
         order = model.ForwardOrder(
             request=self._request,
             server_id=server.server_id,
             workspace=self._accepted.workspace,
             remaining_ms=self._remaining_ms(),
             last_event_id=self._last_event_id,
-            helper_addresses=helpers,
             urgency=self._accepted.urgency,
         )
         is_stream = self._route.kind is routes.RequestKind.STREAMING
@@ -163,6 +162,7 @@
                 **self._identity(),
                 'server_id': server.server_id,
                 'helper_ids': placed.helper_ids,
+                'reserved_tokens': sum(one.tokens for one in placed.shares),
                 'expected_ms': round(placed.first_event_ms),
                 'remaining_ms': order.remaining_ms,
                 'attempt': self._progress.sent + 1,
@@ -202,16 +202,11 @@
             due_ms=self._started_ms + self._route.objective_ms,
             pause_ms=self._route.pause_objective_ms if is_stream else 0,
             weight=choice.weight_of(self._request.prompt_tokens),
+            memory_tokens=self._request.prompt_tokens
+            + self._request.answer_tokens
+            - sum(share.tokens for share in placed.shares),
         )
 
-    def _find_helpers(self, placed: choice.Placement) -> tuple[str, ...]:
-        found = []
-        for helper_id in placed.helper_ids:
-            helper = self._parts.servers.find(helper_id)
-            if helper is not None:
-                found.append(helper.address)
-        return tuple(found)
-
     def _overdue_ms(self, placed: choice.Placement) -> float:
         share_ms = OVERDUE_SHARE * self._route.objective_ms
         return max(
@@ -273,8 +268,7 @@
             may_have_run=self._progress.may_have_run or outcome.may_have_run,
             has_begun_answer=self._exchange.is_begun,
         )
-        if outcome.cause is not Cause.SERVER_ERROR:
-            self._parts.servers.failed(server_id)
+        self._blame(server_id, outcome)
         LOG.info(
             'attempt failed',
             extra={
@@ -293,6 +287,22 @@
         else:
             self._fail(outcome)
 
+    def _blame(self, server_id: str, outcome: attempts.Outcome) -> None:
+        """Keep new work off the server that is at fault for a while."""
+        if outcome.fault_id:
+            # It may well help others; this request looks elsewhere.
+            self._tried_ids.discard(server_id)
+            self._tried_ids.add(outcome.fault_id)
+            return
+        own = self._parts.servers.find(server_id)
+        fault = outcome.fault_address
+        if fault and (own is None or fault != own.address):
+            # The server itself is sound and may be asked again.
+            self._tried_ids.discard(server_id)
+            self._parts.servers.failed_at(fault)
+        elif outcome.cause is not Cause.SERVER_ERROR:
+            self._parts.servers.failed(server_id)
+
     def _may_repeat(self, outcome: attempts.Outcome) -> bool:
         allowed = policy.may_repeat(
             route=self._route,
--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -13,7 +13,14 @@
 
 LOG = logging.getLogger(__name__)
 
+MS_PER_SECOND = 1000
 MAX_URGENCY = 9
+# A new leader is elected within a second; half of that is what a call with
+# an objective of some hundred ms can spare.
+LEASE_WAIT_MS = 400
+LOOK_AGAIN_MS = 20
+# A caller that comes back reaches another gateway, which mostly can serve.
+ELSEWHERE_MS = 100
 
 
 class Ingress:
@@ -46,7 +53,26 @@
         return self._index
 
     def handle(self, exchange: http_server.Exchange) -> None:
-        """Forward or refuse a request."""
+        """Forward or refuse a request.
+
+        Without a lease the routes may be outdated, so nothing is decided;
+        it mostly comes back at once, after a pause of the process or the
+        loss of a leader.
+        """
+        waited_ms = self._parts.clock.now_ms() - exchange.received_ms
+        if self._may_decide() or waited_ms >= LEASE_WAIT_MS:
+            exchange.on_gone = None
+            self._decide(exchange)
+            return
+        waiting = self._parts.reactor.callLater(
+            LOOK_AGAIN_MS / MS_PER_SECOND, self.handle, exchange
+        )
+        exchange.on_gone = waiting.cancel
+
+    def _may_decide(self) -> bool:
+        return self.is_stopping or self._parts.holder.is_valid()
+
+    def _decide(self, exchange: http_server.Exchange) -> None:
         request = None
         try:
             request = self._parts.dialect.read_request(
@@ -66,9 +92,13 @@
         :raises ServingError: if it is not to be served.
         """
         if self.is_stopping:
-            raise errors.ServingError(kind=ErrorKind.STOPPING)
+            raise errors.ServingError(
+                kind=ErrorKind.STOPPING, retry_after_ms=ELSEWHERE_MS
+            )
         if not self._parts.holder.is_valid():
-            raise errors.ServingError(kind=ErrorKind.NO_LEASE)
+            raise errors.ServingError(
+                kind=ErrorKind.NO_LEASE, retry_after_ms=ELSEWHERE_MS
+            )
         index = self.index
         if not index.table.version:
             raise errors.ServingError(
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -20,6 +20,7 @@
     SERVER_ERROR = 'server_error'
     BROKEN = 'broken'
     STALLED = 'stalled'
+    NO_MEMORY = 'no_memory'
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -52,6 +52,7 @@
         self._load = load
         self._cold = cold
         self._known: dict[str, _Known] = {}
+        load.on_failed = self._failed_elsewhere
 
     def find(self, server_id: str) -> BackendServer | None:
         """Return a listed server."""
@@ -109,9 +110,26 @@
             self._known[server_id].breaker.succeeded()
 
     def failed(self, server_id: str) -> None:
-        """Note a failure that speaks against a server."""
-        if server_id in self._known:
-            self._known[server_id].breaker.failed()
+        """Note a failure that speaks against a server; tell the peers."""
+        known = self._known.get(server_id)
+        if known is not None and _avoid(known):
+            self._load.server_failed(server_id)
+
+    def failed_at(self, address: str) -> None:
+        """Note a failure of the server at an address."""
+        for server_id, known in self._known.items():
+            if known.server.address == address and _avoid(known):
+                self._load.server_failed(server_id)
+
+    def _failed_elsewhere(self, server_id: str) -> None:
+        """Note a failure that a peer saw, unless it is noted already."""
+        self._refresh()
+        known = self._known.get(server_id)
+        if known is not None and _avoid(known):
+            LOG.info(
+                'a peer saw a backend server fail',
+                extra={'server_id': server_id},
+            )
 
     def _may_get_work(self, server: BackendServer) -> bool:
         config = self._holder.config
@@ -148,3 +166,14 @@
             open_ms=AVOID_MS,
             max_open_ms=MAX_AVOID_MS,
         )
+
+
+def _avoid(known: _Known) -> bool:
+    """Open a server's breaker, once for all that fails with it.
+
+    :returns: False if it is open already.
+    """
+    if not known.breaker.allows():
+        return False
+    known.breaker.failed()
+    return True
--- a/src/shallothinge/http1/client.py
+++ b/src/shallothinge/http1/client.py
@@ -6,6 +6,7 @@
 request a second time by itself.
 """
 
+from collections.abc import Callable
 import enum
 import socket
 from typing import Protocol
@@ -63,11 +64,21 @@
 
 
 class ClientExchange(protocol.Protocol):
-    """Sends one request and reads one answer."""
+    """Sends one request and reads one answer.
+
+    :param may_send: asked once the connection stands, since the process may
+        have been paused meanwhile.
+    """
 
     def __init__(
-        self, *, head: messages.RequestHead, body: bytes, listener: Listener
+        self,
+        *,
+        head: messages.RequestHead,
+        body: bytes,
+        listener: Listener,
+        may_send: Callable[[], bool] = lambda: True,
     ):
+        self._may_send = may_send
         self._head = head
         self._body = body
         self._listener = listener
@@ -80,6 +91,9 @@
         if self._is_done:
             self.transport.abortConnection()
             return
+        if not self._may_send():
+            self.not_connected('no right to send any more')
+            return
         self.transport.setTcpNoDelay(True)
         _watch_for_dead_peer(self.transport.getHandle())
         fields = messages.encode(
@@ -200,12 +214,15 @@
         head: messages.RequestHead,
         body: bytes,
         listener: Listener,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> ClientExchange:
         """Send a request to ``IP:PORT``.
 
         :returns: the exchange, to cancel it.
         """
-        exchange = ClientExchange(head=head, body=body, listener=listener)
+        exchange = ClientExchange(
+            head=head, body=body, listener=listener, may_send=may_send
+        )
         host, _, port = address.rpartition(':')
         self._reactor.connectTCP(
             host,
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -42,6 +42,9 @@
 # Own reads wait for all parts for others, also for those that come later: a
 # part costs them more than the one delay that can be foreseen.
 OWN_READ_FACTOR = 2.0
+# Part of an engine's memory that is planned with: reports lag, and an answer
+# may hold a little more than its tokens.
+USABLE_MEMORY = 0.98
 # Reads below this are not worth a helper.
 SPLIT_READ_MS = 100.0
 # What a late answer loses of its value, the rest goes as it gets later
@@ -59,10 +62,12 @@
     """A request to be placed on servers of one service.
 
     ``objective_ms`` is what is left until its first event or answer is due.
+    ``answer_tokens`` is the longest that the answer may be.
     """
 
     service: model.Service
     tokens: int
+    answer_tokens: int = 0
     objective_ms: float
     pause_objective_ms: int
     zone: str
@@ -79,13 +84,22 @@
     load: fleet.ServerLoad = fleet.ServerLoad()
 
 
+@attrs.frozen(kw_only=True)
+class Share:
+    """Memory to be reserved at a helper for a part of a prompt."""
+
+    server_id: str
+    tokens: int
+
+
 @attrs.frozen(kw_only=True)
 class Placement:
     """The server of a request, and those that help to read its prompt.
 
     ``part_ms`` is how long each of them reads, ``first_event_ms`` when the
     first event or answer is expected. ``load`` is what the server was
-    thought to have under way.
+    thought to have under way. ``shares`` are needed where the server's own
+    memory is not enough.
     """
 
     server_id: str
@@ -93,6 +107,7 @@
     part_ms: float
     first_event_ms: float
     load: fleet.ServerLoad
+    shares: tuple[Share, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -131,11 +146,13 @@
         with_room = [
             one for one in candidates if _has_room(one, has_engine=has_engine)
         ]
-        if not with_room:
-            return NoRoom(free_in_ms=_free_in_ms(candidates))
-        if not has_engine:
+        if with_room and not has_engine:
             return self._choose_plain(demand, with_room)
-        return self._choose_engine(demand, with_room)
+        if with_room:
+            placed = self._choose_engine(demand, with_room)
+            if placed is not None:
+                return placed
+        return NoRoom(free_in_ms=_free_in_ms(candidates))
 
     def _choose_plain(self, demand, candidates) -> Placement:
         def price(one: Candidate) -> float:
@@ -153,7 +170,8 @@
             load=best.load,
         )
 
-    def _choose_engine(self, demand, candidates) -> Placement:
+    def _choose_engine(self, demand, candidates) -> Placement | None:
+        """Return the cheapest placement, None if no memory is free."""
         engine = demand.service.engine
         read_ms = engine.read_ms(demand.tokens)
         most = 1
@@ -161,12 +179,15 @@
             most = min(MAX_HELPERS + 1, len(candidates))
         best = None
         best_price = 0.0
+        needed = demand.tokens + demand.answer_tokens
         for count in range(1, most + 1):
             parts = self._cheapest_parts(
                 demand, candidates, part_ms=read_ms / count, count=count
             )
             if len(parts) < count:
                 break
+            if not _has_memory(engine, parts, needed):
+                continue
             ready_ms = max(part.ready_ms for part in parts)
             price = sum(part.price for part in parts)
             price += weight_of(demand.tokens) * delay_price(
@@ -175,8 +196,10 @@
             if best is None or price < best_price:
                 best = (parts, read_ms / count, ready_ms)
                 best_price = price
+        if best is None:
+            return None
         parts, part_ms, ready_ms = best
-        first = min(parts, key=lambda part: part.candidate.load.active)
+        first = self._first_of(engine, parts, needed)
         helpers = [part for part in parts if part is not first]
         return Placement(
             server_id=first.candidate.server_id,
@@ -184,8 +207,19 @@
             part_ms=part_ms,
             first_event_ms=ready_ms,
             load=first.candidate.load,
+            shares=_shares(engine, first, helpers, needed),
         )
 
+    def _first_of(self, engine, parts, needed) -> _Part:
+        """Return the part whose server writes: the least busy one.
+
+        Where none has the memory, it is the one with the most.
+        """
+        able = [part for part in parts if _free(engine, part) >= needed]
+        if not able:
+            return max(parts, key=lambda part: _free(engine, part))
+        return min(able, key=lambda part: part.candidate.load.active)
+
     def _cheapest_parts(self, demand, candidates, *, part_ms, count):
         parts = [
             self._price_part(demand, one, part_ms=part_ms, count=count)
@@ -193,6 +227,8 @@
             if count == 1 or one.load.helping < one.slots
         ]
         if count == 1:
+            engine = demand.service.engine
+            needed = demand.tokens + demand.answer_tokens
             weight = weight_of(demand.tokens)
 
             def total(part: _Part) -> float:
@@ -200,7 +236,8 @@
                     part.ready_ms, demand.objective_ms
                 )
 
-            return [min(parts, key=total)]
+            able = [part for part in parts if _free(engine, part) >= needed]
+            return [min(able or parts, key=total)]
         parts.sort(key=lambda part: part.price + part.ready_ms / 1000)
         return parts[:count]
 
@@ -226,6 +263,37 @@
         )
 
 
+def _free(engine: model.EngineCost, part: _Part) -> int:
+    """Return the memory of a part's server that nothing is known to hold."""
+    usable = int(engine.memory_tokens * USABLE_MEMORY)
+    return max(0, usable - part.candidate.load.memory_tokens)
+
+
+def _has_memory(engine: model.EngineCost, parts, needed: int) -> bool:
+    """Return whether servers have the memory for a request together.
+
+    One is enough if it can hold the request; shares are kept for requests
+    that no server could.
+    """
+    free = [_free(engine, part) for part in parts]
+    if needed <= engine.memory_tokens * USABLE_MEMORY:
+        return max(free) >= needed
+    return sum(free) >= needed
+
+
+def _shares(engine, first: _Part, helpers, needed: int) -> tuple[Share, ...]:
+    """Return what to reserve at helpers, those with most memory first."""
+    left = needed - _free(engine, first)
+    shares = []
+    for part in sorted(helpers, key=lambda one: -_free(engine, one)):
+        if left <= 0:
+            break
+        tokens = min(left, _free(engine, part))
+        shares.append(Share(server_id=part.candidate.server_id, tokens=tokens))
+        left -= tokens
+    return tuple(shares)
+
+
 def _passes(load: fleet.ServerLoad) -> float:
     """Return the passes that a first event takes beside the read itself.
 
--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -23,6 +23,7 @@
 
     :ivar is_writing: whether its first event has arrived.
     :ivar is_helping: whether the server only reads a part for another.
+    :ivar memory_tokens: what it holds in the server's memory.
     """
 
     server_id: str
@@ -31,6 +32,7 @@
     due_ms: int = 0
     pause_ms: int = 0
     weight: float = 1.0
+    memory_tokens: int = 0
     is_writing: bool = False
     is_helping: bool = False
 
@@ -62,13 +64,15 @@
 
     ``active`` counts requests in its slots, ``helping`` the parts that it
     reads for others. Those go first: ``helping_ms`` is how long they take
-    still, ``backlog_ms`` how long all reads take.
+    still, ``backlog_ms`` how long all reads take. ``memory_tokens`` is what
+    all of it holds in memory.
     """
 
     active: int = 0
     helping: int = 0
     backlog_ms: float = 0.0
     helping_ms: float = 0.0
+    memory_tokens: int = 0
     reads: tuple[PendingRead, ...] = ()
     writers: tuple[Writer, ...] = ()
 
@@ -90,13 +94,15 @@
     started: set[int] = attrs.field(factory=set)
     writing: set[int] = attrs.field(factory=set)
     ended: set[int] = attrs.field(factory=set)
+    failed: set[str] = attrs.field(factory=set)
 
 
 class FleetLoad:
     """Adds up the own work and what the peers report.
 
-    :param on_change: called with whether other gateways should know at once
+    :ivar on_change: called with whether other gateways should know at once
         when the own work has changed.
+    :ivar on_failed: called with the id of a server that failed a peer.
     """
 
     def __init__(self, *, clock: clocks.Clock):
@@ -107,6 +113,7 @@
         self._sequence = 0
         self._unreported = _Unreported()
         self.on_change: Callable[[bool], None] | None = None
+        self.on_failed: Callable[[str], None] | None = None
 
     def start(self, work: Work) -> int:
         """Note that a request was sent.
@@ -137,6 +144,11 @@
             self._unreported.writing.discard(work_id)
             self._changed(is_urgent=False)
 
+    def server_failed(self, server_id: str) -> None:
+        """Note that a backend server failed, to tell the peers."""
+        self._unreported.failed.add(server_id)
+        self._changed(is_urgent=True)
+
     def _changed(self, *, is_urgent: bool) -> None:
         if self.on_change is not None:
             self.on_change(is_urgent)
@@ -156,6 +168,7 @@
             ),
             writing=() if complete else tuple(changes.writing),
             ended=() if complete else tuple(changes.ended),
+            failed=tuple(changes.failed),
         )
 
     def heard(self, *, peer: str, report: messages.LoadReported) -> None:
@@ -182,6 +195,9 @@
                 known.works[work_id].is_writing = True
         for work_id in report.ended:
             known.works.pop(work_id, None)
+        if self.on_failed is not None:
+            for server_id in report.failed:
+                self.on_failed(server_id)
 
     def forget_silent(self) -> None:
         """Drop the reports of peers that were not heard for long."""
@@ -228,6 +244,7 @@
         work.due_ms - now_ms,
         work.pause_ms,
         round(work.weight * PERCENT),
+        work.memory_tokens,
         int(work.is_helping),
         int(work.is_writing),
     )
@@ -243,6 +260,7 @@
         due_ms=now_ms + named['due_ms'],
         pause_ms=named['pause_ms'],
         weight=named['weight_percent'] / PERCENT,
+        memory_tokens=named['memory_tokens'],
         is_helping=bool(named['is_helping']),
         is_writing=bool(named['is_writing']),
     )
@@ -286,6 +304,7 @@
         helping=helping,
         backlog_ms=ends_in_ms,
         helping_ms=helping_ms,
+        memory_tokens=sum(work.memory_tokens for work in works),
         reads=tuple(reads),
         writers=tuple(
             Writer(pause_ms=work.pause_ms, weight=work.weight)
--- a/src/shallothinge/placement/messages.py
+++ b/src/shallothinge/placement/messages.py
@@ -15,6 +15,7 @@
     'due_ms',
     'pause_ms',
     'weight_percent',
+    'memory_tokens',
     'is_helping',
     'is_writing',
 )
@@ -30,9 +31,11 @@
         server reads its part of the prompt, how long ago that was sent, in
         how long its first event is due, the longest allowed pause between
         events (0 if there are none), what a late answer weighs in percent,
-        and two flags.
+        the tokens that it holds in the server's memory, and two flags.
     :ivar writing: ids of works whose first event has arrived.
     :ivar ended: ids of works that have ended.
+    :ivar failed: ids of backend servers that could not be reached or broke
+        off, so that others try elsewhere first.
     """
 
     sequence: int
@@ -40,6 +43,7 @@
     started: tuple[tuple, ...] = ()
     writing: tuple[int, ...] = ()
     ended: tuple[int, ...] = ()
+    failed: tuple[str, ...] = ()
 
 
 MESSAGES = (LoadReported,)
--- a/src/shallothinge/platform/dialect.py
+++ b/src/shallothinge/platform/dialect.py
@@ -5,6 +5,7 @@
 from shallothinge import errors
 from shallothinge.errors import ErrorKind
 from shallothinge.gateway import model
+from shallothinge.gateway import reservation
 from shallothinge.http1 import messages
 from shallothinge.platform import names
 from shallothinge.platform import routes
@@ -44,6 +45,7 @@
             for name, value in messages.end_to_end(head.headers)
             if name not in OWN_FIELDS
         )
+        prompt_tokens, answer_tokens = _read_tokens(head)
         return model.CallerRequest(
             request_id=head.get(names.REQUEST_ID),
             method=head.method,
@@ -53,7 +55,8 @@
             body=body,
             api_key=head.get(names.API_KEY),
             deadline_ms=_read_deadline(head),
-            prompt_tokens=_read_prompt_tokens(head),
+            prompt_tokens=prompt_tokens,
+            answer_tokens=answer_tokens,
             last_event_id=head.get(names.LAST_EVENT_ID),
         )
 
@@ -70,14 +73,38 @@
             fields.append((names.LAST_EVENT_ID, order.last_event_id))
         if order.urgency is not None:
             fields.append((names.URGENCY, str(order.urgency)))
-        if order.helper_addresses:
-            fields.append((names.HELPERS, ','.join(order.helper_addresses)))
+        if order.helpers:
+            listed = ','.join(_name_helper(one) for one in order.helpers)
+            fields.append((names.HELPERS, listed))
         return messages.RequestHead(
             method=order.request.method,
             target=order.request.target,
             headers=tuple(fields),
         )
 
+    def write_reserve(
+        self, *, ticket: reservation.Ticket, hold_ms: int
+    ) -> tuple[messages.RequestHead, bytes]:
+        """Return the order to reserve or renew a ticket's memory."""
+        return _write_order(
+            ticket,
+            {
+                'operation': 'reserve',
+                'identifier': ticket.ticket_id,
+                'tokens': ticket.tokens,
+                'hold-ms': hold_ms,
+            },
+        )
+
+    def write_release(
+        self, *, ticket: reservation.Ticket
+    ) -> tuple[messages.RequestHead, bytes]:
+        """Return the order to release a ticket's memory."""
+        return _write_order(
+            ticket,
+            {'operation': 'release', 'identifier': ticket.ticket_id},
+        )
+
     def read_answer(self, head: messages.ResponseHead) -> model.AnswerHead:
         """Return the head of a backend server's answer."""
         field_names = {name for name, _ in head.headers}
@@ -130,11 +157,36 @@
     return int(text)
 
 
-def _read_prompt_tokens(head: messages.RequestHead) -> int:
-    """Return the prompt's tokens; other parts of the field follow a comma.
+def _read_tokens(head: messages.RequestHead) -> tuple[int, int]:
+    """Return the tokens of a prompt and the longest that its answer may be.
 
-    A field that can't be read costs the caller no answer: the number only
-    serves to choose a server.
+    A field that can't be read costs the caller no answer: the numbers only
+    serve to choose a server.
     """
-    text = head.get(names.TOKEN_COUNTS).partition(',')[0].strip()
-    return int(text) if text.isdigit() else 0
+    prompt, _, answer = head.get(names.TOKEN_COUNTS).partition(',')
+    prompt, answer = prompt.strip(), answer.strip()
+    return (
+        int(prompt) if prompt.isdigit() else 0,
+        int(answer) if answer.isdigit() else 0,
+    )
+
+
+def _name_helper(helper: model.Helper) -> str:
+    if helper.ticket_id:
+        return f'{helper.address}/{helper.ticket_id}'
+    return helper.address
+
+
+def _write_order(
+    ticket: reservation.Ticket, fields: dict
+) -> tuple[messages.RequestHead, bytes]:
+    head = messages.RequestHead(
+        method='POST',
+        target=names.ORDER,
+        headers=(
+            ('host', ticket.address),
+            ('content-type', 'application/json'),
+            (names.EXPECTED_SERVER, ticket.server_id),
+        ),
+    )
+    return head, json.dumps(fields).encode()
--- a/src/shallothinge/platform/names.py
+++ b/src/shallothinge/platform/names.py
@@ -23,6 +23,9 @@
 FAULT_ADDRESS = 'at-server'
 RETRY_AFTER_S = 'retry-after'
 
+# Path of a server's orders.
+ORDER = '/order'
+
 # Paths of the control API.
 CONFIGURATION = '/configuration'
 SERVERS = '/instances/'
