Elect sooner after a restart of all; ask for a lease more often without one

Change: a control host's first election comes after at most 500 ms; a gateway without a lease asks each 100 ms, and the leader that it is told of at once; a caller that found no lease is asked to come back after 800 ms. A voter that fell silent just as a learner got its vote is removed as well (the case was left open by the wait for doubtful voters; test_discovery showed it).

--- a/src/shallothinge/consensus/election.py
+++ b/src/shallothinge/consensus/election.py
@@ -28,7 +28,7 @@
         """Start an election when no leader was heard for long enough."""
         state = self._state
         if state.election_due_ms is None:
-            state.reset_election_timer(now_ms=now_ms)
+            state.start_election_timer(now_ms=now_ms)
         if state.role is Role.LEADER:
             self._check_quorum(now_ms)
         elif now_ms >= state.election_due_ms:
--- a/src/shallothinge/consensus/membership.py
+++ b/src/shallothinge/consensus/membership.py
@@ -26,6 +26,7 @@
     ):
         self._state = state
         self._replication = replication
+        self._promoted_ms: int | None = None
 
     def add_learner(
         self, now_ms: int, replica_id: str
@@ -73,6 +74,7 @@
             return self._refused('the replica is not a learner')
         if not self._has_caught_up(replica_id):
             return self._refused('the replica does not hold everything')
+        self._promoted_ms = now_ms
         return self._change(
             now_ms,
             voters=(*configuration.voters, replica_id),
@@ -88,6 +90,22 @@
             if self._has_caught_up(learner):
                 self._replace_or_promote(now_ms, learner)
                 return
+        self._remove_replaced(now_ms)
+
+    def _remove_replaced(self, now_ms: int) -> None:
+        """Remove a voter that fell silent just as another got its vote.
+
+        The loss could not be seen by then; the new one has its place.
+        """
+        limit_ms = self._state.timing.replace_silent_ms
+        if not limit_ms or self._promoted_ms is None:
+            return
+        newest_ms = self._promoted_ms + self._state.timing.heartbeat_ms
+        for voter in self._state.other_voters:
+            heard_ms = self._state.leadership.progress[voter].heard_ms
+            if heard_ms <= newest_ms and now_ms - heard_ms > limit_ms:
+                self.remove(now_ms, voter)
+                return
 
     def _replace_or_promote(self, now_ms: int, learner: str) -> None:
         process_id = model.process_id_of(learner)
--- a/src/shallothinge/consensus/model.py
+++ b/src/shallothinge/consensus/model.py
@@ -29,16 +29,20 @@
     """Times and sizes of the protocol.
 
     The election timeout is drawn between ``election_min_ms`` and
-    ``election_max_ms``; ``batch_bytes`` bounds the entries of one message
-    and ``chunk_bytes`` a piece of a snapshot. ``kept_entries`` remain in
-    the log behind a snapshot for replicas that are a little late. A voter
-    that was silent for ``replace_silent_ms`` makes way for a learner that
-    has caught up; 0 keeps all.
+    ``election_max_ms``, the first one of a process up to
+    ``first_election_ms`` if that is not 0: where a leader lives it is heard
+    by then, and where all were restarted every moment counts.
+    ``batch_bytes`` bounds the entries of one message and ``chunk_bytes`` a
+    piece of a snapshot. ``kept_entries`` remain in the log behind a
+    snapshot for replicas that are a little late. A voter that was silent
+    for ``replace_silent_ms`` makes way for a learner that has caught up; 0
+    keeps all.
     """
 
     heartbeat_ms: int = 100
     election_min_ms: int = 500
     election_max_ms: int = 1000
+    first_election_ms: int = 0
     batch_bytes: int = 256 * 1024
     chunk_bytes: int = 256 * 1024
     kept_entries: int = 200
--- a/src/shallothinge/consensus/state.py
+++ b/src/shallothinge/consensus/state.py
@@ -8,6 +8,9 @@
 from shallothinge.consensus import model
 from shallothinge.consensus.model import Role
 
+# A living leader has sent a heartbeat by then, with time to arrive.
+FIRST_ELECTION_HEARTBEATS = 2
+
 
 @attrs.define(kw_only=True)
 class Progress:
@@ -155,6 +158,17 @@
         )
         self.election_due_ms = now_ms + timeout_ms
 
+    def start_election_timer(self, *, now_ms: int) -> None:
+        """Draw the instant of the first election of this process."""
+        if not self.timing.first_election_ms:
+            self.reset_election_timer(now_ms=now_ms)
+            return
+        timeout_ms = self.rng.randint(
+            FIRST_ELECTION_HEARTBEATS * self.timing.heartbeat_ms,
+            self.timing.first_election_ms,
+        )
+        self.election_due_ms = now_ms + timeout_ms
+
     def commit_to(self, index: int) -> None:
         """Take entries up to an index as committed."""
         self.commit_index = max(self.commit_index, index)
--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -27,6 +27,9 @@
 # A voter may be replaced by a new host once it was silent for longer than a
 # restart or an election takes.
 REPLACE_SILENT_MS = 2500
+# Short of the later elections: after a restart of all hosts nobody serves
+# until there is a leader.
+FIRST_ELECTION_MS = 500
 EXIT_STORAGE_FAILED = 74
 
 
@@ -276,6 +279,7 @@
                 election_max_ms=settings.election_max_ms,
                 kept_entries=settings.snapshot_entries // KEPT_DIVISOR,
                 replace_silent_ms=_replace_silent_ms(discovery),
+                first_election_ms=FIRST_ELECTION_MS,
             ),
             restored=restored,
         )
--- a/src/shallothinge/control/tests/test_discovery.py
+++ b/src/shallothinge/control/tests/test_discovery.py
@@ -84,6 +84,14 @@
         self.hosts.cut = set()
         self.run_until_voters({IDS[0], IDS[1], IDS[2], IDS[5]})
 
+    def test_leader_is_elected_soon_after_all_were_restarted(self):
+        self.found(IDS[:3])
+        for host_id in IDS[:3]:
+            self.hosts.stop(host_id)
+        for host_id in IDS[:3]:
+            self.hosts.start(host_id)
+        self.hosts.run_until(self.hosts.leader, limit_ms=600)
+
     def test_empty_hosts_after_the_first_start_found_nothing(self):
         for host_id in IDS[:3]:
             self.hosts.start(host_id)
--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -21,6 +21,9 @@
 LOOK_AGAIN_MS = 20
 # A caller that comes back reaches another gateway, which mostly can serve.
 ELSEWHERE_MS = 100
+# What a leader's loss has still to run after that wait, if it is one: most
+# callers come back only once.
+LEASE_BACK_MS = 800
 
 
 class Ingress:
@@ -97,7 +100,7 @@
             )
         if not self._parts.holder.is_valid():
             raise errors.ServingError(
-                kind=ErrorKind.NO_LEASE, retry_after_ms=ELSEWHERE_MS
+                kind=ErrorKind.NO_LEASE, retry_after_ms=LEASE_BACK_MS
             )
         index = self.index
         if not index.table.version:
--- a/src/shallothinge/leases/client.py
+++ b/src/shallothinge/leases/client.py
@@ -15,6 +15,8 @@
 
 RENEW_MS = 1000
 RETRY_MS = 250
+# Without a lease nothing is served, so hosts are asked more often.
+URGENT_MS = 100
 ASK_RETRY_MS = 400
 IDLE_MS = 10_000
 
@@ -163,7 +165,10 @@
         if now_ms - (self._renewed_ms or 0) >= due_ms:
             self._rotate(self._unanswered_id)
             self._send_renewal()
-        self._later(RETRY_MS, self._renew)
+        is_urgent = not self._holder.is_valid()
+        self._later(
+            min(URGENT_MS, RETRY_MS) if is_urgent else RETRY_MS, self._renew
+        )
 
     def _send_renewal(self) -> None:
         if self._send(self._holder.next_request()):
@@ -204,8 +209,7 @@
         elif isinstance(message, messages.LeaseNudge):
             self._take_nudge(message)
         elif isinstance(message, messages.LeaseRefused):
-            self._unanswered_id = ''
-            self._prefer(message.leader_id)
+            self._take_lease_refusal(message)
         elif isinstance(message, messages.ControlRefused):
             self._take_refusal(message)
         else:
@@ -220,6 +224,14 @@
         if question is not None and is_new:
             self._send(question.message)
 
+    def _take_lease_refusal(self, refusal: messages.LeaseRefused) -> None:
+        """Ask the leader that was named at once, others after a while."""
+        self._unanswered_id = ''
+        is_new = refusal.leader_id not in ('', self._order[0])
+        self._prefer(refusal.leader_id)
+        if is_new and not self._holder.is_valid():
+            self.renew_now()
+
     def _take_grant(self, grant: messages.LeaseGranted) -> None:
         if self._learns_hosts:
             self.learn_hosts(grant.control_ids)
