Follow each server's queue from event to event; make metrics after the start

Cause: short prompts came late on servers that were thought nearly idle (placement/tests/play.py: estimate 40 ms, in truth 1,029 ms left to read). The load of a server was worked out anew from what was under way, as if all the time since the oldest of it had gone into it; what the server had done before, for works that had ended, was forgotten. Ruled out: reports that come late (the play has none), the cost of passes with writers.

Change: each server's queue is followed from start to first event to end, parts for others first. Metrics are made 0.1 s after the start instead of before it.

--- a/src/shallothinge/gateway/parts.py
+++ b/src/shallothinge/gateway/parts.py
@@ -5,7 +5,7 @@
 import attrs
 
 from shallothinge import clock as clocks
-from shallothinge import metrics as metering
+from shallothinge import process as processes
 from shallothinge.gateway import model
 from shallothinge.gateway import servers
 from shallothinge.http1 import client
@@ -29,5 +29,10 @@
     chooser: choice.Chooser
     budget: retries.RetryBudget
     caller: client.Caller
-    metrics: metering.Metrics
+    process: processes.Process
     zone: str
+
+    @property
+    def metrics(self):
+        """Return the process's metrics, made when first asked for."""
+        return self.process.metrics
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -111,7 +111,7 @@
             caller=http_client.Caller(
                 reactor=self._reactor, connect_timeout_ms=CONNECT_TIMEOUT_MS
             ),
-            metrics=self._process.metrics,
+            process=self._process,
             zone=self._settings.process.zone,
         )
 
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -25,10 +25,10 @@
 # A first event is worth a little more the sooner it comes.
 SPEED_PRICE = 0.05
 # Opening an idle server for a short prompt takes it from the long ones.
-OPENING_PRICE = 0.1
+OPENING_PRICE = 0.2
 # Each request beyond this share of the slots makes a full server likelier.
 CROWDED_SHARE = 0.75
-CROWDED_PRICE = 0.5
+CROWDED_PRICE = 0.2
 # Bytes between zones cost a little, less than any loss of service.
 OTHER_ZONE_PRICE = 0.02
 # A server that starts is slow for some seconds.
@@ -38,7 +38,7 @@
 QUEUE_TURNS = 3
 # A helper's part costs its server a pass, however small it is.
 HELPER_PRICE = 0.02
-MAX_HELPERS = 11
+MAX_HELPERS = 15
 # Own reads wait for all parts for others, also for those that come later: a
 # part costs them more than the one delay that can be foreseen.
 OWN_READ_FACTOR = 2.0
--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -24,6 +24,7 @@
     :ivar is_writing: whether its first event has arrived.
     :ivar is_helping: whether the server only reads a part for another.
     :ivar memory_tokens: what it holds in the server's memory.
+    :ivar left_ms: how much of the read is thought to be left.
     """
 
     server_id: str
@@ -35,6 +36,10 @@
     memory_tokens: int = 0
     is_writing: bool = False
     is_helping: bool = False
+    left_ms: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self.left_ms = self.read_ms
 
 
 @attrs.frozen(kw_only=True)
@@ -77,6 +82,88 @@
     writers: tuple[Writer, ...] = ()
 
 
+class ServerQueue:
+    """What one server has under way, followed from event to event.
+
+    It reads parts for others first, in the order of their arrival, and then
+    its own prompts. Streams that it writes don't keep it from reading, but
+    their events wait for the end of a pass.
+    """
+
+    def __init__(self, *, now_ms: int):
+        self._at_ms = now_ms
+        self._works: list[Work] = []
+
+    def start(self, work: Work, now_ms: int) -> None:
+        """Add a work."""
+        self._advance(now_ms)
+        self._works.append(work)
+
+    def first_event(self, work: Work, now_ms: int) -> None:
+        """Note that a work's prompt has been read."""
+        self._advance(now_ms)
+        work.is_writing = True
+
+    def end(self, work: Work, now_ms: int) -> None:
+        """Remove a work."""
+        self._advance(now_ms)
+        self._works = [one for one in self._works if one is not work]
+
+    def is_empty(self) -> bool:
+        """Return whether nothing is under way."""
+        return not self._works
+
+    def load(self, now_ms: int) -> ServerLoad:
+        """Return the load."""
+        self._advance(now_ms)
+        parts, own = self._to_read()
+        helping_ms = sum(work.left_ms for work in parts)
+        ends_in_ms = helping_ms
+        reads = []
+        for work in own:
+            # An own read shows when it ends, so one that should have ended
+            # is thought to end soon. A part mostly has: its gateway hears
+            # only when the whole prompt is read.
+            ends_in_ms += max(work.left_ms, OVERDUE_READ_MS)
+            reads.append(
+                PendingRead(
+                    ends_in_ms=ends_in_ms,
+                    due_in_ms=work.due_ms - now_ms,
+                    weight=work.weight,
+                )
+            )
+        helping = sum(work.is_helping for work in self._works)
+        return ServerLoad(
+            active=len(self._works) - helping,
+            helping=helping,
+            backlog_ms=ends_in_ms,
+            helping_ms=helping_ms,
+            memory_tokens=sum(work.memory_tokens for work in self._works),
+            reads=tuple(reads),
+            writers=tuple(
+                Writer(pause_ms=work.pause_ms, weight=work.weight)
+                for work in self._works
+                if work.is_writing and work.pause_ms and not work.is_helping
+            ),
+        )
+
+    def _to_read(self) -> tuple[list[Work], list[Work]]:
+        reading = [work for work in self._works if not work.is_writing]
+        parts = [work for work in reading if work.is_helping]
+        own = [work for work in reading if not work.is_helping]
+        return parts, own
+
+    def _advance(self, now_ms: int) -> None:
+        """Let the server read until now."""
+        spare_ms = float(now_ms - self._at_ms)
+        self._at_ms = now_ms
+        parts, own = self._to_read()
+        for work in (*parts, *own):
+            spent_ms = min(work.left_ms, spare_ms)
+            work.left_ms -= spent_ms
+            spare_ms -= spent_ms
+
+
 @attrs.define(kw_only=True)
 class _PeerWork:
     """The work of a peer, as far as it has reported it."""
@@ -109,6 +196,7 @@
         self._clock = clock
         self._own: dict[int, Work] = {}
         self._peers: dict[str, _PeerWork] = {}
+        self._queues: dict[str, ServerQueue] = {}
         self._next_id = 0
         self._sequence = 0
         self._unreported = _Unreported()
@@ -122,6 +210,7 @@
         """
         self._next_id += 1
         self._own[self._next_id] = work
+        self._add(work)
         self._unreported.started.add(self._next_id)
         self._changed(is_urgent=True)
         return self._next_id
@@ -130,13 +219,15 @@
         """Note that a backend server has read the prompt."""
         work = self._own.get(work_id)
         if work is not None and not work.is_writing:
-            work.is_writing = True
+            self._mark_writing(work)
             self._unreported.writing.add(work_id)
             self._changed(is_urgent=False)
 
     def end(self, work_id: int) -> None:
         """Note that a request has ended at its backend server."""
-        if self._own.pop(work_id, None) is not None:
+        work = self._own.pop(work_id, None)
+        if work is not None:
+            self._remove(work)
             if work_id in self._unreported.started:
                 self._unreported.started.discard(work_id)
             else:
@@ -179,22 +270,29 @@
         known = self._peers.setdefault(peer, _PeerWork())
         if report.sequence <= known.sequence:
             return
+        now_ms = self._clock.now_ms()
         if report.complete:
-            known.works.clear()
             known.is_complete = True
+            listed = {fields[0] for fields in report.started}
+            for work_id in set(known.works) - listed:
+                self._remove(known.works.pop(work_id))
         elif report.sequence != known.sequence + 1:
             known.is_complete = False
-        now_ms = self._clock.now_ms()
         known.sequence = report.sequence
         known.heard_ms = now_ms
         for fields in report.started:
             work_id, work = _unpack(fields, now_ms)
-            known.works[work_id] = work
+            if work_id not in known.works:
+                known.works[work_id] = work
+                self._add(work)
+            elif work.is_writing:
+                self._mark_writing(known.works[work_id])
         for work_id in report.writing:
             if work_id in known.works:
-                known.works[work_id].is_writing = True
+                self._mark_writing(known.works[work_id])
         for work_id in report.ended:
-            known.works.pop(work_id, None)
+            if work_id in known.works:
+                self._remove(known.works.pop(work_id))
         if self.on_failed is not None:
             for server_id in report.failed:
                 self.on_failed(server_id)
@@ -205,6 +303,8 @@
         for peer, known in list(self._peers.items()):
             if known.heard_ms < oldest_ms:
                 del self._peers[peer]
+                for work in known.works.values():
+                    self._remove(work)
 
     @property
     def peer_count(self) -> int:
@@ -220,18 +320,28 @@
     def loads(self) -> dict[str, ServerLoad]:
         """Return the load of each backend server that has any."""
         now_ms = self._clock.now_ms()
-        by_server: dict[str, list[Work]] = {}
-        for work in self._all():
-            by_server.setdefault(work.server_id, []).append(work)
         return {
-            server_id: load_of(works, now_ms)
-            for server_id, works in by_server.items()
+            server_id: queue.load(now_ms)
+            for server_id, queue in self._queues.items()
         }
 
-    def _all(self):
-        yield from self._own.values()
-        for known in self._peers.values():
-            yield from known.works.values()
+    def _add(self, work: Work) -> None:
+        now_ms = self._clock.now_ms()
+        queue = self._queues.get(work.server_id)
+        if queue is None:
+            queue = ServerQueue(now_ms=min(now_ms, work.started_ms))
+            self._queues[work.server_id] = queue
+        queue.start(work, now_ms)
+
+    def _mark_writing(self, work: Work) -> None:
+        queue = self._queues[work.server_id]
+        queue.first_event(work, self._clock.now_ms())
+
+    def _remove(self, work: Work) -> None:
+        queue = self._queues[work.server_id]
+        queue.end(work, self._clock.now_ms())
+        if queue.is_empty():
+            del self._queues[work.server_id]
 
 
 def _pack(work_id: int, work: Work, now_ms: int) -> tuple:
@@ -264,51 +374,3 @@
         is_helping=bool(named['is_helping']),
         is_writing=bool(named['is_writing']),
     )
-
-
-def load_of(works: list[Work], now_ms: int) -> ServerLoad:
-    """Return the load of one server from its work.
-
-    A server reads parts for others first, in the order of their arrival,
-    and then its own prompts. Streams that it writes don't keep it from
-    reading, but their events wait for the end of a pass.
-    """
-    reading = sorted(
-        (work for work in works if not work.is_writing),
-        key=lambda work: (not work.is_helping, work.started_ms),
-    )
-    # What it has done since the oldest of them arrived is taken off the
-    # first in its order.
-    done_ms = 0.0
-    if reading:
-        done_ms = now_ms - min(work.started_ms for work in reading)
-    ends_in_ms = helping_ms = 0.0
-    reads = []
-    for work in reading:
-        left_ms = work.read_ms - done_ms
-        done_ms = max(0.0, done_ms - work.read_ms)
-        ends_in_ms += max(left_ms, OVERDUE_READ_MS)
-        if work.is_helping:
-            helping_ms = ends_in_ms
-        else:
-            reads.append(
-                PendingRead(
-                    ends_in_ms=ends_in_ms,
-                    due_in_ms=work.due_ms - now_ms,
-                    weight=work.weight,
-                )
-            )
-    helping = sum(work.is_helping for work in works)
-    return ServerLoad(
-        active=len(works) - helping,
-        helping=helping,
-        backlog_ms=ends_in_ms,
-        helping_ms=helping_ms,
-        memory_tokens=sum(work.memory_tokens for work in works),
-        reads=tuple(reads),
-        writers=tuple(
-            Writer(pause_ms=work.pause_ms, weight=work.weight)
-            for work in works
-            if work.is_writing and work.pause_ms and not work.is_helping
-        ),
-    )
--- a/src/shallothinge/process.py
+++ b/src/shallothinge/process.py
@@ -10,7 +10,6 @@
 import zmq
 
 from shallothinge import clock
-from shallothinge import metrics
 from shallothinge import protocol
 from shallothinge.settings import model
 from shallothinge.transport import authenticator
@@ -23,6 +22,9 @@
 LOG = logging.getLogger(__name__)
 
 INCARNATION_BYTES = 8
+# By then a started process has asked for its lease or its log's leader, and
+# waits for the answer.
+METRICS_DELAY_S = 0.1
 
 
 class Process:
@@ -51,19 +53,37 @@
             is_private=settings.is_host_shared,
         )
         self.trust = keys.read_trust(path=folder / settings.trust_file)
-        self.metrics = metrics.Metrics(
-            role=self.key_pair.role,
-            process_id=settings.process_id,
-            zone=settings.zone,
-            host=settings.host,
-        )
         self.traffic = {role: traffics.Traffic() for role in keys.ROLES}
-        self._observe_traffic()
+        self._is_closed = False
         self._context = zmq.Context()
         self._authenticator = authenticator.start(
             context=self._context, trust=self.trust
         )
-        self._serve_metrics()
+        if settings.metrics_address:
+            reactor.callLater(METRICS_DELAY_S, self._serve_metrics)
+
+    @functools.cached_property
+    def metrics(self):
+        """The process's metrics.
+
+        Their libraries take a quarter of the time of a start; they are not
+        needed before the process serves.
+        """
+        from shallothinge import metrics
+
+        made = metrics.Metrics(
+            role=self.key_pair.role,
+            process_id=self.settings.process_id,
+            zone=self.settings.zone,
+            host=self.settings.host,
+        )
+        for role, traffic in self.traffic.items():
+            for field in attrs.fields(traffics.Traffic):
+                made.observe(
+                    name=f'connections_{role}_{field.name}',
+                    read=functools.partial(getattr, traffic, field.name),
+                )
+        return made
 
     def listen(
         self, *, on_message: Callable[[endpoint.Peer, object], None]
@@ -108,17 +128,10 @@
             traffic=self.traffic[role],
         )
 
-    def _observe_traffic(self) -> None:
-        """Publish the traffic of own listening address and of links."""
-        for role, traffic in self.traffic.items():
-            for field in attrs.fields(traffics.Traffic):
-                self.metrics.observe(
-                    name=f'connections_{role}_{field.name}',
-                    read=functools.partial(getattr, traffic, field.name),
-                )
-
     def _serve_metrics(self) -> None:
-        if not self.settings.metrics_address:
+        from shallothinge import metrics
+
+        if self._is_closed:
             return
         listening = metrics.listen(
             metrics=self.metrics,
@@ -134,5 +147,6 @@
 
     def close(self) -> None:
         """Stop authentication and drop every connection."""
+        self._is_closed = True
         self._authenticator.stop()
         self._context.destroy(linger=0)
