--- a/src/shallothinge/operators/control_commands.py
+++ b/src/shallothinge/operators/control_commands.py
@@ -18,6 +18,7 @@
     summary = 'run a control host, or manage the cluster of control hosts'
     command = commands.add_parser('control', help=summary, description=summary)
     role_commands.add_settings(command, required=False)
+    role_commands.add_folder(command)
     command.set_defaults(
         run=run_or_explain, role='control', explain=command.error
     )
--- a/src/shallothinge/operators/tests/test_commands.py
+++ b/src/shallothinge/operators/tests/test_commands.py
@@ -45,6 +45,14 @@
         made.write_settings()
         return made
 
+    def test_each_role_takes_a_folder_for_relative_paths(self):
+        for role in ('control', 'entry', 'agent', 'gateway'):
+            with self.subTest(role=role):
+                chosen = main.build_parser().parse_args(
+                    [role, '--settings', 'a.toml']
+                )
+                self.assertIsNone(chosen.folder)
+
     def test_exit_statuses(self):
         missing = self.folder / 'none.toml'
         wrong = self.folder / 'wrong.toml'
