Drop two fields and an argument of the gateway that nothing reads

Found by reading the change once more. Progress.has_begun_answer and AnswerHead.is_other_server were set and never read, and _drop_attempt was only ever called with the same value. Behaviour is the same; no test was changed.

--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -266,7 +266,6 @@
             refused=self._progress.refused
             + (outcome.was_sent and not outcome.may_have_run),
             may_have_run=self._progress.may_have_run or outcome.may_have_run,
-            has_begun_answer=self._exchange.is_begun,
         )
         self._blame(server_id, outcome)
         LOG.info(
@@ -345,21 +344,20 @@
 
     def _on_deadline(self) -> None:
         self._deadline = None
-        self._drop_attempt(may_have_run=True)
+        self._drop_attempt()
         if self._exchange.is_begun:
             self._cut('deadline')
         else:
             self._refuse(policy.deadline_error(self._progress))
 
     def _on_gone(self) -> None:
-        self._drop_attempt(may_have_run=True)
+        self._drop_attempt()
         self._end('caller_gone', status=0)
 
-    def _drop_attempt(self, *, may_have_run: bool) -> None:
+    def _drop_attempt(self) -> None:
+        """Cancel what is under way; it may have run by now."""
         if self._attempt is not None:
-            self._progress = attrs.evolve(
-                self._progress, may_have_run=may_have_run
-            )
+            self._progress = attrs.evolve(self._progress, may_have_run=True)
             self._attempt.cancel()
             self._attempt = None
 
--- a/src/shallothinge/gateway/model.py
+++ b/src/shallothinge/gateway/model.py
@@ -66,8 +66,8 @@
     """The head of a backend server's answer.
 
     ``headers`` are those that the caller gets. ``is_unrun`` tells that the
-    server states that it did not run the request, ``is_other_server`` that
-    another incarnation answers at its address. ``fault_address`` names the
+    server states that it did not run the request, also where another
+    incarnation answers at its address. ``fault_address`` names the
     helper that is to blame, if one is. ``is_signed`` is whether the answer
     bears the server's signature.
     """
@@ -77,7 +77,6 @@
     request_id: str
     is_signed: bool
     is_unrun: bool
-    is_other_server: bool
     fault_address: str = ''
 
     @property
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -34,7 +34,6 @@
     sent: int = 0
     refused: int = 0
     may_have_run: bool = False
-    has_begun_answer: bool = False
 
 
 def may_repeat(
--- a/src/shallothinge/platform/dialect.py
+++ b/src/shallothinge/platform/dialect.py
@@ -114,7 +114,6 @@
             request_id=head.get(names.REQUEST_ID),
             is_signed=bool(head.get(names.SIGNATURE)),
             is_unrun=names.UNRUN in field_names or head.status == 421,
-            is_other_server=head.status == 421,
             fault_address=head.get(names.FAULT_ADDRESS),
         )
 
