Wait for what a restart has taken; refuse what its caller would not wait for

Ruled out: a slow election (0.25 s). Streams that find no room waited until their deadline, though callers leave a stream after two seconds, four objectives or eight pauses.

Change: policy.return_wait_ms: a fifth of the deadline, two seconds at most from the loss of the lease; a gateway that has had none for longer refuses at once, where it waited 400 ms before. Leases tell whether the leader has had the time to hear of all servers; until then a request waits for one in the same bounds. policy.can_still_answer bounds the wait for room by when callers leave. The test of the fixed wait of 400 ms became a table of deadlines and times without a lease: 300 ms for calls of 1.5 s, none for a gateway cut off long.

--- a/src/shallothinge/control/leadership.py
+++ b/src/shallothinge/control/leadership.py
@@ -123,6 +123,7 @@
             peers=() if knows_peers else tuple(sorted(self._addresses())),
             control_ids=() if knows_peers else self._read_control_ids(),
             peers_digest='' if knows_peers else digest,
+            is_settled=self._is_settled(),
         )
 
     def _note_address(self, request: messages.LeaseRequest) -> None:
@@ -192,6 +193,10 @@
             server = attrs.evolve(server, leaving=True)
         self.members.announce(server=server)
 
+    def _is_settled(self) -> bool:
+        """Return whether every backend server had time to be heard."""
+        return self._clock.now_ms() >= self._members_complete_ms
+
     def _members_for(self, request) -> MembershipUpdate | None:
         """Return the membership changes that a holder lacks.
 
@@ -200,9 +205,8 @@
         """
         if request.members_version < 0:
             return None
-        is_complete = self._clock.now_ms() >= self._members_complete_ms
         is_new_epoch = request.members_epoch != self.epoch
-        if request.members_epoch and is_new_epoch and not is_complete:
+        if request.members_epoch and is_new_epoch and not self._is_settled():
             return self.members.heard_so_far()
         return self.members.update_since(
             version=request.members_version, epoch=request.members_epoch
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -107,12 +107,17 @@
             tried_ids=frozenset(self._tried_ids),
         )
         if not candidates:
-            self._give_up_without_servers()
+            if self._may_wait_for_servers():
+                self._wait()
+            else:
+                self._give_up_without_servers()
             return
         placed = self._parts.chooser.choose(
             demand=self._demand(), candidates=candidates
         )
-        if isinstance(placed, choice.NoRoom) or not self._may_send(placed):
+        if isinstance(placed, choice.NoRoom):
+            self._wait_for_room(placed)
+        elif not self._may_send(placed):
             self._wait()
         else:
             self._send(placed)
@@ -133,6 +138,26 @@
             server_id=placed.server_id, service=self._accepted.service
         )
 
+    def _wait_for_room(self, full: choice.NoRoom) -> None:
+        """Wait, or refuse what could not be answered in time any more."""
+        service = self._accepted.service
+        can_answer = policy.can_still_answer(
+            route=self._route,
+            waited_ms=self._parts.clock.now_ms() - self._started_ms,
+            service_ms=choice.least_ms(service, self._request.prompt_tokens),
+            limit_ms=self._time_limit_ms(),
+        )
+        if can_answer or self._exchange.is_begun:
+            self._wait()
+        elif self._progress.may_have_run:
+            self._refuse(policy.deadline_error(self._progress))
+        else:
+            self._refuse(
+                errors.ServingError(
+                    kind=ErrorKind.OVERLOADED, retry_after_ms=full.free_in_ms
+                )
+            )
+
     def _wait(self) -> None:
         self._queued_ms += LOOK_AGAIN_MS
         self._look_again = self._parts.reactor.callLater(
@@ -346,6 +371,15 @@
                 )
             )
 
+    def _may_wait_for_servers(self) -> bool:
+        """Return whether a new leader may yet hear of a server in time."""
+        if self._tried_ids or self._parts.holder.is_settled:
+            return False
+        wait_ms = policy.return_wait_ms(
+            patience_ms=self._time_limit_ms(), missing_ms=0
+        )
+        return self._parts.clock.now_ms() - self._started_ms < wait_ms
+
     def _give_up_without_servers(self) -> None:
         if self._exchange.is_begun:
             self._cut('no_backend_server')
--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -7,6 +7,7 @@
 from shallothinge.gateway import forwarding
 from shallothinge.gateway import model
 from shallothinge.gateway import parts as shared
+from shallothinge.gateway import policy
 from shallothinge.http1 import server as http_server
 from shallothinge.routes import lookup
 from shallothinge.routes import model as routes
@@ -15,10 +16,9 @@
 
 MS_PER_SECOND = 1000
 MAX_URGENCY = 9
-# A new leader is elected within a second; half of that is what a call with
-# an objective of some hundred ms can spare.
-LEASE_WAIT_MS = 400
 LOOK_AGAIN_MS = 20
+# Patience of a caller that names no deadline.
+USUAL_PATIENCE_MS = 2000
 # A caller that comes back reaches another gateway, which mostly can serve.
 ELSEWHERE_MS = 100
 # What a leader's loss has still to run after that wait, if it is one: most
@@ -62,25 +62,46 @@
         it mostly comes back at once, after a pause of the process or the
         loss of a leader.
         """
-        waited_ms = self._parts.clock.now_ms() - exchange.received_ms
-        if self._may_decide() or waited_ms >= LEASE_WAIT_MS:
+        try:
+            request = self._parts.dialect.read_request(
+                head=exchange.head, body=exchange.body
+            )
+        except errors.ServingError as error:
+            self._refuse(exchange, None, error)
+            return
+        wait_ms = policy.return_wait_ms(
+            patience_ms=request.deadline_ms or USUAL_PATIENCE_MS,
+            missing_ms=self._parts.holder.lapsed_ms,
+        )
+        self._wait_for_lease(
+            exchange, request, until_ms=exchange.received_ms + wait_ms
+        )
+
+    def _wait_for_lease(
+        self,
+        exchange: http_server.Exchange,
+        request: model.CallerRequest,
+        *,
+        until_ms: int,
+    ) -> None:
+        is_over = self._parts.clock.now_ms() >= until_ms
+        if is_over or self.is_stopping or self._parts.holder.is_valid():
             exchange.on_gone = None
-            self._decide(exchange)
+            self._decide(exchange, request)
             return
         waiting = self._parts.reactor.callLater(
-            LOOK_AGAIN_MS / MS_PER_SECOND, self.handle, exchange
+            LOOK_AGAIN_MS / MS_PER_SECOND,
+            self._wait_for_lease,
+            exchange,
+            request,
+            until_ms=until_ms,
         )
         exchange.on_gone = waiting.cancel
 
-    def _may_decide(self) -> bool:
-        return self.is_stopping or self._parts.holder.is_valid()
-
-    def _decide(self, exchange: http_server.Exchange) -> None:
-        request = None
+    def _decide(
+        self, exchange: http_server.Exchange, request: model.CallerRequest
+    ) -> None:
         try:
-            request = self._parts.dialect.read_request(
-                head=exchange.head, body=exchange.body
-            )
             accepted = self._accept(request)
         except errors.ServingError as error:
             self._refuse(exchange, request, error)
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -11,6 +11,19 @@
 # A full service refuses everywhere: after some servers the caller is told.
 MAX_REFUSALS = 3
 
+# After a restart of all control hosts, or the loss of their leader, gateways
+# have leases again within a second, and servers are listed half a second on.
+RETURN_MS = 2000
+# What a request may wait for that, as a share of the caller's patience: some
+# of it must be left to serve the request, or for the caller to go elsewhere.
+RETURN_WAIT_DIVISOR = 5
+
+# Callers leave a stream, also before its first event, after the longest of
+# these, says the protocol.
+LEAVE_LEAST_MS = 2000
+LEAVE_OBJECTIVES = 4
+LEAVE_PAUSES = 8
+
 
 class Cause(enum.Enum):
     """How an attempt ended without an answer for the caller."""
@@ -36,6 +49,42 @@
     may_have_run: bool = False
 
 
+def return_wait_ms(*, patience_ms: int, missing_ms: int) -> int:
+    """Return how long a request may wait for what a restart has taken.
+
+    Most callers come back only once, and after a restart of all they have
+    done so by now. Where the lease or the servers have been missing for
+    longer than a restart takes, another gateway may have them: then no
+    request waits.
+
+    :param patience_ms: how long the caller waits for an answer.
+    :param missing_ms: for how long the lease or the servers were missing
+        when the request came.
+    """
+    if missing_ms >= RETURN_MS:
+        return 0
+    return min(RETURN_MS - missing_ms, patience_ms // RETURN_WAIT_DIVISOR)
+
+
+def can_still_answer(
+    *, route: routes.Route, waited_ms: int, service_ms: float, limit_ms: int
+) -> bool:
+    """Return whether a request that waits for room may yet be answered.
+
+    :param waited_ms: time since the request came.
+    :param service_ms: the least time that its first event or answer takes.
+    :param limit_ms: when its deadline is, from its arrival.
+    """
+    if route.kind is routes.RequestKind.STREAMING:
+        leaves_ms = max(
+            LEAVE_LEAST_MS,
+            LEAVE_OBJECTIVES * route.objective_ms,
+            LEAVE_PAUSES * route.pause_objective_ms,
+        )
+        limit_ms = min(limit_ms, leaves_ms)
+    return waited_ms + service_ms < limit_ms
+
+
 def may_repeat(
     *, route: routes.Route, progress: Progress, remaining_ms: int
 ) -> bool:
--- a/src/shallothinge/gateway/tests/test_forwarding.py
+++ b/src/shallothinge/gateway/tests/test_forwarding.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from shallothinge.gateway import ingress
 from shallothinge.gateway.tests import rig
+from shallothinge.placement import fleet
 from shallothinge.platform.tests import samples
 
 STREAM = '/lohu930/1'
@@ -195,10 +195,61 @@
         self.calls[0].answer(200)
         self.assertEqual(200, exchange.status)
 
-    def test_request_without_a_lease_is_refused_soon(self):
+    def test_request_without_a_lease_is_refused_in_time_to_go_elsewhere(self):
         self.rig.holder.is_leased = False
-        exchange = self.rig.request(BOOKING)
-        self.rig.advance(ingress.LEASE_WAIT_MS + ingress.LOOK_AGAIN_MS)
+        rows = (
+            # deadline_ms, lapsed_ms, refused_after_ms
+            (1_500, 0, 300),
+            (5_000, 0, 1_000),
+            (15_000, 0, 2_000),
+            (15_000, 1_500, 500),
+            (15_000, 2_000, 0),
+        )
+        for deadline_ms, lapsed_ms, refused_after_ms in rows:
+            with self.subTest(deadline_ms=deadline_ms, lapsed_ms=lapsed_ms):
+                self.rig.holder.lapsed_ms = lapsed_ms
+                exchange = self.rig.request(BOOKING, deadline_ms=deadline_ms)
+                if refused_after_ms:
+                    self.assertIsNone(exchange.status)
+                    self.rig.advance(refused_after_ms)
+                self.assertEqual(503, exchange.status)
+                self.assertIn('retry-after', exchange.headers)
+
+    def test_caller_that_comes_back_after_a_restart_of_all_is_served(self):
+        # The load: all processes were killed, callers come back once as soon
+        # as they can connect, and a lease and servers follow within a second.
+        self.rig = rig.Rig(server_count=0)
+        self.rig.holder.is_leased = False
+        self.rig.holder.is_settled = False
+        exchange = self.rig.request(STREAM, tokens=5000, deadline_ms=9_000)
+        self.rig.advance(800)
+        self.rig.holder.is_leased = True
+        self.rig.advance(300)
+        self.assertIsNone(exchange.status)
+        self.rig.add_server('llm', 1)
+        self.rig.advance(50)
+        self.calls[0].answer(200, body=event(1))
+        self.assertTrue(exchange.is_whole)
+
+    def test_stream_that_finds_no_room_is_refused_before_its_caller_leaves(
+        self,
+    ):
+        self.rig = rig.Rig(server_count=1)
+        for _ in range(8):
+            self.rig.load.start(
+                fleet.Work(server_id='llm-0', read_ms=0.0, started_ms=0)
+            )
+        exchange = self.rig.request(STREAM, tokens=5000)
+        self.rig.advance(1000)
+        self.assertIsNone(exchange.status)
+        self.rig.advance(1000)
+        self.assertEqual(503, exchange.status)
+        self.assertIn('retry-after', exchange.headers)
+        self.assertEqual([], self.calls)
+
+    def test_request_is_refused_at_once_where_no_server_will_come(self):
+        self.rig = rig.Rig(server_count=0)
+        exchange = self.rig.request(STREAM, tokens=5000)
         self.assertEqual(503, exchange.status)
         self.assertIn('retry-after', exchange.headers)
 
--- a/src/shallothinge/gateway/tests/test_policy.py
+++ b/src/shallothinge/gateway/tests/test_policy.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+
 from shallothinge import clock
 from shallothinge import errors
 from shallothinge.errors import ErrorKind
@@ -29,6 +31,49 @@
 RESUMABLE = make_route(model.RequestKind.STREAMING, is_resumable=True)
 
 
+class WaitingTest(unittest.TestCase):
+    """How long it is of use to wait for room."""
+
+    def test_request_is_given_up_once_its_caller_would_leave(self):
+        stream = model.Route(
+            name='r',
+            host='h',
+            path_prefix='/',
+            kind=model.RequestKind.STREAMING,
+            timeout_ms=10_000,
+            split=(),
+            objective_ms=300,
+            pause_objective_ms=250,
+        )
+        call = attrs.evolve(stream, kind=model.RequestKind.SAFE)
+        rows = (
+            # route, waited_ms, service_ms, limit_ms, can answer
+            (stream, 1_800, 100.0, 10_000, True),
+            (stream, 1_900, 100.0, 10_000, False),
+            (
+                attrs.evolve(stream, objective_ms=3_000),
+                1_900,
+                100.0,
+                15_000,
+                True,
+            ),
+            (stream, 900, 100.0, 1_000, False),
+            (call, 1_900, 0.0, 5_000, True),
+            (call, 5_000, 0.0, 5_000, False),
+        )
+        for route, waited_ms, service_ms, limit_ms, expected in rows:
+            with self.subTest(waited_ms=waited_ms, limit_ms=limit_ms):
+                self.assertEqual(
+                    expected,
+                    policy.can_still_answer(
+                        route=route,
+                        waited_ms=waited_ms,
+                        service_ms=service_ms,
+                        limit_ms=limit_ms,
+                    ),
+                )
+
+
 class RepeatTest(unittest.TestCase):
     """What may have run is repeated only where that does no harm."""
 
--- a/src/shallothinge/leases/messages.py
+++ b/src/shallothinge/leases/messages.py
@@ -43,7 +43,8 @@
     backend server under another incarnation. ``members_epoch`` names the
     leader whose membership versions count. ``peers`` are the addresses of
     the holders that may be written to, ``control_ids`` the control hosts;
-    both are present if ``peers_digest`` is, which names them.
+    both are present if ``peers_digest`` is, which names them. Until
+    ``is_settled`` a new leader may not have heard of every backend server.
     """
 
     sequence: int
@@ -58,6 +59,7 @@
     peers: tuple[str, ...] = ()
     control_ids: tuple[str, ...] = ()
     peers_digest: str = ''
+    is_settled: bool = True
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -236,6 +236,14 @@
         )
 
 
+def least_ms(service: model.Service, tokens: int) -> float:
+    """Return the least time to the first event of a prompt on a free fleet."""
+    engine = service.engine
+    if engine is None or not tokens:
+        return 0.0
+    return engine.read_ms(tokens) / (MAX_HELPERS + 1) + engine.pass_ms
+
+
 def _memory_of(demand: Demand) -> int:
     """Return the tokens that a request holds in memory at most."""
     return demand.tokens + demand.answer_tokens
