--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,11 @@
 PYTHON ?= python3
+SEED ?= 1
+COUNT ?= 1
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test demo binary format lint clean
+.PHONY: setup test demo soak binary format lint clean
 
 setup: $(STAMP)
 
@@ -18,6 +20,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m testing.demo
 
+soak: $(STAMP)
+	$(BIN)/python -m testing.soak.run --seed $(SEED) --count $(COUNT)
+
 binary: $(STAMP)
 	mkdir -p dist
 	$(BIN)/shiv --quiet --constraint constraints.txt --compressed \
--- /dev/null
+++ b/testing/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults against the real programs, injected from outside."""
--- /dev/null
+++ b/testing/soak/callers.py
@@ -0,0 +1,105 @@
+"""Callers that ask all the time, whatever happens to the gateways."""
+
+import asyncio
+import random
+import secrets
+import time
+
+from shallothinge.platform import names
+from testing.soak import checks
+from testing.soak import deployment
+from testing.soak import wire
+
+PAUSE_S = 0.08
+KINDS = (
+    # service, kind of route, deadline_ms, share of the requests
+    (wire.STREAMS, 'stream', 6000, 0.4),
+    (wire.CALLS, 'book', 1500, 0.3),
+    (wire.CALLS, 'look', 1500, 0.3),
+)
+KEPT_KEY, REVOKED_KEY = 'kept-key', 'revoked-key'
+REVOKED_SHARE = 0.15
+# A caller waits a little longer than it says, to see the final answer.
+PATIENCE_S = 4.0
+
+
+class Callers:
+    """Sends requests to all gateways and keeps what came back."""
+
+    def __init__(self, *, running: deployment.Deployment, rng: random.Random):
+        self._running = running
+        self._rng = rng
+        self.asked: list[checks.Asked] = []
+        self.disturbed_s: dict[str, float] = {}
+        self.are_faults_over = False
+
+    async def ask_until(self, ends_s: float) -> None:
+        """Send requests until an instant of the monotonic clock."""
+        tasks = []
+        while time.monotonic() < ends_s:
+            tasks.append(asyncio.create_task(self._ask()))
+            await asyncio.sleep(self._rng.uniform(0, 2 * PAUSE_S))
+        await asyncio.gather(*tasks)
+
+    def disturb(self, name: str) -> None:
+        """Note that a gateway is being disturbed now."""
+        self.disturbed_s[name] = time.monotonic()
+
+    async def _ask(self) -> None:
+        weights = [kind[3] for kind in KINDS]
+        service, kind, deadline_ms, _ = self._rng.choices(KINDS, weights)[0]
+        name = self._rng.choice(sorted(self._running.caller_addresses))
+        is_revoked = self._rng.random() < REVOKED_SHARE
+        api_key = REVOKED_KEY if is_revoked else KEPT_KEY
+        request_id = secrets.token_hex(8)
+        target = f'/{service}/{kind}/{request_id}'
+        is_last = self.are_faults_over and not is_revoked
+        began_s = time.monotonic()
+        sent_ms = time.time_ns() // 1_000_000
+        answer = await self._exchange(
+            name, target, request_id, api_key, deadline_ms
+        )
+        disturbed_s = self.disturbed_s.get(name, 0.0)
+        self.asked.append(
+            checks.Asked(
+                request_id=request_id,
+                target=target,
+                is_repeatable=kind != 'book',
+                api_key=api_key,
+                sent_ms=sent_ms,
+                deadline_ms=deadline_ms,
+                took_ms=int((time.monotonic() - began_s) * 1000),
+                status=None if answer is None else answer.status,
+                is_signed=answer is not None
+                and answer.fields.get(names.SIGNATURE)
+                == wire.signature_of(request_id),
+                body=b'' if answer is None else answer.body,
+                was_disturbed=disturbed_s > began_s
+                or self._running.parts[name].is_frozen,
+                is_after_faults=is_last,
+            )
+        )
+
+    async def _exchange(
+        self, name, target, request_id, api_key, deadline_ms
+    ) -> wire.Answer | None:
+        fields = [
+            (names.REQUEST_ID, request_id),
+            (names.API_KEY, api_key),
+            (names.DEADLINE_MS, str(deadline_ms)),
+        ]
+        if target.startswith(f'/{wire.STREAMS}/'):
+            fields.append((names.TOKEN_COUNTS, '1000,400'))
+        try:
+            return await asyncio.wait_for(
+                wire.exchange(
+                    address=self._running.caller_addresses[name],
+                    method='POST',
+                    target=target,
+                    fields=tuple(fields),
+                    body=request_id.encode(),
+                ),
+                deadline_ms / 1000 + PATIENCE_S,
+            )
+        except (OSError, asyncio.TimeoutError, wire.BrokenAnswer):
+            return None
--- /dev/null
+++ b/testing/soak/relay.py
@@ -0,0 +1,91 @@
+"""Loopback relays that delay, cut, silence or reset what they carry."""
+
+import asyncio
+import enum
+import socket
+import struct
+
+MAX_BYTES = 65_536
+DELAY_S = 0.4
+RESET = struct.pack('ii', 1, 0)
+
+
+class Mode(enum.Enum):
+    """What a relay does with its connections."""
+
+    PASS = 'pass'
+    DELAY = 'delay'
+    # Bytes of the server never arrive; those of the caller do.
+    ONE_WAY = 'one_way'
+    # Nothing passes on any connection, and none is closed.
+    SILENT = 'silent'
+
+
+class Relay:
+    """Carries connections from one address to another."""
+
+    def __init__(self, *, listen: str, target: str):
+        self._listen = listen
+        self._target = target
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._may_pass = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self.set_mode(Mode.PASS)
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        host, _, port = self._listen.rpartition(':')
+        self._server = await asyncio.start_server(self._carry, host, int(port))
+
+    def close(self) -> None:
+        """Stop to listen and end all connections."""
+        if self._server is not None:
+            self._server.close()
+        self.reset_all()
+
+    def set_mode(self, mode: Mode) -> None:
+        """Change what happens to all connections, open ones too."""
+        self.mode = mode
+        if mode is Mode.SILENT:
+            self._may_pass.clear()
+        else:
+            self._may_pass.set()
+
+    def reset_all(self) -> None:
+        """Reset the open connections."""
+        for writer in list(self._writers):
+            raw = writer.get_extra_info('socket')
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            writer.transport.abort()
+
+    async def _carry(self, reader, writer) -> None:
+        host, _, port = self._target.rpartition(':')
+        try:
+            onward = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, onward[1]}
+        try:
+            await asyncio.gather(
+                self._pump(reader, onward[1], is_answer=False),
+                self._pump(onward[0], writer, is_answer=True),
+            )
+        finally:
+            self._writers -= {writer, onward[1]}
+            writer.close()
+            onward[1].close()
+
+    async def _pump(self, reader, writer, *, is_answer: bool) -> None:
+        try:
+            while data := await reader.read(MAX_BYTES):
+                if self.mode is Mode.DELAY:
+                    await asyncio.sleep(DELAY_S)
+                if self.mode is Mode.ONE_WAY and is_answer:
+                    continue
+                await self._may_pass.wait()
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+        except OSError:
+            writer.transport.abort()
--- /dev/null
+++ b/testing/test_soak.py
@@ -0,0 +1,146 @@
+"""Tests of the soak's own judgement and plans, and a short soak."""
+
+import unittest
+
+import attrs
+
+from testing.soak import checks
+from testing.soak import faults
+from testing.soak import run
+from testing.soak import wire
+
+BOOKING = '/desk/book/1'
+STREAM = '/llm/stream/1'
+SENT_MS = 100_000
+TARGETS = {
+    'control': ['control-1', 'control-2', 'control-3'],
+    'gateway': ['gateway-1', 'gateway-2'],
+    'backend': ['backend-1', 'backend-2'],
+}
+# A seed whose plan kills, freezes, wipes and cuts within five seconds.
+SHORT_SEED = 1
+SHORT_S = 5.0
+
+
+def asked(**fields):
+    target = fields.get('target', BOOKING)
+    body = wire.body_of(target)
+    if target == STREAM:
+        body = wire.whole_stream(target)
+    return checks.Asked(
+        **{
+            'request_id': 'r1',
+            'target': target,
+            'is_repeatable': target != BOOKING,
+            'api_key': 'k',
+            'sent_ms': SENT_MS,
+            'deadline_ms': 1500,
+            'took_ms': 100,
+            'status': 200,
+            'is_signed': True,
+            'body': body,
+            **fields,
+        }
+    )
+
+
+def ran(**fields):
+    return checks.Run(
+        **{
+            'request_id': 'r1',
+            'target': BOOKING,
+            'workspace': 'w1',
+            'at_ms': SENT_MS,
+            **fields,
+        }
+    )
+
+
+class ChecksTest(unittest.TestCase):
+    """What the soak lets pass, and what not."""
+
+    def found(self, one, *runs, revoked=None):
+        return checks.check(asked=[one], runs=[*runs], revoked=revoked or {})
+
+    def test_what_is_allowed(self):
+        cut = asked(target=STREAM, status=None, body=b'')
+        rows = (
+            ('answered', asked(), (ran(),)),
+            ('whole stream', asked(target=STREAM), (ran(target=STREAM),)),
+            ('cut stream', cut, (ran(target=STREAM),) * 2),
+            ('refused, not run', asked(status=503, is_signed=False), ()),
+            ('outcome unknown', asked(status=502), (ran(),)),
+            ('held up', asked(took_ms=9000, was_disturbed=True), (ran(),)),
+        )
+        for name, one, runs in rows:
+            with self.subTest(name):
+                self.assertEqual([], self.found(one, *runs))
+
+    def test_what_is_not_allowed(self):
+        half = wire.event_of(STREAM, 1)
+        rows = (
+            ('no signature', asked(is_signed=False), (ran(),)),
+            ('cut, looks whole', asked(target=STREAM, body=half), ()),
+            ('ran twice', asked(), (ran(), ran())),
+            ('refused, but ran', asked(status=503), (ran(),)),
+            ('held too long', asked(took_ms=2600, status=504), ()),
+            ('nobody asked', asked(), (ran(request_id='r2'),)),
+            ('another target', asked(), (ran(target='/desk/book/2'),)),
+        )
+        for name, one, runs in rows:
+            with self.subTest(name):
+                self.assertEqual(1, len(self.found(one, *runs)))
+
+    def test_key_that_was_taken_away_binds_after_five_seconds(self):
+        for taken_ms, count in ((SENT_MS - 4000, 0), (SENT_MS - 6000, 1)):
+            with self.subTest(taken_ms=taken_ms):
+                found = self.found(asked(), ran(), revoked={'k': taken_ms})
+                self.assertEqual(count, len(found))
+
+    def test_callers_are_served_once_the_faults_are_over(self):
+        last = asked(is_after_faults=True)
+        lost = attrs.evolve(last, request_id='r2', status=None)
+        runs = [ran()]
+        for count, expected in ((0, []), (1, 1)):
+            found = checks.check(
+                asked=[last] + [lost] * count, runs=runs, revoked={}
+            )
+            self.assertEqual(bool(expected), bool(found))
+
+
+class PlanTest(unittest.TestCase):
+    """Plans that a deployment must bear."""
+
+    def test_plan_follows_from_its_seed(self):
+        plans = [
+            faults.draw_plan(seed=seed, targets=TARGETS, duration_s=30.0)
+            for seed in (3, 3, 4)
+        ]
+        self.assertEqual(plans[0], plans[1])
+        self.assertNotEqual(plans[0], plans[2])
+
+    def test_one_control_host_is_faulty_at_a_time(self):
+        for seed in range(50):
+            plan = faults.draw_plan(
+                seed=seed, targets=TARGETS, duration_s=30.0
+            )
+            control = [
+                fault for fault in plan if fault.target in TARGETS['control']
+            ]
+            for one, other in zip(control, control[1:], strict=False):
+                self.assertGreaterEqual(
+                    other.at_s, one.ends_s + faults.CATCH_UP_S
+                )
+
+
+class ShortSoakTest(unittest.TestCase):
+    """The real programs under a few faults."""
+
+    def test_promises_hold_under_a_short_plan(self):
+        result = run.run_seed(SHORT_SEED, duration_s=SHORT_S)
+        self.assertEqual((), result.found, result)
+        self.assertGreater(result.served, 0)
+
+
+if __name__ == '__main__':
+    unittest.main()
