Don't take a full backend server for a failed one; choose last slots at random

The order of servers that all gateways share by now would have made them fill the same last slots, too.

Change: a server that sent this gateway anything within a second is at work; a stall there moves the request, but is no failure. Among last slots the order of servers does not count, and a random price does.

--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -253,6 +253,7 @@
 
     def on_event(self, event: event_stream.StreamEvent) -> None:
         """Pass an event on."""
+        self._parts.servers.heard(self._attempt.server_id)
         if _is_repeated(event.event_id, self._last_event_id):
             return
         self._note_event_time()
@@ -336,6 +337,8 @@
             # The server itself is sound and may be asked again.
             self._tried_ids.discard(server_id)
             self._parts.servers.failed_at(fault)
+        elif outcome.cause is Cause.STALLED:
+            self._parts.servers.stalled(server_id)
         elif outcome.cause is not Cause.SERVER_ERROR:
             self._parts.servers.failed(server_id)
 
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -21,6 +21,11 @@
 FAILURES_TO_AVOID = 1
 AVOID_MS = 400
 MAX_AVOID_MS = 4000
+# A server that sent something to this gateway within this time is at work, and
+# a request that stands still there waits for its turn: with all slots taken
+# that is no failure, and avoiding the server would crowd the others. A pass
+# with a long read takes up to about this long.
+AT_WORK_MS = 1000
 # What a server runs at once if it doesn't say.
 DEFAULT_SLOTS = 1
 
@@ -32,6 +37,7 @@
     server: BackendServer
     cold_until_ms: int
     breaker: breaker.Breaker
+    heard_ms: int | None = None
 
 
 class Servers:
@@ -108,6 +114,20 @@
             gateway_count=max(1, len(self._holder.peers)),
         )
 
+    def heard(self, server_id: str) -> None:
+        """Note that a server sent something."""
+        if server_id in self._known:
+            self._known[server_id].heard_ms = self._clock.now_ms()
+
+    def stalled(self, server_id: str) -> None:
+        """Note a request that stands still: a failure of a silent server."""
+        known = self._known.get(server_id)
+        if known is None:
+            return
+        oldest_ms = self._clock.now_ms() - AT_WORK_MS
+        if known.heard_ms is None or known.heard_ms < oldest_ms:
+            self.failed(server_id)
+
     def answered(self, server_id: str) -> None:
         """Note an answer that speaks for a server."""
         if server_id in self._known:
@@ -162,6 +182,7 @@
                 server=server,
                 cold_until_ms=now_ms + server.cold_ms,
                 breaker=self._new_breaker() if is_new else known.breaker,
+                heard_ms=None if is_new else known.heard_ms,
             )
         self._cold.forget(known_ids=set(members))
 
--- a/src/shallothinge/gateway/tests/test_forwarding.py
+++ b/src/shallothinge/gateway/tests/test_forwarding.py
@@ -247,6 +247,33 @@
         self.assertIn('retry-after', exchange.headers)
         self.assertEqual([], self.calls)
 
+    def test_server_at_work_is_not_avoided_for_a_request_that_waits_there(
+        self,
+    ):
+        # The load: every slot is taken, so that requests wait at servers
+        # for longer than expected.
+        self.rig.request(STREAM, tokens=5000)
+        self.rig.advance(1600)
+        busy = self.calls[0]
+        avoided = [
+            one.server_id
+            for one in self.rig.parts.servers.candidates(
+                service='llm', tried_ids=frozenset()
+            )
+        ]
+        self.assertEqual(2, len(avoided))
+        self.rig = rig.Rig()
+        self.rig.request(STREAM, tokens=5000)
+        busy = self.calls[0]
+        self.rig.advance(900)
+        self.rig.parts.servers.heard(busy.head.get('expected-instance'))
+        self.rig.advance(700)
+        self.assertTrue(busy.is_cancelled)
+        listed = self.rig.parts.servers.candidates(
+            service='llm', tried_ids=frozenset()
+        )
+        self.assertEqual(3, len(listed))
+
     def test_request_is_refused_at_once_where_no_server_will_come(self):
         self.rig = rig.Rig(server_count=0)
         exchange = self.rig.request(STREAM, tokens=5000)
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -28,8 +28,9 @@
 # less than a late answer, more than bytes between zones.
 RANK_PRICE = 0.6
 # Another gateway may take a slot at the same moment, and a request that finds
-# none waits for a stream to end: the price of the last free slot, and what is
-# left of it with each further free one.
+# none waits for a stream to end: the least price of the last free slot, and
+# what is left of it with each further free one. Where servers have only their
+# last slots left, gateways choose at random, so that they choose differently.
 LAST_SLOT_PRICE = 0.3
 NEXT_SLOT_FACTOR = 0.4
 # Bytes between zones cost a little, less than any loss of service.
@@ -221,10 +222,13 @@
             price += OPENING_PRICE * (not load.active)
         else:
             price += HELPER_PRICE + pricing.price_for_reads(load, part_ms)
-        if part_ms * count < SPLIT_READ_MS:
-            price += RANK_PRICE * one.rank
         spare_slots = one.slots - load.active - 1
-        price += LAST_SLOT_PRICE * NEXT_SLOT_FACTOR**spare_slots
+        if not spare_slots:
+            price += LAST_SLOT_PRICE * (1 + self._rng.random())
+        else:
+            price += LAST_SLOT_PRICE * NEXT_SLOT_FACTOR**spare_slots
+            if part_ms * count < SPLIT_READ_MS:
+                price += RANK_PRICE * one.rank
         price += OTHER_ZONE_PRICE * (one.zone != demand.zone)
         price += COLD_PRICE * one.is_cold
         ahead_ms = load.backlog_ms if is_alone else load.helping_ms
--- a/src/shallothinge/placement/tests/test_choice.py
+++ b/src/shallothinge/placement/tests/test_choice.py
@@ -133,6 +133,23 @@
         )
         self.assertEqual('writing', placed.server_id)
 
+    def test_gateways_choose_differently_among_last_slots(self):
+        # The load: all servers are nearly full, and each gateway has
+        # a request that waits.
+        servers = [
+            candidate(
+                f's{index}', rank=index / 8, load=fleet.ServerLoad(active=7)
+            )
+            for index in range(8)
+        ]
+        chosen = {
+            choice.Chooser(rng=random.Random(seed))
+            .choose(demand=demand(), candidates=tuple(servers))
+            .server_id
+            for seed in range(8)
+        }
+        self.assertGreaterEqual(len(chosen), 4)
+
     def test_server_that_helps_as_many_as_it_has_slots_is_no_helper(self):
         helping = fleet.ServerLoad(helping=8)
         placed = self.choose(
