--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -13,6 +13,7 @@
 import concurrent.futures
 import functools
 import json
+import os
 import pathlib
 import random
 import shutil
@@ -40,6 +41,7 @@
 PLANNED_STOP_S = 9.0
 RESET_AGAIN_S = 0.3
 NETS = 200
+FIRST_NET = 20
 KEPT_SEEDS = pathlib.Path(__file__).with_name('kept_seeds.toml')
 
 
@@ -59,7 +61,9 @@
     """One deployment under one plan of faults."""
 
     def __init__(self, *, seed: int, folder: pathlib.Path, duration_s: float):
-        net = f'127.{20 + seed // NETS % 200}.{1 + seed % NETS}'
+        # Of this process, so that soaks run beside each other.
+        second, third = divmod(os.getpid() % NETS**2, NETS)
+        net = f'127.{FIRST_NET + second}.{1 + third}'
         self._seed = seed
         self._duration_s = duration_s
         self._running = deployment.Deployment(folder=folder, net=net)
