Build by the content of the sources, not by the times of files

Cause: in a clone into which another folder's target/ had been copied nothing was built, as the stamp was newer than all sources.

Change: the stamp holds a hash of all sources' content. Shown by hand: a clone with a copied target/ now builds, and src/ and target/deps agree.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -3,11 +3,14 @@
 # and the keys with which they prove themselves to each other.
 set -eu
 stamp=target/.built
-newest=$(find src deploy pyproject.toml constraints.txt -type f \
-    ! -name '*.pyc' -newer "$stamp" 2>/dev/null | head -n 1 || true)
-if [ -f "$stamp" ] && [ -z "$newest" ]; then
+# By content: times of files tell nothing in a copied or cloned folder.
+sources=$(find src deploy pyproject.toml constraints.txt -type f \
+    ! -name '*.pyc' ! -path 'deploy/days/*' -exec sha256sum {} + \
+    | sort | sha256sum)
+if [ -f "$stamp" ] && [ "$sources" = "$(cat "$stamp")" ]; then
     exit 0
 fi
+rm -f "$stamp"
 mkdir -p target/deps
 if [ ! -f target/.libraries ] || [ deploy/requirements.txt -nt target/.libraries ]; then
     python3 -m pip install --quiet --upgrade --target target/deps \
@@ -23,4 +26,4 @@
     PYTHONPATH=target/deps python3 deploy/make_keys.py target/keys.new
     mv target/keys.new target/keys
 fi
-touch "$stamp"
+printf '%s\n' "$sources" > "$stamp"
