Let the soak speak the platform's words through the adapter's folder

Cause: testing/soak wrote headers' and fields' names of the platform itself (backend.py: cold-remaining-ms; operator.py: eight more), and the check that keeps them in platform/ looked at src/shallothinge only, so it could not see that. Ruled out: names in platform/names.py, as the product has no use for a configuration that it writes.

Change: platform/tests/samples.py builds routes, configurations and heartbeats for tests and the soak; the heartbeat of test_control_api moved there unchanged. The check covers testing/ and experiments/ as well: it failed on the soak before (both files named) and passes now. The product is unchanged.

--- a/src/shallothinge/platform/tests/samples.py
+++ b/src/shallothinge/platform/tests/samples.py
@@ -1,7 +1,16 @@
-"""A configuration as the platform's operator sends it."""
+"""What the platform's operator and backend servers send."""
 
 import copy
 
+ENGINE = {
+    'slots': 8,
+    'kv-cache-tokens': 405000,
+    'stride': 34,
+    'step_ms': 1.31,
+    'read_per_s': 154000.0,
+    'pairs_per_m': 0.162,
+    'chunk': 2048,
+}
 CONFIGURATION = {
     'version': 7,
     'routes': [
@@ -38,15 +47,7 @@
             'health-check-path': '/health',
             'connection-limit': 354,
             'cold-per-s': 38.0,
-            'engine': {
-                'slots': 8,
-                'kv-cache-tokens': 405000,
-                'stride': 34,
-                'step_ms': 1.31,
-                'read_per_s': 154000.0,
-                'pairs_per_m': 0.162,
-                'chunk': 2048,
-            },
+            'engine': ENGINE,
         },
         {'name': 'desk', 'cold-per-s': 0.0},
     ],
@@ -61,3 +62,47 @@
 def configuration(**changes):
     """Return a copy of the sample with changed top-level fields."""
     return {**copy.deepcopy(CONFIGURATION), **changes}
+
+
+HEARTBEAT = {
+    'service': 'llm',
+    'address': '10.0.0.9:8080',
+    'zone': 'z1',
+    'version': 'v1',
+    'slots': 8,
+    'state': 'ready',
+    'cold-remaining-ms': 120,
+    'sequence': 4,
+    'born': 1700,
+}
+
+
+def with_keys(api_keys, **fields):
+    """Return a configuration with one workspace that has these keys."""
+    return {**fields, 'tenants': [{'name': 'w1', 'api-keys': api_keys}]}
+
+
+def route(
+    *, name, host, prefix, kind, service, timeout_ms, objective_ms, attempts
+):
+    """Return a route of a configuration."""
+    return {
+        'name': name,
+        'host': host,
+        'path-prefix': prefix,
+        'kind': kind,
+        'service': service,
+        'timeout-ms': timeout_ms,
+        'target-latency-ms': objective_ms,
+        'attempts': attempts,
+    }
+
+
+def resumable(fields, *, pause_ms):
+    """Return a route whose streams may be resumed."""
+    return {**fields, 'resume-streams': True, 'target-gap-ms': pause_ms}
+
+
+def heartbeat(*, cold_ms, **changes):
+    """Return a heartbeat of a server that is cold for some milliseconds."""
+    return {**HEARTBEAT, 'cold-remaining-ms': cold_ms, **changes}
--- a/src/shallothinge/platform/tests/test_control_api.py
+++ b/src/shallothinge/platform/tests/test_control_api.py
@@ -17,18 +17,6 @@
 from shallothinge.platform.tests import samples
 from shallothinge.routes import messages as route_messages
 
-BEAT = {
-    'service': 'llm',
-    'address': '10.0.0.9:8080',
-    'zone': 'z1',
-    'version': 'v1',
-    'slots': 8,
-    'state': 'ready',
-    'cold-remaining-ms': 120,
-    'sequence': 4,
-    'born': 1700,
-}
-
 
 class ControlApiTest(unittest.TestCase):
     """What the platform asks, and what it is answered."""
@@ -103,7 +91,9 @@
                 request_id='r', leader_id='10.0.0.1:7340'
             )
         )
-        exchange = self.ask('PUT', '/instances/i-1', json.dumps(BEAT).encode())
+        exchange = self.ask(
+            'PUT', '/instances/i-1', json.dumps(samples.HEARTBEAT).encode()
+        )
         self.assertEqual(
             {'heartbeat-address': '10.0.0.1:8229'},
             json.loads(exchange.received),
@@ -118,11 +108,11 @@
         cases = (
             b'\xff\xfe',
             b'[]',
-            json.dumps({**BEAT, 'state': 'other'}).encode(),
-            json.dumps({**BEAT, 'slots': '8'}).encode(),
-            json.dumps({**BEAT, 'sequence': None}).encode(),
-            json.dumps({**BEAT, 'address': 7}).encode(),
-            json.dumps({**BEAT, 'born': 'then'}).encode(),
+            json.dumps({**samples.HEARTBEAT, 'state': 'other'}).encode(),
+            json.dumps({**samples.HEARTBEAT, 'slots': '8'}).encode(),
+            json.dumps({**samples.HEARTBEAT, 'sequence': None}).encode(),
+            json.dumps({**samples.HEARTBEAT, 'address': 7}).encode(),
+            json.dumps({**samples.HEARTBEAT, 'born': 'then'}).encode(),
             json.dumps({'state': 'ready'}).encode(),
         )
         for body in cases:
--- a/src/shallothinge/platform/tests/test_wire_names.py
+++ b/src/shallothinge/platform/tests/test_wire_names.py
@@ -6,6 +6,9 @@
 
 ADAPTER = pathlib.Path(__file__).resolve().parent.parent
 SOURCE = ADAPTER.parent
+REPOSITORY = SOURCE.parent.parent
+# What runs beside the product speaks through the adapter, too.
+FOLDERS = (SOURCE, REPOSITORY / 'testing', REPOSITORY / 'experiments')
 # Names of headers, fields and calls on the platform's wire that no other
 # module has a reason to write.
 WIRE_NAMES = re.compile(
@@ -19,7 +22,7 @@
     re.IGNORECASE,
 )
 # Tests of the request path play the platform's callers and servers.
-PLAYS_THE_PLATFORM = ('gateway/tests/',)
+PLAYS_THE_PLATFORM = ('src/shallothinge/gateway/tests/',)
 
 
 class WireNamesTest(unittest.TestCase):
@@ -27,8 +30,9 @@
 
     def test_only_the_adapter_knows_the_names_of_the_wire(self):
         found = []
-        for path in sorted(SOURCE.rglob('*.py')):
-            name = str(path.relative_to(SOURCE))
+        paths = [path for one in FOLDERS for path in one.rglob('*.py')]
+        for path in sorted(paths):
+            name = str(path.relative_to(REPOSITORY))
             if ADAPTER in path.parents or name.startswith(PLAYS_THE_PLATFORM):
                 continue
             text = path.read_text(encoding='utf-8')
--- a/testing/soak/backend.py
+++ b/testing/soak/backend.py
@@ -13,6 +13,7 @@
 import h11
 
 from shallothinge.platform import names
+from shallothinge.platform.tests import samples
 from testing.soak import wire
 
 HEARTBEAT_S = 1.0
@@ -46,17 +47,15 @@
     async def _announce(self) -> None:
         self._sequence += 1
         body = json.dumps(
-            {
-                'service': self._arguments.service,
-                'address': self._arguments.address,
-                'zone': 'zone-1',
-                'version': 'v1',
-                'slots': SLOTS,
-                'state': names.READY,
-                'cold-remaining-ms': 0,
-                'sequence': self._sequence,
-                'born': self._born_ms,
-            }
+            samples.heartbeat(
+                cold_ms=0,
+                service=self._arguments.service,
+                address=self._arguments.address,
+                zone='zone-1',
+                slots=SLOTS,
+                sequence=self._sequence,
+                born=self._born_ms,
+            )
         ).encode()
         for control in self._arguments.control:
             try:
--- a/testing/soak/operator.py
+++ b/testing/soak/operator.py
@@ -6,6 +6,7 @@
 import time
 
 from shallothinge.platform import names
+from shallothinge.platform.tests import samples
 from testing.soak import callers
 from testing.soak import wire
 
@@ -95,39 +96,30 @@
 
 
 def _configuration(version: int, api_keys: list[str]) -> dict:
-    def route(service, kind, repeats, **fields):
-        return {
-            'name': f'{service}-{kind}',
-            'host': wire.HOST,
-            'path-prefix': f'/{service}/{kind}/',
-            'kind': repeats,
-            'service': service,
-            'timeout-ms': 6000,
-            'target-latency-ms': 300,
-            'attempts': 3,
-            **fields,
-        }
-
-    stream = {'resume-streams': True, 'target-gap-ms': 250}
-    engine = {
-        'slots': 8,
-        'kv-cache-tokens': 400_000,
-        'stride': 34,
-        'step_ms': 1.0,
-        'read_per_s': 154_000.0,
-        'pairs_per_m': 0.16,
-        'chunk': 2048,
-    }
-    return {
-        'version': version,
-        'routes': [
-            route(wire.STREAMS, 'stream', 'streaming', **stream),
-            route(wire.CALLS, 'book', 'unsafe'),
-            route(wire.CALLS, 'look', 'safe'),
+    stream = _route(wire.STREAMS, 'stream', 'streaming')
+    return samples.with_keys(
+        api_keys,
+        version=version,
+        routes=[
+            samples.resumable(stream, pause_ms=250),
+            _route(wire.CALLS, 'book', 'unsafe'),
+            _route(wire.CALLS, 'look', 'safe'),
         ],
-        'services': [
-            {'name': wire.STREAMS, 'engine': engine},
+        services=[
+            {'name': wire.STREAMS, 'engine': samples.ENGINE},
             {'name': wire.CALLS},
         ],
-        'tenants': [{'name': 'w1', 'api-keys': api_keys}],
-    }
+    )
+
+
+def _route(service: str, path: str, kind: str) -> dict:
+    return samples.route(
+        name=f'{service}-{path}',
+        host=wire.HOST,
+        prefix=f'/{service}/{path}/',
+        kind=kind,
+        service=service,
+        timeout_ms=6000,
+        objective_ms=300,
+        attempts=3,
+    )
