Write a deployment's keys in one place

Ruled out: the 'keys' command, which makes one pair and edits an existing file.

Behaviour is the same.

No test was changed.

--- a/src/shallothinge/transport/keys.py
+++ b/src/shallothinge/transport/keys.py
@@ -88,6 +88,21 @@
     write_file(path=path, text=text, mode=PUBLIC_FILE_MODE)
 
 
+def write_deployment(
+    *, folder: pathlib.Path, roles: tuple[str, ...]
+) -> tuple[pathlib.Path, ...]:
+    """Make a key pair for each role, and the file that trusts them all.
+
+    :returns: the files of the key pairs.
+    """
+    pairs = tuple(generate_key_pair(role=role) for role in roles)
+    paths = tuple(folder / f'{pair.role}.key' for pair in pairs)
+    for path, pair in zip(paths, pairs, strict=True):
+        write_key_pair(path=path, pair=pair)
+    write_trust(path=folder / 'trust.toml', pairs=pairs)
+    return paths
+
+
 def _read_toml(path: pathlib.Path) -> dict:
     try:
         return tomllib.loads(path.read_text(encoding='utf-8'))
--- a/testing/deployment.py
+++ b/testing/deployment.py
@@ -166,10 +166,7 @@
         self.write_bundle(version=1, replaces_version=0)
 
     def _write_keys(self) -> None:
-        pairs = tuple(keys.generate_key_pair(role=role) for role in ROLES)
-        for pair in pairs:
-            keys.write_key_pair(path=self._key_path(pair.role), pair=pair)
-        keys.write_trust(path=self.folder / 'trust.toml', pairs=pairs)
+        keys.write_deployment(folder=self.folder, roles=ROLES)
         for name in OPERATORS:
             key = credentials.generate_signing_key()
             self._signing_keys[name] = key
--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -63,11 +63,7 @@
         """Write keys and settings."""
         (self.folder / 'logs').mkdir(parents=True)
         (self.folder / 'data').mkdir()
-        pairs = tuple(keys.generate_key_pair(role=role) for role in ROLES)
-        for pair in pairs:
-            path = self.folder / f'{pair.role}.key'
-            keys.write_key_pair(path=path, pair=pair)
-        keys.write_trust(path=self.folder / 'trust.toml', pairs=pairs)
+        keys.write_deployment(folder=self.folder, roles=ROLES)
         for index in range(CONTROL_COUNT):
             self._add_control(f'control-{index + 1}', may_found=True)
         for index in range(GATEWAY_COUNT):
