Read the calendar clock of the project in the soak

Cause: three modules of the soak divided time.time_ns() themselves, though clock.WallClock does just that. Ruled out: the monotonic clock, since backend servers and callers are different processes that compare instants.

Change: clock.WallClock in the three. Behaviour is the same.

--- a/testing/soak/backend.py
+++ b/testing/soak/backend.py
@@ -8,10 +8,10 @@
 import asyncio
 import json
 import pathlib
-import time
 
 import h11
 
+from shallothinge import clock
 from shallothinge.platform import names
 from shallothinge.platform.tests import samples
 from testing.soak import wire
@@ -30,7 +30,7 @@
 
     def __init__(self, *, arguments: argparse.Namespace):
         self._arguments = arguments
-        self._born_ms = time.time_ns() // 1_000_000
+        self._born_ms = clock.WallClock().now_ms()
         self._server_id = f'{arguments.name}-{self._born_ms}'
         self._running = 0
         self._sequence = 0
@@ -132,7 +132,7 @@
             'request_id': request.fields.get(names.REQUEST_ID, ''),
             'target': request.target,
             'workspace': request.fields.get(names.WORKSPACE, ''),
-            'at_ms': time.time_ns() // 1_000_000,
+            'at_ms': clock.WallClock().now_ms(),
         }
         self._record.write(json.dumps(line) + '\n')
         self._record.flush()
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -5,6 +5,7 @@
 import secrets
 import time
 
+from shallothinge import clock
 from shallothinge.platform import names
 from testing.soak import checks
 from testing.soak import deployment
@@ -55,7 +56,7 @@
         target = f'/{service}/{kind}/{request_id}'
         is_last = self.are_faults_over and not is_revoked
         began_s = time.monotonic()
-        sent_ms = time.time_ns() // 1_000_000
+        sent_ms = clock.WallClock().now_ms()
         answer = await self._exchange(
             name, target, request_id, api_key, deadline_ms
         )
--- a/testing/soak/operator.py
+++ b/testing/soak/operator.py
@@ -5,6 +5,7 @@
 import json
 import time
 
+from shallothinge import clock
 from shallothinge.platform import names
 from shallothinge.platform.tests import samples
 from testing.soak import callers
@@ -47,7 +48,7 @@
             await asyncio.sleep(AGAIN_S)
         self.acknowledged = version
         if callers.REVOKED_KEY not in api_keys:
-            now_ms = time.time_ns() // 1_000_000
+            now_ms = clock.WallClock().now_ms()
             self.revoked.setdefault(callers.REVOKED_KEY, now_ms)
 
     async def change_until(self, ends_s: float) -> None:
