Use one class of callers' limits and one constant each; drop what nobody reads

Cause: found by reading the whole change once more. routes.CallerLimits and http1.server.Limits were the same four fields with the same values, and each gateway copied one into the other four times a second. MS_PER_SECOND stood in ten new modules beside clock's, which all others use since; LOOK_AGAIN_MS stood twice. The order that holds a ticket was built twice in gateway/reservation.py. Service .health_path, Service.max_connections and BackendServer.software_version were decoded and read nowhere. Ruled out: one place for final errors in gateway/forwarding.py and gateway/policy.py; the kinds that they give differ, and callers see the kind.

Change: http1.messages.Limits for both, set by reference; clock's constant; policy.LOOK_AGAIN_MS; Reservation._hold; the three fields are gone. Answers, bounds and waits are the same. Tests keep their assertions; one names the moved class.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from shallothinge import clock as clocks
 from shallothinge.gateway import model
 from shallothinge.gateway import parts as shared
 from shallothinge.gateway import reservation
@@ -151,7 +152,7 @@
         self._stop_timer()
         if not self._is_over:
             self._timer = self._parts.reactor.callLater(
-                duration_ms / client.MS_PER_SECOND, self._on_stalled
+                duration_ms / clocks.MS_PER_SECOND, self._on_stalled
             )
 
     def cancel(self) -> None:
--- a/src/shallothinge/gateway/coldshare.py
+++ b/src/shallothinge/gateway/coldshare.py
@@ -2,7 +2,6 @@
 
 from shallothinge import clock as clocks
 
-MS_PER_SECOND = 1000
 # A gateway may send one request at once; the rest of the rate is divided.
 BURST_REQUESTS = 1.0
 LEAST_SHARE = 0.2
@@ -37,7 +36,7 @@
         total = max(
             LEAST_SHARE * rate_per_s, bearable - gateway_count * BURST_REQUESTS
         )
-        per_ms = total / gateway_count / MS_PER_SECOND
+        per_ms = total / gateway_count / clocks.MS_PER_SECOND
         saved = min(BURST_REQUESTS, saved + (now_ms - at_ms) * per_ms)
         if saved < 1.0:
             self._spent[server_id] = (saved, now_ms)
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from shallothinge import clock as clocks
 from shallothinge import errors
 from shallothinge.errors import ErrorKind
 from shallothinge.gateway import attempt as attempts
@@ -20,10 +21,6 @@
 
 LOG = logging.getLogger(__name__)
 
-MS_PER_SECOND = 1000
-# How often a queued request looks for room again. Servers' slots free up at
-# the pace of streams, some tens a second over a fleet.
-LOOK_AGAIN_MS = 20
 # A first event is overdue after this multiple of the time expected and this
 # share of its objective; by then another server is the better bet.
 OVERDUE_FACTOR = 3.0
@@ -81,7 +78,8 @@
         self._exchange.on_gone = self._on_gone
         self._parts.budget.fresh()
         self._deadline = self._parts.reactor.callLater(
-            max(0, self._remaining_ms()) / MS_PER_SECOND, self._on_deadline
+            max(0, self._remaining_ms()) / clocks.MS_PER_SECOND,
+            self._on_deadline,
         )
         self._place()
 
@@ -159,9 +157,9 @@
             )
 
     def _wait(self) -> None:
-        self._queued_ms += LOOK_AGAIN_MS
+        self._queued_ms += policy.LOOK_AGAIN_MS
         self._look_again = self._parts.reactor.callLater(
-            LOOK_AGAIN_MS / MS_PER_SECOND, self._place
+            policy.LOOK_AGAIN_MS / clocks.MS_PER_SECOND, self._place
         )
 
     def _send(self, placed: choice.Placement) -> None:
--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from shallothinge import clock as clocks
 from shallothinge import errors
 from shallothinge.errors import ErrorKind
 from shallothinge.gateway import forwarding
@@ -14,9 +15,7 @@
 
 LOG = logging.getLogger(__name__)
 
-MS_PER_SECOND = 1000
 MAX_URGENCY = 9
-LOOK_AGAIN_MS = 20
 # Patience of a caller that names no deadline.
 USUAL_PATIENCE_MS = 2000
 # A caller that comes back reaches another gateway, which mostly can serve.
@@ -90,7 +89,7 @@
             self._decide(exchange, request)
             return
         waiting = self._parts.reactor.callLater(
-            LOOK_AGAIN_MS / MS_PER_SECOND,
+            policy.LOOK_AGAIN_MS / clocks.MS_PER_SECOND,
             self._wait_for_lease,
             exchange,
             request,
--- a/src/shallothinge/gateway/peers.py
+++ b/src/shallothinge/gateway/peers.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from shallothinge import clock as clocks
 from shallothinge import process as processes
 from shallothinge.leases import holder as holders
 from shallothinge.placement import fleet
@@ -11,7 +12,6 @@
 
 LOG = logging.getLogger(__name__)
 
-MS_PER_SECOND = 1000
 # Until it hears of a request, another gateway may choose the same server.
 URGENT_MS = 2
 # That a prompt has been read or a stream has ended is less urgent, and
@@ -61,12 +61,14 @@
         self._follow_peers()
         self._send(complete=True)
         self._process.reactor.callLater(
-            REPEAT_MS / MS_PER_SECOND, self._repeat
+            REPEAT_MS / clocks.MS_PER_SECOND, self._repeat
         )
 
     def _schedule(self, is_urgent: bool) -> None:
         """Report soon, together with what else changes until then."""
-        delay_s = (URGENT_MS if is_urgent else GATHER_MS) / MS_PER_SECOND
+        delay_s = (
+            URGENT_MS if is_urgent else GATHER_MS
+        ) / clocks.MS_PER_SECOND
         if self._scheduled is None or not self._scheduled.active():
             self._scheduled = self._process.reactor.callLater(
                 delay_s, self._report
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -24,6 +24,11 @@
 LEAVE_OBJECTIVES = 4
 LEAVE_PAUSES = 8
 
+# How often a request that waits for a lease, a server or room looks again.
+# Servers' slots free up at the pace of streams, some tens a second over
+# a fleet.
+LOOK_AGAIN_MS = 20
+
 
 class Cause(enum.Enum):
     """How an attempt ended without an answer for the caller."""
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -7,6 +7,7 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from shallothinge import clock as clocks
 from shallothinge import process as processes
 from shallothinge.control import discovery
 from shallothinge.gateway import coldshare
@@ -29,7 +30,6 @@
 
 LOG = logging.getLogger(__name__)
 
-MS_PER_SECOND = 1000
 # Two round trips between zones and a connection's set-up take under 10 ms;
 # the rest is for a process that waits for its turn on the processor.
 CONNECT_TIMEOUT_MS = 150
@@ -136,7 +136,7 @@
         )
         self._control.start()
         self._peers.start()
-        self._ticking.start(TICK_MS / MS_PER_SECOND, now=False)
+        self._ticking.start(TICK_MS / clocks.MS_PER_SECOND, now=False)
         self._reactor.addSystemEventTrigger('before', 'shutdown', self._stop)
         LOG.info(
             'gateway started',
@@ -162,13 +162,7 @@
 
     def _tick(self) -> None:
         self._follow_lease()
-        limits = self._ingress.index.table.limits
-        self._callers.limits = http_server.Limits(
-            header_bytes=limits.header_bytes,
-            body_bytes=limits.body_bytes,
-            header_timeout_ms=limits.header_timeout_ms,
-            idle_timeout_ms=limits.idle_timeout_ms,
-        )
+        self._callers.limits = self._ingress.index.table.limits
         count = max(1, len(self._holder.peers))
         slack = self._settings.retries.slack_requests
         self._parts.budget.limit_burst(max(1, int(SLACK_PART * slack / count)))
@@ -207,7 +201,7 @@
                 drained.callback(None)
                 return
         self._reactor.callLater(
-            TICK_MS / MS_PER_SECOND, self._check_drained, drained
+            TICK_MS / clocks.MS_PER_SECOND, self._check_drained, drained
         )
 
 
--- a/src/shallothinge/gateway/reservation.py
+++ b/src/shallothinge/gateway/reservation.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from shallothinge import clock as clocks
 from shallothinge.gateway import parts as shared
 from shallothinge.http1 import client
 from shallothinge.http1 import messages
@@ -13,7 +14,6 @@
 
 LOG = logging.getLogger(__name__)
 
-MS_PER_SECOND = 1000
 TICKET_BYTES = 6
 # If this process ends, the memory must be free within the four seconds that
 # the users' rules allow; one renewal may be lost.
@@ -105,11 +105,8 @@
         self._on_held, self._on_refused = on_held, on_refused
         self._missing = {ticket.ticket_id for ticket in self.tickets}
         for ticket in self.tickets:
-            self._order(
+            self._hold(
                 ticket,
-                self._parts.dialect.write_reserve(
-                    ticket=ticket, hold_ms=HOLD_MS
-                ),
                 lambda is_done, ticket=ticket: self._answered(ticket, is_done),
             )
 
@@ -145,20 +142,21 @@
 
     def _renew_later(self) -> None:
         self._renewing = self._parts.reactor.callLater(
-            RENEW_MS / MS_PER_SECOND, self._renew
+            RENEW_MS / clocks.MS_PER_SECOND, self._renew
         )
 
     def _renew(self) -> None:
         """Extend the holds; a request whose memory ends is cut anyway."""
         self._renew_later()
         for ticket in self.tickets:
-            self._order(
-                ticket,
-                self._parts.dialect.write_reserve(
-                    ticket=ticket, hold_ms=HOLD_MS
-                ),
-                lambda is_done: None,
-            )
+            self._hold(ticket, lambda is_done: None)
+
+    def _hold(self, ticket: Ticket, done: Callable[[bool], None]) -> None:
+        """Order that a ticket's memory is held from now on."""
+        order = self._parts.dialect.write_reserve(
+            ticket=ticket, hold_ms=HOLD_MS
+        )
+        self._order(ticket, order, done)
 
     def _release(self, ticket: Ticket, attempts_left: int) -> None:
         def released(is_done: bool) -> None:
@@ -166,7 +164,7 @@
                 return
             if attempts_left > 1:
                 self._parts.reactor.callLater(
-                    RELEASE_AGAIN_MS / MS_PER_SECOND,
+                    RELEASE_AGAIN_MS / clocks.MS_PER_SECOND,
                     self._release,
                     ticket,
                     attempts_left - 1,
--- a/src/shallothinge/http1/client.py
+++ b/src/shallothinge/http1/client.py
@@ -16,9 +16,9 @@
 from twisted.internet import error as net_errors
 from twisted.internet import protocol
 
+from shallothinge import clock as clocks
 from shallothinge.http1 import messages
 
-MS_PER_SECOND = 1000
 # Unacknowledged bytes or unanswered probes for this long mean that the host
 # is dead or behind a cut; a closed port answers at once.
 DEAD_PEER_MS = 2000
@@ -228,7 +228,7 @@
             host,
             int(port),
             _Factory(exchange=exchange),
-            timeout=self._connect_timeout_ms / MS_PER_SECOND,
+            timeout=self._connect_timeout_ms / clocks.MS_PER_SECOND,
         )
         return exchange
 
--- a/src/shallothinge/http1/messages.py
+++ b/src/shallothinge/http1/messages.py
@@ -19,6 +19,16 @@
 )
 
 
+@attrs.frozen(kw_only=True)
+class Limits:
+    """What a caller may send, and for how long it may be slow or idle."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
 @attrs.frozen(kw_only=True)
 class RequestHead:
     """Request line and header fields; names are in lower case."""
--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -3,15 +3,14 @@
 from collections.abc import Callable
 import logging
 
-import attrs
 import h11
 from twisted.internet import protocol
 
+from shallothinge import clock as clocks
 from shallothinge.http1 import messages
 
 LOG = logging.getLogger(__name__)
 
-MS_PER_SECOND = 1000
 # A caller that was refused gets this long to stop sending before the
 # connection is cut, so that it can read the answer (RFC 9112, section 9.6).
 LINGER_MS = 1000
@@ -21,16 +20,6 @@
 INTERNAL_STATUS = 500
 
 
-@attrs.frozen(kw_only=True)
-class Limits:
-    """What a caller may send, and for how long it may be slow or idle."""
-
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_timeout_ms: int = 3_000
-    idle_timeout_ms: int = 15_000
-
-
 class Exchange:
     """One request and the answer to it.
 
@@ -306,7 +295,7 @@
     def _set_timer(self, duration_ms: int) -> None:
         self._cancel_timer()
         self._timer = self._site.reactor.callLater(
-            duration_ms / MS_PER_SECOND, self._on_timer
+            duration_ms / clocks.MS_PER_SECOND, self._on_timer
         )
 
     def _cancel_timer(self) -> None:
@@ -339,7 +328,7 @@
         clock,
         handle: Callable[[Exchange], None],
         refusal: Callable[[int], tuple[messages.Headers, bytes]],
-        limits: Limits = Limits(),
+        limits: messages.Limits = messages.Limits(),
     ):
         self.reactor = reactor
         self.clock = clock
--- a/src/shallothinge/http1/tests/test_server.py
+++ b/src/shallothinge/http1/tests/test_server.py
@@ -5,6 +5,7 @@
 from twisted.internet import task
 
 from shallothinge import clock
+from shallothinge.http1 import messages
 from shallothinge.http1 import server
 from shallothinge.http1.tests import fakes
 
@@ -23,7 +24,7 @@
             clock=clock.ManualClock(),
             handle=self.exchanges.append,
             refusal=lambda status: ((), b'refused'),
-            limits=server.Limits(
+            limits=messages.Limits(
                 header_bytes=200,
                 body_bytes=10,
                 header_timeout_ms=3000,
--- a/src/shallothinge/logs.py
+++ b/src/shallothinge/logs.py
@@ -14,7 +14,6 @@
 # A request makes about three, and a gateway serves tens of them a second.
 LINES_PER_S = 500
 BURST_LINES = 2000
-MS_PER_SECOND = 1000
 
 
 class _IdentityFilter(logging.Filter):
@@ -71,7 +70,7 @@
 
     def _take(self) -> bool:
         now_ms = self._clock.now_ms()
-        earned = (now_ms - self._at_ms) * LINES_PER_S / MS_PER_SECOND
+        earned = (now_ms - self._at_ms) * LINES_PER_S / clocks.MS_PER_SECOND
         self._saved = min(float(BURST_LINES), self._saved + earned)
         self._at_ms = now_ms
         if self._saved < 1.0:
--- a/src/shallothinge/membership/model.py
+++ b/src/shallothinge/membership/model.py
@@ -28,7 +28,6 @@
     checks_fencing: bool = False
     leaving: bool = False
     engine_url: str = ''
-    software_version: str = ''
     cold_ms: int = 0
     slots: int = 0
 
--- a/src/shallothinge/platform/control_api.py
+++ b/src/shallothinge/platform/control_api.py
@@ -184,7 +184,6 @@
         host='',
         services=(fields['service'],),
         leaving=state == names.DRAINING,
-        software_version=str(fields.get('version', '')),
         cold_ms=int(fields.get('cold-remaining-ms') or 0),
         slots=fields['slots'],
     )
--- a/src/shallothinge/platform/dialect.py
+++ b/src/shallothinge/platform/dialect.py
@@ -2,6 +2,7 @@
 
 import json
 
+from shallothinge import clock as clocks
 from shallothinge import errors
 from shallothinge.errors import ErrorKind
 from shallothinge.gateway import model
@@ -10,7 +11,6 @@
 from shallothinge.platform import names
 from shallothinge.platform import routes
 
-MS_PER_SECOND = 1000
 # Fields that are read here and written anew, or meant for the gateway alone.
 OWN_FIELDS = frozenset(
     (
@@ -130,7 +130,7 @@
         if request_id:
             fields.append((names.REQUEST_ID, request_id))
         if error.retry_after_ms:
-            after_s = error.retry_after_ms / MS_PER_SECOND
+            after_s = error.retry_after_ms / clocks.MS_PER_SECOND
             fields.append((names.RETRY_AFTER_S, f'{after_s:g}'))
         content = {'error': error.kind.value, 'message': answer.meaning}
         if error.detail:
--- a/src/shallothinge/platform/routes.py
+++ b/src/shallothinge/platform/routes.py
@@ -3,6 +3,7 @@
 import json
 import zlib
 
+from shallothinge.http1 import messages
 from shallothinge.routes import model
 
 # Documents repeat the same few names hundreds of times.
@@ -45,7 +46,7 @@
 
 def _read_table(fields: dict) -> model.RouteTable:
     limits = fields.get('limits') or {}
-    usual = model.CallerLimits()
+    usual = messages.Limits()
     return model.RouteTable(
         version=_whole(fields['version']),
         routes=tuple(_read_route(one) for one in fields['routes']),
@@ -53,7 +54,7 @@
         workspaces=tuple(
             _read_workspace(one) for one in fields.get('tenants') or ()
         ),
-        limits=model.CallerLimits(
+        limits=messages.Limits(
             header_bytes=limits.get('header-bytes', usual.header_bytes),
             body_bytes=limits.get('body-bytes', usual.body_bytes),
             header_timeout_ms=limits.get(
@@ -97,8 +98,6 @@
     engine = fields.get('engine')
     return model.Service(
         name=_text(fields['name']),
-        health_path=fields.get('health-check-path', '/'),
-        max_connections=fields.get('connection-limit', 0),
         cold_requests_per_s=fields.get('cold-per-s', 0.0),
         engine=_read_engine(engine) if engine else None,
     )
--- a/src/shallothinge/routes/model.py
+++ b/src/shallothinge/routes/model.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from shallothinge.http1 import messages
+
 MS_PER_MILLION_PAIRS_UNIT = 1_000_000
 
 
@@ -59,8 +61,6 @@
     """
 
     name: str
-    health_path: str = '/'
-    max_connections: int = 0
     cold_requests_per_s: float = 0.0
     engine: EngineCost | None = None
 
@@ -112,16 +112,6 @@
     priority: int | None = None
 
 
-@attrs.frozen(kw_only=True)
-class CallerLimits:
-    """What a caller may send, and for how long it may be slow or idle."""
-
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_timeout_ms: int = 3_000
-    idle_timeout_ms: int = 15_000
-
-
 @attrs.frozen(kw_only=True)
 class RouteTable:
     """All routes of one version."""
@@ -130,4 +120,4 @@
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     workspaces: tuple[Workspace, ...] = ()
-    limits: CallerLimits = CallerLimits()
+    limits: messages.Limits = messages.Limits()
