Count a missing lease from when it is noticed, not from a freeze

Cause: a gateway that was frozen for longer than two seconds refused whatever waited in its sockets at once when it woke, as the time of the freeze counted as time without a lease; it asks for one and has it within a fraction of a second. Ruled out: a fixed least wait, which would hold up callers of a gateway that is cut off.

Change: the ingress notes when it first sees that there is no lease, at each tick and request, and the wait counts from there; LeaseHolder.lapsed_ms and its state are gone. A request after a freeze now waits up to two seconds, a fifth of its deadline at most (test_request_that_waited_while_the_process_was_frozen_waits_on). The table of waits keeps its five rows and bounds; it lets the time pass instead of setting it.

--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -35,6 +35,7 @@
     def __init__(self, *, parts: shared.Parts):
         self._parts = parts
         self._index = lookup.RouteIndex(table=routes.RouteTable())
+        self._no_lease_since_ms: int | None = None
         self.is_draining = False
         self.is_stopping = False
 
@@ -70,12 +71,26 @@
             return
         wait_ms = policy.return_wait_ms(
             patience_ms=request.deadline_ms or USUAL_PATIENCE_MS,
-            missing_ms=self._parts.holder.lapsed_ms,
+            missing_ms=self.follow_lease(),
         )
         self._wait_for_lease(
             exchange, request, until_ms=exchange.received_ms + wait_ms
         )
 
+    def follow_lease(self) -> int:
+        """Return for how long the lease has been seen to be missing.
+
+        To be called now and then, also without requests. Time for which the
+        process was frozen does not count: it could not ask for a lease.
+        """
+        now_ms = self._parts.clock.now_ms()
+        if self._parts.holder.is_valid():
+            self._no_lease_since_ms = None
+            return 0
+        if self._no_lease_since_ms is None:
+            self._no_lease_since_ms = now_ms
+        return now_ms - self._no_lease_since_ms
+
     def _wait_for_lease(
         self,
         exchange: http_server.Exchange,
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -161,6 +161,7 @@
         exchange.respond(status=status, headers=(), body=body)
 
     def _tick(self) -> None:
+        self._ingress.follow_lease()
         self._follow_lease()
         self._callers.limits = self._ingress.index.table.limits
         count = max(1, len(self._holder.peers))
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -35,7 +35,6 @@
 
     def __init__(self):
         self.is_leased = True
-        self.lapsed_ms = 0
         self.is_settled = True
         self.config = ServingConfig()
         self.members = {}
--- a/src/shallothinge/gateway/tests/test_forwarding.py
+++ b/src/shallothinge/gateway/tests/test_forwarding.py
@@ -196,18 +196,20 @@
         self.assertEqual(200, exchange.status)
 
     def test_request_without_a_lease_is_refused_in_time_to_go_elsewhere(self):
-        self.rig.holder.is_leased = False
         rows = (
-            # deadline_ms, lapsed_ms, refused_after_ms
+            # deadline_ms, missing_ms, refused_after_ms
             (1_500, 0, 300),
             (5_000, 0, 1_000),
             (15_000, 0, 2_000),
             (15_000, 1_500, 500),
             (15_000, 2_000, 0),
         )
-        for deadline_ms, lapsed_ms, refused_after_ms in rows:
-            with self.subTest(deadline_ms=deadline_ms, lapsed_ms=lapsed_ms):
-                self.rig.holder.lapsed_ms = lapsed_ms
+        for deadline_ms, missing_ms, refused_after_ms in rows:
+            with self.subTest(deadline_ms=deadline_ms, missing_ms=missing_ms):
+                self.rig = rig.Rig()
+                self.rig.holder.is_leased = False
+                self.rig.ingress.follow_lease()
+                self.rig.advance(missing_ms)
                 exchange = self.rig.request(BOOKING, deadline_ms=deadline_ms)
                 if refused_after_ms:
                     self.assertIsNone(exchange.status)
@@ -215,6 +217,18 @@
                 self.assertEqual(503, exchange.status)
                 self.assertIn('retry-after', exchange.headers)
 
+    def test_request_that_waited_while_the_process_was_frozen_waits_on(self):
+        self.rig.ingress.follow_lease()
+        self.rig.holder.is_leased = False
+        self.rig.clock.advance(duration_ms=7_000)
+        exchange = self.rig.request(BOOKING)
+        self.assertIsNone(exchange.status)
+        self.rig.advance(100)
+        self.rig.holder.is_leased = True
+        self.rig.advance(50)
+        self.calls[0].answer(200)
+        self.assertEqual(200, exchange.status)
+
     def test_caller_that_comes_back_after_a_restart_of_all_is_served(self):
         # The load: all processes were killed, callers come back once as soon
         # as they can connect, and a lease and servers follow within a second.
--- a/src/shallothinge/leases/holder.py
+++ b/src/shallothinge/leases/holder.py
@@ -47,7 +47,6 @@
         self._address = address
         self._peers_digest = ''
         self._unlisted_ms: dict[str, int] = {}
-        self._without_since_ms = clock.now_ms()
         self.is_settled = False
         self._sequence = 0
         self._sent_ms = {}
@@ -70,16 +69,6 @@
             return 0
         return max(0, self._ends_ms - self._clock.now_ms())
 
-    @property
-    def lapsed_ms(self) -> int:
-        """Return for how long there has been no lease, 0 if there is one."""
-        if self.is_valid():
-            return 0
-        since_ms = self._without_since_ms
-        if self._ends_ms is not None:
-            since_ms = self._ends_ms
-        return self._clock.now_ms() - since_ms
-
     @property
     def members_version(self) -> int:
         """Return the version of the list of backend servers held."""
