Log and measure what gateways and control believe about leaving servers

The record of the incident could not tell its four hypotheses apart: a leaving left no line on control hosts, a gateway's list none at all, and a line about an unanswered order did not say which order it was.

Added: one line for each heartbeat that tells something new or is outdated (sequence, start, leadership), for each acknowledged leaving, for each change of a gateway's list with the leadership it came from; the method of an unanswered order; the time from choosing a server to sending, as a field and a histogram; gauges of listed and leaving servers. HeartbeatLog.take tells repeated heartbeats from new ones, so that a quiet fleet writes nothing; its tests now ask for the exact outcome.

--- a/src/shallothinge/control/server.py
+++ b/src/shallothinge/control/server.py
@@ -27,6 +27,7 @@
 from shallothinge.jobs import messages as jobs
 from shallothinge.leases import client
 from shallothinge.leases import messages as leases
+from shallothinge.membership import heartbeats
 from shallothinge.membership import messages as membership
 from shallothinge.operators import messages as operators
 from shallothinge.routes import messages as route_messages
@@ -362,21 +363,38 @@
         self._reply_with(done, peer, order)
 
     def _take_heartbeat(self, peer, beat) -> None:
-        is_taken = self._current().heartbeats.take(beat)
-        if not is_taken:
+        taken = self._current().heartbeats.take(beat)
+        if taken is not heartbeats.Taken.REPEATED:
             LOG.info(
-                'ignored an outdated heartbeat',
+                'heartbeat of a backend server',
                 extra={
                     'server_id': beat.server.server_id,
+                    'outcome': taken.value,
+                    'leaving': beat.server.leaving,
+                    'started_ms': beat.started_ms,
                     'sequence': beat.sequence,
+                    'relayed_by': peer.process_id,
+                    **self._members_seen(),
                 },
             )
         self._answer_heartbeat(peer, beat)
 
+    def _members_seen(self) -> dict[str, str | int]:
+        members = self._current().members
+        return {
+            'members_epoch': members.epoch,
+            'members_version': members.version,
+        }
+
     def _take_server_gone(self, peer, order) -> None:
         self._current().heartbeats.gone(order)
         LOG.info(
-            'a backend server is gone', extra={'server_id': order.server_id}
+            'a backend server is gone',
+            extra={
+                'server_id': order.server_id,
+                'relayed_by': peer.process_id,
+                **self._members_seen(),
+            },
         )
         self._answer_heartbeat(peer, order)
 
--- a/src/shallothinge/control/tests/test_fleet_orders.py
+++ b/src/shallothinge/control/tests/test_fleet_orders.py
@@ -67,7 +67,7 @@
         fetched = self.ask(routes.FetchRoutes(request_id='f'))
         self.assertEqual((4, b'4'), (fetched.version, fetched.document))
 
-    def test_heartbeat_lists_a_server_until_it_is_gone(self):
+    def beat(self, *, sequence, leaving=False):
         server = BackendServer(
             server_id='i',
             incarnation='5',
@@ -75,17 +75,44 @@
             zone='z1',
             host='',
             services=('s',),
+            leaving=leaving,
         )
-        beat = membership.Heartbeat(
-            request_id='b', server=server, started_ms=5, sequence=1
+        return membership.Heartbeat(
+            request_id=f'b{sequence}',
+            server=server,
+            started_ms=5,
+            sequence=sequence,
         )
+
+    def test_heartbeat_lists_a_server_until_it_is_gone(self):
+        beat = self.beat(sequence=1)
         self.assertIsInstance(self.ask(beat), membership.HeartbeatTaken)
         self.lease()
-        self.assertEqual({'i': server}, self.holder.members)
+        self.assertEqual({'i': beat.server}, self.holder.members)
         self.ask(membership.ServerGone(request_id='g', server_id='i'))
         self.lease()
         self.assertEqual({}, self.holder.members)
 
+    def test_heartbeats_that_tell_something_are_logged(self):
+        rows = (
+            (self.beat(sequence=1), 'changed'),
+            (self.beat(sequence=2), None),
+            (self.beat(sequence=4, leaving=True), 'changed'),
+            (self.beat(sequence=3), 'outdated'),
+        )
+        for beat, outcome in rows:
+            with self.subTest(sequence=beat.sequence):
+                if outcome is None:
+                    with self.assertNoLogs('shallothinge.control.server'):
+                        self.ask(beat)
+                    continue
+                with self.assertLogs('shallothinge.control.server') as logs:
+                    self.ask(beat)
+                line = logs.records[-1]
+                self.assertEqual(outcome, line.outcome)
+                self.assertEqual(beat.server.leaving, line.leaving)
+                self.assertEqual('1-0', line.members_epoch)
+
     def test_holder_learns_peers_and_control_hosts(self):
         self.lease()
         self.assertEqual(('tcp://10.0.0.9:7001',), self.holder.peers)
--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -63,6 +63,7 @@
     server and of its helpers until it ends there.
 
     :param work: the work at the server itself.
+    :ivar sent_after_ms: from choosing the server to sending, None until then.
     """
 
     def __init__(
@@ -85,6 +86,8 @@
         self._body = bytearray()
         self._is_over = False
         self._timer = None
+        self._placed_ms = parts.clock.now_ms()
+        self.sent_after_ms: int | None = None
         self._exchange = None
         self._reservation = None
         self._work_ids = self._count_work(work)
@@ -116,9 +119,18 @@
             head=self._parts.dialect.write_request(order),
             body=self._order.request.body,
             listener=self,
-            may_send=self._parts.holder.is_valid,
+            may_send=self._may_send,
         )
 
+    def _may_send(self) -> bool:
+        """Decide once more when the connection stands."""
+        if not self._parts.holder.is_valid():
+            return False
+        now_ms = self._parts.clock.now_ms()
+        self.sent_after_ms = now_ms - self._placed_ms
+        self._parts.metrics.record_send_delay(duration_ms=self.sent_after_ms)
+        return True
+
     def _helpers(self) -> tuple[model.Helper, ...]:
         found = []
         for server_id in self._placement.helper_ids:
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -198,6 +198,7 @@
                 'report_count': self._parts.load.peer_count,
                 'report_age_ms': self._parts.load.oldest_report_ms,
                 'last_event_id': self._last_event_id,
+                'members_epoch': self._parts.holder.members_epoch,
                 'members_version': self._parts.holder.members_version,
                 'routes_version': self._parts.holder.config.routes_version,
                 'lease_ms': self._parts.holder.remaining_ms,
@@ -295,6 +296,7 @@
     def on_failed(self, outcome: attempts.Outcome) -> None:
         """Try another server, or give up."""
         server_id = self._attempt.server_id
+        sent_after_ms = self._attempt.sent_after_ms
         self._attempt = None
         self._progress = attrs.evolve(
             self._progress,
@@ -312,6 +314,7 @@
                 'cause': outcome.cause.value,
                 'detail': outcome.detail,
                 'may_have_run': outcome.may_have_run,
+                'sent_after_ms': sent_after_ms,
                 'sent': self._progress.sent,
                 'last_event_id': self._last_event_id,
             },
@@ -447,6 +450,7 @@
                 'outcome': outcome,
                 'status': status,
                 'sent': self._progress.sent + (self._attempt is not None),
+                'sent_after_ms': self._attempt and self._attempt.sent_after_ms,
                 'queued_ms': self._queued_ms,
                 'first_event_ms': first_ms and first_ms - self._started_ms,
                 'longest_pause_ms': self._longest_pause_ms,
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -1,5 +1,6 @@
 """The gateway process: sockets and timers around the requests."""
 
+import functools
 import logging
 import pathlib
 import random
@@ -34,6 +35,8 @@
 # the rest is for a process that waits for its turn on the processor.
 CONNECT_TIMEOUT_MS = 150
 TICK_MS = 250
+# Metrics' libraries are loaded when the process serves already.
+METRICS_DELAY_S = 1.0
 # A gateway may use this part of what all may repeat, as shares are counted
 # over windows that slide.
 RETRY_PART = 0.8
@@ -137,6 +140,7 @@
         self._control.start()
         self._peers.start()
         self._ticking.start(TICK_MS / clocks.MS_PER_SECOND, now=False)
+        self._reactor.callLater(METRICS_DELAY_S, self._publish_servers)
         self._reactor.addSystemEventTrigger('before', 'shutdown', self._stop)
         LOG.info(
             'gateway started',
@@ -147,6 +151,14 @@
             },
         )
 
+    def _publish_servers(self) -> None:
+        listed = self._parts.servers
+        for name in ('count', 'leaving_count'):
+            self._process.metrics.observe(
+                name=f'backend_servers_{name}',
+                read=functools.partial(getattr, listed, name),
+            )
+
     def learn_seeds(self, changed: model.GatewaySettings) -> None:
         """Ask control hosts that the settings name by now."""
         self._control.learn_hosts(discovery.seed_ids(changed.discovery))
@@ -163,6 +175,7 @@
     def _tick(self) -> None:
         self._ingress.follow_lease()
         self._follow_lease()
+        self._parts.servers.follow_list()
         self._callers.limits = self._ingress.index.table.limits
         count = max(1, len(self._holder.peers))
         slack = self._settings.retries.slack_requests
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -26,6 +26,8 @@
 # that is no failure, and avoiding the server would crowd the others. A pass
 # with a long read takes up to about this long.
 AT_WORK_MS = 1000
+# Ids of servers in one log line; a first list may hold thousands.
+LOGGED_IDS = 20
 # What a server runs at once if it doesn't say.
 DEFAULT_SLOTS = 1
 
@@ -75,7 +77,7 @@
 
         Servers that failed of late are left out while others are there.
         """
-        self._refresh()
+        self.follow_list()
         listed = [
             known
             for known in self._known.values()
@@ -147,7 +149,7 @@
 
     def _failed_elsewhere(self, server_id: str) -> None:
         """Note a failure that a peer saw, unless it is noted already."""
-        self._refresh()
+        self.follow_list()
         known = self._known.get(server_id)
         if known is not None and _avoid(known):
             LOG.info(
@@ -163,9 +165,20 @@
             or server.server_id in config.servers_out
         )
 
-    def _refresh(self) -> None:
+    @property
+    def count(self) -> int:
+        """Return how many servers are listed."""
+        return len(self._known)
+
+    @property
+    def leaving_count(self) -> int:
+        """Return how many listed servers are leaving."""
+        return sum(known.server.leaving for known in self._known.values())
+
+    def follow_list(self) -> None:
         """Take over the holder's list."""
         members = self._holder.members
+        self._log_changes(members)
         if members.keys() != self._known.keys():
             self._ranks = _rank_by_zone(members.values())
         for server_id in set(self._known) - set(members):
@@ -186,6 +199,31 @@
             )
         self._cold.forget(known_ids=set(members))
 
+    def _log_changes(self, members: dict[str, BackendServer]) -> None:
+        joined = sorted(members.keys() - self._known.keys())
+        left = sorted(self._known.keys() - members.keys())
+        leaving = sorted(
+            server_id
+            for server_id, server in members.items()
+            if server.leaving and not self._is_known_leaving(server_id)
+        )
+        if joined or left or leaving:
+            LOG.info(
+                'backend servers changed',
+                extra={
+                    'joined': joined[:LOGGED_IDS],
+                    'left': left[:LOGGED_IDS],
+                    'leaving': leaving[:LOGGED_IDS],
+                    'server_count': len(members),
+                    'members_epoch': self._holder.members_epoch,
+                    'members_version': self._holder.members_version,
+                },
+            )
+
+    def _is_known_leaving(self, server_id: str) -> bool:
+        known = self._known.get(server_id)
+        return known is not None and known.server.leaving
+
     def _new_breaker(self) -> breaker.Breaker:
         return breaker.Breaker(
             clock=self._clock,
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -39,6 +39,7 @@
         self.config = ServingConfig()
         self.members = {}
         self.members_version = 1
+        self.members_epoch = 'e'
         self.peers = ('tcp://one',)
 
     @property
--- a/src/shallothinge/leases/holder.py
+++ b/src/shallothinge/leases/holder.py
@@ -74,6 +74,11 @@
         """Return the version of the list of backend servers held."""
         return self._members_version
 
+    @property
+    def members_epoch(self) -> str:
+        """Return the leadership that gave the list of backend servers."""
+        return self._members_epoch
+
     def is_valid(self) -> bool:
         """Return whether the holder may act now."""
         return self.remaining_ms > 0
--- a/src/shallothinge/membership/heartbeats.py
+++ b/src/shallothinge/membership/heartbeats.py
@@ -4,6 +4,8 @@
 gone, or after another one has started at its address.
 """
 
+import enum
+
 import attrs
 
 from shallothinge import clock as clocks
@@ -17,6 +19,14 @@
 UNKNOWN_GONE_KEPT_MS = 10_000
 
 
+class Taken(enum.Enum):
+    """What a heartbeat told."""
+
+    OUTDATED = 'outdated'
+    REPEATED = 'repeated'
+    CHANGED = 'changed'
+
+
 @attrs.define(kw_only=True)
 class _Seen:
     """The newest word of one backend server.
@@ -38,28 +48,27 @@
         self._members = members
         self._seen: dict[str, _Seen] = {}
 
-    def take(self, beat: messages.Heartbeat) -> bool:
-        """Take a heartbeat into account.
-
-        :returns: False if it is outdated and was ignored.
-        """
+    def take(self, beat: messages.Heartbeat) -> Taken:
+        """Take a heartbeat into account, unless it is outdated."""
         server = beat.server
         if self._is_outdated(beat):
-            return False
+            return Taken.OUTDATED
         for server_id, seen in list(self._seen.items()):
             if server_id == server.server_id or seen.gone_ms is not None:
                 continue
             if seen.address == server.address:
                 if seen.started_ms > beat.started_ms:
-                    return False
+                    return Taken.OUTDATED
                 self._end(server_id)
         self._seen[server.server_id] = _Seen(
             started_ms=beat.started_ms,
             sequence=beat.sequence,
             address=server.address,
         )
+        version = self._members.version
         self._members.announce(server=server)
-        return True
+        has_changed = self._members.version > version
+        return Taken.CHANGED if has_changed else Taken.REPEATED
 
     def gone(self, order: messages.ServerGone) -> None:
         """Drop a backend server; its late heartbeats don't count.
--- a/src/shallothinge/membership/tests/test_heartbeats.py
+++ b/src/shallothinge/membership/tests/test_heartbeats.py
@@ -37,6 +37,12 @@
             clock=self.clock, members=self.members
         )
 
+    def assertOutdated(self, taken):
+        self.assertIs(heartbeats.Taken.OUTDATED, taken)
+
+    def assertCounts(self, taken):
+        self.assertIs(heartbeats.Taken.CHANGED, taken)
+
     def listed(self):
         return {
             server.server_id: server.leaving
@@ -45,33 +51,37 @@
 
     def test_late_heartbeat_does_not_undo_leaving(self):
         self.log.take(beat('i', sequence=3, leaving=True))
-        self.assertFalse(self.log.take(beat('i', sequence=2)))
+        self.assertOutdated(self.log.take(beat('i', sequence=2)))
         self.assertEqual({'i': True}, self.listed())
 
     def test_late_heartbeat_does_not_bring_back_what_is_gone(self):
         self.log.take(beat('i', sequence=3))
         self.log.gone(messages.ServerGone(request_id='r', server_id='i'))
-        self.assertFalse(self.log.take(beat('i', sequence=4)))
+        self.assertOutdated(self.log.take(beat('i', sequence=4)))
         self.assertEqual({}, self.listed())
 
     def test_server_that_goes_before_a_new_leader_heard_of_it(self):
         self.log.gone(messages.ServerGone(request_id='r', server_id='i'))
-        self.assertFalse(self.log.take(beat('i', sequence=4)))
+        self.assertOutdated(self.log.take(beat('i', sequence=4)))
         self.assertEqual(('i',), self.members.heard_so_far().left)
         self.clock.advance(duration_ms=heartbeats.UNKNOWN_GONE_KEPT_MS + 1)
         self.log.forget_old()
-        self.assertTrue(self.log.take(beat('i', started_ms=9)))
+        self.assertCounts(self.log.take(beat('i', started_ms=9)))
 
     def test_restart_under_the_same_id_counts_anew(self):
         self.log.take(beat('i', started_ms=5, sequence=9))
         self.log.gone(messages.ServerGone(request_id='r', server_id='i'))
-        self.assertTrue(self.log.take(beat('i', started_ms=8, sequence=1)))
-        self.assertFalse(self.log.take(beat('i', started_ms=5, sequence=10)))
+        self.assertCounts(self.log.take(beat('i', started_ms=8, sequence=1)))
+        self.assertOutdated(
+            self.log.take(beat('i', started_ms=5, sequence=10))
+        )
         self.assertEqual({'i': False}, self.listed())
 
     def test_newer_server_at_an_address_replaces_the_older_one(self):
         self.log.take(beat('old', started_ms=5))
-        self.assertTrue(self.log.take(beat('new', started_ms=8)))
+        self.assertCounts(self.log.take(beat('new', started_ms=8)))
         self.assertEqual({'new': False}, self.listed())
-        self.assertFalse(self.log.take(beat('old', started_ms=5, sequence=7)))
+        self.assertOutdated(
+            self.log.take(beat('old', started_ms=5, sequence=7))
+        )
         self.assertEqual({'new': False}, self.listed())
--- a/src/shallothinge/metrics.py
+++ b/src/shallothinge/metrics.py
@@ -17,7 +17,7 @@
 from shallothinge import errors
 
 MAX_LABEL_SETS = 10_000
-FIRST_TOKEN_BOUNDS_MS = (
+DURATION_BOUNDS_MS = (
     10,
     20,
     50,
@@ -70,9 +70,15 @@
                 view.View(
                     instrument_name='first_token',
                     aggregation=view.ExplicitBucketHistogramAggregation(
-                        FIRST_TOKEN_BOUNDS_MS
+                        DURATION_BOUNDS_MS
                     ),
-                )
+                ),
+                view.View(
+                    instrument_name='send_delay',
+                    aggregation=view.ExplicitBucketHistogramAggregation(
+                        DURATION_BOUNDS_MS
+                    ),
+                ),
             ],
             shutdown_on_exit=False,
         )
@@ -84,6 +90,11 @@
         self._first_token = meter.create_histogram(
             'first_token', unit='ms', description='Time to first token.'
         )
+        self._send_delay = meter.create_histogram(
+            'send_delay',
+            unit='ms',
+            description='From choosing a backend server to sending.',
+        )
         self._tokens = meter.create_counter(
             'tokens', description='Tokens by workspace, model and kind.'
         )
@@ -109,6 +120,10 @@
         """Record the time from a request's arrival to its first token."""
         self._first_token.record(duration_ms, {'request_class': request_class})
 
+    def record_send_delay(self, *, duration_ms: int) -> None:
+        """Record the time from choosing a backend server to sending."""
+        self._send_delay.record(duration_ms)
+
     def count_tokens(
         self, *, workspace: str, model: str, counts: TokenCounts
     ) -> None:
--- a/src/shallothinge/platform/control_api.py
+++ b/src/shallothinge/platform/control_api.py
@@ -100,14 +100,32 @@
         done = self._orders.take_heartbeat(
             server=server, started_ms=started_ms, sequence=sequence
         )
-        self._finish(
-            exchange, done, lambda answer: self._acknowledge(exchange, answer)
-        )
+
+        def taken(answer):
+            if server.leaving:
+                LOG.info(
+                    'leaving acknowledged',
+                    extra={
+                        'server_id': server_id,
+                        'started_ms': started_ms,
+                        'sequence': sequence,
+                        'leader_id': answer.leader_id,
+                    },
+                )
+            self._acknowledge(exchange, answer)
+
+        self._finish(exchange, done, taken)
 
     def _take_gone(self, exchange, server_id: str) -> None:
-        done = self._orders.take_gone(server_id=server_id)
+        def taken(answer):
+            LOG.info(
+                'departure acknowledged',
+                extra={'server_id': server_id, 'leader_id': answer.leader_id},
+            )
+            self._acknowledge(exchange, answer)
+
         self._finish(
-            exchange, done, lambda answer: self._acknowledge(exchange, answer)
+            exchange, self._orders.take_gone(server_id=server_id), taken
         )
 
     def _acknowledge(self, exchange, answer) -> None:
@@ -141,6 +159,7 @@
             LOG.warning(
                 'an order got no answer from the leader',
                 extra={
+                    'method': exchange.head.method,
                     'target': exchange.head.target,
                     'cause': failure.getErrorMessage(),
                 },
