Show requests to servers whose leaving was acknowledged (known red)

The fault soak never let a server leave. Now two leave early in each plan, by a report or at once as gone, serve on for 6 s after the acknowledgement and note what reaches them later than 2 s; where control is otherwise left alone, the leader that acknowledged is killed at once.

--- a/src/shallothinge/platform/control_api.py
+++ b/src/shallothinge/platform/control_api.py
@@ -133,7 +133,7 @@
         host = answer.leader_id.rpartition(':')[0]
         fields = {}
         if host:
-            fields['heartbeat-address'] = f'{host}:{self._http_port}'
+            fields[names.LEADER_ADDRESS] = f'{host}:{self._http_port}'
         _answer(exchange, 200, fields)
 
     def _set_zone(self, exchange, zone: str, *, is_out: bool) -> None:
--- a/src/shallothinge/platform/names.py
+++ b/src/shallothinge/platform/names.py
@@ -33,4 +33,6 @@
 READINESS = '/readiness'
 
 DRAINING = 'draining'
+# Where a server had better send its heartbeats: the leader's API.
+LEADER_ADDRESS = 'heartbeat-address'
 READY = 'ready'
--- a/testing/soak/backend.py
+++ b/testing/soak/backend.py
@@ -2,18 +2,24 @@
 
 It announces itself to control hosts, runs requests in slots and writes each
 run to a file, so that what it ran is known even after it was killed.
+
+At SIGTERM it reports that it is leaving, at SIGUSR1 it says at once that it
+is gone. Once that is acknowledged it serves on for some seconds, as real ones
+may, and notes the requests that still reach it too late.
 """
 
 import argparse
 import asyncio
 import json
 import pathlib
+import signal
 
 import h11
 
 from shallothinge import clock
 from shallothinge.platform import names
 from shallothinge.platform.tests import samples
+from testing.soak import checks
 from testing.soak import wire
 
 HEARTBEAT_S = 1.0
@@ -23,6 +29,14 @@
 CALL_S = 0.3
 SLOTS = 8
 MAX_BYTES = 65_536
+LEAVE_AGAIN_S = 0.2
+# Some servers stay for many seconds after their leaving was acknowledged.
+LINGER_S = 6.0
+# Without an acknowledgement a server goes all the same.
+UNANSWERED_S = 6.0
+
+
+LEAVE_SIGNALS = (signal.SIGTERM, signal.SIGUSR1)
 
 
 class Backend:
@@ -35,16 +49,51 @@
         self._running = 0
         self._sequence = 0
         self._record = arguments.record.open('a', encoding='utf-8')
+        self._state = names.READY
+        self._left_ms: int | None = None
 
     async def run(self) -> None:
         """Serve until the process is killed."""
         host, _, port = self._arguments.listen.rpartition(':')
         await asyncio.start_server(self._serve, host, int(port))
+        leaving = asyncio.get_running_loop().create_future()
+        for number in LEAVE_SIGNALS:
+            asyncio.get_running_loop().add_signal_handler(
+                number, _resolve, leaving, number
+            )
+        announcing = asyncio.create_task(self._announce_always())
+        number = await leaving
+        if number is signal.SIGTERM:
+            self._state = names.DRAINING
+            await self._leave(self._announce)
+        else:
+            announcing.cancel()
+            await self._leave(self._withdraw)
+        announcing.cancel()
+        await self._withdraw()
+
+    async def _announce_always(self) -> None:
         while True:
             await self._announce()
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def _announce(self) -> None:
+    async def _leave(self, tell) -> None:
+        """Tell control until it acknowledges; then serve on for a while."""
+        waiting = asyncio.create_task(asyncio.sleep(UNANSWERED_S))
+        while not waiting.done():
+            leader = await tell()
+            if leader is not None:
+                self._left_ms = clock.WallClock().now_ms()
+                self._write('left', at_ms=self._left_ms, leader=leader)
+                await asyncio.sleep(LINGER_S)
+                break
+            await asyncio.sleep(LEAVE_AGAIN_S)
+        waiting.cancel()
+
+    async def _withdraw(self) -> str | None:
+        return await self._tell('DELETE', b'')
+
+    async def _announce(self) -> str | None:
         self._sequence += 1
         body = json.dumps(
             samples.heartbeat(
@@ -53,16 +102,21 @@
                 address=self._arguments.address,
                 zone='zone-1',
                 slots=SLOTS,
+                state=self._state,
                 sequence=self._sequence,
                 born=self._born_ms,
             )
         ).encode()
+        return await self._tell('PUT', body)
+
+    async def _tell(self, method: str, body: bytes) -> str | None:
+        """Return the leader that acknowledges, or None."""
         for control in self._arguments.control:
             try:
                 answer = await asyncio.wait_for(
                     wire.exchange(
                         address=control,
-                        method='PUT',
+                        method=method,
                         target=names.SERVERS + self._server_id,
                         body=body,
                     ),
@@ -71,7 +125,8 @@
             except (OSError, asyncio.TimeoutError, wire.BrokenAnswer):
                 continue
             if answer.status == 200:
-                return
+                return json.loads(answer.body).get(names.LEADER_ADDRESS, '')
+        return None
 
     async def _serve(self, reader, writer) -> None:
         try:
@@ -86,6 +141,8 @@
         connection = h11.Connection(h11.SERVER)
         request = await wire.read_request(connection, reader)
         refusal = self._refusal(request)
+        if refusal != 421:
+            self._note_if_late(request)
         if refusal:
             fields = self._fields(request) + [(names.UNRUN, '1')]
             await wire.respond(connection, writer, refusal, fields, b'')
@@ -127,17 +184,34 @@
         writer.write(connection.send(h11.EndOfMessage()))
         await writer.drain()
 
+    def _note_if_late(self, request: wire.Request) -> None:
+        if self._left_ms is None:
+            return
+        after_ms = clock.WallClock().now_ms() - self._left_ms
+        if after_ms > checks.DRAIN_MS:
+            request_id = request.fields.get(names.REQUEST_ID, '')
+            self._write('late', request_id=request_id, after_ms=after_ms)
+
     def _note(self, request: wire.Request) -> None:
-        line = {
-            'request_id': request.fields.get(names.REQUEST_ID, ''),
-            'target': request.target,
-            'workspace': request.fields.get(names.WORKSPACE, ''),
-            'at_ms': clock.WallClock().now_ms(),
-        }
+        self._write(
+            'run',
+            request_id=request.fields.get(names.REQUEST_ID, ''),
+            target=request.target,
+            workspace=request.fields.get(names.WORKSPACE, ''),
+            at_ms=clock.WallClock().now_ms(),
+        )
+
+    def _write(self, what: str, **fields) -> None:
+        line = {'what': what, 'server_id': self._server_id, **fields}
         self._record.write(json.dumps(line) + '\n')
         self._record.flush()
 
 
+def _resolve(leaving: asyncio.Future, number: signal.Signals) -> None:
+    if not leaving.done():
+        leaving.set_result(number)
+
+
 def main() -> None:
     """Run a backend server."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -12,6 +12,9 @@
 ANSWER_SLACK_MS = 1000
 # From the acknowledgement that took a key away to the last run under it.
 REVOCATION_MS = 5000
+# From the acknowledgement that a backend server leaves to the last request
+# that may reach it.
+DRAIN_MS = 2000
 # Of what is asked for once all faults are over.
 LEAST_SERVED = 0.9
 
@@ -43,14 +46,28 @@
 class Run:
     """A request that a backend server began to work on."""
 
+    server_id: str
     request_id: str
     target: str
     workspace: str
     at_ms: int
 
 
+@attrs.frozen(kw_only=True)
+class Late:
+    """A request that reached a server too long after it had left."""
+
+    server_id: str
+    request_id: str
+    after_ms: int
+
+
 def check(
-    *, asked: list[Asked], runs: list[Run], revoked: dict[str, int]
+    *,
+    asked: list[Asked],
+    runs: list[Run],
+    revoked: dict[str, int],
+    late: list[Late],
 ) -> list[str]:
     """Return what is not allowed, in words.
 
@@ -65,6 +82,11 @@
         found += _check_runs(one, counts[one.request_id])
     for run in runs:
         found += _check_run(run, by_id.get(run.request_id), revoked)
+    for one in late:
+        found.append(
+            f'{one.request_id}: reached {one.server_id} {one.after_ms} ms '
+            'after its leaving was acknowledged'
+        )
     return found + _check_recovery(asked)
 
 
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -12,6 +12,14 @@
 LONGEST_S = 3.0
 # A replaced control host takes this long to hold all and get its vote.
 CATCH_UP_S = 4.0
+# Backend servers that leave, soon after each other, early in a plan: they
+# serve on for some seconds after control has acknowledged it.
+LEAVINGS = 2
+LEAVE_FIRST_S = (0.5, 2.0)
+LEAVE_NEXT_S = (0.0, 0.4)
+LEAVE_S = 9.0
+# From telling a server to leave until the killed leader runs again.
+LEADER_AWAY_S = 3.0
 
 
 class Kind(enum.Enum):
@@ -28,6 +36,9 @@
     SILENT = 'silent'
     RESET = 'reset'
     KILL_ALL_CONTROL = 'kill_all_control'
+    # The server reports that it is leaving, or says at once that it is gone.
+    LEAVE = 'leave'
+    VANISH = 'vanish'
 
 
 BY_ROLE = {
@@ -54,12 +65,17 @@
 
 @attrs.frozen(kw_only=True)
 class Fault:
-    """One fault, from ``at_s`` after the start of the plan."""
+    """One fault, from ``at_s`` after the start of the plan.
+
+    ``loses_leader`` is for servers that leave: the control host that led when
+    this was acknowledged is killed at once.
+    """
 
     at_s: float
     for_s: float
     kind: Kind
     target: str
+    loses_leader: bool = False
 
     @property
     def ends_s(self) -> float:
@@ -85,7 +101,7 @@
         at_s += rng.uniform(0.0, MOST_PAUSE_S)
         for_s = rng.uniform(SHORTEST_S, LONGEST_S)
         if at_s + for_s > duration_s:
-            return planned
+            break
         role = rng.choice(sorted(targets))
         target = rng.choice(targets[role])
         kind = rng.choice(BY_ROLE[role])
@@ -96,3 +112,36 @@
         planned.append(fault)
         recovery_s = CATCH_UP_S if role == 'control' else 0.0
         free_s[group] = fault.ends_s + recovery_s
+    return _with_leavings(planned, seed=seed, backends=targets['backend'])
+
+
+def _with_leavings(
+    planned: list[Fault], *, seed: int, backends: list[str]
+) -> list[Fault]:
+    """Add servers that leave, drawn apart so that older plans stay."""
+    rng = random.Random(f'leave {seed}')
+    at_s = rng.uniform(*LEAVE_FIRST_S)
+    last_s = at_s + (LEAVINGS - 1) * LEAVE_NEXT_S[1]
+    disturbed = {
+        fault.target for fault in planned if fault.at_s < last_s + LEAVE_S
+    }
+    free = [name for name in backends if name not in disturbed]
+    is_control_sound = not any(
+        fault.target.startswith('control')
+        and fault.at_s < last_s + LEADER_AWAY_S + CATCH_UP_S
+        for fault in planned
+    )
+    leaving = []
+    for name in rng.sample(free, min(LEAVINGS, len(free))):
+        leaving.append(
+            Fault(
+                at_s=at_s,
+                for_s=LEAVE_S,
+                kind=rng.choice((Kind.LEAVE, Kind.VANISH)),
+                target=name,
+            )
+        )
+        at_s += rng.uniform(*LEAVE_NEXT_S)
+    if leaving and is_control_sound:
+        leaving[-1] = attrs.evolve(leaving[-1], loses_leader=True)
+    return sorted([*planned, *leaving], key=lambda fault: fault.at_s)
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -11,7 +11,6 @@
 import argparse
 import asyncio
 import concurrent.futures
-import functools
 import json
 import os
 import pathlib
@@ -40,6 +39,7 @@
 START_TIMEOUT_S = 40.0
 PLANNED_STOP_S = 9.0
 RESET_AGAIN_S = 0.3
+LEFT_POLL_S = 0.002
 NETS = 200
 FIRST_NET = 20
 KEPT_SEEDS = pathlib.Path(__file__).with_name('kept_seeds.toml')
@@ -113,7 +113,9 @@
             },
             duration_s=self._duration_s,
         )
-        faults_end_s = began_s + self._duration_s
+        faults_end_s = began_s + max(
+            self._duration_s, *(fault.ends_s for fault in self._plan)
+        )
         asking = asyncio.create_task(
             self._callers.ask_until(faults_end_s + SETTLE_S + LAST_S)
         )
@@ -175,6 +177,40 @@
             await asyncio.sleep(0.05)
         self._running.start(fault.target)
 
+    async def _leave(self, fault: faults.Fault) -> None:
+        known = len(self._lines(fault.target, 'left'))
+        is_leaving = fault.kind is faults.Kind.LEAVE
+        self._running.signal(
+            fault.target, signal.SIGTERM if is_leaving else signal.SIGUSR1
+        )
+        ends_s = time.monotonic() + fault.for_s
+        while len(self._lines(fault.target, 'left')) == known:
+            if time.monotonic() > ends_s:
+                break
+            await asyncio.sleep(LEFT_POLL_S)
+        else:
+            if fault.loses_leader:
+                left = self._lines(fault.target, 'left')[-1]
+                await self._lose_leader(left['leader'])
+        await asyncio.sleep(max(0, ends_s - time.monotonic()))
+        self._running.kill(fault.target)
+        self._running.start(fault.target)
+
+    async def _lose_leader(self, address: str) -> None:
+        number = self._running.api_addresses.index(address)
+        name = self._running.names('control')[number]
+        self._callers.disturb(name)
+        self._running.kill(name)
+        await asyncio.sleep(faults.LEADER_AWAY_S)
+        self._running.start(name)
+
+    def _lines(self, name: str, what: str) -> list[dict]:
+        """Return what a backend server has written of one sort so far."""
+        path = self._running.record_of(name)
+        lines = path.read_text(encoding='utf-8').splitlines()
+        found = [json.loads(line) for line in lines]
+        return [one for one in found if one.pop('what') == what]
+
     async def _reload(self, fault: faults.Fault) -> None:
         self._running.signal(fault.target, signal.SIGHUP)
 
@@ -193,11 +229,10 @@
         self._running.start(fault.target)
 
     def _judge(self) -> Result:
-        runs = []
+        runs, late = [], []
         for name in self._running.names('backend'):
-            path = self._running.record_of(name)
-            lines = path.read_text(encoding='utf-8').splitlines()
-            runs += [checks.Run(**json.loads(line)) for line in lines]
+            runs += [checks.Run(**one) for one in self._lines(name, 'run')]
+            late += [checks.Late(**one) for one in self._lines(name, 'late')]
         asked = self._callers.asked
         known = {one.request_id for one in asked}
         # Runs of before the first fault are not judged.
@@ -208,7 +243,10 @@
             if run.request_id in known or run.at_ms >= first_ms
         ]
         found = checks.check(
-            asked=asked, runs=runs, revoked=self._operator.revoked
+            asked=asked,
+            runs=runs,
+            revoked=self._operator.revoked,
+            late=late,
         )
         return Result(
             seed=self._seed,
@@ -217,7 +255,7 @@
             served=sum(one.status == 200 for one in asked),
             faults=tuple(
                 f'{one.at_s:.2f}-{one.ends_s:.2f} {one.kind.value} '
-                f'{one.target}'
+                f'{one.target}{", leader lost" if one.loses_leader else ""}'
                 for one in self._plan
             ),
             folder=str(self._running.folder),
@@ -238,10 +276,12 @@
     faults.Kind.DISK_FULL: Soak._fill_disk,
     faults.Kind.RESET: Soak._reset,
     faults.Kind.KILL_ALL_CONTROL: Soak._kill_all_control,
+    faults.Kind.LEAVE: Soak._leave,
+    faults.Kind.VANISH: Soak._leave,
 }
 
 
-def run_seed(seed: int, *, duration_s: float = DURATION_S) -> Result:
+def run_seed(seed: int, duration_s: float) -> Result:
     """Run one soak; its folder is kept if it found something."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-')) / 'run'
     soak = Soak(seed=seed, folder=folder, duration_s=duration_s)
@@ -261,9 +301,11 @@
     return result
 
 
-def _kept_seeds() -> list[int]:
+def _kept_soaks() -> list[tuple[int, float]]:
+    """Return seeds that failed, with the seconds for which they ran."""
     with KEPT_SEEDS.open('rb') as file:
-        return [one['seed'] for one in tomllib.load(file)['kept']]
+        kept = tomllib.load(file)['kept']
+    return [(one['seed'], one.get('seconds', DURATION_S)) for one in kept]
 
 
 def main() -> int:
@@ -281,16 +323,16 @@
     parser.add_argument('--jobs', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=DURATION_S)
     arguments = parser.parse_args()
-    seeds = _kept_seeds()
+    soaks = _kept_soaks()
     if not arguments.kept:
         seeds = range(arguments.seed, arguments.seed + arguments.count)
-    run_one = functools.partial(run_seed, duration_s=arguments.seconds)
+        soaks = [(seed, arguments.seconds) for seed in seeds]
     failed = 0
     with concurrent.futures.ProcessPoolExecutor(arguments.jobs) as pool:
-        for result in pool.map(run_one, seeds):
+        for result in pool.map(run_seed, *zip(*soaks, strict=True)):
             failed += bool(result.found)
             print(json.dumps(attrs.asdict(result)), flush=True)
-    print(f'{len(seeds) - failed} seeds passed, {failed} failed')
+    print(f'{len(soaks) - failed} seeds passed, {failed} failed')
     return 1 if failed else 0
 
 
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -47,6 +47,7 @@
 def ran(**fields):
     return checks.Run(
         **{
+            'server_id': 's1',
             'request_id': 'r1',
             'target': BOOKING,
             'workspace': 'w1',
@@ -60,7 +61,9 @@
     """What the soak lets pass, and what not."""
 
     def found(self, one, *runs, revoked=None):
-        return checks.check(asked=[one], runs=[*runs], revoked=revoked or {})
+        return checks.check(
+            asked=[one], runs=[*runs], revoked=revoked or {}, late=[]
+        )
 
     def test_what_is_allowed(self):
         cut = asked(target=STREAM, status=None, body=b'')
@@ -97,13 +100,20 @@
                 found = self.found(asked(), ran(), revoked={'k': taken_ms})
                 self.assertEqual(count, len(found))
 
+    def test_request_that_reaches_a_server_after_it_left(self):
+        late = checks.Late(server_id='s1', request_id='r1', after_ms=2100)
+        found = checks.check(
+            asked=[asked()], runs=[ran()], revoked={}, late=[late]
+        )
+        self.assertEqual(1, len(found))
+
     def test_callers_are_served_once_the_faults_are_over(self):
         last = asked(is_after_faults=True)
         lost = attrs.evolve(last, request_id='r2', status=None)
         runs = [ran()]
         for count, expected in ((0, []), (1, 1)):
             found = checks.check(
-                asked=[last] + [lost] * count, runs=runs, revoked={}
+                asked=[last] + [lost] * count, runs=runs, revoked={}, late=[]
             )
             self.assertEqual(bool(expected), bool(found))
 
@@ -132,12 +142,30 @@
                     other.at_s, one.ends_s + faults.CATCH_UP_S
                 )
 
+    def test_servers_leave_that_nothing_else_disturbs(self):
+        leaving = (faults.Kind.LEAVE, faults.Kind.VANISH)
+        lost = 0
+        for seed in range(50):
+            plan = faults.draw_plan(seed=seed, targets=TARGETS, duration_s=5.0)
+            for one in plan:
+                if one.kind not in leaving:
+                    continue
+                lost += one.loses_leader
+                others = [
+                    fault
+                    for fault in plan
+                    if fault is not one and fault.target == one.target
+                ]
+                for other in others:
+                    self.assertGreaterEqual(other.at_s, one.ends_s)
+        self.assertGreater(lost, 0)
+
 
 class ShortSoakTest(unittest.TestCase):
     """The real programs under a few faults."""
 
     def test_promises_hold_under_a_short_plan(self):
-        result = run.run_seed(SHORT_SEED, duration_s=SHORT_S)
+        result = run.run_seed(SHORT_SEED, SHORT_S)
         self.assertEqual((), result.found, result)
         self.assertGreater(result.served, 0)
 
