Record in the replicated log which backend servers leave

Callers saw nothing; backend servers that had said that they leave, and were told that this was taken, got requests for seconds more, which they may no longer be there to answer.

Cause: who leaves was soft state of one leader, acknowledged as if it were not. A new leader starts without it, and gateways keep the list of before until the new leader has had 4 s to hear of all. A late heartbeat, of which a new leader can't know that it is late, listed the server as ready.

Change: the leader commits a departure (id and incarnation) before it acknowledges. Grants carry what was recorded since the holder's version, so each holder has it from any leader; it goes before any list. Heartbeats of an incarnation that left and that say otherwise are outdated for every leader, which replaces the leader's own memory of what is gone.

Ruled out as the way: repeating heartbeats (a server that says at once that it is gone sends none), and keeping lists shorter than 4 s (servers that are well would be dropped with each change of leader).

--- a/src/shallothinge/control/leadership.py
+++ b/src/shallothinge/control/leadership.py
@@ -14,6 +14,7 @@
 from shallothinge.membership import fences
 from shallothinge.membership import heartbeats
 from shallothinge.membership import table as members
+from shallothinge.membership.model import Departure
 from shallothinge.membership.model import MembershipUpdate
 from shallothinge.settings import model
 
@@ -62,7 +63,9 @@
             clock=clock, epoch=epoch, silence_ms=settings.member_silence_ms
         )
         self.heartbeats = heartbeats.HeartbeatLog(
-            clock=clock, members=self.members
+            clock=clock,
+            members=self.members,
+            read_departures=lambda: machine.data.departures,
         )
 
     def fence_needed(
@@ -123,9 +126,17 @@
             peers=() if knows_peers else tuple(sorted(self._addresses())),
             control_ids=() if knows_peers else self._read_control_ids(),
             peers_digest='' if knows_peers else digest,
+            departures=self._departures_for(request) if is_behind else (),
             is_settled=self._is_settled(),
         )
 
+    def _departures_for(self, request) -> tuple[Departure, ...]:
+        if request.members_version < 0:
+            return ()
+        return self._machine.data.departures.since(
+            index=request.config_version
+        )
+
     def _note_address(self, request: messages.LeaseRequest) -> None:
         if request.address:
             holder = table.holder_of(request)
--- a/src/shallothinge/control/maintenance.py
+++ b/src/shallothinge/control/maintenance.py
@@ -10,6 +10,7 @@
 from shallothinge.control import leadership
 from shallothinge.control import state
 from shallothinge.leases import messages as leases
+from shallothinge.membership import messages as membership
 
 LOG = logging.getLogger(__name__)
 
@@ -49,6 +50,7 @@
             self._swept_ms = now_ms
             self._end_silent_holders(current)
             self._prune()
+            self._forget_departures()
 
     def _end_silent_holders(self, current: leadership.Leadership) -> None:
         """Commit the end of holders whose leases have surely run out."""
@@ -78,6 +80,11 @@
                 )
             )
 
+    def _forget_departures(self) -> None:
+        now_ms = self._wall_clock.now_ms()
+        if self._machine.data.departures.has_old(now_ms=now_ms):
+            self._maintain(membership.ForgetDepartures())
+
     def _maintain(self, command: object) -> None:
         """Commit a command of this host's own, one at a time.
 
--- a/src/shallothinge/control/server.py
+++ b/src/shallothinge/control/server.py
@@ -17,6 +17,7 @@
 from shallothinge.calls import messages as calls
 from shallothinge.control import api
 from shallothinge.control import commands
+from shallothinge.control import departing
 from shallothinge.control import granting
 from shallothinge.control import leadership
 from shallothinge.control import maintenance
@@ -94,6 +95,9 @@
             refuse=self._refuse,
             send=send,
         )
+        self._departing = departing.Departing(
+            machine=machine, propose=self.propose
+        )
         self._maintenance = maintenance.Maintenance(
             machine=machine,
             clock=clock,
@@ -377,7 +381,12 @@
                     **self._members_seen(),
                 },
             )
-        self._answer_heartbeat(peer, beat)
+        if beat.server.leaving:
+            self._answer_once_left(
+                peer, beat, incarnation=beat.server.incarnation
+            )
+        else:
+            self._answer_heartbeat(peer, beat)
 
     def _members_seen(self) -> dict[str, str | int]:
         members = self._current().members
@@ -387,24 +396,48 @@
         }
 
     def _take_server_gone(self, peer, order) -> None:
-        self._current().heartbeats.gone(order)
-        LOG.info(
-            'a backend server is gone',
-            extra={
-                'server_id': order.server_id,
-                'relayed_by': peer.process_id,
-                **self._members_seen(),
-            },
+        heard = self._current().heartbeats
+        self._answer_once_left(
+            peer, order, incarnation=heard.incarnation_of(order.server_id)
         )
-        self._answer_heartbeat(peer, order)
 
-    def _answer_heartbeat(self, peer, message) -> None:
-        answer = membership.HeartbeatTaken(
-            request_id=message.request_id, leader_id=self._log.leader_id
+    def _answer_once_left(self, peer, message, *, incarnation: str) -> None:
+        """Acknowledge a leaving when it will hold."""
+        is_gone = isinstance(message, membership.ServerGone)
+        server_id = message.server_id if is_gone else message.server.server_id
+        left = self._departing.leave(
+            server_id=server_id, incarnation=incarnation
         )
+
+        def answer(_):
+            if is_gone:
+                self._current().heartbeats.gone(server_id)
+            LOG.info(
+                'departure of a backend server is recorded',
+                extra={
+                    'server_id': server_id,
+                    'incarnation': incarnation,
+                    'is_gone': is_gone,
+                    'relayed_by': peer.process_id,
+                    'state_version': self._machine.data.config.state_version,
+                    **self._members_seen(),
+                },
+            )
+            return self._heartbeat_answer(message)
+
+        left.addCallback(answer)
+        self._reply_with(left, peer, message)
+
+    def _answer_heartbeat(self, peer, message) -> None:
+        answer = self._heartbeat_answer(message)
         self._send(route=peer.route, message=answer)
         self._granter.nudge_holders()
 
+    def _heartbeat_answer(self, message) -> membership.HeartbeatTaken:
+        return membership.HeartbeatTaken(
+            request_id=message.request_id, leader_id=self._log.leader_id
+        )
+
     def _fetch_routes(self, peer, request) -> None:
         self._read_for(
             peer,
--- a/src/shallothinge/control/state.py
+++ b/src/shallothinge/control/state.py
@@ -32,6 +32,7 @@
 from shallothinge.leases import messages as leases
 from shallothinge.ledger.state import Ledger
 from shallothinge.membership import messages as membership
+from shallothinge.membership.departures import Departures
 from shallothinge.membership.fences import Fences
 from shallothinge.operators import messages as operators
 from shallothinge.outages.state import Outages
@@ -49,6 +50,7 @@
     bundles: BundleStore = attrs.field(factory=BundleStore)
     outages: Outages = attrs.field(factory=Outages)
     fences: Fences = attrs.field(factory=Fences)
+    departures: Departures = attrs.field(factory=Departures)
     claims: Claims = attrs.field(factory=Claims)
     allowances: Allowances = attrs.field(factory=Allowances)
     ledger: Ledger = attrs.field(factory=Ledger)
@@ -111,6 +113,8 @@
             operators.SetZone: self._set_zone,
             operators.SetServer: self._set_server,
             membership.FenceServer: self._fence_server,
+            membership.RecordDeparture: self._record_departure,
+            membership.ForgetDepartures: self._forget_departures,
             calls.ClaimCall: self._claim,
             calls.ResolveClaim: self._resolve_claim,
             calls.ResolveUnknownCall: self._resolve_unknown_call,
@@ -277,6 +281,21 @@
         )
         return commands.Done()
 
+    def _record_departure(self, command, index):
+        is_new = self.data.departures.record(
+            server_id=command.server_id,
+            incarnation=command.incarnation,
+            index=index,
+            now_ms=self.data.now_ms,
+        )
+        if is_new:
+            self._rebuild_config(index)
+        return commands.Done()
+
+    def _forget_departures(self, command, index):
+        self.data.departures.forget_old(now_ms=self.data.now_ms)
+        return commands.Done()
+
     def _claim(self, request, index):
         return self.data.claims.claim(
             request=request, index=index, now_ms=self.data.now_ms
--- a/src/shallothinge/control/tests/test_fleet_orders.py
+++ b/src/shallothinge/control/tests/test_fleet_orders.py
@@ -108,7 +108,7 @@
                     continue
                 with self.assertLogs('shallothinge.control.server') as logs:
                     self.ask(beat)
-                line = logs.records[-1]
+                line = logs.records[0]
                 self.assertEqual(outcome, line.outcome)
                 self.assertEqual(beat.server.leaving, line.leaving)
                 self.assertEqual('1-0', line.members_epoch)
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -163,6 +163,7 @@
             server.leaving
             or server.zone in config.zones_out
             or server.server_id in config.servers_out
+            or self._holder.has_left(server)
         )
 
     @property
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -40,6 +40,7 @@
         self.members = {}
         self.members_version = 1
         self.members_epoch = 'e'
+        self.left_ids = set()
         self.peers = ('tcp://one',)
 
     @property
@@ -47,6 +48,10 @@
         """Return how long the lease runs."""
         return 1000 if self.is_leased else 0
 
+    def has_left(self, server):
+        """Return whether a server's departure is recorded."""
+        return server.server_id in self.left_ids
+
     def is_valid(self):
         """Return whether the lease runs."""
         return self.is_leased
--- a/src/shallothinge/leases/holder.py
+++ b/src/shallothinge/leases/holder.py
@@ -5,7 +5,9 @@
 from shallothinge import clock
 from shallothinge.bundles.model import ServingConfig
 from shallothinge.leases import messages
+from shallothinge.membership import departures
 from shallothinge.membership.model import BackendServer
+from shallothinge.membership.model import Departure
 from shallothinge.membership.model import MembershipUpdate
 
 DRIFT_DIVISOR = 50
@@ -56,6 +58,8 @@
         self._members_sequence = 0
         self.config = ServingConfig()
         self.members: dict[str, BackendServer] = {}
+        # When a server's departure was heard of, by id and incarnation.
+        self._left_ms: dict[tuple[str, str], int] = {}
         self._listed_peers: tuple[str, ...] = ()
         self.fence = 0
         self.lapses = 0
@@ -119,6 +123,7 @@
             return False
         if grant.config is not None:
             self._take_config(grant)
+        self._take_departures(grant.departures)
         if grant.state_version != self.config.state_version:
             return False
         if self._ends_ms is not None and not self.is_valid():
@@ -135,6 +140,27 @@
             self._take_members(grant.members, epoch=grant.members_epoch)
         return True
 
+    def has_left(self, server: BackendServer) -> bool:
+        """Return whether a server has left, whatever the list says of it.
+
+        The list comes from one leader's memory, which may have heard of the
+        server late or not at all; a departure is recorded by a majority.
+        """
+        return any(
+            (server.server_id, incarnation) in self._left_ms
+            for incarnation in ('', server.incarnation)
+        )
+
+    def _take_departures(self, left: tuple[Departure, ...]) -> None:
+        now_ms = self._clock.now_ms()
+        for one in left:
+            key = (one.server_id, one.incarnation)
+            self._left_ms.setdefault(key, now_ms)
+        for (server_id, incarnation), since_ms in list(self._left_ms.items()):
+            kept_ms = departures.kept_ms(incarnation)
+            if since_ms < now_ms - kept_ms:
+                del self._left_ms[server_id, incarnation]
+
     @property
     def peers(self) -> tuple[str, ...]:
         """Return the holders that are listed or were so until lately.
--- a/src/shallothinge/leases/messages.py
+++ b/src/shallothinge/leases/messages.py
@@ -5,6 +5,7 @@
 from shallothinge.bundles.model import ServingConfig
 from shallothinge.errors import ErrorKind
 from shallothinge.membership.model import BackendServer
+from shallothinge.membership.model import Departure
 from shallothinge.membership.model import MembershipUpdate
 
 
@@ -43,7 +44,9 @@
     backend server under another incarnation. ``members_epoch`` names the
     leader whose membership versions count. ``peers`` are the addresses of
     the holders that may be written to, ``control_ids`` the control hosts;
-    both are present if ``peers_digest`` is, which names them. Until
+    both are present if ``peers_digest`` is, which names them.
+    ``departures`` are the backend servers that left since the version that
+    the holder had; one that takes note of a version takes note of them. Until
     ``is_settled`` a new leader may not have heard of every backend server.
     """
 
@@ -59,6 +62,7 @@
     peers: tuple[str, ...] = ()
     control_ids: tuple[str, ...] = ()
     peers_digest: str = ''
+    departures: tuple[Departure, ...] = ()
     is_settled: bool = True
 
 
--- a/src/shallothinge/membership/messages.py
+++ b/src/shallothinge/membership/messages.py
@@ -13,6 +13,19 @@
     incarnation: str
 
 
+@attrs.frozen(kw_only=True)
+class RecordDeparture:
+    """Note that an incarnation of a backend server leaves; '' for any."""
+
+    server_id: str
+    incarnation: str
+
+
+@attrs.frozen(kw_only=True)
+class ForgetDepartures:
+    """Forget backend servers that left long ago."""
+
+
 @attrs.frozen(kw_only=True)
 class Heartbeat:
     """A backend server without an agent announces itself.
@@ -29,7 +42,7 @@
 
 @attrs.frozen(kw_only=True)
 class ServerGone:
-    """A backend server says that it takes no new work any more."""
+    """A backend server without an agent says that it is gone."""
 
     request_id: str
     server_id: str
@@ -43,5 +56,5 @@
     leader_id: str
 
 
-COMMANDS = (FenceServer,)
+COMMANDS = (FenceServer, RecordDeparture, ForgetDepartures)
 MESSAGES = (Heartbeat, ServerGone, HeartbeatTaken)
--- a/src/shallothinge/membership/model.py
+++ b/src/shallothinge/membership/model.py
@@ -32,6 +32,21 @@
     slots: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class Departure:
+    """A backend server has said that it leaves; it gets no work any more.
+
+    ``incarnation`` is '' if it is not known, which covers all of them.
+    ``index`` is that of the log entry which recorded it, ``at_ms`` the
+    leader's time in Unix milliseconds.
+    """
+
+    server_id: str
+    incarnation: str
+    index: int
+    at_ms: int
+
+
 @attrs.frozen(kw_only=True)
 class MembershipUpdate:
     """Changes of the membership since a version that the reader holds.
--- a/src/shallothinge/membership/tests/test_heartbeats.py
+++ b/src/shallothinge/membership/tests/test_heartbeats.py
@@ -3,6 +3,7 @@
 import unittest
 
 from shallothinge import clock
+from shallothinge.membership import departures
 from shallothinge.membership import heartbeats
 from shallothinge.membership import messages
 from shallothinge.membership import model
@@ -33,8 +34,11 @@
         self.members = table.MemberTable(
             clock=self.clock, epoch='e', silence_ms=4000
         )
+        self.departures = departures.Departures()
         self.log = heartbeats.HeartbeatLog(
-            clock=self.clock, members=self.members
+            clock=self.clock,
+            members=self.members,
+            read_departures=lambda: self.departures,
         )
 
     def assertOutdated(self, taken):
@@ -43,6 +47,16 @@
     def assertCounts(self, taken):
         self.assertIs(heartbeats.Taken.CHANGED, taken)
 
+    def gone(self, server_id):
+        """Record that a server has gone, in what incarnation is known."""
+        self.departures.record(
+            server_id=server_id,
+            incarnation=self.log.incarnation_of(server_id),
+            index=1,
+            now_ms=self.clock.now_ms(),
+        )
+        self.log.gone(server_id)
+
     def listed(self):
         return {
             server.server_id: server.leaving
@@ -56,21 +70,30 @@
 
     def test_late_heartbeat_does_not_bring_back_what_is_gone(self):
         self.log.take(beat('i', sequence=3))
-        self.log.gone(messages.ServerGone(request_id='r', server_id='i'))
+        self.gone('i')
         self.assertOutdated(self.log.take(beat('i', sequence=4)))
         self.assertEqual({}, self.listed())
 
     def test_server_that_goes_before_a_new_leader_heard_of_it(self):
-        self.log.gone(messages.ServerGone(request_id='r', server_id='i'))
+        self.gone('i')
         self.assertOutdated(self.log.take(beat('i', sequence=4)))
         self.assertEqual(('i',), self.members.heard_so_far().left)
-        self.clock.advance(duration_ms=heartbeats.UNKNOWN_GONE_KEPT_MS + 1)
-        self.log.forget_old()
+        self.clock.advance(duration_ms=departures.UNKNOWN_KEPT_MS + 1)
+        self.departures.forget_old(now_ms=self.clock.now_ms())
         self.assertCounts(self.log.take(beat('i', started_ms=9)))
 
+    def test_resent_heartbeat_is_told_from_an_outdated_one(self):
+        self.log.take(beat('i', sequence=3))
+        for sequence, taken in (
+            (3, heartbeats.Taken.REPEATED),
+            (4, heartbeats.Taken.REPEATED),
+            (2, heartbeats.Taken.OUTDATED),
+        ):
+            self.assertIs(taken, self.log.take(beat('i', sequence=sequence)))
+
     def test_restart_under_the_same_id_counts_anew(self):
         self.log.take(beat('i', started_ms=5, sequence=9))
-        self.log.gone(messages.ServerGone(request_id='r', server_id='i'))
+        self.gone('i')
         self.assertCounts(self.log.take(beat('i', started_ms=8, sequence=1)))
         self.assertOutdated(
             self.log.take(beat('i', started_ms=5, sequence=10))
