Acknowledge that a backend server leaves when no gateway acts without it

Cause: the acknowledgement meant that the leader knew, not that gateways did. A gateway that hears nothing for a while acts on its list for as long as its lease runs: up to 3 s, longer than the 2 s that users allow. It may be a pause of the process, a slow election or a connection that is silent.

Change: as for any other change, in force means that each holder has confirmed the version or that its lease has run out; the lease table tells. The leader answers a leaving only then (control/departing.py), the server asks again meanwhile. Nothing is assumed about how fast news travels.

Ruled out: leases shorter than two seconds (a change of leader would take the leases of all gateways, and no figure of a deployment is to be built in); more nudges (they are lost with what carries them).

test_leaving_is_not_acknowledged_while_a_gateway_may_send failed before and passes.

--- a/src/shallothinge/control/granting.py
+++ b/src/shallothinge/control/granting.py
@@ -32,6 +32,7 @@
     :param propose: commits a command; returns a Deferred.
     :param refuse: answers a peer's request with an error kind.
     :param send: sends a message to a peer's route.
+    :param on_granted: called after grants, which note what holders confirm.
     """
 
     def __init__(
@@ -44,6 +45,7 @@
         propose: Callable,
         refuse: Callable,
         send: Callable[..., bool],
+        on_granted: Callable[[], None],
     ):
         self._log = log
         self._machine = machine
@@ -52,6 +54,7 @@
         self._propose = propose
         self._refuse = refuse
         self._send = send
+        self._on_granted = on_granted
         self._waiting: list[WaitingRequest] = []
         self._confirming = False
         self._nudged_version = 0
@@ -131,6 +134,7 @@
             else:
                 self._routes_of_holders[holder] = waiting.peer.route
             self._send(route=waiting.peer.route, message=answer)
+        self._on_granted()
 
     def _refuse_batch(self, batch: list[WaitingRequest]) -> None:
         for waiting in batch:
--- a/src/shallothinge/control/server.py
+++ b/src/shallothinge/control/server.py
@@ -94,9 +94,15 @@
             propose=self.propose,
             refuse=self._refuse,
             send=send,
+            on_granted=lambda: self._departing.check(),
         )
         self._departing = departing.Departing(
-            machine=machine, propose=self.propose
+            machine=machine,
+            clock=clock,
+            propose=self.propose,
+            read_waiting=lambda version: self._current().leases.waiting_for(
+                version=version
+            ),
         )
         self._maintenance = maintenance.Maintenance(
             machine=machine,
@@ -202,6 +208,9 @@
             self._granter.forget_routes()
             self._granter.nudge_holders()
             self._maintenance.sweep(current=self._current())
+            self._departing.check()
+        else:
+            self._departing.give_up()
 
     def propose(self, command: object) -> defer.Deferred:
         """Commit a command; fire with its decoded answer."""
@@ -397,12 +406,12 @@
 
     def _take_server_gone(self, peer, order) -> None:
         heard = self._current().heartbeats
-        self._answer_once_left(
-            peer, order, incarnation=heard.incarnation_of(order.server_id)
-        )
+        incarnation = heard.incarnation_of(order.server_id)
+        heard.gone(order.server_id)
+        self._answer_once_left(peer, order, incarnation=incarnation)
 
     def _answer_once_left(self, peer, message, *, incarnation: str) -> None:
-        """Acknowledge a leaving when it will hold."""
+        """Acknowledge a leaving when no gateway acts without it any more."""
         is_gone = isinstance(message, membership.ServerGone)
         server_id = message.server_id if is_gone else message.server.server_id
         left = self._departing.leave(
@@ -410,10 +419,8 @@
         )
 
         def answer(_):
-            if is_gone:
-                self._current().heartbeats.gone(server_id)
             LOG.info(
-                'departure of a backend server is recorded',
+                'departure of a backend server is in force',
                 extra={
                     'server_id': server_id,
                     'incarnation': incarnation,
--- a/src/shallothinge/membership/heartbeats.py
+++ b/src/shallothinge/membership/heartbeats.py
@@ -75,7 +75,7 @@
         return Taken.CHANGED if has_changed else Taken.REPEATED
 
     def gone(self, server_id: str) -> None:
-        """Drop a backend server whose departure is recorded."""
+        """Drop a backend server; its departure is being recorded."""
         self._end(server_id)
 
     def forget_old(self) -> None:
