Answer a leaving that is sent again once

A control host passes an order on again every 400 ms until it is answered. Since a leaving waits until it is in force, each repetition waited too, and all were answered and logged. Now the one that waits answers for all, and one that waits in vain is refused, so that nothing stays behind. test_leaving_that_is_sent_again_is_answered_once failed before.

--- a/src/shallothinge/control/departing.py
+++ b/src/shallothinge/control/departing.py
@@ -7,6 +7,7 @@
 from twisted.internet import defer
 
 from shallothinge import clock as clocks
+from shallothinge import errors
 from shallothinge.control import state
 from shallothinge.membership import messages as membership
 
@@ -53,7 +54,8 @@
 
         :param incarnation: '' if it is not known.
         :returns: fires with None once every holder has confirmed it or its
-            lease has run out; never if that takes too long.
+            lease has run out; fails if that takes too long or this host
+            leads no more.
         """
         recorded = defer.succeed(None)
         if self._find(server_id, incarnation) is None:
@@ -101,7 +103,17 @@
                         'waiting_for': holders,
                     },
                 )
+                one.in_force.errback(_not_in_force('some holders may act'))
 
     def give_up(self) -> None:
-        """Answer nothing more: another host leads."""
-        self._waiting.clear()
+        """Fail what waits: another host leads."""
+        waiting, self._waiting = self._waiting, []
+        for one in waiting:
+            one.in_force.errback(_not_in_force('another host leads'))
+
+
+def _not_in_force(detail: str) -> errors.ServingError:
+    return errors.ServingError(
+        kind=errors.ErrorKind.NOT_LEADER,
+        detail=f'the departure is recorded but not in force: {detail}',
+    )
--- a/src/shallothinge/control/server.py
+++ b/src/shallothinge/control/server.py
@@ -104,6 +104,7 @@
                 version=version
             ),
         )
+        self._leaving_ids: set[str] = set()
         self._maintenance = maintenance.Maintenance(
             machine=machine,
             clock=clock,
@@ -412,12 +413,20 @@
 
     def _answer_once_left(self, peer, message, *, incarnation: str) -> None:
         """Acknowledge a leaving when no gateway acts without it any more."""
+        # It is sent again until it is answered, which may take a second.
+        if message.request_id in self._leaving_ids:
+            return
+        self._leaving_ids.add(message.request_id)
         is_gone = isinstance(message, membership.ServerGone)
         server_id = message.server_id if is_gone else message.server.server_id
         left = self._departing.leave(
             server_id=server_id, incarnation=incarnation
         )
 
+        def forget(result):
+            self._leaving_ids.discard(message.request_id)
+            return result
+
         def answer(_):
             LOG.info(
                 'departure of a backend server is in force',
@@ -432,6 +441,7 @@
             )
             return self._heartbeat_answer(message)
 
+        left.addBoth(forget)
         left.addCallback(answer)
         self._reply_with(left, peer, message)
 
--- a/src/shallothinge/control/tests/test_departures.py
+++ b/src/shallothinge/control/tests/test_departures.py
@@ -140,6 +140,19 @@
                 self.leave(word)
                 self.assertFalse(self.gateway.may_send())
 
+    def test_leaving_that_is_sent_again_is_answered_once(self):
+        self.list_server()
+        for _ in range(3):
+            self.assertFalse(self.say(gone()))
+        answers = []
+        for _ in range(PATIENCE_MS // STEP_MS):
+            self.bench.sent.clear()
+            self.bench.clock.advance(duration_ms=STEP_MS)
+            self.bench.server.tick()
+            answers += self.bench.sent
+        kinds = [type(answer).__name__ for answer in answers]
+        self.assertCountEqual(['LeaseNudge', 'ControlRefused'], kinds)
+
     def test_restart_under_the_same_id_is_no_leaving(self):
         self.list_server()
         self.leave(beat(3, leaving=True), renewing=[self.gateway])
