Compare versions of server lists within one leadership only

A nudge carries the version of the leader's list of servers, which counts from 0 for each leader. A holder compared it with the version that it had from the leader before, so nudges of a new leader were passed over until its list was complete; servers that joined or turned cold were heard of with the next renewal only, up to 1.25 s later.

A nudge names its leadership now, as grants do; one of another leadership is followed. Holders that ask for no list (agents) no longer renew for changes of it: they held version 0 and followed each nudge.

test_nudge_of_a_new_leader_is_followed_though_its_list_is_short: with the field but without the comparison the row ('new', 2) failed; passes now.

--- a/src/shallothinge/control/granting.py
+++ b/src/shallothinge/control/granting.py
@@ -160,7 +160,9 @@
         self._nudged_members = members_version
         self._nudged_ms = now_ms
         nudge = leases.LeaseNudge(
-            state_version=version, members_version=members.version
+            state_version=version,
+            members_epoch=members.epoch,
+            members_version=members.version,
         )
         for route in self._routes_of_holders.values():
             self._send(route=route, message=nudge)
--- a/src/shallothinge/control/tests/test_server.py
+++ b/src/shallothinge/control/tests/test_server.py
@@ -163,11 +163,13 @@
         for out in (True, False):
             self.bench.set_zone('a', out=out)
             nudges += self.bench.sent[:-1]
-        self.assertEqual([leases.LeaseNudge(state_version=1)], nudges)
+        nudge = leases.LeaseNudge(state_version=1, members_epoch='1-0')
+        self.assertEqual([nudge], nudges)
         self.bench.clock.advance(duration_ms=500)
         self.bench.sent.clear()
         self.bench.server.tick()
-        self.assertEqual([leases.LeaseNudge(state_version=2)], self.bench.sent)
+        nudge = attrs.evolve(nudge, state_version=2)
+        self.assertEqual([nudge], self.bench.sent)
 
     def test_bundle_is_not_sent_again_for_an_outage(self):
         entry = self._holder('e1')
--- a/src/shallothinge/leases/client.py
+++ b/src/shallothinge/leases/client.py
@@ -243,8 +243,7 @@
             self.renew_now()
 
     def _take_nudge(self, nudge: messages.LeaseNudge) -> None:
-        is_behind = nudge.state_version > self._holder.config.state_version
-        if is_behind or nudge.members_version > self._holder.members_version:
+        if self._holder.is_behind(nudge):
             self.renew_now()
 
     def _answer(self, message: object) -> None:
--- a/src/shallothinge/leases/holder.py
+++ b/src/shallothinge/leases/holder.py
@@ -87,6 +87,19 @@
         """Return whether the holder may act now."""
         return self.remaining_ms > 0
 
+    def is_behind(self, nudge: messages.LeaseNudge) -> bool:
+        """Return whether a nudge tells of something that is not held.
+
+        Versions of the list of backend servers count within a leadership.
+        """
+        if nudge.state_version > self.config.state_version:
+            return True
+        if not self._wants_members:
+            return False
+        if nudge.members_epoch != self._members_epoch:
+            return True
+        return nudge.members_version > self._members_version
+
     def next_request(self) -> messages.LeaseRequest:
         """Return the request to send now; its send time is noted."""
         self._sequence += 1
--- a/src/shallothinge/leases/messages.py
+++ b/src/shallothinge/leases/messages.py
@@ -70,11 +70,12 @@
 class LeaseNudge:
     """Control to holder: renew now, something has changed.
 
-    ``members_version`` is the leader's version of the list of backend
-    servers.
+    ``members_version`` is the version of the list of backend servers in the
+    leadership that ``members_epoch`` names.
     """
 
     state_version: int
+    members_epoch: str = ''
     members_version: int = 0
 
 
--- a/src/shallothinge/leases/tests/test_client.py
+++ b/src/shallothinge/leases/tests/test_client.py
@@ -9,6 +9,7 @@
 from shallothinge.leases import client
 from shallothinge.leases import holder
 from shallothinge.leases import messages
+from shallothinge.membership.model import MembershipUpdate
 from shallothinge.settings import model
 
 HOST_IDS = ('control-1', 'control-2', 'control-3')
@@ -95,6 +96,40 @@
         self.addCleanup(self.client.close)
         self.control.advance(duration_ms=2000)
 
+    def _listed(self, *, epoch, version):
+        """Let the holder take a complete list of one leadership."""
+        request = self.holder.next_request()
+        self.holder.granted(
+            messages.LeaseGranted(
+                sequence=request.sequence,
+                duration_ms=LEASE_MS,
+                state_version=0,
+                members_epoch=epoch,
+                members=MembershipUpdate(version=version, complete=True),
+            )
+        )
+
+    def test_nudge_of_a_new_leader_is_followed_though_its_list_is_short(self):
+        self._listed(epoch='old', version=150)
+        rows = (
+            ('old', 150, False),
+            ('old', 149, False),
+            ('old', 151, True),
+            ('new', 2, True),
+        )
+        for epoch, version, is_followed in rows:
+            with self.subTest(epoch=epoch, version=version):
+                before = self.holder.next_request().sequence
+                self.client._receive(
+                    messages.LeaseNudge(
+                        state_version=0,
+                        members_epoch=epoch,
+                        members_version=version,
+                    )
+                )
+                asked = self.holder.next_request().sequence - before - 1
+                self.assertEqual(is_followed, bool(asked))
+
     def _advance_with_lease(self, *, duration_ms):
         for _ in range(duration_ms // 100):
             self.control.advance(duration_ms=100)
