Look again whether a server may get a request once the connection stands

A server is chosen, then memory may be reserved and a connection is opened; only the lease was looked at again before sending. A server that left meanwhile, or whose zone was taken out, got the request. The connection alone may take 150 ms; an order that reserves memory has no time limit but that of a dead peer.

What is decided for a server is now decided by one function, when it is chosen and when the request is sent. A request that may not be sent has not run and goes elsewhere, as with a lease that ran out. The log's sent_after_ms tells how far apart the two are.

test_request_is_not_sent_to_a_server_that_left_while_connecting: four of its five rows failed before; passes now, with the other tests of gateway.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -124,7 +124,11 @@
 
     def _may_send(self) -> bool:
         """Decide once more when the connection stands."""
-        if not self._parts.holder.is_valid():
+        is_allowed = (
+            self._parts.holder.is_valid()
+            and self._parts.servers.may_get_work(self.server_id)
+        )
+        if not is_allowed:
             return False
         now_ms = self._parts.clock.now_ms()
         self.sent_after_ms = now_ms - self._placed_ms
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -116,6 +116,12 @@
             gateway_count=max(1, len(self._holder.peers)),
         )
 
+    def may_get_work(self, server_id: str) -> bool:
+        """Return whether a server may be sent a request at this moment."""
+        self.follow_list()
+        server = self.find(server_id)
+        return server is not None and self._may_get_work(server)
+
     def heard(self, server_id: str) -> None:
         """Note that a server sent something."""
         if server_id in self._known:
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -65,7 +65,13 @@
 
     def call(self, *, address, head, body, listener, may_send=None):
         """Note a call; the test plays the answer."""
-        call = Call(address=address, head=head, body=body, listener=listener)
+        call = Call(
+            address=address,
+            head=head,
+            body=body,
+            listener=listener,
+            may_send=may_send,
+        )
         self.calls.append(call)
         return call
 
@@ -78,6 +84,7 @@
     head: messages.RequestHead
     body: bytes
     listener: object
+    may_send: object = None
     is_cancelled: bool = False
 
     def cancel(self):
--- a/src/shallothinge/gateway/tests/test_forwarding.py
+++ b/src/shallothinge/gateway/tests/test_forwarding.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+
 from shallothinge.gateway.tests import rig
 from shallothinge.placement import fleet
 from shallothinge.platform.tests import samples
@@ -39,6 +41,36 @@
         self.assertEqual('signature', exchange.headers['response-signature'])
         self.assertEqual({}, self.rig.load.loads())
 
+    def test_request_is_not_sent_to_a_server_that_left_while_connecting(self):
+        def leave(held, server):
+            held.left_ids.add(server.server_id)
+
+        def report(held, server):
+            held.members[server.server_id] = attrs.evolve(server, leaving=True)
+
+        def vanish(held, server):
+            del held.members[server.server_id]
+
+        def close_zone(held, server):
+            held.config = attrs.evolve(held.config, zones_out=('z1',))
+
+        def lose_lease(held, server):
+            held.is_leased = False
+
+        for change in (leave, report, vanish, close_zone, lose_lease):
+            with self.subTest(change=change.__name__):
+                self.setUp()
+                self.rig.request(BOOKING)
+                call = self.calls[0]
+                self.assertTrue(call.may_send())
+                server = next(
+                    one
+                    for one in self.rig.holder.members.values()
+                    if one.address == call.address
+                )
+                change(self.rig.holder, server)
+                self.assertFalse(call.may_send())
+
     def test_refused_requests(self):
         cases = (
             ('/none/1', {}, 404),
