Test departures against any order of elections, grants and late heartbeats

Extends the state machine of the lease tests by a server that leaves, at a leader that may be deposed, frozen or behind.

--- a/src/shallothinge/control/tests/test_departures.py
+++ b/src/shallothinge/control/tests/test_departures.py
@@ -2,19 +2,29 @@
 
 import unittest
 
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+from twisted.internet import defer
+
+from shallothinge.control import departing
 from shallothinge.control.tests import fakes
+from shallothinge.control.tests import test_leases
 from shallothinge.gateway import coldshare
 from shallothinge.gateway import servers
 from shallothinge.leases import holder as holders
 from shallothinge.membership import messages as membership
 from shallothinge.membership.model import BackendServer
 from shallothinge.placement import fleet
+from shallothinge.settings import model
 
 SERVER_ID = 'i'
 STARTED_MS = 5
 STEP_MS = 250
 # Servers give up some seconds after they first said that they leave.
 PATIENCE_MS = 6000
+# Heartbeats are seconds late at most.
+LATE_MS = 10_000
 
 
 def beat(sequence, *, leaving=False, started_ms=STARTED_MS):
@@ -160,3 +170,96 @@
         self.say(beat(1, started_ms=STARTED_MS + 1))
         self.gateway.renew()
         self.assertTrue(self.gateway.may_send())
+
+
+class DepartureMachine(test_leases.LeaseMachine):
+    """A server leaves while holders are cut off and leaders change.
+
+    Its heartbeats of before may come late, to any leader. Leaders take long
+    to hear of all servers, so that lists of before are kept for long.
+    """
+
+    lease_settings = model.LeaseSettings(member_silence_ms=20_000)
+
+    def __init__(self):
+        super().__init__()
+        self.departing = {}
+        self.left_ms = None
+        self.is_acknowledged = False
+
+    def _departing_of(self, leader):
+        """Return what waits at one leader."""
+        if id(leader) not in self.departing:
+            self.departing[id(leader)] = departing.Departing(
+                machine=leader.machine,
+                clock=self.clock,
+                propose=lambda command: defer.succeed(self._apply(command)),
+                read_waiting=lambda version: leader.current.leases.waiting_for(
+                    version=version
+                ),
+            )
+        return self.departing[id(leader)]
+
+    def _leader(self, number):
+        leaders = (self.leader, *self.old_leaders)
+        return leaders[number % len(leaders)]
+
+    def _may_be_late(self):
+        if self.left_ms is None:
+            return True
+        return self.clock.now_ms() - self.left_ms < LATE_MS
+
+    @stateful.precondition(_may_be_late)
+    @stateful.rule(sequence=strategies.integers(1, 3))
+    def say_ready(self, sequence):
+        """A heartbeat of before the leaving arrives, in any order."""
+        self.leader.current.heartbeats.take(beat(sequence))
+
+    @stateful.rule(is_gone=strategies.booleans())
+    def leave(self, is_gone):
+        """The server says that it leaves; the leader may need time."""
+        heard = self.leader.current.heartbeats
+        incarnation = str(STARTED_MS)
+        if is_gone:
+            incarnation = heard.incarnation_of(SERVER_ID)
+            heard.gone(SERVER_ID)
+        else:
+            heard.take(beat(4, leaving=True))
+        if self.left_ms is None:
+            self.left_ms = self.clock.now_ms()
+        left = self._departing_of(self.leader).leave(
+            server_id=SERVER_ID, incarnation=incarnation
+        )
+        left.addCallbacks(self._acknowledged, lambda failure: None)
+
+    def _acknowledged(self, _):
+        self.is_acknowledged = True
+
+    @stateful.rule()
+    def renew_for_a_while(self):
+        """Holders that are well keep their leases past an election."""
+        for _ in range(4):
+            for number in range(len(self._all())):
+                self.request(number, 'renewed')
+            self.advance(1000)
+
+    @stateful.rule(number=strategies.integers(0, 5))
+    def look_again(self, number):
+        """A leader, or one that led, looks at what waits."""
+        self._departing_of(self._leader(number)).check()
+
+    @stateful.invariant()
+    def nobody_sends_to_a_server_whose_leaving_was_acknowledged(self):
+        """Whatever list a holder has, and from which leader."""
+        if not self.is_acknowledged:
+            return
+        for process in self.processes:
+            listed = process.holder.members.get(SERVER_ID)
+            if process.holder.is_valid() and listed is not None:
+                assert listed.leaving or process.holder.has_left(listed)
+
+
+DepartureMachine.TestCase.settings = hypothesis.settings(
+    max_examples=300, stateful_step_count=30
+)
+DepartureStateTest = DepartureMachine.TestCase
--- a/src/shallothinge/control/tests/test_leases.py
+++ b/src/shallothinge/control/tests/test_leases.py
@@ -51,6 +51,8 @@
 class LeaseMachine(stateful.RuleBasedStateMachine):
     """Holders are cut off or frozen, leaders change, messages are late."""
 
+    lease_settings = model.LeaseSettings()
+
     def __init__(self):
         super().__init__()
         self.clock = clock.ManualClock(start_ms=10_000)
@@ -110,7 +112,7 @@
             current=leadership.Leadership(
                 clock=self.clock,
                 machine=machine,
-                settings=model.LeaseSettings(),
+                settings=self.lease_settings,
                 epoch=f'{self.elections}',
                 elected_ms=self.clock.now_ms(),
             ),
