End a gateway only when its last answers have left the process

Hypotheses: (a) the process ends between the write and the send: Twisted sends what was written in the next turn of its loop, and the end of the shutdown drops all connections without sending; (b) the time that a closed connection lingers runs out before all is sent; (c) a request that crosses the close of its connection. In the finding the stream ran whole at 12.208 s and was cut at 12.212 s, 3.5 s after the signal, which is a multiple of the 250 ms in which a stopping gateway looks whether it may end: (a). (b) takes a second, (c) has no answer to cut.

Cause: a connection counted as quiet from the moment at which its answer was written. Class: done is what was handed on, not what has arrived. Change: a connection that carried an answer counts until it has ended; the caller ends it when it has read all, or the second of lingering is over. Ruled out: waiting one turn more, as a slow connection needs many.

test_process_does_not_end_before_its_answers_are_written forces the orders on real sockets: three of four rows failed before (0 of 100 and 0 of 8,000,000 bytes arrived), all pass now.

--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -90,12 +90,22 @@
         self._timer = None
         self._is_closing = False
         self._is_paused = False
+        self._has_answered = False
 
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being read or answered."""
         return self._exchange is None and self._head is None
 
+    @property
+    def owes_bytes(self) -> bool:
+        """Return whether the caller may not have all of an answer yet.
+
+        Of what was written, the last bytes may still be held here; only the
+        end of the connection tells that they are not.
+        """
+        return not self.is_idle or self._has_answered
+
     def connectionMade(self) -> None:
         """Watch how long the caller takes for its first request."""
         self.transport.setTcpNoDelay(True)
@@ -127,6 +137,7 @@
 
     def send_head(self, *, status: int, headers: messages.Headers) -> None:
         """Send the head of an answer."""
+        self._has_answered = True
         fields = list(headers)
         if self._site.is_stopping:
             fields.append(('connection', 'close'))
@@ -281,6 +292,7 @@
             response = h11.Response(
                 status_code=status, headers=messages.encode(fields)
             )
+            self._has_answered = True
             for event in (response, h11.Data(data=body), h11.EndOfMessage()):
                 self.transport.write(self._http.send(event))
         self._close_gently()
@@ -351,8 +363,13 @@
             connection.close_if_idle()
 
     def is_quiet(self) -> bool:
-        """Return whether no request is under way."""
-        return all(connection.is_idle for connection in self.connections)
+        """Return whether the process may end without cutting an answer.
+
+        To be asked after ``close_idle``, so that answered connections end.
+        """
+        return not any(
+            connection.owes_bytes for connection in self.connections
+        )
 
 
 def listen(*, site: Site, address: str, reactor, backlog: int = 511):
