Let a closed connection linger from the last byte sent

Cause: the second after which a closing connection is cut ran from the decision to close, while bytes were still waiting here. Change: it runs from when the writing side was closed, which Twisted tells a protocol that can be closed by halves; until then the idle limit bounds it. Such a protocol is also told of the end of a caller's side by itself, which still means that the caller has gone.

test_caller_that_reads_late_gets_all_of_its_answer failed before (127,958 of 8,000,000 bytes) and passes; three rows for the rest of the protocol.

--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -4,14 +4,16 @@
 import logging
 
 import h11
+from twisted.internet import interfaces
 from twisted.internet import protocol
+from zope.interface import implementer
 
 from shallothinge import clock as clocks
 from shallothinge.http1 import messages
 
 LOG = logging.getLogger(__name__)
 
-# A caller that was refused gets this long to stop sending before the
+# A caller that was sent all gets this long to stop sending before the
 # connection is cut, so that it can read the answer (RFC 9112, section 9.6).
 LINGER_MS = 1000
 MAX_WAITING_BYTES = 64 * 1024
@@ -76,6 +78,7 @@
             self._connection.cut()
 
 
+@implementer(interfaces.IHalfCloseableProtocol)
 class ServerConnection(protocol.Protocol):
     """One connection of a caller; answers one request at a time."""
 
@@ -135,6 +138,17 @@
             if exchange.on_gone is not None:
                 exchange.on_gone()
 
+    def readConnectionLost(self) -> None:
+        """Take a caller that sends no more for one that has gone."""
+        if self.is_idle:
+            self.transport.loseConnection()
+        else:
+            self.transport.abortConnection()
+
+    def writeConnectionLost(self) -> None:
+        """Give the caller time to read: all that was written has left."""
+        self._set_timer(LINGER_MS)
+
     def send_head(self, *, status: int, headers: messages.Headers) -> None:
         """Send the head of an answer."""
         self._has_answered = True
@@ -301,8 +315,8 @@
         """Close, but let the caller read what was sent."""
         self._is_closing = True
         self._resume()
+        self._set_timer(self._site.limits.idle_timeout_ms)
         self.transport.loseWriteConnection()
-        self._set_timer(LINGER_MS)
 
     def _set_timer(self, duration_ms: int) -> None:
         self._cancel_timer()
--- a/src/shallothinge/http1/tests/test_server.py
+++ b/src/shallothinge/http1/tests/test_server.py
@@ -136,6 +136,25 @@
         self.respond(self.exchanges[0])
         self.assertEqual(b'', self.transport.value())
 
+    def test_caller_that_sends_no_more_is_let_go(self):
+        for data, is_aborted in ((b'', False), (GET, True)):
+            with self.subTest(data=data):
+                self.setUp()
+                self.receive(data)
+                self.connection.readConnectionLost()
+                self.assertEqual(is_aborted, self.transport.was_aborted)
+                self.assertTrue(self.transport.disconnecting)
+
+    def test_connection_lingers_once_all_has_left(self):
+        self.receive(GET)
+        self.site.is_stopping = True
+        self.respond(self.exchanges[0])
+        self.reactor.advance(2 * server.LINGER_MS / 1000)
+        self.assertFalse(self.transport.was_aborted)
+        self.connection.writeConnectionLost()
+        self.reactor.advance(server.LINGER_MS / 1000)
+        self.assertTrue(self.transport.was_aborted)
+
     def test_stopping_site_asks_to_close(self):
         self.receive(GET)
         self.site.is_stopping = True
--- a/src/shallothinge/http1/tests/test_stopping.py
+++ b/src/shallothinge/http1/tests/test_stopping.py
@@ -2,7 +2,9 @@
 
 import socket
 import threading
+import time
 import unittest
+from unittest import mock
 
 from twisted.internet import defer
 from twisted.internet import epollreactor
@@ -19,11 +21,15 @@
 
 
 class Caller(threading.Thread):
-    """Sends a request and reads until the connection ends."""
+    """Sends a request and reads until the connection ends.
 
-    def __init__(self, *, port):
+    :param pause_s: how long it does not read what has arrived.
+    """
+
+    def __init__(self, *, port, pause_s):
         super().__init__(daemon=True)
         self._port = port
+        self._pause_s = pause_s
         self.received = b''
 
     def run(self):
@@ -31,6 +37,7 @@
         address = ('127.0.0.1', self._port)
         with socket.create_connection(address, TIMEOUT_S) as opened:
             opened.sendall(REQUEST)
+            time.sleep(self._pause_s)
             try:
                 while data := opened.recv(65_536):
                     self.received += data
@@ -41,7 +48,7 @@
 class StoppingTest(unittest.TestCase):
     """A process that stops ends its answers before it goes."""
 
-    def play(self, body, *, events):
+    def play(self, body, *, events, pause_s=0.0):
         """Stop as a gateway does, and answer meanwhile.
 
         :param events: 'head', 'data' and 'end' in the turns of the reactor
@@ -89,7 +96,7 @@
                 reactor.callLater(LOOK_S, look)
 
         port = reactor.listenTCP(0, site, interface='127.0.0.1')
-        caller = Caller(port=port.getHost().port)
+        caller = Caller(port=port.getHost().port, pause_s=pause_s)
         caller.start()
         reactor.run(installSignalHandlers=False)
         caller.join(TIMEOUT_S)
@@ -108,3 +115,10 @@
                 self.assertEqual(
                     len(body), len(received.partition(b'\r\n\r\n')[2])
                 )
+
+    def test_caller_that_reads_late_gets_all_of_its_answer(self):
+        with mock.patch.object(server, 'LINGER_MS', 100):
+            received = self.play(
+                LONG, events=[['head', 'data', 'end']], pause_s=0.5
+            )
+        self.assertEqual(len(LONG), len(received.partition(b'\r\n\r\n')[2]))
