Plan with engines that read the newest share of divided prompts first

Cause: placing took it that engines read shares in the order of arrival. So each new long prompt pushed back the shares of all before it, and nothing priced that.

Change: a server's queue is followed in that order, and a new share pays for all reads that it delays; a delayed share weighs four shares of its prompt.

The play of the tests had the same wrong order; it is corrected, which makes its tests harder.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -14,6 +14,7 @@
 from shallothinge.http1 import messages
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
+from shallothinge.placement import pricing
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
@@ -299,11 +300,15 @@
         shares = {
             share.server_id: share.tokens for share in self._placement.shares
         }
+        helper_count = len(self._placement.helper_ids)
+        work = attrs.evolve(work, is_divided=bool(helper_count))
+        share_weight = pricing.share_weight(helper_count + 1)
         helping = [
             attrs.evolve(
                 work,
                 server_id=helper_id,
                 is_helping=True,
+                weight=work.weight * share_weight,
                 memory_tokens=shares.get(helper_id, 0),
             )
             for helper_id in self._placement.helper_ids
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -231,7 +231,8 @@
                 price += RANK_PRICE * one.rank
         price += OTHER_ZONE_PRICE * (one.zone != demand.zone)
         price += COLD_PRICE * one.is_cold
-        ahead_ms = load.backlog_ms if is_alone else load.helping_ms
+        # Shares of divided prompts are read at once, the newest first.
+        ahead_ms = load.backlog_ms if is_alone else 0.0
         return spread.Part(
             candidate=one,
             price=price,
--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -23,6 +23,7 @@
 
     :ivar is_writing: whether its first event has arrived.
     :ivar is_helping: whether the server only reads a part for another.
+    :ivar is_divided: whether others read parts of the same prompt.
     :ivar memory_tokens: what it holds in the server's memory.
     :ivar left_ms: how much of the read is thought to be left.
     """
@@ -36,6 +37,7 @@
     memory_tokens: int = 0
     is_writing: bool = False
     is_helping: bool = False
+    is_divided: bool = False
     left_ms: float = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -44,10 +46,10 @@
 
 @attrs.frozen(kw_only=True)
 class PendingRead:
-    """A read that a server has to do for a request of its own.
+    """A read that a server has to do.
 
-    ``ends_in_ms`` is when it is expected to end, ``due_in_ms`` when it is
-    late.
+    ``ends_in_ms`` is when it is expected to end, ``due_in_ms`` when the
+    first event that waits for it is late.
     """
 
     ends_in_ms: float
@@ -68,15 +70,13 @@
     """Work at one backend server.
 
     ``active`` counts requests in its slots, ``helping`` the parts that it
-    reads for others. Those go first: ``helping_ms`` is how long they take
-    still, ``backlog_ms`` how long all reads take. ``memory_tokens`` is what
-    all of it holds in memory.
+    reads for others. ``backlog_ms`` is how long all reads take still,
+    ``memory_tokens`` what all of it holds in memory.
     """
 
     active: int = 0
     helping: int = 0
     backlog_ms: float = 0.0
-    helping_ms: float = 0.0
     memory_tokens: int = 0
     reads: tuple[PendingRead, ...] = ()
     writers: tuple[Writer, ...] = ()
@@ -85,9 +85,9 @@
 class ServerQueue:
     """What one server has under way, followed from event to event.
 
-    It reads parts for others first, in the order of their arrival, and then
-    its own prompts. Streams that it writes don't keep it from reading, but
-    their events wait for the end of a pass.
+    It reads shares of divided prompts first, the newest of them, and then
+    whole prompts in the order of their arrival. Streams that it writes don't
+    keep it from reading, but their events wait for the end of a pass.
     """
 
     def __init__(self, *, now_ms: int):
@@ -116,15 +116,16 @@
     def load(self, now_ms: int) -> ServerLoad:
         """Return the load."""
         self._advance(now_ms)
-        parts, own = self._to_read()
-        helping_ms = sum(work.left_ms for work in parts)
-        ends_in_ms = helping_ms
+        ends_in_ms = 0.0
         reads = []
-        for work in own:
-            # An own read shows when it ends, so one that should have ended
-            # is thought to end soon. A part mostly has: its gateway hears
+        for work in self._to_read():
+            # A whole read shows when it ends, so one that should have ended
+            # is thought to end soon. A share mostly has: its gateway hears
             # only when the whole prompt is read.
-            ends_in_ms += max(work.left_ms, OVERDUE_READ_MS)
+            if work.is_divided and not work.left_ms:
+                continue
+            least_ms = 0.0 if work.is_divided else OVERDUE_READ_MS
+            ends_in_ms += max(work.left_ms, least_ms)
             reads.append(
                 PendingRead(
                     ends_in_ms=ends_in_ms,
@@ -137,7 +138,6 @@
             active=len(self._works) - helping,
             helping=helping,
             backlog_ms=ends_in_ms,
-            helping_ms=helping_ms,
             memory_tokens=sum(work.memory_tokens for work in self._works),
             reads=tuple(reads),
             writers=tuple(
@@ -147,18 +147,18 @@
             ),
         )
 
-    def _to_read(self) -> tuple[list[Work], list[Work]]:
+    def _to_read(self) -> list[Work]:
+        """Return what is to be read, in the order in which it is."""
         reading = [work for work in self._works if not work.is_writing]
-        parts = [work for work in reading if work.is_helping]
-        own = [work for work in reading if not work.is_helping]
-        return parts, own
+        shares = [work for work in reading if work.is_divided]
+        shares.sort(key=lambda work: work.started_ms, reverse=True)
+        return shares + [work for work in reading if not work.is_divided]
 
     def _advance(self, now_ms: int) -> None:
         """Let the server read until now."""
         spare_ms = float(now_ms - self._at_ms)
         self._at_ms = now_ms
-        parts, own = self._to_read()
-        for work in (*parts, *own):
+        for work in self._to_read():
             spent_ms = min(work.left_ms, spare_ms)
             work.left_ms -= spent_ms
             spare_ms -= spent_ms
@@ -356,6 +356,7 @@
         round(work.weight * PERCENT),
         work.memory_tokens,
         int(work.is_helping),
+        int(work.is_divided),
         int(work.is_writing),
     )
 
@@ -372,5 +373,6 @@
         weight=named['weight_percent'] / PERCENT,
         memory_tokens=named['memory_tokens'],
         is_helping=bool(named['is_helping']),
+        is_divided=bool(named['is_divided']),
         is_writing=bool(named['is_writing']),
     )
--- a/src/shallothinge/placement/messages.py
+++ b/src/shallothinge/placement/messages.py
@@ -17,6 +17,7 @@
     'weight_percent',
     'memory_tokens',
     'is_helping',
+    'is_divided',
     'is_writing',
 )
 
@@ -31,7 +32,7 @@
         server reads its part of the prompt, how long ago that was sent, in
         how long its first event is due, the longest allowed pause between
         events (0 if there are none), what a late answer weighs in percent,
-        the tokens that it holds in the server's memory, and two flags.
+        the tokens that it holds in the server's memory, and three flags.
     :ivar writing: ids of works whose first event has arrived.
     :ivar ended: ids of works that have ended.
     :ivar failed: ids of backend servers that could not be reached or broke
--- a/src/shallothinge/placement/pricing.py
+++ b/src/shallothinge/placement/pricing.py
@@ -23,12 +23,15 @@
 LEAVE_MS = 1000.0
 # A first event is worth a little more the sooner it comes.
 SPEED_PRICE = 0.05
-# Own reads wait for all parts for others, also for those that come later: a
-# part costs them more than the one delay that can be foreseen, and something
-# for each share of the time that they have left.
-OWN_READ_FACTOR = 2.0
-OWN_READ_WAIT_PRICE = 0.3
+# Reads wait for all shares of prompts that come later: a share costs them
+# more than the one delay that can be foreseen, and something for each part of
+# the time that they have left.
+DELAYED_READ_FACTOR = 2.0
+DELAYED_READ_WAIT_PRICE = 0.3
 LEAST_DUE_MS = 100.0
+# A prompt is read once the slowest of its shares is. A read that delays some
+# of them mostly delays several at once; each counts for this many shares.
+SHARE_WEIGHT = 4.0
 
 
 def weight_of(tokens: int) -> float:
@@ -36,6 +39,14 @@
     return 1.0 + tokens / WEIGHT_TOKENS
 
 
+def share_weight(count: int) -> float:
+    """Return how much one of a prompt's shares weighs against all of it.
+
+    :param count: on how many servers the prompt is read.
+    """
+    return min(1.0, SHARE_WEIGHT / count)
+
+
 def lateness(expected_ms: float, objective_ms: float) -> float:
     """Return what is likely lost by missing an objective, 0 to 1.
 
@@ -86,7 +97,7 @@
 
 
 def price_for_reads(load: fleet.ServerLoad, part_ms: float) -> float:
-    """Return what a part for another server costs the own reads behind."""
+    """Return what a new share costs the reads that wait behind it."""
     return sum(
         read.weight * _price_for_read(read, part_ms) for read in load.reads
     )
@@ -96,4 +107,5 @@
     before = lateness(read.ends_in_ms, read.due_in_ms)
     after = lateness(read.ends_in_ms + part_ms, read.due_in_ms)
     used = min(1.0, part_ms / max(read.due_in_ms, LEAST_DUE_MS))
-    return OWN_READ_FACTOR * (after - before) + OWN_READ_WAIT_PRICE * used
+    delay = DELAYED_READ_FACTOR * (after - before)
+    return delay + DELAYED_READ_WAIT_PRICE * used
--- a/src/shallothinge/placement/tests/play.py
+++ b/src/shallothinge/placement/tests/play.py
@@ -57,7 +57,7 @@
 
 
 class Server:
-    """One engine."""
+    """One engine: parts of divided prompts go first, the newest of them."""
 
     def __init__(self, *, engine: model.EngineCost):
         self.engine = engine
@@ -161,21 +161,30 @@
             due_ms=int(request.at_ms + request.objective_ms),
             pause_ms=request.pause_ms,
             weight=pricing.weight_of(request.tokens),
+            is_divided=bool(placed.helper_ids),
         )
         works = [work] + [
-            attrs.evolve(work, server_id=one, is_helping=True)
+            attrs.evolve(
+                work,
+                server_id=one,
+                is_helping=True,
+                weight=work.weight * pricing.share_weight(len(ids)),
+            )
             for one in placed.helper_ids
         ]
         request.work_ids = tuple(self.load.start(one) for one in works)
         request.server = self.servers[placed.server_id]
-        for index, server_id in enumerate(ids):
+        for server_id in ids:
             server = self.servers[server_id]
             read = Read(
                 request=request,
                 tokens_left=request.tokens / len(ids),
                 ms_per_token=read_ms / request.tokens,
             )
-            (server.parts if index else server.reads).append(read)
+            if len(ids) > 1:
+                server.parts.appendleft(read)
+            else:
+                server.reads.append(read)
             self._wake(now_ms, server)
 
     def _wake(self, now_ms, server) -> None:
--- a/src/shallothinge/placement/tests/test_choice.py
+++ b/src/shallothinge/placement/tests/test_choice.py
@@ -44,7 +44,11 @@
     )
 
 
-READING = fleet.ServerLoad(active=1, backlog_ms=900.0, helping_ms=900.0)
+READING = fleet.ServerLoad(
+    active=1,
+    backlog_ms=900.0,
+    reads=(fleet.PendingRead(ends_in_ms=900.0, due_in_ms=2000.0, weight=5.0),),
+)
 WRITING = fleet.ServerLoad(
     active=3, writers=(fleet.Writer(pause_ms=250, weight=1.5),) * 3
 )
@@ -95,11 +99,18 @@
 
     def test_long_prompt_takes_streams_along_rather_than_come_late(self):
         # Every server writes one short stream, left over from a burst, and
-        # two have parts to read first.
+        # two have shares of other prompts to read.
         writing = fleet.ServerLoad(
             active=1, writers=(fleet.Writer(pause_ms=250, weight=1.5),)
         )
-        reading = fleet.ServerLoad(helping=2, helping_ms=1700, backlog_ms=1700)
+        reading = fleet.ServerLoad(
+            helping=2,
+            backlog_ms=1700,
+            reads=tuple(
+                fleet.PendingRead(ends_in_ms=end_ms, due_in_ms=2800, weight=30)
+                for end_ms in (800, 1700)
+            ),
+        )
         placed = self.choose(
             demand(tokens=300_000, objective_ms=3000.0),
             *(candidate(f'w{index}', load=writing) for index in range(19)),
--- a/src/shallothinge/placement/tests/test_fleet.py
+++ b/src/shallothinge/placement/tests/test_fleet.py
@@ -75,24 +75,50 @@
 
 
 class ServerQueueTest(unittest.TestCase):
-    """Parts for others go before a server's own reads."""
+    """Shares of divided prompts go before whole ones, the newest first."""
 
     def setUp(self):
         self.queue = fleet.ServerQueue(now_ms=0)
 
-    def test_own_reads_end_behind_parts_for_others(self):
-        own = work(read_ms=500.0, due_ms=900, weight=2.0)
-        self.queue.start(own, 0)
-        self.queue.start(work(read_ms=300.0, is_helping=True), 100)
+    def start(self, at_ms, **fields):
+        self.queue.start(work(started_ms=at_ms, **fields), at_ms)
+
+    def test_whole_reads_end_behind_shares_of_divided_prompts(self):
+        self.start(0, read_ms=500.0, due_ms=900, weight=2.0)
+        self.start(
+            100,
+            read_ms=300.0,
+            due_ms=800,
+            is_helping=True,
+            is_divided=True,
+        )
         load = self.queue.load(200)
         self.assertEqual((1, 1), (load.active, load.helping))
-        self.assertEqual(200, load.helping_ms)
         self.assertEqual(600, load.backlog_ms)
         self.assertEqual(
-            (fleet.PendingRead(ends_in_ms=600, due_in_ms=700, weight=2.0),),
+            (
+                fleet.PendingRead(ends_in_ms=200, due_in_ms=600, weight=1.0),
+                fleet.PendingRead(ends_in_ms=600, due_in_ms=700, weight=2.0),
+            ),
             load.reads,
         )
 
+    def test_newest_share_is_read_first_whoever_it_is_for(self):
+        # As seen of the engines: an older share stands still meanwhile.
+        for at_ms, is_helping in ((0, True), (100, False), (200, True)):
+            self.start(
+                at_ms,
+                read_ms=500.0,
+                due_ms=at_ms,
+                is_helping=is_helping,
+                is_divided=True,
+            )
+        ends = {
+            one.due_in_ms + 300: one.ends_in_ms
+            for one in self.queue.load(300).reads
+        }
+        self.assertEqual({200: 400, 100: 800, 0: 1200}, ends)
+
     def test_read_that_waited_is_not_thought_to_be_done(self):
         first = work(read_ms=600.0)
         self.queue.start(first, 0)
@@ -107,5 +133,5 @@
         )
 
     def test_part_is_thought_to_be_read_in_time(self):
-        self.queue.start(work(read_ms=50.0, is_helping=True), 0)
+        self.start(0, read_ms=50.0, is_helping=True, is_divided=True)
         self.assertEqual(0, self.queue.load(60).backlog_ms)
