--- a/src/shallothinge/control/server.py
+++ b/src/shallothinge/control/server.py
@@ -15,6 +15,7 @@
 from shallothinge import errors
 from shallothinge.allowances import messages as allowances
 from shallothinge.calls import messages as calls
+from shallothinge.control import announcements
 from shallothinge.control import api
 from shallothinge.control import commands
 from shallothinge.control import departing
@@ -28,7 +29,6 @@
 from shallothinge.jobs import messages as jobs
 from shallothinge.leases import client
 from shallothinge.leases import messages as leases
-from shallothinge.membership import heartbeats
 from shallothinge.membership import messages as membership
 from shallothinge.operators import messages as operators
 from shallothinge.routes import messages as route_messages
@@ -86,6 +86,14 @@
         self._codec = commands.build_codec()
         self._checker = orders.OrderChecker(operators=settings.operators)
         self._leadership: leadership.Leadership | None = None
+        self._departing = departing.Departing(
+            machine=machine,
+            clock=clock,
+            propose=self.propose,
+            read_waiting=lambda version: self._current().leases.waiting_for(
+                version=version
+            ),
+        )
         self._granter = granting.LeaseGranter(
             log=log,
             machine=machine,
@@ -94,17 +102,16 @@
             propose=self.propose,
             refuse=self._refuse,
             send=send,
-            on_granted=lambda: self._departing.check(),
+            on_granted=self._departing.check,
         )
-        self._departing = departing.Departing(
-            machine=machine,
-            clock=clock,
-            propose=self.propose,
-            read_waiting=lambda version: self._current().leases.waiting_for(
-                version=version
-            ),
+        self._announcements = announcements.Announcements(
+            log=log,
+            current=self._current,
+            departing=self._departing,
+            send=send,
+            reply_with=self._reply_with,
+            nudge_holders=self._granter.nudge_holders,
         )
-        self._leaving_ids: set[str] = set()
         self._maintenance = maintenance.Maintenance(
             machine=machine,
             clock=clock,
@@ -174,10 +181,10 @@
                 roles=roles, handle=self._carry_out_order
             ),
             membership.Heartbeat: Route(
-                roles=roles, handle=self._take_heartbeat
+                roles=roles, handle=self._announcements.heartbeat
             ),
             membership.ServerGone: Route(
-                roles=roles, handle=self._take_server_gone
+                roles=roles, handle=self._announcements.gone
             ),
         }
 
@@ -376,85 +383,6 @@
         done.addCallbacks(accept, refuse)
         self._reply_with(done, peer, order)
 
-    def _take_heartbeat(self, peer, beat) -> None:
-        taken = self._current().heartbeats.take(beat)
-        if taken is not heartbeats.Taken.REPEATED:
-            LOG.info(
-                'heartbeat of a backend server',
-                extra={
-                    'server_id': beat.server.server_id,
-                    'outcome': taken.value,
-                    'leaving': beat.server.leaving,
-                    'started_ms': beat.started_ms,
-                    'sequence': beat.sequence,
-                    'relayed_by': peer.process_id,
-                    **self._members_seen(),
-                },
-            )
-        if beat.server.leaving:
-            self._answer_once_left(
-                peer, beat, incarnation=beat.server.incarnation
-            )
-        else:
-            self._answer_heartbeat(peer, beat)
-
-    def _members_seen(self) -> dict[str, str | int]:
-        members = self._current().members
-        return {
-            'members_epoch': members.epoch,
-            'members_version': members.version,
-        }
-
-    def _take_server_gone(self, peer, order) -> None:
-        heard = self._current().heartbeats
-        incarnation = heard.incarnation_of(order.server_id)
-        heard.gone(order.server_id)
-        self._answer_once_left(peer, order, incarnation=incarnation)
-
-    def _answer_once_left(self, peer, message, *, incarnation: str) -> None:
-        """Acknowledge a leaving when no gateway acts without it any more."""
-        # It is sent again until it is answered, which may take a second.
-        if message.request_id in self._leaving_ids:
-            return
-        self._leaving_ids.add(message.request_id)
-        is_gone = isinstance(message, membership.ServerGone)
-        server_id = message.server_id if is_gone else message.server.server_id
-        left = self._departing.leave(
-            server_id=server_id, incarnation=incarnation
-        )
-
-        def forget(result):
-            self._leaving_ids.discard(message.request_id)
-            return result
-
-        def answer(_):
-            LOG.info(
-                'departure of a backend server is in force',
-                extra={
-                    'server_id': server_id,
-                    'incarnation': incarnation,
-                    'is_gone': is_gone,
-                    'relayed_by': peer.process_id,
-                    'state_version': self._machine.data.config.state_version,
-                    **self._members_seen(),
-                },
-            )
-            return self._heartbeat_answer(message)
-
-        left.addBoth(forget)
-        left.addCallback(answer)
-        self._reply_with(left, peer, message)
-
-    def _answer_heartbeat(self, peer, message) -> None:
-        answer = self._heartbeat_answer(message)
-        self._send(route=peer.route, message=answer)
-        self._granter.nudge_holders()
-
-    def _heartbeat_answer(self, message) -> membership.HeartbeatTaken:
-        return membership.HeartbeatTaken(
-            request_id=message.request_id, leader_id=self._log.leader_id
-        )
-
     def _fetch_routes(self, peer, request) -> None:
         self._read_for(
             peer,
--- a/src/shallothinge/control/tests/test_fleet_orders.py
+++ b/src/shallothinge/control/tests/test_fleet_orders.py
@@ -103,10 +103,10 @@
         for beat, outcome in rows:
             with self.subTest(sequence=beat.sequence):
                 if outcome is None:
-                    with self.assertNoLogs('shallothinge.control.server'):
+                    with self.assertNoLogs('shallothinge.control'):
                         self.ask(beat)
                     continue
-                with self.assertLogs('shallothinge.control.server') as logs:
+                with self.assertLogs('shallothinge.control') as logs:
                     self.ask(beat)
                 line = logs.records[0]
                 self.assertEqual(outcome, line.outcome)
