Let a daemon that is told to reload while it starts go on starting

Cause: until the settings are watched, SIGHUP has its default, which ends the process; libraries take 0.4 s and more to load. Ruled out: a crash (it leaves lines), a failed start (so does it).

--- a/src/shallothinge/operators/role_commands.py
+++ b/src/shallothinge/operators/role_commands.py
@@ -79,13 +79,14 @@
 
     folder = arguments.folder or arguments.settings.parent
     file_type = load.ROLE_TYPES[arguments.role]
-    settings = load.read(
-        path=arguments.settings, file_type=file_type, folder=folder
-    )
     changes = watch.SettingsWatch(
         path=arguments.settings, file_type=file_type, folder=folder
     )
+    # Before the file is read, so that no change of it is missed.
     changes.install(reactor)
+    settings = load.read(
+        path=arguments.settings, file_type=file_type, folder=folder
+    )
     process = settings.process
     logs.configure(
         role=arguments.role,
--- a/src/shallothinge/operators/tests/test_commands.py
+++ b/src/shallothinge/operators/tests/test_commands.py
@@ -8,6 +8,7 @@
 import tempfile
 import unittest
 
+from shallothinge.operators import command_line
 from shallothinge.operators import credentials
 from shallothinge.operators import exit_codes
 from shallothinge.operators import main
@@ -48,7 +49,7 @@
     def test_each_role_takes_a_folder_for_relative_paths(self):
         for role in ('control', 'entry', 'agent', 'gateway'):
             with self.subTest(role=role):
-                chosen = main.build_parser().parse_args(
+                chosen = command_line.build_parser().parse_args(
                     [role, '--settings', 'a.toml']
                 )
                 self.assertIsNone(chosen.folder)
