Let the soak's relay carry nothing after bytes that it dropped

The gateway saw one connection that ended well, with a pause of 348 ms; the relay before that server dropped the server's bytes from 8.43 s to 8.75 s of the plan and then went on. Two whole chunks were missing, so the framing was sound. TCP sends lost packets again and leaves no gap: fault of the soak, as old as the soak.

A connection that has lost bytes now never carries later ones, which is what a path that stays cut one way does; new connections pass. As strict as before: answers still never arrive. The relay's test failed before (the bytes after the gap arrived).

--- a/testing/soak/relay.py
+++ b/testing/soak/relay.py
@@ -15,7 +15,8 @@
 
     PASS = 'pass'
     DELAY = 'delay'
-    # Bytes of the server never arrive; those of the caller do.
+    # Bytes of the server never arrive; those of the caller do. A connection
+    # that has lost some never carries later ones, as TCP leaves no gap.
     ONE_WAY = 'one_way'
     # Nothing passes on any connection, and none is closed.
     SILENT = 'silent'
@@ -77,11 +78,13 @@
             onward[1].close()
 
     async def _pump(self, reader, writer, *, is_answer: bool) -> None:
+        has_lost = False
         try:
             while data := await reader.read(MAX_BYTES):
                 if self.mode is Mode.DELAY:
                     await asyncio.sleep(DELAY_S)
-                if self.mode is Mode.ONE_WAY and is_answer:
+                has_lost |= self.mode is Mode.ONE_WAY and is_answer
+                if has_lost:
                     continue
                 await self._may_pass.wait()
                 writer.write(data)
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -1,11 +1,14 @@
 """Tests of the soak's own judgement and plans, and a short soak."""
 
+import asyncio
+import socket
 import unittest
 
 import attrs
 
 from testing.soak import checks
 from testing.soak import faults
+from testing.soak import relay
 from testing.soak import run
 from testing.soak import wire
 
@@ -161,6 +164,47 @@
         self.assertGreater(lost, 0)
 
 
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    """What the relay does to connections is what networks do."""
+
+    async def asyncSetUp(self):
+        async def echo(reader, writer):
+            while data := await reader.read(100):
+                writer.write(data)
+            writer.close()
+
+        self.server = await asyncio.start_server(echo, '127.0.0.1', 0)
+        port = self.server.sockets[0].getsockname()[1]
+        with socket.create_server(('127.0.0.1', 0)) as free:
+            listen = f'127.0.0.1:{free.getsockname()[1]}'
+        self.relay = relay.Relay(listen=listen, target=f'127.0.0.1:{port}')
+        await self.relay.start()
+        self.addCleanup(self.server.close)
+        self.addCleanup(self.relay.close)
+        self.port = int(listen.rpartition(':')[2])
+
+    async def ask(self, opened, data):
+        """Return what comes back soon, b'' if nothing does."""
+        reader, writer = opened
+        writer.write(data)
+        try:
+            return await asyncio.wait_for(reader.read(100), 0.3)
+        except asyncio.TimeoutError:
+            return b''
+
+    async def test_connection_that_lost_bytes_carries_no_later_ones(self):
+        opened = await asyncio.open_connection('127.0.0.1', self.port)
+        self.assertEqual(b'1', await self.ask(opened, b'1'))
+        self.relay.set_mode(relay.Mode.ONE_WAY)
+        self.assertEqual(b'', await self.ask(opened, b'2'))
+        self.relay.set_mode(relay.Mode.PASS)
+        self.assertEqual(b'', await self.ask(opened, b'3'))
+        other = await asyncio.open_connection('127.0.0.1', self.port)
+        self.assertEqual(b'4', await self.ask(other, b'4'))
+        for _, writer in (opened, other):
+            writer.close()
+
+
 class ShortSoakTest(unittest.TestCase):
     """The real programs under a few faults."""
 
