Let a soak run many times the usual gateways and backend servers

Cause: the users ask for some soaks as large as the machine bears, and the counts were constants. A few hundred processes were not run.

--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -21,8 +21,11 @@
 
 ROLES = ('control', 'entry')
 CONTROL_COUNT = 3
+# Of the usual size; a scale multiplies both.
 GATEWAY_COUNT = 3
 BACKENDS = (wire.STREAMS,) * 3 + (wire.CALLS,) * 2
+# Last numbers of addresses; there is room for a scale of 28.
+FIRST_HOSTS = {'control': 1, 'gateway': 10, 'backend': 110}
 CONTROL_PORT, GATEWAY_PORT, API_PORT = 7001, 7002, 7003
 CALLER_PORT, READINESS_PORT, BACKEND_PORT, RELAY_PORT = 7004, 7005, 7006, 7007
 METRICS_PORT, GATEWAY_METRICS_PORT = 7008, 7009
@@ -47,9 +50,10 @@
 
     :param folder: for settings, keys, data and logs.
     :param net: first three numbers of the loopback addresses to use.
+    :param scale: how many times the usual gateways and backend servers.
     """
 
-    def __init__(self, *, folder: pathlib.Path, net: str):
+    def __init__(self, *, folder: pathlib.Path, net: str, scale: int = 1):
         self.folder = folder
         self.parts: dict[str, Part] = {}
         self.relays: dict[str, relay.Relay] = {}
@@ -58,6 +62,7 @@
         ]
         self.caller_addresses: dict[str, str] = {}
         self._net = net
+        self._scale = scale
 
     def prepare(self) -> None:
         """Write keys and settings."""
@@ -66,9 +71,9 @@
         keys.write_deployment(folder=self.folder, roles=ROLES)
         for index in range(CONTROL_COUNT):
             self._add_control(f'control-{index + 1}', may_found=True)
-        for index in range(GATEWAY_COUNT):
+        for index in range(GATEWAY_COUNT * self._scale):
             self._add_gateway(index)
-        for index, service in enumerate(BACKENDS):
+        for index, service in enumerate(BACKENDS * self._scale):
             self._add_backend(index, service)
 
     def record_of(self, name: str) -> pathlib.Path:
@@ -84,8 +89,7 @@
         return [part.name for part in self.parts.values() if part.role == role]
 
     def _host(self, role: str, index: int) -> str:
-        offset = {'control': 1, 'gateway': 20, 'backend': 40}[role]
-        return f'{self._net}.{offset + index}'
+        return f'{self._net}.{FIRST_HOSTS[role] + index}'
 
     def _process(self, name, host, key, port, metrics_port):
         return model.ProcessSettings(
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -60,13 +60,22 @@
 class Soak:
     """One deployment under one plan of faults."""
 
-    def __init__(self, *, seed: int, folder: pathlib.Path, duration_s: float):
+    def __init__(
+        self,
+        *,
+        seed: int,
+        folder: pathlib.Path,
+        duration_s: float,
+        scale: int,
+    ):
         # Of this process, so that soaks run beside each other.
         second, third = divmod(os.getpid() % NETS**2, NETS)
         net = f'127.{FIRST_NET + second}.{1 + third}'
         self._seed = seed
         self._duration_s = duration_s
-        self._running = deployment.Deployment(folder=folder, net=net)
+        self._running = deployment.Deployment(
+            folder=folder, net=net, scale=scale
+        )
         self._callers = callers.Callers(
             running=self._running, rng=random.Random(seed)
         )
@@ -281,10 +290,10 @@
 }
 
 
-def run_seed(seed: int, duration_s: float) -> Result:
+def run_seed(seed: int, duration_s: float, scale: int = 1) -> Result:
     """Run one soak; its folder is kept if it found something."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-')) / 'run'
-    soak = Soak(seed=seed, folder=folder, duration_s=duration_s)
+    soak = Soak(seed=seed, folder=folder, duration_s=duration_s, scale=scale)
     try:
         result = asyncio.run(soak.run())
     except asyncio.TimeoutError:
@@ -322,6 +331,12 @@
     parser.add_argument('--count', type=int, default=1)
     parser.add_argument('--jobs', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=DURATION_S)
+    parser.add_argument(
+        '--scale',
+        type=int,
+        default=1,
+        help='how many times the usual gateways and backend servers',
+    )
     arguments = parser.parse_args()
     soaks = _kept_soaks()
     if not arguments.kept:
@@ -329,7 +344,8 @@
         soaks = [(seed, arguments.seconds) for seed in seeds]
     failed = 0
     with concurrent.futures.ProcessPoolExecutor(arguments.jobs) as pool:
-        for result in pool.map(run_seed, *zip(*soaks, strict=True)):
+        scales = [arguments.scale] * len(soaks)
+        for result in pool.map(run_seed, *zip(*soaks, strict=True), scales):
             failed += bool(result.found)
             print(json.dumps(attrs.asdict(result)), flush=True)
     print(f'{len(soaks) - failed} seeds passed, {failed} failed')
