Put the soak's constants together

Cause: a constant of the stand-in server stood apart from the others, left behind by an edit. Change: two blank lines less.

--- a/testing/soak/backend.py
+++ b/testing/soak/backend.py
@@ -34,8 +34,6 @@
 LINGER_S = 6.0
 # Without an acknowledgement a server goes all the same.
 UNANSWERED_S = 6.0
-
-
 LEAVE_SIGNALS = (signal.SIGTERM, signal.SIGUSR1)
 
 
