Look through the list of servers once for each placement

Found on reading the change again, not measured as a delay.

Change: that loop tells what changed, and an unchanged list ends there. The line and its fields stay; its test passes as it was, with the other tests of the gateway.

--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -183,54 +183,68 @@
         return sum(known.server.leaving for known in self._known.values())
 
     def follow_list(self) -> None:
-        """Take over the holder's list."""
+        """Take over the holder's list.
+
+        Called for each placement, so that it does little when nothing has
+        changed.
+        """
         members = self._holder.members
-        self._log_changes(members)
-        if members.keys() != self._known.keys():
+        left = self._known.keys() - members.keys()
+        changed = [
+            server for server in members.values() if not self._holds(server)
+        ]
+        if not left and not changed:
+            return
+        joined = members.keys() - self._known.keys()
+        leaving = {
+            server.server_id for server in changed if self._leaves_now(server)
+        }
+        if joined or left:
             self._ranks = _rank_by_zone(members.values())
-        for server_id in set(self._known) - set(members):
+        for server_id in left:
             del self._known[server_id]
-        now_ms = self._clock.now_ms()
-        for server_id, server in members.items():
-            known = self._known.get(server_id)
-            if known is not None and known.server is server:
-                continue
-            is_new = known is None or (
-                known.server.incarnation != server.incarnation
-            )
-            self._known[server_id] = _Known(
-                server=server,
-                cold_until_ms=now_ms + server.cold_ms,
-                breaker=self._new_breaker() if is_new else known.breaker,
-                heard_ms=None if is_new else known.heard_ms,
-            )
+        for server in changed:
+            self._take(server)
         self._cold.forget(known_ids=set(members))
+        self._log_changes(joined=joined, left=left, leaving=leaving)
 
-    def _log_changes(self, members: dict[str, BackendServer]) -> None:
-        joined = sorted(members.keys() - self._known.keys())
-        left = sorted(self._known.keys() - members.keys())
-        leaving = sorted(
-            server_id
-            for server_id, server in members.items()
-            if server.leaving and not self._is_known_leaving(server_id)
+    def _holds(self, server: BackendServer) -> bool:
+        known = self._known.get(server.server_id)
+        return known is not None and known.server is server
+
+    def _leaves_now(self, server: BackendServer) -> bool:
+        known = self._known.get(server.server_id)
+        was_leaving = known is not None and known.server.leaving
+        return server.leaving and not was_leaving
+
+    def _take(self, server: BackendServer) -> None:
+        known = self._known.get(server.server_id)
+        is_new = known is None or (
+            known.server.incarnation != server.incarnation
+        )
+        self._known[server.server_id] = _Known(
+            server=server,
+            cold_until_ms=self._clock.now_ms() + server.cold_ms,
+            breaker=self._new_breaker() if is_new else known.breaker,
+            heard_ms=None if is_new else known.heard_ms,
         )
+
+    def _log_changes(
+        self, *, joined: set[str], left: set[str], leaving: set[str]
+    ) -> None:
         if joined or left or leaving:
             LOG.info(
                 'backend servers changed',
                 extra={
-                    'joined': joined[:LOGGED_IDS],
-                    'left': left[:LOGGED_IDS],
-                    'leaving': leaving[:LOGGED_IDS],
-                    'server_count': len(members),
+                    'joined': sorted(joined)[:LOGGED_IDS],
+                    'left': sorted(left)[:LOGGED_IDS],
+                    'leaving': sorted(leaving)[:LOGGED_IDS],
+                    'server_count': self.count,
                     'members_epoch': self._holder.members_epoch,
                     'members_version': self._holder.members_version,
                 },
             )
 
-    def _is_known_leaving(self, server_id: str) -> bool:
-        known = self._known.get(server_id)
-        return known is not None and known.server.leaving
-
     def _new_breaker(self) -> breaker.Breaker:
         return breaker.Breaker(
             clock=self._clock,
