Divide a placed request's work among its servers in one place

Cause: the gateway and the play of the tests each built the works of a divided prompt, with the weight of a share in both; one could have drifted from the other, as the order of reads had. Change: choice.works_of serves both; the time that a read still takes is written once in fleet.py.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -14,7 +14,6 @@
 from shallothinge.http1 import messages
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
-from shallothinge.placement import pricing
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
@@ -91,7 +90,9 @@
         self.sent_after_ms: int | None = None
         self._exchange = None
         self._reservation = None
-        self._work_ids = self._count_work(work)
+        self._work_ids = [
+            parts.load.start(one) for one in choice.works_of(placement, work)
+        ]
 
     @property
     def server_id(self) -> str:
@@ -296,25 +297,6 @@
             )
         )
 
-    def _count_work(self, work: fleet.Work) -> list[int]:
-        shares = {
-            share.server_id: share.tokens for share in self._placement.shares
-        }
-        helper_count = len(self._placement.helper_ids)
-        work = attrs.evolve(work, is_divided=bool(helper_count))
-        share_weight = pricing.share_weight(helper_count + 1)
-        helping = [
-            attrs.evolve(
-                work,
-                server_id=helper_id,
-                is_helping=True,
-                weight=work.weight * share_weight,
-                memory_tokens=shares.get(helper_id, 0),
-            )
-            for helper_id in self._placement.helper_ids
-        ]
-        return [self._parts.load.start(one) for one in (work, *helping)]
-
     def _end_helpers(self) -> None:
         """Note that the parts are read; reserved memory is still held."""
         if self._reservation is not None:
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -106,6 +106,26 @@
     free_in_ms: int
 
 
+def works_of(placement: Placement, work: fleet.Work) -> list[fleet.Work]:
+    """Return what a placed request gives each server to do, its own first.
+
+    :param work: that of the request's own server.
+    """
+    memory_tokens = {one.server_id: one.tokens for one in placement.shares}
+    count = 1 + len(placement.helper_ids)
+    own = attrs.evolve(work, is_divided=count > 1)
+    return [own] + [
+        attrs.evolve(
+            own,
+            server_id=helper_id,
+            is_helping=True,
+            weight=own.weight * pricing.share_weight(count),
+            memory_tokens=memory_tokens.get(helper_id, 0),
+        )
+        for helper_id in placement.helper_ids
+    ]
+
+
 class Chooser:
     """Chooses servers by price."""
 
--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -122,10 +122,12 @@
             # A whole read shows when it ends, so one that should have ended
             # is thought to end soon. A share mostly has: its gateway hears
             # only when the whole prompt is read.
-            if work.is_divided and not work.left_ms:
+            left_ms = work.left_ms
+            if not work.is_divided:
+                left_ms = max(left_ms, OVERDUE_READ_MS)
+            if not left_ms:
                 continue
-            least_ms = 0.0 if work.is_divided else OVERDUE_READ_MS
-            ends_in_ms += max(work.left_ms, least_ms)
+            ends_in_ms += left_ms
             reads.append(
                 PendingRead(
                     ends_in_ms=ends_in_ms,
--- a/src/shallothinge/placement/tests/play.py
+++ b/src/shallothinge/placement/tests/play.py
@@ -161,17 +161,8 @@
             due_ms=int(request.at_ms + request.objective_ms),
             pause_ms=request.pause_ms,
             weight=pricing.weight_of(request.tokens),
-            is_divided=bool(placed.helper_ids),
         )
-        works = [work] + [
-            attrs.evolve(
-                work,
-                server_id=one,
-                is_helping=True,
-                weight=work.weight * pricing.share_weight(len(ids)),
-            )
-            for one in placed.helper_ids
-        ]
+        works = choice.works_of(placed, work)
         request.work_ids = tuple(self.load.start(one) for one in works)
         request.server = self.servers[placed.server_id]
         for server_id in ids:
