Say a heartbeat of the tests in one place

Cause: three test files built the same heartbeat, and two tests of departures began with the same lines. Change: membership/tests/samples.py, and one method for a leaving under a former leader.

--- a/src/shallothinge/control/tests/test_departures.py
+++ b/src/shallothinge/control/tests/test_departures.py
@@ -14,7 +14,7 @@
 from shallothinge.gateway import servers
 from shallothinge.leases import holder as holders
 from shallothinge.membership import messages as membership
-from shallothinge.membership.model import BackendServer
+from shallothinge.membership.tests import samples
 from shallothinge.placement import fleet
 from shallothinge.settings import model
 
@@ -29,20 +29,8 @@
 
 def beat(sequence, *, leaving=False, started_ms=STARTED_MS):
     """Return a heartbeat of the server."""
-    server = BackendServer(
-        server_id=SERVER_ID,
-        incarnation=str(started_ms),
-        address='10.0.0.3:80',
-        zone='z1',
-        host='',
-        services=('s',),
-        leaving=leaving,
-    )
-    return membership.Heartbeat(
-        request_id=f'b{sequence}',
-        server=server,
-        started_ms=started_ms,
-        sequence=sequence,
+    return samples.heartbeat(
+        SERVER_ID, sequence=sequence, leaving=leaving, started_ms=started_ms
     )
 
 
@@ -120,23 +108,24 @@
         self.gateway.renew()
         self.assertTrue(self.gateway.may_send())
 
+    def leave_under_a_former_leader(self, word):
+        """Let a listed server leave; then another host leads."""
+        self.setUp()
+        self.list_server()
+        self.leave(word, renewing=[self.gateway])
+        self.elect()
+
     def test_next_leader_knows_who_left(self):
         for word in (beat(3, leaving=True), gone()):
             with self.subTest(word=type(word).__name__):
-                self.setUp()
-                self.list_server()
-                self.leave(word, renewing=[self.gateway])
-                self.elect()
+                self.leave_under_a_former_leader(word)
                 self.gateway.renew()
                 self.assertFalse(self.gateway.may_send())
 
     def test_heartbeat_that_a_new_leader_hears_late_brings_nobody_back(self):
         for word in (beat(3, leaving=True), gone()):
             with self.subTest(word=type(word).__name__):
-                self.setUp()
-                self.list_server()
-                self.leave(word, renewing=[self.gateway])
-                self.elect()
+                self.leave_under_a_former_leader(word)
                 self.say(beat(2))
                 for gateway in (self.gateway, Gateway(self.bench, 'e2')):
                     gateway.renew()
--- a/src/shallothinge/control/tests/test_fleet_orders.py
+++ b/src/shallothinge/control/tests/test_fleet_orders.py
@@ -5,7 +5,7 @@
 from shallothinge.control.tests import fakes
 from shallothinge.leases import holder as holders
 from shallothinge.membership import messages as membership
-from shallothinge.membership.model import BackendServer
+from shallothinge.membership.tests import samples
 from shallothinge.operators import messages as operators
 from shallothinge.routes import messages as routes
 
@@ -67,25 +67,8 @@
         fetched = self.ask(routes.FetchRoutes(request_id='f'))
         self.assertEqual((4, b'4'), (fetched.version, fetched.document))
 
-    def beat(self, *, sequence, leaving=False):
-        server = BackendServer(
-            server_id='i',
-            incarnation='5',
-            address='10.0.0.3:80',
-            zone='z1',
-            host='',
-            services=('s',),
-            leaving=leaving,
-        )
-        return membership.Heartbeat(
-            request_id=f'b{sequence}',
-            server=server,
-            started_ms=5,
-            sequence=sequence,
-        )
-
     def test_heartbeat_lists_a_server_until_it_is_gone(self):
-        beat = self.beat(sequence=1)
+        beat = samples.heartbeat(sequence=1)
         self.assertIsInstance(self.ask(beat), membership.HeartbeatTaken)
         self.lease()
         self.assertEqual({'i': beat.server}, self.holder.members)
@@ -95,10 +78,10 @@
 
     def test_heartbeats_that_tell_something_are_logged(self):
         rows = (
-            (self.beat(sequence=1), 'changed'),
-            (self.beat(sequence=2), None),
-            (self.beat(sequence=4, leaving=True), 'changed'),
-            (self.beat(sequence=3), 'outdated'),
+            (samples.heartbeat(sequence=1), 'changed'),
+            (samples.heartbeat(sequence=2), None),
+            (samples.heartbeat(sequence=4, leaving=True), 'changed'),
+            (samples.heartbeat(sequence=3), 'outdated'),
         )
         for beat, outcome in rows:
             with self.subTest(sequence=beat.sequence):
--- a/src/shallothinge/membership/tests/test_heartbeats.py
+++ b/src/shallothinge/membership/tests/test_heartbeats.py
@@ -5,25 +5,8 @@
 from shallothinge import clock
 from shallothinge.membership import departures
 from shallothinge.membership import heartbeats
-from shallothinge.membership import messages
-from shallothinge.membership import model
 from shallothinge.membership import table
-
-
-def beat(server_id, *, started_ms=1, sequence=1, address='a:1', leaving=False):
-    return messages.Heartbeat(
-        request_id='r',
-        server=model.BackendServer(
-            server_id=server_id,
-            incarnation=str(started_ms),
-            address=address,
-            zone='z',
-            host='',
-            leaving=leaving,
-        ),
-        started_ms=started_ms,
-        sequence=sequence,
-    )
+from shallothinge.membership.tests import samples
 
 
 class HeartbeatLogTest(unittest.TestCase):
@@ -64,47 +47,53 @@
         }
 
     def test_late_heartbeat_does_not_undo_leaving(self):
-        self.log.take(beat('i', sequence=3, leaving=True))
-        self.assertOutdated(self.log.take(beat('i', sequence=2)))
+        self.log.take(samples.heartbeat('i', sequence=3, leaving=True))
+        self.assertOutdated(self.log.take(samples.heartbeat('i', sequence=2)))
         self.assertEqual({'i': True}, self.listed())
 
     def test_late_heartbeat_does_not_bring_back_what_is_gone(self):
-        self.log.take(beat('i', sequence=3))
+        self.log.take(samples.heartbeat('i', sequence=3))
         self.gone('i')
-        self.assertOutdated(self.log.take(beat('i', sequence=4)))
+        self.assertOutdated(self.log.take(samples.heartbeat('i', sequence=4)))
         self.assertEqual({}, self.listed())
 
     def test_server_that_goes_before_a_new_leader_heard_of_it(self):
         self.gone('i')
-        self.assertOutdated(self.log.take(beat('i', sequence=4)))
+        self.assertOutdated(self.log.take(samples.heartbeat('i', sequence=4)))
         self.assertEqual(('i',), self.members.heard_so_far().left)
         self.clock.advance(duration_ms=departures.UNKNOWN_KEPT_MS + 1)
         self.departures.forget_old(now_ms=self.clock.now_ms())
-        self.assertCounts(self.log.take(beat('i', started_ms=9)))
+        self.assertCounts(self.log.take(samples.heartbeat('i', started_ms=9)))
 
     def test_resent_heartbeat_is_told_from_an_outdated_one(self):
-        self.log.take(beat('i', sequence=3))
+        self.log.take(samples.heartbeat('i', sequence=3))
         for sequence, taken in (
             (3, heartbeats.Taken.REPEATED),
             (4, heartbeats.Taken.REPEATED),
             (2, heartbeats.Taken.OUTDATED),
         ):
-            self.assertIs(taken, self.log.take(beat('i', sequence=sequence)))
+            self.assertIs(
+                taken, self.log.take(samples.heartbeat('i', sequence=sequence))
+            )
 
     def test_restart_under_the_same_id_counts_anew(self):
-        self.log.take(beat('i', started_ms=5, sequence=9))
+        self.log.take(samples.heartbeat('i', started_ms=5, sequence=9))
         self.gone('i')
-        self.assertCounts(self.log.take(beat('i', started_ms=8, sequence=1)))
+        self.assertCounts(
+            self.log.take(samples.heartbeat('i', started_ms=8, sequence=1))
+        )
         self.assertOutdated(
-            self.log.take(beat('i', started_ms=5, sequence=10))
+            self.log.take(samples.heartbeat('i', started_ms=5, sequence=10))
         )
         self.assertEqual({'i': False}, self.listed())
 
     def test_newer_server_at_an_address_replaces_the_older_one(self):
-        self.log.take(beat('old', started_ms=5))
-        self.assertCounts(self.log.take(beat('new', started_ms=8)))
+        self.log.take(samples.heartbeat('old', started_ms=5))
+        self.assertCounts(
+            self.log.take(samples.heartbeat('new', started_ms=8))
+        )
         self.assertEqual({'new': False}, self.listed())
         self.assertOutdated(
-            self.log.take(beat('old', started_ms=5, sequence=7))
+            self.log.take(samples.heartbeat('old', started_ms=5, sequence=7))
         )
         self.assertEqual({'new': False}, self.listed())
