--- a/deploy/start.py
+++ b/deploy/start.py
@@ -3,17 +3,16 @@
 import argparse
 import os
 import pathlib
-import signal
 import sys
 
-# By default SIGHUP ends a process; the settings are watched once it has
-# loaded its libraries.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
-
 REPOSITORY = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(REPOSITORY / 'target' / 'deps'))
 sys.path.remove(str(REPOSITORY / 'deploy'))
 
+from shallothinge.operators import main as program  # noqa: E402
+
+program.ignore_reloads()
+
 from shallothinge.operators import role_commands  # noqa: E402
 
 SETTINGS_VARIABLE = 'SHALLOTHINGE_NODE_FILE'
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -35,8 +35,6 @@
 # the rest is for a process that waits for its turn on the processor.
 CONNECT_TIMEOUT_MS = 150
 TICK_MS = 250
-# Metrics' libraries are loaded when the process serves already.
-METRICS_DELAY_S = 1.0
 # A gateway may use this part of what all may repeat, as shares are counted
 # over windows that slide.
 RETRY_PART = 0.8
@@ -140,7 +138,9 @@
         self._control.start()
         self._peers.start()
         self._ticking.start(TICK_MS / clocks.MS_PER_SECOND, now=False)
-        self._reactor.callLater(METRICS_DELAY_S, self._publish_servers)
+        self._reactor.callLater(
+            processes.METRICS_DELAY_S, self._publish_servers
+        )
         self._reactor.addSystemEventTrigger('before', 'shutdown', self._stop)
         LOG.info(
             'gateway started',
--- a/src/shallothinge/membership/departures.py
+++ b/src/shallothinge/membership/departures.py
@@ -27,11 +27,8 @@
         :param incarnation: '' for any.
         """
         for entry in reversed(self.entries):
-            if entry.server_id != server_id:
-                continue
-            if '' in (incarnation, entry.incarnation):
-                return entry
-            if incarnation == entry.incarnation:
+            covers = not incarnation or entry.incarnation in ('', incarnation)
+            if entry.server_id == server_id and covers:
                 return entry
         return None
 
--- a/src/shallothinge/membership/heartbeats.py
+++ b/src/shallothinge/membership/heartbeats.py
@@ -65,7 +65,7 @@
             return taken
         server = beat.server
         for other_id in self._others_at(server):
-            self._end(other_id)
+            self.gone(other_id)
         self._seen[server.server_id] = _Seen(
             beat=beat, heard_ms=self._clock.now_ms()
         )
@@ -75,8 +75,9 @@
         return Taken.CHANGED if has_changed else Taken.REPEATED
 
     def gone(self, server_id: str) -> None:
-        """Drop a backend server; its departure is being recorded."""
-        self._end(server_id)
+        """Drop a backend server that is gone or was replaced."""
+        self._seen.pop(server_id, None)
+        self._members.withdraw(server_id=server_id)
 
     def forget_old(self) -> None:
         """Forget backend servers that have long been silent."""
@@ -115,7 +116,3 @@
             if server_id != server.server_id
             and seen.beat.server.address == server.address
         ]
-
-    def _end(self, server_id: str) -> None:
-        self._seen.pop(server_id, None)
-        self._members.withdraw(server_id=server_id)
--- a/src/shallothinge/operators/main.py
+++ b/src/shallothinge/operators/main.py
@@ -8,6 +8,14 @@
 DAEMONS = ('agent', 'control', 'entry', 'gateway')
 
 
+def ignore_reloads() -> None:
+    """Outlive a SIGHUP until the settings are watched.
+
+    By default it ends a process, and loading the libraries takes long.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run one command.
 
@@ -16,8 +24,7 @@
     """
     words = sys.argv[1:] if arguments is None else arguments
     if words and words[0] in DAEMONS:
-        # By default the signal ends a process; the imports take long.
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        ignore_reloads()
     from shallothinge.operators import command_line
 
     return command_line.main(words)
