Close a connection once its caller has all of the answer

Cause: a second after the last byte had left the process, its connection was reset, and a reset drops what the kernel has not sent. A caller that read slowly lost the end of a ready answer.

Change: http1/closing.py asks the kernel how much the peer has acknowledged. A connection ends without a reset once that is all, stays while it grows, and is reset, with the lost bytes in the log, after nothing was taken for the idle time. That bounds the time before the last byte has left, too, which was a fixed time however well the caller read. Where the kernel does not tell, all counts as taken when it has left. A caller that was sent all and stays is closed, not reset.

Looked at for the same shape: entry/channel.py ends its refusals with a plain close; a cut answer is reset on purpose.

--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -9,13 +9,11 @@
 from zope.interface import implementer
 
 from shallothinge import clock as clocks
+from shallothinge.http1 import closing
 from shallothinge.http1 import messages
 
 LOG = logging.getLogger(__name__)
 
-# A caller that was sent all gets this long to stop sending before the
-# connection is cut, so that it can read the answer (RFC 9112, section 9.6).
-LINGER_MS = 1000
 MAX_WAITING_BYTES = 64 * 1024
 NO_BODY_STATUSES = (204, 304)
 # An answer that promises nothing on whether the request ran.
@@ -94,6 +92,8 @@
         self._is_closing = False
         self._is_paused = False
         self._has_answered = False
+        self._written_bytes = 0
+        self._gentle_close: closing.GentleClose | None = None
 
     @property
     def is_idle(self) -> bool:
@@ -130,6 +130,8 @@
     def connectionLost(self, reason=protocol.connectionDone) -> None:
         """Tell the owner of the request under way."""
         self._cancel_timer()
+        if self._gentle_close is not None:
+            self._gentle_close.stop()
         self._is_closing = True
         self._site.connections.discard(self)
         exchange, self._exchange = self._exchange, None
@@ -146,8 +148,9 @@
             self.transport.abortConnection()
 
     def writeConnectionLost(self) -> None:
-        """Give the caller time to read: all that was written has left."""
-        self._set_timer(LINGER_MS)
+        """Note that the kernel holds what the caller has not got yet."""
+        if self._gentle_close is not None:
+            self._gentle_close.all_has_left()
 
     def send_head(self, *, status: int, headers: messages.Headers) -> None:
         """Send the head of an answer."""
@@ -199,7 +202,11 @@
             self.cut()
             return
         if data:
-            self.transport.write(data)
+            self._write(data)
+
+    def _write(self, data: bytes) -> None:
+        self._written_bytes += len(data)
+        self.transport.write(data)
 
     def _read_events(self) -> None:
         while not self._is_closing and self._exchange is None:
@@ -308,15 +315,23 @@
             )
             self._has_answered = True
             for event in (response, h11.Data(data=body), h11.EndOfMessage()):
-                self.transport.write(self._http.send(event))
+                self._write(self._http.send(event))
         self._close_gently()
 
     def _close_gently(self) -> None:
         """Close, but let the caller read what was sent."""
         self._is_closing = True
+        if self._gentle_close is not None:
+            return
         self._resume()
-        self._set_timer(self._site.limits.idle_timeout_ms)
-        self.transport.loseWriteConnection()
+        self._cancel_timer()
+        self._gentle_close = closing.GentleClose(
+            transport=self.transport,
+            reactor=self._site.reactor,
+            written_bytes=self._written_bytes,
+            stalled_ms=self._site.limits.idle_timeout_ms,
+        )
+        self._gentle_close.start()
 
     def _set_timer(self, duration_ms: int) -> None:
         self._cancel_timer()
@@ -331,9 +346,7 @@
 
     def _on_timer(self) -> None:
         self._timer = None
-        if self._is_closing:
-            self.transport.abortConnection()
-        elif self.is_idle and not self._http.trailing_data[0]:
+        if self.is_idle and not self._http.trailing_data[0]:
             self._close_gently()
         else:
             self._refuse(408)
