Let the limits that all gateways share be fractions

Ruled out: the template (it passes the figure on) and control's settings (no bound in them).

Change: both limits are numbers. Not-a-number, infinity, texts and booleans are refused with what is allowed.

--- a/src/shallothinge/gateway/coldshare.py
+++ b/src/shallothinge/gateway/coldshare.py
@@ -17,7 +17,7 @@
         rate.
     """
 
-    def __init__(self, *, clock: clocks.Clock, slack_requests: int):
+    def __init__(self, *, clock: clocks.Clock, slack_requests: float):
         self._clock = clock
         self._slack_requests = slack_requests
         self._spent: dict[str, tuple[float, int]] = {}
--- a/src/shallothinge/settings/shape.py
+++ b/src/shallothinge/settings/shape.py
@@ -1,6 +1,7 @@
 """Compares the tables of a TOML file with the settings classes."""
 
 import difflib
+import math
 import types
 import typing
 
@@ -55,9 +56,10 @@
         check_table(table=value, table_type=wanted, key=key, found=found)
         return
     name = key.rpartition('.')[2]
-    if type(value) is not wanted:
+    allowed_types = (int, float) if wanted is float else (wanted,)
+    if type(value) not in allowed_types:
         found.add(key=key, found=repr(value), allowed=describe(wanted, name))
-    elif wanted is int and not _in_range(value, name):
+    elif wanted in (int, float) and not _in_range(value, name):
         found.add(key=key, found=repr(value), allowed=describe(wanted, name))
 
 
@@ -73,13 +75,15 @@
                 limit = '' if unit != 'percent' else ', 100 at most'
                 return f'a whole number of {unit}, 0 or more{limit}'
         return 'a whole number, 0 or more'
+    if wanted is float:
+        return 'a number, 0 or more'
     if wanted is bool:
         return 'true or false'
     return 'a text in quotes'
 
 
-def _in_range(value: int, name: str) -> bool:
-    if value < 0:
+def _in_range(value: int | float, name: str) -> bool:
+    if value < 0 or not math.isfinite(value):
         return False
     return not name.endswith('_percent') or value <= MAX_PERCENT
 
--- a/src/shallothinge/settings/tests/test_load.py
+++ b/src/shallothinge/settings/tests/test_load.py
@@ -28,6 +28,30 @@
 address = "tcp://127.0.0.1:7000"
 """
 
+GATEWAY = """\
+[process]
+process_id = "g1"
+zone = "zone-1"
+host = "h1"
+address = "tcp://127.0.0.1:7001"
+key_file = "agent.key"
+trust_file = "trust.toml"
+
+[callers]
+address = "127.0.0.1:8080"
+readiness_address = "127.0.0.1:8081"
+
+[discovery]
+seeds = ["127.0.0.1:8082"]
+port = 7000
+
+[retries]
+slack_requests = SLACK
+
+[cold]
+slack_requests = SLACK
+"""
+
 ROWS = (
     ('zone =', 'zona =', 3, 'process.zona', 'zone?'),
     ('"h1"', '7', 4, 'process.host', 'a text in quotes'),
@@ -104,6 +128,30 @@
         self.assertEqual('routing.policy', fault.key)
         self.assertIn('two_choices', fault.allowed)
 
+    def read_gateway(self, slack_requests):
+        path = self.folder / 'gateway.toml'
+        path.write_text(
+            GATEWAY.replace('SLACK', slack_requests), encoding='utf-8'
+        )
+        return load.read(path=path, file_type=model.GatewaySettings)
+
+    def test_limits_that_hold_for_all_gateways_may_be_fractions(self):
+        # A deployment whose limits were scaled down gave 47.7 repeats, and
+        # no process started.
+        for text, number in (('5', 5.0), ('0', 0.0), ('47.72', 47.72)):
+            with self.subTest(text):
+                settings = self.read_gateway(text)
+                self.assertEqual(number, settings.retries.slack_requests)
+                self.assertEqual(number, settings.cold.slack_requests)
+
+    def test_limit_that_is_no_number_is_refused(self):
+        for text in ('-0.5', '"5"', 'true', 'inf', 'nan'):
+            with self.subTest(text):
+                with self.assertRaises(ExceptionGroup) as caught:
+                    self.read_gateway(text)
+                for fault in caught.exception.exceptions:
+                    self.assertIn('a number, 0 or more', fault.allowed)
+
     def test_role_is_known_by_its_tables(self):
         path = self.folder / 'agent.toml'
         path.write_text(AGENT, encoding='utf-8')
