Let long prompts wait until their servers have read what came before

Cause: engines read the newest share of divided prompts first, and long prompts were sent on top of each other. Each delayed those before it; the choice saw that harm, and gave later ones one or two servers instead, on which they came late for certain. Shares were thought to be read in the time expected, so one that was 100 ms late got the next on top of it, and waited for that, too.

Change: a prompt that takes 200 ms or more to read is sent once its servers have read all; a share counts as read at its prompt's first event or 300 ms after the time expected; waiting.py holds the order among those that wait at a gateway, soonest due first, those that are late by now last. Lateness knows when the caller leaves, so that a late prompt is not given to one server that takes longer than that. A wait is logged once for each cause. The play of the tests waits in the same order.

--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -10,8 +10,11 @@
 from shallothinge.gateway import attempt as attempts
 from shallothinge.gateway import model
 from shallothinge.gateway import parts as shared
+from shallothinge.gateway import pauses
 from shallothinge.gateway import policy
+from shallothinge.gateway import wait as waits
 from shallothinge.gateway.policy import Cause
+from shallothinge.gateway.wait import WaitCause
 from shallothinge.http1 import event_stream
 from shallothinge.http1 import server as http_server
 from shallothinge.placement import choice
@@ -65,10 +68,12 @@
         self._attempt: attempts.Attempt | None = None
         self._head: model.AnswerHead | None = None
         self._last_event_id = accepted.request.last_event_id
-        self._first_event_ms: int | None = None
-        self._last_event_ms = 0
-        self._longest_pause_ms = 0
-        self._queued_ms = 0
+        self._event_times = pauses.EventTimes()
+        self._wait = waits.Wait(
+            parts=parts,
+            identity=self._identity(),
+            started_ms=exchange.received_ms,
+        )
         self._is_over = False
         self._look_again = None
         self._deadline = None
@@ -106,60 +111,89 @@
         )
         if not candidates:
             if self._may_wait_for_servers():
-                self._wait()
+                self._look_again_later(WaitCause.SERVERS)
             else:
                 self._give_up_without_servers()
             return
+        demand = self._demand()
+        due_ms = self._started_ms + self._route.objective_ms
+        if not self._wait.is_turn(demand=demand, due_ms=due_ms):
+            self._wait_or_refuse(WaitCause.TURN, free_in_ms=0)
+            return
         placed = self._parts.chooser.choose(
-            demand=self._demand(), candidates=candidates
+            demand=demand, candidates=candidates
         )
         if isinstance(placed, choice.NoRoom):
-            self._wait_for_room(placed)
+            self._wait_or_refuse(WaitCause.ROOM, free_in_ms=placed.free_in_ms)
+        elif isinstance(placed, choice.NotYet):
+            self._wait_or_refuse(
+                WaitCause.READS, free_in_ms=int(placed.start_in_ms)
+            )
         elif not self._may_send(placed):
-            self._wait()
+            self._look_again_later(WaitCause.COLD_LIMIT)
         else:
+            self._wait.end()
             self._send(placed)
 
     def _demand(self) -> choice.Demand:
-        elapsed_ms = self._parts.clock.now_ms() - self._started_ms
+        elapsed_ms = self._waited_ms()
+        is_resumed = bool(self._last_event_id) or self._exchange.is_begun
+        patience_ms = None
+        if not is_resumed:
+            patience_ms = -elapsed_ms + policy.patience_ms(
+                route=self._route, limit_ms=self._time_limit_ms()
+            )
         return choice.Demand(
             service=self._accepted.service,
             tokens=self._request.prompt_tokens,
             answer_tokens=self._request.answer_tokens,
             objective_ms=self._route.objective_ms - elapsed_ms,
+            patience_ms=patience_ms,
             pause_objective_ms=self._route.pause_objective_ms,
             zone=self._parts.zone,
+            is_resumed=is_resumed,
         )
 
+    def _waited_ms(self) -> int:
+        return self._parts.clock.now_ms() - self._started_ms
+
     def _may_send(self, placed: choice.Placement) -> bool:
         return self._parts.servers.may_send(
             server_id=placed.server_id, service=self._accepted.service
         )
 
-    def _wait_for_room(self, full: choice.NoRoom) -> None:
-        """Wait, or refuse what could not be answered in time any more."""
-        service = self._accepted.service
+    def _wait_or_refuse(self, cause: WaitCause, *, free_in_ms: int) -> None:
+        """Wait, or refuse what could not be answered in time any more.
+
+        :param free_in_ms: when the request is likely to be placed, 0 if that
+            is not known.
+        """
         can_answer = policy.can_still_answer(
             route=self._route,
-            waited_ms=self._parts.clock.now_ms() - self._started_ms,
-            service_ms=choice.least_ms(service, self._request.prompt_tokens),
+            waited_ms=self._waited_ms(),
+            service_ms=choice.least_ms(
+                self._accepted.service, self._request.prompt_tokens
+            ),
             limit_ms=self._time_limit_ms(),
         )
         if can_answer or self._exchange.is_begun:
-            self._wait()
+            self._look_again_later(cause, free_in_ms=free_in_ms)
         elif self._progress.may_have_run:
             self._refuse(policy.deadline_error(self._progress))
         else:
             self._refuse(
                 errors.ServingError(
-                    kind=ErrorKind.OVERLOADED, retry_after_ms=full.free_in_ms
+                    kind=ErrorKind.OVERLOADED,
+                    retry_after_ms=free_in_ms or choice.FREE_SLOT_MS,
                 )
             )
 
-    def _wait(self) -> None:
-        self._queued_ms += policy.LOOK_AGAIN_MS
+    def _look_again_later(
+        self, cause: WaitCause, *, free_in_ms: int = 0
+    ) -> None:
+        after_ms = self._wait.look_again_ms(cause, free_in_ms=free_in_ms)
         self._look_again = self._parts.reactor.callLater(
-            policy.LOOK_AGAIN_MS / clocks.MS_PER_SECOND, self._place
+            after_ms / clocks.MS_PER_SECOND, self._place
         )
 
     def _send(self, placed: choice.Placement) -> None:
@@ -192,7 +226,7 @@
                 'expected_ms': round(placed.first_event_ms),
                 'remaining_ms': order.remaining_ms,
                 'attempt': self._progress.sent + 1,
-                'queued_ms': self._queued_ms,
+                'queued_ms': self._wait.queued_ms,
                 'active': placed.load.active,
                 'backlog_ms': round(placed.load.backlog_ms),
                 'report_count': self._parts.load.peer_count,
@@ -253,9 +287,9 @@
     def on_event(self, event: event_stream.StreamEvent) -> None:
         """Pass an event on."""
         self._parts.servers.heard(self._attempt.server_id)
-        if _is_repeated(event.event_id, self._last_event_id):
+        if event_stream.is_repeated(event.event_id, self._last_event_id):
             return
-        self._note_event_time()
+        self._event_times.note(self._parts.clock.now_ms())
         if not self._exchange.is_begun:
             self._exchange.begin(
                 status=self._head.status, headers=self._head.headers
@@ -265,15 +299,6 @@
         if self._attempt is not None and self._may_try_again():
             self._attempt.expect_within(self._still_ms())
 
-    def _note_event_time(self) -> None:
-        now_ms = self._parts.clock.now_ms()
-        if self._first_event_ms is None:
-            self._first_event_ms = now_ms
-        else:
-            pause_ms = now_ms - self._last_event_ms
-            self._longest_pause_ms = max(self._longest_pause_ms, pause_ms)
-        self._last_event_ms = now_ms
-
     def on_stream_end(self, rest: bytes) -> None:
         """End the caller's stream as complete."""
         if not self._exchange.is_begun:
@@ -382,7 +407,7 @@
         wait_ms = policy.return_wait_ms(
             patience_ms=self._time_limit_ms(), missing_ms=0
         )
-        return self._parts.clock.now_ms() - self._started_ms < wait_ms
+        return self._waited_ms() < wait_ms
 
     def _give_up_without_servers(self) -> None:
         if self._exchange.is_begun:
@@ -430,11 +455,12 @@
     def _end(self, outcome: str, *, status: int) -> None:
         """Note the end of the request; stop its timers."""
         self._is_over = True
+        self._wait.end()
         for timer in (self._deadline, self._look_again):
             if timer is not None and timer.active():
                 timer.cancel()
         now_ms = self._parts.clock.now_ms()
-        first_ms = self._first_event_ms
+        first_ms = self._event_times.first_ms
         self._parts.metrics.count_request(
             request_class=self._accepted.service.name, outcome=outcome
         )
@@ -451,9 +477,9 @@
                 'status': status,
                 'sent': self._progress.sent + (self._attempt is not None),
                 'sent_after_ms': self._attempt and self._attempt.sent_after_ms,
-                'queued_ms': self._queued_ms,
+                'queued_ms': self._wait.queued_ms,
                 'first_event_ms': first_ms and first_ms - self._started_ms,
-                'longest_pause_ms': self._longest_pause_ms,
+                'longest_pause_ms': self._event_times.longest_pause_ms,
                 'total_ms': now_ms - self._started_ms,
                 'objective_ms': self._route.objective_ms,
             },
@@ -466,10 +492,3 @@
             'workspace': self._accepted.workspace,
             'prompt_tokens': self._request.prompt_tokens,
         }
-
-
-def _is_repeated(event_id: str, last_id: str) -> bool:
-    """Return whether an event has been passed on before."""
-    if not event_id.isdigit() or not last_id.isdigit():
-        return False
-    return int(event_id) <= int(last_id)
--- a/src/shallothinge/gateway/parts.py
+++ b/src/shallothinge/gateway/parts.py
@@ -12,6 +12,7 @@
 from shallothinge.leases import holder as holders
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
+from shallothinge.placement import waiting
 from shallothinge.routing import retries
 
 
@@ -27,6 +28,7 @@
     servers: servers.Servers
     load: fleet.FleetLoad
     chooser: choice.Chooser
+    waiting: waiting.WaitingPrompts
     budget: retries.RetryBudget
     caller: client.Caller
     process: processes.Process
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -28,6 +28,9 @@
 # Servers' slots free up at the pace of streams, some tens a second over
 # a fleet.
 LOOK_AGAIN_MS = 20
+# A choice for a long prompt looks at many sets of servers; at most this many
+# turns pass until the next one.
+MOST_LOOKS_SKIPPED = 5
 
 
 class Cause(enum.Enum):
@@ -71,6 +74,21 @@
     return min(RETURN_MS - missing_ms, patience_ms // RETURN_WAIT_DIVISOR)
 
 
+def patience_ms(*, route: routes.Route, limit_ms: int) -> int:
+    """Return how long a caller waits for its first event or its answer.
+
+    :param limit_ms: when the request's deadline is, from its arrival.
+    """
+    if route.kind is not routes.RequestKind.STREAMING:
+        return limit_ms
+    leaves_ms = max(
+        LEAVE_LEAST_MS,
+        LEAVE_OBJECTIVES * route.objective_ms,
+        LEAVE_PAUSES * route.pause_objective_ms,
+    )
+    return min(limit_ms, leaves_ms)
+
+
 def can_still_answer(
     *, route: routes.Route, waited_ms: int, service_ms: float, limit_ms: int
 ) -> bool:
@@ -80,14 +98,18 @@
     :param service_ms: the least time that its first event or answer takes.
     :param limit_ms: when its deadline is, from its arrival.
     """
-    if route.kind is routes.RequestKind.STREAMING:
-        leaves_ms = max(
-            LEAVE_LEAST_MS,
-            LEAVE_OBJECTIVES * route.objective_ms,
-            LEAVE_PAUSES * route.pause_objective_ms,
-        )
-        limit_ms = min(limit_ms, leaves_ms)
-    return waited_ms + service_ms < limit_ms
+    return waited_ms + service_ms < patience_ms(route=route, limit_ms=limit_ms)
+
+
+def wait_for_reads_ms(start_in_ms: float) -> int:
+    """Return when to look again for servers that have read all.
+
+    The expected time is uncertain, and a better set may come up before.
+    """
+    return min(
+        LOOK_AGAIN_MS * MOST_LOOKS_SKIPPED,
+        max(LOOK_AGAIN_MS, int(start_in_ms) // 2),
+    )
 
 
 def may_repeat(
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -23,6 +23,7 @@
 from shallothinge.leases import holder as holders
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
+from shallothinge.placement import waiting
 from shallothinge.platform import dialect
 from shallothinge.platform import names
 from shallothinge.routing import retries
@@ -105,6 +106,7 @@
             ),
             load=load,
             chooser=choice.Chooser(rng=rng),
+            waiting=waiting.WaitingPrompts(clock=clock),
             budget=retries.RetryBudget(
                 percent=int(RETRY_PART * self._settings.retries.percent),
                 burst=1,
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -18,6 +18,7 @@
 from shallothinge.membership.model import BackendServer
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
+from shallothinge.placement import waiting
 from shallothinge.platform import dialect
 from shallothinge.platform import routes
 from shallothinge.platform.tests import samples
@@ -184,6 +185,7 @@
             ),
             load=self.load,
             chooser=choice.Chooser(rng=rng),
+            waiting=waiting.WaitingPrompts(clock=self.clock),
             budget=retries.RetryBudget(percent=16, burst=10),
             caller=self.caller,
             process=mock.Mock(),
--- /dev/null
+++ b/src/shallothinge/gateway/wait.py
@@ -0,0 +1,91 @@
+"""The time from a request's acceptance until it is sent."""
+
+import enum
+import logging
+
+from shallothinge.gateway import parts as shared
+from shallothinge.gateway import policy
+from shallothinge.placement import choice
+from shallothinge.placement import waiting
+
+LOG = logging.getLogger(__name__)
+
+
+class WaitCause(enum.Enum):
+    """What a request waits for before it is sent."""
+
+    SERVERS = 'servers'
+    ROOM = 'room'
+    READS = 'reads'
+    TURN = 'turn'
+    COLD_LIMIT = 'cold_limit'
+
+
+class Wait:
+    """What one request waits for, and its place among those that wait.
+
+    :param identity: what names the request in a log line.
+    :ivar queued_ms: how long it was to wait, in all.
+    """
+
+    def __init__(
+        self,
+        *,
+        parts: shared.Parts,
+        identity: dict[str, str | int],
+        started_ms: int,
+    ):
+        self._parts = parts
+        self._identity = identity
+        self._started_ms = started_ms
+        self._waiting_id: int | None = None
+        self._told: set[WaitCause] = set()
+        self.queued_ms = 0
+
+    def is_turn(self, *, demand: choice.Demand, due_ms: int) -> bool:
+        """Return whether no other prompt at this gateway goes before.
+
+        :param due_ms: instant after which the first event is late.
+        """
+        if not demand.waits_for_reads:
+            return True
+        if self._waiting_id is None:
+            self._waiting_id = self._parts.waiting.join(
+                waiting.WaitingPrompt(
+                    service=demand.service.name,
+                    due_ms=due_ms,
+                    least_ms=choice.least_ms(demand.service, demand.tokens),
+                )
+            )
+        return self._parts.waiting.is_first(self._waiting_id)
+
+    def end(self) -> None:
+        """Give the place up: the request is sent or over."""
+        if self._waiting_id is not None:
+            self._parts.waiting.leave(self._waiting_id)
+            self._waiting_id = None
+
+    def look_again_ms(self, cause: WaitCause, *, free_in_ms: int) -> int:
+        """Return when to look again; log the first wait for each cause."""
+        if cause not in self._told:
+            self._told.add(cause)
+            self._log(cause, free_in_ms)
+        duration_ms = policy.LOOK_AGAIN_MS
+        if cause is WaitCause.READS:
+            duration_ms = policy.wait_for_reads_ms(free_in_ms)
+        self.queued_ms += duration_ms
+        return duration_ms
+
+    def _log(self, cause: WaitCause, free_in_ms: int) -> None:
+        LOG.info(
+            'request waits',
+            extra={
+                **self._identity,
+                'cause': cause.value,
+                'free_in_ms': free_in_ms,
+                'waited_ms': self._parts.clock.now_ms() - self._started_ms,
+                'waiting_count': self._parts.waiting.count,
+                'report_count': self._parts.load.peer_count,
+                'report_age_ms': self._parts.load.oldest_report_ms,
+            },
+        )
--- a/src/shallothinge/http1/event_stream.py
+++ b/src/shallothinge/http1/event_stream.py
@@ -70,3 +70,10 @@
         if name == ID_FIELD:
             return value.strip().decode('latin-1')
     return ''
+
+
+def is_repeated(event_id: str, last_id: str) -> bool:
+    """Return whether an event has been passed on before."""
+    if not event_id.isdigit() or not last_id.isdigit():
+        return False
+    return int(event_id) <= int(last_id)
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -6,6 +6,10 @@
 So each way to spread the read is priced by what it does to the request and
 to those that are under way (``pricing``), and the cheapest is taken.
 
+A long prompt waits until its servers have read what they were given before:
+they read the newest share first, so sending it sooner would only swap its
+delay for that of the others (``waiting``).
+
 All gateways agree on an order of the servers of a zone. Short prompts gather
 on the first of them, so that most servers write no short streams and can
 read long prompts without holding up any.
@@ -48,9 +52,16 @@
 USABLE_MEMORY = 0.98
 # Reads below this are not worth a helper.
 SPLIT_READ_MS = 100.0
+# Reads from here on wait for their servers; shorter ones hold nobody up for
+# longer than streams may pause.
+LONG_READ_MS = 200.0
 PASSES_WITH_WRITERS = 2.5
 PASSES_ALONE = 1.0
 JITTER = 0.01
+# With servers full of streams a slot becomes free about each time that the
+# next of them ends; without servers it takes a heartbeat.
+FREE_SLOT_MS = 500
+NEXT_HEARTBEAT_MS = 1000
 
 
 @attrs.frozen(kw_only=True)
@@ -58,16 +69,30 @@
     """A request to be placed on servers of one service.
 
     ``objective_ms`` is what is left until its first event or answer is due,
-    0 or less if it is late already.
+    0 or less if it is late already, ``patience_ms`` what is left until its
+    caller leaves, None if that is not known.
     ``answer_tokens`` is the longest that the answer may be.
+    ``is_resumed`` tells that the caller has a part of the answer.
     """
 
     service: model.Service
     tokens: int
     answer_tokens: int = 0
     objective_ms: float
+    patience_ms: float | None = None
     pause_objective_ms: int
     zone: str
+    is_resumed: bool = False
+
+    @property
+    def waits_for_reads(self) -> bool:
+        """Return whether it is sent only to servers that have read all."""
+        engine = self.service.engine
+        return (
+            engine is not None
+            and not self.is_resumed
+            and engine.read_ms(self.tokens) >= LONG_READ_MS
+        )
 
 
 @attrs.frozen(kw_only=True)
@@ -106,6 +131,16 @@
     free_in_ms: int
 
 
+@attrs.frozen(kw_only=True)
+class NotYet:
+    """The best servers for a long prompt have something to read before it.
+
+    ``start_in_ms`` is when they are expected to have done so.
+    """
+
+    start_in_ms: float
+
+
 def works_of(placement: Placement, work: fleet.Work) -> list[fleet.Work]:
     """Return what a placed request gives each server to do, its own first.
 
@@ -134,7 +169,7 @@
 
     def choose(
         self, *, demand: Demand, candidates: tuple[Candidate, ...]
-    ) -> Placement | NoRoom:
+    ) -> Placement | NoRoom | NotYet:
         """Return the cheapest placement.
 
         :param candidates: the servers that may be sent to at present.
@@ -167,7 +202,7 @@
             load=best.load,
         )
 
-    def _choose_engine(self, demand, candidates) -> Placement | None:
+    def _choose_engine(self, demand, candidates) -> Placement | NotYet | None:
         """Return the cheapest placement, None if no memory is free."""
         engine = demand.service.engine
         read_ms = engine.read_ms(demand.tokens)
@@ -186,6 +221,11 @@
                 best, best_count = found, count
         if best is None:
             return None
+        start_in_ms = max(
+            part.candidate.load.backlog_ms for part in best.parts
+        )
+        if demand.waits_for_reads and start_in_ms >= fleet.OVERDUE_READ_MS:
+            return NotYet(start_in_ms=start_in_ms)
         needed = _memory_of(demand)
         first = _first_of(best.parts, needed)
         helpers = [part for part in best.parts if part is not first]
@@ -215,7 +255,9 @@
         needed = _memory_of(demand)
 
         def price_delay(ready_ms: float) -> float:
-            return weight * pricing.delay_price(ready_ms, demand.objective_ms)
+            return weight * pricing.delay_price(
+                ready_ms, demand.objective_ms, demand.patience_ms
+            )
 
         if needed <= usable_memory(demand.service.engine):
             able = [part for part in parts if part.free_tokens >= needed]
@@ -234,6 +276,7 @@
         engine = demand.service.engine
         load = one.load
         is_alone = count == 1
+        is_behind = is_alone or demand.waits_for_reads
         price = JITTER * self._rng.random()
         price += pricing.price_for_writers(
             load, read_ms=part_ms, pass_ms=engine.pass_ms
@@ -241,7 +284,9 @@
         if is_alone:
             price += OPENING_PRICE * (not load.active)
         else:
-            price += HELPER_PRICE + pricing.price_for_reads(load, part_ms)
+            price += HELPER_PRICE
+        if not is_behind:
+            price += pricing.price_for_reads(load, part_ms)
         spare_slots = one.slots - load.active - 1
         if not spare_slots:
             price += LAST_SLOT_PRICE * (1 + self._rng.random())
@@ -252,7 +297,7 @@
         price += OTHER_ZONE_PRICE * (one.zone != demand.zone)
         price += COLD_PRICE * one.is_cold
         # Shares of divided prompts are read at once, the newest first.
-        ahead_ms = load.backlog_ms if is_alone else 0.0
+        ahead_ms = load.backlog_ms if is_behind else 0.0
         return spread.Part(
             candidate=one,
             price=price,
@@ -327,12 +372,8 @@
 
 
 def _free_in_ms(candidates: tuple[Candidate, ...]) -> int:
-    """Return when a slot is likely to be free.
-
-    With servers full of streams a slot becomes free about each time that
-    the next of them ends; without servers it takes a heartbeat.
-    """
-    return 500 if candidates else 1000
+    """Return when a slot is likely to be free."""
+    return FREE_SLOT_MS if candidates else NEXT_HEARTBEAT_MS
 
 
 def rank_servers(server_ids) -> dict[str, float]:
--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -12,6 +12,10 @@
 REPORT_KEPT_MS = 3500
 # A read that should be over by now is thought to take this much longer.
 OVERDUE_READ_MS = 20.0
+# That a share has been read shows only when its whole prompt is, which may
+# wait for another server. After this time beyond the expected one it is more
+# likely that this server has read its share.
+UNCONFIRMED_READ_MS = 300.0
 PERCENT = 100
 
 
@@ -26,6 +30,7 @@
     :ivar is_divided: whether others read parts of the same prompt.
     :ivar memory_tokens: what it holds in the server's memory.
     :ivar left_ms: how much of the read is thought to be left.
+    :ivar overdue_ms: for how long nothing of it is thought to be left.
     """
 
     server_id: str
@@ -39,6 +44,7 @@
     is_helping: bool = False
     is_divided: bool = False
     left_ms: float = attrs.field(init=False)
+    overdue_ms: float = attrs.field(init=False, default=0.0)
 
     def __attrs_post_init__(self):
         self.left_ms = self.read_ms
@@ -119,14 +125,12 @@
         ends_in_ms = 0.0
         reads = []
         for work in self._to_read():
-            # A whole read shows when it ends, so one that should have ended
-            # is thought to end soon. A share mostly has: its gateway hears
-            # only when the whole prompt is read.
-            left_ms = work.left_ms
-            if not work.is_divided:
-                left_ms = max(left_ms, OVERDUE_READ_MS)
-            if not left_ms:
+            is_read = (
+                work.is_divided and work.overdue_ms >= UNCONFIRMED_READ_MS
+            )
+            if is_read:
                 continue
+            left_ms = max(work.left_ms, OVERDUE_READ_MS)
             ends_in_ms += left_ms
             reads.append(
                 PendingRead(
@@ -164,6 +168,8 @@
             spent_ms = min(work.left_ms, spare_ms)
             work.left_ms -= spent_ms
             spare_ms -= spent_ms
+            if not work.left_ms:
+                work.overdue_ms += spare_ms
 
 
 @attrs.define(kw_only=True)
--- a/src/shallothinge/placement/pricing.py
+++ b/src/shallothinge/placement/pricing.py
@@ -47,18 +47,28 @@
     return min(1.0, SHARE_WEIGHT / count)
 
 
-def lateness(expected_ms: float, objective_ms: float) -> float:
+def lateness(
+    expected_ms: float,
+    objective_ms: float,
+    patience_ms: float | None = None,
+) -> float:
     """Return what is likely lost by missing an objective, 0 to 1.
 
     A late answer loses a fixed part of its value, and the rest when its
     caller leaves.
+
+    :param objective_ms: what is left of it, 0 or less if it is missed.
+    :param patience_ms: when the caller leaves, None if it is not known.
     """
-    if objective_ms <= 0:
+    if objective_ms <= 0 and patience_ms is None:
         leaves = min(1.0, expected_ms / LEAVE_MS)
         return LATE_LOSS + (1 - LATE_LOSS) * leaves
-    used = expected_ms / objective_ms
-    late = _likelihood(used, SAFE_SHARE)
-    leaves = _likelihood(used / LEAVE_MULTIPLE, LEAVE_SAFE_SHARE)
+    if patience_ms is None:
+        patience_ms = LEAVE_MULTIPLE * objective_ms
+    late = 1.0
+    if objective_ms > 0:
+        late = _likelihood(expected_ms / objective_ms, SAFE_SHARE)
+    leaves = _likelihood(expected_ms / max(patience_ms, 1.0), LEAVE_SAFE_SHARE)
     return LATE_LOSS * late + (1 - LATE_LOSS) * leaves
 
 
@@ -67,13 +77,18 @@
     return min(1.0, max(0.0, (used - safe_share) / (1 - safe_share)))
 
 
-def delay_price(expected_ms: float, objective_ms: float) -> float:
+def delay_price(
+    expected_ms: float,
+    objective_ms: float,
+    patience_ms: float | None = None,
+) -> float:
     """Return what a first event's time costs its own request.
 
     Of two times that are both safe the sooner is better.
     """
     used = expected_ms / max(objective_ms, 1.0)
-    return lateness(expected_ms, objective_ms) + SPEED_PRICE * min(used, 1.0)
+    lost = lateness(expected_ms, objective_ms, patience_ms)
+    return lost + SPEED_PRICE * min(used, 1.0)
 
 
 def price_for_writers(
