Keep to what backend servers say of themselves in their answers

Any answer but a 421 (which may come from another server at the address) may say that its server leaves: this gateway sends nothing more there, also not what is on its way when the notice comes, and peers learn of it with the next report and each complete one for 10 s. A pause binds this gateway alone. If all servers of a service want a pause, the caller is refused at once with the soonest end of them.

Soak: its backend servers say that they leave in all answers, refuse one request in 33 with a pause, and note what arrives; each gateway is held to what it was told, unless it was restarted or paused since.

--- a/src/shallothinge/control/tests/test_departures.py
+++ b/src/shallothinge/control/tests/test_departures.py
@@ -11,6 +11,7 @@
 from shallothinge.control.tests import fakes
 from shallothinge.control.tests import test_leases
 from shallothinge.gateway import coldshare
+from shallothinge.gateway import notices
 from shallothinge.gateway import servers
 from shallothinge.leases import holder as holders
 from shallothinge.membership import messages as membership
@@ -57,6 +58,7 @@
             holder=self.holder,
             load=fleet.FleetLoad(clock=bench.clock),
             cold=coldshare.ColdShare(clock=bench.clock, slack_requests=5),
+            notices=notices.ServerNotices(clock=bench.clock),
         )
 
     def renew(self):
--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -12,6 +12,7 @@
 from shallothinge.http1 import client
 from shallothinge.http1 import event_stream
 from shallothinge.http1 import messages
+from shallothinge.membership.model import BackendServer
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
 
@@ -88,6 +89,7 @@
         self._timer = None
         self._placed_ms = parts.clock.now_ms()
         self.sent_after_ms: int | None = None
+        self._server: BackendServer | None = None
         self._exchange = None
         self._reservation = None
         self._work_ids = [
@@ -99,16 +101,17 @@
         """Return the server that the request is sent to."""
         return self._placement.server_id
 
-    def start(self, *, address: str) -> None:
+    def start(self, *, server: BackendServer) -> None:
         """Send the request, once all the memory for it is reserved."""
+        self._server = server
         if not self._placement.shares:
-            self._send(address)
+            self._send(server.address)
             return
         self._reservation = reservation.Reservation(
             parts=self._parts, shares=self._placement.shares
         )
         self._reservation.reserve(
-            on_held=lambda: self._send(address),
+            on_held=lambda: self._send(server.address),
             on_refused=self._on_no_memory,
         )
 
@@ -183,6 +186,11 @@
     def on_head(self, head: messages.ResponseHead) -> None:
         """Sort the server's answer by its head."""
         answer = self._parts.dialect.read_answer(head)
+        self._parts.servers.told(
+            self._server,
+            is_leaving=answer.is_leaving,
+            pause_ms=answer.pause_ms,
+        )
         if answer.request_id != self._order.request.request_id:
             self._fail(Cause.BROKEN, detail='the answer is to another request')
         elif answer.is_unrun:
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -8,12 +8,12 @@
 from shallothinge import errors
 from shallothinge.errors import ErrorKind
 from shallothinge.gateway import attempt as attempts
+from shallothinge.gateway import blame
 from shallothinge.gateway import model
 from shallothinge.gateway import parts as shared
 from shallothinge.gateway import pauses
 from shallothinge.gateway import policy
 from shallothinge.gateway import wait as waits
-from shallothinge.gateway.policy import Cause
 from shallothinge.gateway.wait import WaitCause
 from shallothinge.http1 import event_stream
 from shallothinge.http1 import server as http_server
@@ -238,7 +238,7 @@
                 'lease_ms': self._parts.holder.remaining_ms,
             },
         )
-        self._attempt.start(address=server.address)
+        self._attempt.start(server=server)
         if is_stream and self._may_try_again():
             self._attempt.expect_within(self._overdue_ms(placed))
 
@@ -330,7 +330,12 @@
             + (outcome.was_sent and not outcome.may_have_run),
             may_have_run=self._progress.may_have_run or outcome.may_have_run,
         )
-        self._blame(server_id, outcome)
+        blame.note_failure(
+            server_id=server_id,
+            outcome=outcome,
+            servers=self._parts.servers,
+            tried_ids=self._tried_ids,
+        )
         LOG.info(
             'attempt failed',
             extra={
@@ -350,24 +355,6 @@
         else:
             self._fail(outcome)
 
-    def _blame(self, server_id: str, outcome: attempts.Outcome) -> None:
-        """Keep new work off the server that is at fault for a while."""
-        if outcome.fault_id:
-            # It may well help others; this request looks elsewhere.
-            self._tried_ids.discard(server_id)
-            self._tried_ids.add(outcome.fault_id)
-            return
-        own = self._parts.servers.find(server_id)
-        fault = outcome.fault_address
-        if fault and (own is None or fault != own.address):
-            # The server itself is sound and may be asked again.
-            self._tried_ids.discard(server_id)
-            self._parts.servers.failed_at(fault)
-        elif outcome.cause is Cause.STALLED:
-            self._parts.servers.stalled(server_id)
-        elif outcome.cause is not Cause.SERVER_ERROR:
-            self._parts.servers.failed(server_id)
-
     def _may_repeat(self, outcome: attempts.Outcome) -> bool:
         allowed = policy.may_repeat(
             route=self._route,
@@ -397,6 +384,7 @@
                     route=self._route,
                     progress=self._progress,
                     cause=outcome.cause,
+                    pause_ms=self._pause_ms(),
                 )
             )
 
@@ -415,7 +403,18 @@
         elif self._progress.may_have_run:
             self._refuse(errors.ServingError(kind=ErrorKind.BACKEND_FAILED))
         else:
-            self._refuse(errors.ServingError(kind=ErrorKind.NO_BACKEND_SERVER))
+            kind = ErrorKind.NO_BACKEND_SERVER
+            if self._pause_ms():
+                kind = ErrorKind.OVERLOADED
+            self._refuse(
+                errors.ServingError(kind=kind, retry_after_ms=self._pause_ms())
+            )
+
+    def _pause_ms(self) -> int | None:
+        """Return the soonest end of the pauses, if all servers asked."""
+        return self._parts.servers.pause_ms(
+            service=self._accepted.service.name
+        )
 
     def _on_deadline(self) -> None:
         self._deadline = None
--- a/src/shallothinge/gateway/model.py
+++ b/src/shallothinge/gateway/model.py
@@ -69,7 +69,9 @@
     server states that it did not run the request, also where another
     incarnation answers at its address. ``fault_address`` names the
     helper that is to blame, if one is. ``is_signed`` is whether the answer
-    bears the server's signature.
+    bears the server's signature. ``is_leaving`` is whether the server says
+    that it leaves, ``pause_ms`` how long it wants nothing more from this
+    gateway.
     """
 
     status: int
@@ -78,6 +80,8 @@
     is_signed: bool
     is_unrun: bool
     fault_address: str = ''
+    is_leaving: bool = False
+    pause_ms: int = 0
 
     @property
     def is_success(self) -> bool:
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -127,15 +127,24 @@
 
 
 def final_error(
-    *, route: routes.Route, progress: Progress, cause: Cause
+    *,
+    route: routes.Route,
+    progress: Progress,
+    cause: Cause,
+    pause_ms: int | None = None,
 ) -> errors.ServingError:
     """Return the error for a request that is given up.
 
     Only one that certainly did not run is refused as not run.
+
+    :param pause_ms: when the first server takes requests again, if all want
+        a pause.
     """
     if not progress.may_have_run:
         return errors.ServingError(
-            kind=ErrorKind.OVERLOADED, detail=cause.value
+            kind=ErrorKind.OVERLOADED,
+            detail=cause.value,
+            retry_after_ms=pause_ms,
         )
     if route.is_repeatable:
         kind = ErrorKind.BACKEND_FAILED
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -13,6 +13,7 @@
 from shallothinge.control import discovery
 from shallothinge.gateway import coldshare
 from shallothinge.gateway import ingress as ingresses
+from shallothinge.gateway import notices
 from shallothinge.gateway import parts as shared
 from shallothinge.gateway import peers as gateways
 from shallothinge.gateway import readiness as readinesses
@@ -102,7 +103,11 @@
             dialect=dialect.PlatformDialect(),
             holder=self._holder,
             servers=servers.Servers(
-                clock=clock, holder=self._holder, load=load, cold=cold
+                clock=clock,
+                holder=self._holder,
+                load=load,
+                cold=cold,
+                notices=notices.ServerNotices(clock=clock),
             ),
             load=load,
             chooser=choice.Chooser(rng=rng),
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -8,6 +8,7 @@
 
 from shallothinge import clock as clocks
 from shallothinge.gateway import coldshare
+from shallothinge.gateway import notices
 from shallothinge.leases import holder as holders
 from shallothinge.membership.model import BackendServer
 from shallothinge.placement import choice
@@ -47,6 +48,7 @@
 
     :param load: work under way, of all gateways.
     :param cold: this gateway's share of cold servers' rates.
+    :param notices: what servers said of themselves.
     """
 
     def __init__(
@@ -56,14 +58,17 @@
         holder: holders.LeaseHolder,
         load: fleet.FleetLoad,
         cold: coldshare.ColdShare,
+        notices: notices.ServerNotices,
     ):
         self._clock = clock
         self._holder = holder
         self._load = load
         self._cold = cold
+        self._notices = notices
         self._known: dict[str, _Known] = {}
         self._ranks: dict[str, float] = {}
         load.on_failed = self._failed_elsewhere
+        load.on_leaving = notices.leaves
 
     def find(self, server_id: str) -> BackendServer | None:
         """Return a listed server."""
@@ -127,6 +132,28 @@
         if server_id in self._known:
             self._known[server_id].heard_ms = self._clock.now_ms()
 
+    def told(
+        self, server: BackendServer, *, is_leaving: bool, pause_ms: int
+    ) -> None:
+        """Note what a server said of itself; tell the peers if it leaves."""
+        key = notices.key_of(server)
+        if is_leaving and self._notices.leaves(key):
+            self._load.server_leaves(key)
+        if pause_ms:
+            self._notices.asks_for_pause(key, pause_ms)
+
+    def pause_ms(self, *, service: str) -> int | None:
+        """Return when the first server of a service may get requests again.
+
+        :returns: None unless all that could get requests want a pause.
+        """
+        pauses_ms = [
+            self._notices.pause_ms(notices.key_of(known.server))
+            for known in self._known.values()
+            if service in known.server.services and self._is_open(known.server)
+        ]
+        return min(pauses_ms, default=0) or None
+
     def stalled(self, server_id: str) -> None:
         """Note a request that stands still: a failure of a silent server."""
         known = self._known.get(server_id)
@@ -164,12 +191,18 @@
             )
 
     def _may_get_work(self, server: BackendServer) -> bool:
+        pause_ms = self._notices.pause_ms(notices.key_of(server))
+        return self._is_open(server) and not pause_ms
+
+    def _is_open(self, server: BackendServer) -> bool:
+        """Return whether a server serves, though it may want a pause."""
         config = self._holder.config
         return not (
             server.leaving
             or server.zone in config.zones_out
             or server.server_id in config.servers_out
             or self._holder.has_left(server)
+            or self._notices.has_left(notices.key_of(server))
         )
 
     @property
@@ -206,6 +239,9 @@
         for server in changed:
             self._take(server)
         self._cold.forget(known_ids=set(members))
+        self._notices.forget_unlisted(
+            {notices.key_of(server) for server in members.values()}
+        )
         self._log_changes(joined=joined, left=left, leaving=leaving)
 
     def _holds(self, server: BackendServer) -> bool:
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -11,6 +11,7 @@
 from shallothinge.bundles.model import ServingConfig
 from shallothinge.gateway import coldshare
 from shallothinge.gateway import ingress
+from shallothinge.gateway import notices
 from shallothinge.gateway import parts as shared
 from shallothinge.gateway import servers
 from shallothinge.http1 import client
@@ -182,6 +183,7 @@
                 holder=self.holder,
                 load=self.load,
                 cold=coldshare.ColdShare(clock=self.clock, slack_requests=5),
+                notices=notices.ServerNotices(clock=self.clock),
             ),
             load=self.load,
             chooser=choice.Chooser(rng=rng),
@@ -222,6 +224,14 @@
             }
         )
 
+    def server_at(self, address):
+        """Return the server that is listed at an address."""
+        return next(
+            one
+            for one in self.holder.members.values()
+            if one.address == address
+        )
+
     def advance(self, duration_ms):
         """Let time pass."""
         self.clock.advance(duration_ms=duration_ms)
--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -16,6 +16,9 @@
 # wait for another server. After this time beyond the expected one it is more
 # likely that this server has read its share.
 UNCONFIRMED_READ_MS = 300.0
+# For how long each complete report tells that a server leaves: a peer that
+# hears nothing for longer has other sources by then.
+LEAVING_TOLD_MS = 10_000
 PERCENT = 100
 
 
@@ -190,6 +193,7 @@
     writing: set[int] = attrs.field(factory=set)
     ended: set[int] = attrs.field(factory=set)
     failed: set[str] = attrs.field(factory=set)
+    leaving: set[tuple[str, str]] = attrs.field(factory=set)
 
 
 class FleetLoad:
@@ -198,6 +202,8 @@
     :ivar on_change: called with whether other gateways should know at once
         when the own work has changed.
     :ivar on_failed: called with the id of a server that failed a peer.
+    :ivar on_leaving: called with id and incarnation of a server that has
+        told a peer that it leaves.
     """
 
     def __init__(self, *, clock: clocks.Clock):
@@ -210,6 +216,8 @@
         self._unreported = _Unreported()
         self.on_change: Callable[[bool], None] | None = None
         self.on_failed: Callable[[str], None] | None = None
+        self.on_leaving: Callable[[tuple[str, str]], object] | None = None
+        self._left_ms: dict[tuple[str, str], int] = {}
 
     def start(self, work: Work) -> int:
         """Note that a request was sent.
@@ -248,6 +256,15 @@
         self._unreported.failed.add(server_id)
         self._changed(is_urgent=True)
 
+    def server_leaves(self, key: tuple[str, str]) -> None:
+        """Note that a backend server leaves, to tell the peers.
+
+        :param key: its id and incarnation.
+        """
+        self._left_ms[key] = self._clock.now_ms()
+        self._unreported.leaving.add(key)
+        self._changed(is_urgent=True)
+
     def _changed(self, *, is_urgent: bool) -> None:
         if self.on_change is not None:
             self.on_change(is_urgent)
@@ -268,6 +285,7 @@
             writing=() if complete else tuple(changes.writing),
             ended=() if complete else tuple(changes.ended),
             failed=tuple(changes.failed),
+            leaving=tuple(self._left_ms if complete else changes.leaving),
         )
 
     def heard(self, *, peer: str, report: messages.LoadReported) -> None:
@@ -301,13 +319,20 @@
         for work_id in report.ended:
             if work_id in known.works:
                 self._remove(known.works.pop(work_id))
+        if self.on_leaving is not None:
+            for key in report.leaving:
+                self.on_leaving(tuple(key))
         if self.on_failed is not None:
             for server_id in report.failed:
                 self.on_failed(server_id)
 
     def forget_silent(self) -> None:
-        """Drop the reports of peers that were not heard for long."""
-        oldest_ms = self._clock.now_ms() - REPORT_KEPT_MS
+        """Drop what is old: reports of silent peers, servers that left."""
+        now_ms = self._clock.now_ms()
+        for key, since_ms in list(self._left_ms.items()):
+            if since_ms < now_ms - LEAVING_TOLD_MS:
+                del self._left_ms[key]
+        oldest_ms = now_ms - REPORT_KEPT_MS
         for peer, known in list(self._peers.items()):
             if known.heard_ms < oldest_ms:
                 del self._peers[peer]
--- a/src/shallothinge/placement/messages.py
+++ b/src/shallothinge/placement/messages.py
@@ -37,6 +37,8 @@
     :ivar ended: ids of works that have ended.
     :ivar failed: ids of backend servers that could not be reached or broke
         off, so that others try elsewhere first.
+    :ivar leaving: id and incarnation of backend servers that have said in
+        an answer that they leave.
     """
 
     sequence: int
@@ -45,6 +47,7 @@
     writing: tuple[int, ...] = ()
     ended: tuple[int, ...] = ()
     failed: tuple[str, ...] = ()
+    leaving: tuple[tuple[str, str], ...] = ()
 
 
 MESSAGES = (LoadReported,)
--- a/src/shallothinge/platform/dialect.py
+++ b/src/shallothinge/platform/dialect.py
@@ -1,6 +1,7 @@
 """Requests and answers between callers and backend servers."""
 
 import json
+import math
 
 from shallothinge import clock as clocks
 from shallothinge import errors
@@ -115,6 +116,9 @@
             is_signed=bool(head.get(names.SIGNATURE)),
             is_unrun=names.UNRUN in field_names or head.status == 421,
             fault_address=head.get(names.FAULT_ADDRESS),
+            # A 421 may come from another server at the same address.
+            is_leaving=head.get(names.LEAVING) == '1' and head.status != 421,
+            pause_ms=_read_pause_ms(head) if head.status == 503 else 0,
         )
 
     def write_error(
@@ -156,6 +160,20 @@
     return int(text)
 
 
+def _read_pause_ms(head: messages.ResponseHead) -> int:
+    """Return how long a server wants nothing, 0 if it can't be read.
+
+    The platform's seconds may have a fraction; dates are not used there.
+    """
+    try:
+        seconds = float(head.get(names.RETRY_AFTER_S))
+    except ValueError:
+        return 0
+    if not math.isfinite(seconds) or seconds <= 0:
+        return 0
+    return math.ceil(seconds * clocks.MS_PER_SECOND)
+
+
 def _read_tokens(head: messages.RequestHead) -> tuple[int, int]:
     """Return the tokens of a prompt and the longest that its answer may be.
 
--- a/src/shallothinge/platform/names.py
+++ b/src/shallothinge/platform/names.py
@@ -21,7 +21,11 @@
 UNRUN = 'not-executed'
 # The address of the helper to blame, on a 421 or 503.
 FAULT_ADDRESS = 'at-server'
+# In callers' refusals, and in a server's 503: it wants nothing from the
+# gateway that it answers for so long.
 RETRY_AFTER_S = 'retry-after'
+# '1' in all answers of a server that leaves.
+LEAVING = 'server-leaving'
 
 # Path of a server's orders.
 ORDER = '/order'
--- a/testing/soak/backend.py
+++ b/testing/soak/backend.py
@@ -4,14 +4,17 @@
 run to a file, so that what it ran is known even after it was killed.
 
 At SIGTERM it reports that it is leaving, at SIGUSR1 it says at once that it
-is gone. Once that is acknowledged it serves on for some seconds, as real ones
-may, and notes the requests that still reach it too late.
+is gone; from then on its answers say so, too. Once that is acknowledged it
+serves on for some seconds, as real ones may, and notes the requests that
+still reach it too late. Now and then it refuses a request and asks for a
+pause. What it says of itself is noted, with all requests that arrive.
 """
 
 import argparse
 import asyncio
 import json
 import pathlib
+import random
 import signal
 
 import h11
@@ -34,6 +37,9 @@
 LINGER_S = 6.0
 # Without an acknowledgement a server goes all the same.
 UNANSWERED_S = 6.0
+# Of the requests that arrive, some are refused with a pause asked for.
+PAUSE_SHARE = 0.03
+PAUSE_S = (0.6, 2.0)
 LEAVE_SIGNALS = (signal.SIGTERM, signal.SIGUSR1)
 
 
@@ -48,6 +54,8 @@
         self._sequence = 0
         self._record = arguments.record.open('a', encoding='utf-8')
         self._state = names.READY
+        self._is_leaving = False
+        self._rng = random.Random(arguments.name)
         self._left_ms: int | None = None
 
     async def run(self) -> None:
@@ -61,6 +69,7 @@
             )
         announcing = asyncio.create_task(self._announce_always())
         number = await leaving
+        self._is_leaving = True
         if number is signal.SIGTERM:
             self._state = names.DRAINING
             await self._leave(self._announce)
@@ -141,16 +150,29 @@
         refusal = self._refusal(request)
         if refusal != 421:
             self._note_if_late(request)
+            self._note_arrival(request)
         if refusal:
             fields = self._fields(request) + [(names.UNRUN, '1')]
             await wire.respond(connection, writer, refusal, fields, b'')
             return
+        if self._rng.random() < PAUSE_SHARE:
+            await self._ask_for_pause(connection, writer, request)
+            return
         self._running += 1
         try:
             await self._run(connection, writer, request)
         finally:
             self._running -= 1
 
+    async def _ask_for_pause(self, connection, writer, request) -> None:
+        pause_s = round(self._rng.uniform(*PAUSE_S), 2)
+        fields = self._fields(request) + [
+            (names.UNRUN, '1'),
+            (names.RETRY_AFTER_S, f'{pause_s:g}'),
+        ]
+        await wire.respond(connection, writer, 503, fields, b'')
+        self._note_notice(request, pause_ms=int(pause_s * 1000))
+
     def _refusal(self, request: wire.Request) -> int:
         if request.fields.get(names.EXPECTED_SERVER) != self._server_id:
             return 421
@@ -158,10 +180,13 @@
 
     def _fields(self, request: wire.Request) -> list[tuple[str, str]]:
         request_id = request.fields.get(names.REQUEST_ID, '')
-        return [
+        fields = [
             (names.REQUEST_ID, request_id),
             (names.SIGNATURE, wire.signature_of(request_id)),
         ]
+        if self._is_leaving:
+            fields.append((names.LEAVING, '1'))
+        return fields
 
     async def _run(self, connection, writer, request: wire.Request) -> None:
         self._note(request)
@@ -170,6 +195,7 @@
             await asyncio.sleep(CALL_S)
             body = wire.body_of(request.target)
             await wire.respond(connection, writer, 200, fields, body)
+            self._note_if_told(request, fields)
             return
         fields.append(('content-type', 'text/event-stream'))
         writer.write(wire.head_of(connection, 200, fields))
@@ -181,6 +207,27 @@
             await writer.drain()
         writer.write(connection.send(h11.EndOfMessage()))
         await writer.drain()
+        self._note_if_told(request, fields)
+
+    def _note_if_told(self, request: wire.Request, fields) -> None:
+        """Note that an answer which is out said that this server leaves."""
+        if (names.LEAVING, '1') in fields:
+            self._note_notice(request, pause_ms=None)
+
+    def _note_notice(self, request, *, pause_ms: int | None) -> None:
+        self._write(
+            'notice',
+            request_id=request.fields.get(names.REQUEST_ID, ''),
+            at_ms=clock.WallClock().now_ms(),
+            pause_ms=pause_ms,
+        )
+
+    def _note_arrival(self, request: wire.Request) -> None:
+        self._write(
+            'arrival',
+            request_id=request.fields.get(names.REQUEST_ID, ''),
+            at_ms=clock.WallClock().now_ms(),
+        )
 
     def _note_if_late(self, request: wire.Request) -> None:
         if self._left_ms is None:
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -32,6 +32,7 @@
         self._rng = rng
         self.asked: list[checks.Asked] = []
         self.disturbed_s: dict[str, float] = {}
+        self.disturbances: list[tuple[str, int]] = []
         self.are_faults_over = False
 
     async def ask_until(self, ends_s: float) -> None:
@@ -45,6 +46,7 @@
     def disturb(self, name: str) -> None:
         """Note that a gateway is being disturbed now."""
         self.disturbed_s[name] = time.monotonic()
+        self.disturbances.append((name, clock.WallClock().now_ms()))
 
     async def _ask(self) -> None:
         weights = [kind[3] for kind in KINDS]
@@ -64,6 +66,7 @@
         self.asked.append(
             checks.Asked(
                 request_id=request_id,
+                gateway=name,
                 target=target,
                 is_repeatable=kind != 'book',
                 api_key=api_key,
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -29,6 +29,7 @@
     """
 
     request_id: str
+    gateway: str
     target: str
     is_repeatable: bool
     api_key: str
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -28,6 +28,7 @@
 from testing.soak import checks
 from testing.soak import deployment
 from testing.soak import faults
+from testing.soak import notices
 from testing.soak import operator
 from testing.soak import relay
 
@@ -238,10 +239,16 @@
         self._running.start(fault.target)
 
     def _judge(self) -> Result:
-        runs, late = [], []
+        runs, late, told, arrivals = [], [], [], []
         for name in self._running.names('backend'):
             runs += [checks.Run(**one) for one in self._lines(name, 'run')]
             late += [checks.Late(**one) for one in self._lines(name, 'late')]
+            told += [
+                notices.Notice(**one) for one in self._lines(name, 'notice')
+            ]
+            arrivals += [
+                notices.Arrival(**one) for one in self._lines(name, 'arrival')
+            ]
         asked = self._callers.asked
         known = {one.request_id for one in asked}
         # Runs of before the first fault are not judged.
@@ -257,6 +264,12 @@
             revoked=self._operator.revoked,
             late=late,
         )
+        found += notices.check(
+            asked=asked,
+            notices=told,
+            arrivals=arrivals,
+            disturbances=self._callers.disturbances,
+        )
         return Result(
             seed=self._seed,
             found=(*found, *self._operator.faults),
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -8,6 +8,7 @@
 
 from testing.soak import checks
 from testing.soak import faults
+from testing.soak import notices
 from testing.soak import relay
 from testing.soak import run
 from testing.soak import wire
@@ -33,6 +34,7 @@
     return checks.Asked(
         **{
             'request_id': 'r1',
+            'gateway': 'gateway-1',
             'target': target,
             'is_repeatable': target != BOOKING,
             'api_key': 'k',
@@ -110,6 +112,61 @@
         )
         self.assertEqual(1, len(found))
 
+    def found_of_notices(self, arrived_ms, *, pause_ms=None, **fields):
+        """Return what is found where requests arrive after a notice."""
+        told = asked(request_id='told')
+        later = [
+            asked(request_id=f'r{at_ms}', sent_ms=at_ms - 10)
+            for at_ms in arrived_ms
+        ]
+        return notices.check(
+            asked=[told, *later],
+            notices=[
+                notices.Notice(
+                    server_id='s1',
+                    request_id='told',
+                    at_ms=SENT_MS,
+                    pause_ms=pause_ms,
+                )
+            ],
+            arrivals=[
+                notices.Arrival(
+                    server_id='s1',
+                    request_id=one.request_id,
+                    at_ms=one.sent_ms + 10,
+                )
+                for one in later
+            ],
+            **{'disturbances': [], **fields},
+        )
+
+    def test_server_that_has_told_a_gateway_that_it_leaves(self):
+        for after_ms, count in ((-500, 0), (2010, 0), (2011, 1), (9000, 1)):
+            with self.subTest(after_ms=after_ms):
+                found = self.found_of_notices([SENT_MS + after_ms])
+                self.assertEqual(count, len(found))
+
+    def test_server_that_has_asked_for_a_pause(self):
+        pause = [SENT_MS + after_ms for after_ms in (600, 800, 1500)]
+        rows = (
+            (pause[:2], 0),
+            (pause, 1),
+            ([SENT_MS + 100, *pause[:2]], 0),
+            ([*pause[:2], SENT_MS + 2100], 0),
+        )
+        for arrived_ms, count in rows:
+            with self.subTest(arrived_ms=arrived_ms):
+                found = self.found_of_notices(arrived_ms, pause_ms=2000)
+                self.assertEqual(count, len(found))
+
+    def test_gateway_that_was_restarted_need_not_know_what_it_was_told(self):
+        for name, count in (('gateway-1', 0), ('gateway-2', 1)):
+            with self.subTest(name):
+                found = self.found_of_notices(
+                    [SENT_MS + 5000], disturbances=[(name, SENT_MS + 3000)]
+                )
+                self.assertEqual(count, len(found))
+
     def test_callers_are_served_once_the_faults_are_over(self):
         last = asked(is_after_faults=True)
         lost = attrs.evolve(last, request_id='r2', status=None)
