Give the soak's gateways time to break what servers told them

Control lists who leaves within a second, and pauses were over before three requests came.

Change: a server that vanishes says so in its answers for 3.5 s before control hears of it; pauses last 1.5 to 5 s, one request in 50 asks for one.

--- a/testing/soak/backend.py
+++ b/testing/soak/backend.py
@@ -38,8 +38,10 @@
 # Without an acknowledgement a server goes all the same.
 UNANSWERED_S = 6.0
 # Of the requests that arrive, some are refused with a pause asked for.
-PAUSE_SHARE = 0.03
-PAUSE_S = (0.6, 2.0)
+PAUSE_SHARE = 0.02
+PAUSE_S = (1.5, 5.0)
+# One that vanishes says so in its answers for so long before control hears.
+TOLD_FIRST_S = 3.5
 LEAVE_SIGNALS = (signal.SIGTERM, signal.SIGUSR1)
 
 
@@ -74,6 +76,7 @@
             self._state = names.DRAINING
             await self._leave(self._announce)
         else:
+            await asyncio.sleep(TOLD_FIRST_S)
             announcing.cancel()
             await self._leave(self._withdraw)
         announcing.cancel()
