Open the callers' address before the libraries are loaded

Change: the launcher opens the address first; connections wait in the kernel's queue until the gateway takes them. If the address can't be opened yet, the gateway tries again as before.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -1,4 +1,9 @@
-"""Starts one daemon with the settings that the platform wrote."""
+"""Starts one daemon with the settings that the platform wrote.
+
+    python3 deploy/start.py ROLE [IP:PORT]
+
+IP:PORT is opened at once, so that connections wait while the daemon loads.
+"""
 
 import argparse
 import os
@@ -9,10 +14,25 @@
 sys.path.insert(0, str(REPOSITORY / 'target' / 'deps'))
 sys.path.remove(str(REPOSITORY / 'deploy'))
 
+from shallothinge.http1 import early  # noqa: E402
 from shallothinge.operators import main as program  # noqa: E402
 
 program.ignore_reloads()
 
+
+def open_first() -> int | None:
+    """Return the descriptor of the socket that the command line asks for."""
+    for address in sys.argv[2:]:
+        try:
+            return early.open_listening(address).detach()
+        except OSError as error:
+            # The daemon tries again, and ends with a message of its own.
+            print(f'{address}: {error}', file=sys.stderr)
+    return None
+
+
+OPENED_FD = open_first()
+
 from shallothinge.operators import role_commands  # noqa: E402
 
 SETTINGS_VARIABLE = 'SHALLOTHINGE_NODE_FILE'
@@ -26,6 +46,7 @@
             role=sys.argv[1],
             settings=pathlib.Path(os.environ[SETTINGS_VARIABLE]),
             folder=KEYS,
+            opened_fd=OPENED_FD,
         )
     )
 
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -4,6 +4,7 @@
 import logging
 import pathlib
 import random
+import socket
 
 from twisted.internet import defer
 from twisted.internet import task
@@ -131,11 +132,17 @@
             refusal=dialect.write_refusal,
         )
 
-    def start(self) -> None:
-        """Begin to serve."""
+    def start(self, opened: socket.socket | None = None) -> None:
+        """Begin to serve.
+
+        :param opened: a socket that listens on the callers' address already.
+        """
         callers = self._settings.callers
         http_server.listen(
-            site=self._callers, address=callers.address, reactor=self._reactor
+            site=self._callers,
+            address=callers.address,
+            reactor=self._reactor,
+            opened=opened,
         )
         http_server.listen(
             site=self._probes,
@@ -232,14 +239,16 @@
     folder: pathlib.Path,
     reactor,
     changes: watch.SettingsWatch | None = None,
+    opened: socket.socket | None = None,
 ) -> None:
     """Run a gateway until the reactor stops.
 
     :param folder: folder of the settings file, for relative paths.
+    :param opened: a socket that listens on the callers' address already.
     :param changes: tells of changed settings, of which the seeds are used.
     """
     process = GatewayProcess(settings=settings, folder=folder, reactor=reactor)
-    process.start()
+    process.start(opened)
     if changes is not None:
         changes.subscribe(process.learn_seeds)
     reactor.run()
--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import logging
+import socket
 
 import h11
 from twisted.internet import interfaces
@@ -10,6 +11,7 @@
 
 from shallothinge import clock as clocks
 from shallothinge.http1 import closing
+from shallothinge.http1 import early
 from shallothinge.http1 import messages
 
 LOG = logging.getLogger(__name__)
@@ -399,10 +401,24 @@
         )
 
 
-def listen(*, site: Site, address: str, reactor, backlog: int = 511):
+def listen(
+    *,
+    site: Site,
+    address: str,
+    reactor,
+    opened: socket.socket | None = None,
+):
     """Listen on ``IP:PORT``; return the listening port.
 
+    :param opened: a socket that listens there already, if there is one.
     :raises CannotListenError: if the address is in use.
     """
+    if opened is not None:
+        with opened:
+            return reactor.adoptStreamPort(
+                opened.fileno(), socket.AF_INET, site
+            )
     host, _, port = address.rpartition(':')
-    return reactor.listenTCP(int(port), site, interface=host, backlog=backlog)
+    return reactor.listenTCP(
+        int(port), site, interface=host, backlog=early.BACKLOG
+    )
--- a/src/shallothinge/operators/control_commands.py
+++ b/src/shallothinge/operators/control_commands.py
@@ -20,7 +20,10 @@
     role_commands.add_settings(command, required=False)
     role_commands.add_folder(command)
     command.set_defaults(
-        run=run_or_explain, role='control', explain=command.error
+        run=run_or_explain,
+        role='control',
+        opened_fd=None,
+        explain=command.error,
     )
     actions = command.add_subparsers(dest='action', metavar='ACTION')
     found_parser = actions.add_parser(
@@ -81,7 +84,10 @@
             member_ids=tuple(host.process_id for host in hosts),
         )
         answer = await terminal.ask_process(
-            address=hosts[0].address, role='control', message=order
+            address=hosts[0].address,
+            role='control',
+            opened_fd=None,
+            message=order,
         )
         return await orders.report(terminal, answer, wait=False)
 
--- a/src/shallothinge/operators/role_commands.py
+++ b/src/shallothinge/operators/role_commands.py
@@ -3,6 +3,7 @@
 import argparse
 import importlib
 import pathlib
+import socket
 
 from shallothinge import logs
 from shallothinge.operators import exit_codes
@@ -29,7 +30,9 @@
         command = commands.add_parser(role, help=text, description=text)
         add_settings(command)
         add_folder(command)
-        command.set_defaults(run=run_role, role=role)
+        command.set_defaults(run=run_role, role=role, opened_fd=None)
+        if role == 'gateway':
+            _add_opened_fd(command)
     _add_standin(commands)
     _add_load(commands)
 
@@ -56,6 +59,16 @@
     )
 
 
+def _add_opened_fd(command) -> None:
+    command.add_argument(
+        '--opened-fd',
+        type=int,
+        metavar='NUMBER',
+        help='descriptor of a socket that listens on the callers\' address '
+        'already, so that connections wait while the gateway starts',
+    )
+
+
 def _add_standin(commands) -> None:
     text = 'run a stand-in backend server or weight store, for tests'
     command = commands.add_parser('standin', help=text, description=text)
@@ -96,8 +109,15 @@
         level=process.log_level,
     )
     module = importlib.import_module(f'shallothinge.{arguments.role}.process')
+    inherited = {}
+    if arguments.opened_fd is not None:
+        inherited['opened'] = socket.socket(fileno=arguments.opened_fd)
     status = module.run(
-        settings=settings, folder=folder, reactor=reactor, changes=changes
+        settings=settings,
+        folder=folder,
+        reactor=reactor,
+        changes=changes,
+        **inherited,
     )
     return status or exit_codes.ExitCode.OK
 
