Share the first servers that a new leader lists among the gateways

Change: while all that a gateway knows of the servers comes from a leader that has not heard of all, it counts on its share of each server's slots beside what others are known to have there.

The new test fails on the old code (6 and 7 requests a server, 2 allowed).

--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -1,6 +1,7 @@
 """The backend servers that a gateway may send to at present."""
 
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 import logging
 
@@ -92,12 +93,13 @@
         ]
         sound = [known for known in listed if known.breaker.allows()]
         loads = self._load.loads()
+        shared_slots = self._shared_slots(loads)
         now_ms = self._clock.now_ms()
         return tuple(
             choice.Candidate(
                 server_id=known.server.server_id,
                 zone=known.server.zone,
-                slots=known.server.slots or DEFAULT_SLOTS,
+                slots=shared_slots(known.server),
                 is_cold=known.cold_until_ms > now_ms,
                 rank=self._ranks[known.server.server_id],
                 load=loads.get(known.server.server_id, fleet.ServerLoad()),
@@ -105,6 +107,28 @@
             for known in sound or listed
         )
 
+    def _shared_slots(
+        self, loads: dict[str, fleet.ServerLoad]
+    ) -> Callable[[BackendServer], int]:
+        """Return a function that tells how many slots of a server to count on.
+
+        A new leader knows few servers at first, and all gateways have
+        requests that waited for it. They would fill these servers at the same
+        moment, before they hear of each other; so each counts on its share.
+        """
+        if not self._holder.is_list_partial:
+            return _slots_of
+        gateway_count = max(1, len(self._holder.peers))
+        own = self._load.own_active()
+
+        def share_of(server: BackendServer) -> int:
+            slots = _slots_of(server)
+            load = loads.get(server.server_id, fleet.ServerLoad())
+            of_others = load.active - own[server.server_id]
+            return min(slots, of_others + max(1, slots // gateway_count))
+
+        return share_of
+
     def may_send(self, *, server_id: str, service: routes.Service) -> bool:
         """Return whether a server's cold limit lets a request through.
 
@@ -301,6 +325,10 @@
     return ranks
 
 
+def _slots_of(server: BackendServer) -> int:
+    return server.slots or DEFAULT_SLOTS
+
+
 def _avoid(known: _Known) -> bool:
     """Open a server's breaker, once for all that fails with it.
 
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -38,6 +38,7 @@
     def __init__(self):
         self.is_leased = True
         self.is_settled = True
+        self.is_list_partial = False
         self.config = ServingConfig()
         self.members = {}
         self.members_version = 1
--- a/src/shallothinge/gateway/tests/test_wait.py
+++ b/src/shallothinge/gateway/tests/test_wait.py
@@ -1,5 +1,6 @@
 """Tests of long prompts that wait for their servers at a gateway."""
 
+import collections
 import unittest
 
 from shallothinge.gateway.tests import rig
@@ -98,6 +99,25 @@
         self.assertEqual([], self.calls)
         self.assertEqual(0, self.rig.parts.waiting.count)
 
+    def test_first_servers_after_a_restart_are_shared_by_all_gateways(self):
+        # The load: all processes were killed, all callers come back at once,
+        # and a new leader has heard of three servers so far. Four gateways
+        # that filled them at the same moment gave them four times their
+        # slots; most requests were refused there or stood still.
+        self.rig.holder.is_list_partial = True
+        self.rig.holder.peers = tuple(f'tcp://{name}' for name in 'abcd')
+        for _ in range(20):
+            self.rig.request(STREAM, tokens=1000)
+        sent = collections.Counter(call.address for call in self.calls)
+        self.assertEqual({2}, set(sent.values()))
+        self.assertEqual(3, len(sent))
+        self.rig.add_server('llm', 4)
+        self.rig.advance(20)
+        self.assertEqual(8, len(self.calls))
+        self.rig.holder.is_list_partial = False
+        self.rig.advance(20)
+        self.assertEqual(20, len(self.calls))
+
     def test_first_wait_for_each_cause_is_logged_with_its_inputs(self):
         self.occupy(read_ms=400.0)
         with self.assertLogs('shallothinge.gateway', 'INFO') as logged:
--- a/src/shallothinge/leases/holder.py
+++ b/src/shallothinge/leases/holder.py
@@ -61,6 +61,7 @@
         # When a server's departure was heard of, by id and incarnation.
         self._left_ms: dict[tuple[str, str], int] = {}
         self._listed_peers: tuple[str, ...] = ()
+        self._took_partial_list = False
         self.fence = 0
         self.lapses = 0
         self.server: BackendServer | None = None
@@ -83,6 +84,15 @@
         """Return the leadership that gave the list of backend servers."""
         return self._members_epoch
 
+    @property
+    def is_list_partial(self) -> bool:
+        """Return whether all that is known of the servers is partial.
+
+        It is, if nothing was known of them before a new leader told of those
+        that it had heard so far.
+        """
+        return self._took_partial_list and not self.is_settled
+
     def is_valid(self) -> bool:
         """Return whether the holder may act now."""
         return self.remaining_ms > 0
@@ -226,6 +236,7 @@
             return
         if update.complete:
             self.members = {}
+            self._took_partial_list = not self.is_settled
         elif epoch != self._members_epoch:
             return
         elif update.version < self._members_version:
--- a/src/shallothinge/leases/tests/test_holder.py
+++ b/src/shallothinge/leases/tests/test_holder.py
@@ -56,6 +56,34 @@
         self.holder.granted(self._grant(sequence=request.sequence))
         self.assertFalse(self.holder.is_valid())
 
+    def test_first_list_of_a_new_leader_is_partial(self):
+        # complete, settled, whether the list is partial after it
+        first = MembershipUpdate(
+            version=1, complete=True, joined=(_server('s1'),)
+        )
+        more = MembershipUpdate(
+            version=2, complete=False, joined=(_server('s2'),)
+        )
+        for update, is_settled, is_partial in (
+            (first, False, True),
+            (more, False, True),
+            (more, True, False),
+            (None, False, True),
+            (first, True, False),
+            (None, False, False),
+        ):
+            request = self.holder.next_request()
+            self.holder.granted(
+                self._grant(
+                    sequence=request.sequence,
+                    members=update,
+                    members_epoch='e',
+                    is_settled=is_settled,
+                )
+            )
+            with self.subTest(update=update, is_settled=is_settled):
+                self.assertEqual(is_partial, self.holder.is_list_partial)
+
     def test_repeated_grant_is_ignored(self):
         request = self.holder.next_request()
         grant = self._grant(sequence=request.sequence)
--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -1,5 +1,6 @@
 """Work under way at each backend server, of this gateway and its peers."""
 
+import collections
 from collections.abc import Callable
 
 import attrs
@@ -350,6 +351,14 @@
         heard = [known.heard_ms for known in self._peers.values()]
         return self._clock.now_ms() - min(heard) if heard else 0
 
+    def own_active(self) -> collections.Counter[str]:
+        """Return how many own requests each backend server has."""
+        return collections.Counter(
+            work.server_id
+            for work in self._own.values()
+            if not work.is_helping
+        )
+
     def loads(self) -> dict[str, ServerLoad]:
         """Return the load of each backend server that has any."""
         now_ms = self._clock.now_ms()
