Tell a new leader's holders sooner which servers it has heard of

Cause: holders are nudged every half second at most. After a restart of all the first heartbeat took that nudge; the other 21 servers were heard within 0.15 s, and gateways learned of them 0.65 s later.

Change: until a new leader has had time to hear of all, it nudges every 100 ms, or 2 ms for each holder if that is longer, so that hundreds of gateways don't ask at once too often. Its test fails on the old interval.

--- a/src/shallothinge/control/granting.py
+++ b/src/shallothinge/control/granting.py
@@ -15,6 +15,11 @@
 from shallothinge.transport import endpoint
 
 NUDGE_MS = 500
+# A new leader hears of all servers within a second or so, and holders that
+# were restarted with it can do little before they know them.
+EARLY_NUDGE_MS = 100
+# Nudged holders ask at once; this bounds what that costs a leader of many.
+NUDGE_MS_A_HOLDER = 2
 
 
 @attrs.frozen(kw_only=True)
@@ -154,7 +159,7 @@
         ):
             return
         now_ms = self._clock.now_ms()
-        if now_ms - self._nudged_ms < NUDGE_MS:
+        if now_ms - self._nudged_ms < self._nudge_interval_ms():
             return
         self._nudged_version = version
         self._nudged_members = members_version
@@ -167,6 +172,12 @@
         for route in self._routes_of_holders.values():
             self._send(route=route, message=nudge)
 
+    def _nudge_interval_ms(self) -> int:
+        if self._current().has_heard_all():
+            return NUDGE_MS
+        holder_count = len(self._routes_of_holders)
+        return max(EARLY_NUDGE_MS, NUDGE_MS_A_HOLDER * holder_count)
+
     def forget_routes(self) -> None:
         """Drop the routes of holders whose leases have run out."""
         known = set(self._current().leases.holders())
--- a/src/shallothinge/control/leadership.py
+++ b/src/shallothinge/control/leadership.py
@@ -127,7 +127,7 @@
             control_ids=() if knows_peers else self._read_control_ids(),
             peers_digest='' if knows_peers else digest,
             departures=self._departures_for(request) if is_behind else (),
-            is_settled=self._is_settled(),
+            is_settled=self.has_heard_all(),
         )
 
     def _departures_for(self, request) -> tuple[Departure, ...]:
@@ -204,7 +204,7 @@
             server = attrs.evolve(server, leaving=True)
         self.members.announce(server=server)
 
-    def _is_settled(self) -> bool:
+    def has_heard_all(self) -> bool:
         """Return whether every backend server had time to be heard."""
         return self._clock.now_ms() >= self._members_complete_ms
 
@@ -217,7 +217,7 @@
         if request.members_version < 0:
             return None
         is_new_epoch = request.members_epoch != self.epoch
-        if request.members_epoch and is_new_epoch and not self._is_settled():
+        if request.members_epoch and is_new_epoch and not self.has_heard_all():
             return self.members.heard_so_far()
         return self.members.update_since(
             version=request.members_version, epoch=request.members_epoch
--- a/src/shallothinge/control/tests/test_server.py
+++ b/src/shallothinge/control/tests/test_server.py
@@ -171,6 +171,20 @@
         nudge = attrs.evolve(nudge, state_version=2)
         self.assertEqual([nudge], self.bench.sent)
 
+    def test_holders_of_a_new_leader_are_nudged_more_often(self):
+        # After a restart of all, gateways waited 0.65 s with the one server
+        # of their first list, as the others were heard 0.1 s later.
+        self.bench.log.elected_ms = self.bench.clock.now_ms()
+        self._lease(self._holder('e1'))
+        for out in (True, False):
+            self.bench.set_zone('a', out=out)
+        for after_ms, count in ((99, 0), (1, 1)):
+            self.bench.clock.advance(duration_ms=after_ms)
+            self.bench.sent.clear()
+            self.bench.server.tick()
+            with self.subTest(after_ms=after_ms):
+                self.assertEqual(count, len(self.bench.sent))
+
     def test_bundle_is_not_sent_again_for_an_outage(self):
         entry = self._holder('e1')
         self.bench.put_in_force(samples.bundle_text())
