Let gateways hear of each other's work as soon as control lists them

Cause: a gateway looked at control's list of gateways once a second, and told a new one its work with the next report, up to a second later. Found by listing all placements of those 0.2 s by server; ruled out: old work at the servers (dropped with its connections) and too few servers (19 were listed).

Change: the list is followed when a grant changes it, and a peer is told all the work as soon as its connection stands, under the number of the last report, so that the next one follows for it as for the others. The same where a peer was restarted. Until a restarted gateway can know how many others there are (0.4 s), it counts on one slot of each server of a partial list: one that had heard of no other put four requests on the only server listed.

Tests: the peers' tests (seven, new) fail on the old code, which had no way to tell one peer; the test of shared servers asks for one slot first. Test runner: it prints its ten slowest tests.

--- a/src/shallothinge/gateway/peers.py
+++ b/src/shallothinge/gateway/peers.py
@@ -1,5 +1,6 @@
 """Tells the other gateways what this one has under way, and hears them."""
 
+import functools
 import logging
 
 from shallothinge import clock as clocks
@@ -19,6 +20,9 @@
 GATHER_MS = 40
 # A report that was lost is made good by the next complete one.
 REPEAT_MS = 1000
+# A connection to a new peer stands after some round trips; until then it is
+# looked again so often whether the peer can be told all.
+JOIN_MS = 20
 
 
 class Peers:
@@ -42,10 +46,14 @@
         self._address = address
         self._links: dict[str, link.Link] = {}
         self._scheduled = None
+        # Peers that know nothing yet, and how often they are tried still.
+        self._joining: dict[str, int] = {}
+        self._telling = None
 
     def start(self) -> None:
         """Begin to report."""
         self._load.on_change = self._schedule
+        self._holder.on_peers_changed = self._follow_peers
         self._repeat()
 
     def receive(self, peer: endpoint.Peer, message: object) -> None:
@@ -94,10 +102,37 @@
         LOG.info('peers changed', extra={'peers': sorted(wanted)})
         for address in set(self._links) - wanted:
             self._links.pop(address).close()
+            self._joining.pop(address, None)
         for address in wanted - set(self._links):
             self._links[address] = self._process.connect(
-                address=address, role='entry', on_message=_drop
+                address=address,
+                role='entry',
+                on_message=_drop,
+                on_reset=functools.partial(self._join, address),
             )
+            self._join(address)
+
+    def _join(self, address: str) -> None:
+        """Tell a peer all as soon as it can be reached."""
+        self._joining[address] = REPEAT_MS // JOIN_MS
+        if self._telling is None:
+            self._tell_later()
+
+    def _tell_later(self) -> None:
+        self._telling = self._process.reactor.callLater(
+            JOIN_MS / clocks.MS_PER_SECOND, self._tell_joining
+        )
+
+    def _tell_joining(self) -> None:
+        self._telling = None
+        report = self._load.report_again()
+        for address, tries_left in list(self._joining.items()):
+            if self._links[address].send(report) or tries_left <= 1:
+                del self._joining[address]
+            else:
+                self._joining[address] = tries_left - 1
+        if self._joining:
+            self._tell_later()
 
 
 def _drop(message: object) -> None:
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -28,6 +28,9 @@
 # that is no failure, and avoiding the server would crowd the others. A pass
 # with a long read takes up to about this long.
 AT_WORK_MS = 1000
+# A gateway that was restarted knows the others with its second lease, and
+# has heard of their work some round trips later.
+PEERS_KNOWN_MS = 400
 # Ids of servers in one log line; a first list may hold thousands.
 LOGGED_IDS = 20
 # What a server runs at once if it doesn't say.
@@ -114,18 +117,21 @@
 
         A new leader knows few servers at first, and all gateways have
         requests that waited for it. They would fill these servers at the same
-        moment, before they hear of each other; so each counts on its share.
+        moment, before they hear of each other; so each counts on its share,
+        and on one slot until it knows how many gateways there are.
         """
         if not self._holder.is_list_partial:
             return _slots_of
         gateway_count = max(1, len(self._holder.peers))
+        knows_peers = self._holder.list_age_ms >= PEERS_KNOWN_MS
         own = self._load.own_active()
 
         def share_of(server: BackendServer) -> int:
             slots = _slots_of(server)
             load = loads.get(server.server_id, fleet.ServerLoad())
             of_others = load.active - own[server.server_id]
-            return min(slots, of_others + max(1, slots // gateway_count))
+            share = max(1, slots // gateway_count) if knows_peers else 1
+            return min(slots, of_others + share)
 
         return share_of
 
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -39,6 +39,7 @@
         self.is_leased = True
         self.is_settled = True
         self.is_list_partial = False
+        self.list_age_ms = 10_000
         self.config = ServingConfig()
         self.members = {}
         self.members_version = 1
--- /dev/null
+++ b/src/shallothinge/gateway/tests/test_peers.py
@@ -0,0 +1,153 @@
+"""Tests of the exchange of load reports between gateways."""
+
+import unittest
+from unittest import mock
+
+from twisted.internet import task
+
+from shallothinge import clock
+from shallothinge.gateway import peers
+from shallothinge.placement import fleet
+from shallothinge.transport import endpoint
+
+OWN, OTHER, THIRD = 'tcp://own', 'tcp://other', 'tcp://third'
+
+
+class Link:
+    """A connection that tests open; what is sent before is lost."""
+
+    def __init__(self, on_reset):
+        self.on_reset = on_reset
+        self.is_open = False
+        self.sent = []
+
+    def send(self, message):
+        """Keep a message, if the connection stands."""
+        if self.is_open:
+            self.sent.append(message)
+        return self.is_open
+
+    def close(self):
+        """Drop the connection."""
+        self.is_open = False
+
+
+class PeersTest(unittest.TestCase):
+    """One gateway whose peers come and go."""
+
+    def setUp(self):
+        self.reactor = task.Clock()
+        self.clock = clock.ManualClock(start_ms=1000)
+        self.links = {}
+        process = mock.Mock(reactor=self.reactor)
+        process.connect.side_effect = self.connect
+        self.holder = mock.Mock(peers=(OWN,), on_peers_changed=None)
+        self.load = fleet.FleetLoad(clock=self.clock)
+        self.peers = peers.Peers(
+            process=process,
+            holder=self.holder,
+            load=self.load,
+            address=OWN,
+        )
+        self.peers.start()
+
+    def connect(self, *, address, role, on_message, on_reset):
+        self.links[address] = Link(on_reset)
+        return self.links[address]
+
+    def list_peers(self, *addresses):
+        self.holder.peers = (OWN, *addresses)
+        self.holder.on_peers_changed()
+
+    def start_work(self):
+        self.load.start(
+            fleet.Work(server_id='s', read_ms=100.0, started_ms=1000)
+        )
+
+    def heard_from(self, link):
+        """Return what a peer knows of the gateway's work."""
+        heard = fleet.FleetLoad(clock=self.clock)
+        for report in link.sent:
+            heard.heard(peer='own', report=report)
+        return heard
+
+    def test_peer_is_told_all_as_soon_as_it_can_be_reached(self):
+        # Gateways that were restarted together placed their first requests
+        # up to a second before they heard of each other's.
+        self.start_work()
+        self.list_peers(OTHER)
+        self.reactor.advance(0.1)
+        self.links[OTHER].is_open = True
+        self.reactor.advance(peers.JOIN_MS / 1000)
+        heard = self.heard_from(self.links[OTHER])
+        self.assertEqual(1, heard.peer_count)
+        self.assertEqual({'s'}, set(heard.loads()))
+
+    def test_reports_that_follow_fit_on_the_first_one(self):
+        self.list_peers(OTHER)
+        self.links[OTHER].is_open = True
+        self.reactor.advance(peers.JOIN_MS / 1000)
+        self.start_work()
+        self.reactor.advance(peers.URGENT_MS / 1000)
+        heard = self.heard_from(self.links[OTHER])
+        self.assertEqual(1, heard.peer_count)
+        self.assertEqual({'s'}, set(heard.loads()))
+
+    def test_peer_that_joins_does_not_set_the_others_back(self):
+        self.list_peers(OTHER)
+        self.links[OTHER].is_open = True
+        self.reactor.advance(peers.JOIN_MS / 1000)
+        self.list_peers(OTHER, THIRD)
+        self.links[THIRD].is_open = True
+        self.reactor.advance(peers.JOIN_MS / 1000)
+        self.start_work()
+        self.reactor.advance(peers.URGENT_MS / 1000)
+        for address in (OTHER, THIRD):
+            with self.subTest(address):
+                heard = self.heard_from(self.links[address])
+                self.assertEqual(1, heard.peer_count)
+                self.assertEqual({'s'}, set(heard.loads()))
+
+    def test_restarted_peer_is_told_all_again(self):
+        self.list_peers(OTHER)
+        link = self.links[OTHER]
+        link.is_open = True
+        self.reactor.advance(peers.JOIN_MS / 1000)
+        self.start_work()
+        self.reactor.advance(peers.URGENT_MS / 1000)
+        link.sent.clear()
+        link.on_reset()
+        self.reactor.advance(peers.JOIN_MS / 1000)
+        heard = self.heard_from(link)
+        self.assertEqual(1, heard.peer_count)
+        self.assertEqual({'s'}, set(heard.loads()))
+
+    def test_peer_that_can_not_be_reached_is_not_tried_without_end(self):
+        self.list_peers(OTHER)
+        link = self.links[OTHER]
+        attempts = mock.Mock(side_effect=link.send)
+        link.send = attempts
+        for _ in range(200):
+            self.reactor.advance(peers.JOIN_MS / 1000)
+        most = 4 + peers.REPEAT_MS // peers.JOIN_MS
+        self.assertLessEqual(attempts.call_count, most + 4)
+
+    def test_peer_that_is_not_listed_any_more_is_told_nothing(self):
+        self.list_peers(OTHER)
+        link = self.links[OTHER]
+        link.is_open = True
+        self.list_peers()
+        self.start_work()
+        self.reactor.advance(1.0)
+        self.assertEqual([], link.sent)
+
+    def test_reports_of_peers_count(self):
+        other = fleet.FleetLoad(clock=self.clock)
+        other.start(fleet.Work(server_id='s', read_ms=1.0, started_ms=1000))
+        self.peers.receive(
+            endpoint.Peer(
+                route=b'r', process_id='g2', role='entry', incarnation='1'
+            ),
+            other.report(complete=True),
+        )
+        self.assertEqual({'s'}, set(self.load.loads()))
--- a/src/shallothinge/gateway/tests/test_wait.py
+++ b/src/shallothinge/gateway/tests/test_wait.py
@@ -3,6 +3,7 @@
 import collections
 import unittest
 
+from shallothinge.gateway import servers
 from shallothinge.gateway.tests import rig
 from shallothinge.gateway.tests import test_forwarding
 from shallothinge.placement import fleet
@@ -105,10 +106,16 @@
         # that filled them at the same moment gave them four times their
         # slots; most requests were refused there or stood still.
         self.rig.holder.is_list_partial = True
-        self.rig.holder.peers = tuple(f'tcp://{name}' for name in 'abcd')
+        self.rig.holder.peers = ('tcp://a',)
+        self.rig.holder.list_age_ms = 0
         for _ in range(20):
             self.rig.request(STREAM, tokens=1000)
         sent = collections.Counter(call.address for call in self.calls)
+        self.assertEqual({1}, set(sent.values()))
+        self.rig.holder.peers = tuple(f'tcp://{name}' for name in 'abcd')
+        self.rig.holder.list_age_ms = servers.PEERS_KNOWN_MS
+        self.rig.advance(20)
+        sent = collections.Counter(call.address for call in self.calls)
         self.assertEqual({2}, set(sent.values()))
         self.assertEqual(3, len(sent))
         self.rig.add_server('llm', 4)
--- a/src/shallothinge/leases/holder.py
+++ b/src/shallothinge/leases/holder.py
@@ -1,5 +1,7 @@
 """The holder's side of a lease: what may be done, and until when."""
 
+from collections.abc import Callable
+
 import attrs
 
 from shallothinge import clock
@@ -29,6 +31,7 @@
 
     :param wants_members: whether to ask for the list of backend servers.
     :param address: zmq address that other holders of the role may use.
+    :ivar on_peers_changed: called when control lists other holders.
     """
 
     def __init__(
@@ -62,6 +65,8 @@
         self._left_ms: dict[tuple[str, str], int] = {}
         self._listed_peers: tuple[str, ...] = ()
         self._took_partial_list = False
+        self._list_taken_ms = clock.now_ms()
+        self.on_peers_changed: Callable[[], None] | None = None
         self.fence = 0
         self.lapses = 0
         self.server: BackendServer | None = None
@@ -93,6 +98,11 @@
         """
         return self._took_partial_list and not self.is_settled
 
+    @property
+    def list_age_ms(self) -> int:
+        """Return for how long the list of servers has been built upon."""
+        return self._clock.now_ms() - self._list_taken_ms
+
     def is_valid(self) -> bool:
         """Return whether the holder may act now."""
         return self.remaining_ms > 0
@@ -200,6 +210,7 @@
 
     def _take_peers(self, grant: messages.LeaseGranted) -> None:
         now_ms = self._clock.now_ms()
+        is_changed = set(self._listed_peers) != set(grant.peers)
         for address in set(self._listed_peers) - set(grant.peers):
             self._unlisted_ms[address] = now_ms
         for address in grant.peers:
@@ -209,6 +220,8 @@
                 del self._unlisted_ms[address]
         self._listed_peers = grant.peers
         self._peers_digest = grant.peers_digest
+        if is_changed and self.on_peers_changed is not None:
+            self.on_peers_changed()
 
     def _bundle_version(self) -> int:
         bundle = self.config.bundle
@@ -237,6 +250,7 @@
         if update.complete:
             self.members = {}
             self._took_partial_list = not self.is_settled
+            self._list_taken_ms = self._clock.now_ms()
         elif epoch != self._members_epoch:
             return
         elif update.version < self._members_version:
--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 
 import attrs
 
@@ -270,23 +271,45 @@
         if self.on_change is not None:
             self.on_change(is_urgent)
 
+    def report_again(self) -> messages.LoadReported:
+        """Return all of the work under the last report's number.
+
+        For a peer that has heard no report yet: the next one follows on it,
+        as it does for the peers that heard the last.
+        """
+        self._sequence = max(1, self._sequence)
+        return self._complete_report(failed=())
+
     def report(self, *, complete: bool) -> messages.LoadReported:
         """Return the next report for the peers."""
         self._sequence += 1
         changes, self._unreported = self._unreported, _Unreported()
-        now_ms = self._clock.now_ms()
-        started = self._own if complete else changes.started
+        if complete:
+            return self._complete_report(failed=tuple(changes.failed))
         return messages.LoadReported(
             sequence=self._sequence,
-            complete=complete,
-            started=tuple(
-                _pack(work_id, self._own[work_id], now_ms)
-                for work_id in started
-            ),
-            writing=() if complete else tuple(changes.writing),
-            ended=() if complete else tuple(changes.ended),
+            started=self._pack_own(changes.started),
+            writing=tuple(changes.writing),
+            ended=tuple(changes.ended),
             failed=tuple(changes.failed),
-            leaving=tuple(self._left_ms if complete else changes.leaving),
+            leaving=tuple(changes.leaving),
+        )
+
+    def _complete_report(
+        self, *, failed: tuple[str, ...]
+    ) -> messages.LoadReported:
+        return messages.LoadReported(
+            sequence=self._sequence,
+            complete=True,
+            started=self._pack_own(self._own),
+            failed=failed,
+            leaving=tuple(self._left_ms),
+        )
+
+    def _pack_own(self, work_ids: Iterable[int]) -> tuple[tuple, ...]:
+        now_ms = self._clock.now_ms()
+        return tuple(
+            _pack(work_id, self._own[work_id], now_ms) for work_id in work_ids
         )
 
     def heard(self, *, peer: str, report: messages.LoadReported) -> None:
--- a/testing/run_tests.py
+++ b/testing/run_tests.py
@@ -8,12 +8,14 @@
 import pathlib
 import subprocess
 import sys
+import time
 import unittest
 
 import hypothesis
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+SLOWEST_PRINTED = 10
 SOURCES = ('src', 'testing', 'experiments')
 CHECKS = (
     ('formatter', ('black', '--check', '--quiet', *SOURCES)),
@@ -29,6 +31,18 @@
         super().__init__(*args, **kwargs)
         self.passed_ids = []
         self.failed_ids = []
+        self.durations_s = {}
+        self._started_s = 0.0
+
+    def startTest(self, test):
+        """Note when a test began."""
+        super().startTest(test)
+        self._started_s = time.monotonic()
+
+    def stopTest(self, test):
+        """Note how long a test took."""
+        self.durations_s[test.id()] = time.monotonic() - self._started_s
+        super().stopTest(test)
 
     def addSuccess(self, test):
         """Record a passed test."""
@@ -88,6 +102,13 @@
     return runner.run(suite)
 
 
+def print_slowest(result: Result) -> None:
+    """Print the tests that took longest."""
+    slowest = sorted(result.durations_s.items(), key=lambda each: -each[1])
+    for test_id, duration_s in slowest[:SLOWEST_PRINTED]:
+        print(f'{duration_s:6.1f} s  {test_id}')
+
+
 def main() -> int:
     """Run everything and return the exit status."""
     os.chdir(ROOT)
@@ -99,6 +120,7 @@
         else:
             failed.append(f'check: {name}')
     result = run_unit_tests()
+    print_slowest(result)
     passed += len(result.passed_ids)
     known = known_red_ids()
     for test_id in result.failed_ids:
