Let a control host with a full disk step down and come back

Change: control/hosting.py keeps the replica. Where a write fails for want of room (no space, quota, size limit) the replica ends as if the process had, a stand-in refuses what is asked, and the replica is opened again each second: from what the disk holds, writing the whole log anew, so that nothing counts that only the page cache holds. Half-written files aside are removed, as they would take the room. Other failures still end the process. A replica that could not be opened gives its folder's lock back, and a closed one names no leader any more.

Tests (control/tests/test_hosting.py): leader with a full disk, the others go on, return, restart while full, other errors. They need the new class; on the old code the process ends by os._exit. Metric replica_disk_full, page docs/operators/full-disk.md.

--- a/src/shallothinge/control/process.py
+++ b/src/shallothinge/control/process.py
@@ -7,14 +7,16 @@
 
 from shallothinge import clock
 from shallothinge import process as processes
+from shallothinge.control import api
 from shallothinge.control import discovery
 from shallothinge.control import fleet
-from shallothinge.control import replica as replicas
+from shallothinge.control import hosting
 from shallothinge.control import server as servers
 from shallothinge.control import state
 from shallothinge.leases import client as clients
 from shallothinge.settings import model
 from shallothinge.settings import watch
+from shallothinge.transport import endpoint
 
 LOG = logging.getLogger(__name__)
 
@@ -35,36 +37,62 @@
         self._settings = settings
         self._process = process
         reactor = process.reactor
-        machine = state.ControlState()
-        self._replica = replicas.Replica(
-            process=self._process, settings=settings, machine=machine
-        )
-        self._server = servers.ControlServer(
-            log=self._replica,
-            machine=machine,
+        self._replica: api.ReplicatedLog | None = None
+        self._server: servers.ControlServer | None = None
+        self._host = hosting.ReplicaHost(
+            process=process,
             settings=settings,
-            clock=self._process.clock,
-            wall_clock=clock.WallClock(),
-            send=self._answer,
-            incarnation=self._process.incarnation,
+            make_machine=state.ControlState,
+            on_replaced=self._serve,
         )
-        self._endpoint = self._process.listen(on_message=self._server.receive)
-        self._ticking = task.LoopingCall(self._server.tick)
+        self._endpoint = self._process.listen(on_message=self._receive)
+        self._ticking = task.LoopingCall(self._tick)
         self._ticking.clock = reactor
 
     def start(self) -> None:
-        """Begin to serve."""
-        self._replica.start()
+        """Begin to serve.
+
+        :raises StorageError: if the data folder can not be used.
+        """
+        self._host.open()
         self._ticking.start(TICK_MS / 1000, now=False)
         self._process.reactor.addSystemEventTrigger(
             'before', 'shutdown', self._hand_over
         )
+        self._process.reactor.callLater(
+            processes.METRICS_DELAY_S, self._publish
+        )
         self._found_if_first()
         LOG.info(
             'control host is listening',
             extra={'address': self._endpoint.address},
         )
 
+    def _serve(self, log: api.ReplicatedLog, machine) -> None:
+        """Serve with a replica, in place of the former one."""
+        self._replica = log
+        self._server = servers.ControlServer(
+            log=log,
+            machine=machine,
+            settings=self._settings,
+            clock=self._process.clock,
+            wall_clock=clock.WallClock(),
+            send=self._answer,
+            incarnation=self._process.incarnation,
+        )
+
+    def _receive(self, peer: endpoint.Peer, message: object) -> None:
+        self._server.receive(peer, message)
+
+    def _tick(self) -> None:
+        self._server.tick()
+
+    def _publish(self) -> None:
+        self._process.metrics.observe(
+            name='replica_disk_full',
+            read=lambda: int(self._host.is_disk_full),
+        )
+
     def _found_if_first(self) -> None:
         """Found the cluster at a deployment's very first start.
 
--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -79,7 +79,11 @@
             process_id=process.process_id,
             rejoin=_rejoins(settings.discovery),
         )
-        self._node = self._restore(settings.log, rng or random.Random())
+        try:
+            self._node = self._restore(settings.log, rng or random.Random())
+        except Exception:
+            self._folder.close()
+            raise
         self._pending = pending.PendingWork()
         self._links = replica_links.ReplicaLinks(
             process=process, settings=settings
@@ -108,6 +112,8 @@
     @property
     def leader_id(self) -> str:
         """Return the process id of the leader, or '' if none is known."""
+        if self._closed:
+            return ''
         return model.process_id_of(self._node.leader_id)
 
     @property
--- a/src/shallothinge/control/tests/hosts.py
+++ b/src/shallothinge/control/tests/hosts.py
@@ -1,12 +1,13 @@
 """Control hosts that are connected in memory, for tests of the shell."""
 
+import functools
 import random
 
 import attrs
 from twisted.internet import defer
 from twisted.internet import task
 
-from shallothinge.control import replica as replicas
+from shallothinge.control import hosting
 from shallothinge.settings import model
 from shallothinge.transport import endpoint
 
@@ -93,6 +94,7 @@
         self.host_ids = host_ids
         self.snapshot_entries = snapshot_entries
         self.replicas = {}
+        self.openers = {}
         self.machines = {}
         self.failures = []
         self.cut = set()
@@ -123,15 +125,19 @@
             clock=ReactorClock(reactor=self.reactor),
             folder=self.folder,
         )
-        self.machines[host_id] = Journal()
-        self.replicas[host_id] = replicas.Replica(
+        self.openers[host_id] = hosting.ReplicaHost(
             process=process,
             settings=settings,
-            machine=self.machines[host_id],
+            make_machine=Journal,
+            on_replaced=functools.partial(self._replace, host_id),
             on_failure=self.failures.append,
             rng=random.Random(self._rng.random()),
         )
-        self.replicas[host_id].start()
+        self.openers[host_id].open()
+
+    def _replace(self, host_id, replica, machine):
+        self.replicas[host_id] = replica
+        self.machines[host_id] = machine
 
     def _discovery(self, may_found):
         if not self.seeds:
@@ -142,6 +148,7 @@
 
     def stop(self, host_id):
         """Kill a host's process."""
+        self.openers.pop(host_id).close()
         self.replicas.pop(host_id).close()
 
     def send(self, sender_id, target_id, message):
--- a/src/shallothinge/storage/data_folder.py
+++ b/src/shallothinge/storage/data_folder.py
@@ -166,6 +166,8 @@
         flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
         descriptor = os.open(path / LOCK_NAME, flags, files.FILE_MODE)
     except OSError as error:
+        if error.errno in errors.FULL_ERRNOS:
+            raise errors.write_error(path=path, error=error) from error
         raise errors.StorageError(f'{path}: {error.strerror}') from error
     try:
         fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
--- a/src/shallothinge/storage/errors.py
+++ b/src/shallothinge/storage/errors.py
@@ -1,7 +1,10 @@
 """Errors of the files under the data folder."""
 
+import errno
 import pathlib
 
+# No space on the device, the user's quota, or the limit of a file's size.
+FULL_ERRNOS = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
 REPAIR_PAGE = 'docs/operators/lost-disk.md'
 
 
@@ -36,3 +39,16 @@
     The process has to end, as a later sync may succeed without having
     written what this one lost.
     """
+
+
+class DiskFull(WriteFailed):
+    """There is no room on the disk for a write.
+
+    What the disk holds has to be read anew, once it has room again.
+    """
+
+
+def write_error(*, path: pathlib.Path, error: OSError) -> WriteFailed:
+    """Return the error for a write that the system refused."""
+    kind = DiskFull if error.errno in FULL_ERRNOS else WriteFailed
+    return kind(f'{path}: {error.strerror}')
--- a/src/shallothinge/storage/files.py
+++ b/src/shallothinge/storage/files.py
@@ -52,7 +52,9 @@
         os.rename(aside, path)
         sync_folder(path.parent, sync=sync)
     except OSError as error:
-        raise errors.WriteFailed(f'{path}: {error.strerror}') from error
+        # Half a file would take the room that others need.
+        aside.unlink(missing_ok=True)
+        raise errors.write_error(path=path, error=error) from error
 
 
 def read_frames(path: pathlib.Path) -> tuple[bytes, frames.Scan]:
--- a/src/shallothinge/storage/log_file.py
+++ b/src/shallothinge/storage/log_file.py
@@ -111,4 +111,4 @@
             ) from error
 
     def _failed(self, error: OSError) -> errors.WriteFailed:
-        return errors.WriteFailed(f'{self._path}: {error.strerror}')
+        return errors.write_error(path=self._path, error=error)
