Look at each pause only once when a placement is priced

Cause: a choice for a long prompt prices 16 times as many parts as there are servers, each for every stream of the server, though streams of one kind have the same longest pause; and each part asked anew whether the prompt waits.

Change: streams are priced by pause; servers without streams are not asked.

--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -246,8 +246,15 @@
         One of them must have the memory for the request, unless none
         could ever have it; shares are then reserved at the others.
         """
+        is_behind = count == 1 or demand.waits_for_reads
         parts = [
-            self._price_part(demand, one, part_ms=read_ms / count, count=count)
+            self._price_part(
+                demand,
+                one,
+                part_ms=read_ms / count,
+                count=count,
+                is_behind=is_behind,
+            )
             for one in candidates
             if count == 1 or one.load.helping < one.slots
         ]
@@ -272,15 +279,21 @@
         free_tokens = sum(part.free_tokens for part in found.parts)
         return found if free_tokens >= needed else None
 
-    def _price_part(self, demand, one, *, part_ms, count) -> spread.Part:
+    def _price_part(
+        self, demand, one, *, part_ms, count, is_behind
+    ) -> spread.Part:
+        """Return what a part of a prompt costs on one server.
+
+        :param is_behind: whether it is read after all that is read there.
+        """
         engine = demand.service.engine
         load = one.load
         is_alone = count == 1
-        is_behind = is_alone or demand.waits_for_reads
         price = JITTER * self._rng.random()
-        price += pricing.price_for_writers(
-            load, read_ms=part_ms, pass_ms=engine.pass_ms
-        )
+        if load.writers:
+            price += pricing.price_for_writers(
+                load, read_ms=part_ms, pass_ms=engine.pass_ms
+            )
         if is_alone:
             price += OPENING_PRICE * (not load.active)
         else:
--- a/src/shallothinge/placement/pricing.py
+++ b/src/shallothinge/placement/pricing.py
@@ -101,13 +101,15 @@
     """
     before_ms = load.backlog_ms + pass_ms if load.backlog_ms else 0.0
     after_ms = load.backlog_ms + read_ms + pass_ms
-    return sum(
-        writer.weight
-        * (
-            lateness(after_ms, writer.pause_ms)
-            - lateness(before_ms, writer.pause_ms)
+    # Most streams of a server may pause equally long.
+    weights: dict[int, float] = {}
+    for writer in load.writers:
+        weights[writer.pause_ms] = (
+            weights.get(writer.pause_ms, 0.0) + writer.weight
         )
-        for writer in load.writers
+    return sum(
+        weight * (lateness(after_ms, pause_ms) - lateness(before_ms, pause_ms))
+        for pause_ms, weight in weights.items()
     )
 
 
