End the process if its replica turns out damaged after a full disk

Cause: found on reading the change again. The replica is opened again by a timer; an error of the folder other than a full disk would have ended the timer with a logged exception, and the host would have stayed away for good.

Change: such an error ends the process, as it does at a start. The new test fails without it. Also: one statement of the gentle close on two lines.

--- a/src/shallothinge/control/hosting.py
+++ b/src/shallothinge/control/hosting.py
@@ -107,8 +107,14 @@
             )
             self._on_replaced(absent.AbsentReplica(), self._make_machine())
         self._trying = self._process.reactor.callLater(
-            TRY_AGAIN_MS / clocks.MS_PER_SECOND, self.open
+            TRY_AGAIN_MS / clocks.MS_PER_SECOND, self._open_again
         )
 
+    def _open_again(self) -> None:
+        try:
+            self.open()
+        except errors.StorageError as error:
+            self._on_failure(error)
+
     def _now_ms(self) -> int:
         return self._process.clock.now_ms()
--- a/src/shallothinge/control/tests/test_hosting.py
+++ b/src/shallothinge/control/tests/test_hosting.py
@@ -14,6 +14,8 @@
 from shallothinge.control import hosting
 from shallothinge.control import replica
 from shallothinge.control.tests import hosts
+from shallothinge.storage import data_folder
+from shallothinge.storage import errors as storage_errors
 from shallothinge.storage import files
 
 WRITE_ALL = files.write_all
@@ -96,6 +98,14 @@
         self.hosts.propose(b'd')
         self.assertEqual(b'a', self.hosts.machines[host_id].commands[0])
 
+    def test_damage_found_on_the_way_back_ends_the_process(self):
+        self.fill_disk_of_leader()
+        host_id, self.full = self.full, ''
+        (self.folder / host_id / data_folder.LOG_NAME).write_bytes(b'rubbish')
+        self.hosts.run(2 * hosting.TRY_AGAIN_MS)
+        [error] = self.hosts.failures
+        self.assertIsInstance(error, storage_errors.StorageDamaged)
+
     def test_other_failures_of_the_disk_end_the_process(self):
         self.error = errno.EIO
         self.fill_disk_of_leader()
--- a/src/shallothinge/http1/closing.py
+++ b/src/shallothinge/http1/closing.py
@@ -67,9 +67,8 @@
     def _look(self) -> None:
         """Close, wait on, or give a peer up that takes nothing."""
         self._timer = None
-        before, now = self._acked_bytes, acked_bytes(
-            self._transport.getHandle()
-        )
+        before = self._acked_bytes
+        now = acked_bytes(self._transport.getHandle())
         self._acked_bytes = now
         if self._has_left and (now is None or now >= self._written_bytes):
             self._transport.loseConnection()
