Tell in logs and metrics who votes and how many losses are borne

Callers of a control cluster without a leader saw `no_lease`, and the hosts logged only `role in the replicated log changed`: the same lines for a host that left and is counted on, for a new host that never got its vote, and for an election that is not won. None named a voter or a number of votes.

Now each replica can tell voters, votes needed, and, where it knows, who is heard: a leader by the answers it gets, a voter without a leader by the messages of two election timeouts. A host that follows a leader, or lost it just now, claims nothing, so the metrics leave these numbers out there. A refused vote carries its reason (a new field with a default), and changes of the voters that are refused leave their reason. A host whose replica is absent for a full disk says that it knows no leader, and no more.

Elections, votes and changes of members are decided as before: the reason is taken from the checks that were there, no random number is drawn in addition.

--- a/src/shallothinge/consensus/election.py
+++ b/src/shallothinge/consensus/election.py
@@ -5,6 +5,7 @@
 from shallothinge.consensus import messages
 from shallothinge.consensus import model
 from shallothinge.consensus import state as states
+from shallothinge.consensus.model import Refusal
 from shallothinge.consensus.model import Role
 
 
@@ -57,16 +58,19 @@
     ) -> None:
         """Say whether a vote would be given; changes no state."""
         state = self._state
-        granted = (
-            message.term > state.term
-            and not self._hears_leader(now_ms)
-            and self._may_vote_for(message)
-        )
+        if message.term <= state.term:
+            refusal = Refusal.OLD_TERM
+        elif self._hears_leader(now_ms):
+            refusal = Refusal.HEARS_LEADER
+        else:
+            refusal = self._check_log(message)
+        granted = refusal is Refusal.NONE
         state.send(
             messages.PreVoteAnswer,
             target_id=message.sender_id,
             term=message.term if granted else state.term,
             granted=granted,
+            reason=refusal.value,
         )
 
     def on_pre_vote_answer(
@@ -74,6 +78,7 @@
     ) -> None:
         """Count a pre-vote; stand for election with a majority."""
         state = self._state
+        self._note_answer(message)
         if not message.granted:
             if message.term > state.term:
                 state.follow(now_ms=now_ms, term=message.term)
@@ -99,11 +104,13 @@
             return
         if message.term > state.term:
             state.follow(now_ms=now_ms, term=message.term)
-        granted = (
-            message.term == state.term
-            and state.voted_for in ('', message.sender_id)
-            and self._may_vote_for(message)
-        )
+        if message.term != state.term:
+            refusal = Refusal.OLD_TERM
+        elif state.voted_for not in ('', message.sender_id):
+            refusal = Refusal.VOTED_FOR_ANOTHER
+        else:
+            refusal = self._check_log(message)
+        granted = refusal is Refusal.NONE
         if granted:
             state.set_role(Role.FOLLOWER)
             state.set_term(state.term, voted_for=message.sender_id)
@@ -113,6 +120,7 @@
             target_id=message.sender_id,
             term=state.term,
             granted=granted,
+            reason=refusal.value,
         )
 
     def on_vote_answer(
@@ -120,6 +128,7 @@
     ) -> None:
         """Count a vote."""
         state = self._state
+        self._note_answer(message)
         if message.term > state.term:
             state.follow(now_ms=now_ms, term=message.term)
             return
@@ -144,6 +153,7 @@
             state.set_role(Role.FOLLOWER)
             return
         state.set_role(Role.PRE_CANDIDATE)
+        state.sightings.elections_asked += 1
         self._granted = {state.replica_id}
         for voter in state.other_voters:
             state.send(
@@ -165,10 +175,20 @@
         silent_ms = now_ms - state.heard_leader_ms
         return silent_ms < state.timing.election_min_ms
 
-    def _may_vote_for(
+    def _note_answer(
+        self, message: messages.VoteAnswer | messages.PreVoteAnswer
+    ) -> None:
+        self._state.sightings.answered(
+            message.sender_id,
+            granted=message.granted,
+            reason=message.reason,
+            voters=self._state.configuration.voters,
+        )
+
+    def _check_log(
         self, message: messages.VoteRequest | messages.PreVoteRequest
-    ) -> bool:
-        """Return whether the candidate's log is not behind the own one.
+    ) -> Refusal:
+        """Return whether the candidate's log is behind the own one.
 
         A replica that holds nothing has no vote. One that holds entries
         votes also if its log does not list it as a voter yet: the
@@ -176,9 +196,11 @@
         """
         log = self._state.log
         if log.last_index == 0:
-            return False
+            return Refusal.HOLDS_NOTHING
         theirs = (message.last_term, message.last_index)
-        return theirs >= (log.last_term, log.last_index)
+        if theirs < (log.last_term, log.last_index):
+            return Refusal.LOG_BEHIND
+        return Refusal.NONE
 
     def _has_majority(self) -> bool:
         configuration = self._state.configuration
--- a/src/shallothinge/consensus/membership.py
+++ b/src/shallothinge/consensus/membership.py
@@ -204,6 +204,7 @@
         state.leadership.progress = progress
 
     def _refused(self, reason: str) -> model.ProposalRefused:
+        self._state.sightings.change_refusals.add(reason)
         return model.ProposalRefused(
             leader_id=self._state.leader_id, reason=reason
         )
--- a/src/shallothinge/consensus/messages.py
+++ b/src/shallothinge/consensus/messages.py
@@ -45,13 +45,17 @@
 
 @attrs.frozen(kw_only=True)
 class PreVoteAnswer:
-    """``term`` is the one asked about if granted, else the own one."""
+    """``term`` is the one asked about if granted, else the own one.
+
+    ``reason`` is the value of a ``model.Refusal``, for logs only.
+    """
 
     cluster_id: str
     sender_id: str
     target_id: str
     term: int
     granted: bool
+    reason: str = ''
 
 
 @attrs.frozen(kw_only=True)
@@ -72,13 +76,14 @@
 
 @attrs.frozen(kw_only=True)
 class VoteAnswer:
-    """Answer to ``VoteRequest``."""
+    """Answer to ``VoteRequest``; ``reason`` as in ``PreVoteAnswer``."""
 
     cluster_id: str
     sender_id: str
     target_id: str
     term: int
     granted: bool
+    reason: str = ''
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallothinge/consensus/model.py
+++ b/src/shallothinge/consensus/model.py
@@ -24,6 +24,17 @@
     LEADER = 'leader'
 
 
+class Refusal(enum.Enum):
+    """Why a voter refused its vote; told in logs only."""
+
+    NONE = ''
+    OLD_TERM = 'old_term'
+    HEARS_LEADER = 'hears_leader'
+    VOTED_FOR_ANOTHER = 'voted_for_another'
+    HOLDS_NOTHING = 'holds_nothing'
+    LOG_BEHIND = 'log_behind'
+
+
 @attrs.frozen(kw_only=True)
 class Timing:
     """Times and sizes of the protocol.
--- a/src/shallothinge/consensus/node.py
+++ b/src/shallothinge/consensus/node.py
@@ -11,6 +11,7 @@
 from shallothinge.consensus import membership
 from shallothinge.consensus import messages
 from shallothinge.consensus import model
+from shallothinge.consensus import quorum
 from shallothinge.consensus import reads
 from shallothinge.consensus import replication
 from shallothinge.consensus import snapshots
@@ -132,10 +133,21 @@
         """Return the newest snapshot."""
         return self._state.snapshot
 
+    def quorum(self, now_ms: int) -> quorum.QuorumView:
+        """Return who has a vote and who of them is heard."""
+        return quorum.view_of(self._state, now_ms)
+
+    def take_change_refusals(self) -> tuple[str, ...]:
+        """Return why changes of the voters were refused since last asked."""
+        reasons = tuple(sorted(self._state.sightings.change_refusals))
+        self._state.sightings.change_refusals.clear()
+        return reasons
+
     def tick(self, now_ms: int) -> None:
         """Do what the passing of time asks for."""
         self._election.tick(now_ms)
         self._membership.tick(now_ms)
+        self._state.sightings.tick(now_ms, leader_id=self.leader_id)
         self._tick_transfer(now_ms)
 
     def receive(self, now_ms: int, sender_id: str, message: object) -> None:
@@ -152,6 +164,9 @@
             return
         if not self._belongs(message):
             return
+        self._state.sightings.heard(
+            now_ms, message.sender_id, self.configuration
+        )
         handler = self._handlers.get(type(message))
         if handler is not None:
             handler(now_ms, message)
--- a/src/shallothinge/consensus/state.py
+++ b/src/shallothinge/consensus/state.py
@@ -6,6 +6,7 @@
 
 from shallothinge.consensus import log as logs
 from shallothinge.consensus import model
+from shallothinge.consensus import sightings
 from shallothinge.consensus.model import Role
 
 # A living leader has sent a heartbeat by then, with time to arrive.
@@ -81,6 +82,7 @@
         self.failed_reads = []
         self.installed: model.Snapshot | None = None
         self.role_changed = False
+        self.sightings = sightings.Sightings()
 
     @property
     def cluster_id(self) -> str:
--- a/src/shallothinge/control/absent.py
+++ b/src/shallothinge/control/absent.py
@@ -50,6 +50,9 @@
         """Have nothing to hand over."""
         return defer.succeed(None)
 
+    def quorum(self) -> None:
+        """Know nothing of the voters: no replica takes part here."""
+
     def dump(self) -> str:
         """Return why there is nothing to show."""
         return 'the disk is full'
--- a/src/shallothinge/control/api.py
+++ b/src/shallothinge/control/api.py
@@ -4,6 +4,7 @@
 
 from twisted.internet import defer
 
+from shallothinge.consensus import quorum
 from shallothinge.transport import endpoint
 
 
@@ -46,5 +47,8 @@
     def transfer_leadership(self) -> defer.Deferred:
         """Hand leadership to another replica."""
 
+    def quorum(self) -> quorum.QuorumView | None:
+        """Return who has a vote and is heard; None without a replica."""
+
     def dump(self) -> object:
         """Return the replica's state."""
--- a/src/shallothinge/control/process.py
+++ b/src/shallothinge/control/process.py
@@ -11,6 +11,7 @@
 from shallothinge.control import discovery
 from shallothinge.control import fleet
 from shallothinge.control import hosting
+from shallothinge.control import quorum_metrics
 from shallothinge.control import server as servers
 from shallothinge.control import state
 from shallothinge.leases import client as clients
@@ -92,6 +93,10 @@
             name='replica_disk_full',
             read=lambda: int(self._host.is_disk_full),
         )
+        quorum_metrics.publish(
+            metrics=self._process.metrics,
+            read=lambda: self._replica.quorum(),
+        )
 
     def _found_if_first(self) -> None:
         """Found the cluster at a deployment's very first start.
--- /dev/null
+++ b/src/shallothinge/control/quorum_metrics.py
@@ -0,0 +1,44 @@
+"""Metrics on the voters of the replicated log."""
+
+from collections.abc import Callable
+
+from shallothinge import metrics as process_metrics
+from shallothinge.consensus import quorum
+
+READERS = {
+    'control_voters': lambda view: len(view.voters),
+    'control_votes_needed': lambda view: view.needed,
+    'control_voters_heard': lambda view: (
+        None if view.heard is None else len(view.heard)
+    ),
+    'control_losses_borne': lambda view: view.losses_borne,
+}
+
+
+def publish(
+    *,
+    metrics: process_metrics.Metrics,
+    read: Callable[[], quorum.QuorumView | None],
+) -> None:
+    """Publish who has a vote and is heard; what is not known is left out.
+
+    :param read: returns None where no replica takes part, as on a full
+        disk: such a host knows no leader and nothing of the voters.
+    """
+    for name, read_number in READERS.items():
+        metrics.observe(name=name, read=_reader(read, read_number))
+    metrics.observe(
+        name='control_leader_known', read=lambda: _is_leader_known(read())
+    )
+
+
+def _reader(read, read_number):
+    def read_if_known() -> int | None:
+        view = read()
+        return None if view is None else read_number(view)
+
+    return read_if_known
+
+
+def _is_leader_known(view: quorum.QuorumView | None) -> int:
+    return int(view is not None and bool(view.leader_id))
--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -12,9 +12,11 @@
 from shallothinge.consensus import messages
 from shallothinge.consensus import model
 from shallothinge.consensus import node as nodes
+from shallothinge.consensus import quorum
 from shallothinge.control import joining
 from shallothinge.control import machine as machines
 from shallothinge.control import pending
+from shallothinge.control import quorum_log
 from shallothinge.control import replica_dump
 from shallothinge.control import replica_links
 from shallothinge.settings import model as settings_model
@@ -95,6 +97,7 @@
             broadcast=self._links.broadcast,
             takes_all=settings.discovery is not None,
         )
+        self._quorum_log = quorum_log.QuorumLog()
         self._led_term: int | None = None
         self._ready = False
         self._handed_over: list[defer.Deferred] = []
@@ -151,6 +154,9 @@
         is_own = model.process_id_of(message.sender_id) == peer.process_id
         if isinstance(message, messages.ReplicaAnnounced):
             self._joining.announced(message)
+            self._quorum_log.announced(
+                self._clock.now_ms(), message, self.quorum()
+            )
             if is_own and self.leader_id not in ('', self._process_id):
                 self._links.send_to(self.leader_id, message)
         elif not is_own:
@@ -261,10 +267,15 @@
         """Return whether this replica belongs to a cluster."""
         return bool(self._node.cluster_id)
 
+    def quorum(self) -> quorum.QuorumView:
+        """Return who has a vote and who of them is heard."""
+        return self._node.quorum(self._clock.now_ms())
+
     def dump(self) -> replica_dump.ReplicaDump:
         """Return the state of this replica."""
         return replica_dump.describe(
             node=self._node,
+            view=self.quorum(),
             work=self._pending,
             applied_index=self._applied_index,
             elected_ms=self.elected_ms,
@@ -301,6 +312,11 @@
         self._node.tick(now_ms)
         self._joining.tick(now_ms)
         self._flush()
+        self._quorum_log.tick(
+            now_ms,
+            self._node.quorum(now_ms),
+            change_refusals=self._node.take_change_refusals(),
+        )
         if now_ms >= self._hand_over_ends_ms:
             self._fire_handed_over()
         if not self._closed:
--- a/src/shallothinge/control/replica_dump.py
+++ b/src/shallothinge/control/replica_dump.py
@@ -3,12 +3,17 @@
 import attrs
 
 from shallothinge.consensus import node as nodes
+from shallothinge.consensus import quorum
 from shallothinge.control import pending
 
 
 @attrs.frozen(kw_only=True)
 class ReplicaDump:
-    """A replica's state, for dumps."""
+    """A replica's state, for dumps.
+
+    ``heard`` and ``losses_borne`` are None where they are not known, as
+    at a host that follows a leader; ask the leader.
+    """
 
     replica_id: str
     cluster_id: str
@@ -23,6 +28,13 @@
     log_bytes: int
     voters: tuple[str, ...]
     learners: tuple[str, ...]
+    configuration_index: int
+    is_configuration_committed: bool
+    needed: int
+    heard: tuple[str, ...] | None
+    silent: tuple[quorum.SilentVoter, ...]
+    losses_borne: int | None
+    leaderless_ms: int | None
     pending_proposals: int
     pending_reads: int
 
@@ -30,6 +42,7 @@
 def describe(
     *,
     node: nodes.Node,
+    view: quorum.QuorumView,
     work: pending.PendingWork,
     applied_index: int,
     elected_ms: int | None,
@@ -49,8 +62,15 @@
         last_index=node.log.last_index,
         snapshot_index=snapshot.index if snapshot else 0,
         log_bytes=log_bytes,
-        voters=node.configuration.voters,
-        learners=node.configuration.learners,
+        voters=view.voters,
+        learners=view.learners,
+        configuration_index=view.configuration_index,
+        is_configuration_committed=view.is_committed,
+        needed=view.needed,
+        heard=view.heard,
+        silent=view.silent,
+        losses_borne=view.losses_borne,
+        leaderless_ms=view.leaderless_ms,
         pending_proposals=work.proposals,
         pending_reads=work.reads,
     )
--- a/src/shallothinge/metrics.py
+++ b/src/shallothinge/metrics.py
@@ -154,17 +154,24 @@
         """Publish how many requests are queued."""
         self._observe('queue_length', '', read_requests)
 
-    def observe(self, *, name: str, read: Callable[[], int]) -> None:
-        """Publish another number of the process's state."""
+    def observe(self, *, name: str, read: Callable[[], int | None]) -> None:
+        """Publish another number of the process's state.
+
+        :param read: returns None while the number is not known; it is
+            left out then.
+        """
         self._observe(name, '', read)
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
 
-    def _observe(self, name: str, unit: str, read: Callable[[], int]) -> None:
+    def _observe(
+        self, name: str, unit: str, read: Callable[[], int | None]
+    ) -> None:
         def call(options: CallbackOptions) -> list[Observation]:
-            return [Observation(read())]
+            number = read()
+            return [] if number is None else [Observation(number)]
 
         self._meter.create_observable_gauge(name, callbacks=[call], unit=unit)
 
