Claim nothing of the voters before a new voter has asked them

A host that was founded more than two seconds after its start logged `no leader: too few voters are heard` at once, with a majority that was up. Seen in a trial with one real process, founded after 5 s (there as an undecided election, since it is the only voter).

Cause: the time in which each voter that lives is heard ran from the loss of the leader, or the start, also while the host had no vote and asked no one. Now it runs from when the host may ask for votes.

The new test gave three such lines before, one for each host, and none now. Run: test_quorum_log, test_quorum and test_node, 49 tests, passed.

--- a/src/shallothinge/consensus/node.py
+++ b/src/shallothinge/consensus/node.py
@@ -147,7 +147,9 @@
         """Do what the passing of time asks for."""
         self._election.tick(now_ms)
         self._membership.tick(now_ms)
-        self._state.sightings.tick(now_ms, leader_id=self.leader_id)
+        self._state.sightings.tick(
+            now_ms, leader_id=self.leader_id, is_voter=self._state.is_voter
+        )
         self._tick_transfer(now_ms)
 
     def receive(self, now_ms: int, sender_id: str, message: object) -> None:
--- a/src/shallothinge/consensus/quorum.py
+++ b/src/shallothinge/consensus/quorum.py
@@ -70,6 +70,7 @@
     """Return what a replica knows of the voters."""
     sightings = state.sightings
     since_ms = sightings.leaderless_since_ms
+    leaderless_ms = None if since_ms is None else now_ms - since_ms
     heard, silent = _heard_and_silent(state, now_ms)
     voters = state.configuration.voters
     return QuorumView(
@@ -82,8 +83,11 @@
         is_committed=state.commit_index >= state.log.configuration_index,
         heard=heard,
         silent=silent,
-        leaderless_ms=None if since_ms is None else now_ms - since_ms,
-        is_leaderless_for_long=_is_leaderless_for_long(state, now_ms),
+        leaderless_ms=leaderless_ms,
+        is_leaderless_for_long=(
+            leaderless_ms is not None
+            and leaderless_ms >= HEARD_TIMEOUTS * state.timing.election_max_ms
+        ),
         elections_asked=sightings.elections_asked,
         refusals=tuple(
             (voter, reason)
@@ -121,17 +125,11 @@
     if state.role is Role.LEADER:
         led_ms = now_ms - state.leadership.elected_ms
         return election_max_ms if led_ms >= election_max_ms else None
-    if _is_leaderless_for_long(state, now_ms):
-        return HEARD_TIMEOUTS * election_max_ms
-    return None
-
-
-def _is_leaderless_for_long(state: states.NodeState, now_ms: int) -> bool:
-    since_ms = state.sightings.leaderless_since_ms
-    if since_ms is None:
-        return False
-    limit_ms = HEARD_TIMEOUTS * state.timing.election_max_ms
-    return now_ms - since_ms >= limit_ms
+    limit_ms = HEARD_TIMEOUTS * election_max_ms
+    since_ms = state.sightings.asking_since_ms
+    if since_ms is None or now_ms - since_ms < limit_ms:
+        return None
+    return limit_ms
 
 
 def _heard_ms(state: states.NodeState, voter: str) -> int:
--- a/src/shallothinge/control/tests/test_quorum_log.py
+++ b/src/shallothinge/control/tests/test_quorum_log.py
@@ -228,6 +228,21 @@
             self.assertEqual(0, numbers['losses_borne'])
             self.assertEqual(0, numbers['leader_known'])
 
+    def test_founding_long_after_the_start_is_no_lost_majority(self):
+        for host_id in IDS[:3]:
+            self.hosts.start(host_id, may_found=True)
+        self.hosts.run(SETTLED_MS)
+        self.assertEqual(3, self.lines.count(quorum_log.NO_VOTE))
+        self.hosts.wait(
+            self.hosts.replicas[IDS[0]].found(
+                cluster_id='test', member_ids=IDS[:3]
+            )
+        )
+        self.hosts.run(SETTLED_MS)
+        self.assertEqual(0, self.lines.count(quorum_log.TOO_FEW))
+        self.assertEqual(0, self.lines.count(quorum_log.UNDECIDED))
+        self.assertEqual(0, self.lines.count('voter is silent'))
+
     def test_voter_that_comes_back_is_heard_again(self):
         self.found(3)
         back_id = self.followers()[0]
