--- a/src/shallothinge/control/tests/hosts.py
+++ b/src/shallothinge/control/tests/hosts.py
@@ -12,6 +12,8 @@
 from shallothinge.transport import endpoint
 
 STEP_MS = 5
+# The time between SIGTERM and SIGKILL.
+GRACE_MS = 8000
 PORT = 7000
 HOST_IDS = ('c1', 'c2', 'c3')
 
@@ -47,6 +49,35 @@
         self.commands = data.split(b'\n') if data else []
 
 
+class FreezableReactor:
+    """The reactor of one process; while frozen, due calls wait."""
+
+    def __init__(self, *, reactor):
+        self._reactor = reactor
+        self._waiting = None
+
+    def callLater(self, delay_s, call, *args):
+        """Call later, once the process is not frozen."""
+        return self._reactor.callLater(delay_s, self.run, call, *args)
+
+    def run(self, call, *args):
+        """Call now, or as soon as the process goes on."""
+        if self._waiting is None:
+            call(*args)
+        else:
+            self._waiting.append((call, args))
+
+    def freeze(self):
+        """Let all calls wait from now on."""
+        self._waiting = []
+
+    def thaw(self):
+        """Make the calls that waited."""
+        waiting, self._waiting = self._waiting or (), None
+        for call, args in waiting:
+            call(*args)
+
+
 @attrs.define(kw_only=True)
 class _Link:
     """A connection that loses messages to hosts that are not there."""
@@ -69,7 +100,7 @@
 
     hosts: 'Hosts'
     process_id: str
-    reactor: task.Clock
+    reactor: FreezableReactor
     clock: ReactorClock
     folder: object
 
@@ -83,10 +114,19 @@
 
 
 class Hosts:
-    """Replicas of several hosts on one test reactor."""
+    """Replicas of several hosts on one test reactor.
+
+    :param make_machine: makes the state machine of each started process.
+    """
 
     def __init__(
-        self, *, folder, host_ids=HOST_IDS, snapshot_entries=1000, seeds=()
+        self,
+        *,
+        folder,
+        host_ids=HOST_IDS,
+        snapshot_entries=1000,
+        seeds=(),
+        make_machine=Journal,
     ):
         self.reactor = task.Clock()
         self.seeds = seeds
@@ -94,7 +134,9 @@
         self.host_ids = host_ids
         self.snapshot_entries = snapshot_entries
         self.replicas = {}
+        self.make_machine = make_machine
         self.openers = {}
+        self.reactors = {}
         self.machines = {}
         self.failures = []
         self.cut = set()
@@ -118,17 +160,18 @@
             ),
             discovery=self._discovery(may_found),
         )
+        self.reactors[host_id] = FreezableReactor(reactor=self.reactor)
         process = _Process(
             hosts=self,
             process_id=host_id,
-            reactor=self.reactor,
+            reactor=self.reactors[host_id],
             clock=ReactorClock(reactor=self.reactor),
             folder=self.folder,
         )
         self.openers[host_id] = hosting.ReplicaHost(
             process=process,
             settings=settings,
-            make_machine=Journal,
+            make_machine=self.make_machine,
             on_replaced=functools.partial(self._replace, host_id),
             on_failure=self.failures.append,
             rng=random.Random(self._rng.random()),
@@ -150,20 +193,63 @@
         """Kill a host's process."""
         self.openers.pop(host_id).close()
         self.replicas.pop(host_id).close()
+        self.reactors.pop(host_id)
+
+    def stop_as_planned(self, host_id):
+        """Stop a host's process as SIGTERM does: it hands over and leaves.
+
+        :returns: fires when the process has ended.
+        """
+        replica = self.replicas[host_id]
+        ended = defer.Deferred()
+
+        def end(_=None):
+            if self.replicas.get(host_id) is replica:
+                self.stop(host_id)
+            if not ended.called:
+                ended.callback(None)
+
+        stopping = defer.succeed(None)
+        if replica.is_leader:
+            stopping = replica.transfer_leadership()
+        if hasattr(replica, 'leave'):
+            stopping.addCallback(lambda _: replica.leave())
+        stopping.addBoth(end)
+        self.reactor.callLater(GRACE_MS / 1000, end)
+        return ended
+
+    def freeze(self, host_id):
+        """Stop a host's process; what it is sent waits."""
+        self.reactors[host_id].freeze()
+
+    def thaw(self, host_id):
+        """Let a host's process go on with all that waited."""
+        self.reactors[host_id].thaw()
 
     def send(self, sender_id, target_id, message):
         """Deliver a message unless one end is cut off."""
         if self.cut & {sender_id, target_id}:
             return False
+        self.deliver_later(0.001, sender_id, target_id, message)
+        return True
+
+    def deliver_later(self, delay_s, sender_id, target_id, message):
+        """Deliver a message after a delay."""
         peer = endpoint.Peer(
             route=b'', role='control', process_id=sender_id, incarnation=''
         )
-        self.reactor.callLater(0.001, self._deliver, target_id, peer, message)
-        return True
+        self.reactor.callLater(
+            delay_s, self._deliver, target_id, peer, message
+        )
 
     def _deliver(self, target_id, peer, message):
         if target_id in self.replicas:
-            self.replicas[target_id].receive(peer, message)
+            self.reactors[target_id].run(
+                self._receive, target_id, peer, message
+            )
+
+    def _receive(self, target_id, peer, message):
+        self.replicas[target_id].receive(peer, message)
 
     def run(self, duration_ms):
         """Let time pass."""
--- /dev/null
+++ b/src/shallothinge/control/tests/test_replaced_hosts.py
@@ -0,0 +1,229 @@
+"""Tests of disks that are lost after control hosts were replaced or added.
+
+Each loss is one that the deployment bears: after it commands are committed
+again, and in the end the hosts that run are the voters.
+"""
+
+import contextlib
+import itertools
+import pathlib
+import tempfile
+import unittest
+
+from shallothinge.control.tests import fleet as fleets
+
+OVERLAP_MS = 1000
+DOWN_MS = 1500
+LONG_MS = 24_000
+
+
+class Case(unittest.TestCase):
+    """Tables of what happens to a deployment of three hosts or six."""
+
+    @contextlib.contextmanager
+    def deployed(self, *, founders=3, **row):
+        """Yield a deployment; in the end it has to mend itself."""
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self.subTest(**row))
+            folder = stack.enter_context(tempfile.TemporaryDirectory())
+            fleet = fleets.Fleet(
+                folder=pathlib.Path(folder),
+                founders=founders,
+                tolerance=founders // 3,
+            )
+            stack.callback(fleet.close)
+            yield fleet
+            fleet.check_recovery()
+
+    def replace(self, fleet, *, leads=False):
+        """Replace a host as planned and wait until it does not count."""
+        old_id = pick(fleet, leads=leads)
+        new_id = fleet.start_new()
+        fleet.run(OVERLAP_MS)
+        fleet.stop_for_good(old_id)
+        fleet.run(fleet.hosts[new_id].sound_ms - fleet.now_ms)
+        return new_id
+
+    def lose_disks(self, fleet, *host_ids, others_lose_power=False):
+        """Wipe disks; others lose power at the same moment or not."""
+        self.assertTrue(fleet.may_lose(*host_ids))
+        for host_id in host_ids:
+            fleet.kill(host_id, back_ms=DOWN_MS, wiped=True)
+        if others_lose_power:
+            fleet.kill_rest(*host_ids, back_ms=DOWN_MS)
+        fleet.run(fleets.RECOVERY_MS)
+
+
+def pick(fleet, *, leads=False, but=()):
+    """Return a host, the leader or another one."""
+    found = [
+        host_id
+        for host_id in fleet.hosts
+        if (host_id == fleet.leader_id()) is leads and host_id not in but
+    ]
+    return found[0] if found else fleet.leader_id()
+
+
+class ReplacedAsPlannedTest(Case):
+    """A new host joins first, then the old one stops and never returns."""
+
+    def check_loss(self, *, leads, after_ms, others_lose_power):
+        with self.deployed(leads=leads, after_ms=after_ms) as fleet:
+            new_id = self.replace(fleet, leads=leads)
+            fleet.run(after_ms)
+            self.lose_disks(
+                fleet,
+                pick(fleet, but=(new_id,)),
+                others_lose_power=others_lose_power,
+            )
+
+    def test_next_lost_disk_does_not_end_control(self):
+        for leads in (False, True):
+            self.check_loss(leads=leads, after_ms=0, others_lose_power=False)
+
+    def test_next_lost_disk_long_after_does_not_end_control(self):
+        for leads in (False, True):
+            self.check_loss(
+                leads=leads, after_ms=LONG_MS, others_lose_power=False
+            )
+
+    def test_next_lost_disk_with_power_lost_by_others_does_not_end_control(
+        self,
+    ):
+        for leads, after_ms in itertools.product((False, True), (0, LONG_MS)):
+            self.check_loss(
+                leads=leads, after_ms=after_ms, others_lose_power=True
+            )
+
+    def test_lost_disk_of_the_new_leader_does_not_end_control(self):
+        with self.deployed() as fleet:
+            self.replace(fleet, leads=True)
+            self.lose_disks(fleet, fleet.leader_id())
+
+    def test_lost_disk_of_the_new_host_does_not_end_control(self):
+        with self.deployed() as fleet:
+            self.lose_disks(fleet, self.replace(fleet))
+
+    def test_lost_disk_after_two_in_series_does_not_end_control(self):
+        for leads in (False, True):
+            with self.deployed(leads=leads) as fleet:
+                new_ids = [self.replace(fleet, leads=leads) for _ in range(2)]
+                self.lose_disks(fleet, pick(fleet, but=new_ids))
+
+    def test_second_replacement_in_series_does_not_end_control(self):
+        for leads in (False, True):
+            with self.deployed(leads=leads) as fleet:
+                self.replace(fleet, leads=leads)
+                self.replace(fleet, leads=leads)
+
+    def test_two_lost_disks_of_six_hosts_do_not_end_control(self):
+        for leads in (False, True):
+            with self.deployed(founders=6, leads=leads) as fleet:
+                new_id = self.replace(fleet, leads=leads)
+                first_id = pick(fleet, but=(new_id,))
+                second_id = pick(fleet, but=(new_id, first_id))
+                self.lose_disks(fleet, first_id, second_id)
+
+    def test_two_lost_disks_of_six_after_two_replaced_do_not_end_control(
+        self,
+    ):
+        with self.deployed(founders=6) as fleet:
+            new_ids = [self.replace(fleet) for _ in range(2)]
+            first_id = pick(fleet, but=new_ids)
+            second_id = pick(fleet, but=(*new_ids, first_id))
+            self.lose_disks(fleet, first_id, second_id)
+
+    def test_replaced_host_of_three_has_no_vote(self):
+        for leads in (False, True):
+            with self.deployed(leads=leads) as fleet:
+                self.replace(fleet, leads=leads)
+
+    def test_replaced_host_of_six_has_no_vote(self):
+        for leads in (False, True):
+            with self.deployed(founders=6, leads=leads) as fleet:
+                self.replace(fleet, leads=leads)
+
+
+class NewHostTest(Case):
+    """Hosts that are new, added, or in the place of lost ones."""
+
+    def test_lost_disk_after_an_unplanned_replacement(self):
+        for leads in (False, True):
+            with self.deployed(leads=leads) as fleet:
+                old_id = pick(fleet, leads=leads)
+                fleet.lose_for_good(old_id)
+                fleet.run(OVERLAP_MS)
+                new_id = fleet.replace(old_id)
+                fleet.run(fleets.CATCH_UP_MS)
+                self.lose_disks(fleet, pick(fleet, but=(new_id,)))
+
+    def test_gone_host_is_not_taken_back_by_a_later_leader(self):
+        with self.deployed() as fleet:
+            old_id = pick(fleet)
+            fleet.lose_for_good(old_id)
+            fleet.replace(old_id)
+            for _ in range(3):
+                fleet.run(fleets.CATCH_UP_MS)
+                fleet.hand_over()
+
+    def test_new_host_that_comes_back_empty(self):
+        with self.deployed() as fleet:
+            old_id = pick(fleet)
+            new_id = fleet.start_new()
+            fleet.run(OVERLAP_MS)
+            fleet.kill(new_id, back_ms=DOWN_MS, wiped=True)
+            fleet.run(DOWN_MS + fleets.CATCH_UP_MS)
+            fleet.stop_for_good(old_id)
+            fleet.run(OVERLAP_MS)
+
+    def test_lost_disk_after_a_new_host_came_back_empty(self):
+        with self.deployed() as fleet:
+            old_id = pick(fleet)
+            new_id = fleet.start_new()
+            fleet.run(OVERLAP_MS)
+            fleet.kill(new_id, back_ms=DOWN_MS, wiped=True)
+            fleet.run(DOWN_MS + fleets.CATCH_UP_MS)
+            fleet.stop_for_good(old_id)
+            fleet.run(OVERLAP_MS)
+            self.lose_disks(fleet, pick(fleet, but=(new_id,)))
+
+    def test_added_hosts_of_which_one_loses_its_disk(self):
+        for added in (1, 2):
+            with self.deployed(added=added) as fleet:
+                self.add(fleet, added)
+                self.lose_disks(fleet, pick(fleet))
+
+    def test_one_of_four_hosts_stops_then_a_lost_disk(self):
+        self.check_stopped(added=1)
+
+    def test_one_of_five_hosts_stops_then_a_lost_disk(self):
+        self.check_stopped(added=2)
+
+    def test_one_of_four_hosts_is_gone_then_a_lost_disk(self):
+        self.check_gone(added=1)
+
+    def test_one_of_five_hosts_is_gone_then_a_lost_disk(self):
+        self.check_gone(added=2)
+
+    def check_stopped(self, *, added):
+        for leads in (False, True):
+            with self.deployed(leads=leads) as fleet:
+                self.add(fleet, added)
+                fleet.stop_for_good(pick(fleet, leads=leads))
+                fleet.run(fleets.CATCH_UP_MS)
+                self.lose_disks(fleet, pick(fleet))
+
+    def check_gone(self, *, added):
+        for leads in (False, True):
+            with self.deployed(leads=leads) as fleet:
+                self.add(fleet, added)
+                fleet.lose_for_good(
+                    pick(fleet, leads=leads), had_successor=True
+                )
+                fleet.run(fleets.CATCH_UP_MS)
+                self.lose_disks(fleet, pick(fleet))
+
+    def add(self, fleet, count):
+        for _ in range(count):
+            fleet.start_new()
+            fleet.run(fleets.CATCH_UP_MS)
