Let operators found a cluster again

What users saw: 'shallothinge control found' ended with a TypeError, and with it 'make demo', which founds its cluster by that command. It is the last step of what an operator can do once a majority of the control hosts is lost.

Cause: added the argument opened_fd to the call of Terminal.ask_process, which has none.

Change: the argument is gone; what the command does is a function of its own that a test runs against a control host over a real connection.

--- a/src/shallothinge/operators/control_commands.py
+++ b/src/shallothinge/operators/control_commands.py
@@ -77,23 +77,34 @@
     """Found a cluster: the first listed host gathers the others."""
 
     async def act(terminal: terminals.Terminal):
-        hosts = terminal.settings.control_hosts
-        order = messages.FoundCluster(
-            order_id=arguments.order_id or terminals.new_id(),
+        return await found_cluster(
+            terminal,
             cluster_id=arguments.cluster_id,
-            member_ids=tuple(host.process_id for host in hosts),
-        )
-        answer = await terminal.ask_process(
-            address=hosts[0].address,
-            role='control',
-            opened_fd=None,
-            message=order,
+            order_id=arguments.order_id or terminals.new_id(),
         )
-        return await orders.report(terminal, answer, wait=False)
 
     return common.run_action(arguments, act)
 
 
+async def found_cluster(
+    terminal: terminals.Terminal, *, cluster_id: str, order_id: str
+) -> exit_codes.ExitCode:
+    """Ask the first control host of the settings to found a cluster.
+
+    :param order_id: the same when the order is given again.
+    """
+    hosts = terminal.settings.control_hosts
+    order = messages.FoundCluster(
+        order_id=order_id,
+        cluster_id=cluster_id,
+        member_ids=tuple(host.process_id for host in hosts),
+    )
+    answer = await terminal.ask_process(
+        address=hosts[0].address, role='control', message=order
+    )
+    return await orders.report(terminal, answer, wait=False)
+
+
 def change_members(arguments: argparse.Namespace) -> int:
     """Add or remove a control host."""
 
--- a/src/shallothinge/operators/tests/test_terminal.py
+++ b/src/shallothinge/operators/tests/test_terminal.py
@@ -12,6 +12,7 @@
 from shallothinge import process as processes
 from shallothinge.errors import ErrorKind
 from shallothinge.leases import messages as leases
+from shallothinge.operators import control_commands
 from shallothinge.operators import exit_codes
 from shallothinge.operators import messages
 from shallothinge.operators import orders
@@ -136,6 +137,19 @@
         self.assertEqual(ExitCode.REFUSED, status)
         self.assertIn('no zone zone-1', self.output.getvalue())
 
+    @defer.inlineCallbacks
+    def test_founding_a_cluster_reaches_the_first_control_host(self):
+        self.answer(messages.FoundCluster, lambda order: ACCEPTED)
+        with contextlib.redirect_stdout(self.output):
+            status = yield defer.Deferred.fromCoroutine(
+                control_commands.found_cluster(
+                    self.make_terminal(), cluster_id='x', order_id='o1'
+                )
+            )
+        self.assertEqual(ExitCode.OK, status)
+        [order] = self.control.received
+        self.assertEqual(('control-1',), order.member_ids)
+
     @defer.inlineCallbacks
     def test_lost_answer_names_the_order_id(self):
         status = yield defer.Deferred.fromCoroutine(self.give(timeout_ms=600))
