Take the vote of a control host that is gone

Cause: a host that is replaced as planned leaves after its successor got its vote, so four voters are left, of which one is gone. Three of four are needed. A silent voter was removed only for a learner that waited for its place, or if it was last heard about when the newest vote was given; the host that leaves is heard longer. The next lost disk leaves two of four votes for good. Class of fault: what was granted on the expectation that its holder returns is given back only as a side effect of another event, and for a holder that is gone that event never comes.

Change: the leader takes the vote of a voter that was silent for 2.5 s, whenever three voters are left, and of one that says at its planned stop that it leaves (LeaveRequest, asked until it is settled, at most as long as an election may take). It forgets a learner that is silent as long. A learner gets its vote without waiting for doubts about a voter. A replica that leaves neither stands for election nor announces itself.

The notice is needed besides the silence: a successor counts 4 s after its start, and SIGTERM 1 s after that start and 2.5 s of silence leave no time. Changes go through the log one at a time as before, from a committed configuration, to voters of whom a majority is heard.

Ruled out: removal of a silent voter only where a majority shrinks; it passes the losses, but of seven voters the one that is gone stays for ever (tried before this commit).

--- a/src/shallothinge/consensus/election.py
+++ b/src/shallothinge/consensus/election.py
@@ -143,13 +143,15 @@
     ) -> None:
         """Stand at once, since the leader hands over to this replica."""
         state = self._state
-        if message.term == state.term and state.is_voter:
+        if state.is_leaving or not state.is_voter:
+            return
+        if message.term == state.term:
             self.stand(now_ms, transfer=True)
 
     def _time_out(self, now_ms: int) -> None:
         state = self._state
         state.reset_election_timer(now_ms=now_ms)
-        if not state.is_voter:
+        if not state.is_voter or state.is_leaving:
             state.set_role(Role.FOLLOWER)
             return
         state.set_role(Role.PRE_CANDIDATE)
--- a/src/shallothinge/consensus/membership.py
+++ b/src/shallothinge/consensus/membership.py
@@ -1,12 +1,15 @@
 """Changes of the configuration, one at a time, through the log."""
 
+from shallothinge.consensus import messages
 from shallothinge.consensus import model
 from shallothinge.consensus import replication
 from shallothinge.consensus import state as states
 
-# A voter that missed this many heartbeats may be lost. Until that is known a
-# learner waits: it is either one voter more, or takes the lost one's place.
-DOUBT_HEARTBEATS = 1.5
+# A voter that is heard this many heartbeats after it last said that it
+# leaves has come back: messages that crossed arrive sooner.
+RETURN_HEARTBEATS = 2
+# Two voters bear no loss, as one of three that is gone leaves them to.
+LEAST_VOTERS = 3
 
 
 class Membership:
@@ -14,8 +17,8 @@
 
     A replica joins without a vote. When it holds all that is committed the
     leader removes the former replica of the same process, if there is one,
-    or one that has been silent for long, and then gives the new one its
-    vote.
+    and gives the new one its vote. A voter that is gone loses its vote, as
+    long as three are left.
     """
 
     def __init__(
@@ -26,7 +29,6 @@
     ):
         self._state = state
         self._replication = replication
-        self._promoted_ms: int | None = None
 
     def add_learner(
         self, now_ms: int, replica_id: str
@@ -74,7 +76,6 @@
             return self._refused('the replica is not a learner')
         if not self._has_caught_up(replica_id):
             return self._refused('the replica does not hold everything')
-        self._promoted_ms = now_ms
         return self._change(
             now_ms,
             voters=(*configuration.voters, replica_id),
@@ -82,7 +83,7 @@
         )
 
     def tick(self, now_ms: int) -> None:
-        """Promote a learner that has caught up."""
+        """Promote a learner that has caught up; remove what is gone."""
         state = self._state
         if state.leadership is None:
             return
@@ -90,22 +91,69 @@
             if self._has_caught_up(learner):
                 self._replace_or_promote(now_ms, learner)
                 return
-        self._remove_replaced(now_ms)
+        if state.timing.replace_silent_ms:
+            self._remove_gone(now_ms)
 
-    def _remove_replaced(self, now_ms: int) -> None:
-        """Remove a voter that fell silent just as another got its vote.
+    def on_leave_request(
+        self, now_ms: int, message: messages.LeaveRequest
+    ) -> None:
+        """Do without a voter that stops, and tell it once that is done."""
+        state = self._state
+        if state.leadership is None:
+            return
+        progress = state.leadership.progress.get(message.sender_id)
+        if progress is not None:
+            progress.leaving_ms = now_ms
+            self.tick(now_ms)
+        state.send(
+            messages.LeaveAnswer,
+            target_id=message.sender_id,
+            settled=self._is_settled(now_ms, message.sender_id),
+        )
+
+    def _is_settled(self, now_ms: int, voter: str) -> bool:
+        """Return whether no change waits for a voter that leaves."""
+        state = self._state
+        if not state.timing.replace_silent_ms:
+            return True
+        if state.commit_index < state.log.configuration_index:
+            return False
+        if voter not in state.configuration.voters:
+            return True
+        if state.configuration.learners:
+            return False
+        return not self._gone_voters(now_ms)
 
-        The loss could not be seen by then; the new one has its place.
+    def _remove_gone(self, now_ms: int) -> None:
+        """Remove one replica that is gone.
+
+        It need not be gone for good: one that returns announces itself.
         """
         limit_ms = self._state.timing.replace_silent_ms
-        if not limit_ms or self._promoted_ms is None:
-            return
-        newest_ms = self._promoted_ms + self._state.timing.heartbeat_ms
-        for voter in self._state.other_voters:
-            heard_ms = self._state.leadership.progress[voter].heard_ms
-            if heard_ms <= newest_ms and now_ms - heard_ms > limit_ms:
-                self.remove(now_ms, voter)
-                return
+        gone = [
+            learner
+            for learner in self._state.configuration.learners
+            if self._silent_ms(now_ms, learner) > limit_ms
+        ]
+        gone.extend(self._gone_voters(now_ms))
+        if gone:
+            self.remove(now_ms, gone[0])
+
+    def _gone_voters(self, now_ms: int) -> list[str]:
+        """Return the voters that are gone, the first to be removed first.
+
+        Without them a majority is as large or smaller, and the others bear
+        as many losses or more: of four voters of which one is gone all
+        others are needed; of the three that are left, any two.
+        """
+        count = len(self._state.configuration.voters)
+        gone = [
+            voter
+            for voter in self._state.other_voters
+            if self._is_gone(now_ms, voter)
+        ]
+        gone.sort(key=lambda one: -self._silent_ms(now_ms, one))
+        return gone[: max(0, count - LEAST_VOTERS)]
 
     def _replace_or_promote(self, now_ms: int, learner: str) -> None:
         process_id = model.process_id_of(learner)
@@ -113,32 +161,29 @@
             if model.process_id_of(voter) == process_id:
                 self.remove(now_ms, voter)
                 return
-        doubtful = [
-            voter
-            for voter in self._state.other_voters
-            if self._is_doubtful(now_ms, voter)
-        ]
-        if not doubtful or not self._state.timing.replace_silent_ms:
-            self.promote(now_ms, learner)
-            return
-        longest = max(doubtful, key=lambda one: self._silent_ms(now_ms, one))
-        limit_ms = self._state.timing.replace_silent_ms
-        if self._silent_ms(now_ms, longest) > limit_ms:
-            self.remove(now_ms, longest)
+        self.promote(now_ms, learner)
 
-    def _is_doubtful(self, now_ms: int, voter: str) -> bool:
-        """Return whether a voter may be lost.
+    def _is_gone(self, now_ms: int, voter: str) -> bool:
+        """Return whether a voter was silent for long, or stops."""
+        limit_ms = self._state.timing.replace_silent_ms
+        is_silent = self._silent_ms(now_ms, voter) > limit_ms
+        return is_silent or self._is_leaving(voter)
 
-        One that has not yet answered this leader may be, too.
-        """
-        doubt_ms = DOUBT_HEARTBEATS * self._state.timing.heartbeat_ms
+    def _is_leaving(self, voter: str) -> bool:
+        """Return whether a voter said that it stops and was not back since."""
         progress = self._state.leadership.progress[voter]
-        has_answered = progress.match_index > 0
-        return not has_answered or self._silent_ms(now_ms, voter) > doubt_ms
+        if progress.leaving_ms is None:
+            return False
+        return_ms = RETURN_HEARTBEATS * self._state.timing.heartbeat_ms
+        return progress.heard_ms - progress.leaving_ms <= return_ms
 
     def _silent_ms(self, now_ms: int, voter: str) -> int:
         return now_ms - self._state.leadership.progress[voter].heard_ms
 
+    def _is_heard(self, now_ms: int, replica_id: str) -> bool:
+        silent_ms = self._silent_ms(now_ms, replica_id)
+        return silent_ms <= self._state.timing.election_min_ms
+
     def _has_caught_up(self, replica_id: str) -> bool:
         state = self._state
         if state.leadership is None:
@@ -181,12 +226,10 @@
         """
         heard = 0
         for voter in configuration.voters:
-            progress = self._state.leadership.progress.get(voter)
-            if progress is None:
-                heard += voter == self._state.replica_id
-            else:
-                silent_ms = now_ms - progress.heard_ms
-                heard += silent_ms <= self._state.timing.election_min_ms
+            if voter == self._state.replica_id:
+                heard += 1
+            elif voter in self._state.leadership.progress:
+                heard += self._is_heard(now_ms, voter)
         return heard >= configuration.quorum
 
     def _update_progress(
--- a/src/shallothinge/consensus/messages.py
+++ b/src/shallothinge/consensus/messages.py
@@ -164,6 +164,29 @@
     term: int
 
 
+@attrs.frozen(kw_only=True)
+class LeaveRequest:
+    """Voter to leader: this process stops; go on without its vote."""
+
+    cluster_id: str
+    sender_id: str
+    target_id: str
+
+
+@attrs.frozen(kw_only=True)
+class LeaveAnswer:
+    """Answer to ``LeaveRequest``.
+
+    ``settled`` tells that the leader needs nothing more of the voter: its
+    removal is committed, or would not help the others.
+    """
+
+    cluster_id: str
+    sender_id: str
+    target_id: str
+    settled: bool
+
+
 MESSAGES = (
     ReplicaAnnounced,
     FoundingRequest,
@@ -176,4 +199,6 @@
     SnapshotChunk,
     SnapshotAnswer,
     TransferRequest,
+    LeaveRequest,
+    LeaveAnswer,
 )
--- a/src/shallothinge/consensus/node.py
+++ b/src/shallothinge/consensus/node.py
@@ -8,6 +8,7 @@
 
 from shallothinge.consensus import election
 from shallothinge.consensus import founding
+from shallothinge.consensus import leaving
 from shallothinge.consensus import membership
 from shallothinge.consensus import messages
 from shallothinge.consensus import model
@@ -50,6 +51,7 @@
         self._membership = membership.Membership(
             state=self._state, replication=self._replication
         )
+        self._leaving = leaving.Leaving(state=self._state)
         self._handlers = {
             messages.PreVoteRequest: self._election.on_pre_vote_request,
             messages.PreVoteAnswer: self._election.on_pre_vote_answer,
@@ -60,6 +62,8 @@
             messages.SnapshotChunk: self._snapshot_receiver.on_chunk,
             messages.AppendAnswer: self._on_leaders_answer,
             messages.SnapshotAnswer: self._on_leaders_answer,
+            messages.LeaveRequest: self._membership.on_leave_request,
+            messages.LeaveAnswer: self._leaving.on_answer,
         }
 
     @property
@@ -107,6 +111,16 @@
         """
         return not self._state.leader_id
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the process of this replica is about to stop."""
+        return self._state.is_leaving
+
+    @property
+    def has_left(self) -> bool:
+        """Return whether the others need nothing more of this replica."""
+        return self._leaving.is_settled
+
     @property
     def timing(self) -> model.Timing:
         """Return the times and sizes of the protocol."""
@@ -151,6 +165,7 @@
             now_ms, leader_id=self.leader_id, is_voter=self._state.is_voter
         )
         self._tick_transfer(now_ms)
+        self._leaving.tick()
 
     def receive(self, now_ms: int, sender_id: str, message: object) -> None:
         """Take a message of another replica.
@@ -208,14 +223,20 @@
     def transfer(self, now_ms: int) -> str:
         """Hand the leadership to the voter that holds the most.
 
+        One that leaves as well is chosen last.
+
         :returns: the voter's id, or '' if there is none to hand over to.
         """
         state = self._state
         if state.role is not Role.LEADER or not state.other_voters:
             return ''
+        progress = state.leadership.progress
         target = max(
             state.other_voters,
-            key=lambda voter: state.leadership.progress[voter].match_index,
+            key=lambda voter: (
+                progress[voter].leaving_ms is None,
+                progress[voter].match_index,
+            ),
         )
         state.leadership.transfer_to = target
         state.leadership.transfer_ends_ms = (
@@ -224,6 +245,10 @@
         self._tick_transfer(now_ms)
         return target
 
+    def leave(self) -> None:
+        """Ask the leader to go on without this replica's vote."""
+        self._leaving.start()
+
     def found(self, *, name: str, replica_ids: tuple[str, ...]) -> bool:
         """Found a cluster of these replicas, this one among them.
 
--- a/src/shallothinge/consensus/state.py
+++ b/src/shallothinge/consensus/state.py
@@ -15,10 +15,14 @@
 
 @attrs.define(kw_only=True)
 class Progress:
-    """What a leader knows of another replica."""
+    """What a leader knows of another replica.
+
+    ``leaving_ms`` is when it last said that its process stops.
+    """
 
     next_index: int
     heard_ms: int
+    leaving_ms: int | None = None
     match_index: int = 0
     acked_round: int = 0
     sent_ms: int | None = None
@@ -83,6 +87,7 @@
         self.installed: model.Snapshot | None = None
         self.role_changed = False
         self.sightings = sightings.Sightings()
+        self.is_leaving = False
 
     @property
     def cluster_id(self) -> str:
--- /dev/null
+++ b/src/shallothinge/consensus/tests/test_membership.py
@@ -0,0 +1,177 @@
+"""Tests of which replicas a leader removes of its own accord."""
+
+import random
+import unittest
+
+from shallothinge.consensus import founding
+from shallothinge.consensus import messages
+from shallothinge.consensus import model
+from shallothinge.consensus import node as nodes
+
+SILENT_MS = 2500
+TIMING = model.Timing(replace_silent_ms=SILENT_MS)
+ELECTED_MS = 10_000
+
+
+class LeaderOf:
+    """Replica 1 as the leader of some voters, of which some answer."""
+
+    def __init__(self, *, count, timing=TIMING):
+        self.ids = tuple(f'{number}/x' for number in range(1, count + 1))
+        cluster = founding.cluster_of(name='test', replica_ids=self.ids)
+        entry = founding.founding_entry(cluster=cluster)
+        self.node = nodes.Node(
+            replica_id=self.ids[0],
+            rng=random.Random(1),
+            timing=timing,
+            restored=model.Restored(
+                cluster=cluster,
+                hard_state=model.HardState(term=1),
+                entries=(entry,),
+            ),
+        )
+        self.now_ms = ELECTED_MS
+        self._elect()
+
+    @property
+    def voter_count(self):
+        """Return how many voters there are."""
+        return len(self.node.configuration.voters)
+
+    def tell(self, message_type, *, sender_id, **fields):
+        """Let the leader receive a message and return its answers."""
+        message = message_type(
+            cluster_id=self.node.cluster_id,
+            sender_id=sender_id,
+            target_id=self.node.replica_id,
+            **fields,
+        )
+        self.node.receive(self.now_ms, sender_id, message)
+        return self.node.collect(self.now_ms).messages
+
+    def leave(self, sender_id):
+        """Let a voter say that it stops; return whether that is settled."""
+        answers = self.tell(messages.LeaveRequest, sender_id=sender_id)
+        return [
+            one.settled
+            for one in answers
+            if isinstance(one, messages.LeaveAnswer)
+        ][0]
+
+    def run(self, duration_ms, *, answering):
+        """Let time pass while some replicas answer the leader."""
+        for _ in range(duration_ms // TIMING.heartbeat_ms):
+            self.now_ms += TIMING.heartbeat_ms
+            self.node.tick(self.now_ms)
+            self.node.collect(self.now_ms)
+            for sender_id in answering:
+                self.tell(
+                    messages.AppendAnswer,
+                    sender_id=sender_id,
+                    term=self.node.term,
+                    accepted=True,
+                    prev_index=0,
+                    match_index=self.node.log.last_index,
+                    round=0,
+                )
+
+    def _elect(self):
+        self.node.tick(0)
+        self.node.tick(self.now_ms)
+        for kind in (messages.PreVoteAnswer, messages.VoteAnswer):
+            term = self.node.term + (kind is messages.PreVoteAnswer)
+            for sender_id in self.ids[1:]:
+                self.tell(kind, sender_id=sender_id, term=term, granted=True)
+
+
+class GoneVoterTest(unittest.TestCase):
+    """Voters that are silent for long."""
+
+    ROWS = (
+        # voters, of which silent, voters that are left
+        (3, 1, 3),
+        (4, 1, 3),
+        (5, 1, 4),
+        (5, 2, 3),
+        (6, 1, 5),
+        (6, 2, 4),
+        (7, 1, 6),
+        (7, 2, 5),
+        (8, 2, 6),
+    )
+
+    def test_voter_that_is_gone_loses_its_vote_while_three_are_left(self):
+        for count, silent, left in self.ROWS:
+            with self.subTest(voters=count, silent=silent):
+                leader = LeaderOf(count=count)
+                answering = leader.ids[1 : count - silent]
+                leader.run(SILENT_MS, answering=answering)
+                self.assertEqual(count, leader.voter_count)
+                leader.run(1000, answering=answering)
+                self.assertEqual(left, leader.voter_count)
+
+    def test_every_removal_keeps_as_many_losses_bearable(self):
+        for count, silent, left in self.ROWS:
+            with self.subTest(voters=count, silent=silent):
+                heard = count - silent
+                self.assertGreaterEqual(
+                    heard - model.majority_of(left),
+                    heard - model.majority_of(count),
+                )
+
+    def test_voters_stay_where_operators_order_each_replacement(self):
+        leader = LeaderOf(count=4, timing=model.Timing())
+        leader.run(2 * SILENT_MS, answering=leader.ids[1:3])
+        self.assertEqual(4, leader.voter_count)
+
+    def test_learner_that_is_gone_is_forgotten(self):
+        leader = LeaderOf(count=3)
+        leader.run(200, answering=leader.ids[1:])
+        leader.node.add_learner(leader.now_ms, 'new/x')
+        leader.run(SILENT_MS + 500, answering=leader.ids[1:])
+        self.assertEqual((), leader.node.configuration.learners)
+
+
+class LeavingVoterTest(unittest.TestCase):
+    """Voters that say that their process stops."""
+
+    def test_leaving_voter_loses_its_vote_at_once_while_three_are_left(self):
+        for count, left in ((3, 3), (4, 3), (5, 4), (6, 5)):
+            with self.subTest(voters=count):
+                leader = LeaderOf(count=count)
+                others = leader.ids[1:]
+                leader.run(200, answering=others)
+                leader.leave(others[-1])
+                leader.run(200, answering=others[:-1])
+                self.assertEqual(left, leader.voter_count)
+                self.assertTrue(leader.leave(others[-1]))
+
+    def test_leaving_is_settled_only_once_the_removal_is_committed(self):
+        leader = LeaderOf(count=4)
+        leader.run(200, answering=leader.ids[1:])
+        self.assertFalse(leader.leave(leader.ids[3]))
+        leader.run(100, answering=leader.ids[1:3])
+        self.assertTrue(leader.leave(leader.ids[3]))
+
+    def test_voter_that_came_back_is_not_taken_for_one_that_leaves(self):
+        leader = LeaderOf(count=3)
+        others = leader.ids[1:]
+        leader.run(200, answering=others)
+        leader.leave(others[1])
+        leader.run(600, answering=others[:1])
+        leader.run(600, answering=others)
+        leader.node.add_learner(leader.now_ms, 'new/x')
+        leader.run(1000, answering=(*others, 'new/x'))
+        self.assertEqual(4, leader.voter_count)
+
+    def test_successor_gets_its_vote_before_the_leaving_voter_is_removed(self):
+        leader = LeaderOf(count=3)
+        others = leader.ids[1:]
+        leader.run(200, answering=others)
+        leader.node.add_learner(leader.now_ms, 'new/x')
+        self.assertFalse(leader.leave(others[1]))
+        leader.run(1000, answering=(others[0], 'new/x'))
+        self.assertEqual(
+            {leader.ids[0], others[0], 'new/x'},
+            set(leader.node.configuration.voters),
+        )
--- a/src/shallothinge/control/absent.py
+++ b/src/shallothinge/control/absent.py
@@ -53,6 +53,10 @@
     def quorum(self) -> None:
         """Know nothing of the voters: no replica takes part here."""
 
+    def leave(self) -> defer.Deferred:
+        """Have no vote to give up."""
+        return defer.succeed(None)
+
     def dump(self) -> str:
         """Return why there is nothing to show."""
         return 'the disk is full'
--- a/src/shallothinge/control/api.py
+++ b/src/shallothinge/control/api.py
@@ -50,5 +50,8 @@
     def quorum(self) -> quorum.QuorumView | None:
         """Return who has a vote and is heard; None without a replica."""
 
+    def leave(self) -> defer.Deferred:
+        """Fire once the others need this replica's vote no more."""
+
     def dump(self) -> object:
         """Return the replica's state."""
--- a/src/shallothinge/control/joining.py
+++ b/src/shallothinge/control/joining.py
@@ -99,7 +99,7 @@
 
     def tick(self, now_ms: int) -> None:
         """Announce the own replica and drive what is under way."""
-        if self._node.is_unattached:
+        if self._node.is_unattached and not self._node.is_leaving:
             self._announce(now_ms)
         if not self._node.cluster_id:
             self._tick_founding(now_ms)
--- a/src/shallothinge/control/process.py
+++ b/src/shallothinge/control/process.py
@@ -58,7 +58,7 @@
         self._host.open()
         self._ticking.start(TICK_MS / 1000, now=False)
         self._process.reactor.addSystemEventTrigger(
-            'before', 'shutdown', self._hand_over
+            'before', 'shutdown', self._prepare_stop
         )
         self._process.reactor.callLater(
             processes.METRICS_DELAY_S, self._publish
@@ -127,14 +127,13 @@
         )
         self._process.reactor.callLater(FOUND_AGAIN_S, self._found_if_first)
 
-    def _hand_over(self):
-        """Pass leadership on before a planned stop."""
-        if not self._replica.is_leader:
-            return None
-        handed = self._replica.transfer_leadership()
-        return handed.addErrback(
+    def _prepare_stop(self):
+        """Pass leadership and vote on before a planned stop."""
+        prepared = self._replica.transfer_leadership()
+        prepared.addCallback(lambda _: self._replica.leave())
+        return prepared.addErrback(
             lambda failure: LOG.warning(
-                'leadership was not handed over',
+                'leadership and vote were not passed on',
                 extra={'cause': failure.getErrorMessage()},
             )
         )
--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -19,6 +19,7 @@
 from shallothinge.control import quorum_log
 from shallothinge.control import replica_dump
 from shallothinge.control import replica_links
+from shallothinge.control import stopping
 from shallothinge.settings import model as settings_model
 from shallothinge.storage import data_folder
 
@@ -98,10 +99,9 @@
             takes_all=settings.discovery is not None,
         )
         self._quorum_log = quorum_log.QuorumLog()
+        self._stopping = stopping.PlannedStop(node=self._node)
         self._led_term: int | None = None
         self._ready = False
-        self._handed_over: list[defer.Deferred] = []
-        self._hand_over_ends_ms = 0
         self._flush_call = None
         self._tick_call = None
         self._closed = False
@@ -141,7 +141,7 @@
         self._folder.close()
         self._pending.fail_all(leader_id='')
         self._joining.fail_all(self._not_leader)
-        self._fire_handed_over()
+        self._stopping.close()
 
     def receive(self, peer, message: object) -> None:
         """Take a message of another control host.
@@ -153,10 +153,9 @@
             return
         is_own = model.process_id_of(message.sender_id) == peer.process_id
         if isinstance(message, messages.ReplicaAnnounced):
+            now_ms = self._clock.now_ms()
             self._joining.announced(message)
-            self._quorum_log.announced(
-                self._clock.now_ms(), message, self.quorum()
-            )
+            self._quorum_log.announced(now_ms, message, self.quorum())
             if is_own and self.leader_id not in ('', self._process_id):
                 self._links.send_to(self.leader_id, message)
         elif not is_own:
@@ -245,14 +244,19 @@
         :returns: fires with None when this replica does not lead, or
             could not hand over in time.
         """
-        now_ms = self._clock.now_ms()
-        if self._closed or not self._node.transfer(now_ms):
+        if self._closed:
             return defer.succeed(None)
         self._schedule_flush()
-        answered = defer.Deferred()
-        self._handed_over.append(answered)
-        self._hand_over_ends_ms = now_ms + self._node.timing.election_max_ms
-        return answered
+        return self._stopping.hand_over(self._clock.now_ms())
+
+    def leave(self) -> defer.Deferred:
+        """Let the others go on without this replica's vote.
+
+        :returns: fires with None when they do, or did not say so in time.
+        """
+        if self._closed:
+            return defer.succeed(None)
+        return self._stopping.leave(self._clock.now_ms())
 
     @property
     def member_ids(self) -> tuple[str, ...]:
@@ -317,8 +321,7 @@
             self._node.quorum(now_ms),
             change_refusals=self._node.take_change_refusals(),
         )
-        if now_ms >= self._hand_over_ends_ms:
-            self._fire_handed_over()
+        self._stopping.tick(now_ms)
         if not self._closed:
             self._tick_call = self._reactor.callLater(
                 self._tick_ms / 1000, self._tick
@@ -426,7 +429,7 @@
         self.elected_ms = None
         self._pending.fail_all(leader_id=self.leader_id)
         self._joining.fail_all(self._not_leader)
-        self._fire_handed_over()
+        self._stopping.leads_no_more()
         if was_ready:
             self._tell_leadership(False)
 
@@ -441,11 +444,6 @@
             self._pending.fail_read(read_id=read_id, leader_id=self.leader_id)
         self._pending.answer_reads(applied_index=self._applied_index)
 
-    def _fire_handed_over(self) -> None:
-        waiting, self._handed_over = self._handed_over, []
-        for answered in waiting:
-            answered.callback(None)
-
     def _not_leader(self) -> errors.ServingError:
         return pending.NotLeader(leader_id=self.leader_id)
 
