Forget a replica that announces itself no more

Cause: every control host keeps what replicas announced, but only a leader looks through it. A follower kept an announcement until it led, however old. The same class as the votes of hosts that are gone: kept until an event that may come much too late.

Change: an announcement counts for 1 s; a replica that waits repeats it each 250 ms. The founding of a cluster waits as before, since founders repeat theirs, too.

--- a/src/shallothinge/control/joining.py
+++ b/src/shallothinge/control/joining.py
@@ -12,6 +12,8 @@
 from shallothinge.consensus import node as nodes
 
 ANNOUNCE_MS = 250
+# A replica that waits is heard again sooner, also if some messages are lost.
+ANNOUNCED_MS = 4 * ANNOUNCE_MS
 FOUNDING_WAIT_MS = 10_000
 
 
@@ -24,6 +26,14 @@
     ends_ms: int
 
 
+@attrs.frozen(kw_only=True)
+class _Heard:
+    """A replica that no leader sends to, and when it last said so."""
+
+    message: messages.ReplicaAnnounced
+    heard_ms: int
+
+
 class Joining:
     """Pairs the processes of control hosts with their data folders.
 
@@ -50,17 +60,19 @@
         self._rejoin = rejoin
         self._broadcast = broadcast
         self._takes_all = takes_all
-        self._announced: dict[str, messages.ReplicaAnnounced] = {}
+        self._announced: dict[str, _Heard] = {}
         self._announce_due_ms = 0
         self._founding: _Founding | None = None
         self._founded: list[defer.Deferred] = []
         self._additions: dict[str, defer.Deferred] = {}
         self._removals: dict[str, defer.Deferred] = {}
 
-    def announced(self, message: messages.ReplicaAnnounced) -> None:
+    def announced(
+        self, now_ms: int, message: messages.ReplicaAnnounced
+    ) -> None:
         """Note a replica that no leader sends to."""
         process_id = model.process_id_of(message.sender_id)
-        self._announced[process_id] = message
+        self._announced[process_id] = _Heard(message=message, heard_ms=now_ms)
         self._node.offer_founding(message.sender_id)
 
     def found(
@@ -99,6 +111,7 @@
 
     def tick(self, now_ms: int) -> None:
         """Announce the own replica and drive what is under way."""
+        self._forget_silent(now_ms)
         if self._node.is_unattached and not self._node.is_leaving:
             self._announce(now_ms)
         if not self._node.cluster_id:
@@ -130,6 +143,15 @@
             )
         )
 
+    def _forget_silent(self, now_ms: int) -> None:
+        """Forget replicas that wait no more.
+
+        A host that has gone since must not be taken in by a later leader.
+        """
+        for process_id, heard in list(self._announced.items()):
+            if now_ms - heard.heard_ms > ANNOUNCED_MS:
+                del self._announced[process_id]
+
     def _tick_founding(self, now_ms: int) -> None:
         wanted = self._founding
         if wanted is None:
@@ -137,7 +159,8 @@
         replica_ids = [self._node.replica_id]
         for process_id in wanted.member_ids:
             if process_id in self._announced:
-                replica_ids.append(self._announced[process_id].sender_id)
+                heard = self._announced[process_id]
+                replica_ids.append(heard.message.sender_id)
         if len(replica_ids) == len(set(wanted.member_ids)):
             self._founding = None
             self._node.found(
@@ -172,7 +195,8 @@
             model.process_id_of(replica_id)
             for replica_id in configuration.replicas
         }
-        for process_id, message in list(self._announced.items()):
+        for process_id, heard in list(self._announced.items()):
+            message = heard.message
             replaces = message.rejoin and process_id in members
             ordered = process_id in self._additions or self._takes_all
             wanted = ordered or replaces
--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -154,7 +154,7 @@
         is_own = model.process_id_of(message.sender_id) == peer.process_id
         if isinstance(message, messages.ReplicaAnnounced):
             now_ms = self._clock.now_ms()
-            self._joining.announced(message)
+            self._joining.announced(now_ms, message)
             self._quorum_log.announced(now_ms, message, self.quorum())
             if is_own and self.leader_id not in ('', self._process_id):
                 self._links.send_to(self.leader_id, message)
--- a/src/shallothinge/control/tests/test_replaced_hosts.py
+++ b/src/shallothinge/control/tests/test_replaced_hosts.py
@@ -166,6 +166,24 @@
                 fleet.run(fleets.CATCH_UP_MS)
                 fleet.hand_over()
 
+    def test_gone_host_is_never_taken_in_again(self):
+        with self.deployed() as fleet:
+            old_id = pick(fleet)
+            fleet.lose_for_good(old_id)
+            fleet.replace(old_id)
+            fleet.run(fleets.CATCH_UP_MS)
+            for _ in range(3):
+                fleet.hand_over()
+                self.assertNotIn(old_id, self.members_in(fleet, LONG_MS))
+
+    def members_in(self, fleet, duration_ms):
+        """Let time pass; return all that were members at any time."""
+        found = set()
+        for _ in range(duration_ms // OVERLAP_MS):
+            fleet.run(OVERLAP_MS)
+            found.update(fleet.network.leader().member_ids)
+        return found
+
     def test_new_host_that_comes_back_empty(self):
         with self.deployed() as fleet:
             old_id = pick(fleet)
