Give no vote to a learner that fell silent

A host that died between the two became one more voter that is gone.

Change: the leader promotes only what it heard within the shortest election timeout, the same limit by which it tells whether a change can be committed.

Evidence: test_learner_that_fell_silent_gets_no_vote fails without the condition ('new/x' unexpectedly found among the voters) and passes with it. The view of the quorum uses the one function for the size of a majority.

--- a/src/shallothinge/consensus/membership.py
+++ b/src/shallothinge/consensus/membership.py
@@ -88,7 +88,7 @@
         if state.leadership is None:
             return
         for learner in state.configuration.learners:
-            if self._has_caught_up(learner):
+            if self._is_ready_to_vote(now_ms, learner):
                 self._replace_or_promote(now_ms, learner)
                 return
         if state.timing.replace_silent_ms:
@@ -180,6 +180,10 @@
     def _silent_ms(self, now_ms: int, voter: str) -> int:
         return now_ms - self._state.leadership.progress[voter].heard_ms
 
+    def _is_ready_to_vote(self, now_ms: int, learner: str) -> bool:
+        """Return whether a vote would go to a replica that lives."""
+        return self._is_heard(now_ms, learner) and self._has_caught_up(learner)
+
     def _is_heard(self, now_ms: int, replica_id: str) -> bool:
         silent_ms = self._silent_ms(now_ms, replica_id)
         return silent_ms <= self._state.timing.election_min_ms
--- a/src/shallothinge/consensus/quorum.py
+++ b/src/shallothinge/consensus/quorum.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from shallothinge.consensus import model
 from shallothinge.consensus import state as states
 from shallothinge.consensus.model import Role
 
@@ -50,7 +51,7 @@
     @property
     def needed(self) -> int:
         """Return how many votes are a majority; 0 without a cluster."""
-        return len(self.voters) // 2 + 1 if self.voters else 0
+        return model.majority_of(len(self.voters)) if self.voters else 0
 
     @property
     def losses_borne(self) -> int | None:
--- a/src/shallothinge/consensus/tests/test_membership.py
+++ b/src/shallothinge/consensus/tests/test_membership.py
@@ -175,3 +175,13 @@
             {leader.ids[0], others[0], 'new/x'},
             set(leader.node.configuration.voters),
         )
+
+    def test_learner_that_fell_silent_gets_no_vote(self):
+        leader = LeaderOf(count=3)
+        others = leader.ids[1:]
+        leader.run(200, answering=others)
+        leader.node.add_learner(leader.now_ms, 'new/x')
+        leader.run(200, answering=('new/x',))
+        leader.run(600, answering=())
+        leader.run(300, answering=others)
+        self.assertNotIn('new/x', leader.node.configuration.voters)
