Announce a replica to the hosts that it hears

They announced themselves to the seeds alone: to each other and to the one that is gone.

Change: a replica without a leader counts whoever sends to it among those to announce to; the others send to its former replica until they take that for gone.

Evidence: test_hosts_that_lost_their_disks_join_though_no_seed_is_left fails without the call and passes with it. What remains: a host whose seeds are all gone and which comes back empty later than 2.5 s after its loss is heard by nobody until its settings name a seed that is there.

--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -165,6 +165,8 @@
             self._node.receive(
                 self._clock.now_ms(), message.sender_id, message
             )
+        if self._node.is_unattached:
+            self._links.meet(peer.process_id)
         self._schedule_flush()
 
     def propose(self, command: bytes) -> defer.Deferred:
--- a/src/shallothinge/control/replica_links.py
+++ b/src/shallothinge/control/replica_links.py
@@ -48,6 +48,14 @@
             if self._links[process_id].silent_ms > KEPT_SILENT_MS:
                 self._links.pop(process_id).close()
 
+    def meet(self, process_id: str) -> None:
+        """Count a host that was heard of among those to announce to.
+
+        The seeds of a host that lost its disk may all be gone; hosts that
+        still send to its former replica are not.
+        """
+        self._find(process_id)
+
     def send_to(self, process_id: str, message: object) -> None:
         """Send to a control host, if it can be reached."""
         link = self._find(process_id)
--- a/src/shallothinge/control/tests/test_discovery.py
+++ b/src/shallothinge/control/tests/test_discovery.py
@@ -67,6 +67,24 @@
         self.hosts.stop(IDS[0])
         self.assertEqual(b'2', self.hosts.propose(b'two'))
 
+    def test_hosts_that_lost_their_disks_join_though_no_seed_is_left(self):
+        self.found()
+        self.hosts.stop(IDS[1])
+        self.hosts.run(4000)
+        wiped = IDS[0], IDS[2]
+        for host_id in wiped:
+            self.hosts.stop(host_id)
+            shutil.rmtree(self.folder / host_id)
+        for host_id in wiped:
+            self.hosts.start(host_id)
+        wiped_ids = {
+            self.hosts.replicas[host_id].dump().replica_id for host_id in wiped
+        }
+        self.hosts.run_until(
+            lambda: self.hosts.leader()
+            and wiped_ids <= set(self.hosts.leader().dump().voters)
+        )
+
     def test_new_host_takes_the_place_of_a_lost_one(self):
         self.found(IDS[:3])
         self.hosts.propose(b'one')
