--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers that ask all the time, whatever happens to the gateways."""
 
 import asyncio
+from collections.abc import Callable
 import random
 import secrets
 import time
@@ -34,13 +35,19 @@
         self.disturbed_s: dict[str, float] = {}
         self.disturbances: list[tuple[str, int]] = []
         self.are_faults_over = False
+        # When the newest request that was served had been sent, monotonic.
+        self.served_s = 0.0
+        # The longest time for which this process itself was held up.
+        self.held_up_s = 0.0
 
-    async def ask_until(self, ends_s: float) -> None:
-        """Send requests until an instant of the monotonic clock."""
+    async def ask_while(self, is_wanted: Callable[[], bool]) -> None:
+        """Send requests for as long as that is wanted."""
         tasks = []
-        while time.monotonic() < ends_s:
+        while is_wanted():
             tasks.append(asyncio.create_task(self._ask()))
-            await asyncio.sleep(self._rng.uniform(0, 2 * PAUSE_S))
+            due_s = time.monotonic() + self._rng.uniform(0, 2 * PAUSE_S)
+            await asyncio.sleep(due_s - time.monotonic())
+            self.held_up_s = max(self.held_up_s, time.monotonic() - due_s)
         await asyncio.gather(*tasks)
 
     def disturb(self, name: str) -> None:
@@ -62,6 +69,8 @@
         answer = await self._exchange(
             name, target, request_id, api_key, deadline_ms
         )
+        if answer is not None and answer.status == 200:
+            self.served_s = max(self.served_s, began_s)
         disturbed_s = self.disturbed_s.get(name, 0.0)
         self.asked.append(
             checks.Asked(
--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -4,12 +4,15 @@
 address. Gateways reach backend servers through relays.
 """
 
+import json
+import os
 import pathlib
 import resource
 import shutil
 import signal
 import subprocess
 import sys
+import time
 
 import attrs
 
@@ -21,6 +24,13 @@
 
 ROLES = ('control', 'entry')
 CONTROL_COUNT = 3
+# Hosts at the start and their successors, each at an address of its own.
+MOST_CONTROL = 9
+# A settings file names this many control hosts.
+SEED_COUNT = 3
+# A process that is younger may not have begun to outlive a SIGHUP, and reads
+# its settings file just now.
+YOUNG_S = 0.5
 # Of the usual size; a scale multiplies both.
 GATEWAY_COUNT = 3
 BACKENDS = (wire.STREAMS,) * 3 + (wire.CALLS,) * 2
@@ -36,13 +46,20 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Part:
-    """One process, and how it is started again."""
+    """One process, and how it is started again.
+
+    ``settings`` is None for backend servers. A control host that
+    ``is_gone`` was replaced and never starts again.
+    """
 
     name: str
     role: str
     command: tuple[str, ...]
+    settings: model.ControlSettings | model.GatewaySettings | None = None
     process: subprocess.Popen | None = None
+    started_s: float = 0.0
     is_frozen: bool = False
+    is_gone: bool = False
 
 
 class Deployment:
@@ -57,12 +74,14 @@
         self.folder = folder
         self.parts: dict[str, Part] = {}
         self.relays: dict[str, relay.Relay] = {}
-        self.api_addresses = [
-            f'{net}.{1 + index}:{API_PORT}' for index in range(CONTROL_COUNT)
-        ]
         self.caller_addresses: dict[str, str] = {}
         self._net = net
         self._scale = scale
+        # Of the hosts that serve control, in the order in which they came.
+        self.api_addresses = [
+            self._api_address(index) for index in range(CONTROL_COUNT)
+        ]
+        self._seeds = tuple(self.api_addresses)
 
     def prepare(self) -> None:
         """Write keys and settings."""
@@ -70,7 +89,7 @@
         (self.folder / 'data').mkdir()
         keys.write_deployment(folder=self.folder, roles=ROLES)
         for index in range(CONTROL_COUNT):
-            self._add_control(f'control-{index + 1}', may_found=True)
+            self._add_control(index, may_found=True)
         for index in range(GATEWAY_COUNT * self._scale):
             self._add_gateway(index)
         for index, service in enumerate(BACKENDS * self._scale):
@@ -80,17 +99,43 @@
         """Return the file in which a backend server writes its runs."""
         return self.folder / f'{name}.runs'
 
+    def log_lines(self, name: str, message: str) -> list[dict]:
+        """Return the lines that a process has logged with a message."""
+        path = self.folder / 'logs' / f'{name}.log'
+        lines = path.read_text(encoding='utf-8', errors='replace')
+        found = []
+        for line in lines.splitlines():
+            if f'"{message}"' not in line:
+                continue
+            try:
+                found.append(json.loads(line))
+            except ValueError:
+                # Its process was killed as it wrote.
+                continue
+        return found
+
     def data_of(self, name: str) -> pathlib.Path:
         """Return the data folder of a control host."""
         return self.folder / 'data' / name
 
     def names(self, role: str) -> list[str]:
-        """Return the names of a role's processes."""
-        return [part.name for part in self.parts.values() if part.role == role]
+        """Return the names of a role's processes that are not gone."""
+        return [
+            part.name
+            for part in self.parts.values()
+            if part.role == role and not part.is_gone
+        ]
+
+    def api_address_of(self, name: str) -> str:
+        """Return the address of a control host's API."""
+        return self.parts[name].settings.api.address
 
     def _host(self, role: str, index: int) -> str:
         return f'{self._net}.{FIRST_HOSTS[role] + index}'
 
+    def _api_address(self, index: int) -> str:
+        return f'{self._host("control", index)}:{API_PORT}'
+
     def _process(self, name, host, key, port, metrics_port):
         return model.ProcessSettings(
             process_id=name,
@@ -105,13 +150,38 @@
 
     def _discovery(self, *, may_found: bool = False):
         return model.DiscoverySettings(
-            seeds=tuple(self.api_addresses),
+            seeds=self._seeds,
             port=CONTROL_PORT,
             may_found=may_found,
         )
 
-    def _add_control(self, name: str, *, may_found: bool) -> None:
-        host = self._host('control', int(name.rpartition('-')[2]) - 1)
+    def add_control(self) -> str:
+        """Add a control host with an empty disk; return its name."""
+        index = sum(part.role == 'control' for part in self.parts.values())
+        name = self._add_control(index, may_found=False)
+        self.api_addresses.append(self.api_address_of(name))
+        return name
+
+    def remove_control(self, name: str) -> None:
+        """Forget a control host that has ended and never starts again."""
+        self.parts[name].is_gone = True
+        self.api_addresses.remove(self.api_address_of(name))
+
+    def list_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Write other control hosts into all settings files."""
+        self._seeds = seeds
+        for part in self.parts.values():
+            if part.settings is not None and not part.is_gone:
+                self._write(part, self._discovery())
+
+    def reload(self) -> None:
+        """Tell all processes to read their settings files anew."""
+        for part in self.parts.values():
+            if part.settings is not None and not self.is_young(part.name):
+                self.signal(part.name, signal.SIGHUP)
+
+    def _add_control(self, index: int, *, may_found: bool) -> str:
+        host, name = self._host('control', index), f'control-{index + 1}'
         settings = model.ControlSettings(
             process=self._process(
                 f'{host}:{CONTROL_PORT}',
@@ -126,6 +196,7 @@
             leases=model.LeaseSettings(member_silence_ms=4000),
         )
         self._add(name, 'control', settings)
+        return name
 
     def _add_gateway(self, index: int) -> None:
         host = self._host('gateway', index)
@@ -144,23 +215,33 @@
         self._add(name, 'gateway', settings)
 
     def _add(self, name: str, role: str, settings) -> None:
-        path = self.folder / f'{name}.toml'
-        path.write_text(toml_text.write(settings), encoding='utf-8')
         command = (
             *(sys.executable, '-m', 'shallothinge.operators.main', role),
-            *('--settings', str(path)),
+            *('--settings', str(self.folder / f'{name}.toml')),
         )
-        self.parts[name] = Part(name=name, role=role, command=command)
+        part = Part(name=name, role=role, command=command, settings=settings)
+        self.parts[name] = part
+        self._write(part, settings.discovery)
+
+    def _write(self, part: Part, discovery: model.DiscoverySettings) -> None:
+        """Write a settings file; who starts meanwhile reads a whole one."""
+        part.settings = attrs.evolve(part.settings, discovery=discovery)
+        path = self.folder / f'{part.name}.toml'
+        fresh = path.with_suffix('.fresh')
+        fresh.write_text(toml_text.write(part.settings), encoding='utf-8')
+        os.replace(fresh, path)
 
     def _add_backend(self, index: int, service: str) -> None:
         host = self._host('backend', index)
         name = f'backend-{index + 1}'
         listen, address = f'{host}:{BACKEND_PORT}', f'{host}:{RELAY_PORT}'
+        # Successors too: a backend server is told them once, at its start.
+        controls = [self._api_address(each) for each in range(MOST_CONTROL)]
         self.relays[name] = relay.Relay(listen=address, target=listen)
         command = (
             *(sys.executable, '-m', 'testing.soak.backend'),
             *('--name', name, '--service', service, '--listen', listen),
-            *('--address', address, '--control', *self.api_addresses),
+            *('--address', address, '--control', *controls),
             *('--record', str(self.record_of(name))),
         )
         self.parts[name] = Part(name=name, role='backend', command=command)
@@ -170,9 +251,10 @@
 
         :param is_disk_full: whether its files may hardly grow any more.
         """
-        if self.is_running(name):
-            return
         part = self.parts[name]
+        if part.is_gone or self.is_running(name):
+            return
+        part.started_s = time.monotonic()
         limit = self._limit_files(name) if is_disk_full else None
         log_path = self.folder / 'logs' / f'{name}.log'
         with log_path.open('ab') as log:
@@ -197,6 +279,10 @@
         process = self.parts[name].process
         return process is not None and process.poll() is None
 
+    def is_young(self, name: str) -> bool:
+        """Return whether a process was started just now."""
+        return time.monotonic() - self.parts[name].started_s < YOUNG_S
+
     def kill(self, name: str) -> None:
         """Kill a process at once."""
         part = self.parts[name]
@@ -217,7 +303,7 @@
     def wipe(self, name: str) -> None:
         """Take away a stopped control host's disk; it may not found anew."""
         shutil.rmtree(self.data_of(name), ignore_errors=True)
-        self._add_control(name, may_found=False)
+        self._write(self.parts[name], self._discovery())
 
     def stop_all(self) -> None:
         """End every process that was started here, and the relays."""
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -36,6 +36,9 @@
     SILENT = 'silent'
     RESET = 'reset'
     KILL_ALL_CONTROL = 'kill_all_control'
+    # A control host is replaced for good by one at another address.
+    REPLACE = 'replace'
+    REPLACE_KILLED = 'replace_killed'
     # The server reports that it is leaving, or says at once that it is gone.
     LEAVE = 'leave'
     VANISH = 'vanish'
@@ -63,6 +66,14 @@
 }
 
 
+# What comes beside the rounds: nothing of it is the loss of a control host.
+BESIDE_ROUNDS = {
+    'control': (Kind.RELOAD,),
+    'gateway': BY_ROLE['gateway'],
+    'backend': (*BY_ROLE['backend'], Kind.LEAVE, Kind.VANISH),
+}
+
+
 @attrs.frozen(kw_only=True)
 class Fault:
     """One fault, from ``at_s`` after the start of the plan.
@@ -145,3 +156,15 @@
     if leaving and is_control_sound:
         leaving[-1] = attrs.evolve(leaving[-1], loses_leader=True)
     return sorted([*planned, *leaving], key=lambda fault: fault.at_s)
+
+
+def draw_beside(rng: random.Random, *, targets: dict[str, list[str]]) -> Fault:
+    """Return a fault that may come beside any loss of a control host."""
+    role = rng.choice(sorted(targets))
+    kind = rng.choice(BESIDE_ROUNDS[role])
+    for_s = rng.uniform(SHORTEST_S, LONGEST_S)
+    if kind in (Kind.LEAVE, Kind.VANISH):
+        for_s = LEAVE_S
+    return Fault(
+        at_s=0.0, for_s=for_s, kind=kind, target=rng.choice(targets[role])
+    )
--- /dev/null
+++ b/testing/soak/injection.py
@@ -0,0 +1,167 @@
+"""What each fault of a plan does to processes and connections."""
+
+import asyncio
+import json
+import signal
+import time
+
+from shallothinge import clock
+from testing.soak import callers
+from testing.soak import deployment
+from testing.soak import faults
+from testing.soak import notices
+from testing.soak import relay
+
+PLANNED_STOP_S = 9.0
+RESET_AGAIN_S = 0.3
+LEFT_POLL_S = 0.002
+STOP_POLL_S = 0.05
+
+
+class Injection:
+    """Disturbs the processes of a deployment.
+
+    :ivar cuts: when which connections to backend servers were disturbed.
+    """
+
+    def __init__(
+        self, *, running: deployment.Deployment, callers: callers.Callers
+    ):
+        self._running = running
+        self._callers = callers
+        self.cuts: list[notices.Cut] = []
+
+    async def inject(self, fault: faults.Fault) -> None:
+        """Let a fault come and go, from now on."""
+        self._callers.disturb(fault.target)
+        from_ms = clock.WallClock().now_ms()
+        if fault.kind in RELAYED:
+            await self._relay(fault)
+        else:
+            await ACTIONS[fault.kind](self, fault)
+        self._callers.disturb(fault.target)
+        if fault.kind in RELAYED or fault.kind is faults.Kind.RESET:
+            self.cuts.append(
+                notices.Cut(
+                    name=fault.target,
+                    from_ms=from_ms,
+                    until_ms=clock.WallClock().now_ms(),
+                )
+            )
+
+    async def _relay(self, fault: faults.Fault) -> None:
+        relayed = self._running.relays[fault.target]
+        relayed.set_mode(RELAYED[fault.kind])
+        await asyncio.sleep(fault.for_s)
+        relayed.set_mode(relay.Mode.PASS)
+
+    async def _reset(self, fault: faults.Fault) -> None:
+        ends_s = time.monotonic() + fault.for_s
+        while time.monotonic() < ends_s:
+            self._running.relays[fault.target].reset_all()
+            await asyncio.sleep(RESET_AGAIN_S)
+
+    async def _kill(self, fault: faults.Fault) -> None:
+        self._running.kill(fault.target)
+        await asyncio.sleep(fault.for_s)
+        self._running.start(fault.target)
+
+    async def _kill_all_control(self, fault: faults.Fault) -> None:
+        names = self._running.names('control')
+        for name in names:
+            self._running.kill(name)
+        await asyncio.sleep(fault.for_s)
+        for name in names:
+            self._running.start(name)
+
+    async def _freeze(self, fault: faults.Fault) -> None:
+        self._running.signal(fault.target, signal.SIGSTOP)
+        await asyncio.sleep(fault.for_s)
+        self._running.signal(fault.target, signal.SIGCONT)
+
+    async def _stop(self, fault: faults.Fault) -> None:
+        await self.end(fault.target)
+        self._running.start(fault.target)
+
+    async def end(self, name: str) -> None:
+        """Stop a process as planned; return when it has ended."""
+        self._running.signal(name, signal.SIGTERM)
+        ends_s = time.monotonic() + PLANNED_STOP_S
+        while self._running.is_running(name):
+            if time.monotonic() > ends_s:
+                self._running.kill(name)
+            await asyncio.sleep(STOP_POLL_S)
+
+    async def _leave(self, fault: faults.Fault) -> None:
+        known = len(self.lines(fault.target, 'left'))
+        is_leaving = fault.kind is faults.Kind.LEAVE
+        self._running.signal(
+            fault.target, signal.SIGTERM if is_leaving else signal.SIGUSR1
+        )
+        ends_s = time.monotonic() + fault.for_s
+        while len(self.lines(fault.target, 'left')) == known:
+            if time.monotonic() > ends_s:
+                break
+            await asyncio.sleep(LEFT_POLL_S)
+        else:
+            if fault.loses_leader:
+                left = self.lines(fault.target, 'left')[-1]
+                await self._lose_leader(left['leader'])
+        await asyncio.sleep(max(0, ends_s - time.monotonic()))
+        self._running.kill(fault.target)
+        self._running.start(fault.target)
+
+    async def _lose_leader(self, address: str) -> None:
+        [name] = [
+            name
+            for name in self._running.names('control')
+            if self._running.api_address_of(name) == address
+        ]
+        self._callers.disturb(name)
+        self._running.kill(name)
+        await asyncio.sleep(faults.LEADER_AWAY_S)
+        self._running.start(name)
+
+    def lines(self, name: str, what: str) -> list[dict]:
+        """Return what a backend server has written of one sort so far."""
+        path = self._running.record_of(name)
+        lines = path.read_text(encoding='utf-8').splitlines()
+        # This is asked for so often that reading each line is too much.
+        found = [json.loads(line) for line in lines if f'"{what}"' in line]
+        return [one for one in found if one.pop('what') == what]
+
+    async def _reload(self, fault: faults.Fault) -> None:
+        self._running.signal(fault.target, signal.SIGHUP)
+
+    async def _wipe(self, fault: faults.Fault) -> None:
+        self._running.kill(fault.target)
+        self._running.wipe(fault.target)
+        await asyncio.sleep(fault.for_s)
+        self._running.start(fault.target)
+
+    async def _fill_disk(self, fault: faults.Fault) -> None:
+        """Restart with a disk that is nearly full, then with a free one."""
+        self._running.kill(fault.target)
+        self._running.start(fault.target, is_disk_full=True)
+        await asyncio.sleep(fault.for_s)
+        self._running.kill(fault.target)
+        self._running.start(fault.target)
+
+
+RELAYED = {
+    faults.Kind.DELAY: relay.Mode.DELAY,
+    faults.Kind.ONE_WAY: relay.Mode.ONE_WAY,
+    faults.Kind.SILENT: relay.Mode.SILENT,
+}
+ACTIONS = {
+    faults.Kind.KILL: Injection._kill,
+    faults.Kind.FREEZE: Injection._freeze,
+    faults.Kind.STOP: Injection._stop,
+    faults.Kind.RELOAD: Injection._reload,
+    faults.Kind.WIPE: Injection._wipe,
+    faults.Kind.DISK_FULL: Injection._fill_disk,
+    faults.Kind.RESET: Injection._reset,
+    faults.Kind.KILL_ALL_CONTROL: Injection._kill_all_control,
+    faults.Kind.LEAVE: Injection._leave,
+    faults.Kind.VANISH: Injection._leave,
+}
--- a/testing/soak/operator.py
+++ b/testing/soak/operator.py
@@ -1,7 +1,7 @@
 """The operator of a soak: sends configurations and reads them back."""
 
 import asyncio
-import itertools
+from collections.abc import Callable
 import json
 import time
 
@@ -14,25 +14,51 @@
 ANSWER_TIMEOUT_S = 3.0
 AGAIN_S = 0.2
 CHANGE_EVERY_S = 0.7
-READ_TIMEOUT_S = 15.0
+READ_EVERY_S = 0.3
+# From the acknowledgement of a version to the first read that may show no
+# older one.
+PROPAGATION_MS = 2000
+# The operator writes a few times a second; it looks this often for whether
+# what it waits for has come.
+POLL_S, NEXT_S = 0.005, 2.0
+# For an order, and then for all reads, once nothing is disturbed any more.
+END_TIMEOUT_S = 15.0
 
 
 class Operator:
-    """Changes the configuration all the time.
+    """Changes the configuration all the time and reads it.
 
+    :param addresses: of the control hosts that there are, which may change.
     :ivar acknowledged: the highest version with a clear answer.
+    :ivar acknowledged_s: when that was, on the monotonic clock.
+    :ivar read_s: when the newest read that was answered had been sent.
     :ivar revoked: when the loss of each key was acknowledged, Unix ms.
     :ivar faults: what the operator saw that is not allowed.
     """
 
     def __init__(self, *, addresses: list[str]):
-        self._addresses = itertools.cycle(addresses)
+        self._addresses = addresses
+        self._turn = 0
         self._sent: dict[int, bytes] = {}
-        self.acknowledged = 0
+        # Versions and when they were acknowledged, on the monotonic clock.
+        self._acknowledged: list[tuple[int, float]] = []
+        self.acknowledged_s = 0.0
+        self.read_s = 0.0
         self.revoked: dict[str, int] = {}
         self.faults: list[str] = []
 
-    async def put(self, version: int, *, api_keys: list[str]) -> None:
+    @property
+    def acknowledged(self) -> int:
+        """Return the highest version with a clear answer."""
+        return self._acknowledged[-1][0] if self._acknowledged else 0
+
+    async def put(
+        self,
+        version: int,
+        *,
+        api_keys: list[str],
+        is_wanted: Callable[[], bool] = lambda: True,
+    ) -> None:
         """Send a configuration until it is acknowledged."""
         body = json.dumps(_configuration(version, api_keys)).encode()
         self._sent[version] = body
@@ -46,46 +72,98 @@
                 )
                 return
             await asyncio.sleep(AGAIN_S)
-        self.acknowledged = version
+            if not is_wanted():
+                return
+        self.acknowledged_s = time.monotonic()
+        self._acknowledged.append((version, self.acknowledged_s))
         if callers.REVOKED_KEY not in api_keys:
             now_ms = clock.WallClock().now_ms()
             self.revoked.setdefault(callers.REVOKED_KEY, now_ms)
 
-    async def change_until(self, ends_s: float) -> None:
-        """Change the configuration until an instant; soon revoke a key."""
+    async def change_while(self, is_wanted: Callable[[], bool]) -> None:
+        """Change the configuration again and again; soon revoke a key."""
         api_keys = [callers.KEPT_KEY]
         version = self.acknowledged
-        while time.monotonic() < ends_s:
+        while is_wanted():
             version += 3
-            await self.put(version, api_keys=api_keys)
+            await self.put(version, api_keys=api_keys, is_wanted=is_wanted)
             await asyncio.sleep(CHANGE_EVERY_S)
 
-    async def read_back(self) -> None:
-        """Check that the newest version is still there, unchanged."""
-        ends_s = time.monotonic() + READ_TIMEOUT_S
-        while time.monotonic() < ends_s:
-            answer = await self._exchange('GET', b'')
-            if answer is not None and answer.status == 200:
-                self._compare(json.loads(answer.body))
-                return
-            await asyncio.sleep(AGAIN_S)
-        self.faults.append('the configuration can not be read back')
-
-    def _compare(self, found: dict) -> None:
+    async def read_while(self, is_wanted: Callable[[], bool]) -> None:
+        """Read the configuration again and again."""
+        while is_wanted():
+            await self._read(self._next_address())
+            await asyncio.sleep(READ_EVERY_S)
+
+    async def wait_for_acknowledgement(self) -> None:
+        """Return just after an order was acknowledged, or after a while."""
+        version, ends_s = self.acknowledged, time.monotonic() + NEXT_S
+        while self.acknowledged == version and time.monotonic() < ends_s:
+            await asyncio.sleep(POLL_S)
+
+    async def end(self) -> None:
+        """Check that an order is taken, and that all hosts know of it."""
+        version, ends_s = max(self._sent) + 1, time.monotonic() + END_TIMEOUT_S
+        await self.put(
+            version,
+            api_keys=[callers.KEPT_KEY],
+            is_wanted=lambda: time.monotonic() < ends_s,
+        )
+        if self.acknowledged < version:
+            self.faults.append('no order is acknowledged at the end')
+        await self._read_back()
+
+    async def _read_back(self) -> None:
+        """Check that each control host knows the newest version."""
+        ends_s = time.monotonic() + END_TIMEOUT_S
+        for address in list(self._addresses):
+            while not await self._read(address, least=self.acknowledged):
+                if time.monotonic() > ends_s:
+                    self.faults.append(
+                        f'the configuration can not be read back at {address}'
+                    )
+                    break
+                await asyncio.sleep(AGAIN_S)
+
+    async def _read(self, address: str, *, least: int | None = None) -> bool:
+        """Read at a control host; return whether it answered well.
+
+        :param least: the version that has to be known at least; None for
+            the newest one that was acknowledged a while ago.
+        """
+        sent_s = time.monotonic()
+        if least is None:
+            old_s = sent_s - PROPAGATION_MS / 1000
+            known = [one for one, at_s in self._acknowledged if at_s < old_s]
+            least = known[-1] if known else 0
+        answer = await self._exchange('GET', b'', address)
+        if answer is None or answer.status != 200:
+            return False
+        self._compare(json.loads(answer.body), least, address)
+        self.read_s = max(self.read_s, sent_s)
+        return True
+
+    def _compare(self, found: dict, least: int, address: str) -> None:
         version = found['version']
-        if version < self.acknowledged:
+        if version < least:
             self.faults.append(
-                f'version {version} is read back, '
-                f'{self.acknowledged} was acknowledged'
+                f'version {version} is read back at {address}, '
+                f'{least} was acknowledged'
             )
         elif found != json.loads(self._sent[version]):
             self.faults.append(f'version {version} is not what was sent')
 
-    async def _exchange(self, method: str, body: bytes) -> wire.Answer | None:
+    def _next_address(self) -> str:
+        self._turn += 1
+        return self._addresses[self._turn % len(self._addresses)]
+
+    async def _exchange(
+        self, method: str, body: bytes, address: str | None = None
+    ) -> wire.Answer | None:
         try:
             return await asyncio.wait_for(
                 wire.exchange(
-                    address=next(self._addresses),
+                    address=address or self._next_address(),
                     method=method,
                     target=names.CONFIGURATION,
                     body=body,
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -1,15 +1,23 @@
 """Tests of the soak's own judgement and plans, and a short soak."""
 
 import asyncio
+import pathlib
+import random
 import socket
+import tempfile
+import time
 import unittest
+from unittest import mock
 
 import attrs
 
 from testing.soak import checks
+from testing.soak import deployment
 from testing.soak import faults
 from testing.soak import notices
+from testing.soak import operator
 from testing.soak import relay
+from testing.soak import rounds
 from testing.soak import run
 from testing.soak import wire
 
@@ -24,6 +32,10 @@
 # A seed whose plan kills, freezes, wipes and cuts within five seconds.
 SHORT_SEED = 1
 SHORT_S = 5.0
+# A seed whose rounds replace the leader as planned, then lose a disk.
+ROUNDS_SEED = 37
+ROUNDS_S = 1.0
+ROUND_COUNT = 2
 
 
 def asked(**fields):
@@ -240,6 +252,147 @@
         self.assertGreater(lost, 0)
 
 
+class RoundsTest(unittest.TestCase):
+    """Rounds in which control hosts are replaced or lost."""
+
+    def test_rounds_follow_from_their_seed(self):
+        one, again, other = (
+            rounds.draw(seed=seed, count=3) for seed in (3, 3, 4)
+        )
+        self.assertEqual(one, again)
+        self.assertNotEqual(one, other)
+
+    def test_disks_are_lost_after_hosts_were_replaced(self):
+        drawn = [rounds.draw(seed=seed, count=3) for seed in range(50)]
+        first = {one.kind for each in drawn for one in each[:-1]}
+        self.assertEqual({*rounds.WEIGHTS}, first)
+        wiped = [each for each in drawn if each[-1].kind is faults.Kind.WIPE]
+        self.assertGreater(len(wiped), len(drawn) / 2)
+        others = [each[-1].kills_others for each in wiped]
+        self.assertIn(True, others)
+        self.assertIn(False, others)
+
+    def test_only_a_lost_disk_comes_with_the_end_of_all_others(self):
+        for seed in range(50):
+            for one in rounds.draw(seed=seed, count=3):
+                if one.kills_others:
+                    self.assertIs(faults.Kind.WIPE, one.kind)
+                    self.assertEqual(rounds.RECOVERED_S, one.served_s)
+
+    def test_what_comes_beside_a_loss_is_none_itself(self):
+        rng = random.Random(1)
+        for _ in range(200):
+            fault = faults.draw_beside(rng, targets=TARGETS)
+            if fault.target in TARGETS['control']:
+                self.assertIs(faults.Kind.RELOAD, fault.kind)
+
+
+class DeploymentTest(unittest.TestCase):
+    """Control hosts that come and go."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.running = deployment.Deployment(
+            folder=pathlib.Path(folder.name) / 'run', net='127.20.1'
+        )
+        self.running.prepare()
+
+    def seeds_of(self, name):
+        return self.running.parts[name].settings.discovery.seeds
+
+    def test_successor_has_an_address_of_its_own(self):
+        for _ in range(rounds.MOST_ROUNDS):
+            former = self.running.names('control')[0]
+            name = self.running.add_control()
+            self.running.remove_control(former)
+            self.assertNotIn(former, self.running.names('control'))
+        ports = {
+            part.settings.process.address
+            for part in self.running.parts.values()
+            if part.settings is not None
+        }
+        self.assertEqual(9 + 3, len(ports))
+        self.assertEqual(
+            [self.running.api_address_of(f'control-{i}') for i in (7, 8, 9)],
+            self.running.api_addresses,
+        )
+        discovery = self.running.parts[name].settings.discovery
+        self.assertFalse(discovery.may_found)
+
+    def test_successor_is_in_the_settings_of_all_that_stay(self):
+        name = self.running.add_control()
+        self.running.remove_control('control-1')
+        self.running.list_seeds(tuple(self.running.api_addresses))
+        address = self.running.api_address_of(name)
+        for other in ('control-2', 'control-3', 'gateway-1', name):
+            self.assertIn(address, self.seeds_of(other))
+        self.assertNotIn(address, self.seeds_of('control-1'))
+
+    def test_host_that_was_replaced_never_starts_again(self):
+        self.running.add_control()
+        self.running.remove_control('control-1')
+        self.running.start('control-1')
+        self.assertFalse(self.running.is_running('control-1'))
+
+
+class OperatorTest(unittest.IsolatedAsyncioTestCase):
+    """What the operator finds when it reads."""
+
+    def setUp(self):
+        self.held = b''
+        self.is_taking = self.is_up = True
+        self.operator = operator.Operator(addresses=['a', 'b'])
+        for target, name, value in (
+            (wire, 'exchange', self.exchange),
+            (operator, 'END_TIMEOUT_S', 0.1),
+        ):
+            patched = mock.patch.object(target, name, value)
+            patched.start()
+            self.addCleanup(patched.stop)
+
+    async def exchange(self, *, method, body, **_):
+        if not self.is_up:
+            raise ConnectionRefusedError
+        if method == 'PUT' and self.is_taking:
+            self.held = body
+        return wire.Answer(status=200, fields={}, body=self.held)
+
+    async def found_at_the_end(self):
+        await self.operator.put(1, api_keys=[])
+        await self.operator.put(4, api_keys=[])
+        await self.operator.end()
+        return self.operator.faults
+
+    async def test_newest_version_is_read_at_each_host(self):
+        self.assertEqual([], await self.found_at_the_end())
+
+    async def test_version_that_was_acknowledged_and_lost(self):
+        await self.operator.put(1, api_keys=[])
+        self.is_taking = False
+        found = await self.found_at_the_end()
+        self.assertEqual(2, len(found), found)
+
+    async def test_control_that_never_answers_again(self):
+        await self.operator.put(1, api_keys=[])
+        self.is_up = False
+        await self.operator.end()
+        self.assertEqual(3, len(self.operator.faults), self.operator.faults)
+
+    async def test_read_of_an_older_version_while_faults_go_on(self):
+        for after_ms, count in ((1900, 0), (2100, 1)):
+            with self.subTest(after_ms=after_ms):
+                self.operator.faults.clear()
+                self.is_taking = True
+                await self.operator.put(1, api_keys=[])
+                self.is_taking = False
+                await self.operator.put(4, api_keys=[])
+                at_s = time.monotonic() - after_ms / 1000
+                self.operator._acknowledged = [(1, 0.0), (4, at_s)]
+                await self.operator._read('a')
+                self.assertEqual(count, len(self.operator.faults))
+
+
 class RelayTest(unittest.IsolatedAsyncioTestCase):
     """What the relay does to connections is what networks do."""
 
@@ -285,7 +438,18 @@
     """The real programs under a few faults."""
 
     def test_promises_hold_under_a_short_plan(self):
-        result = run.run_seed(SHORT_SEED, SHORT_S)
+        result = run.run_seed(SHORT_SEED, SHORT_S, round_count=0)
+        self.assertEqual((), result.found, result)
+        self.assertGreater(result.served, 0)
+
+    def test_leader_is_replaced_as_planned_and_then_a_disk_is_lost(self):
+        drawn = rounds.draw(seed=ROUNDS_SEED, count=ROUND_COUNT)
+        self.assertTrue(drawn[0].is_leader)
+        self.assertEqual(
+            [faults.Kind.REPLACE, faults.Kind.WIPE],
+            [one.kind for one in drawn],
+        )
+        result = run.run_seed(ROUNDS_SEED, ROUNDS_S, round_count=ROUND_COUNT)
         self.assertEqual((), result.found, result)
         self.assertGreater(result.served, 0)
 
