Count silence on through new connections

What was seen: a connection that nothing answers is replaced after 2.5 s, and with each replacement its `silent_ms` began at 0 again. So it never got past 3 s, and whoever asks for more waited for ever: entries give an agent up at 4 s (`LOST_MS`), and connections between control hosts may be dropped at 10 s (`KEPT_SILENT_MS`).

Cause: one field held both when the other end was last heard and since when the present connection has been quiet. The entries' tests missed it, as their stand-in for a connection counts on.

Change: silence is counted from check to check and ends only when something is heard. Time for which this process itself stood still is left out, or an entry that was frozen would give up all its agents on waking, before their answers can arrive. When a connection is replaced is as before.

--- a/src/shallothinge/transport/link.py
+++ b/src/shallothinge/transport/link.py
@@ -17,6 +17,8 @@
 LOG = logging.getLogger(__name__)
 
 CHECK_MS = 500
+# Checks that come later than this show that this process stood still.
+LATE_CHECK_MS = 2 * CHECK_MS
 PING_MS = 1000
 SILENCE_MS = 2500
 ROUTE_BYTES = 12
@@ -62,7 +64,8 @@
         self._on_reset = on_reset
         self._closed = False
         self._reader = None
-        self._heard_ms = clock.now_ms()
+        self._checked_ms = clock.now_ms()
+        self._counted_silent_ms = 0
         self._greeted = False
         self._greeted_again_ms = clock.now_ms() - PING_MS
         self._connect()
@@ -72,8 +75,13 @@
 
     @property
     def silent_ms(self) -> int:
-        """Return how long nothing was heard, in milliseconds."""
-        return self._clock.now_ms() - self._heard_ms
+        """Return how long nothing was heard, in milliseconds.
+
+        Counts on through replacements: a new connection is no sign of life.
+        Leaves out the time for which this process itself stood still.
+        """
+        checked_ms = self._clock.now_ms() - self._checked_ms
+        return self._counted_silent_ms + min(checked_ms, LATE_CHECK_MS)
 
     def send(self, message: object) -> bool:
         """Send without waiting and without queueing while unconnected.
@@ -109,6 +117,7 @@
         socket.set(zmq.CURVE_SECRETKEY, self._key_pair.secret.encode())
         socket.connect(self._address)
         self._greeted = False
+        self._quiet_since_ms = self._clock.now_ms()
         self._reader = reader.SocketReader(
             reactor=self._reactor,
             socket=socket,
@@ -124,7 +133,7 @@
         return self._greeted
 
     def _receive(self, frames) -> None:
-        self._heard_ms = self._clock.now_ms()
+        self._note_heard()
         try:
             message = self._codec.decode(frames[-1].bytes)
         except wire.WireError:
@@ -153,9 +162,12 @@
     def _check_for_silence(self) -> None:
         if self._closed:
             return
-        if self.silent_ms > SILENCE_MS:
+        now_ms = self._clock.now_ms()
+        self._counted_silent_ms = self.silent_ms
+        self._checked_ms = now_ms
+        if now_ms - self._quiet_since_ms > SILENCE_MS:
             self._replace()
-        if self.silent_ms >= PING_MS:
+        if now_ms - self._quiet_since_ms >= PING_MS:
             self.send(messages.Ping())
         self._timer = self._reactor.callLater(
             CHECK_MS / 1000, self._check_for_silence
@@ -167,10 +179,14 @@
             extra={'address': self._address},
         )
         self._reader.close()
-        self._heard_ms = self._clock.now_ms()
         self._connect()
         self._tell_reset()
 
+    def _note_heard(self) -> None:
+        self._quiet_since_ms = self._clock.now_ms()
+        self._checked_ms = self._quiet_since_ms
+        self._counted_silent_ms = 0
+
     def _tell_reset(self) -> None:
         if self._on_reset is not None:
             self._on_reset()
--- /dev/null
+++ b/src/shallothinge/transport/tests/test_silence.py
@@ -0,0 +1,73 @@
+"""Tests of a connection to an endpoint that is gone, without a network."""
+
+import unittest
+
+from twisted.internet import testing
+import zmq
+
+from shallothinge import clock
+from shallothinge import protocol
+from shallothinge.transport import keys
+from shallothinge.transport import link
+from shallothinge.transport import messages
+
+STEP_MS = 100
+# Nobody listens there, and a connection to it is refused at once.
+NOBODY = 'tcp://127.0.0.1:1'
+
+
+class Frame:
+    """A received frame."""
+
+    def __init__(self, *, content: bytes):
+        self.bytes = content
+
+
+class SilenceTest(unittest.TestCase):
+    """One connection whose other end is silent."""
+
+    def setUp(self):
+        self.context = zmq.Context()
+        self.addCleanup(self.context.destroy, linger=0)
+        self.clock = clock.ManualClock()
+        self.reactor = testing.MemoryReactorClock()
+        self.codec = protocol.build_codec()
+        pair = keys.generate_key_pair(role='control')
+        self.link = link.Link(
+            reactor=self.reactor,
+            context=self.context,
+            address=NOBODY,
+            server_key=pair.public,
+            key_pair=pair,
+            hello=messages.Hello(process_id='c1', incarnation='1'),
+            codec=self.codec,
+            clock=self.clock,
+            on_message=lambda message: None,
+        )
+        self.addCleanup(self.link.close)
+
+    def advance(self, duration_ms):
+        for _ in range(duration_ms // STEP_MS):
+            self.clock.advance(duration_ms=STEP_MS)
+            self.reactor.advance(STEP_MS / 1000)
+
+    def hear(self):
+        content = self.codec.encode(messages.Pong())
+        self.link._receive([Frame(content=content)])
+
+    def test_silence_counts_on_through_new_connections(self):
+        for silent_ms in (2000, 5000, 30_000):
+            with self.subTest(silent_ms=silent_ms):
+                self.hear()
+                self.advance(silent_ms)
+                self.assertEqual(silent_ms, self.link.silent_ms)
+
+    def test_time_for_which_the_process_stood_still_is_no_silence(self):
+        self.advance(1000)
+        self.clock.advance(duration_ms=60_000)
+        self.reactor.advance(60)
+        self.assertLessEqual(self.link.silent_ms, 1000 + link.LATE_CHECK_MS)
+
+
+if __name__ == '__main__':
+    unittest.main()
