Log a lasting silence at 1, 2, 4, 8, ... new connections

What was seen: each process wrote `connection is silent; opening a new one` every 2.5 s for each host that was gone, to its end, and no line told when a silent host was heard again.

The pace of the connections stays as it is. Slowing it down was ruled out: a host that comes back after a long cut would be reached late by its leader, with two of three hosts left and a deadline of seconds.

Evidence: test_lines_about_one_silent_host_grow_with_its_logarithm failed before (no `replaced_count`); it now sees 8 lines in 600 s of silence.

--- a/src/shallothinge/transport/link.py
+++ b/src/shallothinge/transport/link.py
@@ -66,6 +66,7 @@
         self._reader = None
         self._checked_ms = clock.now_ms()
         self._counted_silent_ms = 0
+        self._replaced_count = 0
         self._greeted = False
         self._greeted_again_ms = clock.now_ms() - PING_MS
         self._connect()
@@ -174,15 +175,32 @@
         )
 
     def _replace(self) -> None:
-        LOG.info(
-            'connection is silent; opening a new one',
-            extra={'address': self._address},
-        )
+        """Open a new connection, logging it at 1, 2, 4, 8, ... in a row."""
+        self._replaced_count += 1
+        if _is_power_of_two(self._replaced_count):
+            LOG.info(
+                'connection is silent; opening a new one',
+                extra={
+                    'address': self._address,
+                    'silent_ms': self.silent_ms,
+                    'replaced_count': self._replaced_count,
+                },
+            )
         self._reader.close()
         self._connect()
         self._tell_reset()
 
     def _note_heard(self) -> None:
+        if self._replaced_count:
+            LOG.info(
+                'a silent connection is heard again',
+                extra={
+                    'address': self._address,
+                    'silent_ms': self.silent_ms,
+                    'replaced_count': self._replaced_count,
+                },
+            )
+        self._replaced_count = 0
         self._quiet_since_ms = self._clock.now_ms()
         self._checked_ms = self._quiet_since_ms
         self._counted_silent_ms = 0
@@ -190,3 +208,7 @@
     def _tell_reset(self) -> None:
         if self._on_reset is not None:
             self._on_reset()
+
+
+def _is_power_of_two(count: int) -> bool:
+    return count & (count - 1) == 0
--- a/src/shallothinge/transport/tests/test_silence.py
+++ b/src/shallothinge/transport/tests/test_silence.py
@@ -14,6 +14,7 @@
 STEP_MS = 100
 # Nobody listens there, and a connection to it is refused at once.
 NOBODY = 'tcp://127.0.0.1:1'
+SILENT_LINE = 'connection is silent; opening a new one'
 
 
 class Frame:
@@ -68,6 +69,26 @@
         self.reactor.advance(60)
         self.assertLessEqual(self.link.silent_ms, 1000 + link.LATE_CHECK_MS)
 
+    def test_lines_about_one_silent_host_grow_with_its_logarithm(self):
+        with self.assertLogs(link.LOG, 'INFO') as logged:
+            self.advance(600_000)
+            self.hear()
+        silent = [one for one in logged.records if one.msg == SILENT_LINE]
+        counts = [one.replaced_count for one in silent]
+        self.assertEqual([1, 2, 4, 8, 16, 32, 64, 128], counts)
+        self.assertEqual(
+            'a silent connection is heard again', logged.records[-1].msg
+        )
+        self.assertGreaterEqual(logged.records[-1].silent_ms, 590_000)
+
+    def test_later_silence_is_told_anew(self):
+        for _ in range(3):
+            with self.assertLogs(link.LOG, 'INFO') as logged:
+                self.advance(3100)
+                self.hear()
+            self.assertEqual(SILENT_LINE, logged.records[0].msg)
+            self.assertEqual(1, logged.records[0].replaced_count)
+
 
 if __name__ == '__main__':
     unittest.main()
