Let a replica use the seeds of changed settings

What was seen: gateways and the HTTP side of a control host take changed seeds at SIGHUP; its replica kept those of its start. A host with an empty or a removed replica announces itself to the seeds only, so once all of these were replaced it announced itself to addresses that are gone, for ever.

Change: the replica connects to the seeds of the changed settings too, and a replica that is opened later (after a full disk) starts with them.

Evidence: test_empty_host_joins_by_seeds_that_came_after_its_start failed before (the host never got its vote in 20 s).

--- a/src/shallothinge/control/hosting.py
+++ b/src/shallothinge/control/hosting.py
@@ -5,6 +5,8 @@
 import pathlib
 import random
 
+import attrs
+
 from shallothinge import clock as clocks
 from shallothinge.control import absent
 from shallothinge.control import api
@@ -48,6 +50,7 @@
         self._on_replaced = on_replaced
         self._on_failure = on_failure
         self._rng = rng
+        self._replica: replicas.Replica | None = None
         self._trying = None
         self._full_since_ms: int | None = None
 
@@ -79,9 +82,18 @@
                 extra={'after_ms': self._now_ms() - self._full_since_ms},
             )
             self._full_since_ms = None
+        self._replica = replica
         self._on_replaced(replica, machine)
         replica.start()
 
+    def follow_seeds(self, settings: model.ControlSettings) -> None:
+        """Use the seeds of changed settings, also for later replicas."""
+        self._settings = attrs.evolve(
+            self._settings, discovery=settings.discovery
+        )
+        if self._replica is not None:
+            self._replica.follow_seeds(self._settings)
+
     def close(self) -> None:
         """Open nothing any more."""
         if self._trying is not None and self._trying.active():
--- a/src/shallothinge/control/process.py
+++ b/src/shallothinge/control/process.py
@@ -34,6 +34,7 @@
         *,
         settings: model.ControlSettings,
         process: processes.Process,
+        changes: watch.SettingsWatch | None = None,
     ):
         self._settings = settings
         self._process = process
@@ -46,6 +47,8 @@
             make_machine=state.ControlState,
             on_replaced=self._serve,
         )
+        if changes is not None and settings.discovery is not None:
+            changes.subscribe(self._host.follow_seeds)
         self._endpoint = self._process.listen(on_message=self._receive)
         self._ticking = task.LoopingCall(self._tick)
         self._ticking.clock = reactor
@@ -158,7 +161,9 @@
         reactor=reactor, settings=settings.process, folder=folder
     )
     if settings.log.data_folder:
-        ControlProcess(settings=settings, process=process).start()
+        ControlProcess(
+            settings=settings, process=process, changes=changes
+        ).start()
     if settings.api.address:
         _serve_callers(settings=settings, process=process, changes=changes)
     reactor.run()
--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -143,6 +143,11 @@
         self._joining.fail_all(self._not_leader)
         self._stopping.close()
 
+    def follow_seeds(self, settings: settings_model.ControlSettings) -> None:
+        """Send to the control hosts that the settings name by now."""
+        if not self._closed:
+            self._links.follow_seeds(settings)
+
     def receive(self, peer, message: object) -> None:
         """Take a message of another control host.
 
--- a/src/shallothinge/control/replica_links.py
+++ b/src/shallothinge/control/replica_links.py
@@ -22,8 +22,14 @@
         self._process = process
         self._is_open = settings.discovery is not None
         self._links = {}
-        for host in discovery.hosts_of(settings):
-            if host.process_id != process.process_id:
+        self.follow_seeds(settings)
+
+    def follow_seeds(self, settings: settings_model.ControlSettings) -> None:
+        """Connect to the control hosts that the settings name by now."""
+        hosts = discovery.hosts_of(settings)
+        for host in hosts:
+            is_own = host.process_id == self._process.process_id
+            if not is_own and host.process_id not in self._links:
                 self._connect(host.process_id, host.address)
 
     def _connect(self, process_id: str, address: str):
--- a/src/shallothinge/control/tests/hosts.py
+++ b/src/shallothinge/control/tests/hosts.py
@@ -85,13 +85,23 @@
     hosts: 'Hosts'
     sender_id: str
     target_id: str
+    heard_ms: float
+
+    @property
+    def silent_ms(self):
+        """Return how long the other end was silent; it pings if alive."""
+        now_ms = self.hosts.reactor.seconds() * 1000
+        if self.hosts.reaches(self.sender_id, self.target_id):
+            self.heard_ms = now_ms
+        return now_ms - self.heard_ms
 
     def send(self, message):
         """Deliver in the next turn of the reactor."""
         return self.hosts.send(self.sender_id, self.target_id, message)
 
     def close(self):
-        """Nothing is held."""
+        """Be no longer listed among the open connections."""
+        self.hosts.links.remove(self)
 
 
 @attrs.define(kw_only=True)
@@ -106,11 +116,14 @@
 
     def connect(self, *, address, role, on_message):
         """Open a connection; the address tells the other host's id."""
-        return _Link(
+        opened = _Link(
             hosts=self.hosts,
             sender_id=self.process_id,
             target_id=address.removeprefix('tcp://'),
+            heard_ms=self.reactor.seconds() * 1000,
         )
+        self.hosts.links.append(opened)
+        return opened
 
 
 class Hosts:
@@ -140,6 +153,7 @@
         self.machines = {}
         self.failures = []
         self.cut = set()
+        self.links = []
         self._rng = random.Random(7)
         for host_id in host_ids:
             self.start(host_id)
@@ -226,6 +240,28 @@
         """Let a host's process go on with all that waited."""
         self.reactors[host_id].thaw()
 
+    def reload(self, *, seeds):
+        """Change the seeds in the settings of all hosts."""
+        self.seeds = seeds
+        settings = model.ControlSettings(
+            process=None, log=None, discovery=self._discovery(False)
+        )
+        for opener in self.openers.values():
+            opener.follow_seeds(settings)
+
+    def reaches(self, sender_id, target_id):
+        """Return whether a host is there and neither end is cut off."""
+        is_cut = self.cut & {sender_id, target_id}
+        return target_id in self.replicas and not is_cut
+
+    def linked_to(self, target_id):
+        """Return the ids of the hosts that hold a connection to one."""
+        return {
+            opened.sender_id
+            for opened in self.links
+            if opened.target_id == target_id
+        }
+
     def send(self, sender_id, target_id, message):
         """Deliver a message unless one end is cut off."""
         if self.cut & {sender_id, target_id}:
--- a/src/shallothinge/control/tests/test_discovery.py
+++ b/src/shallothinge/control/tests/test_discovery.py
@@ -102,6 +102,14 @@
         self.hosts.cut = set()
         self.run_until_voters({IDS[0], IDS[1], IDS[2], IDS[5]})
 
+    def test_empty_host_joins_by_seeds_that_came_after_its_start(self):
+        self.found(IDS[:3])
+        self.hosts.seeds = ('10.0.0.8:80', '10.0.0.9:80')
+        self.hosts.start(IDS[3])
+        self.hosts.run(5000)
+        self.hosts.reload(seeds=SEEDS)
+        self.run_until_voters(IDS[:4])
+
     def test_leader_is_elected_soon_after_all_were_restarted(self):
         self.found(IDS[:3])
         for host_id in IDS[:3]:
