Close connections to control hosts that are gone for good

Cause: `ReplicaLinks.keep` was there for this, but nothing called it, and it did not know of the seeds.

Change: the replica calls it once a second. Seeds and members stay however long they are silent, as they may come back; a host that is dropped is connected anew when something is sent to it.

--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -26,6 +26,7 @@
 LOG = logging.getLogger(__name__)
 
 TICKS_PER_HEARTBEAT = 4
+KEEP_LINKS_MS = 1000
 KEPT_DIVISOR = 4
 # A voter may be replaced by a new host once it was silent for longer than a
 # restart or an election takes.
@@ -102,6 +103,7 @@
         self._stopping = stopping.PlannedStop(node=self._node)
         self._led_term: int | None = None
         self._ready = False
+        self._keep_links_due_ms = 0
         self._flush_call = None
         self._tick_call = None
         self._closed = False
@@ -329,6 +331,9 @@
             change_refusals=self._node.take_change_refusals(),
         )
         self._stopping.tick(now_ms)
+        if now_ms >= self._keep_links_due_ms and not self._closed:
+            self._keep_links_due_ms = now_ms + KEEP_LINKS_MS
+            self._links.keep(self.member_ids)
         if not self._closed:
             self._tick_call = self._reactor.callLater(
                 self._tick_ms / 1000, self._tick
--- a/src/shallothinge/control/replica_links.py
+++ b/src/shallothinge/control/replica_links.py
@@ -1,9 +1,13 @@
 """Connections of a replica to the other control hosts."""
 
+import logging
+
 from shallothinge.consensus import model
 from shallothinge.control import discovery
 from shallothinge.settings import model as settings_model
 
+LOG = logging.getLogger(__name__)
+
 # Well past the time that a restarted host takes to be heard again.
 KEPT_SILENT_MS = 10_000
 
@@ -15,18 +19,21 @@
     here. What can not be sent is lost; the protocol sends it again.
 
     With discovery the ids of control hosts are their addresses, and a
-    connection is opened to each host that is sent to.
+    connection is opened to each host that is sent to. It is closed once the
+    host is silent and neither a seed nor a member.
     """
 
     def __init__(self, *, process, settings: settings_model.ControlSettings):
         self._process = process
         self._is_open = settings.discovery is not None
         self._links = {}
+        self._seed_ids: set[str] = set()
         self.follow_seeds(settings)
 
     def follow_seeds(self, settings: settings_model.ControlSettings) -> None:
         """Connect to the control hosts that the settings name by now."""
         hosts = discovery.hosts_of(settings)
+        self._seed_ids = {host.process_id for host in hosts}
         for host in hosts:
             is_own = host.process_id == self._process.process_id
             if not is_own and host.process_id not in self._links:
@@ -46,13 +53,18 @@
             return self._connect(process_id, address)
         return link
 
-    def keep(self, process_ids: tuple[str, ...]) -> None:
-        """Drop connections to hosts that neither seed nor take part."""
-        if not self._is_open or not process_ids:
+    def keep(self, member_ids: tuple[str, ...]) -> None:
+        """Close connections to silent hosts that are nobody's any more."""
+        if not self._is_open:
             return
-        for process_id in set(self._links) - set(process_ids):
-            if self._links[process_id].silent_ms > KEPT_SILENT_MS:
+        for process_id in set(self._links) - self._seed_ids - set(member_ids):
+            silent_ms = self._links[process_id].silent_ms
+            if silent_ms > KEPT_SILENT_MS:
                 self._links.pop(process_id).close()
+                LOG.info(
+                    'closed the connection to a control host that is gone',
+                    extra={'control_id': process_id, 'silent_ms': silent_ms},
+                )
 
     def meet(self, process_id: str) -> None:
         """Count a host that was heard of among those to announce to.
--- a/src/shallothinge/control/tests/test_discovery.py
+++ b/src/shallothinge/control/tests/test_discovery.py
@@ -102,6 +102,20 @@
         self.hosts.cut = set()
         self.run_until_voters({IDS[0], IDS[1], IDS[2], IDS[5]})
 
+    def test_connections_to_a_host_that_is_gone_for_good_are_closed(self):
+        rows = (('seed', IDS[0], 2), ('member', IDS[3], 3))
+        for name, gone_id, seed_count in rows:
+            with self.subTest(name):
+                self.setUp()
+                self.found(IDS[:4])
+                self.hosts.stop(gone_id)
+                self.hosts.start(IDS[5])
+                left = set(IDS[:4]) - {gone_id} | {IDS[5]}
+                self.run_until_voters(left)
+                self.hosts.reload(seeds=SEEDS[3 - seed_count :])
+                self.hosts.run(20_000)
+                self.assertEqual(set(), self.hosts.linked_to(gone_id))
+
     def test_empty_host_joins_by_seeds_that_came_after_its_start(self):
         self.found(IDS[:3])
         self.hosts.seeds = ('10.0.0.8:80', '10.0.0.9:80')
