Ask a control host that is gone no more

What callers saw: after control hosts had been replaced, a gateway or the HTTP side of a control host without a leader went through every host that it had ever heard of, those long gone too, and each process opened connections to them again for ever.

Cause: the client of control added hosts that the settings, a leader's list or a refusal named, and took none away: seeds that settings had replaced, members that control had removed, and leaders of former terms stayed.

Change: the client keeps the seeds of the newest settings, the hosts of the newest list and the leader named last; others are forgotten once they are silent for 5 s. One that still answers stays, as it may be the only one that is reached. Silent seeds and members are asked for ever.

Evidence: three of the new tests in test_client.py fail with the forgetting taken out (the host that is gone is among those tried after 60 s); the other two guard against forgetting too much.

--- a/src/shallothinge/control/process.py
+++ b/src/shallothinge/control/process.py
@@ -189,8 +189,8 @@
     client.start()
     if changes is not None and settings.discovery is not None:
         changes.subscribe(
-            lambda changed: client.learn_hosts(
-                discovery.seed_ids(changed.discovery)
+            lambda changed: client.follow_seeds(
+                tuple(host.process_id for host in _own_host_first(changed))
             )
         )
     api = control_api.ControlApi(
--- a/src/shallothinge/leases/client.py
+++ b/src/shallothinge/leases/client.py
@@ -3,6 +3,8 @@
 Keeps the lease alive and carries requests to whichever control host leads.
 """
 
+import logging
+
 import attrs
 from twisted.internet import defer
 
@@ -19,6 +21,10 @@
 URGENT_MS = 100
 ASK_RETRY_MS = 400
 IDLE_MS = 10_000
+# Past an election; below IDLE_MS, as a closed connection tells no silence.
+GONE_SILENT_MS = 5000
+
+LOG = logging.getLogger(__name__)
 
 
 @attrs.define(kw_only=True)
@@ -42,6 +48,9 @@
 class ControlClient:
     """Renews a lease and asks control, following the leader.
 
+    A host that the settings don't name and that control neither lists nor
+    names as the leader is forgotten once it is silent.
+
     :param hosts: the control hosts of the settings.
     :param holder: the lease to keep, or None for a terminal.
     :param learns_hosts: whether hosts that control names are asked too;
@@ -62,6 +71,9 @@
         self._learns_hosts = learns_hosts
         self._questions = {}
         self._addresses = {host.process_id: host.address for host in hosts}
+        self._seed_ids = frozenset(self._addresses)
+        self._listed_ids: frozenset[str] = frozenset()
+        self._named_leader_id = ''
         self._links = {}
         self._used_ms = {}
         self._order = list(self._addresses)
@@ -141,16 +153,38 @@
         if self._order[0] == process_id:
             self._order = self._order[1:] + self._order[:1]
 
-    def learn_hosts(self, process_ids: tuple[str, ...]) -> None:
-        """Note control hosts that may be asked."""
+    def follow_seeds(self, process_ids: tuple[str, ...]) -> None:
+        """Ask the control hosts that the settings name by now."""
+        self._seed_ids = frozenset(process_ids)
+        self._learn_hosts(process_ids)
+
+    def _learn_hosts(self, process_ids: tuple[str, ...]) -> None:
         for process_id in process_ids:
             if process_id not in self._addresses:
                 self._addresses[process_id] = f'tcp://{process_id}'
                 self._order.append(process_id)
 
+    def _forget_gone_hosts(self) -> None:
+        kept_ids = {*self._seed_ids, *self._listed_ids, self._named_leader_id}
+        for process_id in set(self._links) - kept_ids:
+            silent_ms = self._links[process_id].silent_ms
+            if silent_ms > GONE_SILENT_MS:
+                self._forget(process_id)
+                LOG.info(
+                    'a control host that is gone is asked no more',
+                    extra={'control_id': process_id, 'silent_ms': silent_ms},
+                )
+
+    def _forget(self, process_id: str) -> None:
+        self._links.pop(process_id).close()
+        self._used_ms.pop(process_id, None)
+        self._addresses.pop(process_id)
+        self._order.remove(process_id)
+
     def _prefer(self, leader_id: str) -> None:
-        if leader_id and self._learns_hosts:
-            self.learn_hosts((leader_id,))
+        if self._learns_hosts:
+            self._named_leader_id = leader_id
+            self._learn_hosts((leader_id,) if leader_id else ())
         if leader_id in self._addresses:
             self._order.remove(leader_id)
             self._order.insert(0, leader_id)
@@ -192,6 +226,7 @@
                 self._fail(question)
             else:
                 self._send(question.message)
+        self._forget_gone_hosts()
         self._close_idle_links()
         self._later(ASK_RETRY_MS, self._resend)
 
@@ -233,8 +268,9 @@
             self.renew_now()
 
     def _take_grant(self, grant: messages.LeaseGranted) -> None:
-        if self._learns_hosts:
-            self.learn_hosts(grant.control_ids)
+        if self._learns_hosts and grant.control_ids:
+            self._listed_ids = frozenset(grant.control_ids)
+            self._learn_hosts(grant.control_ids)
         version = self._holder.config.state_version
         if self._holder.granted(grant):
             self._renewed_ms = self._process.clock.now_ms()
--- a/src/shallothinge/leases/tests/test_client.py
+++ b/src/shallothinge/leases/tests/test_client.py
@@ -1,5 +1,6 @@
 """Tests of following the leader among control hosts."""
 
+import math
 import unittest
 
 from twisted.internet import task
@@ -10,7 +11,9 @@
 from shallothinge.leases import holder
 from shallothinge.leases import messages
 from shallothinge.membership.model import MembershipUpdate
+from shallothinge.operators import messages as operators
 from shallothinge.settings import model
+from shallothinge.transport import link
 
 HOST_IDS = ('control-1', 'control-2', 'control-3')
 STEP_MS = 10
@@ -27,18 +30,38 @@
         self.leader_id = HOST_IDS[0]
         self.known_leader_id = HOST_IDS[0]
         self.silent_ids = set()
+        self.control_ids = ()
+        self.takes_silent_ms = math.inf
+        self.links = []
 
     def connect(self, *, address, role, on_message):
         """Open a connection to a host, whose address is its id."""
-        return FakeLink(control=self, host_id=address, on_message=on_message)
+        opened = FakeLink(
+            control=self,
+            host_id=address.removeprefix('tcp://'),
+            on_message=on_message,
+        )
+        self.links.append(opened)
+        return opened
+
+    def linked_ids(self):
+        """Return the hosts to which a connection is open."""
+        return {opened.host_id for opened in self.links}
 
     def answer(self, host_id, request):
-        """Return a host's answer to a lease request."""
+        """Return a host's answer to a request."""
+        if isinstance(request, operators.DumpRequested):
+            return messages.ControlRefused(
+                request_id=request.request_id,
+                kind=ErrorKind.NOT_LEADER,
+                leader_id=self.known_leader_id,
+            )
         if host_id == self.leader_id:
             return messages.LeaseGranted(
                 sequence=request.sequence,
                 duration_ms=LEASE_MS,
                 state_version=0,
+                control_ids=self.control_ids,
             )
         return messages.LeaseRefused(
             sequence=request.sequence,
@@ -54,22 +77,31 @@
 
 
 class FakeLink:
-    """A connection that takes messages also for a silent host."""
+    """A connection that takes messages for a silent host, for a while."""
 
     def __init__(self, *, control, host_id, on_message):
         self._control = control
-        self._host_id = host_id
+        self.host_id = host_id
         self._on_message = on_message
+        self._heard_ms = control.clock.now_ms()
+
+    @property
+    def silent_ms(self):
+        """Return how long the host was silent; it pings if alive."""
+        if self.host_id not in self._control.silent_ids:
+            self._heard_ms = self._control.clock.now_ms()
+        return self._control.clock.now_ms() - self._heard_ms
 
     def send(self, message):
         """Deliver at once and answer in the next turn."""
-        if self._host_id not in self._control.silent_ids:
-            answer = self._control.answer(self._host_id, message)
+        if self.host_id not in self._control.silent_ids:
+            answer = self._control.answer(self.host_id, message)
             self._control.reactor.callLater(0.002, self._on_message, answer)
-        return True
+        return self.silent_ms <= self._control.takes_silent_ms
 
     def close(self):
-        """Nothing to close."""
+        """Be no longer listed among the open connections."""
+        self._control.links.remove(self)
 
 
 class FollowLeaderTest(unittest.TestCase):
@@ -150,3 +182,94 @@
         self._advance_with_lease(duration_ms=500)
         self.control.known_leader_id = 'control-3'
         self._advance_with_lease(duration_ms=10_000)
+
+
+class GoneHostTest(unittest.TestCase):
+    """Control hosts come and go; three are seeds at first."""
+
+    def setUp(self):
+        self.control = FakeControl()
+        self.control.takes_silent_ms = link.SILENCE_MS
+        self.holder = None
+
+    def _start(self, *, has_lease=True, leader_id=HOST_IDS[0]):
+        self.control.leader_id = self.control.known_leader_id = leader_id
+        if has_lease:
+            self.holder = holder.LeaseHolder(
+                clock=self.control.clock,
+                holder_id='e1',
+                incarnation='1',
+                role='entry',
+                wants_members=True,
+            )
+        self.client = client.ControlClient(
+            process=self.control,
+            hosts=tuple(
+                model.ControlHost(process_id=host_id, address=host_id)
+                for host_id in HOST_IDS
+            ),
+            holder=self.holder,
+            learns_hosts=True,
+        )
+        self.client.start()
+        self.addCleanup(self.client.close)
+        self.control.advance(duration_ms=2000)
+
+    def _lose(self, *host_ids):
+        """Let hosts be gone and control have no leader."""
+        self.control.silent_ids = set(host_ids)
+        self.control.leader_id = self.control.known_leader_id = ''
+
+    def _ask_for(self, duration_ms):
+        """Ask all the time; return which hosts are tried at the end."""
+        tried_ids = set()
+        for _ in range(duration_ms // 1000):
+            asked = self.client.ask(
+                operators.DumpRequested(request_id='r'), timeout_ms=900
+            )
+            asked.addErrback(lambda failure: None)
+            tried_ids = self.control.linked_ids()
+            self.control.advance(duration_ms=1000)
+        return tried_ids
+
+    def test_former_member_that_is_gone_is_asked_no_more(self):
+        self.control.control_ids = (*HOST_IDS, 'control-4')
+        self._start()
+        self.control.control_ids = HOST_IDS
+        self.control.advance(duration_ms=2000)
+        self._lose('control-4')
+        self.assertNotIn('control-4', self._ask_for(60_000))
+
+    def test_former_seed_that_is_gone_is_asked_no_more(self):
+        for has_lease in (True, False):
+            with self.subTest(has_lease=has_lease):
+                self.setUp()
+                self._start(has_lease=has_lease)
+                self.client.follow_seeds(HOST_IDS[1:])
+                self._lose(HOST_IDS[0])
+                tried_ids = self._ask_for(60_000)
+                self.assertEqual(set(HOST_IDS[1:]), tried_ids)
+
+    def test_former_leader_that_was_only_named_is_asked_no_more(self):
+        self._start(has_lease=False, leader_id='control-4')
+        self.assertIn('control-4', self._ask_for(3000))
+        self._lose('control-4')
+        self.assertEqual(set(HOST_IDS), self._ask_for(60_000))
+
+    def test_silent_seeds_and_members_are_asked_for_ever(self):
+        self.control.control_ids = (HOST_IDS[0], 'control-4')
+        self._start()
+        self._lose('control-4', HOST_IDS[2])
+        self._ask_for(60_000)
+        self.control.silent_ids = set(HOST_IDS)
+        self.control.leader_id = 'control-4'
+        self.control.advance(duration_ms=5000)
+        self.assertTrue(self.holder.is_valid())
+
+    def test_former_member_that_answers_is_still_asked(self):
+        self.control.control_ids = (*HOST_IDS, 'control-4')
+        self._start()
+        self.control.control_ids = HOST_IDS
+        self.control.advance(duration_ms=2000)
+        self._lose()
+        self.assertIn('control-4', self._ask_for(60_000))
