Hand the lead to a voter that is heard

What callers saw: a leader that stopped as planned could hand over to a voter that was gone: it took the one with the longest log, and of equal ones the first, heard or not. It then refuses proposals for an election timeout (1 s), and control has no leader until the others time out as well.

Change: a voter that missed a heartbeat is chosen last.

Evidence: test_planned_stop_hands_over_to_a_voter_that_is_heard failed before (handed to 'a', which had been dead for five heartbeats).

--- a/src/shallothinge/consensus/node.py
+++ b/src/shallothinge/consensus/node.py
@@ -19,6 +19,9 @@
 from shallothinge.consensus import state as states
 from shallothinge.consensus.model import Role
 
+# A voter that missed this many heartbeats may be gone.
+HEARD_HEARTBEATS = 1.5
+
 
 class Node:
     """One replica of the log.
@@ -223,7 +226,8 @@
     def transfer(self, now_ms: int) -> str:
         """Hand the leadership to the voter that holds the most.
 
-        One that leaves as well is chosen last.
+        One that is not heard, as it may be gone, or leaves as well is chosen
+        last.
 
         :returns: the voter's id, or '' if there is none to hand over to.
         """
@@ -231,10 +235,12 @@
         if state.role is not Role.LEADER or not state.other_voters:
             return ''
         progress = state.leadership.progress
+        limit_ms = HEARD_HEARTBEATS * state.timing.heartbeat_ms
         target = max(
             state.other_voters,
             key=lambda voter: (
                 progress[voter].leaving_ms is None,
+                now_ms - progress[voter].heard_ms <= limit_ms,
                 progress[voter].match_index,
             ),
         )
--- a/src/shallothinge/consensus/tests/test_node.py
+++ b/src/shallothinge/consensus/tests/test_node.py
@@ -432,3 +432,14 @@
         self.simulated.flush(self.leader)
         self.simulated.run(2 * cluster.TIMING.heartbeat_ms)
         self.assertEqual(target, self.simulated.leader().disk.replica_id)
+
+    def test_planned_stop_hands_over_to_a_voter_that_is_heard(self):
+        for gone_id in sorted(set('abc') - {self.leader.process_id}):
+            with self.subTest(gone=gone_id):
+                self.setUp()
+                self.simulated.run(500)
+                self.simulated.kill(gone_id)
+                self.simulated.run(500)
+                self.assertIs(self.leader, self.simulated.leader())
+                target = self.leader.node.transfer(self.simulated.now_ms)
+                self.assertNotEqual(gone_id, model.process_id_of(target))
