Try a silent control host on one connection

What was seen: without a leader, a client of control goes through all hosts. Its connection to a silent one counted as unused, as nothing could be sent on it; it was closed after 10 s and a new one was opened at the next try.

Change: a try counts as use. A connection that is not tried is still closed after 10 s.

Evidence: test_silent_host_is_tried_on_one_connection failed before (more than one connection opened in 60 s).

--- a/src/shallothinge/leases/client.py
+++ b/src/shallothinge/leases/client.py
@@ -124,8 +124,8 @@
 
     def _send(self, message: object) -> bool:
         for process_id in self._order:
+            self._used_ms[process_id] = self._process.clock.now_ms()
             if self._link_to(process_id).send(message):
-                self._used_ms[process_id] = self._process.clock.now_ms()
                 return True
             self._rotate(process_id)
         return False
@@ -137,7 +137,6 @@
                 role='control',
                 on_message=self._receive,
             )
-            self._used_ms[process_id] = self._process.clock.now_ms()
         return self._links[process_id]
 
     def _close_idle_links(self) -> None:
--- a/src/shallothinge/leases/tests/test_client.py
+++ b/src/shallothinge/leases/tests/test_client.py
@@ -33,6 +33,7 @@
         self.control_ids = ()
         self.takes_silent_ms = math.inf
         self.links = []
+        self.opened_ids = []
 
     def connect(self, *, address, role, on_message):
         """Open a connection to a host, whose address is its id."""
@@ -42,6 +43,7 @@
             on_message=on_message,
         )
         self.links.append(opened)
+        self.opened_ids.append(opened.host_id)
         return opened
 
     def linked_ids(self):
@@ -273,3 +275,10 @@
         self.control.advance(duration_ms=2000)
         self._lose()
         self.assertIn('control-4', self._ask_for(60_000))
+
+    def test_silent_host_is_tried_on_one_connection(self):
+        self._start()
+        self._lose(HOST_IDS[0])
+        self.control.opened_ids.clear()
+        self._ask_for(60_000)
+        self.assertLessEqual(self.control.opened_ids.count(HOST_IDS[0]), 1)
