Ask another control host after a question without an answer

What callers saw: once the leader had lost its power, orders through the HTTP side of another control host failed until the connection to the dead host was replaced, 2.5 to 3 s later: a connection takes messages until its silence shows, each order was given up after 0.9 s, and the next one went to the same host. Holders of leases turn to another host after an unanswered renewal; who has no lease did not.

Change: a question that ends without an answer turns the client to the next host, which names the leader if it is none.

Evidence: test_question_after_an_unanswered_one_asks_another_host failed before (no other host was asked).

--- a/src/shallothinge/leases/client.py
+++ b/src/shallothinge/leases/client.py
@@ -34,6 +34,7 @@
     message: object
     answered: defer.Deferred
     ends_ms: int
+    asked_id: str = ''
 
 
 def id_of(message: object) -> str:
@@ -119,9 +120,13 @@
             ends_ms=self._process.clock.now_ms() + timeout_ms,
         )
         self._questions[id_of(message)] = question
-        self._send(message)
+        self._send_question(question)
         return question.answered
 
+    def _send_question(self, question: _Question) -> None:
+        if self._send(question.message):
+            question.asked_id = self._order[0]
+
     def _send(self, message: object) -> bool:
         for process_id in self._order:
             self._used_ms[process_id] = self._process.clock.now_ms()
@@ -222,9 +227,11 @@
         for key, question in list(self._questions.items()):
             if now_ms >= question.ends_ms:
                 del self._questions[key]
+                # A host that is gone takes messages until its silence shows.
+                self._rotate(question.asked_id)
                 self._fail(question)
             else:
-                self._send(question.message)
+                self._send_question(question)
         self._forget_gone_hosts()
         self._close_idle_links()
         self._later(ASK_RETRY_MS, self._resend)
@@ -256,7 +263,7 @@
         self._prefer(leader_id)
         question = self._questions.get(refusal.request_id)
         if question is not None and is_new:
-            self._send(question.message)
+            self._send_question(question)
 
     def _take_lease_refusal(self, refusal: messages.LeaseRefused) -> None:
         """Ask the leader that was named at once, others after a while."""
--- a/src/shallothinge/leases/tests/test_client.py
+++ b/src/shallothinge/leases/tests/test_client.py
@@ -34,6 +34,7 @@
         self.takes_silent_ms = math.inf
         self.links = []
         self.opened_ids = []
+        self.asked_ids = []
 
     def connect(self, *, address, role, on_message):
         """Open a connection to a host, whose address is its id."""
@@ -52,6 +53,7 @@
 
     def answer(self, host_id, request):
         """Return a host's answer to a request."""
+        self.asked_ids.append(host_id)
         if isinstance(request, operators.DumpRequested):
             return messages.ControlRefused(
                 request_id=request.request_id,
@@ -225,10 +227,9 @@
     def _ask_for(self, duration_ms):
         """Ask all the time; return which hosts are tried at the end."""
         tried_ids = set()
-        for _ in range(duration_ms // 1000):
-            asked = self.client.ask(
-                operators.DumpRequested(request_id='r'), timeout_ms=900
-            )
+        for number in range(duration_ms // 1000):
+            question = operators.DumpRequested(request_id=f'r{number}')
+            asked = self.client.ask(question, timeout_ms=900)
             asked.addErrback(lambda failure: None)
             tried_ids = self.control.linked_ids()
             self.control.advance(duration_ms=1000)
@@ -282,3 +283,13 @@
         self.control.opened_ids.clear()
         self._ask_for(60_000)
         self.assertLessEqual(self.control.opened_ids.count(HOST_IDS[0]), 1)
+
+    def test_question_after_an_unanswered_one_asks_another_host(self):
+        self.control.takes_silent_ms = math.inf
+        self._start(has_lease=False)
+        self._ask_for(1000)
+        self.control.silent_ids = {HOST_IDS[0]}
+        self.control.leader_id = self.control.known_leader_id = HOST_IDS[2]
+        self.control.asked_ids.clear()
+        self._ask_for(2000)
+        self.assertIn(HOST_IDS[2], self.control.asked_ids)
