--- a/src/shallothinge/control/tests/hosts.py
+++ b/src/shallothinge/control/tests/hosts.py
@@ -56,6 +56,10 @@
         self._reactor = reactor
         self._waiting = None
 
+    def seconds(self):
+        """Return the time, which a frozen process misses nothing of."""
+        return self._reactor.seconds()
+
     def callLater(self, delay_s, call, *args):
         """Call later, once the process is not frozen."""
         return self._reactor.callLater(delay_s, self.run, call, *args)
