Hand over and leave also when others stop or are lost at the same moment

Cause, in three places of the planned stop: - a leader that was handing over still appended a change of the voters. The successor had been asked to stand before; it lacked the entry, and those that held it, who both left, refused their votes and did not stand either; - a replica that leaves did not stand for election, also where it alone held the whole log, and one that was elected while leaving ended at once; - a replica waited at most 1 s for a leader to take its vote, less than two elections.

Change: no change of the voters while the leader hands over, as for commands; a leader whose chosen successor leaves as well, or that is elected while it leaves, hands over to another; a replica that leaves stands for election but takes the lead from nobody; it waits up to 5 s, with the hand-over below the time until SIGKILL. One of three voters with nobody waiting for a vote leaves at once, as nothing could be settled.

--- a/src/shallothinge/consensus/election.py
+++ b/src/shallothinge/consensus/election.py
@@ -151,7 +151,7 @@
     def _time_out(self, now_ms: int) -> None:
         state = self._state
         state.reset_election_timer(now_ms=now_ms)
-        if not state.is_voter or state.is_leaving:
+        if not state.is_voter:
             state.set_role(Role.FOLLOWER)
             return
         state.set_role(Role.PRE_CANDIDATE)
--- a/src/shallothinge/consensus/leaving.py
+++ b/src/shallothinge/consensus/leaving.py
@@ -1,5 +1,6 @@
 """A replica whose process is about to stop, and tells the leader so."""
 
+from shallothinge.consensus import membership
 from shallothinge.consensus import messages
 from shallothinge.consensus import state as states
 from shallothinge.consensus.model import Role
@@ -22,9 +23,22 @@
         return self._settled
 
     def start(self) -> None:
-        """Stand for election no more and begin to ask the leader."""
+        """Take the lead from no one any more and begin to ask the leader.
+
+        If nobody else holds the whole log this replica still stands for
+        election, and hands over.
+        """
         self._state.is_leaving = True
-        self._settled = not self._state.is_voter
+        self._settled = not self._may_lose_vote()
+
+    def _may_lose_vote(self) -> bool:
+        """Return whether the leader might go on without this vote."""
+        state = self._state
+        if not state.is_voter or not state.timing.replace_silent_ms:
+            return False
+        configuration = state.configuration
+        is_surplus = len(configuration.voters) > membership.LEAST_VOTERS
+        return is_surplus or bool(configuration.learners)
 
     def tick(self) -> None:
         """Ask whichever replica leads."""
--- a/src/shallothinge/consensus/membership.py
+++ b/src/shallothinge/consensus/membership.py
@@ -101,6 +101,8 @@
         state = self._state
         if state.leadership is None:
             return
+        if state.leadership.transfer_to == message.sender_id:
+            state.leadership.transfer_to = ''
         progress = state.leadership.progress.get(message.sender_id)
         if progress is not None:
             progress.leaving_ms = now_ms
@@ -208,6 +210,9 @@
         state = self._state
         if state.leadership is None:
             return self._refused('not the leader')
+        if state.leadership.transfer_to:
+            # The successor would lack the entry, and not be voted for.
+            return self._refused('the leader is handing over')
         if state.commit_index < state.leadership.first_index:
             return self._refused('the leader has not committed an entry yet')
         if state.commit_index < state.log.configuration_index:
--- a/src/shallothinge/consensus/node.py
+++ b/src/shallothinge/consensus/node.py
@@ -114,6 +114,12 @@
         """
         return not self._state.leader_id
 
+    @property
+    def is_handing_over(self) -> bool:
+        """Return whether a successor was asked to stand for election."""
+        leadership = self._state.leadership
+        return leadership is not None and bool(leadership.transfer_to)
+
     @property
     def is_leaving(self) -> bool:
         """Return whether the process of this replica is about to stop."""
--- a/src/shallothinge/control/stopping.py
+++ b/src/shallothinge/control/stopping.py
@@ -5,12 +5,15 @@
 from shallothinge.consensus import model
 from shallothinge.consensus import node as nodes
 
+# Several elections, as the leader may be lost just then and this vote be
+# needed; with the hand-over well below the time until a SIGKILL.
+LEAVE_MS = 5000
+
 
 class PlannedStop:
     """What a replica settles with the others before its process ends.
 
-    Neither step takes longer than an election: what is not done by then is
-    done by the others once they miss this host.
+    What is not done in time is done by the others once they miss this host.
     """
 
     def __init__(self, *, node: nodes.Node):
@@ -38,7 +41,7 @@
             not say so in time.
         """
         self._node.leave()
-        self._leave_ends_ms = now_ms + self._node.timing.election_max_ms
+        self._leave_ends_ms = now_ms + LEAVE_MS
         left = _waiting(self._leaving)
         self.tick(now_ms)
         return left
@@ -47,8 +50,21 @@
         """Fire what is done or took too long."""
         if now_ms >= self._hand_over_ends_ms:
             self.leads_no_more()
+        if self._node.has_left or now_ms >= self._leave_ends_ms:
+            _fire(self._leaving)
+        if self._handing_over or self._leaving:
+            self._find_successor(now_ms)
+
+    def _find_successor(self, now_ms: int) -> None:
+        """Ask another voter, if this one leads and nobody is asked.
+
+        The one that was asked may stop as well, and a vote that was under
+        way may make a replica the leader that already leaves.
+        """
         leads = self._node.role is model.Role.LEADER
-        if self._node.has_left or leads or now_ms >= self._leave_ends_ms:
+        if not leads or self._node.is_handing_over:
+            return
+        if not self._node.transfer(now_ms):
             _fire(self._leaving)
 
     def leads_no_more(self) -> None:
