Look at each byte of a stream once

A stream whose event came in very small pieces, or that consisted of very many small events, held up the other requests of its gateway: for each piece or event the splitter copied and searched all that was waiting.

The bytes wait in a bytearray, are searched from where the last search ended, and are removed once a read.

--- a/src/shallothinge/http1/event_stream.py
+++ b/src/shallothinge/http1/event_stream.py
@@ -1,9 +1,14 @@
 """Splits a stream of server-sent events into whole events."""
 
+import re
+
 import attrs
 
 MAX_EVENT_BYTES = 1024 * 1024
 ID_FIELD = b'id'
+_BLANK_LINE = re.compile(rb'\n\n|\r\n\r\n')
+# Of a blank line, as much may have come with earlier bytes.
+_BLANK_LINE_START_BYTES = 3
 
 
 class EventTooLong(ValueError):
@@ -29,41 +34,34 @@
     """
 
     def __init__(self):
-        self._waiting = b''
+        self._waiting = bytearray()
 
     @property
     def rest(self) -> bytes:
         """Return the bytes after the last whole event."""
-        return self._waiting
+        return bytes(self._waiting)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that end in these bytes.
 
+        Each byte is looked at once, however small the pieces are.
+
         :raises EventTooLong: if an event exceeds ``MAX_EVENT_BYTES``.
         """
+        search_from = max(0, len(self._waiting) - _BLANK_LINE_START_BYTES)
         self._waiting += data
         events = []
-        while True:
-            end = _end_of_event(self._waiting)
-            if end < 0:
-                break
-            text, self._waiting = self._waiting[:end], self._waiting[end:]
+        start = 0
+        for found in _BLANK_LINE.finditer(self._waiting, search_from):
+            text = bytes(self._waiting[start : found.end()])
+            start = found.end()
             events.append(StreamEvent(data=text, event_id=_id_of(text)))
+        del self._waiting[:start]
         if len(self._waiting) > MAX_EVENT_BYTES:
             raise EventTooLong(f'an event exceeds {MAX_EVENT_BYTES} bytes')
         return events
 
 
-def _end_of_event(data: bytes) -> int:
-    """Return the index after the first blank line, or -1."""
-    ends = [
-        found + len(mark)
-        for mark in (b'\n\n', b'\r\n\r\n')
-        if (found := data.find(mark)) >= 0
-    ]
-    return min(ends, default=-1)
-
-
 def _id_of(event: bytes) -> str:
     for line in event.splitlines():
         name, _, value = line.partition(b':')
--- a/src/shallothinge/http1/tests/test_client.py
+++ b/src/shallothinge/http1/tests/test_client.py
@@ -110,6 +110,27 @@
         )
         self.assertEqual(b'x', splitter.rest)
 
+    def test_events_are_the_same_in_pieces_of_any_size(self):
+        text = b'id: 1\n\n\n\n\r\n\r\nid:2\r\n\r\n\n\nx\r\n\r\n\r\n\n\ny\r\n\r'
+        whole = event_stream.EventSplitter()
+        expected = [(one.event_id, one.data) for one in whole.feed(text)]
+        for size in range(1, len(text)):
+            with self.subTest(size=size):
+                splitter = event_stream.EventSplitter()
+                events = []
+                for start in range(0, len(text), size):
+                    events += splitter.feed(text[start : start + size])
+                self.assertEqual(
+                    expected, [(one.event_id, one.data) for one in events]
+                )
+                self.assertEqual(whole.rest, splitter.rest)
+
+    def test_event_that_comes_byte_by_byte_is_not_read_again_each_time(self):
+        splitter = event_stream.EventSplitter()
+        with self.assertRaises(event_stream.EventTooLong):
+            for _ in range(event_stream.MAX_EVENT_BYTES + 1):
+                splitter.feed(b'x')
+
     def test_event_without_end(self):
         splitter = event_stream.EventSplitter()
         with self.assertRaises(event_stream.EventTooLong):
