Bound what frames an answer, and its body, where it is read

A backend server in trouble could keep a gateway reading one answer until the request's deadline: interim answers (1xx) without end, and bodies in very short chunks, of which next to nothing counts as body. That took processor time from all other requests of the process.

The tests play each shape of endless bytes on connections in memory, for a call that may not be repeated, one that may, and a stream. Already bounded, and kept as rows: an endless status line, header line, header lines, folded line, chunk size, chunk extension, trailer line and trailer lines (h11's limit, now a constant of ours), bodies in one piece (16 MiB), an event without end, bytes after a whole answer, and what follows the head of a refusal as not run.

All of an answer is counted in ClientExchange: what is not body may be 64 KiB and an eighth of the body more (of a stream: as much as the body). The limit of the body moves there from the gateway's attempt, so that it holds for whoever reads an answer and does not say that it is a stream. One turn of the reactor reads 8 KiB of an answer, not 64. The failure counts as bytes that are no answer: 502 or another server, and the server is avoided.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -16,8 +16,6 @@
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
 
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
-
 
 @attrs.frozen(kw_only=True)
 class Outcome:
@@ -200,6 +198,7 @@
         else:
             self._answer = answer
             if self._streams():
+                self._exchange.read_as_stream()
                 self._owner.on_stream_head(answer)
 
     def on_data(self, data: bytes) -> None:
@@ -208,8 +207,6 @@
             return
         if not self._streams():
             self._body += data
-            if len(self._body) > MAX_ANSWER_BYTES:
-                self._fail(Cause.BROKEN, detail='the answer is too long')
             return
         try:
             events = self._splitter.feed(data)
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -67,7 +67,15 @@
     def __init__(self):
         self.calls = []
 
-    def call(self, *, address, head, body, listener, may_send=None):
+    def call(
+        self,
+        *,
+        address,
+        head,
+        body,
+        listener,
+        may_send=None,
+    ):
         """Note a call; the test plays the answer."""
         call = Call(
             address=address,
@@ -95,6 +103,9 @@
         """Note that the request was dropped."""
         self.is_cancelled = True
 
+    def read_as_stream(self):
+        """Take the note without effect: bodies of tests are short."""
+
     def answer(self, status, *, headers=SIGNED, body=b'', ends=True):
         """Play an answer."""
         self.listener.on_head(
@@ -167,11 +178,18 @@
 class Rig:
     """Gateway parts around fakes."""
 
-    def __init__(self, *, configuration=None, server_count=3):
-        self.reactor = task.Clock()
+    def __init__(
+        self,
+        *,
+        configuration=None,
+        server_count=3,
+        reactor=None,
+        caller=None,
+    ):
+        self.reactor = reactor or task.Clock()
         self.clock = clock.ManualClock(start_ms=1000)
         self.holder = Holder()
-        self.caller = Caller()
+        self.caller = caller or Caller()
         self.load = fleet.FleetLoad(clock=self.clock)
         rng = random.Random(1)
         self.parts = shared.Parts(
--- /dev/null
+++ b/src/shallothinge/gateway/tests/test_endless.py
@@ -0,0 +1,225 @@
+"""Tests of backend servers whose bytes do not end."""
+
+import unittest
+
+from shallothinge.gateway.tests import rig
+from shallothinge.gateway.tests import test_forwarding
+from shallothinge.gateway.tests import wires
+from shallothinge.http1 import client
+from shallothinge.platform.tests import samples
+
+BOOKING = test_forwarding.BOOKING
+STREAM = test_forwarding.STREAM
+SAFE = '/safe/1'
+
+# The longest whole answer, what frames it, and what a kernel hands out.
+MOST_BYTES = client.BODY_BYTES + 1024 * 1024
+HEAD = wires.signed(200)
+CHUNKED = wires.signed(200, 'Transfer-Encoding: chunked', '')
+ENDLESS_HEADS = (
+    ('status line', b'HTTP/1.1 200 ', b'x'),
+    ('no answer at all', b'', b'\x00\xff'),
+    ('no answer, in lines', b'', b'x\r\n'),
+    ('blank lines', b'', b'\r\n'),
+    ('header line', HEAD + b'X: ', b'x'),
+    ('header lines', HEAD, b'X: y\r\n'),
+    ('folded header line', HEAD + b'X: y\r\n', b' z\r\n'),
+    ('interim answers', b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+    ('early hints', b'', b'HTTP/1.1 103 X\r\nLink: a\r\n\r\n'),
+)
+ENDLESS_BODIES = (
+    ('body until the close', HEAD + b'\r\n', b'x'),
+    (
+        'body of a huge length',
+        wires.signed(200, f'Content-Length: {10**15}', ''),
+        b'x',
+    ),
+    ('long chunks', CHUNKED, b'1000\r\n' + b'x' * 4096 + b'\r\n'),
+    ('chunks of eight', CHUNKED, b'8\r\nabcdefgh\r\n'),
+    ('short chunks', CHUNKED, b'1\r\nx\r\n'),
+    ('one chunk', CHUNKED + b'ffffffffffff\r\n', b'x'),
+    ('chunk size', CHUNKED, b'0'),
+    ('chunk extension', CHUNKED + b'1;x=', b'x'),
+    ('extensions of short chunks', CHUNKED, b'1;' + b'x' * 999 + b'\r\nx\r\n'),
+    ('trailer line', CHUNKED + b'0\r\nX: ', b'x'),
+    ('trailer lines', CHUNKED + b'0\r\n', b'X: y\r\n'),
+    ('failure', wires.signed(500, ''), b'x'),
+)
+ENDLESS = ENDLESS_HEADS + ENDLESS_BODIES
+
+
+def configuration():
+    """Return routes of each kind; all but the stream's end at ``desk``."""
+    fields = test_forwarding.only_engines()
+    fields['routes'][0]['target-latency-ms'] = 3000
+    fields['routes'][0]['timeout-ms'] = 15000
+    fields['routes'].append(
+        samples.route(
+            name='r-3',
+            host='a.example',
+            prefix='/safe/',
+            kind='safe',
+            service='desk',
+            timeout_ms=5000,
+            objective_ms=300,
+            attempts=2,
+        )
+    )
+    return fields
+
+
+class EndlessTest(unittest.TestCase):
+    """Whatever a server sends, a gateway takes a bounded part of it."""
+
+    def setUp(self):
+        self.reactor = wires.Reactor()
+        self.rig = rig.Rig(
+            configuration=configuration(),
+            reactor=self.reactor,
+            caller=client.Caller(
+                reactor=self.reactor, connect_timeout_ms=1000
+            ),
+        )
+
+    def start(self, target, *, tokens=0):
+        """Send a request; return it with the connections for it."""
+        exchange = self.rig.request(target, tokens=tokens, deadline_ms=15_000)
+        self.rig.advance(0)
+        return exchange
+
+    def server_at(self, address):
+        return self.rig.server_at(address).server_id
+
+    def is_avoided(self, address):
+        """Return whether a server's standing has suffered."""
+        server = self.rig.server_at(address)
+        candidates = self.rig.parts.servers.candidates(
+            service=server.services[0], tried_ids=frozenset()
+        )
+        ids = [candidate.server_id for candidate in candidates]
+        return server.server_id not in ids
+
+    def assert_given_up(self, wire, first, again):
+        """The connection is closed soon, and other requests go on."""
+        is_given_up = wire.pour(first, again, most_bytes=2 * MOST_BYTES)
+        self.assertTrue(is_given_up, f'{wire.poured_bytes} bytes taken')
+        self.assertLess(wire.poured_bytes, MOST_BYTES)
+        self.assertTrue(wire.transport.disconnecting)
+
+    def assert_logged_once(self, logs, address):
+        lines = [
+            record
+            for record in logs.records
+            if record.getMessage() == 'attempt failed'
+            and record.server_id == self.server_at(address)
+        ]
+        self.assertEqual(1, len(lines))
+        self.assertEqual(rig.REQUEST_ID, lines[0].request_id)
+        self.assertEqual('broken', lines[0].cause)
+        self.assertTrue(lines[0].detail)
+        self.assertLess(len(lines[0].detail), 200)
+
+    def test_call_that_may_have_run_gets_an_answer_that_promises_nothing(self):
+        for name, first, again in ENDLESS:
+            with self.subTest(name):
+                self.setUp()
+                exchange = self.start(BOOKING)
+                (wire,) = self.reactor.wires
+                with self.assertLogs('shallothinge.gateway') as logs:
+                    self.assert_given_up(wire, first, again)
+                self.assertEqual(502, exchange.status)
+                self.rig.advance(0)
+                self.assertEqual(1, len(self.reactor.wires))
+                self.assert_logged_once(logs, wire.address)
+                self.assertTrue(self.is_avoided(wire.address))
+                self.assertEqual({}, self.rig.load.loads())
+
+    def test_repeatable_call_is_answered_by_another_server(self):
+        for name, first, again in ENDLESS:
+            with self.subTest(name):
+                self.setUp()
+                exchange = self.start(SAFE)
+                (wire,) = self.reactor.wires
+                with self.assertLogs('shallothinge.gateway') as logs:
+                    self.assert_given_up(wire, first, again)
+                self.assertIsNone(exchange.status)
+                self.rig.advance(0)
+                other = self.reactor.wires[1]
+                self.assertNotEqual(wire.address, other.address)
+                other.send(wires.signed(200, 'Content-Length: 2', '') + b'ok')
+                self.assertEqual(
+                    (200, b'ok'), (exchange.status, exchange.received)
+                )
+                self.assert_logged_once(logs, wire.address)
+                self.assertTrue(self.is_avoided(wire.address))
+
+    def test_stream_goes_on_at_another_server(self):
+        for name, first, again in ENDLESS:
+            with self.subTest(name):
+                self.setUp()
+                exchange = self.start(STREAM, tokens=5000)
+                (wire,) = self.reactor.wires
+                with self.assertLogs('shallothinge.gateway') as logs:
+                    self.assert_given_up(wire, first, again)
+                self.assertIsNone(exchange.status)
+                self.rig.advance(0)
+                other = self.reactor.wires[1]
+                other.send(CHUNKED + b'f\r\nid: 1\ndata: 1\n\n\r\n0\r\n\r\n')
+                self.assertEqual(b'id: 1\ndata: 1\n\n', exchange.received)
+                self.assertTrue(exchange.is_whole)
+                self.assert_logged_once(logs, wire.address)
+                self.assertTrue(self.is_avoided(wire.address))
+
+    def test_stream_that_has_begun_goes_on_without_the_endless_event(self):
+        exchange = self.start(STREAM, tokens=5000)
+        (wire,) = self.reactor.wires
+        wire.send(HEAD + b'\r\nid: 1\ndata: 1\n\n')
+        self.assert_given_up(wire, b'id: 2\ndata: ', b'x')
+        self.rig.advance(0)
+        other = self.reactor.wires[1]
+        self.assertIn(b'last-event-id: 1\r\n', other.request.lower())
+        other.send(HEAD + b'\r\nid: 2\ndata: 2\n\n')
+        other.close()
+        self.assertEqual(
+            b'id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n', exchange.received
+        )
+        self.assertTrue(exchange.is_whole)
+
+    def test_stream_of_many_events_is_not_cut(self):
+        exchange = self.start(STREAM, tokens=5000)
+        (wire,) = self.reactor.wires
+        event = b'data: ' + b'x' * 100_000 + b'\n\n'
+        wire.pour(HEAD + b'\r\n', event, most_bytes=MOST_BYTES + 100_000)
+        self.assertTrue(wire.is_read)
+        wire.close()
+        self.assertTrue(exchange.is_whole)
+        self.assertGreater(len(exchange.received), MOST_BYTES)
+
+    def test_bytes_after_a_whole_answer_belong_to_nothing(self):
+        for fields, body in (
+            ('Content-Length: 2', b'ok'),
+            ('Transfer-Encoding: chunked', b'2\r\nok\r\n0\r\n\r\n'),
+        ):
+            with self.subTest(fields):
+                self.setUp()
+                exchange = self.start(BOOKING)
+                (wire,) = self.reactor.wires
+                first = wires.signed(200, fields, '') + body
+                self.assert_given_up(wire, first, b'x')
+                self.assertEqual(
+                    (200, b'ok'), (exchange.status, exchange.received)
+                )
+
+    def test_refusal_as_not_run_is_true_whatever_follows_its_head(self):
+        exchange = self.start(BOOKING)
+        (wire,) = self.reactor.wires
+        first = wires.signed(503, 'Not-Executed: 1', '')
+        self.assert_given_up(wire, first, b'x')
+        self.rig.advance(0)
+        other = self.reactor.wires[1]
+        self.assertNotEqual(wire.address, other.address)
+        self.assertIsNone(exchange.status)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/src/shallothinge/gateway/tests/wires.py
@@ -0,0 +1,107 @@
+"""Connections in memory between a gateway and backend servers of a test."""
+
+import json
+
+import attrs
+from twisted.internet import error as net_errors
+from twisted.internet import task
+from twisted.python import failure
+
+from shallothinge.gateway.tests import rig
+from shallothinge.http1.tests import fakes
+
+DONE = failure.Failure(net_errors.ConnectionDone())
+READ_BYTES = 64 * 1024
+
+
+@attrs.define(kw_only=True, eq=False)
+class Wire:
+    """One connection to a backend server.
+
+    :ivar poured_bytes: what the gateway has taken.
+    """
+
+    address: str
+    protocol: object
+    transport: fakes.Transport
+    poured_bytes: int = 0
+
+    @property
+    def request(self):
+        """Return all that the gateway has sent."""
+        return self.transport.value()
+
+    @property
+    def target(self):
+        """Return the target of the request."""
+        return self.request.split(b' ', 2)[1].decode()
+
+    @property
+    def order(self):
+        """Return the fields of an order, or {}."""
+        body = self.request.partition(b'\r\n\r\n')[2]
+        return json.loads(body) if body.startswith(b'{') else {}
+
+    @property
+    def is_read(self):
+        """Return whether the gateway still takes what comes."""
+        return (
+            not self.transport.disconnecting
+            and self.transport.producerState == 'producing'
+        )
+
+    def send(self, data):
+        """Send bytes, in pieces as a kernel hands them out."""
+        for start in range(0, len(data), READ_BYTES):
+            if not self.is_read:
+                return
+            piece = data[start : start + READ_BYTES]
+            self.poured_bytes += len(piece)
+            self.protocol.dataReceived(piece)
+
+    def close(self):
+        """Close the connection."""
+        self.protocol.connectionLost(DONE)
+
+    def pour(self, first, again, *, most_bytes):
+        """Send bytes and then others again and again.
+
+        :returns: whether the gateway stopped taking them by itself.
+        """
+        self.send(first)
+        piece = again * max(1, READ_BYTES // len(again))
+        while self.is_read and self.poured_bytes < most_bytes:
+            self.send(piece)
+        return not self.is_read
+
+
+class Reactor(task.Clock):
+    """Time that tests advance, and connections in memory."""
+
+    def __init__(self):
+        super().__init__()
+        self.wires = []
+
+    def connectTCP(self, host, port, factory, timeout):
+        """Connect in the next turn."""
+        self.callLater(0, self._connect, f'{host}:{port}', factory)
+
+    def _connect(self, address, factory):
+        wire = Wire(
+            address=address,
+            protocol=factory.buildProtocol(None),
+            transport=fakes.Transport(),
+        )
+        self.wires.append(wire)
+        wire.protocol.makeConnection(wire.transport)
+
+
+def signed(status, *fields, request_id=rig.REQUEST_ID):
+    """Return a signed head without its blank line."""
+    lines = (
+        f'HTTP/1.1 {status} X',
+        f'Request-Attempt-Id: {request_id}',
+        'Response-Signature: s',
+        *fields,
+    )
+    return '\r\n'.join(lines).encode() + b'\r\n'
--- a/src/shallothinge/http1/client.py
+++ b/src/shallothinge/http1/client.py
@@ -4,6 +4,10 @@
 written to it, and an answer to an earlier request may still arrive on it. A
 new connection for each request rules out both, and nothing here sends a
 request a second time by itself.
+
+A backend server in trouble may send without end, so all that is read of an
+answer is bounded here: its head, what frames its body, and the body itself
+unless its owner reads it as a stream.
 """
 
 from collections.abc import Callable
@@ -25,6 +29,24 @@
 PROBE_IDLE_S = 1
 PROBE_INTERVAL_S = 1
 PROBE_COUNT = 2
+# The usual limit of servers for a head; applies to each line or block that
+# is not complete, also of a chunk or a trailer.
+HEAD_BYTES = 16 * 1024
+# Heads, also of interim answers, and what frames chunks may be so much, and
+# more with a longer body: no answer comes in chunks of a few bytes only, but
+# an event of a stream may be as short as the frame of its chunk.
+FRAMING_BYTES = 64 * 1024
+ANSWER_BYTES_PER_FRAMING = 8
+STREAM_BYTES_PER_FRAMING = 1
+# Four times what a caller may send by the usual limits of the platform.
+BODY_BYTES = 16 * 1024 * 1024
+# Other connections get their turn after so much of an answer: 1,365 chunks of
+# one byte, some milliseconds.
+READ_BYTES = 8 * 1024
+# What h11 says of a head, a chunk's frame or a trailer that is too long.
+TOO_LONG_HINT = 431
+# Of what a server sent, so much goes into the log.
+DETAIL_CHARACTERS = 120
 
 
 class FailureKind(enum.Enum):
@@ -33,6 +55,7 @@
     NOT_CONNECTED = 'not_connected'
     BROKEN = 'broken'
     MALFORMED = 'malformed'
+    ENDLESS = 'endless'
 
 
 @attrs.frozen(kw_only=True)
@@ -66,6 +89,8 @@
 class ClientExchange(protocol.Protocol):
     """Sends one request and reads one answer.
 
+    The body is bounded unless ``read_as_stream`` was called.
+
     :param may_send: asked once the connection stands, since the process may
         have been paused meanwhile.
     """
@@ -82,9 +107,14 @@
         self._head = head
         self._body = body
         self._listener = listener
-        self._http = h11.Connection(h11.CLIENT)
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=HEAD_BYTES
+        )
         self._was_sent = False
         self._is_done = False
+        self._is_stream = False
+        self._received_bytes = 0
+        self._body_bytes = 0
 
     def connectionMade(self) -> None:
         """Send the request."""
@@ -94,6 +124,7 @@
         if not self._may_send():
             self.not_connected('no right to send any more')
             return
+        self.transport.bufferSize = READ_BYTES
         self.transport.setTcpNoDelay(True)
         _watch_for_dead_peer(self.transport.getHandle())
         fields = messages.encode(
@@ -115,8 +146,11 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Read the answer; bytes after its end belong to nothing."""
-        if not self._is_done:
-            self._feed(data)
+        if self._is_done:
+            return
+        self._received_bytes += len(data)
+        self._feed(data)
+        self._bound_framing()
 
     def connectionLost(self, reason=protocol.connectionDone) -> None:
         """End an answer that lasts until its connection closes."""
@@ -130,12 +164,37 @@
         """There is no connection, so nothing was sent."""
         self._fail(FailureKind.NOT_CONNECTED, detail)
 
+    def read_as_stream(self) -> None:
+        """Let the body go on: its owner keeps none of it."""
+        self._is_stream = True
+
     def cancel(self) -> None:
         """Drop the exchange; nothing more is told."""
         self._is_done = True
         if self.transport is not None:
             self.transport.abortConnection()
 
+    def _bound_framing(self) -> None:
+        """Give up an answer of which next to nothing is body."""
+        framing_bytes = self._received_bytes - self._body_bytes
+        body_per_framing = (
+            STREAM_BYTES_PER_FRAMING
+            if self._is_stream
+            else ANSWER_BYTES_PER_FRAMING
+        )
+        allowed_bytes = FRAMING_BYTES + self._body_bytes // body_per_framing
+        if framing_bytes > allowed_bytes:
+            self._fail(
+                FailureKind.ENDLESS,
+                f'{framing_bytes} bytes frame {self._body_bytes} of body',
+            )
+
+    def _bound_body(self) -> None:
+        if not self._is_stream and self._body_bytes > BODY_BYTES:
+            self._fail(
+                FailureKind.ENDLESS, f'the body exceeds {BODY_BYTES} bytes'
+            )
+
     def _feed(self, data: bytes) -> None:
         try:
             self._http.receive_data(data)
@@ -152,6 +211,8 @@
             # A close before the end of the body also counts as malformed
             # to h11; both mean that the answer is not whole.
             kind = FailureKind.MALFORMED if data else FailureKind.BROKEN
+            if error.error_status_hint == TOO_LONG_HINT:
+                kind = FailureKind.ENDLESS
             self._fail(kind, str(error))
 
     def _take(self, event) -> None:
@@ -163,7 +224,10 @@
                 )
             )
         elif isinstance(event, h11.Data):
-            self._listener.on_data(bytes(event.data))
+            self._body_bytes += len(event.data)
+            self._bound_body()
+            if not self._is_done:
+                self._listener.on_data(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._is_done = True
             self.transport.loseConnection()
@@ -176,7 +240,11 @@
         if self.transport is not None:
             self.transport.abortConnection()
         self._listener.on_failure(
-            Failure(kind=kind, was_sent=self._was_sent, detail=detail)
+            Failure(
+                kind=kind,
+                was_sent=self._was_sent,
+                detail=detail[:DETAIL_CHARACTERS],
+            )
         )
 
 
