Give up orders for memory that get no whole answer

A server that answered a reservation, its renewal or a release with bytes without end, or not at all, kept the connection and what it read for good: orders had no limit in time or bytes, and a release that hung was never sent again. Its standing did not suffer, and the log lines named neither the request nor a reason.

Orders now have the time of the hold that they ask for (3 s): after it, their answer tells nothing. Bytes that are no answer count against the server like those of an answer to a request. A renewal that fails is logged; the next one follows within a second.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -106,7 +106,9 @@
             self._send(server.address)
             return
         self._reservation = reservation.Reservation(
-            parts=self._parts, shares=self._placement.shares
+            parts=self._parts,
+            request_id=self._order.request.request_id,
+            shares=self._placement.shares,
         )
         self._reservation.reserve(
             on_held=lambda: self._send(server.address),
--- a/src/shallothinge/gateway/reservation.py
+++ b/src/shallothinge/gateway/reservation.py
@@ -19,6 +19,8 @@
 # the users' rules allow; one renewal may be lost.
 HOLD_MS = 3000
 RENEW_MS = 1000
+# By the end of the hold it asked for, the answer to an order tells nothing.
+ORDER_MS = HOLD_MS
 # A release that got lost is sent again; in the end the hold runs out.
 RELEASE_ATTEMPTS = 3
 RELEASE_AGAIN_MS = 200
@@ -34,11 +36,21 @@
     tokens: int
 
 
+# Told why an order was not carried out, '' if it was.
+Done = Callable[[str], None]
+# What speaks against a server: bytes that are no answer to an order.
+GARBLED = (client.FailureKind.MALFORMED, client.FailureKind.ENDLESS)
+
+
 class _Order:
-    """Tells whether an order was carried out."""
+    """Tells whether an order was carried out.
+
+    :param garbled: called before ``done`` if the answer is none.
+    """
 
-    def __init__(self, *, done: Callable[[bool], None]):
+    def __init__(self, *, done: Done, garbled: Callable[[], None]):
         self._done = done
+        self._garbled = garbled
         self._status = 0
 
     def on_head(self, head: messages.ResponseHead) -> None:
@@ -50,11 +62,13 @@
 
     def on_end(self) -> None:
         """Tell the outcome."""
-        self._done(self._status == 200)
+        self._done('' if self._status == 200 else f'status {self._status}')
 
     def on_failure(self, failure: client.Failure) -> None:
         """The order may have been carried out; it counts as not."""
-        self._done(False)
+        if failure.kind in GARBLED:
+            self._garbled()
+        self._done(f'{failure.kind.value}: {failure.detail}')
 
 
 class Reservation:
@@ -65,9 +79,14 @@
     """
 
     def __init__(
-        self, *, parts: shared.Parts, shares: tuple[choice.Share, ...]
+        self,
+        *,
+        parts: shared.Parts,
+        request_id: str,
+        shares: tuple[choice.Share, ...],
     ):
         self._parts = parts
+        self._request_id = request_id
         self._is_over = False
         self._renewing = None
         self._on_held: Callable[[], None] | None = None
@@ -107,7 +126,7 @@
         for ticket in self.tickets:
             self._hold(
                 ticket,
-                lambda is_done, ticket=ticket: self._answered(ticket, is_done),
+                lambda why_not, ticket=ticket: self._answered(ticket, why_not),
             )
 
     def release(self) -> None:
@@ -120,16 +139,16 @@
         for ticket in self.tickets:
             self._release(ticket, RELEASE_ATTEMPTS)
 
-    def _answered(self, ticket: Ticket, is_done: bool) -> None:
+    def _answered(self, ticket: Ticket, why_not: str) -> None:
         if self._is_over:
             return
-        if not is_done:
+        if why_not:
             LOG.info(
                 'memory was not reserved',
                 extra={
-                    'server_id': ticket.server_id,
+                    **self._identity(ticket),
                     'tokens': ticket.tokens,
-                    'ticket_id': ticket.ticket_id,
+                    'detail': why_not,
                 },
             )
             self.release()
@@ -149,9 +168,20 @@
         """Extend the holds; a request whose memory ends is cut anyway."""
         self._renew_later()
         for ticket in self.tickets:
-            self._hold(ticket, lambda is_done: None)
+            self._hold(
+                ticket,
+                lambda why_not, ticket=ticket: self._renewed(ticket, why_not),
+            )
+
+    def _renewed(self, ticket: Ticket, why_not: str) -> None:
+        """Note a renewal that failed; the next one may do."""
+        if why_not and not self._is_over:
+            LOG.info(
+                'memory was not renewed',
+                extra={**self._identity(ticket), 'detail': why_not},
+            )
 
-    def _hold(self, ticket: Ticket, done: Callable[[bool], None]) -> None:
+    def _hold(self, ticket: Ticket, done: Done) -> None:
         """Order that a ticket's memory is held from now on."""
         order = self._parts.dialect.write_reserve(
             ticket=ticket, hold_ms=HOLD_MS
@@ -159,8 +189,8 @@
         self._order(ticket, order, done)
 
     def _release(self, ticket: Ticket, attempts_left: int) -> None:
-        def released(is_done: bool) -> None:
-            if is_done:
+        def released(why_not: str) -> None:
+            if not why_not:
                 return
             if attempts_left > 1:
                 self._parts.reactor.callLater(
@@ -173,20 +203,31 @@
                 LOG.warning(
                     'memory was not released; its hold runs out',
                     extra={
-                        'server_id': ticket.server_id,
-                        'ticket_id': ticket.ticket_id,
+                        **self._identity(ticket),
                         'hold_ms': HOLD_MS,
+                        'detail': why_not,
                     },
                 )
 
         order = self._parts.dialect.write_release(ticket=ticket)
         self._order(ticket, order, released)
 
-    def _order(self, ticket: Ticket, order, done) -> None:
+    def _identity(self, ticket: Ticket) -> dict[str, str]:
+        return {
+            'request_id': self._request_id,
+            'server_id': ticket.server_id,
+            'ticket_id': ticket.ticket_id,
+        }
+
+    def _order(self, ticket: Ticket, order, done: Done) -> None:
         head, body = order
         self._parts.caller.call(
             address=ticket.address,
             head=head,
             body=body,
-            listener=_Order(done=done),
+            listener=_Order(
+                done=done,
+                garbled=lambda: self._parts.servers.failed(ticket.server_id),
+            ),
+            within_ms=ORDER_MS,
         )
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -75,6 +75,7 @@
         body,
         listener,
         may_send=None,
+        within_ms=None,
     ):
         """Note a call; the test plays the answer."""
         call = Call(
--- a/src/shallothinge/gateway/tests/test_endless.py
+++ b/src/shallothinge/gateway/tests/test_endless.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from shallothinge.gateway import reservation
 from shallothinge.gateway.tests import rig
 from shallothinge.gateway.tests import test_forwarding
 from shallothinge.gateway.tests import wires
@@ -11,6 +12,9 @@
 BOOKING = test_forwarding.BOOKING
 STREAM = test_forwarding.STREAM
 SAFE = '/safe/1'
+RESERVE = 'reserve'
+RELEASE = 'release'
+TOO_LONG_TOKENS = 464_000
 
 # The longest whole answer, what frames it, and what a kernel hands out.
 MOST_BYTES = client.BODY_BYTES + 1024 * 1024
@@ -87,6 +91,21 @@
         self.rig.advance(0)
         return exchange
 
+    def orders(self, operation):
+        """Return the connections for orders of a kind."""
+        return [
+            wire
+            for wire in self.reactor.wires
+            if wire.order.get('operation') == operation
+        ]
+
+    def hold_all(self):
+        """Carry out all reservations that are under way."""
+        for wire in self.orders(RESERVE):
+            if wire.is_read:
+                wire.send(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}')
+        self.rig.advance(0)
+
     def server_at(self, address):
         return self.rig.server_at(address).server_id
 
@@ -220,6 +239,87 @@
         self.assertNotEqual(wire.address, other.address)
         self.assertIsNone(exchange.status)
 
+    def test_endless_answer_to_a_reservation_frees_all(self):
+        for name, first, again in ENDLESS:
+            with self.subTest(name):
+                self.setUp()
+                self.start(STREAM, tokens=TOO_LONG_TOKENS)
+                reserved = self.orders(RESERVE)
+                wire = reserved[0]
+                with self.assertLogs('shallothinge.gateway') as logs:
+                    self.assert_given_up(wire, first, again)
+                self.rig.advance(0)
+                self.assertEqual(
+                    {one.order['identifier'] for one in reserved},
+                    {one.order['identifier'] for one in self.orders(RELEASE)},
+                )
+                (line,) = [
+                    record
+                    for record in logs.records
+                    if record.getMessage() == 'memory was not reserved'
+                ]
+                self.assertEqual(rig.REQUEST_ID, line.request_id)
+                self.assertEqual(self.server_at(wire.address), line.server_id)
+                self.assertTrue(line.detail)
+                self.assertTrue(self.is_avoided(wire.address))
+
+    def test_endless_answer_to_a_release_is_given_up(self):
+        for name, first, again in ENDLESS:
+            with self.subTest(name):
+                self.setUp()
+                exchange = self.start(STREAM, tokens=TOO_LONG_TOKENS)
+                self.hold_all()
+                exchange.on_gone()
+                self.rig.advance(0)
+                with self.assertLogs('shallothinge.gateway') as logs:
+                    ticket_id = self.pour_releases(first, again)
+                (line,) = [
+                    record
+                    for record in logs.records
+                    if record.getMessage().startswith(
+                        'memory was not released'
+                    )
+                ]
+                self.assertEqual(ticket_id, line.ticket_id)
+                self.assertEqual(rig.REQUEST_ID, line.request_id)
+                self.assertTrue(line.detail)
+
+    def pour_releases(self, first, again):
+        """Answer each release of one ticket without end; return its id."""
+        ticket_id = self.orders(RELEASE)[0].order['identifier']
+        for number in range(reservation.RELEASE_ATTEMPTS):
+            wire = [
+                one
+                for one in self.orders(RELEASE)
+                if one.order['identifier'] == ticket_id
+            ][number]
+            self.assert_given_up(wire, first, again)
+            self.rig.advance(reservation.RELEASE_AGAIN_MS)
+            self.rig.advance(0)
+        return ticket_id
+
+    def test_endless_answer_to_a_renewal_leaves_the_request_alone(self):
+        for name, first, again in ENDLESS:
+            with self.subTest(name):
+                self.setUp()
+                exchange = self.start(STREAM, tokens=TOO_LONG_TOKENS)
+                before = len(self.orders(RESERVE))
+                self.hold_all()
+                self.rig.advance(reservation.RENEW_MS)
+                self.rig.advance(0)
+                wire = self.orders(RESERVE)[before]
+                self.assert_given_up(wire, first, again)
+                self.assertIsNone(exchange.status)
+                self.assertEqual([], self.orders(RELEASE))
+
+    def test_orders_that_get_no_answer_are_given_up(self):
+        self.start(STREAM, tokens=TOO_LONG_TOKENS)
+        reserved = self.orders(RESERVE)
+        self.assertTrue(reserved)
+        self.rig.advance(reservation.HOLD_MS)
+        for wire in reserved:
+            self.assertTrue(wire.transport.was_aborted)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/src/shallothinge/http1/client.py
+++ b/src/shallothinge/http1/client.py
@@ -56,6 +56,7 @@
     BROKEN = 'broken'
     MALFORMED = 'malformed'
     ENDLESS = 'endless'
+    LATE = 'late'
 
 
 @attrs.frozen(kw_only=True)
@@ -115,6 +116,7 @@
         self._is_stream = False
         self._received_bytes = 0
         self._body_bytes = 0
+        self._timer = None
 
     def connectionMade(self) -> None:
         """Send the request."""
@@ -168,12 +170,22 @@
         """Let the body go on: its owner keeps none of it."""
         self._is_stream = True
 
+    def expect_within(self, *, reactor, duration_ms: int) -> None:
+        """Fail unless the answer is whole within a time."""
+        self._timer = reactor.callLater(
+            duration_ms / clocks.MS_PER_SECOND, self._on_late
+        )
+
     def cancel(self) -> None:
         """Drop the exchange; nothing more is told."""
-        self._is_done = True
+        self._finish()
         if self.transport is not None:
             self.transport.abortConnection()
 
+    def _on_late(self) -> None:
+        self._timer = None
+        self._fail(FailureKind.LATE, 'no whole answer in time')
+
     def _bound_framing(self) -> None:
         """Give up an answer of which next to nothing is body."""
         framing_bytes = self._received_bytes - self._body_bytes
@@ -229,14 +241,14 @@
             if not self._is_done:
                 self._listener.on_data(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
-            self._is_done = True
+            self._finish()
             self.transport.loseConnection()
             self._listener.on_end()
 
     def _fail(self, kind: FailureKind, detail: str) -> None:
         if self._is_done:
             return
-        self._is_done = True
+        self._finish()
         if self.transport is not None:
             self.transport.abortConnection()
         self._listener.on_failure(
@@ -247,6 +259,13 @@
             )
         )
 
+    def _finish(self) -> None:
+        """Tell nothing more."""
+        self._is_done = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
 
 class _Factory(protocol.ClientFactory):
     """Connects one exchange."""
@@ -283,14 +302,20 @@
         body: bytes,
         listener: Listener,
         may_send: Callable[[], bool] = lambda: True,
+        within_ms: int | None = None,
     ) -> ClientExchange:
         """Send a request to ``IP:PORT``.
 
+        :param within_ms: time for all of it; None if the owner keeps it.
         :returns: the exchange, to cancel it.
         """
         exchange = ClientExchange(
             head=head, body=body, listener=listener, may_send=may_send
         )
+        if within_ms is not None:
+            exchange.expect_within(
+                reactor=self._reactor, duration_ms=within_ms
+            )
         host, _, port = address.rpartition(':')
         self._reactor.connectTCP(
             host,
