Read a stream only as fast as its caller does

A gateway read a stream as fast as the backend server sent it and kept what the caller had not taken yet, up to the route's timeout: an endless stream and a caller that did not read could take all of the host's memory.

The caller's connection now has the answer's flow as its producer, which holds back the attempt that the answer comes from, also one at a second server. While it is held back the server is not expected to send, so it is not taken for one that stands still. The route's timeout and the caller's deadline end it as before.

Events that were read together are passed on in one write, with one timer: very short ones took a timer each.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -39,8 +39,8 @@
 class Owner(Protocol):
     """What an attempt tells its request."""
 
-    def on_event(self, event: event_stream.StreamEvent) -> None:
-        """Take a whole event of a stream."""
+    def on_events(self, events: list[event_stream.StreamEvent]) -> None:
+        """Take whole events of a stream that came together."""
 
     def on_stream_head(self, head: model.AnswerHead) -> None:
         """Take the head of a successful stream."""
@@ -85,6 +85,8 @@
         self._body = bytearray()
         self._is_over = False
         self._timer = None
+        self._is_paused = False
+        self._expected_ms: float | None = None
         self._placed_ms = parts.clock.now_ms()
         self.sent_after_ms: int | None = None
         self._server: BackendServer | None = None
@@ -126,6 +128,8 @@
             listener=self,
             may_send=self._may_send,
         )
+        if self._is_paused:
+            self._exchange.pause()
 
     def _may_send(self) -> bool:
         """Decide once more when the connection stands."""
@@ -171,11 +175,27 @@
     def expect_within(self, duration_ms: float) -> None:
         """Fail as stalled unless something arrives within a time."""
         self._stop_timer()
-        if not self._is_over:
+        self._expected_ms = duration_ms
+        if not self._is_over and not self._is_paused:
             self._timer = self._parts.reactor.callLater(
                 duration_ms / clocks.MS_PER_SECOND, self._on_stalled
             )
 
+    def pause(self) -> None:
+        """Read no more, and expect nothing, until the caller has read."""
+        self._is_paused = True
+        self._stop_timer()
+        if self._exchange is not None and not self._is_over:
+            self._exchange.pause()
+
+    def resume(self) -> None:
+        """Read on."""
+        self._is_paused = False
+        if self._exchange is not None and not self._is_over:
+            self._exchange.resume()
+        if self._expected_ms is not None:
+            self.expect_within(self._expected_ms)
+
     def cancel(self) -> None:
         """Drop the request at the server; nothing more is told."""
         if not self._is_over:
@@ -219,9 +239,7 @@
             for work_id in self._work_ids:
                 self._parts.load.first_event(work_id)
             self._end_helpers()
-        for event in events:
-            if not self._is_over:
-                self._owner.on_event(event)
+            self._owner.on_events(events)
 
     def on_end(self) -> None:
         """Take the end of the answer."""
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -238,6 +238,7 @@
                 'lease_ms': self._parts.holder.remaining_ms,
             },
         )
+        self._exchange.flow.follow(self._attempt)
         self._attempt.start(server=server)
         if is_stream and self._may_try_again():
             self._attempt.expect_within(self._overdue_ms(placed))
@@ -284,18 +285,20 @@
         if not self._exchange.is_begun:
             self._head = head
 
-    def on_event(self, event: event_stream.StreamEvent) -> None:
-        """Pass an event on."""
+    def on_events(self, events: list[event_stream.StreamEvent]) -> None:
+        """Pass events on, but none that the caller has."""
         self._parts.servers.heard(self._attempt.server_id)
-        if event_stream.is_repeated(event.event_id, self._last_event_id):
+        data, self._last_event_id = event_stream.join_new(
+            events, last_id=self._last_event_id
+        )
+        if not data:
             return
         self._event_times.note(self._parts.clock.now_ms())
         if not self._exchange.is_begun:
             self._exchange.begin(
                 status=self._head.status, headers=self._head.headers
             )
-        self._last_event_id = event.event_id or self._last_event_id
-        self._exchange.write(event.data)
+        self._exchange.write(data)
         if self._attempt is not None and self._may_try_again():
             self._attempt.expect_within(self._still_ms())
 
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -15,6 +15,7 @@
 from shallothinge.gateway import parts as shared
 from shallothinge.gateway import servers
 from shallothinge.http1 import client
+from shallothinge.http1 import flow as flows
 from shallothinge.http1 import messages
 from shallothinge.membership.model import BackendServer
 from shallothinge.placement import choice
@@ -104,6 +105,12 @@
         """Note that the request was dropped."""
         self.is_cancelled = True
 
+    def pause(self):
+        """Take the note without effect: tests send what they want."""
+
+    def resume(self):
+        """Take the note without effect."""
+
     def read_as_stream(self):
         """Take the note without effect: bodies of tests are short."""
 
@@ -142,6 +149,7 @@
     body: bytes = b''
     received_ms: int = 0
     on_gone: object = None
+    flow: flows.Flow = attrs.field(factory=flows.Flow)
     is_begun: bool = False
     status: int | None = None
     headers: tuple = ()
--- a/src/shallothinge/gateway/tests/test_endless.py
+++ b/src/shallothinge/gateway/tests/test_endless.py
@@ -214,6 +214,46 @@
         self.assertTrue(exchange.is_whole)
         self.assertGreater(len(exchange.received), MOST_BYTES)
 
+    def test_stream_is_read_only_as_fast_as_its_caller_reads(self):
+        exchange = self.start(STREAM, tokens=5000)
+        (wire,) = self.reactor.wires
+        event = b'data: ' + b'x' * 1000 + b'\n\n'
+        wire.send(HEAD + b'\r\n' + event)
+        exchange.flow.pauseProducing()
+        self.assertTrue(wire.pour(b'', event, most_bytes=MOST_BYTES))
+        self.assertLess(wire.poured_bytes, wires.READ_BYTES)
+        # A server that is not read is not one that stands still.
+        self.rig.advance(3000)
+        self.assertFalse(wire.transport.disconnecting)
+        self.assertEqual(1, len(self.reactor.wires))
+        exchange.flow.resumeProducing()
+        wire.send(event)
+        wire.close()
+        self.assertEqual(2 * event, exchange.received)
+        self.assertTrue(exchange.is_whole)
+
+    def test_stream_whose_caller_never_reads_ends_at_its_deadline(self):
+        exchange = self.start(STREAM, tokens=5000)
+        (wire,) = self.reactor.wires
+        wire.send(HEAD + b'\r\ndata: 1\n\n')
+        exchange.flow.pauseProducing()
+        self.rig.advance(15_000)
+        self.assertTrue(exchange.is_cut)
+        self.assertTrue(wire.transport.was_aborted)
+        self.assertEqual({}, self.rig.load.loads())
+
+    def test_stream_that_is_resumed_for_a_full_caller_waits_as_well(self):
+        exchange = self.start(STREAM, tokens=5000)
+        (wire,) = self.reactor.wires
+        wire.send(HEAD + b'\r\nid: 1\ndata: 1\n\n')
+        exchange.flow.pauseProducing()
+        wire.close_badly()
+        self.rig.advance(0)
+        other = self.reactor.wires[1]
+        self.assertFalse(other.is_read)
+        exchange.flow.resumeProducing()
+        self.assertTrue(other.is_read)
+
     def test_bytes_after_a_whole_answer_belong_to_nothing(self):
         for fields, body in (
             ('Content-Length: 2', b'ok'),
--- a/src/shallothinge/gateway/tests/wires.py
+++ b/src/shallothinge/gateway/tests/wires.py
@@ -11,6 +11,7 @@
 from shallothinge.http1.tests import fakes
 
 DONE = failure.Failure(net_errors.ConnectionDone())
+LOST = failure.Failure(net_errors.ConnectionLost())
 READ_BYTES = 64 * 1024
 
 
@@ -63,6 +64,10 @@
         """Close the connection."""
         self.protocol.connectionLost(DONE)
 
+    def close_badly(self):
+        """Reset the connection."""
+        self.protocol.connectionLost(LOST)
+
     def pour(self, first, again, *, most_bytes):
         """Send bytes and then others again and again.
 
--- a/src/shallothinge/http1/client.py
+++ b/src/shallothinge/http1/client.py
@@ -114,6 +114,7 @@
         self._was_sent = False
         self._is_done = False
         self._is_stream = False
+        self._is_paused = False
         self._received_bytes = 0
         self._body_bytes = 0
         self._timer = None
@@ -145,6 +146,8 @@
         data += self._http.send(h11.EndOfMessage())
         self._was_sent = True
         self.transport.write(data)
+        if self._is_paused:
+            self.transport.pauseProducing()
 
     def dataReceived(self, data: bytes) -> None:
         """Read the answer; bytes after its end belong to nothing."""
@@ -170,6 +173,18 @@
         """Let the body go on: its owner keeps none of it."""
         self._is_stream = True
 
+    def pause(self) -> None:
+        """Read no more for now; what was read before is still told."""
+        self._is_paused = True
+        if self.transport is not None and not self._is_done:
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read on."""
+        self._is_paused = False
+        if self.transport is not None and not self._is_done:
+            self.transport.resumeProducing()
+
     def expect_within(self, *, reactor, duration_ms: int) -> None:
         """Fail unless the answer is whole within a time."""
         self._timer = reactor.callLater(
--- a/src/shallothinge/http1/event_stream.py
+++ b/src/shallothinge/http1/event_stream.py
@@ -70,6 +70,20 @@
     return ''
 
 
+def join_new(events: list[StreamEvent], *, last_id: str) -> tuple[bytes, str]:
+    """Return the bytes of the events that were not passed on before.
+
+    :param last_id: id of the last event that was, '' if none.
+    :returns: the bytes, and the id of the last event now.
+    """
+    data = bytearray()
+    for event in events:
+        if not is_repeated(event.event_id, last_id):
+            data += event.data
+            last_id = event.event_id or last_id
+    return bytes(data), last_id
+
+
 def is_repeated(event_id: str, last_id: str) -> bool:
     """Return whether an event has been passed on before."""
     if not event_id.isdigit() or not last_id.isdigit():
--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -12,6 +12,7 @@
 from shallothinge import clock as clocks
 from shallothinge.http1 import closing
 from shallothinge.http1 import early
+from shallothinge.http1 import flow
 from shallothinge.http1 import messages
 
 LOG = logging.getLogger(__name__)
@@ -27,6 +28,8 @@
 
     :ivar on_gone: called without arguments if the caller goes away before
         the answer is complete.
+    :ivar flow: holds back what an answer is made of while the caller does
+        not read.
     """
 
     def __init__(
@@ -42,6 +45,7 @@
         self.body = body
         self.received_ms = received_ms
         self.on_gone: Callable[[], None] | None = None
+        self.flow = flow.Flow()
         self.is_begun = False
         self.is_ended = False
 
@@ -58,6 +62,7 @@
         """Send the head of an answer whose body follows."""
         if not self.is_ended:
             self.is_begun = True
+            self._connection.hold_back(self.flow)
             self._connection.send_head(status=status, headers=headers)
 
     def write(self, data: bytes) -> None:
@@ -94,6 +99,7 @@
         self._is_closing = False
         self._is_paused = False
         self._has_answered = False
+        self._has_flow = False
         self._written_bytes = 0
         self._gentle_close: closing.GentleClose | None = None
 
@@ -154,6 +160,17 @@
         if self._gentle_close is not None:
             self._gentle_close.all_has_left()
 
+    def hold_back(self, source: flow.Flow) -> None:
+        """Let an answer go only as fast as the caller takes it."""
+        if not self._has_flow:
+            self._has_flow = True
+            self.transport.registerProducer(source, True)
+
+    def _drop_flow(self) -> None:
+        if self._has_flow:
+            self._has_flow = False
+            self.transport.unregisterProducer()
+
     def send_head(self, *, status: int, headers: messages.Headers) -> None:
         """Send the head of an answer."""
         self._has_answered = True
@@ -173,6 +190,7 @@
     def end_exchange(self) -> None:
         """End an answer; go on with the next request."""
         self._send(h11.EndOfMessage())
+        self._drop_flow()
         self._exchange = None
         if self._http.our_state is h11.MUST_CLOSE:
             self._close_gently()
@@ -187,6 +205,7 @@
 
     def cut(self) -> None:
         """Reset the connection."""
+        self._drop_flow()
         self._exchange = None
         self._is_closing = True
         self.transport.abortConnection()
--- a/src/shallothinge/http1/tests/test_server.py
+++ b/src/shallothinge/http1/tests/test_server.py
@@ -1,6 +1,7 @@
 """Tests of requests that arrive on connections."""
 
 import unittest
+from unittest import mock
 
 from twisted.internet import task
 
@@ -71,6 +72,36 @@
         self.receive(b'2\r\nab\r\n1\r\nc\r\n0\r\n\r\n')
         self.assertEqual(b'abc', self.exchanges[0].body)
 
+    def test_source_is_held_back_while_the_caller_does_not_read(self):
+        self.receive(GET)
+        (exchange,) = self.exchanges
+        sources = [mock.Mock(), mock.Mock()]
+        exchange.flow.follow(sources[0])
+        exchange.begin(status=200, headers=())
+        self.assertTrue(self.transport.streaming)
+        self.transport.producer.pauseProducing()
+        sources[0].pause.assert_called_once_with()
+        exchange.flow.follow(sources[1])
+        sources[1].pause.assert_called_once_with()
+        self.transport.producer.resumeProducing()
+        sources[0].resume.assert_not_called()
+        sources[1].resume.assert_called_once_with()
+
+    def test_connection_is_free_for_the_next_answer_after_each(self):
+        for _ in range(2):
+            self.receive(GET)
+            exchange = self.exchanges[-1]
+            exchange.begin(status=200, headers=(('content-length', '2'),))
+            exchange.write(b'ok')
+            self.assertIsNotNone(self.transport.producer)
+            exchange.finish()
+            self.assertIsNone(self.transport.producer)
+        self.receive(GET)
+        self.exchanges[-1].begin(status=200, headers=())
+        self.exchanges[-1].abort()
+        self.assertIsNone(self.transport.producer)
+        self.assertTrue(self.transport.was_aborted)
+
     def test_second_request_waits_for_the_first_answer(self):
         self.receive(GET + GET.replace(b'/a', b'/b'))
         self.assertEqual(1, len(self.exchanges))
