Look at each byte of an engine's stream once

An engine that sent an event in very small pieces held up its agent: for each piece the parser copied and searched all that was waiting.

--- a/src/shallothinge/sse.py
+++ b/src/shallothinge/sse.py
@@ -1,8 +1,13 @@
 """Incremental parser for server-sent events."""
 
+import re
+
 MAX_EVENT_BYTES = 1024 * 1024
 DATA_FIELD = b'data:'
 DONE = '[DONE]'
+_BLANK_LINE = re.compile(rb'\r?\n\r?\n')
+# Of a blank line, as much may have come with earlier bytes.
+_BLANK_LINE_START_BYTES = 3
 
 
 class EventTooLarge(ValueError):
@@ -14,16 +19,23 @@
 
     def __init__(self, *, max_event_bytes: int = MAX_EVENT_BYTES):
         self._max_event_bytes = max_event_bytes
-        self._buffer = b''
+        self._buffer = bytearray()
 
     def feed(self, data: bytes) -> list[str]:
-        """Take bytes as they arrive.
+        """Take bytes as they arrive; each is looked at once.
 
         :returns: the data of each event that is now whole.
         :raises EventTooLarge: if an unfinished event exceeds the limit.
         """
-        self._buffer = (self._buffer + data).replace(b'\r\n', b'\n')
-        *whole, self._buffer = self._buffer.split(b'\n\n')
+        search_from = max(0, len(self._buffer) - _BLANK_LINE_START_BYTES)
+        self._buffer += data
+        whole = []
+        start = 0
+        for found in _BLANK_LINE.finditer(self._buffer, search_from):
+            event = bytes(self._buffer[start : found.start()])
+            whole.append(event.replace(b'\r\n', b'\n'))
+            start = found.end()
+        del self._buffer[:start]
         if len(self._buffer) > self._max_event_bytes:
             raise EventTooLarge('an event exceeds the size limit')
         return [_data_of(event) for event in whole if DATA_FIELD in event]
