Read engines and services by the same bounds as gateways do

An engine or service in trouble could make its agent take header lines, folded lines, interim answers or short chunks without end, up to the time limit of the request: a second for a poll, five for an order, and for a call whatever its caller allows; the headers and each piece of a body were kept meanwhile. There was a second reader of answers, Twisted's client, with other limits.

Tests with each shape of endless bytes for a GET and a POST, on connections in memory: before, header lines, folded header line, interim answers (two rows), chunks of one and of eight bytes and chunks with long extensions were still being read after two seconds of processor time or 35 MB. Already bounded and kept as rows: status and header line, trailers, chunk size and extension, bodies in one piece, bytes after a whole answer.

The agent's client now stands on http1/client.py, whose bounds hold for it. A body that ends with its connection still counts as cut, since a server that breaks off ends one, too; a request that did not leave still fails with NotSent, also when given up while connecting. Polls have a connection each. A refusal of a stream that is not whole is logged with its request and counts as a broken connection; before it was an unexpected error with a traceback.

--- a/src/shallothinge/agent/engine.py
+++ b/src/shallothinge/agent/engine.py
@@ -69,15 +69,12 @@
 class EngineClient:
     """One model engine over HTTP.
 
-    Polls use kept connections of their own, so that a silent stream says
+    Polls have connections of their own, so that a silent stream says
     nothing about them.
     """
 
     def __init__(self, *, reactor, url: str):
         self._http = http.HttpClient(reactor=reactor, url=url)
-        self._polls = http.HttpClient(
-            reactor=reactor, url=url, persistent=True
-        )
 
     def start(
         self, *, completion: Completion, may_send: Callable[[], bool]
@@ -171,14 +168,13 @@
         """Fires with ``CacheListing``."""
         return self._poll('/v1/cache', model.CacheListing)
 
-    def close(self) -> defer.Deferred:
-        """Give up what is asked and drop the kept connections."""
+    def close(self) -> None:
+        """Give up what is asked."""
         self._http.close()
-        return self._polls.close()
 
     @defer.inlineCallbacks
     def _poll(self, path: str, shape: type):
-        answer = yield self._polls.ask(
+        answer = yield self._http.ask(
             method='GET', path=path, timeout_ms=POLL_TIMEOUT_MS
         )
         if answer.status != 200:
--- a/src/shallothinge/agent/http.py
+++ b/src/shallothinge/agent/http.py
@@ -1,34 +1,32 @@
 """HTTP requests to the backend server, each sent at most once.
 
-Each request has a connection of its own, unless the client is made for
-polls. A request that did not leave this process fails with ``NotSent``;
-any other failure leaves open whether the backend server ran it.
+Each request has a connection of its own. A request that did not leave this
+process fails with ``NotSent``; any other failure leaves open whether the
+backend server ran it. What is read of an answer is bounded by
+``http1/client.py``.
 """
 
 from collections.abc import Callable
 from typing import Protocol
+import urllib.parse
 
 import attrs
 from twisted.internet import defer
-from twisted.internet import endpoints
-from twisted.internet import interfaces
-from twisted.internet import protocol
-from twisted.web import client
-from twisted.web import http_headers
-from twisted.web import iweb
-from zope.interface import implementer
+
+from shallothinge.http1 import client
+from shallothinge.http1 import messages
 
 CONNECT_TIMEOUT_MS = 2000
-IDLE_CONNECTION_MS = 10_000
-MAX_BODY_BYTES = 16 * 1024 * 1024
+DEFAULT_PORT = 80
+NO_BODY_STATUSES = (204, 304)
 
 
 class NotSent(Exception):
     """The request did not leave this process."""
 
 
-class BodyTooLarge(Exception):
-    """The answer's body exceeds the size limit."""
+class Broken(Exception):
+    """There is no whole answer."""
 
 
 @attrs.frozen(kw_only=True)
@@ -56,167 +54,138 @@
     return True
 
 
-@implementer(interfaces.IStreamClientEndpoint)
-class _GuardedEndpoint:
-    """Asks for permission after connecting, right before the request.
-
-    A process may be frozen while it connects, so that a check made before
-    the connection says nothing about the moment of sending.
-    """
-
-    def __init__(self, *, endpoint, may_send: Callable[[], bool]):
-        self._endpoint = endpoint
-        self._may_send = may_send
-
-    def connect(self, factory) -> defer.Deferred:
-        """Connect; fails with ``NotSent`` only."""
-        connected = self._endpoint.connect(factory)
-        connected.addCallbacks(self._check, self._fail)
-        return connected
-
-    def _check(self, connected):
-        if not self._may_send():
-            connected.transport.abortConnection()
-            raise NotSent('the permission to send ended')
-        return connected
-
-    def _fail(self, failure):
-        raise NotSent(failure.getErrorMessage())
-
-
-@implementer(iweb.IAgentEndpointFactory)
-class _EndpointFactory:
-    """Makes guarded TCP endpoints."""
-
-    def __init__(self, *, reactor, may_send: Callable[[], bool]):
-        self._reactor = reactor
-        self._may_send = may_send
-
-    def endpointForURI(self, uri):
-        """Return the endpoint to connect to for an address."""
-        endpoint = endpoints.TCP4ClientEndpoint(
-            self._reactor,
-            uri.host.decode(),
-            uri.port,
-            timeout=CONNECT_TIMEOUT_MS / 1000,
-        )
-        return _GuardedEndpoint(endpoint=endpoint, may_send=self._may_send)
-
-
-@implementer(iweb.IBodyProducer)
-class _BytesProducer:
-    """Writes a body that is in memory."""
-
-    def __init__(self, body: bytes):
-        self._body = body
-        self.length = len(body)
+class _Collector:
+    """Collects a body and fires with it if it is whole."""
 
-    def startProducing(self, consumer) -> defer.Deferred:
-        """Write the whole body."""
-        consumer.write(self._body)
-        return defer.succeed(None)
+    def __init__(self, *, cancel: Callable[[], None]):
+        self._body = bytearray()
+        self.collected = defer.Deferred(lambda _: cancel())
 
-    def pauseProducing(self) -> None:
-        """Do nothing: the body is written already."""
-
-    def resumeProducing(self) -> None:
-        """Do nothing: the body is written already."""
+    def received(self, data: bytes) -> None:
+        """Keep the bytes."""
+        self._body += data
 
-    def stopProducing(self) -> None:
-        """Do nothing: the body is written already."""
+    def ended(self, why_not: str = '') -> None:
+        """Give the body, or the failure."""
+        if why_not:
+            self.collected.errback(Broken(why_not))
+        else:
+            self.collected.callback(bytes(self._body))
 
 
-class _BodyProtocol(protocol.Protocol):
-    """Hands the body to a receiver."""
+class Response:
+    """An answer whose head is there, with its body to come.
 
-    def __init__(self, receiver: BodyReceiver):
-        self._receiver = receiver
+    :ivar opened: fires with this as soon as the head is there.
+    """
 
-    def dataReceived(self, data: bytes) -> None:
+    def __init__(self, *, method: str):
+        self._method = method
+        self._exchange: client.ClientExchange | None = None
+        self._head: messages.ResponseHead | None = None
+        self._early = bytearray()
+        self._receiver = None
+        self._why_not: str | None = None
+        self.opened = defer.Deferred(self._cancel_opening)
+
+    @property
+    def code(self) -> int:
+        """Return the status."""
+        return self._head.status
+
+    def follow(self, exchange: client.ClientExchange) -> None:
+        """Keep the exchange that this is the answer of."""
+        self._exchange = exchange
+
+    def deliver(self, receiver: BodyReceiver) -> None:
+        """Hand the body on as it arrives, for as long as it goes on."""
+        self._exchange.read_as_stream()
+        self._deliver(receiver, lambda why_not: receiver.ended())
+
+    def collect(self) -> defer.Deferred:
+        """Collect a bounded body; fires with an ``Answer``."""
+        collector = _Collector(cancel=self.abort)
+        self._deliver(collector, collector.ended)
+        return collector.collected.addCallback(self._answer)
+
+    def abort(self) -> None:
+        """Drop the connection; nothing more is told."""
+        self._exchange.cancel()
+
+    def on_head(self, head: messages.ResponseHead) -> None:
+        """Tell that the answer has begun."""
+        self._head = head
+        self.opened.callback(self)
+
+    def on_data(self, data: bytes) -> None:
         """Pass the bytes on."""
-        self._receiver.received(data)
-
-    def connectionLost(self, reason) -> None:
-        """Tell the receiver that the body ended."""
-        self._receiver.ended()
-
-
-class _Collector(protocol.Protocol):
-    """Collects a body of bounded size."""
-
-    def __init__(self):
-        self._parts = []
-        self._size_bytes = 0
-        self.collected = defer.Deferred(self._cancel)
-
-    def dataReceived(self, data: bytes) -> None:
-        """Keep the bytes, up to the limit."""
-        self._parts.append(data)
-        self._size_bytes += len(data)
-        if self._size_bytes > MAX_BODY_BYTES:
-            self._finish(BodyTooLarge('the answer exceeds the size limit'))
-            self._abort()
-
-    def connectionLost(self, reason) -> None:
-        """Give the body if it is whole, else the failure."""
-        if reason.check(client.ResponseDone):
-            self._finish(b''.join(self._parts))
+        if self._receiver is None:
+            self._early += data
         else:
-            self._finish(reason)
-
-    def _finish(self, result) -> None:
-        collected, self.collected = self.collected, None
-        if collected is None:
-            return
-        if isinstance(result, bytes):
-            collected.callback(result)
+            self._receiver.received(data)
+
+    def on_end(self) -> None:
+        """Tell the end, if it is one that a broken server does not make."""
+        self._end('' if self._has_end() else 'the body has no end')
+
+    def on_failure(self, failure: client.Failure) -> None:
+        """Tell that there is no whole answer."""
+        detail = f'{failure.kind.value}: {failure.detail}'
+        if self._head is not None:
+            self._end(detail)
+        elif failure.was_sent:
+            self.opened.errback(Broken(detail))
         else:
-            collected.errback(result)
-
-    def _cancel(self, deferred) -> None:
-        self.collected = None
-        self._abort()
+            self.opened.errback(NotSent(detail))
 
-    def _abort(self) -> None:
-        abort_connection(self.transport)
+    def _deliver(self, receiver, tell_end: Callable[[str], None]) -> None:
+        self._receiver = receiver
+        self._tell_end = tell_end
+        if self._early:
+            receiver.received(bytes(self._early))
+            self._early.clear()
+        if self._why_not is not None:
+            tell_end(self._why_not)
+
+    def _end(self, why_not: str) -> None:
+        self._why_not = why_not
+        if self._receiver is not None:
+            self._tell_end(why_not)
+
+    def _has_end(self) -> bool:
+        """Return whether a cut body would look cut."""
+        if self._method == 'HEAD' or self._head.status in NO_BODY_STATUSES:
+            return True
+        return bool(
+            self._head.get('content-length')
+            or self._head.get('transfer-encoding')
+        )
 
+    def _answer(self, body: bytes) -> Answer:
+        return Answer(
+            status=self._head.status,
+            content_type=self._head.get('content-type'),
+            retry_after_ms=_retry_after_ms(self._head.get('retry-after')),
+            body=body,
+        )
 
-def abort_connection(transport) -> None:
-    """Drop the connection under a body, if there is one."""
-    if transport is None:
-        return
-    abort = getattr(transport, 'abortConnection', None)
-    if abort is None:
-        abort = transport.loseConnection
-    abort()
+    def _cancel_opening(self, opened: defer.Deferred) -> None:
+        was_sent = self._exchange.was_sent
+        self.abort()
+        if not was_sent:
+            opened.errback(NotSent('given up before it was sent'))
 
 
-def _retry_after_ms(headers: http_headers.Headers) -> int:
-    values = headers.getRawHeaders('Retry-After', ['0'])
+def _retry_after_ms(value: str) -> int:
     try:
-        return max(0, int(float(values[0]) * 1000))
-    except ValueError:
+        return max(0, int(float(value or 0) * 1000))
+    except (ValueError, OverflowError):
         return 0
 
 
-@defer.inlineCallbacks
-def _collect(response):
-    collector = _Collector()
-    collected = collector.collected
-    response.deliverBody(collector)
-    body = yield collected
-    types = response.headers.getRawHeaders('Content-Type', [''])
-    return Answer(
-        status=response.code,
-        content_type=types[0],
-        retry_after_ms=_retry_after_ms(response.headers),
-        body=body,
-    )
-
-
-def collect(*, response, reactor, timeout_ms: int) -> defer.Deferred:
+def collect(*, response: Response, reactor, timeout_ms: int) -> defer.Deferred:
     """Collect the rest of a response; fires with an ``Answer``."""
-    collected = _collect(response)
+    collected = response.collect()
     collected.addTimeout(timeout_ms / 1000, reactor)
     return collected
 
@@ -225,18 +194,15 @@
     """Sends requests to one backend server.
 
     :param url: address of the backend server.
-    :param persistent: whether to keep connections for further requests;
-        only for polls, since the other end may drop a kept connection
-        while a request is on its way.
     """
 
-    def __init__(self, *, reactor, url: str, persistent: bool = False):
+    def __init__(self, *, reactor, url: str):
         self._reactor = reactor
         self._url = url.rstrip('/')
-        self._pool = client.HTTPConnectionPool(reactor, persistent=persistent)
+        self._caller = client.Caller(
+            reactor=reactor, connect_timeout_ms=CONNECT_TIMEOUT_MS
+        )
         self._asked: set[defer.Deferred] = set()
-        self._pool.retryAutomatically = False
-        self._pool.cachedConnectionTimeout = IDLE_CONNECTION_MS / 1000
 
     def open(
         self,
@@ -253,27 +219,31 @@
         :returns: fires with the response as soon as its headers are there;
             fails with ``NotSent`` if the request never left.
         """
-        factory = _EndpointFactory(reactor=self._reactor, may_send=may_send)
-        agent = client.Agent.usingEndpointFactory(
-            self._reactor, factory, self._pool
-        )
-        fields = http_headers.Headers()
-        for name, value in (headers or {}).items():
-            fields.addRawHeader(name, value)
-        try:
-            return agent.request(
-                method.encode(),
-                (self._url + path).encode(),
-                fields,
-                _BytesProducer(body) if body else None,
+        response = Response(method=method)
+        url = urllib.parse.urlsplit(self._url)
+        fields = {'Host': url.netloc, **(headers or {})}
+        response.follow(
+            self._caller.call(
+                address=f'{url.hostname}:{url.port or DEFAULT_PORT}',
+                head=messages.RequestHead(
+                    method=method,
+                    target=url.path + path,
+                    headers=tuple(
+                        (name, value.encode().decode('latin-1'))
+                        for name, value in fields.items()
+                    ),
+                ),
+                body=body,
+                listener=response,
+                may_send=may_send,
             )
-        except ValueError as error:
-            return defer.fail(NotSent(str(error)))
+        )
+        return response.opened
 
     @defer.inlineCallbacks
     def _ask(self, **request):
         response = yield self.open(**request)
-        answer = yield _collect(response)
+        answer = yield response.collect()
         return answer
 
     def ask(self, *, timeout_ms: int, **request) -> defer.Deferred:
@@ -293,18 +263,7 @@
         self._asked.discard(asked)
         return result
 
-    def close(self) -> defer.Deferred:
-        """Give up what is asked and drop the kept connections."""
+    def close(self) -> None:
+        """Give up what is asked."""
         for asked in list(self._asked):
             asked.cancel()
-        return self._pool.closeCachedConnections()
-
-
-def deliver_body(*, response, receiver: BodyReceiver) -> protocol.Protocol:
-    """Hand a response's body to a receiver as it arrives.
-
-    :returns: the protocol whose transport can be aborted.
-    """
-    body = _BodyProtocol(receiver)
-    response.deliverBody(body)
-    return body
--- a/src/shallothinge/agent/running.py
+++ b/src/shallothinge/agent/running.py
@@ -102,6 +102,11 @@
         self._reconnects = 0
         self._connection = 0
 
+    @property
+    def request_id(self) -> str:
+        """Return the id of the request that the stream answers."""
+        return self._key.request_id
+
     @property
     def is_accepted(self) -> bool:
         """Return whether the engine is known to run the stream."""
@@ -137,7 +142,7 @@
             opening.cancel()
         body, self._body = self._body, None
         if body is not None:
-            http.abort_connection(body.transport)
+            body.abort()
 
     def _answered(self, response):
         self._opening = None
@@ -156,11 +161,15 @@
 
     @defer.inlineCallbacks
     def _refuse(self, response):
-        answer = yield http.collect(
-            response=response,
-            reactor=self._reactor,
-            timeout_ms=HEADERS_TIMEOUT_MS,
-        )
+        try:
+            answer = yield http.collect(
+                response=response,
+                reactor=self._reactor,
+                timeout_ms=HEADERS_TIMEOUT_MS,
+            )
+        except (http.Broken, defer.TimeoutError) as error:
+            self._refused_in_part(error)
+            return
         if self._stopped:
             return
         kind = refusal_of(answer)
@@ -170,6 +179,18 @@
             self._stopped = True
             self._listener.refused(self._key, kind, answer.retry_after_ms)
 
+    def _refused_in_part(self, error: Exception) -> None:
+        """Take what may have been a refusal for a stream that was lost."""
+        if self._stopped:
+            return
+        LOG.warning(
+            "an engine's refusal is not whole: %r",
+            error,
+            extra={'request_id': self._key.request_id},
+        )
+        self._listener.connection_broke()
+        self._fail(ErrorKind.BACKEND_FAILED)
+
     def _start_failed(self, failure) -> None:
         self._opening = None
         if self._stopped:
@@ -185,7 +206,8 @@
 
     def _read(self, response) -> None:
         reader = _Reader(stream=self, connection=self._connection)
-        self._body = http.deliver_body(response=response, receiver=reader)
+        self._body = response
+        response.deliver(reader)
 
     def take(self, connection: int, event: model.StreamEvent) -> None:
         """Take an event of a connection; those of older ones are late."""
@@ -293,8 +315,12 @@
             events = [
                 model.read_event(text) for text in self._parser.feed(data)
             ]
-        except (model.BadAnswer, sse.EventTooLarge):
-            LOG.warning('an engine sent a malformed event')
+        except (model.BadAnswer, sse.EventTooLarge) as error:
+            LOG.warning(
+                'an engine sent a malformed event: %r',
+                error,
+                extra={'request_id': self._stream.request_id},
+            )
             self._stream.lost(self._connection)
             return
         for event in events:
--- /dev/null
+++ b/src/shallothinge/agent/tests/test_endless.py
@@ -0,0 +1,76 @@
+"""Tests of an engine or service whose bytes do not end."""
+
+import unittest
+
+from shallothinge.agent import http
+from shallothinge.http1.tests import endless
+from shallothinge.http1.tests import wires
+
+URL = 'http://10.0.0.1:8000'
+# The longest whole answer, what frames it, and what a kernel hands out.
+MOST_BYTES = 17 * 1024 * 1024
+# An answer to a poll, an order or a call; only a stream may be longer.
+ASK_MS = 5000
+
+
+class EndlessTest(unittest.TestCase):
+    """Whatever an engine sends, its agent takes a bounded part of it."""
+
+    def setUp(self):
+        self.reactor = wires.Reactor()
+        self.http = http.HttpClient(reactor=self.reactor, url=URL)
+
+    def ask(self, **fields):
+        """Ask; return what became of it, and the connection."""
+        outcomes = []
+        asked = self.http.ask(
+            timeout_ms=ASK_MS,
+            **{'method': 'GET', 'path': '/health', **fields},
+        )
+        asked.addBoth(outcomes.append)
+        self.reactor.advance(0)
+        return outcomes, self.reactor.wires[-1]
+
+    def assert_given_up(self, wire, first, again):
+        is_given_up = wire.pour(first, again, most_bytes=2 * MOST_BYTES)
+        self.assertTrue(is_given_up, f'{wire.poured_bytes} bytes taken')
+        self.assertLess(wire.poured_bytes, MOST_BYTES)
+        self.assertTrue(wire.transport.disconnecting)
+
+    def test_answer_without_end_is_none(self):
+        for method in ('GET', 'POST'):
+            for name, first, again in endless.shapes():
+                with self.subTest(name, method=method):
+                    self.setUp()
+                    outcomes, wire = self.ask(method=method)
+                    self.assert_given_up(wire, first, again)
+                    wire.close_badly()
+                    (failure,) = outcomes
+                    self.assertNotIsInstance(failure, http.Answer)
+                    self.assertIsNone(failure.check(http.NotSent))
+
+    def test_bytes_after_a_whole_answer_belong_to_nothing(self):
+        outcomes, wire = self.ask()
+        first = endless.head('Content-Length: 2', '') + b'ok'
+        self.assert_given_up(wire, first, b'x')
+        self.assertEqual(b'ok', outcomes[0].body)
+        outcomes, wire = self.ask()
+        wire.send(first)
+        self.assertEqual(b'ok', outcomes[0].body)
+
+    def test_answer_that_may_have_been_cut_is_none(self):
+        outcomes, wire = self.ask()
+        wire.send(endless.head('') + b'ok')
+        wire.close()
+        self.assertNotIsInstance(outcomes[0], http.Answer)
+
+    def test_slow_answer_is_given_up_in_time(self):
+        outcomes, wire = self.ask()
+        wire.send(endless.head('Content-Length: 2', '') + b'o')
+        self.reactor.advance(ASK_MS / 1000)
+        self.assertEqual(1, len(outcomes))
+        self.assertTrue(wire.transport.disconnecting)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/src/shallothinge/gateway/tests/test_endless.py
+++ b/src/shallothinge/gateway/tests/test_endless.py
@@ -5,8 +5,9 @@
 from shallothinge.gateway import reservation
 from shallothinge.gateway.tests import rig
 from shallothinge.gateway.tests import test_forwarding
-from shallothinge.gateway.tests import wires
 from shallothinge.http1 import client
+from shallothinge.http1.tests import endless
+from shallothinge.http1.tests import wires
 from shallothinge.platform.tests import samples
 
 BOOKING = test_forwarding.BOOKING
@@ -18,38 +19,13 @@
 
 # The longest whole answer, what frames it, and what a kernel hands out.
 MOST_BYTES = client.BODY_BYTES + 1024 * 1024
-HEAD = wires.signed(200)
-CHUNKED = wires.signed(200, 'Transfer-Encoding: chunked', '')
-ENDLESS_HEADS = (
-    ('status line', b'HTTP/1.1 200 ', b'x'),
-    ('no answer at all', b'', b'\x00\xff'),
-    ('no answer, in lines', b'', b'x\r\n'),
-    ('blank lines', b'', b'\r\n'),
-    ('header line', HEAD + b'X: ', b'x'),
-    ('header lines', HEAD, b'X: y\r\n'),
-    ('folded header line', HEAD + b'X: y\r\n', b' z\r\n'),
-    ('interim answers', b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
-    ('early hints', b'', b'HTTP/1.1 103 X\r\nLink: a\r\n\r\n'),
+SIGNED = (
+    f'Request-Attempt-Id: {rig.REQUEST_ID}',
+    'Response-Signature: s',
 )
-ENDLESS_BODIES = (
-    ('body until the close', HEAD + b'\r\n', b'x'),
-    (
-        'body of a huge length',
-        wires.signed(200, f'Content-Length: {10**15}', ''),
-        b'x',
-    ),
-    ('long chunks', CHUNKED, b'1000\r\n' + b'x' * 4096 + b'\r\n'),
-    ('chunks of eight', CHUNKED, b'8\r\nabcdefgh\r\n'),
-    ('short chunks', CHUNKED, b'1\r\nx\r\n'),
-    ('one chunk', CHUNKED + b'ffffffffffff\r\n', b'x'),
-    ('chunk size', CHUNKED, b'0'),
-    ('chunk extension', CHUNKED + b'1;x=', b'x'),
-    ('extensions of short chunks', CHUNKED, b'1;' + b'x' * 999 + b'\r\nx\r\n'),
-    ('trailer line', CHUNKED + b'0\r\nX: ', b'x'),
-    ('trailer lines', CHUNKED + b'0\r\n', b'X: y\r\n'),
-    ('failure', wires.signed(500, ''), b'x'),
-)
-ENDLESS = ENDLESS_HEADS + ENDLESS_BODIES
+HEAD = endless.head(*SIGNED)
+CHUNKED = endless.head(*SIGNED, endless.IN_CHUNKS, '')
+ENDLESS = endless.shapes(*SIGNED)
 
 
 def configuration():
@@ -165,7 +141,9 @@
                 self.rig.advance(0)
                 other = self.reactor.wires[1]
                 self.assertNotEqual(wire.address, other.address)
-                other.send(wires.signed(200, 'Content-Length: 2', '') + b'ok')
+                other.send(
+                    endless.head(*SIGNED, 'Content-Length: 2', '') + b'ok'
+                )
                 self.assertEqual(
                     (200, b'ok'), (exchange.status, exchange.received)
                 )
@@ -263,7 +241,7 @@
                 self.setUp()
                 exchange = self.start(BOOKING)
                 (wire,) = self.reactor.wires
-                first = wires.signed(200, fields, '') + body
+                first = endless.head(*SIGNED, fields, '') + body
                 self.assert_given_up(wire, first, b'x')
                 self.assertEqual(
                     (200, b'ok'), (exchange.status, exchange.received)
@@ -272,7 +250,7 @@
     def test_refusal_as_not_run_is_true_whatever_follows_its_head(self):
         exchange = self.start(BOOKING)
         (wire,) = self.reactor.wires
-        first = wires.signed(503, 'Not-Executed: 1', '')
+        first = endless.head(*SIGNED, 'Not-Executed: 1', '', status=503)
         self.assert_given_up(wire, first, b'x')
         self.rig.advance(0)
         other = self.reactor.wires[1]
--- a/src/shallothinge/http1/client.py
+++ b/src/shallothinge/http1/client.py
@@ -169,6 +169,11 @@
         """There is no connection, so nothing was sent."""
         self._fail(FailureKind.NOT_CONNECTED, detail)
 
+    @property
+    def was_sent(self) -> bool:
+        """Return whether some of the request may have left."""
+        return self._was_sent
+
     def read_as_stream(self) -> None:
         """Let the body go on: its owner keeps none of it."""
         self._is_stream = True
--- a/src/shallothinge/gateway/tests/wires.py
+++ b/src/shallothinge/http1/tests/wires.py
@@ -1,4 +1,4 @@
-"""Connections in memory between a gateway and backend servers of a test."""
+"""Connections in memory to backend servers that a test plays."""
 
 import json
 
@@ -7,7 +7,6 @@
 from twisted.internet import task
 from twisted.python import failure
 
-from shallothinge.gateway.tests import rig
 from shallothinge.http1.tests import fakes
 
 DONE = failure.Failure(net_errors.ConnectionDone())
@@ -19,7 +18,7 @@
 class Wire:
     """One connection to a backend server.
 
-    :ivar poured_bytes: what the gateway has taken.
+    :ivar poured_bytes: what the other side has taken.
     """
 
     address: str
@@ -29,7 +28,7 @@
 
     @property
     def request(self):
-        """Return all that the gateway has sent."""
+        """Return all that the other side has sent."""
         return self.transport.value()
 
     @property
@@ -45,7 +44,7 @@
 
     @property
     def is_read(self):
-        """Return whether the gateway still takes what comes."""
+        """Return whether the other side still takes what comes."""
         return (
             not self.transport.disconnecting
             and self.transport.producerState == 'producing'
@@ -71,7 +70,7 @@
     def pour(self, first, again, *, most_bytes):
         """Send bytes and then others again and again.
 
-        :returns: whether the gateway stopped taking them by itself.
+        :returns: whether the other side stopped taking them by itself.
         """
         self.send(first)
         piece = again * max(1, READ_BYTES // len(again))
@@ -87,7 +86,7 @@
         super().__init__()
         self.wires = []
 
-    def connectTCP(self, host, port, factory, timeout):
+    def connectTCP(self, host, port, factory, timeout, bindAddress=None):
         """Connect in the next turn."""
         self.callLater(0, self._connect, f'{host}:{port}', factory)
 
@@ -99,14 +98,3 @@
         )
         self.wires.append(wire)
         wire.protocol.makeConnection(wire.transport)
-
-
-def signed(status, *fields, request_id=rig.REQUEST_ID):
-    """Return a signed head without its blank line."""
-    lines = (
-        f'HTTP/1.1 {status} X',
-        f'Request-Attempt-Id: {request_id}',
-        'Response-Signature: s',
-        *fields,
-    )
-    return '\r\n'.join(lines).encode() + b'\r\n'
