Close the connection of a stream that is no stream

An agent that found an event too long, or bytes that are no event, counted the connection as lost but did not close it: it read on, and each further piece gave another log line and another count against the stream's 20 reconnects.

--- a/src/shallothinge/agent/running.py
+++ b/src/shallothinge/agent/running.py
@@ -221,10 +221,10 @@
             self._fail(ErrorKind.BACKEND_FAILED)
 
     def lost(self, connection: int) -> None:
-        """Take note that a connection ended before the stream did."""
+        """Take note that a connection ended or sends what is no stream."""
         if self._stopped or connection != self._connection:
             return
-        self._body = None
+        self._drop()
         self._listener.connection_broke()
         self._resume_later()
 
--- a/src/shallothinge/agent/tests/test_endless.py
+++ b/src/shallothinge/agent/tests/test_endless.py
@@ -1,10 +1,15 @@
 """Tests of an engine or service whose bytes do not end."""
 
 import unittest
+from unittest import mock
 
+from shallothinge.agent import engine
 from shallothinge.agent import http
+from shallothinge.agent import running
+from shallothinge.errors import ErrorKind
 from shallothinge.http1.tests import endless
 from shallothinge.http1.tests import wires
+from shallothinge.streams import owned
 
 URL = 'http://10.0.0.1:8000'
 # The longest whole answer, what frames it, and what a kernel hands out.
@@ -72,5 +77,72 @@
         self.assertTrue(wire.transport.disconnecting)
 
 
+class EndlessStreamTest(unittest.TestCase):
+    """A stream of an engine that sends without end."""
+
+    def setUp(self):
+        self.reactor = wires.Reactor()
+        self.listener = mock.Mock()
+        self.listener.next_offset.return_value = 0
+        self.key = owned.StreamKey(request_id='r1', attempt=1)
+        self.stream = running.EngineStream(
+            reactor=self.reactor,
+            engine=engine.EngineClient(reactor=self.reactor, url=URL),
+            key=self.key,
+            listener=self.listener,
+        )
+        completion = engine.Completion(
+            request_id='r1',
+            model='m',
+            adapter='',
+            prompt='p',
+            delivered=(),
+            max_tokens=1,
+            priority=0,
+            fence=1,
+        )
+        self.stream.start(completion=completion, may_send=lambda: True)
+        self.reactor.advance(0)
+
+    def test_endless_answer_to_a_stream_is_given_up(self):
+        for name, first, again in endless.shapes():
+            with self.subTest(name):
+                self.setUp()
+                with self.assertNoLogs('shallothinge.agent', 'ERROR'):
+                    self.assert_given_up(self.reactor.wires[0], first, again)
+                self.listener.connection_broke.assert_called_once_with()
+                self.reactor.advance(running.RECONNECT_MS / 1000)
+                self.reactor.advance(0)
+                goes_on = len(self.reactor.wires) == 2
+                self.assertNotEqual(goes_on, self.listener.failed.called)
+                self.listener.finished.assert_not_called()
+                self.listener.refused.assert_not_called()
+
+    def test_endless_event_is_given_up_and_then_the_stream(self):
+        self.pour_all(endless.head('') + b'data: ', b'x')
+
+    def assert_given_up(self, wire, first, again):
+        taken = wire.pour(first, again, most_bytes=2 * MOST_BYTES)
+        self.assertTrue(taken, f'{wire.poured_bytes} bytes taken')
+        self.assertLess(wire.poured_bytes, MOST_BYTES)
+        self.assertTrue(wire.transport.disconnecting)
+        wire.close_badly()
+
+    def pour_all(self, first, again):
+        """Answer without end until the stream is given up."""
+        with self.assertNoLogs('shallothinge.agent', 'ERROR'):
+            for number in range(running.RECONNECTS + 1):
+                self.assert_given_up(self.reactor.wires[number], first, again)
+                self.reactor.advance(running.RECONNECT_MS / 1000)
+                self.reactor.advance(0)
+                if self.listener.failed.called:
+                    break
+        self.listener.failed.assert_called_once_with(
+            self.key, ErrorKind.BACKEND_FAILED
+        )
+        self.listener.finished.assert_not_called()
+        self.assertTrue(self.listener.connection_broke.called)
+
+
 if __name__ == '__main__':
     unittest.main()
