Let the soak's backend servers send without end

Of the requests that a stand-in backend server runs, one in 50 is answered with one of the shapes of endless bytes, drawn apart so that older seeds keep their plans and pauses. The request counts as run, so a gateway that refuses it as not run or repeats what may not be repeated is found.

--- a/testing/soak/backend.py
+++ b/testing/soak/backend.py
@@ -7,7 +7,8 @@
 is gone; from then on its answers say so, too. Once that is acknowledged it
 serves on for some seconds, as real ones may, and notes the requests that
 still reach it too late. Now and then it refuses a request and asks for a
-pause. What it says of itself is noted, with all requests that arrive.
+pause, or answers one that it runs with bytes that never end. What it says of
+itself is noted, with all requests that arrive.
 """
 
 import argparse
@@ -20,6 +21,7 @@
 import h11
 
 from shallothinge import clock
+from shallothinge.http1.tests import endless
 from shallothinge.platform import names
 from shallothinge.platform.tests import samples
 from testing.soak import checks
@@ -40,6 +42,9 @@
 # Of the requests that arrive, some are refused with a pause asked for.
 PAUSE_SHARE = 0.02
 PAUSE_S = (1.5, 5.0)
+# Of those that run, some get bytes without end, until the gateway closes.
+ENDLESS_SHARE = 0.02
+ENDLESS_PIECE_BYTES = 65_536
 # One that vanishes says so in its answers for so long before control hears.
 TOLD_FIRST_S = 3.5
 LEAVE_SIGNALS = (signal.SIGTERM, signal.SIGUSR1)
@@ -58,6 +63,7 @@
         self._state = names.READY
         self._is_leaving = False
         self._rng = random.Random(arguments.name)
+        self._endless_rng = random.Random(f'endless {arguments.name}')
         self._left_ms: int | None = None
 
     async def run(self) -> None:
@@ -194,6 +200,8 @@
     async def _run(self, connection, writer, request: wire.Request) -> None:
         self._note(request)
         fields = self._fields(request)
+        if self._endless_rng.random() < ENDLESS_SHARE:
+            await self._send_without_end(writer, fields)
         if self._arguments.service != wire.STREAMS:
             await asyncio.sleep(CALL_S)
             body = wire.body_of(request.target)
@@ -212,6 +220,16 @@
         await writer.drain()
         self._note_if_told(request, fields)
 
+    async def _send_without_end(self, writer, fields) -> None:
+        """Send until the connection is closed, which raises OSError."""
+        lines = (f'{name}: {value}' for name, value in fields)
+        shapes = endless.shapes(*lines)
+        _, first, again = self._endless_rng.choice(shapes)
+        writer.write(first)
+        while True:
+            writer.write(again * (ENDLESS_PIECE_BYTES // len(again) + 1))
+            await writer.drain()
+
     def _note_if_told(self, request: wire.Request, fields) -> None:
         """Note that an answer which is out said that this server leaves."""
         if (names.LEAVING, '1') in fields:
