Bound the bodies of unfinished answers together

Each answer's body was bounded, but many servers in trouble at the same time could take that bound for each of a gateway's requests, thus all of the host's memory. The bodies that one Caller collects are now counted together; beyond 16 of the longest (256 MiB) the longest of them is given up, since the answers of sound servers are short. Streams hold nothing that counts, and an answer that was handed over or given up counts no more.

The test opens three answers and lowers the bound: the longest alone is given up, the others go on. Before there was no such bound.

--- a/src/shallothinge/gateway/tests/test_endless.py
+++ b/src/shallothinge/gateway/tests/test_endless.py
@@ -1,6 +1,7 @@
 """Tests of backend servers whose bytes do not end."""
 
 import unittest
+from unittest import mock
 
 from shallothinge.gateway import reservation
 from shallothinge.gateway.tests import rig
@@ -232,6 +233,33 @@
         exchange.flow.resumeProducing()
         self.assertTrue(other.is_read)
 
+    def test_bodies_of_many_servers_are_bounded_together(self):
+        exchanges = [self.start(BOOKING) for _ in range(3)]
+        opened = list(self.reactor.wires)
+        with mock.patch.object(client, 'HELD_BYTES', 3_000_000):
+            opened[0].send(HEAD + b'\r\n' + b'x' * 1_000_000)
+            opened[1].send(HEAD + b'\r\n' + b'x' * 1_200_000)
+            self.assertTrue(all(wire.is_read for wire in opened))
+            opened[2].send(HEAD + b'\r\n' + b'x' * 900_000)
+        self.assertEqual(
+            [True, False, True], [wire.is_read for wire in opened]
+        )
+        self.assertEqual([None, 502, None], [one.status for one in exchanges])
+        # What is handed over or given up counts no more.
+        opened[0].close()
+        self.assertEqual(200, exchanges[0].status)
+        with mock.patch.object(client, 'HELD_BYTES', 3_000_000):
+            opened[2].send(b'x' * 1_900_000)
+        self.assertTrue(opened[2].is_read)
+
+    def test_stream_holds_nothing_of_what_is_bounded_together(self):
+        self.start(STREAM, tokens=5000)
+        (wire,) = self.reactor.wires
+        event = b'data: ' + b'x' * 100_000 + b'\n\n'
+        with mock.patch.object(client, 'HELD_BYTES', 300_000):
+            wire.send(HEAD + b'\r\n' + event * 10)
+        self.assertTrue(wire.is_read)
+
     def test_bytes_after_a_whole_answer_belong_to_nothing(self):
         for fields, body in (
             ('Content-Length: 2', b'ok'),
--- a/src/shallothinge/http1/client.py
+++ b/src/shallothinge/http1/client.py
@@ -40,6 +40,9 @@
 STREAM_BYTES_PER_FRAMING = 1
 # Four times what a caller may send by the usual limits of the platform.
 BODY_BYTES = 16 * 1024 * 1024
+# Bodies that are being read, in all answers together: sixteen of the longest.
+# Beyond this the longest is given up.
+HELD_BYTES = 16 * BODY_BYTES
 # Other connections get their turn after so much of an answer: 1,365 chunks of
 # one byte, some milliseconds.
 READ_BYTES = 8 * 1024
@@ -87,6 +90,26 @@
         """There will be no whole answer."""
 
 
+class Held:
+    """How much of the bodies of unfinished answers a process holds."""
+
+    def __init__(self):
+        self._bytes: dict['ClientExchange', int] = {}
+        self._total_bytes = 0
+
+    def add(self, exchange: 'ClientExchange', count_bytes: int) -> None:
+        """Note more of a body; give up the longest if it is too much."""
+        self._bytes[exchange] = self._bytes.get(exchange, 0) + count_bytes
+        self._total_bytes += count_bytes
+        if self._total_bytes > HELD_BYTES:
+            longest = max(self._bytes, key=self._bytes.__getitem__)
+            longest.give_up(f'answers hold over {HELD_BYTES} bytes')
+
+    def drop(self, exchange: 'ClientExchange') -> None:
+        """Forget a body that is handed over or given up."""
+        self._total_bytes -= self._bytes.pop(exchange, 0)
+
+
 class ClientExchange(protocol.Protocol):
     """Sends one request and reads one answer.
 
@@ -94,6 +117,7 @@
 
     :param may_send: asked once the connection stands, since the process may
         have been paused meanwhile.
+    :param held: shared by the exchanges of a process.
     """
 
     def __init__(
@@ -103,7 +127,9 @@
         body: bytes,
         listener: Listener,
         may_send: Callable[[], bool] = lambda: True,
+        held: Held | None = None,
     ):
+        self._held = held or Held()
         self._may_send = may_send
         self._head = head
         self._body = body
@@ -177,6 +203,7 @@
     def read_as_stream(self) -> None:
         """Let the body go on: its owner keeps none of it."""
         self._is_stream = True
+        self._held.drop(self)
 
     def pause(self) -> None:
         """Read no more for now; what was read before is still told."""
@@ -202,6 +229,10 @@
         if self.transport is not None:
             self.transport.abortConnection()
 
+    def give_up(self, detail: str) -> None:
+        """Drop an answer that is too long."""
+        self._fail(FailureKind.ENDLESS, detail)
+
     def _on_late(self) -> None:
         self._timer = None
         self._fail(FailureKind.LATE, 'no whole answer in time')
@@ -216,16 +247,17 @@
         )
         allowed_bytes = FRAMING_BYTES + self._body_bytes // body_per_framing
         if framing_bytes > allowed_bytes:
-            self._fail(
-                FailureKind.ENDLESS,
-                f'{framing_bytes} bytes frame {self._body_bytes} of body',
+            self.give_up(
+                f'{framing_bytes} bytes frame {self._body_bytes} of body'
             )
 
-    def _bound_body(self) -> None:
-        if not self._is_stream and self._body_bytes > BODY_BYTES:
-            self._fail(
-                FailureKind.ENDLESS, f'the body exceeds {BODY_BYTES} bytes'
-            )
+    def _bound_body(self, count_bytes: int) -> None:
+        if self._is_stream:
+            return
+        if self._body_bytes > BODY_BYTES:
+            self.give_up(f'the body exceeds {BODY_BYTES} bytes')
+        else:
+            self._held.add(self, count_bytes)
 
     def _feed(self, data: bytes) -> None:
         try:
@@ -257,7 +289,7 @@
             )
         elif isinstance(event, h11.Data):
             self._body_bytes += len(event.data)
-            self._bound_body()
+            self._bound_body(len(event.data))
             if not self._is_done:
                 self._listener.on_data(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
@@ -282,6 +314,7 @@
     def _finish(self) -> None:
         """Tell nothing more."""
         self._is_done = True
+        self._held.drop(self)
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         self._timer = None
@@ -313,6 +346,7 @@
     def __init__(self, *, reactor, connect_timeout_ms: int):
         self._reactor = reactor
         self._connect_timeout_ms = connect_timeout_ms
+        self._held = Held()
 
     def call(
         self,
@@ -330,7 +364,11 @@
         :returns: the exchange, to cancel it.
         """
         exchange = ClientExchange(
-            head=head, body=body, listener=listener, may_send=may_send
+            head=head,
+            body=body,
+            listener=listener,
+            may_send=may_send,
+            held=self._held,
         )
         if within_ms is not None:
             exchange.expect_within(
