--- a/src/shallothinge/control/tests/test_replaced_hosts.py
+++ b/src/shallothinge/control/tests/test_replaced_hosts.py
@@ -260,6 +260,16 @@
                 fleet.stop_for_good(pick(fleet, but=(leader_id,)))
                 fleet.run(fleets.CATCH_UP_MS)
 
+    def test_leader_of_four_stops_as_another_is_lost(self):
+        for wiped, seed in itertools.product((False, True), range(4)):
+            with self.deployed(wiped=wiped, seed=seed) as fleet:
+                self.add(fleet, 1)
+                leader_id = fleet.leader_id()
+                lost_id = pick(fleet, but=(leader_id,))
+                fleet.kill(lost_id, back_ms=DOWN_MS, wiped=wiped)
+                fleet.stop_for_good(leader_id)
+                fleet.run(fleets.CATCH_UP_MS)
+
     def check_stopped(self, *, added):
         for leads in (False, True):
             with self.deployed(leads=leads) as fleet:
