Keep the votes that may be needed when disks are lost

No leader is elected any more, although no more disks are lost than the deployment bears.

Cause: takes votes until three are left. Of six voters, two of which are away, it left four; of these the two that lost their disks are missing, and the two that come back hold the log but no vote. The losses that are borne were counted among the hosts that are heard; one that comes back with its disk can vote, too.

Change: 2 n + 1 voters keep their votes where n losses are to be borne, n from the platform's settings ([discovery] losses_to_bear). Any n + 1 of them with their disks are a majority.

Evidence: test_two_lost_disks_of_six_while_two_others_are_away fails with three for each of its rows (cut, frozen, killed, restarted) and passes with five.

--- a/src/shallothinge/consensus/leaving.py
+++ b/src/shallothinge/consensus/leaving.py
@@ -1,6 +1,5 @@
 """A replica whose process is about to stop, and tells the leader so."""
 
-from shallothinge.consensus import membership
 from shallothinge.consensus import messages
 from shallothinge.consensus import state as states
 from shallothinge.consensus.model import Role
@@ -37,7 +36,7 @@
         if not state.is_voter or not state.timing.replace_silent_ms:
             return False
         configuration = state.configuration
-        is_surplus = len(configuration.voters) > membership.LEAST_VOTERS
+        is_surplus = len(configuration.voters) > state.timing.least_voters
         return is_surplus or bool(configuration.learners)
 
     def tick(self) -> None:
--- a/src/shallothinge/consensus/membership.py
+++ b/src/shallothinge/consensus/membership.py
@@ -5,20 +5,15 @@
 from shallothinge.consensus import replication
 from shallothinge.consensus import state as states
 
-# A voter that is heard this many heartbeats after it last said that it
-# leaves has come back: messages that crossed arrive sooner.
-RETURN_HEARTBEATS = 2
-# Two voters bear no loss, as one of three that is gone leaves them to.
-LEAST_VOTERS = 3
-
 
 class Membership:
     """The leader's changes of the set of replicas.
 
     A replica joins without a vote. When it holds all that is committed the
     leader removes the former replica of the same process, if there is one,
-    and gives the new one its vote. A voter that is gone loses its vote, as
-    long as three are left.
+    and gives the new one its vote. A voter that is gone loses its vote
+    while more than ``least_voters`` are left: it may come back with its
+    disk when others have lost theirs.
     """
 
     def __init__(
@@ -155,7 +150,7 @@
             if self._is_gone(now_ms, voter)
         ]
         gone.sort(key=lambda one: -self._silent_ms(now_ms, one))
-        return gone[: max(0, count - LEAST_VOTERS)]
+        return gone[: max(0, count - self._state.timing.least_voters)]
 
     def _replace_or_promote(self, now_ms: int, learner: str) -> None:
         process_id = model.process_id_of(learner)
@@ -174,10 +169,7 @@
     def _is_leaving(self, voter: str) -> bool:
         """Return whether a voter said that it stops and was not back since."""
         progress = self._state.leadership.progress[voter]
-        if progress.leaving_ms is None:
-            return False
-        return_ms = RETURN_HEARTBEATS * self._state.timing.heartbeat_ms
-        return progress.heard_ms - progress.leaving_ms <= return_ms
+        return progress.is_leaving(self._state.timing)
 
     def _silent_ms(self, now_ms: int, voter: str) -> int:
         return now_ms - self._state.leadership.progress[voter].heard_ms
--- a/src/shallothinge/consensus/model.py
+++ b/src/shallothinge/consensus/model.py
@@ -46,8 +46,8 @@
     ``batch_bytes`` bounds the entries of one message and ``chunk_bytes`` a
     piece of a snapshot. ``kept_entries`` remain in the log behind a
     snapshot for replicas that are a little late. A replica that was silent
-    for ``replace_silent_ms`` counts as gone, and is removed where the others
-    need fewer votes without it; 0 keeps all.
+    for ``replace_silent_ms`` counts as gone, and is removed while more than
+    ``least_voters`` are left; 0 keeps all.
     """
 
     heartbeat_ms: int = 100
@@ -58,6 +58,7 @@
     chunk_bytes: int = 256 * 1024
     kept_entries: int = 200
     replace_silent_ms: int = 0
+    least_voters: int = 3
 
 
 def majority_of(count: int) -> int:
--- a/src/shallothinge/consensus/state.py
+++ b/src/shallothinge/consensus/state.py
@@ -9,6 +9,9 @@
 from shallothinge.consensus import sightings
 from shallothinge.consensus.model import Role
 
+# A voter that is heard this many heartbeats after it last said that it
+# leaves has come back: messages that crossed arrive sooner.
+RETURN_HEARTBEATS = 2
 # A living leader has sent a heartbeat by then, with time to arrive.
 FIRST_ELECTION_HEARTBEATS = 2
 
@@ -31,6 +34,13 @@
     snapshot: model.Snapshot | None = None
     offset_bytes: int = 0
 
+    def is_leaving(self, timing: model.Timing) -> bool:
+        """Return whether it said that it stops and was not back since."""
+        if self.leaving_ms is None:
+            return False
+        return_ms = RETURN_HEARTBEATS * timing.heartbeat_ms
+        return self.heard_ms - self.leaving_ms <= return_ms
+
 
 @attrs.define(kw_only=True)
 class PendingRead:
--- a/src/shallothinge/consensus/tests/test_membership.py
+++ b/src/shallothinge/consensus/tests/test_membership.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+import attrs
+
 from shallothinge.consensus import founding
 from shallothinge.consensus import messages
 from shallothinge.consensus import model
@@ -110,6 +112,20 @@
                 leader.run(1000, answering=answering)
                 self.assertEqual(left, leader.voter_count)
 
+    def test_voters_that_may_be_needed_later_keep_their_votes(self):
+        for count, silent, left in (
+            (6, 2, 5),
+            (5, 1, 5),
+            (5, 2, 5),
+            (7, 2, 5),
+        ):
+            with self.subTest(voters=count, silent=silent):
+                timing = attrs.evolve(TIMING, least_voters=5)
+                leader = LeaderOf(count=count, timing=timing)
+                answering = leader.ids[1 : count - silent]
+                leader.run(SILENT_MS + 1000, answering=answering)
+                self.assertEqual(left, leader.voter_count)
+
     def test_every_removal_keeps_as_many_losses_bearable(self):
         for count, silent, left in self.ROWS:
             with self.subTest(voters=count, silent=silent):
@@ -176,6 +192,23 @@
             set(leader.node.configuration.voters),
         )
 
+    def test_no_change_of_voters_while_the_leader_hands_over(self):
+        leader = LeaderOf(count=4)
+        leader.run(200, answering=leader.ids[1:])
+        leader.node.transfer(leader.now_ms)
+        refused = leader.node.add_learner(leader.now_ms, 'new/x')
+        self.assertIsInstance(refused, model.ProposalRefused)
+        self.assertEqual('the leader is handing over', refused.reason)
+
+    def test_replica_that_leaves_takes_the_lead_from_nobody(self):
+        follower = LeaderOf(count=4)
+        follower.node.leave()
+        term = follower.node.term
+        follower.tell(
+            messages.TransferRequest, sender_id=follower.ids[1], term=term
+        )
+        self.assertEqual(term, follower.node.term)
+
     def test_learner_that_fell_silent_gets_no_vote(self):
         leader = LeaderOf(count=3)
         others = leader.ids[1:]
--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -28,6 +28,8 @@
 TICKS_PER_HEARTBEAT = 4
 KEEP_LINKS_MS = 1000
 KEPT_DIVISOR = 4
+# Two voters bear no loss, as one of three that is gone leaves them to.
+MIN_LEAST_VOTERS = 3
 # A voter that was silent for so long counts as gone. After two elections, as
 # the first may be undecided, this ends before a successor counts in its place
 # (4 s); a voter that is only late joins again.
@@ -310,6 +312,7 @@
                 election_max_ms=settings.election_max_ms,
                 kept_entries=settings.snapshot_entries // KEPT_DIVISOR,
                 replace_silent_ms=_replace_silent_ms(discovery),
+                least_voters=_least_voters(discovery),
                 first_election_ms=FIRST_ELECTION_MS,
             ),
             restored=restored,
@@ -470,6 +473,14 @@
     return discovery is not None and not discovery.may_found
 
 
+def _least_voters(
+    discovery: settings_model.DiscoverySettings | None,
+) -> int:
+    """Return how many voters bear the losses that a deployment is to bear."""
+    losses = 1 if discovery is None else discovery.losses_to_bear
+    return max(MIN_LEAST_VOTERS, 2 * losses + 1)
+
+
 def _replace_silent_ms(
     discovery: settings_model.DiscoverySettings | None,
 ) -> int:
--- a/src/shallothinge/control/tests/fleet.py
+++ b/src/shallothinge/control/tests/fleet.py
@@ -49,6 +49,7 @@
             snapshot_entries=SNAPSHOT_ENTRIES,
             seeds=(),
             make_machine=lambda: watched.Machine(history=self.history),
+            losses_to_bear=tolerance,
         )
         self.reactor = self.network.reactor
         self._numbers = 0
--- a/src/shallothinge/control/tests/hosts.py
+++ b/src/shallothinge/control/tests/hosts.py
@@ -144,7 +144,9 @@
         snapshot_entries=1000,
         seeds=(),
         make_machine=Journal,
+        losses_to_bear=1,
     ):
+        self.losses_to_bear = losses_to_bear
         self.reactor = task.Clock()
         self.seeds = seeds
         self.folder = folder
@@ -204,7 +206,10 @@
         if not self.seeds:
             return None
         return model.DiscoverySettings(
-            seeds=self.seeds, port=PORT, may_found=may_found
+            seeds=self.seeds,
+            port=PORT,
+            may_found=may_found,
+            losses_to_bear=self.losses_to_bear,
         )
 
     def stop(self, host_id):
--- a/src/shallothinge/control/tests/test_discovery.py
+++ b/src/shallothinge/control/tests/test_discovery.py
@@ -124,6 +124,16 @@
         self.hosts.reload(seeds=SEEDS)
         self.run_until_voters(IDS[:4])
 
+    def test_host_that_leaves_is_not_taken_in_again_before_it_ends(self):
+        self.found(IDS[:4])
+        leaving_id = next(
+            one for one in IDS[:4] if one != self.hosts.leader_host()
+        )
+        self.hosts.wait(self.hosts.replicas[leaving_id].leave())
+        for _ in range(30):
+            self.hosts.run(100)
+            self.assertNotIn(leaving_id, self.hosts.leader().member_ids)
+
     def test_leader_is_elected_soon_after_all_were_restarted(self):
         self.found(IDS[:3])
         for host_id in IDS[:3]:
--- a/src/shallothinge/control/tests/test_replaced_hosts.py
+++ b/src/shallothinge/control/tests/test_replaced_hosts.py
@@ -128,6 +128,24 @@
                 second_id = pick(fleet, but=(new_id, first_id))
                 self.lose_disks(fleet, first_id, second_id)
 
+    def test_two_lost_disks_of_six_while_two_others_are_away(self):
+        for how, key, after_ms in (
+            ('cut_off', 'for_ms', 3500),
+            ('freeze', 'for_ms', 3500),
+            ('kill', 'back_ms', 3500),
+            ('restart', 'back_ms', 1000),
+        ):
+            with self.deployed(founders=6, how=how) as fleet:
+                self.replace(fleet)
+                fleet.run(fleets.CATCH_UP_MS)
+                ids = list(fleet.hosts)
+                for host_id in ids[:2]:
+                    getattr(fleet, how)(host_id, **{key: 6000})
+                fleet.run(after_ms)
+                for host_id in ids[2:4]:
+                    fleet.kill(host_id, back_ms=DOWN_MS, wiped=True)
+                fleet.run(fleets.RECOVERY_MS)
+
     def test_two_lost_disks_of_six_after_two_replaced_do_not_end_control(
         self,
     ):
--- a/src/shallothinge/settings/model.py
+++ b/src/shallothinge/settings/model.py
@@ -43,12 +43,14 @@
     hosts learn of each other from ``seeds``, addresses ``IP:PORT`` of some
     of them, of which only the IP counts. ``port`` is the zmq port of every
     control host. ``may_found`` allows the seeds to found a cluster, at the
-    very first start of a deployment only.
+    very first start of a deployment only. ``losses_to_bear`` is how many
+    control hosts with their disks may be lost at once.
     """
 
     seeds: tuple[str, ...]
     port: int
     may_found: bool = False
+    losses_to_bear: int = 1
 
 
 @attrs.frozen(kw_only=True)
