Hand over to a voter that had left and is back

Found by the review: after one planned restart a voter counted as leaving for as long as the same leader led, so the lead was handed to a voter that was silent instead, and again to that one when it did not answer.

Change: one function tells whether a voter leaves, for the removal and the hand-over; it looks at whether the voter was heard since.

Evidence: test_lead_goes_to_a_voter_that_left_once_and_came_back fails with the former condition, and passes with this one.

--- a/src/shallothinge/consensus/node.py
+++ b/src/shallothinge/consensus/node.py
@@ -245,7 +245,7 @@
         target = max(
             state.other_voters,
             key=lambda voter: (
-                progress[voter].leaving_ms is None,
+                not progress[voter].is_leaving(state.timing),
                 now_ms - progress[voter].heard_ms <= limit_ms,
                 progress[voter].match_index,
             ),
--- a/src/shallothinge/consensus/tests/test_membership.py
+++ b/src/shallothinge/consensus/tests/test_membership.py
@@ -192,6 +192,16 @@
             set(leader.node.configuration.voters),
         )
 
+    def test_lead_goes_to_a_voter_that_left_once_and_came_back(self):
+        leader = LeaderOf(count=3)
+        back, silent = leader.ids[1:]
+        leader.run(200, answering=(back, silent))
+        leader.leave(back)
+        leader.run(600, answering=(silent,))
+        leader.run(2000, answering=(back, silent))
+        leader.run(800, answering=(back,))
+        self.assertEqual(back, leader.node.transfer(leader.now_ms))
+
     def test_no_change_of_voters_while_the_leader_hands_over(self):
         leader = LeaderOf(count=4)
         leader.run(200, answering=leader.ids[1:])
