--- a/testing/soak/rounds.py
+++ b/testing/soak/rounds.py
@@ -206,7 +206,10 @@
                 _, writer = await asyncio.open_connection(host, int(port))
             except OSError:
                 if time.monotonic() > ends_s:
-                    self._operator.faults.append(f'{name} does not start')
+                    self._operator.faults.append(
+                        f'{name} does not start: '
+                        f'{self._running.parts[name].process.poll()}'
+                    )
                     return
                 await asyncio.sleep(POLL_S)
             else:
