--- a/src/shallothinge/gateway/tests/test_endless.py
+++ b/src/shallothinge/gateway/tests/test_endless.py
@@ -9,6 +9,7 @@
 from shallothinge.http1 import client
 from shallothinge.http1.tests import endless
 from shallothinge.http1.tests import wires
+from shallothinge.platform import names
 from shallothinge.platform.tests import samples
 
 BOOKING = test_forwarding.BOOKING
@@ -21,8 +22,8 @@
 # The longest whole answer, what frames it, and what a kernel hands out.
 MOST_BYTES = client.BODY_BYTES + 1024 * 1024
 SIGNED = (
-    f'Request-Attempt-Id: {rig.REQUEST_ID}',
-    'Response-Signature: s',
+    f'{names.REQUEST_ID}: {rig.REQUEST_ID}',
+    f'{names.SIGNATURE}: s',
 )
 HEAD = endless.head(*SIGNED)
 CHUNKED = endless.head(*SIGNED, endless.IN_CHUNKS, '')
@@ -278,7 +279,7 @@
     def test_refusal_as_not_run_is_true_whatever_follows_its_head(self):
         exchange = self.start(BOOKING)
         (wire,) = self.reactor.wires
-        first = endless.head(*SIGNED, 'Not-Executed: 1', '', status=503)
+        first = endless.head(*SIGNED, f'{names.UNRUN}: 1', '', status=503)
         self.assert_given_up(wire, first, b'x')
         self.rig.advance(0)
         other = self.reactor.wires[1]
