Let one function replace a host by one that comes back empty

Found when the change was read once more: two tests of replaced control hosts repeated the same seven steps. They now share a function; steps, times and assertions are as before.

--- a/src/shallothinge/control/tests/test_replaced_hosts.py
+++ b/src/shallothinge/control/tests/test_replaced_hosts.py
@@ -218,25 +218,24 @@
             found.update(fleet.network.leader().member_ids)
         return found
 
+    def replace_by_one_that_comes_back_empty(self, fleet):
+        """Replace a host as planned; return the id of the new one."""
+        old_id = pick(fleet)
+        new_id = fleet.start_new()
+        fleet.run(OVERLAP_MS)
+        fleet.kill(new_id, back_ms=DOWN_MS, wiped=True)
+        fleet.run(DOWN_MS + fleets.CATCH_UP_MS)
+        fleet.stop_for_good(old_id)
+        fleet.run(OVERLAP_MS)
+        return new_id
+
     def test_new_host_that_comes_back_empty(self):
         with self.deployed() as fleet:
-            old_id = pick(fleet)
-            new_id = fleet.start_new()
-            fleet.run(OVERLAP_MS)
-            fleet.kill(new_id, back_ms=DOWN_MS, wiped=True)
-            fleet.run(DOWN_MS + fleets.CATCH_UP_MS)
-            fleet.stop_for_good(old_id)
-            fleet.run(OVERLAP_MS)
+            self.replace_by_one_that_comes_back_empty(fleet)
 
     def test_lost_disk_after_a_new_host_came_back_empty(self):
         with self.deployed() as fleet:
-            old_id = pick(fleet)
-            new_id = fleet.start_new()
-            fleet.run(OVERLAP_MS)
-            fleet.kill(new_id, back_ms=DOWN_MS, wiped=True)
-            fleet.run(DOWN_MS + fleets.CATCH_UP_MS)
-            fleet.stop_for_good(old_id)
-            fleet.run(OVERLAP_MS)
+            new_id = self.replace_by_one_that_comes_back_empty(fleet)
             self.lose_disks(fleet, pick(fleet, but=(new_id,)))
 
     def test_added_hosts_of_which_one_loses_its_disk(self):
