Repeat the question for a slice until it is answered

Callers of a workspace with an allowance could be refused with allowance_exhausted though the workspace had not spent it. An entry whose question for a slice got no answer within 5 s asked under a new id. Control had carried out the first one, so both slices counted as held, the one that the entry never heard of until the entry's lease ended, and over the end of the month.

A question is now kept until it is answered, and repeated under its id with the next request, or after a second without one. Control answers a repeated id with what it handed over the first time. After a lapse of the lease the question is void, as before: control takes back all slices of the entry with the next question. Control remembers the last 16 answers of an entry; so that none is forgotten while its question is open, no more than 8 questions lie between the oldest open one and the newest. Requests of other workspaces wait for their turn, and are refused with no_lease when control does not answer. Control itself is unchanged, so that hosts of two releases hold the same state.

Callers are still refused with no_lease after 5 s without an answer.

--- a/src/shallothinge/entry/process.py
+++ b/src/shallothinge/entry/process.py
@@ -43,6 +43,7 @@
 WATCH_MS = 250
 OWNED_MS = 1000
 USAGE_MS = 1000
+ASK_AGAIN_MS = 1000
 JOBS_MS = 1000
 DRAIN_POLL_MS = 50
 FLUSH_MS = 5000
@@ -220,6 +221,7 @@
         self._repeat(self._watch, every_ms=WATCH_MS)
         self._repeat(self.fleet.announce_owned, every_ms=OWNED_MS)
         self._repeat(self.spending.report, every_ms=USAGE_MS)
+        self._repeat(self.spending.ask_again, every_ms=ASK_AGAIN_MS)
         self._repeat(self.jobs.claim_next, every_ms=JOBS_MS)
 
     def _listen_http(self):
--- a/src/shallothinge/entry/spend.py
+++ b/src/shallothinge/entry/spend.py
@@ -8,6 +8,7 @@
 from shallothinge import clock as clocks
 from shallothinge.allowances import book as books
 from shallothinge.allowances import messages
+from shallothinge.allowances import questions
 from shallothinge.allowances import usage
 from shallothinge.bundles import model
 from shallothinge.clock import MS_PER_SECOND
@@ -48,6 +49,8 @@
         self._read_lapses = read_lapses
         self._lapses = read_lapses()
         self._waiting = {}
+        self._questions = questions.OpenQuestions()
+        self._under_way: set[str] = set()
         self._reporting = False
 
     @property
@@ -85,10 +88,41 @@
         elif verdict is books.Verdict.EXHAUSTED:
             then(ErrorKind.ALLOWANCE_EXHAUSTED)
 
+    def ask_again(self) -> None:
+        """Repeat the questions that control did not answer in time."""
+        self._drop_void_slices()
+        for workspace in self._questions.workspaces:
+            self._ask(workspace)
+
     def _ask(self, workspace: str) -> None:
+        if workspace in self._under_way:
+            return
+        request = self._questions.get(workspace)
+        if request is None:
+            if not self._questions.takes_more:
+                self._wait_for_turn()
+                return
+            request = self._next_request(workspace)
+        if request is None:
+            return
+        self._under_way.add(workspace)
+        asked = self._control.ask(request, timeout_ms=ASK_TIMEOUT_MS)
+        asked.addCallbacks(
+            self._granted,
+            lambda _: self._not_granted(workspace),
+            callbackArgs=(request,),
+        )
+        asked.addErrback(_log_failure)
+
+    def _wait_for_turn(self) -> None:
+        """See that a question is under way whose end lets others follow."""
+        if not self._under_way:
+            self.ask_again()
+
+    def _next_request(self, workspace: str) -> messages.SliceRequested | None:
         tokens = self._book.wanted(workspace=workspace)
         if not tokens:
-            return
+            return None
         request = messages.SliceRequested(
             request_id=secrets.token_hex(16),
             entry_id=self._entry_id,
@@ -97,13 +131,8 @@
             tokens=tokens,
             lapses=self._lapses,
         )
-        asked = self._control.ask(request, timeout_ms=ASK_TIMEOUT_MS)
-        asked.addCallbacks(
-            self._granted,
-            lambda _: self._not_granted(workspace),
-            callbackArgs=(request.lapses,),
-        )
-        asked.addErrback(_log_failure)
+        self._questions.add(request)
+        return request
 
     def _drop_void_slices(self) -> None:
         """Drop what was handed over under a lease that lapsed.
@@ -113,10 +142,15 @@
         if self._lapses != self._read_lapses():
             self._lapses = self._read_lapses()
             self._book.drop_slices()
+            self._questions.clear()
 
-    def _granted(self, grant: messages.SliceGranted, lapses: int) -> None:
+    def _granted(
+        self, grant: messages.SliceGranted, request: messages.SliceRequested
+    ) -> None:
+        self._under_way.discard(grant.workspace)
+        self._questions.answered(request)
         self._drop_void_slices()
-        if lapses == self._lapses:
+        if request.lapses == self._lapses:
             self._book.granted(grant)
         else:
             self._book.not_granted(workspace=grant.workspace)
@@ -131,13 +165,16 @@
             else:
                 waiting = self._waiting.setdefault(grant.workspace, [])
                 waiting.append((request_id, tokens, then))
-        if self._waiting.get(grant.workspace):
-            self._ask(grant.workspace)
+        for workspace in list(self._waiting):
+            self._ask(workspace)
 
     def _not_granted(self, workspace: str) -> None:
+        """Refuse what waits for this answer, or for its turn to ask."""
+        self._under_way.discard(workspace)
         self._book.not_granted(workspace=workspace)
-        for _, _, then in self._waiting.pop(workspace, []):
-            then(ErrorKind.NO_LEASE)
+        for name in set(self._waiting) - self._under_way:
+            for _, _, then in self._waiting.pop(name, []):
+                then(ErrorKind.NO_LEASE)
 
     def settle_unused(self, *, request_id: str, workspace: str) -> None:
         """Give back what a request that never ran has set aside."""
