Tell for how long a voter was asked without an answer

On-call readers were sent to a host that was well. A host that had lost its leader wrote 'voter is silent' with silent_ms 21126 of a voter that was up: two followers of one leader have no reason to send to each other, so silent_ms also counted all the time of the former leader.

The lines and the dump now tell unanswered_ms: since this host asked for votes, or was elected, or heard the voter, the latest of these. silent_ms stays beside it. may_be_cut_off tells in the same lines, and in the dump, that the host hears no other voter; what it says of the others is then no reason to go to one of them.

Evidence: three new tests of consensus/tests/test_quorum.py failed before, for want of the fields, as did test_quorum_log as a whole, whose samples have them. It passes by itself.

--- a/src/shallothinge/consensus/quorum.py
+++ b/src/shallothinge/consensus/quorum.py
@@ -15,11 +15,15 @@
 class SilentVoter:
     """A voter that was not heard lately.
 
-    ``silent_ms`` counts from the start of this process at the earliest.
+    ``silent_ms`` counts from the start of this process at the earliest. It
+    covers times in which the voter had no reason to send here, as followers
+    of one leader have none. ``unanswered_ms`` covers only the time for which
+    this replica has led or asked for votes.
     """
 
     replica_id: str
     silent_ms: int
+    unanswered_ms: int
 
 
 @attrs.frozen(kw_only=True)
@@ -61,6 +65,14 @@
         """
         return None if self.heard is None else len(self.heard) - self.needed
 
+    @property
+    def may_be_cut_off(self) -> bool:
+        """Return whether none of the other voters is heard.
+
+        The others may be well then, and this replica cut off from them.
+        """
+        return len(self.voters) > 1 and self.heard == (self.replica_id,)
+
     @property
     def leads(self) -> bool:
         """Return whether this replica is the leader."""
@@ -106,12 +118,19 @@
         return None, ()
     heard = []
     silent = []
+    asked_ms = now_ms - _asking_since_ms(state)
     for voter in state.configuration.voters:
         silent_ms = now_ms - _heard_ms(state, voter)
         if voter == state.replica_id or silent_ms <= limit_ms:
             heard.append(voter)
         else:
-            silent.append(SilentVoter(replica_id=voter, silent_ms=silent_ms))
+            silent.append(
+                SilentVoter(
+                    replica_id=voter,
+                    silent_ms=silent_ms,
+                    unanswered_ms=min(silent_ms, asked_ms),
+                )
+            )
     return tuple(heard), tuple(silent)
 
 
@@ -133,6 +152,13 @@
     return limit_ms
 
 
+def _asking_since_ms(state: states.NodeState) -> int:
+    """Return since when the other voters have had a reason to answer."""
+    if state.leadership is not None:
+        return state.leadership.elected_ms
+    return state.sightings.asking_since_ms
+
+
 def _heard_ms(state: states.NodeState, voter: str) -> int:
     """Return when a voter was heard last.
 
--- a/src/shallothinge/consensus/tests/test_quorum.py
+++ b/src/shallothinge/consensus/tests/test_quorum.py
@@ -4,6 +4,7 @@
 
 from shallothinge.consensus import messages
 from shallothinge.consensus import model
+from shallothinge.consensus import quorum
 from shallothinge.consensus import sightings
 from shallothinge.consensus.tests import cluster
 from shallothinge.consensus.tests import test_node
@@ -70,6 +71,50 @@
             for silent in view.silent:
                 self.assertGreaterEqual(silent.silent_ms, SETTLED_MS - 100)
 
+    def test_voter_that_was_not_asked_is_not_called_silent_for_long(self):
+        hosts = self.build(3)
+        hosts.run(10 * SETTLED_MS)
+        leader_id = hosts.leader().process_id
+        cut_id = next(one for one in hosts.hosts if one != leader_id)
+        for other_id in hosts.hosts:
+            hosts.cuts |= {(cut_id, other_id), (other_id, cut_id)}
+        hosts.run(SETTLED_MS)
+        view = self.view(hosts, cut_id)
+        self.assertEqual(2, len(view.silent))
+        for silent in view.silent:
+            self.assertLessEqual(silent.unanswered_ms, SETTLED_MS)
+            self.assertLessEqual(silent.unanswered_ms, silent.silent_ms)
+        self.assertGreater(
+            max(silent.silent_ms for silent in view.silent), 10 * SETTLED_MS
+        )
+
+    def test_silence_since_asking_began_is_counted(self):
+        hosts = self.build(4)
+        self.kill_followers(hosts, 2)
+        hosts.run(SETTLED_MS)
+        limit_ms = quorum.HEARD_TIMEOUTS * cluster.TIMING.election_max_ms
+        for host in hosts.hosts.values():
+            if host.node is not None:
+                for silent in self.view(hosts, host.process_id).silent:
+                    self.assertGreater(silent.unanswered_ms, limit_ms)
+
+    def test_host_that_hears_only_itself_may_be_cut_off(self):
+        # voters, of them cut off, whether those may be cut off themselves
+        table = ((1, 0, False), (3, 1, True), (4, 2, False))
+        for voters, cut, expected in table:
+            with self.subTest(voters=voters, cut=cut):
+                hosts = self.build(voters)
+                ids = list(hosts.hosts)
+                apart = ids[:cut]
+                for one in apart:
+                    for other in ids[cut:]:
+                        hosts.cuts |= {(one, other), (other, one)}
+                hosts.run(SETTLED_MS)
+                for one in apart or ids:
+                    self.assertEqual(
+                        expected, self.view(hosts, one).may_be_cut_off
+                    )
+
     def test_host_that_follows_a_leader_claims_nothing_of_the_others(self):
         hosts = self.build(3)
         leader_id = hosts.leader().process_id
--- a/src/shallothinge/control/quorum_log.py
+++ b/src/shallothinge/control/quorum_log.py
@@ -134,8 +134,10 @@
                     'voter is silent',
                     extra={
                         'replica_id': one.replica_id,
+                        'unanswered_ms': one.unanswered_ms,
                         'silent_ms': one.silent_ms,
                         'losses_borne': view.losses_borne,
+                        'may_be_cut_off': view.may_be_cut_off,
                     },
                 )
         for replica_id in sorted(self._silent_ids - silent_ids):
@@ -201,5 +203,9 @@
         'needed': view.needed,
         'heard': view.heard,
         'silent': {one.replica_id: one.silent_ms for one in view.silent},
+        'unanswered': {
+            one.replica_id: one.unanswered_ms for one in view.silent
+        },
         'losses_borne': view.losses_borne,
+        'may_be_cut_off': view.may_be_cut_off,
     }
--- a/src/shallothinge/control/replica_dump.py
+++ b/src/shallothinge/control/replica_dump.py
@@ -34,6 +34,7 @@
     heard: tuple[str, ...] | None
     silent: tuple[quorum.SilentVoter, ...]
     losses_borne: int | None
+    may_be_cut_off: bool
     leaderless_ms: int | None
     pending_proposals: int
     pending_reads: int
@@ -70,6 +71,7 @@
         heard=view.heard,
         silent=view.silent,
         losses_borne=view.losses_borne,
+        may_be_cut_off=view.may_be_cut_off,
         leaderless_ms=view.leaderless_ms,
         pending_proposals=work.proposals,
         pending_reads=work.reads,
--- a/src/shallothinge/control/tests/test_quorum_log.py
+++ b/src/shallothinge/control/tests/test_quorum_log.py
@@ -263,6 +263,28 @@
         self.assertEqual(1, line.losses_borne)
         self.assertEqual(1, self.lines.count('a further loss is borne again'))
 
+    def test_host_that_is_cut_off_does_not_accuse_a_host_that_is_well(self):
+        self.found(3)
+        self.hosts.run(20_000)
+        cut_id, well_id = self.followers()
+        self.hosts.cut = {cut_id}
+        self.hosts.run(SETTLED_MS)
+        lines = self.lines.of('voter is silent')
+        by_leader = [one for one in lines if not one.may_be_cut_off]
+        self.assertEqual(
+            {cut_id}, {one.replica_id.split('/')[0] for one in by_leader}
+        )
+        [accused] = [
+            one for one in lines if one.replica_id.startswith(well_id)
+        ]
+        self.assertTrue(accused.may_be_cut_off)
+        self.assertLessEqual(accused.unanswered_ms, SETTLED_MS)
+        self.assertGreater(accused.silent_ms, 20_000)
+        [line] = self.lines.of(quorum_log.TOO_FEW)
+        self.assertTrue(line.may_be_cut_off)
+        self.assertLessEqual(max(line.unanswered.values()), SETTLED_MS)
+        self.assertTrue(self.hosts.replicas[cut_id].dump().may_be_cut_off)
+
     def test_dump_shows_needed_and_heard(self):
         self.found(3)
         self.hosts.stop(self.followers()[0])
@@ -271,6 +293,8 @@
         self.assertEqual((2, 2), (dump.needed, len(dump.heard)))
         self.assertEqual(1, len(dump.silent))
         self.assertIn('"silent_ms"', views.to_json(dump))
+        self.assertIn('"unanswered_ms"', views.to_json(dump))
+        self.assertFalse(dump.may_be_cut_off)
 
 
 class RemovedHostTest(unittest.TestCase):
@@ -314,8 +338,12 @@
     leader_id='',
     heard=('a/1',),
     silent=(
-        quorum.SilentVoter(replica_id='b/2', silent_ms=3000),
-        quorum.SilentVoter(replica_id='c/3', silent_ms=4000),
+        quorum.SilentVoter(
+            replica_id='b/2', silent_ms=3000, unanswered_ms=2000
+        ),
+        quorum.SilentVoter(
+            replica_id='c/3', silent_ms=4000, unanswered_ms=2000
+        ),
     ),
     leaderless_ms=2000,
     is_leaderless_for_long=True,
