Rehearse the way back after a lost majority

Seen: docs/operators/lost-majority.md said of its steps 2 to 5 that they were not rehearsed. Followed by the letter they did not end in served requests: "submit, sign off and roll the newest bundle" ends with

refused: version_conflict version 2 (hash ...) replaces version 1, but no bundle is in force; use replaces_version = 0

after both operators had signed, and every prompt was refused with no_lease ("no bundle is in force yet").

Cause: a bundle names the version that it replaces, and the new cluster has none in force. The refusal is right; the page was not. The page also did not say to stop the control hosts that still run before their folders are moved.

The test follows the corrected page on real processes, with listed hosts and with hosts that find each other: kill two of three control hosts and delete their folders, see the lines and metrics of the page, refusals with no_lease and exit status 3, found a new cluster, roll the bundle or give the configuration anew, and have requests served. It checks both the refusal and the way that works.

--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -174,6 +174,13 @@
             if part.settings is not None and not part.is_gone:
                 self._write(part, self._discovery())
 
+    def allow_founding(self, is_allowed: bool) -> None:
+        """Write into the settings whether control hosts may found."""
+        for name in self.names('control'):
+            self._write(
+                self.parts[name], self._discovery(may_found=is_allowed)
+            )
+
     def reload(self) -> None:
         """Tell all processes to read their settings files anew."""
         for part in self.parts.values():
