Tell when a process was held up, and by what

Callers can't tell a process that computes from one that gets no processor or is paused, and neither could a soak's findings: two gateways that logged nothing for 3 s had no cause. Each daemon now logs a tick of 0.1 s that comes 0.4 s late or later, with the processor time of its main thread and the time for which that thread was ready and did not run, and how long its start took. The soak prints the longest of each process and its own.

--- a/src/shallothinge/operators/role_commands.py
+++ b/src/shallothinge/operators/role_commands.py
@@ -5,6 +5,8 @@
 import pathlib
 import socket
 
+from shallothinge import clock as clocks
+from shallothinge import holdups
 from shallothinge import logs
 from shallothinge.operators import exit_codes
 from shallothinge.settings import load
@@ -108,10 +110,16 @@
         host=process.host,
         level=process.log_level,
     )
+    holdups.log_start('process is starting')
     module = importlib.import_module(f'shallothinge.{arguments.role}.process')
     inherited = {}
     if arguments.opened_fd is not None:
         inherited['opened'] = socket.socket(fileno=arguments.opened_fd)
+    watch_holdups = holdups.HoldUpWatch(
+        reactor=reactor, clock=clocks.MonotonicClock()
+    )
+    reactor.callWhenRunning(holdups.log_start, 'process has started')
+    reactor.callWhenRunning(watch_holdups.start)
     status = module.run(
         settings=settings,
         folder=folder,
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -7,6 +7,7 @@
 import time
 
 from shallothinge import clock
+from shallothinge import holdups
 from shallothinge.platform import names
 from testing.soak import checks
 from testing.soak import deployment
@@ -35,9 +36,11 @@
         self.disturbed_s: dict[str, float] = {}
         self.disturbances: list[tuple[str, int]] = []
         self.are_faults_over = False
-        # When the newest request that was served had been sent, monotonic;
-        # the longest time for which this process itself was held up.
-        self.served_s = self.held_up_s = 0.0
+        # When the newest request that was served had been sent, monotonic.
+        self.served_s = 0.0
+        # The longest time for which this process itself was held up, and
+        # what its main thread spent meanwhile.
+        self.held_up = {'late_ms': 0}
 
     async def ask_while(self, is_wanted: Callable[[], bool]) -> None:
         """Send requests for as long as that is wanted."""
@@ -45,8 +48,12 @@
         while is_wanted():
             tasks.append(asyncio.create_task(self._ask()))
             due_s = time.monotonic() + self._rng.uniform(0, 2 * PAUSE_S)
+            spent = holdups.read_spent()
             await asyncio.sleep(due_s - time.monotonic())
-            self.held_up_s = max(self.held_up_s, time.monotonic() - due_s)
+            late_ms = int((time.monotonic() - due_s) * 1000)
+            if late_ms > self.held_up['late_ms']:
+                spent = holdups.read_spent().fields_since(spent)
+                self.held_up = {'late_ms': late_ms, **spent}
         await asyncio.gather(*tasks)
 
     def disturb(self, name: str) -> None:
--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import operator
 import os
 import pathlib
 import resource
@@ -114,6 +115,19 @@
                 continue
         return found
 
+    def held_up(self) -> dict[str, dict[str, int | None]]:
+        """Return the longest time for which each process was held up."""
+        longest = {}
+        for name, part in self.parts.items():
+            if part.settings is None:
+                continue
+            lines = self.log_lines(name, 'the process was held up')
+            if lines:
+                line = max(lines, key=operator.itemgetter('late_ms'))
+                fields = ('time', 'late_ms', 'ran_ms', 'ready_ms')
+                longest[name] = {field: line[field] for field in fields}
+        return longest
+
     def data_of(self, name: str) -> pathlib.Path:
         """Return the data folder of a control host."""
         return self.folder / 'data' / name
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -51,15 +51,17 @@
 class Result:
     """What a soak found.
 
-    ``held_up_ms`` is the longest time for which the soak itself was held up,
-    and with it the callers, the operator and the relays.
+    ``held_up`` is the longest time for which the soak itself was held up, and
+    with it the callers, the operator and the relays; ``process_held_up`` has
+    the longest time of each process that was.
     """
 
     seed: int
     found: tuple[str, ...]
     asked: int
     served: int
-    held_up_ms: int
+    held_up: dict[str, int | None]
+    process_held_up: dict[str, dict[str, int | None]]
     faults: tuple[str, ...]
     folder: str
 
@@ -247,7 +249,8 @@
             found=(*found, *self._operator.faults),
             asked=len(asked),
             served=sum(one.status == 200 for one in asked),
-            held_up_ms=int(self._callers.held_up_s * 1000),
+            held_up=self._callers.held_up,
+            process_held_up=self._running.held_up(),
             faults=(
                 *(
                     f'{one.at_s:.2f}-{one.ends_s:.2f} {one.kind.value} '
@@ -281,7 +284,8 @@
             found=('the deployment did not start to serve',),
             asked=0,
             served=0,
-            held_up_ms=0,
+            held_up={},
+            process_held_up={},
             faults=(),
             folder=str(folder),
         )
