Let the soak go on while a process starts or ends

The soak waited for a killed process to end, and for a started one to replace its image, in the thread of its event loop, and with it callers, operator and relays stood still. Answers that the gateway had given in time (504 after 1.5 s, by its log) then counted as late, relays looked silent and orders were not sent.

Both waits are in other threads now; a lock for each process keeps overlapping faults from starting it twice. The tests play a slow child; with the waits in the loop they fail.

--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -4,6 +4,7 @@
 address. Gateways reach backend servers through relays.
 """
 
+import asyncio
 import json
 import operator
 import os
@@ -54,6 +55,7 @@
     command: tuple[str, ...]
     settings: model.ControlSettings | model.GatewaySettings | None = None
     process: subprocess.Popen | None = None
+    lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     is_frozen: bool = False
     is_gone: bool = False
 
@@ -73,6 +75,7 @@
         self.caller_addresses: dict[str, str] = {}
         self._net = net
         self._scale = scale
+        self._is_over = False
         # Of the hosts that serve control, in the order in which they came.
         self.api_addresses = [
             self._api_address(index) for index in range(CONTROL_COUNT)
@@ -267,16 +270,23 @@
         )
         self.parts[name] = Part(name=name, role='backend', command=command)
 
-    def start(self, name: str, *, is_disk_full: bool = False) -> None:
+    async def start(self, name: str, *, is_disk_full: bool = False) -> None:
         """Start a process, unless an overlapping fault has done so.
 
+        A child that gets no processor can hold its parent up for seconds,
+        which must not hold up callers and relays.
+
         :param is_disk_full: whether its files may hardly grow any more.
         """
         part = self.parts[name]
-        if part.is_gone or self.is_running(name):
-            return
-        limit = self._limit_files(name) if is_disk_full else None
-        log_path = self.folder / 'logs' / f'{name}.log'
+        async with part.lock:
+            if part.is_gone or self.is_running(name):
+                return
+            limit = self._limit_files(name) if is_disk_full else None
+            await asyncio.to_thread(self._spawn, part, limit)
+
+    def _spawn(self, part: Part, limit) -> None:
+        log_path = self.folder / 'logs' / f'{part.name}.log'
         with log_path.open('ab') as log:
             part.process = subprocess.Popen(
                 part.command,
@@ -284,6 +294,9 @@
                 stderr=subprocess.STDOUT,
                 preexec_fn=limit,
             )
+        if self._is_over:
+            part.process.kill()
+            part.process.wait()
 
     def _limit_files(self, name: str):
         sizes = [
@@ -299,13 +312,14 @@
         process = self.parts[name].process
         return process is not None and process.poll() is None
 
-    def kill(self, name: str) -> None:
-        """Kill a process at once."""
+    async def kill(self, name: str) -> None:
+        """Kill a process at once; return when it has ended."""
         part = self.parts[name]
-        if self.is_running(name):
-            part.process.kill()
-            part.process.wait()
-        part.is_frozen = False
+        async with part.lock:
+            if self.is_running(name):
+                part.process.kill()
+                await asyncio.to_thread(part.process.wait)
+            part.is_frozen = False
 
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process that runs."""
@@ -323,7 +337,10 @@
 
     def stop_all(self) -> None:
         """End every process that was started here, and the relays."""
+        self._is_over = True
         for relayed in self.relays.values():
             relayed.close()
-        for name in self.parts:
-            self.kill(name)
+        for name, part in self.parts.items():
+            if self.is_running(name):
+                part.process.kill()
+                part.process.wait()
--- a/testing/soak/injection.py
+++ b/testing/soak/injection.py
@@ -62,17 +62,15 @@
             await asyncio.sleep(RESET_AGAIN_S)
 
     async def _kill(self, fault: faults.Fault) -> None:
-        self._running.kill(fault.target)
+        await self._running.kill(fault.target)
         await asyncio.sleep(fault.for_s)
-        self._running.start(fault.target)
+        await self._running.start(fault.target)
 
     async def _kill_all_control(self, fault: faults.Fault) -> None:
         names = self._running.names('control')
-        for name in names:
-            self._running.kill(name)
+        await asyncio.gather(*map(self._running.kill, names))
         await asyncio.sleep(fault.for_s)
-        for name in names:
-            self._running.start(name)
+        await asyncio.gather(*map(self._running.start, names))
 
     async def _freeze(self, fault: faults.Fault) -> None:
         self._running.signal(fault.target, signal.SIGSTOP)
@@ -81,7 +79,7 @@
 
     async def _stop(self, fault: faults.Fault) -> None:
         await self.end(fault.target)
-        self._running.start(fault.target)
+        await self._running.start(fault.target)
 
     async def end(self, name: str) -> None:
         """Stop a process as planned; return when it has ended."""
@@ -89,7 +87,7 @@
         ends_s = time.monotonic() + PLANNED_STOP_S
         while self._running.is_running(name):
             if time.monotonic() > ends_s:
-                self._running.kill(name)
+                await self._running.kill(name)
             await asyncio.sleep(STOP_POLL_S)
 
     async def _leave(self, fault: faults.Fault) -> None:
@@ -108,8 +106,8 @@
                 left = self.lines(fault.target, 'left')[-1]
                 await self._lose_leader(left['leader'])
         await asyncio.sleep(max(0, ends_s - time.monotonic()))
-        self._running.kill(fault.target)
-        self._running.start(fault.target)
+        await self._running.kill(fault.target)
+        await self._running.start(fault.target)
 
     async def _lose_leader(self, address: str) -> None:
         [name] = [
@@ -118,9 +116,9 @@
             if self._running.api_address_of(name) == address
         ]
         self._callers.disturb(name)
-        self._running.kill(name)
+        await self._running.kill(name)
         await asyncio.sleep(faults.LEADER_AWAY_S)
-        self._running.start(name)
+        await self._running.start(name)
 
     def lines(self, name: str, what: str) -> list[dict]:
         """Return what a backend server has written of one sort so far."""
@@ -134,18 +132,18 @@
         self._running.signal(fault.target, signal.SIGHUP)
 
     async def _wipe(self, fault: faults.Fault) -> None:
-        self._running.kill(fault.target)
+        await self._running.kill(fault.target)
         self._running.wipe(fault.target)
         await asyncio.sleep(fault.for_s)
-        self._running.start(fault.target)
+        await self._running.start(fault.target)
 
     async def _fill_disk(self, fault: faults.Fault) -> None:
         """Restart with a disk that is nearly full, then with a free one."""
-        self._running.kill(fault.target)
-        self._running.start(fault.target, is_disk_full=True)
+        await self._running.kill(fault.target)
+        await self._running.start(fault.target, is_disk_full=True)
         await asyncio.sleep(fault.for_s)
-        self._running.kill(fault.target)
-        self._running.start(fault.target)
+        await self._running.kill(fault.target)
+        await self._running.start(fault.target)
 
 
 RELAYED = {
--- a/testing/soak/rounds.py
+++ b/testing/soak/rounds.py
@@ -159,7 +159,7 @@
         name = self._choose(one, self._running.names('control'))
         self._note(f'{one.kind.value} {name}')
         if one.kind is faults.Kind.REPLACE_KILLED:
-            self._running.kill(name)
+            await self._running.kill(name)
             self._running.remove_control(name)
             await asyncio.sleep(SUCCESSOR_AFTER_S)
             await self._start_successor(one)
@@ -192,7 +192,7 @@
     async def _start_successor(self, one: Round) -> str:
         name = self._running.add_control()
         self._list_seeds(one)
-        self._running.start(name)
+        await self._running.start(name)
         self._note(f'{name} starts with an empty disk')
         await self._wait_until_listening(name)
         return name
@@ -222,11 +222,11 @@
         everyone = [*self._running.names('control'), *gateways]
         for each in everyone:
             self._callers.disturb(each)
-            self._running.kill(each)
+        await asyncio.gather(*map(self._running.kill, everyone))
         self._running.wipe(name)
         await asyncio.sleep(one.down_s)
+        await asyncio.gather(*map(self._running.start, everyone))
         for each in everyone:
-            self._running.start(each)
             self._callers.disturb(each)
 
     def _list_seeds(self, one: Round) -> None:
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -115,8 +115,7 @@
     async def _start(self) -> None:
         for relayed in self._running.relays.values():
             await relayed.start()
-        for name in self._running.parts:
-            self._running.start(name)
+        await asyncio.gather(*map(self._running.start, self._running.parts))
         keys = [callers.KEPT_KEY, callers.REVOKED_KEY]
         await asyncio.wait_for(
             self._operator.put(1, api_keys=keys), START_TIMEOUT_S
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -37,6 +37,8 @@
 ROUNDS_SEED = 37
 ROUNDS_S = 1.0
 ROUND_COUNT = 2
+# How long a process takes to start and to end that gets no processor.
+SLOW_S = 0.4
 
 
 def asked(**fields):
@@ -360,7 +362,7 @@
     def test_host_that_was_replaced_never_starts_again(self):
         self.running.add_control()
         self.running.remove_control('control-1')
-        self.running.start('control-1')
+        asyncio.run(self.running.start('control-1'))
         self.assertFalse(self.running.is_running('control-1'))
 
 
@@ -391,7 +393,7 @@
             time.sleep(rounds.POLL_S)
 
     def test_host_that_is_told_to_reload_at_any_moment_listens(self):
-        self.running.start('control-1')
+        asyncio.run(self.running.start('control-1'))
         self.running.signal('control-1', signal.SIGHUP)
         self.wait_for('control host is listening')
         self.running.signal('control-1', signal.SIGHUP)
@@ -401,6 +403,68 @@
         )
 
 
+class SlowProcess:
+    """A process that gets no processor: it starts and ends late."""
+
+    def __init__(self, *arguments, **options):
+        time.sleep(SLOW_S)
+        self.is_killed = False
+
+    def poll(self):
+        return -signal.SIGKILL if self.is_killed else None
+
+    def kill(self):
+        pass
+
+    def wait(self):
+        time.sleep(SLOW_S)
+        self.is_killed = True
+
+
+class SlowProcessTest(unittest.IsolatedAsyncioTestCase):
+    """What a slow process must not hold up."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.running = deployment.Deployment(
+            folder=pathlib.Path(folder.name), net='127.20.3'
+        )
+        (self.running.folder / 'logs').mkdir()
+        self.part = deployment.Part(name='p', role='backend', command=())
+        self.running.parts['p'] = self.part
+        patch = mock.patch.object(deployment.subprocess, 'Popen', SlowProcess)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def count_ticks(self, action):
+        """Return how often callers come to run during an action."""
+        acting = asyncio.create_task(action)
+        ticks = 0
+        while not acting.done():
+            await asyncio.sleep(SLOW_S / 20)
+            ticks += 1
+        await acting
+        return ticks
+
+    async def test_callers_go_on_while_a_process_starts_and_ends(self):
+        for action in (self.running.start, self.running.kill):
+            with self.subTest(action=action.__name__):
+                self.assertGreater(await self.count_ticks(action('p')), 3)
+
+    async def test_process_starts_once_after_its_end(self):
+        await self.running.start('p')
+        former = self.part.process
+        await asyncio.gather(
+            self.running.kill('p'),
+            self.running.start('p'),
+            self.running.start('p'),
+        )
+        self.assertTrue(former.is_killed)
+        self.assertIsNot(former, self.part.process)
+        self.assertTrue(self.running.is_running('p'))
+
+
 class OperatorTest(unittest.IsolatedAsyncioTestCase):
     """What the operator finds when it reads."""
 
