Load the libraries of the metrics beside serving

Callers that came just after a gateway had started were answered 2 to 3 s later, past their deadlines. 0.1 s after its start, or at the first request that was refused or ended, a gateway loaded the libraries of its metrics in the reactor's thread: 0.16 to 0.18 s of processor time, in which nothing else is done. Such requests can't be refused, as nobody reads them meanwhile.

They are loaded in a thread of the pool, which hands the interpreter over every 5 ms; what is counted meanwhile is held and passed on.

--- a/src/shallothinge/process.py
+++ b/src/shallothinge/process.py
@@ -2,11 +2,14 @@
 
 from collections.abc import Callable
 import functools
+import importlib
 import logging
 import pathlib
 import secrets
+import sys
 
 import attrs
+from twisted.internet import threads
 import zmq
 
 from shallothinge import clock
@@ -25,6 +28,29 @@
 # By then a started process has asked for its lease or its log's leader, and
 # waits for the answer.
 METRICS_DELAY_S = 0.1
+METRICS_MODULE = 'shallothinge.metrics'
+# Many more than a process counts while it loads the libraries.
+HELD_CALLS = 10_000
+
+
+class EarlyMetrics:
+    """Takes what is counted before the metrics' libraries are loaded."""
+
+    def __init__(self):
+        self._held: list[tuple[str, dict[str, object]]] = []
+
+    def __getattr__(self, name: str) -> Callable[..., None]:
+        return functools.partial(self._hold, name)
+
+    def _hold(self, name: str, **arguments: object) -> None:
+        if len(self._held) < HELD_CALLS:
+            self._held.append((name, arguments))
+
+    def pass_on(self, metrics) -> None:
+        """Make the calls that were held."""
+        for name, arguments in self._held:
+            getattr(metrics, name)(**arguments)
+        self._held.clear()
 
 
 class Process:
@@ -55,20 +81,31 @@
         self.trust = keys.read_trust(path=folder / settings.trust_file)
         self.traffic = {role: traffics.Traffic() for role in keys.ROLES}
         self._is_closed = False
+        self._metrics = None
+        self._early_metrics: EarlyMetrics | None = None
         self._context = zmq.Context()
         self._authenticator = authenticator.start(
             context=self._context, trust=self.trust
         )
         if settings.metrics_address:
-            reactor.callLater(METRICS_DELAY_S, self._serve_metrics)
+            if METRICS_MODULE not in sys.modules:
+                self._early_metrics = EarlyMetrics()
+            reactor.callLater(METRICS_DELAY_S, self._load_metrics)
 
-    @functools.cached_property
+    @property
     def metrics(self):
-        """The process's metrics.
+        """The process's metrics, or what stands for them until they load.
 
         Their libraries take a quarter of the time of a start; they are not
         needed before the process serves.
         """
+        if self._early_metrics is not None:
+            return self._early_metrics
+        if self._metrics is None:
+            self._metrics = self._make_metrics()
+        return self._metrics
+
+    def _make_metrics(self):
         from shallothinge import metrics
 
         made = metrics.Metrics(
@@ -128,23 +165,36 @@
             traffic=self.traffic[role],
         )
 
-    def _serve_metrics(self) -> None:
-        from shallothinge import metrics
-
+    def _load_metrics(self) -> None:
+        """Load the libraries, while the process serves in its own thread."""
         if self._is_closed:
             return
-        listening = metrics.listen(
-            metrics=self.metrics,
-            address=self.settings.metrics_address,
-            reactor=self.reactor,
+        loading = threads.deferToThreadPool(
+            self.reactor,
+            self.reactor.getThreadPool(),
+            importlib.import_module,
+            METRICS_MODULE,
         )
-        listening.addErrback(
+        loading.addCallback(self._serve_metrics)
+        loading.addErrback(
             lambda failure: LOG.error(
                 'metrics are not served',
                 extra={'cause': failure.getErrorMessage()},
             )
         )
 
+    def _serve_metrics(self, module):
+        if self._is_closed:
+            return None
+        early, self._early_metrics = self._early_metrics, None
+        if early is not None:
+            early.pass_on(self.metrics)
+        return module.listen(
+            metrics=self.metrics,
+            address=self.settings.metrics_address,
+            reactor=self.reactor,
+        )
+
     def close(self) -> None:
         """Stop authentication and drop every connection."""
         self._is_closed = True
