Await starts and ends in the rehearsal of a lost majority

The soak's deployment starts and ends its processes beside its event loop since; the rehearsal of a lost majority, which was written beside that change, still called both as plain functions and would have started nothing.

--- a/testing/test_lost_majority.py
+++ b/testing/test_lost_majority.py
@@ -235,8 +235,10 @@
         self.operator = operator.Operator(addresses=self.running.api_addresses)
         for relayed in self.running.relays.values():
             await relayed.start()
-        for name in self.running.parts:
-            self.running.start(name)
+        await self.start(self.running.parts)
+
+    async def start(self, names_of_parts):
+        await asyncio.gather(*map(self.running.start, names_of_parts))
 
     async def wait_for(self, condition, what):
         """Return what a condition gives, as soon as that is true."""
@@ -295,7 +297,7 @@
             name for name in self.running.names('control') if name != first
         )
         for name in (second, first):
-            self.running.kill(name)
+            await self.running.kill(name)
             shutil.rmtree(self.running.data_of(name))
         return left
 
@@ -322,15 +324,13 @@
             await self.stop(name)
         set_aside(self.running.data_of(left))
         self.running.allow_founding(True)
-        for name in self.running.names('control'):
-            self.running.start(name)
+        await self.start(self.running.names('control'))
         await self.wait_for(
             lambda: len(self.lines('control-1', 'cluster founded')) == 2,
             'a second cluster',
         )
         self.running.allow_founding(False)
-        for name in self.running.names('gateway'):
-            self.running.start(name)
+        await self.start(self.running.names('gateway'))
         await self.put(VERSION)
         await self.wait_for_status(200)
         await self.operator.end()
