End an order to add or remove a control host that can't be carried out

Operators who ordered a listed host to be added, and never started it, got no answer; the wish stayed with the leader until it changed, however long that took, and a host that came much later was added by an order that nobody remembered. A removal that no majority could make waited in the same way, and was made as soon as it became possible. The incident's class: what is expected of a holder that never comes has no end of its own.

An order now ends 10 s after it was given first (wishes.WAIT_MS; the terminal waits for 15 s), is refused with version_conflict and the reason, and is not carried out later. A host that was added without a vote and answers is waited for as long as it catches up, and for 10 s after its last answer. An order that the terminal sends again joins the first.

--- a/src/shallothinge/consensus/node.py
+++ b/src/shallothinge/consensus/node.py
@@ -160,6 +160,13 @@
         """Return who has a vote and who of them is heard."""
         return quorum.view_of(self._state, now_ms)
 
+    def answered_ms(self, replica_id: str) -> int | None:
+        """Return when a member last answered this leader, if it leads."""
+        leadership = self._state.leadership
+        if leadership is None or replica_id not in leadership.progress:
+            return None
+        return leadership.progress[replica_id].heard_ms
+
     def take_change_refusals(self) -> tuple[str, ...]:
         """Return why changes of the voters were refused since last asked."""
         reasons = tuple(sorted(self._state.sightings.change_refusals))
--- a/src/shallothinge/control/joining.py
+++ b/src/shallothinge/control/joining.py
@@ -10,6 +10,7 @@
 from shallothinge.consensus import messages
 from shallothinge.consensus import model
 from shallothinge.consensus import node as nodes
+from shallothinge.control import wishes
 
 ANNOUNCE_MS = 250
 # A replica that waits is heard again sooner, also if some messages are lost.
@@ -64,8 +65,8 @@
         self._announce_due_ms = 0
         self._founding: _Founding | None = None
         self._founded: list[defer.Deferred] = []
-        self._additions: dict[str, defer.Deferred] = {}
-        self._removals: dict[str, defer.Deferred] = {}
+        self._additions = wishes.Wishes()
+        self._removals = wishes.Wishes()
 
     def announced(
         self, now_ms: int, message: messages.ReplicaAnnounced
@@ -101,13 +102,21 @@
         self._founded.append(answered)
         return answered
 
-    def add(self, process_id: str) -> defer.Deferred:
-        """Add a process; fires when its replica has a vote."""
-        return _waiting(self._additions, process_id)
+    def add(self, now_ms: int, process_id: str) -> defer.Deferred:
+        """Add a process.
 
-    def remove(self, process_id: str) -> defer.Deferred:
-        """Remove a process; fires when that is committed."""
-        return _waiting(self._removals, process_id)
+        :returns: fires when its replica has a vote; fails with
+            ``VERSION_CONFLICT`` if it was not heard in time.
+        """
+        return self._additions.add(now_ms, process_id)
+
+    def remove(self, now_ms: int, process_id: str) -> defer.Deferred:
+        """Remove a process.
+
+        :returns: fires when that is committed; fails with
+            ``VERSION_CONFLICT`` if it could not be done in time.
+        """
+        return self._removals.add(now_ms, process_id)
 
     def tick(self, now_ms: int) -> None:
         """Announce the own replica and drive what is under way."""
@@ -126,12 +135,9 @@
 
     def fail_all(self, error: Callable[[], errors.ServingError]) -> None:
         """Fail the changes under way, after the leadership was lost."""
-        waiting = list(self._additions.values())
-        waiting.extend(self._removals.values())
-        self._additions.clear()
-        self._removals.clear()
-        for answered in waiting:
-            answered.errback(error())
+        for ordered in (self._additions, self._removals):
+            for process_id, _ in ordered.items():
+                ordered.fail(process_id, error())
 
     def _announce(self, now_ms: int) -> None:
         if now_ms < self._announce_due_ms:
@@ -182,10 +188,9 @@
         waiting, self._founded = self._founded, []
         for answered in waiting:
             answered.errback(
-                errors.ServingError(
-                    kind=errors.ErrorKind.VERSION_CONFLICT,
-                    detail='not founded; no empty replica was heard of '
-                    f'{", ".join(missing)}: start it and found again',
+                _conflict_error(
+                    'not founded; no empty replica was heard of '
+                    f'{", ".join(missing)}: start it and found again'
                 )
             )
 
@@ -203,47 +208,77 @@
             if message.sender_id in configuration.replicas:
                 del self._announced[process_id]
             elif wanted:
-                self._node.add_learner(now_ms, message.sender_id)
-        if not self._node.is_configuration_committed:
-            return
+                outcome = self._node.add_learner(now_ms, message.sender_id)
+                if isinstance(outcome, model.ProposalRefused):
+                    self._additions.note_refusal(process_id, outcome.reason)
+        configuration = self._node.configuration
         learners = {
-            model.process_id_of(learner) for learner in configuration.learners
+            model.process_id_of(learner): learner
+            for learner in configuration.learners
         }
-        for process_id in list(self._additions):
-            joined = process_id in members and process_id not in learners
-            if joined and process_id not in self._announced:
-                self._additions.pop(process_id).callback(None)
+        for process_id, wish in self._additions.items():
+            is_voter = process_id in members and process_id not in learners
+            joined = is_voter and process_id not in self._announced
+            if joined and self._node.is_configuration_committed:
+                self._additions.fulfil(process_id)
+            else:
+                self._end_addition(
+                    now_ms, process_id, wish, learners.get(process_id)
+                )
+
+    def _end_addition(
+        self,
+        now_ms: int,
+        process_id: str,
+        wish: wishes.Wish,
+        learner: str | None,
+    ) -> None:
+        """End an addition in time, but not while the host catches up."""
+        heard_ms = self._node.answered_ms(learner) if learner else None
+        if heard_ms is not None:
+            wish.ends_ms = max(wish.ends_ms, heard_ms + wishes.WAIT_MS)
+        if now_ms < wish.ends_ms:
+            return
+        if learner:
+            detail = (
+                f'{process_id} was added without a vote and answers no more: '
+                'start it, and it gets its vote once it holds everything'
+            )
+        elif process_id in self._announced:
+            reason = wish.refused_reason or 'it was heard too late'
+            detail = f'{process_id} was not added: {reason}'
+        else:
+            detail = (
+                f'{process_id} was not added, as it was not heard: '
+                'start it and add it again'
+            )
+        self._additions.fail(process_id, _conflict_error(detail))
 
     def _tick_removals(self, now_ms: int) -> None:
         configuration = self._node.configuration
-        for process_id in list(self._removals):
+        for process_id, wish in self._removals.items():
             replica_ids = [
                 replica_id
                 for replica_id in configuration.replicas
                 if model.process_id_of(replica_id) == process_id
             ]
-            if replica_ids:
-                self._node.remove(now_ms, replica_ids[0])
-            elif self._node.is_configuration_committed:
-                self._removals.pop(process_id).callback(None)
+            if not replica_ids:
+                if self._node.is_configuration_committed:
+                    self._removals.fulfil(process_id)
+                continue
+            outcome = self._node.remove(now_ms, replica_ids[0])
+            if isinstance(outcome, model.ProposalRefused):
+                self._removals.note_refusal(process_id, outcome.reason)
+                if now_ms >= wish.ends_ms:
+                    detail = f'{process_id} was not removed: {outcome.reason}'
+                    self._removals.fail(process_id, _conflict_error(detail))
 
 
-def _waiting(waiting: dict, process_id: str) -> defer.Deferred:
-    """Return a Deferred that fires with the one kept for a process."""
-    kept = waiting.setdefault(process_id, defer.Deferred())
-    answered = defer.Deferred()
-
-    def pass_on(result):
-        answered.callback(result)
-        return None
-
-    kept.addBoth(pass_on)
-    return answered
+def _conflict(detail: str) -> defer.Deferred:
+    return defer.fail(_conflict_error(detail))
 
 
-def _conflict(detail: str) -> defer.Deferred:
-    return defer.fail(
-        errors.ServingError(
-            kind=errors.ErrorKind.VERSION_CONFLICT, detail=detail
-        )
+def _conflict_error(detail: str) -> errors.ServingError:
+    return errors.ServingError(
+        kind=errors.ErrorKind.VERSION_CONFLICT, detail=detail
     )
--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -232,7 +232,7 @@
         """Add a control host; fires when its replica has a vote."""
         if not self._ready:
             return defer.fail(self._not_leader())
-        return self._joining.add(process_id)
+        return self._joining.add(self._clock.now_ms(), process_id)
 
     def remove_member(self, *, process_id: str) -> defer.Deferred:
         """Remove a control host; fires when that is committed.
@@ -248,7 +248,7 @@
             return defer.fail(
                 pending.NotLeader(leader_id=model.process_id_of(successor))
             )
-        return self._joining.remove(process_id)
+        return self._joining.remove(self._clock.now_ms(), process_id)
 
     def transfer_leadership(self) -> defer.Deferred:
         """Hand over before a planned stop.
