End connections whose other end lost its power

Operators saw nothing yet, a descriptor at a time: an endpoint kept a connection whose other end had lost power, or was cut off for good, as nothing was sent on it that could fail, and the end that could say goodbye was gone. The connecting end gives up a silent connection after 2.5 s and opens a new one, so each such loss left one open socket at the endpoint, of the few that a process has, until it was restarted.

The endpoint's sockets now have keep-alive: probes after 3 s without a packet, three of them a second apart, and the same 6 s for what was sent and is not acknowledged (zmq's TCP_MAXRT), which keep-alive does not cover. A connection that lives carries a ping each second, so it is not probed. zmq's own heartbeats were not taken: they cost a message for each connection, and would also drop a process that only stands still.

Evidence: a test reads the options from the socket that the endpoint accepted; it failed before (keep-alive off), as did the one that compares the time with the other end's. That the kernel drops such a connection was not played: on loopback the kernel of the relay answers the probes. The tests of transport (9) and of entry's process pass.

--- a/src/shallothinge/transport/endpoint.py
+++ b/src/shallothinge/transport/endpoint.py
@@ -20,6 +20,13 @@
 MAX_MESSAGE_BYTES = 32 * 1024 * 1024
 HANDSHAKE_MS = 3000
 FORGET_S = 60
+# Nothing ends a connection whose other end lost power but these probes, or
+# the time for which what was sent to it stays unacknowledged. The other end
+# gives a silent connection up after 2.5 s and opens a new one.
+PROBE_AFTER_S = 3
+PROBE_EVERY_S = 1
+PROBE_COUNT = 3
+GONE_MS = 1000 * (PROBE_AFTER_S + PROBE_EVERY_S * PROBE_COUNT)
 
 
 @attrs.frozen(kw_only=True)
@@ -71,6 +78,11 @@
         socket.set(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         socket.set(zmq.HANDSHAKE_IVL, HANDSHAKE_MS)
         socket.set(zmq.ROUTER_MANDATORY, 1)
+        socket.set(zmq.TCP_KEEPALIVE, 1)
+        socket.set(zmq.TCP_KEEPALIVE_IDLE, PROBE_AFTER_S)
+        socket.set(zmq.TCP_KEEPALIVE_INTVL, PROBE_EVERY_S)
+        socket.set(zmq.TCP_KEEPALIVE_CNT, PROBE_COUNT)
+        socket.set(zmq.TCP_MAXRT, GONE_MS)
         socket.set(zmq.CURVE_SERVER, 1)
         socket.set(zmq.CURVE_SECRETKEY, key_pair.secret.encode())
         socket.set(zmq.CURVE_PUBLICKEY, key_pair.public.encode())
--- a/src/shallothinge/transport/tests/test_link.py
+++ b/src/shallothinge/transport/tests/test_link.py
@@ -1,5 +1,9 @@
 """Tests of authenticated connections over loopback sockets."""
 
+import os
+import socket
+import stat
+
 from twisted.internet import defer
 from twisted.internet import reactor
 from twisted.internet import task
@@ -16,6 +20,37 @@
 from shallothinge.transport import messages
 
 
+def _accepted_sockets(address):
+    """Return the sockets that this process accepted at a zmq address."""
+    port = int(address.rpartition(':')[2])
+    accepted = []
+    descriptors = [int(name) for name in os.listdir('/proc/self/fd')]
+    for descriptor in [one for one in descriptors if _is_socket(one)]:
+        opened = socket.socket(fileno=os.dup(descriptor))
+        is_inet = opened.family == socket.AF_INET
+        if is_inet and opened.getsockname()[1] == port and _has_peer(opened):
+            accepted.append(opened)
+        else:
+            opened.close()
+    return accepted
+
+
+def _is_socket(descriptor):
+    try:
+        return stat.S_ISSOCK(os.fstat(descriptor).st_mode)
+    except OSError:
+        # The descriptor by which the folder was listed is closed by now.
+        return False
+
+
+def _has_peer(opened):
+    try:
+        opened.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 class LinkTest(unittest.TestCase):
     """One endpoint with trusted and untrusted peers."""
 
@@ -111,6 +146,27 @@
     def _ask_once(self, opened):
         opened.send(operators.DumpRequested(request_id='r2'))
 
+    @defer.inlineCallbacks
+    def test_connection_whose_other_end_lost_power_does_not_stay_open(self):
+        self._ask_until_sent(self._link(pair=self.client))
+        yield self.received
+        [accepted] = _accepted_sockets(self.endpoint.address)
+        self.addCleanup(accepted.close)
+        # Until the first probe, between two of them, how many, and the time
+        # for which data may stay unacknowledged.
+        table = (
+            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 3),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
+            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 6000),
+        )
+        for level, option, expected in table:
+            self.assertEqual(expected, accepted.getsockopt(level, option))
+
+    def test_connection_is_kept_for_longer_than_its_other_end_keeps_it(self):
+        self.assertGreater(endpoint.GONE_MS, link.SILENCE_MS + link.CHECK_MS)
+
     @defer.inlineCallbacks
     def test_unknown_key_gets_nothing(self):
         stranger = keys.generate_key_pair(role='entry')
