--- a/testing/test_lost_majority.py
+++ b/testing/test_lost_majority.py
@@ -22,6 +22,7 @@
 
 from shallothinge.operators import exit_codes
 from shallothinge.platform import names
+from shallothinge.standin import model as standin
 from testing import demo
 from testing import deployment
 from testing import plan
@@ -92,7 +93,14 @@
             folder=pathlib.Path(folder) / 'run',
             plan=plan.small_plan(
                 entries=1,
-                engines=(plan.EnginePlan(zone='zone-1'),),
+                engines=(
+                    plan.EnginePlan(
+                        zone='zone-1',
+                        options=standin.EngineOptions(
+                            models=(plan.MODEL_ID,), checks_fencing=True
+                        ),
+                    ),
+                ),
                 services=(),
                 service_specs=(),
             ),
@@ -185,14 +193,19 @@
         self.running.write_bundle(version=2, replaces_version=1)
         self.running.roll(version=2)
         self.running.operate('zone', 'out', 'zone-3')
-        self.assertTrue(self.ask().done)
+        # Its engine now knows a fencing number that the new cluster gives
+        # to none of its first agents.
+        self.stop_role('agent')
+        self.start_role('agent')
+        wait_for(self.is_served, 'a prompt that is served')
         left = self.lose_majority()
         self.check_loss(left)
 
         self.stop_role('control')
         aside = set_aside(left.data_folder)
-        for role in ('entry', 'agent'):
+        for role in ('entry', 'agent', 'standin'):
             self.stop_role(role)
+        self.start_role('standin')
         self.start_role('control')
         self.running.operate('control', 'found', '--cluster-id', 'second')
         for role in ('agent', 'entry'):
