Bound what an agent takes of an engine's stream

Seen: an engine in trouble that sends valid events without end filled the memory of its agent until the request's deadline; while it warmed an engine up, which has no deadline, for ever. Events that bring nothing (comments, blank lines, tokens that are known) were read until then.

Cause: heads, framing and the size of one event were bounded, the number of events and tokens was not; EngineStream took every token that came next, and each counted as progress.

Fix: an answer may have as many tokens as were asked for, at its offset, with TOKEN_CHARACTERS each on average; one that exceeds it is given up as failed, which lets the entry go on elsewhere with what came before. A connection with over IDLE_BYTES since the last new token is closed and opened again, as often as any that breaks (RECONNECTS). A token that is no text makes its event malformed, as its length is read now.

Evidence: the rows of test_endless failed before: 400 tokens taken of 4 asked for, and 35 MB of comments, blank lines, fields without data, known tokens and empty token lists on one connection. They pass now.

--- a/src/shallothinge/agent/model.py
+++ b/src/shallothinge/agent/model.py
@@ -139,6 +139,12 @@
         raise BadAnswer(f'expected {shape}') from error
 
 
+def _text(token: object) -> str:
+    if not isinstance(token, str):
+        raise TypeError('a token is no text')
+    return token
+
+
 def read_event(text: str) -> StreamEvent:
     """Return the event that one data field of a stream holds.
 
@@ -150,7 +156,8 @@
         fields = json.loads(text)
         if 'tokens' in fields:
             return TokensGenerated(
-                offset=int(fields['offset']), tokens=tuple(fields['tokens'])
+                offset=int(fields['offset']),
+                tokens=tuple(map(_text, fields['tokens'])),
             )
         if 'finish_reason' in fields:
             return cattrs.structure(fields, GenerationFinished)
--- a/src/shallothinge/agent/running.py
+++ b/src/shallothinge/agent/running.py
@@ -6,6 +6,7 @@
 from twisted.internet import defer
 
 from shallothinge import sse
+from shallothinge.agent import bounds
 from shallothinge.agent import engine as engines
 from shallothinge.agent import http
 from shallothinge.agent import model
@@ -101,6 +102,7 @@
         self._retry = None
         self._reconnects = 0
         self._connection = 0
+        self._bounds = bounds.AnswerBounds(max_tokens=0)
 
     @property
     def request_id(self) -> str:
@@ -114,6 +116,7 @@
 
     def start(self, *, completion: engines.Completion, may_send) -> None:
         """Ask the engine to run the stream."""
+        self._bounds = bounds.AnswerBounds(max_tokens=completion.max_tokens)
         self._opening = self._engine.start(
             completion=completion, may_send=may_send
         )
@@ -209,16 +212,20 @@
         self._body = response
         response.deliver(reader)
 
-    def take(self, connection: int, event: model.StreamEvent) -> None:
-        """Take an event of a connection; those of older ones are late."""
+    def take(self, connection: int, event: model.StreamEvent) -> bool:
+        """Take an event of a connection; those of older ones are late.
+
+        :returns: whether it brought a new token.
+        """
         if self._stopped or connection != self._connection:
-            return
+            return False
         if isinstance(event, model.TokensGenerated):
-            self._take_tokens(event)
-        elif isinstance(event, model.GenerationFinished):
+            return self._take_tokens(event)
+        if isinstance(event, model.GenerationFinished):
             self._finish(event)
         elif isinstance(event, model.GenerationFailed):
             self._fail(ErrorKind.BACKEND_FAILED)
+        return False
 
     def lost(self, connection: int) -> None:
         """Take note that a connection ended or sends what is no stream."""
@@ -228,12 +235,25 @@
         self._listener.connection_broke()
         self._resume_later()
 
-    def _take_tokens(self, event: model.TokensGenerated) -> None:
+    def _take_tokens(self, event: model.TokensGenerated) -> bool:
+        if not self._bounds.allow(event):
+            LOG.warning(
+                'an engine sent more than was asked for',
+                extra={
+                    'request_id': self._key.request_id,
+                    'offset': event.offset,
+                    'tokens': len(event.tokens),
+                },
+            )
+            self._fail(ErrorKind.BACKEND_FAILED)
+            return False
         extent = self._listener.generated(self._key, event)
         if extent is owned.Extent.NEXT:
             self._reconnects = 0
+            self._bounds.took(event)
         elif extent is owned.Extent.GAP:
             self.reconnect()
+        return extent is owned.Extent.NEXT
 
     def _finish(self, event: model.GenerationFinished) -> None:
         missing = event.offset - self._listener.next_offset(self._key)
@@ -308,6 +328,7 @@
         self._stream = stream
         self._connection = connection
         self._parser = sse.EventParser()
+        self._idle_bytes = 0
 
     def received(self, data: bytes) -> None:
         """Parse the bytes and hand over the events."""
@@ -323,8 +344,19 @@
             )
             self._stream.lost(self._connection)
             return
+        self._idle_bytes += len(data)
         for event in events:
-            self._stream.take(self._connection, event)
+            if self._stream.take(self._connection, event):
+                self._idle_bytes = 0
+        if self._idle_bytes > bounds.IDLE_BYTES:
+            LOG.warning(
+                'an engine sends no new tokens',
+                extra={
+                    'request_id': self._stream.request_id,
+                    'received_bytes': self._idle_bytes,
+                },
+            )
+            self._stream.lost(self._connection)
 
     def ended(self) -> None:
         """Tell the stream that the connection ended."""
--- a/src/shallothinge/agent/tests/test_endless.py
+++ b/src/shallothinge/agent/tests/test_endless.py
@@ -1,8 +1,11 @@
 """Tests of an engine or service whose bytes do not end."""
 
+import json
 import unittest
 from unittest import mock
 
+from shallothinge import sse
+from shallothinge.agent import bounds
 from shallothinge.agent import engine
 from shallothinge.agent import http
 from shallothinge.agent import running
@@ -11,6 +14,8 @@
 from shallothinge.http1.tests import wires
 from shallothinge.streams import owned
 
+EVENT_STREAM = endless.head('')
+MAX_TOKENS = 4
 URL = 'http://10.0.0.1:8000'
 # The longest whole answer, what frames it, and what a kernel hands out.
 MOST_BYTES = 17 * 1024 * 1024
@@ -18,6 +23,16 @@
 ASK_MS = 5000
 
 
+def format_event(fields):
+    """Return the bytes of one event of a stream."""
+    return sse.format_event(json.dumps(fields))
+
+
+def event_of(offset, tokens):
+    """Return the bytes of an event with tokens."""
+    return format_event({'offset': offset, 'tokens': tokens})
+
+
 class EndlessTest(unittest.TestCase):
     """Whatever an engine sends, its agent takes a bounded part of it."""
 
@@ -97,7 +112,7 @@
             adapter='',
             prompt='p',
             delivered=(),
-            max_tokens=1,
+            max_tokens=MAX_TOKENS,
             priority=0,
             fence=1,
         )
@@ -119,7 +134,96 @@
                 self.listener.refused.assert_not_called()
 
     def test_endless_event_is_given_up_and_then_the_stream(self):
-        self.pour_all(endless.head('') + b'data: ', b'x')
+        self.pour_all(EVENT_STREAM + b'data: ', b'x')
+
+    def test_events_without_a_new_token_are_given_up(self):
+        for name, again in (
+            ('comments', b': x\n\n'),
+            ('lines of comments', b': x\n'),
+            ('blank lines', b'\n'),
+            ('fields without data', b'id: 1\n\n'),
+            ('a token that is known', event_of(0, ('x',))),
+            ('no tokens', event_of(0, ())),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.listener.generated.return_value = owned.Extent.KNOWN
+                wire = self.reactor.wires[0]
+                self.assert_given_up(wire, EVENT_STREAM, again)
+                self.listener.connection_broke.assert_called_once_with()
+                self.reactor.advance(running.RECONNECT_MS / 1000)
+                self.reactor.advance(0)
+                self.assertEqual(2, len(self.reactor.wires))
+        with mock.patch.object(bounds, 'IDLE_BYTES', 100_000):
+            self.setUp()
+            self.pour_all(EVENT_STREAM, b': x\n\n')
+
+    def send_tokens(self, tokens):
+        """Send events with these tokens until they are read no more.
+
+        :returns: how many tokens, and characters, were taken.
+        """
+        wire = self.reactor.wires[0]
+        self.listener.generated.return_value = owned.Extent.NEXT
+        wire.send(EVENT_STREAM)
+        sent = 0
+        while wire.is_read and sent < 100 * MAX_TOKENS:
+            wire.send(event_of(sent, tokens))
+            sent += len(tokens)
+        self.assertFalse(wire.is_read, f'{sent} tokens were taken')
+        taken = [
+            token
+            for call in self.listener.generated.call_args_list
+            for token in call.args[1].tokens
+        ]
+        return len(taken), sum(map(len, taken))
+
+    def test_tokens_without_end_are_given_up(self):
+        for name, tokens in (
+            ('one by one', ('x',)),
+            ('many at once', ('x',) * MAX_TOKENS * 3),
+            ('huge', ('x' * 100_000,)),
+            ('long', ('x' * (bounds.TOKEN_CHARACTERS + 1),)),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                with self.assertLogs('shallothinge.agent', 'WARNING'):
+                    taken, characters = self.send_tokens(tokens)
+                self.assertLessEqual(taken, MAX_TOKENS)
+                self.assertLessEqual(
+                    characters, MAX_TOKENS * bounds.TOKEN_CHARACTERS
+                )
+                self.listener.failed.assert_called_once_with(
+                    self.key, ErrorKind.BACKEND_FAILED
+                )
+                self.reactor.advance(running.RECONNECT_MS / 1000)
+                self.assertEqual(1, len(self.reactor.wires))
+
+    def test_answer_of_as_many_tokens_as_were_asked_for_is_whole(self):
+        wire = self.reactor.wires[0]
+        self.listener.generated.return_value = owned.Extent.NEXT
+        self.listener.next_offset.return_value = MAX_TOKENS
+        wire.send(EVENT_STREAM)
+        longest = 'x' * bounds.TOKEN_CHARACTERS
+        for offset in range(MAX_TOKENS):
+            wire.send(b': x\n\n' * 10 + event_of(offset, (longest,)))
+        wire.send(
+            format_event({'finish_reason': 'length', 'offset': MAX_TOKENS})
+        )
+        self.assertEqual(MAX_TOKENS, self.listener.generated.call_count)
+        self.listener.finished.assert_called_once()
+        self.listener.failed.assert_not_called()
+
+    def test_tokens_that_are_no_text_are_no_event(self):
+        for tokens in ((1,), (None,), (['x'],)):
+            with self.subTest(tokens=tokens):
+                self.setUp()
+                with self.assertNoLogs('shallothinge.agent', 'ERROR'):
+                    self.reactor.wires[0].send(
+                        EVENT_STREAM + event_of(0, tokens)
+                    )
+                self.listener.generated.assert_not_called()
+                self.listener.connection_broke.assert_called_once_with()
 
     def assert_given_up(self, wire, first, again):
         taken = wire.pour(first, again, most_bytes=2 * MOST_BYTES)
