Call a host whose vote was taken, so that it is heard when it is back

A control host that lost its disk and came back more than 1.5 s later, none of whose seeds was there any more, was heard by nobody until its settings named a seed that was. It announces itself to its seeds and to the hosts that it hears; once its vote is taken, no host sends to it.

Each member now calls the host of a replica that was removed, for 15 s after it sees the removal (former_members.CALLED_MS), so that no single host, such as the leader of that time, is needed. Connections to the host are kept for that time and closed after it, so that a host that is gone for good is not asked for ever. Later than 15 s the fault remains as it was; listed hosts are not called, since all of them announce themselves to all.

Evidence: 3 of the 5 tests of control/tests/test_former_members.py failed before. The other two passed before and guard the fix: a host that comes back with its disk, and the end of the calls.

--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -13,6 +13,7 @@
 from shallothinge.consensus import model
 from shallothinge.consensus import node as nodes
 from shallothinge.consensus import quorum
+from shallothinge.control import former_members
 from shallothinge.control import joining
 from shallothinge.control import machine as machines
 from shallothinge.control import pending
@@ -102,6 +103,11 @@
             broadcast=self._links.broadcast,
             takes_all=settings.discovery is not None,
         )
+        self._former_members = former_members.FormerMembers(
+            node=self._node,
+            process_id=process.process_id,
+            send=self._links.send,
+        )
         self._quorum_log = quorum_log.QuorumLog()
         self._stopping = stopping.PlannedStop(node=self._node)
         self._led_term: int | None = None
@@ -328,6 +334,8 @@
         now_ms = self._clock.now_ms()
         self._node.tick(now_ms)
         self._joining.tick(now_ms)
+        if self._discovery is not None:
+            self._former_members.tick(now_ms)
         self._flush()
         self._quorum_log.tick(
             now_ms,
@@ -337,7 +345,9 @@
         self._stopping.tick(now_ms)
         if now_ms >= self._keep_links_due_ms and not self._closed:
             self._keep_links_due_ms = now_ms + KEEP_LINKS_MS
-            self._links.keep(self.member_ids)
+            self._links.keep(
+                self.member_ids + self._former_members.process_ids
+            )
         if not self._closed:
             self._tick_call = self._reactor.callLater(
                 self._tick_ms / 1000, self._tick
--- /dev/null
+++ b/src/shallothinge/control/tests/test_former_members.py
@@ -0,0 +1,102 @@
+"""Tests that a host is heard that comes back when its vote was taken."""
+
+import pathlib
+import shutil
+import tempfile
+import unittest
+
+from shallothinge.control import former_members
+from shallothinge.control.tests import hosts
+
+IDS = tuple(f'10.0.0.{number}:{hosts.PORT}' for number in range(1, 7))
+SEEDS = tuple(f'10.0.0.{number}:80' for number in range(1, 4))
+GONE_SEEDS = ('10.0.0.8:80', '10.0.0.9:80')
+# Long enough for a vote to be taken, or for an election after a loss.
+TAKEN_MS = 4000
+
+
+class FormerMembersTest(unittest.TestCase):
+    """Six hosts; the last one stops and comes back to seeds that are gone."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.hosts = hosts.Hosts(folder=self.folder, host_ids=(), seeds=SEEDS)
+        self.addCleanup(self.hosts.close)
+        for host_id in IDS:
+            self.hosts.start(host_id, may_found=True)
+        self.hosts.wait(
+            self.hosts.replicas[IDS[0]].found(
+                cluster_id='test', member_ids=IDS[:3]
+            )
+        )
+        self.run_until_voters(IDS)
+        self.gone_id = next(
+            one for one in IDS[3:] if one != self.hosts.leader_host()
+        )
+
+    def voters(self):
+        leader = self.hosts.leader()
+        if leader is None:
+            return set()
+        return {one.partition('/')[0] for one in leader.dump().voters}
+
+    def run_until_voters(self, host_ids):
+        self.hosts.run_until(lambda: self.voters() == set(host_ids))
+
+    def lose(self, *, with_disk):
+        """Stop the host and let the others take its vote."""
+        self.hosts.stop(self.gone_id)
+        if with_disk:
+            shutil.rmtree(self.folder / self.gone_id)
+        self.hosts.run(TAKEN_MS)
+        self.assertNotIn(self.gone_id, self.voters())
+
+    def come_back(self):
+        self.hosts.seeds = GONE_SEEDS
+        self.hosts.start(self.gone_id)
+
+    def test_host_without_disk_and_seeds_joins_after_its_vote_was_taken(self):
+        self.lose(with_disk=True)
+        self.come_back()
+        self.run_until_voters(IDS)
+
+    def test_host_without_seeds_joins_with_its_disk(self):
+        self.lose(with_disk=False)
+        self.come_back()
+        self.run_until_voters(IDS)
+
+    def test_host_joins_though_the_leader_that_took_its_vote_is_gone(self):
+        self.lose(with_disk=True)
+        leader_id = self.hosts.leader_host()
+        self.hosts.stop(leader_id)
+        self.hosts.run(TAKEN_MS)
+        self.come_back()
+        self.run_until_voters(set(IDS) - {leader_id})
+
+    def test_host_is_called_until_shortly_before_the_end(self):
+        self.lose(with_disk=True)
+        self.hosts.run(former_members.CALLED_MS - TAKEN_MS)
+        self.come_back()
+        self.run_until_voters(IDS)
+
+    def test_host_that_is_gone_for_good_is_not_called_for_ever(self):
+        self.lose(with_disk=True)
+        self.hosts.run(former_members.CALLED_MS)
+        sent = []
+        send = self.hosts.send
+
+        def note_and_send(sender_id, target_id, message):
+            if target_id == self.gone_id:
+                sent.append(message)
+            return send(sender_id, target_id, message)
+
+        self.hosts.send = note_and_send
+        self.hosts.run(TAKEN_MS)
+        self.assertEqual([], sent)
+        self.assertEqual(set(), self.hosts.linked_to(self.gone_id))
+
+
+if __name__ == '__main__':
+    unittest.main()
