Close a connection on which a resumption is refused

Seen: an engine that answers the resumption of a stream with 404 or 5xx and then goes on sending, or goes silent, kept that connection with the agent open, up to 21 of them for one stream, each with up to 16 MB of its body.

Cause: EngineStream let go of the response when its status was not 200, without a reader and without closing it; only connections that it still knows are dropped with the stream.

Evidence: test_refused_resumption_closes_its_connection failed for 404, 500 and 503 before and passes now.

--- a/src/shallothinge/agent/running.py
+++ b/src/shallothinge/agent/running.py
@@ -300,7 +300,10 @@
         if response.code == 200:
             self._accept()
             self._read(response)
-        elif response.code == 404:
+            return
+        # Of the body nothing is of use, and it may have no end.
+        response.abort()
+        if response.code == 404:
             self._fail(ErrorKind.BACKEND_FAILED)
         else:
             self._resume_later()
--- a/src/shallothinge/agent/tests/test_endless.py
+++ b/src/shallothinge/agent/tests/test_endless.py
@@ -225,6 +225,20 @@
                 self.listener.generated.assert_not_called()
                 self.listener.connection_broke.assert_called_once_with()
 
+    def test_refused_resumption_closes_its_connection(self):
+        for status in (404, 500, 503):
+            with self.subTest(status=status):
+                self.setUp()
+                self.reactor.wires[0].send(EVENT_STREAM)
+                self.reactor.wires[0].close_badly()
+                self.reactor.advance(running.RECONNECT_MS / 1000)
+                self.reactor.advance(0)
+                wire = self.reactor.wires[1]
+                wire.send(
+                    endless.head('Content-Length: 9', '', status=status) + b'x'
+                )
+                self.assertTrue(wire.transport.disconnecting)
+
     def assert_given_up(self, wire, first, again):
         taken = wire.pour(first, again, most_bytes=2 * MOST_BYTES)
         self.assertTrue(taken, f'{wire.poured_bytes} bytes taken')
