End what a soak's relay carries when it closes

Seen: make test printed four tracebacks "Exception in callback StreamReaderProtocol.connection_made" with a CancelledError, and passed.

Cause: they come from RelayTest. A task that asyncio starts for each connection of a server reports its own cancellation as an error (Python 3.11); two such tasks of the relay and two of the test's echo server were still there when the loop ended and cancelled what was left.

Fix: relay and echo start their tasks themselves; close() ends those of the relay, wait_closed() waits for them. Each test of the relay now fails if the loop reports an error or a task is left.

--- a/testing/soak/relay.py
+++ b/testing/soak/relay.py
@@ -29,6 +29,7 @@
         self._listen = listen
         self._target = target
         self._writers: set[asyncio.StreamWriter] = set()
+        self._carrying: set[asyncio.Task] = set()
         self._may_pass = asyncio.Event()
         self._server: asyncio.Server | None = None
         self.set_mode(Mode.PASS)
@@ -36,13 +37,22 @@
     async def start(self) -> None:
         """Begin to listen."""
         host, _, port = self._listen.rpartition(':')
-        self._server = await asyncio.start_server(self._carry, host, int(port))
+        self._server = await asyncio.start_server(
+            self._accept, host, int(port)
+        )
 
     def close(self) -> None:
         """Stop to listen and end all connections."""
         if self._server is not None:
             self._server.close()
         self.reset_all()
+        for task in self._carrying:
+            task.cancel()
+
+    async def wait_closed(self) -> None:
+        """Wait until nothing is carried any more, after ``close``."""
+        while self._carrying:
+            await asyncio.wait(self._carrying)
 
     def set_mode(self, mode: Mode) -> None:
         """Change what happens to all connections, open ones too."""
@@ -59,6 +69,13 @@
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             writer.transport.abort()
 
+    def _accept(self, reader, writer) -> None:
+        # Of tasks that asyncio starts itself, each one that is cancelled
+        # is reported as an error.
+        task = asyncio.create_task(self._carry(reader, writer))
+        self._carrying.add(task)
+        task.add_done_callback(self._carrying.discard)
+
     async def _carry(self, reader, writer) -> None:
         host, _, port = self._target.rpartition(':')
         try:
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -526,12 +526,21 @@
     """What the relay does to connections is what networks do."""
 
     async def asyncSetUp(self):
+        self.errors = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: self.errors.append(context)
+        )
+        self.echoing = set()
+
         async def echo(reader, writer):
             while data := await reader.read(100):
                 writer.write(data)
             writer.close()
 
-        self.server = await asyncio.start_server(echo, '127.0.0.1', 0)
+        def accept(reader, writer):
+            self.echoing.add(asyncio.create_task(echo(reader, writer)))
+
+        self.server = await asyncio.start_server(accept, '127.0.0.1', 0)
         port = self.server.sockets[0].getsockname()[1]
         with socket.create_server(('127.0.0.1', 0)) as free:
             listen = f'127.0.0.1:{free.getsockname()[1]}'
@@ -541,6 +550,16 @@
         self.addCleanup(self.relay.close)
         self.port = int(listen.rpartition(':')[2])
 
+    async def asyncTearDown(self):
+        self.relay.close()
+        self.server.close()
+        await asyncio.wait_for(self.relay.wait_closed(), 10)
+        if self.echoing:
+            await asyncio.wait(self.echoing, timeout=10)
+        left = asyncio.all_tasks() - {asyncio.current_task()}
+        self.assertEqual(set(), left)
+        self.assertEqual([], self.errors)
+
     async def ask(self, opened, data):
         """Return what comes back soon, b'' if nothing does."""
         reader, writer = opened
@@ -562,6 +581,15 @@
         for _, writer in (opened, other):
             writer.close()
 
+    async def test_closed_relay_carries_nothing_and_reports_no_error(self):
+        for mode in relay.Mode:
+            self.relay.set_mode(mode)
+            opened = await asyncio.open_connection('127.0.0.1', self.port)
+            self.addCleanup(opened[1].close)
+            await self.ask(opened, b'1')
+        self.relay.close()
+        await asyncio.wait_for(self.relay.wait_closed(), 10)
+
 
 class ShortSoakTest(unittest.TestCase):
     """The real programs under a few faults."""
