Count no answer as late that the soak itself read late

The soak took the time until its own process had read an answer. The promise is the gateway's, so this is allowed by it.

The time for which the callers' loop itself came late, as it sent the request or read its answer, does not count; the rest of the limit stays. A hold-up in between, where a gateway may have been late as well, is still no excuse; the table of the test has both.

--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -41,6 +41,8 @@
         # The longest time for which this process itself was held up, and
         # what its main thread spent meanwhile.
         self.held_up = {'late_ms': 0}
+        # From when until when, of those that are long.
+        self.hold_ups: list[tuple[int, int]] = []
 
     async def ask_while(self, is_wanted: Callable[[], bool]) -> None:
         """Send requests for as long as that is wanted."""
@@ -51,6 +53,9 @@
             spent = holdups.read_spent()
             await asyncio.sleep(due_s - time.monotonic())
             late_ms = int((time.monotonic() - due_s) * 1000)
+            if late_ms > checks.NEAR_MS:
+                now_ms = clock.WallClock().now_ms()
+                self.hold_ups.append((now_ms - late_ms, now_ms))
             if late_ms > self.held_up['late_ms']:
                 spent = holdups.read_spent().fields_since(spent)
                 self.held_up = {'late_ms': late_ms, **spent}
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -1,6 +1,7 @@
 """Whether what callers, backend servers and the operator saw is allowed."""
 
 import collections
+from collections.abc import Iterable
 
 import attrs
 
@@ -10,6 +11,8 @@
 PROMISES = (408, 421, 429, 503)
 # From a deadline to the final answer that is due at it.
 ANSWER_SLACK_MS = 1000
+# The soak's own process sends a request and reads an answer within this.
+NEAR_MS = 100
 # From the acknowledgement that took a key away to the last run under it.
 REVOCATION_MS = 5000
 # From the acknowledgement that a backend server leaves to the last request
@@ -69,17 +72,20 @@
     runs: list[Run],
     revoked: dict[str, int],
     late: list[Late],
+    hold_ups: Iterable[tuple[int, int]] = (),
 ) -> list[str]:
     """Return what is not allowed, in words.
 
     :param revoked: when the loss of each key was acknowledged, in Unix
         milliseconds.
+    :param hold_ups: from when until when the callers themselves were held
+        up, in Unix milliseconds.
     """
     by_id = {one.request_id: one for one in asked}
     counts = collections.Counter(run.request_id for run in runs)
     found = []
     for one in asked:
-        found += _check_answer(one)
+        found += _check_answer(one, hold_ups)
         found += _check_runs(one, counts[one.request_id])
     for run in runs:
         found += _check_run(run, by_id.get(run.request_id), revoked)
@@ -91,7 +97,7 @@
     return found + _check_recovery(asked)
 
 
-def _check_answer(one: Asked) -> list[str]:
+def _check_answer(one: Asked, hold_ups) -> list[str]:
     found = []
     if one.status == 200:
         expected = wire.body_of(one.target)
@@ -101,12 +107,23 @@
             found.append(f'{one.request_id}: success without its signature')
         if one.body != expected:
             found.append(f'{one.request_id}: a wrong or cut body looks whole')
-    is_late = one.took_ms > one.deadline_ms + ANSWER_SLACK_MS
+    took_ms = one.took_ms - _own_ms(one, hold_ups)
+    is_late = took_ms > one.deadline_ms + ANSWER_SLACK_MS
     if is_late and not one.was_disturbed:
         found.append(f'{one.request_id}: no end after {one.took_ms} ms')
     return found
 
 
+def _own_ms(one: Asked, hold_ups) -> int:
+    """Return for how long the caller was held up as it sent and read."""
+    ended_ms = one.sent_ms + one.took_ms
+    return sum(
+        max(0, min(until_ms, ended_ms) - max(from_ms, one.sent_ms))
+        for from_ms, until_ms in hold_ups
+        if from_ms <= one.sent_ms + NEAR_MS or until_ms >= ended_ms - NEAR_MS
+    )
+
+
 def _check_runs(one: Asked, count: int) -> list[str]:
     if one.is_repeatable:
         return []
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -232,6 +232,7 @@
             runs=runs,
             revoked=self._operator.revoked,
             late=late,
+            hold_ups=self._callers.hold_ups,
         )
         found += notices.check(
             asked=asked,
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -114,6 +114,30 @@
             with self.subTest(name):
                 self.assertEqual(1, len(self.found(one, *runs)))
 
+    def test_caller_that_was_held_up_itself_saw_no_late_answer(self):
+        one = asked(took_ms=3000, status=504)
+        for name, count, *hold_ups in (
+            ('as it read', 0, (1800, 2990)),
+            ('as it sent', 0, (10, 800)),
+            ('as it sent and read', 0, (10, 300), (2700, 3010)),
+            ('too short', 1, (2600, 2990)),
+            ('meanwhile', 1, (200, 2000)),
+            ('before and after', 1, (-2000, 0), (3000, 9000)),
+            ('never', 1),
+        ):
+            with self.subTest(name):
+                found = checks.check(
+                    asked=[one],
+                    runs=[],
+                    revoked={},
+                    late=[],
+                    hold_ups=[
+                        (SENT_MS + from_ms, SENT_MS + until_ms)
+                        for from_ms, until_ms in hold_ups
+                    ],
+                )
+                self.assertEqual(count, len(found), found)
+
     def test_key_that_was_taken_away_binds_after_five_seconds(self):
         for taken_ms, count in ((SENT_MS - 4000, 0), (SENT_MS - 6000, 1)):
             with self.subTest(taken_ms=taken_ms):
