Take gauges too while the libraries of the metrics load

What stands for the metrics meanwhile raised a TypeError for calls with an argument called name, as all gauges have: those that a gateway and a control host publish at 0.1 s were missing. Found by a trial with a taken metrics port; the test now has a gauge as well as a counter.

--- a/src/shallothinge/process.py
+++ b/src/shallothinge/process.py
@@ -39,17 +39,17 @@
     def __init__(self):
         self._held: list[tuple[str, dict[str, object]]] = []
 
-    def __getattr__(self, name: str) -> Callable[..., None]:
-        return functools.partial(self._hold, name)
+    def __getattr__(self, method: str) -> Callable[..., None]:
+        return functools.partial(self._hold, method)
 
-    def _hold(self, name: str, **arguments: object) -> None:
+    def _hold(self, method: str, /, **arguments: object) -> None:
         if len(self._held) < HELD_CALLS:
-            self._held.append((name, arguments))
+            self._held.append((method, arguments))
 
     def pass_on(self, metrics) -> None:
         """Make the calls that were held."""
-        for name, arguments in self._held:
-            getattr(metrics, name)(**arguments)
+        for method, arguments in self._held:
+            getattr(metrics, method)(**arguments)
         self._held.clear()
 
 
--- a/src/shallothinge/tests/test_process.py
+++ b/src/shallothinge/tests/test_process.py
@@ -35,6 +35,7 @@
     folder=pathlib.Path(sys.argv[1]),
 )
 made.metrics.count_retry()
+made.metrics.observe(name='seen', read=lambda: 7)
 
 def tick():
     if not hasattr(made.metrics, 'pass_on'):
@@ -78,7 +79,8 @@
         loaded_by, reactor_thread, text = json.loads(done.stdout)
         self.assertEqual(1, len(loaded_by))
         self.assertNotEqual(reactor_thread, loaded_by[0])
-        self.assertIn('retries_total 1.0', text)
+        for line in ('retries_total 1.0', 'seen 7.0'):
+            self.assertIn(line, text)
 
     def test_daemons_that_callers_wait_for_start_without_the_libraries(self):
         for role in ('gateway', 'control'):
