Let a host that leaves ask all others while it knows no leader

A planned stop took 5 s longer than needed, in which nothing was lost but the time to stop: the leader removed the vote of a host that leaves and then handed over itself. The next leader does not send to a replica that was removed, so that one never heard that it was, knew no leader to ask, and waited until LEAVE_MS was over.

Without a leader it now asks all other voters that it knows. Whoever leads answers that nothing more is needed, the others don't answer.

test_removed_replica_that_missed_it_asks_the_next_leader failed before: nobody was asked.

--- a/src/shallothinge/consensus/leaving.py
+++ b/src/shallothinge/consensus/leaving.py
@@ -40,12 +40,19 @@
         return is_surplus or bool(configuration.learners)
 
     def tick(self) -> None:
-        """Ask whichever replica leads."""
+        """Ask whichever replica leads.
+
+        A leader that took its place after this vote was removed does not
+        send to it, so without a leader all others are asked.
+        """
         state = self._state
         if not state.is_leaving or self._settled:
             return
-        if state.role is not Role.LEADER and state.leader_id:
-            state.send(messages.LeaveRequest, target_id=state.leader_id)
+        if state.role is Role.LEADER:
+            return
+        asked = (state.leader_id,) if state.leader_id else state.other_voters
+        for replica_id in asked:
+            state.send(messages.LeaveRequest, target_id=replica_id)
 
     def on_answer(self, now_ms: int, message: messages.LeaveAnswer) -> None:
         """Note that the leader needs nothing more."""
--- a/src/shallothinge/consensus/tests/test_membership.py
+++ b/src/shallothinge/consensus/tests/test_membership.py
@@ -219,6 +219,19 @@
         )
         self.assertEqual(term, follower.node.term)
 
+    def test_removed_replica_that_missed_it_asks_the_next_leader(self):
+        follower = LeaderOf(count=4)
+        follower.node.leave()
+        follower.run(3000, answering=())
+        self.assertEqual('', follower.node.leader_id)
+        follower.node.tick(follower.now_ms)
+        asked = {
+            one.target_id
+            for one in follower.node.collect(follower.now_ms).messages
+            if isinstance(one, messages.LeaveRequest)
+        }
+        self.assertEqual(set(follower.ids[1:]), asked)
+
     def test_learner_that_fell_silent_gets_no_vote(self):
         leader = LeaderOf(count=3)
         others = leader.ids[1:]
