Let a host stand by whose vote would make the number of voters even

While a control host was replaced as planned the old and the new one, both in one zone, had a vote. The loss or the cut of that zone left two of four: no leader and no answer until it was back, though one zone may be lost.

The cause: a learner got its vote as soon as it held everything, however many voters there were. It now stands by if its vote would make their number even, and gets it once a voter says that it leaves or was silent for replace_silent_ms; then that one is removed. Each change is of one vote as before. Hosts that are listed in the settings get their votes at once.

The test of a voter that came back took the fourth vote as the sign that it kept its own, and now names the voters.

--- a/src/shallothinge/consensus/membership.py
+++ b/src/shallothinge/consensus/membership.py
@@ -11,9 +11,10 @@
 
     A replica joins without a vote. When it holds all that is committed the
     leader removes the former replica of the same process, if there is one,
-    and gives the new one its vote. A voter that is gone loses its vote
-    while more than ``least_voters`` are left: it may come back with its
-    disk when others have lost theirs.
+    and gives the new one its vote, unless it would be the one that makes
+    the number of voters even: it then stands by until a voter is gone. A
+    voter that is gone loses its vote while more than ``least_voters`` are
+    left: it may come back with its disk when others have lost theirs.
     """
 
     def __init__(
@@ -77,15 +78,23 @@
             learners=_without(configuration.learners, replica_id),
         )
 
+    def stands_by(self, replica_id: str) -> bool:
+        """Return whether a learner holds everything and may get no vote."""
+        if not self._state.timing.replace_silent_ms:
+            return False
+        return (
+            replica_id in self._state.configuration.learners
+            and self._has_caught_up(replica_id)
+        )
+
     def tick(self, now_ms: int) -> None:
         """Promote a learner that has caught up; remove what is gone."""
         state = self._state
         if state.leadership is None:
             return
-        for learner in state.configuration.learners:
-            if self._is_ready_to_vote(now_ms, learner):
-                self._replace_or_promote(now_ms, learner)
-                return
+        for learner in self._next_voters(now_ms):
+            self._replace_or_promote(now_ms, learner)
+            return
         if state.timing.replace_silent_ms:
             self._remove_gone(now_ms)
 
@@ -152,13 +161,50 @@
         gone.sort(key=lambda one: -self._silent_ms(now_ms, one))
         return gone[: max(0, count - self._state.timing.least_voters)]
 
-    def _replace_or_promote(self, now_ms: int, learner: str) -> None:
+    def _next_voters(self, now_ms: int) -> list[str]:
+        """Return the learners that may have a vote, the first one first.
+
+        An even number of voters bears no more losses than one less, and
+        fewer where two of them are lost together, as a host and its
+        successor in one zone. A vote given as another one is gone keeps
+        the number that is left.
+        """
+        state = self._state
+        ready = [
+            learner
+            for learner in state.configuration.learners
+            if self._is_ready_to_vote(now_ms, learner)
+        ]
+        if not state.timing.replace_silent_ms:
+            return ready
+        fresh = [one for one in ready if not self._former_voter(one)]
+        replacing = [one for one in ready if one not in fresh]
+        gone = {self._former_voter(one) for one in replacing}
+        gone.update(
+            voter
+            for voter in state.other_voters
+            if self._is_gone(now_ms, voter)
+        )
+        left = len(state.configuration.voters) - len(gone)
+        is_enough = left >= state.timing.least_voters and left % 2 == 1
+        if is_enough and len(fresh) == 1:
+            return replacing
+        return fresh + replacing
+
+    def _former_voter(self, learner: str) -> str:
+        """Return the voter whose data folder a learner's replaces, or ''."""
         process_id = model.process_id_of(learner)
         for voter in self._state.other_voters:
             if model.process_id_of(voter) == process_id:
-                self.remove(now_ms, voter)
-                return
-        self.promote(now_ms, learner)
+                return voter
+        return ''
+
+    def _replace_or_promote(self, now_ms: int, learner: str) -> None:
+        former = self._former_voter(learner)
+        if former:
+            self.remove(now_ms, former)
+        else:
+            self.promote(now_ms, learner)
 
     def _is_gone(self, now_ms: int, voter: str) -> bool:
         """Return whether a voter was silent for long, or stops."""
--- a/src/shallothinge/consensus/node.py
+++ b/src/shallothinge/consensus/node.py
@@ -236,6 +236,10 @@
         """Remove a replica from the configuration."""
         return self._membership.remove(now_ms, replica_id)
 
+    def stands_by(self, replica_id: str) -> bool:
+        """Return whether a learner waits for nothing but a voter to go."""
+        return self._membership.stands_by(replica_id)
+
     def transfer(self, now_ms: int) -> str:
         """Hand the leadership to the voter that holds the most.
 
--- a/src/shallothinge/consensus/tests/test_membership.py
+++ b/src/shallothinge/consensus/tests/test_membership.py
@@ -148,6 +148,81 @@
         self.assertEqual((), leader.node.configuration.learners)
 
 
+class StandbyTest(unittest.TestCase):
+    """Learners that hold everything beside enough voters."""
+
+    def add(self, leader, *learners):
+        """Let learners join and hold everything, as all others answer."""
+        leader.run(200, answering=leader.ids[1:])
+        for learner in learners:
+            leader.node.add_learner(leader.now_ms, learner)
+            leader.run(200, answering=(*leader.ids[1:], *learners))
+        leader.run(1000, answering=(*leader.ids[1:], *learners))
+
+    def test_number_of_voters_does_not_become_even(self):
+        for voters, added, least, left in (
+            (3, 1, 3, 3),
+            (3, 2, 3, 5),
+            (3, 3, 3, 5),
+            (4, 1, 3, 5),
+            (5, 1, 5, 5),
+            (3, 1, 5, 4),
+            (3, 2, 5, 5),
+        ):
+            with self.subTest(voters=voters, added=added, least=least):
+                timing = attrs.evolve(TIMING, least_voters=least)
+                leader = LeaderOf(count=voters, timing=timing)
+                self.add(
+                    leader, *(f'{one}/new' for one in range(10, 10 + added))
+                )
+                self.assertEqual(left, leader.voter_count)
+
+    def test_learner_takes_the_vote_of_a_silent_voter(self):
+        leader = LeaderOf(count=3)
+        self.add(leader, 'new/x')
+        leader.run(SILENT_MS, answering=(leader.ids[1], 'new/x'))
+        self.assertEqual(leader.ids, leader.node.configuration.voters)
+        leader.run(1000, answering=(leader.ids[1], 'new/x'))
+        self.assertEqual(
+            (*leader.ids[:2], 'new/x'), leader.node.configuration.voters
+        )
+
+    def test_learner_takes_the_vote_of_a_leaving_voter_at_once(self):
+        leader = LeaderOf(count=3)
+        self.add(leader, 'new/x')
+        leader.leave(leader.ids[2])
+        leader.run(300, answering=(leader.ids[1], 'new/x'))
+        self.assertEqual(
+            (*leader.ids[:2], 'new/x'), leader.node.configuration.voters
+        )
+
+    def test_silent_learner_takes_no_vote_of_a_leaving_voter(self):
+        leader = LeaderOf(count=3)
+        self.add(leader, 'new/x')
+        leader.run(700, answering=leader.ids[1:])
+        leader.leave(leader.ids[2])
+        leader.run(300, answering=leader.ids[1:2])
+        self.assertEqual(leader.ids, leader.node.configuration.voters)
+
+    def test_lost_disk_is_no_reason_for_fewer_voters_beside_a_standby(self):
+        leader = LeaderOf(count=3)
+        self.add(leader, 'new/x')
+        counts = set()
+        leader.node.add_learner(leader.now_ms, '3/y')
+        for _ in range(10):
+            leader.run(100, answering=(leader.ids[1], 'new/x', '3/y'))
+            counts.add(leader.voter_count)
+        self.assertEqual({3, 4}, counts)
+        self.assertEqual(
+            (*leader.ids[:2], 'new/x'), leader.node.configuration.voters
+        )
+
+    def test_added_host_gets_its_vote_where_operators_order_it(self):
+        leader = LeaderOf(count=3, timing=model.Timing())
+        self.add(leader, 'new/x')
+        self.assertEqual(4, leader.voter_count)
+
+
 class LeavingVoterTest(unittest.TestCase):
     """Voters that say that their process stops."""
 
@@ -178,7 +253,7 @@
         leader.run(600, answering=others)
         leader.node.add_learner(leader.now_ms, 'new/x')
         leader.run(1000, answering=(*others, 'new/x'))
-        self.assertEqual(4, leader.voter_count)
+        self.assertEqual(leader.ids, leader.node.configuration.voters)
 
     def test_successor_gets_its_vote_before_the_leaving_voter_is_removed(self):
         leader = LeaderOf(count=3)
--- a/src/shallothinge/control/joining.py
+++ b/src/shallothinge/control/joining.py
@@ -105,8 +105,8 @@
     def add(self, now_ms: int, process_id: str) -> defer.Deferred:
         """Add a process.
 
-        :returns: fires when its replica has a vote; fails with
-            ``VERSION_CONFLICT`` if it was not heard in time.
+        :returns: fires when its replica has a vote or stands by; fails
+            with ``VERSION_CONFLICT`` if it was not heard in time.
         """
         return self._additions.add(now_ms, process_id)
 
@@ -215,6 +215,7 @@
         learners = {
             model.process_id_of(learner): learner
             for learner in configuration.learners
+            if not self._node.stands_by(learner)
         }
         for process_id, wish in self._additions.items():
             is_voter = process_id in members and process_id not in learners
--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -235,7 +235,7 @@
         )
 
     def add_member(self, *, process_id: str) -> defer.Deferred:
-        """Add a control host; fires when its replica has a vote."""
+        """Add a control host; fires when it has a vote or stands by."""
         if not self._ready:
             return defer.fail(self._not_leader())
         return self._joining.add(self._clock.now_ms(), process_id)
--- a/src/shallothinge/control/tests/test_replaced_hosts.py
+++ b/src/shallothinge/control/tests/test_replaced_hosts.py
@@ -16,6 +16,8 @@
 OVERLAP_MS = 1000
 DOWN_MS = 1500
 LONG_MS = 24_000
+# Longer than the time in which a command has to be committed.
+AWAY_MS = 8000
 # Long enough after a command for none of the followers to hold it yet.
 IN_FLIGHT_MS = fleets.PROPOSE_MS + hosts.STEP_MS
 
@@ -321,3 +323,37 @@
         for _ in range(count):
             fleet.start_new()
             fleet.run(fleets.CATCH_UP_MS)
+
+
+class LostZoneTest(Case):
+    """A zone is lost while a new host runs there beside the old one."""
+
+    def check(self, lose, *, founders=3, overlaps_ms=(0, 1000, LONG_MS)):
+        for leads, overlap_ms in itertools.product((False, True), overlaps_ms):
+            with self.deployed(
+                founders=founders, leads=leads, overlap_ms=overlap_ms
+            ) as fleet:
+                old_id = pick(fleet, leads=leads)
+                zone = fleet.hosts[old_id].zone
+                fleet.start_new(zone=zone)
+                fleet.run(overlap_ms)
+                self.assertTrue(fleet.may_lose_zone(zone))
+                lose(fleet, zone)
+                fleet.run(AWAY_MS + fleets.CATCH_UP_MS)
+                fleet.stop_for_good(old_id)
+                fleet.run(fleets.CATCH_UP_MS)
+
+    def cut_off(self, fleet, zone):
+        fleet.cut_off_zone(zone, for_ms=AWAY_MS)
+
+    def lose_power(self, fleet, zone):
+        fleet.kill_zone(zone, back_ms=AWAY_MS)
+
+    def test_cut_zone_of_a_planned_replacement_does_not_end_control(self):
+        self.check(self.cut_off)
+
+    def test_lost_power_in_zone_of_a_replacement_does_not_end_control(self):
+        self.check(self.lose_power)
+
+    def test_cut_zone_of_six_hosts_and_a_new_one_does_not_end_control(self):
+        self.check(self.cut_off, founders=6)
