Ignore the wish to leave of a process that has started again

A voter that had just been restarted lost its vote for a moment: a LeaveRequest of its former process, late on the way, counted as one of the new process. The leader removed its vote, or gave it to a host that stands by; the host then announced itself and joined again.

A replica now notes of which start of a process its last message was, and takes a LeaveRequest of that start only. A process that leaves answers the leader all the while and repeats its request, so one that comes before the first answer is repeated after it. A replica that was never heard, as one that was removed, is still answered.

test_late_leave_request_takes_no_vote_of_a_host_that_is_back failed before with four hosts and with five. The hosts of these tests tell their starts apart now, as real processes do.

--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -110,6 +110,7 @@
         )
         self._quorum_log = quorum_log.QuorumLog()
         self._stopping = stopping.PlannedStop(node=self._node)
+        self._incarnations: dict[str, str] = {}
         self._led_term: int | None = None
         self._ready = False
         self._keep_links_due_ms = 0
@@ -172,12 +173,14 @@
             now_ms = self._clock.now_ms()
             self._joining.announced(now_ms, message)
             self._quorum_log.announced(now_ms, message, self.quorum())
+            if is_own:
+                self._incarnations[peer.process_id] = peer.incarnation
             if is_own and self.leader_id not in ('', self._process_id):
                 self._links.send_to(self.leader_id, message)
         elif not is_own:
             LOG.warning('dropped a message under a foreign replica id')
             return
-        else:
+        elif not self._is_late(peer, message):
             self._node.receive(
                 self._clock.now_ms(), message.sender_id, message
             )
@@ -185,6 +188,18 @@
             self._links.meet(peer.process_id)
         self._schedule_flush()
 
+    def _is_late(self, peer, message: object) -> bool:
+        """Return whether a process that said it stops has started again.
+
+        Its other messages tell which of its starts is the newest: it sends
+        them all the time, and repeats the request until it is answered.
+        """
+        if not isinstance(message, messages.LeaveRequest):
+            self._incarnations[peer.process_id] = peer.incarnation
+            return False
+        newest = self._incarnations.get(peer.process_id, peer.incarnation)
+        return newest != peer.incarnation
+
     def propose(self, command: bytes) -> defer.Deferred:
         """Replicate a command and apply it.
 
--- a/src/shallothinge/control/tests/hosts.py
+++ b/src/shallothinge/control/tests/hosts.py
@@ -1,5 +1,6 @@
 """Control hosts that are connected in memory, for tests of the shell."""
 
+import collections
 import functools
 import random
 
@@ -160,6 +161,7 @@
         self.failures = []
         self.cut = set()
         self.links = []
+        self.starts = collections.Counter()
         self._rng = random.Random(7)
         for host_id in host_ids:
             self.start(host_id)
@@ -169,6 +171,7 @@
 
         :param may_found: whether this is a deployment's first start.
         """
+        self.starts[host_id] += 1
         settings = model.ControlSettings(
             process=None,
             log=model.LogSettings(
@@ -281,7 +284,10 @@
     def deliver_later(self, delay_s, sender_id, target_id, message):
         """Deliver a message after a delay."""
         peer = endpoint.Peer(
-            route=b'', role='control', process_id=sender_id, incarnation=''
+            route=b'',
+            role='control',
+            process_id=sender_id,
+            incarnation=str(self.starts[sender_id]),
         )
         self.reactor.callLater(
             delay_s, self._deliver, target_id, peer, message
--- a/src/shallothinge/control/tests/test_discovery.py
+++ b/src/shallothinge/control/tests/test_discovery.py
@@ -5,6 +5,7 @@
 import tempfile
 import unittest
 
+from shallothinge.consensus import messages
 from shallothinge.control.tests import hosts
 
 IDS = tuple(f'10.0.0.{number}:{hosts.PORT}' for number in range(1, 7))
@@ -148,6 +149,33 @@
             self.hosts.run(100)
             self.assertNotIn(leaving_id, self.hosts.leader().member_ids)
 
+    def test_late_leave_request_takes_no_vote_of_a_host_that_is_back(self):
+        for count in (4, 5):
+            with self.subTest(hosts=count):
+                self.setUp()
+                self.found(IDS[:count])
+                self.hosts.run(1000)
+                leader = self.hosts.leader().dump()
+                voter = next(
+                    one for one in leader.voters if one != leader.replica_id
+                )
+                host_id = voter.rpartition('/')[0]
+                request = messages.LeaveRequest(
+                    cluster_id=leader.cluster_id,
+                    sender_id=voter,
+                    target_id=leader.replica_id,
+                )
+                self.hosts.deliver_later(
+                    1.0, host_id, self.hosts.leader_host(), request
+                )
+                self.hosts.stop(host_id)
+                self.hosts.start(host_id)
+                for _ in range(30):
+                    self.hosts.run(50)
+                    self.assertEqual(
+                        leader.voters, self.hosts.leader().dump().voters
+                    )
+
     def test_leader_is_elected_soon_after_all_were_restarted(self):
         self.found(IDS[:3])
         for host_id in IDS[:3]:
