--- a/src/shallothinge/control/tests/test_replaced_hosts.py
+++ b/src/shallothinge/control/tests/test_replaced_hosts.py
@@ -357,3 +357,19 @@
 
     def test_cut_zone_of_six_hosts_and_a_new_one_does_not_end_control(self):
         self.check(self.cut_off, founders=6)
+
+    def test_cut_zone_of_a_replacement_after_a_restart_in_another_zone(self):
+        for leads, seed in itertools.product((False, True), range(3)):
+            with self.deployed(leads=leads, seed=seed) as fleet:
+                old_id = pick(fleet, leads=False)
+                zone = fleet.hosts[old_id].zone
+                fleet.start_new(zone=zone)
+                fleet.run(fleets.CATCH_UP_MS)
+                fleet.restart(
+                    pick(fleet, leads=leads, but=fleet.hosts_in(zone)),
+                    back_ms=DOWN_MS,
+                )
+                fleet.run(2 * fleets.CATCH_UP_MS)
+                self.assertTrue(fleet.may_lose_zone(zone))
+                self.cut_off(fleet, zone)
+                fleet.run(AWAY_MS + fleets.CATCH_UP_MS)
