Ask for members, not for votes, where one host may stand by

The tests of hosts that are called back were written beside the rule by which one of an even number of control hosts stands by without a vote: with six hosts they waited for six votes and failed in their set-up.

--- a/src/shallothinge/control/tests/hosts.py
+++ b/src/shallothinge/control/tests/hosts.py
@@ -8,6 +8,7 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from shallothinge.consensus import model as consensus_model
 from shallothinge.control import hosting
 from shallothinge.settings import model
 from shallothinge.transport import endpoint
@@ -330,6 +331,25 @@
                 return replica
         return None
 
+    def has_members(self, host_ids):
+        """Return whether a leader knows these members and no others.
+
+        Each has a vote; of an even number one may stand by.
+        """
+        leader = self.leader()
+        if leader is None:
+            return False
+        shown = leader.dump()
+        voters = {consensus_model.process_id_of(one) for one in shown.voters}
+        learners = {
+            consensus_model.process_id_of(one) for one in shown.learners
+        }
+        return (
+            voters | learners == set(host_ids)
+            and not voters & learners
+            and len(voters) >= len(host_ids) - (len(host_ids) + 1) % 2
+        )
+
     def leader_host(self):
         """Return the id of the host that leads."""
         for host_id, replica in self.replicas.items():
