Test requests without end at the HTTP servers

Heartbeats and configurations of backend servers and operators arrive at the same HTTP server as callers' requests.

--- a/src/shallothinge/http1/tests/test_server.py
+++ b/src/shallothinge/http1/tests/test_server.py
@@ -1,5 +1,6 @@
 """Tests of requests that arrive on connections."""
 
+import itertools
 import unittest
 from unittest import mock
 
@@ -13,6 +14,27 @@
 
 GET = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
 OK = b'HTTP/1.1 200 '
+PUT = b'PUT /a HTTP/1.1\r\nHost: h\r\n'
+CHUNKED = PUT + b'Transfer-Encoding: chunked\r\n\r\n'
+MOST_ENDLESS_BYTES = 100_000
+TRICKLE_MS = 25
+# Rows of a name, first bytes, and those that come for ever.
+ENDLESS = (
+    ('no request at all', b'', b'\x00\xff'),
+    ('blank lines', b'', b'\r\n'),
+    ('method', b'', b'x'),
+    ('target', b'PUT /', b'x'),
+    ('header line', PUT + b'X: ', b'x'),
+    ('header lines', PUT, b'X: y\r\n'),
+    ('length', PUT + b'Content-Length: ', b'9'),
+    ('length of 150 digits', PUT + b'Content-Length: ' + b'9' * 150, b'\r\n'),
+    ('long chunks', CHUNKED, b'1000\r\n' + b'x' * 4096 + b'\r\n'),
+    ('short chunks', CHUNKED, b'1\r\nx\r\n'),
+    ('chunk size', CHUNKED, b'0'),
+    ('chunk extension', CHUNKED + b'1;x=', b'x'),
+    ('trailer line', CHUNKED + b'0\r\nX: ', b'x'),
+    ('trailer lines', CHUNKED + b'0\r\n', b'X: y\r\n'),
+)
 
 
 class ServerTest(unittest.TestCase):
@@ -139,6 +161,36 @@
                 self.assertEqual([], self.exchanges)
                 self.assertTrue(self.transport.was_half_closed)
 
+    def test_request_without_end_is_refused(self):
+        # Heartbeats of backend servers arrive here as well.
+        for name, first, again in ENDLESS:
+            with self.subTest(name):
+                self.setUp()
+                sent_bytes = 0
+                for piece in itertools.chain([first], itertools.repeat(again)):
+                    if self.transport.was_half_closed:
+                        break
+                    if piece:
+                        self.receive(piece)
+                    sent_bytes += len(piece)
+                    self.assertLess(sent_bytes, MOST_ENDLESS_BYTES)
+                self.assertEqual([], self.exchanges)
+
+    def test_request_that_trickles_is_refused_in_time(self):
+        for name, first, again in ENDLESS:
+            with self.subTest(name):
+                self.setUp()
+                pieces = itertools.chain([first], itertools.repeat(again))
+                trickled_ms = 0
+                for number in itertools.chain.from_iterable(pieces):
+                    if self.transport.was_half_closed:
+                        break
+                    self.receive(bytes([number]))
+                    self.reactor.advance(TRICKLE_MS / 1000)
+                    trickled_ms += TRICKLE_MS
+                    self.assertLess(trickled_ms, 19_000)
+                self.assertEqual([], self.exchanges)
+
     def test_slow_head_is_refused_and_idle_connection_closed(self):
         self.receive(b'GET /a HT')
         self.reactor.advance(3.1)
