Give up a warm-up prompt that does not end

Seen: an engine that answers a warm-up prompt with an endless trickle, or with comments only, held that prompt for ever: its tokens stayed on the gate, the engine was never warmed up any further, and a planned stop of the agent did not end, as it waits for the prompt.

Cause: callers' streams end at their deadline; a warm-up prompt had none, and reading it ends only with its connection.

Fix: WARM_UP_MS; a prompt that goes on for longer is given up like one that failed.

--- a/src/shallothinge/agent/tests/test_endless.py
+++ b/src/shallothinge/agent/tests/test_endless.py
@@ -4,11 +4,13 @@
 import unittest
 from unittest import mock
 
+from shallothinge import clock
 from shallothinge import sse
 from shallothinge.agent import bounds
 from shallothinge.agent import engine
 from shallothinge.agent import http
 from shallothinge.agent import running
+from shallothinge.agent import warming
 from shallothinge.errors import ErrorKind
 from shallothinge.http1.tests import endless
 from shallothinge.http1.tests import wires
@@ -262,5 +264,56 @@
         self.assertTrue(self.listener.connection_broke.called)
 
 
+class EndlessWarmUpTest(unittest.TestCase):
+    """A warm-up prompt, for which nobody waits."""
+
+    def setUp(self):
+        self.reactor = wires.Reactor()
+        self.clock = clock.ManualClock()
+        self.gate = mock.Mock()
+        self.releases = mock.Mock()
+        self.warm_up = mock.Mock()
+        self.warm_up.next_tokens.return_value = 1000
+        authority = mock.Mock(stopping=False, fence=1)
+        authority.may_act.return_value = True
+        self.runner = warming.WarmUpRunner(
+            reactor=self.reactor,
+            clock=self.clock,
+            name='w',
+            engine=engine.EngineClient(reactor=self.reactor, url=URL),
+            authority=authority,
+            gate=self.gate,
+            limit=mock.Mock(),
+            watch=mock.Mock(),
+            releases=self.releases,
+            warm_up=self.warm_up,
+            models=lambda: ('m',),
+        )
+        self.runner.look()
+        self.reactor.advance(0)
+
+    def test_answer_that_does_not_end_is_given_up_in_time(self):
+        for name, first in (
+            ('silent', b''),
+            ('head that trickles', endless.head()),
+            ('comments', EVENT_STREAM + b': x\n\n'),
+            ('a known token', EVENT_STREAM + event_of(0, ('x',)) * 2),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                wire = self.reactor.wires[0]
+                wire.send(first)
+                (engine_id,) = self.runner.engine_ids()
+                while self.clock.now_ms() <= warming.WARM_UP_MS:
+                    self.clock.advance(duration_ms=1000)
+                    self.reactor.advance(1)
+                    self.runner.look()
+                self.assertNotIn(engine_id, self.runner.engine_ids())
+                self.gate.release.assert_called()
+                self.releases.add.assert_called()
+                self.warm_up.failed.assert_called_once_with()
+                self.assertTrue(wire.transport.disconnecting)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/src/shallothinge/agent/warming.py
+++ b/src/shallothinge/agent/warming.py
@@ -15,6 +15,9 @@
 from shallothinge.streams import owned
 
 PRIORITY = 1000
+# 120,000 tokens at 1,000 a second, far less than a cold engine reads. No
+# caller's deadline ends a prompt that nobody waits for.
+WARM_UP_MS = 120_000
 
 
 class WarmUpRunner:
@@ -55,6 +58,7 @@
         self._stream = None
         self._offset = 0
         self._pace = None
+        self._ends_ms = 0
 
     def engine_ids(self) -> frozenset[str]:
         """Return the engine's id of the prompt under way, if any."""
@@ -63,7 +67,12 @@
         return frozenset({self._key.engine_id})
 
     def look(self) -> None:
-        """Begin the next prompt, if one is wanted and allowed."""
+        """Begin the next prompt, if one is wanted and allowed.
+
+        One that goes on for too long is given up.
+        """
+        if self._key is not None and self._clock.now_ms() >= self._ends_ms:
+            self._give_up()
         if self._key is not None or self._authority.stopping:
             return
         models = self._models()
@@ -88,6 +97,7 @@
         if isinstance(admitted, gates.Refused):
             return
         self._key = key
+        self._ends_ms = self._clock.now_ms() + WARM_UP_MS
         self._offset = 0
         self._pace = paces.PaceMeter(clock=self._clock)
         self._stream = running.EngineStream(
