Test trickles and streams without data at a gateway

Two tables that were missing: answers in all shapes without end that come byte by byte end with 502 or 504, and a stream of nothing but comments, fields without data or events without an id is cut at its deadline; both close the connection to the backend server. No fault was found: all rows passed on the code as it was.

--- a/src/shallothinge/gateway/tests/test_endless.py
+++ b/src/shallothinge/gateway/tests/test_endless.py
@@ -25,6 +25,9 @@
     f'{names.REQUEST_ID}: {rig.REQUEST_ID}',
     f'{names.SIGNATURE}: s',
 )
+TRICKLE_MS = 50
+MOST_TRICKLED = 20
+ROUTE_TIMEOUT_MS = 5000
 HEAD = endless.head(*SIGNED)
 CHUNKED = endless.head(*SIGNED, endless.IN_CHUNKS, '')
 ENDLESS = endless.shapes(*SIGNED)
@@ -222,6 +225,41 @@
         self.assertTrue(wire.transport.was_aborted)
         self.assertEqual({}, self.rig.load.loads())
 
+    def test_answer_that_trickles_ends_in_time(self):
+        for name, first, again in ENDLESS:
+            with self.subTest(name):
+                self.setUp()
+                exchange = self.start(BOOKING)
+                (wire,) = self.reactor.wires
+                # Whole heads at once, or the route's timeout comes first.
+                wire.send(first[:-1])
+                for number in (first[-1:] + again)[:MOST_TRICKLED]:
+                    wire.send(bytes([number]))
+                    self.rig.advance(TRICKLE_MS)
+                self.rig.advance(ROUTE_TIMEOUT_MS)
+                self.assertIn(exchange.status, (502, 504))
+                self.assertTrue(wire.transport.was_aborted)
+                self.assertEqual({}, self.rig.load.loads())
+
+    def test_stream_without_data_ends_at_its_deadline(self):
+        for name, again in (
+            ('comments', b': x\n\n'),
+            ('fields without data', b'foo: 1\n\n'),
+            ('events without an id', b'data: 1\n\n'),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                exchange = self.start(STREAM, tokens=5000)
+                (wire,) = self.reactor.wires
+                wire.send(HEAD + b'\r\n' + again)
+                for _ in range(15):
+                    self.rig.advance(1000)
+                    wire.send(again * 100)
+                self.assertTrue(exchange.is_cut)
+                self.assertFalse(exchange.is_whole)
+                self.assertTrue(wire.transport.was_aborted)
+                self.assertEqual({}, self.rig.load.loads())
+
     def test_stream_that_is_resumed_for_a_full_caller_waits_as_well(self):
         exchange = self.start(STREAM, tokens=5000)
         (wire,) = self.reactor.wires
