Refuse requests that are read after their deadline

A gateway that was held up counted a request's time from when it read it.

The kernel tells how long ago the last bytes of a connection came (tcpi_last_data_recv), so a request's time counts from then, and one whose deadline has passed is refused as not run and reaches no server. The answers still come as late as the process is; callers gain that nothing runs which they gave up.

--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -81,9 +81,13 @@
     def start(self) -> None:
         """Begin to look for a backend server."""
         self._exchange.on_gone = self._on_gone
+        if self._remaining_ms() <= 0:
+            # It waited in the kernel while this process was held up.
+            self._refuse(policy.deadline_error(self._progress))
+            return
         self._parts.budget.fresh()
         self._deadline = self._parts.reactor.callLater(
-            max(0, self._remaining_ms()) / clocks.MS_PER_SECOND,
+            self._remaining_ms() / clocks.MS_PER_SECOND,
             self._on_deadline,
         )
         self._place()
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -266,8 +266,13 @@
         self.clock.advance(duration_ms=duration_ms)
         self.reactor.advance(duration_ms / 1000)
 
-    def request(self, path, *, tokens=0, deadline_ms=5000, **fields):
-        """Send a caller's request; return its exchange."""
+    def request(
+        self, path, *, tokens=0, deadline_ms=5000, waited_ms=0, **fields
+    ):
+        """Send a caller's request; return its exchange.
+
+        :param waited_ms: for how long it waited to be read.
+        """
         headers = {
             'host': 'a.example',
             'request-attempt-id': REQUEST_ID,
@@ -280,7 +285,7 @@
             head=messages.RequestHead(
                 method='POST', target=path, headers=tuple(headers.items())
             ),
-            received_ms=self.clock.now_ms(),
+            received_ms=self.clock.now_ms() - waited_ms,
         )
         self.ingress.handle(exchange)
         return exchange
--- a/src/shallothinge/gateway/tests/test_forwarding.py
+++ b/src/shallothinge/gateway/tests/test_forwarding.py
@@ -103,6 +103,26 @@
         self.assertEqual(504, exchange.status)
         self.assertTrue(self.calls[0].is_cancelled)
 
+    def test_request_that_is_read_after_its_deadline_does_not_run(self):
+        rows = ((BOOKING, 0), (STREAM, 5000))
+        for path, tokens in rows:
+            for waited_ms, status, calls in (
+                (799, None, 1),
+                (800, 503, 0),
+                (60_000, 503, 0),
+            ):
+                with self.subTest(path=path, waited_ms=waited_ms):
+                    self.calls.clear()
+                    exchange = self.rig.request(
+                        path,
+                        tokens=tokens,
+                        deadline_ms=800,
+                        waited_ms=waited_ms,
+                    )
+                    self.assertEqual(status, exchange.status)
+                    self.assertEqual(calls, len(self.calls))
+                    self.rig.advance(1000)
+
     def test_servers_own_failure_is_passed_on_with_its_signature(self):
         exchange = self.rig.request(BOOKING)
         self.calls[0].answer(500, body=b'failed')
--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -10,6 +10,7 @@
 from zope.interface import implementer
 
 from shallothinge import clock as clocks
+from shallothinge.http1 import arrival
 from shallothinge.http1 import closing
 from shallothinge.http1 import early
 from shallothinge.http1 import flow
@@ -26,6 +27,8 @@
 class Exchange:
     """One request and the answer to it.
 
+    :ivar received_ms: when the last bytes of the request came, though the
+        process may have read them later.
     :ivar on_gone: called without arguments if the caller goes away before
         the answer is complete.
     :ivar flow: holds back what an answer is made of while the caller does
@@ -278,7 +281,8 @@
             connection=self,
             head=self._head,
             body=bytes(self._body),
-            received_ms=self._site.clock.now_ms(),
+            received_ms=self._site.clock.now_ms()
+            - arrival.waited_ms(self.transport),
         )
         self._head = None
         self._body.clear()
