Name orders to change the control hosts by the field's word

`wishes` was a word of its own for what operators, their messages and the rest of the control slice call orders. The module is member_orders now, with its classes and tests; behaviour is unchanged.

--- a/src/shallothinge/control/joining.py
+++ b/src/shallothinge/control/joining.py
@@ -10,7 +10,7 @@
 from shallothinge.consensus import messages
 from shallothinge.consensus import model
 from shallothinge.consensus import node as nodes
-from shallothinge.control import wishes
+from shallothinge.control import member_orders
 
 ANNOUNCE_MS = 250
 # A replica that waits is heard again sooner, also if some messages are lost.
@@ -65,8 +65,8 @@
         self._announce_due_ms = 0
         self._founding: _Founding | None = None
         self._founded: list[defer.Deferred] = []
-        self._additions = wishes.Wishes()
-        self._removals = wishes.Wishes()
+        self._additions = member_orders.MemberOrders()
+        self._removals = member_orders.MemberOrders()
 
     def announced(
         self, now_ms: int, message: messages.ReplicaAnnounced
@@ -217,28 +217,30 @@
             for learner in configuration.learners
             if not self._node.stands_by(learner)
         }
-        for process_id, wish in self._additions.items():
+        for process_id, order in self._additions.items():
             is_voter = process_id in members and process_id not in learners
             joined = is_voter and process_id not in self._announced
             if joined and self._node.is_configuration_committed:
                 self._additions.fulfil(process_id)
             else:
                 self._end_addition(
-                    now_ms, process_id, wish, learners.get(process_id)
+                    now_ms, process_id, order, learners.get(process_id)
                 )
 
     def _end_addition(
         self,
         now_ms: int,
         process_id: str,
-        wish: wishes.Wish,
+        order: member_orders.MemberOrder,
         learner: str | None,
     ) -> None:
         """End an addition in time, but not while the host catches up."""
         heard_ms = self._node.answered_ms(learner) if learner else None
         if heard_ms is not None:
-            wish.ends_ms = max(wish.ends_ms, heard_ms + wishes.WAIT_MS)
-        if now_ms < wish.ends_ms:
+            order.ends_ms = max(
+                order.ends_ms, heard_ms + member_orders.WAIT_MS
+            )
+        if now_ms < order.ends_ms:
             return
         if learner:
             detail = (
@@ -246,7 +248,7 @@
                 'start it, and it gets its vote once it holds everything'
             )
         elif process_id in self._announced:
-            reason = wish.refused_reason or 'it was heard too late'
+            reason = order.refused_reason or 'it was heard too late'
             detail = f'{process_id} was not added: {reason}'
         else:
             detail = (
@@ -257,7 +259,7 @@
 
     def _tick_removals(self, now_ms: int) -> None:
         configuration = self._node.configuration
-        for process_id, wish in self._removals.items():
+        for process_id, order in self._removals.items():
             replica_ids = [
                 replica_id
                 for replica_id in configuration.replicas
@@ -270,7 +272,7 @@
             outcome = self._node.remove(now_ms, replica_ids[0])
             if isinstance(outcome, model.ProposalRefused):
                 self._removals.note_refusal(process_id, outcome.reason)
-                if now_ms >= wish.ends_ms:
+                if now_ms >= order.ends_ms:
                     detail = f'{process_id} was not removed: {outcome.reason}'
                     self._removals.fail(process_id, _conflict_error(detail))
 
--- a/src/shallothinge/control/wishes.py
+++ b/src/shallothinge/control/member_orders.py
@@ -11,7 +11,7 @@
 
 
 @attrs.define(kw_only=True)
-class Wish:
+class MemberOrder:
     """An order for one process, with all who wait for its answer."""
 
     ends_ms: int
@@ -19,7 +19,7 @@
     waiting: list[defer.Deferred] = attrs.field(factory=list)
 
 
-class Wishes:
+class MemberOrders:
     """The orders of one kind, at most one for each process.
 
     An order ends after ``WAIT_MS``. A host that comes long after must not
@@ -27,19 +27,21 @@
     """
 
     def __init__(self):
-        self._by_process: dict[str, Wish] = {}
+        self._by_process: dict[str, MemberOrder] = {}
 
     def __contains__(self, process_id: str) -> bool:
         return process_id in self._by_process
 
-    def items(self) -> tuple[tuple[str, Wish], ...]:
+    def items(self) -> tuple[tuple[str, MemberOrder], ...]:
         """Return the orders by process."""
         return tuple(self._by_process.items())
 
     def add(self, now_ms: int, process_id: str) -> defer.Deferred:
         """Wait for an order, together with those who gave it before."""
         if process_id not in self._by_process:
-            self._by_process[process_id] = Wish(ends_ms=now_ms + WAIT_MS)
+            self._by_process[process_id] = MemberOrder(
+                ends_ms=now_ms + WAIT_MS
+            )
         answered = defer.Deferred()
         self._by_process[process_id].waiting.append(answered)
         return answered
--- a/src/shallothinge/control/tests/test_wishes.py
+++ b/src/shallothinge/control/tests/test_member_orders.py
@@ -8,7 +8,7 @@
 from twisted.python import failure as failures
 
 from shallothinge.consensus import messages
-from shallothinge.control import wishes
+from shallothinge.control import member_orders
 from shallothinge.control.tests import hosts
 from shallothinge.errors import ErrorKind
 from shallothinge.operators import arguments
@@ -29,7 +29,7 @@
         return super().send(sender_id, target_id, message)
 
 
-class WishTest(unittest.TestCase):
+class MemberOrderTest(unittest.TestCase):
     """Three hosts that are listed, one of which does not lead."""
 
     def setUp(self):
@@ -72,7 +72,7 @@
     def test_host_that_comes_in_time_is_added(self):
         self.remove_and_stop_other()
         added = self.leader.add_member(process_id=self.other)
-        self.hosts.run(wishes.WAIT_MS // 2)
+        self.hosts.run(member_orders.WAIT_MS // 2)
         self.hosts.start(self.other)
         self.assertIsNone(self.hosts.wait(added))
         self.assertIn(self.other, self.voters())
@@ -83,11 +83,11 @@
         self.leader.add_member(process_id=self.other).addErrback(
             answers.append
         )
-        self.hosts.run(wishes.WAIT_MS // 2)
+        self.hosts.run(member_orders.WAIT_MS // 2)
         self.leader.add_member(process_id=self.other).addErrback(
             answers.append
         )
-        self.hosts.run(wishes.WAIT_MS // 2 + AFTER_MS)
+        self.hosts.run(member_orders.WAIT_MS // 2 + AFTER_MS)
         self.assertEqual(2, len(answers))
 
     def test_host_that_takes_long_to_catch_up_is_waited_for(self):
@@ -95,7 +95,7 @@
         self.hosts.starved_id = self.other
         self.hosts.start(self.other)
         added = self.leader.add_member(process_id=self.other)
-        self.hosts.run(3 * wishes.WAIT_MS)
+        self.hosts.run(3 * member_orders.WAIT_MS)
         self.assertFalse(added.called)
         self.hosts.starved_id = ''
         self.assertIsNone(self.hosts.wait(added))
@@ -129,14 +129,15 @@
         self.hosts.stop(self.third)
         self.hosts.run(AFTER_MS)
         removed = self.leader.remove_member(process_id=self.other)
-        self.hosts.run(wishes.WAIT_MS // 2)
+        self.hosts.run(member_orders.WAIT_MS // 2)
         self.hosts.start(self.third)
         self.assertIsNone(self.hosts.wait(removed))
         self.assertNotIn(self.other, self.voters())
 
     def test_operator_hears_the_end_before_the_terminal_gives_up(self):
         self.assertLess(
-            wishes.WAIT_MS + AFTER_MS, arguments.DEFAULT_TIMEOUT_S * 1000
+            member_orders.WAIT_MS + AFTER_MS,
+            arguments.DEFAULT_TIMEOUT_S * 1000,
         )
 
 
