--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -21,6 +21,7 @@
 from shallothinge.control import replica_dump
 from shallothinge.control import replica_links
 from shallothinge.control import stopping
+from shallothinge.control import timing
 from shallothinge.settings import model as settings_model
 from shallothinge.storage import data_folder
 
@@ -28,16 +29,6 @@
 
 TICKS_PER_HEARTBEAT = 4
 KEEP_LINKS_MS = 1000
-KEPT_DIVISOR = 4
-# Two voters bear no loss, as one of three that is gone leaves them to.
-MIN_LEAST_VOTERS = 3
-# A voter that was silent for so long counts as gone. After two elections, as
-# the first may be undecided, this ends before a successor counts in its place
-# (4 s); a voter that is only late joins again.
-REPLACE_SILENT_MS = 1500
-# Short of the later elections: after a restart of all hosts nobody serves
-# until there is a leader.
-FIRST_ELECTION_MS = 500
 EXIT_STORAGE_FAILED = 74
 
 
@@ -85,10 +76,10 @@
         self._folder = data_folder.DataFolder(
             path=process.folder / pathlib.Path(settings.log.data_folder),
             process_id=process.process_id,
-            rejoin=_rejoins(settings.discovery),
+            rejoin=timing.rejoins(settings.discovery),
         )
         try:
-            self._node = self._restore(settings.log, rng or random.Random())
+            self._node = self._restore(settings, rng or random.Random())
         except Exception:
             self._folder.close()
             raise
@@ -320,22 +311,13 @@
         )
 
     def _restore(
-        self, settings: settings_model.LogSettings, rng: random.Random
+        self, settings: settings_model.ControlSettings, rng: random.Random
     ) -> nodes.Node:
         restored = self._folder.restored
-        discovery = self._discovery
         node = nodes.Node(
             replica_id=self._folder.identity.replica_id,
             rng=rng,
-            timing=model.Timing(
-                heartbeat_ms=settings.heartbeat_ms,
-                election_min_ms=settings.election_min_ms,
-                election_max_ms=settings.election_max_ms,
-                kept_entries=settings.snapshot_entries // KEPT_DIVISOR,
-                replace_silent_ms=_replace_silent_ms(discovery),
-                least_voters=_least_voters(discovery),
-                first_election_ms=FIRST_ELECTION_MS,
-            ),
+            timing=timing.timing_of(settings),
             restored=restored,
         )
         self._folder.rewrite(node.durable_records())
@@ -487,30 +469,3 @@
 
     def _not_leader(self) -> errors.ServingError:
         return pending.NotLeader(leader_id=self.leader_id)
-
-
-def _rejoins(discovery: settings_model.DiscoverySettings | None) -> bool:
-    """Return whether an empty data folder stands for one that was lost.
-
-    Hosts that find each other repair themselves: but at the first start of
-    a deployment, an empty folder is that of a host that lost its disk.
-    """
-    return discovery is not None and not discovery.may_found
-
-
-def _least_voters(
-    discovery: settings_model.DiscoverySettings | None,
-) -> int:
-    """Return how many voters bear the losses that a deployment is to bear."""
-    losses = 1 if discovery is None else discovery.losses_to_bear
-    return max(MIN_LEAST_VOTERS, 2 * losses + 1)
-
-
-def _replace_silent_ms(
-    discovery: settings_model.DiscoverySettings | None,
-) -> int:
-    """Return the silence after which a voter may be replaced, 0 for never.
-
-    Where the control hosts are listed, operators order each replacement.
-    """
-    return 0 if discovery is None else REPLACE_SILENT_MS
