--- a/src/shallothinge/consensus/membership.py
+++ b/src/shallothinge/consensus/membership.py
@@ -97,7 +97,6 @@
             return
         if state.timing.replace_silent_ms:
             self._remove_gone(now_ms)
-            self._relieve_stand_in(now_ms)
 
     def on_leave_request(
         self, now_ms: int, message: messages.LeaveRequest
@@ -123,7 +122,7 @@
         state = self._state
         if not state.timing.replace_silent_ms:
             return True
-        if not self._is_committed():
+        if state.commit_index < state.log.configuration_index:
             return False
         if voter not in state.configuration.voters:
             return True
@@ -131,11 +130,6 @@
             return False
         return not self._gone_voters(now_ms)
 
-    def _is_committed(self) -> bool:
-        """Return whether no change of the configuration is under way."""
-        state = self._state
-        return state.commit_index >= state.log.configuration_index
-
     def _remove_gone(self, now_ms: int) -> None:
         """Remove one replica that is gone.
 
@@ -185,7 +179,6 @@
             return ready
         fresh = [one for one in ready if not self._former_voter(one)]
         replacing = [one for one in ready if one not in fresh]
-        returned = [one for one in fresh if self._stand_in_for(one)]
         gone = {self._former_voter(one) for one in replacing}
         gone.update(
             voter
@@ -195,49 +188,8 @@
         left = len(state.configuration.voters) - len(gone)
         is_enough = left >= state.timing.least_voters and left % 2 == 1
         if is_enough and len(fresh) == 1:
-            return returned + replacing
-        return returned + fresh + replacing
-
-    def _stand_in_for(self, replica_id: str) -> str:
-        """Return the voter that took the place of a process, or ''."""
-        process_id = model.process_id_of(replica_id)
-        for voter, replaced in self._state.leadership.stand_ins.items():
-            if replaced == process_id and voter in self._state.other_voters:
-                return voter
-        return ''
-
-    def _note_stand_in(self, now_ms: int, learner: str) -> None:
-        """Note in whose place a learner got its vote."""
-        for voter in self._state.other_voters:
-            replaced = self._is_gone(now_ms, voter)
-            if replaced and not self._stand_in_for(voter):
-                self._state.leadership.stand_ins[learner] = (
-                    model.process_id_of(voter)
-                )
-                return
-
-    def _relieve_stand_in(self, now_ms: int) -> None:
-        """Let a voter stand by again once the one that it replaced votes.
-
-        Otherwise restarts beside a host that stands by would leave the
-        votes of two zones in one.
-        """
-        state = self._state
-        configuration = state.configuration
-        count = len(configuration.voters)
-        if count % 2 or count <= state.timing.least_voters:
-            return
-        if self._gone_voters(now_ms):
-            return
-        for voter in configuration.voters:
-            relieved = self._stand_in_for(voter)
-            if relieved and self._is_committed():
-                self._change(
-                    now_ms,
-                    voters=_without(configuration.voters, relieved),
-                    learners=(*configuration.learners, relieved),
-                )
-                return
+            return replacing
+        return fresh + replacing
 
     def _former_voter(self, learner: str) -> str:
         """Return the voter whose data folder a learner's replaces, or ''."""
@@ -251,10 +203,8 @@
         former = self._former_voter(learner)
         if former:
             self.remove(now_ms, former)
-            return
-        promoted = self.promote(now_ms, learner)
-        if isinstance(promoted, model.Proposed):
-            self._note_stand_in(now_ms, learner)
+        else:
+            self.promote(now_ms, learner)
 
     def _is_gone(self, now_ms: int, voter: str) -> bool:
         """Return whether a voter was silent for long, or stops."""
@@ -303,7 +253,7 @@
             return self._refused('the leader is handing over')
         if state.commit_index < state.leadership.first_index:
             return self._refused('the leader has not committed an entry yet')
-        if not self._is_committed():
+        if state.commit_index < state.log.configuration_index:
             return self._refused('another change is under way')
         configuration = model.Configuration(voters=voters, learners=learners)
         if not self._is_reachable(now_ms, configuration):
--- a/src/shallothinge/consensus/state.py
+++ b/src/shallothinge/consensus/state.py
@@ -53,17 +53,13 @@
 
 @attrs.define(kw_only=True)
 class Leadership:
-    """State that a replica has only while it leads.
-
-    ``stand_ins`` maps a voter to the process in whose place it votes.
-    """
+    """State that a replica has only while it leads."""
 
     first_index: int
     elected_ms: int
     progress: dict[str, Progress] = attrs.field(factory=dict)
     round: int = 0
     reads: list[PendingRead] = attrs.field(factory=list)
-    stand_ins: dict[str, str] = attrs.field(factory=dict)
     transfer_to: str = ''
     transfer_ends_ms: int = 0
 
--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -28,7 +28,8 @@
     """One request and the answer to it.
 
     :ivar received_ms: when the last bytes of the request came, though the
-        process may have read them later.
+        process may have read them later, as it was held up or answered an
+        earlier request of the connection.
     :ivar on_gone: called without arguments if the caller goes away before
         the answer is complete.
     :ivar flow: holds back what an answer is made of while the caller does
