Read the kernel's words on a connection in one place

The time at which a request's bytes came (http1/arrival.py) and the bytes that a peer has acknowledged (http1/closing.py) were read from tcp_info by two copies of the same steps.

--- a/src/shallothinge/http1/arrival.py
+++ b/src/shallothinge/http1/arrival.py
@@ -1,12 +1,10 @@
 """For how long received bytes have waited to be read."""
 
-import socket
-import struct
+from shallothinge.http1 import tcp_info
 
 # Of ``struct tcp_info``, the field ``tcpi_last_data_recv``.
 LAST_DATA_OFFSET = 52
-LAST_DATA = struct.Struct('=I')
-INFO_BYTES = LAST_DATA_OFFSET + LAST_DATA.size
+LAST_DATA_FORMAT = '=I'
 
 
 def waited_ms(transport) -> int:
@@ -17,14 +15,10 @@
 
     :returns: milliseconds, 0 where the kernel does not tell.
     """
-    option = getattr(socket, 'TCP_INFO', None)
     get_handle = getattr(transport, 'getHandle', None)
-    if option is None or get_handle is None:
+    if get_handle is None:
         return 0
-    try:
-        info = get_handle().getsockopt(socket.IPPROTO_TCP, option, INFO_BYTES)
-    except OSError:
-        return 0
-    if len(info) < INFO_BYTES:
-        return 0
-    return LAST_DATA.unpack_from(info, LAST_DATA_OFFSET)[0]
+    waited = tcp_info.read_field(
+        get_handle(), offset=LAST_DATA_OFFSET, layout=LAST_DATA_FORMAT
+    )
+    return waited or 0
--- a/src/shallothinge/http1/closing.py
+++ b/src/shallothinge/http1/closing.py
@@ -2,9 +2,9 @@
 
 import logging
 import socket
-import struct
 
 from shallothinge import clock as clocks
+from shallothinge.http1 import tcp_info
 
 LOG = logging.getLogger(__name__)
 
@@ -92,11 +92,6 @@
 
     :returns: None where the kernel does not tell.
     """
-    length = _ACKED_OFFSET + struct.calcsize(_ACKED_FORMAT)
-    try:
-        info = handle.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, length)
-    except OSError:
-        return None
-    if len(info) < length:
-        return None
-    return struct.unpack_from(_ACKED_FORMAT, info, _ACKED_OFFSET)[0]
+    return tcp_info.read_field(
+        handle, offset=_ACKED_OFFSET, layout=_ACKED_FORMAT
+    )
