--- a/src/shallothinge/consensus/membership.py
+++ b/src/shallothinge/consensus/membership.py
@@ -122,7 +122,7 @@
         state = self._state
         if not state.timing.replace_silent_ms:
             return True
-        if state.commit_index < state.log.configuration_index:
+        if not state.is_configuration_committed:
             return False
         if voter not in state.configuration.voters:
             return True
@@ -253,7 +253,7 @@
             return self._refused('the leader is handing over')
         if state.commit_index < state.leadership.first_index:
             return self._refused('the leader has not committed an entry yet')
-        if state.commit_index < state.log.configuration_index:
+        if not state.is_configuration_committed:
             return self._refused('another change is under way')
         configuration = model.Configuration(voters=voters, learners=learners)
         if not self._is_reachable(now_ms, configuration):
--- a/src/shallothinge/consensus/node.py
+++ b/src/shallothinge/consensus/node.py
@@ -138,8 +138,7 @@
     @property
     def is_configuration_committed(self) -> bool:
         """Return whether the newest configuration is committed."""
-        state = self._state
-        return state.commit_index >= state.log.configuration_index
+        return self._state.is_configuration_committed
 
     @property
     def configuration(self) -> model.Configuration:
--- a/src/shallothinge/consensus/quorum.py
+++ b/src/shallothinge/consensus/quorum.py
@@ -93,7 +93,7 @@
         voters=voters,
         learners=state.configuration.learners,
         configuration_index=state.log.configuration_index,
-        is_committed=state.commit_index >= state.log.configuration_index,
+        is_committed=state.is_configuration_committed,
         heard=heard,
         silent=silent,
         leaderless_ms=leaderless_ms,
--- a/src/shallothinge/consensus/state.py
+++ b/src/shallothinge/consensus/state.py
@@ -109,6 +109,11 @@
         """Return the newest configuration in the log."""
         return self.log.configuration
 
+    @property
+    def is_configuration_committed(self) -> bool:
+        """Return whether the newest configuration is committed."""
+        return self.commit_index >= self.log.configuration_index
+
     @property
     def is_voter(self) -> bool:
         """Return whether the own log gives this replica a vote."""
