Found the hosts of two tests by one function

The tests of discovery and of hosts that are called back started and founded their hosts by the same lines.

--- a/src/shallothinge/control/tests/hosts.py
+++ b/src/shallothinge/control/tests/hosts.py
@@ -324,6 +324,17 @@
         self.wait(answered)
         self.run_until(self.leader)
 
+    def found_with_seeds(self, host_ids, *, founder_count=3):
+        """Start hosts for the first time and let all of them join."""
+        for host_id in host_ids:
+            self.start(host_id, may_found=True)
+        self.wait(
+            self.replicas[host_ids[0]].found(
+                cluster_id='test', member_ids=host_ids[:founder_count]
+            )
+        )
+        self.run_until(lambda: self.has_members(host_ids))
+
     def leader(self):
         """Return the replica that leads, or None."""
         for replica in self.replicas.values():
--- a/src/shallothinge/control/tests/test_discovery.py
+++ b/src/shallothinge/control/tests/test_discovery.py
@@ -24,14 +24,7 @@
 
     def found(self, host_ids=IDS):
         """Start hosts for the first time and let all of them join."""
-        for host_id in host_ids:
-            self.hosts.start(host_id, may_found=True)
-        self.hosts.wait(
-            self.hosts.replicas[IDS[0]].found(
-                cluster_id='test', member_ids=IDS[:3]
-            )
-        )
-        self.run_until_voters(host_ids)
+        self.hosts.found_with_seeds(host_ids)
         self.hosts.run_until(
             lambda: all(
                 set(host_ids) == set(self.hosts.replicas[one].member_ids)
--- a/src/shallothinge/control/tests/test_former_members.py
+++ b/src/shallothinge/control/tests/test_former_members.py
@@ -24,14 +24,7 @@
         self.folder = pathlib.Path(folder.name)
         self.hosts = hosts.Hosts(folder=self.folder, host_ids=(), seeds=SEEDS)
         self.addCleanup(self.hosts.close)
-        for host_id in IDS:
-            self.hosts.start(host_id, may_found=True)
-        self.hosts.wait(
-            self.hosts.replicas[IDS[0]].found(
-                cluster_id='test', member_ids=IDS[:3]
-            )
-        )
-        self.run_until_voters(IDS)
+        self.hosts.found_with_seeds(IDS)
         self.gone_id = next(
             one
             for one in IDS[3:]
