Log cancelled attempts as sent, and why a request is not retried

A request that ended by its deadline, or whose caller left, was logged with 'sent: 0' and 'sent_after_ms: null' although a server had it: the attempt was forgotten before the line was written. 'attempt failed' did not tell why no other server was tried.

Now 'request ended' counts cancelled attempts, and 'attempt failed' has the field 'no_retry': deadline, attempts, refusals, may_have_run, budget, or null if the request is retried. Answers are unchanged.

Two tests failed before: 'sent' was 0, and the field was missing.

--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -77,6 +77,7 @@
             started_ms=exchange.received_ms,
         )
         self._is_over = False
+        self._sent_after_ms: int | None = None
         self._placement_timer = None
         self._deadline_timer = None
 
@@ -332,6 +333,7 @@
         """Retry at another server, or answer the caller with an error."""
         server_id = self._attempt.server_id
         sent_after_ms = self._attempt.sent_after_ms
+        self._sent_after_ms = sent_after_ms
         self._attempt = None
         self._progress = attrs.evolve(
             self._progress,
@@ -346,6 +348,7 @@
             servers=self._parts.servers,
             tried_ids=self._tried_ids,
         )
+        refusal = self._take_retry()
         LOG.info(
             'attempt failed',
             extra={
@@ -357,25 +360,27 @@
                 'sent_after_ms': sent_after_ms,
                 'sent': self._progress.sent,
                 'last_event_id': self._last_event_id,
+                'no_retry': refusal and refusal.value,
             },
         )
-        if self._may_retry(outcome):
+        if refusal is None:
             self._parts.metrics.count_retry()
             self._place()
         else:
             self._fail(outcome)
 
-    def _may_retry(self, outcome: attempts.Outcome) -> bool:
-        allowed = policy.may_repeat(
+    def _take_retry(self) -> policy.NoRetry | None:
+        """Return why the request is not retried, None if it is."""
+        refusal = policy.no_retry_reason(
             route=self._route,
             progress=self._progress,
             remaining_ms=self._remaining_ms(),
         )
-        if not allowed:
-            return False
         # A retry counts against the budget only once a server was reached.
         has_arrived = self._progress.sent + self._progress.refused > 0
-        return not has_arrived or self._parts.budget.take()
+        if refusal is None and has_arrived and not self._parts.budget.take():
+            return policy.NoRetry.BUDGET
+        return refusal
 
     def _fail(self, outcome: attempts.Outcome) -> None:
         """Give the caller the final answer for a failed request."""
@@ -443,7 +448,12 @@
     def _cancel_attempt(self) -> None:
         """Cancel the attempt under way; the server may have run it already."""
         if self._attempt is not None:
-            self._progress = attrs.evolve(self._progress, may_have_run=True)
+            self._progress = attrs.evolve(
+                self._progress,
+                sent=self._progress.sent + 1,
+                may_have_run=True,
+            )
+            self._sent_after_ms = self._attempt.sent_after_ms
             self._attempt.cancel()
             self._attempt = None
 
@@ -466,6 +476,8 @@
     def _end(self, outcome: str, *, status: int) -> None:
         """Stop the timers; record the outcome in the metrics and the log."""
         self._is_over = True
+        if self._attempt is not None:
+            self._sent_after_ms = self._attempt.sent_after_ms
         self._wait.end()
         for timer in (self._deadline_timer, self._placement_timer):
             if timer is not None and timer.active():
@@ -487,7 +499,7 @@
                 'outcome': outcome,
                 'status': status,
                 'sent': self._progress.sent + (self._attempt is not None),
-                'sent_after_ms': self._attempt and self._attempt.sent_after_ms,
+                'sent_after_ms': self._sent_after_ms,
                 'queued_ms': self._wait.queued_ms,
                 'first_event_ms': first_ms and first_ms - self._started_ms,
                 'longest_pause_ms': self._event_times.longest_pause_ms,
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -47,6 +47,16 @@
     NO_MEMORY = 'no_memory'
 
 
+class NoRetry(enum.Enum):
+    """Why a request is not sent to another server."""
+
+    DEADLINE = 'deadline'
+    ATTEMPTS = 'attempts'
+    REFUSALS = 'refusals'
+    MAY_HAVE_RUN = 'may_have_run'
+    BUDGET = 'budget'
+
+
 @attrs.frozen(kw_only=True)
 class Progress:
     """Outcome of a request's attempts so far.
@@ -126,16 +136,34 @@
 ) -> bool:
     """Return whether the request may be sent to another server.
 
+    :param remaining_ms: time left until the deadline.
+    """
+    reason = no_retry_reason(
+        route=route, progress=progress, remaining_ms=remaining_ms
+    )
+    return reason is None
+
+
+def no_retry_reason(
+    *, route: routes.Route, progress: Progress, remaining_ms: int
+) -> NoRetry | None:
+    """Return why the request may not be sent to another server.
+
     A request that may have run is repeated only if its route allows it to
-    run more than once.
+    run more than once. The retry budget is not considered.
 
     :param remaining_ms: time left until the deadline.
+    :returns: None if the request may be sent to another server.
     """
-    if remaining_ms <= 0 or progress.sent >= route.attempts:
-        return False
+    if remaining_ms <= 0:
+        return NoRetry.DEADLINE
+    if progress.sent >= route.attempts:
+        return NoRetry.ATTEMPTS
     if progress.refused > MAX_REFUSALS:
-        return False
-    return route.is_repeatable or not progress.may_have_run
+        return NoRetry.REFUSALS
+    if progress.may_have_run and not route.is_repeatable:
+        return NoRetry.MAY_HAVE_RUN
+    return None
 
 
 def final_error(
--- a/src/shallothinge/gateway/tests/test_forwarding.py
+++ b/src/shallothinge/gateway/tests/test_forwarding.py
@@ -10,6 +10,7 @@
 
 STREAM = '/lohu930/1'
 BOOKING = '/book/1'
+LOGGER = 'shallothinge.gateway.forwarding'
 
 
 def event(number):
@@ -351,6 +352,50 @@
         self.rig.advance(1000)
         self.assertEqual([], self.calls)
 
+    def test_end_of_a_cancelled_request_is_logged_as_sent(self):
+        def let_time_out(exchange):
+            self.rig.advance(800)
+
+        def disconnect(exchange):
+            self.rig.advance(100)
+            exchange.on_disconnect()
+
+        for end in (let_time_out, disconnect):
+            with self.subTest(end=end.__name__):
+                self.setUp()
+                exchange = self.rig.request(BOOKING, deadline_ms=800)
+                self.rig.advance(7)
+                self.calls[0].may_send()
+                with self.assertLogs(LOGGER, 'INFO') as logs:
+                    end(exchange)
+                ended = logs.records[-1]
+                self.assertEqual(1, ended.sent)
+                self.assertEqual(7, ended.sent_after_ms)
+
+    def test_failed_attempt_is_logged_with_the_reason_for_no_retry(self):
+        def spend_budget():
+            while self.rig.parts.budget.take():
+                pass
+
+        rows = (
+            (STREAM, lambda: None, None),
+            (STREAM, spend_budget, 'budget'),
+            (BOOKING, lambda: None, 'attempts'),
+        )
+        for path, prepare, reason in rows:
+            with self.subTest(path=path, reason=reason):
+                self.setUp()
+                self.rig.request(path, tokens=5000)
+                prepare()
+                with self.assertLogs(LOGGER, 'INFO') as logs:
+                    self.calls[0].fail(was_sent=True)
+                failed = next(
+                    record
+                    for record in logs.records
+                    if record.getMessage() == 'attempt failed'
+                )
+                self.assertEqual(reason, failed.no_retry)
+
     def test_peers_avoid_a_server_that_failed(self):
         exchange = self.rig.request(BOOKING)
         self.calls[0].fail(was_sent=False)
