Keep a silent server's attempt until another server has taken over

A sound server may fall silent for a second or so.

Cause: the stall timer cancelled the attempt before it was known that another server would take over. The stream was then cut, or refused before its first event, if the retry budget was spent, the lease was not valid at that moment, no other server was listed, or the others refused.

Change: the stall timer only notifies the request. The silent server keeps it, and a second attempt is placed beside the first, resumed after the last event that was passed on. The first attempt that sends a new event is kept and the other is cancelled. If no second attempt can be placed, placement is tried again while the server is silent. Two attempts at most run at once, they count as attempts of the route and take from the retry budget as before, and both end with their caller or at the deadline, so that no rule on repeats or abandoned work changes.

Why it works: no event of the stall timer ends an answer any more. Only a broken connection, the caller or the deadline does.

--- /dev/null
+++ b/src/shallothinge/gateway/demands.py
@@ -0,0 +1,65 @@
+"""What a request demands of a backend server, for its placement."""
+
+from shallothinge.gateway import model
+from shallothinge.gateway import policy
+from shallothinge.placement import choice
+from shallothinge.placement import fleet
+from shallothinge.placement import pricing
+from shallothinge.routes import model as routes
+
+
+def build_demand(
+    accepted: model.AcceptedRequest,
+    *,
+    zone: str,
+    waited_ms: int,
+    is_resumed: bool,
+) -> choice.Demand:
+    """Return the demand of a request that has waited for some time.
+
+    :param waited_ms: time since the request arrived.
+    :param is_resumed: whether the caller has a part of the answer.
+    """
+    route = accepted.route
+    patience_ms = None
+    if not is_resumed:
+        patience_ms = -waited_ms + policy.patience_ms(
+            route=route, limit_ms=accepted.time_limit_ms
+        )
+    return choice.Demand(
+        service=accepted.service,
+        tokens=accepted.request.prompt_tokens,
+        answer_tokens=accepted.request.answer_tokens,
+        objective_ms=route.objective_ms - waited_ms,
+        patience_ms=patience_ms,
+        pause_objective_ms=route.pause_objective_ms,
+        zone=zone,
+        is_resumed=is_resumed,
+    )
+
+
+def build_work(
+    accepted: model.AcceptedRequest,
+    placed: choice.Placement,
+    *,
+    started_ms: int,
+    due_ms: int,
+) -> fleet.Work:
+    """Return the work at the server itself, without its helpers.
+
+    :param started_ms: instant at which the request is sent.
+    :param due_ms: instant after which the first event is late.
+    """
+    request, route = accepted.request, accepted.route
+    is_stream = route.kind is routes.RequestKind.STREAMING
+    return fleet.Work(
+        server_id=placed.server_id,
+        read_ms=placed.part_ms,
+        started_ms=started_ms,
+        due_ms=due_ms,
+        pause_ms=route.pause_objective_ms if is_stream else 0,
+        weight=pricing.weight_of(request.prompt_tokens),
+        memory_tokens=request.prompt_tokens
+        + request.answer_tokens
+        - sum(share.tokens for share in placed.shares),
+    )
--- a/src/shallothinge/gateway/fault_attribution.py
+++ b/src/shallothinge/gateway/fault_attribution.py
@@ -32,7 +32,5 @@
     elif outcome.answer is not None and outcome.answer.pause_ms:
         # The server stated when it accepts requests again.
         return
-    elif outcome.cause is FailureCause.STALLED:
-        servers.record_stall(server_id)
     elif outcome.cause is not FailureCause.SERVER_ERROR:
         servers.record_failure(server_id)
--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -125,9 +125,7 @@
             parts=self._parts, exchange=exchange, accepted=accepted
         ).start()
 
-    def _accept(
-        self, request: model.CallerRequest
-    ) -> forwarding.AcceptedRequest:
+    def _accept(self, request: model.CallerRequest) -> model.AcceptedRequest:
         """Return the request with its route, service and workspace.
 
         :raises ServingError: if the request is refused.
@@ -155,7 +153,7 @@
         priority = route.priority
         if workspace is not None and workspace.priority is not None:
             priority = workspace.priority
-        return forwarding.AcceptedRequest(
+        return model.AcceptedRequest(
             request=request,
             route=route,
             service=index.find_service(name),
--- a/src/shallothinge/gateway/model.py
+++ b/src/shallothinge/gateway/model.py
@@ -32,6 +32,24 @@
     last_event_id: str = ''
 
 
+@attrs.frozen(kw_only=True)
+class AcceptedRequest:
+    """An authorized request with its route, service and workspace."""
+
+    request: CallerRequest
+    route: routes.Route
+    service: routes.Service
+    workspace: str
+    urgency: int | None
+
+    @property
+    def time_limit_ms(self) -> int:
+        """Return the time from the request's arrival to its deadline."""
+        if self.request.deadline_ms is None:
+            return self.route.timeout_ms
+        return min(self.route.timeout_ms, self.request.deadline_ms)
+
+
 @attrs.frozen(kw_only=True)
 class Helper:
     """A server that reads a part of a prompt for another server.
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -31,6 +31,9 @@
 # Polling interval of a request that waits for a lease, a server or capacity.
 # Slots become free as streams end, some tens a second over a fleet.
 POLL_INTERVAL_MS = 20
+# Polling interval of a request whose server has fallen silent. Callers leave
+# silent streams after two seconds or more.
+TAKEOVER_POLL_INTERVAL_MS = 100
 # Placing a long prompt evaluates many sets of servers, so some polls are
 # skipped: it is tried again after at most this many poll intervals.
 MAX_POLLS_SKIPPED = 5
@@ -43,7 +46,6 @@
     REFUSED_UNRUN = 'refused_unrun'
     SERVER_ERROR = 'server_error'
     BROKEN = 'broken'
-    STALLED = 'stalled'
     NO_MEMORY = 'no_memory'
 
 
@@ -55,6 +57,7 @@
     REFUSALS = 'refusals'
     MAY_HAVE_RUN = 'may_have_run'
     BUDGET = 'budget'
+    RUNNING = 'running'
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/src/shallothinge/gateway/request_log.py
@@ -0,0 +1,89 @@
+"""Log lines on what a gateway decides for one request."""
+
+import logging
+
+from shallothinge.gateway import attempt as attempts
+from shallothinge.gateway import dependencies
+from shallothinge.gateway import policy
+from shallothinge.placement import choice
+
+LOG = logging.getLogger(__name__)
+
+
+class RequestLog:
+    """Writes the log lines of one request.
+
+    :ivar identity: log fields that identify the request.
+    """
+
+    def __init__(
+        self,
+        *,
+        parts: dependencies.Dependencies,
+        identity: dict[str, str | int],
+    ):
+        self._parts = parts
+        self.identity = identity
+
+    def placed(self, placed: choice.Placement, **fields) -> None:
+        """Log the choice of a server and the knowledge it was based on."""
+        holder = self._parts.holder
+        self._write(
+            'request placed',
+            server_id=placed.server_id,
+            helper_ids=placed.helper_ids,
+            reserved_tokens=sum(one.tokens for one in placed.shares),
+            expected_ms=round(placed.first_event_ms),
+            active=placed.load.active,
+            backlog_ms=round(placed.load.backlog_ms),
+            report_count=self._parts.load.peer_count,
+            report_age_ms=self._parts.load.oldest_report_ms,
+            members_epoch=holder.members_epoch,
+            members_version=holder.members_version,
+            routes_version=holder.config.routes_version,
+            lease_ms=holder.remaining_ms,
+            **fields,
+        )
+
+    def stalled(
+        self,
+        attempt: attempts.Attempt,
+        *,
+        no_takeover: policy.NoRetry | None,
+        last_event_id: str,
+    ) -> None:
+        """Log a silent server, and why no other may take over from it."""
+        self._write(
+            'attempt stalled',
+            server_id=attempt.server_id,
+            sent_after_ms=attempt.sent_after_ms,
+            last_event_id=last_event_id,
+            no_takeover=no_takeover and no_takeover.value,
+        )
+
+    def failed(
+        self,
+        attempt: attempts.Attempt,
+        outcome: attempts.Outcome,
+        *,
+        no_retry: policy.NoRetry | None,
+        **fields,
+    ) -> None:
+        """Log a failed attempt, and why the request is not retried."""
+        self._write(
+            'attempt failed',
+            server_id=attempt.server_id,
+            cause=outcome.cause.value,
+            detail=outcome.detail,
+            may_have_run=outcome.may_have_run,
+            sent_after_ms=attempt.sent_after_ms,
+            no_retry=no_retry and no_retry.value,
+            **fields,
+        )
+
+    def ended(self, **fields) -> None:
+        """Log the end of the request."""
+        self._write('request ended', **fields)
+
+    def _write(self, message: str, **fields) -> None:
+        LOG.info(message, extra={**self.identity, **fields})
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -263,6 +263,10 @@
             if one.address == address
         )
 
+    def work_at(self, server_id):
+        """Return the work of a request that another gateway has placed."""
+        return fleet.Work(server_id=server_id, read_ms=0.0, started_ms=0)
+
     def advance(self, duration_ms):
         """Advance the clock and the reactor, whose due timers then run."""
         self.clock.advance(duration_ms=duration_ms)
--- /dev/null
+++ b/src/shallothinge/gateway/tests/test_silent_server.py
@@ -0,0 +1,239 @@
+"""Tests of streams whose backend server falls silent for a while."""
+
+import unittest
+
+from shallothinge.gateway.tests import rig
+from shallothinge.platform.tests import samples
+
+STREAM = '/lohu930/1'
+BOOKING = '/book/1'
+PROMPT_TOKENS = 5000
+# Longer than the stall timeouts of the sample route, before its first event
+# and between events.
+SILENT_MS = 1700
+
+
+def event(number):
+    return f'id: {number}\ndata: {number}\n\n'.encode()
+
+
+def events(*numbers):
+    return b''.join(map(event, numbers))
+
+
+def spend_budget(rig):
+    while rig.parts.budget.take():
+        pass
+
+
+def lose_lease(rig):
+    rig.holder.is_leased = False
+
+
+def remove_others(rig):
+    kept = rig.server_at(rig.caller.calls[0].address).server_id
+    rig.holder.members = {kept: rig.holder.members[kept]}
+
+
+def refuse_at_others(rig):
+    def call(**fields):
+        made = sent(**fields)
+        rig.reactor.callLater(0, made.refuse)
+        return made
+
+    sent = rig.caller.call
+    rig.caller.call = call
+
+
+def fill_others(rig):
+    kept = rig.server_at(rig.caller.calls[0].address).server_id
+    for server_id in rig.holder.members.keys() - {kept}:
+        server = rig.holder.members[server_id]
+        for _ in range(server.slots):
+            rig.load.start(rig.work_at(server_id))
+
+
+class SilentServerTest(unittest.TestCase):
+    """A silent server keeps a stream until another one has taken over."""
+
+    def setUp(self):
+        fields = samples.configuration()
+        del fields['routes'][0]['traffic-split']
+        fields['routes'][0]['service'] = 'llm'
+        self.rig = rig.Rig(configuration=fields)
+
+    @property
+    def calls(self):
+        return self.rig.caller.calls
+
+    def start(self, *, passed_on):
+        """Send a stream whose server sends some events, then falls silent."""
+        exchange = self.rig.request(STREAM, tokens=PROMPT_TOKENS)
+        if passed_on:
+            body = events(*range(1, passed_on + 1))
+            self.calls[0].answer(200, body=body, ends=False)
+        return exchange
+
+    def go_on(self, call, *, after, until):
+        """Let a server send the rest of the stream."""
+        rest = events(*range(after + 1, until + 1))
+        if after:
+            call.listener.on_data(rest)
+            call.listener.on_end()
+        else:
+            call.answer(200, body=rest)
+
+    def test_stream_is_not_cut_if_no_other_server_takes_over(self):
+        for prepare in (
+            spend_budget,
+            lose_lease,
+            remove_others,
+            refuse_at_others,
+            fill_others,
+        ):
+            for passed_on in (0, 3):
+                with self.subTest(
+                    prepare=prepare.__name__, passed_on=passed_on
+                ):
+                    self.setUp()
+                    exchange = self.start(passed_on=passed_on)
+                    prepare(self.rig)
+                    for _ in range(SILENT_MS // 10):
+                        self.rig.advance(10)
+                    self.assertFalse(self.calls[0].is_cancelled)
+                    self.go_on(self.calls[0], after=passed_on, until=5)
+                    self.assertEqual(events(1, 2, 3, 4, 5), exchange.received)
+                    self.assertTrue(exchange.is_whole)
+                    self.assertTrue(
+                        all(call.is_cancelled for call in self.calls[2:])
+                    )
+
+    def test_first_event_of_another_server_ends_the_silent_attempt(self):
+        for passed_on in (0, 3):
+            with self.subTest(passed_on=passed_on):
+                self.setUp()
+                exchange = self.start(passed_on=passed_on)
+                self.rig.advance(SILENT_MS)
+                first, second = self.calls
+                self.assertNotEqual(first.address, second.address)
+                last_id = str(passed_on) if passed_on else ''
+                self.assertEqual(last_id, second.head.get('last-event-id'))
+                self.assertFalse(first.is_cancelled)
+                second.answer(200, body=event(passed_on + 1), ends=False)
+                self.assertTrue(first.is_cancelled)
+                self.go_on(second, after=passed_on + 1, until=5)
+                self.assertEqual(events(1, 2, 3, 4, 5), exchange.received)
+                self.assertTrue(exchange.is_whole)
+                self.assertEqual({}, self.rig.load.loads())
+
+    def test_silent_server_that_goes_on_ends_the_second_attempt(self):
+        for passed_on in (0, 3):
+            with self.subTest(passed_on=passed_on):
+                self.setUp()
+                exchange = self.start(passed_on=passed_on)
+                self.rig.advance(SILENT_MS)
+                first, second = self.calls
+                self.go_on(first, after=passed_on, until=5)
+                self.assertTrue(second.is_cancelled)
+                self.assertEqual(events(1, 2, 3, 4, 5), exchange.received)
+                self.assertTrue(exchange.is_whole)
+                self.assertEqual({}, self.rig.load.loads())
+
+    def test_events_that_the_caller_has_do_not_end_the_other_attempt(self):
+        exchange = self.start(passed_on=3)
+        self.rig.advance(SILENT_MS)
+        first, second = self.calls
+        second.answer(200, body=events(2, 3), ends=False)
+        self.assertFalse(first.is_cancelled)
+        self.go_on(first, after=3, until=5)
+        self.assertEqual(events(1, 2, 3, 4, 5), exchange.received)
+
+    def test_failure_of_one_attempt_leaves_the_answer_to_the_other(self):
+        for failed, kept in ((0, 1), (1, 0)):
+            for passed_on in (0, 3):
+                with self.subTest(failed=failed, passed_on=passed_on):
+                    self.setUp()
+                    exchange = self.start(passed_on=passed_on)
+                    self.rig.advance(SILENT_MS)
+                    self.calls[failed].fail(was_sent=True)
+                    self.assertEqual(2, len(self.calls))
+                    call = self.calls[kept]
+                    self.assertFalse(call.is_cancelled)
+                    if kept:
+                        rest = events(*range(passed_on + 1, 6))
+                        call.answer(200, body=rest)
+                    else:
+                        self.go_on(call, after=passed_on, until=5)
+                    self.assertEqual(events(1, 2, 3, 4, 5), exchange.received)
+                    self.assertTrue(exchange.is_whole)
+
+    def test_failure_of_both_attempts_ends_the_request(self):
+        for passed_on in (0, 3):
+            with self.subTest(passed_on=passed_on):
+                self.setUp()
+                exchange = self.start(passed_on=passed_on)
+                self.rig.advance(SILENT_MS)
+                for call in self.calls:
+                    call.fail(was_sent=True)
+                self.assertEqual(2, len(self.calls))
+                self.assertEqual(passed_on > 0, exchange.is_cut)
+                self.assertEqual(200 if passed_on else 502, exchange.status)
+
+    def test_both_attempts_are_cancelled_with_their_request(self):
+        def disconnect(exchange):
+            exchange.on_disconnect()
+
+        def let_time_out(exchange):
+            self.rig.advance(5000)
+
+        for end in (disconnect, let_time_out):
+            with self.subTest(end=end.__name__):
+                self.setUp()
+                exchange = self.start(passed_on=3)
+                self.rig.advance(SILENT_MS)
+                end(exchange)
+                self.assertEqual(
+                    [True, True], [call.is_cancelled for call in self.calls]
+                )
+                self.assertEqual({}, self.rig.load.loads())
+
+    def test_lease_that_returns_lets_another_server_take_over(self):
+        self.start(passed_on=3)
+        lose_lease(self.rig)
+        self.rig.advance(SILENT_MS)
+        self.assertEqual(1, len(self.calls))
+        self.rig.holder.is_leased = True
+        self.rig.advance(200)
+        self.assertEqual(2, len(self.calls))
+
+    def test_no_more_servers_are_asked_than_the_route_allows(self):
+        self.start(passed_on=3)
+        for _ in range(4):
+            self.rig.advance(SILENT_MS // 2)
+        self.assertEqual(2, len(self.calls))
+
+    def test_second_server_that_falls_silent_is_replaced_if_allowed(self):
+        self.start(passed_on=0)
+        self.rig.advance(SILENT_MS)
+        self.calls[0].refuse()
+        self.assertEqual(2, len(self.calls))
+        self.rig.advance(SILENT_MS)
+        self.assertEqual(3, len(self.calls))
+        self.assertFalse(self.calls[1].is_cancelled)
+
+    def test_silence_while_the_caller_does_not_read_starts_no_attempt(self):
+        exchange = self.start(passed_on=3)
+        exchange.flow.pauseProducing()
+        self.rig.advance(SILENT_MS)
+        self.assertEqual(1, len(self.calls))
+
+    def test_request_that_may_run_once_stays_at_its_silent_server(self):
+        exchange = self.rig.request(BOOKING)
+        self.rig.advance(700)
+        self.assertEqual(1, len(self.calls))
+        self.calls[0].answer(200, body=b'done')
+        self.assertEqual(b'done', exchange.received)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/src/shallothinge/gateway/wait.py
+++ b/src/shallothinge/gateway/wait.py
@@ -19,6 +19,8 @@
     READS = 'reads'
     TURN = 'turn'
     COLD_LIMIT = 'cold_limit'
+    LEASE = 'lease'
+    BUDGET = 'budget'
 
 
 class Wait:
@@ -66,15 +68,24 @@
 
     def end(self) -> None:
         """Leave the queue; the request is sent or has ended."""
+        self._logged_causes.clear()
         if self._waiting_id is not None:
             self._parts.waiting.leave(self._waiting_id)
             self._waiting_id = None
 
-    def retry_delay_ms(self, cause: WaitCause, *, free_in_ms: int) -> int:
-        """Return the delay until the next try; log each cause once."""
+    def retry_delay_ms(
+        self, cause: WaitCause, *, free_in_ms: int, is_running: bool = False
+    ) -> int:
+        """Return the delay until the next try; log each cause once.
+
+        :param is_running: whether the request runs at a silent server, so
+            that the delay is no time in a queue.
+        """
         if cause not in self._logged_causes:
             self._logged_causes.add(cause)
             self._log(cause, free_in_ms)
+        if is_running:
+            return policy.TAKEOVER_POLL_INTERVAL_MS
         delay_ms = policy.POLL_INTERVAL_MS
         if cause is WaitCause.READS:
             delay_ms = policy.reads_poll_delay_ms(free_in_ms)
--- a/src/shallothinge/routing/retries.py
+++ b/src/shallothinge/routing/retries.py
@@ -38,12 +38,17 @@
         self.fresh_count += 1
         self._credit = min(self._max_credit, self._credit + self._percent)
 
+    @property
+    def has_credit(self) -> bool:
+        """Return whether the credit covers a retry."""
+        return self._credit >= PERCENT
+
     def take(self) -> bool:
         """Spend the credit for one retry.
 
         :returns: False if the budget is exhausted and the request must fail.
         """
-        if self._credit < PERCENT:
+        if not self.has_credit:
             self.denied_count += 1
             return False
         self._credit -= PERCENT
