Do not cut a begun stream while control recovers

And a request that may have run was answered 503, which promises that it has not, if the lease was missing when it was to be retried.

Cause: only the first placement of a request waited for control to recover, and the refusal without a lease did not look at what had been sent before.

Evidence: three rows of the new tests failed on (two cuts, one 503); that a stream is cut if control stays away passed before and after.

Change: one method decides for both, lease and servers: wait while the request runs at a silent server or control may recover in time, counted from the last event for a begun answer; else cut, 502 or the refusal. The wait is the one that first placements had, two seconds at most, so callers of streams have not left yet.

--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -65,7 +65,6 @@
             started_ms=exchange.received_ms,
         )
         self._is_over = False
-        self._sent_after_ms: int | None = None
         self._placement_timer = None
         self._deadline_timer = None
 
@@ -97,10 +96,9 @@
             self._wait.end()
             return
         if not self._parts.holder.is_valid():
-            if self._running:
-                self._retry_placement_later(WaitCause.LEASE)
-            else:
-                self._refuse(errors.ServingError(kind=ErrorKind.NO_LEASE))
+            self._wait_or_fail(
+                WaitCause.LEASE, kind=ErrorKind.NO_LEASE, may_recover=True
+            )
             return
         if self._running and not self._parts.budget.has_credit:
             self._retry_placement_later(WaitCause.BUDGET)
@@ -110,10 +108,11 @@
             tried_ids=frozenset(self._tried_ids),
         )
         if not candidates:
-            if self._may_wait_for_servers():
-                self._retry_placement_later(WaitCause.SERVERS)
-            else:
-                self._fail_without_servers()
+            self._wait_or_fail(
+                WaitCause.SERVERS,
+                kind=ErrorKind.NO_BACKEND_SERVER,
+                may_recover=not self._parts.holder.is_settled,
+            )
             return
         demand = self._demand()
         if not self._wait.is_turn(demand=demand, due_ms=self._due_ms):
@@ -294,7 +293,6 @@
     def _settle_on(self, attempt: attempts.Attempt) -> None:
         """Keep the attempt that goes on; end the other and its placement."""
         self._cancel_attempts(kept=attempt)
-        self._sent_after_ms = attempt.sent_after_ms
         self._stop_placement()
 
     def _stop_placement(self) -> None:
@@ -318,7 +316,6 @@
     ) -> None:
         """Retry at another server, or answer the caller with an error."""
         server_id = attempt.server_id
-        self._sent_after_ms = attempt.sent_after_ms
         self._running.remove(attempt)
         self._progress = attrs.evolve(
             self._progress,
@@ -393,36 +390,41 @@
                 )
             )
 
-    def _may_wait_for_servers(self) -> bool:
-        """Return whether a server may still be listed in time.
+    def _wait_or_fail(
+        self, cause: WaitCause, *, kind: ErrorKind, may_recover: bool
+    ) -> None:
+        """Wait for what the placement lacks, or fail.
 
-        A new leader learns of the servers within a second. While the request
-        runs at a silent server, there is time.
+        :param kind: the error of a request that surely did not run.
+        :param may_recover: whether control may provide it soon.
         """
-        if self._running:
-            return True
-        if self._tried_ids or self._parts.holder.is_settled:
-            return False
-        wait_ms = policy.recovery_wait_ms(
-            patience_ms=self._accepted.time_limit_ms, missing_ms=0
-        )
-        return self._waited_ms() < wait_ms
-
-    def _fail_without_servers(self) -> None:
-        if self._exchange.is_begun:
-            self._abort('no_backend_server')
+        pause_ms = self._shortest_pause_ms()
+        if self._running or (may_recover and self._may_wait()):
+            self._retry_placement_later(cause)
+        elif self._exchange.is_begun:
+            self._abort(kind.value)
         elif self._progress.may_have_run:
             self._refuse(errors.ServingError(kind=ErrorKind.BACKEND_FAILED))
         else:
-            kind = ErrorKind.NO_BACKEND_SERVER
-            if self._shortest_pause_ms():
+            if pause_ms:
                 kind = ErrorKind.OVERLOADED
             self._refuse(
-                errors.ServingError(
-                    kind=kind, retry_after_ms=self._shortest_pause_ms()
-                )
+                errors.ServingError(kind=kind, retry_after_ms=pause_ms)
             )
 
+    def _may_wait(self) -> bool:
+        """Return whether control may recover in time for the request."""
+        if self._exchange.is_begun:
+            since_ms = self._event_times.last_ms
+        elif self._tried_ids:
+            return False
+        else:
+            since_ms = self._started_ms
+        wait_ms = policy.recovery_wait_ms(
+            patience_ms=self._accepted.time_limit_ms, missing_ms=0
+        )
+        return self._parts.clock.now_ms() - since_ms < wait_ms
+
     def _shortest_pause_ms(self) -> int | None:
         """Return the time until the first pause ends, if all servers pause."""
         return self._parts.servers.pause_ms(
@@ -447,7 +449,6 @@
         """Cancel the attempts but one; servers may have run them already."""
         cancelled = self._running.cancel_all(kept=kept)
         if cancelled:
-            self._sent_after_ms = cancelled[-1].sent_after_ms
             self._progress = attrs.evolve(
                 self._progress,
                 sent=self._progress.sent + len(cancelled),
@@ -490,7 +491,7 @@
             outcome=outcome,
             status=status,
             sent=self._sent_count,
-            sent_after_ms=self._sent_after_ms,
+            sent_after_ms=self._running.sent_after_ms,
             queued_ms=self._wait.queued_ms,
             first_event_ms=first_ms and first_ms - self._started_ms,
             longest_pause_ms=self._event_times.longest_pause_ms,
--- a/src/shallothinge/gateway/running_attempts.py
+++ b/src/shallothinge/gateway/running_attempts.py
@@ -14,12 +14,18 @@
 
     def __init__(self):
         self._running: list[attempts.Attempt] = []
+        self._newest: attempts.Attempt | None = None
         self._is_paused = False
 
     def __len__(self) -> int:
         """Return the number of attempts."""
         return len(self._running)
 
+    @property
+    def sent_after_ms(self) -> int | None:
+        """Return how long after its placement the newest attempt was sent."""
+        return self._newest and self._newest.sent_after_ms
+
     @property
     def is_full(self) -> bool:
         """Return whether no more attempts may be started."""
@@ -41,6 +47,7 @@
     def add(self, attempt: attempts.Attempt) -> None:
         """Add an attempt that starts."""
         self._running.append(attempt)
+        self._newest = attempt
         if self._is_paused:
             attempt.pause()
 
--- a/src/shallothinge/gateway/tests/test_silent_server.py
+++ b/src/shallothinge/gateway/tests/test_silent_server.py
@@ -206,6 +206,54 @@
         self.rig.advance(200)
         self.assertEqual(2, len(self.calls))
 
+    def test_begun_stream_waits_for_control_that_recovers(self):
+        def hide_servers(rig):
+            rig.holder.is_settled = False
+            rig.holder.members, self.hidden = {}, rig.holder.members
+
+        def list_servers(rig):
+            rig.holder.members = self.hidden
+
+        def regain_lease(rig):
+            rig.holder.is_leased = True
+
+        rows = (
+            (lose_lease, regain_lease),
+            (hide_servers, list_servers),
+        )
+        for disturb, recover in rows:
+            with self.subTest(disturb=disturb.__name__):
+                self.setUp()
+                exchange = self.start(passed_on=3)
+                disturb(self.rig)
+                self.calls[0].fail(was_sent=True)
+                self.rig.advance(300)
+                recover(self.rig)
+                self.rig.advance(100)
+                self.assertFalse(exchange.is_cut)
+                self.calls[1].answer(200, body=events(4, 5))
+                self.assertEqual(events(1, 2, 3, 4, 5), exchange.received)
+                self.assertTrue(exchange.is_whole)
+
+    def test_begun_stream_is_cut_if_control_does_not_recover(self):
+        exchange = self.start(passed_on=3)
+        lose_lease(self.rig)
+        self.calls[0].fail(was_sent=True)
+        self.rig.advance(2000)
+        self.assertTrue(exchange.is_cut)
+
+    def test_request_that_may_have_run_is_not_refused_as_not_run(self):
+        def list_no_servers(rig):
+            rig.holder.members = {}
+
+        for disturb in (lose_lease, list_no_servers):
+            with self.subTest(disturb=disturb.__name__):
+                self.setUp()
+                exchange = self.start(passed_on=0)
+                disturb(self.rig)
+                self.calls[0].fail(was_sent=True)
+                self.assertEqual(502, exchange.status)
+
     def test_no_more_servers_are_asked_than_the_route_allows(self):
         self.start(passed_on=3)
         for _ in range(4):
