Answer a request whose steps before placement raise an exception

Callers saw neither an answer nor a refusal: a request that waited for the lease was carried on by a timer, and an exception there was only logged as an unhandled error. No deadline ran yet, and the handler of exceptions in the HTTP server covers the first, synchronous call only.

Each step now runs under a guard that logs the exception and ends the exchange: 503 "not run" while the request can't have been sent, 500 or a cut answer after that, a cut channel if even the refusal fails.

A route table that can't be read raised such an exception on each request, and ended the timer in which the gateway follows the lease. It is now read once per version. Until a readable one arrives, requests are refused with 503 and the gateway is not ready: going on with an older table could serve routes and keys that were taken away.

Ruled out as causes: a route that names a service that is not listed, weights that add up to 0 and a version of 0, which are refused when they arrive or answered before.

--- a/src/shallothinge/errors.py
+++ b/src/shallothinge/errors.py
@@ -50,6 +50,7 @@
     CANCELLED = 'cancelled'
     NOT_LEADER = 'not_leader'
     INTERNAL = 'internal'
+    INTERNAL_NOT_RUN = 'internal_not_run'
 
 
 @attrs.frozen(kw_only=True)
@@ -178,6 +179,9 @@
     ErrorKind.INTERNAL: _may_have_run(
         500, 2000, 'An unexpected fault; the log names it.'
     ),
+    ErrorKind.INTERNAL_NOT_RUN: _not_run(
+        503, 1000, 'An unexpected fault before the work began.'
+    ),
 }
 
 
--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -1,14 +1,18 @@
 """Admits requests and resolves their routes before they are forwarded."""
 
+import functools
 import logging
 
 from shallothinge import clock as clocks
 from shallothinge import errors
 from shallothinge.errors import ErrorKind
+from shallothinge.gateway import current_routes
 from shallothinge.gateway import dependencies
 from shallothinge.gateway import forwarding
+from shallothinge.gateway import guard as guards
 from shallothinge.gateway import model
 from shallothinge.gateway import policy
+from shallothinge.http1 import messages
 from shallothinge.http1 import server as http_server
 from shallothinge.routes import lookup
 from shallothinge.routes import model as routes
@@ -34,26 +38,22 @@
 
     def __init__(self, *, parts: dependencies.Dependencies):
         self._parts = parts
-        self._index = lookup.RouteIndex(table=routes.RouteTable())
+        self._routes = current_routes.CurrentRoutes(
+            dialect=parts.dialect, holder=parts.holder
+        )
         self._no_lease_since_ms: int | None = None
         self.is_draining = False
         self.is_stopping = False
 
     @property
-    def index(self) -> lookup.RouteIndex:
-        """Return the current route table, indexed for look-ups."""
-        config = self._parts.holder.config
-        if config.routes_version != self._index.table.version:
-            table = self._parts.dialect.read_routes(config.routes_document)
-            self._index = lookup.RouteIndex(table=table)
-            LOG.info(
-                'route table applied',
-                extra={
-                    'routes_version': table.version,
-                    'route_count': len(table.routes),
-                },
-            )
-        return self._index
+    def has_routes(self) -> bool:
+        """Return whether the newest route table is known and readable."""
+        return self._routes.index() is not None
+
+    @property
+    def limits(self) -> messages.Limits:
+        """Return the limits that callers have to keep."""
+        return self._routes.limits
 
     def handle(self, exchange: http_server.Exchange) -> None:
         """Forward or refuse a request.
@@ -62,6 +62,9 @@
         one. It usually returns shortly, as after a pause of the process or
         the loss of a leader.
         """
+        self._guard(exchange, None).run(self._read, exchange)
+
+    def _read(self, exchange: http_server.Exchange) -> None:
         try:
             request = self._parts.dialect.read_request(
                 head=exchange.head, body=exchange.body
@@ -73,8 +76,21 @@
             patience_ms=request.deadline_ms or DEFAULT_DEADLINE_MS,
             missing_ms=self.track_missing_lease(),
         )
-        self._wait_for_lease(
-            exchange, request, until_ms=exchange.received_ms + wait_ms
+        self._guard(exchange, request).run(
+            self._wait_for_lease,
+            exchange,
+            request,
+            until_ms=exchange.received_ms + wait_ms,
+        )
+
+    def _guard(
+        self,
+        exchange: http_server.Exchange,
+        request: model.CallerRequest | None,
+    ) -> guards.RequestGuard:
+        return guards.RequestGuard(
+            exchange=exchange,
+            fail=functools.partial(self._fail_unsent, exchange, request),
         )
 
     def track_missing_lease(self) -> int:
@@ -99,13 +115,14 @@
         *,
         until_ms: int,
     ) -> None:
+        exchange.on_disconnect = None
         is_over = self._parts.clock.now_ms() >= until_ms
         if is_over or self.is_stopping or self._parts.holder.is_valid():
-            exchange.on_disconnect = None
             self._forward_or_refuse(exchange, request)
             return
         waiting = self._parts.reactor.callLater(
             policy.POLL_INTERVAL_MS / clocks.MS_PER_SECOND,
+            self._guard(exchange, request).run,
             self._wait_for_lease,
             exchange,
             request,
@@ -121,9 +138,40 @@
         except errors.ServingError as error:
             self._refuse(exchange, request, error)
             return
-        forwarding.Forwarding(
+        forwarded = forwarding.Forwarding(
             parts=self._parts, exchange=exchange, accepted=accepted
-        ).start()
+        )
+        guards.RequestGuard(
+            exchange=exchange,
+            fail=functools.partial(self._fail_forwarded, exchange, request),
+        ).run(forwarded.start)
+
+    def _fail_unsent(
+        self,
+        exchange: http_server.Exchange,
+        request: model.CallerRequest | None,
+    ) -> None:
+        """Refuse a request that was not sent to a server."""
+        if not exchange.is_ended:
+            self._refuse(
+                exchange,
+                request,
+                errors.ServingError(kind=ErrorKind.INTERNAL_NOT_RUN),
+            )
+
+    def _fail_forwarded(
+        self, exchange: http_server.Exchange, request: model.CallerRequest
+    ) -> None:
+        """Cancel a request that may have been sent to a server."""
+        if exchange.is_ended:
+            return
+        if exchange.on_disconnect is not None:
+            exchange.on_disconnect()
+        if exchange.is_begun:
+            exchange.abort()
+            return
+        error = errors.ServingError(kind=ErrorKind.INTERNAL)
+        self._refuse(exchange, request, error)
 
     def _accept(
         self, request: model.CallerRequest
@@ -140,10 +188,11 @@
             raise errors.ServingError(
                 kind=ErrorKind.NO_LEASE, retry_after_ms=NO_LEASE_RETRY_AFTER_MS
             )
-        index = self.index
-        if not index.table.version:
+        index = self._routes.index()
+        if index is None:
             raise errors.ServingError(
-                kind=ErrorKind.NO_LEASE, detail='no routes are known yet'
+                kind=ErrorKind.NO_LEASE,
+                detail='the newest routes are not known or not readable',
             )
         route = index.find_route(host=request.host, path=request.target)
         if route is None:
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -191,7 +191,7 @@
         self._ingress.track_missing_lease()
         self._follow_lease()
         self._parts.servers.sync_members()
-        self._callers.limits = self._ingress.index.table.limits
+        self._callers.limits = self._ingress.limits
         count = max(1, len(self._holder.peers))
         slack = self._settings.retries.slack_requests
         self._parts.budget.limit_burst(
--- a/src/shallothinge/gateway/readiness.py
+++ b/src/shallothinge/gateway/readiness.py
@@ -8,7 +8,8 @@
 class Readiness:
     """Decides whether the gateway may get new connections.
 
-    It is ready with a valid lease, routes, and at least one backend server.
+    It is ready with a valid lease, readable routes, and at least one backend
+    server.
     """
 
     def __init__(
@@ -21,8 +22,7 @@
         """Return why the gateway is not ready, or None if it is."""
         if self._ingress.is_draining:
             return ErrorKind.STOPPING
-        has_routes = bool(self._holder.config.routes_version)
-        if not self._holder.is_valid() or not has_routes:
+        if not self._holder.is_valid() or not self._ingress.has_routes:
             return ErrorKind.NO_LEASE
         if not self._holder.members:
             return ErrorKind.NO_BACKEND_SERVER
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -157,6 +157,11 @@
     is_whole: bool = False
     is_cut: bool = False
 
+    @property
+    def is_ended(self):
+        """Return whether the answer is complete or aborted."""
+        return self.is_whole or self.is_cut
+
     def respond(self, *, status, headers, body):
         """Record a complete answer."""
         self.begin(status=status, headers=headers)
