Refuse route tables with numbers that raise exceptions on requests

An operator's table with a weight, a priority, a number of attempts or an engine's figure that is a text, a list, null or not finite was accepted. Callers then got a 500, or no answer if the step was reached from a timer: choosing a service, a cold permit or a server raised TypeError, ValueError or ZeroDivisionError. A weight that was no number raised out of the check itself, so the operator got a 500 instead of a 400. An optional number that is null now has its default, as if it were missing.

--- a/src/shallothinge/platform/routes.py
+++ b/src/shallothinge/platform/routes.py
@@ -1,6 +1,7 @@
 """Reads the platform's configuration into the product's route table."""
 
 import json
+import math
 import zlib
 
 from shallothinge.http1 import messages
@@ -25,8 +26,15 @@
 
 
 def read_document(document: bytes) -> model.RouteTable:
-    """Return the route table of a stored document."""
-    return read(unpack(document))
+    """Return the route table of a stored document.
+
+    :raises InvalidConfiguration: as ``read`` does.
+    """
+    try:
+        content = unpack(document)
+    except zlib.error as error:
+        raise InvalidConfiguration(f'damaged: {error}') from error
+    return read(content)
 
 
 def read(content: bytes) -> model.RouteTable:
@@ -38,7 +46,13 @@
     try:
         fields = json.loads(content)
         table = _read_table(fields)
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except (
+        ValueError,
+        TypeError,
+        KeyError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         raise InvalidConfiguration(f'malformed: {error!r}') from error
     _check(table)
     return table
@@ -55,13 +69,15 @@
             _read_workspace(one) for one in fields.get('tenants') or ()
         ),
         limits=messages.Limits(
-            header_bytes=limits.get('header-bytes', usual.header_bytes),
-            body_bytes=limits.get('body-bytes', usual.body_bytes),
-            header_timeout_ms=limits.get(
-                'header-timeout-ms', usual.header_timeout_ms
+            header_bytes=_number(
+                limits.get('header-bytes'), usual.header_bytes
             ),
-            idle_timeout_ms=limits.get(
-                'idle-timeout-ms', usual.idle_timeout_ms
+            body_bytes=_number(limits.get('body-bytes'), usual.body_bytes),
+            header_timeout_ms=_number(
+                limits.get('header-timeout-ms'), usual.header_timeout_ms
+            ),
+            idle_timeout_ms=_number(
+                limits.get('idle-timeout-ms'), usual.idle_timeout_ms
             ),
         ),
     )
@@ -76,10 +92,12 @@
         kind=model.RequestKind(fields['kind']),
         timeout_ms=timeout_ms,
         split=_read_split(fields),
-        objective_ms=fields.get('target-latency-ms') or timeout_ms,
-        pause_objective_ms=fields.get('target-gap-ms') or 1000,
-        priority=fields.get('priority', 1),
-        attempts=fields.get('attempts', 1),
+        objective_ms=(
+            _number(fields.get('target-latency-ms'), 0) or timeout_ms
+        ),
+        pause_objective_ms=_number(fields.get('target-gap-ms'), 0) or 1000,
+        priority=_number(fields.get('priority'), 1),
+        attempts=_number(fields.get('attempts'), 1),
         is_anonymous=bool(fields.get('allow-anonymous', False)),
         is_resumable=bool(fields.get('resume-streams', False)),
     )
@@ -88,7 +106,9 @@
 def _read_split(fields: dict) -> tuple[model.Split, ...]:
     if fields.get('traffic-split'):
         return tuple(
-            model.Split(service=_text(one['service']), weight=one['weight'])
+            model.Split(
+                service=_text(one['service']), weight=_number(one['weight'])
+            )
             for one in fields['traffic-split']
         )
     return (model.Split(service=_text(fields['service']), weight=1),)
@@ -98,33 +118,46 @@
     engine = fields.get('engine')
     return model.Service(
         name=_text(fields['name']),
-        cold_requests_per_s=fields.get('cold-per-s', 0.0),
+        cold_requests_per_s=_number(fields.get('cold-per-s'), 0.0),
         engine=_read_engine(engine) if engine else None,
     )
 
 
 def _read_engine(fields: dict) -> model.EngineCost:
+    read_per_s = _number(fields['read_per_s'])
+    if not read_per_s:
+        raise ValueError('an engine reads no tokens')
     return model.EngineCost(
-        slots=fields['slots'],
-        memory_tokens=fields['kv-cache-tokens'],
-        step_ms=fields['step_ms'],
-        read_tokens_per_ms=fields['read_per_s'] / 1000,
-        pair_ms_per_million=fields['pairs_per_m'],
-        chunk_tokens=fields['chunk'],
-        steps_per_pass=fields['stride'],
+        slots=_number(fields['slots']),
+        memory_tokens=_number(fields['kv-cache-tokens']),
+        step_ms=_number(fields['step_ms']),
+        read_tokens_per_ms=read_per_s / 1000,
+        pair_ms_per_million=_number(fields['pairs_per_m']),
+        chunk_tokens=_number(fields['chunk']),
+        steps_per_pass=_number(fields['stride']),
     )
 
 
 def _read_workspace(fields: dict) -> model.Workspace:
+    priority = fields.get('priority')
     return model.Workspace(
         name=_text(fields['name']),
         api_keys=tuple(_text(key) for key in fields['api-keys']),
-        priority=fields.get('priority'),
+        priority=_number(priority) if priority is not None else None,
     )
 
 
+def _number(value: object, default: float | None = None) -> int | float:
+    """Return a finite number; ``default`` if the value is null or missing."""
+    if value is None and default is not None:
+        return default
+    if type(value) not in (int, float) or not math.isfinite(value):
+        raise TypeError(f'{value!r} is not a finite number')
+    return value
+
+
 def _whole(value: object) -> int:
-    if type(value) is not int:
+    if type(value) is not int or not math.isfinite(value):
         raise TypeError(f'{value!r} is not a whole number')
     return value
 
--- a/src/shallothinge/platform/tests/test_routes.py
+++ b/src/shallothinge/platform/tests/test_routes.py
@@ -3,10 +3,30 @@
 import json
 import unittest
 
+from shallothinge.http1 import messages
 from shallothinge.platform import routes
 from shallothinge.platform.tests import samples
 from shallothinge.routes import model
 
+NUMBERS = (
+    *(
+        ('routes', 0, name)
+        for name in (
+            'timeout-ms',
+            'target-latency-ms',
+            'target-gap-ms',
+            'priority',
+            'attempts',
+        )
+    ),
+    ('routes', 0, 'traffic-split', 0, 'weight'),
+    ('services', 0, 'cold-per-s'),
+    *(('services', 0, 'engine', name) for name in samples.ENGINE),
+    ('limits', 'header-bytes'),
+    ('limits', 'idle-timeout-ms'),
+    ('tenants', 0, 'priority'),
+)
+
 
 def change(path, value):
     """Return the sample with the value at a path replaced or removed."""
@@ -67,3 +87,30 @@
             with self.subTest(name):
                 with self.assertRaises(routes.InvalidConfiguration):
                     routes.read(content)
+
+    def test_numbers_that_requests_could_not_be_served_with_are_refused(self):
+        for path in NUMBERS:
+            for value in ('1', [], True, float('nan'), float('inf'), 10**400):
+                with self.subTest(path=path, value=value):
+                    with self.assertRaises(routes.InvalidConfiguration):
+                        routes.read(change(path, value))
+        with self.assertRaises(routes.InvalidConfiguration):
+            routes.read(change(('services', 0, 'engine', 'read_per_s'), 0))
+
+    def test_optional_number_that_is_null_has_its_default(self):
+        fields = samples.configuration()
+        fields['routes'][0].update({'attempts': None, 'priority': None})
+        fields['services'][0]['cold-per-s'] = None
+        fields['limits']['body-bytes'] = None
+        table = routes.read(json.dumps(fields).encode())
+        self.assertEqual(
+            (1, 1), (table.routes[0].attempts, table.routes[0].priority)
+        )
+        self.assertEqual(0.0, table.services[0].cold_requests_per_s)
+        self.assertEqual(messages.Limits().body_bytes, table.limits.body_bytes)
+
+    def test_document_that_is_damaged_is_refused(self):
+        for document in (b'', b'{}', routes.pack(b'{}')[:-3]):
+            with self.subTest(document=document):
+                with self.assertRaises(routes.InvalidConfiguration):
+                    routes.read_document(document)
