Refuse heartbeats whose address has no port

A server that announced an address without a port, or with a port that is no number, was listed. Each request placed on it failed with a ValueError out of the HTTP client, reached from a timer if the request had waited; its caller got no answer before the deadline.

Evidence: the three new rows of test_control_api.py were passed on as proper heartbeats before. A call to an address without a port number raised ValueError when tried on its own; port 0 only failed to connect.

--- a/src/shallothinge/platform/control_api.py
+++ b/src/shallothinge/platform/control_api.py
@@ -9,6 +9,7 @@
 from shallothinge.membership.model import BackendServer
 from shallothinge.platform import names
 from shallothinge.platform import routes
+from shallothinge.settings import addresses
 
 LOG = logging.getLogger(__name__)
 
@@ -183,7 +184,7 @@
 def _read_server(server_id: str, fields: dict) -> BackendServer:
     """Return the backend server that a heartbeat announces.
 
-    :raises ValueError: if it is in no known state.
+    :raises ValueError: if it is in no known state or has no usable address.
     """
     state = fields['state']
     if state not in (names.READY, names.DRAINING):
@@ -191,6 +192,7 @@
     for name in ('service', 'address', 'zone'):
         if not isinstance(fields[name], str) or not fields[name]:
             raise TypeError(f'{name} is not a text')
+    addresses.parse_host_port(fields['address'])
     for name in ('slots', 'sequence', 'born'):
         if type(fields.get(name, 0)) is not int:
             raise TypeError(f'{name} is not a whole number')
--- a/src/shallothinge/platform/tests/test_control_api.py
+++ b/src/shallothinge/platform/tests/test_control_api.py
@@ -117,6 +117,13 @@
             json.dumps({**samples.HEARTBEAT, 'slots': '8'}).encode(),
             json.dumps({**samples.HEARTBEAT, 'sequence': None}).encode(),
             json.dumps({**samples.HEARTBEAT, 'address': 7}).encode(),
+            json.dumps({**samples.HEARTBEAT, 'address': '10.0.0.9'}).encode(),
+            json.dumps(
+                {**samples.HEARTBEAT, 'address': '10.0.0.9:x'}
+            ).encode(),
+            json.dumps(
+                {**samples.HEARTBEAT, 'address': '10.0.0.9:0'}
+            ).encode(),
             json.dumps({**samples.HEARTBEAT, 'born': 'then'}).encode(),
             json.dumps({'state': 'ready'}).encode(),
         )
