--- a/src/shallothinge/gateway/reservation.py
+++ b/src/shallothinge/gateway/reservation.py
@@ -95,18 +95,26 @@
         self._parts = parts
         self._request_id = request_id
         self._is_over = False
-        self._renewal_timer = None
+        self._timer = None
         self._on_held: Callable[[], None] | None = None
         self._on_refused: Callable[[str], None] | None = None
         self._pending_ids: set[str] = set()
+        servers = {
+            share.server_id: parts.servers.find(share.server_id)
+            for share in shares
+        }
+        self._unlisted_ids = [
+            server_id for server_id, server in servers.items() if not server
+        ]
         self.tickets = tuple(
             Ticket(
                 ticket_id=secrets.token_hex(TICKET_BYTES),
                 server_id=share.server_id,
-                address=parts.servers.find(share.server_id).address,
+                address=servers[share.server_id].address,
                 tokens=share.tokens,
             )
             for share in shares
+            if servers[share.server_id] is not None
         )
 
     def ticket_at(self, server_id: str) -> str:
@@ -126,9 +134,16 @@
 
         :param on_held: called once the memory is held at all of them.
         :param on_refused: called with the id of the first server that
-            refused; memory reserved until then is released.
+            refused or is not listed any more; memory reserved until then
+            is released.
         """
         self._on_held, self._on_refused = on_held, on_refused
+        if self._unlisted_ids:
+            # Callers expect that no callback comes before this returns.
+            self._timer = self._parts.reactor.callLater(
+                0, self._refuse_unlisted
+            )
+            return
         self._pending_ids = {ticket.ticket_id for ticket in self.tickets}
         for ticket in self.tickets:
             self._send_hold(
@@ -143,11 +158,22 @@
         if self._is_over:
             return
         self._is_over = True
-        if self._renewal_timer is not None and self._renewal_timer.active():
-            self._renewal_timer.cancel()
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
         for ticket in self.tickets:
             self._send_release(ticket, RELEASE_ATTEMPTS)
 
+    def _refuse_unlisted(self) -> None:
+        self._is_over = True
+        LOG.info(
+            'memory was not reserved at unlisted servers',
+            extra={
+                'request_id': self._request_id,
+                'server_ids': self._unlisted_ids,
+            },
+        )
+        self._on_refused(self._unlisted_ids[0])
+
     def _on_reserve_done(self, ticket: Ticket, error_detail: str) -> None:
         if self._is_over:
             return
@@ -169,7 +195,7 @@
             self._on_held()
 
     def _renew_later(self) -> None:
-        self._renewal_timer = self._parts.reactor.callLater(
+        self._timer = self._parts.reactor.callLater(
             RENEW_MS / clocks.MS_PER_SECOND, self._renew
         )
 
