Answer requests that have arrived in part when a process stops

What callers saw: a caller that sent its request in pieces, or on a connection whose process was busy, read the end of the connection and no status when the gateway stopped. The gateway had no line for it.

Cause: a connection counted as idle unless a whole head had been read. close_idle, which a stopping gateway calls four times a second, closed it between two pieces of a head, between a request and the next one that was pipelined behind it, or while the whole request lay in the socket's receive buffer. is_drained was True meanwhile, so the process ended. The idle timeout closed connections in the same way after the process had been blocked.

Ruled out: a body in pieces, which has a head and did not count as idle; the listening socket, whose connections are reset unread.

The change: a connection is idle only if no byte of a request was read since the last whole one, and it is closed as idle only if the kernel (FIONREAD) has no unread bytes for it either. An answer does not announce the close while a part of the next request is there.

--- a/src/shallothinge/http1/arrival.py
+++ b/src/shallothinge/http1/arrival.py
@@ -1,4 +1,8 @@
-"""Measures how long received bytes have waited in the kernel."""
+"""Tells which received bytes wait in the kernel, and for how long."""
+
+import array
+import fcntl
+import termios
 
 from shallothinge.http1 import tcp_info
 
@@ -22,3 +26,19 @@
         get_handle(), offset=LAST_DATA_OFFSET, layout=LAST_DATA_FORMAT
     )
     return waited or 0
+
+
+def unread_bytes(transport) -> int:
+    """Return how many received bytes the process has not read yet.
+
+    :returns: 0 if the kernel does not report it.
+    """
+    get_handle = getattr(transport, 'getHandle', None)
+    if get_handle is None:
+        return 0
+    unread = array.array('i', [0])
+    try:
+        fcntl.ioctl(get_handle(), termios.FIONREAD, unread)
+    except OSError:
+        return 0
+    return unread[0]
--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -105,12 +105,14 @@
         self._has_answered = False
         self._is_flow_registered = False
         self._written_bytes = 0
+        # Bytes that were read and belong to no complete request yet.
+        self._partial_bytes = 0
         self._lingering_close: closing.LingeringClose | None = None
 
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being read or answered."""
-        return self._exchange is None and self._head is None
+        return self._exchange is None and not self._partial_bytes
 
     @property
     def has_pending_output(self) -> bool:
@@ -119,7 +121,16 @@
         The last bytes may still be in the write buffer of the process. Only
         the end of the connection shows that they are not.
         """
-        return not self.is_idle or self._has_answered
+        return not self.is_idle or self._has_answered or self._has_unread
+
+    @property
+    def _has_unread(self) -> bool:
+        return arrival.unread_bytes(self.transport) > 0
+
+    @property
+    def _has_next_request(self) -> bool:
+        """Return whether a part of a pipelined request has arrived."""
+        return self._partial_bytes > 0 or self._has_unread
 
     def connectionMade(self) -> None:
         """Start the idle timeout for the first request."""
@@ -130,8 +141,9 @@
         """Read requests."""
         if self._is_closing:
             return
-        if self.is_idle and not self._http.trailing_data[0]:
+        if self.is_idle:
             self._set_timer(self._site.limits.header_timeout_ms)
+        self._partial_bytes += len(data)
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError as error:
@@ -179,7 +191,7 @@
         """Send the head of an answer."""
         self._has_answered = True
         fields = list(headers)
-        if self._site.is_stopping:
+        if self._site.is_stopping and not self._has_next_request:
             fields.append(('connection', 'close'))
         self._send(
             h11.Response(
@@ -204,7 +216,12 @@
             return
         self._http.start_next_cycle()
         self._resume()
-        self._set_timer(self._site.limits.idle_timeout_ms)
+        limits = self._site.limits
+        self._set_timer(
+            limits.header_timeout_ms
+            if self._partial_bytes
+            else limits.idle_timeout_ms
+        )
         self._read_events()
 
     def reset(self) -> None:
@@ -216,7 +233,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is in progress."""
-        if self.is_idle and not self._is_closing:
+        if self.is_idle and not self._is_closing and not self._has_unread:
             self._start_lingering_close()
 
     def _send(self, event) -> None:
@@ -287,6 +304,7 @@
         )
         self._head = None
         self._body.clear()
+        self._partial_bytes = len(self._http.trailing_data[0])
         self._exchange = exchange
         try:
             self._site.handle(exchange)
@@ -329,6 +347,7 @@
         """Refuse an invalid, oversized or late request, and close."""
         self._cancel_timer()
         self._is_closing = True
+        self._partial_bytes = 0
         headers, body = self._site.refusal(status)
         fields = (
             *headers,
@@ -372,10 +391,13 @@
 
     def _on_timer(self) -> None:
         self._timer = None
-        if self.is_idle and not self._http.trailing_data[0]:
-            self._start_lingering_close()
-        else:
+        if not self.is_idle:
             self._refuse(408)
+        elif self._has_unread:
+            # The process was blocked while the next request arrived.
+            self._set_timer(self._site.limits.header_timeout_ms)
+        else:
+            self._start_lingering_close()
 
 
 class Site(protocol.Factory):
--- a/src/shallothinge/http1/tests/fakes.py
+++ b/src/shallothinge/http1/tests/fakes.py
@@ -23,6 +23,10 @@
         """Return this object, which also stands for the socket."""
         return self
 
+    def fileno(self):
+        """Fail, since there is no descriptor."""
+        raise OSError('not a socket')
+
     def setsockopt(self, *arguments):
         """Take the option without effect."""
 
