Leave a request unread that arrives after its connection is closed

What callers saw: on a connection that the gateway closed as idle (at a stop or at the idle timeout), a request that crossed the close was acknowledged by the kernel, then the connection ended cleanly. Nothing told that the request was not taken, so one that must not run twice could not be repeated.

Cause: the lingering close that follows an answer was used for idle connections as well: it shuts the write side, reads on for a second and drops what it reads.

Evidence, in test_crossing on the code before: all 52 bytes of a request sent after the end of the connection are read by the process, and the caller's socket has no error 3 s later (new connection, kept connection, idle timeout); a request that arrives between the decision to close and the sending of the end gets an end without a status.

Ruled out: to leave all bytes unread from the decision on. Twisted shuts the write side in the next iteration, the end would go out before the reset, and Linux then reports a plain end to a caller that reads. To linger no more at all: a reset destroys an answer that a slow reader has not received, so after an answer that says Connection: close the close lingers as before.

The change: bytes that arrive before the end is sent are refused with 503, which is a promise, and Connection: close; the answer is still written first. Once the end is sent, the connection is read no more, and closed as soon as the peer has acknowledged everything (at once, for most); unread bytes then reset it. Since an unread connection does not notice that its peer has left, the check of its progress looks at the state in the kernel, too.

--- a/src/shallothinge/http1/closing.py
+++ b/src/shallothinge/http1/closing.py
@@ -16,6 +16,10 @@
 # it since version 4.1.
 _ACKED_FORMAT = '=Q'
 _ACKED_OFFSET = 120
+# Format and position of ``tcpi_state``, and its value after the end.
+_STATE_FORMAT = '=B'
+_STATE_OFFSET = 0
+_TCP_CLOSE = 7
 
 
 class LingeringClose:
@@ -28,15 +32,25 @@
 
     :param written_bytes: number of bytes written to the connection.
     :param stall_timeout_ms: how long the peer may acknowledge nothing.
+    :param is_idle: the peer waits for no answer. What it sends after the
+        close is then left unread, so that the kernel resets the connection
+        and the peer learns that nobody took its request.
     """
 
     def __init__(
-        self, *, transport, reactor, written_bytes: int, stall_timeout_ms: int
+        self,
+        *,
+        transport,
+        reactor,
+        written_bytes: int,
+        stall_timeout_ms: int,
+        is_idle: bool = False,
     ):
         self._transport = transport
         self._reactor = reactor
         self._written_bytes = written_bytes
         self._stall_timeout_ms = stall_timeout_ms
+        self._is_idle = is_idle
         self._acked_bytes: int | None = None
         self._stalled_ms = 0
         self._is_write_side_closed = False
@@ -52,6 +66,11 @@
         """Note that all data was handed to the kernel."""
         self._is_write_side_closed = True
         self.stop()
+        if self._is_idle:
+            self._transport.pauseProducing()
+            if self._has_peer_all(acked_bytes(self._transport.getHandle())):
+                self._transport.loseConnection()
+                return
         self._schedule_check()
 
     def stop(self) -> None:
@@ -72,7 +91,7 @@
         now = acked_bytes(self._transport.getHandle())
         self._acked_bytes = now
         if self._is_write_side_closed and (
-            now is None or now >= self._written_bytes
+            self._has_peer_all(now) or self._has_peer_left()
         ):
             self._transport.loseConnection()
             return
@@ -89,6 +108,18 @@
         )
         self._transport.abortConnection()
 
+    def _has_peer_all(self, count_bytes: int | None) -> bool:
+        return count_bytes is None or count_bytes >= self._written_bytes
+
+    def _has_peer_left(self) -> bool:
+        """Return whether the connection has ended, also if it isn't read."""
+        state = tcp_info.read_field(
+            self._transport.getHandle(),
+            offset=_STATE_OFFSET,
+            layout=_STATE_FORMAT,
+        )
+        return state == _TCP_CLOSE
+
 
 def acked_bytes(handle: socket.socket) -> int | None:
     """Return how many bytes the peer's kernel has acknowledged.
--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -22,6 +22,8 @@
 NO_BODY_STATUSES = (204, 304)
 # This status leaves open whether the request was carried out.
 INTERNAL_STATUS = 500
+# This status promises that the request was not carried out.
+UNAVAILABLE_STATUS = 503
 
 
 class Exchange:
@@ -101,6 +103,8 @@
         self._exchange: Exchange | None = None
         self._timer = None
         self._is_closing = False
+        self._is_idle_close = False
+        self._is_write_side_closed = False
         self._is_paused = False
         self._has_answered = False
         self._is_flow_registered = False
@@ -139,6 +143,13 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Read requests."""
+        if self._is_idle_close and not self._is_write_side_closed:
+            # The request came before the end of the connection was sent.
+            self._is_idle_close = False
+            self._lingering_close.stop()
+            self._lingering_close = None
+            self._refuse(UNAVAILABLE_STATUS)
+            return
         if self._is_closing:
             return
         if self.is_idle:
@@ -173,6 +184,7 @@
 
     def writeConnectionLost(self) -> None:
         """Note that all data was handed to the kernel."""
+        self._is_write_side_closed = True
         if self._lingering_close is not None:
             self._lingering_close.on_write_side_closed()
 
@@ -234,7 +246,7 @@
     def close_if_idle(self) -> None:
         """Close the connection if no request is in progress."""
         if self.is_idle and not self._is_closing and not self._has_unread:
-            self._start_lingering_close()
+            self._start_idle_close()
 
     def _send(self, event) -> None:
         try:
@@ -363,6 +375,11 @@
                 self._write(self._http.send(event))
         self._start_lingering_close()
 
+    def _start_idle_close(self) -> None:
+        """Close the connection of a caller that waits for no answer."""
+        self._is_idle_close = True
+        self._start_lingering_close()
+
     def _start_lingering_close(self) -> None:
         """Close the connection, but let the caller read the answer first."""
         self._is_closing = True
@@ -375,6 +392,7 @@
             reactor=self._site.reactor,
             written_bytes=self._written_bytes,
             stall_timeout_ms=self._site.limits.idle_timeout_ms,
+            is_idle=self._is_idle_close,
         )
         self._lingering_close.start()
 
@@ -397,7 +415,7 @@
             # The process was blocked while the next request arrived.
             self._set_timer(self._site.limits.header_timeout_ms)
         else:
-            self._start_lingering_close()
+            self._start_idle_close()
 
 
 class Site(protocol.Factory):
--- a/src/shallothinge/http1/tests/fakes.py
+++ b/src/shallothinge/http1/tests/fakes.py
@@ -10,9 +10,11 @@
 
     :ivar acked_bytes: number of bytes that the peer has acknowledged, None if
         the kernel does not report it.
+    :ivar tcp_state: state of the connection in the kernel.
     """
 
     acked_bytes = 0
+    tcp_state = 1
     was_aborted = False
     was_half_closed = False
 
@@ -34,7 +36,8 @@
         """Return a ``struct tcp_info`` with the acknowledged bytes."""
         if self.acked_bytes is None:
             raise OSError('not supported')
-        return bytes(length - 8) + struct.pack('=Q', self.acked_bytes)
+        info = struct.pack('=B119xQ', self.tcp_state, self.acked_bytes)
+        return info[:length]
 
     def abortConnection(self):
         """Record that the connection was reset."""
--- a/src/shallothinge/http1/tests/test_closing.py
+++ b/src/shallothinge/http1/tests/test_closing.py
@@ -9,6 +9,8 @@
 from shallothinge.http1.tests import fakes
 
 WRITTEN_BYTES = 1000
+# As in ``tcp_states.h`` of Linux.
+TCP_CLOSE = 7
 STALLED_MS = 3 * closing.LINGER_MS
 
 
@@ -26,6 +28,17 @@
         )
         self.lingering_close.start()
 
+    def start_idle(self):
+        self.transport = fakes.Transport()
+        self.lingering_close = closing.LingeringClose(
+            transport=self.transport,
+            reactor=self.reactor,
+            written_bytes=WRITTEN_BYTES,
+            stall_timeout_ms=STALLED_MS,
+            is_idle=True,
+        )
+        self.lingering_close.start()
+
     def linger(self, times=1):
         for _ in range(times):
             self.reactor.advance(closing.LINGER_MS / 1000)
@@ -72,6 +85,29 @@
         self.assertTrue(self.transport.disconnecting)
         self.assertFalse(self.transport.was_aborted)
 
+    def test_idle_connection_is_closed_at_once_and_read_no_more(self):
+        # Guards against requests that are read and dropped after the close.
+        for acked_bytes, is_closed in (
+            (WRITTEN_BYTES, True),
+            (WRITTEN_BYTES - 1, False),
+            (None, True),
+        ):
+            with self.subTest(acked_bytes=acked_bytes):
+                self.start_idle()
+                self.transport.acked_bytes = acked_bytes
+                self.lingering_close.on_write_side_closed()
+                self.assertEqual('paused', self.transport.producerState)
+                self.assertEqual(is_closed, self.transport.disconnecting)
+
+    def test_peer_that_leaves_an_unread_connection_is_noticed(self):
+        self.start_idle()
+        self.lingering_close.on_write_side_closed()
+        self.linger()
+        self.assertFalse(self.transport.disconnecting)
+        self.transport.tcp_state = TCP_CLOSE
+        self.linger()
+        self.assertTrue(self.transport.disconnecting)
+
     def test_nothing_happens_after_the_connection_has_ended(self):
         self.lingering_close.stop()
         self.assertEqual([], self.reactor.getDelayedCalls())
--- a/src/shallothinge/http1/tests/test_crossing.py
+++ b/src/shallothinge/http1/tests/test_crossing.py
@@ -1,5 +1,6 @@
 """Tests of requests that arrive while their connection is being closed."""
 
+import errno
 import socket
 import threading
 import time
@@ -22,6 +23,8 @@
 # The interval of a gateway.
 LONG_S = 0.25
 REFUSED_BODY = b'refused'
+# Longer than a lingering close of an idle connection would take.
+CLOSED_S = 3.0
 
 
 class Machine:
@@ -260,3 +263,65 @@
 
         machine = self.run_unread(start, limits=limits)
         self.assertIn(b'HTTP/1.1 200 ', machine.received)
+
+    def test_request_is_refused_if_it_comes_before_the_close_is_sent(self):
+        def close(machine, wait_for_bytes):
+            machine.site.close_idle()
+            wait_for_bytes()
+            machine.when(lambda: not machine.site.connections, machine.stop)
+
+        for name, data in (('whole', GET), ('part', GET[:9])):
+            with self.subTest(name):
+                machine = self.run_unread(close, data=data)
+                self.assertIn(b'HTTP/1.1 503 ', machine.received)
+                self.assertTrue(machine.received.endswith(REFUSED_BODY))
+                self.assertIn(b'connection: close', machine.received.lower())
+                self.assertEqual([], machine.targets)
+
+    def test_request_that_comes_after_the_close_is_reset_unread(self):
+        def at_stop(machine):
+            machine.site.close_idle()
+
+        rows = (
+            ('new connection', b'', at_stop, messages.Limits()),
+            ('kept connection', GET, at_stop, messages.Limits()),
+            (
+                'idle timeout',
+                GET,
+                lambda machine: None,
+                messages.Limits(idle_timeout_ms=50),
+            ),
+        )
+        for name, first, close, limits in rows:
+            with self.subTest(name):
+                machine = Machine(limits=limits)
+                errors = []
+
+                def call(opened):
+                    opened.sendall(first)
+                    machine.read_all(opened)
+                    opened.sendall(POST)
+                    end_s = time.monotonic() + CLOSED_S
+                    while not errors and time.monotonic() < end_s:
+                        error = opened.getsockopt(
+                            socket.SOL_SOCKET, socket.SO_ERROR
+                        )
+                        if error:
+                            errors.append(error)
+                        time.sleep(SHORT_S)
+
+                def start():
+                    close(machine)
+                    machine.when(
+                        lambda: not machine.site.connections, machine.stop
+                    )
+
+                machine.run(
+                    call=call,
+                    start=lambda: machine.when(
+                        lambda: len(machine.targets) == bool(first), start
+                    ),
+                )
+                self.assertEqual(len(first), machine.read_bytes)
+                self.assertEqual(1, len(errors))
+                self.assertIn(errors[0], (errno.ECONNRESET, errno.EPIPE))
