Keep a refusal whose caller closes its write side

What callers saw: a caller that was refused in the middle of its body (413) and then closed its write side could get a reset instead of the refusal.

Cause: a half-close resets the connection unless it is idle, and the head of the refused request still counted as a request being read.

Evidence: the new test's row for a refused body failed on (the connection is reset).

The change: a connection that is already being closed is never reset by a half-close; what is buffered is sent first.

--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -177,7 +177,7 @@
 
     def readConnectionLost(self) -> None:
         """Treat a half-close by the caller as a disconnect."""
-        if self.is_idle:
+        if self.is_idle or self._is_closing:
             self.transport.loseConnection()
         else:
             self.transport.abortConnection()
--- a/src/shallothinge/http1/tests/test_server.py
+++ b/src/shallothinge/http1/tests/test_server.py
@@ -229,6 +229,26 @@
                 self.assertEqual(is_aborted, self.transport.was_aborted)
                 self.assertTrue(self.transport.disconnecting)
 
+    def test_half_close_does_not_destroy_an_answer_that_is_being_sent(self):
+        last = GET[:-2] + b'Connection: close\r\n\r\n'
+        long = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\n'
+        chunks = CHUNKED + b'b\r\n01234567890\r\n'
+        for name, data, more in (
+            ('after the last answer', last, b''),
+            ('after bytes that crossed it', last, GET),
+            ('after a refused head', long, b'x'),
+            ('after a refused body', chunks, b''),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.receive(data)
+                for exchange in self.exchanges:
+                    self.respond(exchange)
+                self.receive(more)
+                self.connection.readConnectionLost()
+                self.assertFalse(self.transport.was_aborted)
+                self.assertTrue(self.transport.disconnecting)
+
     def test_connection_lingers_until_all_is_acknowledged(self):
         self.receive(GET)
         self.site.is_stopping = True
