Log a request that was read in part when its connection ends

What operators saw: nothing. A connection that ended with bytes of a request read, but not answered, left no line, so a caller's "closed without an answer" could not be told from a request that never came.

The line 'connection ended before a request was answered' tells how many bytes were read and why the connection ended: the caller left, the process ended, the bytes followed an answer with Connection: close, or the answer before them was cut. One line per connection, and only in this case: a late head has its 408, and a connection closed as idle is not read any more. The gateway marks its site as ended when it exits, since a connection that the reactor closes looks like one that the caller reset.

--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -232,6 +232,7 @@
                 or passed_ms >= callers.stop_limit_ms
             ):
                 LOG.info('gateway stopped', extra={'after_ms': passed_ms})
+                self._callers.is_ended = True
                 drained.callback(None)
                 return
         self._reactor.callLater(
--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -15,6 +15,7 @@
 from shallothinge.http1 import early
 from shallothinge.http1 import flow
 from shallothinge.http1 import messages
+from shallothinge.http1 import partial
 
 LOG = logging.getLogger(__name__)
 
@@ -109,14 +110,13 @@
         self._has_answered = False
         self._is_flow_registered = False
         self._written_bytes = 0
-        # Bytes that were read and belong to no complete request yet.
-        self._partial_bytes = 0
+        self._partial = partial.PartialRequest()
         self._lingering_close: closing.LingeringClose | None = None
 
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being read or answered."""
-        return self._exchange is None and not self._partial_bytes
+        return self._exchange is None and not self._partial.read_bytes
 
     @property
     def has_pending_output(self) -> bool:
@@ -134,7 +134,7 @@
     @property
     def _has_next_request(self) -> bool:
         """Return whether a part of a pipelined request has arrived."""
-        return self._partial_bytes > 0 or self._has_unread
+        return self._partial.read_bytes > 0 or self._has_unread
 
     def connectionMade(self) -> None:
         """Start the idle timeout for the first request."""
@@ -151,10 +151,11 @@
             self._refuse(UNAVAILABLE_STATUS)
             return
         if self._is_closing:
+            self._partial.add(len(data))
             return
         if self.is_idle:
             self._set_timer(self._site.limits.header_timeout_ms)
-        self._partial_bytes += len(data)
+        self._partial.add(len(data))
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError as error:
@@ -168,6 +169,12 @@
         if self._lingering_close is not None:
             self._lingering_close.stop()
         self._is_closing = True
+        self._partial.close(
+            partial.Cause.STOP
+            if self._site.is_ended
+            else partial.Cause.CALLER_LEFT
+        )
+        self._partial.log_lost()
         self._site.connections.discard(self)
         exchange, self._exchange = self._exchange, None
         if exchange is not None and not exchange.is_ended:
@@ -220,10 +227,9 @@
         self._send(h11.EndOfMessage())
         self._unregister_flow()
         self._exchange = None
-        if self._http.our_state is h11.MUST_CLOSE:
-            self._start_lingering_close()
-            return
-        if self._http.their_state is not h11.DONE:
+        is_last = self._http.our_state is h11.MUST_CLOSE
+        if is_last or self._http.their_state is not h11.DONE:
+            self._partial.close(partial.Cause.CONNECTION_CLOSE)
             self._start_lingering_close()
             return
         self._http.start_next_cycle()
@@ -231,7 +237,7 @@
         limits = self._site.limits
         self._set_timer(
             limits.header_timeout_ms
-            if self._partial_bytes
+            if self._partial.read_bytes
             else limits.idle_timeout_ms
         )
         self._read_events()
@@ -241,6 +247,7 @@
         self._unregister_flow()
         self._exchange = None
         self._is_closing = True
+        self._partial.close(partial.Cause.ANSWER_CUT)
         self.transport.abortConnection()
 
     def close_if_idle(self) -> None:
@@ -316,7 +323,7 @@
         )
         self._head = None
         self._body.clear()
-        self._partial_bytes = len(self._http.trailing_data[0])
+        self._partial.read_bytes = len(self._http.trailing_data[0])
         self._exchange = exchange
         try:
             self._site.handle(exchange)
@@ -359,7 +366,6 @@
         """Refuse an invalid, oversized or late request, and close."""
         self._cancel_timer()
         self._is_closing = True
-        self._partial_bytes = 0
         headers, body = self._site.refusal(status)
         fields = (
             *headers,
@@ -371,6 +377,7 @@
                 status_code=status, headers=messages.encode(fields)
             )
             self._has_answered = True
+            self._partial.refuse()
             for event in (response, h11.Data(data=body), h11.EndOfMessage()):
                 self._write(self._http.send(event))
         self._start_lingering_close()
@@ -424,6 +431,8 @@
     :param handle: called with each ``Exchange``.
     :param refusal: returns the headers and the body of an error answer for a
         status, if a request is refused here or its handler fails.
+    :ivar is_stopping: answers announce that their connections close.
+    :ivar is_ended: the process ends and cuts the open connections.
     """
 
     def __init__(
@@ -441,6 +450,7 @@
         self.refusal = refusal
         self.limits = limits
         self.is_stopping = False
+        self.is_ended = False
         self.connections: set[ServerConnection] = set()
 
     def buildProtocol(self, addr) -> ServerConnection:
