Answer the orders at a control host before it stops

What callers saw: an order, a heartbeat or a departure that a control host had read, or was reading, at a SIGTERM was cut without an answer.

Cause: the HTTP API had no stop of its own. The process ended as soon as its replica had left, at once on a host without a replica, and the reactor closed all connections.

Ruled out: to drain from the SIGTERM on. The leave of the replica takes up to 5 s, and a host that refuses for as long serves nobody.

The change: once the replica has left, the host stops listening, answers what has arrived and closes idle connections, for 1.5 s at most (an order is given 0.9 s, only a configuration longer), then ends as before. What is still open then is logged.

--- a/src/shallothinge/control/process.py
+++ b/src/shallothinge/control/process.py
@@ -1,8 +1,10 @@
 """The control process: runs the server with sockets, replica and timers."""
 
+from collections.abc import Callable
 import logging
 import pathlib
 
+from twisted.internet import defer
 from twisted.internet import task
 
 from shallothinge import clock
@@ -23,6 +25,9 @@
 
 TICK_MS = 250
 FOUNDING_RETRY_S = 1.0
+# Longer than an order is given, but for the largest. Together with the leave
+# of the replica it stays below the time between SIGTERM and SIGKILL.
+API_STOP_LIMIT_MS = 1500
 CLUSTER_NAME = 'shallothinge'
 
 
@@ -60,9 +65,6 @@
         """
         self._host.open()
         self._tick_loop.start(TICK_MS / 1000, now=False)
-        self._process.reactor.addSystemEventTrigger(
-            'before', 'shutdown', self._prepare_stop
-        )
         self._process.reactor.callLater(
             processes.METRICS_DELAY_S, self._publish_metrics
         )
@@ -136,7 +138,7 @@
             FOUNDING_RETRY_S, self._found_cluster_if_first_seed
         )
 
-    def _prepare_stop(self):
+    def prepare_stop(self) -> defer.Deferred:
         """Transfer leadership and give up the vote before a planned stop."""
         prepared = self._replica.transfer_leadership()
         prepared.addCallback(lambda _: self._replica.leave())
@@ -166,22 +168,42 @@
     process = processes.Process(
         reactor=reactor, settings=settings.process, folder=folder
     )
+    stops = []
     if settings.log.data_folder:
-        ControlProcess(
+        control = ControlProcess(
             settings=settings, process=process, changes=changes
-        ).start()
+        )
+        control.start()
+        stops.append(control.prepare_stop)
     if settings.api.address:
-        _serve_http_api(settings=settings, process=process, changes=changes)
+        stops.append(
+            _serve_http_api(
+                settings=settings, process=process, changes=changes
+            )
+        )
+    reactor.addSystemEventTrigger('before', 'shutdown', _stop, stops)
     reactor.run()
 
 
+def _stop(stops: list[Callable[[], defer.Deferred]]) -> defer.Deferred:
+    """Stop the parts of a process one after another."""
+    stopped = defer.succeed(None)
+    for stop in stops:
+        stopped.addCallback(lambda _, stop=stop: stop())
+    return stopped
+
+
 def _serve_http_api(
     *,
     settings: model.ControlSettings,
     process: processes.Process,
     changes: watch.SettingsWatch | None,
-) -> None:
-    """Serve the HTTP API, which forwards every request to the leader."""
+) -> Callable[[], defer.Deferred]:
+    """Serve the HTTP API, which forwards every request to the leader.
+
+    :returns: stops it once the orders that have arrived are answered.
+    """
+    from shallothinge.http1 import draining
     from shallothinge.http1 import server as http_server
     from shallothinge.platform import control_api
     from shallothinge.platform import dialect
@@ -209,10 +231,18 @@
         handle=api.handle,
         refusal=dialect.write_refusal,
     )
-    http_server.listen(
+    port = http_server.listen(
         site=site, address=settings.api.address, reactor=process.reactor
     )
 
+    def stop():
+        port.stopListening()
+        return draining.Drain(
+            site=site, reactor=process.reactor, limit_ms=API_STOP_LIMIT_MS
+        ).start()
+
+    return stop
+
 
 def _own_host_first(settings: model.ControlSettings):
     """Return the control hosts to ask, this host first if it has a replica.
