Make the tests of crossing requests independent of load

A held-up machine could fire a short idle timeout before the test had begun. The tests now begin in the iteration after the connection is made, before any timer, and the short timeout counts from the first answer; the control host's stop limit is out of the way.

--- a/src/shallothinge/control/tests/test_process.py
+++ b/src/shallothinge/control/tests/test_process.py
@@ -106,6 +106,7 @@
             mock.patch.object(
                 server.ServerConnection, 'dataReceived', data_received
             ),
+            mock.patch.object(control, 'API_STOP_LIMIT_MS', 1000 * TIMEOUT_S),
         ):
             control.run(
                 settings=self.settings, folder=self.folder, reactor=reactor
--- a/src/shallothinge/http1/tests/test_crossing.py
+++ b/src/shallothinge/http1/tests/test_crossing.py
@@ -92,6 +92,8 @@
         def build_protocol(address):
             connection = build(address)
             self.count_reads(connection)
+            # Such calls run before the timers, in the next iteration.
+            self.reactor.callFromThread(start)
             return connection
 
         self.site.buildProtocol = build_protocol
@@ -100,9 +102,6 @@
             target=self._call, args=(port.getHost().port, call), daemon=True
         )
         self.reactor.callWhenRunning(caller.start)
-        self.reactor.callWhenRunning(
-            self.when, lambda: self.site.connections, start
-        )
         limit = self.reactor.callLater(TIMEOUT_S, self.reactor.stop)
         self.reactor.run(installSignalHandlers=False)
         is_late = not limit.active()
@@ -257,11 +256,7 @@
             time.sleep(0.1)
             machine.when(lambda: not machine.site.connections, machine.stop)
 
-        def start(machine, wait_for_bytes):
-            # Such calls run before the timers, in the same iteration.
-            machine.reactor.callFromThread(block, machine, wait_for_bytes)
-
-        machine = self.run_unread(start, limits=limits)
+        machine = self.run_unread(block, limits=limits)
         self.assertIn(b'HTTP/1.1 200 ', machine.received)
 
     def test_request_is_refused_if_it_comes_before_the_close_is_sent(self):
@@ -279,22 +274,15 @@
                 self.assertEqual([], machine.targets)
 
     def test_request_that_comes_after_the_close_is_reset_unread(self):
-        def at_stop(machine):
-            machine.site.close_idle()
-
-        rows = (
-            ('new connection', b'', at_stop, messages.Limits()),
-            ('kept connection', GET, at_stop, messages.Limits()),
-            (
-                'idle timeout',
-                GET,
-                lambda machine: None,
-                messages.Limits(idle_timeout_ms=50),
-            ),
-        )
-        for name, first, close, limits in rows:
+        kept = messages.Limits()
+        short = messages.Limits(idle_timeout_ms=50)
+        for name, first, is_stop, limits in (
+            ('new connection', b'', True, kept),
+            ('kept connection', GET, True, kept),
+            ('idle timeout', GET, False, short),
+        ):
             with self.subTest(name):
-                machine = Machine(limits=limits)
+                machine = Machine()
                 errors = []
 
                 def call(opened):
@@ -310,18 +298,21 @@
                             errors.append(error)
                         time.sleep(SHORT_S)
 
-                def start():
-                    close(machine)
+                def close():
+                    if is_stop:
+                        machine.site.close_idle()
                     machine.when(
                         lambda: not machine.site.connections, machine.stop
                     )
 
-                machine.run(
-                    call=call,
-                    start=lambda: machine.when(
-                        lambda: len(machine.targets) == bool(first), start
-                    ),
-                )
+                def start():
+                    # The timeout counts from the first answer.
+                    machine.site.limits = limits
+                    machine.when(
+                        lambda: len(machine.targets) == bool(first), close
+                    )
+
+                machine.run(call=call, start=start)
                 self.assertEqual(len(first), machine.read_bytes)
                 self.assertEqual(1, len(errors))
                 self.assertIn(errors[0], (errno.ECONNRESET, errno.EPIPE))
