--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -15,6 +15,7 @@
 from shallothinge.http1 import early
 from shallothinge.http1 import flow
 from shallothinge.http1 import messages
+from shallothinge.http1 import partial
 
 LOG = logging.getLogger(__name__)
 
@@ -22,6 +23,8 @@
 NO_BODY_STATUSES = (204, 304)
 # This status leaves open whether the request was carried out.
 INTERNAL_STATUS = 500
+# This status promises that the request was not carried out.
+UNAVAILABLE_STATUS = 503
 
 
 class Exchange:
@@ -101,16 +104,19 @@
         self._exchange: Exchange | None = None
         self._timer = None
         self._is_closing = False
+        self._is_idle_close = False
+        self._is_write_side_closed = False
         self._is_paused = False
         self._has_answered = False
         self._is_flow_registered = False
         self._written_bytes = 0
+        self._partial = partial.PartialRequest()
         self._lingering_close: closing.LingeringClose | None = None
 
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being read or answered."""
-        return self._exchange is None and self._head is None
+        return self._exchange is None and not self._partial.read_bytes
 
     @property
     def has_pending_output(self) -> bool:
@@ -119,7 +125,16 @@
         The last bytes may still be in the write buffer of the process. Only
         the end of the connection shows that they are not.
         """
-        return not self.is_idle or self._has_answered
+        return not self.is_idle or self._has_answered or self._has_unread
+
+    @property
+    def _has_unread(self) -> bool:
+        return arrival.unread_bytes(self.transport) > 0
+
+    @property
+    def _has_next_request(self) -> bool:
+        """Return whether a part of a pipelined request has arrived."""
+        return self._partial.read_bytes > 0 or self._has_unread
 
     def connectionMade(self) -> None:
         """Start the idle timeout for the first request."""
@@ -128,10 +143,19 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Read requests."""
+        if self._is_idle_close and not self._is_write_side_closed:
+            # The request came before the end of the connection was sent.
+            self._is_idle_close = False
+            self._lingering_close.stop()
+            self._lingering_close = None
+            self._refuse(UNAVAILABLE_STATUS)
+            return
         if self._is_closing:
+            self._partial.add(len(data))
             return
-        if self.is_idle and not self._http.trailing_data[0]:
+        if self.is_idle:
             self._set_timer(self._site.limits.header_timeout_ms)
+        self._partial.add(len(data))
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError as error:
@@ -145,6 +169,12 @@
         if self._lingering_close is not None:
             self._lingering_close.stop()
         self._is_closing = True
+        self._partial.close(
+            partial.Cause.STOP
+            if self._site.is_ended
+            else partial.Cause.CALLER_LEFT
+        )
+        self._partial.log_lost()
         self._site.connections.discard(self)
         exchange, self._exchange = self._exchange, None
         if exchange is not None and not exchange.is_ended:
@@ -154,13 +184,14 @@
 
     def readConnectionLost(self) -> None:
         """Treat a half-close by the caller as a disconnect."""
-        if self.is_idle:
+        if self.is_idle or self._is_closing:
             self.transport.loseConnection()
         else:
             self.transport.abortConnection()
 
     def writeConnectionLost(self) -> None:
         """Note that all data was handed to the kernel."""
+        self._is_write_side_closed = True
         if self._lingering_close is not None:
             self._lingering_close.on_write_side_closed()
 
@@ -179,7 +210,7 @@
         """Send the head of an answer."""
         self._has_answered = True
         fields = list(headers)
-        if self._site.is_stopping:
+        if self._site.is_stopping and not self._has_next_request:
             fields.append(('connection', 'close'))
         self._send(
             h11.Response(
@@ -196,15 +227,19 @@
         self._send(h11.EndOfMessage())
         self._unregister_flow()
         self._exchange = None
-        if self._http.our_state is h11.MUST_CLOSE:
-            self._start_lingering_close()
-            return
-        if self._http.their_state is not h11.DONE:
+        is_last = self._http.our_state is h11.MUST_CLOSE
+        if is_last or self._http.their_state is not h11.DONE:
+            self._partial.close(partial.Cause.CONNECTION_CLOSE)
             self._start_lingering_close()
             return
         self._http.start_next_cycle()
         self._resume()
-        self._set_timer(self._site.limits.idle_timeout_ms)
+        limits = self._site.limits
+        self._set_timer(
+            limits.header_timeout_ms
+            if self._partial.read_bytes
+            else limits.idle_timeout_ms
+        )
         self._read_events()
 
     def reset(self) -> None:
@@ -212,12 +247,13 @@
         self._unregister_flow()
         self._exchange = None
         self._is_closing = True
+        self._partial.close(partial.Cause.ANSWER_CUT)
         self.transport.abortConnection()
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is in progress."""
-        if self.is_idle and not self._is_closing:
-            self._start_lingering_close()
+        if self.is_idle and not self._is_closing and not self._has_unread:
+            self._start_idle_close()
 
     def _send(self, event) -> None:
         try:
@@ -287,6 +323,7 @@
         )
         self._head = None
         self._body.clear()
+        self._partial.read_bytes = len(self._http.trailing_data[0])
         self._exchange = exchange
         try:
             self._site.handle(exchange)
@@ -340,10 +377,16 @@
                 status_code=status, headers=messages.encode(fields)
             )
             self._has_answered = True
+            self._partial.refuse()
             for event in (response, h11.Data(data=body), h11.EndOfMessage()):
                 self._write(self._http.send(event))
         self._start_lingering_close()
 
+    def _start_idle_close(self) -> None:
+        """Close the connection of a caller that waits for no answer."""
+        self._is_idle_close = True
+        self._start_lingering_close()
+
     def _start_lingering_close(self) -> None:
         """Close the connection, but let the caller read the answer first."""
         self._is_closing = True
@@ -356,6 +399,7 @@
             reactor=self._site.reactor,
             written_bytes=self._written_bytes,
             stall_timeout_ms=self._site.limits.idle_timeout_ms,
+            is_idle=self._is_idle_close,
         )
         self._lingering_close.start()
 
@@ -372,10 +416,13 @@
 
     def _on_timer(self) -> None:
         self._timer = None
-        if self.is_idle and not self._http.trailing_data[0]:
-            self._start_lingering_close()
-        else:
+        if not self.is_idle:
             self._refuse(408)
+        elif self._has_unread:
+            # The process was blocked while the next request arrived.
+            self._set_timer(self._site.limits.header_timeout_ms)
+        else:
+            self._start_idle_close()
 
 
 class Site(protocol.Factory):
@@ -384,6 +431,8 @@
     :param handle: called with each ``Exchange``.
     :param refusal: returns the headers and the body of an error answer for a
         status, if a request is refused here or its handler fails.
+    :ivar is_stopping: answers announce that their connections close.
+    :ivar is_ended: the process ends and cuts the open connections.
     """
 
     def __init__(
@@ -401,6 +450,7 @@
         self.refusal = refusal
         self.limits = limits
         self.is_stopping = False
+        self.is_ended = False
         self.connections: set[ServerConnection] = set()
 
     def buildProtocol(self, addr) -> ServerConnection:
