End a forwarded request if one of its steps raises an exception

What callers saw: nothing, in the literal sense. If a timer or a callback of a connection raised an exception, the request had neither an answer nor a refusal until its deadline, if that timer was still set.

Cause: only the handler's first, synchronous call was covered by the HTTP server's 'except'. Placement timers, the deadline and all callbacks of attempts had nobody above them.

Change: the request's guard runs every step that a timer or a connection starts. After an exception it logs, cancels the attempts, and answers 500, or 503 if the request surely was not sent, or cuts an answer that has begun. The guard that the ingress had around the start is gone.

Why it works: the steps are the methods that anything but the request itself calls; each of them is decorated.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -6,6 +6,7 @@
 
 from shallothinge import clock as clocks
 from shallothinge.gateway import dependencies
+from shallothinge.gateway import guard as guards
 from shallothinge.gateway import model
 from shallothinge.gateway import reservation
 from shallothinge.gateway.policy import FailureCause
@@ -79,12 +80,14 @@
         work: fleet.Work,
         is_stream: bool,
         owner: Owner,
+        guard: guards.RequestGuard,
     ):
         self._parts = parts
         self._order = order
         self._placement = placement
         self._is_stream = is_stream
         self._owner = owner
+        self._guard = guard
         self._splitter = event_stream.EventSplitter()
         self._answer: model.AnswerHead | None = None
         self._body = bytearray()
@@ -129,6 +132,7 @@
             on_refused=self._on_no_memory,
         )
 
+    @guards.guarded
     def _send(self, address: str) -> None:
         if self._is_over:
             return
@@ -169,6 +173,7 @@
                 )
         return tuple(found)
 
+    @guards.guarded
     def _on_no_memory(self, server_id: str) -> None:
         """Fail because a helper has no memory; the request was not sent."""
         if self._is_over:
@@ -197,6 +202,7 @@
                 duration_ms / clocks.MS_PER_SECOND, self._on_stalled
             )
 
+    @guards.guarded
     def pause(self) -> None:
         """Stop reading and the stall timer until the caller catches up."""
         self._is_paused = True
@@ -204,6 +210,7 @@
         if self._exchange is not None and not self._is_over:
             self._exchange.pause()
 
+    @guards.guarded
     def resume(self) -> None:
         """Resume reading and restart the stall timer."""
         self._is_paused = False
@@ -219,6 +226,7 @@
             if self._exchange is not None:
                 self._exchange.cancel()
 
+    @guards.guarded
     def on_head(self, head: messages.ResponseHead) -> None:
         """Validate the head of the answer and decide how to read the body."""
         answer = self._parts.dialect.read_answer(head)
@@ -242,6 +250,7 @@
             if self._is_stream_answer():
                 self._exchange.read_as_stream()
 
+    @guards.guarded
     def on_data(self, data: bytes) -> None:
         """Handle a chunk of the body."""
         if self._is_over:
@@ -261,6 +270,7 @@
             self.is_stalled = False
             self._owner.on_events(self, events)
 
+    @guards.guarded
     def on_end(self) -> None:
         """Handle the end of the answer."""
         if self._is_over:
@@ -283,6 +293,7 @@
                 ),
             )
 
+    @guards.guarded
     def on_failure(self, failure: client.Failure) -> None:
         """Handle a connection that failed before the answer was complete."""
         if self._is_over:
@@ -328,6 +339,7 @@
             ),
         )
 
+    @guards.guarded
     def _on_stalled(self) -> None:
         self._stall_timer = None
         self.is_stalled = True
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -1,7 +1,5 @@
 """Forwards an accepted request to backend servers and relays the answer."""
 
-import attrs
-
 from shallothinge import clock as clocks
 from shallothinge import errors
 from shallothinge.errors import ErrorKind
@@ -10,6 +8,7 @@
 from shallothinge.gateway import dependencies
 from shallothinge.gateway import event_times
 from shallothinge.gateway import fault_attribution
+from shallothinge.gateway import guard as guards
 from shallothinge.gateway import model
 from shallothinge.gateway import policy
 from shallothinge.gateway import request_log
@@ -39,6 +38,9 @@
     ):
         self._parts = parts
         self._exchange = exchange
+        self._guard = guards.RequestGuard(
+            exchange=exchange, fail=self._on_fault
+        )
         self._accepted = accepted
         self._request = accepted.request
         self._route = accepted.route
@@ -50,15 +52,7 @@
         self._running = running_attempts.RunningAttempts()
         self._last_event_id = accepted.request.last_event_id
         self._event_times = event_times.EventTimes()
-        self._log = request_log.RequestLog(
-            parts=parts,
-            identity={
-                'request_id': accepted.request.request_id,
-                'route': accepted.route.name,
-                'workspace': accepted.workspace,
-                'prompt_tokens': accepted.request.prompt_tokens,
-            },
-        )
+        self._log = request_log.RequestLog(parts=parts, accepted=accepted)
         self._wait = waits.Wait(
             parts=parts,
             identity=self._log.identity,
@@ -68,6 +62,7 @@
         self._placement_timer = None
         self._deadline_timer = None
 
+    @guards.guarded
     def start(self) -> None:
         """Start the deadline timer and look for a backend server."""
         self._exchange.on_disconnect = self._on_gone
@@ -87,6 +82,7 @@
     def _remaining_ms(self) -> int:
         return self._deadline_ms - self._parts.clock.now_ms()
 
+    @guards.guarded
     def _place(self) -> None:
         """Choose a server and send the request to it, or wait and retry."""
         self._placement_timer = None
@@ -210,6 +206,7 @@
             ),
             is_stream=is_stream,
             owner=self,
+            guard=self._guard,
         )
         self._running.add(attempt)
         self._log.placed(
@@ -237,15 +234,13 @@
         """Return why no other server may take over from a silent one."""
         if self._running.is_full:
             return policy.NoRetry.RUNNING
-        progress = attrs.evolve(
-            self._progress, sent=self._sent_count, may_have_run=True
-        )
         return policy.no_retry_reason(
             route=self._route,
-            progress=progress,
+            progress=self._progress.after_runs(len(self._running)),
             remaining_ms=self._remaining_ms(),
         )
 
+    @guards.guarded
     def on_events(
         self,
         attempt: attempts.Attempt,
@@ -265,6 +260,7 @@
         if not self._is_over and self._no_takeover_reason() is None:
             attempt.expect_within(timeouts.stall_timeout_ms(self._route))
 
+    @guards.guarded
     def on_stream_end(self, attempt: attempts.Attempt, rest: bytes) -> None:
         """Write the rest of the body and end the caller's stream."""
         self._settle_on(attempt)
@@ -274,6 +270,7 @@
         self._end('finished', status=attempt.head.status)
         self._exchange.finish()
 
+    @guards.guarded
     def on_answer(self, attempt: attempts.Attempt, body: bytes) -> None:
         """Pass on a complete answer."""
         self._settle_on(attempt)
@@ -301,6 +298,7 @@
             self._placement_timer.cancel()
             self._placement_timer = None
 
+    @guards.guarded
     def on_stalled(self, attempt: attempts.Attempt) -> None:
         """Look for another server, while the silent one keeps the request."""
         self._parts.servers.record_stall(attempt.server_id)
@@ -311,18 +309,15 @@
         if reason is None:
             self._place()
 
+    @guards.guarded
     def on_failed(
         self, attempt: attempts.Attempt, outcome: attempts.Outcome
     ) -> None:
         """Retry at another server, or answer the caller with an error."""
         server_id = attempt.server_id
         self._running.remove(attempt)
-        self._progress = attrs.evolve(
-            self._progress,
-            sent=self._progress.sent + outcome.may_have_run,
-            refused=self._progress.refused
-            + (outcome.was_sent and not outcome.may_have_run),
-            may_have_run=self._progress.may_have_run or outcome.may_have_run,
+        self._progress = self._progress.after_failure(
+            was_sent=outcome.was_sent, may_have_run=outcome.may_have_run
         )
         fault_attribution.record_failure(
             server_id=server_id,
@@ -403,13 +398,11 @@
             self._retry_placement_later(cause)
         elif self._exchange.is_begun:
             self._abort(kind.value)
-        elif self._progress.may_have_run:
-            self._refuse(errors.ServingError(kind=ErrorKind.BACKEND_FAILED))
         else:
-            if pause_ms:
-                kind = ErrorKind.OVERLOADED
             self._refuse(
-                errors.ServingError(kind=kind, retry_after_ms=pause_ms)
+                policy.unplaced_error(
+                    progress=self._progress, kind=kind, pause_ms=pause_ms
+                )
             )
 
     def _may_wait(self) -> bool:
@@ -431,6 +424,7 @@
             service=self._accepted.service.name
         )
 
+    @guards.guarded
     def _on_deadline(self) -> None:
         self._deadline_timer = None
         self._cancel_attempts()
@@ -439,21 +433,23 @@
         else:
             self._refuse(policy.deadline_error(self._progress))
 
+    @guards.guarded
     def _on_gone(self) -> None:
         self._cancel_attempts()
         self._end('caller_gone', status=0)
 
+    def _on_fault(self) -> None:
+        """End the request after an exception in one of its steps."""
+        if not self._is_over:
+            self._cancel_attempts()
+            self._refuse(policy.fault_error(self._progress))
+
     def _cancel_attempts(
         self, *, kept: attempts.Attempt | None = None
     ) -> None:
         """Cancel the attempts but one; servers may have run them already."""
-        cancelled = self._running.cancel_all(kept=kept)
-        if cancelled:
-            self._progress = attrs.evolve(
-                self._progress,
-                sent=self._progress.sent + len(cancelled),
-                may_have_run=True,
-            )
+        count = self._running.cancel_all(kept=kept)
+        self._progress = self._progress.after_runs(count)
 
     def _refuse(self, error: errors.ServingError) -> None:
         if self._exchange.is_begun:
--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -138,13 +138,9 @@
         except errors.ServingError as error:
             self._refuse(exchange, request, error)
             return
-        forwarded = forwarding.Forwarding(
+        forwarding.Forwarding(
             parts=self._parts, exchange=exchange, accepted=accepted
-        )
-        guards.RequestGuard(
-            exchange=exchange,
-            fail=functools.partial(self._fail_forwarded, exchange, request),
-        ).run(forwarded.start)
+        ).start()
 
     def _fail_unsent(
         self,
@@ -159,20 +155,6 @@
                 errors.ServingError(kind=ErrorKind.INTERNAL_NOT_RUN),
             )
 
-    def _fail_forwarded(
-        self, exchange: http_server.Exchange, request: model.CallerRequest
-    ) -> None:
-        """Cancel a request that may have been sent to a server."""
-        if exchange.is_ended:
-            return
-        if exchange.on_disconnect is not None:
-            exchange.on_disconnect()
-        if exchange.is_begun:
-            exchange.abort()
-            return
-        error = errors.ServingError(kind=ErrorKind.INTERNAL)
-        self._refuse(exchange, request, error)
-
     def _accept(self, request: model.CallerRequest) -> model.AcceptedRequest:
         """Return the request with its route, service and workspace.
 
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -72,6 +72,24 @@
     refused: int = 0
     may_have_run: bool = False
 
+    def after_failure(
+        self, *, was_sent: bool, may_have_run: bool
+    ) -> 'Progress':
+        """Return the progress after an attempt has failed."""
+        return Progress(
+            sent=self.sent + may_have_run,
+            refused=self.refused + (was_sent and not may_have_run),
+            may_have_run=self.may_have_run or may_have_run,
+        )
+
+    def after_runs(self, count: int) -> 'Progress':
+        """Return the progress if some more servers may have run it."""
+        return attrs.evolve(
+            self,
+            sent=self.sent + count,
+            may_have_run=self.may_have_run or count > 0,
+        )
+
 
 def recovery_wait_ms(*, patience_ms: int, missing_ms: int) -> int:
     """Return how long a request may wait for the lease or the servers.
@@ -201,3 +219,26 @@
     if progress.may_have_run:
         return errors.ServingError(kind=ErrorKind.DEADLINE_EXCEEDED)
     return errors.ServingError(kind=ErrorKind.DEADLINE_UNREACHABLE)
+
+
+def unplaced_error(
+    *, progress: Progress, kind: ErrorKind, pause_ms: int | None
+) -> errors.ServingError:
+    """Return the error for a request that no server can be sent.
+
+    :param kind: the error of a request that surely did not run.
+    :param pause_ms: time until the first server accepts requests again, if
+        all servers have requested a pause.
+    """
+    if progress.may_have_run:
+        return errors.ServingError(kind=ErrorKind.BACKEND_FAILED)
+    if pause_ms:
+        kind = ErrorKind.OVERLOADED
+    return errors.ServingError(kind=kind, retry_after_ms=pause_ms)
+
+
+def fault_error(progress: Progress) -> errors.ServingError:
+    """Return the error for a request of which a step raised an exception."""
+    if progress.may_have_run:
+        return errors.ServingError(kind=ErrorKind.INTERNAL)
+    return errors.ServingError(kind=ErrorKind.INTERNAL_NOT_RUN)
--- a/src/shallothinge/gateway/request_log.py
+++ b/src/shallothinge/gateway/request_log.py
@@ -4,6 +4,7 @@
 
 from shallothinge.gateway import attempt as attempts
 from shallothinge.gateway import dependencies
+from shallothinge.gateway import model
 from shallothinge.gateway import policy
 from shallothinge.placement import choice
 
@@ -20,10 +21,15 @@
         self,
         *,
         parts: dependencies.Dependencies,
-        identity: dict[str, str | int],
+        accepted: model.AcceptedRequest,
     ):
         self._parts = parts
-        self.identity = identity
+        self.identity = {
+            'request_id': accepted.request.request_id,
+            'route': accepted.route.name,
+            'workspace': accepted.workspace,
+            'prompt_tokens': accepted.request.prompt_tokens,
+        }
 
     def placed(self, placed: choice.Placement, **fields) -> None:
         """Log the choice of a server and the knowledge it was based on."""
--- a/src/shallothinge/gateway/running_attempts.py
+++ b/src/shallothinge/gateway/running_attempts.py
@@ -55,19 +55,17 @@
         """Remove an attempt that has ended."""
         self._running.remove(attempt)
 
-    def cancel_all(
-        self, *, kept: attempts.Attempt | None = None
-    ) -> tuple[attempts.Attempt, ...]:
+    def cancel_all(self, *, kept: attempts.Attempt | None = None) -> int:
         """Cancel all attempts but one.
 
         :param kept: the attempt that goes on, None to cancel all.
-        :returns: the attempts that were cancelled.
+        :returns: how many were cancelled.
         """
-        cancelled = tuple(one for one in self._running if one is not kept)
+        cancelled = [one for one in self._running if one is not kept]
         for one in cancelled:
             one.cancel()
             self._running.remove(one)
-        return cancelled
+        return len(cancelled)
 
     def pause(self) -> None:
         """Stop reading from the servers."""
