Do not charge the retry budget for attempts that were not sent

Cause: the budget was charged for the first retry, which reached no server, and again for the one after it. The limit counts requests that arrive at servers.

Evidence: both rows of the new test failed before: with credit for one retry the third server was not asked.

Change: an attempt that was not sent leaves its credit to the next one: a retry after it is free, and one beside a silent server is refunded. The sum of arrivals beyond the first still costs one credit each.

--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -325,7 +325,7 @@
             servers=self._parts.servers,
             tried_ids=self._tried_ids,
         )
-        refusal = self._take_retry()
+        refusal = self._take_retry(was_sent=outcome.was_sent)
         self._log.failed(
             attempt,
             outcome,
@@ -349,18 +349,22 @@
         elif self._no_takeover_reason() is None:
             self._running.expect_within(timeouts.stall_timeout_ms(self._route))
 
-    def _take_retry(self) -> policy.NoRetry | None:
-        """Return why the request is not retried, None if it is."""
+    def _take_retry(self, *, was_sent: bool) -> policy.NoRetry | None:
+        """Return why the request is not retried, None if it is.
+
+        The budget counts requests that reach servers, so an attempt that was
+        not sent leaves what it took to the next one.
+        """
         if self._running:
+            if not was_sent:
+                self._parts.budget.refund()
             return policy.NoRetry.RUNNING
         refusal = policy.no_retry_reason(
             route=self._route,
             progress=self._progress,
             remaining_ms=self._remaining_ms(),
         )
-        # A retry counts against the budget only once a server was reached.
-        has_arrived = self._progress.sent + self._progress.refused > 0
-        if refusal is None and has_arrived and not self._parts.budget.take():
+        if refusal is None and was_sent and not self._parts.budget.take():
             return policy.NoRetry.BUDGET
         return refusal
 
--- a/src/shallothinge/gateway/tests/test_forwarding.py
+++ b/src/shallothinge/gateway/tests/test_forwarding.py
@@ -399,6 +399,31 @@
                 )
                 self.assertEqual(reason, failed.no_retry)
 
+    def test_retry_that_reached_no_server_leaves_its_budget_to_the_next(self):
+        def fail(call):
+            call.fail(was_sent=True)
+
+        def fall_silent(call):
+            self.rig.advance(1700)
+
+        for first in (fail, fall_silent):
+            with self.subTest(first=first.__name__):
+                self.setUp()
+                while self.rig.parts.budget.take():
+                    pass
+                for _ in range(8):
+                    self.rig.parts.budget.fresh()
+                exchange = self.rig.request(STREAM, tokens=5000)
+                first(self.calls[0])
+                self.assertEqual(2, len(self.calls))
+                self.assertFalse(self.rig.parts.budget.has_credit)
+                self.calls[1].fail(was_sent=False)
+                self.rig.advance(200)
+                self.assertEqual(3, len(self.calls))
+                self.assertFalse(self.rig.parts.budget.has_credit)
+                self.calls[2].answer(200, body=event(1))
+                self.assertTrue(exchange.is_whole)
+
     def test_peers_avoid_a_server_that_failed(self):
         exchange = self.rig.request(BOOKING)
         self.calls[0].fail(was_sent=False)
--- a/src/shallothinge/routing/retries.py
+++ b/src/shallothinge/routing/retries.py
@@ -55,6 +55,11 @@
         self.retry_count += 1
         return True
 
+    def refund(self) -> None:
+        """Return the credit of a retry that was not sent."""
+        self._credit = min(self._max_credit, self._credit + PERCENT)
+        self.retry_count -= 1
+
 
 def delay_ms(*, failures: int, rng: random.Random) -> int:
     """Return an exponential backoff delay with full jitter.
