Check in the soak that each request that was read ends in an answer

Sound servers fall silent for 0.5 to 2 s, callers keep connections and send requests in pieces, and the operator changes time limits, weights, routes and services.

--- a/testing/soak/backend.py
+++ b/testing/soak/backend.py
@@ -8,7 +8,8 @@
 serves on for some seconds, as real ones may, and notes the requests that
 still reach it too late. Now and then it refuses a request and asks for a
 pause, or answers one that it runs with bytes that never end. What it says of
-itself is noted, with all requests that arrive.
+itself is noted, with all requests that arrive. A datagram tells it to fall
+silent for a while, which is no fault.
 """
 
 import argparse
@@ -17,6 +18,7 @@
 import pathlib
 import random
 import signal
+import time
 
 import h11
 
@@ -25,6 +27,7 @@
 from shallothinge.platform import names
 from shallothinge.platform.tests import samples
 from testing.soak import checks
+from testing.soak import silences
 from testing.soak import wire
 
 HEARTBEAT_S = 1.0
@@ -65,11 +68,15 @@
         self._rng = random.Random(arguments.name)
         self._endless_rng = random.Random(f'endless {arguments.name}')
         self._left_ms: int | None = None
+        self._silence = Silence()
 
     async def run(self) -> None:
         """Serve until the process is killed."""
         host, _, port = self._arguments.listen.rpartition(':')
         await asyncio.start_server(self._serve, host, int(port))
+        await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self._silence, local_addr=(host, int(port))
+        )
         leaving = asyncio.get_running_loop().create_future()
         for number in LEAVE_SIGNALS:
             asyncio.get_running_loop().add_signal_handler(
@@ -87,6 +94,7 @@
             await self._leave(self._withdraw)
         announcing.cancel()
         await self._withdraw()
+        self._write('gone', at_ms=clock.WallClock().now_ms())
 
     async def _announce_always(self) -> None:
         while True:
@@ -201,9 +209,16 @@
         self._note(request)
         fields = self._fields(request)
         if self._endless_rng.random() < ENDLESS_SHARE:
+            self._write(
+                'broken',
+                request_id=request.fields.get(names.REQUEST_ID, ''),
+                at_ms=clock.WallClock().now_ms(),
+            )
             await self._send_without_end(writer, fields)
-        if self._arguments.service != wire.STREAMS:
+        # A route may send its requests to servers of either service.
+        if not request.target.startswith(f'/{wire.STREAMS}/'):
             await asyncio.sleep(CALL_S)
+            await self._silence.wait(is_begun=False)
             body = wire.body_of(request.target)
             await wire.respond(connection, writer, 200, fields, body)
             self._note_if_told(request, fields)
@@ -213,6 +228,7 @@
         first = int(request.fields.get(names.LAST_EVENT_ID) or 0) + 1
         for number in range(first, wire.event_count(request.target) + 1):
             await asyncio.sleep(EVENT_S)
+            await self._silence.wait(is_begun=number > first)
             event = wire.event_of(request.target, number)
             writer.write(connection.send(h11.Data(data=event)))
             await writer.drain()
@@ -273,6 +289,35 @@
         self._record.flush()
 
 
+class Silence(asyncio.DatagramProtocol):
+    """Until when which answers pause."""
+
+    def __init__(self):
+        self._until_s = dict.fromkeys(silences.Scope, 0.0)
+        self._one_s = 0.0
+
+    def datagram_received(self, data: bytes, addr) -> None:
+        """Pause from now on, as told."""
+        scope, for_s = silences.read_order(data)
+        if scope is silences.Scope.ONE:
+            self._one_s = for_s
+        else:
+            self._until_s[scope] = time.monotonic() + for_s
+
+    async def wait(self, *, is_begun: bool) -> None:
+        """Return once an answer may go on."""
+        one_s, self._one_s = self._one_s, 0.0
+        await asyncio.sleep(one_s)
+        scopes = [silences.Scope.ALL]
+        if not is_begun:
+            scopes.append(silences.Scope.UNBEGUN)
+        while True:
+            left_s = max(map(self._until_s.get, scopes)) - time.monotonic()
+            if left_s <= 0:
+                return
+            await asyncio.sleep(left_s)
+
+
 def _resolve(leaving: asyncio.Future, number: signal.Signals) -> None:
     if not leaving.done():
         leaving.set_result(number)
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -1,4 +1,7 @@
-"""Callers that ask all the time, whatever happens to the gateways."""
+"""Callers that ask all the time, whatever happens to the gateways.
+
+Some keep their connections, and some send a request in pieces.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -10,6 +13,7 @@
 from shallothinge import holdups
 from shallothinge.platform import names
 from testing.soak import checks
+from testing.soak import connections
 from testing.soak import deployment
 from testing.soak import wire
 
@@ -27,11 +31,22 @@
 
 
 class Callers:
-    """Sends requests to all gateways and keeps what came back."""
+    """Sends requests to all gateways and keeps what came back.
+
+    :param rng: for what is asked of which gateway.
+    :param connection_rng: for how it is sent.
+    """
 
-    def __init__(self, *, running: deployment.Deployment, rng: random.Random):
+    def __init__(
+        self,
+        *,
+        running: deployment.Deployment,
+        rng: random.Random,
+        connection_rng: random.Random,
+    ):
         self._running = running
         self._rng = rng
+        self._pool = connections.Pool(rng=connection_rng)
         self.asked: list[checks.Asked] = []
         self.disturbed_s: dict[str, float] = {}
         self.disturbances: list[tuple[str, int]] = []
@@ -60,6 +75,7 @@
                 spent = holdups.read_spent().fields_since(spent)
                 self.held_up = {'late_ms': late_ms, **spent}
         await asyncio.gather(*tasks)
+        self._pool.close()
 
     def disturb(self, name: str) -> None:
         """Note that a gateway is being disturbed now."""
@@ -72,40 +88,95 @@
         name = self._rng.choice(sorted(self._running.caller_addresses))
         is_revoked = self._rng.random() < REVOKED_SHARE
         api_key = REVOKED_KEY if is_revoked else KEPT_KEY
-        request_id = secrets.token_hex(8)
-        target = f'/{service}/{kind}/{request_id}'
         is_last = self.are_faults_over and not is_revoked
-        began_s = time.monotonic()
-        sent_ms = clock.WallClock().now_ms()
-        answer = await self._exchange(
-            name, target, request_id, api_key, deadline_ms
+        one = await self._attempt(
+            name=name,
+            path=f'{service}/{kind}',
+            api_key=api_key,
+            deadline_ms=deadline_ms,
+            is_after_faults=is_last,
         )
-        if answer is not None and answer.status == 200:
-            self.served_s = max(self.served_s, began_s)
-        disturbed_s = self.disturbed_s.get(name, 0.0)
-        self.asked.append(
-            checks.Asked(
-                request_id=request_id,
-                gateway=name,
-                target=target,
-                is_repeatable=kind != 'book',
+        if one.is_reused and _may_ask_again(one):
+            await self._attempt(
+                name=name,
+                path=f'{service}/{kind}',
                 api_key=api_key,
-                sent_ms=sent_ms,
                 deadline_ms=deadline_ms,
-                took_ms=int((time.monotonic() - began_s) * 1000),
-                status=None if answer is None else answer.status,
-                is_signed=answer is not None
-                and answer.fields.get(names.SIGNATURE)
-                == wire.signature_of(request_id),
-                body=b'' if answer is None else answer.body,
-                was_disturbed=disturbed_s > began_s
-                or self._running.parts[name].is_frozen,
                 is_after_faults=is_last,
+                is_new=True,
+            )
+
+    async def _attempt(
+        self,
+        *,
+        name: str,
+        path: str,
+        api_key: str,
+        deadline_ms: int,
+        is_after_faults: bool,
+        is_new: bool = False,
+    ) -> checks.Asked:
+        """Send a request under an id of its own; keep what came back.
+
+        :param is_new: whether to open a connection for it.
+        """
+        request_id = secrets.token_hex(8)
+        target = f'/{path}/{request_id}'
+        began_s = time.monotonic()
+        sent_ms = clock.WallClock().now_ms()
+        try:
+            connection = await self._connect(name, deadline_ms, is_new=is_new)
+        except OSError:
+            answer, seen = None, {'ending': connections.Ending.NOT_SENT}
+        else:
+            # The time that it took to connect is the caller's, too.
+            left_s = began_s + deadline_ms / 1000 - time.monotonic()
+            answer = await self._exchange(
+                connection, target, request_id, api_key, deadline_ms, left_s
             )
+            self._pool.give_back(name, connection)
+            seen = {
+                'ending': connection.ending,
+                'whole_ms': connection.sent_ms,
+                'is_reused': connection.is_reused,
+            }
+        if answer is not None and answer.status == 200:
+            self.served_s = max(self.served_s, began_s)
+        disturbed_s = self.disturbed_s.get(name, 0.0)
+        one = checks.Asked(
+            request_id=request_id,
+            gateway=name,
+            target=target,
+            is_repeatable=not path.endswith('/book'),
+            api_key=api_key,
+            sent_ms=sent_ms,
+            deadline_ms=deadline_ms,
+            took_ms=int((time.monotonic() - began_s) * 1000),
+            status=None if answer is None else answer.status,
+            is_signed=answer is not None
+            and answer.fields.get(names.SIGNATURE)
+            == wire.signature_of(request_id),
+            body=b'' if answer is None else answer.body,
+            was_disturbed=disturbed_s > began_s
+            or self._running.parts[name].is_frozen,
+            is_after_faults=is_after_faults,
+            **seen,
         )
+        self.asked.append(one)
+        return one
+
+    async def _connect(
+        self, name: str, deadline_ms: int, *, is_new: bool
+    ) -> connections.Connection:
+        address = self._running.caller_addresses[name]
+        if is_new:
+            connect = connections.Connection.open(address)
+        else:
+            connect = self._pool.take(name, address)
+        return await asyncio.wait_for(connect, deadline_ms / 1000 + PATIENCE_S)
 
     async def _exchange(
-        self, name, target, request_id, api_key, deadline_ms
+        self, connection, target, request_id, api_key, deadline_ms, left_s
     ) -> wire.Answer | None:
         fields = [
             (names.REQUEST_ID, request_id),
@@ -116,14 +187,24 @@
             fields.append((names.TOKEN_COUNTS, '1000,400'))
         try:
             return await asyncio.wait_for(
-                wire.exchange(
-                    address=self._running.caller_addresses[name],
-                    method='POST',
+                connection.ask(
                     target=target,
-                    fields=tuple(fields),
+                    fields=fields,
                     body=request_id.encode(),
+                    pauses_s=self._pool.draw_pauses(),
                 ),
-                deadline_ms / 1000 + PATIENCE_S,
+                max(0.0, left_s) + PATIENCE_S,
             )
-        except (OSError, asyncio.TimeoutError, wire.BrokenAnswer):
+        except asyncio.TimeoutError:
             return None
+
+
+def _may_ask_again(one: checks.Asked) -> bool:
+    """Return whether a caller may repeat what a kept connection lost.
+
+    A reset tells that bytes were left unread; after a mere end, what may run
+    once only is not sent again.
+    """
+    if one.ending is connections.Ending.RESET:
+        return True
+    return one.is_repeatable and one.ending is connections.Ending.CLOSED
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from testing.soak import connections
 from testing.soak import wire
 
 # Statuses that promise that a request has not run and never will.
@@ -27,8 +28,9 @@
     """A request and what its caller got.
 
     ``status`` is None if the answer was cut or never came, which promises
-    nothing. ``was_disturbed`` tells that the gateway asked was killed,
-    frozen or stopped meanwhile.
+    nothing; whether that is allowed is for ``ends``. ``whole_ms`` is when the
+    last byte was sent, None if it never was. ``was_disturbed`` tells that the
+    gateway asked was killed, frozen or stopped meanwhile.
     """
 
     request_id: str
@@ -44,6 +46,14 @@
     body: bytes = attrs.field(default=b'', repr=False)
     was_disturbed: bool = False
     is_after_faults: bool = False
+    ending: connections.Ending = connections.Ending.ANSWERED
+    whole_ms: int | None = None
+    is_reused: bool = False
+
+    @property
+    def ended_ms(self) -> int:
+        """Return when the caller had the answer or gave up."""
+        return self.sent_ms + self.took_ms
 
 
 @attrs.frozen(kw_only=True)
@@ -107,20 +117,21 @@
             found.append(f'{one.request_id}: success without its signature')
         if one.body != expected:
             found.append(f'{one.request_id}: a wrong or cut body looks whole')
-    took_ms = one.took_ms - _own_ms(one, hold_ups)
-    is_late = took_ms > one.deadline_ms + ANSWER_SLACK_MS
+    is_late = (
+        one.took_ms - own_ms(one, hold_ups) > one.deadline_ms + ANSWER_SLACK_MS
+    )
     if is_late and not one.was_disturbed:
         found.append(f'{one.request_id}: no end after {one.took_ms} ms')
     return found
 
 
-def _own_ms(one: Asked, hold_ups) -> int:
+def own_ms(one: Asked, hold_ups) -> int:
     """Return for how long the caller was held up as it sent and read."""
-    ended_ms = one.sent_ms + one.took_ms
     return sum(
-        max(0, min(until_ms, ended_ms) - max(from_ms, one.sent_ms))
+        max(0, min(until_ms, one.ended_ms) - max(from_ms, one.sent_ms))
         for from_ms, until_ms in hold_ups
-        if from_ms <= one.sent_ms + NEAR_MS or until_ms >= ended_ms - NEAR_MS
+        if from_ms <= one.sent_ms + NEAR_MS
+        or until_ms >= one.ended_ms - NEAR_MS
     )
 
 
--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -12,15 +12,18 @@
 import resource
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 
 import attrs
 
+from shallothinge import clock
 from shallothinge.settings import model
 from shallothinge.transport import keys
 from testing import toml_text
 from testing.soak import relay
+from testing.soak import silences
 from testing.soak import wire
 
 ROLES = ('control', 'entry')
@@ -42,6 +45,18 @@
 SPARE_BYTES = 200
 
 
+@attrs.frozen(kw_only=True)
+class Signal:
+    """A signal that the soak sent to a process, in Unix milliseconds.
+
+    ``number`` is None where it started the process.
+    """
+
+    name: str
+    number: signal.Signals | None
+    at_ms: int
+
+
 @attrs.define(kw_only=True, eq=False)
 class Part:
     """One process, and how it is started again.
@@ -73,6 +88,7 @@
         self.parts: dict[str, Part] = {}
         self.relays: dict[str, relay.Relay] = {}
         self.caller_addresses: dict[str, str] = {}
+        self.signals: list[Signal] = []
         self._net = net
         self._scale = scale
         self._is_over = False
@@ -99,6 +115,20 @@
         for index, service in enumerate(BACKENDS * self._scale):
             self._add_backend(index, service)
 
+    def services(self) -> dict[str, list[str]]:
+        """Return the names of backend servers by their service."""
+        found: dict[str, list[str]] = {}
+        for index, service in enumerate(BACKENDS * self._scale):
+            found.setdefault(service, []).append(f'backend-{index + 1}')
+        return found
+
+    def silence(self, silence: silences.Silence) -> None:
+        """Tell backend servers to fall silent for a while."""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for name in silence.targets:
+                host, _, port = self.relays[name].target.rpartition(':')
+                sender.sendto(silence.order(), (host, int(port)))
+
     def record_of(self, name: str) -> pathlib.Path:
         """Return the file in which a backend server writes its runs."""
         return self.folder / f'{name}.runs'
@@ -283,6 +313,7 @@
             if part.is_gone or self.is_running(name):
                 return
             limit = self._limit_files(name) if is_disk_full else None
+            self._note_signal(name, None)
             await asyncio.to_thread(self._spawn, part, limit)
 
     def _spawn(self, part: Part, limit) -> None:
@@ -317,15 +348,21 @@
         part = self.parts[name]
         async with part.lock:
             if self.is_running(name):
+                self._note_signal(name, signal.SIGKILL)
                 part.process.kill()
                 await asyncio.to_thread(part.process.wait)
             part.is_frozen = False
 
+    def _note_signal(self, name: str, number: signal.Signals | None) -> None:
+        at_ms = clock.WallClock().now_ms()
+        self.signals.append(Signal(name=name, number=number, at_ms=at_ms))
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process that runs."""
         part = self.parts[name]
         if not self.is_running(name):
             return
+        self._note_signal(name, number)
         part.process.send_signal(number)
         if number in (signal.SIGSTOP, signal.SIGCONT):
             part.is_frozen = number is signal.SIGSTOP
--- a/testing/soak/injection.py
+++ b/testing/soak/injection.py
@@ -8,6 +8,7 @@
 from shallothinge import clock
 from testing.soak import callers
 from testing.soak import deployment
+from testing.soak import ends
 from testing.soak import faults
 from testing.soak import notices
 from testing.soak import relay
@@ -22,6 +23,7 @@
     """Disturbs the processes of a deployment.
 
     :ivar cuts: when which connections to backend servers were disturbed.
+    :ivar server_faults: all faults of backend servers, also on connections.
     """
 
     def __init__(
@@ -30,6 +32,7 @@
         self._running = running
         self._callers = callers
         self.cuts: list[notices.Cut] = []
+        self.server_faults: list[ends.ServerFault] = []
 
     async def inject(self, fault: faults.Fault) -> None:
         """Let a fault come and go, from now on."""
@@ -40,6 +43,15 @@
         else:
             await ACTIONS[fault.kind](self, fault)
         self._callers.disturb(fault.target)
+        if fault.target in self._running.relays:
+            self.server_faults.append(
+                ends.ServerFault(
+                    name=fault.target,
+                    from_ms=from_ms,
+                    until_ms=clock.WallClock().now_ms(),
+                    breaks=fault.kind in BREAKING,
+                )
+            )
         if fault.kind in RELAYED or fault.kind is faults.Kind.RESET:
             self.cuts.append(
                 notices.Cut(
@@ -151,6 +163,14 @@
     faults.Kind.ONE_WAY: relay.Mode.ONE_WAY,
     faults.Kind.SILENT: relay.Mode.SILENT,
 }
+# These end connections; a relay that has lost bytes of one passes on its end.
+BREAKING = (
+    faults.Kind.KILL,
+    faults.Kind.RESET,
+    faults.Kind.ONE_WAY,
+    faults.Kind.LEAVE,
+    faults.Kind.VANISH,
+)
 ACTIONS = {
     faults.Kind.KILL: Injection._kill,
     faults.Kind.FREEZE: Injection._freeze,
--- a/testing/soak/operator.py
+++ b/testing/soak/operator.py
@@ -3,17 +3,22 @@
 import asyncio
 from collections.abc import Callable
 import json
+import random
 import time
 
+import attrs
+
 from shallothinge import clock
 from shallothinge.platform import names
-from shallothinge.platform.tests import samples
 from testing.soak import callers
+from testing.soak import tables
 from testing.soak import wire
 
 ANSWER_TIMEOUT_S = 3.0
 AGAIN_S = 0.2
 CHANGE_EVERY_S = 0.7
+# Of the changes, those that another one follows at once.
+AT_ONCE_SHARE = 0.25
 READ_EVERY_S = 0.3
 # From the acknowledgement of a version to the first read that may show no
 # older one.
@@ -25,10 +30,23 @@
 END_TIMEOUT_S = 15.0
 
 
+@attrs.define(kw_only=True)
+class Change:
+    """A table that was sent, and when, in Unix milliseconds.
+
+    ``acknowledged_ms`` is None if there was no clear answer.
+    """
+
+    table: tables.Table
+    sent_ms: int
+    acknowledged_ms: int | None = None
+
+
 class Operator:
     """Changes the configuration all the time and reads it.
 
     :param addresses: of the control hosts that there are, which may change.
+    :param rng: for what is changed.
     :ivar acknowledged: the highest version with a clear answer.
     :ivar acknowledged_s: when that was, on the monotonic clock.
     :ivar read_s: when the newest read that was answered had been sent.
@@ -36,8 +54,12 @@
     :ivar faults: what the operator saw that is not allowed.
     """
 
-    def __init__(self, *, addresses: list[str]):
+    def __init__(
+        self, *, addresses: list[str], rng: random.Random | None = None
+    ):
         self._addresses = addresses
+        self._rng = rng or random.Random(0)
+        self._changes: dict[int, Change] = {}
         self._turn = 0
         self._sent: dict[int, bytes] = {}
         # Versions and when they were acknowledged, on the monotonic clock.
@@ -57,11 +79,15 @@
         version: int,
         *,
         api_keys: list[str],
+        table: tables.Table | None = None,
         is_wanted: Callable[[], bool] = lambda: True,
     ) -> None:
         """Send a configuration until it is acknowledged."""
-        body = json.dumps(_configuration(version, api_keys)).encode()
+        table = table or tables.Table()
+        body = json.dumps(table.configuration(version, api_keys)).encode()
         self._sent[version] = body
+        change = Change(table=table, sent_ms=clock.WallClock().now_ms())
+        self._changes[version] = change
         while True:
             answer = await self._exchange('PUT', body)
             if answer is not None and answer.status == 200:
@@ -76,18 +102,47 @@
                 return
         self.acknowledged_s = time.monotonic()
         self._acknowledged.append((version, self.acknowledged_s))
+        change.acknowledged_ms = clock.WallClock().now_ms()
         if callers.REVOKED_KEY not in api_keys:
-            now_ms = clock.WallClock().now_ms()
-            self.revoked.setdefault(callers.REVOKED_KEY, now_ms)
+            self.revoked.setdefault(
+                callers.REVOKED_KEY, change.acknowledged_ms
+            )
+
+    def least_timeout_ms(
+        self, target: str, *, from_ms: int, until_ms: int
+    ) -> int:
+        """Return the least time limit of a route that may be in force.
+
+        That of a version may be from when it is sent until a higher one has
+        been acknowledged and has reached all gateways.
+        """
+        path, overtaken_ms, found = tables.path_of(target), until_ms, []
+        for _, change in sorted(self._changes.items(), reverse=True):
+            if change.sent_ms <= until_ms and overtaken_ms >= from_ms:
+                found.append(change.table.timeouts_ms[path])
+            if change.acknowledged_ms is not None:
+                overtaken_ms = min(
+                    overtaken_ms, change.acknowledged_ms + PROPAGATION_MS
+                )
+        return min(found, default=tables.USUAL_TIMEOUT_MS)
 
     async def change_while(self, is_wanted: Callable[[], bool]) -> None:
-        """Change the configuration again and again; soon revoke a key."""
+        """Change the configuration again and again; soon revoke a key.
+
+        Time limits, weights, routes and services change with each version.
+        """
         api_keys = [callers.KEPT_KEY]
         version = self.acknowledged
         while is_wanted():
             version += 3
-            await self.put(version, api_keys=api_keys, is_wanted=is_wanted)
-            await asyncio.sleep(CHANGE_EVERY_S)
+            await self.put(
+                version,
+                api_keys=api_keys,
+                table=tables.draw(self._rng),
+                is_wanted=is_wanted,
+            )
+            if self._rng.random() >= AT_ONCE_SHARE:
+                await asyncio.sleep(CHANGE_EVERY_S)
 
     async def read_while(self, is_wanted: Callable[[], bool]) -> None:
         """Read the configuration again and again."""
@@ -172,33 +227,3 @@
             )
         except (OSError, asyncio.TimeoutError, wire.BrokenAnswer):
             return None
-
-
-def _configuration(version: int, api_keys: list[str]) -> dict:
-    stream = _route(wire.STREAMS, 'stream', 'streaming')
-    return samples.with_keys(
-        api_keys,
-        version=version,
-        routes=[
-            samples.resumable(stream, pause_ms=250),
-            _route(wire.CALLS, 'book', 'unsafe'),
-            _route(wire.CALLS, 'look', 'safe'),
-        ],
-        services=[
-            {'name': wire.STREAMS, 'engine': samples.ENGINE},
-            {'name': wire.CALLS},
-        ],
-    )
-
-
-def _route(service: str, path: str, kind: str) -> dict:
-    return samples.route(
-        name=f'{service}-{path}',
-        host=wire.HOST,
-        prefix=f'/{service}/{path}/',
-        kind=kind,
-        service=service,
-        timeout_ms=6000,
-        objective_ms=300,
-        attempts=3,
-    )
--- a/testing/soak/relay.py
+++ b/testing/soak/relay.py
@@ -27,7 +27,7 @@
 
     def __init__(self, *, listen: str, target: str):
         self._listen = listen
-        self._target = target
+        self.target = target
         self._writers: set[asyncio.StreamWriter] = set()
         self._carrying: set[asyncio.Task] = set()
         self._may_pass = asyncio.Event()
@@ -77,7 +77,7 @@
         task.add_done_callback(self._carrying.discard)
 
     async def _carry(self, reader, writer) -> None:
-        host, _, port = self._target.rpartition(':')
+        host, _, port = self.target.rpartition(':')
         try:
             onward = await asyncio.open_connection(host, int(port))
         except OSError:
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -5,7 +5,8 @@
     python -m testing.soak.run --kept
 
 Each seed draws a plan of overlapping faults, and after it rounds in which
-control hosts are replaced or lost while other faults go on. What is not
+control hosts are replaced or lost while other faults go on. Sound backend
+servers fall silent all the while, and go on after a second or so. What is not
 allowed is printed, and the folder with settings, logs and records of runs is
 kept.
 """
@@ -29,11 +30,13 @@
 from testing.soak import callers
 from testing.soak import checks
 from testing.soak import deployment
+from testing.soak import ends
 from testing.soak import faults
 from testing.soak import injection
 from testing.soak import notices
 from testing.soak import operator
 from testing.soak import rounds
+from testing.soak import silences
 
 DURATION_S = 12.0
 ROUNDS = 3
@@ -44,6 +47,7 @@
 START_TIMEOUT_S = 40.0
 NETS = 200
 FIRST_NET = 20
+READ_MESSAGES = ('request placed', 'request refused', 'request ended')
 KEPT_SEEDS = pathlib.Path(__file__).with_name('kept_seeds.toml')
 
 
@@ -53,7 +57,8 @@
 
     ``held_up`` is the longest time for which the soak itself was held up, and
     with it the callers, the operator and the relays; ``process_held_up`` has
-    the longest time of each process that was.
+    the longest time of each process that was. ``excused`` counts the requests
+    that ended without a status and by the rules may have, by the reason.
     """
 
     seed: int
@@ -62,6 +67,7 @@
     served: int
     held_up: dict[str, int | None]
     process_held_up: dict[str, dict[str, int | None]]
+    excused: dict[str, int]
     faults: tuple[str, ...]
     folder: str
 
@@ -88,10 +94,13 @@
             folder=folder, net=net, scale=scale
         )
         self._callers = callers.Callers(
-            running=self._running, rng=random.Random(seed)
+            running=self._running,
+            rng=random.Random(seed),
+            connection_rng=random.Random(f'connections {seed}'),
         )
         self._operator = operator.Operator(
-            addresses=self._running.api_addresses
+            addresses=self._running.api_addresses,
+            rng=random.Random(f'tables {seed}'),
         )
         self._injection = injection.Injection(
             running=self._running, callers=self._callers
@@ -147,6 +156,7 @@
             asyncio.create_task(
                 self._operator.read_while(lambda: self._is_disturbed)
             ),
+            asyncio.create_task(self._silence_servers()),
         ]
         await asyncio.gather(*map(self._inject, self._plan))
         await asyncio.sleep(began_s + self._duration_s - time.monotonic())
@@ -161,6 +171,19 @@
         self._is_over = True
         await asyncio.gather(asking, *ordering)
 
+    async def _silence_servers(self) -> None:
+        """Let sound servers pause, until the faults are over."""
+        rng = random.Random(f'silences {self._seed}')
+        groups = self._running.services()
+        while self._is_disturbed:
+            silence = silences.draw(rng, groups=groups)
+            self._note(
+                f'silent for {silence.for_s:g} s ({silence.scope.value}): '
+                f'{", ".join(silence.targets)}'
+            )
+            self._running.silence(silence)
+            await asyncio.sleep(silence.for_s + silence.gap_s)
+
     def _targets(self) -> dict[str, list[str]]:
         return {role: self._running.names(role) for role in faults.BY_ROLE}
 
@@ -199,23 +222,10 @@
         self._notes.append(f'{now.isoformat(timespec="milliseconds")} {what}')
 
     def _judge(self) -> Result:
-        runs, late, told, arrivals = [], [], [], []
-        for name in self._running.names('backend'):
-            runs += [
-                checks.Run(**one) for one in self._injection.lines(name, 'run')
-            ]
-            late += [
-                checks.Late(**one)
-                for one in self._injection.lines(name, 'late')
-            ]
-            told += [
-                notices.Notice(**one)
-                for one in self._injection.lines(name, 'notice')
-            ]
-            arrivals += [
-                notices.Arrival(**one)
-                for one in self._injection.lines(name, 'arrival')
-            ]
+        runs = self._lines('run', checks.Run)
+        late = self._lines('late', checks.Late)
+        told = self._lines('notice', notices.Notice)
+        arrivals = self._lines('arrival', notices.Arrival)
         asked = self._callers.asked
         with (self._running.folder / 'asked').open('w') as file:
             file.writelines(f'{one}\n' for one in asked)
@@ -241,6 +251,23 @@
             disturbances=self._callers.disturbances,
             cuts=self._injection.cuts,
         )
+        cut, excused = ends.check(
+            asked=asked,
+            records=ends.Records(
+                arrivals=arrivals,
+                runs=runs,
+                notices=told,
+                broken=self._lines('broken', ends.Broken),
+                gone=self._lines('gone', ends.Gone),
+                faults=self._injection.server_faults,
+                signals=self._running.signals,
+                read_ids=self._read_ids(),
+                services=self._running.services(),
+                least_timeout_ms=self._operator.least_timeout_ms,
+                hold_ups=self._callers.hold_ups,
+            ),
+        )
+        found += cut
         return Result(
             seed=self._seed,
             found=(*found, *self._operator.faults),
@@ -248,6 +275,7 @@
             served=sum(one.status == 200 for one in asked),
             held_up=self._callers.held_up,
             process_held_up=self._running.held_up(),
+            excused=excused,
             faults=(
                 *(
                     f'{one.at_s:.2f}-{one.ends_s:.2f} {one.kind.value} '
@@ -260,6 +288,23 @@
             folder=str(self._running.folder),
         )
 
+    def _lines(self, what: str, kind: type) -> list:
+        """Return what all backend servers have written of one sort."""
+        return [
+            kind(**one)
+            for name in self._running.names('backend')
+            for one in self._injection.lines(name, what)
+        ]
+
+    def _read_ids(self) -> frozenset[str]:
+        """Return the requests that gateways say they have read."""
+        return frozenset(
+            line['request_id']
+            for name in self._running.names('gateway')
+            for message in READ_MESSAGES
+            for line in self._running.log_lines(name, message)
+        )
+
 
 def run_seed(
     seed: int, duration_s: float, round_count: int = ROUNDS, scale: int = 1
@@ -283,6 +328,7 @@
             served=0,
             held_up={},
             process_held_up={},
+            excused={},
             faults=(),
             folder=str(folder),
         )
--- a/testing/soak/wire.py
+++ b/testing/soak/wire.py
@@ -89,7 +89,7 @@
     """
     request = None
     while True:
-        event = await _next_event(connection, reader)
+        event = await _next_event(connection, lambda: reader.read(MAX_BYTES))
         if isinstance(event, h11.Request):
             request = Request(
                 target=event.target.decode(), fields=_fields(event.headers)
@@ -128,16 +128,31 @@
         ('content-length', str(len(body))),
         *fields,
     ]
+    writer.write(request_bytes(connection, method, target, headers, body))
+    await writer.drain()
+    return await read_answer(connection, lambda: reader.read(MAX_BYTES))
+
+
+def request_bytes(connection, method, target, headers, body) -> bytes:
+    """Return the bytes of a whole request."""
     data = connection.send(
         h11.Request(method=method, target=target, headers=headers)
     )
     if body:
         data += connection.send(h11.Data(data=body))
-    writer.write(data + connection.send(h11.EndOfMessage()))
-    await writer.drain()
+    return data + connection.send(h11.EndOfMessage())
+
+
+async def read_answer(connection, read) -> Answer:
+    """Read a whole answer.
+
+    :param read: returns some bytes, none at the end of the connection.
+    :raises BrokenAnswer: if the answer ends early.
+    :raises OSError: if the connection breaks.
+    """
     head, content = None, b''
     while True:
-        event = await _next_event(connection, reader)
+        event = await _next_event(connection, read)
         if isinstance(event, h11.Response):
             head = event
         elif isinstance(event, h11.Data):
@@ -152,7 +167,7 @@
             raise BrokenAnswer('closed before the end of the answer')
 
 
-async def _next_event(connection, reader):
+async def _next_event(connection, read):
     while True:
         try:
             event = connection.next_event()
@@ -160,7 +175,7 @@
             raise BrokenAnswer(str(error)) from error
         if event is not h11.NEED_DATA:
             return event
-        connection.receive_data(await reader.read(MAX_BYTES))
+        connection.receive_data(await read())
 
 
 def _fields(headers) -> dict[str, str]:
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -1,6 +1,7 @@
 """Tests of the soak's own judgement and plans, and a short soak."""
 
 import asyncio
+import json
 import pathlib
 import random
 import signal
@@ -12,14 +13,20 @@
 
 import attrs
 
+from shallothinge.platform import routes as platform_routes
+from testing.soak import backend
 from testing.soak import checks
+from testing.soak import connections
 from testing.soak import deployment
+from testing.soak import ends
 from testing.soak import faults
 from testing.soak import notices
 from testing.soak import operator
 from testing.soak import relay
 from testing.soak import rounds
 from testing.soak import run
+from testing.soak import silences
+from testing.soak import tables
 from testing.soak import wire
 
 BOOKING = '/desk/book/1'
@@ -260,6 +267,375 @@
             self.assertEqual(bool(expected), bool(found))
 
 
+SERVICES = {
+    wire.STREAMS: ['backend-1', 'backend-2', 'backend-3'],
+    wire.CALLS: ['backend-4', 'backend-5'],
+}
+KILL, STOP = signal.SIGKILL, signal.SIGTERM
+FREEZE, THAW, RELOAD = signal.SIGSTOP, signal.SIGCONT, signal.SIGHUP
+
+
+def cut(**fields):
+    """Return a stream that is cut after 1,250 ms."""
+    return asked(
+        **{
+            'target': STREAM,
+            'deadline_ms': 6000,
+            'took_ms': 1250,
+            'status': None,
+            'is_signed': False,
+            'body': b'',
+            'ending': connections.Ending.CUT,
+            'whole_ms': SENT_MS + 5,
+            **fields,
+        }
+    )
+
+
+def crossed(**fields):
+    """Return a request that ends unread at the close of its connection."""
+    return cut(
+        **{
+            'ending': connections.Ending.CLOSED,
+            'took_ms': 20,
+            'is_reused': True,
+            **fields,
+        }
+    )
+
+
+def reached(*numbers, after_ms=10, **fields):
+    """Return the records of a stream that ran on some servers in turn."""
+    ran_at = [
+        {
+            'server_id': f'backend-{number}-1700',
+            'request_id': 'r1',
+            'at_ms': SENT_MS + after_ms + 100 * index,
+        }
+        for index, number in enumerate(numbers)
+    ]
+    return {
+        'arrivals': [notices.Arrival(**one) for one in ran_at],
+        'runs': [
+            checks.Run(**one, target=STREAM, workspace='w1') for one in ran_at
+        ],
+        **fields,
+    }
+
+
+def sent(number, after_ms, name='gateway-1'):
+    return deployment.Signal(
+        name=name, number=number, at_ms=SENT_MS + after_ms
+    )
+
+
+def fault(number, from_ms, until_ms, *, breaks=True):
+    return ends.ServerFault(
+        name=f'backend-{number}',
+        from_ms=SENT_MS + from_ms,
+        until_ms=SENT_MS + until_ms,
+        breaks=breaks,
+    )
+
+
+def broken(number, after_ms, request_id='r1'):
+    return ends.Broken(
+        server_id=f'backend-{number}-1700',
+        request_id=request_id,
+        at_ms=SENT_MS + after_ms,
+    )
+
+
+class EndsTest(unittest.TestCase):
+    """Which requests may end without an answer and without a status."""
+
+    def judged(self, one, *, timeout_ms=6000, **records):
+        """Return what is found, and what was excused."""
+        fields = {
+            field.name: []
+            for field in attrs.fields(ends.Records)
+            if field.name not in ('read_ids', 'services', 'least_timeout_ms')
+        }
+        return ends.check(
+            asked=[one],
+            records=ends.Records(
+                **{
+                    **fields,
+                    'read_ids': frozenset(),
+                    'services': SERVICES,
+                    'least_timeout_ms': lambda *_, **__: timeout_ms,
+                    **records,
+                }
+            ),
+        )
+
+    def check(self, rows, excuse):
+        for name, one, records in rows:
+            with self.subTest(name):
+                found, excused = self.judged(one, **records)
+                if excuse is None:
+                    self.assertEqual((1, {}), (len(found), excused))
+                else:
+                    expected = {excuse.name.lower(): 1}
+                    self.assertEqual(([], expected), (found, excused))
+
+    def test_stream_that_is_cut_at_a_sound_gateway_is_found(self):
+        at_work = reached(1)
+        rows = (
+            ('server silent', cut(), at_work),
+            ('no server', cut(), {}),
+            (
+                'beside a reload',
+                cut(),
+                {**at_work, 'signals': [sent(RELOAD, 50)]},
+            ),
+            ('beside a stop', cut(), {**at_work, 'signals': [sent(STOP, 50)]}),
+            (
+                'another gateway killed',
+                cut(),
+                {**at_work, 'signals': [sent(KILL, 50, 'gateway-2')]},
+            ),
+            (
+                'killed long before',
+                cut(),
+                {**at_work, 'signals': [sent(KILL, -500)]},
+            ),
+            (
+                'thawed long before',
+                cut(),
+                {**at_work, 'signals': [sent(FREEZE, -900), sent(THAW, -500)]},
+            ),
+            (
+                'killed later',
+                cut(),
+                {**at_work, 'signals': [sent(KILL, 1400)]},
+            ),
+            (
+                'before the limit',
+                cut(took_ms=2990),
+                {**at_work, 'timeout_ms': 3000},
+            ),
+            (
+                'unreadable',
+                cut(ending=connections.Ending.UNREADABLE),
+                {**at_work, 'signals': [sent(KILL, 50)]},
+            ),
+            (
+                'given up early',
+                cut(ending=connections.Ending.TIMED_OUT),
+                at_work,
+            ),
+        )
+        self.check(rows, None)
+
+    def test_request_with_any_status_is_no_matter_of_this_check(self):
+        for status in (200, 401, 502, 503, 504):
+            with self.subTest(status=status):
+                one = cut(status=status)
+                self.assertEqual(([], {}), self.judged(one, **reached(1)))
+
+    def test_gateway_that_was_killed_or_frozen_excuses(self):
+        for name, signals in (
+            ('killed', [sent(KILL, 1200)]),
+            ('frozen', [sent(FREEZE, 500), sent(THAW, 900)]),
+            ('frozen before', [sent(FREEZE, -900), sent(THAW, 20)]),
+            ('still frozen', [sent(FREEZE, 1200)]),
+            ('killed as it was frozen', [sent(FREEZE, -90), sent(KILL, 9000)]),
+        ):
+            with self.subTest(name):
+                found, excused = self.judged(
+                    cut(), **reached(1, signals=signals)
+                )
+                self.assertEqual([], found)
+                self.assertEqual({'gateway_killed': 1}, excused)
+
+    def test_time_limit_of_the_caller_or_the_route_excuses(self):
+        rows = (
+            ('of the caller', cut(took_ms=6000), {'timeout_ms': 9000}),
+            ('of the route', cut(took_ms=3000), {'timeout_ms': 3000}),
+        )
+        self.check(rows, ends.Excuse.TIME_LIMIT)
+
+    def test_request_that_was_not_sent_excuses_if_it_was_not_read(self):
+        unsent = cut(ending=connections.Ending.NOT_SENT, whole_ms=None)
+        self.check([('refused', unsent, {})], ends.Excuse.NOT_SENT)
+        rows = (
+            ('passed on', unsent, reached(1)),
+            ('logged', unsent, {'read_ids': frozenset({'r1'})}),
+        )
+        self.check(rows, None)
+
+    def test_request_that_crosses_a_close_excuses_if_it_was_not_read(self):
+        reset = connections.Ending.RESET
+        stopping = {'signals': [sent(STOP, -3000)]}
+        rows = (
+            ('closed', crossed(), {}),
+            ('reset', crossed(ending=reset), {}),
+            ('new, stopping', crossed(is_reused=False), stopping),
+            (
+                'caller held up',
+                crossed(took_ms=900),
+                {'hold_ups': [(SENT_MS + 10, SENT_MS + 890)]},
+            ),
+        )
+        self.check(rows, ends.Excuse.CROSSED)
+        restarted = {'signals': [sent(STOP, -3000), sent(None, -1000)]}
+        rows = (
+            ('passed on', crossed(), reached(1)),
+            ('logged', crossed(), {'read_ids': frozenset({'r1'})}),
+            ('in the answer', crossed(ending=connections.Ending.CUT), {}),
+            ('too late', crossed(took_ms=206), {}),
+            ('new', crossed(is_reused=False), {}),
+            ('new, restarted', crossed(is_reused=False), restarted),
+        )
+        self.check(rows, None)
+
+    def test_server_that_broke_off_excuses_if_no_other_could_go_on(self):
+        others = [fault(2, -900, 50), fault(3, -900, 50)]
+        killed = fault(1, 100, 900)
+        gone = ends.Gone(server_id='backend-1-1700', at_ms=SENT_MS + 90)
+        told = notices.Notice(
+            server_id='backend-2-1700',
+            request_id='r0',
+            at_ms=SENT_MS - 900,
+            pause_ms=4000,
+        )
+        rows = (
+            ('killed', reached(1, faults=[*others, killed])),
+            ('gone', reached(1, gone=[gone], faults=others)),
+            ('endless', reached(1, broken=[broken(1, 20)], faults=others)),
+            ('all tried', reached(1, 2, 3, faults=[killed])),
+            (
+                'other asked for a pause',
+                reached(1, 3, faults=[killed], notices=[told]),
+            ),
+            (
+                'other was broken for another',
+                reached(1, 3, broken=[broken(1, 20), broken(2, -50, 'r0')]),
+            ),
+        )
+        rows = [(name, cut(), records) for name, records in rows]
+        self.check(rows, ends.Excuse.SERVER_BROKE_OFF)
+
+    def test_server_that_broke_off_is_no_excuse_otherwise(self):
+        others = [fault(2, -900, 50), fault(3, -900, 50)]
+        killed = fault(1, 100, 900)
+        rows = (
+            ('others at hand', reached(1, faults=[killed])),
+            ('one at hand', reached(1, faults=[killed, others[0]])),
+            (
+                'silent link',
+                reached(1, faults=[*others, fault(1, 100, 900, breaks=False)]),
+            ),
+            ('broke before', reached(1, faults=[*others, fault(1, -900, 5)])),
+            (
+                'broke later',
+                reached(1, faults=[*others, fault(1, 1300, 1900)]),
+            ),
+            (
+                'for another',
+                reached(1, broken=[broken(1, 20, 'r0')], faults=others),
+            ),
+            ('nothing broke, all tried', reached(1, 2, 3)),
+        )
+        self.check([(name, cut(), records) for name, records in rows], None)
+        closed = cut(ending=connections.Ending.CLOSED)
+        rows = [('unbegun', closed, reached(1, faults=[*others, killed]))]
+        self.check(rows, None)
+
+    def test_end_of_a_planned_stop_excuses_what_was_sent_early(self):
+        rows = (
+            ('at its end', 7400, 0, reached(1), ends.Excuse.STOP_TIME),
+            ('too early', 6600, 0, reached(1), None),
+            ('sent late', 7400, 3100, reached(1), None),
+            ('at no server', 7400, 0, {}, None),
+        )
+        for name, ended_ms, sent_ms, records, excuse in rows:
+            one = cut(took_ms=ended_ms - sent_ms, deadline_ms=9000)
+            records = {
+                **records,
+                'timeout_ms': 9000,
+                'signals': [sent(STOP, -sent_ms)],
+            }
+            self.check([(name, one, records)], excuse)
+
+
+class SilencesTest(unittest.IsolatedAsyncioTestCase):
+    """Pauses of sound servers."""
+
+    def test_silences_follow_from_their_seed_and_reach_groups(self):
+        one, again = (
+            [silences.draw(rng, groups=SERVICES) for _ in range(100)]
+            for rng in (random.Random(1), random.Random(1))
+        )
+        self.assertEqual(one, again)
+        self.assertEqual({1, 2, 3}, {len(each.targets) for each in one})
+        self.assertEqual({*silences.Scope}, {each.scope for each in one})
+
+    async def test_server_falls_silent_as_it_is_told(self):
+        for scope, is_begun, paused in (
+            (silences.Scope.ALL, True, (True, True)),
+            (silences.Scope.ONE, True, (True, False)),
+            (silences.Scope.UNBEGUN, True, (False, False)),
+            (silences.Scope.UNBEGUN, False, (True, True)),
+        ):
+            with self.subTest(scope=scope, is_begun=is_begun):
+                silence = backend.Silence()
+                order = silences.Silence(
+                    targets=(), scope=scope, for_s=0.2, gap_s=0.0
+                ).order()
+                silence.datagram_received(order, None)
+                waiting = [
+                    asyncio.create_task(silence.wait(is_begun=is_begun))
+                    for _ in paused
+                ]
+                await asyncio.sleep(0.05)
+                is_paused = tuple(not task.done() for task in waiting)
+                self.assertEqual(paused, is_paused)
+                await asyncio.wait_for(asyncio.gather(*waiting), 2)
+
+
+class TablesTest(unittest.TestCase):
+    """What the operator changes."""
+
+    def test_each_table_is_valid_and_serves_what_callers_ask_for(self):
+        rng = random.Random(1)
+        for version in range(1, 100):
+            fields = tables.draw(rng).configuration(version, ['k'])
+            table = platform_routes.read(json.dumps(fields).encode())
+            prefixes = {route.path_prefix for route in table.routes}
+            self.assertLessEqual(
+                {f'/{service}/{path}/' for service, path in tables.KINDS},
+                prefixes,
+            )
+
+    def test_least_time_limit_that_may_be_in_force(self):
+        taken = operator.Operator(addresses=['a'])
+        for version, timeout_ms, sent_ms, acknowledged_ms in (
+            (1, 6000, 0, 10),
+            (4, 3000, 5000, 5010),
+            (7, 4500, 10000, None),
+            (10, 6000, 15000, 15010),
+        ):
+            taken._changes[version] = operator.Change(
+                table=tables.Table(timeouts_ms={'stream': timeout_ms}),
+                sent_ms=sent_ms,
+                acknowledged_ms=acknowledged_ms,
+            )
+        for from_ms, until_ms, expected_ms in (
+            (3000, 4999, 6000),
+            (3000, 5000, 3000),
+            (9000, 9500, 3000),
+            (17010, 18000, 3000),
+            (17011, 18000, 6000),
+        ):
+            with self.subTest(from_ms=from_ms, until_ms=until_ms):
+                found_ms = taken.least_timeout_ms(
+                    STREAM, from_ms=from_ms, until_ms=until_ms
+                )
+                self.assertEqual(expected_ms, found_ms)
+
+
 class PlanTest(unittest.TestCase):
     """Plans that a deployment must bear."""
 
