--- a/testing/soak/ends.py
+++ b/testing/soak/ends.py
@@ -8,6 +8,7 @@
 import collections
 from collections.abc import Callable
 import enum
+import operator
 import signal
 
 import attrs
@@ -47,6 +48,10 @@
     CROSSED = 'the request crossed the close of an idle connection'
     # An answer that has begun can not become a status.
     SERVER_BROKE_OFF = 'the server broke off and no other could go on'
+    # The rules limit how much is sent to servers again. Only the gateway's
+    # log tells that its share is spent; that the server broke off does not
+    # rest on it.
+    BUDGET_SPENT = 'the server broke off, the retry budget was spent'
     # As the answer lasts longer than the process may.
     STOP_TIME = 'a planned stop came to its end'
 
@@ -86,6 +91,8 @@
     """What is known of a soak besides its requests.
 
     :param read_ids: the requests that gateways have logged.
+    :param budget_ids: those that they have not sent again, as they say, for
+        the retry budget was spent.
     :param signals: all that were sent to processes.
     :param services: names of backend servers by service.
     :param least_timeout_ms: of a target and a span, the least time limit
@@ -100,6 +107,7 @@
     faults: list[ServerFault]
     signals: list[deployment.Signal]
     read_ids: frozenset[str]
+    budget_ids: frozenset[str]
     services: dict[str, list[str]]
     least_timeout_ms: Callable[..., int]
     hold_ups: list[tuple[int, int]]
@@ -118,6 +126,7 @@
             Excuse.TIME_LIMIT: self._has_reached_its_limit,
             Excuse.CROSSED: self._crossed_a_close,
             Excuse.SERVER_BROKE_OFF: self._was_broken_off,
+            Excuse.BUDGET_SPENT: self._was_budget_spent,
             Excuse.STOP_TIME: self._was_stop_over,
         }
 
@@ -210,13 +219,24 @@
             and one.ended_ms >= stop_ms + STOP_LATE_MS
         )
 
+    def _was_budget_spent(self, one: checks.Asked) -> bool:
+        is_spent = one.request_id in self._records.budget_ids
+        return is_spent and self._has_broken_off(one)
+
+    def _has_broken_off(self, one: checks.Asked) -> bool:
+        """Return whether the newest run of a begun answer was broken."""
+        runs = self._runs[one.request_id]
+        return (
+            one.ending is connections.Ending.CUT
+            and bool(runs)
+            and self._was_run_broken(runs[-1], one)
+        )
+
     def _was_broken_off(self, one: checks.Asked) -> bool:
         """Return whether a server broke off and no other could go on."""
-        if one.ending is not connections.Ending.CUT:
+        if not self._has_broken_off(one):
             return False
         runs = self._runs[one.request_id]
-        if not any(self._was_run_broken(run, one) for run in runs):
-            return False
         if len(runs) >= tables.ATTEMPTS:
             return True
         tried = {
@@ -306,6 +326,6 @@
 
 def _by_request(lines) -> dict[str, list]:
     found = collections.defaultdict(list)
-    for line in lines:
+    for line in sorted(lines, key=operator.attrgetter('at_ms')):
         found[line.request_id].append(line)
     return found
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -261,7 +261,10 @@
                 gone=self._lines('gone', ends.Gone),
                 faults=self._injection.server_faults,
                 signals=self._running.signals,
-                read_ids=self._read_ids(),
+                read_ids=self._logged_ids(*READ_MESSAGES),
+                budget_ids=self._logged_ids(
+                    'attempt failed', no_retry='budget'
+                ),
                 services=self._running.services(),
                 least_timeout_ms=self._operator.least_timeout_ms,
                 hold_ups=self._callers.hold_ups,
@@ -296,13 +299,14 @@
             for one in self._injection.lines(name, what)
         ]
 
-    def _read_ids(self) -> frozenset[str]:
-        """Return the requests that gateways say they have read."""
+    def _logged_ids(self, *messages: str, **fields: str) -> frozenset[str]:
+        """Return the requests of which gateways have logged something."""
         return frozenset(
             line['request_id']
             for name in self._running.names('gateway')
-            for message in READ_MESSAGES
+            for message in messages
             for line in self._running.log_lines(name, message)
+            if all(line.get(key) == value for key, value in fields.items())
         )
 
 
