--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -31,6 +31,9 @@
 # Polling interval of a request that waits for a lease, a server or capacity.
 # Slots become free as streams end, some tens a second over a fleet.
 POLL_INTERVAL_MS = 20
+# Polling interval of a request whose server has fallen silent. Callers leave
+# silent streams after two seconds or more.
+TAKEOVER_POLL_INTERVAL_MS = 100
 # Placing a long prompt evaluates many sets of servers, so some polls are
 # skipped: it is tried again after at most this many poll intervals.
 MAX_POLLS_SKIPPED = 5
@@ -43,10 +46,20 @@
     REFUSED_UNRUN = 'refused_unrun'
     SERVER_ERROR = 'server_error'
     BROKEN = 'broken'
-    STALLED = 'stalled'
     NO_MEMORY = 'no_memory'
 
 
+class NoRetry(enum.Enum):
+    """Why a request is not sent to another server."""
+
+    DEADLINE = 'deadline'
+    ATTEMPTS = 'attempts'
+    REFUSALS = 'refusals'
+    MAY_HAVE_RUN = 'may_have_run'
+    BUDGET = 'budget'
+    RUNNING = 'running'
+
+
 @attrs.frozen(kw_only=True)
 class Progress:
     """Outcome of a request's attempts so far.
@@ -126,16 +139,34 @@
 ) -> bool:
     """Return whether the request may be sent to another server.
 
+    :param remaining_ms: time left until the deadline.
+    """
+    reason = no_retry_reason(
+        route=route, progress=progress, remaining_ms=remaining_ms
+    )
+    return reason is None
+
+
+def no_retry_reason(
+    *, route: routes.Route, progress: Progress, remaining_ms: int
+) -> NoRetry | None:
+    """Return why the request may not be sent to another server.
+
     A request that may have run is repeated only if its route allows it to
-    run more than once.
+    run more than once. The retry budget is not considered.
 
     :param remaining_ms: time left until the deadline.
+    :returns: None if the request may be sent to another server.
     """
-    if remaining_ms <= 0 or progress.sent >= route.attempts:
-        return False
+    if remaining_ms <= 0:
+        return NoRetry.DEADLINE
+    if progress.sent >= route.attempts:
+        return NoRetry.ATTEMPTS
     if progress.refused > MAX_REFUSALS:
-        return False
-    return route.is_repeatable or not progress.may_have_run
+        return NoRetry.REFUSALS
+    if progress.may_have_run and not route.is_repeatable:
+        return NoRetry.MAY_HAVE_RUN
+    return None
 
 
 def final_error(
