--- a/testing/soak/backend.py
+++ b/testing/soak/backend.py
@@ -167,7 +167,7 @@
         refusal = self._refusal(request)
         if refusal != 421:
             self._note_if_late(request)
-            self._note_arrival(request)
+            self._note_event('arrival', request)
         if refusal:
             fields = self._fields(request) + [(names.UNRUN, '1')]
             await wire.respond(connection, writer, refusal, fields, b'')
@@ -209,11 +209,7 @@
         self._note(request)
         fields = self._fields(request)
         if self._endless_rng.random() < ENDLESS_SHARE:
-            self._write(
-                'broken',
-                request_id=request.fields.get(names.REQUEST_ID, ''),
-                at_ms=clock.WallClock().now_ms(),
-            )
+            self._note_event('broken', request)
             await self._send_without_end(writer, fields)
         # A route may send its requests to servers of either service.
         if not request.target.startswith(f'/{wire.STREAMS}/'):
@@ -232,6 +228,8 @@
             event = wire.event_of(request.target, number)
             writer.write(connection.send(h11.Data(data=event)))
             await writer.drain()
+            if number == first:
+                self._note_event('begun', request)
         writer.write(connection.send(h11.EndOfMessage()))
         await writer.drain()
         self._note_if_told(request, fields)
@@ -259,9 +257,9 @@
             pause_ms=pause_ms,
         )
 
-    def _note_arrival(self, request: wire.Request) -> None:
+    def _note_event(self, what: str, request: wire.Request) -> None:
         self._write(
-            'arrival',
+            what,
             request_id=request.fields.get(names.REQUEST_ID, ''),
             at_ms=clock.WallClock().now_ms(),
         )
--- a/testing/soak/ends.py
+++ b/testing/soak/ends.py
@@ -57,8 +57,8 @@
 
 
 @attrs.frozen(kw_only=True)
-class Broken:
-    """An answer that a backend server breaks."""
+class Event:
+    """Something that happened to a request at a backend server."""
 
     server_id: str
     request_id: str
@@ -90,6 +90,8 @@
 class Records:
     """What is known of a soak besides its requests.
 
+    :param begun: streams of which a server has sent an event.
+    :param broken: answers that a server breaks.
     :param read_ids: the requests that gateways have logged.
     :param budget_ids: those that they have not sent again, as they say, for
         the retry budget was spent.
@@ -102,7 +104,8 @@
     arrivals: list[notices.Arrival]
     runs: list[checks.Run]
     notices: list[notices.Notice]
-    broken: list[Broken]
+    begun: list[Event]
+    broken: list[Event]
     gone: list[Gone]
     faults: list[ServerFault]
     signals: list[deployment.Signal]
@@ -224,12 +227,26 @@
         return is_spent and self._has_broken_off(one)
 
     def _has_broken_off(self, one: checks.Asked) -> bool:
-        """Return whether the newest run of a begun answer was broken."""
+        """Return whether each run of a begun answer was broken.
+
+        One that sent nothing new is given up once another one does.
+        """
         runs = self._runs[one.request_id]
+        begun = {
+            (event.server_id, event.request_id)
+            for event in self._records.begun
+        }
         return (
             one.ending is connections.Ending.CUT
             and bool(runs)
-            and self._was_run_broken(runs[-1], one)
+            and all(
+                self._was_run_broken(run, one)
+                or any(
+                    (later.server_id, one.request_id) in begun
+                    for later in runs[index + 1 :]
+                )
+                for index, run in enumerate(runs)
+            )
         )
 
     def _was_broken_off(self, one: checks.Asked) -> bool:
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -338,8 +338,8 @@
     )
 
 
-def broken(number, after_ms, request_id='r1'):
-    return ends.Broken(
+def event(number, after_ms, request_id='r1'):
+    return ends.Event(
         server_id=f'backend-{number}-1700',
         request_id=request_id,
         at_ms=SENT_MS + after_ms,
@@ -495,6 +495,8 @@
         others = [fault(2, -900, 50), fault(3, -900, 50)]
         killed = fault(1, 100, 900)
         gone = ends.Gone(server_id='backend-1-1700', at_ms=SENT_MS + 90)
+        begun = [event(1, 300)]
+        both = [event(2, 50), event(3, 150)]
         told = notices.Notice(
             server_id='backend-2-1700',
             request_id='r0',
@@ -504,15 +506,20 @@
         rows = (
             ('killed', reached(1, faults=[*others, killed])),
             ('gone', reached(1, gone=[gone], faults=others)),
-            ('endless', reached(1, broken=[broken(1, 20)], faults=others)),
-            ('all tried', reached(2, 3, 1, faults=[killed])),
+            ('endless', reached(1, broken=[event(1, 20)], faults=others)),
+            ('all tried', reached(2, 3, 1, faults=[killed], begun=begun)),
+            ('all broke', reached(2, 3, 1, faults=[killed], broken=both)),
             (
                 'other asked for a pause',
-                reached(3, 1, faults=[killed], notices=[told]),
+                reached(1, faults=[killed, others[1]], notices=[told]),
             ),
             (
                 'other was broken for another',
-                reached(3, 1, broken=[broken(1, 20), broken(2, -50, 'r0')]),
+                reached(
+                    1,
+                    faults=[others[1]],
+                    broken=[event(1, 20), event(2, -50, 'r0')],
+                ),
             ),
         )
         rows = [(name, cut(), records) for name, records in rows]
@@ -535,10 +542,11 @@
             ),
             (
                 'for another',
-                reached(1, broken=[broken(1, 20, 'r0')], faults=others),
+                reached(1, broken=[event(1, 20, 'r0')], faults=others),
             ),
             ('nothing broke, all tried', reached(1, 2, 3)),
-            ('former run broke', reached(1, 2, 3, broken=[broken(1, 20)])),
+            ('silent one is left', reached(2, 3, 1, faults=[killed])),
+            ('former run broke', reached(1, 2, 3, broken=[event(1, 20)])),
         )
         self.check([(name, cut(), records) for name, records in rows], None)
         closed = cut(ending=connections.Ending.CLOSED)
@@ -552,19 +560,19 @@
             (
                 'went on elsewhere',
                 cut(),
-                reached(1, 2, broken=[broken(1, 20)], **spent),
+                reached(1, 2, broken=[event(1, 20)], **spent),
             ),
             (
                 'other request',
                 cut(),
                 reached(
-                    1, broken=[broken(1, 20)], budget_ids=frozenset({'r2'})
+                    1, broken=[event(1, 20)], budget_ids=frozenset({'r2'})
                 ),
             ),
         ]
         self.check(rows, None)
         rows = [
-            ('broke off', cut(), reached(1, broken=[broken(1, 20)], **spent))
+            ('broke off', cut(), reached(1, broken=[event(1, 20)], **spent))
         ]
         self.check(rows, ends.Excuse.BUDGET_SPENT)
 
