--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -49,7 +49,8 @@
 class Signal:
     """A signal that the soak sent to a process, in Unix milliseconds.
 
-    ``number`` is None where it started the process.
+    ``number`` is None where it started the process, and SIGCHLD where one
+    that it killed has ended.
     """
 
     name: str
@@ -351,6 +352,7 @@
                 self._note_signal(name, signal.SIGKILL)
                 part.process.kill()
                 await asyncio.to_thread(part.process.wait)
+                self._note_signal(name, signal.SIGCHLD)
             part.is_frozen = False
 
     def _note_signal(self, name: str, number: signal.Signals | None) -> None:
--- a/testing/soak/ends.py
+++ b/testing/soak/ends.py
@@ -164,22 +164,18 @@
         return is_unsent and not self._was_read(one)
 
     def _was_gateway_killed(self, one: checks.Asked) -> bool:
-        frozen_ms = None
+        from_ms = None
         for sent in self._records.signals:
             if sent.name != one.gateway:
                 continue
-            if sent.number is signal.SIGSTOP:
-                frozen_ms = sent.at_ms
-            elif sent.number is signal.SIGCONT and frozen_ms is not None:
-                if _overlaps(one, frozen_ms, sent.at_ms):
+            if sent.number in (signal.SIGSTOP, signal.SIGKILL):
+                from_ms = from_ms or sent.at_ms
+            elif sent.number in (signal.SIGCONT, signal.SIGCHLD):
+                # A process that is killed takes a while to end.
+                if from_ms and _overlaps(one, from_ms, sent.at_ms):
                     return True
-                frozen_ms = None
-            elif sent.number is signal.SIGKILL:
-                from_ms = sent.at_ms if frozen_ms is None else frozen_ms
-                if _overlaps(one, from_ms, sent.at_ms):
-                    return True
-                frozen_ms = None
-        return frozen_ms is not None and frozen_ms <= one.ended_ms
+                from_ms = None
+        return from_ms is not None and from_ms <= one.ended_ms
 
     def _has_reached_its_limit(self, one: checks.Asked) -> bool:
         limit_ms = self._records.least_timeout_ms(
