--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -630,6 +630,77 @@
                 await asyncio.wait_for(asyncio.gather(*waiting), 2)
 
 
+class ConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """What a caller sees of the end of an exchange."""
+
+    WHOLE = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+
+    async def connect(self, data, *, is_reset=False):
+        """Connect to a server that sends some bytes and closes."""
+        self.read = asyncio.get_running_loop().create_future()
+
+        async def serve(reader, writer):
+            self.read.set_result(await reader.readuntil(b'body'))
+            writer.write(data)
+            await writer.drain()
+            if is_reset:
+                raw = writer.get_extra_info('socket')
+                raw.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, relay.RESET
+                )
+                writer.transport.abort()
+            elif data == self.WHOLE:
+                self.addCleanup(writer.close)
+            else:
+                writer.close()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        one = await connections.Connection.open(f'127.0.0.1:{port}')
+        self.addCleanup(one.close)
+        return one
+
+    async def ask(self, one, pauses_s=()):
+        return await asyncio.wait_for(
+            one.ask(target='/a', fields=[], body=b'body', pauses_s=pauses_s),
+            5,
+        )
+
+    async def test_ending_tells_what_the_caller_saw(self):
+        for data, is_reset, ending in (
+            (self.WHOLE, False, connections.Ending.ANSWERED),
+            (b'', False, connections.Ending.CLOSED),
+            (b'', True, connections.Ending.RESET),
+            (self.WHOLE[:-1], False, connections.Ending.CUT),
+            (b'HTTP/1.1 200', False, connections.Ending.CUT),
+            (b'no answer\r\n\r\n', False, connections.Ending.UNREADABLE),
+        ):
+            with self.subTest(data=data, is_reset=is_reset):
+                one = await self.connect(data, is_reset=is_reset)
+                answer = await self.ask(one)
+                self.assertIs(ending, one.ending)
+                is_whole = ending is connections.Ending.ANSWERED
+                self.assertEqual(is_whole, answer is not None)
+                self.assertEqual(is_whole, one.is_usable)
+                self.assertFalse(one.is_reused)
+
+    async def test_request_in_pieces_arrives_whole(self):
+        one = await self.connect(self.WHOLE)
+        await self.ask(one, pauses_s=[0.01, 0.01, 0.01])
+        self.assertTrue((await self.read).startswith(b'POST /a HTTP/1.1'))
+
+    async def test_connection_is_used_again_only_if_whole_and_fresh(self):
+        one = await self.connect(self.WHOLE)
+        await self.ask(one)
+        one.ending = connections.Ending.CUT
+        self.assertFalse(one.is_usable)
+        one.ending = connections.Ending.ANSWERED
+        with mock.patch.object(connections, 'MOST_IDLE_S', 0.0):
+            self.assertFalse(one.is_usable)
+        self.assertTrue(one.is_usable)
+
+
 class TablesTest(unittest.TestCase):
     """What the operator changes."""
 
