--- a/src/shallothinge/platform/tests/samples.py
+++ b/src/shallothinge/platform/tests/samples.py
@@ -103,6 +103,16 @@
     return {**fields, 'resume-streams': True, 'target-gap-ms': pause_ms}
 
 
+def split(fields, weights):
+    """Return a route that is split over services by their weights."""
+    made = {name: fields[name] for name in fields if name != 'service'}
+    shares = [
+        {'service': service, 'weight': weight}
+        for service, weight in weights.items()
+    ]
+    return {**made, 'traffic-split': shares}
+
+
 def heartbeat(*, cold_ms, **changes):
     """Return a heartbeat of a server that is cold for some milliseconds."""
     return {**HEARTBEAT, 'cold-remaining-ms': cold_ms, **changes}
--- a/testing/soak/tables.py
+++ b/testing/soak/tables.py
@@ -63,11 +63,9 @@
         if self.other_weights[path]:
             other = wire.CALLS if service == wire.STREAMS else wire.STREAMS
             weight = self.other_weights[path]
-            del route['service']
-            route['traffic-split'] = [
-                {'service': service, 'weight': 100 - weight},
-                {'service': other, 'weight': weight},
-            ]
+            route = samples.split(
+                route, {service: 100 - weight, other: weight}
+            )
         if kind == 'streaming':
             return samples.resumable(route, pause_ms=250)
         return route
