Keep takeovers out of the queue of prompts and start only one

A long prompt whose silent server kept it stayed at the head of the queue of prompts that wait for reads, while it waited for the retry budget or the lease, and no other long prompt of the gateway was placed. A stalled attempt whose caller paused and went on could start a second search for a server beside the first. And 'request ended' told the time of the newest attempt, not of the one that answered.

Change: a takeover is not queued. A stalled attempt does not get a new stall timeout when its caller goes on, and a search that is under way is not started again. 'request ended' has the server and the time of the attempt that was kept. A begun stream waits for control from the failure of its last attempt on, not from its last event, which is longer ago after a silence.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -216,7 +216,7 @@
         self._is_paused = False
         if self._exchange is not None and not self._is_over:
             self._exchange.resume()
-        if self._stall_timeout_ms is not None:
+        if self._stall_timeout_ms is not None and not self.is_stalled:
             self.expect_within(self._stall_timeout_ms)
 
     def cancel(self) -> None:
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -59,6 +59,7 @@
             started_ms=exchange.received_ms,
         )
         self._is_over = False
+        self._failed_ms = 0
         self._placement_timer = None
         self._deadline_timer = None
 
@@ -68,8 +69,7 @@
         self._exchange.on_disconnect = self._on_gone
         self._exchange.flow.set_source(self._running)
         if self._remaining_ms() <= 0:
-            # The deadline passed while the request waited in the kernel's
-            # socket buffer because this process was stalled.
+            # The request waited in the kernel while the process was blocked.
             self._refuse(policy.deadline_error(self._progress))
             return
         self._parts.budget.fresh()
@@ -86,10 +86,7 @@
     def _place(self) -> None:
         """Choose a server and send the request to it, or wait and retry."""
         self._placement_timer = None
-        if self._is_over:
-            return
-        if self._running and self._no_takeover_reason() is not None:
-            self._wait.end()
+        if self._is_over or (self._running and self._no_takeover_reason()):
             return
         if not self._parts.holder.is_valid():
             self._wait_or_fail(
@@ -111,7 +108,10 @@
             )
             return
         demand = self._demand()
-        if not self._wait.is_turn(demand=demand, due_ms=self._due_ms):
+        is_first = bool(self._running) or self._wait.is_turn(
+            demand=demand, due_ms=self._due_ms
+        )
+        if not is_first:
             self._wait_or_refuse(WaitCause.TURN, free_in_ms=0)
             return
         placed = self._parts.chooser.choose(
@@ -306,7 +306,7 @@
         self._log.stalled(
             attempt, no_takeover=reason, last_event_id=self._last_event_id
         )
-        if reason is None:
+        if reason is None and self._placement_timer is None:
             self._place()
 
     @guards.guarded
@@ -314,13 +314,13 @@
         self, attempt: attempts.Attempt, outcome: attempts.Outcome
     ) -> None:
         """Retry at another server, or answer the caller with an error."""
-        server_id = attempt.server_id
         self._running.remove(attempt)
+        self._failed_ms = self._parts.clock.now_ms()
         self._progress = self._progress.after_failure(
             was_sent=outcome.was_sent, may_have_run=outcome.may_have_run
         )
         fault_attribution.record_failure(
-            server_id=server_id,
+            server_id=attempt.server_id,
             outcome=outcome,
             servers=self._parts.servers,
             tried_ids=self._tried_ids,
@@ -397,7 +397,6 @@
         :param kind: the error of a request that surely did not run.
         :param may_recover: whether control may provide it soon.
         """
-        pause_ms = self._shortest_pause_ms()
         if self._running or (may_recover and self._may_wait()):
             self._retry_placement_later(cause)
         elif self._exchange.is_begun:
@@ -405,14 +404,16 @@
         else:
             self._refuse(
                 policy.unplaced_error(
-                    progress=self._progress, kind=kind, pause_ms=pause_ms
+                    progress=self._progress,
+                    kind=kind,
+                    pause_ms=self._shortest_pause_ms(),
                 )
             )
 
     def _may_wait(self) -> bool:
         """Return whether control may recover in time for the request."""
         if self._exchange.is_begun:
-            since_ms = self._event_times.last_ms
+            since_ms = self._failed_ms
         elif self._tried_ids:
             return False
         else:
@@ -477,7 +478,6 @@
         self._stop_placement()
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
-        now_ms = self._parts.clock.now_ms()
         first_ms = self._event_times.first_ms
         self._parts.metrics.count_request(
             request_class=self._accepted.service.name, outcome=outcome
@@ -488,13 +488,13 @@
                 request_class=self._accepted.service.name,
             )
         self._log.ended(
+            self._running.last,
             outcome=outcome,
             status=status,
             sent=self._sent_count,
-            sent_after_ms=self._running.sent_after_ms,
             queued_ms=self._wait.queued_ms,
             first_event_ms=first_ms and first_ms - self._started_ms,
             longest_pause_ms=self._event_times.longest_pause_ms,
-            total_ms=now_ms - self._started_ms,
+            total_ms=self._waited_ms(),
             objective_ms=self._route.objective_ms,
         )
--- a/src/shallothinge/gateway/request_log.py
+++ b/src/shallothinge/gateway/request_log.py
@@ -87,9 +87,17 @@
             **fields,
         )
 
-    def ended(self, **fields) -> None:
-        """Log the end of the request."""
-        self._write('request ended', **fields)
+    def ended(self, attempt: attempts.Attempt | None, **fields) -> None:
+        """Log the end of the request.
+
+        :param attempt: the one that answered, or else the newest, if any.
+        """
+        self._write(
+            'request ended',
+            server_id=attempt and attempt.server_id,
+            sent_after_ms=attempt and attempt.sent_after_ms,
+            **fields,
+        )
 
     def _write(self, message: str, **fields) -> None:
         LOG.info(message, extra={**self.identity, **fields})
--- a/src/shallothinge/gateway/running_attempts.py
+++ b/src/shallothinge/gateway/running_attempts.py
@@ -10,22 +10,20 @@
     """Up to two attempts of a request; the first that goes on is kept.
 
     As the source of the caller's answer it pauses all of them.
+
+    :ivar last: the attempt that was kept, or else the newest; None before
+        the first.
     """
 
     def __init__(self):
         self._running: list[attempts.Attempt] = []
-        self._newest: attempts.Attempt | None = None
+        self.last: attempts.Attempt | None = None
         self._is_paused = False
 
     def __len__(self) -> int:
         """Return the number of attempts."""
         return len(self._running)
 
-    @property
-    def sent_after_ms(self) -> int | None:
-        """Return how long after its placement the newest attempt was sent."""
-        return self._newest and self._newest.sent_after_ms
-
     @property
     def is_full(self) -> bool:
         """Return whether no more attempts may be started."""
@@ -47,7 +45,7 @@
     def add(self, attempt: attempts.Attempt) -> None:
         """Add an attempt that starts."""
         self._running.append(attempt)
-        self._newest = attempt
+        self.last = attempt
         if self._is_paused:
             attempt.pause()
 
@@ -61,6 +59,7 @@
         :param kept: the attempt that goes on, None to cancel all.
         :returns: how many were cancelled.
         """
+        self.last = kept or self.last
         cancelled = [one for one in self._running if one is not kept]
         for one in cancelled:
             one.cancel()
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -268,9 +268,13 @@
             if one.address == address
         )
 
-    def work_at(self, server_id):
+    def work_at(self, server_id, read_ms=0.0):
         """Return the work of a request that another gateway has placed."""
-        return fleet.Work(server_id=server_id, read_ms=0.0, started_ms=0)
+        return fleet.Work(
+            server_id=server_id,
+            read_ms=read_ms,
+            started_ms=self.clock.now_ms(),
+        )
 
     def advance(self, duration_ms):
         """Advance the clock and the reactor, whose due timers then run."""
--- a/src/shallothinge/gateway/tests/test_silent_server.py
+++ b/src/shallothinge/gateway/tests/test_silent_server.py
@@ -7,7 +7,9 @@
 
 STREAM = '/lohu930/1'
 BOOKING = '/book/1'
+LOGGER = 'shallothinge.gateway.request_log'
 PROMPT_TOKENS = 5000
+LONG_TOKENS = 200_000
 # Longer than the stall timeouts of the sample route, before its first event
 # and between events.
 SILENT_MS = 1700
@@ -26,6 +28,11 @@
         pass
 
 
+def refill_budget(rig):
+    for _ in range(20):
+        rig.parts.budget.fresh()
+
+
 def lose_lease(rig):
     rig.holder.is_leased = False
 
@@ -57,10 +64,14 @@
     """A silent server keeps a stream until another one has taken over."""
 
     def setUp(self):
+        self.configure()
+
+    def configure(self, *, server_count=3, **stream):
+        """Build a gateway whose streams have some fields of their own."""
         fields = samples.configuration()
         del fields['routes'][0]['traffic-split']
-        fields['routes'][0]['service'] = 'llm'
-        self.rig = rig.Rig(configuration=fields)
+        fields['routes'][0].update(service='llm', **stream)
+        self.rig = rig.Rig(configuration=fields, server_count=server_count)
 
     @property
     def calls(self):
@@ -269,6 +280,116 @@
         self.assertEqual(3, len(self.calls))
         self.assertFalse(self.calls[1].is_cancelled)
 
+    def test_stream_that_goes_on_gets_no_second_attempt_later(self):
+        self.start(passed_on=3)
+        spend_budget(self.rig)
+        self.rig.advance(SILENT_MS)
+        self.calls[0].listener.on_data(event(4))
+        refill_budget(self.rig)
+        self.rig.advance(300)
+        self.assertEqual(1, len(self.calls))
+
+    def test_stalled_attempt_is_replaced_once_after_a_pause_of_its_caller(
+        self,
+    ):
+        exchange = self.start(passed_on=3)
+        spend_budget(self.rig)
+        self.rig.advance(SILENT_MS)
+        exchange.flow.pauseProducing()
+        exchange.flow.resumeProducing()
+        for _ in range(SILENT_MS // 10):
+            self.rig.advance(10)
+        self.calls[0].listener.on_data(event(4))
+        refill_budget(self.rig)
+        self.rig.advance(300)
+        self.assertEqual(1, len(self.calls))
+
+    def test_stream_that_went_on_is_replaced_if_it_falls_silent_again(self):
+        exchange = self.start(passed_on=3)
+        spend_budget(self.rig)
+        self.rig.advance(SILENT_MS)
+        self.calls[0].listener.on_data(event(4))
+        exchange.flow.pauseProducing()
+        exchange.flow.resumeProducing()
+        refill_budget(self.rig)
+        self.rig.advance(SILENT_MS)
+        self.assertEqual(2, len(self.calls))
+
+    def test_takeover_that_waits_holds_up_no_other_prompt(self):
+        self.rig.request(STREAM, tokens=LONG_TOKENS, deadline_ms=10_000)
+        busy = [
+            self.rig.load.start(self.rig.work_at(f'llm-{index}', 60_000.0))
+            for index in range(3)
+        ]
+        for _ in range(120):
+            self.rig.advance(50)
+        spend_budget(self.rig)
+        for work_id in busy:
+            self.rig.load.end(work_id)
+        sent_count = len(self.calls)
+        self.rig.request(STREAM, tokens=LONG_TOKENS, deadline_ms=10_000)
+        self.rig.advance(100)
+        self.assertEqual(sent_count + 1, len(self.calls))
+
+    def test_second_server_that_refuses_is_replaced(self):
+        self.start(passed_on=3)
+        self.rig.advance(SILENT_MS)
+        self.calls[1].refuse()
+        self.assertEqual(3, len(self.calls))
+        self.assertFalse(self.calls[0].is_cancelled)
+
+    def test_silent_server_that_fails_is_replaced_once(self):
+        self.configure(attempts=3, server_count=5)
+        self.start(passed_on=3)
+        spend_budget(self.rig)
+        self.rig.advance(SILENT_MS)
+        refill_budget(self.rig)
+        self.calls[0].fail(was_sent=True)
+        self.assertEqual(2, len(self.calls))
+        self.rig.advance(300)
+        self.assertEqual(2, len(self.calls))
+
+    def test_two_silent_servers_at_most_run_a_request(self):
+        self.configure(attempts=3, server_count=5)
+        self.start(passed_on=3)
+        for _ in range(4):
+            self.rig.advance(1000)
+        self.assertEqual(2, len(self.calls))
+        self.assertFalse(any(call.is_cancelled for call in self.calls))
+
+    def test_request_at_a_silent_server_is_not_refused_for_want_of_room(self):
+        exchange = self.start(passed_on=0)
+        fill_others(self.rig)
+        for _ in range(300):
+            self.rig.advance(10)
+        self.assertIsNone(exchange.status)
+        self.go_on(self.calls[0], after=0, until=5)
+        self.assertTrue(exchange.is_whole)
+
+    def test_second_attempt_counts_as_a_retry(self):
+        self.start(passed_on=3)
+        self.rig.advance(SILENT_MS)
+        self.rig.parts.metrics.count_retry.assert_called_once_with()
+
+    def test_end_is_logged_with_the_attempt_that_answered(self):
+        self.start(passed_on=0)
+        self.rig.advance(7)
+        self.calls[0].may_send()
+        self.rig.advance(SILENT_MS)
+        first = self.rig.server_at(self.calls[0].address)
+        with self.assertLogs(LOGGER, 'INFO') as logs:
+            self.go_on(self.calls[0], after=0, until=5)
+        self.assertEqual(7, logs.records[-1].sent_after_ms)
+        self.assertEqual(first.server_id, logs.records[-1].server_id)
+
+    def test_stream_that_may_not_be_resumed_stays_at_its_silent_server(self):
+        self.configure(**{'resume-streams': False})
+        exchange = self.start(passed_on=3)
+        self.rig.advance(SILENT_MS)
+        self.assertEqual(1, len(self.calls))
+        self.go_on(self.calls[0], after=3, until=5)
+        self.assertTrue(exchange.is_whole)
+
     def test_silence_while_the_caller_does_not_read_starts_no_attempt(self):
         exchange = self.start(passed_on=3)
         exchange.flow.pauseProducing()
--- a/src/shallothinge/http1/tests/test_server.py
+++ b/src/shallothinge/http1/tests/test_server.py
@@ -268,6 +268,15 @@
         self.assertIn(b'connection: close', self.transport.value().lower())
         self.assertTrue(self.transport.was_half_closed)
 
+    def test_stopping_site_answers_a_pipelined_request_before_it_closes(self):
+        self.receive(GET + GET)
+        self.site.is_stopping = True
+        self.respond(self.exchanges[0])
+        self.assertNotIn(b'connection: close', self.transport.value().lower())
+        self.respond(self.exchanges[1])
+        self.assertEqual(2, self.transport.value().count(OK))
+        self.assertIn(b'connection: close', self.transport.value().lower())
+
     def test_only_idle_connections_are_closed(self):
         self.receive(GET)
         self.site.close_idle()
