Answer requests that wait or run as a gateway's stop limit comes

What callers saw: a request that had been read got neither an answer nor a refusal.

Cause: the stop waits for requests, but requests know nothing of the stop. A long prompt goes on waiting for servers while the gateway ends, is even sent when its read can't end in time, and at the limit the process ends with the connection open. One that was never sent could have been refused truthfully at any time before.

Change: requests know when the process ends. One that can't be complete by then (expected time to its first event, plus the longest answer on an idle engine) is refused at once, so that its caller goes to another gateway. Begun answers go on until the limit, as before. The drain moves to a module of its own, which is tested.

--- a/src/shallothinge/gateway/demands.py
+++ b/src/shallothinge/gateway/demands.py
@@ -38,6 +38,17 @@
     )
 
 
+def min_decode_ms(accepted: model.AcceptedRequest) -> float:
+    """Return the time in ms to generate the longest answer on an idle engine.
+
+    Zero if its length or the engine is not known.
+    """
+    engine = accepted.service.engine
+    if engine is None:
+        return 0.0
+    return accepted.request.answer_tokens * engine.step_ms
+
+
 def build_work(
     accepted: model.AcceptedRequest,
     placed: choice.Placement,
--- a/src/shallothinge/gateway/dependencies.py
+++ b/src/shallothinge/gateway/dependencies.py
@@ -8,6 +8,7 @@
 from shallothinge import process as processes
 from shallothinge.gateway import model
 from shallothinge.gateway import servers
+from shallothinge.gateway import shutdown
 from shallothinge.http1 import client
 from shallothinge.leases import holder as holders
 from shallothinge.placement import choice
@@ -32,6 +33,7 @@
     budget: retries.RetryBudget
     caller: client.HttpClient
     process: processes.Process
+    shutdown: shutdown.Shutdown
     zone: str
 
     @property
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -73,6 +73,7 @@
             self._refuse(policy.deadline_error(self._progress))
             return
         self._parts.budget.fresh()
+        self._parts.shutdown.add(self)
         self._deadline_timer = self._parts.reactor.callLater(
             self._remaining_ms() / clocks.MS_PER_SECOND,
             self._on_deadline,
@@ -123,6 +124,8 @@
             self._wait_or_refuse(
                 WaitCause.READS, free_in_ms=int(placed.start_in_ms)
             )
+        elif not self._ends_before_stop(placed.first_event_ms):
+            self._refuse_for_stop()
         elif not self._parts.servers.take_cold_permit(
             server_id=placed.server_id, service=self._accepted.service
         ):
@@ -159,7 +162,13 @@
             ),
             limit_ms=self._accepted.time_limit_ms,
         )
-        if can_answer or self._exchange.is_begun or self._running:
+        if not self._ends_before_stop(
+            choice.min_first_event_ms(
+                self._accepted.service, self._request.prompt_tokens
+            )
+        ):
+            self._refuse_for_stop()
+        elif can_answer or self._exchange.is_begun or self._running:
             self._retry_placement_later(cause, free_in_ms=free_in_ms)
         elif self._progress.may_have_run:
             self._refuse(policy.deadline_error(self._progress))
@@ -171,6 +180,29 @@
                 )
             )
 
+    def _ends_before_stop(self, first_event_ms: float) -> bool:
+        """Return whether the answer may be complete before a planned stop.
+
+        An answer that a server works on or that has begun goes on anyway.
+        """
+        if self._exchange.is_begun or self._running:
+            return True
+        return self._parts.shutdown.allows(
+            first_event_ms + demands.min_decode_ms(self._accepted)
+        )
+
+    def _refuse_for_stop(self) -> None:
+        self._refuse(
+            policy.stop_error(route=self._route, progress=self._progress)
+        )
+
+    @guards.guarded
+    def on_stop_limit(self) -> None:
+        """Answer with an error, unless the answer has begun."""
+        if not self._exchange.is_begun:
+            self._cancel_attempts()
+            self._refuse_for_stop()
+
     def _retry_placement_later(
         self, cause: WaitCause, *, free_in_ms: int = 0
     ) -> None:
@@ -475,6 +507,7 @@
     def _end(self, outcome: str, *, status: int) -> None:
         """Stop the timers; record the outcome in the metrics and the log."""
         self._is_over = True
+        self._parts.shutdown.remove(self)
         self._stop_placement()
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -22,8 +22,6 @@
 MAX_URGENCY = 9
 # Assumed for a caller that sends no deadline.
 DEFAULT_DEADLINE_MS = 2000
-# A caller that retries reaches another gateway, which usually can serve it.
-STOPPING_RETRY_AFTER_MS = 100
 # The remaining time of a leader failover, if there is one, after a request has
 # waited for the lease. Most callers retry only once.
 NO_LEASE_RETRY_AFTER_MS = 800
@@ -162,7 +160,8 @@
         """
         if self.is_stopping:
             raise errors.ServingError(
-                kind=ErrorKind.STOPPING, retry_after_ms=STOPPING_RETRY_AFTER_MS
+                kind=ErrorKind.STOPPING,
+                retry_after_ms=policy.STOPPING_RETRY_AFTER_MS,
             )
         if not self._parts.holder.is_valid():
             raise errors.ServingError(
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -28,6 +28,9 @@
 ABANDON_OBJECTIVES = 4
 ABANDON_PAUSES = 8
 
+# A caller that retries reaches another gateway, which usually can serve it.
+STOPPING_RETRY_AFTER_MS = 100
+
 # Polling interval of a request that waits for a lease, a server or capacity.
 # Slots become free as streams end, some tens a second over a fleet.
 POLL_INTERVAL_MS = 20
@@ -207,11 +210,7 @@
             detail=cause.value,
             retry_after_ms=pause_ms,
         )
-    if route.is_repeatable:
-        kind = ErrorKind.BACKEND_FAILED
-    else:
-        kind = ErrorKind.OUTCOME_UNKNOWN
-    return errors.ServingError(kind=kind, detail=cause.value)
+    return _unknown_outcome_error(route, detail=cause.value)
 
 
 def deadline_error(progress: Progress) -> errors.ServingError:
@@ -221,6 +220,27 @@
     return errors.ServingError(kind=ErrorKind.DEADLINE_UNREACHABLE)
 
 
+def stop_error(
+    *, route: routes.Route, progress: Progress
+) -> errors.ServingError:
+    """Return the error for a request that a planned stop ends."""
+    if progress.may_have_run:
+        return _unknown_outcome_error(route, detail='stopping')
+    return errors.ServingError(
+        kind=ErrorKind.STOPPING, retry_after_ms=STOPPING_RETRY_AFTER_MS
+    )
+
+
+def _unknown_outcome_error(
+    route: routes.Route, *, detail: str
+) -> errors.ServingError:
+    if route.is_repeatable:
+        kind = ErrorKind.BACKEND_FAILED
+    else:
+        kind = ErrorKind.OUTCOME_UNKNOWN
+    return errors.ServingError(kind=kind, detail=detail)
+
+
 def unplaced_error(
     *, progress: Progress, kind: ErrorKind, pause_ms: int | None
 ) -> errors.ServingError:
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -6,7 +6,6 @@
 import random
 import socket
 
-from twisted.internet import defer
 from twisted.internet import task
 
 from shallothinge import clock as clocks
@@ -14,11 +13,13 @@
 from shallothinge.control import discovery
 from shallothinge.gateway import cold_rate_limiter
 from shallothinge.gateway import dependencies
+from shallothinge.gateway import drain
 from shallothinge.gateway import ingress as ingresses
 from shallothinge.gateway import notices
 from shallothinge.gateway import peers as gateways
 from shallothinge.gateway import readiness as readinesses
 from shallothinge.gateway import servers
+from shallothinge.gateway import shutdown
 from shallothinge.http1 import client as http_client
 from shallothinge.http1 import server as http_server
 from shallothinge.leases import client as clients
@@ -89,7 +90,14 @@
         self._ticking = task.LoopingCall(self._tick)
         self._ticking.clock = reactor
         self._had_lease = False
-        self._stopping_ms = 0
+        self._drain = drain.Drain(
+            reactor=reactor,
+            clock=self._process.clock,
+            callers=settings.callers,
+            ingress=self._ingress,
+            site=self._callers,
+            shutdown=self._parts.shutdown,
+        )
 
     def _build_parts(self) -> dependencies.Dependencies:
         clock = self._process.clock
@@ -122,6 +130,7 @@
                 reactor=self._reactor, connect_timeout_ms=CONNECT_TIMEOUT_MS
             ),
             process=self._process,
+            shutdown=shutdown.Shutdown(clock=clock),
             zone=self._settings.process.zone,
         )
 
@@ -156,7 +165,9 @@
         self._reactor.callLater(
             processes.METRICS_DELAY_S, self._publish_servers
         )
-        self._reactor.addSystemEventTrigger('before', 'shutdown', self._stop)
+        self._reactor.addSystemEventTrigger(
+            'before', 'shutdown', self._drain.start
+        )
         LOG.info(
             'gateway started',
             extra={
@@ -211,34 +222,6 @@
                 },
             )
 
-    def _stop(self) -> defer.Deferred:
-        """Drain: fail the readiness probe, then wait for the last request."""
-        LOG.info('gateway is stopping')
-        self._stopping_ms = self._process.clock.now_ms()
-        self._ingress.is_draining = True
-        self._callers.is_stopping = True
-        drained = defer.Deferred()
-        self._check_drained(drained)
-        return drained
-
-    def _check_drained(self, drained: defer.Deferred) -> None:
-        callers = self._settings.callers
-        passed_ms = self._process.clock.now_ms() - self._stopping_ms
-        if passed_ms >= callers.stop_wait_ms:
-            self._ingress.is_stopping = True
-            self._callers.close_idle()
-            if (
-                self._callers.is_drained()
-                or passed_ms >= callers.stop_limit_ms
-            ):
-                LOG.info('gateway stopped', extra={'after_ms': passed_ms})
-                self._callers.is_ended = True
-                drained.callback(None)
-                return
-        self._reactor.callLater(
-            TICK_MS / clocks.MS_PER_SECOND, self._check_drained, drained
-        )
-
 
 def run(
     *,
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -14,6 +14,7 @@
 from shallothinge.gateway import ingress
 from shallothinge.gateway import notices
 from shallothinge.gateway import servers
+from shallothinge.gateway import shutdown
 from shallothinge.http1 import client
 from shallothinge.http1 import flow as flows
 from shallothinge.http1 import messages
@@ -227,6 +228,7 @@
             budget=retries.RetryBudget(percent=16, burst=10),
             caller=self.caller,
             process=mock.Mock(),
+            shutdown=shutdown.Shutdown(clock=self.clock),
             zone='z1',
         )
         self.ingress = ingress.Ingress(parts=self.parts)
--- /dev/null
+++ b/src/shallothinge/gateway/tests/test_stopping.py
@@ -0,0 +1,167 @@
+"""Tests of a gateway's planned stop: who is answered, and when it ends."""
+
+import unittest
+from unittest import mock
+
+from shallothinge.gateway import drain
+from shallothinge.gateway.tests import rig
+from shallothinge.platform.tests import samples
+from shallothinge.settings import model
+
+STREAM = '/lohu930/1'
+BOOKING = '/book/1'
+DEADLINE_MS = 9000
+PROMPT_TOKENS = 5000
+# No set of servers of the sample reads this in less than three seconds.
+LONG_TOKENS = 300_000
+EVENT = b'id: 1\ndata: 1\n\n'
+WAIT_MS, LIMIT_MS = 2500, 7400
+
+
+def fill_all(rig):
+    for server in rig.holder.members.values():
+        for _ in range(server.slots):
+            rig.load.start(rig.work_at(server.server_id))
+
+
+def refuse_cold_permits(rig):
+    rig.parts.servers.take_cold_permit = mock.Mock(return_value=False)
+
+
+class StopLimitTest(unittest.TestCase):
+    """Each request gets an answer before the process ends."""
+
+    def setUp(self):
+        fields = samples.configuration()
+        del fields['routes'][0]['traffic-split']
+        fields['routes'][0].update(
+            {'service': 'llm', 'target-latency-ms': 3000}
+        )
+        self.rig = rig.Rig(configuration=fields)
+
+    @property
+    def calls(self):
+        return self.rig.caller.calls
+
+    def ask(self, path=STREAM, *, tokens=PROMPT_TOKENS, answer_tokens=10):
+        return self.rig.request(
+            path,
+            deadline_ms=DEADLINE_MS,
+            **{'token-counts': f'{tokens},{answer_tokens}'},
+        )
+
+    def stop(self, *, duration_ms=LIMIT_MS):
+        self.rig.parts.shutdown.begin(duration_ms=duration_ms)
+
+    def assert_refused(self, exchange):
+        self.assertEqual(503, exchange.status)
+        self.assertTrue(exchange.is_whole)
+        self.assertEqual('0.1', exchange.headers['retry-after'])
+
+    def test_request_that_still_waits_at_the_stop_limit_is_refused(self):
+        for prepare in (fill_all, refuse_cold_permits):
+            with self.subTest(prepare=prepare.__name__):
+                self.setUp()
+                prepare(self.rig)
+                exchange = self.ask()
+                self.stop()
+                self.rig.parts.shutdown.end_requests()
+                self.assert_refused(exchange)
+                self.rig.advance(DEADLINE_MS)
+                self.assertEqual([], self.calls)
+
+    def test_request_that_runs_at_the_stop_limit_gets_an_error(self):
+        for path in (STREAM, BOOKING):
+            with self.subTest(path):
+                self.setUp()
+                exchange = self.ask(path)
+                self.stop()
+                self.rig.parts.shutdown.end_requests()
+                self.assertEqual(502, exchange.status)
+                self.assertTrue(exchange.is_whole)
+                self.assertTrue(self.calls[0].is_cancelled)
+
+    def test_answer_that_has_begun_goes_on_at_the_stop_limit(self):
+        exchange = self.ask()
+        self.calls[0].answer(200, body=EVENT, ends=False)
+        self.stop()
+        self.rig.parts.shutdown.end_requests()
+        self.calls[0].listener.on_end()
+        self.assertEqual(200, exchange.status)
+        self.assertTrue(exchange.is_whole)
+
+    def test_request_is_refused_at_once_if_the_stop_comes_before_its_end(self):
+        rows = (
+            ('in time', PROMPT_TOKENS, 10, 1000, False),
+            ('long prompt', LONG_TOKENS, 10, 1000, True),
+            ('long answer, in time', PROMPT_TOKENS, 2000, 5000, False),
+            ('long answer', PROMPT_TOKENS, 2000, 2000, True),
+        )
+        for name, tokens, answer_tokens, duration_ms, is_refused in rows:
+            with self.subTest(name):
+                self.setUp()
+                self.stop(duration_ms=duration_ms)
+                exchange = self.ask(tokens=tokens, answer_tokens=answer_tokens)
+                self.assertEqual(not is_refused, bool(self.calls))
+                if is_refused:
+                    self.assert_refused(exchange)
+
+    def test_waiting_request_is_refused_once_the_stop_comes_too_soon(self):
+        fill_all(self.rig)
+        exchange = self.ask(answer_tokens=2000)
+        self.stop(duration_ms=5000)
+        self.rig.advance(2000)
+        self.assertIsNone(exchange.status)
+        self.rig.advance(1000)
+        self.assert_refused(exchange)
+
+
+class DrainTest(unittest.TestCase):
+    """When the process ends, and what it does before."""
+
+    def drain(self, *, drained_after_ms):
+        """Stop a gateway; return when it ended and what it did until then."""
+        made = rig.Rig()
+        shutdown = mock.Mock()
+        site = mock.Mock()
+        site.is_drained.side_effect = lambda: passed_ms >= drained_after_ms
+        ended = drain.Drain(
+            reactor=made.reactor,
+            clock=made.clock,
+            callers=model.CallersSettings(
+                address='127.0.0.1:1',
+                readiness_address='127.0.0.1:2',
+                stop_wait_ms=WAIT_MS,
+                stop_limit_ms=LIMIT_MS,
+            ),
+            ingress=made.ingress,
+            site=site,
+            shutdown=shutdown,
+        ).start()
+        passed_ms = 0
+        ended_requests_ms = None
+        while not ended.called and passed_ms < 2 * LIMIT_MS:
+            made.advance(10)
+            passed_ms += 10
+            if ended_requests_ms is None and shutdown.end_requests.called:
+                ended_requests_ms = passed_ms
+        shutdown.begin.assert_called_once_with(duration_ms=LIMIT_MS)
+        self.assertTrue(made.ingress.is_stopping)
+        self.assertTrue(site.is_ended)
+        return passed_ms, ended_requests_ms
+
+    def test_requests_are_answered_before_the_process_ends(self):
+        ended_ms, ended_requests_ms = self.drain(drained_after_ms=100_000)
+        self.assertLess(ended_ms, LIMIT_MS + drain.POLL_INTERVAL_MS)
+        self.assertLessEqual(
+            ended_requests_ms, ended_ms - drain.ANSWER_MARGIN_MS
+        )
+
+    def test_process_ends_with_its_last_request(self):
+        ended_ms, ended_requests_ms = self.drain(drained_after_ms=3000)
+        self.assertLess(ended_ms, 3000 + drain.POLL_INTERVAL_MS + 10)
+        self.assertIsNone(ended_requests_ms)
+
+
+if __name__ == '__main__':
+    unittest.main()
