Remove a rule on retries that only its tests asked

`policy.may_repeat` had no caller but its tests; requests are repeated by `policy.no_retry_reason`, of which it returned whether there is none. So the tests did not show the reason that the log gives.

The tests now ask `no_retry_reason`, with the same rows. A row that expected True now expects no reason, and one that expected False names the reason, so each row is at least as strict as before. No behaviour changes.

--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -152,19 +152,6 @@
     )
 
 
-def may_repeat(
-    *, route: routes.Route, progress: Progress, remaining_ms: int
-) -> bool:
-    """Return whether the request may be sent to another server.
-
-    :param remaining_ms: time left until the deadline.
-    """
-    reason = no_retry_reason(
-        route=route, progress=progress, remaining_ms=remaining_ms
-    )
-    return reason is None
-
-
 def no_retry_reason(
     *, route: routes.Route, progress: Progress, remaining_ms: int
 ) -> NoRetry | None:
--- a/src/shallothinge/gateway/tests/test_policy.py
+++ b/src/shallothinge/gateway/tests/test_policy.py
@@ -80,30 +80,40 @@
     def test_may_repeat(self):
         ran = policy.Progress(sent=1, may_have_run=True)
         refused = policy.Progress(refused=1)
+        reasons = policy.NoRetry
         cases = (
-            (SAFE, ran, True),
-            (RESUMABLE, ran, True),
-            (UNSAFE, ran, False),
-            (STREAM, ran, False),
-            (UNSAFE, refused, True),
-            (STREAM, refused, True),
-            (SAFE, policy.Progress(sent=2, may_have_run=True), False),
-            (SAFE, policy.Progress(refused=policy.MAX_REFUSALS + 1), False),
+            (SAFE, ran, None),
+            (RESUMABLE, ran, None),
+            (UNSAFE, ran, reasons.MAY_HAVE_RUN),
+            (STREAM, ran, reasons.MAY_HAVE_RUN),
+            (UNSAFE, refused, None),
+            (STREAM, refused, None),
+            (
+                SAFE,
+                policy.Progress(sent=2, may_have_run=True),
+                reasons.ATTEMPTS,
+            ),
+            (
+                SAFE,
+                policy.Progress(refused=policy.MAX_REFUSALS + 1),
+                reasons.REFUSALS,
+            ),
         )
         for route, progress, expected in cases:
             with self.subTest(route=route, progress=progress):
-                self.assertEqual(
+                self.assertIs(
                     expected,
-                    policy.may_repeat(
+                    policy.no_retry_reason(
                         route=route, progress=progress, remaining_ms=100
                     ),
                 )
 
     def test_nothing_is_repeated_past_the_deadline(self):
-        self.assertFalse(
-            policy.may_repeat(
+        self.assertIs(
+            policy.NoRetry.DEADLINE,
+            policy.no_retry_reason(
                 route=SAFE, progress=policy.Progress(), remaining_ms=0
-            )
+            ),
         )
 
     def test_error_states_not_run_only_if_certain(self):
