--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -17,7 +17,7 @@
 from shallothinge.gateway import wait as waits
 from shallothinge.gateway.wait import WaitCause
 from shallothinge.http1 import event_stream
-from shallothinge.http1 import server as http_server
+from shallothinge.http1 import exchange as exchanges
 from shallothinge.placement import choice
 from shallothinge.routes import model as routes
 
@@ -33,7 +33,7 @@
         self,
         *,
         parts: dependencies.Dependencies,
-        exchange: http_server.Exchange,
+        exchange: exchanges.Exchange,
         accepted: model.AcceptedRequest,
     ):
         self._parts = parts
--- a/src/shallothinge/gateway/guard.py
+++ b/src/shallothinge/gateway/guard.py
@@ -4,7 +4,7 @@
 import functools
 import logging
 
-from shallothinge.http1 import server as http_server
+from shallothinge.http1 import exchange as exchanges
 
 LOG = logging.getLogger(__name__)
 
@@ -22,7 +22,7 @@
     """
 
     def __init__(
-        self, *, exchange: http_server.Exchange, fail: Callable[[], None]
+        self, *, exchange: exchanges.Exchange, fail: Callable[[], None]
     ):
         self._exchange = exchange
         self._fail = fail
--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -12,8 +12,8 @@
 from shallothinge.gateway import guard as guards
 from shallothinge.gateway import model
 from shallothinge.gateway import policy
+from shallothinge.http1 import exchange as exchanges
 from shallothinge.http1 import messages
-from shallothinge.http1 import server as http_server
 from shallothinge.routes import lookup
 from shallothinge.routes import model as routes
 
@@ -55,7 +55,7 @@
         """Return the limits that callers have to keep."""
         return self._routes.limits
 
-    def handle(self, exchange: http_server.Exchange) -> None:
+    def handle(self, exchange: exchanges.Exchange) -> None:
         """Forward or refuse a request.
 
         Without a lease the routes may be outdated, so the request waits for
@@ -64,7 +64,7 @@
         """
         self._guard(exchange, None).run(self._read, exchange)
 
-    def _read(self, exchange: http_server.Exchange) -> None:
+    def _read(self, exchange: exchanges.Exchange) -> None:
         try:
             request = self._parts.dialect.read_request(
                 head=exchange.head, body=exchange.body
@@ -85,7 +85,7 @@
 
     def _guard(
         self,
-        exchange: http_server.Exchange,
+        exchange: exchanges.Exchange,
         request: model.CallerRequest | None,
     ) -> guards.RequestGuard:
         return guards.RequestGuard(
@@ -110,7 +110,7 @@
 
     def _wait_for_lease(
         self,
-        exchange: http_server.Exchange,
+        exchange: exchanges.Exchange,
         request: model.CallerRequest,
         *,
         until_ms: int,
@@ -131,7 +131,7 @@
         exchange.on_disconnect = waiting.cancel
 
     def _forward_or_refuse(
-        self, exchange: http_server.Exchange, request: model.CallerRequest
+        self, exchange: exchanges.Exchange, request: model.CallerRequest
     ) -> None:
         try:
             accepted = self._accept(request)
@@ -144,7 +144,7 @@
 
     def _fail_unsent(
         self,
-        exchange: http_server.Exchange,
+        exchange: exchanges.Exchange,
         request: model.CallerRequest | None,
     ) -> None:
         """Refuse a request that was not sent to a server."""
@@ -216,7 +216,7 @@
 
     def _refuse(
         self,
-        exchange: http_server.Exchange,
+        exchange: exchanges.Exchange,
         request: model.CallerRequest | None,
         error: errors.ServingError,
     ) -> None:
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -20,6 +20,7 @@
 from shallothinge.gateway import readiness as readinesses
 from shallothinge.gateway import servers
 from shallothinge.http1 import client as http_client
+from shallothinge.http1 import exchange as exchanges
 from shallothinge.http1 import server as http_server
 from shallothinge.leases import client as clients
 from shallothinge.leases import holder as holders
@@ -178,7 +179,7 @@
         """Use the control hosts that the changed settings name."""
         self._control.update_seeds(discovery.seed_ids(changed.discovery))
 
-    def _answer_probe(self, exchange: http_server.Exchange) -> None:
+    def _answer_probe(self, exchange: exchanges.Exchange) -> None:
         refusal = self._readiness.refusal()
         if exchange.head.target != names.READINESS:
             status = 404
--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -13,6 +13,7 @@
 from shallothinge.http1 import arrival
 from shallothinge.http1 import closing
 from shallothinge.http1 import early
+from shallothinge.http1 import exchange as exchanges
 from shallothinge.http1 import flow
 from shallothinge.http1 import messages
 from shallothinge.http1 import partial
@@ -27,69 +28,6 @@
 UNAVAILABLE_STATUS = 503
 
 
-class Exchange:
-    """One request and the answer to it.
-
-    :ivar received_ms: when the kernel received the last bytes of the request.
-        The process may have read them later, because it was blocked or
-        answered an earlier request of the connection.
-    :ivar on_disconnect: called without arguments if the caller disconnects
-        before the answer is complete.
-    :ivar flow: pauses the source of the answer while the caller does not
-        read.
-    """
-
-    def __init__(
-        self,
-        *,
-        connection: 'ServerConnection',
-        head: messages.RequestHead,
-        body: bytes,
-        received_ms: int,
-    ):
-        self._connection = connection
-        self.head = head
-        self.body = body
-        self.received_ms = received_ms
-        self.on_disconnect: Callable[[], None] | None = None
-        self.flow = flow.Flow()
-        self.is_begun = False
-        self.is_ended = False
-
-    def respond(
-        self, *, status: int, headers: messages.Headers, body: bytes
-    ) -> None:
-        """Send a complete answer."""
-        fields = (*headers, ('content-length', str(len(body))))
-        self.begin(status=status, headers=fields)
-        self.write(body)
-        self.finish()
-
-    def begin(self, *, status: int, headers: messages.Headers) -> None:
-        """Send the head of an answer whose body follows."""
-        if not self.is_ended:
-            self.is_begun = True
-            self._connection.register_flow(self.flow)
-            self._connection.send_head(status=status, headers=headers)
-
-    def write(self, data: bytes) -> None:
-        """Send a piece of the body."""
-        if data and not self.is_ended:
-            self._connection.send_data(data)
-
-    def finish(self) -> None:
-        """End the answer as complete."""
-        if not self.is_ended:
-            self.is_ended = True
-            self._connection.end_exchange()
-
-    def abort(self) -> None:
-        """Reset the connection, so that the answer does not look complete."""
-        if not self.is_ended:
-            self.is_ended = True
-            self._connection.reset()
-
-
 @implementer(interfaces.IHalfCloseableProtocol)
 class ServerConnection(protocol.Protocol):
     """One connection of a caller; answers one request at a time."""
@@ -101,7 +39,7 @@
         )
         self._head: messages.RequestHead | None = None
         self._body = bytearray()
-        self._exchange: Exchange | None = None
+        self._exchange: exchanges.Exchange | None = None
         self._timer = None
         self._is_closing = False
         self._is_idle_close = False
@@ -314,7 +252,7 @@
 
     def _handle_request(self) -> None:
         self._cancel_timer()
-        exchange = Exchange(
+        exchange = exchanges.Exchange(
             connection=self,
             head=self._head,
             body=bytes(self._body),
@@ -334,7 +272,7 @@
             )
             self._fail_exchange(exchange)
 
-    def _fail_exchange(self, exchange: 'Exchange') -> None:
+    def _fail_exchange(self, exchange: exchanges.Exchange) -> None:
         """Notify the owner of a failed request, then answer or abort it."""
         if exchange.is_ended:
             return
@@ -440,7 +378,7 @@
         *,
         reactor,
         clock,
-        handle: Callable[[Exchange], None],
+        handle: Callable[[exchanges.Exchange], None],
         refusal: Callable[[int], tuple[messages.Headers, bytes]],
         limits: messages.Limits = messages.Limits(),
     ):
--- a/src/shallothinge/platform/control_api.py
+++ b/src/shallothinge/platform/control_api.py
@@ -5,7 +5,7 @@
 
 from shallothinge import errors
 from shallothinge.control import fleet
-from shallothinge.http1 import server as http_server
+from shallothinge.http1 import exchange as exchanges
 from shallothinge.membership.model import BackendServer
 from shallothinge.platform import names
 from shallothinge.platform import routes
@@ -26,7 +26,7 @@
         self._orders = orders
         self._http_port = http_port
 
-    def handle(self, exchange: http_server.Exchange) -> None:
+    def handle(self, exchange: exchanges.Exchange) -> None:
         """Answer one request."""
         method, target = exchange.head.method, exchange.head.target
         path = target.partition('?')[0]
