Answer refused HEAD requests in place of resetting their connection

What callers saw: a HEAD request that was refused (no route, no lease, overload, a stop, a body over the limit) got a reset, and its kept connection was gone. What the process had not written by then, the status included, was dropped.

Cause: the server passed the body of the answer to h11, which allows none for HEAD, 204 and 304 and raises. While an answer was written, this reset the connection. In `_refuse` the exception left `dataReceived`, so that Twisted closed the connection.

Ruled out, with the same probe: CONNECT with a refusal, Upgrade, HTTP/1.0 and header values that h11 reads are written whole.

Change: the connection knows the method of its request and drops the body where HTTP allows none. The head, with the length of the body, is what such a caller is due, so the exchange ends whole and the connection stays.

--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -38,6 +38,8 @@
             h11.SERVER, max_incomplete_event_size=site.limits.header_bytes
         )
         self._head: messages.RequestHead | None = None
+        self._method = ''
+        self._is_body_sent = True
         self._body = bytearray()
         self._exchange: exchanges.Exchange | None = None
         self._timer = None
@@ -147,6 +149,7 @@
     def send_head(self, *, status: int, headers: messages.Headers) -> None:
         """Send the head of an answer."""
         self._has_answered = True
+        self._is_body_sent = self._has_body(status)
         fields = list(headers)
         if self._site.is_stopping and not self._has_next_request:
             fields.append(('connection', 'close'))
@@ -157,8 +160,12 @@
         )
 
     def send_data(self, data: bytes) -> None:
-        """Send a piece of the body of an answer."""
-        self._send(h11.Data(data=data))
+        """Send a piece of the body of an answer, if it may have one."""
+        if self._is_body_sent:
+            self._send(h11.Data(data=data))
+
+    def _has_body(self, status: int) -> bool:
+        return self._method != 'HEAD' and status not in NO_BODY_STATUSES
 
     def end_exchange(self) -> None:
         """End an answer and continue with the next request."""
@@ -171,6 +178,7 @@
             self._start_lingering_close()
             return
         self._http.start_next_cycle()
+        self._method = ''
         self._resume()
         limits = self._site.limits
         self._set_timer(
@@ -238,6 +246,7 @@
             target=event.target.decode('latin-1'),
             headers=messages.decode(event.headers),
         )
+        self._method = head.method
         length = head.get('content-length')
         if length and head.get('transfer-encoding'):
             # Ambiguous framing allows request smuggling.
@@ -316,7 +325,8 @@
             )
             self._has_answered = True
             self._partial.refuse()
-            for event in (response, h11.Data(data=body), h11.EndOfMessage()):
+            content = [h11.Data(data=body)] if self._has_body(status) else []
+            for event in (response, *content, h11.EndOfMessage()):
                 self._write(self._http.send(event))
         self._start_lingering_close()
 
