Tell the owner of a request whose answer breaks HTTP

What callers saw: a reset connection. What the log said: `answer violates HTTP/1.1` without the request, once for each further write, and no `request ended`. The server's attempt went on, with its work in the load of the fleet, until it ended by itself or at the deadline.

Cause: `ServerConnection._send` reset the connection when h11 raised. The reset drops the exchange, so that neither it nor the later end of the connection told the owner.

Change: the connection ends the exchange and notifies its owner, which cancels the attempts. `early_end` of the exchange says why, so that the log has `cut_invalid_answer`, not `caller_gone`. The end of a request is recorded once: an owner may be told while it writes the last bytes. The line of an error names the target.

--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -441,7 +441,7 @@
     @guards.guarded
     def _on_gone(self) -> None:
         self._cancel_attempts()
-        self._end('caller_gone', status=0)
+        self._end(self._exchange.early_end.value, status=0)
 
     def _on_fault(self) -> None:
         """End the request after an exception in one of its steps."""
@@ -473,20 +473,14 @@
         self._exchange.abort()
 
     def _end(self, outcome: str, *, status: int) -> None:
-        """Stop the timers; record the outcome in the metrics and the log."""
+        """Stop the timers and record the outcome, unless there is one."""
+        if self._is_over:
+            return
         self._is_over = True
         self._stop_placement()
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
         first_ms = self._event_times.first_ms
-        self._parts.metrics.count_request(
-            request_class=self._accepted.service.name, outcome=outcome
-        )
-        if first_ms is not None:
-            self._parts.metrics.record_first_token(
-                duration_ms=first_ms - self._started_ms,
-                request_class=self._accepted.service.name,
-            )
         self._log.ended(
             self._running.last,
             outcome=outcome,
--- a/src/shallothinge/gateway/request_log.py
+++ b/src/shallothinge/gateway/request_log.py
@@ -12,7 +12,7 @@
 
 
 class RequestLog:
-    """Writes the log lines of one request.
+    """Writes the log lines of one request, and counts its end.
 
     :ivar identity: log fields that identify the request.
     """
@@ -24,6 +24,7 @@
         accepted: model.AcceptedRequest,
     ):
         self._parts = parts
+        self._request_class = accepted.service.name
         self.identity = {
             'request_id': accepted.request.request_id,
             'route': accepted.route.name,
@@ -87,15 +88,32 @@
             **fields,
         )
 
-    def ended(self, attempt: attempts.Attempt | None, **fields) -> None:
-        """Log the end of the request.
+    def ended(
+        self,
+        attempt: attempts.Attempt | None,
+        *,
+        outcome: str,
+        first_event_ms: int | None,
+        **fields,
+    ) -> None:
+        """Log the end of the request, and record it in the metrics.
 
         :param attempt: the one that answered, or else the newest, if any.
+        :param first_event_ms: time until the first event, None without one.
         """
+        self._parts.metrics.count_request(
+            request_class=self._request_class, outcome=outcome
+        )
+        if first_event_ms is not None:
+            self._parts.metrics.record_first_token(
+                duration_ms=first_event_ms, request_class=self._request_class
+            )
         self._write(
             'request ended',
             server_id=attempt and attempt.server_id,
             sent_after_ms=attempt and attempt.sent_after_ms,
+            outcome=outcome,
+            first_event_ms=first_event_ms,
             **fields,
         )
 
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -15,6 +15,7 @@
 from shallothinge.gateway import notices
 from shallothinge.gateway import servers
 from shallothinge.http1 import client
+from shallothinge.http1 import exchange as exchanges
 from shallothinge.http1 import flow as flows
 from shallothinge.http1 import messages
 from shallothinge.membership.model import BackendServer
@@ -149,6 +150,7 @@
     body: bytes = b''
     received_ms: int = 0
     on_disconnect: object = None
+    early_end: object = exchanges.EarlyEnd.CALLER_GONE
     flow: flows.Flow = attrs.field(factory=flows.Flow)
     is_begun: bool = False
     status: int | None = None
--- a/src/shallothinge/http1/exchange.py
+++ b/src/shallothinge/http1/exchange.py
@@ -1,6 +1,7 @@
 """One request to the HTTP/1.1 server and the answer to it."""
 
 from collections.abc import Callable
+import enum
 from typing import Protocol
 
 from shallothinge.http1 import flow
@@ -26,14 +27,21 @@
         """Reset the connection."""
 
 
+class EarlyEnd(enum.Enum):
+    """Why a request ended before its owner had completed the answer."""
+
+    CALLER_GONE = 'caller_gone'
+    INVALID_ANSWER = 'cut_invalid_answer'
+
+
 class Exchange:
     """One request and the answer to it.
 
     :ivar received_ms: when the kernel received the last bytes of the request.
         The process may have read them later, because it was blocked or
         answered an earlier request of the connection.
-    :ivar on_disconnect: called without arguments if the caller disconnects
-        before the answer is complete.
+    :ivar on_disconnect: called without arguments if the connection ends
+        before the answer is complete; ``early_end`` says why.
     :ivar flow: pauses the source of the answer while the caller does not
         read.
     """
@@ -51,6 +59,7 @@
         self.body = body
         self.received_ms = received_ms
         self.on_disconnect: Callable[[], None] | None = None
+        self.early_end = EarlyEnd.CALLER_GONE
         self.flow = flow.Flow()
         self.is_begun = False
         self.is_ended = False
--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -116,11 +116,17 @@
         )
         self._partial.log_lost()
         self._site.connections.discard(self)
+        self._end_early(exchanges.EarlyEnd.CALLER_GONE)
+
+    def _end_early(self, early_end: exchanges.EarlyEnd) -> None:
+        """Notify the owner of the request in progress, if there is one."""
         exchange, self._exchange = self._exchange, None
-        if exchange is not None and not exchange.is_ended:
-            exchange.is_ended = True
-            if exchange.on_disconnect is not None:
-                exchange.on_disconnect()
+        if exchange is None:
+            return
+        exchange.is_ended = True
+        exchange.early_end = early_end
+        if exchange.on_disconnect is not None:
+            exchange.on_disconnect()
 
     def readConnectionLost(self) -> None:
         """Treat a half-close by the caller as a disconnect."""
@@ -170,6 +176,8 @@
     def end_exchange(self) -> None:
         """End an answer and continue with the next request."""
         self._send(h11.EndOfMessage())
+        if self._exchange is None:
+            return
         self._unregister_flow()
         self._exchange = None
         is_last = self._http.our_state is h11.MUST_CLOSE
@@ -205,7 +213,12 @@
         try:
             data = self._http.send(event)
         except h11.LocalProtocolError:
-            LOG.exception('answer violates HTTP/1.1; resetting the connection')
+            target = self._exchange and self._exchange.head.target
+            LOG.exception(
+                'answer violates HTTP/1.1; resetting the connection',
+                extra={'target': target},
+            )
+            self._end_early(exchanges.EarlyEnd.INVALID_ANSWER)
             self.reset()
             return
         if data:
--- a/src/shallothinge/http1/tests/test_server.py
+++ b/src/shallothinge/http1/tests/test_server.py
@@ -8,6 +8,7 @@
 
 from shallothinge import clock
 from shallothinge.http1 import closing
+from shallothinge.http1 import exchange as exchanges
 from shallothinge.http1 import messages
 from shallothinge.http1 import server
 from shallothinge.http1.tests import fakes
@@ -88,6 +89,31 @@
         self.assertIn(b'HTTP/1.1 500 ', self.transport.value())
         self.assertEqual(1, len(stopped))
 
+    def test_owner_of_an_answer_that_breaks_http_is_told(self):
+        rows = (
+            ('data', lambda exchange: exchange.write(b'too long')),
+            ('end', lambda exchange: exchange.finish()),
+        )
+        for name, write in rows:
+            with self.subTest(name):
+                self.setUp()
+                told = mock.Mock()
+                self.receive(GET)
+                (exchange,) = self.exchanges
+                exchange.on_disconnect = told
+                exchange.begin(status=200, headers=(('content-length', '2'),))
+                with self.assertLogs('shallothinge.http1.server') as logs:
+                    for _ in range(2):
+                        write(exchange)
+                self.assertEqual(1, len(logs.output))
+                self.assertEqual('/a', logs.records[0].target)
+                told.assert_called_once_with()
+                self.assertTrue(exchange.is_ended)
+                self.assertTrue(self.transport.was_aborted)
+                self.assertIs(
+                    exchanges.EarlyEnd.INVALID_ANSWER, exchange.early_end
+                )
+
     def test_chunked_body(self):
         self.receive(b'POST /a HTTP/1.1\r\nHost: h\r\n')
         self.receive(b'Transfer-Encoding: chunked\r\n\r\n')
