Let a stream that broke off wait for servers that pause or return

What callers saw: a begun answer that was cut in the moment in which its server failed, although another server would have taken it in time: the others had asked for a short pause, or the one that was left restarted and was not listed.

Cause: `Forwarding._wait_or_fail` let a begun stream wait only if control was recovering. With a complete list and no candidate it cut the stream, though a pause has a known end and a list changes. The others of the service are in the same state at every gateway, so the caller gains nothing from an early cut.

Evidence: both rows of `test_begun_stream_waits_for_servers_that_pause_or_return` failed before: the exchange was cut at once (`is_cut`).

Change: a begun stream waits as long as one waits for the lease or the servers (a fifth of its deadline, two seconds at most), and longer if all untried servers pause and the first pause ends before the caller abandons the stream. Otherwise it is cut as before. The rule is `policy.may_wait_to_resume`.

--- a/src/shallothinge/gateway/demands.py
+++ b/src/shallothinge/gateway/demands.py
@@ -63,3 +63,20 @@
         + request.answer_tokens
         - sum(share.tokens for share in placed.shares),
     )
+
+
+def can_still_answer(
+    accepted: model.AcceptedRequest, *, waited_ms: int
+) -> bool:
+    """Return whether a request waiting for capacity can be answered in time.
+
+    :param waited_ms: time since the request arrived.
+    """
+    return policy.can_still_answer(
+        route=accepted.route,
+        waited_ms=waited_ms,
+        service_ms=choice.min_first_event_ms(
+            accepted.service, accepted.request.prompt_tokens
+        ),
+        limit_ms=accepted.time_limit_ms,
+    )
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -151,13 +151,8 @@
         :param free_in_ms: time in milliseconds until the request is likely
             to be placed, 0 if it is not known.
         """
-        can_answer = policy.can_still_answer(
-            route=self._route,
-            waited_ms=self._waited_ms(),
-            service_ms=choice.min_first_event_ms(
-                self._accepted.service, self._request.prompt_tokens
-            ),
-            limit_ms=self._accepted.time_limit_ms,
+        can_answer = demands.can_still_answer(
+            self._accepted, waited_ms=self._waited_ms()
         )
         if can_answer or self._exchange.is_begun or self._running:
             self._retry_placement_later(cause, free_in_ms=free_in_ms)
@@ -397,7 +392,12 @@
         :param kind: the error of a request that surely did not run.
         :param may_recover: whether control may provide it soon.
         """
-        if self._running or (may_recover and self._may_wait()):
+        may_wait = (
+            self._may_wait_begun()
+            if self._exchange.is_begun
+            else may_recover and self._may_wait()
+        )
+        if self._running or may_wait:
             self._retry_placement_later(cause)
         elif self._exchange.is_begun:
             self._abort(kind.value)
@@ -410,18 +410,24 @@
                 )
             )
 
+    def _may_wait_begun(self) -> bool:
+        """Return whether a stream that broke off may wait for a server."""
+        return policy.may_wait_to_resume(
+            route=self._route,
+            limit_ms=self._accepted.time_limit_ms,
+            waited_ms=self._parts.clock.now_ms() - self._failed_ms,
+            pause_ms=self._parts.servers.pause_ms(
+                service=self._accepted.service.name,
+                tried_ids=frozenset(self._tried_ids),
+            ),
+        )
+
     def _may_wait(self) -> bool:
         """Return whether control may recover in time for the request."""
-        if self._exchange.is_begun:
-            since_ms = self._failed_ms
-        elif self._tried_ids:
-            return False
-        else:
-            since_ms = self._started_ms
         wait_ms = policy.recovery_wait_ms(
             patience_ms=self._accepted.time_limit_ms, missing_ms=0
         )
-        return self._parts.clock.now_ms() - since_ms < wait_ms
+        return not self._tried_ids and self._waited_ms() < wait_ms
 
     def _shortest_pause_ms(self) -> int | None:
         """Return the time until the first pause ends, if all servers pause."""
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -126,6 +126,30 @@
     return min(limit_ms, abandon_ms)
 
 
+def may_wait_to_resume(
+    *,
+    route: routes.Route,
+    limit_ms: int,
+    waited_ms: int,
+    pause_ms: int | None,
+) -> bool:
+    """Return whether a stream that broke off may wait for another server.
+
+    The lease and the servers are waited for as by other requests. The end of
+    a pause is known, so it is waited for if the caller has not left by then.
+
+    :param limit_ms: time from the request's arrival to its deadline.
+    :param waited_ms: time since the stream broke off.
+    :param pause_ms: time until the first pause of another server ends, None
+        unless all of them pause.
+    """
+    if waited_ms < recovery_wait_ms(patience_ms=limit_ms, missing_ms=0):
+        return True
+    if pause_ms is None:
+        return False
+    return waited_ms + pause_ms < patience_ms(route=route, limit_ms=limit_ms)
+
+
 def can_still_answer(
     *, route: routes.Route, waited_ms: int, service_ms: float, limit_ms: int
 ) -> bool:
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -182,9 +182,12 @@
         if pause_ms:
             self._notices.record_pause(key, pause_ms)
 
-    def pause_ms(self, *, service: str) -> int | None:
+    def pause_ms(
+        self, *, service: str, tried_ids: frozenset[str] = frozenset()
+    ) -> int | None:
         """Return the time until a server of a service accepts requests.
 
+        :param tried_ids: servers to leave out.
         :returns: milliseconds until the first pause ends, or None unless all
             available servers have requested a pause.
         """
@@ -192,6 +195,7 @@
             self._notices.pause_ms(notices.key_of(entry.server))
             for entry in self._entries.values()
             if service in entry.server.services
+            and entry.server.server_id not in tried_ids
             and self._is_serving(entry.server)
         ]
         return min(pauses_ms, default=0) or None
--- a/src/shallothinge/gateway/tests/test_silent_server.py
+++ b/src/shallothinge/gateway/tests/test_silent_server.py
@@ -246,6 +246,55 @@
                 self.assertEqual(events(1, 2, 3, 4, 5), exchange.received)
                 self.assertTrue(exchange.is_whole)
 
+    def test_begun_stream_waits_for_servers_that_pause_or_return(self):
+        def pause_others(rig):
+            for server in others(rig):
+                rig.parts.servers.record_notices(
+                    server, is_leaving=False, pause_ms=1200
+                )
+
+        def unlist_others(rig):
+            kept = rig.server_at(self.calls[0].address).server_id
+            self.unlisted = dict(rig.holder.members)
+            rig.holder.members = {kept: self.unlisted[kept]}
+
+        def others(rig):
+            address = self.calls[0].address
+            listed = rig.holder.members.values()
+            return [one for one in listed if one.address != address]
+
+        def list_others(rig):
+            rig.holder.members = self.unlisted
+
+        rows = (
+            (pause_others, 1300, lambda rig: None),
+            (unlist_others, 500, list_others),
+        )
+        for disturb, missing_ms, recover in rows:
+            with self.subTest(disturb=disturb.__name__):
+                self.setUp()
+                exchange = self.start(passed_on=3)
+                disturb(self.rig)
+                self.calls[0].fail(was_sent=True)
+                for _ in range(missing_ms // 100):
+                    self.rig.advance(100)
+                    self.assertFalse(exchange.is_cut)
+                recover(self.rig)
+                self.rig.advance(100)
+                self.calls[1].answer(200, body=events(4, 5))
+                self.assertEqual(events(1, 2, 3, 4, 5), exchange.received)
+                self.assertTrue(exchange.is_whole)
+
+    def test_begun_stream_is_cut_if_its_caller_would_leave_first(self):
+        exchange = self.start(passed_on=3)
+        for server in self.rig.holder.members.values():
+            self.rig.parts.servers.record_notices(
+                server, is_leaving=False, pause_ms=4000
+            )
+        self.calls[0].fail(was_sent=True)
+        self.rig.advance(1000)
+        self.assertTrue(exchange.is_cut)
+
     def test_begun_stream_is_cut_if_control_does_not_recover(self):
         exchange = self.start(passed_on=3)
         lose_lease(self.rig)
