--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -17,7 +17,7 @@
 from shallothinge.gateway import wait as waits
 from shallothinge.gateway.wait import WaitCause
 from shallothinge.http1 import event_stream
-from shallothinge.http1 import server as http_server
+from shallothinge.http1 import exchange as exchanges
 from shallothinge.placement import choice
 from shallothinge.routes import model as routes
 
@@ -33,7 +33,7 @@
         self,
         *,
         parts: dependencies.Dependencies,
-        exchange: http_server.Exchange,
+        exchange: exchanges.Exchange,
         accepted: model.AcceptedRequest,
     ):
         self._parts = parts
@@ -154,13 +154,8 @@
         :param free_in_ms: time in milliseconds until the request is likely
             to be placed, 0 if it is not known.
         """
-        can_answer = policy.can_still_answer(
-            route=self._route,
-            waited_ms=self._waited_ms(),
-            service_ms=choice.min_first_event_ms(
-                self._accepted.service, self._request.prompt_tokens
-            ),
-            limit_ms=self._accepted.time_limit_ms,
+        can_answer = demands.can_still_answer(
+            self._accepted, waited_ms=self._waited_ms()
         )
         if not self._ends_before_stop(
             choice.min_first_event_ms(
@@ -429,7 +424,12 @@
         :param kind: the error of a request that surely did not run.
         :param may_recover: whether control may provide it soon.
         """
-        if self._running or (may_recover and self._may_wait()):
+        may_wait = (
+            self._may_wait_begun()
+            if self._exchange.is_begun
+            else may_recover and self._may_wait()
+        )
+        if self._running or may_wait:
             self._retry_placement_later(cause)
         elif self._exchange.is_begun:
             self._abort(kind.value)
@@ -442,18 +442,24 @@
                 )
             )
 
+    def _may_wait_begun(self) -> bool:
+        """Return whether a stream that broke off may wait for a server."""
+        return policy.may_wait_to_resume(
+            route=self._route,
+            limit_ms=self._accepted.time_limit_ms,
+            waited_ms=self._parts.clock.now_ms() - self._failed_ms,
+            pause_ms=self._parts.servers.pause_ms(
+                service=self._accepted.service.name,
+                tried_ids=frozenset(self._tried_ids),
+            ),
+        )
+
     def _may_wait(self) -> bool:
         """Return whether control may recover in time for the request."""
-        if self._exchange.is_begun:
-            since_ms = self._failed_ms
-        elif self._tried_ids:
-            return False
-        else:
-            since_ms = self._started_ms
         wait_ms = policy.recovery_wait_ms(
             patience_ms=self._accepted.time_limit_ms, missing_ms=0
         )
-        return self._parts.clock.now_ms() - since_ms < wait_ms
+        return not self._tried_ids and self._waited_ms() < wait_ms
 
     def _shortest_pause_ms(self) -> int | None:
         """Return the time until the first pause ends, if all servers pause."""
@@ -473,7 +479,7 @@
     @guards.guarded
     def _on_gone(self) -> None:
         self._cancel_attempts()
-        self._end('caller_gone', status=0)
+        self._end(self._exchange.early_end.value, status=0)
 
     def _on_fault(self) -> None:
         """End the request after an exception in one of its steps."""
@@ -505,21 +511,15 @@
         self._exchange.abort()
 
     def _end(self, outcome: str, *, status: int) -> None:
-        """Stop the timers; record the outcome in the metrics and the log."""
+        """Stop the timers and record the outcome, unless there is one."""
+        if self._is_over:
+            return
         self._is_over = True
         self._parts.shutdown.remove(self)
         self._stop_placement()
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
         first_ms = self._event_times.first_ms
-        self._parts.metrics.count_request(
-            request_class=self._accepted.service.name, outcome=outcome
-        )
-        if first_ms is not None:
-            self._parts.metrics.record_first_token(
-                duration_ms=first_ms - self._started_ms,
-                request_class=self._accepted.service.name,
-            )
         self._log.ended(
             self._running.last,
             outcome=outcome,
--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -13,6 +13,7 @@
 from shallothinge.http1 import arrival
 from shallothinge.http1 import closing
 from shallothinge.http1 import early
+from shallothinge.http1 import exchange as exchanges
 from shallothinge.http1 import flow
 from shallothinge.http1 import messages
 from shallothinge.http1 import partial
@@ -27,69 +28,6 @@
 UNAVAILABLE_STATUS = 503
 
 
-class Exchange:
-    """One request and the answer to it.
-
-    :ivar received_ms: when the kernel received the last bytes of the request.
-        The process may have read them later, because it was blocked or
-        answered an earlier request of the connection.
-    :ivar on_disconnect: called without arguments if the caller disconnects
-        before the answer is complete.
-    :ivar flow: pauses the source of the answer while the caller does not
-        read.
-    """
-
-    def __init__(
-        self,
-        *,
-        connection: 'ServerConnection',
-        head: messages.RequestHead,
-        body: bytes,
-        received_ms: int,
-    ):
-        self._connection = connection
-        self.head = head
-        self.body = body
-        self.received_ms = received_ms
-        self.on_disconnect: Callable[[], None] | None = None
-        self.flow = flow.Flow()
-        self.is_begun = False
-        self.is_ended = False
-
-    def respond(
-        self, *, status: int, headers: messages.Headers, body: bytes
-    ) -> None:
-        """Send a complete answer."""
-        fields = (*headers, ('content-length', str(len(body))))
-        self.begin(status=status, headers=fields)
-        self.write(body)
-        self.finish()
-
-    def begin(self, *, status: int, headers: messages.Headers) -> None:
-        """Send the head of an answer whose body follows."""
-        if not self.is_ended:
-            self.is_begun = True
-            self._connection.register_flow(self.flow)
-            self._connection.send_head(status=status, headers=headers)
-
-    def write(self, data: bytes) -> None:
-        """Send a piece of the body."""
-        if data and not self.is_ended:
-            self._connection.send_data(data)
-
-    def finish(self) -> None:
-        """End the answer as complete."""
-        if not self.is_ended:
-            self.is_ended = True
-            self._connection.end_exchange()
-
-    def abort(self) -> None:
-        """Reset the connection, so that the answer does not look complete."""
-        if not self.is_ended:
-            self.is_ended = True
-            self._connection.reset()
-
-
 @implementer(interfaces.IHalfCloseableProtocol)
 class ServerConnection(protocol.Protocol):
     """One connection of a caller; answers one request at a time."""
@@ -100,8 +38,10 @@
             h11.SERVER, max_incomplete_event_size=site.limits.header_bytes
         )
         self._head: messages.RequestHead | None = None
+        self._method = ''
+        self._is_body_sent = True
         self._body = bytearray()
-        self._exchange: Exchange | None = None
+        self._exchange: exchanges.Exchange | None = None
         self._timer = None
         self._is_closing = False
         self._is_idle_close = False
@@ -176,11 +116,17 @@
         )
         self._partial.log_lost()
         self._site.connections.discard(self)
+        self._end_early(exchanges.EarlyEnd.CALLER_GONE)
+
+    def _end_early(self, early_end: exchanges.EarlyEnd) -> None:
+        """Notify the owner of the request in progress, if there is one."""
         exchange, self._exchange = self._exchange, None
-        if exchange is not None and not exchange.is_ended:
-            exchange.is_ended = True
-            if exchange.on_disconnect is not None:
-                exchange.on_disconnect()
+        if exchange is None:
+            return
+        exchange.is_ended = True
+        exchange.early_end = early_end
+        if exchange.on_disconnect is not None:
+            exchange.on_disconnect()
 
     def readConnectionLost(self) -> None:
         """Treat a half-close by the caller as a disconnect."""
@@ -209,6 +155,7 @@
     def send_head(self, *, status: int, headers: messages.Headers) -> None:
         """Send the head of an answer."""
         self._has_answered = True
+        self._is_body_sent = self._has_body(status)
         fields = list(headers)
         if self._site.is_stopping and not self._has_next_request:
             fields.append(('connection', 'close'))
@@ -219,12 +166,18 @@
         )
 
     def send_data(self, data: bytes) -> None:
-        """Send a piece of the body of an answer."""
-        self._send(h11.Data(data=data))
+        """Send a piece of the body of an answer, if it may have one."""
+        if self._is_body_sent:
+            self._send(h11.Data(data=data))
+
+    def _has_body(self, status: int) -> bool:
+        return self._method != 'HEAD' and status not in NO_BODY_STATUSES
 
     def end_exchange(self) -> None:
         """End an answer and continue with the next request."""
         self._send(h11.EndOfMessage())
+        if self._exchange is None:
+            return
         self._unregister_flow()
         self._exchange = None
         is_last = self._http.our_state is h11.MUST_CLOSE
@@ -233,6 +186,7 @@
             self._start_lingering_close()
             return
         self._http.start_next_cycle()
+        self._method = ''
         self._resume()
         limits = self._site.limits
         self._set_timer(
@@ -259,7 +213,12 @@
         try:
             data = self._http.send(event)
         except h11.LocalProtocolError:
-            LOG.exception('answer violates HTTP/1.1; resetting the connection')
+            target = self._exchange and self._exchange.head.target
+            LOG.exception(
+                'answer violates HTTP/1.1; resetting the connection',
+                extra={'target': target},
+            )
+            self._end_early(exchanges.EarlyEnd.INVALID_ANSWER)
             self.reset()
             return
         if data:
@@ -300,6 +259,7 @@
             target=event.target.decode('latin-1'),
             headers=messages.decode(event.headers),
         )
+        self._method = head.method
         length = head.get('content-length')
         if length and head.get('transfer-encoding'):
             # Ambiguous framing allows request smuggling.
@@ -314,7 +274,7 @@
 
     def _handle_request(self) -> None:
         self._cancel_timer()
-        exchange = Exchange(
+        exchange = exchanges.Exchange(
             connection=self,
             head=self._head,
             body=bytes(self._body),
@@ -334,7 +294,7 @@
             )
             self._fail_exchange(exchange)
 
-    def _fail_exchange(self, exchange: 'Exchange') -> None:
+    def _fail_exchange(self, exchange: exchanges.Exchange) -> None:
         """Notify the owner of a failed request, then answer or abort it."""
         if exchange.is_ended:
             return
@@ -378,7 +338,8 @@
             )
             self._has_answered = True
             self._partial.refuse()
-            for event in (response, h11.Data(data=body), h11.EndOfMessage()):
+            content = [h11.Data(data=body)] if self._has_body(status) else []
+            for event in (response, *content, h11.EndOfMessage()):
                 self._write(self._http.send(event))
         self._start_lingering_close()
 
@@ -440,7 +401,7 @@
         *,
         reactor,
         clock,
-        handle: Callable[[Exchange], None],
+        handle: Callable[[exchanges.Exchange], None],
         refusal: Callable[[int], tuple[messages.Headers, bytes]],
         limits: messages.Limits = messages.Limits(),
     ):
