--- a/testing/soak/ends.py
+++ b/testing/soak/ends.py
@@ -52,7 +52,7 @@
     # log tells that its share is spent; that the server broke off does not
     # rest on it.
     BUDGET_SPENT = 'the server broke off, the retry budget was spent'
-    # As the answer lasts longer than the process may.
+    # As the answer has begun and lasts longer than the process may.
     STOP_TIME = 'a planned stop came to its end'
 
 
@@ -213,6 +213,7 @@
         stop_ms = self._stop_of(one)
         return (
             stop_ms is not None
+            and one.ending is connections.Ending.CUT
             and bool(self._runs[one.request_id])
             and one.sent_ms <= stop_ms + STOP_SERVED_MS
             and one.ended_ms >= stop_ms + STOP_LATE_MS
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -593,6 +593,13 @@
                 'signals': [sent(STOP, -sent_ms)],
             }
             self.check([(name, one, records)], excuse)
+            for ending in (
+                connections.Ending.CLOSED,
+                connections.Ending.RESET,
+            ):
+                unbegun = attrs.evolve(one, ending=ending)
+                with self.subTest(ending=ending):
+                    self.check([(name, unbegun, records)], None)
 
 
 class SilencesTest(unittest.IsolatedAsyncioTestCase):
