Do not take a long read for a failure of its server

What callers saw: a server that reads a long prompt sends its other streams nothing for 1.2 s and more. Their stall timeout (1,125 ms for pauses of 250) expired, each asked another server, which took from the retry budget, and the server was told to all gateways as failed.

Cause: the timeout ignores the reads, of which the gateways know by their own placements and the load reports.

Change: when a timeout expires, the long reads known at the server are looked up. They explain the silence until one allowed pause of the route after their expected end, and the attempt waits until then, but no later than one latency objective before its caller would leave. A takeover at that limit reports no failure; if the attempt runs on and is silent beyond the read's end, the failure is reported then.

Why it works: the estimate of a read counts down whether its server is at work or not, so a dark server is found at the read's end. An overdue read, or one that has ended, explains nothing.

Ruled out: a longer timeout for all streams finds dark servers later; a timeout computed at each event misses reads placed after it.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -195,8 +195,17 @@
 
         Any earlier timeout is replaced.
         """
-        self._stop_timer()
         self._stall_timeout_ms = duration_ms
+        self.check_again(duration_ms)
+
+    def extend(self, duration_ms: float) -> None:
+        """Let an attempt whose stall timeout has expired go on for longer."""
+        self.is_stalled = False
+        self.check_again(duration_ms)
+
+    def check_again(self, duration_ms: float) -> None:
+        """Notify the owner again if the server is silent for longer."""
+        self._stop_timer()
         if not self._is_over and not self._is_paused:
             self._stall_timer = self._parts.reactor.callLater(
                 duration_ms / clocks.MS_PER_SECOND, self._on_stalled
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -13,7 +13,7 @@
 from shallothinge.gateway import policy
 from shallothinge.gateway import request_log
 from shallothinge.gateway import running_attempts
-from shallothinge.gateway import timeouts
+from shallothinge.gateway import silence
 from shallothinge.gateway import wait as waits
 from shallothinge.gateway.wait import WaitCause
 from shallothinge.http1 import event_stream
@@ -53,6 +53,13 @@
         self._last_event_id = accepted.request.last_event_id
         self._event_times = event_times.EventTimes()
         self._log = request_log.RequestLog(parts=parts, accepted=accepted)
+        self._silence = silence.SilenceWatch(
+            parts=parts,
+            accepted=accepted,
+            started_ms=exchange.received_ms,
+            times=self._event_times,
+            log=self._log,
+        )
         self._wait = waits.Wait(
             parts=parts,
             identity=self._log.identity,
@@ -164,12 +171,7 @@
         elif self._progress.may_have_run:
             self._refuse(policy.deadline_error(self._progress))
         else:
-            self._refuse(
-                errors.ServingError(
-                    kind=ErrorKind.OVERLOADED,
-                    retry_after_ms=free_in_ms or choice.FREE_SLOT_MS,
-                )
-            )
+            self._refuse(policy.full_error(free_in_ms or choice.FREE_SLOT_MS))
 
     def _retry_placement_later(
         self, cause: WaitCause, *, free_in_ms: int = 0
@@ -183,13 +185,11 @@
 
     def _send(self, placed: choice.Placement) -> None:
         server = self._parts.servers.find(placed.server_id)
-        order = model.ForwardOrder(
-            request=self._request,
+        order = demands.build_order(
+            self._accepted,
             server_id=server.server_id,
-            workspace=self._accepted.workspace,
             remaining_ms=self._remaining_ms(),
             last_event_id=self._last_event_id,
-            urgency=self._accepted.urgency,
         )
         is_stream = self._route.kind is routes.RequestKind.STREAMING
         self._tried_ids.add(server.server_id)
@@ -219,11 +219,7 @@
         )
         attempt.start(server=server)
         if is_stream and self._no_takeover_reason() is None:
-            attempt.expect_within(
-                timeouts.first_event_timeout_ms(
-                    route=self._route, expected_ms=placed.first_event_ms
-                )
-            )
+            self._silence.expect_first_event(attempt, placed)
 
     @property
     def _sent_count(self) -> int:
@@ -258,7 +254,7 @@
         self._begin(attempt)
         self._exchange.write(data)
         if not self._is_over and self._no_takeover_reason() is None:
-            attempt.expect_within(timeouts.stall_timeout_ms(self._route))
+            attempt.expect_within(self._silence.stall_timeout_ms)
 
     @guards.guarded
     def on_stream_end(self, attempt: attempts.Attempt, rest: bytes) -> None:
@@ -301,9 +297,10 @@
     @guards.guarded
     def on_stalled(self, attempt: attempts.Attempt) -> None:
         """Look for another server, while the silent one keeps the request."""
-        self._parts.servers.record_stall(attempt.server_id)
+        if self._silence.waits_for_read(attempt):
+            return
         reason = self._no_takeover_reason()
-        self._log.stalled(
+        self._silence.record_stall(
             attempt, no_takeover=reason, last_event_id=self._last_event_id
         )
         if reason is None and self._placement_timer is None:
@@ -347,7 +344,7 @@
         if self._running.are_stalled and self._placement_timer is None:
             self._place()
         elif self._no_takeover_reason() is None:
-            self._running.expect_within(timeouts.stall_timeout_ms(self._route))
+            self._running.expect_within(self._silence.stall_timeout_ms)
 
     def _take_retry(self, *, was_sent: bool) -> policy.NoRetry | None:
         """Return why the request is not retried, None if it is.
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -126,6 +126,11 @@
     return min(limit_ms, abandon_ms)
 
 
+def pause_patience_ms(route: routes.Route) -> int:
+    """Return how long a caller waits for the next event of a stream."""
+    return max(MIN_ABANDON_MS, ABANDON_PAUSES * route.pause_objective_ms)
+
+
 def can_still_answer(
     *, route: routes.Route, waited_ms: int, service_ms: float, limit_ms: int
 ) -> bool:
@@ -214,6 +219,16 @@
     return errors.ServingError(kind=kind, detail=cause.value)
 
 
+def full_error(free_in_ms: int) -> errors.ServingError:
+    """Return the error for a request that never ran for want of capacity.
+
+    :param free_in_ms: time until there is likely to be some.
+    """
+    return errors.ServingError(
+        kind=ErrorKind.OVERLOADED, retry_after_ms=free_in_ms
+    )
+
+
 def deadline_error(progress: Progress) -> errors.ServingError:
     """Return the error for a request whose deadline has passed."""
     if progress.may_have_run:
--- a/src/shallothinge/gateway/request_log.py
+++ b/src/shallothinge/gateway/request_log.py
@@ -51,20 +51,35 @@
             **fields,
         )
 
+    def waits_for_read(
+        self,
+        attempt: attempts.Attempt,
+        *,
+        read_ends_in_ms: int,
+        wait_ms: int,
+    ) -> None:
+        """Log that a read explains a silence, which may go on for a while."""
+        self._write(
+            'attempt waits for a read',
+            server_id=attempt.server_id,
+            read_ends_in_ms=read_ends_in_ms,
+            wait_ms=wait_ms,
+        )
+
     def stalled(
         self,
         attempt: attempts.Attempt,
         *,
         no_takeover: policy.NoRetry | None,
-        last_event_id: str,
+        **fields,
     ) -> None:
         """Log a silent server, and why no other may take over from it."""
         self._write(
             'attempt stalled',
             server_id=attempt.server_id,
             sent_after_ms=attempt.sent_after_ms,
-            last_event_id=last_event_id,
             no_takeover=no_takeover and no_takeover.value,
+            **fields,
         )
 
     def failed(
--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -138,12 +138,7 @@
         self._advance(now_ms)
         ends_in_ms = 0.0
         reads = []
-        for work in self._pending_works():
-            is_read = (
-                work.is_divided and work.overdue_ms >= UNCONFIRMED_READ_MS
-            )
-            if is_read:
-                continue
+        for work in self._unread_works():
             remaining_ms = max(work.remaining_ms, OVERDUE_READ_MS)
             ends_in_ms += remaining_ms
             reads.append(
@@ -167,6 +162,28 @@
             ),
         )
 
+    def read_end_in_ms(
+        self, now_ms: int, *, min_read_ms: float
+    ) -> float | None:
+        """Return when the long reads end, see ``FleetLoad``."""
+        self._advance(now_ms)
+        ends_in_ms = 0.0
+        found = []
+        for work in self._unread_works():
+            ends_in_ms += work.remaining_ms
+            if work.read_ms >= min_read_ms:
+                is_overdue = not work.remaining_ms
+                found.append(-work.overdue_ms if is_overdue else ends_in_ms)
+        return max(found, default=None)
+
+    def _unread_works(self) -> list[Work]:
+        """Return the pending works that the server is likely still to read."""
+        return [
+            work
+            for work in self._pending_works()
+            if not work.is_divided or work.overdue_ms < UNCONFIRMED_READ_MS
+        ]
+
     def _pending_works(self) -> list[Work]:
         """Return the works still to be read, in the order of reading."""
         reading = [work for work in self._works if not work.is_writing]
@@ -412,6 +429,22 @@
             for server_id, queue in self._queues.items()
         }
 
+    def read_end_in_ms(
+        self, server_id: str, *, min_read_ms: float
+    ) -> float | None:
+        """Return the estimated time until a server's long reads have ended.
+
+        :param min_read_ms: duration from which a read is long.
+        :returns: milliseconds, negative for how long the end is overdue; None
+            without a long read.
+        """
+        queue = self._queues.get(server_id)
+        if queue is None:
+            return None
+        return queue.read_end_in_ms(
+            self._clock.now_ms(), min_read_ms=min_read_ms
+        )
+
     def _add(self, work: Work) -> None:
         now_ms = self._clock.now_ms()
         queue = self._queues.get(work.server_id)
--- a/src/shallothinge/placement/tests/test_fleet.py
+++ b/src/shallothinge/placement/tests/test_fleet.py
@@ -73,6 +73,29 @@
         self.receiver.remove_expired()
         self.assertEqual({}, self.receiver.loads())
 
+    def test_long_read_counts_down_to_its_end_and_beyond(self):
+        def end_in_ms():
+            return self.receiver.read_end_in_ms('s', min_read_ms=200)
+
+        self.assertIsNone(end_in_ms())
+        self.sender.start(work(read_ms=100))
+        work_id = self.sender.start(work(read_ms=500))
+        self.send_report(complete=True)
+        for now_ms, expected_ms in ((0, 600), (400, 200), (700, -100)):
+            with self.subTest(now_ms=now_ms):
+                self.clock.advance(duration_ms=now_ms - self.clock.now_ms())
+                self.assertEqual(expected_ms, end_in_ms())
+        self.sender.first_event(work_id)
+        self.send_report()
+        self.assertIsNone(end_in_ms())
+
+    def test_read_of_a_silent_peer_explains_no_silence(self):
+        self.sender.start(work(read_ms=9000))
+        self.send_report(complete=True)
+        self.clock.advance(duration_ms=fleet.REPORT_TTL_MS + 1)
+        self.receiver.remove_expired()
+        self.assertIsNone(self.receiver.read_end_in_ms('s', min_read_ms=200))
+
 
 class ServerQueueTest(unittest.TestCase):
     """Shares of divided prompts are read before whole ones, newest first."""
