--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -153,6 +153,11 @@
     return waited_ms + pause_ms < patience_ms(route=route, limit_ms=limit_ms)
 
 
+def pause_patience_ms(route: routes.Route) -> int:
+    """Return how long a caller waits for the next event of a stream."""
+    return max(MIN_ABANDON_MS, ABANDON_PAUSES * route.pause_objective_ms)
+
+
 def can_still_answer(
     *, route: routes.Route, waited_ms: int, service_ms: float, limit_ms: int
 ) -> bool:
@@ -224,6 +229,16 @@
     return _unknown_outcome_error(route, detail=cause.value)
 
 
+def full_error(free_in_ms: int) -> errors.ServingError:
+    """Return the error for a request that never ran for want of capacity.
+
+    :param free_in_ms: time until there is likely to be some.
+    """
+    return errors.ServingError(
+        kind=ErrorKind.OVERLOADED, retry_after_ms=free_in_ms
+    )
+
+
 def deadline_error(progress: Progress) -> errors.ServingError:
     """Return the error for a request whose deadline has passed."""
     if progress.may_have_run:
