Stop watching a silent server once its stream goes on

Cause: an attempt that is stalled beside a read is checked again once the read explains no more. The next event replaces that timer only if another server may still be asked, which is not so after a takeover.

Evidence: the new test failed before: `attempt stalled` was logged for a stream that had gone on.

Change: an event that ends a stall stops the timer.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -276,6 +276,8 @@
             for work_id in self._work_ids:
                 self._parts.load.first_event(work_id)
             self._end_helper_work()
+            if self.is_stalled:
+                self._stop_timer()
             self.is_stalled = False
             self._owner.on_events(self, events)
 
--- a/src/shallothinge/gateway/tests/test_silence_beside_reads.py
+++ b/src/shallothinge/gateway/tests/test_silence_beside_reads.py
@@ -131,6 +131,15 @@
         self.pass_time(20)
         self.assert_attempts(2, failed=True)
 
+    def test_stream_that_goes_on_after_a_takeover_is_not_called_stalled(self):
+        self.start()
+        self.read(2000)
+        self.pass_time(LATEST_TAKEOVER_MS + 10)
+        self.assert_attempts(2)
+        self.calls[0].listener.on_data(test_silent_server.event(4))
+        with self.assertNoLogs(LOGGER, 'INFO'):
+            self.pass_time(STALL_MS - 10)
+
     def test_other_reads_do_not_explain_silence(self):
         def read_short():
             self.pass_time(1100)
