Answer the requests that are in progress at the stop limit

What callers saw: at the stop limit of a gateway each open connection was closed, without a status also where none was sent yet: a request that waited for a server, that ran, or of which a part had been read. The log called this `caller_gone`, or `cut_broken` where the connection to the server was closed first, so that the gateway's own cuts looked like those of others.

Cause: `GatewayProcess._check_drained` let the reactor end and close all connections, in any order. Nobody told the requests.

`gateway/tests/test_early_ends.py` asks for the outcomes and statuses, and `http1/tests/test_stopping.py` for the status on real sockets while the reactor shuts down; both use the new `Site.end`, so they can't run on the code before.

Change: `Site.end` tells the owners while an answer can still be sent, then the process leaves 100 ms to hand the answers to the kernel. A request that has surely not run, or is still being read, gets 503, which its caller may repeat; one that may have run gets 502; a begun answer is cut, logged as `cut_stop_limit`. An owner that does not answer leaves 500. A line `stop limit reached` comes before these.

--- a/src/shallothinge/gateway/demands.py
+++ b/src/shallothinge/gateway/demands.py
@@ -38,6 +38,28 @@
     )
 
 
+def build_order(
+    accepted: model.AcceptedRequest,
+    *,
+    server_id: str,
+    remaining_ms: int,
+    last_event_id: str,
+) -> model.ForwardOrder:
+    """Return the order to send a request to a server.
+
+    :param remaining_ms: time left until the deadline.
+    :param last_event_id: the last event that the caller has, or ''.
+    """
+    return model.ForwardOrder(
+        request=accepted.request,
+        server_id=server_id,
+        workspace=accepted.workspace,
+        remaining_ms=remaining_ms,
+        last_event_id=last_event_id,
+        urgency=accepted.urgency,
+    )
+
+
 def build_work(
     accepted: model.AcceptedRequest,
     placed: choice.Placement,
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -18,6 +18,7 @@
 from shallothinge.gateway.wait import WaitCause
 from shallothinge.http1 import event_stream
 from shallothinge.http1 import exchange as exchanges
+from shallothinge.http1.exchange import EarlyEnd
 from shallothinge.placement import choice
 from shallothinge.routes import model as routes
 
@@ -107,7 +108,12 @@
                 may_recover=not self._parts.holder.is_settled,
             )
             return
-        demand = self._demand()
+        demand = demands.build_demand(
+            self._accepted,
+            zone=self._parts.zone,
+            waited_ms=self._waited_ms(),
+            is_resumed=bool(self._last_event_id) or self._exchange.is_begun,
+        )
         is_first = bool(self._running) or self._wait.is_turn(
             demand=demand, due_ms=self._due_ms
         )
@@ -134,14 +140,6 @@
             self._wait.end()
             self._send(placed)
 
-    def _demand(self) -> choice.Demand:
-        return demands.build_demand(
-            self._accepted,
-            zone=self._parts.zone,
-            waited_ms=self._waited_ms(),
-            is_resumed=bool(self._last_event_id) or self._exchange.is_begun,
-        )
-
     def _waited_ms(self) -> int:
         return self._parts.clock.now_ms() - self._started_ms
 
@@ -178,13 +176,11 @@
 
     def _send(self, placed: choice.Placement) -> None:
         server = self._parts.servers.find(placed.server_id)
-        order = model.ForwardOrder(
-            request=self._request,
+        order = demands.build_order(
+            self._accepted,
             server_id=server.server_id,
-            workspace=self._accepted.workspace,
             remaining_ms=self._remaining_ms(),
             last_event_id=self._last_event_id,
-            urgency=self._accepted.urgency,
         )
         is_stream = self._route.kind is routes.RequestKind.STREAMING
         self._tried_ids.add(server.server_id)
@@ -446,8 +442,12 @@
 
     @guards.guarded
     def _on_gone(self) -> None:
+        early_end = self._exchange.early_end
         self._cancel_attempts()
-        self._end(self._exchange.early_end.value, status=0)
+        if self._exchange.is_begun or early_end is not EarlyEnd.STOP_LIMIT:
+            self._end(early_end.value, status=0)
+            return
+        self._refuse(policy.stop_error(self._progress))
 
     def _on_fault(self) -> None:
         """End the request after an exception in one of its steps."""
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -248,6 +248,13 @@
     return errors.ServingError(kind=kind, retry_after_ms=pause_ms)
 
 
+def stop_error(progress: Progress) -> errors.ServingError:
+    """Return the error for a request in progress when the process ends."""
+    return unplaced_error(
+        progress=progress, kind=ErrorKind.STOPPING, pause_ms=None
+    )
+
+
 def fault_error(progress: Progress) -> errors.ServingError:
     """Return the error for a request of which a step raised an exception."""
     if progress.may_have_run:
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -39,6 +39,8 @@
 # 10 ms; the rest is a margin for processes that wait to be scheduled.
 CONNECT_TIMEOUT_MS = 150
 TICK_MS = 250
+# What callers get at the stop limit is handed to the kernel meanwhile.
+LAST_ANSWERS_MS = 100
 # Fraction of the configured retry percentage that a gateway uses, because the
 # limit for all gateways is counted over sliding windows.
 RETRY_FRACTION = 0.8
@@ -225,19 +227,20 @@
     def _check_drained(self, drained: defer.Deferred) -> None:
         callers = self._settings.callers
         passed_ms = self._process.clock.now_ms() - self._stopping_ms
+        delay_ms = TICK_MS
         if passed_ms >= callers.stop_wait_ms:
             self._ingress.is_stopping = True
             self._callers.close_idle()
-            if (
-                self._callers.is_drained()
-                or passed_ms >= callers.stop_limit_ms
-            ):
+            if self._callers.is_drained() or self._callers.is_ended:
                 LOG.info('gateway stopped', extra={'after_ms': passed_ms})
                 self._callers.is_ended = True
                 drained.callback(None)
                 return
+            if passed_ms >= callers.stop_limit_ms:
+                self._callers.end()
+                delay_ms = LAST_ANSWERS_MS
         self._reactor.callLater(
-            TICK_MS / clocks.MS_PER_SECOND, self._check_drained, drained
+            delay_ms / clocks.MS_PER_SECOND, self._check_drained, drained
         )
 
 
--- a/src/shallothinge/gateway/tests/test_early_ends.py
+++ b/src/shallothinge/gateway/tests/test_early_ends.py
@@ -34,6 +34,16 @@
         self.transport = fakes.Transport()
         self.connection.makeConnection(self.transport)
 
+    def wait(self):
+        """Send a stream for which no server is listed."""
+        self.rig.holder.is_settled = False
+        self.rig.holder.members.clear()
+        self.connection.dataReceived(WHOLE)
+
+    def run_unanswered(self):
+        """Send a stream whose server does not answer."""
+        self.connection.dataReceived(WHOLE)
+
     def begin(self):
         """Send a stream whose answer begins; return the call."""
         self.connection.dataReceived(WHOLE)
@@ -56,3 +66,32 @@
         self.assertEqual('cut_invalid_answer', logs.records[-1].outcome)
         self.connection.connectionLost()
         self.assertEqual([], self.rig.reactor.getDelayedCalls())
+
+    def test_stop_limit_is_no_caller_that_left(self):
+        rows = (
+            ('waits', self.wait, 'stopping', b' 503 '),
+            ('runs', self.run_unanswered, 'backend_failed', b' 502 '),
+            ('begun', self.begin, 'cut_stop_limit', b''),
+        )
+        for name, start, outcome, status in rows:
+            with self.subTest(name):
+                self.setUp()
+                start()
+                with self.assertLogs(LOGGER, 'INFO') as logs:
+                    self.site.end()
+                (record,) = logs.records
+                self.assertEqual(outcome, record.outcome)
+                self.assertEqual(start != self.wait, record.sent)
+                self.assertEqual({}, self.rig.load.loads())
+                self.assertIn(status, self.transport.value())
+                self.assertEqual(not status, self.transport.was_aborted)
+
+    def test_request_that_is_read_at_the_stop_limit_is_refused(self):
+        for part in (WHOLE[:9], f'{HEAD}Content-Length: 9\r\n\r\n'.encode()):
+            with self.subTest(part=part):
+                self.setUp()
+                self.connection.dataReceived(part)
+                self.site.end()
+                self.assertIn(b'HTTP/1.1 503 ', self.transport.value())
+                self.assertFalse(self.transport.was_aborted)
+                self.assertEqual([], self.rig.caller.calls)
--- a/src/shallothinge/http1/exchange.py
+++ b/src/shallothinge/http1/exchange.py
@@ -31,6 +31,7 @@
     """Why a request ended before its owner had completed the answer."""
 
     CALLER_GONE = 'caller_gone'
+    STOP_LIMIT = 'cut_stop_limit'
     INVALID_ANSWER = 'cut_invalid_answer'
 
 
--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -209,6 +209,14 @@
         if self.is_idle and not self._is_closing and not self._has_unread:
             self._start_idle_close()
 
+    def end(self) -> None:
+        """Answer or cut the request in progress: the process ends."""
+        if self._exchange is not None:
+            self._exchange.early_end = exchanges.EarlyEnd.STOP_LIMIT
+            self._fail_exchange(self._exchange)
+        elif not self.is_idle and not self._is_closing:
+            self._refuse(UNAVAILABLE_STATUS)
+
     def _send(self, event) -> None:
         try:
             data = self._http.send(event)
@@ -426,6 +434,20 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def end(self) -> None:
+        """Answer or cut what is in progress, as the process ends.
+
+        Answers are written afterwards, so leave the reactor some time.
+        """
+        in_progress = [one for one in self.connections if not one.is_idle]
+        LOG.warning(
+            'stop limit reached; ending the requests in progress',
+            extra={'connection_count': len(in_progress)},
+        )
+        self.is_ended = True
+        for connection in in_progress:
+            connection.end()
+
     def is_drained(self) -> bool:
         """Return whether the process may exit without truncating an answer.
 
--- a/src/shallothinge/http1/tests/test_stopping.py
+++ b/src/shallothinge/http1/tests/test_stopping.py
@@ -170,3 +170,28 @@
                 LONG, events=[['head', 'data', 'end']], pause_s=0.5
             )
         self.assertEqual(len(LONG), len(received.partition(b'\r\n\r\n')[2]))
+
+    def test_request_at_the_stop_limit_gets_a_status(self):
+        reactor = epollreactor.EPollReactor()
+        drained = defer.Deferred()
+        site = server.Site(
+            reactor=reactor,
+            clock=clock.MonotonicClock(),
+            handle=lambda exchange: reactor.stop(),
+            refusal=lambda status: ((), b''),
+        )
+
+        def stop():
+            site.end()
+            reactor.callLater(POLL_INTERVAL_S, drained.callback, None)
+            return drained
+
+        reactor.addSystemEventTrigger('before', 'shutdown', stop)
+        port = reactor.listenTCP(0, site, interface='127.0.0.1')
+        caller = Caller(port=port.getHost().port, pause_s=0.0)
+        caller.start()
+        with self.assertLogs('shallothinge.http1.server', 'WARNING') as logs:
+            reactor.run(installSignalHandlers=False)
+        caller.join(TIMEOUT_S)
+        self.assertIn(b'HTTP/1.1 500 ', caller.received)
+        self.assertEqual(1, logs.records[0].connection_count)
--- a/src/shallothinge/settings/model.py
+++ b/src/shallothinge/settings/model.py
@@ -163,7 +163,8 @@
 
     ``readiness_address`` answers the balancer. ``stop_wait_ms`` is how long
     the gateway still takes requests after it was told to stop, until the
-    balancer has noticed; ``stop_limit_ms`` is when it ends at the latest.
+    balancer has noticed; after ``stop_limit_ms`` it answers or cuts what is
+    in progress, and ends.
     """
 
     address: str
