Log the requests whose callers leave while the lease is missing

What was seen: a request that was read and waited for the lease left no line if its caller closed the connection first, as callers do that give up after a restart of all control hosts.

Cause: `Ingress` cancelled its timer as the connection ended, and the request with it. `request ended` was written for placed requests only.

Evidence: `test_caller_that_leaves_while_the_lease_is_missing_is_logged` failed before: no line was written.

Change: `request ended` with the id, the target, the outcome and the time.

--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -3,6 +3,8 @@
 import functools
 import logging
 
+from twisted.internet import interfaces
+
 from shallothinge import clock as clocks
 from shallothinge import errors
 from shallothinge.errors import ErrorKind
@@ -128,7 +130,29 @@
             request,
             until_ms=until_ms,
         )
-        exchange.on_disconnect = waiting.cancel
+        exchange.on_disconnect = functools.partial(
+            self._on_gone, exchange, request, waiting
+        )
+
+    def _on_gone(
+        self,
+        exchange: exchanges.Exchange,
+        request: model.CallerRequest,
+        waiting: interfaces.IDelayedCall,
+    ) -> None:
+        """Stop waiting for the lease, as the connection has ended."""
+        waiting.cancel()
+        LOG.info(
+            'request ended',
+            extra={
+                'request_id': request.request_id,
+                'outcome': exchange.early_end.value,
+                'status': 0,
+                'sent': 0,
+                'target': exchange.head.target,
+                'total_ms': self._parts.clock.now_ms() - exchange.received_ms,
+            },
+        )
 
     def _forward_or_refuse(
         self, exchange: exchanges.Exchange, request: model.CallerRequest
--- a/src/shallothinge/gateway/tests/test_ingress.py
+++ b/src/shallothinge/gateway/tests/test_ingress.py
@@ -43,6 +43,18 @@
         self.assertEqual([], self.rig.caller.calls)
         self.assertEqual([], self.rig.reactor.getDelayedCalls())
 
+    def test_caller_that_leaves_while_the_lease_is_missing_is_logged(self):
+        self.rig.holder.is_leased = False
+        exchange = self.rig.request(BOOKING)
+        self.rig.advance(100)
+        with self.assertLogs('shallothinge.gateway.ingress') as logs:
+            exchange.on_disconnect()
+        (record,) = logs.records
+        self.assertEqual(rig.REQUEST_ID, record.request_id)
+        self.assertEqual('caller_gone', record.outcome)
+        self.assertEqual(100, record.total_ms)
+        self.assertEqual([], self.rig.reactor.getDelayedCalls())
+
     def test_exception_while_waiting_for_the_lease_is_answered(self):
         for name, place, attribute in STEPS:
             with self.subTest(name):
