--- a/src/shallothinge/gateway/drain.py
+++ b/src/shallothinge/gateway/drain.py
@@ -13,16 +13,15 @@
 LOG = logging.getLogger(__name__)
 
 POLL_INTERVAL_MS = 250
-# Time to send the last answers before the process ends at its stop limit: two
-# polls, one of which may come late.
-ANSWER_MARGIN_MS = 2 * POLL_INTERVAL_MS
+# What callers get at the stop limit is handed to the kernel meanwhile.
+LAST_ANSWERS_MS = 100
 
 
 class Drain:
     """Fails the readiness probe, then waits for the last request.
 
-    Requests that are left shortly before the stop limit get an error, and
-    only answers that have begun are cut at the limit.
+    Requests that are left at the stop limit get an error, and only answers
+    that have begun are cut.
 
     :param callers: the settings with the wait and the limit of the stop.
     """
@@ -58,19 +57,16 @@
 
     def _poll(self) -> None:
         passed_ms = self._clock.now_ms() - self._started_ms
-        if passed_ms >= self._callers.stop_limit_ms - ANSWER_MARGIN_MS:
-            self._shutdown.end_requests()
+        delay_ms = POLL_INTERVAL_MS
         if passed_ms >= self._callers.stop_wait_ms:
             self._ingress.is_stopping = True
             self._site.close_idle()
-            if (
-                self._site.is_drained()
-                or passed_ms >= self._callers.stop_limit_ms
-            ):
+            if self._site.is_drained() or self._site.is_ended:
                 LOG.info('gateway stopped', extra={'after_ms': passed_ms})
                 self._site.is_ended = True
                 self._drained.callback(None)
                 return
-        self._reactor.callLater(
-            POLL_INTERVAL_MS / clocks.MS_PER_SECOND, self._poll
-        )
+            if passed_ms >= self._callers.stop_limit_ms:
+                self._site.end()
+                delay_ms = LAST_ANSWERS_MS
+        self._reactor.callLater(delay_ms / clocks.MS_PER_SECOND, self._poll)
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -18,6 +18,7 @@
 from shallothinge.gateway.wait import WaitCause
 from shallothinge.http1 import event_stream
 from shallothinge.http1 import exchange as exchanges
+from shallothinge.http1.exchange import EarlyEnd
 from shallothinge.placement import choice
 from shallothinge.routes import model as routes
 
@@ -62,6 +63,7 @@
         )
         self._wait = waits.Wait(
             parts=parts,
+            accepted=accepted,
             identity=self._log.identity,
             started_ms=exchange.received_ms,
         )
@@ -80,7 +82,6 @@
             self._refuse(policy.deadline_error(self._progress))
             return
         self._parts.budget.fresh()
-        self._parts.shutdown.add(self)
         self._deadline_timer = self._parts.reactor.callLater(
             self._remaining_ms() / clocks.MS_PER_SECOND,
             self._on_deadline,
@@ -115,7 +116,12 @@
                 may_recover=not self._parts.holder.is_settled,
             )
             return
-        demand = self._demand()
+        demand = demands.build_demand(
+            self._accepted,
+            zone=self._parts.zone,
+            waited_ms=self._waited_ms(),
+            is_resumed=bool(self._last_event_id) or self._exchange.is_begun,
+        )
         is_first = bool(self._running) or self._wait.is_turn(
             demand=demand, due_ms=self._due_ms
         )
@@ -131,7 +137,10 @@
             self._wait_or_refuse(
                 WaitCause.READS, free_in_ms=int(placed.start_in_ms)
             )
-        elif not self._ends_before_stop(placed.first_event_ms):
+        elif not (
+            self._is_at_server
+            or self._wait.ends_before_stop(placed.first_event_ms)
+        ):
             self._refuse_for_stop()
         elif not self._parts.servers.take_cold_permit(
             server_id=placed.server_id, service=self._accepted.service
@@ -144,14 +153,6 @@
             self._wait.end()
             self._send(placed)
 
-    def _demand(self) -> choice.Demand:
-        return demands.build_demand(
-            self._accepted,
-            zone=self._parts.zone,
-            waited_ms=self._waited_ms(),
-            is_resumed=bool(self._last_event_id) or self._exchange.is_begun,
-        )
-
     def _waited_ms(self) -> int:
         return self._parts.clock.now_ms() - self._started_ms
 
@@ -164,42 +165,25 @@
         can_answer = demands.can_still_answer(
             self._accepted, waited_ms=self._waited_ms()
         )
-        if not self._ends_before_stop(
-            choice.min_first_event_ms(
-                self._accepted.service, self._request.prompt_tokens
-            )
-        ):
+        if not (self._is_at_server or self._wait.ends_before_stop()):
             self._refuse_for_stop()
-        elif can_answer or self._exchange.is_begun or self._running:
+        elif can_answer or self._is_at_server:
             self._retry_placement_later(cause, free_in_ms=free_in_ms)
         elif self._progress.may_have_run:
             self._refuse(policy.deadline_error(self._progress))
         else:
             self._refuse(policy.full_error(free_in_ms or choice.FREE_SLOT_MS))
 
-    def _ends_before_stop(self, first_event_ms: float) -> bool:
-        """Return whether the answer may be complete before a planned stop.
-
-        An answer that a server works on or that has begun goes on anyway.
-        """
-        if self._exchange.is_begun or self._running:
-            return True
-        return self._parts.shutdown.allows(
-            first_event_ms + demands.min_decode_ms(self._accepted)
-        )
+    @property
+    def _is_at_server(self) -> bool:
+        """Return whether a server works on the answer or has begun it."""
+        return self._exchange.is_begun or bool(self._running)
 
     def _refuse_for_stop(self) -> None:
         self._refuse(
             policy.stop_error(route=self._route, progress=self._progress)
         )
 
-    @guards.guarded
-    def on_stop_limit(self) -> None:
-        """Answer with an error, unless the answer has begun."""
-        if not self._exchange.is_begun:
-            self._cancel_attempts()
-            self._refuse_for_stop()
-
     def _retry_placement_later(
         self, cause: WaitCause, *, free_in_ms: int = 0
     ) -> None:
@@ -421,11 +405,14 @@
         :param kind: the error of a request that surely did not run.
         :param may_recover: whether control may provide it soon.
         """
-        may_wait = (
-            self._may_wait_begun()
-            if self._exchange.is_begun
-            else may_recover and self._may_wait()
-        )
+        if self._exchange.is_begun:
+            may_wait = self._wait.may_resume(
+                broke_off_ms=self._failed_ms,
+                tried_ids=frozenset(self._tried_ids),
+            )
+        else:
+            is_untried = not self._tried_ids
+            may_wait = may_recover and is_untried and self._wait.may_recover()
         if self._running or may_wait:
             self._retry_placement_later(cause)
         elif self._exchange.is_begun:
@@ -439,25 +426,6 @@
                 )
             )
 
-    def _may_wait_begun(self) -> bool:
-        """Return whether a stream that broke off may wait for a server."""
-        return policy.may_wait_to_resume(
-            route=self._route,
-            limit_ms=self._accepted.time_limit_ms,
-            waited_ms=self._parts.clock.now_ms() - self._failed_ms,
-            pause_ms=self._parts.servers.pause_ms(
-                service=self._accepted.service.name,
-                tried_ids=frozenset(self._tried_ids),
-            ),
-        )
-
-    def _may_wait(self) -> bool:
-        """Return whether control may recover in time for the request."""
-        wait_ms = policy.recovery_wait_ms(
-            patience_ms=self._accepted.time_limit_ms, missing_ms=0
-        )
-        return not self._tried_ids and self._waited_ms() < wait_ms
-
     def _shortest_pause_ms(self) -> int | None:
         """Return the time until the first pause ends, if all servers pause."""
         return self._parts.servers.pause_ms(
@@ -475,8 +443,12 @@
 
     @guards.guarded
     def _on_gone(self) -> None:
+        early_end = self._exchange.early_end
         self._cancel_attempts()
-        self._end(self._exchange.early_end.value, status=0)
+        if self._exchange.is_begun or early_end is not EarlyEnd.STOP_LIMIT:
+            self._end(early_end.value, status=0)
+            return
+        self._refuse_for_stop()
 
     def _on_fault(self) -> None:
         """End the request after an exception in one of its steps."""
@@ -512,7 +484,6 @@
         if self._is_over:
             return
         self._is_over = True
-        self._parts.shutdown.remove(self)
         self._stop_placement()
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
--- a/src/shallothinge/gateway/wait.py
+++ b/src/shallothinge/gateway/wait.py
@@ -3,7 +3,9 @@
 import enum
 import logging
 
+from shallothinge.gateway import demands
 from shallothinge.gateway import dependencies
+from shallothinge.gateway import model
 from shallothinge.gateway import policy
 from shallothinge.placement import choice
 from shallothinge.placement import waiting
@@ -34,10 +36,12 @@
         self,
         *,
         parts: dependencies.Dependencies,
+        accepted: model.AcceptedRequest,
         identity: dict[str, str | int],
         started_ms: int,
     ):
         self._parts = parts
+        self._accepted = accepted
         self._identity = identity
         self._started_ms = started_ms
         self._waiting_id: int | None = None
@@ -66,6 +70,44 @@
             )
         return self._parts.waiting.is_first(self._waiting_id)
 
+    def may_recover(self) -> bool:
+        """Return whether control may recover in time for the request."""
+        wait_ms = policy.recovery_wait_ms(
+            patience_ms=self._accepted.time_limit_ms, missing_ms=0
+        )
+        return self._parts.clock.now_ms() - self._started_ms < wait_ms
+
+    def may_resume(
+        self, *, broke_off_ms: int, tried_ids: frozenset[str]
+    ) -> bool:
+        """Return whether a stream that broke off may wait for a server.
+
+        :param broke_off_ms: instant at which it broke off.
+        :param tried_ids: servers that it is not sent to again.
+        """
+        return policy.may_wait_to_resume(
+            route=self._accepted.route,
+            limit_ms=self._accepted.time_limit_ms,
+            waited_ms=self._parts.clock.now_ms() - broke_off_ms,
+            pause_ms=self._parts.servers.pause_ms(
+                service=self._accepted.service.name, tried_ids=tried_ids
+            ),
+        )
+
+    def ends_before_stop(self, first_event_ms: float | None = None) -> bool:
+        """Return whether the answer may be complete before a planned stop.
+
+        :param first_event_ms: time until its first event, None for that on
+            an idle fleet.
+        """
+        if first_event_ms is None:
+            first_event_ms = choice.min_first_event_ms(
+                self._accepted.service, self._accepted.request.prompt_tokens
+            )
+        return self._parts.shutdown.allows(
+            first_event_ms + demands.min_decode_ms(self._accepted)
+        )
+
     def end(self) -> None:
         """Leave the queue; the request is sent or has ended."""
         self._logged_causes.clear()
