Keep a silent agent's stream until another server can go on

A stream whose agent is silent for 4 s ended as 'stream_broken' (before its first token as 'backend_failed') if the retry budget was spent or the lease was missing at that moment, though the agent would have come back. Where no other server was there the running attempt was given up and begun anew. The time limit played no part.

Cause: the entry took silence for a failure. It gave the attempt up first and only then looked for a lease, a retry and a server.

Ruled out: an engine that is silent while its agent is heard. The entry then asks the agent to resume and cancels nothing (STALL_MS, ACCEPT_MS): test_silent_engine_costs_no_attempt passed before the change.

Servers of silent agents get no new work. Refusals from before the silence don't count any more, as after a wait.

Why it works: what is not given up is resumed by the reset of the connection, as after any break; an agent that has dropped the stream says so, and its time limit ends it in any case.

--- a/src/shallothinge/entry/chat_run.py
+++ b/src/shallothinge/entry/chat_run.py
@@ -77,6 +77,7 @@
         self._failures = 0
         self._accepted = False
         self._heard_ms = 0
+        self._is_doubted = False
 
     @property
     def remaining_ms(self) -> int:
@@ -142,6 +143,7 @@
         message = self._start_message(attempt)
         self.server_id = server_id
         self._accepted = False
+        self._is_doubted = False
         self._heard_ms = self._env.clock.now_ms()
         self._env.fleet.begin(
             server_id=server_id,
@@ -181,6 +183,7 @@
         if message.attempt != self.assembly.attempt:
             return
         self._heard_ms = self._env.clock.now_ms()
+        self._is_doubted = False
         if isinstance(message, messages.StreamAccepted):
             self._note_accepted()
         elif isinstance(message, messages.StreamRefused):
@@ -308,8 +311,7 @@
         if self.ended or not self.assembly.is_running:
             return
         if self._env.fleet.is_lost(server_id=self.server_id):
-            self.may_have_run = True
-            self._attempt_failed(ErrorKind.BACKEND_FAILED)
+            self._doubt_agent()
             return
         silent_ms = self._env.clock.now_ms() - self._heard_ms
         limit_ms = STALL_MS if self._accepted else ACCEPT_MS
@@ -317,6 +319,32 @@
             self._heard_ms = self._env.clock.now_ms()
             self._send_resume(self.assembly.resume())
 
+    def _doubt_agent(self) -> None:
+        """Give a silent agent up only if another server can go on."""
+        self.may_have_run = True
+        self._selection.forget_refusals()
+        obstacle = self._takeover_obstacle()
+        if not obstacle:
+            self._attempt_failed(ErrorKind.BACKEND_FAILED)
+        elif not self._is_doubted:
+            self._is_doubted = True
+            LOG.info(
+                'agent is silent; its attempt is kept',
+                extra={
+                    'request_id': self.job.request_id,
+                    'server_id': self.server_id,
+                    'no_takeover': obstacle,
+                },
+            )
+
+    def _takeover_obstacle(self) -> str:
+        """Return what keeps other servers from going on, '' if nothing."""
+        if not self._env.holder.is_valid():
+            return 'lease'
+        if not self._env.budget.has_credit:
+            return 'budget'
+        return '' if self._selection.candidates() else 'servers'
+
     def deadline_passed(self) -> None:
         """Answer at once and release what the request holds."""
         if self.ended:
--- a/src/shallothinge/entry/fleet.py
+++ b/src/shallothinge/entry/fleet.py
@@ -53,6 +53,11 @@
     is_member: bool = True
     is_stopping: bool = False
 
+    @property
+    def is_silent(self) -> bool:
+        """Return whether nothing was heard of the agent for too long."""
+        return self.link.silent_ms > LOST_MS
+
     @property
     def own_tokens(self) -> int:
         """Return the entry's own tokens in flight there."""
@@ -132,10 +137,14 @@
     ) -> dict[str, choice.Candidate]:
         """Return the backend servers that may take a request, by id.
 
+        Servers whose agents are silent get no new work.
+
         :param hashes: block hashes of the prompt.
         """
         found = {}
         for connection in self._usable(need=need):
+            if connection.is_silent:
+                continue
             if connection.breaker.allows_request():
                 candidate = _candidate(
                     connection, hashes=hashes, priority=need.priority
@@ -243,7 +252,7 @@
     def is_lost(self, *, server_id: str) -> bool:
         """Return whether nothing was heard from an agent for too long."""
         connection = self.connections.get(server_id)
-        return connection is None or connection.link.silent_ms > LOST_MS
+        return connection is None or connection.is_silent
 
     def announce_owned(self) -> None:
         """Tell each agent which of its streams are still wanted."""
