Do not cut a begun stream at an entry for want of a lease

A stream whose server had failed ended as 'stream_broken' at once if the entry's lease was missing at the moment in which the next attempt was to start.

Cause: each start without a lease ended the request, whether it had run or not. A refusal is right for a request that did not run, as its caller can go elsewhere; for a begun stream it is a cut.

Evidence: test_begun_stream_waits_for_the_lease failed with 'stream_broken' before.

Change: a request that may have run waits for the lease as it waits for a server, within its time limit. One that did not run is refused as not run, as before.

Why it works: the wait is the queue's own, so the time limit, the caller's leaving and the stop of the entry end it as they end any other.

--- a/src/shallothinge/entry/chat_run.py
+++ b/src/shallothinge/entry/chat_run.py
@@ -89,7 +89,7 @@
         if self.ended:
             return
         if not self._env.holder.is_valid():
-            self._fail(ErrorKind.NO_LEASE)
+            self._lack_lease()
             return
         candidates = self._selection.candidates()
         if not candidates:
@@ -99,6 +99,13 @@
         else:
             self._send(self._selection.best(candidates))
 
+    def _lack_lease(self) -> None:
+        """Refuse what did not run; what may have run waits."""
+        if self.may_have_run:
+            self._wait(ErrorKind.NO_LEASE)
+        else:
+            self._fail(ErrorKind.NO_LEASE)
+
     def _reserve_span(self) -> None:
         self._span_count += 1
         plan_id = f'{self.job.request_id}.{self._span_count}'
--- a/src/shallothinge/entry/tests/test_silent_agent.py
+++ b/src/shallothinge/entry/tests/test_silent_agent.py
@@ -165,5 +165,45 @@
         self.assertEqual(ErrorKind.DEADLINE_EXCEEDED, error.kind)
 
 
+class LeaseGapTest(unittest.TestCase):
+    """The lease is missing as a failed stream is to go on."""
+
+    def setUp(self):
+        self.rig = rigs.Rig()
+        patch = mock.patch.object(
+            self.rig.holder, 'is_valid', autospec=True, return_value=True
+        )
+        self.valid = patch.start()
+        self.addCleanup(patch.stop)
+
+    def fail_without_lease(self, *, accepted):
+        """Let an attempt fail, or be refused, while there is no lease."""
+        request_id = self.rig.submit(deadline_ms=30_000)
+        ((link, start),) = self.rig.starts()
+        self.valid.return_value = False
+        if accepted:
+            link.on_message(rigs.accept(start))
+            link.on_message(rigs.frame(start, 0))
+            link.on_message(rigs.fail(start, 1))
+        else:
+            link.on_message(rigs.refuse(start))
+        self.rig.advance(1000)
+        return self.rig.sinks[request_id]
+
+    def test_begun_stream_waits_for_the_lease(self):
+        sink = self.fail_without_lease(accepted=True)
+        self.assertEqual([], sink.finals)
+        self.assertEqual([], self.rig.starts())
+        self.valid.return_value = True
+        self.rig.advance(3000)
+        ((_, second),) = self.rig.starts()
+        self.assertEqual(('0',), second.delivered)
+
+    def test_request_that_did_not_run_is_refused(self):
+        sink = self.fail_without_lease(accepted=False)
+        (error,) = sink.finals
+        self.assertEqual(ErrorKind.NO_LEASE, error.kind)
+
+
 if __name__ == '__main__':
     unittest.main()
