Refuse a chat at an entry if its hand-over raises an exception

The caller of a chat completion that waited for its workspace's allowance got no answer at all if an exception was raised as it was handed over: its time limit had been cancelled just before, and the answer of control to the allowance has no caller that could answer.

Cause: ChatStart.reserved cancelled the deadline first. Between that and the end of ChatService.submit the request belonged to nobody. submit also put the request into the queue before it knew its run, so that an exception between both left a queue entry that no run takes.

Change: the deadline ends when the run has one of its own. submit registers the run first. The steps of ChatStart are run by the guard that the gateway's requests have; it moved from gateway/guard.py to guard.py and gets the log's fields and the last resort handed in (gateway/exchange_guard.py). Log lines and fields are the same. A chat that fails in its hand-over is refused as 'internal_not_run' and gives its tokens back.

Why it works: the run is not started before the next turn of the reactor, so the refusal is true, and at any time either ChatStart or the run has a deadline.

--- a/src/shallothinge/entry/chat_start.py
+++ b/src/shallothinge/entry/chat_start.py
@@ -4,6 +4,7 @@
 
 from shallothinge import clock as clocks
 from shallothinge import errors
+from shallothinge import guard as guards
 from shallothinge.bundles import model
 from shallothinge.entry import chat_job
 from shallothinge.entry import chats
@@ -74,11 +75,17 @@
         self._services = services
         self._run = None
         self._over = False
+        self._guard = guards.RequestGuard(
+            fields={'request_id': job.request_id},
+            fail=self._on_fault,
+            abort=self._stop_timer,
+        )
         remaining_ms = job.ends_ms - services.clock.now_ms()
         self._timer = services.reactor.callLater(
             max(0, remaining_ms) / 1000, self._deadline_passed
         )
 
+    @guards.guarded
     def begin(self) -> None:
         """Set the request's tokens aside, then start it."""
         self._services.spending.reserve(
@@ -88,18 +95,43 @@
             then=self.reserved,
         )
 
+    @guards.guarded
     def reserved(self, refusal: ErrorKind | None) -> None:
         """Go on with the request, or refuse it."""
-        if self._timer.active():
-            self._timer.cancel()
         if self._over:
             self._give_tokens_back()
         elif refusal is not None:
-            self._sink.failed(errors.ServingError(kind=refusal))
+            self._refuse(refusal)
         else:
             self._run = self._services.chats.submit(
                 job=self._job, sink=self._sink
             )
+            self._stop_timer()
+
+    def _refuse(self, kind: ErrorKind) -> None:
+        self._over = True
+        self._stop_timer()
+        self._sink.failed(errors.ServingError(kind=kind))
+
+    def _stop_timer(self) -> None:
+        if self._timer.active():
+            self._timer.cancel()
+
+    def _on_fault(self) -> None:
+        """Refuse the request after an exception; it was not started."""
+        if self._over or self._run is not None:
+            return
+        run = self._services.chats.runs.get(self._job.request_id)
+        kind = ErrorKind.INTERNAL_NOT_RUN
+        if run is None:
+            self._refuse(kind)
+            self._give_tokens_back()
+        else:
+            self._run = run
+            self._stop_timer()
+            run.refuse(
+                kind, retry_after_ms=errors.ANSWERS[kind].retry_after_ms
+            )
 
     def _give_tokens_back(self) -> None:
         self._services.spending.settle_unused(
@@ -107,11 +139,11 @@
             workspace=self._job.workspace.name,
         )
 
+    @guards.guarded
     def _deadline_passed(self) -> None:
-        self._over = True
-        error = errors.ServingError(kind=ErrorKind.EXPIRED_NOT_RUN)
-        self._sink.failed(error)
+        self._refuse(ErrorKind.EXPIRED_NOT_RUN)
 
+    @guards.guarded
     def caller_left(self) -> None:
         """Cancel the request."""
         self._over = True
--- a/src/shallothinge/entry/chats.py
+++ b/src/shallothinge/entry/chats.py
@@ -43,15 +43,15 @@
         :returns: the run; it may have ended already.
         """
         run = chat_run.ChatRun(job=job, env=self._env, owner=self, sink=sink)
+        self._deadlines[job.request_id] = self._reactor.callLater(
+            max(0, run.remaining_ms) / 1000, run.deadline_passed
+        )
+        self.runs[job.request_id] = run
         refusal = self._refusal_of(job)
         if refusal is not None:
             run.refuse(refusal.kind, retry_after_ms=refusal.retry_after_ms)
             return run
         self._env.budget.fresh()
-        self.runs[job.request_id] = run
-        self._deadlines[job.request_id] = self._reactor.callLater(
-            max(0, run.remaining_ms) / 1000, run.deadline_passed
-        )
         self.pump_soon()
         return run
 
--- a/src/shallothinge/entry/tests/rig.py
+++ b/src/shallothinge/entry/tests/rig.py
@@ -198,9 +198,24 @@
 
     def submit(self, *, tokens=100, deadline_ms=5000, max_tokens=4):
         """Submit a request; gives its id."""
-        number = len(self.sinks)
-        request_id = f'r{number}'
-        job = chat_job.ChatJob(
+        request_id = f'r{len(self.sinks)}'
+        job = self.make_job(
+            request_id,
+            tokens=tokens,
+            deadline_ms=deadline_ms,
+            max_tokens=max_tokens,
+        )
+        self.jobs[request_id] = job
+        self.sinks[request_id] = RecordingSink(clock=self.clock)
+        self.chats.submit(job=job, sink=self.sinks[request_id])
+        self.reactor.advance(0)
+        return request_id
+
+    def make_job(
+        self, request_id, *, tokens=100, deadline_ms=5000, max_tokens=4
+    ) -> chat_job.ChatJob:
+        """Return a request that was checked."""
+        return chat_job.ChatJob(
             request_id=request_id,
             workspace=model.WorkspaceSpec(
                 name='w1', key_hashes=(), models=('small',)
@@ -218,11 +233,6 @@
             ends_ms=self.clock.now_ms() + deadline_ms,
             is_long=tokens > 100_000,
         )
-        self.jobs[request_id] = job
-        self.sinks[request_id] = RecordingSink(clock=self.clock)
-        self.chats.submit(job=job, sink=self.sinks[request_id])
-        self.reactor.advance(0)
-        return request_id
 
     def advance(self, duration_ms):
         """Let time pass, with the entry's regular duties."""
--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -5,8 +5,8 @@
 import attrs
 
 from shallothinge import clock as clocks
+from shallothinge import guard as guards
 from shallothinge.gateway import dependencies
-from shallothinge.gateway import guard as guards
 from shallothinge.gateway import model
 from shallothinge.gateway import reservation
 from shallothinge.gateway.policy import FailureCause
--- /dev/null
+++ b/src/shallothinge/gateway/exchange_guard.py
@@ -0,0 +1,27 @@
+"""Guards the steps of a request at the gateway."""
+
+from collections.abc import Callable
+import functools
+
+from shallothinge import guard as guards
+from shallothinge.http1 import server as http_server
+
+
+def guard(
+    exchange: http_server.Exchange, *, fail: Callable[[], None]
+) -> guards.RequestGuard:
+    """Return the guard of an exchange.
+
+    :param fail: see ``guard.RequestGuard``; without an answer the exchange
+        is aborted.
+    """
+    return guards.RequestGuard(
+        fields={'target': exchange.head.target},
+        fail=fail,
+        abort=functools.partial(_abort, exchange),
+    )
+
+
+def _abort(exchange: http_server.Exchange) -> None:
+    if not exchange.is_ended:
+        exchange.abort()
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -2,13 +2,14 @@
 
 from shallothinge import clock as clocks
 from shallothinge import errors
+from shallothinge import guard as guards
 from shallothinge.errors import ErrorKind
 from shallothinge.gateway import attempt as attempts
 from shallothinge.gateway import demands
 from shallothinge.gateway import dependencies
 from shallothinge.gateway import event_times
+from shallothinge.gateway import exchange_guard
 from shallothinge.gateway import fault_attribution
-from shallothinge.gateway import guard as guards
 from shallothinge.gateway import model
 from shallothinge.gateway import policy
 from shallothinge.gateway import request_log
@@ -38,9 +39,7 @@
     ):
         self._parts = parts
         self._exchange = exchange
-        self._guard = guards.RequestGuard(
-            exchange=exchange, fail=self._on_fault
-        )
+        self._guard = exchange_guard.guard(exchange, fail=self._on_fault)
         self._accepted = accepted
         self._request = accepted.request
         self._route = accepted.route
--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -5,11 +5,12 @@
 
 from shallothinge import clock as clocks
 from shallothinge import errors
+from shallothinge import guard as guards
 from shallothinge.errors import ErrorKind
 from shallothinge.gateway import current_routes
 from shallothinge.gateway import dependencies
+from shallothinge.gateway import exchange_guard
 from shallothinge.gateway import forwarding
-from shallothinge.gateway import guard as guards
 from shallothinge.gateway import model
 from shallothinge.gateway import policy
 from shallothinge.http1 import messages
@@ -88,8 +89,8 @@
         exchange: http_server.Exchange,
         request: model.CallerRequest | None,
     ) -> guards.RequestGuard:
-        return guards.RequestGuard(
-            exchange=exchange,
+        return exchange_guard.guard(
+            exchange,
             fail=functools.partial(self._fail_unsent, exchange, request),
         )
 
--- a/src/shallothinge/gateway/guard.py
+++ b/src/shallothinge/guard.py
@@ -4,8 +4,6 @@
 import functools
 import logging
 
-from shallothinge.http1 import server as http_server
-
 LOG = logging.getLogger(__name__)
 
 
@@ -16,16 +14,23 @@
     the request if it raises an exception, so run it with ``run`` or decorate
     it with ``guarded``.
 
-    :param exchange: the request and its answer.
+    :param fields: name the request in the log.
     :param fail: called after an exception to end the request; it answers,
         or aborts an answer that has begun.
+    :param abort: called after ``fail``; it ends the request if ``fail``
+        could not.
     """
 
     def __init__(
-        self, *, exchange: http_server.Exchange, fail: Callable[[], None]
+        self,
+        *,
+        fields: dict,
+        fail: Callable[[], None],
+        abort: Callable[[], None],
     ):
-        self._exchange = exchange
+        self._fields = fields
         self._fail = fail
+        self._abort = abort
         self._is_running = False
 
     def run(self, step: Callable, *args, **kwargs) -> None:
@@ -51,14 +56,13 @@
             self._fail()
         except Exception:
             self._log('a failed request could not be answered', self._fail)
-        if not self._exchange.is_ended:
-            self._exchange.abort()
+        self._abort()
 
     def _log(self, message: str, step: Callable) -> None:
         LOG.exception(
             message,
             extra={
-                'target': self._exchange.head.target,
+                **self._fields,
                 'step': getattr(step, '__qualname__', repr(step)),
             },
         )
