End a chat at an entry if one of its steps raises an exception

An exception in a step that a message, a timer or the regular watch starts was lost for the request that it belonged to. In a probe of the code before, with the exception thrown in by hand, a caller whose request ended (whole, failed, or at its time limit) while its end was booked got no answer at all, nor did one whose server could not be left at the time limit. After an exception while a token or the end was passed on the caller waited for its time limit. An exception in one request also kept those behind it in the queue, or in the round of the watch, from their turn.

Cause: a step of a ChatRun has no caller that could answer, and a run gave up its deadline and its place before it had answered.

Change: the steps of ChatRun are run by the guard that the gateway's requests have. The caller is answered before the run ends, so that a whole answer stays one if its booking fails.

Why it works: each step ends in an answer or leaves the run in place with its deadline, and an exception goes no further than its request.

--- a/src/shallothinge/entry/chat_run.py
+++ b/src/shallothinge/entry/chat_run.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from shallothinge import errors
+from shallothinge import guard as guards
 from shallothinge.entry import chat_job
 from shallothinge.entry import outcomes
 from shallothinge.entry import selection
@@ -61,6 +62,12 @@
     ):
         self.job = job
         self.ended = False
+        self._is_answered = False
+        self._guard = guards.RequestGuard(
+            fields={'request_id': job.request_id},
+            fail=self._on_fault,
+            abort=self._answer_fault,
+        )
         self.server_id = ''
         self.assembly = assembly.Assembly(request_id=job.request_id)
         self.may_have_run = False
@@ -84,6 +91,7 @@
         """Return the time left until the deadline."""
         return self.job.ends_ms - self._env.clock.now_ms()
 
+    @guards.guarded
     def start(self) -> None:
         """Send the request to a backend server, now that its turn came."""
         if self.ended:
@@ -122,6 +130,7 @@
         )
         self._span.start()
 
+    @guards.guarded
     def take_reservation(self, message: object) -> None:
         """Take an agent's answer to a reservation of this run."""
         if self._span is not None:
@@ -183,6 +192,7 @@
             span=self._span.stream_parts if self._span else (),
         )
 
+    @guards.guarded
     def take(self, server_id: str, message: object) -> None:
         """Take a message of the agent that runs the request."""
         if self.ended or server_id != self.server_id:
@@ -262,8 +272,9 @@
             cached_tokens=finished.cached_tokens,
             generated_tokens=finished.offset,
         )
-        self._end()
         self._sink.complete(finished)
+        self._is_answered = True
+        self._end()
 
     def _attempt_failed(self, kind: ErrorKind) -> None:
         """Continue elsewhere from the prompt and the delivered tokens."""
@@ -306,11 +317,13 @@
         )
         self._env.fleet.send(server_id=self.server_id, message=message)
 
+    @guards.guarded
     def connection_reset(self) -> None:
         """Ask again for what the replaced connection may have lost."""
         if self.assembly.is_running:
             self._send_resume(self.assembly.resume())
 
+    @guards.guarded
     def watch(self) -> None:
         """Notice an agent that is gone and frames that were lost."""
         if self._span is not None:
@@ -352,6 +365,7 @@
             return 'budget'
         return '' if self._selection.candidates() else 'servers'
 
+    @guards.guarded
     def deadline_passed(self) -> None:
         """Answer at once and release what the request holds."""
         if self.ended:
@@ -364,6 +378,7 @@
     def _is_unknown_to_servers(self) -> bool:
         return not self.may_have_run and not self.assembly.is_running
 
+    @guards.guarded
     def caller_left(self) -> None:
         """Release everything; there is nobody to answer."""
         if not self.ended:
@@ -383,11 +398,10 @@
             'next_offset': self.assembly.next_offset,
         }
 
+    @guards.guarded
     def refuse(self, kind: ErrorKind, *, retry_after_ms: int) -> None:
         """Answer that the request was not taken."""
-        self.error_kind = kind
-        self._end()
-        self._sink.failed(
+        self._end_failed(
             errors.ServingError(kind=kind, retry_after_ms=retry_after_ms)
         )
 
@@ -400,9 +414,28 @@
         )
         self._cancel_stream()
         self._estimate_usage()
-        self.error_kind = kind
+        self._end_failed(errors.ServingError(kind=kind))
+
+    def _end_failed(self, error: errors.ServingError) -> None:
+        self.error_kind = error.kind
+        self._sink.failed(error)
+        self._is_answered = True
         self._end()
-        self._sink.failed(errors.ServingError(kind=kind))
+
+    def _on_fault(self) -> None:
+        """End the request after an exception in one of its steps."""
+        if not self._is_answered:
+            kind = ErrorKind.INTERNAL
+            if self._is_unknown_to_servers():
+                kind = ErrorKind.INTERNAL_NOT_RUN
+            self._fail(kind)
+        elif not self.ended:
+            self._end()
+
+    def _answer_fault(self) -> None:
+        if not self._is_answered:
+            self._is_answered = True
+            self._sink.failed(errors.ServingError(kind=ErrorKind.INTERNAL))
 
     def _estimate_usage(self) -> None:
         """Count what a cut answer has used, since no engine reports it."""
