--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -7,11 +7,12 @@
 
 from shallothinge import clock as clocks
 from shallothinge import errors
+from shallothinge import guard as guards
 from shallothinge.errors import ErrorKind
 from shallothinge.gateway import current_routes
 from shallothinge.gateway import dependencies
+from shallothinge.gateway import exchange_guard
 from shallothinge.gateway import forwarding
-from shallothinge.gateway import guard as guards
 from shallothinge.gateway import model
 from shallothinge.gateway import policy
 from shallothinge.http1 import exchange as exchanges
@@ -88,8 +89,8 @@
         exchange: exchanges.Exchange,
         request: model.CallerRequest | None,
     ) -> guards.RequestGuard:
-        return guards.RequestGuard(
-            exchange=exchange,
+        return exchange_guard.guard(
+            exchange,
             fail=functools.partial(self._fail_unsent, exchange, request),
         )
 
