Sync the names in a data folder at each start

What callers would see: a control host that was killed while it synced a folder, started again and later lost power came back without what it had acknowledged since, or not at all. With other disks lost at the same moment, an acknowledged order is gone. Found by reading and by the new test; not seen in a deployment.

Cause: a start synced the data folder only after it had renamed a new log into it, and the folder above only when it created the log.

Evidence: test_power_loss stops a process before each sync, then the next one, and drops a seeded choice of what was not synced.

Ruled out: content that was written and not synced. Each start rewrites the log, and both files are synced before they are renamed.

Change: each start syncs the folder and the one above before it reads, at the cost of two syncs. A failure of these is a StorageError like that of other writes; that of the folder above was a bare OSError.

Why it works: whatever a start relies on or replaces has a durable name by then, so that later renames cannot overtake earlier ones.

--- a/src/shallothinge/storage/data_folder.py
+++ b/src/shallothinge/storage/data_folder.py
@@ -50,6 +50,7 @@
         try:
             if not (path / LOG_NAME).exists():
                 self._create(process_id=process_id, rejoin=rejoin)
+            self._sync_names()
             self._read()
         except errors.StorageError:
             self.close()
@@ -112,7 +113,20 @@
         identity = model.Identity(replica_id=replica_id, rejoin=rejoin)
         self._log_file.rewrite((identity,))
         self._log_file.close()
-        files.sync_folder(self.path.parent, sync=self._sync)
+
+    def _sync_names(self) -> None:
+        """Make the names of the files and of the folder itself durable.
+
+        The process that created or renamed them may have been killed before
+        it could sync them.
+
+        :raises WriteFailed: if they may not be durable.
+        """
+        for path in (self.path, self.path.parent):
+            try:
+                files.sync_folder(path, sync=self._sync)
+            except OSError as error:
+                raise errors.write_error(path=path, error=error) from error
 
     def _read(self) -> None:
         records = self._log_file.read()
