--- a/src/shallothinge/control/tests/fleet.py
+++ b/src/shallothinge/control/tests/fleet.py
@@ -27,18 +27,27 @@
     tolerated, one must be acknowledged within the time to catch up.
 
     :param tolerance: how many hosts may be lost at once.
+    :param sync: syncs a file descriptor. By default nothing is synced, as
+        written data survives the kill of a process.
     """
 
-    def __init__(self, *, folder, founders=3, tolerance=1, seed=0):
+    def __init__(
+        self,
+        *,
+        folder,
+        founders=3,
+        tolerance=1,
+        seed=0,
+        sync=lambda _: None,
+    ):
         super().__init__(tolerance=tolerance, planned_count=founders)
         rng = random.Random(seed)
         self.folder = folder
         self.history = checked_hosts.History()
-        # Only processes are killed, so written data survives without fsync.
         self._fsync_patch = mock.patch.object(
             data_folder,
             'DataFolder',
-            functools.partial(data_folder.DataFolder, sync=lambda _: None),
+            functools.partial(data_folder.DataFolder, sync=sync),
         )
         self._fsync_patch.start()
         self.trace = []
