Wait for the lines that follow the metric of borne losses

Cause: the test. The metric is worked out from the replica as it is read; the lines are written by the replica's next tick, 25 ms apart. A read of the metric between the moment at which a voter counts as silent and that tick sees 0 before the line is there, and the test looked into the log once, at once. Nothing promises the line before the metric.

Ruled out: that the leader is another process (a host that follows a leader publishes no such metric, and the test reads the metric and the log of the same process); that the line is written only by a timer that runs once (each tick compares with the tick before).

Change: the test waits for both lines, as it does for all else. That they come in time is held by a test of its own, which is stricter than the old check was: they are there one tick after the metric.

--- a/src/shallothinge/control/tests/test_quorum_log.py
+++ b/src/shallothinge/control/tests/test_quorum_log.py
@@ -13,9 +13,11 @@
 from shallothinge.consensus import quorum
 from shallothinge.control import quorum_log
 from shallothinge.control import quorum_metrics
+from shallothinge.control import replica
 from shallothinge.control import unavailable_replica
 from shallothinge.control import views
 from shallothinge.control.tests import hosts
+from shallothinge.settings import model
 
 IDS = tuple(f'10.0.0.{number}:{hosts.PORT}' for number in range(1, 5))
 SEEDS = tuple(f'10.0.0.{number}:80' for number in range(1, 4))
@@ -23,6 +25,11 @@
 SETTLED_MS = 5000
 # Long enough to detect a silent voter.
 NOTICED_MS = 2000
+# Of the log, after which the lines tell what the metrics tell at once.
+TICK_MS = (
+    model.LogSettings(data_folder='').heartbeat_ms
+    // replica.TICKS_PER_HEARTBEAT
+)
 NAMES = (*quorum_metrics.READERS, 'control_leader_known')
 
 
@@ -263,6 +270,17 @@
         self.assertEqual(1, line.losses_borne)
         self.assertEqual(1, self.lines.count('a further loss is borne again'))
 
+    def test_lines_follow_the_metric_by_a_tick(self):
+        self.found_listed(IDS[:3])
+        leader_id = self.hosts.leader_host()
+        self.hosts.stop(self.followers()[0])
+        self.hosts.run_until(
+            lambda: self.published(leader_id).get('losses_borne') == 0
+        )
+        self.hosts.run(TICK_MS)
+        self.assertEqual(1, self.lines.count('voter is silent'))
+        self.assertEqual(1, self.lines.count('no further loss is borne'))
+
     def test_only_the_cut_off_host_logs_that_it_may_be_cut_off(self):
         self.found(3)
         self.hosts.run(20_000)
--- a/testing/test_lost_majority.py
+++ b/testing/test_lost_majority.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import functools
 import json
 import os
 import pathlib
@@ -154,8 +155,9 @@
             == 0,
             'a leader that bears no further loss',
         )
-        self.assertTrue(self.lines(leader, 'voter is silent'))
-        self.assertTrue(self.lines(leader, 'no further loss is borne'))
+        # The metric is worked out as it is read, the lines with each tick.
+        for message in ('voter is silent', 'no further loss is borne'):
+            wait_for(functools.partial(self.lines, leader, message), message)
         self.lose(leader)
         return left
 
