--- a/testing/run_tests.py
+++ b/testing/run_tests.py
@@ -2,6 +2,9 @@
 
 Tests that KNOWN-RED.txt lists may fail; they are printed and do not fail
 the run. A listed test that passes is counted as passed.
+
+The ids of the failed tests are printed last, each with the end of its error,
+so that a log of which only the end is kept tells what failed.
 """
 
 import os
@@ -9,6 +12,7 @@
 import subprocess
 import sys
 import time
+import traceback
 import unittest
 
 import hypothesis
@@ -16,6 +20,10 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 SLOWEST_PRINTED = 10
+# Of the error of each failed test, and the characters of each line.
+ERROR_LINES = 20
+LINE_CHARS = 1000
+LEFT_OUT = '...'
 SOURCES = ('src', 'testing', 'experiments')
 CHECKS = (
     ('formatter', ('black', '--check', '--quiet', *SOURCES)),
@@ -31,6 +39,7 @@
         super().__init__(*args, **kwargs)
         self.passed_ids = []
         self.failed_ids = []
+        self.errors_by_id = {}
         self.durations_s = {}
         self._started_s = 0.0
 
@@ -53,17 +62,46 @@
         """Record a failed test."""
         super().addFailure(test, err)
         self.failed_ids.append(test.id())
+        self._keep_error(test, err)
 
     def addError(self, test, err):
         """Record a test that ended with an error."""
         super().addError(test, err)
         self.failed_ids.append(test.id())
+        self._keep_error(test, err)
 
     def addSubTest(self, test, subtest, err):
         """Record a failed row of a test table."""
         super().addSubTest(test, subtest, err)
         if err is not None and test.id() not in self.failed_ids:
             self.failed_ids.append(test.id())
+            self._keep_error(test, err, row=subtest.id())
+
+    def _keep_error(self, test, err, *, row=''):
+        """Keep the first error of a test."""
+        lines = [row] if row else []
+        lines += closing_lines(err[1])
+        self.errors_by_id.setdefault(test.id(), lines)
+
+
+def closing_lines(error: BaseException) -> list[str]:
+    """Return where an error was raised and its message, bounded.
+
+    Of a long message the middle is left out, as of a long line.
+    """
+    where = traceback.format_tb(error.__traceback__)
+    own = [one for one in where if str(ROOT) in one][-1:]
+    message = traceback.format_exception_only(error)
+    lines = ''.join((*own, *message)).splitlines()
+    lines = _without_middle(lines, ERROR_LINES, [LEFT_OUT])
+    return [_without_middle(line, LINE_CHARS, LEFT_OUT) for line in lines]
+
+
+def _without_middle(whole, most: int, left_out):
+    """Return a text or list with at most ``most`` elements and a mark."""
+    if len(whole) <= most:
+        return whole
+    return whole[: most // 2] + left_out + whole[-(most // 2) :]
 
 
 def known_red_ids() -> frozenset[str]:
@@ -130,6 +168,8 @@
             failed.append(test_id)
     for test_id in failed:
         print(f'FAILED {test_id}')
+        for line in result.errors_by_id.get(test_id, ()):
+            print(f'    {line}')
     sys.stderr.flush()
     print(f'{passed} passed, {len(failed)} failed', flush=True)
     return 1 if failed else 0
