Take no gateway to be told on a request that has ended

Cause: the soak's judgement. The server was frozen with the request. Its gateway ended it as deadline_exceeded, and the caller had the 504 at its deadline; 49 ms later the server went on and refused the request with a pause, on a connection that nobody read any more. No answer told the gateway of the pause.

The new test failed in the row of a server that spoke after the caller had its answer (one finding where none is due).

Change: a notice that was written after the caller had a status is not held against the gateway, which had ended the request by then. One written in the same millisecond or before still is, as is one on a request without a status. In the fixture of the other rows the request now ends after the notice, as the rows say that the gateway had it open; their expectations stay.

--- a/testing/soak/notices.py
+++ b/testing/soak/notices.py
@@ -56,7 +56,7 @@
     """Return what is not allowed, in words.
 
     A gateway that was restarted or paused after it was told is excused, and
-    one that an answer may not have reached.
+    one that an answer may not have reached, or that had answered by then.
 
     :param disturbances: name of a gateway, and when it was disturbed, in
         Unix milliseconds.
@@ -70,7 +70,9 @@
     found = []
     for notice in notices:
         told = by_id.get(notice.request_id)
-        if told is None or _may_be_lost(notice, told, cuts):
+        if told is None or _has_ended(notice, told):
+            continue
+        if _may_be_lost(notice, told, cuts):
             continue
         later = [
             (arrival, one)
@@ -86,6 +88,11 @@
     return found
 
 
+def _has_ended(notice: Notice, told: 'checks.Asked') -> bool:
+    """Return whether a caller had its answer before a server spoke."""
+    return told.status is not None and told.ended_ms < notice.at_ms
+
+
 def _may_be_lost(notice: Notice, told: checks.Asked, cuts) -> bool:
     """Return whether a gateway may not have got an answer.
 
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -159,10 +159,22 @@
         self.assertEqual(1, len(found))
 
     def found_of_notices(
-        self, arrived_ms, *, pause_ms=None, told_sent_ms=SENT_MS, **fields
+        self,
+        arrived_ms,
+        *,
+        pause_ms=None,
+        told_sent_ms=SENT_MS,
+        told_ended_ms=SENT_MS + 100,
+        told_status=200,
+        **fields,
     ):
         """Return what is found where requests arrive after a notice."""
-        told = asked(request_id='told', sent_ms=told_sent_ms)
+        told = asked(
+            request_id='told',
+            sent_ms=told_sent_ms,
+            took_ms=told_ended_ms - told_sent_ms,
+            status=told_status,
+        )
         later = [
             asked(request_id=f'r{at_ms}', sent_ms=at_ms - 10)
             for at_ms in arrived_ms
@@ -234,6 +246,24 @@
                 found = self.found_of_notices([SENT_MS + 5000], cuts=[cut])
                 self.assertEqual(count, len(found))
 
+    def test_gateway_is_not_told_on_a_request_that_has_ended(self):
+        # Seed 330004: a frozen server went on after the deadline.
+        for status, ended_ms, count in (
+            (504, SENT_MS - 1, 0),
+            (504, SENT_MS, 1),
+            (200, SENT_MS + 1, 1),
+            (None, SENT_MS - 1, 1),
+        ):
+            with self.subTest(status=status, ended_ms=ended_ms):
+                found = self.found_of_notices(
+                    [SENT_MS + after_ms for after_ms in (600, 800, 1500)],
+                    pause_ms=2000,
+                    told_sent_ms=SENT_MS - 1000,
+                    told_ended_ms=ended_ms,
+                    told_status=status,
+                )
+                self.assertEqual(count, len(found))
+
     def test_gateway_is_not_told_on_a_request_that_it_gave_up(self):
         # Seed 80001: a silent relay passed a request on 1.8 s after it was
         # sent, when the gateway had gone on to another server.
