Leave half a line of a soak's record until it is whole

What could be seen: a soak that ends with JSONDecodeError instead of a result, found in a search by reading for what depends on time.

Cause: while a server leaves, the soak reads its record every 2 ms, and takes a line that is still being written for a whole one. A write that crosses a page is seen in part.

Evidence: the new test failed with "Unterminated string" at half a line.

Change: what follows the last end of a line is left for the next look.

--- a/testing/soak/injection.py
+++ b/testing/soak/injection.py
@@ -135,7 +135,9 @@
     def lines(self, name: str, what: str) -> list[dict]:
         """Return what a backend server has written of one sort so far."""
         path = self._running.record_of(name)
-        lines = path.read_text(encoding='utf-8').splitlines()
+        # What follows the last end of a line is still being written.
+        whole, _, _ = path.read_text(encoding='utf-8').rpartition('\n')
+        lines = whole.splitlines()
         # This is asked for so often that reading each line is too much.
         found = [json.loads(line) for line in lines if f'"{what}"' in line]
         return [one for one in found if one.pop('what') == what]
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -20,6 +20,7 @@
 from testing.soak import deployment
 from testing.soak import ends
 from testing.soak import faults
+from testing.soak import injection
 from testing.soak import notices
 from testing.soak import operator
 from testing.soak import relay
@@ -1127,6 +1128,28 @@
         await asyncio.wait_for(self.relay.wait_closed(), 10)
 
 
+class RecordTest(unittest.TestCase):
+    """What is read of a backend server's record as it is written."""
+
+    def test_line_that_is_written_in_part_is_left_for_later(self):
+        running = mock.create_autospec(
+            deployment.Deployment, instance=True, spec_set=True
+        )
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        record = pathlib.Path(folder) / 'backend-1.runs'
+        running.record_of.return_value = record
+        injected = injection.Injection(running=running, callers=None)
+        line = json.dumps({'what': 'left', 'leader': '127.0.0.1:80'}) + '\n'
+        for written, count in (('', 0), (line[:-9], 0), (line, 1)):
+            with self.subTest(written=written):
+                record.write_text(written, encoding='utf-8')
+                found = injected.lines('backend-1', 'left')
+                self.assertEqual(count, len(found))
+                record.write_text(line + written, encoding='utf-8')
+                found = injected.lines('backend-1', 'left')
+                self.assertEqual(1 + count, len(found))
+
+
 class ShortSoakTest(unittest.TestCase):
     """The real programs under a few faults."""
 
