--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -20,6 +20,7 @@
 from testing.soak import deployment
 from testing.soak import ends
 from testing.soak import faults
+from testing.soak import injection
 from testing.soak import notices
 from testing.soak import operator
 from testing.soak import relay
@@ -159,10 +160,22 @@
         self.assertEqual(1, len(found))
 
     def found_of_notices(
-        self, arrived_ms, *, pause_ms=None, told_sent_ms=SENT_MS, **fields
+        self,
+        arrived_ms,
+        *,
+        pause_ms=None,
+        told_sent_ms=SENT_MS,
+        told_ended_ms=SENT_MS + 100,
+        told_status=200,
+        **fields,
     ):
         """Return what is found where requests arrive after a notice."""
-        told = asked(request_id='told', sent_ms=told_sent_ms)
+        told = asked(
+            request_id='told',
+            sent_ms=told_sent_ms,
+            took_ms=told_ended_ms - told_sent_ms,
+            status=told_status,
+        )
         later = [
             asked(request_id=f'r{at_ms}', sent_ms=at_ms - 10)
             for at_ms in arrived_ms
@@ -234,6 +247,24 @@
                 found = self.found_of_notices([SENT_MS + 5000], cuts=[cut])
                 self.assertEqual(count, len(found))
 
+    def test_gateway_is_not_told_on_a_request_that_has_ended(self):
+        # Seed 330004: a frozen server went on after the deadline.
+        for status, ended_ms, count in (
+            (504, SENT_MS - 1, 0),
+            (504, SENT_MS, 1),
+            (200, SENT_MS + 1, 1),
+            (None, SENT_MS - 1, 1),
+        ):
+            with self.subTest(status=status, ended_ms=ended_ms):
+                found = self.found_of_notices(
+                    [SENT_MS + after_ms for after_ms in (600, 800, 1500)],
+                    pause_ms=2000,
+                    told_sent_ms=SENT_MS - 1000,
+                    told_ended_ms=ended_ms,
+                    told_status=status,
+                )
+                self.assertEqual(count, len(found))
+
     def test_gateway_is_not_told_on_a_request_that_it_gave_up(self):
         # Seed 80001: a silent relay passed a request on 1.8 s after it was
         # sent, when the gateway had gone on to another server.
@@ -1104,6 +1135,28 @@
         await asyncio.wait_for(self.relay.wait_closed(), 10)
 
 
+class RecordTest(unittest.TestCase):
+    """What is read of a backend server's record as it is written."""
+
+    def test_line_that_is_written_in_part_is_left_for_later(self):
+        running = mock.create_autospec(
+            deployment.Deployment, instance=True, spec_set=True
+        )
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        record = pathlib.Path(folder) / 'backend-1.runs'
+        running.record_of.return_value = record
+        injected = injection.Injection(running=running, callers=None)
+        line = json.dumps({'what': 'left', 'leader': '127.0.0.1:80'}) + '\n'
+        for written, count in (('', 0), (line[:-9], 0), (line, 1)):
+            with self.subTest(written=written):
+                record.write_text(written, encoding='utf-8')
+                found = injected.lines('backend-1', 'left')
+                self.assertEqual(count, len(found))
+                record.write_text(line + written, encoding='utf-8')
+                found = injected.lines('backend-1', 'left')
+                self.assertEqual(1 + count, len(found))
+
+
 class ShortSoakTest(unittest.TestCase):
     """The real programs under a few faults."""
 
