Answer the requests that a control host has left at its stop limit

The same cause as at the gateway, which had a drain of its own.

Cause: http1.draining ended the process with the connections open and only logged how many there were.

Evidence: the test of the limit asserted this fault, that the process ends in the moment of the limit with one connection open. It now asks for a status to a whole request and to one that was read in part, for the line with the count, and for the end of the process 100 ms later. On the code before, both rows failed: no line of the site, no answer.

Change: the drain calls Site.end at the limit, as the gateway's did, and the gateway uses this drain after its wait for the balancer, in place of a loop of its own. Its polls are 50 ms apart in place of 250, so that a process ends sooner after its last answer and closer to its limit.

--- a/src/shallothinge/gateway/drain.py
+++ b/src/shallothinge/gateway/drain.py
@@ -7,21 +7,15 @@
 from shallothinge import clock as clocks
 from shallothinge.gateway import ingress as ingresses
 from shallothinge.gateway import shutdown as shutdowns
+from shallothinge.http1 import draining
 from shallothinge.http1 import server as http_server
 from shallothinge.settings import model
 
 LOG = logging.getLogger(__name__)
 
-POLL_INTERVAL_MS = 250
-# What callers get at the stop limit is handed to the kernel meanwhile.
-LAST_ANSWERS_MS = 100
 
-
-class Drain:
-    """Fails the readiness probe, then waits for the last request.
-
-    Requests that are left at the stop limit get an error, and only answers
-    that have begun are cut.
+class GatewayDrain:
+    """Fails the readiness probe, waits for the balancer, then drains.
 
     :param callers: the settings with the wait and the limit of the stop.
     """
@@ -52,21 +46,24 @@
         self._shutdown.begin(duration_ms=self._callers.stop_limit_ms)
         self._ingress.is_draining = True
         self._site.is_stopping = True
-        self._poll()
+        self._reactor.callLater(
+            self._callers.stop_wait_ms / clocks.MS_PER_SECOND,
+            self._stop_accepting,
+        )
         return self._drained
 
-    def _poll(self) -> None:
+    def _stop_accepting(self) -> None:
+        self._ingress.is_stopping = True
         passed_ms = self._clock.now_ms() - self._started_ms
-        delay_ms = POLL_INTERVAL_MS
-        if passed_ms >= self._callers.stop_wait_ms:
-            self._ingress.is_stopping = True
-            self._site.close_idle()
-            if self._site.is_drained() or self._site.is_ended:
-                LOG.info('gateway stopped', extra={'after_ms': passed_ms})
-                self._site.is_ended = True
-                self._drained.callback(None)
-                return
-            if passed_ms >= self._callers.stop_limit_ms:
-                self._site.end()
-                delay_ms = LAST_ANSWERS_MS
-        self._reactor.callLater(delay_ms / clocks.MS_PER_SECOND, self._poll)
+        draining.Drain(
+            site=self._site,
+            reactor=self._reactor,
+            limit_ms=self._callers.stop_limit_ms - passed_ms,
+        ).start().addCallback(self._end)
+
+    def _end(self, _: None) -> None:
+        LOG.info(
+            'gateway stopped',
+            extra={'after_ms': self._clock.now_ms() - self._started_ms},
+        )
+        self._drained.callback(None)
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -91,7 +91,7 @@
         self._ticking = task.LoopingCall(self._tick)
         self._ticking.clock = reactor
         self._had_lease = False
-        self._drain = drain.Drain(
+        self._drain = drain.GatewayDrain(
             reactor=reactor,
             clock=self._process.clock,
             callers=settings.callers,
--- a/src/shallothinge/gateway/tests/test_stopping.py
+++ b/src/shallothinge/gateway/tests/test_stopping.py
@@ -5,6 +5,7 @@
 
 from shallothinge.gateway import drain
 from shallothinge.gateway.tests import rig
+from shallothinge.http1 import draining
 from shallothinge.http1 import exchange as exchanges
 from shallothinge.platform.tests import samples
 from shallothinge.settings import model
@@ -119,17 +120,16 @@
     def drain(self, *, drained_after_ms):
         """Stop a gateway; return when it ended its requests, and itself."""
         made = rig.Rig()
-        site = mock.Mock(is_ended=False)
+        site = mock.Mock(clock=made.clock)
         site.is_drained.side_effect = lambda: passed_ms >= drained_after_ms
 
         def end():
             nonlocal requests_ended_ms
             requests_ended_ms = passed_ms
-            site.is_ended = True
 
         site.end = end
         shutdown = mock.Mock()
-        ended = drain.Drain(
+        ended = drain.GatewayDrain(
             reactor=made.reactor,
             clock=made.clock,
             callers=model.CallersSettings(
@@ -155,14 +155,16 @@
     def test_requests_are_answered_before_the_process_ends(self):
         requests_ended_ms, ended_ms = self.drain(drained_after_ms=100_000)
         self.assertGreaterEqual(requests_ended_ms, LIMIT_MS)
-        self.assertLess(requests_ended_ms, LIMIT_MS + drain.POLL_INTERVAL_MS)
+        self.assertLess(
+            requests_ended_ms, LIMIT_MS + draining.POLL_INTERVAL_MS
+        )
         left_ms = ended_ms - requests_ended_ms
-        self.assertGreaterEqual(left_ms, drain.LAST_ANSWERS_MS)
-        self.assertLessEqual(left_ms, drain.LAST_ANSWERS_MS + STEP_MS)
+        self.assertGreaterEqual(left_ms, draining.LAST_ANSWERS_MS)
+        self.assertLessEqual(left_ms, draining.LAST_ANSWERS_MS + STEP_MS)
 
     def test_process_ends_with_its_last_request(self):
         requests_ended_ms, ended_ms = self.drain(drained_after_ms=3000)
-        self.assertLessEqual(ended_ms, 3000 + drain.POLL_INTERVAL_MS)
+        self.assertLessEqual(ended_ms, 3000 + draining.POLL_INTERVAL_MS)
         self.assertIsNone(requests_ended_ms)
 
 
--- a/src/shallothinge/http1/draining.py
+++ b/src/shallothinge/http1/draining.py
@@ -1,21 +1,22 @@
 """Waits until a process that stops has answered its requests."""
 
-import logging
+from collections.abc import Callable
 
 from twisted.internet import defer
 
 from shallothinge import clock as clocks
 from shallothinge.http1 import server
 
-LOG = logging.getLogger(__name__)
-
 POLL_INTERVAL_MS = 50
+# What callers get at the limit is handed to the kernel meanwhile.
+LAST_ANSWERS_MS = 100
 
 
 class Drain:
     """Answers what has arrived at a site and closes its connections.
 
-    :param limit_ms: when to give up requests that are still in progress.
+    :param limit_ms: when requests that are still in progress get an error,
+        or are cut if their answers have begun.
     """
 
     def __init__(self, *, site: server.Site, reactor, limit_ms: int):
@@ -37,17 +38,19 @@
 
     def _check(self) -> None:
         self._site.close_idle()
-        passed_ms = self._site.clock.now_ms() - self._started_ms
-        is_drained = self._site.is_drained()
-        if not is_drained and passed_ms < self._limit_ms:
-            self._reactor.callLater(
-                POLL_INTERVAL_MS / clocks.MS_PER_SECOND, self._check
-            )
-            return
-        if not is_drained:
-            LOG.warning(
-                'stopping although callers may lack an answer',
-                extra={'connection_count': len(self._site.connections)},
-            )
+        if self._site.is_drained():
+            self._end()
+        elif self._site.clock.now_ms() - self._started_ms < self._limit_ms:
+            self._call_later(POLL_INTERVAL_MS, self._check)
+        else:
+            self._site.end()
+            self._call_later(LAST_ANSWERS_MS, self._end)
+
+    def _call_later(
+        self, duration_ms: int, callback: Callable[[], None]
+    ) -> None:
+        self._reactor.callLater(duration_ms / clocks.MS_PER_SECOND, callback)
+
+    def _end(self) -> None:
         self._site.is_ended = True
         self._done.callback(None)
--- a/src/shallothinge/http1/tests/test_draining.py
+++ b/src/shallothinge/http1/tests/test_draining.py
@@ -27,7 +27,8 @@
             refusal=lambda status: ((), b''),
         )
         self.connection = self.site.buildProtocol(None)
-        self.connection.makeConnection(fakes.Transport())
+        self.transport = fakes.Transport()
+        self.connection.makeConnection(self.transport)
         self.ended = []
 
     def start(self):
@@ -57,12 +58,18 @@
         self.advance(draining.POLL_INTERVAL_MS)
         self.assertEqual([None], self.ended)
 
-    def test_process_ends_at_the_limit_and_logs_what_is_open(self):
-        self.connection.dataReceived(GET)
-        self.start()
-        self.advance(LIMIT_MS - draining.POLL_INTERVAL_MS)
-        self.assertEqual([], self.ended)
-        with self.assertLogs(draining.LOG, 'WARNING') as logged:
-            self.advance(draining.POLL_INTERVAL_MS)
-        self.assertEqual([None], self.ended)
-        self.assertEqual(1, logged.records[0].connection_count)
+    def test_what_is_open_at_the_limit_is_answered_and_logged(self):
+        for data, status in ((GET, b' 500 '), (GET[:9], b' 503 ')):
+            with self.subTest(data=data):
+                self.setUp()
+                self.connection.dataReceived(data)
+                self.start()
+                self.advance(LIMIT_MS - draining.POLL_INTERVAL_MS)
+                self.assertEqual(b'', self.transport.value())
+                with self.assertLogs(server.LOG, 'WARNING') as logged:
+                    self.advance(draining.POLL_INTERVAL_MS)
+                self.assertEqual(1, logged.records[0].connection_count)
+                self.assertIn(status, self.transport.value())
+                self.assertEqual([], self.ended)
+                self.advance(draining.LAST_ANSWERS_MS)
+                self.assertEqual([None], self.ended)
