Refuse what waits for the lease at the stop limit as not run

A caller whose request waited for the lease of the gateway when the stop limit came got 500, which leaves open whether the request has run, and `request ended` told status 0 and `cut_stop_limit`. It had surely not run.

Cause: Ingress._on_gone took the stop limit for a caller that has left, and left the answer to the HTTP server, which does not know.

Evidence: test_request_that_waits_for_the_lease_is_refused_at_the_limit failed with the outcome `cut_stop_limit` in place of `stopping`.

Ruled out: an undisturbed stop. From stop_wait_ms on, those that wait are refused within one poll. Both limits come at once if the process is held up in between for seconds.

Now the request is refused with 503, `stopping`, in `request refused`, as from stop_wait_ms on. The two places share the error with the requests of policy.stop_error that have not run.

--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -17,6 +17,7 @@
 from shallothinge.gateway import policy
 from shallothinge.http1 import exchange as exchanges
 from shallothinge.http1 import messages
+from shallothinge.http1.exchange import EarlyEnd
 from shallothinge.routes import lookup
 from shallothinge.routes import model as routes
 
@@ -139,8 +140,11 @@
         request: model.CallerRequest,
         waiting: interfaces.IDelayedCall,
     ) -> None:
-        """Stop waiting for the lease, as the connection has ended."""
+        """Stop waiting for the lease, as the connection ends."""
         waiting.cancel()
+        if exchange.early_end is EarlyEnd.STOP_LIMIT:
+            self._refuse(exchange, request, policy.unsent_stop_error())
+            return
         LOG.info(
             'request ended',
             extra={
@@ -184,10 +188,7 @@
         :raises ServingError: if the request is refused.
         """
         if self.is_stopping:
-            raise errors.ServingError(
-                kind=ErrorKind.STOPPING,
-                retry_after_ms=policy.STOPPING_RETRY_AFTER_MS,
-            )
+            raise policy.unsent_stop_error()
         if not self._parts.holder.is_valid():
             raise errors.ServingError(
                 kind=ErrorKind.NO_LEASE, retry_after_ms=NO_LEASE_RETRY_AFTER_MS
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -252,6 +252,11 @@
     """Return the error for a request that a planned stop ends."""
     if progress.may_have_run:
         return _unknown_outcome_error(route, detail='stopping')
+    return unsent_stop_error()
+
+
+def unsent_stop_error() -> errors.ServingError:
+    """Return the error for a request that is not sent before the stop."""
     return errors.ServingError(
         kind=ErrorKind.STOPPING, retry_after_ms=STOPPING_RETRY_AFTER_MS
     )
--- a/src/shallothinge/gateway/tests/test_early_ends.py
+++ b/src/shallothinge/gateway/tests/test_early_ends.py
@@ -109,3 +109,14 @@
                 answers = self.transport.value().count(b'HTTP/1.1 503 ')
                 self.assertEqual(2, answers)
                 self.assertFalse(self.transport.was_aborted)
+
+    def test_request_that_waits_for_the_lease_is_refused_at_the_limit(self):
+        # Guards against a 500, which leaves open whether it has run.
+        self.rig.holder.is_leased = False
+        self.connection.dataReceived(WHOLE)
+        with self.assertLogs('shallothinge.gateway.ingress') as logs:
+            self.site.end()
+            self.rig.advance(2000)
+        (record,) = logs.records
+        self.assertEqual('stopping', record.outcome)
+        self.assertIn(b'HTTP/1.1 503 ', self.transport.value())
