Answer a request even if the record of its end raises an exception

A caller whose request was to be refused or answered got a reset in place of that if the log line or the metric of its end raised an exception. No such exception has been seen; it was injected.

Cause: Forwarding notes that a request is over before it records the end and answers, and the handler of exceptions took what is over for answered.

Evidence: test_exception_in_the_record_of_an_end_leaves_no_silent_end failed in its three rows (a refusal, a deadline, a whole answer): the exchange was aborted.

Now the handler looks whether the exchange has ended, too. The status is that of other exceptions: 503 if the request has surely not run, or else 500. The line of the end is not written a second time, because it is what failed; the exception itself is logged as before.

--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -451,7 +451,7 @@
 
     def _on_fault(self) -> None:
         """End the request after an exception in one of its steps."""
-        if not self._is_over:
+        if not (self._is_over and self._exchange.is_ended):
             self._cancel_attempts()
             self._refuse(policy.fault_error(self._progress))
 
--- a/src/shallothinge/gateway/tests/test_step_faults.py
+++ b/src/shallothinge/gateway/tests/test_step_faults.py
@@ -167,3 +167,24 @@
                     self.assertEqual(status, exchange.status)
                 self.assertEqual({}, play.load.loads())
                 self.assertEqual([], play.reactor.getDelayedCalls())
+
+    def test_exception_in_the_record_of_an_end_leaves_no_silent_end(self):
+        # Guards against a reset: the end was recorded, but not answered.
+        rows = (
+            ('refusal', wait_for_servers, deadline_passes, 503),
+            ('deadline', placed, deadline_passes, 500),
+            ('answer', lambda play: placed(play, BOOKING), answered, 500),
+        )
+        for name, before, start, status in rows:
+            with self.subTest(name):
+                play = rig.Rig(configuration=test_forwarding.only_engines())
+                exchange = before(play)
+                play.holder.members.clear()
+                play.parts.metrics.count_request = mock.Mock(
+                    side_effect=RuntimeError('injected')
+                )
+                with self.assertLogs(level='ERROR'):
+                    start(play)
+                self.assertTrue(exchange.is_whole)
+                self.assertEqual(status, exchange.status)
+                self.assertEqual([], play.reactor.getDelayedCalls())
