End a chat that could not be failed after an exception

A caller of an entry got more tokens, or a second final answer at its time limit, after it had got the error for an exception, if a second exception came as the request was failed. The memory of the request counted as in use at its server until the time limit or for good, and its agent was told that the stream was still wanted. Both exceptions were injected; none has been seen.

Cause: the last resort of the guard answered the request, but did not end its run.

Evidence: test_request_that_can_not_be_failed_is_answered_once failed with two final answers at the time limit, and with `tokens after the final answer` and a request in flight at the next token.

Now the last resort also ends the run and leaves the server. That includes the case in which only the end of an answered run was left, so the handler before it no longer has its own branch for that.

--- a/src/shallothinge/entry/chat_run.py
+++ b/src/shallothinge/entry/chat_run.py
@@ -429,13 +429,15 @@
             if self._is_unknown_to_servers():
                 kind = ErrorKind.INTERNAL_NOT_RUN
             self._fail(kind)
-        elif not self.ended:
-            self._end()
 
     def _answer_fault(self) -> None:
+        """Answer and end the request if it could not be failed."""
         if not self._is_answered:
             self._is_answered = True
             self._sink.failed(errors.ServingError(kind=ErrorKind.INTERNAL))
+        if not self.ended:
+            self._end()
+            self._leave_server(succeeded=None)
 
     def _estimate_usage(self) -> None:
         """Count what a cut answer has used, since no engine reports it."""
--- a/src/shallothinge/entry/tests/test_step_faults.py
+++ b/src/shallothinge/entry/tests/test_step_faults.py
@@ -232,6 +232,26 @@
                 is_whole = isinstance(final, messages.StreamFinished)
                 self.assertEqual(start is finished, is_whole)
 
+    def test_request_that_can_not_be_failed_is_answered_once(self):
+        # Guards against a second end: a run that was answered went on.
+        for step in (next_frame, deadline_passes):
+            with self.subTest(step.__name__):
+                play = rigs.Rig()
+                sink = play.sinks[begun(play)]
+                fault = mock.Mock(side_effect=RuntimeError('injected'))
+                with (
+                    mock.patch.object(fleet.Fleet, 'is_lost', fault),
+                    mock.patch.object(fleet.Fleet, 'send', fault),
+                    self.assertLogs(level='ERROR'),
+                ):
+                    watched(play)
+                step(play)
+                self.assertEqual(1, len(sink.finals))
+                self.assertEqual(['0'], sink.parts)
+                self.assertEqual({}, play.chats.runs)
+                for connection in play.fleet.connections.values():
+                    self.assertEqual({}, connection.in_flight)
+
     def test_exception_of_one_request_does_not_stop_the_others(self):
         play = rigs.Rig()
         first = waiting(play)
