Answer the others if one request fails at the stop limit

If the end of one request raised an exception at the stop limit, the callers of the connections after it got no answer, and the process did not end by itself: it would have been killed at the end of the grace period. The exception was injected; none has been seen.

Cause: Site.end calls the owners of the requests in one loop, and the poll of Drain calls Site.end before it schedules the next poll. Steps of a Forwarding are guarded, the wait for the lease is not.

Evidence: test_owner_that_fails_at_the_stop_limit_keeps_nobody_waiting ended with the exception of the first owner.

Now the exchange tells its owner and logs an exception of it. The server then answers with 500 or cuts an answer that has begun, as it does if a handler raises one.

--- a/src/shallothinge/http1/exchange.py
+++ b/src/shallothinge/http1/exchange.py
@@ -2,11 +2,14 @@
 
 from collections.abc import Callable
 import enum
+import logging
 from typing import Protocol
 
 from shallothinge.http1 import flow
 from shallothinge.http1 import messages
 
+LOG = logging.getLogger(__name__)
+
 
 class Connection(Protocol):
     """The connection of the caller, which carries the answer."""
@@ -65,6 +68,18 @@
         self.is_begun = False
         self.is_ended = False
 
+    def tell_owner(self) -> None:
+        """Call ``on_disconnect``; log an exception, as others wait."""
+        if self.on_disconnect is None:
+            return
+        try:
+            self.on_disconnect()
+        except Exception:
+            LOG.exception(
+                'the end of a connection raised an exception',
+                extra={'target': self.head.target},
+            )
+
     def respond(
         self, *, status: int, headers: messages.Headers, body: bytes
     ) -> None:
--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -125,8 +125,7 @@
             return
         exchange.is_ended = True
         exchange.early_end = early_end
-        if exchange.on_disconnect is not None:
-            exchange.on_disconnect()
+        exchange.tell_owner()
 
     def readConnectionLost(self) -> None:
         """Treat a half-close by the caller as a disconnect."""
@@ -307,8 +306,7 @@
         """Notify the owner of a failed request, then answer or abort it."""
         if exchange.is_ended:
             return
-        if exchange.on_disconnect is not None:
-            exchange.on_disconnect()
+        exchange.tell_owner()
         if exchange.is_begun:
             exchange.abort()
             return
--- a/src/shallothinge/http1/tests/test_server.py
+++ b/src/shallothinge/http1/tests/test_server.py
@@ -311,3 +311,20 @@
         self.respond(self.exchanges[0])
         self.site.close_idle()
         self.assertTrue(self.transport.was_half_closed)
+
+    def test_owner_that_fails_at_the_stop_limit_keeps_nobody_waiting(self):
+        # Guards against a stop without end: the error stopped the loop.
+        transports = []
+        for _ in range(2):
+            connection = self.site.buildProtocol(None)
+            transports.append(fakes.Transport())
+            connection.makeConnection(transports[-1])
+            connection.dataReceived(GET)
+            self.exchanges[-1].on_disconnect = mock.Mock(
+                side_effect=RuntimeError('injected')
+            )
+        with self.assertLogs(level='ERROR') as logs:
+            self.site.end()
+        self.assertEqual(2, len(logs.records))
+        for transport in transports:
+            self.assertIn(b'HTTP/1.1 500 ', transport.value())
