Take no stream that busy servers can't finish before a gateway's stop

Cause: a gateway that is stopping takes requests until its balancer has noticed. It refuses those that can't be complete before its stop limit, but reckons with an idle fleet. Under load answers take far longer, so that streams were taken and cut at the limit.

The row `as slow` of the new test failed without the delay: the stream was sent.

Change: the gateway records by how much recent answers were slower than on an idle fleet, and expects a stopping gateway's answers to be as late as the slowest of the last 10 s. Requests of services without an engine end by their own limits and are taken as before.

The delay is that of the moment: without load short streams are taken as before.

--- a/src/shallothinge/gateway/demands.py
+++ b/src/shallothinge/gateway/demands.py
@@ -38,15 +38,25 @@
     )
 
 
-def min_decode_ms(accepted: model.AcceptedRequest) -> float:
-    """Return the time in ms to generate the longest answer on an idle engine.
-
-    Zero if its length or the engine is not known.
+def min_answer_ms(
+    accepted: model.AcceptedRequest, *, first_event_ms: float = 0.0
+) -> float:
+    """Return the time in ms to the end of the longest answer if idle.
+
+    :param first_event_ms: expected time until the first event, if that is
+        longer than on an idle fleet.
+    :returns: zero if the service has no engine.
     """
-    engine = accepted.service.engine
-    if engine is None:
+    service, request = accepted.service, accepted.request
+    if service.engine is None:
         return 0.0
-    return accepted.request.answer_tokens * engine.step_ms
+    return (
+        max(
+            first_event_ms,
+            choice.min_first_event_ms(service, request.prompt_tokens),
+        )
+        + request.answer_tokens * service.engine.step_ms
+    )
 
 
 def build_order(
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -273,6 +273,7 @@
         self._begin(attempt)
         self._parts.servers.record_success(attempt.server_id)
         self._exchange.write(rest)
+        self._wait.record_answer()
         self._end('finished', status=attempt.head.status)
         self._exchange.finish()
 
@@ -281,8 +282,12 @@
         """Pass on a complete answer."""
         self._settle_on(attempt)
         self._parts.servers.record_success(attempt.server_id)
-        head = attempt.head
-        self._end('finished', status=head.status)
+        self._respond('finished', attempt.head, body)
+
+    def _respond(
+        self, outcome: str, head: model.AnswerHead, body: bytes
+    ) -> None:
+        self._end(outcome, status=head.status)
         self._exchange.respond(
             status=head.status, headers=head.headers, body=body
         )
@@ -380,12 +385,7 @@
         if self._exchange.is_begun:
             self._abort(outcome.cause.value)
         elif outcome.answer is not None and not outcome.answer.is_not_executed:
-            self._end('server_error', status=outcome.answer.status)
-            self._exchange.respond(
-                status=outcome.answer.status,
-                headers=outcome.answer.headers,
-                body=outcome.body,
-            )
+            self._respond('server_error', outcome.answer, outcome.body)
         else:
             self._refuse(
                 policy.final_error(
--- a/src/shallothinge/gateway/shutdown.py
+++ b/src/shallothinge/gateway/shutdown.py
@@ -1,7 +1,13 @@
 """The planned stop of a gateway, as its requests see it."""
 
+import collections
+
 from shallothinge import clock as clocks
 
+# Answers that ended within this time tell how busy the servers are.
+DELAY_WINDOW_MS = 10_000
+MAX_DELAYS = 256
+
 
 class Shutdown:
     """Tells requests how much time is left before a planned stop."""
@@ -9,6 +15,9 @@
     def __init__(self, *, clock: clocks.Clock):
         self._clock = clock
         self._limit_ms: int | None = None
+        self._delays: collections.deque[tuple[int, float]] = collections.deque(
+            maxlen=MAX_DELAYS
+        )
 
     def begin(self, *, duration_ms: int) -> None:
         """Note that the process has been told to stop.
@@ -17,11 +26,26 @@
         """
         self._limit_ms = self._clock.now_ms() + duration_ms
 
-    def allows(self, duration_ms: float) -> bool:
-        """Return whether an answer that takes so long ends before the stop.
+    def record_delay(self, delay_ms: float) -> None:
+        """Record how much longer an answer took than on an idle fleet."""
+        self._delays.append((self._clock.now_ms(), delay_ms))
+
+    def allows(self, idle_ms: float) -> bool:
+        """Return whether an answer is likely to be complete before the stop.
+
+        It is expected to be delayed like the slowest recent one. Always true
+        for a process that has not been told to stop.
 
-        Always true for a process that has not been told to stop.
+        :param idle_ms: how long the answer takes on an idle fleet, 0 if that
+            is not known.
         """
         if self._limit_ms is None:
             return True
-        return self._clock.now_ms() + duration_ms < self._limit_ms
+        now_ms = self._clock.now_ms()
+        delay_ms = self._recent_delay_ms(now_ms) if idle_ms else 0.0
+        return now_ms + idle_ms + delay_ms < self._limit_ms
+
+    def _recent_delay_ms(self, now_ms: int) -> float:
+        oldest_ms = now_ms - DELAY_WINDOW_MS
+        recent = (delay for at_ms, delay in self._delays if at_ms > oldest_ms)
+        return max(recent, default=0.0)
--- a/src/shallothinge/gateway/tests/test_stopping.py
+++ b/src/shallothinge/gateway/tests/test_stopping.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 from shallothinge.gateway import drain
+from shallothinge.gateway import shutdown
 from shallothinge.gateway.tests import rig
 from shallothinge.http1 import draining
 from shallothinge.http1 import exchange as exchanges
@@ -20,6 +21,10 @@
 STEP_MS = 10
 
 
+def event(number):
+    return f'id: {number}\ndata: {number}\n\n'.encode()
+
+
 def fill_all(rig):
     for server in rig.holder.members.values():
         for _ in range(server.slots):
@@ -104,6 +109,29 @@
                 if is_refused:
                     self.assert_refused(exchange)
 
+    def test_delay_of_recent_answers_is_expected_of_the_next(self):
+        for name, age_ms, left_ms, is_refused in (
+            ('as slow', 0, 3500, True),
+            ('time for both', 0, 4500, False),
+            ('long ago', shutdown.DELAY_WINDOW_MS, 3500, False),
+        ):
+            with self.subTest(name):
+                self.setUp()
+                self.ask()
+                self.calls[0].answer(200, body=event(0), ends=False)
+                for number in range(1, 9):
+                    self.rig.advance(500)
+                    self.calls[0].listener.on_data(event(number))
+                self.calls[0].listener.on_end()
+                self.rig.advance(age_ms)
+                self.stop(duration_ms=left_ms)
+                exchange = self.ask()
+                self.assertEqual(1 if is_refused else 2, len(self.calls))
+                if is_refused:
+                    self.assert_refused(exchange)
+                booking = self.ask(BOOKING, tokens=0)
+                self.assertIsNone(booking.status)
+
     def test_waiting_request_is_refused_once_the_stop_comes_too_soon(self):
         fill_all(self.rig)
         exchange = self.ask(answer_tokens=2000)
@@ -128,7 +156,7 @@
             requests_ended_ms = passed_ms
 
         site.end = end
-        shutdown = mock.Mock()
+        stopping = mock.Mock()
         ended = drain.GatewayDrain(
             reactor=made.reactor,
             clock=made.clock,
@@ -140,14 +168,14 @@
             ),
             ingress=made.ingress,
             site=site,
-            shutdown=shutdown,
+            shutdown=stopping,
         ).start()
         passed_ms = 0
         requests_ended_ms = None
         while not ended.called and passed_ms < 2 * LIMIT_MS:
             passed_ms += STEP_MS
             made.advance(STEP_MS)
-        shutdown.begin.assert_called_once_with(duration_ms=LIMIT_MS)
+        stopping.begin.assert_called_once_with(duration_ms=LIMIT_MS)
         self.assertTrue(made.ingress.is_stopping)
         self.assertTrue(site.is_ended)
         return requests_ended_ms, passed_ms
--- a/src/shallothinge/gateway/wait.py
+++ b/src/shallothinge/gateway/wait.py
@@ -94,19 +94,24 @@
             ),
         )
 
-    def ends_before_stop(self, first_event_ms: float | None = None) -> bool:
-        """Return whether the answer may be complete before a planned stop.
+    def ends_before_stop(self, first_event_ms: float = 0.0) -> bool:
+        """Return whether the answer is likely to end before a planned stop.
 
-        :param first_event_ms: time until its first event, None for that on
-            an idle fleet.
+        :param first_event_ms: expected time until its first event.
         """
-        if first_event_ms is None:
-            first_event_ms = choice.min_first_event_ms(
-                self._accepted.service, self._accepted.request.prompt_tokens
-            )
-        return self._parts.shutdown.allows(
-            first_event_ms + demands.min_decode_ms(self._accepted)
+        idle_ms = demands.min_answer_ms(
+            self._accepted, first_event_ms=first_event_ms
         )
+        return self._parts.shutdown.allows(idle_ms)
+
+    def record_answer(self) -> None:
+        """Record how long the answer took that is complete now."""
+        took_ms = self._parts.clock.now_ms() - self._started_ms
+        idle_ms = demands.min_answer_ms(self._accepted)
+        if idle_ms:
+            self._parts.shutdown.record_delay(
+                max(0.0, took_ms - self.queued_ms - idle_ms)
+            )
 
     def end(self) -> None:
         """Leave the queue; the request is sent or has ended."""
