Expect delays of a stopping gateway's answers by route

The delay is that of recent answers of the same route now. The rows for another route and for a service without an engine are new in the test; the first failed before.

--- a/src/shallothinge/gateway/shutdown.py
+++ b/src/shallothinge/gateway/shutdown.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import attrs
+
 from shallothinge import clock as clocks
 
 # Answers that ended within this time tell how busy the servers are.
@@ -9,13 +11,22 @@
 MAX_DELAYS = 256
 
 
+@attrs.frozen(kw_only=True)
+class _Delay:
+    """How much longer an answer took than on an idle fleet."""
+
+    route: str
+    ended_ms: int
+    delay_ms: float
+
+
 class Shutdown:
     """Tells requests how much time is left before a planned stop."""
 
     def __init__(self, *, clock: clocks.Clock):
         self._clock = clock
         self._limit_ms: int | None = None
-        self._delays: collections.deque[tuple[int, float]] = collections.deque(
+        self._delays: collections.deque[_Delay] = collections.deque(
             maxlen=MAX_DELAYS
         )
 
@@ -26,15 +37,19 @@
         """
         self._limit_ms = self._clock.now_ms() + duration_ms
 
-    def record_delay(self, delay_ms: float) -> None:
+    def record_delay(self, *, route: str, delay_ms: float) -> None:
         """Record how much longer an answer took than on an idle fleet."""
-        self._delays.append((self._clock.now_ms(), delay_ms))
+        self._delays.append(
+            _Delay(
+                route=route, ended_ms=self._clock.now_ms(), delay_ms=delay_ms
+            )
+        )
 
-    def allows(self, idle_ms: float) -> bool:
+    def allows(self, *, route: str, idle_ms: float) -> bool:
         """Return whether an answer is likely to be complete before the stop.
 
-        It is expected to be delayed like the slowest recent one. Always true
-        for a process that has not been told to stop.
+        It is expected to be delayed like the slowest recent one of its route.
+        Always true for a process that has not been told to stop.
 
         :param idle_ms: how long the answer takes on an idle fleet, 0 if that
             is not known.
@@ -42,10 +57,16 @@
         if self._limit_ms is None:
             return True
         now_ms = self._clock.now_ms()
-        delay_ms = self._recent_delay_ms(now_ms) if idle_ms else 0.0
+        delay_ms = self._recent_delay_ms(route, now_ms) if idle_ms else 0.0
         return now_ms + idle_ms + delay_ms < self._limit_ms
 
-    def _recent_delay_ms(self, now_ms: int) -> float:
+    def _recent_delay_ms(self, route: str, now_ms: int) -> float:
         oldest_ms = now_ms - DELAY_WINDOW_MS
-        recent = (delay for at_ms, delay in self._delays if at_ms > oldest_ms)
-        return max(recent, default=0.0)
+        return max(
+            (
+                one.delay_ms
+                for one in self._delays
+                if one.route == route and one.ended_ms > oldest_ms
+            ),
+            default=0.0,
+        )
--- a/src/shallothinge/gateway/tests/test_stopping.py
+++ b/src/shallothinge/gateway/tests/test_stopping.py
@@ -12,6 +12,7 @@
 from shallothinge.settings import model
 
 STREAM = '/lohu930/1'
+OTHER_STREAM = '/other/1'
 BOOKING = '/book/1'
 DEADLINE_MS = 9000
 PROMPT_TOKENS = 5000
@@ -44,6 +45,8 @@
         fields['routes'][0].update(
             {'service': 'llm', 'target-latency-ms': 3000}
         )
+        other = {'name': 'r-3', 'path-prefix': '/other/'}
+        fields['routes'].append({**fields['routes'][0], **other})
         self.rig = rig.Rig(configuration=fields)
 
     @property
@@ -110,10 +113,13 @@
                     self.assert_refused(exchange)
 
     def test_delay_of_recent_answers_is_expected_of_the_next(self):
-        for name, age_ms, left_ms, is_refused in (
-            ('as slow', 0, 3500, True),
-            ('time for both', 0, 4500, False),
-            ('long ago', shutdown.DELAY_WINDOW_MS, 3500, False),
+        window_ms = shutdown.DELAY_WINDOW_MS
+        for name, path, age_ms, left_ms, is_refused in (
+            ('as slow', STREAM, 0, 3500, True),
+            ('time for both', STREAM, 0, 4500, False),
+            ('long ago', STREAM, window_ms, 3500, False),
+            ('another route', OTHER_STREAM, 0, 3500, False),
+            ('no engine', BOOKING, 0, 3500, False),
         ):
             with self.subTest(name):
                 self.setUp()
@@ -125,12 +131,10 @@
                 self.calls[0].listener.on_end()
                 self.rig.advance(age_ms)
                 self.stop(duration_ms=left_ms)
-                exchange = self.ask()
+                exchange = self.ask(path)
                 self.assertEqual(1 if is_refused else 2, len(self.calls))
                 if is_refused:
                     self.assert_refused(exchange)
-                booking = self.ask(BOOKING, tokens=0)
-                self.assertIsNone(booking.status)
 
     def test_waiting_request_is_refused_once_the_stop_comes_too_soon(self):
         fill_all(self.rig)
--- a/src/shallothinge/gateway/wait.py
+++ b/src/shallothinge/gateway/wait.py
@@ -102,7 +102,9 @@
         idle_ms = demands.min_answer_ms(
             self._accepted, first_event_ms=first_event_ms
         )
-        return self._parts.shutdown.allows(idle_ms)
+        return self._parts.shutdown.allows(
+            route=self._accepted.route.name, idle_ms=idle_ms
+        )
 
     def record_answer(self) -> None:
         """Record how long the answer took that is complete now."""
@@ -110,7 +112,8 @@
         idle_ms = demands.min_answer_ms(self._accepted)
         if idle_ms:
             self._parts.shutdown.record_delay(
-                max(0.0, took_ms - self.queued_ms - idle_ms)
+                route=self._accepted.route.name,
+                delay_ms=max(0.0, took_ms - self.queued_ms - idle_ms),
             )
 
     def end(self) -> None:
