--- a/src/shallothinge/gateway/tests/test_early_ends.py
+++ b/src/shallothinge/gateway/tests/test_early_ends.py
@@ -9,12 +9,13 @@
 from shallothinge.gateway.tests import test_forwarding
 from shallothinge.http1 import server
 from shallothinge.http1.tests import fakes
+from shallothinge.platform import names
 
 LOGGER = 'shallothinge.gateway.request_log'
 HEAD = (
     f'POST {test_forwarding.STREAM} HTTP/1.1\r\nHost: a.example\r\n'
-    f'Request-Attempt-Id: {rig.REQUEST_ID}\r\nCredential: k1\r\n'
-    'Token-Counts: 50,10\r\n'
+    f'{names.REQUEST_ID}: {rig.REQUEST_ID}\r\n{names.API_KEY}: k1\r\n'
+    f'{names.TOKEN_COUNTS}: 50,10\r\n'
 )
 WHOLE = f'{HEAD}Content-Length: 0\r\n\r\n'.encode()
 
