Reset the other connections of a soak's relay if one is closed

Cause: a fault of the soak. Relay.reset_all met a socket that was closed on one side and raised OSError (9, bad file descriptor), so that the reset of backend-3 was neither complete nor recorded as a fault of its server. The stream that it broke was judged as one of a sound server.

Evidence: the traceback in the run's output names reset_all; the gateway's lines show backend-3 broken at 25.710 s, in the span of the reset that was noted at 24.203 s, backend-2 silent and given up, backend-1 asking for a pause. The new test raised the same OSError before.

The check and its excuses are unchanged.

--- a/testing/soak/relay.py
+++ b/testing/soak/relay.py
@@ -66,7 +66,9 @@
         """Reset the open connections."""
         for writer in list(self._writers):
             raw = writer.get_extra_info('socket')
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            # One side of a connection may have been closed already.
+            if raw.fileno() >= 0:
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             writer.transport.abort()
 
     def _accept(self, reader, writer) -> None:
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -1125,6 +1125,18 @@
         for _, writer in (opened, other):
             writer.close()
 
+    async def test_reset_of_a_relay_that_has_closed_one_side(self):
+        opened = await asyncio.open_connection('127.0.0.1', self.port)
+        self.assertEqual(b'1', await self.ask(opened, b'1'))
+        _, closed = await asyncio.open_connection('127.0.0.1', self.port)
+        closed.close()
+        await closed.wait_closed()
+        self.relay._writers = [closed, *self.relay._writers]
+        self.relay.reset_all()
+        self.relay._writers = set(self.relay._writers) - {closed}
+        with self.assertRaises(ConnectionResetError):
+            await opened[0].read(100)
+
     async def test_closed_relay_carries_nothing_and_reports_no_error(self):
         for mode in relay.Mode:
             self.relay.set_mode(mode)
