Log what marked the end of a backend server's answer

`request ended` said `finished` for a stream that ended with its last chunk and for one whose connection was closed by a crash, and `attempt failed` could not tell a torn event from a reset. The HTTP client now tells its listener whether the framing or the close of the connection ended an answer; both lines carry it as `answer_end`, and `rest_bytes` is what came after the last whole event.

The agent's client, which refuses answers that only a close ends, uses the same value in place of its own reading of the headers. No decision changes.

--- a/src/shallothinge/agent/http.py
+++ b/src/shallothinge/agent/http.py
@@ -18,7 +18,6 @@
 
 CONNECT_TIMEOUT_MS = 2000
 DEFAULT_PORT = 80
-NO_BODY_STATUSES = (204, 304)
 
 
 class NotSent(Exception):
@@ -79,8 +78,7 @@
     :ivar opened: fires with this as soon as the head is there.
     """
 
-    def __init__(self, *, method: str):
-        self._method = method
+    def __init__(self):
         self._exchange: client.ClientExchange | None = None
         self._head: messages.ResponseHead | None = None
         self._early = bytearray()
@@ -124,9 +122,10 @@
         else:
             self._receiver.received(data)
 
-    def on_end(self) -> None:
+    def on_end(self, end: client.AnswerEnd) -> None:
         """Tell the end, if it is one that a broken server does not make."""
-        self._end('' if self._has_end() else 'the body has no end')
+        is_framed = end is client.AnswerEnd.FRAMING
+        self._end('' if is_framed else 'the body has no end')
 
     def on_failure(self, failure: client.Failure) -> None:
         """Tell that there is no whole answer."""
@@ -152,15 +151,6 @@
         if self._receiver is not None:
             self._tell_end(why_not)
 
-    def _has_end(self) -> bool:
-        """Return whether a cut body would look cut."""
-        if self._method == 'HEAD' or self._head.status in NO_BODY_STATUSES:
-            return True
-        return bool(
-            self._head.get('content-length')
-            or self._head.get('transfer-encoding')
-        )
-
     def _answer(self, body: bytes) -> Answer:
         return Answer(
             status=self._head.status,
@@ -219,7 +209,7 @@
         :returns: fires with the response as soon as its headers are there;
             fails with ``NotSent`` if the request never left.
         """
-        response = Response(method=method)
+        response = Response()
         url = urllib.parse.urlsplit(self._url)
         fields = {'Host': url.netloc, **(headers or {})}
         response.follow(
--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -69,6 +69,8 @@
     :ivar sent_after_ms: time from the choice of the server until the request
         was sent, None until then.
     :ivar is_stalled: the stall timeout has expired and no event came since.
+    :ivar answer_end: what marked the end of the answer, None before it has
+        ended or if it broke off.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         self._answer: model.AnswerHead | None = None
         self._body = bytearray()
         self.is_stalled = False
+        self.answer_end: client.AnswerEnd | None = None
         self._is_over = False
         self._stall_timer = None
         self._is_paused = False
@@ -116,6 +119,11 @@
         """Return the head of the answer, None before it has arrived."""
         return self._answer
 
+    @property
+    def rest_bytes(self) -> int:
+        """Return how many bytes came after the last whole event."""
+        return len(self._splitter.rest)
+
     def start(self, *, server: BackendServer) -> None:
         """Reserve memory at the helpers if needed, then send the request."""
         self._server = server
@@ -282,10 +290,11 @@
             self._owner.on_events(self, events)
 
     @guards.guarded
-    def on_end(self) -> None:
+    def on_end(self, end: client.AnswerEnd) -> None:
         """Handle the end of the answer."""
         if self._is_over:
             return
+        self.answer_end = end
         self._end()
         if self._is_stream_answer():
             self._owner.on_stream_end(self, self._splitter.rest)
--- a/src/shallothinge/gateway/request_log.py
+++ b/src/shallothinge/gateway/request_log.py
@@ -100,6 +100,7 @@
             may_have_run=outcome.may_have_run,
             sent_after_ms=attempt.sent_after_ms,
             no_retry=no_retry and no_retry.value,
+            **_end_of_answer(attempt),
             **fields,
         )
 
@@ -129,8 +130,18 @@
             sent_after_ms=attempt and attempt.sent_after_ms,
             outcome=outcome,
             first_event_ms=first_event_ms,
+            **(_end_of_answer(attempt) if attempt else {}),
             **fields,
         )
 
     def _write(self, message: str, **fields) -> None:
         LOG.info(message, extra={**self.identity, **fields})
+
+
+def _end_of_answer(attempt: attempts.Attempt) -> dict[str, object]:
+    """Return log fields that tell a whole stream from a torn one."""
+    end = attempt.answer_end
+    return {
+        'answer_end': end and end.value,
+        'rest_bytes': attempt.rest_bytes,
+    }
--- a/src/shallothinge/gateway/reservation.py
+++ b/src/shallothinge/gateway/reservation.py
@@ -67,7 +67,7 @@
     def on_data(self, data: bytes) -> None:
         """Ignore the body."""
 
-    def on_end(self) -> None:
+    def on_end(self, end: client.AnswerEnd) -> None:
         """Report success for status 200, else the status."""
         self._done('' if self._status == 200 else f'status {self._status}')
 
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -124,7 +124,14 @@
         if body:
             self.listener.on_data(body)
         if ends:
-            self.listener.on_end()
+            self.end()
+
+    def end(self, *, by_close=False):
+        """Simulate the end of an answer that has begun."""
+        end = client.AnswerEnd.FRAMING
+        if by_close:
+            end = client.AnswerEnd.CLOSE
+        self.listener.on_end(end)
 
     def refuse(self, *, fault_address=''):
         """Simulate a refusal by a full server, or because of a helper."""
--- a/src/shallothinge/gateway/tests/test_config_changes.py
+++ b/src/shallothinge/gateway/tests/test_config_changes.py
@@ -261,7 +261,7 @@
         self.open_calls[id(call)] = 'done'
         if kind == 'end':
             if events:
-                call.listener.on_end()
+                call.end()
             else:
                 call.answer(200, body=b'done')
         elif kind == 'break' or events:
--- a/src/shallothinge/gateway/tests/test_silence_beside_reads.py
+++ b/src/shallothinge/gateway/tests/test_silence_beside_reads.py
@@ -96,7 +96,7 @@
                             body = test_silent_server.events(*rest)
                             if passed_on:
                                 self.calls[0].listener.on_data(body)
-                                self.calls[0].listener.on_end()
+                                self.calls[0].end()
                             else:
                                 self.calls[0].answer(200, body=body)
                             self.assertTrue(exchange.is_whole)
--- a/src/shallothinge/gateway/tests/test_silent_server.py
+++ b/src/shallothinge/gateway/tests/test_silent_server.py
@@ -90,7 +90,7 @@
         rest = events(*range(after + 1, until + 1))
         if after:
             call.listener.on_data(rest)
-            call.listener.on_end()
+            call.end()
         else:
             call.answer(200, body=rest)
 
--- a/src/shallothinge/gateway/tests/test_step_faults.py
+++ b/src/shallothinge/gateway/tests/test_step_faults.py
@@ -41,7 +41,7 @@
 
 def ended(play):
     """End a stream."""
-    play.caller.calls[0].listener.on_end()
+    play.caller.calls[0].end()
 
 
 def next_event(play):
--- a/src/shallothinge/gateway/tests/test_stopping.py
+++ b/src/shallothinge/gateway/tests/test_stopping.py
@@ -128,7 +128,7 @@
                 for number in range(1, 9):
                     self.rig.advance(500)
                     self.calls[0].listener.on_data(event(number))
-                self.calls[0].listener.on_end()
+                self.calls[0].end()
                 self.rig.advance(age_ms)
                 self.stop(duration_ms=left_ms)
                 exchange = self.ask(path)
--- a/src/shallothinge/gateway/tests/test_vanished_servers.py
+++ b/src/shallothinge/gateway/tests/test_vanished_servers.py
@@ -41,7 +41,7 @@
         self.unlist()
         self.rig.advance(100)
         self.calls[0].listener.on_data(test_forwarding.event(2))
-        self.calls[0].listener.on_end()
+        self.calls[0].end()
         self.assertTrue(exchange.is_whole)
 
     def test_helper_that_left_while_its_memory_was_reserved_is_not_named(self):
--- a/src/shallothinge/http1/client.py
+++ b/src/shallothinge/http1/client.py
@@ -65,6 +65,18 @@
     LATE = 'late'
 
 
+class AnswerEnd(enum.Enum):
+    """What marked the end of a complete answer.
+
+    ``FRAMING`` is its length, its last chunk or a status without a body;
+    ``CLOSE`` is the close of a connection whose answer has neither, which a
+    server that breaks off may cause, too.
+    """
+
+    FRAMING = 'framing'
+    CLOSE = 'close'
+
+
 @attrs.frozen(kw_only=True)
 class Failure:
     """Why an exchange failed to get a complete answer.
@@ -86,7 +98,7 @@
     def on_data(self, data: bytes) -> None:
         """A piece of the body has arrived."""
 
-    def on_end(self) -> None:
+    def on_end(self, end: AnswerEnd) -> None:
         """The answer is complete."""
 
     def on_failure(self, failure: Failure) -> None:
@@ -143,6 +155,7 @@
         )
         self._was_sent = False
         self._is_done = False
+        self._is_closed = False
         self._is_stream = False
         self._is_paused = False
         self._received_bytes = 0
@@ -192,6 +205,7 @@
         if self._is_done:
             return
         if reason.check(net_errors.ConnectionDone):
+            self._is_closed = True
             self._feed(b'')
         self._fail(FailureKind.BROKEN, reason.getErrorMessage())
 
@@ -302,7 +316,9 @@
         elif isinstance(event, h11.EndOfMessage):
             self._finish()
             self.transport.loseConnection()
-            self._listener.on_end()
+            self._listener.on_end(
+                AnswerEnd.CLOSE if self._is_closed else AnswerEnd.FRAMING
+            )
 
     def _fail(self, kind: FailureKind, detail: str) -> None:
         if self._is_done:
--- a/src/shallothinge/http1/tests/fakes.py
+++ b/src/shallothinge/http1/tests/fakes.py
@@ -55,9 +55,14 @@
     def __init__(self):
         self.head = None
         self.body = b''
-        self.has_ended = False
+        self.end = None
         self.failure = None
 
+    @property
+    def has_ended(self):
+        """Return whether the answer is complete."""
+        return self.end is not None
+
     def on_head(self, head):
         """Record the head."""
         self.head = head
@@ -66,9 +71,9 @@
         """Record a piece of the body."""
         self.body += data
 
-    def on_end(self):
+    def on_end(self, end):
         """Record the end."""
-        self.has_ended = True
+        self.end = end
 
     def on_failure(self, failure):
         """Record the failure."""
--- a/src/shallothinge/http1/tests/test_client.py
+++ b/src/shallothinge/http1/tests/test_client.py
@@ -37,20 +37,22 @@
         self.assertIn(b'content-length: 3', sent.lower())
 
     def test_answers_that_are_whole(self):
+        framing, close = client.AnswerEnd.FRAMING, client.AnswerEnd.CLOSE
+        chunks = b'2\r\nok\r\n0\r\n\r\n'
         cases = (
-            (b'Content-Length: 2\r\n\r\nok', None),
-            (b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n', None),
-            (b'Content-Length: 2\r\n\r\nokHTTP/1.1 200 extra', None),
-            (b'\r\nok', DONE),
+            (b'Content-Length: 2\r\n\r\nok', None, framing),
+            (b'Transfer-Encoding: chunked\r\n\r\n' + chunks, None, framing),
+            (b'Content-Length: 2\r\n\r\nokHTTP/1.1 200 extra', None, framing),
+            (b'\r\nok', DONE, close),
         )
-        for rest, reason in cases:
+        for rest, reason, end in cases:
             with self.subTest(rest=rest):
                 self.setUp()
                 self.exchange.dataReceived(b'HTTP/1.1 200 OK\r\n' + rest)
                 if reason is not None:
                     self.assertFalse(self.listener.has_ended)
                     self.exchange.connectionLost(reason)
-                self.assertTrue(self.listener.has_ended)
+                self.assertIs(end, self.listener.end)
                 self.assertEqual(b'ok', self.listener.body)
                 self.assertIsNone(self.listener.failure)
 
