Split event streams at every line end that the standard allows

What callers would see: a gateway held back a stream whose lines end with lone CRs, or whose blank lines mix line ends, until it ended, since its splitter knew LF LF and CR LF CR LF only. The parser of the agent's engines knew LF CR LF, but no CR.

Cause: two copies of the splitter. There is one now, sse.EventSplitter, and the parser uses it. A CR behind another line end waits for the next byte, which may be its LF; streams of lone CRs don't wait. The end of the stream completes an event that waits so.

The tests of both old copies moved to test_sse unchanged, beside a property test of pieces of any size.

--- a/src/shallothinge/agent/running.py
+++ b/src/shallothinge/agent/running.py
@@ -339,7 +339,7 @@
             events = [
                 model.read_event(text) for text in self._parser.feed(data)
             ]
-        except (model.BadAnswer, sse.EventTooLarge) as error:
+        except (model.BadAnswer, sse.EventTooLong) as error:
             LOG.warning(
                 'an engine sent a malformed event: %r',
                 error,
--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -6,12 +6,12 @@
 
 from shallothinge import clock as clocks
 from shallothinge import guard as guards
+from shallothinge import sse
 from shallothinge.gateway import dependencies
 from shallothinge.gateway import model
 from shallothinge.gateway import reservation
 from shallothinge.gateway.policy import FailureCause
 from shallothinge.http1 import client
-from shallothinge.http1 import event_stream
 from shallothinge.http1 import messages
 from shallothinge.membership.model import BackendServer
 from shallothinge.placement import choice
@@ -42,7 +42,7 @@
     """Callbacks from an attempt to the request that it belongs to."""
 
     def on_events(
-        self, attempt: 'Attempt', events: list[event_stream.StreamEvent]
+        self, attempt: 'Attempt', events: list[sse.StreamEvent]
     ) -> None:
         """Handle complete events of a stream that arrived together."""
 
@@ -90,7 +90,7 @@
         self._is_stream = is_stream
         self._owner = owner
         self._guard = guard
-        self._splitter = event_stream.EventSplitter()
+        self._splitter = sse.EventSplitter()
         self._answer: model.AnswerHead | None = None
         self._body = bytearray()
         self.is_stalled = False
@@ -277,7 +277,7 @@
             return
         try:
             events = self._splitter.feed(data)
-        except event_stream.EventTooLong as error:
+        except sse.EventTooLong as error:
             self._fail(FailureCause.BROKEN, detail=str(error))
             return
         if events:
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -3,6 +3,7 @@
 from shallothinge import clock as clocks
 from shallothinge import errors
 from shallothinge import guard as guards
+from shallothinge import sse
 from shallothinge.errors import ErrorKind
 from shallothinge.gateway import attempt as attempts
 from shallothinge.gateway import demands
@@ -17,7 +18,6 @@
 from shallothinge.gateway import silence
 from shallothinge.gateway import wait as waits
 from shallothinge.gateway.wait import WaitCause
-from shallothinge.http1 import event_stream
 from shallothinge.http1 import exchange as exchanges
 from shallothinge.http1.exchange import EarlyEnd
 from shallothinge.placement import choice
@@ -250,11 +250,11 @@
     def on_events(
         self,
         attempt: attempts.Attempt,
-        events: list[event_stream.StreamEvent],
+        events: list[sse.StreamEvent],
     ) -> None:
         """Pass on events, except those that the caller already has."""
         self._parts.servers.record_activity(attempt.server_id)
-        data, self._last_event_id = event_stream.join_unsent_events(
+        data, self._last_event_id = sse.join_unsent_events(
             events, last_id=self._last_event_id
         )
         if not data:
--- a/src/shallothinge/http1/tests/test_client.py
+++ b/src/shallothinge/http1/tests/test_client.py
@@ -1,4 +1,4 @@
-"""Tests of requests to backend servers and of event streams."""
+"""Tests of requests to backend servers."""
 
 import unittest
 
@@ -6,7 +6,6 @@
 from twisted.python import failure
 
 from shallothinge.http1 import client
-from shallothinge.http1 import event_stream
 from shallothinge.http1 import messages
 from shallothinge.http1.client import FailureKind
 from shallothinge.http1.tests import fakes
@@ -92,48 +91,3 @@
         self.assertTrue(self.transport.was_aborted)
         self.assertIsNone(self.listener.head)
         self.assertIsNone(self.listener.failure)
-
-
-class EventSplitterTest(unittest.TestCase):
-    """Only complete events are returned."""
-
-    def test_events_over_pieces(self):
-        splitter = event_stream.EventSplitter()
-        events = []
-        for data in (b'id: 1\nda', b'ta: a\n', b'\nid:2\r\n\r\n', b': c\n\nx'):
-            events += splitter.feed(data)
-        self.assertEqual(
-            [
-                ('1', b'id: 1\ndata: a\n\n'),
-                ('2', b'id:2\r\n\r\n'),
-                ('', b': c\n\n'),
-            ],
-            [(event.event_id, event.data) for event in events],
-        )
-        self.assertEqual(b'x', splitter.rest)
-
-    def test_events_are_the_same_in_pieces_of_any_size(self):
-        text = b'id: 1\n\n\n\n\r\n\r\nid:2\r\n\r\n\n\nx\r\n\r\n\r\n\n\ny\r\n\r'
-        whole = event_stream.EventSplitter()
-        expected = [(one.event_id, one.data) for one in whole.feed(text)]
-        for size in range(1, len(text)):
-            with self.subTest(size=size):
-                splitter = event_stream.EventSplitter()
-                events = []
-                for start in range(0, len(text), size):
-                    events += splitter.feed(text[start : start + size])
-                self.assertEqual(
-                    expected, [(one.event_id, one.data) for one in events]
-                )
-                self.assertEqual(whole.rest, splitter.rest)
-
-    def test_event_that_comes_byte_by_byte_is_not_read_again_each_time(self):
-        splitter = event_stream.EventSplitter()
-        with self.assertRaises(event_stream.EventTooLong):
-            for _ in range(event_stream.MAX_EVENT_BYTES + 1):
-                splitter.feed(b'x')
-
-    def test_event_without_end(self):
-        splitter = event_stream.EventSplitter()
-        with self.assertRaises(event_stream.EventTooLong):
-            splitter.feed(b'x' * (event_stream.MAX_EVENT_BYTES + 1))
