Take a stream that ends inside an event for broken off

What callers saw: a 200 with the server's signature, framed as complete, whose stream stopped in the middle of an event, 4 to 5 ms after the server had crashed.

Cause: the end of the input was taken for the end of the message. An answer may come with neither a length nor chunks and end with its connection, and a crash closes a connection in an orderly way, too. Forwarding settled on the attempt, recorded a success of the server, wrote the bytes behind the last whole event and ended the caller's answer.

Now a stream has broken off where it ends inside an event, however it is framed, and where its connection closes before the first event: it may be resumed, is a failure of the server, and none of its torn bytes go on. Blank lines and whole comments behind the last event are no torn event. A 2xx of another content type on a stream's route is read like any other answer, and never continues a stream that has begun.

It works since an end is judged where the framing of both layers is known: the client tells what marked the end, the splitter whether an event is open.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -280,14 +280,18 @@
         except sse.EventTooLong as error:
             self._fail(FailureCause.BROKEN, detail=str(error))
             return
-        if events:
-            for work_id in self._work_ids:
-                self._parts.load.first_event(work_id)
-            self._end_helper_work()
-            if self.is_stalled:
-                self._stop_timer()
-            self.is_stalled = False
-            self._owner.on_events(self, events)
+        self._on_events(events)
+
+    def _on_events(self, events: list[sse.StreamEvent]) -> None:
+        if not events:
+            return
+        for work_id in self._work_ids:
+            self._parts.load.first_event(work_id)
+        self._end_helper_work()
+        if self.is_stalled:
+            self._stop_timer()
+        self.is_stalled = False
+        self._owner.on_events(self, events)
 
     @guards.guarded
     def on_end(self, end: client.AnswerEnd) -> None:
@@ -295,10 +299,11 @@
         if self._is_over:
             return
         self.answer_end = end
-        self._end()
         if self._is_stream_answer():
-            self._owner.on_stream_end(self, self._splitter.rest)
-        elif self._answer.is_success:
+            self._on_stream_end()
+            return
+        self._end()
+        if self._answer.is_success:
             self._owner.on_answer(self, bytes(self._body))
         else:
             self._owner.on_failed(
@@ -313,6 +318,35 @@
                 ),
             )
 
+    def _on_stream_end(self) -> None:
+        """Fail if the stream was broken off, although its end looks sound."""
+        self._on_events(self._splitter.end())
+        if self._is_over:
+            return
+        self._end()
+        detail = self._truncation()
+        if not detail:
+            self._owner.on_stream_end(self, self._splitter.rest)
+            return
+        self._owner.on_failed(
+            self,
+            Outcome(
+                cause=FailureCause.BROKEN,
+                may_have_run=True,
+                was_sent=True,
+                detail=detail,
+            ),
+        )
+
+    def _truncation(self) -> str:
+        """Return why a stream that has ended is not complete, '' if it is."""
+        if self._splitter.is_inside_event:
+            return 'the stream ended inside an event'
+        is_framed = self.answer_end is client.AnswerEnd.FRAMING
+        if not is_framed and not self._splitter.has_events:
+            return 'the connection closed before the first event'
+        return ''
+
     @guards.guarded
     def on_failure(self, failure: client.Failure) -> None:
         """Handle a connection that failed before the answer was complete."""
@@ -338,6 +372,7 @@
             self._is_stream
             and self._answer is not None
             and self._answer.is_success
+            and self._answer.is_event_stream
         )
 
     def _on_unrun(self, answer: model.AnswerHead) -> None:
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -279,7 +279,18 @@
 
     @guards.guarded
     def on_answer(self, attempt: attempts.Attempt, body: bytes) -> None:
-        """Pass on a complete answer."""
+        """Pass on a complete answer, unless a stream has begun before it."""
+        if self._exchange.is_begun:
+            self.on_failed(
+                attempt,
+                attempts.Outcome(
+                    cause=policy.FailureCause.BROKEN,
+                    may_have_run=True,
+                    was_sent=True,
+                    detail='the answer to a resumed request is no stream',
+                ),
+            )
+            return
         self._settle_on(attempt)
         self._parts.servers.record_success(attempt.server_id)
         self._respond('finished', attempt.head, body)
--- a/src/shallothinge/gateway/model.py
+++ b/src/shallothinge/gateway/model.py
@@ -83,7 +83,9 @@
 class AnswerHead:
     """The head of a backend server's answer.
 
-    ``headers`` are those that the caller gets. ``is_not_executed`` is whether
+    ``headers`` are those that the caller gets. ``is_event_stream`` is whether
+    the body may be server-sent events, that is, no other content type is
+    stated. ``is_not_executed`` is whether
     the server states that it did not execute the request, which includes an
     answer by another incarnation at its address. ``fault_address`` is the
     address of the helper that caused the failure, if one did. ``is_signed``
@@ -97,6 +99,7 @@
     request_id: str
     is_signed: bool
     is_not_executed: bool
+    is_event_stream: bool
     fault_address: str = ''
     is_leaving: bool = False
     pause_ms: int = 0
--- a/src/shallothinge/platform/dialect.py
+++ b/src/shallothinge/platform/dialect.py
@@ -28,6 +28,7 @@
 # 429, 503, 408 and 421 promise here that a request has not run.
 PROMISING_STATUSES = (408, 421, 429, 503)
 UNKNOWN_OUTCOME_STATUS = 502
+EVENT_STREAM = 'text/event-stream'
 
 
 class PlatformDialect:
@@ -115,6 +116,7 @@
             request_id=head.get(names.REQUEST_ID),
             is_signed=bool(head.get(names.SIGNATURE)),
             is_not_executed=names.UNRUN in field_names or head.status == 421,
+            is_event_stream=_read_media_type(head) in ('', EVENT_STREAM),
             fault_address=head.get(names.FAULT_ADDRESS),
             # A 421 may come from another server at the same address.
             is_leaving=head.get(names.LEAVING) == '1' and head.status != 421,
@@ -148,6 +150,12 @@
     return (('content-type', 'application/json'),), body
 
 
+def _read_media_type(head: messages.ResponseHead) -> str:
+    """Return the media type in lower case, '' if none is stated."""
+    media_type, _, _ = head.get('content-type').partition(';')
+    return media_type.strip().lower()
+
+
 def _read_deadline(head: messages.RequestHead) -> int | None:
     text = head.get(names.DEADLINE_MS)
     if not text:
--- a/src/shallothinge/sse.py
+++ b/src/shallothinge/sse.py
@@ -11,6 +11,8 @@
 MAX_EVENT_BYTES = 1024 * 1024
 ID_FIELD = b'id'
 DATA_FIELD = b'data:'
+COMMENT_START = b':'
+LINE_ENDS = b'\r\n'
 DONE = '[DONE]'
 # A CR after another line end may be the first half of CR LF, which the next
 # byte tells. Streams of lone CRs do not wait for that byte.
@@ -36,11 +38,16 @@
 
 
 class EventSplitter:
-    """Buffers received bytes and returns the events that are complete."""
+    """Buffers received bytes and returns the events that are complete.
+
+    :ivar has_events: whether any of them had a field. Blank lines and
+        comments are returned like events, but are none.
+    """
 
     def __init__(self, *, max_event_bytes: int = MAX_EVENT_BYTES):
         self._max_event_bytes = max_event_bytes
         self._buffer = bytearray()
+        self.has_events = False
 
     @property
     def rest(self) -> bytes:
@@ -60,7 +67,7 @@
         events = []
         start = 0
         for found in _BLANK_LINE.finditer(self._buffer, search_from):
-            events.append(_event_of(self._buffer[start : found.end()]))
+            events.append(self._take(self._buffer[start : found.end()]))
             start = found.end()
         del self._buffer[:start]
         if len(self._buffer) > self._max_event_bytes:
@@ -76,10 +83,22 @@
         """
         if not self._buffer.endswith(_BLANK_LINE_AT_END):
             return []
-        event = _event_of(self._buffer)
+        event = self._take(self._buffer)
         self._buffer.clear()
         return [event]
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether ``rest`` is more than blank lines and comments."""
+        return any(
+            not _is_blank(line) and not _is_whole_comment(line)
+            for line in self._buffer.splitlines(keepends=True)
+        )
+
+    def _take(self, data: bytearray) -> StreamEvent:
+        self.has_events = self.has_events or _has_field(data)
+        return StreamEvent(data=bytes(data), event_id=_id_of(data))
+
 
 class EventParser:
     """Splits the bytes of an event stream into the data of its events."""
@@ -100,8 +119,19 @@
         ]
 
 
-def _event_of(data: bytearray) -> StreamEvent:
-    return StreamEvent(data=bytes(data), event_id=_id_of(data))
+def _has_field(event: bytes) -> bool:
+    return any(
+        line and not line.startswith(COMMENT_START)
+        for line in event.splitlines()
+    )
+
+
+def _is_blank(line: bytes) -> bool:
+    return not line.strip(LINE_ENDS)
+
+
+def _is_whole_comment(line: bytes) -> bool:
+    return line.startswith(COMMENT_START) and line[-1] in LINE_ENDS
 
 
 def _id_of(event: bytes) -> str:
