--- a/testing/soak/backend.py
+++ b/testing/soak/backend.py
@@ -7,9 +7,10 @@
 is gone; from then on its answers say so, too. Once that is acknowledged it
 serves on for some seconds, as real ones may, and notes the requests that
 still reach it too late. Now and then it refuses a request and asks for a
-pause, or answers one that it runs with bytes that never end. What it says of
-itself is noted, with all requests that arrive. A datagram tells it to fall
-silent for a while, which is no fault.
+pause, or answers one that it runs with bytes that never end, or with a stream
+that ends inside an event. Some streams have no framing and end with their
+connection. What it says of itself is noted, with all requests that arrive. A
+datagram tells it to fall silent for a while, which is no fault.
 """
 
 import argparse
@@ -27,6 +28,7 @@
 from shallothinge.platform import names
 from shallothinge.platform.tests import samples
 from testing.soak import checks
+from testing.soak import framing as framings
 from testing.soak import silences
 from testing.soak import wire
 
@@ -67,6 +69,7 @@
         self._is_leaving = False
         self._rng = random.Random(arguments.name)
         self._endless_rng = random.Random(f'endless {arguments.name}')
+        self._framing_rng = random.Random(f'framing {arguments.name}')
         self._left_ms: int | None = None
         self._silence = Silence()
 
@@ -220,19 +223,26 @@
             self._note_if_told(request, fields)
             return
         fields.append(('content-type', 'text/event-stream'))
-        writer.write(wire.head_of(connection, 200, fields))
+        framing = framings.draw(self._framing_rng)
+        if framing.is_truncated:
+            self._note_event('broken', request)
+        writer.write(framing.head(connection, fields))
         first = int(request.fields.get(names.LAST_EVENT_ID) or 0) + 1
-        for number in range(first, wire.event_count(request.target) + 1):
+        events = [
+            wire.event_of(request.target, number)
+            for number in range(first, wire.event_count(request.target) + 1)
+        ]
+        for index, piece in enumerate(framing.pieces(connection, events)):
             await asyncio.sleep(EVENT_S)
-            await self._silence.wait(is_begun=number > first)
-            event = wire.event_of(request.target, number)
-            writer.write(connection.send(h11.Data(data=event)))
+            await self._silence.wait(is_begun=index > 0)
+            writer.write(piece)
             await writer.drain()
-            if number == first:
+            if index == 0:
                 self._note_event('begun', request)
-        writer.write(connection.send(h11.EndOfMessage()))
+        writer.write(framing.end(connection))
         await writer.drain()
-        self._note_if_told(request, fields)
+        if not framing.is_truncated:
+            self._note_if_told(request, fields)
 
     async def _send_without_end(self, writer, fields) -> None:
         """Send until the connection is closed, which raises OSError."""
