Log the shared parts of prompts, and how long a failed attempt has written

A request's shared parts are read in the dialect (all but the last; 64 ids of 64 characters at most) and logged as the request is placed; a failed attempt is logged with the time since its first event. No decision changes.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -95,6 +95,7 @@
         self._body = bytearray()
         self.is_stalled = False
         self.answer_end: client.AnswerEnd | None = None
+        self._first_event_ms: int | None = None
         self._is_over = False
         self._stall_timer = None
         self._is_paused = False
@@ -119,6 +120,13 @@
         """Return the head of the answer, None before it has arrived."""
         return self._answer
 
+    @property
+    def writing_ms(self) -> int | None:
+        """Return the time since the first event, None before it."""
+        if self._first_event_ms is None:
+            return None
+        return self._parts.clock.now_ms() - self._first_event_ms
+
     @property
     def rest_bytes(self) -> int:
         """Return how many bytes came after the last whole event."""
@@ -285,6 +293,8 @@
     def _on_events(self, events: list[sse.StreamEvent]) -> None:
         if not events:
             return
+        if self._first_event_ms is None:
+            self._first_event_ms = self._parts.clock.now_ms()
         for work_id in self._work_ids:
             self._parts.load.first_event(work_id)
         self._end_helper_work()
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -226,6 +226,7 @@
             is_takeover=is_takeover,
             queued_ms=self._wait.queued_ms,
             last_event_id=self._last_event_id,
+            part_ids=self._request.part_ids,
         )
         attempt.start(server=server)
         if is_stream and self._no_takeover_reason() is None:
--- a/src/shallothinge/gateway/model.py
+++ b/src/shallothinge/gateway/model.py
@@ -16,7 +16,8 @@
     ``headers`` are those that are passed on unchanged. ``deadline_ms`` is
     how long the caller waits, from the request's arrival; None if the caller
     does not state it. ``prompt_tokens`` is 0 for a request without a prompt,
-    ``answer_tokens`` the greatest length of its answer.
+    ``answer_tokens`` the greatest length of its answer. ``part_ids`` are the
+    parts of the prompt that other requests may share, without repetition.
     """
 
     request_id: str
@@ -29,6 +30,7 @@
     deadline_ms: int | None = None
     prompt_tokens: int = 0
     answer_tokens: int = 0
+    part_ids: tuple[str, ...] = ()
     last_event_id: str = ''
 
 
--- a/src/shallothinge/gateway/request_log.py
+++ b/src/shallothinge/gateway/request_log.py
@@ -98,6 +98,7 @@
             cause=outcome.cause.value,
             detail=outcome.detail,
             may_have_run=outcome.may_have_run,
+            writing_ms=attempt.writing_ms,
             sent_after_ms=attempt.sent_after_ms,
             no_retry=no_retry and no_retry.value,
             **_end_of_answer(attempt),
--- a/src/shallothinge/platform/dialect.py
+++ b/src/shallothinge/platform/dialect.py
@@ -29,6 +29,9 @@
 PROMISING_STATUSES = (408, 421, 429, 503)
 UNKNOWN_OUTCOME_STATUS = 502
 EVENT_STREAM = 'text/event-stream'
+# Limits of what is remembered of a prompt.
+MAX_PARTS = 64
+MAX_PART_ID_LENGTH = 64
 
 
 class PlatformDialect:
@@ -59,6 +62,7 @@
             deadline_ms=_read_deadline(head),
             prompt_tokens=prompt_tokens,
             answer_tokens=answer_tokens,
+            part_ids=_read_part_ids(head),
             last_event_id=head.get(names.LAST_EVENT_ID),
         )
 
@@ -196,6 +200,20 @@
     )
 
 
+def _read_part_ids(head: messages.RequestHead) -> tuple[str, ...]:
+    """Return the ids of the prompt's shared parts.
+
+    The header's name misleads: it lists the whole prompt. Its last part
+    belongs to the request or its session alone.
+    """
+    *shared, _ = head.get(names.PROMPT_PARTS).split(',')
+    found = (entry.partition(':')[0].strip().lower() for entry in shared)
+    unique = dict.fromkeys(
+        part_id for part_id in found if 0 < len(part_id) <= MAX_PART_ID_LENGTH
+    )
+    return tuple(unique)[:MAX_PARTS]
+
+
 def _name_helper(helper: model.Helper) -> str:
     if helper.ticket_id:
         return f'{helper.address}/{helper.ticket_id}'
--- a/src/shallothinge/platform/names.py
+++ b/src/shallothinge/platform/names.py
@@ -10,6 +10,8 @@
 WORKSPACE = 'tenant'
 # Number of prompt tokens, a comma, and the largest number of output tokens.
 TOKEN_COUNTS = 'token-counts'
+# The parts of the prompt in order, as ID:TOKENS entries with commas between.
+PROMPT_PARTS = 'prompt-prefix'
 LAST_EVENT_ID = 'last-event-id'
 EXPECTED_SERVER = 'expected-instance'
 URGENCY = 'request-urgency'
--- a/src/shallothinge/platform/tests/test_dialect.py
+++ b/src/shallothinge/platform/tests/test_dialect.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+
 from shallothinge import errors
 from shallothinge.errors import ErrorKind
 from shallothinge.gateway import model
@@ -90,6 +92,30 @@
             self.dialect.read_request(head=head, body=b'')
         self.assertIs(ErrorKind.BAD_REQUEST, caught.exception.kind)
 
+    def test_shared_parts_of_a_prompt_are_all_but_the_last(self):
+        rows = (
+            ('', ()),
+            ('a1:40', ()),
+            ('a1:40,b2:410,c3:250', ('a1', 'b2')),
+            ('A1:40, b2 :410,c3', ('a1', 'b2')),
+            ('a1:40,a1:40,c3:250', ('a1',)),
+            (':40,,c3', ()),
+            (f'{"a" * 65}:40,b2:1,c3:1', ('b2',)),
+            (','.join(f'{one}:1' for one in range(99)), None),
+        )
+        for text, part_ids in rows:
+            with self.subTest(text=text):
+                request = self.dialect.read_request(
+                    head=attrs.evolve(
+                        REQUEST, headers=(('prompt-prefix', text),)
+                    ),
+                    body=b'',
+                )
+                if part_ids is None:
+                    self.assertEqual(64, len(request.part_ids))
+                else:
+                    self.assertEqual(part_ids, request.part_ids)
+
 
 class AnswerTest(unittest.TestCase):
     """What a backend server answers and what a caller gets."""
