--- a/src/shallothinge/errors.py
+++ b/src/shallothinge/errors.py
@@ -42,6 +42,7 @@
     BACKEND_OUT = 'backend_out'
     COLD_LIMIT = 'cold_limit'
     MEMORY_FULL = 'memory_full'
+    QUARANTINED = 'quarantined'
     STALE_FENCE = 'stale_fence'
     STOPPING = 'stopping'
     BACKEND_FAILED = 'backend_failed'
@@ -152,6 +153,9 @@
     ErrorKind.MEMORY_FULL: _not_run(
         503, 2000, 'The engine has no memory for the request now.'
     ),
+    ErrorKind.QUARANTINED: _not_run(
+        503, 600_000, 'A part of the prompt has crashed several servers.'
+    ),
     ErrorKind.STALE_FENCE: _not_run(
         409, 0, 'The order carries an old fencing number.'
     ),
--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -22,15 +22,17 @@
 class Outcome:
     """How an attempt failed.
 
-    ``answer`` is the head of the server's refusal to run the request or of
-    its own error response, if that is complete and signed. ``body`` is the
-    body of the error response. ``fault_address`` or ``fault_id`` names the
-    helper that caused the failure, if one did.
+    ``is_disconnect`` is whether the server closed the connection before the
+    answer was complete. ``answer`` is the head of the server's refusal to run
+    the request or of its own error response, if that is complete and signed.
+    ``body`` is the body of the error response. ``fault_address`` or
+    ``fault_id`` names the helper that caused the failure, if one did.
     """
 
     cause: FailureCause
     may_have_run: bool
     was_sent: bool
+    is_disconnect: bool = False
     detail: str = ''
     fault_address: str = ''
     fault_id: str = ''
@@ -115,6 +117,11 @@
         """Return the id of the server that the request is sent to."""
         return self._placement.server_id
 
+    @property
+    def server(self) -> BackendServer | None:
+        """Return the server as it was listed, None before ``start``."""
+        return self._server
+
     @property
     def head(self) -> model.AnswerHead | None:
         """Return the head of the answer, None before it has arrived."""
@@ -344,6 +351,7 @@
                 cause=FailureCause.BROKEN,
                 may_have_run=True,
                 was_sent=True,
+                is_disconnect=self.answer_end is client.AnswerEnd.CLOSE,
                 detail=detail,
             ),
         )
@@ -373,6 +381,8 @@
                 ),
                 may_have_run=failure.was_sent,
                 was_sent=failure.was_sent,
+                is_disconnect=failure.was_sent
+                and failure.kind is client.FailureKind.BROKEN,
                 detail=f'{failure.kind.value}: {failure.detail}',
             ),
         )
--- a/src/shallothinge/gateway/dependencies.py
+++ b/src/shallothinge/gateway/dependencies.py
@@ -14,6 +14,7 @@
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
 from shallothinge.placement import waiting
+from shallothinge.quarantine import state as quarantines
 from shallothinge.routing import retries
 
 
@@ -31,6 +32,7 @@
     chooser: choice.Chooser
     waiting: waiting.WaitingPrompts
     budget: retries.RetryBudget
+    quarantine: quarantines.PartQuarantine
     caller: client.HttpClient
     process: processes.Process
     shutdown: shutdown.Shutdown
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -12,6 +12,7 @@
 from shallothinge.gateway import exchange_guard
 from shallothinge.gateway import fault_attribution
 from shallothinge.gateway import model
+from shallothinge.gateway import part_admission
 from shallothinge.gateway import policy
 from shallothinge.gateway import request_log
 from shallothinge.gateway import running_attempts
@@ -21,6 +22,7 @@
 from shallothinge.http1 import exchange as exchanges
 from shallothinge.http1.exchange import EarlyEnd
 from shallothinge.placement import choice
+from shallothinge.quarantine import state as quarantines
 from shallothinge.routes import model as routes
 
 
@@ -52,6 +54,12 @@
         self._running = running_attempts.RunningAttempts()
         self._last_event_id = accepted.request.last_event_id
         self._event_times = event_times.EventTimes()
+        self._admission = part_admission.PartAdmission(
+            parts=parts,
+            accepted=accepted,
+            guard=self._guard,
+            on_blocked=self._on_blocked,
+        )
         self._log = request_log.RequestLog(parts=parts, accepted=accepted)
         self._silence = silence.SilenceWatch(
             parts=parts,
@@ -81,6 +89,7 @@
             self._refuse(policy.deadline_error(self._progress))
             return
         self._parts.budget.fresh()
+        self._admission.start()
         self._deadline_timer = self._parts.reactor.callLater(
             self._remaining_ms() / clocks.MS_PER_SECOND,
             self._on_deadline,
@@ -96,6 +105,10 @@
         self._placement_timer = None
         if self._is_over or (self._running and self._no_takeover_reason()):
             return
+        admission = self._admission.admit()
+        if admission.refused_ms:
+            self._refuse_quarantined(admission)
+            return
         if not self._parts.holder.is_valid():
             self._wait_or_fail(
                 WaitCause.LEASE, kind=ErrorKind.NO_LEASE, may_recover=True
@@ -152,6 +165,22 @@
             self._wait.end()
             self._send(placed)
 
+    def _refuse_quarantined(self, admission: quarantines.Admission) -> None:
+        self._cancel_attempts()
+        self._refuse(
+            policy.quarantine_error(
+                route=self._route,
+                progress=self._progress,
+                admission=admission,
+            )
+        )
+
+    def _on_blocked(self) -> None:
+        """End a request that may crash servers, unless its answer is begun."""
+        is_pending = bool(self._running) or self._placement_timer is not None
+        if is_pending and not self._is_over and not self._exchange.is_begun:
+            self._refuse_quarantined(self._admission.admit())
+
     def _waited_ms(self) -> int:
         return self._parts.clock.now_ms() - self._started_ms
 
@@ -273,6 +302,7 @@
         self._settle_on(attempt)
         self._begin(attempt)
         self._parts.servers.record_success(attempt.server_id)
+        self._admission.record_whole()
         self._exchange.write(rest)
         self._wait.record_answer()
         self._end('finished', status=attempt.head.status)
@@ -294,6 +324,7 @@
             return
         self._settle_on(attempt)
         self._parts.servers.record_success(attempt.server_id)
+        self._admission.record_whole()
         self._respond('finished', attempt.head, body)
 
     def _respond(
@@ -349,6 +380,7 @@
             servers=self._parts.servers,
             tried_ids=self._tried_ids,
         )
+        self._admission.record_failure(attempt, outcome)
         refusal = self._take_retry(was_sent=outcome.was_sent)
         self._log.failed(
             attempt,
@@ -357,6 +389,8 @@
             sent=self._progress.sent,
             last_event_id=self._last_event_id,
         )
+        if self._is_over:
+            return
         if self._running:
             self._continue_running()
         elif refusal is None:
@@ -383,6 +417,9 @@
             if not was_sent:
                 self._parts.budget.refund()
             return policy.NoRetry.RUNNING
+        refusal = self._admission.no_retry_reason()
+        if refusal is not None:
+            return refusal
         refusal = policy.no_retry_reason(
             route=self._route,
             progress=self._progress,
@@ -495,6 +532,7 @@
         if self._is_over:
             return
         self._is_over = True
+        self._admission.end()
         self._stop_placement()
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
--- a/src/shallothinge/gateway/peers.py
+++ b/src/shallothinge/gateway/peers.py
@@ -1,4 +1,4 @@
-"""Exchange of load reports with the other gateways."""
+"""Exchange of reports with the other gateways."""
 
 import functools
 import logging
@@ -8,6 +8,8 @@
 from shallothinge.leases import holder as holders
 from shallothinge.placement import fleet
 from shallothinge.placement import messages
+from shallothinge.quarantine import messages as quarantine_messages
+from shallothinge.quarantine import state as quarantines
 from shallothinge.transport import endpoint
 from shallothinge.transport import link
 
@@ -27,10 +29,11 @@
 
 
 class Peers:
-    """Exchanges load reports with the gateways that control lists.
+    """Exchanges reports with the gateways that control lists.
 
-    Without these reports each gateway would place its requests as if it were
-    the only one, and several would choose the same idle server at once.
+    Without the load reports each gateway would place its requests as if it
+    were the only one, and several would choose the same idle server at once.
+    The reports on parts of prompts find what crashes servers.
     """
 
     def __init__(
@@ -39,11 +42,13 @@
         process: processes.Process,
         holder: holders.LeaseHolder,
         load: fleet.FleetLoad,
+        quarantine: quarantines.PartQuarantine,
         address: str,
     ):
         self._process = process
         self._holder = holder
         self._load = load
+        self._quarantine = quarantine
         self._address = address
         self._links: dict[str, link.Link] = {}
         self._report_timer = None
@@ -54,6 +59,9 @@
     def start(self) -> None:
         """Start sending reports to the peers."""
         self._load.on_change = self._schedule_report
+        self._quarantine.on_change = functools.partial(
+            self._schedule_report, True
+        )
         self._holder.on_peers_changed = self._sync_connections
         self._send_full_report()
 
@@ -63,10 +71,13 @@
             self._load.apply_report(
                 peer=f'{peer.process_id} {peer.incarnation}', report=message
             )
+        elif isinstance(message, quarantine_messages.PartsReported):
+            self._quarantine.apply_report(message)
 
     def _send_full_report(self) -> None:
         """Send a complete report, for peers that have missed a report."""
         self._load.remove_expired()
+        self._quarantine.remove_expired()
         self._sync_connections()
         self._send(complete=True)
         self._process.reactor.callLater(
@@ -92,9 +103,13 @@
         self._send(complete=False)
 
     def _send(self, *, complete: bool) -> None:
-        report = self._load.report(complete=complete)
+        reports = [self._load.report(complete=complete)]
+        parts = self._quarantine.report(complete=complete)
+        if parts is not None:
+            reports.append(parts)
         for opened in self._links.values():
-            opened.send(report)
+            for report in reports:
+                opened.send(report)
 
     def _sync_connections(self) -> None:
         """Open and close connections to match the peers that control lists."""
@@ -132,8 +147,12 @@
     def _send_initial(self) -> None:
         self._initial_timer = None
         report = self._load.repeat_as_complete_report()
+        parts = self._quarantine.repeat_as_complete_report()
         for address, tries_left in list(self._awaiting_initial.items()):
-            if self._links[address].send(report) or tries_left <= 1:
+            opened = self._links[address]
+            if opened.send(report) or tries_left <= 1:
+                if parts is not None:
+                    opened.send(parts)
                 del self._awaiting_initial[address]
             else:
                 self._awaiting_initial[address] = tries_left - 1
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -6,6 +6,7 @@
 
 from shallothinge import errors
 from shallothinge.errors import ErrorKind
+from shallothinge.quarantine import state as quarantines
 from shallothinge.routes import model as routes
 
 # In a full service every server refuses, so a request that more servers than
@@ -28,6 +29,8 @@
 ABANDON_OBJECTIVES = 4
 ABANDON_PAUSES = 8
 
+# A stream that has been written for this long does not crash its server.
+SETTLED_WRITING_MS = 250
 # A caller that retries reaches another gateway, which usually can serve it.
 STOPPING_RETRY_AFTER_MS = 100
 
@@ -60,6 +63,7 @@
     REFUSALS = 'refusals'
     MAY_HAVE_RUN = 'may_have_run'
     BUDGET = 'budget'
+    QUARANTINED = 'quarantined'
     RUNNING = 'running'
 
 
@@ -272,6 +276,23 @@
     return errors.ServingError(kind=kind, detail=detail)
 
 
+def quarantine_error(
+    *,
+    route: routes.Route,
+    progress: Progress,
+    admission: quarantines.Admission,
+) -> errors.ServingError:
+    """Return the error for a request with a quarantined part."""
+    detail = f'part {admission.part_id} is quarantined'
+    if progress.may_have_run:
+        return _unknown_outcome_error(route, detail=detail)
+    return errors.ServingError(
+        kind=ErrorKind.QUARANTINED,
+        detail=detail,
+        retry_after_ms=admission.refused_ms or None,
+    )
+
+
 def unplaced_error(
     *, progress: Progress, kind: ErrorKind, pause_ms: int | None
 ) -> errors.ServingError:
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -30,6 +30,7 @@
 from shallothinge.placement import waiting
 from shallothinge.platform import dialect
 from shallothinge.platform import names
+from shallothinge.quarantine import state as quarantines
 from shallothinge.routing import retries
 from shallothinge.settings import model
 from shallothinge.settings import watch
@@ -83,6 +84,7 @@
             process=self._process,
             holder=self._holder,
             load=self._parts.load,
+            quarantine=self._parts.quarantine,
             address=address,
         )
         self._endpoint = self._process.listen(on_message=self._peers.receive)
@@ -127,6 +129,7 @@
                 percent=int(RETRY_FRACTION * self._settings.retries.percent),
                 burst=1,
             ),
+            quarantine=quarantines.PartQuarantine(clock=clock),
             caller=http_client.HttpClient(
                 reactor=self._reactor, connect_timeout_ms=CONNECT_TIMEOUT_MS
             ),
@@ -186,6 +189,11 @@
                 read=functools.partial(getattr, listed, name),
             )
 
+        self._process.metrics.observe(
+            name='quarantined_parts',
+            read=lambda: self._parts.quarantine.count,
+        )
+
     def update_seeds(self, changed: model.GatewaySettings) -> None:
         """Use the control hosts that the changed settings name."""
         self._control.update_seeds(discovery.seed_ids(changed.discovery))
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -164,6 +164,11 @@
         server = self.find(server_id)
         return server is not None and self._may_get_work(server)
 
+    def is_in_service(self, server_id: str) -> bool:
+        """Return whether a server is listed and neither leaves nor is out."""
+        server = self.find(server_id)
+        return server is not None and self._is_serving(server)
+
     def record_activity(self, server_id: str) -> None:
         """Record that a server sent data just now."""
         if server_id in self._entries:
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -26,6 +26,7 @@
 from shallothinge.platform import dialect
 from shallothinge.platform import routes
 from shallothinge.platform.tests import samples
+from shallothinge.quarantine import state as quarantines
 from shallothinge.routing import retries
 
 REQUEST_ID = '9c41'
@@ -235,6 +236,7 @@
             chooser=choice.Chooser(rng=rng),
             waiting=waiting.WaitingPrompts(clock=self.clock),
             budget=retries.RetryBudget(percent=16, burst=10),
+            quarantine=quarantines.PartQuarantine(clock=self.clock),
             caller=self.caller,
             process=mock.Mock(),
             shutdown=shutdown.Shutdown(clock=self.clock),
--- a/src/shallothinge/gateway/tests/test_peers.py
+++ b/src/shallothinge/gateway/tests/test_peers.py
@@ -8,6 +8,7 @@
 from shallothinge import clock
 from shallothinge.gateway import peers
 from shallothinge.placement import fleet
+from shallothinge.quarantine import state as quarantines
 from shallothinge.transport import endpoint
 
 OWN, OTHER, THIRD = 'tcp://own', 'tcp://other', 'tcp://third'
@@ -43,10 +44,12 @@
         process.connect.side_effect = self.connect
         self.holder = mock.Mock(peers=(OWN,), on_peers_changed=None)
         self.load = fleet.FleetLoad(clock=self.clock)
+        self.quarantine = quarantines.PartQuarantine(clock=self.clock)
         self.peers = peers.Peers(
             process=process,
             holder=self.holder,
             load=self.load,
+            quarantine=self.quarantine,
             address=OWN,
         )
         self.peers.start()
--- /dev/null
+++ b/src/shallothinge/gateway/tests/test_quarantine.py
@@ -0,0 +1,214 @@
+"""Tests of gateways whose servers crash on a part of prompts."""
+
+import unittest
+
+import attrs
+
+from shallothinge.gateway.tests import rig
+from shallothinge.platform.tests import samples
+from shallothinge.quarantine import state
+
+STREAM = '/lohu930/1'
+EVENT = b'id: 1\ndata: 1\n\n'
+DEADLY = {'prompt-prefix': 'aa:40,bad:400,c1:1000'}
+SOUND = {'prompt-prefix': 'aa:40,good:400,c2:1000'}
+MOMENT_MS = 150
+
+
+def configuration(*, attempts=2, may_resume=True):
+    """Return a configuration with a route for streams of engines."""
+    fields = samples.configuration()
+    route = fields['routes'][0]
+    del route['traffic-split']
+    route.update(
+        {
+            'service': 'llm',
+            'attempts': attempts,
+            'resume-streams': may_resume,
+        }
+    )
+    return fields
+
+
+class QueryOfDeathTest(unittest.TestCase):
+    """Some gateways of one fleet."""
+
+    def setUp(self):
+        self.make(count=3)
+
+    def make(self, *, count=3, **fields):
+        self.rigs = [
+            rig.Rig(configuration=configuration(**fields), server_count=9)
+            for _ in range(count)
+        ]
+
+    def advance(self, duration_ms):
+        for one in self.rigs:
+            one.advance(duration_ms)
+
+    def exchange(self):
+        for sender in self.rigs:
+            report = sender.parts.quarantine.report(complete=False)
+            for receiver in self.rigs:
+                if report is not None and receiver is not sender:
+                    receiver.parts.quarantine.apply_report(report)
+
+    def ask(self, index, fields, **more):
+        """Send a request; return its exchange and its calls to servers."""
+        one = self.rigs[index]
+        before = len(one.caller.calls)
+        exchange = one.request(STREAM, tokens=5000, **fields, **more)
+        return exchange, lambda: one.caller.calls[before:]
+
+    def crash(self, call):
+        """Crash a server, which starts again, and let all gateways know."""
+        self.advance(MOMENT_MS)
+        call.fail(was_sent=True)
+        server_id = call.head.get('expected-instance')
+        for one in self.rigs:
+            members = one.holder.members
+            if server_id in members:
+                members[server_id] = attrs.evolve(
+                    members[server_id],
+                    incarnation=members[server_id].incarnation + '1',
+                )
+        self.exchange()
+
+    def crash_twice(self, index):
+        """Let a deadly request crash two servers; return its exchange."""
+        exchange, calls = self.ask(index, DEADLY)
+        for number in range(2):
+            self.crash(calls()[number])
+        return exchange
+
+    def answer_sound(self):
+        """Answer sound requests that share a part with the deadly ones."""
+        for index in range(len(self.rigs)):
+            exchange, calls = self.ask(index, SOUND)
+            calls()[0].answer(200, body=EVENT)
+            self.assertTrue(exchange.is_whole)
+        self.exchange()
+
+    def quarantine(self):
+        """Let the deadly part be quarantined; return the last exchange."""
+        self.answer_sound()
+        self.crash_twice(0)
+        exchange, calls = self.ask(1, DEADLY)
+        self.crash(calls()[0])
+        self.assertEqual(1, len(calls()))
+        return exchange
+
+    def test_part_that_crashes_servers_reaches_no_more_of_them(self):
+        self.quarantine()
+        for index in range(3):
+            with self.subTest(gateway=index):
+                exchange, calls = self.ask(index, DEADLY)
+                self.assertEqual([], calls())
+                self.assertEqual(503, exchange.status)
+                self.assertGreater(float(exchange.headers['retry-after']), 500)
+
+    def test_sound_requests_with_the_other_parts_are_served(self):
+        self.quarantine()
+        self.answer_sound()
+
+    def test_request_that_ran_is_not_refused_as_not_run(self):
+        self.assertEqual(502, self.quarantine().status)
+
+    def test_requests_that_servers_read_are_cancelled_at_the_verdict(self):
+        reading, calls = self.ask(2, DEADLY)
+        self.quarantine()
+        self.assertTrue(calls()[0].is_cancelled)
+        self.assertEqual(502, reading.status)
+
+    def test_request_that_waits_is_refused_at_the_verdict(self):
+        self.rigs[2].holder.members.clear()
+        self.rigs[2].holder.is_settled = False
+        waiting, calls = self.ask(2, DEADLY)
+        self.assertIsNone(waiting.status)
+        self.quarantine_without_third()
+        self.assertEqual([], calls())
+        self.assertEqual(503, waiting.status)
+
+    def quarantine_without_third(self):
+        """Let the first two gateways find the deadly part."""
+        self.crash_twice(0)
+        _, calls = self.ask(1, DEADLY)
+        self.crash(calls()[0])
+
+    def test_stream_that_is_being_written_goes_on(self):
+        writing, calls = self.ask(2, DEADLY)
+        calls()[0].answer(200, body=EVENT, ends=False)
+        self.quarantine_without_third()
+        self.assertFalse(writing.is_ended)
+        calls()[0].end()
+        self.assertTrue(writing.is_whole)
+        self.exchange()
+        _, again = self.ask(0, DEADLY)
+        self.assertEqual(1, len(again()))
+
+    def test_failures_that_are_no_crash_quarantine_nothing(self):
+        def refused(_, call):
+            call.refuse()
+
+        def unreachable(_, call):
+            call.fail(was_sent=False)
+
+        def server_error(_, call):
+            call.answer(500)
+
+        def unsigned(_, call):
+            call.answer(200, headers=rig.SIGNED[:1], ends=False)
+
+        def leaving(play, call):
+            server = play.server_at(call.address)
+            play.holder.members[server.server_id] = attrs.evolve(
+                server, leaving=True
+            )
+            play.parts.servers.sync_members()
+            call.fail(was_sent=True)
+
+        def long_written(play, call):
+            call.answer(200, body=EVENT, ends=False)
+            self.advance(300)
+            call.fail(was_sent=True)
+
+        for fail in (
+            refused,
+            unreachable,
+            server_error,
+            unsigned,
+            leaving,
+            long_written,
+        ):
+            with self.subTest(fail=fail.__name__):
+                self.make(count=1, attempts=1)
+                for _ in range(8):
+                    _, calls = self.ask(0, DEADLY)
+                    self.advance(MOMENT_MS)
+                    fail(self.rigs[0], calls()[0])
+                    self.advance(5000)
+                _, calls = self.ask(0, DEADLY)
+                self.assertEqual(1, len(calls()))
+
+    def test_own_cancels_and_deadlines_quarantine_nothing(self):
+        self.make(count=1)
+        for index in range(8):
+            exchange, _ = self.ask(0, DEADLY, deadline_ms=800)
+            if index % 2:
+                exchange.on_disconnect()
+            self.advance(1000)
+        _, calls = self.ask(0, DEADLY)
+        self.assertEqual(1, len(calls()))
+
+    def test_probe_is_not_retried(self):
+        self.quarantine()
+        self.advance(state.QUARANTINE_MS)
+        probe, calls = self.ask(0, DEADLY)
+        self.crash(calls()[0])
+        self.assertEqual((1, 502), (len(calls()), probe.status))
+        exchange, calls = self.ask(2, DEADLY)
+        self.assertEqual(([], 503), (calls(), exchange.status))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/src/shallothinge/protocol.py
+++ b/src/shallothinge/protocol.py
@@ -9,6 +9,7 @@
 from shallothinge.membership import messages as membership
 from shallothinge.operators import messages as operators
 from shallothinge.placement import messages as placement
+from shallothinge.quarantine import messages as quarantine
 from shallothinge.reservations import messages as reservations
 from shallothinge.routes import messages as routes
 from shallothinge.streams import messages as streams
@@ -30,6 +31,7 @@
             *routes.MESSAGES,
             *membership.MESSAGES,
             *placement.MESSAGES,
+            *quarantine.MESSAGES,
             *consensus.MESSAGES,
         )
     )
--- /dev/null
+++ b/src/shallothinge/quarantine/evidence.py
@@ -0,0 +1,169 @@
+"""Crashes of backend servers, and the parts of prompts they have in common."""
+
+from collections.abc import Iterable
+
+import attrs
+
+# Evidence older than this is dropped.
+WINDOW_MS = 300_000
+# Limits on what is remembered; the oldest goes first.
+MAX_CRASHES = 256
+MAX_PARTS_OF_CRASH = 512
+MAX_WHOLE_PARTS = 16_384
+# Servers that crash within this time may have one cause outside of the
+# prompts, such as the loss of their zone, so they count once.
+SAME_MOMENT_MS = 100
+# Crashes, apart in time, without a complete answer since the first of them.
+# Parts that had complete answers before are less likely to be the cause.
+CRASHES_TO_BLAME = 3
+CRASHES_TO_BLAME_PROVEN = 6
+
+ServerKey = tuple[str, str]
+
+
+@attrs.define(kw_only=True)
+class _Crash:
+    """The end of one incarnation of a server.
+
+    ``positions`` gives for each part of the requests that were in progress
+    there its greatest position in a prompt.
+    """
+
+    at_ms: int
+    positions: dict[str, int] = attrs.field(factory=dict)
+
+
+@attrs.frozen(kw_only=True)
+class Suspicion:
+    """How strongly the crashes speak against a part.
+
+    ``crashes`` counts the crashes, apart in time, since the last complete
+    answer with the part. ``server_ids`` are those that crashed.
+    """
+
+    part_id: str
+    crashes: int
+    is_proven: bool
+    position: int
+    server_ids: tuple[str, ...]
+
+    @property
+    def is_enough(self) -> bool:
+        """Return whether the part is to be quarantined."""
+        needed = (
+            CRASHES_TO_BLAME_PROVEN if self.is_proven else CRASHES_TO_BLAME
+        )
+        return self.crashes >= needed
+
+    @property
+    def rank(self) -> tuple[int, bool, int]:
+        """Return the order of suspects; later parts are the more specific."""
+        return self.crashes, not self.is_proven, self.position
+
+
+class Evidence:
+    """Crashes and complete answers, by part. Times are in ms."""
+
+    def __init__(self):
+        self._crashes: dict[ServerKey, _Crash] = {}
+        self._whole_ms: dict[str, int] = {}
+
+    def add_crash(
+        self, *, key: ServerKey, at_ms: int, part_ids: Iterable[str]
+    ) -> bool:
+        """Add parts of requests that a crash ended.
+
+        :param key: id and incarnation of the server.
+        :returns: whether anything of it was not known.
+        """
+        crash = self._crashes.get(key)
+        is_new = crash is None
+        if is_new:
+            crash = self._crashes[key] = _Crash(at_ms=at_ms)
+            if len(self._crashes) > MAX_CRASHES:
+                del self._crashes[next(iter(self._crashes))]
+        for position, part_id in enumerate(part_ids):
+            known = crash.positions.get(part_id)
+            if known is None and len(crash.positions) >= MAX_PARTS_OF_CRASH:
+                break
+            if known is None:
+                is_new = True
+            crash.positions[part_id] = max(position, known or 0)
+        return is_new
+
+    def add_whole(self, *, part_id: str, at_ms: int) -> None:
+        """Record a complete answer to a prompt with a part."""
+        newest_ms = max(at_ms, self._whole_ms.pop(part_id, at_ms))
+        self._whole_ms[part_id] = newest_ms
+        if len(self._whole_ms) > MAX_WHOLE_PARTS:
+            del self._whole_ms[next(iter(self._whole_ms))]
+
+    def whole_ms(self, part_id: str) -> int | None:
+        """Return when the last complete answer came, None if none is known."""
+        return self._whole_ms.get(part_id)
+
+    def is_suspected(self, part_id: str) -> bool:
+        """Return whether a crash has a part that is not proven since."""
+        return bool(self._counted(part_id, frozenset()))
+
+    def suspicion(
+        self, part_id: str, *, explained_by: frozenset[str]
+    ) -> Suspicion | None:
+        """Return the suspicion against a part, None if there is none.
+
+        :param explained_by: parts that are known to crash servers; a crash
+            under one of them is no evidence against others.
+        """
+        counted = self._counted(part_id, explained_by)
+        if not counted:
+            return None
+        return Suspicion(
+            part_id=part_id,
+            crashes=_count_moments([crash.at_ms for _, crash in counted]),
+            is_proven=part_id in self._whole_ms,
+            position=max(crash.positions[part_id] for _, crash in counted),
+            server_ids=tuple(key[0] for key, _ in counted),
+        )
+
+    def _counted(
+        self, part_id: str, explained_by: frozenset[str]
+    ) -> list[tuple[ServerKey, _Crash]]:
+        """Return the crashes that count against a part, oldest first."""
+        whole_ms = self._whole_ms.get(part_id)
+        found = [
+            (key, crash)
+            for key, crash in self._crashes.items()
+            if part_id in crash.positions
+            and (whole_ms is None or crash.at_ms > whole_ms)
+            and explained_by.isdisjoint(crash.positions)
+        ]
+        return sorted(found, key=lambda pair: pair[1].at_ms)
+
+    def crashes_since(self, from_ms: int) -> dict[ServerKey, _Crash]:
+        """Return the crashes at or after an instant."""
+        return {
+            key: crash
+            for key, crash in self._crashes.items()
+            if crash.at_ms >= from_ms
+        }
+
+    def remove_expired(self, now_ms: int) -> None:
+        """Drop evidence that is older than the window."""
+        oldest_ms = now_ms - WINDOW_MS
+        self._crashes = self.crashes_since(oldest_ms)
+        while self._whole_ms:
+            part_id = next(iter(self._whole_ms))
+            if self._whole_ms[part_id] >= oldest_ms:
+                return
+            del self._whole_ms[part_id]
+
+
+def _count_moments(times_ms: list[int]) -> int:
+    """Return how many of the ascending times are apart from each other."""
+    count = 0
+    moment_ms = None
+    for at_ms in times_ms:
+        if moment_ms is None or at_ms > moment_ms + SAME_MOMENT_MS:
+            count += 1
+            moment_ms = at_ms
+    return count
--- /dev/null
+++ b/src/shallothinge/quarantine/messages.py
@@ -0,0 +1,29 @@
+"""Messages by which gateways share what they know of prompt parts."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class PartsReported:
+    """What a gateway has observed or decided on parts of prompts.
+
+    Ages and remaining times are in ms, as clocks of hosts differ. A report
+    that is repeated changes nothing.
+
+    :ivar crashes: servers that closed requests before their answers were
+        complete: id, incarnation, age, ids of the requests' parts in the
+        order of the prompts.
+    :ivar whole: parts with which an answer was complete, each with the age of
+        the newest one.
+    :ivar quarantined: parts in quarantine: id, epoch, remaining time, number
+        of earlier quarantines without a complete answer between.
+    :ivar lifted: parts whose quarantine was lifted, each with its epoch.
+    """
+
+    crashes: tuple[tuple, ...] = ()
+    whole: tuple[tuple, ...] = ()
+    quarantined: tuple[tuple, ...] = ()
+    lifted: tuple[tuple, ...] = ()
+
+
+MESSAGES = (PartsReported,)
--- /dev/null
+++ b/src/shallothinge/quarantine/state.py
@@ -0,0 +1,396 @@
+"""Decides which parts of prompts are quarantined, and for how long.
+
+A part that crashes each server that generates on it (a query of death) is
+found by what the crashes have in common, over all gateways. Requests with it
+are refused until a probe with it is answered.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import logging
+from typing import Protocol
+
+import attrs
+
+from shallothinge import clock as clocks
+from shallothinge.quarantine import evidence
+from shallothinge.quarantine import messages
+
+LOG = logging.getLogger(__name__)
+
+# Doubled for each probe that crashes a server again.
+QUARANTINE_MS = 600_000
+MAX_QUARANTINE_MS = 7_200_000
+# Other requests with the part are refused for so long while a probe runs.
+PROBE_MS = 60_000
+# A part that no request has asked for since is forgotten.
+FORGET_MS = 86_400_000
+MAX_QUARANTINED = 64
+# Lifted quarantines are remembered until no peer can repeat them.
+LIFTED_TTL_MS = 10_000
+# Complete reports repeat the crashes of this time, for peers that missed
+# one, and each complete answer is reported at most this often.
+REPEAT_MS = 3_000
+
+
+@attrs.define(kw_only=True)
+class _Record:
+    """The quarantine of one part.
+
+    ``epoch`` increases with each quarantine of the part. ``strikes`` counts
+    the quarantines without a complete answer between.
+    """
+
+    epoch: int
+    until_ms: int
+    strikes: int
+
+
+@attrs.frozen(kw_only=True)
+class Admission:
+    """Whether a request may be sent to a server.
+
+    ``refused_ms`` is how long it is refused for, 0 if it is admitted.
+    ``is_probe`` is whether it tests a part whose quarantine has ended.
+    """
+
+    part_id: str = ''
+    refused_ms: int = 0
+    is_probe: bool = False
+
+
+ADMITTED = Admission()
+
+
+class Watcher(Protocol):
+    """Callback to a request that waits or runs."""
+
+    def on_quarantined(self, part_id: str) -> None:
+        """Handle the quarantine of a part, or its extension."""
+
+
+class PartQuarantine:
+    """Quarantined parts, decided with what all gateways observe.
+
+    :ivar on_change: called when there is something to report to the peers.
+    """
+
+    def __init__(self, *, clock: clocks.Clock):
+        self._clock = clock
+        self._evidence = evidence.Evidence()
+        self._records: dict[str, _Record] = {}
+        self._lifted: dict[str, tuple[int, int]] = {}
+        self._own_crashes: dict[evidence.ServerKey, tuple] = {}
+        self._reported_ms: dict[str, int] = {}
+        self._changes = _Changes()
+        self.on_change: Callable[[], None] | None = None
+        self._watchers: dict[Watcher, None] = {}
+
+    @property
+    def count(self) -> int:
+        """Return how many parts are quarantined."""
+        return len(self._records)
+
+    def watch(self, watcher: Watcher) -> None:
+        """Notify a request of parts that are quarantined from now on."""
+        self._watchers[watcher] = None
+
+    def unwatch(self, watcher: Watcher) -> None:
+        """Stop notifying a request."""
+        self._watchers.pop(watcher, None)
+
+    def admit(self, part_ids: Iterable[str]) -> Admission:
+        """Return whether a request with these parts may be sent now.
+
+        If the quarantine of a part has ended, the request becomes its probe,
+        and all gateways refuse others until its answer is known.
+        """
+        now_ms = self._clock.now_ms()
+        found = [one for one in part_ids if one in self._records]
+        for part_id in found:
+            left_ms = self._records[part_id].until_ms - now_ms
+            if left_ms > 0:
+                return Admission(part_id=part_id, refused_ms=left_ms)
+        for part_id in found:
+            self._start_probe(part_id)
+        return (
+            Admission(part_id=found[0], is_probe=True) if found else ADMITTED
+        )
+
+    def is_quarantined(self, part_ids: Iterable[str]) -> bool:
+        """Return whether a part is quarantined or being probed."""
+        now_ms = self._clock.now_ms()
+        return any(
+            self._records[one].until_ms > now_ms
+            for one in part_ids
+            if one in self._records
+        )
+
+    def record_crash(
+        self, *, key: evidence.ServerKey, part_ids: tuple[str, ...]
+    ) -> None:
+        """Record that a server closed a request before it was answered.
+
+        :param key: id and incarnation of the server.
+        :param part_ids: shared parts of the request's prompt.
+        """
+        if not part_ids:
+            return
+        now_ms = self._clock.now_ms()
+        at_ms, known_ids = self._own_crashes.get(key, (now_ms, ()))
+        merged_ids = tuple(dict.fromkeys((*known_ids, *part_ids)))
+        merged_ids = merged_ids[: evidence.MAX_PARTS_OF_CRASH]
+        self._own_crashes[key] = (at_ms, merged_ids)
+        self._changes.crashes[key] = None
+        self._add_crash(key=key, at_ms=now_ms, part_ids=part_ids)
+        self._notify()
+
+    def record_whole(self, part_ids: Iterable[str]) -> None:
+        """Record that a request with these parts was answered completely."""
+        for part_id in part_ids:
+            self._add_whole(part_id, self._clock.now_ms())
+
+    def report(self, *, complete: bool) -> messages.PartsReported | None:
+        """Return what the peers do not know yet, None if there is nothing.
+
+        :param complete: whether to repeat what a peer may have missed.
+        """
+        changes, self._changes = self._changes, _Changes()
+        return self._build(
+            self._all_changes(changes.whole) if complete else changes
+        )
+
+    def repeat_as_complete_report(self) -> messages.PartsReported | None:
+        """Return a complete report for a peer that has received none yet."""
+        return self._build(self._all_changes(self._changes.whole))
+
+    def _all_changes(self, whole: dict[str, None]) -> '_Changes':
+        return _Changes(
+            crashes=dict.fromkeys(self._own_crashes),
+            whole=whole,
+            quarantined=dict.fromkeys(self._records),
+            lifted=dict.fromkeys(self._lifted),
+        )
+
+    def _build(self, changes: '_Changes') -> messages.PartsReported | None:
+        now_ms = self._clock.now_ms()
+        made = messages.PartsReported(
+            crashes=tuple(
+                (*key, now_ms - self._own_crashes[key][0], ids)
+                for key in changes.crashes
+                for ids in (self._own_crashes[key][1],)
+            ),
+            whole=tuple(
+                (part_id, now_ms - at_ms)
+                for part_id in changes.whole
+                if (at_ms := self._evidence.whole_ms(part_id)) is not None
+            ),
+            quarantined=tuple(
+                (part_id, one.epoch, one.until_ms - now_ms, one.strikes)
+                for part_id in changes.quarantined
+                if (one := self._records.get(part_id)) is not None
+            ),
+            lifted=tuple(
+                (part_id, self._lifted[part_id][0])
+                for part_id in changes.lifted
+                if part_id in self._lifted
+            ),
+        )
+        return None if made == messages.PartsReported() else made
+
+    def apply_report(self, report: messages.PartsReported) -> None:
+        """Apply what a peer has observed or decided."""
+        now_ms = self._clock.now_ms()
+        for part_id, epoch in report.lifted:
+            self._lift(part_id, epoch)
+        for part_id, age_ms in report.whole:
+            self._evidence.add_whole(part_id=part_id, at_ms=now_ms - age_ms)
+        for part_id, epoch, left_ms, strikes in report.quarantined:
+            self._adopt(
+                part_id,
+                _Record(
+                    epoch=epoch, until_ms=now_ms + left_ms, strikes=strikes
+                ),
+            )
+        for server_id, incarnation, age_ms, part_ids in report.crashes:
+            self._add_crash(
+                key=(server_id, incarnation),
+                at_ms=now_ms - age_ms,
+                part_ids=tuple(part_ids),
+            )
+
+    def remove_expired(self) -> None:
+        """Drop what is too old to matter."""
+        now_ms = self._clock.now_ms()
+        self._evidence.remove_expired(now_ms)
+        self._own_crashes = {
+            key: crash
+            for key, crash in self._own_crashes.items()
+            if crash[0] >= now_ms - REPEAT_MS or key in self._changes.crashes
+        }
+        self._lifted = {
+            part_id: (epoch, at_ms)
+            for part_id, (epoch, at_ms) in self._lifted.items()
+            if at_ms >= now_ms - LIFTED_TTL_MS
+        }
+        self._reported_ms = {
+            part_id: at_ms
+            for part_id, at_ms in self._reported_ms.items()
+            if at_ms >= now_ms - REPEAT_MS
+        }
+        for part_id, record in list(self._records.items()):
+            if record.until_ms < now_ms - FORGET_MS:
+                del self._records[part_id]
+
+    def _add_crash(
+        self,
+        *,
+        key: evidence.ServerKey,
+        at_ms: int,
+        part_ids: tuple[str, ...],
+    ) -> None:
+        if not self._evidence.add_crash(
+            key=key, at_ms=at_ms, part_ids=part_ids
+        ):
+            return
+        for part_id in part_ids:
+            self._report_whole(part_id)
+            record = self._records.get(part_id)
+            # Of the quarantined parts only a probe's ends within this time.
+            if record is not None and record.until_ms <= at_ms + PROBE_MS:
+                self._quarantine(part_id, strikes=record.strikes + 1)
+        self._judge(part_ids)
+
+    def _judge(self, part_ids: tuple[str, ...]) -> None:
+        """Quarantine the most suspicious part if there is enough evidence."""
+        explained_by = frozenset(self._records)
+        suspicions = [
+            found
+            for part_id in part_ids
+            if part_id not in self._records
+            and (
+                found := self._evidence.suspicion(
+                    part_id, explained_by=explained_by
+                )
+            )
+            is not None
+            and found.is_enough
+        ]
+        if not suspicions:
+            return
+        worst = max(suspicions, key=lambda one: one.rank)
+        self._quarantine(worst.part_id, strikes=0)
+        LOG.warning(
+            'part of prompts quarantined; it crashed backend servers',
+            extra={
+                'part_id': worst.part_id,
+                'crashes': worst.crashes,
+                'server_ids': worst.server_ids,
+                'for_ms': QUARANTINE_MS,
+            },
+        )
+
+    def _quarantine(self, part_id: str, *, strikes: int) -> None:
+        known = self._records.get(part_id)
+        lifted_epoch, _ = self._lifted.get(part_id, (0, 0))
+        for_ms = min(MAX_QUARANTINE_MS, QUARANTINE_MS << min(strikes, 8))
+        self._store(
+            part_id,
+            _Record(
+                epoch=max(known.epoch if known else 0, lifted_epoch) + 1,
+                until_ms=self._clock.now_ms() + for_ms,
+                strikes=strikes,
+            ),
+        )
+        self._changes.quarantined[part_id] = None
+        self._notify()
+
+    def _start_probe(self, part_id: str) -> None:
+        record = self._records[part_id]
+        record.until_ms = self._clock.now_ms() + PROBE_MS
+        self._changes.quarantined[part_id] = None
+        LOG.info(
+            'quarantine ended; the next request probes the part',
+            extra={'part_id': part_id, 'strikes': record.strikes},
+        )
+        self._notify()
+
+    def _store(self, part_id: str, record: _Record) -> None:
+        self._records[part_id] = record
+        if len(self._records) > MAX_QUARANTINED:
+            first_id = min(
+                self._records, key=lambda one: self._records[one].until_ms
+            )
+            del self._records[first_id]
+            LOG.warning(
+                'too many parts are quarantined; one was dropped',
+                extra={'part_id': first_id, 'limit': MAX_QUARANTINED},
+            )
+        for watcher in list(self._watchers):
+            watcher.on_quarantined(part_id)
+
+    def _adopt(self, part_id: str, record: _Record) -> None:
+        """Take over a peer's quarantine unless a newer decision is known."""
+        lifted_epoch, _ = self._lifted.get(part_id, (0, 0))
+        known = self._records.get(part_id)
+        if record.epoch <= lifted_epoch:
+            return
+        if known is None:
+            LOG.info(
+                'peer quarantined a part of prompts',
+                extra={'part_id': part_id, 'epoch': record.epoch},
+            )
+        elif (record.epoch, record.until_ms) <= (known.epoch, known.until_ms):
+            return
+        self._store(part_id, record)
+
+    def _add_whole(self, part_id: str, at_ms: int) -> None:
+        is_suspected = self._evidence.is_suspected(part_id)
+        self._evidence.add_whole(part_id=part_id, at_ms=at_ms)
+        record = self._records.get(part_id)
+        if record is not None:
+            self._lift(part_id, record.epoch)
+            self._changes.lifted[part_id] = None
+        if is_suspected or record is not None:
+            self._changes.whole[part_id] = None
+            self._notify()
+
+    def _report_whole(self, part_id: str) -> None:
+        """Report the newest complete answer with a part that a crash has."""
+        at_ms = self._evidence.whole_ms(part_id)
+        now_ms = self._clock.now_ms()
+        told_ms = self._reported_ms.get(part_id)
+        if at_ms is None or (
+            told_ms is not None and told_ms > now_ms - REPEAT_MS
+        ):
+            return
+        self._reported_ms[part_id] = now_ms
+        self._changes.whole[part_id] = None
+        self._notify()
+
+    def _lift(self, part_id: str, epoch: int) -> None:
+        """End a quarantine: a request with the part was answered."""
+        lifted_epoch, _ = self._lifted.get(part_id, (0, 0))
+        if epoch > lifted_epoch:
+            self._lifted[part_id] = (epoch, self._clock.now_ms())
+        record = self._records.get(part_id)
+        if record is not None and record.epoch <= epoch:
+            del self._records[part_id]
+            LOG.warning(
+                'quarantine of a part of prompts lifted',
+                extra={'part_id': part_id, 'epoch': epoch},
+            )
+
+    def _notify(self) -> None:
+        if self.on_change is not None:
+            self.on_change()
+
+
+@attrs.define(kw_only=True)
+class _Changes:
+    """Ids of what has changed since the last report, in order."""
+
+    crashes: dict[evidence.ServerKey, None] = attrs.field(factory=dict)
+    whole: dict[str, None] = attrs.field(factory=dict)
+    quarantined: dict[str, None] = attrs.field(factory=dict)
+    lifted: dict[str, None] = attrs.field(factory=dict)
--- /dev/null
+++ b/src/shallothinge/quarantine/tests/simulation.py
@@ -0,0 +1,173 @@
+"""Gateways that share servers, some requests to which crash them."""
+
+import collections
+import random
+
+import attrs
+
+from shallothinge import clock as clocks
+from shallothinge.quarantine import state
+
+LINK_MS = 3
+SERVERS = 24
+SLOTS = 8
+READ_MS = 80
+WRITE_MS = 600
+RESTART_MS = 3000
+ATTEMPTS = 2
+STEP_MS = 1
+
+
+@attrs.define(kw_only=True, eq=False)
+class Request:
+    """One request at one gateway."""
+
+    part_ids: tuple[str, ...]
+    gateway: int
+    is_deadly: bool
+    attempts: int = 0
+    server: int = 0
+    writes_at_ms: int = 0
+    ends_at_ms: int = 0
+
+
+class Simulation:
+    """Plays requests at gateways until a time has passed.
+
+    :param share: part of the requests that hold the deadly part.
+    :ivar runs_after: runs of deadly requests that began after the last
+        gateway had quarantined the part.
+    :ivar refused_sound: sound requests that were refused.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        gateways: int,
+        per_s: float,
+        share: float,
+        tenants: int = 10,
+    ):
+        self._rng = random.Random(seed)
+        self._per_s = per_s
+        self._share = share
+        self._tenants = tenants
+        self.clock = clocks.ManualClock(start_ms=100_000)
+        self.gateways = [
+            state.PartQuarantine(clock=self.clock) for _ in range(gateways)
+        ]
+        self._mail = []
+        for index, one in enumerate(self.gateways):
+            one.on_change = lambda index=index: self._due.add(index)
+        self._due = set()
+        self._running = collections.defaultdict(list)
+        self._down_until_ms = [0] * SERVERS
+        self._lives = [0] * SERVERS
+        self.crash_times_ms = []
+        self.known_ms = None
+        self.runs_after = 0
+        self.refused_sound = 0
+        self.sound = 0
+        self.wholes = collections.defaultdict(list)
+
+    def run(self, duration_ms: int) -> None:
+        """Play for some time."""
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < end_ms:
+            self.clock.advance(duration_ms=STEP_MS)
+            if self._rng.random() < self._per_s * STEP_MS / 1000:
+                self._start(self._draw())
+            self._work()
+            self._exchange()
+
+    def _draw(self) -> Request:
+        tenant = self._rng.randrange(self._tenants)
+        part_ids = (f'tenant-{tenant}',)
+        if self._rng.random() < 0.3:
+            part_ids += (f'document-{self._rng.randrange(40)}',)
+        is_deadly = self._rng.random() < self._share
+        if is_deadly:
+            part_ids = (f'tenant-{tenant % 3}', 'deadly')
+        return Request(
+            part_ids=part_ids,
+            gateway=self._rng.randrange(len(self.gateways)),
+            is_deadly=is_deadly,
+        )
+
+    def _start(self, request: Request) -> None:
+        quarantine = self.gateways[request.gateway]
+        if not request.attempts:
+            self.sound += not request.is_deadly
+        if quarantine.admit(request.part_ids).refused_ms:
+            self.refused_sound += not request.is_deadly
+            return
+        now_ms = self.clock.now_ms()
+        free = [
+            one
+            for one in range(SERVERS)
+            if self._down_until_ms[one] <= now_ms
+            and len(self._running[one]) < SLOTS
+        ]
+        if not free:
+            return
+        request.attempts += 1
+        request.server = self._rng.choice(free)
+        request.writes_at_ms = now_ms + self._rng.randrange(
+            READ_MS // 2, 2 * READ_MS
+        )
+        request.ends_at_ms = request.writes_at_ms + self._rng.randrange(
+            WRITE_MS // 4, 2 * WRITE_MS
+        )
+        self._running[request.server].append(request)
+        if request.is_deadly and self.known_ms is not None:
+            self.runs_after += 1
+
+    def _work(self) -> None:
+        now_ms = self.clock.now_ms()
+        for server in range(SERVERS):
+            for request in list(self._running[server]):
+                if request not in self._running[server]:
+                    continue
+                if request.is_deadly and request.writes_at_ms <= now_ms:
+                    self._crash(server)
+                elif request.ends_at_ms <= now_ms:
+                    self._running[server].remove(request)
+                    for part_id in request.part_ids:
+                        self.wholes[part_id].append(now_ms)
+                    self.gateways[request.gateway].record_whole(
+                        request.part_ids
+                    )
+
+    def _crash(self, server: int) -> None:
+        now_ms = self.clock.now_ms()
+        self.crash_times_ms.append(now_ms)
+        broken, self._running[server] = self._running[server], []
+        key = (f'server-{server}', str(self._lives[server]))
+        self._lives[server] += 1
+        self._down_until_ms[server] = now_ms + RESTART_MS
+        for request in broken:
+            if request.writes_at_ms + 250 > now_ms:
+                self.gateways[request.gateway].record_crash(
+                    key=key, part_ids=request.part_ids
+                )
+        for request in broken:
+            if request.attempts < ATTEMPTS:
+                self._start(request)
+
+    def _exchange(self) -> None:
+        now_ms = self.clock.now_ms()
+        due, self._due = self._due, set()
+        for index in sorted(due):
+            report = self.gateways[index].report(complete=False)
+            if report is not None:
+                self._mail.append((now_ms + LINK_MS, index, report))
+        while self._mail and self._mail[0][0] <= now_ms:
+            _, sender, report = self._mail.pop(0)
+            for index, one in enumerate(self.gateways):
+                if index != sender:
+                    one.apply_report(report)
+        if self.known_ms is None and all(
+            one.is_quarantined(('deadly',)) for one in self.gateways
+        ):
+            self.known_ms = now_ms
--- /dev/null
+++ b/src/shallothinge/quarantine/tests/test_quarantine.py
@@ -0,0 +1,257 @@
+"""Tests of the quarantine of prompt parts that crash servers."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from shallothinge import clock as clocks
+from shallothinge import wire
+from shallothinge.quarantine import evidence
+from shallothinge.quarantine import messages
+from shallothinge.quarantine import state
+from shallothinge.quarantine.tests import simulation
+
+FIRST, BAD, OTHER = 'first', 'bad', 'other'
+
+
+class QuarantineTest(unittest.TestCase):
+    """Gateways whose clocks a test advances."""
+
+    def setUp(self):
+        self.clock = clocks.ManualClock(start_ms=1_000_000)
+        self.one = state.PartQuarantine(clock=self.clock)
+        self.two = state.PartQuarantine(clock=self.clock)
+
+    def crash(self, number, *part_ids, at=None, after_ms=200):
+        """Crash a server under a request with some parts."""
+        self.clock.advance(duration_ms=after_ms)
+        at = at or self.one
+        at.record_crash(key=(f's{number}', '1'), part_ids=part_ids)
+
+    def exchange(self, *, complete=False):
+        """Let both gateways report to each other."""
+        for sender, receiver in (
+            (self.one, self.two),
+            (self.two, self.one),
+        ):
+            report = sender.report(complete=complete)
+            if report is not None:
+                receiver.apply_report(report)
+
+    def quarantine(self):
+        """Let both gateways quarantine a part."""
+        for number in range(3):
+            self.crash(number, FIRST, BAD)
+        self.exchange()
+        self.assertTrue(self.two.is_quarantined((BAD,)))
+
+    def test_part_is_quarantined_after_crashes_that_gateways_share(self):
+        self.one.record_whole((FIRST,))
+        for number, at in enumerate((self.one, self.two, self.one)):
+            self.assertFalse(self.one.admit((FIRST, BAD)).refused_ms)
+            self.crash(number, FIRST, BAD, at=at)
+            self.exchange()
+        for gateway in (self.one, self.two):
+            self.assertEqual(
+                state.QUARANTINE_MS,
+                gateway.admit((FIRST, BAD)).refused_ms,
+            )
+            self.assertEqual(0, gateway.admit((FIRST,)).refused_ms)
+
+    def test_sound_parts_are_not_quarantined_for_crashes_of_others(self):
+        def same_moment():
+            for number in range(9):
+                self.crash(number, BAD, after_ms=10)
+
+        def one_server():
+            for _ in range(9):
+                self.crash(1, BAD)
+
+        def answered_between():
+            for number in range(9):
+                self.crash(number, BAD)
+                self.one.record_whole((BAD,))
+
+        def answered_at_a_peer():
+            for number in range(9):
+                self.crash(number, BAD)
+                self.exchange()
+                self.two.record_whole((BAD,))
+                self.exchange()
+
+        def proven_at_a_peer():
+            self.two.record_whole((BAD,))
+            for number in range(5):
+                self.crash(number, BAD)
+                self.exchange()
+
+        def explained_by_another():
+            self.quarantine()
+            for number in range(3, 12):
+                self.crash(number, BAD, at=self.two)
+                self.crash(number, OTHER, after_ms=0)
+                self.exchange()
+            self.assertFalse(self.one.is_quarantined((OTHER,)))
+            self.setUp()
+
+        def too_old():
+            for number in range(9):
+                self.clock.advance(duration_ms=evidence.WINDOW_MS // 2 + 1)
+                self.one.remove_expired()
+                self.crash(number, BAD, after_ms=0)
+
+        def no_parts():
+            for number in range(9):
+                self.crash(number)
+
+        for happen in (
+            same_moment,
+            one_server,
+            answered_between,
+            answered_at_a_peer,
+            proven_at_a_peer,
+            explained_by_another,
+            too_old,
+            no_parts,
+        ):
+            with self.subTest(happen=happen.__name__):
+                self.setUp()
+                happen()
+                self.assertFalse(self.one.is_quarantined((BAD,)))
+                self.assertFalse(self.two.is_quarantined((BAD,)))
+
+    def test_of_parts_that_always_come_together_the_later_is_blamed(self):
+        self.quarantine()
+        self.assertFalse(self.one.is_quarantined((FIRST,)))
+
+    def test_part_that_turns_deadly_is_found_though_it_was_answered(self):
+        self.one.record_whole((FIRST, BAD))
+        for number in range(6):
+            self.crash(number, FIRST, BAD)
+        self.assertTrue(self.one.is_quarantined((BAD,)))
+
+    def test_gateway_that_starts_later_learns_what_is_quarantined(self):
+        self.quarantine()
+        late = state.PartQuarantine(clock=self.clock)
+        late.apply_report(self.two.repeat_as_complete_report())
+        self.assertTrue(late.is_quarantined((BAD,)))
+
+    def test_gateway_that_was_cut_off_learns_what_it_missed(self):
+        for number in range(3):
+            self.crash(number, BAD)
+        self.one.report(complete=False)
+        self.exchange(complete=True)
+        self.assertTrue(self.two.is_quarantined((BAD,)))
+
+    def test_crash_that_a_peer_missed_is_repeated(self):
+        for number in range(2):
+            self.crash(number, BAD)
+        self.one.report(complete=False)
+        self.exchange(complete=True)
+        self.crash(2, BAD, at=self.two)
+        self.assertTrue(self.two.is_quarantined((BAD,)))
+
+    def test_complete_answer_lifts_the_quarantine_everywhere(self):
+        self.quarantine()
+        stale = self.two.report(complete=True)
+        self.one.record_whole((BAD,))
+        self.exchange()
+        self.one.apply_report(stale)
+        for gateway in (self.one, self.two):
+            self.assertFalse(gateway.is_quarantined((BAD,)))
+        self.exchange(complete=True)
+        self.assertFalse(self.one.is_quarantined((BAD,)))
+
+    def test_part_that_was_lifted_can_be_quarantined_again(self):
+        self.quarantine()
+        self.one.record_whole((BAD,))
+        self.exchange()
+        for number in range(3, 9):
+            self.crash(number, BAD)
+        self.exchange()
+        self.assertTrue(self.two.is_quarantined((BAD,)))
+
+    def test_after_the_quarantine_one_probe_is_sent_for_all_gateways(self):
+        self.quarantine()
+        self.clock.advance(duration_ms=state.QUARANTINE_MS)
+        self.assertTrue(self.one.admit((BAD,)).is_probe)
+        self.exchange()
+        for gateway in (self.one, self.two):
+            self.assertTrue(gateway.admit((BAD,)).refused_ms)
+        with self.subTest('the probe crashes its server'):
+            self.crash(9, BAD)
+            self.exchange()
+            for gateway in (self.one, self.two):
+                self.assertEqual(
+                    2 * state.QUARANTINE_MS,
+                    gateway.admit((BAD,)).refused_ms,
+                )
+        with self.subTest('the next probe is answered'):
+            self.clock.advance(duration_ms=2 * state.QUARANTINE_MS)
+            self.assertTrue(self.two.admit((BAD,)).is_probe)
+            self.exchange()
+            self.two.record_whole((BAD,))
+            self.exchange()
+            self.assertEqual(state.ADMITTED, self.one.admit((BAD,)))
+
+    def test_what_is_remembered_is_bounded(self):
+        for number in range(2_000):
+            ids = tuple(f'{number}-{index}' for index in range(64))
+            self.crash(number, *ids, after_ms=0)
+            self.one.record_whole((f'whole-{number}',))
+        crashes = self.one._evidence._crashes
+        self.assertEqual(evidence.MAX_CRASHES, len(crashes))
+        for number in range(3 * 80):
+            self.crash(5_000 + number, f'bad-{number // 3}')
+        self.assertEqual(state.MAX_QUARANTINED, self.one.count)
+        self.clock.advance(duration_ms=evidence.WINDOW_MS + 1)
+        self.one.report(complete=False)
+        self.one.remove_expired()
+        self.assertEqual({}, self.one._evidence._crashes)
+        self.assertEqual({}, self.one._evidence._whole_ms)
+        self.assertEqual({}, self.one._own_crashes)
+
+    def test_reports_pass_the_codec(self):
+        self.quarantine()
+        codec = wire.Codec(message_types=messages.MESSAGES)
+        report = self.one.report(complete=True)
+        passed = codec.decode(codec.encode(report))
+        late = state.PartQuarantine(clock=self.clock)
+        late.apply_report(passed)
+        self.assertTrue(late.is_quarantined((BAD,)))
+
+
+class FleetTest(unittest.TestCase):
+    """Both promises over random requests, crashes and gateways."""
+
+    @settings(max_examples=15, deadline=None)
+    @given(
+        seed=strategies.integers(0, 10_000),
+        gateways=strategies.sampled_from((1, 3, 8, 20)),
+        share=strategies.sampled_from((0.02, 0.05, 0.2)),
+    )
+    def test_deadly_part_stops_and_sound_requests_go_on(
+        self, seed, gateways, share
+    ):
+        played = simulation.Simulation(
+            seed=seed, gateways=gateways, per_s=40.0, share=share
+        )
+        played.run(20_000)
+        self.assertEqual(0, played.runs_after)
+        if len(played.crash_times_ms) >= 5:
+            fifth_ms = played.crash_times_ms[4]
+            self.assertLess(played.known_ms, fifth_ms + 3_000)
+        self.assertLessEqual(played.refused_sound, played.sound // 100)
+
+    def test_without_a_deadly_part_nothing_is_refused(self):
+        played = simulation.Simulation(
+            seed=1, gateways=8, per_s=40.0, share=0.0
+        )
+        played.run(10_000)
+        self.assertEqual(0, played.refused_sound)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/testing/test_pure_core.py
+++ b/testing/test_pure_core.py
@@ -39,6 +39,7 @@
     'membership',
     'outages',
     'placement',
+    'quarantine',
     'reservations',
     'routes',
     'routing',
