Judge parts of prompts once all gateways have reported a crash

What callers would see: sound requests refused for ten minutes, since a part that they share was quarantined for the crashes of another.

Cause: two races. The gateway of a victim counted the third crash before it had heard of the culprit's parts in it; and a gateway that lost two requests in one crash merged their parts into one list, which moved a victim's first part behind the deadly one, the order that breaks ties.

Now a part is judged 50 ms after the evidence suffices, the request with such a part waits for that long instead of taking a fourth server, the part with the most crashes comes first, and reports carry positions.

--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -109,6 +109,11 @@
         if admission.refused_ms:
             self._refuse_quarantined(admission)
             return
+        if admission.wait_ms:
+            self._retry_placement_later(
+                WaitCause.QUARANTINE, free_in_ms=admission.wait_ms
+            )
+            return
         if not self._parts.holder.is_valid():
             self._wait_or_fail(
                 WaitCause.LEASE, kind=ErrorKind.NO_LEASE, may_recover=True
--- a/src/shallothinge/gateway/peers.py
+++ b/src/shallothinge/gateway/peers.py
@@ -62,6 +62,7 @@
         self._quarantine.on_change = functools.partial(
             self._schedule_report, True
         )
+        self._quarantine.on_suspicion = self._judge_later
         self._holder.on_peers_changed = self._sync_connections
         self._send_full_report()
 
@@ -99,6 +100,12 @@
             if due_s > self._process.reactor.seconds() + delay_s:
                 self._report_timer.reset(delay_s)
 
+    def _judge_later(self) -> None:
+        self._process.reactor.callLater(
+            quarantines.SETTLE_MS / clocks.MS_PER_SECOND,
+            self._quarantine.judge,
+        )
+
     def _send_changes(self) -> None:
         self._send(complete=False)
 
--- a/src/shallothinge/gateway/tests/test_quarantine.py
+++ b/src/shallothinge/gateway/tests/test_quarantine.py
@@ -73,6 +73,11 @@
                     incarnation=members[server_id].incarnation + '1',
                 )
         self.exchange()
+        self.advance(state.SETTLE_MS)
+        for one in self.rigs:
+            one.parts.quarantine.judge()
+        self.exchange()
+        self.advance(20)
 
     def crash_twice(self, index):
         """Let a deadly request crash two servers; return its exchange."""
--- a/src/shallothinge/gateway/wait.py
+++ b/src/shallothinge/gateway/wait.py
@@ -23,6 +23,7 @@
     COLD_LIMIT = 'cold_limit'
     LEASE = 'lease'
     BUDGET = 'budget'
+    QUARANTINE = 'quarantine'
 
 
 class Wait:
--- a/src/shallothinge/quarantine/evidence.py
+++ b/src/shallothinge/quarantine/evidence.py
@@ -1,6 +1,6 @@
 """Crashes of backend servers, and the parts of prompts they have in common."""
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 import attrs
 
@@ -58,7 +58,7 @@
     @property
     def rank(self) -> tuple[int, bool, int]:
         """Return the order of suspects; later parts are the more specific."""
-        return self.crashes, not self.is_proven, self.position
+        return len(self.server_ids), not self.is_proven, self.position
 
 
 class Evidence:
@@ -69,11 +69,12 @@
         self._whole_ms: dict[str, int] = {}
 
     def add_crash(
-        self, *, key: ServerKey, at_ms: int, part_ids: Iterable[str]
+        self, *, key: ServerKey, at_ms: int, positions: Mapping[str, int]
     ) -> bool:
         """Add parts of requests that a crash ended.
 
         :param key: id and incarnation of the server.
+        :param positions: positions of the parts in their prompts.
         :returns: whether anything of it was not known.
         """
         crash = self._crashes.get(key)
@@ -82,7 +83,7 @@
             crash = self._crashes[key] = _Crash(at_ms=at_ms)
             if len(self._crashes) > MAX_CRASHES:
                 del self._crashes[next(iter(self._crashes))]
-        for position, part_id in enumerate(part_ids):
+        for part_id, position in positions.items():
             known = crash.positions.get(part_id)
             if known is None and len(crash.positions) >= MAX_PARTS_OF_CRASH:
                 break
--- a/src/shallothinge/quarantine/messages.py
+++ b/src/shallothinge/quarantine/messages.py
@@ -11,8 +11,8 @@
     that is repeated changes nothing.
 
     :ivar crashes: servers that closed requests before their answers were
-        complete: id, incarnation, age, ids of the requests' parts in the
-        order of the prompts.
+        complete: id, incarnation, age, and each part of the requests with its
+        greatest position in a prompt.
     :ivar whole: parts with which an answer was complete, each with the age of
         the newest one.
     :ivar quarantined: parts in quarantine: id, epoch, remaining time, number
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import logging
 from typing import Protocol
 
@@ -21,6 +22,9 @@
 # Doubled for each probe that crashes a server again.
 QUARANTINE_MS = 600_000
 MAX_QUARANTINE_MS = 7_200_000
+# A crash is reported by several gateways. The parts of all its requests have
+# to be known before one of them is blamed.
+SETTLE_MS = 50
 # Other requests with the part are refused for so long while a probe runs.
 PROBE_MS = 60_000
 # A part that no request has asked for since is forgotten.
@@ -50,12 +54,14 @@
 class Admission:
     """Whether a request may be sent to a server.
 
-    ``refused_ms`` is how long it is refused for, 0 if it is admitted.
+    ``refused_ms`` is how long it is refused for, 0 if it is not. ``wait_ms``
+    is the time until a decision on one of its parts, 0 if none is due.
     ``is_probe`` is whether it tests a part whose quarantine has ended.
     """
 
     part_id: str = ''
     refused_ms: int = 0
+    wait_ms: int = 0
     is_probe: bool = False
 
 
@@ -73,6 +79,7 @@
     """Quarantined parts, decided with what all gateways observe.
 
     :ivar on_change: called when there is something to report to the peers.
+    :ivar on_suspicion: called when ``judge`` is to be called in ``SETTLE_MS``.
     """
 
     def __init__(self, *, clock: clocks.Clock):
@@ -83,7 +90,10 @@
         self._own_crashes: dict[evidence.ServerKey, tuple] = {}
         self._reported_ms: dict[str, int] = {}
         self._changes = _Changes()
+        self._suspects: dict[str, None] = {}
+        self._judge_at_ms = 0
         self.on_change: Callable[[], None] | None = None
+        self.on_suspicion: Callable[[], None] | None = None
         self._watchers: dict[Watcher, None] = {}
 
     @property
@@ -99,7 +109,7 @@
         """Stop notifying a request."""
         self._watchers.pop(watcher, None)
 
-    def admit(self, part_ids: Iterable[str]) -> Admission:
+    def admit(self, part_ids: tuple[str, ...]) -> Admission:
         """Return whether a request with these parts may be sent now.
 
         If the quarantine of a part has ended, the request becomes its probe,
@@ -111,6 +121,8 @@
             left_ms = self._records[part_id].until_ms - now_ms
             if left_ms > 0:
                 return Admission(part_id=part_id, refused_ms=left_ms)
+        if not self._suspects.keys().isdisjoint(part_ids):
+            return Admission(wait_ms=max(1, self._judge_at_ms - now_ms))
         for part_id in found:
             self._start_probe(part_id)
         return (
@@ -137,12 +149,12 @@
         if not part_ids:
             return
         now_ms = self._clock.now_ms()
-        at_ms, known_ids = self._own_crashes.get(key, (now_ms, ()))
-        merged_ids = tuple(dict.fromkeys((*known_ids, *part_ids)))
-        merged_ids = merged_ids[: evidence.MAX_PARTS_OF_CRASH]
-        self._own_crashes[key] = (at_ms, merged_ids)
+        positions = {part_id: index for index, part_id in enumerate(part_ids)}
+        at_ms, known = self._own_crashes.setdefault(key, (now_ms, {}))
+        for part_id, position in positions.items():
+            known[part_id] = max(position, known.get(part_id, 0))
         self._changes.crashes[key] = None
-        self._add_crash(key=key, at_ms=now_ms, part_ids=part_ids)
+        self._add_crash(key=key, at_ms=at_ms, positions=positions)
         self._notify()
 
     def record_whole(self, part_ids: Iterable[str]) -> None:
@@ -175,11 +187,7 @@
     def _build(self, changes: '_Changes') -> messages.PartsReported | None:
         now_ms = self._clock.now_ms()
         made = messages.PartsReported(
-            crashes=tuple(
-                (*key, now_ms - self._own_crashes[key][0], ids)
-                for key in changes.crashes
-                for ids in (self._own_crashes[key][1],)
-            ),
+            crashes=tuple(self._pack_crash(key) for key in changes.crashes),
             whole=tuple(
                 (part_id, now_ms - at_ms)
                 for part_id in changes.whole
@@ -198,6 +206,10 @@
         )
         return None if made == messages.PartsReported() else made
 
+    def _pack_crash(self, key: evidence.ServerKey) -> tuple:
+        at_ms, positions = self._own_crashes[key]
+        return (*key, self._clock.now_ms() - at_ms, tuple(positions.items()))
+
     def apply_report(self, report: messages.PartsReported) -> None:
         """Apply what a peer has observed or decided."""
         now_ms = self._clock.now_ms()
@@ -212,11 +224,11 @@
                     epoch=epoch, until_ms=now_ms + left_ms, strikes=strikes
                 ),
             )
-        for server_id, incarnation, age_ms, part_ids in report.crashes:
+        for server_id, incarnation, age_ms, positions in report.crashes:
             self._add_crash(
                 key=(server_id, incarnation),
                 at_ms=now_ms - age_ms,
-                part_ids=tuple(part_ids),
+                positions=dict(positions),
             )
 
     def remove_expired(self) -> None:
@@ -247,35 +259,39 @@
         *,
         key: evidence.ServerKey,
         at_ms: int,
-        part_ids: tuple[str, ...],
+        positions: Mapping[str, int],
     ) -> None:
         if not self._evidence.add_crash(
-            key=key, at_ms=at_ms, part_ids=part_ids
+            key=key, at_ms=at_ms, positions=positions
         ):
             return
-        for part_id in part_ids:
+        for part_id in positions:
             self._report_whole(part_id)
             record = self._records.get(part_id)
             # Of the quarantined parts only a probe's ends within this time.
             if record is not None and record.until_ms <= at_ms + PROBE_MS:
                 self._quarantine(part_id, strikes=record.strikes + 1)
-        self._judge(part_ids)
-
-    def _judge(self, part_ids: tuple[str, ...]) -> None:
-        """Quarantine the most suspicious part if there is enough evidence."""
+        suspected = [one.part_id for one in self._suspicions(positions)]
+        if suspected and not self._suspects:
+            self._judge_at_ms = self._clock.now_ms() + SETTLE_MS
+            if self.on_suspicion is not None:
+                self.on_suspicion()
+        self._suspects.update(dict.fromkeys(suspected))
+
+    def _suspicions(self, part_ids: Iterable[str]) -> list[evidence.Suspicion]:
+        """Return the suspicions that suffice for a quarantine."""
         explained_by = frozenset(self._records)
-        suspicions = [
-            found
+        found = (
+            self._evidence.suspicion(part_id, explained_by=explained_by)
             for part_id in part_ids
             if part_id not in self._records
-            and (
-                found := self._evidence.suspicion(
-                    part_id, explained_by=explained_by
-                )
-            )
-            is not None
-            and found.is_enough
-        ]
+        )
+        return [one for one in found if one is not None and one.is_enough]
+
+    def judge(self) -> None:
+        """Quarantine the most suspicious part, if evidence still suffices."""
+        suspicions = self._suspicions(self._suspects)
+        self._suspects.clear()
         if not suspicions:
             return
         worst = max(suspicions, key=lambda one: one.rank)
--- a/src/shallothinge/quarantine/tests/simulation.py
+++ b/src/shallothinge/quarantine/tests/simulation.py
@@ -60,7 +60,12 @@
         self._mail = []
         for index, one in enumerate(self.gateways):
             one.on_change = lambda index=index: self._due.add(index)
+            one.on_suspicion = lambda index=index: self._verdicts.append(
+                (self.clock.now_ms() + state.SETTLE_MS, index)
+            )
         self._due = set()
+        self._verdicts = []
+        self._retries = []
         self._running = collections.defaultdict(list)
         self._down_until_ms = [0] * SERVERS
         self._lives = [0] * SERVERS
@@ -77,8 +82,11 @@
         while self.clock.now_ms() < end_ms:
             self.clock.advance(duration_ms=STEP_MS)
             if self._rng.random() < self._per_s * STEP_MS / 1000:
-                self._start(self._draw())
+                request = self._draw()
+                self.sound += not request.is_deadly
+                self._start(request)
             self._work()
+            self._judge()
             self._exchange()
 
     def _draw(self) -> Request:
@@ -97,11 +105,15 @@
 
     def _start(self, request: Request) -> None:
         quarantine = self.gateways[request.gateway]
-        if not request.attempts:
-            self.sound += not request.is_deadly
-        if quarantine.admit(request.part_ids).refused_ms:
+        admission = quarantine.admit(request.part_ids)
+        if admission.refused_ms:
             self.refused_sound += not request.is_deadly
             return
+        if admission.wait_ms:
+            self._retries.append(
+                (self.clock.now_ms() + admission.wait_ms, request)
+            )
+            return
         now_ms = self.clock.now_ms()
         free = [
             one
@@ -155,6 +167,15 @@
             if request.attempts < ATTEMPTS:
                 self._start(request)
 
+    def _judge(self) -> None:
+        now_ms = self.clock.now_ms()
+        while self._verdicts and self._verdicts[0][0] <= now_ms:
+            self.gateways[self._verdicts.pop(0)[1]].judge()
+        due = [one for one in self._retries if one[0] <= now_ms]
+        self._retries = [one for one in self._retries if one[0] > now_ms]
+        for _, request in due:
+            self._start(request)
+
     def _exchange(self) -> None:
         now_ms = self.clock.now_ms()
         due, self._due = self._due, set()
--- a/src/shallothinge/quarantine/tests/test_quarantine.py
+++ b/src/shallothinge/quarantine/tests/test_quarantine.py
@@ -31,7 +31,7 @@
         at.record_crash(key=(f's{number}', '1'), part_ids=part_ids)
 
     def exchange(self, *, complete=False):
-        """Let both gateways report to each other."""
+        """Let both gateways report to each other, and decide what is due."""
         for sender, receiver in (
             (self.one, self.two),
             (self.two, self.one),
@@ -39,12 +39,15 @@
             report = sender.report(complete=complete)
             if report is not None:
                 receiver.apply_report(report)
+        for gateway in (self.one, self.two):
+            gateway.judge()
 
     def quarantine(self):
         """Let both gateways quarantine a part."""
         for number in range(3):
             self.crash(number, FIRST, BAD)
         self.exchange()
+        self.exchange()
         self.assertTrue(self.two.is_quarantined((BAD,)))
 
     def test_part_is_quarantined_after_crashes_that_gateways_share(self):
@@ -119,9 +122,30 @@
             with self.subTest(happen=happen.__name__):
                 self.setUp()
                 happen()
+                self.one.judge()
                 self.assertFalse(self.one.is_quarantined((BAD,)))
                 self.assertFalse(self.two.is_quarantined((BAD,)))
 
+    def test_part_is_not_blamed_before_all_gateways_have_reported(self):
+        for number in range(3):
+            self.crash(number, OTHER)
+            self.crash(number, FIRST, BAD, at=self.two, after_ms=1)
+        self.assertEqual(state.SETTLE_MS - 1, self.one.admit((OTHER,)).wait_ms)
+        self.crash(3, FIRST, BAD, at=self.two)
+        self.exchange()
+        self.exchange()
+        for gateway in (self.one, self.two):
+            self.assertTrue(gateway.is_quarantined((BAD,)))
+            self.assertFalse(gateway.is_quarantined((OTHER,)))
+            self.assertEqual(state.ADMITTED, gateway.admit((OTHER,)))
+
+    def test_position_of_a_part_is_the_one_in_its_own_prompt(self):
+        for number in range(3):
+            self.crash(number, 'good', BAD)
+            self.crash(number, FIRST, BAD, after_ms=0)
+        self.exchange()
+        self.assertTrue(self.one.is_quarantined((BAD,)))
+
     def test_of_parts_that_always_come_together_the_later_is_blamed(self):
         self.quarantine()
         self.assertFalse(self.one.is_quarantined((FIRST,)))
@@ -130,6 +154,7 @@
         self.one.record_whole((FIRST, BAD))
         for number in range(6):
             self.crash(number, FIRST, BAD)
+        self.one.judge()
         self.assertTrue(self.one.is_quarantined((BAD,)))
 
     def test_gateway_that_starts_later_learns_what_is_quarantined(self):
@@ -141,6 +166,7 @@
     def test_gateway_that_was_cut_off_learns_what_it_missed(self):
         for number in range(3):
             self.crash(number, BAD)
+        self.one.judge()
         self.one.report(complete=False)
         self.exchange(complete=True)
         self.assertTrue(self.two.is_quarantined((BAD,)))
@@ -151,6 +177,7 @@
         self.one.report(complete=False)
         self.exchange(complete=True)
         self.crash(2, BAD, at=self.two)
+        self.two.judge()
         self.assertTrue(self.two.is_quarantined((BAD,)))
 
     def test_complete_answer_lifts_the_quarantine_everywhere(self):
@@ -171,6 +198,7 @@
         for number in range(3, 9):
             self.crash(number, BAD)
         self.exchange()
+        self.exchange()
         self.assertTrue(self.two.is_quarantined((BAD,)))
 
     def test_after_the_quarantine_one_probe_is_sent_for_all_gateways(self):
@@ -205,6 +233,7 @@
         self.assertEqual(evidence.MAX_CRASHES, len(crashes))
         for number in range(3 * 80):
             self.crash(5_000 + number, f'bad-{number // 3}')
+            self.one.judge()
         self.assertEqual(state.MAX_QUARANTINED, self.one.count)
         self.clock.advance(duration_ms=evidence.WINDOW_MS + 1)
         self.one.report(complete=False)
