--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -271,6 +271,14 @@
             # Of the quarantined parts only a probe's ends within this time.
             if record is not None and record.until_ms <= at_ms + PROBE_MS:
                 self._quarantine(part_id, strikes=record.strikes + 1)
+                LOG.warning(
+                    'quarantine renewed; a probe crashed a backend server',
+                    extra={
+                        'part_id': part_id,
+                        'server_id': key[0],
+                        'strikes': record.strikes + 1,
+                    },
+                )
         suspected = [one.part_id for one in self._suspicions(positions)]
         if suspected and not self._suspects:
             self._judge_at_ms = self._clock.now_ms() + SETTLE_MS
