End quarantines on time, however late the gateways' reports come

What callers would see: requests with a part are refused for longer than ten minutes, with long enough delays without end, and no probe is sent.

Cause: remaining times are relative to the arrival of a report, and a gateway took a peer's record of the same decision whenever its end was later than its own. So each complete report put the end off by its delay, once a second, back and forth between all gateways. Each such report also went through all requests in progress as if the part had been quarantined anew.

Now only a newer decision is taken over. A probe is a decision, too, so it raises the epoch; before, the later end alone told its peers.

--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -41,7 +41,7 @@
 class _Record:
     """The quarantine of one part.
 
-    ``epoch`` increases with each quarantine of the part. ``strikes`` counts
+    ``epoch`` increases with each decision on the part. ``strikes`` counts
     the quarantines without a complete answer between.
     """
 
@@ -331,6 +331,7 @@
 
     def _start_probe(self, part_id: str) -> None:
         record = self._records[part_id]
+        record.epoch += 1
         record.until_ms = self._clock.now_ms() + PROBE_MS
         self._changes.quarantined[part_id] = None
         LOG.info(
@@ -364,7 +365,7 @@
                 'peer quarantined a part of prompts',
                 extra={'part_id': part_id, 'epoch': record.epoch},
             )
-        elif (record.epoch, record.until_ms) <= (known.epoch, known.until_ms):
+        elif record.epoch <= known.epoch:
             return
         self._store(part_id, record)
 
--- a/src/shallothinge/quarantine/tests/test_quarantine.py
+++ b/src/shallothinge/quarantine/tests/test_quarantine.py
@@ -1,6 +1,7 @@
 """Tests of the quarantine of prompt parts that crash servers."""
 
 import unittest
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import settings
@@ -191,6 +192,32 @@
         self.exchange(complete=True)
         self.assertFalse(self.one.is_quarantined((BAD,)))
 
+    def test_quarantine_is_not_extended_by_reports_that_come_late(self):
+        self.quarantine()
+        left_ms = self.one.admit((BAD,)).refused_ms
+        for _ in range(5):
+            for sender, receiver in (
+                (self.one, self.two),
+                (self.two, self.one),
+            ):
+                report = sender.report(complete=True)
+                self.clock.advance(duration_ms=400)
+                receiver.apply_report(report)
+        for gateway in (self.one, self.two):
+            self.assertLessEqual(
+                gateway.admit((BAD,)).refused_ms, left_ms - 4000
+            )
+
+    def test_repeated_reports_notify_no_request_again(self):
+        self.quarantine()
+        watcher = mock.Mock()
+        self.two.watch(watcher)
+        self.clock.advance(duration_ms=1000)
+        report = self.one.report(complete=True)
+        self.clock.advance(duration_ms=3)
+        self.two.apply_report(report)
+        watcher.on_quarantined.assert_not_called()
+
     def test_part_that_was_lifted_can_be_quarantined_again(self):
         self.quarantine()
         self.one.record_whole((BAD,))
