Refuse no request for a quarantine that has ended

What callers would see: a gateway that has just started refuses a request with a part whose quarantine is over, and holds the next probe back for a minute.

Cause: peers repeat a record until a probe lifts it, also once its time has passed, and a new gateway told its requests of each record that it learned. Asked why, it made the request the probe, and refused it all the same.

Now requests are told of quarantines in force only.

Evidence: test_quarantine_that_has_ended_blocks_no_request_of_a_new_gateway, which failed before.

--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -72,7 +72,7 @@
     """Callback to a request that waits or runs."""
 
     def on_quarantined(self, part_id: str) -> None:
-        """Handle the quarantine of a part, or its extension."""
+        """Handle the quarantine of a part, or its renewal."""
 
 
 class PartQuarantine:
@@ -351,8 +351,9 @@
                 'too many parts are quarantined; one was dropped',
                 extra={'part_id': first_id, 'limit': MAX_QUARANTINED},
             )
-        for watcher in list(self._watchers):
-            watcher.on_quarantined(part_id)
+        if record.until_ms > self._clock.now_ms():
+            for watcher in list(self._watchers):
+                watcher.on_quarantined(part_id)
 
     def _adopt(self, part_id: str, record: _Record) -> None:
         """Take over a peer's quarantine unless a newer decision is known."""
--- a/src/shallothinge/quarantine/tests/test_quarantine.py
+++ b/src/shallothinge/quarantine/tests/test_quarantine.py
@@ -208,6 +208,18 @@
                 gateway.admit((BAD,)).refused_ms, left_ms - 4000
             )
 
+    def test_quarantine_that_has_ended_blocks_no_request_of_a_new_gateway(
+        self,
+    ):
+        self.quarantine()
+        self.clock.advance(duration_ms=state.QUARANTINE_MS)
+        late = state.PartQuarantine(clock=self.clock)
+        watcher = mock.Mock()
+        late.watch(watcher)
+        late.apply_report(self.two.repeat_as_complete_report())
+        watcher.on_quarantined.assert_not_called()
+        self.assertTrue(late.admit((BAD,)).is_probe)
+
     def test_repeated_reports_notify_no_request_again(self):
         self.quarantine()
         watcher = mock.Mock()
