Let truncated streams and crash reports use what was there already

- Attempt._on_stream_end built the outcome that Attempt._fail builds; it calls it now, which takes whether the server closed the connection.
An attempt that fails so is cancelled as the others are, which does nothing to a connection that has ended.
- fault_attribution.record_crash had one caller, which only handed its own dependencies on; it is part of PartAdmission now.
An unused attribute of it and a ragged docstring are gone.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -340,21 +340,16 @@
         self._on_events(self._splitter.end())
         if self._is_over:
             return
-        self._end()
         detail = self._truncation()
-        if not detail:
-            self._owner.on_stream_end(self, self._splitter.rest)
-            return
-        self._owner.on_failed(
-            self,
-            Outcome(
-                cause=FailureCause.BROKEN,
-                may_have_run=True,
-                was_sent=True,
-                is_disconnect=self.answer_end is client.AnswerEnd.CLOSE,
+        if detail:
+            self._fail(
+                FailureCause.BROKEN,
                 detail=detail,
-            ),
-        )
+                is_disconnect=self.answer_end is client.AnswerEnd.CLOSE,
+            )
+            return
+        self._end()
+        self._owner.on_stream_end(self, self._splitter.rest)
 
     def _truncation(self) -> str:
         """Return why a stream that has ended is not complete, '' if it is."""
@@ -420,7 +415,9 @@
         self.is_stalled = True
         self._owner.on_stalled(self)
 
-    def _fail(self, cause: FailureCause, *, detail: str) -> None:
+    def _fail(
+        self, cause: FailureCause, *, detail: str, is_disconnect: bool = False
+    ) -> None:
         """Cancel the attempt, whose request may have been sent, and fail."""
         if self._is_over:
             return
@@ -434,6 +431,7 @@
                 cause=cause,
                 may_have_run=may_have_run,
                 was_sent=may_have_run,
+                is_disconnect=is_disconnect,
                 detail=detail,
             ),
         )
--- a/src/shallothinge/gateway/fault_attribution.py
+++ b/src/shallothinge/gateway/fault_attribution.py
@@ -1,11 +1,8 @@
-"""Determines which server or prompt is at fault for a failed attempt."""
+"""Determines which server is at fault for a failed attempt."""
 
 from shallothinge.gateway import attempt as attempts
-from shallothinge.gateway import notices
-from shallothinge.gateway import policy
 from shallothinge.gateway import servers as listed
 from shallothinge.gateway.policy import FailureCause
-from shallothinge.quarantine import state as quarantines
 
 
 def record_failure(
@@ -37,27 +34,3 @@
         return
     elif outcome.cause is not FailureCause.SERVER_ERROR:
         servers.record_failure(server_id)
-
-
-def record_crash(
-    *,
-    attempt: attempts.Attempt,
-    outcome: attempts.Outcome,
-    part_ids: tuple[str, ...],
-    servers: listed.Servers,
-    quarantine: quarantines.PartQuarantine,
-) -> None:
-    """Record what may be a crash that a part of the prompt has caused.
-
-    The failures of a server that leaves or is out of service are expected,
-    and a stream that was being written has not caused one.
-    """
-    writing_ms = attempt.writing_ms
-    is_settled = (
-        writing_ms is not None and writing_ms >= policy.SETTLED_WRITING_MS
-    )
-    is_expected = not servers.is_in_service(attempt.server_id)
-    if outcome.is_disconnect and not is_settled and not is_expected:
-        quarantine.record_crash(
-            key=notices.key_of(attempt.server), part_ids=part_ids
-        )
--- a/src/shallothinge/gateway/model.py
+++ b/src/shallothinge/gateway/model.py
@@ -87,9 +87,9 @@
 
     ``headers`` are those that the caller gets. ``is_event_stream`` is whether
     the body may be server-sent events, that is, no other content type is
-    stated. ``is_not_executed`` is whether
-    the server states that it did not execute the request, which includes an
-    answer by another incarnation at its address. ``fault_address`` is the
+    stated. ``is_not_executed`` is whether the server states that it did not
+    execute the request, which includes an answer by another incarnation at
+    its address. ``fault_address`` is the
     address of the helper that caused the failure, if one did. ``is_signed``
     is whether the answer has the server's signature. ``is_leaving`` is
     whether the server announces that it leaves, ``pause_ms`` for how long it
--- a/src/shallothinge/gateway/part_admission.py
+++ b/src/shallothinge/gateway/part_admission.py
@@ -5,8 +5,8 @@
 from shallothinge import guard as guards
 from shallothinge.gateway import attempt as attempts
 from shallothinge.gateway import dependencies
-from shallothinge.gateway import fault_attribution
 from shallothinge.gateway import model
+from shallothinge.gateway import notices
 from shallothinge.gateway import policy
 from shallothinge.quarantine import state as quarantines
 
@@ -29,7 +29,6 @@
         on_blocked: Callable[[], None],
     ):
         self._parts = parts
-        self._route = accepted.route
         self._part_ids = accepted.request.part_ids
         self._guard = guard
         self._on_blocked = on_blocked
@@ -72,11 +71,17 @@
     def record_failure(
         self, attempt: attempts.Attempt, outcome: attempts.Outcome
     ) -> None:
-        """Record what may be a crash that a part of the prompt has caused."""
-        fault_attribution.record_crash(
-            attempt=attempt,
-            outcome=outcome,
-            part_ids=self._part_ids,
-            servers=self._parts.servers,
-            quarantine=self._parts.quarantine,
+        """Record what may be a crash that a part of the prompt has caused.
+
+        The failures of a server that leaves or is out of service are
+        expected, and a stream that was being written has not caused one.
+        """
+        writing_ms = attempt.writing_ms
+        is_settled = (
+            writing_ms is not None and writing_ms >= policy.SETTLED_WRITING_MS
         )
+        is_expected = not self._parts.servers.is_in_service(attempt.server_id)
+        if outcome.is_disconnect and not is_settled and not is_expected:
+            self._parts.quarantine.record_crash(
+                key=notices.key_of(attempt.server), part_ids=self._part_ids
+            )
