Keep the parts of a crash once, and look for suspects without lists

The quarantine kept the parts of its own crashes beside the evidence, with a second loop that merges positions; it reports from the evidence now. Each complete answer built and sorted a list of crashes for each part only to learn whether there is one: it stops at the first now, and compares times before it looks for the part. A method with one caller is folded in, a dead one is gone.

--- a/src/shallothinge/quarantine/evidence.py
+++ b/src/shallothinge/quarantine/evidence.py
@@ -1,6 +1,8 @@
 """Crashes of backend servers, and the parts of prompts they have in common."""
 
+from collections.abc import Iterator
 from collections.abc import Mapping
+import math
 
 import attrs
 
@@ -22,7 +24,7 @@
 
 
 @attrs.define(kw_only=True)
-class _Crash:
+class Crash:
     """The end of one incarnation of a server.
 
     ``positions`` gives for each part of the requests that were in progress
@@ -65,7 +67,7 @@
     """Crashes and complete answers, by part. Times are in ms."""
 
     def __init__(self):
-        self._crashes: dict[ServerKey, _Crash] = {}
+        self._crashes: dict[ServerKey, Crash] = {}
         self._whole_ms: dict[str, int] = {}
 
     def add_crash(
@@ -75,22 +77,21 @@
 
         :param key: id and incarnation of the server.
         :param positions: positions of the parts in their prompts.
-        :returns: whether anything of it was not known.
+        :returns: whether any of them was not known.
         """
-        crash = self._crashes.get(key)
-        is_new = crash is None
-        if is_new:
-            crash = self._crashes[key] = _Crash(at_ms=at_ms)
-            if len(self._crashes) > MAX_CRASHES:
-                del self._crashes[next(iter(self._crashes))]
+        crash = self._crashes.setdefault(key, Crash(at_ms=at_ms))
+        if len(self._crashes) > MAX_CRASHES:
+            del self._crashes[next(iter(self._crashes))]
+        known_count = len(crash.positions)
         for part_id, position in positions.items():
             known = crash.positions.get(part_id)
-            if known is None and len(crash.positions) >= MAX_PARTS_OF_CRASH:
-                break
-            if known is None:
-                is_new = True
-            crash.positions[part_id] = max(position, known or 0)
-        return is_new
+            if known is not None or len(crash.positions) < MAX_PARTS_OF_CRASH:
+                crash.positions[part_id] = max(position, known or 0)
+        return len(crash.positions) > known_count
+
+    def crash(self, key: ServerKey) -> Crash | None:
+        """Return what is known of a crash, None if it was dropped."""
+        return self._crashes.get(key)
 
     def add_whole(self, *, part_id: str, at_ms: int) -> None:
         """Record a complete answer to a prompt with a part."""
@@ -105,7 +106,14 @@
 
     def is_suspected(self, part_id: str) -> bool:
         """Return whether a crash has a part that is not proven since."""
-        return bool(self._counted(part_id, frozenset()))
+        return any(True for _ in self._unproven(part_id))
+
+    def _unproven(self, part_id: str) -> Iterator[tuple[ServerKey, Crash]]:
+        """Yield the crashes with a part since its last complete answer."""
+        whole_ms = self._whole_ms.get(part_id, -math.inf)
+        for key, crash in self._crashes.items():
+            if crash.at_ms > whole_ms and part_id in crash.positions:
+                yield key, crash
 
     def suspicion(
         self, part_id: str, *, explained_by: frozenset[str]
@@ -115,7 +123,12 @@
         :param explained_by: parts that are known to crash servers; a crash
             under one of them is no evidence against others.
         """
-        counted = self._counted(part_id, explained_by)
+        found = [
+            (key, crash)
+            for key, crash in self._unproven(part_id)
+            if explained_by.isdisjoint(crash.positions)
+        ]
+        counted = sorted(found, key=lambda pair: pair[1].at_ms)
         if not counted:
             return None
         return Suspicion(
@@ -126,32 +139,14 @@
             server_ids=tuple(key[0] for key, _ in counted),
         )
 
-    def _counted(
-        self, part_id: str, explained_by: frozenset[str]
-    ) -> list[tuple[ServerKey, _Crash]]:
-        """Return the crashes that count against a part, oldest first."""
-        whole_ms = self._whole_ms.get(part_id)
-        found = [
-            (key, crash)
-            for key, crash in self._crashes.items()
-            if part_id in crash.positions
-            and (whole_ms is None or crash.at_ms > whole_ms)
-            and explained_by.isdisjoint(crash.positions)
-        ]
-        return sorted(found, key=lambda pair: pair[1].at_ms)
-
-    def crashes_since(self, from_ms: int) -> dict[ServerKey, _Crash]:
-        """Return the crashes at or after an instant."""
-        return {
-            key: crash
-            for key, crash in self._crashes.items()
-            if crash.at_ms >= from_ms
-        }
-
     def remove_expired(self, now_ms: int) -> None:
         """Drop evidence that is older than the window."""
         oldest_ms = now_ms - WINDOW_MS
-        self._crashes = self.crashes_since(oldest_ms)
+        self._crashes = {
+            key: crash
+            for key, crash in self._crashes.items()
+            if crash.at_ms >= oldest_ms
+        }
         while self._whole_ms:
             part_id = next(iter(self._whole_ms))
             if self._whole_ms[part_id] >= oldest_ms:
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -50,6 +50,16 @@
     strikes: int
 
 
+@attrs.define(kw_only=True)
+class _Changes:
+    """Ids of what has changed since the last report, in order."""
+
+    crashes: dict[evidence.ServerKey, None] = attrs.field(factory=dict)
+    whole: dict[str, None] = attrs.field(factory=dict)
+    quarantined: dict[str, None] = attrs.field(factory=dict)
+    lifted: dict[str, None] = attrs.field(factory=dict)
+
+
 @attrs.frozen(kw_only=True)
 class Admission:
     """Whether a request may be sent to a server.
@@ -87,7 +97,7 @@
         self._evidence = evidence.Evidence()
         self._records: dict[str, _Record] = {}
         self._lifted: dict[str, tuple[int, int]] = {}
-        self._own_crashes: dict[evidence.ServerKey, tuple] = {}
+        self._own_crashes_ms: dict[evidence.ServerKey, int] = {}
         self._reported_ms: dict[str, int] = {}
         self._changes = _Changes()
         self._suspects: dict[str, None] = {}
@@ -149,12 +159,13 @@
         if not part_ids:
             return
         now_ms = self._clock.now_ms()
-        positions = {part_id: index for index, part_id in enumerate(part_ids)}
-        at_ms, known = self._own_crashes.setdefault(key, (now_ms, {}))
-        for part_id, position in positions.items():
-            known[part_id] = max(position, known.get(part_id, 0))
+        self._own_crashes_ms.setdefault(key, now_ms)
         self._changes.crashes[key] = None
-        self._add_crash(key=key, at_ms=at_ms, positions=positions)
+        self._add_crash(
+            key=key,
+            at_ms=now_ms,
+            positions={one: index for index, one in enumerate(part_ids)},
+        )
         self._notify()
 
     def record_whole(self, part_ids: Iterable[str]) -> None:
@@ -176,18 +187,22 @@
         """Return a complete report for a peer that has received none yet."""
         return self._build(self._all_changes(self._changes.whole))
 
-    def _all_changes(self, whole: dict[str, None]) -> '_Changes':
+    def _all_changes(self, whole: dict[str, None]) -> _Changes:
         return _Changes(
-            crashes=dict.fromkeys(self._own_crashes),
+            crashes=dict.fromkeys(self._own_crashes_ms),
             whole=whole,
             quarantined=dict.fromkeys(self._records),
             lifted=dict.fromkeys(self._lifted),
         )
 
-    def _build(self, changes: '_Changes') -> messages.PartsReported | None:
+    def _build(self, changes: _Changes) -> messages.PartsReported | None:
         now_ms = self._clock.now_ms()
         made = messages.PartsReported(
-            crashes=tuple(self._pack_crash(key) for key in changes.crashes),
+            crashes=tuple(
+                (*key, now_ms - crash.at_ms, tuple(crash.positions.items()))
+                for key in changes.crashes
+                if (crash := self._evidence.crash(key)) is not None
+            ),
             whole=tuple(
                 (part_id, now_ms - at_ms)
                 for part_id in changes.whole
@@ -206,10 +221,6 @@
         )
         return None if made == messages.PartsReported() else made
 
-    def _pack_crash(self, key: evidence.ServerKey) -> tuple:
-        at_ms, positions = self._own_crashes[key]
-        return (*key, self._clock.now_ms() - at_ms, tuple(positions.items()))
-
     def apply_report(self, report: messages.PartsReported) -> None:
         """Apply what a peer has observed or decided."""
         now_ms = self._clock.now_ms()
@@ -235,10 +246,10 @@
         """Drop what is too old to matter."""
         now_ms = self._clock.now_ms()
         self._evidence.remove_expired(now_ms)
-        self._own_crashes = {
-            key: crash
-            for key, crash in self._own_crashes.items()
-            if crash[0] >= now_ms - REPEAT_MS or key in self._changes.crashes
+        self._own_crashes_ms = {
+            key: at_ms
+            for key, at_ms in self._own_crashes_ms.items()
+            if at_ms >= now_ms - REPEAT_MS
         }
         self._lifted = {
             part_id: (epoch, at_ms)
@@ -410,13 +421,3 @@
     def _notify(self) -> None:
         if self.on_change is not None:
             self.on_change()
-
-
-@attrs.define(kw_only=True)
-class _Changes:
-    """Ids of what has changed since the last report, in order."""
-
-    crashes: dict[evidence.ServerKey, None] = attrs.field(factory=dict)
-    whole: dict[str, None] = attrs.field(factory=dict)
-    quarantined: dict[str, None] = attrs.field(factory=dict)
-    lifted: dict[str, None] = attrs.field(factory=dict)
--- a/src/shallothinge/quarantine/tests/test_quarantine.py
+++ b/src/shallothinge/quarantine/tests/test_quarantine.py
@@ -279,7 +279,7 @@
         self.one.remove_expired()
         self.assertEqual({}, self.one._evidence._crashes)
         self.assertEqual({}, self.one._evidence._whole_ms)
-        self.assertEqual({}, self.one._own_crashes)
+        self.assertEqual({}, self.one._own_crashes_ms)
 
     def test_reports_pass_the_codec(self):
         self.quarantine()
