--- a/src/shallothinge/gateway/tests/test_faulty_servers.py
+++ b/src/shallothinge/gateway/tests/test_faulty_servers.py
@@ -7,10 +7,10 @@
 
 from shallothinge.gateway import reservation
 from shallothinge.gateway.tests import rig
+from shallothinge.gateway.tests import test_forwarding
 from shallothinge.http1 import client
 from shallothinge.http1 import messages
 from shallothinge.http1.tests import fakes
-from shallothinge.platform.tests import samples
 
 STREAM = '/lohu930/1'
 BOOKING = '/book/1'
@@ -21,17 +21,6 @@
 OWN_ID = ('request-attempt-id', rig.REQUEST_ID)
 
 
-def configuration(*, attempts=3):
-    """Return a configuration with a route for streams of engines."""
-    fields = samples.configuration()
-    route = fields['routes'][0]
-    del route['traffic-split']
-    route.update(
-        {'service': 'llm', 'attempts': attempts, 'resume-streams': True}
-    )
-    return fields
-
-
 def connect(listener):
     """Return an exchange that has sent its request."""
     exchange = client.ClientExchange(
@@ -49,7 +38,9 @@
     """Refusals that belong to another request."""
 
     def setUp(self):
-        self.rig = rig.Rig(configuration=configuration())
+        self.rig = rig.Rig(
+            configuration=test_forwarding.only_engines({'attempts': 3})
+        )
 
     @property
     def calls(self):
@@ -100,7 +91,9 @@
     """Streams that began at one server and go on at another one."""
 
     def setUp(self):
-        self.rig = rig.Rig(configuration=configuration())
+        self.rig = rig.Rig(
+            configuration=test_forwarding.only_engines({'attempts': 3})
+        )
 
     @property
     def calls(self):
--- a/src/shallothinge/gateway/tests/test_forwarding.py
+++ b/src/shallothinge/gateway/tests/test_forwarding.py
@@ -17,11 +17,14 @@
     return f'id: {number}\ndata: {number}\n\n'.encode()
 
 
-def only_engines():
-    """Return the sample configuration with all streams routed to engines."""
+def only_engines(stream=None):
+    """Return the sample configuration with all streams routed to engines.
+
+    :param stream: changed fields of the streams' route.
+    """
     fields = samples.configuration()
     del fields['routes'][0]['traffic-split']
-    fields['routes'][0]['service'] = 'llm'
+    fields['routes'][0].update({'service': 'llm', **(stream or {})})
     return fields
 
 
--- a/src/shallothinge/gateway/tests/test_quarantine.py
+++ b/src/shallothinge/gateway/tests/test_quarantine.py
@@ -5,7 +5,7 @@
 import attrs
 
 from shallothinge.gateway.tests import rig
-from shallothinge.platform.tests import samples
+from shallothinge.gateway.tests import test_forwarding
 from shallothinge.quarantine import state
 
 STREAM = '/lohu930/1'
@@ -15,30 +15,18 @@
 MOMENT_MS = 150
 
 
-def configuration(*, attempts=2, may_resume=True):
-    """Return a configuration with a route for streams of engines."""
-    fields = samples.configuration()
-    route = fields['routes'][0]
-    del route['traffic-split']
-    route.update(
-        {
-            'service': 'llm',
-            'attempts': attempts,
-            'resume-streams': may_resume,
-        }
-    )
-    return fields
-
-
 class QueryOfDeathTest(unittest.TestCase):
     """Some gateways of one fleet."""
 
     def setUp(self):
         self.make(count=3)
 
-    def make(self, *, count=3, **fields):
+    def make(self, *, count, stream=None):
         self.rigs = [
-            rig.Rig(configuration=configuration(**fields), server_count=9)
+            rig.Rig(
+                configuration=test_forwarding.only_engines(stream),
+                server_count=9,
+            )
             for _ in range(count)
         ]
 
@@ -95,8 +83,12 @@
         self.exchange()
 
     def quarantine(self):
-        """Let the deadly part be quarantined; return the last exchange."""
+        """Prove the sound parts, then let the deadly one be found."""
         self.answer_sound()
+        return self.find_deadly_part()
+
+    def find_deadly_part(self):
+        """Let three crashes be seen; return the last request's exchange."""
         self.crash_twice(0)
         exchange, calls = self.ask(1, DEADLY)
         self.crash(calls()[0])
@@ -130,20 +122,14 @@
         self.rigs[2].holder.is_settled = False
         waiting, calls = self.ask(2, DEADLY)
         self.assertIsNone(waiting.status)
-        self.quarantine_without_third()
+        self.find_deadly_part()
         self.assertEqual([], calls())
         self.assertEqual(503, waiting.status)
 
-    def quarantine_without_third(self):
-        """Let the first two gateways find the deadly part."""
-        self.crash_twice(0)
-        _, calls = self.ask(1, DEADLY)
-        self.crash(calls()[0])
-
     def test_stream_that_is_being_written_goes_on(self):
         writing, calls = self.ask(2, DEADLY)
         calls()[0].answer(200, body=EVENT, ends=False)
-        self.quarantine_without_third()
+        self.find_deadly_part()
         self.assertFalse(writing.is_ended)
         calls()[0].end()
         self.assertTrue(writing.is_whole)
@@ -186,7 +172,7 @@
             long_written,
         ):
             with self.subTest(fail=fail.__name__):
-                self.make(count=1, attempts=1)
+                self.make(count=1, stream={'attempts': 1})
                 for _ in range(8):
                     _, calls = self.ask(0, DEADLY)
                     self.advance(MOMENT_MS)
--- a/src/shallothinge/gateway/tests/test_silence_beside_reads.py
+++ b/src/shallothinge/gateway/tests/test_silence_beside_reads.py
@@ -5,9 +5,9 @@
 import attrs
 
 from shallothinge.gateway.tests import rig
+from shallothinge.gateway.tests import test_forwarding
 from shallothinge.gateway.tests import test_silent_server
 from shallothinge.placement import fleet
-from shallothinge.platform.tests import samples
 
 LOGGER = 'shallothinge.gateway.request_log'
 # By the sample route: pauses of 250 ms, a first event within 300 ms, and a
@@ -33,10 +33,7 @@
     """A read that explains the silence is waited for, within limits."""
 
     def setUp(self):
-        fields = samples.configuration()
-        del fields['routes'][0]['traffic-split']
-        fields['routes'][0]['service'] = 'llm'
-        self.rig = rig.Rig(configuration=fields)
+        self.rig = rig.Rig(configuration=test_forwarding.only_engines())
 
     @property
     def calls(self):
--- a/src/shallothinge/gateway/tests/test_silent_server.py
+++ b/src/shallothinge/gateway/tests/test_silent_server.py
@@ -3,7 +3,7 @@
 import unittest
 
 from shallothinge.gateway.tests import rig
-from shallothinge.platform.tests import samples
+from shallothinge.gateway.tests import test_forwarding
 
 STREAM = '/lohu930/1'
 BOOKING = '/book/1'
@@ -68,10 +68,10 @@
 
     def configure(self, *, server_count=3, **stream):
         """Build a gateway whose streams have some fields of their own."""
-        fields = samples.configuration()
-        del fields['routes'][0]['traffic-split']
-        fields['routes'][0].update(service='llm', **stream)
-        self.rig = rig.Rig(configuration=fields, server_count=server_count)
+        self.rig = rig.Rig(
+            configuration=test_forwarding.only_engines(stream),
+            server_count=server_count,
+        )
 
     @property
     def calls(self):
--- a/src/shallothinge/gateway/tests/test_stopping.py
+++ b/src/shallothinge/gateway/tests/test_stopping.py
@@ -6,9 +6,9 @@
 from shallothinge.gateway import drain
 from shallothinge.gateway import shutdown
 from shallothinge.gateway.tests import rig
+from shallothinge.gateway.tests import test_forwarding
 from shallothinge.http1 import draining
 from shallothinge.http1 import exchange as exchanges
-from shallothinge.platform.tests import samples
 from shallothinge.settings import model
 
 STREAM = '/lohu930/1'
@@ -40,11 +40,7 @@
     """Each request gets an answer before the process ends."""
 
     def setUp(self):
-        fields = samples.configuration()
-        del fields['routes'][0]['traffic-split']
-        fields['routes'][0].update(
-            {'service': 'llm', 'target-latency-ms': 3000}
-        )
+        fields = test_forwarding.only_engines({'target-latency-ms': 3000})
         other = {'name': 'r-3', 'path-prefix': '/other/'}
         fields['routes'].append({**fields['routes'][0], **other})
         self.rig = rig.Rig(configuration=fields)
--- a/src/shallothinge/gateway/tests/test_truncated_streams.py
+++ b/src/shallothinge/gateway/tests/test_truncated_streams.py
@@ -6,9 +6,9 @@
 from twisted.python import failure
 
 from shallothinge.gateway.tests import rig
+from shallothinge.gateway.tests import test_forwarding
 from shallothinge.http1 import client
 from shallothinge.http1.tests import fakes
-from shallothinge.platform.tests import samples
 
 STREAM = '/lohu930/1'
 LOGGER = 'shallothinge.gateway.request_log'
@@ -58,15 +58,6 @@
         return exchange
 
 
-def configuration(*, may_resume):
-    """Return a configuration with a route for streams of engines."""
-    fields = samples.configuration()
-    del fields['routes'][0]['traffic-split']
-    fields['routes'][0]['service'] = 'llm'
-    fields['routes'][0]['resume-streams'] = may_resume
-    return fields
-
-
 class CutAtEachByteTest(unittest.TestCase):
     """Answers that end after each of their bytes."""
 
@@ -74,7 +65,10 @@
         """Let a server send bytes and end the connection."""
         caller = WireClient()
         play = rig.Rig(
-            configuration=configuration(may_resume=may_resume), caller=caller
+            configuration=test_forwarding.only_engines(
+                {'resume-streams': may_resume}
+            ),
+            caller=caller,
         )
         exchange = play.request(STREAM, tokens=5000)
         caller.exchanges[0].dataReceived(data)
@@ -145,7 +139,7 @@
     """Which ends of a stream are taken for its end."""
 
     def setUp(self):
-        self.rig = rig.Rig(configuration=configuration(may_resume=True))
+        self.rig = rig.Rig(configuration=test_forwarding.only_engines())
 
     @property
     def calls(self):
