Split the gateway's forwarding by duty

It chose servers, kept count of attempts, wrote the answer and handled the events of all three.

Behaviour stays. Of what is visible only the `step` that the log names when a step raises an exception has another name. In two places the order of calls changed: a server's success is recorded before the end of a stream is written, and it is put among the tried ones once the attempt exists.

--- /dev/null
+++ b/src/shallothinge/gateway/server_search.py
@@ -0,0 +1,244 @@
+"""The search for a backend server that one request is sent to."""
+
+from collections.abc import Callable
+
+from shallothinge import clock as clocks
+from shallothinge import guard as guards
+from shallothinge.errors import ErrorKind
+from shallothinge.gateway import attempt_record
+from shallothinge.gateway import caller_answer
+from shallothinge.gateway import demands
+from shallothinge.gateway import dependencies
+from shallothinge.gateway import model
+from shallothinge.gateway import part_admission
+from shallothinge.gateway import policy
+from shallothinge.gateway import wait as waits
+from shallothinge.gateway.wait import WaitCause
+from shallothinge.placement import choice
+from shallothinge.quarantine import state as quarantines
+
+
+class ServerSearch:
+    """Chooses a server for a request, waits for one, or refuses the request.
+
+    :param started_ms: instant at which the request arrived.
+    :param send: sends the request to the server that was chosen.
+    :ivar due_ms: instant after which the first event is late.
+    """
+
+    def __init__(
+        self,
+        *,
+        parts: dependencies.Dependencies,
+        accepted: model.AcceptedRequest,
+        answer: caller_answer.CallerAnswer,
+        attempts: attempt_record.AttemptRecord,
+        admission: part_admission.PartAdmission,
+        wait: waits.Wait,
+        guard: guards.RequestGuard,
+        started_ms: int,
+        send: Callable[[choice.Placement], None],
+    ):
+        self._parts = parts
+        self._accepted = accepted
+        self._route = accepted.route
+        self._answer = answer
+        self._attempts = attempts
+        self._admission = admission
+        self._wait = wait
+        self._guard = guard
+        self._started_ms = started_ms
+        self.due_ms = started_ms + accepted.route.objective_ms
+        self._send = send
+        self._timer = None
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether the search goes on later."""
+        return self._timer is not None
+
+    @guards.guarded
+    def start(self) -> None:
+        """Choose a server and send the request to it, or wait and retry."""
+        self._timer = None
+        if self._answer.is_over or (
+            self._attempts.running and self._attempts.no_takeover_reason()
+        ):
+            return
+        admission = self._admission.admit()
+        if admission.refused_ms:
+            self._refuse_quarantined(admission)
+            return
+        if admission.wait_ms:
+            self._retry_later(
+                WaitCause.QUARANTINE, free_in_ms=admission.wait_ms
+            )
+            return
+        if not self._parts.holder.is_valid():
+            self._wait_or_fail(
+                WaitCause.LEASE, kind=ErrorKind.NO_LEASE, may_recover=True
+            )
+            return
+        if self._attempts.running and not self._parts.budget.has_credit:
+            self._retry_later(WaitCause.BUDGET)
+            return
+        candidates = self._parts.servers.candidates(
+            service=self._accepted.service.name,
+            tried_ids=self._attempts.tried_ids,
+        )
+        if not candidates:
+            self._wait_or_fail(
+                WaitCause.SERVERS,
+                kind=ErrorKind.NO_BACKEND_SERVER,
+                may_recover=not self._parts.holder.is_settled,
+            )
+            return
+        self._choose(candidates)
+
+    def _choose(self, candidates: tuple[choice.Candidate, ...]) -> None:
+        """Send the request to one of the candidates, or wait for one."""
+        demand = demands.build_demand(
+            self._accepted,
+            zone=self._parts.zone,
+            waited_ms=self._waited_ms(),
+            is_resumed=bool(self._answer.last_event_id)
+            or self._answer.is_begun,
+        )
+        is_first = bool(self._attempts.running) or self._wait.is_turn(
+            demand=demand, due_ms=self.due_ms
+        )
+        if not is_first:
+            self._wait_or_refuse(WaitCause.TURN, free_in_ms=0)
+            return
+        placed = self._parts.chooser.choose(
+            demand=demand, candidates=candidates
+        )
+        if isinstance(placed, choice.NoCapacity):
+            self._wait_or_refuse(WaitCause.ROOM, free_in_ms=placed.free_in_ms)
+        elif isinstance(placed, choice.PlacementDeferred):
+            self._wait_or_refuse(
+                WaitCause.READS, free_in_ms=int(placed.start_in_ms)
+            )
+        elif not (
+            self._is_at_server
+            or self._wait.ends_before_stop(placed.first_event_ms)
+        ):
+            self.refuse_for_stop()
+        elif not self._parts.servers.take_cold_permit(
+            server_id=placed.server_id, service=self._accepted.service
+        ):
+            self._retry_later(WaitCause.COLD_LIMIT)
+        else:
+            if self._attempts.running:
+                self._parts.budget.take()
+                self._parts.metrics.count_retry()
+            self._wait.end()
+            self._send(placed)
+
+    def _refuse_quarantined(self, admission: quarantines.Admission) -> None:
+        self._attempts.cancel()
+        self._answer.refuse(
+            policy.quarantine_error(
+                route=self._route,
+                progress=self._attempts.progress,
+                admission=admission,
+            )
+        )
+
+    def refuse_blocked(self) -> None:
+        """End a request that may crash servers, unless its answer is begun."""
+        is_pending = bool(self._attempts.running) or self.is_waiting
+        if (
+            is_pending
+            and not self._answer.is_over
+            and not self._answer.is_begun
+        ):
+            self._refuse_quarantined(self._admission.admit())
+
+    def _waited_ms(self) -> int:
+        return self._parts.clock.now_ms() - self._started_ms
+
+    def _wait_or_refuse(self, cause: WaitCause, *, free_in_ms: int) -> None:
+        """Wait, or refuse a request that can't be answered in time any more.
+
+        :param free_in_ms: time in milliseconds until the request is likely
+            to be placed, 0 if it is not known.
+        """
+        can_answer = demands.can_still_answer(
+            self._accepted, waited_ms=self._waited_ms()
+        )
+        if not (self._is_at_server or self._wait.ends_before_stop()):
+            self.refuse_for_stop()
+        elif can_answer or self._is_at_server:
+            self._retry_later(cause, free_in_ms=free_in_ms)
+        elif self._attempts.progress.may_have_run:
+            self._answer.refuse(policy.deadline_error(self._attempts.progress))
+        else:
+            self._answer.refuse(
+                policy.full_error(free_in_ms or choice.FREE_SLOT_MS)
+            )
+
+    @property
+    def _is_at_server(self) -> bool:
+        """Return whether a server works on the answer or has begun it."""
+        return self._answer.is_begun or bool(self._attempts.running)
+
+    def refuse_for_stop(self) -> None:
+        """Refuse the request, as the process stops before its answer."""
+        self._answer.refuse(
+            policy.stop_error(
+                route=self._route, progress=self._attempts.progress
+            )
+        )
+
+    def _retry_later(self, cause: WaitCause, *, free_in_ms: int = 0) -> None:
+        after_ms = self._wait.retry_delay_ms(
+            cause,
+            free_in_ms=free_in_ms,
+            is_running=bool(self._attempts.running),
+        )
+        self._timer = self._parts.reactor.callLater(
+            after_ms / clocks.MS_PER_SECOND, self.start
+        )
+
+    def stop(self) -> None:
+        """Stop waiting; the request goes on, or has ended."""
+        self._wait.end()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _wait_or_fail(
+        self, cause: WaitCause, *, kind: ErrorKind, may_recover: bool
+    ) -> None:
+        """Wait for what the placement lacks, or fail.
+
+        :param kind: the error of a request that surely did not run.
+        :param may_recover: whether control may provide it soon.
+        """
+        if self._answer.is_begun:
+            may_wait = self._wait.may_resume(
+                broke_off_ms=self._attempts.failed_ms,
+                tried_ids=self._attempts.tried_ids,
+            )
+        else:
+            is_untried = not self._attempts.tried_ids
+            may_wait = may_recover and is_untried and self._wait.may_recover()
+        if self._attempts.running or may_wait:
+            self._retry_later(cause)
+        elif self._answer.is_begun:
+            self._answer.abort(kind.value)
+        else:
+            self._answer.refuse(
+                policy.unplaced_error(
+                    progress=self._attempts.progress,
+                    kind=kind,
+                    pause_ms=self.shortest_pause_ms(),
+                )
+            )
+
+    def shortest_pause_ms(self) -> int | None:
+        """Return the time until the first pause ends, if all servers pause."""
+        return self._parts.servers.pause_ms(
+            service=self._accepted.service.name
+        )
