Log the limits that backend servers name

Nothing told whether a gateway knew of a limit, so that 'nobody reads the header', 'each gateway keeps to the limit by itself' and 'some learn it late' looked the same in the logs.

No request is held back yet.

--- a/src/shallothinge/control/tests/test_departures.py
+++ b/src/shallothinge/control/tests/test_departures.py
@@ -17,6 +17,7 @@
 from shallothinge.membership import messages as membership
 from shallothinge.membership.tests import samples
 from shallothinge.placement import fleet
+from shallothinge.server_limits import state as server_limits
 from shallothinge.settings import model
 
 SERVER_ID = 'i'
@@ -61,6 +62,7 @@
                 clock=bench.clock, slack_requests=5
             ),
             notices=notices.ServerNotices(clock=bench.clock),
+            limits=server_limits.ServerLimits(clock=bench.clock),
         )
 
     def renew(self):
--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -104,6 +104,7 @@
         self._stall_timeout_ms: float | None = None
         self._placed_ms = parts.clock.now_ms()
         self.sent_after_ms: int | None = None
+        self._sent_ms = self._placed_ms
         self._server: BackendServer | None = None
         self._exchange = None
         self._reservation = None
@@ -178,8 +179,8 @@
         )
         if not is_allowed:
             return False
-        now_ms = self._parts.clock.now_ms()
-        self.sent_after_ms = now_ms - self._placed_ms
+        self._sent_ms = self._parts.clock.now_ms()
+        self.sent_after_ms = self._sent_ms - self._placed_ms
         self._parts.metrics.record_send_delay(duration_ms=self.sent_after_ms)
         return True
 
@@ -271,7 +272,11 @@
             self._fail(
                 FailureCause.BROKEN, detail='response is to another request'
             )
-        elif answer.is_not_executed:
+            return
+        self._parts.servers.record_limit(
+            self._server, answer=answer, sent_ms=self._sent_ms
+        )
+        if answer.is_not_executed:
             self._on_unrun(answer)
         elif answer.is_success and not answer.is_signed:
             self._fail(
--- a/src/shallothinge/gateway/model.py
+++ b/src/shallothinge/gateway/model.py
@@ -93,7 +93,12 @@
     address of the helper that caused the failure, if one did. ``is_signed``
     is whether the answer has the server's signature. ``is_leaving`` is
     whether the server announces that it leaves, ``pause_ms`` for how long it
-    wants no further requests from this gateway.
+    wants no further requests from this gateway. ``is_misdirected`` is whether
+    another server may have answered at the address.
+
+    ``limit_per_s`` is the rate of requests that the server takes from all
+    gateways together, None if it names none. ``unreadable_limit`` is the
+    beginning of a limit that can't be read.
     """
 
     status: int
@@ -105,6 +110,9 @@
     fault_address: str = ''
     is_leaving: bool = False
     pause_ms: int = 0
+    is_misdirected: bool = False
+    limit_per_s: float | None = None
+    unreadable_limit: str = ''
 
     @property
     def is_success(self) -> bool:
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -32,6 +32,7 @@
 from shallothinge.platform import names
 from shallothinge.quarantine import state as quarantines
 from shallothinge.routing import retries
+from shallothinge.server_limits import state as server_limits
 from shallothinge.settings import model
 from shallothinge.settings import watch
 
@@ -121,6 +122,7 @@
                 load=load,
                 cold=cold,
                 notices=notices.ServerNotices(clock=clock),
+                limits=server_limits.ServerLimits(clock=clock),
             ),
             load=load,
             chooser=choice.Chooser(rng=rng),
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -9,6 +9,7 @@
 
 from shallothinge import clock as clocks
 from shallothinge.gateway import cold_rate_limiter
+from shallothinge.gateway import model
 from shallothinge.gateway import notices
 from shallothinge.leases import holder as holders
 from shallothinge.membership.model import BackendServer
@@ -16,6 +17,7 @@
 from shallothinge.placement import fleet
 from shallothinge.routes import model as routes
 from shallothinge.routing import breaker
+from shallothinge.server_limits import state as server_limits
 
 LOG = logging.getLogger(__name__)
 
@@ -53,6 +55,7 @@
     :param load: work in progress of all gateways.
     :param cold: limits the rate of requests to cold servers.
     :param notices: leave and pause notices received from servers.
+    :param limits: limits that servers have named.
     """
 
     def __init__(
@@ -63,12 +66,14 @@
         load: fleet.FleetLoad,
         cold: cold_rate_limiter.ColdRateLimiter,
         notices: notices.ServerNotices,
+        limits: server_limits.ServerLimits,
     ):
         self._clock = clock
         self._holder = holder
         self._load = load
         self._cold = cold
         self._notices = notices
+        self._limits = limits
         self._entries: dict[str, _ServerEntry] = {}
         self._ranks: dict[str, float] = {}
         load.on_failed = self._on_peer_failure_report
@@ -187,6 +192,32 @@
         if pause_ms:
             self._notices.record_pause(key, pause_ms)
 
+    def record_limit(
+        self,
+        server: BackendServer,
+        *,
+        answer: model.AnswerHead,
+        sent_ms: int,
+    ) -> None:
+        """Record what a server's answer to a request says of its limit.
+
+        :param sent_ms: instant at which the request was sent.
+        """
+        if answer.is_misdirected:
+            return
+        if answer.unreadable_limit:
+            LOG.warning(
+                'limit of a backend server can not be read',
+                extra={
+                    'server_id': server.server_id,
+                    'text': answer.unreadable_limit,
+                },
+            )
+            return
+        self._limits.record_answer(
+            notices.key_of(server), per_s=answer.limit_per_s, sent_ms=sent_ms
+        )
+
     def pause_ms(
         self, *, service: str, tried_ids: frozenset[str] = frozenset()
     ) -> int | None:
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -28,6 +28,7 @@
 from shallothinge.platform.tests import samples
 from shallothinge.quarantine import state as quarantines
 from shallothinge.routing import retries
+from shallothinge.server_limits import state as server_limits
 
 REQUEST_ID = '9c41'
 SIGNED = (
@@ -216,6 +217,7 @@
         self.holder = FakeLeaseHolder()
         self.caller = caller or FakeHttpClient()
         self.load = fleet.FleetLoad(clock=self.clock)
+        self.limits = server_limits.ServerLimits(clock=self.clock)
         rng = random.Random(1)
         self.parts = dependencies.Dependencies(
             reactor=self.reactor,
@@ -231,6 +233,7 @@
                     clock=self.clock, slack_requests=5
                 ),
                 notices=notices.ServerNotices(clock=self.clock),
+                limits=self.limits,
             ),
             load=self.load,
             chooser=choice.Chooser(rng=rng),
--- a/src/shallothinge/platform/dialect.py
+++ b/src/shallothinge/platform/dialect.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import re
 
 from shallothinge import clock as clocks
 from shallothinge import errors
@@ -32,6 +33,8 @@
 # Limits of what is remembered of a prompt.
 MAX_PARTS = 64
 MAX_PART_ID_LENGTH = 64
+DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,18})?')
+MAX_LOGGED_CHARACTERS = 40
 
 
 class PlatformDialect:
@@ -114,6 +117,7 @@
     def read_answer(self, head: messages.ResponseHead) -> model.AnswerHead:
         """Return the head of a backend server's answer."""
         field_names = {name for name, _ in head.headers}
+        limit_per_s, unreadable_limit = _read_limit(head)
         return model.AnswerHead(
             status=head.status,
             headers=messages.end_to_end(head.headers),
@@ -125,6 +129,9 @@
             # A 421 may come from another server at the same address.
             is_leaving=head.get(names.LEAVING) == '1' and head.status != 421,
             pause_ms=_read_pause_ms(head) if head.status == 503 else 0,
+            is_misdirected=head.status == 421,
+            limit_per_s=limit_per_s,
+            unreadable_limit=unreadable_limit,
         )
 
     def write_error(
@@ -186,6 +193,24 @@
     return math.ceil(seconds * clocks.MS_PER_SECOND)
 
 
+def _read_limit(head: messages.ResponseHead) -> tuple[float | None, str]:
+    """Return the limit that a server names, and what can't be read of it.
+
+    :returns: requests a second, None if no limit is named or it can't be
+        read; the beginning of the text, '' unless it can't be read.
+    """
+    texts = [
+        value.strip()
+        for name, value in head.headers
+        if name == names.LIMIT_PER_S
+    ]
+    if not texts:
+        return None, ''
+    if len(texts) == 1 and DECIMAL.fullmatch(texts[0]):
+        return float(texts[0]), ''
+    return None, ', '.join(texts)[:MAX_LOGGED_CHARACTERS] or 'empty'
+
+
 def _read_tokens(head: messages.RequestHead) -> tuple[int, int]:
     """Return the tokens of a prompt and the longest that its answer may be.
 
--- a/src/shallothinge/platform/names.py
+++ b/src/shallothinge/platform/names.py
@@ -28,6 +28,9 @@
 RETRY_AFTER_S = 'retry-after'
 # '1' in all answers of a server that leaves.
 LEAVING = 'server-leaving'
+# In all answers of a server that takes only so many requests a second from
+# all gateways together.
+LIMIT_PER_S = 'server-limit'
 
 # Path of a server's orders.
 ORDER = '/order'
--- a/src/shallothinge/platform/tests/test_dialect.py
+++ b/src/shallothinge/platform/tests/test_dialect.py
@@ -140,6 +140,35 @@
                 self.assertEqual(is_signed, answer.is_signed)
                 self.assertEqual(is_not_executed, answer.is_not_executed)
 
+    def test_limit_is_read(self):
+        rows = (
+            ((), None, ''),
+            (('1',), 1.0, ''),
+            (('2.5',), 2.5, ''),
+            ((' 0.5 ',), 0.5, ''),
+            (('0',), 0.0, ''),
+            (('',), None, 'empty'),
+            (('-1',), None, '-1'),
+            (('1e3',), None, '1e3'),
+            (('nan',), None, 'nan'),
+            (('inf',), None, 'inf'),
+            (('1, 2',), None, '1, 2'),
+            (('1', '2'), None, '1, 2'),
+            (('\u0661',), None, '\u0661'),
+            (('9' * 5000,), None, '9' * 40),
+            (('soon',), None, 'soon'),
+        )
+        for texts, limit_per_s, unreadable in rows:
+            with self.subTest(texts=texts):
+                answer = self.dialect.read_answer(
+                    messages.ResponseHead(
+                        status=200,
+                        headers=tuple(('server-limit', one) for one in texts),
+                    )
+                )
+                self.assertEqual(limit_per_s, answer.limit_per_s)
+                self.assertEqual(unreadable, answer.unreadable_limit)
+
     def test_only_what_did_not_run_gets_a_promising_status(self):
         for kind in ErrorKind:
             with self.subTest(kind=kind):
--- /dev/null
+++ b/src/shallothinge/server_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rates of requests that backend servers take from all gateways."""
--- /dev/null
+++ b/src/shallothinge/server_limits/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ``shallothinge.server_limits``."""
--- a/testing/test_pure_core.py
+++ b/testing/test_pure_core.py
@@ -43,6 +43,7 @@
     'reservations',
     'routes',
     'routing',
+    'server_limits',
     'streams',
 )
 CORE_MODULES = (
