--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -31,6 +31,7 @@
 from shallothinge.server_limits import state as server_limits
 
 REQUEST_ID = '9c41'
+START_MS = 1000
 SIGNED = (
     ('request-attempt-id', REQUEST_ID),
     ('response-signature', 'signature'),
@@ -211,14 +212,15 @@
         server_count=3,
         reactor=None,
         caller=None,
+        seed=1,
     ):
         self.reactor = reactor or task.Clock()
-        self.clock = clock.ManualClock(start_ms=1000)
+        self.clock = clock.ManualClock(start_ms=START_MS)
         self.holder = FakeLeaseHolder()
         self.caller = caller or FakeHttpClient()
         self.load = fleet.FleetLoad(clock=self.clock)
         self.limits = server_limits.ServerLimits(clock=self.clock)
-        rng = random.Random(1)
+        rng = random.Random(seed)
         self.parts = dependencies.Dependencies(
             reactor=self.reactor,
             clock=self.clock,
@@ -297,6 +299,14 @@
         self.clock.advance(duration_ms=duration_ms)
         self.reactor.advance(duration_ms / 1000)
 
+    def reports(self, *, complete):
+        """Return the messages that are due to the other gateways."""
+        return [self.load.report(complete=complete)]
+
+    def receive(self, peer, message):
+        """Handle a message from another gateway."""
+        self.load.apply_report(peer=peer, report=message)
+
     def request(
         self, path, *, tokens=0, deadline_ms=5000, waited_ms=0, **fields
     ):
