Keep to the limits of servers, summed over all gateways

Class: a limit that a server sets for all its clients together, kept by none.

All gateways keep one schedule for the server (GCRA) from each other's reports of the requests that they were permitted, and take turns when several wait. What two send at the same moment is made up for, so that errors don't add up. Ruled out: shares (a limit of 1 can't be divided among 8), an allocator (a round trip a request and a state to hand over).

If all servers of a service are limited, requests that fit wait by due time, the others are refused at once, each with its own time to return.

Tests that named take_cold_permit name take_permit, which holds both limits.

--- a/src/shallothinge/control/tests/test_departures.py
+++ b/src/shallothinge/control/tests/test_departures.py
@@ -1,6 +1,7 @@
 """Tests that no gateway sends requests to a backend server that has left."""
 
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import stateful
@@ -62,7 +63,9 @@
                 clock=bench.clock, slack_requests=5
             ),
             notices=notices.ServerNotices(clock=bench.clock),
-            limits=server_limits.ServerLimits(clock=bench.clock),
+            limits=server_limits.ServerLimits(
+                clock=bench.clock, own_id='0', find_gateways=mock.Mock()
+            ),
         )
 
     def renew(self):
--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -175,7 +175,9 @@
         """Check lease and server again once the connection is established."""
         is_allowed = (
             self._parts.holder.is_valid()
-            and self._parts.servers.may_get_work(self.server_id)
+            and self._parts.servers.may_send(
+                self.server_id, placed_ms=self._placed_ms
+            )
         )
         if not is_allowed:
             return False
--- a/src/shallothinge/gateway/dependencies.py
+++ b/src/shallothinge/gateway/dependencies.py
@@ -16,11 +16,16 @@
 from shallothinge.placement import waiting
 from shallothinge.quarantine import state as quarantines
 from shallothinge.routing import retries
+from shallothinge.server_limits import returns
 
 
 @attrs.frozen(kw_only=True)
 class Dependencies:
-    """Dependencies that all requests of a gateway share."""
+    """Dependencies that all requests of a gateway share.
+
+    ``waiting`` holds the long prompts that wait for reads to end,
+    ``permit_queue`` the requests that wait for servers that limit their rate.
+    """
 
     reactor: object
     clock: clocks.Clock
@@ -31,6 +36,8 @@
     load: fleet.FleetLoad
     chooser: choice.Chooser
     waiting: waiting.WaitingPrompts
+    permit_queue: waiting.WaitingPrompts
+    returns: returns.ReturnSchedule
     budget: retries.RetryBudget
     quarantine: quarantines.PartQuarantine
     caller: client.HttpClient
--- a/src/shallothinge/gateway/peers.py
+++ b/src/shallothinge/gateway/peers.py
@@ -10,6 +10,8 @@
 from shallothinge.placement import messages
 from shallothinge.quarantine import messages as quarantine_messages
 from shallothinge.quarantine import state as quarantines
+from shallothinge.server_limits import messages as limit_messages
+from shallothinge.server_limits import state as server_limits
 from shallothinge.transport import endpoint
 from shallothinge.transport import link
 
@@ -33,7 +35,8 @@
 
     Without the load reports each gateway would place its requests as if it
     were the only one, and several would choose the same idle server at once.
-    The reports on parts of prompts find what crashes servers.
+    The reports on parts of prompts find what crashes servers, and those on
+    limits keep the sum of the requests within what servers ask for.
     """
 
     def __init__(
@@ -43,12 +46,14 @@
         holder: holders.LeaseHolder,
         load: fleet.FleetLoad,
         quarantine: quarantines.PartQuarantine,
+        limits: server_limits.ServerLimits,
         address: str,
     ):
         self._process = process
         self._holder = holder
         self._load = load
         self._quarantine = quarantine
+        self._limits = limits
         self._address = address
         self._links: dict[str, link.Link] = {}
         self._report_timer = None
@@ -59,21 +64,22 @@
     def start(self) -> None:
         """Start sending reports to the peers."""
         self._load.on_change = self._schedule_report
-        self._quarantine.on_change = functools.partial(
-            self._schedule_report, True
-        )
+        report_soon = functools.partial(self._schedule_report, True)
+        self._quarantine.on_change = report_soon
+        self._limits.on_change = report_soon
         self._quarantine.on_suspicion = self._judge_later
         self._holder.on_peers_changed = self._sync_connections
         self._send_full_report()
 
     def receive(self, peer: endpoint.Peer, message: object) -> None:
         """Handle a message from another gateway."""
+        sender_id = peer_id(peer.process_id, peer.incarnation)
         if isinstance(message, messages.LoadReported):
-            self._load.apply_report(
-                peer=f'{peer.process_id} {peer.incarnation}', report=message
-            )
+            self._load.apply_report(peer=sender_id, report=message)
         elif isinstance(message, quarantine_messages.PartsReported):
             self._quarantine.apply_report(message)
+        elif isinstance(message, limit_messages.LimitsReported):
+            self._limits.apply_report(message, peer_id=sender_id)
 
     def _send_full_report(self) -> None:
         """Send a complete report, for peers that have missed a report."""
@@ -110,13 +116,13 @@
         self._send(complete=False)
 
     def _send(self, *, complete: bool) -> None:
-        reports = [self._load.report(complete=complete)]
-        parts = self._quarantine.report(complete=complete)
-        if parts is not None:
-            reports.append(parts)
+        reports = (
+            self._load.report(complete=complete),
+            self._quarantine.report(complete=complete),
+            self._limits.report(complete=complete),
+        )
         for opened in self._links.values():
-            for report in reports:
-                opened.send(report)
+            _send_all(opened, reports)
 
     def _sync_connections(self) -> None:
         """Open and close connections to match the peers that control lists."""
@@ -154,12 +160,14 @@
     def _send_initial(self) -> None:
         self._initial_timer = None
         report = self._load.repeat_as_complete_report()
-        parts = self._quarantine.repeat_as_complete_report()
+        others = (
+            self._quarantine.repeat_as_complete_report(),
+            self._limits.repeat_as_complete_report(),
+        )
         for address, tries_left in list(self._awaiting_initial.items()):
             opened = self._links[address]
             if opened.send(report) or tries_left <= 1:
-                if parts is not None:
-                    opened.send(parts)
+                _send_all(opened, others)
                 del self._awaiting_initial[address]
             else:
                 self._awaiting_initial[address] = tries_left - 1
@@ -167,5 +175,17 @@
             self._schedule_initial()
 
 
+def peer_id(process_id: str, incarnation: str) -> str:
+    """Return the id of one run of a gateway in the reports."""
+    return f'{process_id} {incarnation}'
+
+
+def _send_all(opened: link.Link, reports) -> None:
+    """Send those reports that there are."""
+    for report in reports:
+        if report is not None:
+            opened.send(report)
+
+
 def _ignore_message(message: object) -> None:
     """Ignore a message; peers do not answer reports."""
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -188,6 +188,18 @@
     )
 
 
+def permit_poll_delay_ms(free_in_ms: int) -> int:
+    """Return the delay until the next poll for a permit.
+
+    Gateways take turns that last a few milliseconds, so the one that begins
+    next is polled for at its beginning.
+
+    :param free_in_ms: time until the turn of this request, 0 if another one
+        of this gateway comes before.
+    """
+    return min(POLL_INTERVAL_MS, free_in_ms or POLL_INTERVAL_MS)
+
+
 def no_retry_reason(
     *, route: routes.Route, progress: Progress, remaining_ms: int
 ) -> NoRetry | None:
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -14,6 +14,7 @@
 from shallothinge.gateway import cold_rate_limiter
 from shallothinge.gateway import dependencies
 from shallothinge.gateway import drain
+from shallothinge.gateway import gateway_group
 from shallothinge.gateway import ingress as ingresses
 from shallothinge.gateway import notices
 from shallothinge.gateway import peers as gateways
@@ -32,6 +33,7 @@
 from shallothinge.platform import names
 from shallothinge.quarantine import state as quarantines
 from shallothinge.routing import retries
+from shallothinge.server_limits import returns
 from shallothinge.server_limits import state as server_limits
 from shallothinge.settings import model
 from shallothinge.settings import watch
@@ -76,6 +78,8 @@
             holder=self._holder,
             learns_hosts=True,
         )
+        self._load = fleet.FleetLoad(clock=self._process.clock)
+        self._limits = self._build_limits()
         self._parts = self._build_parts()
         self._ingress = ingresses.Ingress(parts=self._parts)
         self._readiness = readinesses.Readiness(
@@ -86,6 +90,7 @@
             holder=self._holder,
             load=self._parts.load,
             quarantine=self._parts.quarantine,
+            limits=self._limits,
             address=address,
         )
         self._endpoint = self._process.listen(on_message=self._peers.receive)
@@ -103,10 +108,21 @@
             shutdown=self._parts.shutdown,
         )
 
+    def _build_limits(self) -> server_limits.ServerLimits:
+        process = self._process
+        own_id = gateways.peer_id(process.process_id, process.incarnation)
+        return server_limits.ServerLimits(
+            clock=process.clock,
+            own_id=own_id,
+            find_gateways=gateway_group.build_finder(
+                own_id=own_id, load=self._load, holder=self._holder
+            ),
+        )
+
     def _build_parts(self) -> dependencies.Dependencies:
         clock = self._process.clock
         rng = random.Random()
-        load = fleet.FleetLoad(clock=clock)
+        load = self._load
         cold = cold_rate_limiter.ColdRateLimiter(
             clock=clock, slack_requests=self._settings.cold.slack_requests
         )
@@ -122,11 +138,13 @@
                 load=load,
                 cold=cold,
                 notices=notices.ServerNotices(clock=clock),
-                limits=server_limits.ServerLimits(clock=clock),
+                limits=self._limits,
             ),
             load=load,
             chooser=choice.Chooser(rng=rng),
             waiting=waiting.WaitingPrompts(clock=clock),
+            permit_queue=waiting.WaitingPrompts(clock=clock),
+            returns=returns.ReturnSchedule(clock=clock),
             budget=retries.RetryBudget(
                 percent=int(RETRY_FRACTION * self._settings.retries.percent),
                 burst=1,
@@ -190,11 +208,15 @@
                 name=f'backend_servers_{name}',
                 read=functools.partial(getattr, listed, name),
             )
-
         self._process.metrics.observe(
             name='quarantined_parts',
             read=lambda: self._parts.quarantine.count,
         )
+        for name in ('count', 'granted_count'):
+            self._process.metrics.observe(
+                name=f'server_limits_{name}',
+                read=functools.partial(getattr, self._limits, name),
+            )
 
     def update_seeds(self, changed: model.GatewaySettings) -> None:
         """Use the control hosts that the changed settings name."""
--- a/src/shallothinge/gateway/server_search.py
+++ b/src/shallothinge/gateway/server_search.py
@@ -82,6 +82,8 @@
         if self._attempts.running and not self._parts.budget.has_credit:
             self._retry_later(WaitCause.BUDGET)
             return
+        if self._waits_for_permit():
+            return
         candidates = self._parts.servers.candidates(
             service=self._accepted.service.name,
             tried_ids=self._attempts.tried_ids,
@@ -95,6 +97,28 @@
             return
         self._choose(candidates)
 
+    def _waits_for_permit(self) -> bool:
+        """Wait or refuse if all servers limit their rate.
+
+        :returns: False if the request may be sent now.
+        """
+        wait_ms = self._parts.servers.permit_wait_ms(
+            service=self._accepted.service.name,
+            tried_ids=self._attempts.tried_ids,
+        )
+        if wait_ms is None:
+            self._wait.leave_permit_queue()
+            return False
+        position = self._wait.permit_position(self.due_ms)
+        if not wait_ms and not position:
+            return False
+        self._wait_or_refuse(
+            WaitCause.SERVER_LIMIT,
+            free_in_ms=0 if position else wait_ms,
+            expected_ms=wait_ms + position * self._permit_interval_ms(),
+        )
+        return True
+
     def _choose(self, candidates: tuple[choice.Candidate, ...]) -> None:
         """Send the request to one of the candidates, or wait for one."""
         demand = demands.build_demand(
@@ -124,7 +148,7 @@
             or self._wait.ends_before_stop(placed.first_event_ms)
         ):
             self.refuse_for_stop()
-        elif not self._parts.servers.take_cold_permit(
+        elif not self._parts.servers.take_permit(
             server_id=placed.server_id, service=self._accepted.service
         ):
             self._retry_later(WaitCause.COLD_LIMIT)
@@ -158,14 +182,18 @@
     def _waited_ms(self) -> int:
         return self._parts.clock.now_ms() - self._started_ms
 
-    def _wait_or_refuse(self, cause: WaitCause, *, free_in_ms: int) -> None:
+    def _wait_or_refuse(
+        self, cause: WaitCause, *, free_in_ms: int, expected_ms: float = 0.0
+    ) -> None:
         """Wait, or refuse a request that can't be answered in time any more.
 
         :param free_in_ms: time in milliseconds until the request is likely
             to be placed, 0 if it is not known.
+        :param expected_ms: time in milliseconds that it has to wait in any
+            case.
         """
         can_answer = demands.can_still_answer(
-            self._accepted, waited_ms=self._waited_ms()
+            self._accepted, waited_ms=self._waited_ms() + int(expected_ms)
         )
         if not (self._is_at_server or self._wait.ends_before_stop()):
             self.refuse_for_stop()
@@ -174,9 +202,24 @@
         elif self._attempts.progress.may_have_run:
             self._answer.refuse(policy.deadline_error(self._attempts.progress))
         else:
-            self._answer.refuse(
-                policy.full_error(free_in_ms or choice.FREE_SLOT_MS)
-            )
+            return_in_ms = free_in_ms or choice.FREE_SLOT_MS
+            if cause is WaitCause.SERVER_LIMIT:
+                return_in_ms = self._book_return(expected_ms)
+            self._answer.refuse(policy.full_error(return_in_ms))
+
+    def _book_return(self, expected_ms: float) -> int:
+        """Return after which time in ms the caller is to return."""
+        return self._parts.returns.book(
+            service=self._accepted.service.name,
+            first_in_ms=expected_ms,
+            interval_ms=self._permit_interval_ms(),
+        )
+
+    def _permit_interval_ms(self) -> float:
+        return self._parts.servers.permit_interval_ms(
+            service=self._accepted.service.name,
+            tried_ids=self._attempts.tried_ids,
+        )
 
     @property
     def _is_at_server(self) -> bool:
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -100,6 +100,7 @@
             if service in entry.server.services
             and entry.server.server_id not in tried_ids
             and self._may_get_work(entry.server)
+            and not self._limits.wait_ms(notices.key_of(entry.server))
         ]
         healthy = [entry for entry in listed if entry.breaker.allows_request()]
         loads = self._load.loads()
@@ -113,6 +114,7 @@
                 is_cold=entry.cold_until_ms > now_ms,
                 rank=self._ranks[entry.server.server_id],
                 load=loads.get(entry.server.server_id, fleet.ServerLoad()),
+                is_rate_limited=self._is_rate_limited(entry.server),
             )
             for entry in healthy or listed
         )
@@ -143,15 +145,22 @@
 
         return usable_slots_of
 
-    def take_cold_permit(
-        self, *, server_id: str, service: routes.Service
-    ) -> bool:
-        """Take a permit if the rate limit of a cold server admits a request.
+    def take_permit(self, *, server_id: str, service: routes.Service) -> bool:
+        """Take a permit if the rate limits of a server admit a request.
 
         Call this once for each request that is then sent.
 
-        :returns: whether the request may be sent; always for a warm server.
+        :returns: whether the request may be sent; always for a warm server
+            that names no limit.
         """
+        server = self.find(server_id)
+        return self._take_cold_permit(server_id, service) and (
+            server is None or self._limits.take(notices.key_of(server))
+        )
+
+    def _take_cold_permit(
+        self, server_id: str, service: routes.Service
+    ) -> bool:
         entry = self._entries.get(server_id)
         if entry is None or service.cold_requests_per_s <= 0:
             return True
@@ -163,11 +172,67 @@
             gateway_count=max(1, len(self._holder.peers)),
         )
 
-    def may_get_work(self, server_id: str) -> bool:
-        """Return whether a server may be sent a request at this moment."""
+    def may_send(self, server_id: str, *, placed_ms: int) -> bool:
+        """Return whether a server may be sent a request at this moment.
+
+        If the server has named a limit since the request was placed, the
+        request takes a permit.
+
+        :param placed_ms: instant at which the server was chosen for it.
+        """
         self.sync_members()
         server = self.find(server_id)
-        return server is not None and self._may_get_work(server)
+        if server is None or not self._may_get_work(server):
+            return False
+        key = notices.key_of(server)
+        since_ms = self._limits.since_ms(key)
+        if since_ms is None or since_ms < placed_ms:
+            return True
+        return self._limits.take(key)
+
+    def permit_wait_ms(
+        self, *, service: str, tried_ids: frozenset[str]
+    ) -> int | None:
+        """Return the time until a limit permits a request to a service.
+
+        :param tried_ids: servers to leave out.
+        :returns: milliseconds, 0 if a request is permitted now; None unless
+            all servers that accept requests limit their rate.
+        """
+        keys = self._limited_keys(service, tried_ids)
+        return min(map(self._limits.wait_ms, keys), default=None)
+
+    def permit_interval_ms(
+        self, *, service: str, tried_ids: frozenset[str]
+    ) -> float:
+        """Return the expected time between this gateway's permits.
+
+        Call this only while ``permit_wait_ms`` returns a time.
+        """
+        keys = self._limited_keys(service, tried_ids)
+        return self._limits.own_interval_ms(keys)
+
+    def _limited_keys(
+        self, service: str, tried_ids: frozenset[str]
+    ) -> list[notices.ServerKey]:
+        """Return the servers of a service if all of them are limited."""
+        if not self._limits.count:
+            return []
+        self.sync_members()
+        keys = [
+            notices.key_of(entry.server)
+            for entry in self._entries.values()
+            if service in entry.server.services
+            and entry.server.server_id not in tried_ids
+            and self._may_get_work(entry.server)
+        ]
+        is_limited = all(
+            self._limits.limit_per_s(key) is not None for key in keys
+        )
+        return keys if is_limited else []
+
+    def _is_rate_limited(self, server: BackendServer) -> bool:
+        return self._limits.limit_per_s(notices.key_of(server)) is not None
 
     def is_in_service(self, server_id: str) -> bool:
         """Return whether a server is listed and neither leaves nor is out."""
@@ -327,9 +392,9 @@
         for server in changed:
             self._update_entry(server)
         self._cold.forget(known_ids=set(members))
-        self._notices.forget_unlisted(
-            {notices.key_of(server) for server in members.values()}
-        )
+        listed = {notices.key_of(server) for server in members.values()}
+        self._notices.forget_unlisted(listed)
+        self._limits.forget_unlisted(listed)
         self._log_changes(joined=joined, left=left, leaving=leaving)
 
     def _is_current(self, server: BackendServer) -> bool:
--- a/src/shallothinge/gateway/tests/gateways.py
+++ b/src/shallothinge/gateway/tests/gateways.py
@@ -16,7 +16,10 @@
     """
 
     def __init__(self, *, count, **fields):
-        self.rigs = [rig.Rig(seed=index, **fields) for index in range(count)]
+        self.rigs = [
+            rig.Rig(seed=index, own_id=str(index), **fields)
+            for index in range(count)
+        ]
         self._codec = protocol.build_codec()
         self.arrivals = []
         self._sent_counts = [0] * count
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -11,6 +11,7 @@
 from shallothinge.bundles.model import ServingConfig
 from shallothinge.gateway import cold_rate_limiter
 from shallothinge.gateway import dependencies
+from shallothinge.gateway import gateway_group
 from shallothinge.gateway import ingress
 from shallothinge.gateway import notices
 from shallothinge.gateway import servers
@@ -28,6 +29,8 @@
 from shallothinge.platform.tests import samples
 from shallothinge.quarantine import state as quarantines
 from shallothinge.routing import retries
+from shallothinge.server_limits import messages as limit_messages
+from shallothinge.server_limits import returns
 from shallothinge.server_limits import state as server_limits
 
 REQUEST_ID = '9c41'
@@ -213,13 +216,20 @@
         reactor=None,
         caller=None,
         seed=1,
+        own_id='0',
     ):
         self.reactor = reactor or task.Clock()
         self.clock = clock.ManualClock(start_ms=START_MS)
         self.holder = FakeLeaseHolder()
         self.caller = caller or FakeHttpClient()
         self.load = fleet.FleetLoad(clock=self.clock)
-        self.limits = server_limits.ServerLimits(clock=self.clock)
+        self.limits = server_limits.ServerLimits(
+            clock=self.clock,
+            own_id=own_id,
+            find_gateways=gateway_group.build_finder(
+                own_id=own_id, load=self.load, holder=self.holder
+            ),
+        )
         rng = random.Random(seed)
         self.parts = dependencies.Dependencies(
             reactor=self.reactor,
@@ -240,6 +250,8 @@
             load=self.load,
             chooser=choice.Chooser(rng=rng),
             waiting=waiting.WaitingPrompts(clock=self.clock),
+            permit_queue=waiting.WaitingPrompts(clock=self.clock),
+            returns=returns.ReturnSchedule(clock=self.clock),
             budget=retries.RetryBudget(percent=16, burst=10),
             quarantine=quarantines.PartQuarantine(clock=self.clock),
             caller=self.caller,
@@ -301,11 +313,15 @@
 
     def reports(self, *, complete):
         """Return the messages that are due to the other gateways."""
-        return [self.load.report(complete=complete)]
+        limits = self.limits.report(complete=complete)
+        return [self.load.report(complete=complete)] + [limits] * bool(limits)
 
     def receive(self, peer, message):
         """Handle a message from another gateway."""
-        self.load.apply_report(peer=peer, report=message)
+        if isinstance(message, limit_messages.LimitsReported):
+            self.limits.apply_report(message, peer_id=peer)
+        else:
+            self.load.apply_report(peer=peer, report=message)
 
     def request(
         self, path, *, tokens=0, deadline_ms=5000, waited_ms=0, **fields
--- a/src/shallothinge/gateway/tests/test_peers.py
+++ b/src/shallothinge/gateway/tests/test_peers.py
@@ -50,6 +50,12 @@
             holder=self.holder,
             load=self.load,
             quarantine=self.quarantine,
+            limits=mock.Mock(
+                **{
+                    'report.return_value': None,
+                    'repeat_as_complete_report.return_value': None,
+                }
+            ),
             address=OWN,
         )
         self.peers.start()
--- a/src/shallothinge/gateway/tests/test_step_faults.py
+++ b/src/shallothinge/gateway/tests/test_step_faults.py
@@ -81,7 +81,7 @@
         'placement by a timer',
         wait_for_servers,
         time_passes,
-        (servers.Servers, 'take_cold_permit'),
+        (servers.Servers, 'take_permit'),
         503,
     ),
     (
--- a/src/shallothinge/gateway/tests/test_stopping.py
+++ b/src/shallothinge/gateway/tests/test_stopping.py
@@ -33,7 +33,7 @@
 
 
 def refuse_cold_permits(rig):
-    rig.parts.servers.take_cold_permit = mock.Mock(return_value=False)
+    rig.parts.servers.take_permit = mock.Mock(return_value=False)
 
 
 class StopLimitTest(unittest.TestCase):
--- a/src/shallothinge/gateway/wait.py
+++ b/src/shallothinge/gateway/wait.py
@@ -24,6 +24,7 @@
     LEASE = 'lease'
     BUDGET = 'budget'
     QUARANTINE = 'quarantine'
+    SERVER_LIMIT = 'server_limit'
 
 
 class Wait:
@@ -46,6 +47,7 @@
         self._identity = identity
         self._started_ms = started_ms
         self._waiting_id: int | None = None
+        self._permit_id: int | None = None
         self._logged_causes: set[WaitCause] = set()
         self.queued_ms = 0
 
@@ -60,17 +62,38 @@
         if not demand.waits_for_reads:
             return True
         if self._waiting_id is None:
-            self._waiting_id = self._parts.waiting.join(
-                waiting.WaitingPrompt(
-                    service=demand.service.name,
-                    due_ms=due_ms,
-                    min_first_event_ms=choice.min_first_event_ms(
-                        demand.service, demand.tokens
-                    ),
-                )
-            )
+            self._waiting_id = self._parts.waiting.join(self._entry(due_ms))
         return self._parts.waiting.is_first(self._waiting_id)
 
+    def permit_position(self, due_ms: int) -> int:
+        """Return how many requests come before for a server's permit.
+
+        The first call adds the request to this gateway's queue for the
+        servers of the service, all of which limit their rate.
+
+        :param due_ms: instant after which the first event is late.
+        """
+        if self._permit_id is None:
+            self._permit_id = self._parts.permit_queue.join(
+                self._entry(due_ms)
+            )
+        return self._parts.permit_queue.position(self._permit_id)
+
+    def _entry(self, due_ms: int) -> waiting.WaitingPrompt:
+        return waiting.WaitingPrompt(
+            service=self._accepted.service.name,
+            due_ms=due_ms,
+            min_first_event_ms=choice.min_first_event_ms(
+                self._accepted.service, self._accepted.request.prompt_tokens
+            ),
+        )
+
+    def leave_permit_queue(self) -> None:
+        """Leave the queue for permits, if the request is in it."""
+        if self._permit_id is not None:
+            self._parts.permit_queue.leave(self._permit_id)
+            self._permit_id = None
+
     def may_recover(self) -> bool:
         """Return whether control may recover in time for the request."""
         wait_ms = policy.recovery_wait_ms(
@@ -120,6 +143,7 @@
     def end(self) -> None:
         """Leave the queue; the request is sent or has ended."""
         self._logged_causes.clear()
+        self.leave_permit_queue()
         if self._waiting_id is not None:
             self._parts.waiting.leave(self._waiting_id)
             self._waiting_id = None
@@ -140,6 +164,8 @@
         delay_ms = policy.POLL_INTERVAL_MS
         if cause is WaitCause.READS:
             delay_ms = policy.reads_poll_delay_ms(free_in_ms)
+        elif cause is WaitCause.SERVER_LIMIT:
+            delay_ms = policy.permit_poll_delay_ms(free_in_ms)
         self.queued_ms += delay_ms
         return delay_ms
 
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -44,6 +44,9 @@
 OTHER_ZONE_PRICE = 0.02
 # A server is slow for some seconds after its start.
 COLD_PRICE = 1.0
+# A server that limits the rate of its requests is idle because of that, and
+# yet short of capacity.
+RATE_LIMITED_PRICE = 0.5
 # Requests that a server of a service without an engine may hold, running and
 # queued, in multiples of its slots.
 MAX_REQUESTS_PER_SLOT = 3
@@ -204,12 +207,11 @@
     def _choose_plain(self, demand, candidates) -> Placement:
         def price(candidate: Candidate) -> float:
             other_zone = OTHER_ZONE_PRICE * (candidate.zone != demand.zone)
-            cold = COLD_PRICE * candidate.is_cold
             jitter = JITTER * self._rng.random()
             return (
                 candidate.load.active / candidate.slots
                 + other_zone
-                + cold
+                + _impairment_price(candidate)
                 + jitter
             )
 
@@ -279,7 +281,7 @@
                 is_after_backlog=is_after_backlog,
             )
             for candidate in candidates
-            if count == 1 or candidate.load.helping < candidate.slots
+            if count == 1 or _may_share(candidate)
         ]
         weight = pricing.weight_of(demand.tokens)
         needed = _needed_tokens(demand)
@@ -334,7 +336,7 @@
             if part_ms * count < SPLIT_READ_MS:
                 price += RANK_PRICE * candidate.rank
         price += OTHER_ZONE_PRICE * (candidate.zone != demand.zone)
-        price += COLD_PRICE * candidate.is_cold
+        price += _impairment_price(candidate)
         # A share of a divided prompt is read before all pending reads, as
         # servers read the newest share first.
         ahead_ms = load.backlog_ms if is_after_backlog else 0.0
@@ -348,6 +350,21 @@
         )
 
 
+def _impairment_price(candidate: Candidate) -> float:
+    return (
+        COLD_PRICE * candidate.is_cold
+        + RATE_LIMITED_PRICE * candidate.is_rate_limited
+    )
+
+
+def _may_share(candidate: Candidate) -> bool:
+    """Return whether a server may read a part of a divided prompt."""
+    return (
+        not candidate.is_rate_limited
+        and candidate.load.helping < candidate.slots
+    )
+
+
 def min_first_event_ms(service: model.Service, tokens: int) -> float:
     """Return the minimum time in ms to a first event on an idle fleet."""
     engine = service.engine
--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -402,6 +402,15 @@
         """Return the number of peers of which no report is missing."""
         return sum(peer_work.is_complete for peer_work in self._peers.values())
 
+    def heard_peers(self, *, within_ms: int) -> list[str]:
+        """Return the peers whose newest report is at most this old."""
+        oldest_ms = self._clock.now_ms() - within_ms
+        return [
+            peer
+            for peer, peer_work in self._peers.items()
+            if peer_work.received_ms >= oldest_ms
+        ]
+
     @property
     def oldest_report_ms(self) -> int:
         """Return the age of the least recently updated peer's last report.
--- a/src/shallothinge/placement/spread.py
+++ b/src/shallothinge/placement/spread.py
@@ -13,7 +13,8 @@
     """A backend server that may get the request.
 
     ``rank`` is its position in the order of the servers of its zone, from 0
-    for the first to below 1 for the last.
+    for the first to below 1 for the last. ``is_rate_limited`` is whether it
+    limits the rate of requests that it takes.
     """
 
     server_id: str
@@ -22,6 +23,7 @@
     is_cold: bool
     rank: float = 0.0
     load: fleet.ServerLoad = fleet.ServerLoad()
+    is_rate_limited: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallothinge/placement/waiting.py
+++ b/src/shallothinge/placement/waiting.py
@@ -61,15 +61,22 @@
     def is_first(self, waiting_id: int) -> bool:
         """Return whether a prompt is the first of its service in the queue.
 
+        :raises KeyError: if the prompt has left the queue.
+        """
+        return self.position(waiting_id) == 0
+
+    def position(self, waiting_id: int) -> int:
+        """Return how many prompts of its service come before a prompt.
+
         :raises KeyError: if the prompt has left the queue.
         """
         own = self._waiting[waiting_id]
-        queued = [
-            (self._sort_key(prompt), other_id)
+        own_key = (self._sort_key(own), waiting_id)
+        return sum(
+            (self._sort_key(prompt), other_id) < own_key
             for other_id, prompt in self._waiting.items()
             if prompt.service == own.service
-        ]
-        return min(queued)[1] == waiting_id
+        )
 
     def _sort_key(self, prompt: WaitingPrompt) -> tuple[bool, int]:
         earliest_ms = self._clock.now_ms() + prompt.min_first_event_ms
--- a/src/shallothinge/protocol.py
+++ b/src/shallothinge/protocol.py
@@ -12,6 +12,7 @@
 from shallothinge.quarantine import messages as quarantine
 from shallothinge.reservations import messages as reservations
 from shallothinge.routes import messages as routes
+from shallothinge.server_limits import messages as server_limits
 from shallothinge.streams import messages as streams
 from shallothinge.transport import messages as transport
 
@@ -32,6 +33,7 @@
             *membership.MESSAGES,
             *placement.MESSAGES,
             *quarantine.MESSAGES,
+            *server_limits.MESSAGES,
             *consensus.MESSAGES,
         )
     )
--- a/src/shallothinge/server_limits/state.py
+++ b/src/shallothinge/server_limits/state.py
@@ -1,35 +1,121 @@
-"""Tracks the limits that backend servers name in their answers."""
+"""Shares the limits of backend servers among the gateways.
 
+A server may name a rate of requests that it takes from all gateways together.
+Each gateway reports its requests to the others within milliseconds, and all
+keep the same schedule for the server: each request moves the instant of the
+next one by the interval of the limit (a generic cell rate algorithm). A
+request that another gateway sends at the same moment is thus made up for by a
+longer gap.
+
+Where several gateways wait for that instant they take turns: each one's turn
+begins some milliseconds after that of the gateway before it, and the one that
+sent last comes last.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
 import logging
+import math
 
 import attrs
 
 from shallothinge import clock as clocks
+from shallothinge.server_limits import messages
 
 LOG = logging.getLogger(__name__)
 
+# A report reaches the other gateways within about this time.
+TURN_MS = 15
+# A server that names a lower limit, or 0, still gets a request now and then,
+# as only its answers tell that the limit has ended.
+MIN_PER_S = 0.2
+# Requests by which the share of each gateway is estimated.
+RECENT_REQUESTS = 16
+# A list that misses a server may be wrong for most of a minute.
+UNLISTED_RETENTION_MS = 60_000
+
 # A server's id and incarnation.
 ServerKey = tuple[str, str]
 
 
+@attrs.frozen(kw_only=True)
+class Gateways:
+    """The gateways that share a limit.
+
+    ``heard_ids`` are those whose reports arrive, this one included.
+    ``listed_count`` is how many there are.
+    """
+
+    heard_ids: tuple[str, ...]
+    listed_count: int
+
+    @property
+    def share(self) -> float:
+        """Return the part of a limit that these gateways may use up."""
+        heard_count = len(self.heard_ids)
+        return heard_count / max(heard_count, self.listed_count)
+
+
 @attrs.define(kw_only=True)
 class _Limit:
     """What one incarnation of a server has last said of its limit.
 
-    ``per_s`` is None once it names none any more. ``stated_ms`` is the
-    instant at which this gateway last learned that the limit holds.
+    ``per_s`` is None once it names none any more. ``change_count`` counts
+    its changes over all gateways. ``since_ms`` is the instant at which this
+    gateway learned that there is a limit, ``stated_ms`` the last one at which
+    it learned that the limit holds. The next request may be sent at
+    ``next_ms``.
     """
 
     per_s: float | None
+    change_count: int
+    since_ms: int
     stated_ms: int
+    next_ms: float
+    unlisted_ms: int | None = None
+    senders: collections.deque[str] = attrs.field(
+        factory=lambda: collections.deque(maxlen=RECENT_REQUESTS)
+    )
+
+    def interval_ms(self, gateways: Gateways) -> float:
+        """Return the time between two requests of these gateways."""
+        return _interval_ms(self.per_s, gateways)
+
+    def turn_delay_ms(self, own_id: str, gateways: Gateways) -> int:
+        """Return how long after ``next_ms`` the turn of a gateway begins."""
+        ids = gateways.heard_ids
+        last = -1
+        if self.senders and self.senders[-1] in ids:
+            last = ids.index(self.senders[-1])
+        return TURN_MS * ((ids.index(own_id) - last - 1) % len(ids))
 
 
 class ServerLimits:
-    """The limits in force, by incarnation of a server."""
+    """The limits in force and the requests that they permit.
+
+    :param own_id: id of this gateway, as its peers know it.
+    :param find_gateways: returns the gateways that share the limits.
+    :ivar on_change: called when there is something to report to the peers.
+    """
 
-    def __init__(self, *, clock: clocks.Clock):
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        own_id: str,
+        find_gateways: Callable[[], Gateways],
+    ):
         self._clock = clock
+        self._own_id = own_id
+        self._find_gateways = find_gateways
         self._limits: dict[ServerKey, _Limit] = {}
+        self._changed: dict[ServerKey, None] = {}
+        self._unreported: collections.Counter[ServerKey] = (
+            collections.Counter()
+        )
+        self.granted_count = 0
+        self.on_change: Callable[[], None] | None = None
 
     @property
     def count(self) -> int:
@@ -41,6 +127,55 @@
         known = self._limits.get(key)
         return None if known is None else known.per_s
 
+    def since_ms(self, key: ServerKey) -> int | None:
+        """Return when this gateway learned of a limit, None without one."""
+        known = self._limits.get(key)
+        if known is None or known.per_s is None:
+            return None
+        return known.since_ms
+
+    def wait_ms(self, key: ServerKey) -> int:
+        """Return the time until this gateway may send a request, 0 for now."""
+        limit = self._limits.get(key)
+        if limit is None or limit.per_s is None:
+            return 0
+        turn_ms = limit.next_ms + limit.turn_delay_ms(
+            self._own_id, self._find_gateways()
+        )
+        return max(0, math.ceil(turn_ms - self._clock.now_ms()))
+
+    def take(self, key: ServerKey) -> bool:
+        """Take the permit for a request that is then sent.
+
+        :returns: whether the limit permits it; always without a limit.
+        """
+        if self.wait_ms(key):
+            return False
+        if self.limit_per_s(key) is not None:
+            self._count(key, self._own_id)
+            self.granted_count += 1
+            self._unreported[key] += 1
+            self._notify()
+        return True
+
+    def own_interval_ms(self, keys: Iterable[ServerKey]) -> float:
+        """Return the expected time between two permits of this gateway.
+
+        The rates of the servers add up. Of those this gateway gets the part
+        that it had of the recent requests to them.
+
+        :param keys: servers that name limits.
+        """
+        gateways = self._find_gateways()
+        rate_per_ms = 0.0
+        own_count = total_count = 1
+        for key in keys:
+            limit = self._limits[key]
+            rate_per_ms += 1 / limit.interval_ms(gateways)
+            own_count += limit.senders.count(self._own_id)
+            total_count += len(limit.senders)
+        return total_count / own_count / rate_per_ms
+
     def record_answer(
         self, key: ServerKey, *, per_s: float | None, sent_ms: int
     ) -> None:
@@ -56,19 +191,147 @@
         known_per_s = self.limit_per_s(key)
         if per_s is None and known_per_s is None:
             return
-        is_looser = known_per_s is not None and (
-            per_s is None or per_s > known_per_s
-        )
-        if is_looser and sent_ms <= known.stated_ms:
-            return
+        if known_per_s is not None:
+            if _is_looser(per_s, known_per_s) and sent_ms <= known.stated_ms:
+                return
+            known.stated_ms = self._clock.now_ms()
         if per_s != known_per_s:
-            LOG.info(
-                'backend server changed its limit',
-                extra={
-                    'server_id': key[0],
-                    'incarnation': key[1],
-                    'limit_per_s': per_s,
-                    'earlier_per_s': known_per_s,
-                },
-            )
-        self._limits[key] = _Limit(per_s=per_s, stated_ms=self._clock.now_ms())
+            change_count = 1 if known is None else known.change_count + 1
+            self._change(key, per_s, change_count, source='answer')
+            self._changed[key] = None
+            self._notify()
+
+    def report(self, *, complete: bool) -> messages.LimitsReported | None:
+        """Return what the peers do not know yet, None if there is nothing.
+
+        :param complete: whether to repeat what a peer may have missed.
+        """
+        changed, self._changed = self._changed, {}
+        requests = tuple(
+            (*key, count) for key, count in self._unreported.items()
+        )
+        self._unreported.clear()
+        return self._build(self._limits if complete else changed, requests)
+
+    def repeat_as_complete_report(self) -> messages.LimitsReported | None:
+        """Return a complete report for a peer that has received none yet."""
+        return self._build(self._limits, ())
+
+    def _build(
+        self, keys: Iterable[ServerKey], requests: tuple[tuple, ...]
+    ) -> messages.LimitsReported | None:
+        limits = tuple(
+            (*key, self._limits[key].per_s, self._limits[key].change_count)
+            for key in keys
+            if key in self._limits
+        )
+        if not limits and not requests:
+            return None
+        return messages.LimitsReported(limits=limits, requests=requests)
+
+    def apply_report(
+        self, report: messages.LimitsReported, *, peer_id: str
+    ) -> None:
+        """Adopt newer changes of limits, and count a peer's requests.
+
+        :param peer_id: id of the peer, as in ``Gateways``.
+        """
+        self._adopt(report)
+        for server_id, incarnation, count in report.requests:
+            if self.limit_per_s((server_id, incarnation)) is not None:
+                for _ in range(count):
+                    self._count((server_id, incarnation), peer_id)
+
+    def _adopt(self, report: messages.LimitsReported) -> None:
+        for server_id, incarnation, per_s, change_count in report.limits:
+            key = (server_id, incarnation)
+            known = self._limits.get(key)
+            if known is not None and (
+                change_count < known.change_count
+                or (
+                    change_count == known.change_count
+                    and not _is_looser(known.per_s, per_s)
+                )
+            ):
+                continue
+            self._change(key, per_s, change_count, source='peer')
+
+    def forget_unlisted(self, listed: set[ServerKey]) -> None:
+        """Remove the limits of servers that have not been listed for long."""
+        now_ms = self._clock.now_ms()
+        for key, limit in list(self._limits.items()):
+            if key in listed:
+                limit.unlisted_ms = None
+            elif limit.unlisted_ms is None:
+                limit.unlisted_ms = now_ms
+            elif limit.unlisted_ms < now_ms - UNLISTED_RETENTION_MS:
+                del self._limits[key]
+
+    def _notify(self) -> None:
+        if self.on_change is not None:
+            self.on_change()
+
+    def _count(self, key: ServerKey, gateway_id: str) -> None:
+        """Move the instant of the next request by one interval.
+
+        Turns delay a request by up to one round, which does not lower the
+        rate.
+        """
+        limit = self._limits[key]
+        gateways = self._find_gateways()
+        round_ms = TURN_MS * len(gateways.heard_ids)
+        limit.next_ms = limit.interval_ms(gateways) + max(
+            limit.next_ms, self._clock.now_ms() - round_ms
+        )
+        limit.senders.append(gateway_id)
+
+    def _change(
+        self,
+        key: ServerKey,
+        per_s: float | None,
+        change_count: int,
+        *,
+        source: str,
+    ) -> None:
+        known = self._limits.get(key)
+        known_per_s = self.limit_per_s(key)
+        now_ms = self._clock.now_ms()
+        LOG.info(
+            'backend server changed its limit',
+            extra={
+                'server_id': key[0],
+                'incarnation': key[1],
+                'limit_per_s': per_s,
+                'earlier_per_s': known_per_s,
+                'source': source,
+                'change_count': change_count,
+            },
+        )
+        next_ms = float(now_ms)
+        if per_s is not None:
+            next_ms += _interval_ms(per_s, self._find_gateways())
+            if known_per_s is not None:
+                is_looser = _is_looser(per_s, known_per_s)
+                next_ms = (min if is_looser else max)(known.next_ms, next_ms)
+        changed = _Limit(
+            per_s=per_s,
+            change_count=change_count,
+            since_ms=now_ms if known_per_s is None else known.since_ms,
+            stated_ms=now_ms,
+            next_ms=next_ms,
+        )
+        if known is not None:
+            changed.senders = known.senders
+        self._limits[key] = changed
+
+
+def _interval_ms(per_s: float, gateways: Gateways) -> float:
+    rate_per_s = max(per_s, MIN_PER_S) * gateways.share
+    return clocks.MS_PER_SECOND / rate_per_s
+
+
+def _is_looser(per_s: float | None, other_per_s: float | None) -> bool:
+    """Return whether a limit permits more than another one."""
+    if per_s is None:
+        return other_per_s is not None
+    return other_per_s is not None and per_s > other_per_s
--- a/src/shallothinge/server_limits/tests/test_state.py
+++ b/src/shallothinge/server_limits/tests/test_state.py
@@ -8,6 +8,14 @@
 KEY = ('s', '1')
 
 
+def build(now):
+    """Return the limits at the only gateway."""
+    alone = state.Gateways(heard_ids=('0',), listed_count=1)
+    return state.ServerLimits(
+        clock=now, own_id='0', find_gateways=lambda: alone
+    )
+
+
 class BeliefTest(unittest.TestCase):
     """What a gateway takes for a server's limit after its answers."""
 
@@ -37,7 +45,7 @@
         for name, answers, expected in rows:
             with self.subTest(name):
                 now = clock.ManualClock(start_ms=0)
-                limits = state.ServerLimits(clock=now)
+                limits = build(now)
                 for sent_ms, at_ms, per_s in answers:
                     now.advance(duration_ms=at_ms - now.now_ms())
                     limits.record_answer(KEY, per_s=per_s, sent_ms=sent_ms)
@@ -45,6 +53,6 @@
                 self.assertEqual(expected is not None, limits.count)
 
     def test_limit_is_of_one_incarnation(self):
-        limits = state.ServerLimits(clock=clock.ManualClock(start_ms=0))
+        limits = build(clock.ManualClock(start_ms=0))
         limits.record_answer(KEY, per_s=2.0, sent_ms=0)
         self.assertIsNone(limits.limit_per_s(('s', '2')))
