Log a fingerprint of each request

Nothing told that two requests with different ids are the same one. A gateway computes a keyed digest (the key is the role's secret, so that all gateways agree and content can't be guessed) of workspace, method, host, path with query, and body, and logs it when it places the request. Headers are left out, as deadline, attempt id and Last-Event-Id differ whenever a request is sent. The rig's requests have bodies of their own, as no two real ones are alike.

--- a/src/shallothinge/gateway/dependencies.py
+++ b/src/shallothinge/gateway/dependencies.py
@@ -14,6 +14,7 @@
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
 from shallothinge.placement import waiting
+from shallothinge.quarantine import fingerprints
 from shallothinge.quarantine import state as quarantines
 from shallothinge.routing import retries
 from shallothinge.server_limits import returns
@@ -40,6 +41,7 @@
     returns: returns.ReturnSchedule
     budget: retries.RetryBudget
     quarantine: quarantines.PartQuarantine
+    fingerprinter: fingerprints.Fingerprinter
     caller: client.HttpClient
     process: processes.Process
     shutdown: shutdown.Shutdown
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -142,6 +142,7 @@
             queued_ms=self._wait.queued_ms,
             last_event_id=self._answer.last_event_id,
             part_ids=self._request.part_ids,
+            fingerprint=self._accepted.fingerprint,
         )
         attempt.start(server=server)
         if is_stream and self._attempts.no_takeover_reason() is None:
--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -209,11 +209,19 @@
         priority = route.priority
         if workspace is not None and workspace.priority is not None:
             priority = workspace.priority
+        caller = '' if workspace is None else workspace.name
         return model.AcceptedRequest(
             request=request,
             route=route,
             service=index.find_service(name),
-            workspace='' if workspace is None else workspace.name,
+            workspace=caller,
+            fingerprint=self._parts.fingerprinter.compute(
+                caller=caller,
+                method=request.method,
+                host=request.host,
+                target=request.target,
+                body=request.body,
+            ),
             urgency=(
                 min(MAX_URGENCY, priority)
                 if self._is_prompt(request)
--- a/src/shallothinge/gateway/model.py
+++ b/src/shallothinge/gateway/model.py
@@ -36,13 +36,17 @@
 
 @attrs.frozen(kw_only=True)
 class AcceptedRequest:
-    """An authorized request with its route, service and workspace."""
+    """An authorized request with its route, service and workspace.
+
+    ``fingerprint`` is the same whenever the caller sends the request again.
+    """
 
     request: CallerRequest
     route: routes.Route
     service: routes.Service
     workspace: str
     urgency: int | None
+    fingerprint: str
 
     @property
     def time_limit_ms(self) -> int:
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -31,6 +31,7 @@
 from shallothinge.placement import waiting
 from shallothinge.platform import dialect
 from shallothinge.platform import names
+from shallothinge.quarantine import fingerprints
 from shallothinge.quarantine import state as quarantines
 from shallothinge.routing import retries
 from shallothinge.server_limits import returns
@@ -150,6 +151,9 @@
                 burst=1,
             ),
             quarantine=quarantines.PartQuarantine(clock=clock),
+            fingerprinter=fingerprints.Fingerprinter(
+                secret=self._process.key_pair.secret.encode()
+            ),
             caller=http_client.HttpClient(
                 reactor=self._reactor, connect_timeout_ms=CONNECT_TIMEOUT_MS
             ),
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -1,5 +1,6 @@
 """A gateway's request path without sockets; tests simulate the servers."""
 
+import itertools
 import json
 import random
 from unittest import mock
@@ -27,6 +28,7 @@
 from shallothinge.platform import dialect
 from shallothinge.platform import routes
 from shallothinge.platform.tests import samples
+from shallothinge.quarantine import fingerprints
 from shallothinge.quarantine import state as quarantines
 from shallothinge.routing import retries
 from shallothinge.server_limits import messages as limit_messages
@@ -254,11 +256,13 @@
             returns=returns.ReturnSchedule(clock=self.clock),
             budget=retries.RetryBudget(percent=16, burst=10),
             quarantine=quarantines.PartQuarantine(clock=self.clock),
+            fingerprinter=fingerprints.Fingerprinter(secret=b'secret'),
             caller=self.caller,
             process=mock.Mock(),
             shutdown=shutdown.Shutdown(clock=self.clock),
             zone='z1',
         )
+        self._bodies = itertools.count()
         self.ingress = ingress.Ingress(parts=self.parts)
         self.configure(configuration or samples.configuration())
         for index in range(server_count):
@@ -324,10 +328,18 @@
             self.load.apply_report(peer=peer, report=message)
 
     def request(
-        self, path, *, tokens=0, deadline_ms=5000, waited_ms=0, **fields
+        self,
+        path,
+        *,
+        tokens=0,
+        deadline_ms=5000,
+        waited_ms=0,
+        body=None,
+        **fields,
     ):
         """Send a caller's request; return its exchange.
 
+        :param body: left out, no two requests are alike.
         :param waited_ms: time between its arrival and this call.
         """
         headers = {
@@ -342,6 +354,7 @@
             head=messages.RequestHead(
                 method='POST', target=path, headers=tuple(headers.items())
             ),
+            body=b'%d' % next(self._bodies) if body is None else body,
             received_ms=self.clock.now_ms() - waited_ms,
         )
         self.ingress.handle(exchange)
