Show with tests that a request crashes server after server

Three gateways, one request that comes again and crashes each server, and sound requests that share its part. With a proven part six servers crash before anything is quarantined, where three tell that it is this request; then the part is quarantined and sound requests are refused. Without whole answers before, the part is blamed after three crashes.

--- a/src/shallothinge/gateway/tests/test_quarantine.py
+++ b/src/shallothinge/gateway/tests/test_quarantine.py
@@ -15,7 +15,7 @@
 MOMENT_MS = 150
 
 
-class QueryOfDeathTest(unittest.TestCase):
+class FleetTestCase(unittest.TestCase):
     """Some gateways of one fleet."""
 
     def setUp(self):
@@ -67,13 +67,6 @@
         self.exchange()
         self.advance(20)
 
-    def crash_twice(self, index):
-        """Let a deadly request crash two servers; return its exchange."""
-        exchange, calls = self.ask(index, DEADLY)
-        for number in range(2):
-            self.crash(calls()[number])
-        return exchange
-
     def answer_sound(self):
         """Answer sound requests that share a part with the deadly ones."""
         for index in range(len(self.rigs)):
@@ -82,6 +75,17 @@
             self.assertTrue(exchange.is_whole)
         self.exchange()
 
+
+class QueryOfDeathTest(FleetTestCase):
+    """Requests with a part that crashes servers."""
+
+    def crash_twice(self, index):
+        """Let a deadly request crash two servers; return its exchange."""
+        exchange, calls = self.ask(index, DEADLY)
+        for number in range(2):
+            self.crash(calls()[number])
+        return exchange
+
     def quarantine(self):
         """Prove the sound parts, then let the deadly one be found."""
         self.answer_sound()
@@ -201,5 +205,50 @@
         self.assertEqual(([], 503), (calls(), exchange.status))
 
 
+class RepeatedRequestTest(FleetTestCase):
+    """A request that crashes servers, and sound ones that share its part."""
+
+    REQUEST = {'prompt-prefix': 'aa:40,c1:1000', 'body': b'deadly'}
+    MAX_CRASHES = 3
+
+    def crash_all(self, count):
+        """Let the request come again and again; return its exchanges."""
+        made = []
+        for number in range(count):
+            exchange, calls = self.ask(number % 3, self.REQUEST)
+            served = 0
+            while served < len(calls()):
+                self.crash(calls()[served])
+                self.crash_count += 1
+                served += 1
+            made.append(exchange)
+        return made
+
+    def setUp(self):
+        super().setUp()
+        self.crash_count = 0
+
+    def test_request_that_crashes_servers_reaches_no_more_of_them(self):
+        for is_proven in (True, False):
+            with self.subTest(is_proven=is_proven):
+                self.setUp()
+                if is_proven:
+                    self.answer_sound()
+                last = self.crash_all(6)[-1]
+                self.assertEqual(self.MAX_CRASHES, self.crash_count)
+                self.assertEqual(503, last.status)
+                self.assertGreater(float(last.headers['retry-after']), 500)
+
+    def test_sound_requests_beside_a_deadly_one_are_served(self):
+        for is_proven in (True, False):
+            with self.subTest(is_proven=is_proven):
+                self.setUp()
+                if is_proven:
+                    self.answer_sound()
+                for _ in range(4):
+                    self.crash_all(3)
+                    self.answer_sound()
+
+
 if __name__ == '__main__':
     unittest.main()
