Quarantine requests that crash server after server

Cause: only parts of prompts were looked at. The request's part is proven by sound requests all the time, so it was blamed after six crashes, if at all, sound requests with it were refused, and their next answer lifted the quarantine.

A request counts by its fingerprint as its own last part, through the same evidence, reports and probes. Three crashes under one request speak against it alone; a part is to blame if those under other requests suffice. Of two requests that were at the same crashes none is blamed before one has more, or five. Complete answers to requests that crashed nothing are not remembered, since most come once. Quarantined parts and requests are limited separately, and the one that was asked for least recently goes first (it was the one that ends first).

Simulation of 1 to 20 gateways: no sound request is refused, no run of the request begins after all gateways know.

--- a/src/shallothinge/errors.py
+++ b/src/shallothinge/errors.py
@@ -154,7 +154,9 @@
         503, 2000, 'The engine has no memory for the request now.'
     ),
     ErrorKind.QUARANTINED: _not_run(
-        503, 600_000, 'A part of the prompt has crashed several servers.'
+        503,
+        600_000,
+        'The request or a part of its prompt has crashed several servers.',
     ),
     ErrorKind.STALE_FENCE: _not_run(
         409, 0, 'The order carries an old fencing number.'
--- a/src/shallothinge/gateway/part_admission.py
+++ b/src/shallothinge/gateway/part_admission.py
@@ -1,4 +1,4 @@
-"""Admission of one request by the quarantine of its prompt's parts."""
+"""Admission of one request by the quarantine of requests and parts."""
 
 from collections.abc import Callable
 
@@ -12,7 +12,7 @@
 
 
 class PartAdmission:
-    """Keeps a request with quarantined parts from servers.
+    """Keeps a request that is quarantined, or has such parts, from servers.
 
     It also tells the quarantine what became of the request.
 
@@ -29,15 +29,14 @@
         on_blocked: Callable[[], None],
     ):
         self._parts = parts
-        self._part_ids = accepted.request.part_ids
+        self._part_ids = (*accepted.request.part_ids, accepted.fingerprint)
         self._guard = guard
         self._on_blocked = on_blocked
         self._is_probe = False
 
     def start(self) -> None:
         """Watch for parts that are quarantined while the request lasts."""
-        if self._part_ids:
-            self._parts.quarantine.watch(self)
+        self._parts.quarantine.watch(self)
 
     def end(self) -> None:
         """Stop watching."""
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -294,8 +294,11 @@
     progress: Progress,
     admission: quarantines.Admission,
 ) -> errors.ServingError:
-    """Return the error for a request with a quarantined part."""
-    detail = f'part {admission.part_id} is quarantined'
+    """Return the error for a request that is quarantined or has such parts.
+
+    The detail names the part or the request's fingerprint.
+    """
+    detail = f'{admission.part_id} is quarantined'
     if progress.may_have_run:
         return _unknown_outcome_error(route, detail=detail)
     return errors.ServingError(
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -212,9 +212,12 @@
                 name=f'backend_servers_{name}',
                 read=functools.partial(getattr, listed, name),
             )
+        quarantine = self._parts.quarantine
         self._process.metrics.observe(
-            name='quarantined_parts',
-            read=lambda: self._parts.quarantine.count,
+            name='quarantined_parts', read=lambda: quarantine.count
+        )
+        self._process.metrics.observe(
+            name='quarantined_requests', read=lambda: quarantine.request_count
         )
         for name in ('count', 'granted_count'):
             self._process.metrics.observe(
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -37,6 +37,8 @@
 
 REQUEST_ID = '9c41'
 START_MS = 1000
+# Callers of all gateways send different bodies.
+BODIES = itertools.count()
 SIGNED = (
     ('request-attempt-id', REQUEST_ID),
     ('response-signature', 'signature'),
@@ -262,7 +264,6 @@
             shutdown=shutdown.Shutdown(clock=self.clock),
             zone='z1',
         )
-        self._bodies = itertools.count()
         self.ingress = ingress.Ingress(parts=self.parts)
         self.configure(configuration or samples.configuration())
         for index in range(server_count):
@@ -354,7 +355,7 @@
             head=messages.RequestHead(
                 method='POST', target=path, headers=tuple(headers.items())
             ),
-            body=b'%d' % next(self._bodies) if body is None else body,
+            body=b'%d' % next(BODIES) if body is None else body,
             received_ms=self.clock.now_ms() - waited_ms,
         )
         self.ingress.handle(exchange)
--- a/src/shallothinge/quarantine/evidence.py
+++ b/src/shallothinge/quarantine/evidence.py
@@ -1,4 +1,8 @@
-"""Crashes of backend servers, and the parts of prompts they have in common."""
+"""Crashes of backend servers, and what their requests have in common.
+
+A request is evidence by the shared parts of its prompt and by its fingerprint,
+which counts as its last and most specific part.
+"""
 
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -6,6 +10,8 @@
 
 import attrs
 
+from shallothinge.quarantine import fingerprints
+
 # Evidence older than this is dropped.
 WINDOW_MS = 300_000
 # Limits on what is remembered; the oldest goes first.
@@ -19,6 +25,9 @@
 # Parts that had complete answers before are less likely to be the cause.
 CRASHES_TO_BLAME = 3
 CRASHES_TO_BLAME_PROVEN = 6
+# A request that was at the same crashes as another one is not blamed before
+# this number of them.
+CRASHES_TO_BLAME_ONE_OF_TWO = 5
 
 ServerKey = tuple[str, str]
 
@@ -49,9 +58,16 @@
     position: int
     server_ids: tuple[str, ...]
 
+    @property
+    def is_of_request(self) -> bool:
+        """Return whether it is the suspicion against one request."""
+        return fingerprints.is_fingerprint(self.part_id)
+
     @property
     def is_enough(self) -> bool:
         """Return whether the part is to be quarantined."""
+        if self.is_of_request:
+            return self.crashes >= CRASHES_TO_BLAME
         needed = (
             CRASHES_TO_BLAME_PROVEN if self.is_proven else CRASHES_TO_BLAME
         )
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -1,8 +1,9 @@
-"""Decides which parts of prompts are quarantined, and for how long.
+"""Decides which requests and parts of prompts are quarantined.
 
-A part that crashes each server that generates on it (a query of death) is
-found by what the crashes have in common, over all gateways. Requests with it
-are refused until a probe with it is answered.
+A request that crashes each server that runs it (a query of death), or a part
+of prompts that does, is found by what the crashes have in common, over all
+gateways. It is refused until a probe with it is answered. A request is known
+by its fingerprint, which counts as its last part.
 """
 
 from collections.abc import Callable
@@ -15,6 +16,7 @@
 
 from shallothinge import clock as clocks
 from shallothinge.quarantine import evidence
+from shallothinge.quarantine import fingerprints
 from shallothinge.quarantine import messages
 
 LOG = logging.getLogger(__name__)
@@ -29,6 +31,7 @@
 PROBE_MS = 60_000
 # A part that no request has asked for since is forgotten.
 FORGET_MS = 86_400_000
+# Limit on the quarantined parts, and on the quarantined requests.
 MAX_QUARANTINED = 64
 # Lifted quarantines are remembered until no peer can repeat them.
 LIFTED_TTL_MS = 10_000
@@ -42,12 +45,14 @@
     """The quarantine of one part.
 
     ``epoch`` increases with each decision on the part. ``strikes`` counts
-    the quarantines without a complete answer between.
+    the quarantines without a complete answer between. ``asked_ms`` is when a
+    request with the part came last.
     """
 
     epoch: int
     until_ms: int
     strikes: int
+    asked_ms: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -109,7 +114,12 @@
     @property
     def count(self) -> int:
         """Return how many parts are quarantined."""
-        return len(self._records)
+        return len(self._records) - self.request_count
+
+    @property
+    def request_count(self) -> int:
+        """Return how many requests are quarantined."""
+        return sum(map(fingerprints.is_fingerprint, self._records))
 
     def watch(self, watcher: Watcher) -> None:
         """Notify a request of parts that are quarantined from now on."""
@@ -128,7 +138,9 @@
         now_ms = self._clock.now_ms()
         found = [one for one in part_ids if one in self._records]
         for part_id in found:
-            left_ms = self._records[part_id].until_ms - now_ms
+            record = self._records[part_id]
+            record.asked_ms = now_ms
+            left_ms = record.until_ms - now_ms
             if left_ms > 0:
                 return Admission(part_id=part_id, refused_ms=left_ms)
         if not self._suspects.keys().isdisjoint(part_ids):
@@ -169,9 +181,18 @@
         self._notify()
 
     def record_whole(self, part_ids: Iterable[str]) -> None:
-        """Record that a request with these parts was answered completely."""
+        """Record that a request with these parts was answered completely.
+
+        Most requests come only once, so their fingerprints are recorded only
+        if there is something to clear.
+        """
         for part_id in part_ids:
-            self._add_whole(part_id, self._clock.now_ms())
+            if (
+                not fingerprints.is_fingerprint(part_id)
+                or part_id in self._records
+                or self._evidence.is_suspected(part_id)
+            ):
+                self._add_whole(part_id, self._clock.now_ms())
 
     def report(self, *, complete: bool) -> messages.PartsReported | None:
         """Return what the peers do not know yet, None if there is nothing.
@@ -232,7 +253,10 @@
             self._adopt(
                 part_id,
                 _Record(
-                    epoch=epoch, until_ms=now_ms + left_ms, strikes=strikes
+                    epoch=epoch,
+                    until_ms=now_ms + left_ms,
+                    strikes=strikes,
+                    asked_ms=now_ms,
                 ),
             )
         for server_id, incarnation, age_ms, positions in report.crashes:
@@ -311,12 +335,13 @@
         """Quarantine the most suspicious part, if evidence still suffices."""
         suspicions = self._suspicions(self._suspects)
         self._suspects.clear()
-        if not suspicions:
+        worst = self._find_culprit(suspicions)
+        if worst is None:
             return
-        worst = max(suspicions, key=lambda one: one.rank)
         self._quarantine(worst.part_id, strikes=0)
         LOG.warning(
-            'part of prompts quarantined; it crashed backend servers',
+            '%s quarantined; it crashed backend servers',
+            _kind_of(worst.part_id),
             extra={
                 'part_id': worst.part_id,
                 'crashes': worst.crashes,
@@ -325,6 +350,34 @@
             },
         )
 
+    def _find_culprit(
+        self, suspicions: list[evidence.Suspicion]
+    ) -> evidence.Suspicion | None:
+        """Return the worst suspicion, None if it is not settled.
+
+        Crashes under one request speak against this request alone. A part is
+        to blame if the crashes under other requests suffice.
+        """
+        requests = [one for one in suspicions if one.is_of_request]
+        explained_by = frozenset(
+            (*self._records, *(one.part_id for one in requests))
+        )
+        unexplained = (
+            self._evidence.suspicion(one.part_id, explained_by=explained_by)
+            for one in suspicions
+            if not one.is_of_request
+        )
+        parts = [one for one in unexplained if one and one.is_enough]
+        if parts or not requests:
+            return max(parts, key=lambda one: one.rank, default=None)
+        second, worst = (
+            None,
+            *sorted(requests, key=lambda one: one.crashes),
+        )[-2:]
+        is_alone = second is None or second.crashes < worst.crashes
+        needed = evidence.CRASHES_TO_BLAME_ONE_OF_TWO
+        return worst if is_alone or worst.crashes >= needed else None
+
     def _quarantine(self, part_id: str, *, strikes: int) -> None:
         known = self._records.get(part_id)
         lifted_epoch, _ = self._lifted.get(part_id, (0, 0))
@@ -335,6 +388,7 @@
                 epoch=max(known.epoch if known else 0, lifted_epoch) + 1,
                 until_ms=self._clock.now_ms() + for_ms,
                 strikes=strikes,
+                asked_ms=self._clock.now_ms(),
             ),
         )
         self._changes.quarantined[part_id] = None
@@ -353,19 +407,34 @@
 
     def _store(self, part_id: str, record: _Record) -> None:
         self._records[part_id] = record
-        if len(self._records) > MAX_QUARANTINED:
-            first_id = min(
-                self._records, key=lambda one: self._records[one].until_ms
-            )
-            del self._records[first_id]
-            LOG.warning(
-                'too many parts are quarantined; one was dropped',
-                extra={'part_id': first_id, 'limit': MAX_QUARANTINED},
-            )
+        self._drop_surplus(part_id)
         if record.until_ms > self._clock.now_ms():
             for watcher in list(self._watchers):
                 watcher.on_quarantined(part_id)
 
+    def _drop_surplus(self, part_id: str) -> None:
+        """Drop the quarantine that was needed least recently, if too many.
+
+        Parts and requests are limited separately.
+
+        :param part_id: the newest of its kind.
+        """
+        is_request = fingerprints.is_fingerprint(part_id)
+        others = [
+            one
+            for one in self._records
+            if one != part_id
+            and fingerprints.is_fingerprint(one) == is_request
+        ]
+        if len(others) < MAX_QUARANTINED:
+            return
+        dropped_id = min(others, key=lambda one: self._records[one].asked_ms)
+        del self._records[dropped_id]
+        LOG.warning(
+            'too many parts are quarantined; one was dropped',
+            extra={'part_id': dropped_id, 'limit': MAX_QUARANTINED},
+        )
+
     def _adopt(self, part_id: str, record: _Record) -> None:
         """Take over a peer's quarantine unless a newer decision is known."""
         lifted_epoch, _ = self._lifted.get(part_id, (0, 0))
@@ -374,7 +443,8 @@
             return
         if known is None:
             LOG.info(
-                'peer quarantined a part of prompts',
+                'peer quarantined a %s',
+                _kind_of(part_id),
                 extra={'part_id': part_id, 'epoch': record.epoch},
             )
         elif record.epoch <= known.epoch:
@@ -414,10 +484,18 @@
         if record is not None and record.epoch <= epoch:
             del self._records[part_id]
             LOG.warning(
-                'quarantine of a part of prompts lifted',
+                'quarantine of a %s lifted',
+                _kind_of(part_id),
                 extra={'part_id': part_id, 'epoch': epoch},
             )
 
     def _notify(self) -> None:
         if self.on_change is not None:
             self.on_change()
+
+
+def _kind_of(part_id: str) -> str:
+    """Return what an id stands for, for the log."""
+    if fingerprints.is_fingerprint(part_id):
+        return 'request'
+    return 'part of prompts'
--- a/src/shallothinge/quarantine/tests/simulation.py
+++ b/src/shallothinge/quarantine/tests/simulation.py
@@ -1,11 +1,13 @@
 """Gateways that share servers, some requests to which crash them."""
 
 import collections
+import itertools
 import random
 
 import attrs
 
 from shallothinge import clock as clocks
+from shallothinge.quarantine import fingerprints
 from shallothinge.quarantine import state
 
 LINK_MS = 3
@@ -16,6 +18,8 @@
 RESTART_MS = 3000
 ATTEMPTS = 2
 STEP_MS = 1
+DEADLY_PART = 'deadly'
+DEADLY_REQUEST = f'{fingerprints.PREFIX}deadly'
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -35,8 +39,11 @@
     """Plays requests at gateways until a time has passed.
 
     :param share: part of the requests that hold the deadly part.
+    :param repeated_share: part of the requests that are the deadly one, which
+        is always the same and comes with parts of sound requests.
     :ivar runs_after: runs of deadly requests that began after the last
         gateway had quarantined the part.
+    :ivar deadly_runs_ms: instants at which deadly requests were sent.
     :ivar refused_sound: sound requests that were refused.
     """
 
@@ -48,10 +55,14 @@
         per_s: float,
         share: float,
         tenants: int = 10,
+        repeated_share: float = 0.0,
     ):
         self._rng = random.Random(seed)
         self._per_s = per_s
         self._share = share
+        self._repeated_share = repeated_share
+        self._numbers = itertools.count()
+        self._deadly_id = DEADLY_REQUEST if repeated_share else DEADLY_PART
         self._tenants = tenants
         self.clock = clocks.ManualClock(start_ms=100_000)
         self.gateways = [
@@ -72,6 +83,7 @@
         self.crash_times_ms = []
         self.known_ms = None
         self.runs_after = 0
+        self.deadly_runs_ms = []
         self.refused_sound = 0
         self.sound = 0
         self.wholes = collections.defaultdict(list)
@@ -96,7 +108,11 @@
             part_ids += (f'document-{self._rng.randrange(40)}',)
         is_deadly = self._rng.random() < self._share
         if is_deadly:
-            part_ids = (f'tenant-{tenant % 3}', 'deadly')
+            part_ids = (f'tenant-{tenant % 3}', DEADLY_PART)
+        part_ids += (f'{fingerprints.PREFIX}{next(self._numbers)}',)
+        if self._rng.random() < self._repeated_share:
+            is_deadly = True
+            part_ids = ('tenant-0', 'document-0', DEADLY_REQUEST)
         return Request(
             part_ids=part_ids,
             gateway=self._rng.randrange(len(self.gateways)),
@@ -132,8 +148,9 @@
             WRITE_MS // 4, 2 * WRITE_MS
         )
         self._running[request.server].append(request)
-        if request.is_deadly and self.known_ms is not None:
-            self.runs_after += 1
+        if request.is_deadly:
+            self.deadly_runs_ms.append(now_ms)
+            self.runs_after += self.known_ms is not None
 
     def _work(self) -> None:
         now_ms = self.clock.now_ms()
@@ -189,6 +206,6 @@
                 if index != sender:
                     one.apply_report(report)
         if self.known_ms is None and all(
-            one.is_quarantined(('deadly',)) for one in self.gateways
+            one.is_quarantined((self._deadly_id,)) for one in self.gateways
         ):
             self.known_ms = now_ms
--- a/src/shallothinge/quarantine/tests/test_quarantine.py
+++ b/src/shallothinge/quarantine/tests/test_quarantine.py
@@ -15,6 +15,11 @@
 from shallothinge.quarantine.tests import simulation
 
 FIRST, BAD, OTHER = 'first', 'bad', 'other'
+REQUEST = 'request-1'
+# The users' bound: later than 3 s after a request has crashed three servers
+# it reaches at most three more.
+CONTACT_MS = 3000
+MAX_LATE_RUNS = 3
 
 
 class QuarantineTest(unittest.TestCase):
@@ -263,6 +268,91 @@
             self.exchange()
             self.assertEqual(state.ADMITTED, self.one.admit((BAD,)))
 
+    def test_request_is_blamed_before_its_parts(self):
+        rows = (
+            ('its parts are proven', (), True),
+            ('its parts are not proven', (), False),
+            ('a part is in one more crash', (FIRST,), True),
+            ('an unproven part is in one more crash', (FIRST,), False),
+        )
+        for name, beside, is_proven in rows:
+            with self.subTest(name):
+                self.setUp()
+                if is_proven:
+                    self.one.record_whole((FIRST, OTHER))
+                if beside:
+                    self.crash(9, *beside, 'request-2')
+                for number in range(3):
+                    self.crash(number, FIRST, OTHER, REQUEST)
+                self.exchange()
+                self.exchange()
+                for gateway in (self.one, self.two):
+                    self.assertTrue(gateway.is_quarantined((REQUEST,)))
+                    self.assertFalse(gateway.is_quarantined((FIRST, OTHER)))
+
+    def test_part_is_blamed_for_crashes_under_many_requests(self):
+        for number in range(4):
+            self.crash(number, FIRST, BAD, f'request-{number % 2}')
+        self.one.record_whole((FIRST,))
+        for number in range(4, 7):
+            self.crash(number, FIRST, BAD, f'request-{number}')
+        self.exchange()
+        self.assertTrue(self.one.is_quarantined((BAD,)))
+        self.assertFalse(self.one.is_quarantined((FIRST, 'request-0')))
+
+    def test_request_that_was_at_the_same_crashes_is_not_blamed(self):
+        def crash(number):
+            self.crash(number, REQUEST)
+            self.crash(number, 'request-2', after_ms=0)
+            self.exchange()
+
+        for number in range(3):
+            crash(number)
+        self.assertFalse(self.one.is_quarantined((REQUEST, 'request-2')))
+        self.crash(3, REQUEST)
+        self.exchange()
+        self.assertTrue(self.one.is_quarantined((REQUEST,)))
+        self.assertFalse(self.one.is_quarantined(('request-2',)))
+        with self.subTest('they are always together'):
+            self.setUp()
+            for number in range(evidence.CRASHES_TO_BLAME_ONE_OF_TWO):
+                crash(number)
+            blamed = [self.one.is_quarantined((REQUEST,))]
+            blamed.append(self.one.is_quarantined(('request-2',)))
+            self.assertEqual([False, True], sorted(blamed))
+
+    def test_request_that_is_answered_completely_is_not_blamed(self):
+        for number in range(9):
+            self.crash(number, REQUEST)
+            self.exchange()
+            self.two.record_whole((REQUEST,))
+            self.exchange()
+        self.assertFalse(self.one.is_quarantined((REQUEST,)))
+
+    def test_requests_that_come_once_displace_nothing(self):
+        self.one.record_whole((FIRST,))
+        for number in range(20_000):
+            self.one.record_whole((f'request-{number}',))
+        self.assertEqual([FIRST], list(self.one._evidence._whole_ms))
+
+    def test_quarantine_that_is_needed_least_is_dropped(self):
+        for number in range(state.MAX_QUARANTINED):
+            for crash in range(3):
+                self.crash(f'{number}-{crash}', f'request-{number}')
+            self.one.judge()
+        self.one.admit(('request-0',))
+        for crash in range(3):
+            self.crash(f'new-{crash}', 'request-new')
+        self.one.judge()
+        for request, is_kept in (
+            ('request-0', True),
+            ('request-1', False),
+            ('request-2', True),
+            ('request-new', True),
+        ):
+            self.assertEqual(is_kept, self.one.is_quarantined((request,)))
+        self.assertEqual(state.MAX_QUARANTINED, self.one.request_count)
+
     def test_what_is_remembered_is_bounded(self):
         for number in range(2_000):
             ids = tuple(f'{number}-{index}' for index in range(64))
@@ -313,6 +403,30 @@
             self.assertLess(played.known_ms, fifth_ms + 3_000)
         self.assertLessEqual(played.refused_sound, played.sound // 100)
 
+    @settings(max_examples=15, deadline=None)
+    @given(
+        seed=strategies.integers(0, 10_000),
+        gateways=strategies.sampled_from((1, 3, 8, 20)),
+        share=strategies.sampled_from((0.01, 0.03, 0.1)),
+    )
+    def test_deadly_request_stops_and_sound_requests_go_on(
+        self, seed, gateways, share
+    ):
+        played = simulation.Simulation(
+            seed=seed,
+            gateways=gateways,
+            per_s=40.0,
+            share=0.0,
+            repeated_share=share,
+        )
+        played.run(20_000)
+        self.assertEqual(0, played.runs_after)
+        self.assertEqual(0, played.refused_sound)
+        if len(played.crash_times_ms) >= 3:
+            late_ms = played.crash_times_ms[2] + CONTACT_MS
+            late = [one for one in played.deadly_runs_ms if one > late_ms]
+            self.assertLessEqual(len(late), MAX_LATE_RUNS)
+
     def test_without_a_deadly_part_nothing_is_refused(self):
         played = simulation.Simulation(
             seed=1, gateways=8, per_s=40.0, share=0.0
