Check the ranges of what servers and operators write

On the code before, 30 rows of odd heartbeats and ids and of configurations were taken that name no server to use (slots -1, sequence 2^63, which no later heartbeat of the server exceeds, 0.0.0.0:80, non-ASCII digits in a port, names of a megabyte), and 11 raised an exception: RecursionError for deep nesting, OverflowError for 1e400 and for numbers over 64 bits, which pass the check and fail in the codec, UnicodeEncodeError for lone surrogates.

Each field is checked for type and range before it becomes typed data, in one module for heartbeats and configurations. A heartbeat's numbers have ranges of their own.

--- a/src/shallothinge/platform/control_api.py
+++ b/src/shallothinge/platform/control_api.py
@@ -6,10 +6,10 @@
 from shallothinge import errors
 from shallothinge.control import fleet
 from shallothinge.http1 import exchange as exchanges
-from shallothinge.membership.model import BackendServer
+from shallothinge.platform import fields
+from shallothinge.platform import heartbeats
 from shallothinge.platform import names
 from shallothinge.platform import routes
-from shallothinge.settings import addresses
 
 LOG = logging.getLogger(__name__)
 
@@ -88,28 +88,31 @@
 
     def _take_heartbeat(self, exchange, server_id: str) -> None:
         try:
-            fields = json.loads(exchange.body)
-            server = _read_server(server_id, fields)
-            started_ms, sequence = fields.get('born', 0), fields['sequence']
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
+            beat = heartbeats.read(server_id=server_id, content=exchange.body)
+        except heartbeats.InvalidHeartbeat as error:
             LOG.warning(
                 'ignored a malformed heartbeat',
-                extra={'server_id': server_id, 'detail': repr(error)},
+                extra={
+                    'server_id': server_id[: fields.MAX_TEXT_CHARACTERS],
+                    'detail': str(error),
+                },
             )
             _answer(exchange, 400, {'error': 'malformed heartbeat'})
             return
         done = self._orders.forward_heartbeat(
-            server=server, started_ms=started_ms, sequence=sequence
+            server=beat.server,
+            started_ms=beat.started_ms,
+            sequence=beat.sequence,
         )
 
         def taken(answer):
-            if server.leaving:
+            if beat.server.leaving:
                 LOG.info(
                     'leaving acknowledged',
                     extra={
                         'server_id': server_id,
-                        'started_ms': started_ms,
-                        'sequence': sequence,
+                        'started_ms': beat.started_ms,
+                        'sequence': beat.sequence,
                         'leader_id': answer.leader_id,
                     },
                 )
@@ -132,10 +135,10 @@
     def _acknowledge(self, exchange, answer) -> None:
         """Name the leader's address, which saves a hop later on."""
         host = answer.leader_id.rpartition(':')[0]
-        fields = {}
+        content = {}
         if host:
-            fields[names.LEADER_ADDRESS] = f'{host}:{self._http_port}'
-        _answer(exchange, 200, fields)
+            content[names.LEADER_ADDRESS] = f'{host}:{self._http_port}'
+        _answer(exchange, 200, content)
 
     def _set_zone(self, exchange, zone: str, *, is_out: bool) -> None:
         def done(answer):
@@ -175,36 +178,7 @@
         deferred.addErrback(refuse)
 
 
-def _answer(exchange, status: int, fields: dict) -> None:
+def _answer(exchange, status: int, content: dict) -> None:
     exchange.respond(
-        status=status, headers=JSON, body=json.dumps(fields).encode()
-    )
-
-
-def _read_server(server_id: str, fields: dict) -> BackendServer:
-    """Return the backend server that a heartbeat announces.
-
-    :raises ValueError: if it is in no known state or has no usable address.
-    """
-    state = fields['state']
-    if state not in (names.READY, names.DRAINING):
-        raise ValueError(f'unknown state {state!r}')
-    for name in ('service', 'address', 'zone'):
-        if not isinstance(fields[name], str) or not fields[name]:
-            raise TypeError(f'{name} is not a text')
-    addresses.parse_host_port(fields['address'])
-    for name in ('slots', 'sequence', 'born'):
-        if type(fields.get(name, 0)) is not int:
-            raise TypeError(f'{name} is not a whole number')
-    return BackendServer(
-        server_id=server_id,
-        # When the server was started, in Unix milliseconds.
-        incarnation=str(fields.get('born', 0)),
-        address=fields['address'],
-        zone=fields['zone'],
-        host='',
-        services=(fields['service'],),
-        leaving=state == names.DRAINING,
-        cold_ms=int(fields.get('cold-remaining-ms') or 0),
-        slots=fields['slots'],
+        status=status, headers=JSON, body=json.dumps(content).encode()
     )
--- a/src/shallothinge/platform/routes.py
+++ b/src/shallothinge/platform/routes.py
@@ -1,14 +1,15 @@
 """Reads the platform's configuration into the product's route table."""
 
-import json
-import math
 import zlib
 
 from shallothinge.http1 import messages
+from shallothinge.platform import fields as checks
 from shallothinge.routes import model
 
 # Documents repeat the same few names hundreds of times.
 COMPRESSION_LEVEL = 6
+# Longer than a path prefix that a request can have.
+MAX_TEXT_CHARACTERS = 16_384
 
 
 class InvalidConfiguration(ValueError):
@@ -44,22 +45,17 @@
         itself.
     """
     try:
-        fields = json.loads(content)
-        table = _read_table(fields)
-    except (
-        ValueError,
-        TypeError,
-        KeyError,
-        AttributeError,
-        OverflowError,
-    ) as error:
-        raise InvalidConfiguration(f'malformed: {error!r}') from error
+        table = _read_table(checks.parse(content))
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        raise InvalidConfiguration(f'malformed: {error!r:.200}') from error
     _check(table)
     return table
 
 
 def _read_table(fields: dict) -> model.RouteTable:
-    limits = fields.get('limits') or {}
+    limits = fields.get('limits')
+    if limits is None:
+        limits = {}
     usual = messages.Limits()
     return model.RouteTable(
         version=_whole(fields['version']),
@@ -86,7 +82,7 @@
 def _read_route(fields: dict) -> model.Route:
     timeout_ms = _whole(fields['timeout-ms'])
     return model.Route(
-        name=fields.get('name', ''),
+        name=_read_name(fields),
         host=_text(fields['host']),
         path_prefix=_text(fields['path-prefix']),
         kind=model.RequestKind(fields['kind']),
@@ -103,6 +99,12 @@
     )
 
 
+def _read_name(fields: dict) -> str:
+    """Return a route's name, which only the log shows, or ''."""
+    name = fields.get('name')
+    return '' if name in (None, '') else _text(name)
+
+
 def _read_split(fields: dict) -> tuple[model.Split, ...]:
     if fields.get('traffic-split'):
         return tuple(
@@ -151,21 +153,15 @@
     """Return a finite number; ``default`` if the value is null or missing."""
     if value is None and default is not None:
         return default
-    if type(value) not in (int, float) or not math.isfinite(value):
-        raise TypeError(f'{value!r} is not a finite number')
-    return value
+    return checks.number(value, name='a field')
 
 
 def _whole(value: object) -> int:
-    if type(value) is not int or not math.isfinite(value):
-        raise TypeError(f'{value!r} is not a whole number')
-    return value
+    return checks.whole(value, name='a field')
 
 
 def _text(value: object) -> str:
-    if not isinstance(value, str) or not value:
-        raise TypeError(f'{value!r} is not a text')
-    return value
+    return checks.text(value, name='a field', most=MAX_TEXT_CHARACTERS)
 
 
 def _check(table: model.RouteTable) -> None:
