Doubt calls that come late in a planned stop

Here a call to a service without an engine was passed on until the last moment, since an unknown duration counted as none, and streams were, too, where no recent answer of their route was known; at the limit they got 502 with an unknown outcome, not a cut connection.

The time that calls take is recorded like the delays of streams. A call that may be repeated is expected to take its objective at least, one that may not its whole time limit, so that its answer, or its timeout, comes before the stop. A stream that may not be resumed is expected to be delayed by its objective. What is refused is served by another gateway.

--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -193,6 +193,7 @@
         self._settle_on(attempt)
         self._parts.servers.record_success(attempt.server_id)
         self._admission.record_whole()
+        self._wait.record_answer()
         self._answer.respond('finished', attempt.head, body)
 
     def _settle_on(self, attempt: attempts.Attempt) -> None:
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -262,6 +262,24 @@
     return errors.ServingError(kind=ErrorKind.DEADLINE_UNREACHABLE)
 
 
+def min_delay_at_stop_ms(
+    *, route: routes.Route, is_duration_known: bool, remaining_ms: int
+) -> float:
+    """Return the least delay to expect of an answer before a planned stop.
+
+    A request that is refused is served by another gateway. One that is cut
+    off and may not be repeated is lost, so it is sent only if its time limit
+    comes before the stop, or its answer well before.
+
+    :param is_duration_known: whether it is known how long the answer takes
+        on an idle fleet.
+    :param remaining_ms: time left until the deadline.
+    """
+    if is_duration_known:
+        return 0.0 if route.is_repeatable else route.objective_ms
+    return route.objective_ms if route.is_repeatable else remaining_ms
+
+
 def stop_error(
     *, route: routes.Route, progress: Progress
 ) -> errors.ServingError:
--- a/src/shallothinge/gateway/shutdown.py
+++ b/src/shallothinge/gateway/shutdown.py
@@ -45,7 +45,9 @@
             )
         )
 
-    def allows(self, *, route: str, idle_ms: float) -> bool:
+    def allows(
+        self, *, route: str, idle_ms: float, min_delay_ms: float
+    ) -> bool:
         """Return whether an answer is likely to be complete before the stop.
 
         It is expected to be delayed like the slowest recent one of its route.
@@ -53,11 +55,12 @@
 
         :param idle_ms: how long the answer takes on an idle fleet, 0 if that
             is not known.
+        :param min_delay_ms: delay that is expected at least.
         """
         if self._limit_ms is None:
             return True
         now_ms = self._clock.now_ms()
-        delay_ms = self._recent_delay_ms(route, now_ms) if idle_ms else 0.0
+        delay_ms = max(min_delay_ms, self._recent_delay_ms(route, now_ms))
         return now_ms + idle_ms + delay_ms < self._limit_ms
 
     def _recent_delay_ms(self, route: str, now_ms: int) -> float:
--- a/src/shallothinge/gateway/tests/test_stopping.py
+++ b/src/shallothinge/gateway/tests/test_stopping.py
@@ -132,6 +132,50 @@
                 if is_refused:
                     self.assert_refused(exchange)
 
+    def test_call_is_not_sent_late_in_the_stop(self):
+        # The route of the bookings has a timeout of 1500 ms.
+        rows = (
+            ('may not be repeated', 'unsafe', 1400, True),
+            ('may not be repeated, in time', 'unsafe', 1600, False),
+            ('may be repeated', 'safe', 300, True),
+            ('may be repeated, in time', 'safe', 500, False),
+        )
+        for name, kind, left_ms, is_refused in rows:
+            with self.subTest(name):
+                self.configure_bookings(kind)
+                self.stop(duration_ms=left_ms)
+                exchange = self.ask(BOOKING, tokens=0)
+                self.assertEqual(not is_refused, bool(self.calls))
+                if is_refused:
+                    self.assert_refused(exchange)
+
+    def test_call_is_expected_to_last_like_recent_ones(self):
+        self.configure_bookings('safe')
+        self.ask(BOOKING, tokens=0)
+        self.rig.advance(1200)
+        self.calls[0].answer(200)
+        self.stop(duration_ms=1000)
+        self.assert_refused(self.ask(BOOKING, tokens=0))
+
+    def test_stream_that_may_not_be_repeated_is_doubted_more(self):
+        for is_resumable, is_refused in ((True, False), (False, True)):
+            with self.subTest(is_resumable=is_resumable):
+                fields = test_forwarding.only_engines(
+                    {
+                        'target-latency-ms': 3000,
+                        'resume-streams': is_resumable,
+                    }
+                )
+                self.rig = rig.Rig(configuration=fields)
+                self.stop(duration_ms=2900)
+                self.ask()
+                self.assertEqual(not is_refused, bool(self.calls))
+
+    def configure_bookings(self, kind):
+        fields = test_forwarding.only_engines()
+        fields['routes'][1].update({'kind': kind, 'target-latency-ms': 400})
+        self.rig = rig.Rig(configuration=fields)
+
     def test_waiting_request_is_refused_once_the_stop_comes_too_soon(self):
         fill_all(self.rig)
         exchange = self.ask(answer_tokens=2000)
--- a/src/shallothinge/gateway/wait.py
+++ b/src/shallothinge/gateway/wait.py
@@ -126,19 +126,25 @@
         idle_ms = demands.min_answer_ms(
             self._accepted, first_event_ms=first_event_ms
         )
+        waited_ms = self._parts.clock.now_ms() - self._started_ms
         return self._parts.shutdown.allows(
-            route=self._accepted.route.name, idle_ms=idle_ms
+            route=self._accepted.route.name,
+            idle_ms=idle_ms,
+            min_delay_ms=policy.min_delay_at_stop_ms(
+                route=self._accepted.route,
+                is_duration_known=idle_ms > 0,
+                remaining_ms=self._accepted.time_limit_ms - waited_ms,
+            ),
         )
 
     def record_answer(self) -> None:
         """Record how long the answer took that is complete now."""
         took_ms = self._parts.clock.now_ms() - self._started_ms
         idle_ms = demands.min_answer_ms(self._accepted)
-        if idle_ms:
-            self._parts.shutdown.record_delay(
-                route=self._accepted.route.name,
-                delay_ms=max(0.0, took_ms - self.queued_ms - idle_ms),
-            )
+        self._parts.shutdown.record_delay(
+            route=self._accepted.route.name,
+            delay_ms=max(0.0, took_ms - self.queued_ms - idle_ms),
+        )
 
     def end(self) -> None:
         """Leave the queue; the request is sent or has ended."""
