Let the soak's backend servers name limits

Half of the lives of the stand-in servers name a limit of 2 to 6 requests a second for 5 to 20 s, change it and lift it. The soak counts the requests as a server saw them, over all gateways that it had told, against the users' bound in each 4 s; gateways that were disturbed in the 3 s before and servers whose connections were held up are excused.

--- a/testing/soak/backend.py
+++ b/testing/soak/backend.py
@@ -9,8 +9,9 @@
 still reach it too late. Now and then it refuses a request and asks for a
 pause, or answers one that it runs with bytes that never end, or with a stream
 that ends inside an event. Some streams have no framing and end with their
-connection. What it says of itself is noted, with all requests that arrive. A
-datagram tells it to fall silent for a while, which is no fault.
+connection. For some time it may name a limit of requests a second. What it
+says of itself is noted, with all requests that arrive. A datagram tells it to
+fall silent for a while, which is no fault.
 """
 
 import argparse
@@ -29,6 +30,7 @@
 from shallothinge.platform.tests import samples
 from testing.soak import checks
 from testing.soak import framing as framings
+from testing.soak import limits
 from testing.soak import silences
 from testing.soak import wire
 
@@ -70,6 +72,9 @@
         self._rng = random.Random(arguments.name)
         self._endless_rng = random.Random(f'endless {arguments.name}')
         self._framing_rng = random.Random(f'framing {arguments.name}')
+        self._limits = limits.Schedule(
+            random.Random(f'limit {arguments.name}')
+        )
         self._left_ms: int | None = None
         self._silence = Silence()
 
@@ -206,6 +211,13 @@
         ]
         if self._is_leaving:
             fields.append((names.LEAVING, '1'))
+        now_ms = clock.WallClock().now_ms()
+        per_s = self._limits.per_s((now_ms - self._born_ms) / 1000)
+        if per_s is not None:
+            fields.append((names.LIMIT_PER_S, f'{per_s:g}'))
+            self._write(
+                'limit', request_id=request_id, at_ms=now_ms, per_s=per_s
+            )
         return fields
 
     async def _run(self, connection, writer, request: wire.Request) -> None:
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -33,6 +33,7 @@
 from testing.soak import ends
 from testing.soak import faults
 from testing.soak import injection
+from testing.soak import limits
 from testing.soak import notices
 from testing.soak import operator
 from testing.soak import rounds
@@ -251,6 +252,13 @@
             disturbances=self._callers.disturbances,
             cuts=self._injection.cuts,
         )
+        found += limits.check(
+            asked=asked,
+            named=self._lines('limit', limits.Named),
+            arrivals=arrivals,
+            disturbances=self._callers.disturbances,
+            cuts=self._injection.cuts,
+        )
         cut, excused = ends.check(
             asked=asked,
             records=ends.Records(
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -21,6 +21,7 @@
 from testing.soak import ends
 from testing.soak import faults
 from testing.soak import injection
+from testing.soak import limits
 from testing.soak import notices
 from testing.soak import operator
 from testing.soak import relay
@@ -377,6 +378,64 @@
     )
 
 
+class LimitsTest(unittest.TestCase):
+    """The requests to servers that name limits."""
+
+    def found(self, count, *, gateways=('g1',), told=('g1', 'g2'), **fields):
+        """Return what is found for requests in the fourth second."""
+        first = [
+            asked(request_id=f'told-{index}', gateway=gateway)
+            for index, gateway in enumerate(told)
+        ]
+        later = [
+            asked(
+                request_id=f'r{index}',
+                gateway=gateways[index % len(gateways)],
+            )
+            for index in range(count)
+        ]
+        return limits.check(
+            asked=[*first, *later],
+            named=[
+                limits.Named(
+                    server_id='backend-1-1700',
+                    request_id=one.request_id,
+                    at_ms=SENT_MS + after_ms,
+                    per_s=1,
+                )
+                for after_ms in (0, 9000)
+                for one in first
+            ],
+            arrivals=[
+                notices.Arrival(
+                    server_id='backend-1-1700',
+                    request_id=one.request_id,
+                    at_ms=SENT_MS + 4000 + index,
+                )
+                for index, one in enumerate(later)
+            ],
+            **{'disturbances': [], 'cuts': [], **fields},
+        )
+
+    def test_requests_of_all_gateways_that_were_told_count(self):
+        cut = notices.Cut(
+            name='backend-1', from_ms=SENT_MS + 3900, until_ms=SENT_MS + 4000
+        )
+        disturbed = [('g1', SENT_MS + 2000)]
+        rows = (
+            ('allowed', 11, {}, 0),
+            ('one more', 12, {}, 1),
+            ('of two gateways', 12, {'gateways': ('g1', 'g2')}, 1),
+            ('half were not told', 12, {'gateways': ('g1', 'g3')}, 0),
+            ('disturbed', 12, {'disturbances': disturbed}, 0),
+            ('held up', 12, {'cuts': [cut]}, 0),
+        )
+        for name, count, fields, found_count in rows:
+            with self.subTest(name):
+                found = self.found(count, **fields)
+                self.assertEqual(found_count, len(found), found)
+
+
 class EndsTest(unittest.TestCase):
     """Which requests may end without an answer and without a status."""
 
