Compute fingerprints by HMAC-SHA256, skip limits where there are none

Placing looks at no server's limit while none is named. The experiment on the quarantine can play a request that comes again.

--- a/experiments/quarantine.py
+++ b/experiments/quarantine.py
@@ -1,12 +1,14 @@
-"""Measures how fast a part of prompts that crashes servers is found.
+"""Measures how fast what crashes servers is found.
 
-Prints for each number of gateways, over seeds: servers that crashed in all,
-time from the third crash until the last gateway refuses the part, runs of
-requests with it after that, and sound requests refused by mistake.
+That is a part of prompts, or one request that comes again and again. Prints
+for each number of gateways, over seeds: servers that crashed in all, time from
+the third crash until the last gateway refuses it, runs of requests with it
+after that, and sound requests refused by mistake.
 
-    python -m experiments.quarantine
+    python -m experiments.quarantine [--request]
 """
 
+import argparse
 import logging
 import statistics
 
@@ -22,6 +24,9 @@
 
 def main() -> None:
     """Print the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--request', action='store_true')
+    is_request = parser.parse_args().request
     logging.disable(logging.CRITICAL)
     print(
         'gateways  share  crashes (median, most)  known after ms (median,'
@@ -29,15 +34,19 @@
     )
     for gateways in GATEWAYS:
         for share in SHARES:
-            print(_row(gateways, share))
+            print(_row(gateways, share, is_request=is_request))
 
 
-def _row(gateways: int, share: float) -> str:
+def _row(gateways: int, share: float, *, is_request: bool) -> str:
     crashes, known_ms = [], []
     later = refused = sound = 0
     for seed in SEEDS:
         played = simulation.Simulation(
-            seed=seed, gateways=gateways, per_s=PER_S, share=share
+            seed=seed,
+            gateways=gateways,
+            per_s=PER_S,
+            share=0.0 if is_request else share,
+            repeated_share=share if is_request else 0.0,
         )
         played.run(PLAY_MS)
         crashes.append(len(played.crash_times_ms))
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -94,13 +94,14 @@
         :param tried_ids: servers to leave out.
         """
         self.sync_members()
+        has_limits = self._limits.count > 0
         listed = [
             entry
             for entry in self._entries.values()
             if service in entry.server.services
             and entry.server.server_id not in tried_ids
             and self._may_get_work(entry.server)
-            and not self._limits.wait_ms(notices.key_of(entry.server))
+            and not (has_limits and self._limit_wait_ms(entry.server))
         ]
         healthy = [entry for entry in listed if entry.breaker.allows_request()]
         loads = self._load.loads()
@@ -114,7 +115,8 @@
                 is_cold=entry.cold_until_ms > now_ms,
                 rank=self._ranks[entry.server.server_id],
                 load=loads.get(entry.server.server_id, fleet.ServerLoad()),
-                is_rate_limited=self._is_rate_limited(entry.server),
+                is_rate_limited=has_limits
+                and self._is_rate_limited(entry.server),
             )
             for entry in healthy or listed
         )
@@ -231,6 +233,9 @@
         )
         return keys if is_limited else []
 
+    def _limit_wait_ms(self, server: BackendServer) -> int:
+        return self._limits.wait_ms(notices.key_of(server))
+
     def _is_rate_limited(self, server: BackendServer) -> bool:
         return self._limits.limit_per_s(notices.key_of(server)) is not None
 
--- a/src/shallothinge/quarantine/fingerprints.py
+++ b/src/shallothinge/quarantine/fingerprints.py
@@ -1,8 +1,11 @@
 """Fingerprints, which tell the same request when it comes again."""
 
-import hashlib
+import hmac
 
 PREFIX = 'request-'
+ALGORITHM = 'sha256'
+# Separates this use of the secret from others.
+PURPOSE = b'fingerprint'
 DIGEST_BYTES = 12
 LENGTH_BYTES = 8
 
@@ -17,7 +20,7 @@
     """
 
     def __init__(self, *, secret: bytes):
-        self._key = hashlib.blake2b(secret, person=b'fingerprint').digest()
+        self._key = hmac.digest(secret, PURPOSE, ALGORITHM)
 
     def compute(
         self,
@@ -35,13 +38,13 @@
         :param caller: the workspace, '' for an anonymous caller.
         :param target: path and query.
         """
-        digest = hashlib.blake2b(digest_size=DIGEST_BYTES, key=self._key)
+        digest = hmac.new(self._key, digestmod=ALGORITHM)
         for field in (caller, method, host, target):
             encoded = field.encode('utf-8', 'surrogateescape')
             digest.update(len(encoded).to_bytes(LENGTH_BYTES, 'big'))
             digest.update(encoded)
         digest.update(body)
-        return PREFIX + digest.hexdigest()
+        return PREFIX + digest.digest()[:DIGEST_BYTES].hex()
 
 
 def is_fingerprint(part_id: str) -> bool:
