Let limits in the soak be low enough to bite

With the limits switched off in a scratch copy the soak found nothing before: the stretches ended before the callers began, and its servers get fewer requests than 1.5 times 2 a second allow. Every other server names 0.2 to 1 a second for 15 to 30 s from its first requests on now.

--- a/testing/soak/backend.py
+++ b/testing/soak/backend.py
@@ -72,9 +72,7 @@
         self._rng = random.Random(arguments.name)
         self._endless_rng = random.Random(f'endless {arguments.name}')
         self._framing_rng = random.Random(f'framing {arguments.name}')
-        self._limits = limits.Schedule(
-            random.Random(f'limit {arguments.name}')
-        )
+        self._limits = limits.Schedule(arguments.name)
         self._left_ms: int | None = None
         self._silence = Silence()
 
@@ -212,7 +210,7 @@
         if self._is_leaving:
             fields.append((names.LEAVING, '1'))
         now_ms = clock.WallClock().now_ms()
-        per_s = self._limits.per_s((now_ms - self._born_ms) / 1000)
+        per_s = self._limits.per_s(now_ms)
         if per_s is not None:
             fields.append((names.LIMIT_PER_S, f'{per_s:g}'))
             self._write(
--- a/testing/soak/limits.py
+++ b/testing/soak/limits.py
@@ -5,25 +5,31 @@
 
 import attrs
 
+from shallothinge import clock
 from shallothinge.server_limits.tests import bounds
 from testing.soak import checks
 from testing.soak import notices
 
-# Of the lives of servers, some have a stretch in which they name a limit.
-LIMITED_SHARE = 0.5
-FIRST_S = (0.5, 4.0)
-STRETCH_S = (5.0, 20.0)
-RATES_PER_S = (2, 3.5, 6)
+# When after its first request a server names a limit, and for how long.
+FIRST_S = (0.2, 1.0)
+STRETCH_S = (15.0, 30.0)
+RATES_PER_S = (0.2, 0.4, 1)
 # Gateways that were told this long before are bound.
 TOLD_BEFORE_MS = 500
 
 
 class Schedule:
-    """What one life of a server names and when, in s after its start."""
+    """What one life of a server names and when.
 
-    def __init__(self, rng: random.Random):
+    Every other server does, so that no service has limited servers only.
+    """
+
+    def __init__(self, name: str):
+        rng = random.Random(f'limit {name}')
+        # Times are in s after the first request.
         self._steps: list[tuple[float, float | None]] = []
-        if rng.random() < LIMITED_SHARE:
+        self._started_ms: int | None = None
+        if int(name.rpartition('-')[2]) % 2:
             first_s = rng.uniform(*FIRST_S)
             end_s = first_s + rng.uniform(*STRETCH_S)
             self._steps = [
@@ -32,8 +38,11 @@
                 (end_s, None),
             ]
 
-    def per_s(self, after_s: float) -> float | None:
+    def per_s(self, now_ms: int) -> float | None:
         """Return the limit that is named, None if there is none."""
+        if self._started_ms is None:
+            self._started_ms = now_ms
+        after_s = (now_ms - self._started_ms) / clock.MS_PER_SECOND
         named = None
         for from_s, per_s in self._steps:
             if from_s <= after_s:
