Blame a part when its requests are blamed one after the other

Quarantined requests explain no crashes of their parts any more. A part is blamed if its crashes can't be explained by fewer than three requests (those at most of its crashes are taken first, so that victims don't count), or, as before, if crashes beside the blamed requests suffice.

The new test failed in both rows. The simulation's callers send broken requests again now: with that, the test of deadly parts failed on the code before and passes.

--- a/src/shallothinge/quarantine/evidence.py
+++ b/src/shallothinge/quarantine/evidence.py
@@ -4,8 +4,10 @@
 which counts as its last and most specific part.
 """
 
+import collections
 from collections.abc import Iterator
 from collections.abc import Mapping
+import itertools
 import math
 
 import attrs
@@ -25,6 +27,9 @@
 # Parts that had complete answers before are less likely to be the cause.
 CRASHES_TO_BLAME = 3
 CRASHES_TO_BLAME_PROVEN = 6
+# Requests that crashed servers under one part, so that they do not explain its
+# crashes any more.
+REQUESTS_TO_BLAME_PART = 3
 # A request that was at the same crashes as another one is not blamed before
 # this number of them.
 CRASHES_TO_BLAME_ONE_OF_TWO = 5
@@ -155,6 +160,29 @@
             server_ids=tuple(key[0] for key, _ in counted),
         )
 
+    def request_count(
+        self, part_id: str, *, explained_by: frozenset[str]
+    ) -> int:
+        """Return how many requests it takes to explain a part's crashes.
+
+        Of the requests at several crashes those at most of them are taken.
+
+        :param explained_by: as in ``suspicion``.
+        """
+        left = [
+            set(filter(fingerprints.is_fingerprint, crash.positions))
+            for _, crash in self._unproven(part_id)
+            if explained_by.isdisjoint(crash.positions)
+        ]
+        count = 0
+        while any(left):
+            numbers = collections.Counter(itertools.chain(*left))
+            [(request, _)] = numbers.most_common(1)
+            left = [one for one in left if request not in one]
+            count += 1
+        # Crashes of which no request is known.
+        return count + len(left)
+
     def remove_expired(self, now_ms: int) -> None:
         """Drop evidence that is older than the window."""
         oldest_ms = now_ms - WINDOW_MS
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -323,14 +323,25 @@
 
     def _suspicions(self, part_ids: Iterable[str]) -> list[evidence.Suspicion]:
         """Return the suspicions that suffice for a quarantine."""
-        explained_by = frozenset(self._records)
         found = (
-            self._evidence.suspicion(part_id, explained_by=explained_by)
+            self._evidence.suspicion(
+                part_id,
+                explained_by=self._quarantined(
+                    with_requests=fingerprints.is_fingerprint(part_id)
+                ),
+            )
             for part_id in part_ids
             if part_id not in self._records
         )
         return [one for one in found if one is not None and one.is_enough]
 
+    def _quarantined(self, *, with_requests: bool) -> frozenset[str]:
+        return frozenset(
+            part_id
+            for part_id in self._records
+            if with_requests or not fingerprints.is_fingerprint(part_id)
+        )
+
     def judge(self) -> None:
         """Quarantine the most suspicious part, if evidence still suffices."""
         suspicions = self._suspicions(self._suspects)
@@ -356,18 +367,17 @@
         """Return the worst suspicion, None if it is not settled.
 
         Crashes under one request speak against this request alone. A part is
-        to blame if the crashes under other requests suffice.
+        to blame if the crashes under other requests suffice, or if too many
+        requests would have to be to blame.
         """
         requests = [one for one in suspicions if one.is_of_request]
-        explained_by = frozenset(
-            (*self._records, *(one.part_id for one in requests))
-        )
-        unexplained = (
-            self._evidence.suspicion(one.part_id, explained_by=explained_by)
+        blamed_ids = frozenset(one.part_id for one in requests)
+        parts = [
+            one
             for one in suspicions
             if not one.is_of_request
-        )
-        parts = [one for one in unexplained if one and one.is_enough]
+            and self._is_common_cause(one.part_id, blamed_ids)
+        ]
         if parts or not requests:
             return max(parts, key=lambda one: one.rank, default=None)
         second, worst = (
@@ -378,6 +388,24 @@
         needed = evidence.CRASHES_TO_BLAME_ONE_OF_TWO
         return worst if is_alone or worst.crashes >= needed else None
 
+    def _is_common_cause(
+        self, part_id: str, blamed_ids: frozenset[str]
+    ) -> bool:
+        """Return whether crashes speak against a part, not its requests.
+
+        :param blamed_ids: requests against which enough crashes speak.
+        """
+        unexplained = self._evidence.suspicion(
+            part_id,
+            explained_by=self._quarantined(with_requests=True) | blamed_ids,
+        )
+        if unexplained is not None and unexplained.is_enough:
+            return True
+        count = self._evidence.request_count(
+            part_id, explained_by=self._quarantined(with_requests=False)
+        )
+        return count >= evidence.REQUESTS_TO_BLAME_PART
+
     def _quarantine(self, part_id: str, *, strikes: int) -> None:
         known = self._records.get(part_id)
         lifted_epoch, _ = self._lifted.get(part_id, (0, 0))
--- a/src/shallothinge/quarantine/tests/simulation.py
+++ b/src/shallothinge/quarantine/tests/simulation.py
@@ -29,6 +29,7 @@
     part_ids: tuple[str, ...]
     gateway: int
     is_deadly: bool
+    is_repeated: bool = False
     attempts: int = 0
     server: int = 0
     writes_at_ms: int = 0
@@ -183,6 +184,17 @@
         for request in broken:
             if request.attempts < ATTEMPTS:
                 self._start(request)
+            elif not request.is_repeated:
+                self._start(self._repeat(request))
+
+    def _repeat(self, request: Request) -> Request:
+        """Return the request as its caller sends it once more."""
+        return Request(
+            part_ids=request.part_ids,
+            gateway=self._rng.randrange(len(self.gateways)),
+            is_deadly=request.is_deadly,
+            is_repeated=True,
+        )
 
     def _judge(self) -> None:
         now_ms = self.clock.now_ms()
--- a/src/shallothinge/quarantine/tests/test_quarantine.py
+++ b/src/shallothinge/quarantine/tests/test_quarantine.py
@@ -300,6 +300,32 @@
         self.assertTrue(self.one.is_quarantined((BAD,)))
         self.assertFalse(self.one.is_quarantined((FIRST, 'request-0')))
 
+    def test_part_is_found_though_its_requests_are_blamed_first(self):
+        for is_proven in (True, False):
+            with self.subTest(is_proven=is_proven):
+                self.setUp()
+                if is_proven:
+                    self.one.record_whole((FIRST, BAD))
+                for request in range(2):
+                    for number in range(3):
+                        self.crash(
+                            f'{request}-{number}',
+                            FIRST,
+                            BAD,
+                            f'request-{request}',
+                            f'request-victim-{request}-{number}',
+                        )
+                        self.exchange()
+                self.assertTrue(self.one.is_quarantined(('request-1',)))
+                self.one.record_whole((FIRST,))
+                self.assertFalse(self.one.is_quarantined((BAD,)))
+                self.crash(9, FIRST, BAD, 'request-3')
+                self.exchange()
+                self.exchange()
+                for gateway in (self.one, self.two):
+                    self.assertTrue(gateway.is_quarantined((BAD,)))
+                    self.assertFalse(gateway.is_quarantined((FIRST,)))
+
     def test_request_that_was_at_the_same_crashes_is_not_blamed(self):
         def crash(number):
             self.crash(number, REQUEST)
