--- a/src/shallothinge/quarantine/evidence.py
+++ b/src/shallothinge/quarantine/evidence.py
@@ -160,12 +160,14 @@
             server_ids=tuple(key[0] for key, _ in counted),
         )
 
-    def request_count(
+    def has_many_requests(
         self, part_id: str, *, explained_by: frozenset[str]
-    ) -> int:
-        """Return how many requests it takes to explain a part's crashes.
+    ) -> bool:
+        """Return whether it takes many requests to explain a part's crashes.
 
-        Of the requests at several crashes those at most of them are taken.
+        Those at most of the crashes are taken first. Two suffice if each of
+        them is at several crashes, as a request that is only beside another
+        one seldom is.
 
         :param explained_by: as in ``suspicion``.
         """
@@ -174,14 +176,16 @@
             for _, crash in self._unproven(part_id)
             if explained_by.isdisjoint(crash.positions)
         ]
-        count = 0
+        # Of the crashes without a known request each counts as one.
+        numbers = [1] * left.count(set())
         while any(left):
-            numbers = collections.Counter(itertools.chain(*left))
-            [(request, _)] = numbers.most_common(1)
+            counts = collections.Counter(itertools.chain(*left))
+            [(request, number)] = counts.most_common(1)
             left = [one for one in left if request not in one]
-            count += 1
-        # Crashes of which no request is known.
-        return count + len(left)
+            numbers.append(number)
+        return len(numbers) >= REQUESTS_TO_BLAME_PART or (
+            len(numbers) == 2 and min(numbers) >= 2
+        )
 
     def remove_expired(self, now_ms: int) -> None:
         """Drop evidence that is older than the window."""
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -401,10 +401,9 @@
         )
         if unexplained is not None and unexplained.is_enough:
             return True
-        count = self._evidence.request_count(
+        return self._evidence.has_many_requests(
             part_id, explained_by=self._quarantined(with_requests=False)
         )
-        return count >= evidence.REQUESTS_TO_BLAME_PART
 
     def _quarantine(self, part_id: str, *, strikes: int) -> None:
         known = self._records.get(part_id)
