Split the model of one server's work from what the fleet reports

placement/fleet.py held two things in 507 lines: the work at one server and how it is read (Work, ServerLoad, ServerQueue), and the exchange of work between gateways (FleetLoad, reports). The first is placement/server_queue.py now, 189 lines; fleet.py has 325. The code is moved as it was; callers name the new module. Measured: 78 tests of placement, of the gateway's forwarding, waits and peers, and of the pure core pass as before.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -15,7 +15,7 @@
 from shallothinge.http1 import messages
 from shallothinge.membership.model import BackendServer
 from shallothinge.placement import choice
-from shallothinge.placement import fleet
+from shallothinge.placement import server_queue
 
 
 @attrs.frozen(kw_only=True)
@@ -81,7 +81,7 @@
         parts: dependencies.Dependencies,
         order: model.ForwardOrder,
         placement: choice.Placement,
-        work: fleet.Work,
+        work: server_queue.Work,
         is_stream: bool,
         owner: Owner,
         guard: guards.RequestGuard,
--- a/src/shallothinge/gateway/demands.py
+++ b/src/shallothinge/gateway/demands.py
@@ -3,8 +3,8 @@
 from shallothinge.gateway import model
 from shallothinge.gateway import policy
 from shallothinge.placement import choice
-from shallothinge.placement import fleet
 from shallothinge.placement import pricing
+from shallothinge.placement import server_queue
 from shallothinge.routes import model as routes
 
 
@@ -87,7 +87,7 @@
     *,
     started_ms: int,
     due_ms: int,
-) -> fleet.Work:
+) -> server_queue.Work:
     """Return the work at the server itself, without its helpers.
 
     :param started_ms: instant at which the request is sent.
@@ -95,7 +95,7 @@
     """
     request, route = accepted.request, accepted.route
     is_stream = route.kind is routes.RequestKind.STREAMING
-    return fleet.Work(
+    return server_queue.Work(
         server_id=placed.server_id,
         read_ms=placed.part_ms,
         started_ms=started_ms,
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -15,6 +15,7 @@
 from shallothinge.membership.model import BackendServer
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
+from shallothinge.placement import server_queue
 from shallothinge.routes import model as routes
 from shallothinge.routing import breaker
 from shallothinge.server_limits import state as server_limits
@@ -114,7 +115,9 @@
                 slots=usable_slots(entry.server),
                 is_cold=entry.cold_until_ms > now_ms,
                 rank=self._ranks[entry.server.server_id],
-                load=loads.get(entry.server.server_id, fleet.ServerLoad()),
+                load=loads.get(
+                    entry.server.server_id, server_queue.ServerLoad()
+                ),
                 is_rate_limited=has_limits
                 and self._is_rate_limited(entry.server),
             )
@@ -122,7 +125,7 @@
         )
 
     def _usable_slots(
-        self, loads: dict[str, fleet.ServerLoad]
+        self, loads: dict[str, server_queue.ServerLoad]
     ) -> Callable[[BackendServer], int]:
         """Return a function that gives the slots of a server to place on.
 
@@ -140,7 +143,7 @@
 
         def usable_slots_of(server: BackendServer) -> int:
             slots = _slots_of(server)
-            load = loads.get(server.server_id, fleet.ServerLoad())
+            load = loads.get(server.server_id, server_queue.ServerLoad())
             others_active = load.active - own[server.server_id]
             share = max(1, slots // gateway_count) if knows_peers else 1
             return min(slots, others_active + share)
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -24,6 +24,7 @@
 from shallothinge.membership.model import BackendServer
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
+from shallothinge.placement import server_queue
 from shallothinge.placement import waiting
 from shallothinge.platform import dialect
 from shallothinge.platform import routes
@@ -305,7 +306,7 @@
 
     def work_at(self, server_id, read_ms=0.0):
         """Return the work of a request that another gateway has placed."""
-        return fleet.Work(
+        return server_queue.Work(
             server_id=server_id,
             read_ms=read_ms,
             started_ms=self.clock.now_ms(),
--- a/src/shallothinge/gateway/tests/test_forwarding.py
+++ b/src/shallothinge/gateway/tests/test_forwarding.py
@@ -5,7 +5,7 @@
 import attrs
 
 from shallothinge.gateway.tests import rig
-from shallothinge.placement import fleet
+from shallothinge.placement import server_queue
 from shallothinge.platform.tests import samples
 
 STREAM = '/lohu930/1'
@@ -313,7 +313,7 @@
         self.rig = rig.Rig(server_count=1)
         for _ in range(8):
             self.rig.load.start(
-                fleet.Work(server_id='llm-0', read_ms=0.0, started_ms=0)
+                server_queue.Work(server_id='llm-0', read_ms=0.0, started_ms=0)
             )
         exchange = self.rig.request(STREAM, tokens=5000)
         self.rig.advance(1000)
--- a/src/shallothinge/gateway/tests/test_peers.py
+++ b/src/shallothinge/gateway/tests/test_peers.py
@@ -8,6 +8,7 @@
 from shallothinge import clock
 from shallothinge.gateway import peers
 from shallothinge.placement import fleet
+from shallothinge.placement import server_queue
 from shallothinge.quarantine import state as quarantines
 from shallothinge.transport import endpoint
 
@@ -70,7 +71,7 @@
 
     def start_work(self):
         self.load.start(
-            fleet.Work(server_id='s', read_ms=100.0, started_ms=1000)
+            server_queue.Work(server_id='s', read_ms=100.0, started_ms=1000)
         )
 
     def heard_from(self, link):
@@ -153,7 +154,9 @@
 
     def test_reports_of_peers_count(self):
         other = fleet.FleetLoad(clock=self.clock)
-        other.start(fleet.Work(server_id='s', read_ms=1.0, started_ms=1000))
+        other.start(
+            server_queue.Work(server_id='s', read_ms=1.0, started_ms=1000)
+        )
         self.peers.receive(
             endpoint.Peer(
                 route=b'r', process_id='g2', role='entry', incarnation='1'
--- a/src/shallothinge/gateway/tests/test_wait.py
+++ b/src/shallothinge/gateway/tests/test_wait.py
@@ -6,7 +6,7 @@
 from shallothinge.gateway import servers
 from shallothinge.gateway.tests import rig
 from shallothinge.gateway.tests import test_forwarding
-from shallothinge.placement import fleet
+from shallothinge.placement import server_queue
 
 STREAM = test_forwarding.STREAM
 # They take one engine of the sample 0.46 s and 4 s to read.
@@ -32,7 +32,7 @@
         for index in range(3):
             self.work_ids.append(
                 self.rig.load.start(
-                    fleet.Work(
+                    server_queue.Work(
                         server_id=f'llm-{index}',
                         read_ms=read_ms,
                         started_ms=self.rig.clock.now_ms(),
@@ -70,7 +70,7 @@
     def test_server_that_never_reports_does_not_block_prompts_forever(self):
         self.occupy(read_ms=400.0)
         self.rig.request(STREAM, tokens=MIDDLE_TOKENS)
-        self.rig.advance(400 + int(fleet.UNCONFIRMED_READ_MS) + 100)
+        self.rig.advance(400 + int(server_queue.UNCONFIRMED_READ_MS) + 100)
         self.assertEqual(1, len(self.calls))
 
     def test_prompts_are_sent_in_turn(self):
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -21,8 +21,8 @@
 
 import attrs
 
-from shallothinge.placement import fleet
 from shallothinge.placement import pricing
+from shallothinge.placement import server_queue
 from shallothinge.placement import spread
 from shallothinge.placement.spread import Candidate
 from shallothinge.routes import model
@@ -126,7 +126,7 @@
     helper_ids: tuple[str, ...]
     part_ms: float
     first_event_ms: float
-    load: fleet.ServerLoad
+    load: server_queue.ServerLoad
     shares: tuple[MemoryShare, ...] = ()
 
 
@@ -150,7 +150,9 @@
     start_in_ms: float
 
 
-def build_works(placement: Placement, work: fleet.Work) -> list[fleet.Work]:
+def build_works(
+    placement: Placement, work: server_queue.Work
+) -> list[server_queue.Work]:
     """Return the work of a placed request at each of its servers.
 
     The work of the request's own server comes first, then that of helpers.
@@ -248,7 +250,10 @@
         start_in_ms = max(
             part.candidate.load.backlog_ms for part in best.parts
         )
-        if demand.waits_for_reads and start_in_ms >= fleet.OVERDUE_READ_MS:
+        if (
+            demand.waits_for_reads
+            and start_in_ms >= server_queue.OVERDUE_READ_MS
+        ):
             return PlacementDeferred(start_in_ms=start_in_ms)
         needed = _needed_tokens(demand)
         primary = _select_primary(best.parts, needed)
@@ -414,7 +419,7 @@
     return tuple(shares)
 
 
-def _passes_to_first_event(load: fleet.ServerLoad) -> float:
+def _passes_to_first_event(load: server_queue.ServerLoad) -> float:
     """Return the passes to a first event in addition to the read itself.
 
     A server without streams starts to read at once and generates the first
--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -8,201 +8,17 @@
 
 from shallothinge import clock as clocks
 from shallothinge.placement import messages
+from shallothinge.placement import server_queue
 
 # Gateways send a complete report every second. If three in a row are missing,
 # the gateway has stopped or is unreachable, and its report expires.
 REPORT_TTL_MS = 3500
-# Estimated remaining time of a read that should have ended by now.
-OVERDUE_READ_MS = 20.0
-# The end of a share's read is only observed when the whole prompt has been
-# read, which may depend on another server. Once a share is overdue by this
-# time, it is more likely that this server has read it.
-UNCONFIRMED_READ_MS = 300.0
 # How long complete reports list a server as leaving. A peer that receives no
 # report for longer learns it from other sources by then.
 LEAVING_TTL_MS = 10_000
 PERCENT = 100
 
 
-@attrs.define(kw_only=True)
-class Work:
-    """One request, or a part of its prompt, at one backend server.
-
-    ``started_ms`` and ``due_ms`` are times on this process's clock.
-
-    :ivar read_ms: how long the server reads its part of the prompt.
-    :ivar pause_ms: longest allowed pause between events, 0 if there are none.
-    :ivar weight: weight of a late answer.
-    :ivar is_writing: whether the first event has arrived.
-    :ivar is_helping: whether the server only reads a part of a prompt whose
-        answer another server generates.
-    :ivar is_divided: whether other servers read parts of the same prompt.
-    :ivar memory_tokens: tokens that the request holds in the server's memory.
-    :ivar remaining_ms: estimated remaining duration of the read.
-    :ivar overdue_ms: how long the read has been overdue by this estimate.
-    """
-
-    server_id: str
-    read_ms: float
-    started_ms: int
-    due_ms: int = 0
-    pause_ms: int = 0
-    weight: float = 1.0
-    memory_tokens: int = 0
-    is_writing: bool = False
-    is_helping: bool = False
-    is_divided: bool = False
-    remaining_ms: float = attrs.field(init=False)
-    overdue_ms: float = attrs.field(init=False, default=0.0)
-
-    def __attrs_post_init__(self):
-        self.remaining_ms = self.read_ms
-
-
-@attrs.frozen(kw_only=True)
-class PendingRead:
-    """A read that a server has not finished.
-
-    ``ends_in_ms`` is the expected time until its end, ``due_in_ms`` the time
-    until the first event that depends on it is late.
-    """
-
-    ends_in_ms: float
-    due_in_ms: float
-    weight: float
-
-
-@attrs.frozen(kw_only=True)
-class Writer:
-    """A stream that a server generates.
-
-    ``pause_ms`` is the longest allowed pause between its events.
-    """
-
-    pause_ms: int
-    weight: float
-
-
-@attrs.frozen(kw_only=True)
-class ServerLoad:
-    """Estimated load of one backend server.
-
-    ``active`` is the number of requests in its slots, ``helping`` that of
-    the parts that it reads for other servers. ``backlog_ms`` is the
-    remaining duration of all pending reads, ``memory_tokens`` the memory that
-    all work holds.
-    """
-
-    active: int = 0
-    helping: int = 0
-    backlog_ms: float = 0.0
-    memory_tokens: int = 0
-    reads: tuple[PendingRead, ...] = ()
-    writers: tuple[Writer, ...] = ()
-
-
-class ServerQueue:
-    """Model of the work at one server, updated at each event.
-
-    The server reads the shares of divided prompts first, starting with the
-    newest, and then whole prompts in the order of arrival. Generating streams
-    does not stop it from reading, but events are sent only at the end of a
-    pass.
-    """
-
-    def __init__(self, *, now_ms: int):
-        self._updated_ms = now_ms
-        self._works: list[Work] = []
-
-    def start(self, work: Work, now_ms: int) -> None:
-        """Add a work."""
-        self._advance(now_ms)
-        self._works.append(work)
-
-    def first_event(self, work: Work, now_ms: int) -> None:
-        """Record that the prompt of a work has been read."""
-        self._advance(now_ms)
-        work.is_writing = True
-
-    def end(self, work: Work, now_ms: int) -> None:
-        """Remove a work."""
-        self._advance(now_ms)
-        self._works = [one for one in self._works if one is not work]
-
-    def is_empty(self) -> bool:
-        """Return whether no work is in progress."""
-        return not self._works
-
-    def load(self, now_ms: int) -> ServerLoad:
-        """Return the estimated load at a time."""
-        self._advance(now_ms)
-        ends_in_ms = 0.0
-        reads = []
-        for work in self._unread_works():
-            remaining_ms = max(work.remaining_ms, OVERDUE_READ_MS)
-            ends_in_ms += remaining_ms
-            reads.append(
-                PendingRead(
-                    ends_in_ms=ends_in_ms,
-                    due_in_ms=work.due_ms - now_ms,
-                    weight=work.weight,
-                )
-            )
-        helping = sum(work.is_helping for work in self._works)
-        return ServerLoad(
-            active=len(self._works) - helping,
-            helping=helping,
-            backlog_ms=ends_in_ms,
-            memory_tokens=sum(work.memory_tokens for work in self._works),
-            reads=tuple(reads),
-            writers=tuple(
-                Writer(pause_ms=work.pause_ms, weight=work.weight)
-                for work in self._works
-                if work.is_writing and work.pause_ms and not work.is_helping
-            ),
-        )
-
-    def read_end_in_ms(
-        self, now_ms: int, *, min_read_ms: float
-    ) -> float | None:
-        """Return when the long reads end, see ``FleetLoad``."""
-        self._advance(now_ms)
-        ends_in_ms = 0.0
-        found = []
-        for work in self._unread_works():
-            ends_in_ms += work.remaining_ms
-            if work.read_ms >= min_read_ms:
-                is_overdue = not work.remaining_ms
-                found.append(-work.overdue_ms if is_overdue else ends_in_ms)
-        return max(found, default=None)
-
-    def _unread_works(self) -> list[Work]:
-        """Return the pending works that the server is likely still to read."""
-        return [
-            work
-            for work in self._pending_works()
-            if not work.is_divided or work.overdue_ms < UNCONFIRMED_READ_MS
-        ]
-
-    def _pending_works(self) -> list[Work]:
-        """Return the works still to be read, in the order of reading."""
-        reading = [work for work in self._works if not work.is_writing]
-        shares = [work for work in reading if work.is_divided]
-        shares.sort(key=lambda work: work.started_ms, reverse=True)
-        return shares + [work for work in reading if not work.is_divided]
-
-    def _advance(self, now_ms: int) -> None:
-        """Advance the model of the reads to the current time."""
-        available_ms = float(now_ms - self._updated_ms)
-        self._updated_ms = now_ms
-        for work in self._pending_works():
-            spent_ms = min(work.remaining_ms, available_ms)
-            work.remaining_ms -= spent_ms
-            available_ms -= spent_ms
-            if not work.remaining_ms:
-                work.overdue_ms += available_ms
-
-
 @attrs.define(kw_only=True)
 class _PeerWork:
     """The work that a peer has reported.
@@ -213,7 +29,7 @@
     sequence: int = 0
     is_complete: bool = False
     received_ms: int = 0
-    works: dict[int, Work] = attrs.field(factory=dict)
+    works: dict[int, server_queue.Work] = attrs.field(factory=dict)
 
 
 @attrs.define(kw_only=True)
@@ -240,9 +56,9 @@
 
     def __init__(self, *, clock: clocks.Clock):
         self._clock = clock
-        self._own_works: dict[int, Work] = {}
+        self._own_works: dict[int, server_queue.Work] = {}
         self._peers: dict[str, _PeerWork] = {}
-        self._queues: dict[str, ServerQueue] = {}
+        self._queues: dict[str, server_queue.ServerQueue] = {}
         self._next_id = 0
         self._sequence = 0
         self._unreported = _UnreportedChanges()
@@ -251,7 +67,7 @@
         self.on_leaving: Callable[[tuple[str, str]], object] | None = None
         self._leaving_since_ms: dict[tuple[str, str], int] = {}
 
-    def start(self, work: Work) -> int:
+    def start(self, work: server_queue.Work) -> int:
         """Record that a request was sent.
 
         :returns: an id to pass to ``first_event`` and ``end``.
@@ -430,7 +246,7 @@
             if not work.is_helping
         )
 
-    def loads(self) -> dict[str, ServerLoad]:
+    def loads(self) -> dict[str, server_queue.ServerLoad]:
         """Return the load of each backend server that has any."""
         now_ms = self._clock.now_ms()
         return {
@@ -454,26 +270,28 @@
             self._clock.now_ms(), min_read_ms=min_read_ms
         )
 
-    def _add(self, work: Work) -> None:
+    def _add(self, work: server_queue.Work) -> None:
         now_ms = self._clock.now_ms()
         queue = self._queues.get(work.server_id)
         if queue is None:
-            queue = ServerQueue(now_ms=min(now_ms, work.started_ms))
+            queue = server_queue.ServerQueue(
+                now_ms=min(now_ms, work.started_ms)
+            )
             self._queues[work.server_id] = queue
         queue.start(work, now_ms)
 
-    def _mark_writing(self, work: Work) -> None:
+    def _mark_writing(self, work: server_queue.Work) -> None:
         queue = self._queues[work.server_id]
         queue.first_event(work, self._clock.now_ms())
 
-    def _remove(self, work: Work) -> None:
+    def _remove(self, work: server_queue.Work) -> None:
         queue = self._queues[work.server_id]
         queue.end(work, self._clock.now_ms())
         if queue.is_empty():
             del self._queues[work.server_id]
 
 
-def _pack(work_id: int, work: Work, now_ms: int) -> tuple:
+def _pack(work_id: int, work: server_queue.Work, now_ms: int) -> tuple:
     """Return the tuple for a work in a report, with relative times."""
     return (
         work_id,
@@ -490,10 +308,10 @@
     )
 
 
-def _unpack(fields: tuple, now_ms: int) -> tuple[int, Work]:
+def _unpack(fields: tuple, now_ms: int) -> tuple[int, server_queue.Work]:
     """Return the id and the work from a tuple of a report."""
     named = dict(zip(messages.WORK_FIELDS, fields, strict=True))
-    return named['work_id'], Work(
+    return named['work_id'], server_queue.Work(
         server_id=named['server_id'],
         read_ms=named['read_ms'],
         started_ms=now_ms - named['age_ms'],
--- a/src/shallothinge/placement/pricing.py
+++ b/src/shallothinge/placement/pricing.py
@@ -3,7 +3,7 @@
 The unit of all prices is the loss by one short request that is late.
 """
 
-from shallothinge.placement import fleet
+from shallothinge.placement import server_queue
 
 # A request of this many tokens has twice the weight of an empty one, as the
 # caller's loss by a late answer grows with the prompt.
@@ -105,7 +105,7 @@
 
 
 def price_for_writers(
-    load: fleet.ServerLoad, *, read_ms: float, pass_ms: float
+    load: server_queue.ServerLoad, *, read_ms: float, pass_ms: float
 ) -> float:
     """Return the price of one more read for the streams of a server.
 
@@ -127,14 +127,14 @@
     )
 
 
-def price_for_reads(load: fleet.ServerLoad, part_ms: float) -> float:
+def price_for_reads(load: server_queue.ServerLoad, part_ms: float) -> float:
     """Return the price of a new share for the reads that it delays."""
     return sum(
         read.weight * _price_for_read(read, part_ms) for read in load.reads
     )
 
 
-def _price_for_read(read: fleet.PendingRead, part_ms: float) -> float:
+def _price_for_read(read: server_queue.PendingRead, part_ms: float) -> float:
     before = lateness(read.ends_in_ms, read.due_in_ms)
     after = lateness(read.ends_in_ms + part_ms, read.due_in_ms)
     used = min(1.0, part_ms / max(read.due_in_ms, MIN_DUE_MS))
--- a/src/shallothinge/placement/spread.py
+++ b/src/shallothinge/placement/spread.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from shallothinge.placement import fleet
+from shallothinge.placement import server_queue
 
 
 @attrs.frozen(kw_only=True)
@@ -22,7 +22,7 @@
     slots: int
     is_cold: bool
     rank: float = 0.0
-    load: fleet.ServerLoad = fleet.ServerLoad()
+    load: server_queue.ServerLoad = server_queue.ServerLoad()
     is_rate_limited: bool = False
 
 
--- a/src/shallothinge/placement/tests/simulation.py
+++ b/src/shallothinge/placement/tests/simulation.py
@@ -14,6 +14,7 @@
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
 from shallothinge.placement import pricing
+from shallothinge.placement import server_queue
 from shallothinge.placement import waiting
 from shallothinge.routes import model
 
@@ -183,7 +184,7 @@
                 slots=self.service.engine.slots,
                 is_cold=False,
                 rank=rank,
-                load=loads.get(server_id, fleet.ServerLoad()),
+                load=loads.get(server_id, server_queue.ServerLoad()),
             )
             for server_id, rank in self.ranks.items()
         )
@@ -193,7 +194,7 @@
         server_ids = (placed.server_id, *placed.helper_ids)
         request.parts_left = len(server_ids)
         request.events_left = request.events
-        work = fleet.Work(
+        work = server_queue.Work(
             server_id=placed.server_id,
             read_ms=placed.part_ms,
             started_ms=self.clock.now_ms(),
--- a/src/shallothinge/placement/tests/test_choice.py
+++ b/src/shallothinge/placement/tests/test_choice.py
@@ -5,7 +5,7 @@
 import unittest
 
 from shallothinge.placement import choice
-from shallothinge.placement import fleet
+from shallothinge.placement import server_queue
 from shallothinge.placement.tests import simulation
 from shallothinge.routes import model
 
@@ -44,15 +44,19 @@
     )
 
 
-READING = fleet.ServerLoad(
+READING = server_queue.ServerLoad(
     active=1,
     backlog_ms=900.0,
-    reads=(fleet.PendingRead(ends_in_ms=900.0, due_in_ms=2000.0, weight=5.0),),
+    reads=(
+        server_queue.PendingRead(
+            ends_in_ms=900.0, due_in_ms=2000.0, weight=5.0
+        ),
+    ),
 )
-WRITING = fleet.ServerLoad(
-    active=3, writers=(fleet.Writer(pause_ms=250, weight=1.5),) * 3
+WRITING = server_queue.ServerLoad(
+    active=3, writers=(server_queue.Writer(pause_ms=250, weight=1.5),) * 3
 )
-FULL = fleet.ServerLoad(active=8)
+FULL = server_queue.ServerLoad(active=8)
 
 
 class ChooserTest(unittest.TestCase):
@@ -100,14 +104,16 @@
     def test_long_prompt_delays_streams_rather_than_miss_its_objective(self):
         # After a burst of short prompts, every server but two still generates
         # one short stream. The other two have shares of prompts to read.
-        writing = fleet.ServerLoad(
-            active=1, writers=(fleet.Writer(pause_ms=250, weight=1.5),)
+        writing = server_queue.ServerLoad(
+            active=1, writers=(server_queue.Writer(pause_ms=250, weight=1.5),)
         )
-        reading = fleet.ServerLoad(
+        reading = server_queue.ServerLoad(
             helping=2,
             backlog_ms=1700,
             reads=tuple(
-                fleet.PendingRead(ends_in_ms=end_ms, due_in_ms=2800, weight=30)
+                server_queue.PendingRead(
+                    ends_in_ms=end_ms, due_in_ms=2800, weight=30
+                )
                 for end_ms in (800, 1700)
             ),
         )
@@ -119,8 +125,8 @@
         self.assertLess(placed.first_event_ms, 3000)
 
     def test_only_server_with_memory_is_taken_though_it_is_busy(self):
-        full = fleet.ServerLoad(memory_tokens=400_000)
-        busy = fleet.ServerLoad(active=1, backlog_ms=900.0)
+        full = server_queue.ServerLoad(memory_tokens=400_000)
+        busy = server_queue.ServerLoad(active=1, backlog_ms=900.0)
         placed = self.choose(
             demand(),
             candidate('full-1', load=full),
@@ -149,7 +155,9 @@
         # has one free slot, and each gateway has a waiting request.
         servers = [
             candidate(
-                f's{index}', rank=index / 8, load=fleet.ServerLoad(active=7)
+                f's{index}',
+                rank=index / 8,
+                load=server_queue.ServerLoad(active=7),
             )
             for index in range(8)
         ]
@@ -162,7 +170,7 @@
         self.assertGreaterEqual(len(chosen), 4)
 
     def test_server_that_helps_as_many_as_it_has_slots_is_no_helper(self):
-        helping = fleet.ServerLoad(helping=8)
+        helping = server_queue.ServerLoad(helping=8)
         placed = self.choose(
             demand(tokens=260_000, objective_ms=4057.0),
             candidate('a'),
@@ -173,7 +181,9 @@
 
     def test_no_room_is_told(self):
         for service in (LLM, DESK):
-            full = fleet.ServerLoad(active=8 * choice.MAX_REQUESTS_PER_SLOT)
+            full = server_queue.ServerLoad(
+                active=8 * choice.MAX_REQUESTS_PER_SLOT
+            )
             placed = self.choose(
                 demand(service=service), candidate('s', load=full)
             )
@@ -183,8 +193,8 @@
     def test_call_goes_to_the_least_busy_server(self):
         placed = self.choose(
             demand(service=DESK),
-            candidate('busy', load=fleet.ServerLoad(active=4)),
-            candidate('calm', load=fleet.ServerLoad(active=1)),
+            candidate('busy', load=server_queue.ServerLoad(active=4)),
+            candidate('calm', load=server_queue.ServerLoad(active=1)),
             candidate('full', load=FULL),
         )
         self.assertEqual('calm', placed.server_id)
@@ -193,7 +203,7 @@
         placed = self.choose(
             demand(service=DESK),
             candidate('cold', is_cold=True),
-            candidate('warm', load=fleet.ServerLoad(active=5)),
+            candidate('warm', load=server_queue.ServerLoad(active=5)),
         )
         self.assertEqual('warm', placed.server_id)
 
--- a/src/shallothinge/placement/tests/test_fleet.py
+++ b/src/shallothinge/placement/tests/test_fleet.py
@@ -5,10 +5,11 @@
 from shallothinge import clock
 from shallothinge import protocol
 from shallothinge.placement import fleet
+from shallothinge.placement import server_queue
 
 
 def work(server_id='s', **fields):
-    return fleet.Work(
+    return server_queue.Work(
         **{'server_id': server_id, 'read_ms': 100.0, 'started_ms': 0, **fields}
     )
 
@@ -39,7 +40,7 @@
         load = self.receiver.loads()['s']
         self.assertEqual(0, load.backlog_ms)
         self.assertEqual(
-            (fleet.Writer(pause_ms=250, weight=1.5),), load.writers
+            (server_queue.Writer(pause_ms=250, weight=1.5),), load.writers
         )
         self.sender.end(work_id)
         self.send_report()
@@ -101,7 +102,7 @@
     """Shares of divided prompts are read before whole ones, newest first."""
 
     def setUp(self):
-        self.queue = fleet.ServerQueue(now_ms=0)
+        self.queue = server_queue.ServerQueue(now_ms=0)
 
     def start(self, at_ms, **fields):
         self.queue.start(work(started_ms=at_ms, **fields), at_ms)
@@ -120,8 +121,12 @@
         self.assertEqual(600, load.backlog_ms)
         self.assertEqual(
             (
-                fleet.PendingRead(ends_in_ms=200, due_in_ms=600, weight=1.0),
-                fleet.PendingRead(ends_in_ms=600, due_in_ms=700, weight=2.0),
+                server_queue.PendingRead(
+                    ends_in_ms=200, due_in_ms=600, weight=1.0
+                ),
+                server_queue.PendingRead(
+                    ends_in_ms=600, due_in_ms=700, weight=2.0
+                ),
             ),
             load.reads,
         )
@@ -152,7 +157,7 @@
     def test_overdue_read_is_thought_to_end_soon(self):
         self.queue.start(work(read_ms=50.0), 0)
         self.assertEqual(
-            fleet.OVERDUE_READ_MS, self.queue.load(400).backlog_ms
+            server_queue.OVERDUE_READ_MS, self.queue.load(400).backlog_ms
         )
 
     def test_share_is_thought_to_be_read_some_time_after_it_should_be(self):
@@ -160,11 +165,11 @@
         # slightly late got the next share, which it read first, so that the
         # previous one was delayed further.
         self.start(0, read_ms=50.0, is_helping=True, is_divided=True)
-        end_ms = 50 + int(fleet.UNCONFIRMED_READ_MS)
+        end_ms = 50 + int(server_queue.UNCONFIRMED_READ_MS)
         for now_ms, backlog_ms in (
             (30, 20),
-            (50, fleet.OVERDUE_READ_MS),
-            (end_ms - 1, fleet.OVERDUE_READ_MS),
+            (50, server_queue.OVERDUE_READ_MS),
+            (end_ms - 1, server_queue.OVERDUE_READ_MS),
             (end_ms, 0),
         ):
             self.assertEqual(backlog_ms, self.queue.load(now_ms).backlog_ms)
