End the limits of the soak's servers with the faults

Traced in its logs: all eight were refused by gateway-3 as not run, in the 2.5 s after backend-4 had asked it for a pause of 4.4 s, while backend-5, the only other server of the service, still named a limit of 0.4 a second. The refusals were true and the limit was the soak's own: it outlasted the phase in which faults are injected, so that the check of the calm phase met a disturbance.

All limits end when the faults do, 8 s before the calm phase; a gateway asks a server with 0.2 a second again within 5 s and learns it.

--- a/testing/soak/backend.py
+++ b/testing/soak/backend.py
@@ -72,7 +72,9 @@
         self._rng = random.Random(arguments.name)
         self._endless_rng = random.Random(f'endless {arguments.name}')
         self._framing_rng = random.Random(f'framing {arguments.name}')
-        self._limits = limits.Schedule(arguments.name)
+        self._limits = limits.Schedule(
+            name=arguments.name, folder=arguments.record.parent
+        )
         self._left_ms: int | None = None
         self._silence = Silence()
 
--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -22,6 +22,7 @@
 from shallothinge.settings import model
 from shallothinge.transport import keys
 from testing import toml_text
+from testing.soak import limits
 from testing.soak import relay
 from testing.soak import silences
 from testing.soak import wire
@@ -130,6 +131,10 @@
                 host, _, port = self.relays[name].target.rpartition(':')
                 sender.sendto(silence.order(), (host, int(port)))
 
+    def end_limits(self) -> None:
+        """Let no backend server name a limit any more."""
+        (self.folder / limits.OVER_NAME).touch()
+
     def record_of(self, name: str) -> pathlib.Path:
         """Return the file in which a backend server writes its runs."""
         return self.folder / f'{name}.runs'
--- a/testing/soak/limits.py
+++ b/testing/soak/limits.py
@@ -1,6 +1,7 @@
 """Limits that stand-in backend servers name, and whether they were kept."""
 
 import collections
+import pathlib
 import random
 
 import attrs
@@ -14,6 +15,8 @@
 FIRST_S = (0.2, 1.0)
 STRETCH_S = (15.0, 30.0)
 RATES_PER_S = (0.2, 0.4, 1)
+# A file with this name ends all limits.
+OVER_NAME = 'limits-are-over'
 # Gateways that were told this long before are bound.
 TOLD_BEFORE_MS = 500
 
@@ -22,9 +25,12 @@
     """What one life of a server names and when.
 
     Every other server does, so that no service has limited servers only.
+
+    :param folder: where the file is written that ends all limits.
     """
 
-    def __init__(self, name: str):
+    def __init__(self, *, name: str, folder: pathlib.Path):
+        self._over = folder / OVER_NAME
         rng = random.Random(f'limit {name}')
         # Times are in s after the first request.
         self._steps: list[tuple[float, float | None]] = []
@@ -40,6 +46,8 @@
 
     def per_s(self, now_ms: int) -> float | None:
         """Return the limit that is named, None if there is none."""
+        if self._over.exists():
+            return None
         if self._started_ms is None:
             self._started_ms = now_ms
         after_s = (now_ms - self._started_ms) / clock.MS_PER_SECOND
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -166,6 +166,7 @@
             await asyncio.sleep(faults.CATCH_UP_S)
             await self._play_rounds()
         self._is_disturbed = False
+        self._running.end_limits()
         await asyncio.sleep(SETTLE_S)
         self._callers.are_faults_over = True
         await asyncio.sleep(LAST_S)
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -417,6 +417,16 @@
             **{'disturbances': [], 'cuts': [], **fields},
         )
 
+    def test_no_limit_is_named_once_the_faults_are_over(self):
+        with tempfile.TemporaryDirectory() as folder:
+            folder = pathlib.Path(folder)
+            schedule = limits.Schedule(name='backend-1', folder=folder)
+            schedule.per_s(SENT_MS)
+            named = schedule.per_s(SENT_MS + 2000)
+            self.assertIn(named, limits.RATES_PER_S)
+            (folder / limits.OVER_NAME).touch()
+            self.assertIsNone(schedule.per_s(SENT_MS + 2000))
+
     def test_requests_of_all_gateways_that_were_told_count(self):
         cut = notices.Cut(
             name='backend-1', from_ms=SENT_MS + 3900, until_ms=SENT_MS + 4000
