Split the quarantine by duty

The quarantined ids of a judgement are collected once, not for each part of a crash, and the choice between two requests no longer hides in a slice.

--- a/src/shallothinge/gateway/tests/test_quarantine.py
+++ b/src/shallothinge/gateway/tests/test_quarantine.py
@@ -6,6 +6,7 @@
 
 from shallothinge.gateway.tests import rig
 from shallothinge.gateway.tests import test_forwarding
+from shallothinge.quarantine import records
 from shallothinge.quarantine import state
 
 STREAM = '/lohu930/1'
@@ -197,7 +198,7 @@
 
     def test_probe_is_not_retried(self):
         self.quarantine()
-        self.advance(state.QUARANTINE_MS)
+        self.advance(records.QUARANTINE_MS)
         probe, calls = self.ask(0, DEADLY)
         self.crash(calls()[0])
         self.assertEqual((1, 502), (len(calls()), probe.status))
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -15,46 +15,22 @@
 import attrs
 
 from shallothinge import clock as clocks
+from shallothinge.quarantine import blame
 from shallothinge.quarantine import evidence
 from shallothinge.quarantine import fingerprints
 from shallothinge.quarantine import messages
+from shallothinge.quarantine import records
 
 LOG = logging.getLogger(__name__)
 
-# Doubled for each probe that crashes a server again.
-QUARANTINE_MS = 600_000
-MAX_QUARANTINE_MS = 7_200_000
 # A crash is reported by several gateways. The parts of all its requests have
 # to be known before one of them is blamed.
 SETTLE_MS = 50
-# Other requests with the part are refused for so long while a probe runs.
-PROBE_MS = 60_000
-# A part that no request has asked for since is forgotten.
-FORGET_MS = 86_400_000
-# Limit on the quarantined parts, and on the quarantined requests.
-MAX_QUARANTINED = 64
-# Lifted quarantines are remembered until no peer can repeat them.
-LIFTED_TTL_MS = 10_000
 # Complete reports repeat the crashes of this time, for peers that missed
 # one, and each complete answer is reported at most this often.
 REPEAT_MS = 3_000
 
 
-@attrs.define(kw_only=True)
-class _Record:
-    """The quarantine of one part.
-
-    ``epoch`` increases with each decision on the part. ``strikes`` counts
-    the quarantines without a complete answer between. ``asked_ms`` is when a
-    request with the part came last.
-    """
-
-    epoch: int
-    until_ms: int
-    strikes: int
-    asked_ms: int = 0
-
-
 @attrs.define(kw_only=True)
 class _Changes:
     """Ids of what has changed since the last report, in order."""
@@ -100,8 +76,10 @@
     def __init__(self, *, clock: clocks.Clock):
         self._clock = clock
         self._evidence = evidence.Evidence()
-        self._records: dict[str, _Record] = {}
-        self._lifted: dict[str, tuple[int, int]] = {}
+        self._records = records.QuarantineRecords(clock=clock)
+        self._blame = blame.Blame(
+            evidence=self._evidence, quarantined=self._records
+        )
         self._own_crashes_ms: dict[evidence.ServerKey, int] = {}
         self._reported_ms: dict[str, int] = {}
         self._changes = _Changes()
@@ -114,12 +92,12 @@
     @property
     def count(self) -> int:
         """Return how many parts are quarantined."""
-        return len(self._records) - self.request_count
+        return self._records.count
 
     @property
     def request_count(self) -> int:
         """Return how many requests are quarantined."""
-        return sum(map(fingerprints.is_fingerprint, self._records))
+        return self._records.request_count
 
     def watch(self, watcher: Watcher) -> None:
         """Notify a request of parts that are quarantined from now on."""
@@ -136,9 +114,12 @@
         and all gateways refuse others until its answer is known.
         """
         now_ms = self._clock.now_ms()
-        found = [one for one in part_ids if one in self._records]
-        for part_id in found:
-            record = self._records[part_id]
+        found = {
+            part_id: record
+            for part_id in part_ids
+            if (record := self._records.find(part_id)) is not None
+        }
+        for part_id, record in found.items():
             record.asked_ms = now_ms
             left_ms = record.until_ms - now_ms
             if left_ms > 0:
@@ -146,19 +127,18 @@
         if not self._suspects.keys().isdisjoint(part_ids):
             return Admission(wait_ms=max(1, self._judge_at_ms - now_ms))
         for part_id in found:
-            self._start_probe(part_id)
-        return (
-            Admission(part_id=found[0], is_probe=True) if found else ADMITTED
-        )
+            self._records.start_probe(part_id)
+            self._changes.quarantined[part_id] = None
+            self._notify()
+        if not found:
+            return ADMITTED
+        return Admission(part_id=next(iter(found)), is_probe=True)
 
     def is_quarantined(self, part_ids: Iterable[str]) -> bool:
         """Return whether a part is quarantined or being probed."""
         now_ms = self._clock.now_ms()
-        return any(
-            self._records[one].until_ms > now_ms
-            for one in part_ids
-            if one in self._records
-        )
+        found = filter(None, map(self._records.find, part_ids))
+        return any(record.until_ms > now_ms for record in found)
 
     def record_crash(
         self, *, key: evidence.ServerKey, part_ids: tuple[str, ...]
@@ -166,7 +146,8 @@
         """Record that a server closed a request before it was answered.
 
         :param key: id and incarnation of the server.
-        :param part_ids: shared parts of the request's prompt.
+        :param part_ids: shared parts of the request's prompt, and its
+            fingerprint.
         """
         if not part_ids:
             return
@@ -189,7 +170,7 @@
         for part_id in part_ids:
             if (
                 not fingerprints.is_fingerprint(part_id)
-                or part_id in self._records
+                or self._records.find(part_id) is not None
                 or self._evidence.is_suspected(part_id)
             ):
                 self._add_whole(part_id, self._clock.now_ms())
@@ -212,8 +193,8 @@
         return _Changes(
             crashes=dict.fromkeys(self._own_crashes_ms),
             whole=whole,
-            quarantined=dict.fromkeys(self._records),
-            lifted=dict.fromkeys(self._lifted),
+            quarantined=dict.fromkeys(self._records.ids),
+            lifted=dict.fromkeys(self._records.lifted_ids),
         )
 
     def _build(self, changes: _Changes) -> messages.PartsReported | None:
@@ -232,12 +213,12 @@
             quarantined=tuple(
                 (part_id, one.epoch, one.until_ms - now_ms, one.strikes)
                 for part_id in changes.quarantined
-                if (one := self._records.get(part_id)) is not None
+                if (one := self._records.find(part_id)) is not None
             ),
             lifted=tuple(
-                (part_id, self._lifted[part_id][0])
+                (part_id, epoch)
                 for part_id in changes.lifted
-                if part_id in self._lifted
+                if (epoch := self._records.lifted_epoch(part_id))
             ),
         )
         return None if made == messages.PartsReported() else made
@@ -246,13 +227,13 @@
         """Apply what a peer has observed or decided."""
         now_ms = self._clock.now_ms()
         for part_id, epoch in report.lifted:
-            self._lift(part_id, epoch)
+            self._records.lift(part_id, epoch)
         for part_id, age_ms in report.whole:
             self._evidence.add_whole(part_id=part_id, at_ms=now_ms - age_ms)
         for part_id, epoch, left_ms, strikes in report.quarantined:
             self._adopt(
                 part_id,
-                _Record(
+                records.Record(
                     epoch=epoch,
                     until_ms=now_ms + left_ms,
                     strikes=strikes,
@@ -270,24 +251,17 @@
         """Drop what is too old to matter."""
         now_ms = self._clock.now_ms()
         self._evidence.remove_expired(now_ms)
+        self._records.remove_expired()
         self._own_crashes_ms = {
             key: at_ms
             for key, at_ms in self._own_crashes_ms.items()
             if at_ms >= now_ms - REPEAT_MS
         }
-        self._lifted = {
-            part_id: (epoch, at_ms)
-            for part_id, (epoch, at_ms) in self._lifted.items()
-            if at_ms >= now_ms - LIFTED_TTL_MS
-        }
         self._reported_ms = {
             part_id: at_ms
             for part_id, at_ms in self._reported_ms.items()
             if at_ms >= now_ms - REPEAT_MS
         }
-        for part_id, record in list(self._records.items()):
-            if record.until_ms < now_ms - FORGET_MS:
-                del self._records[part_id]
 
     def _add_crash(
         self,
@@ -302,9 +276,11 @@
             return
         for part_id in positions:
             self._report_whole(part_id)
-            record = self._records.get(part_id)
+            record = self._records.find(part_id)
             # Of the quarantined parts only a probe's ends within this time.
-            if record is not None and record.until_ms <= at_ms + PROBE_MS:
+            if record is not None and record.until_ms <= (
+                at_ms + records.PROBE_MS
+            ):
                 self._quarantine(part_id, strikes=record.strikes + 1)
                 LOG.warning(
                     'quarantine renewed; a probe crashed a backend server',
@@ -314,176 +290,55 @@
                         'strikes': record.strikes + 1,
                     },
                 )
-        suspected = [one.part_id for one in self._suspicions(positions)]
+        suspected = [
+            one.part_id for one in self._blame.find_suspicions(positions)
+        ]
         if suspected and not self._suspects:
             self._judge_at_ms = self._clock.now_ms() + SETTLE_MS
             if self.on_suspicion is not None:
                 self.on_suspicion()
         self._suspects.update(dict.fromkeys(suspected))
 
-    def _suspicions(self, part_ids: Iterable[str]) -> list[evidence.Suspicion]:
-        """Return the suspicions that suffice for a quarantine."""
-        found = (
-            self._evidence.suspicion(
-                part_id,
-                explained_by=self._quarantined(
-                    with_requests=fingerprints.is_fingerprint(part_id)
-                ),
-            )
-            for part_id in part_ids
-            if part_id not in self._records
-        )
-        return [one for one in found if one is not None and one.is_enough]
-
-    def _quarantined(self, *, with_requests: bool) -> frozenset[str]:
-        return frozenset(
-            part_id
-            for part_id in self._records
-            if with_requests or not fingerprints.is_fingerprint(part_id)
-        )
-
     def judge(self) -> None:
         """Quarantine the most suspicious part, if evidence still suffices."""
-        suspicions = self._suspicions(self._suspects)
+        suspicions = self._blame.find_suspicions(self._suspects)
         self._suspects.clear()
-        worst = self._find_culprit(suspicions)
+        worst = self._blame.find_culprit(suspicions)
         if worst is None:
             return
         self._quarantine(worst.part_id, strikes=0)
         LOG.warning(
             '%s quarantined; it crashed backend servers',
-            _kind_of(worst.part_id),
+            records.kind_of(worst.part_id),
             extra={
                 'part_id': worst.part_id,
                 'crashes': worst.crashes,
                 'server_ids': worst.server_ids,
-                'for_ms': QUARANTINE_MS,
+                'for_ms': records.QUARANTINE_MS,
             },
         )
 
-    def _find_culprit(
-        self, suspicions: list[evidence.Suspicion]
-    ) -> evidence.Suspicion | None:
-        """Return the worst suspicion, None if it is not settled.
-
-        Crashes under one request speak against this request alone. A part is
-        to blame if the crashes under other requests suffice, or if too many
-        requests would have to be to blame.
-        """
-        requests = [one for one in suspicions if one.is_of_request]
-        blamed_ids = frozenset(one.part_id for one in requests)
-        parts = [
-            one
-            for one in suspicions
-            if not one.is_of_request
-            and self._is_common_cause(one.part_id, blamed_ids)
-        ]
-        if parts or not requests:
-            return max(parts, key=lambda one: one.rank, default=None)
-        second, worst = (
-            None,
-            *sorted(requests, key=lambda one: one.crashes),
-        )[-2:]
-        is_alone = second is None or second.crashes < worst.crashes
-        needed = evidence.CRASHES_TO_BLAME_ONE_OF_TWO
-        return worst if is_alone or worst.crashes >= needed else None
-
-    def _is_common_cause(
-        self, part_id: str, blamed_ids: frozenset[str]
-    ) -> bool:
-        """Return whether crashes speak against a part, not its requests.
-
-        :param blamed_ids: requests against which enough crashes speak.
-        """
-        unexplained = self._evidence.suspicion(
-            part_id,
-            explained_by=self._quarantined(with_requests=True) | blamed_ids,
-        )
-        if unexplained is not None and unexplained.is_enough:
-            return True
-        return self._evidence.has_many_requests(
-            part_id, explained_by=self._quarantined(with_requests=False)
-        )
-
     def _quarantine(self, part_id: str, *, strikes: int) -> None:
-        known = self._records.get(part_id)
-        lifted_epoch, _ = self._lifted.get(part_id, (0, 0))
-        for_ms = min(MAX_QUARANTINE_MS, QUARANTINE_MS << min(strikes, 8))
-        self._store(
-            part_id,
-            _Record(
-                epoch=max(known.epoch if known else 0, lifted_epoch) + 1,
-                until_ms=self._clock.now_ms() + for_ms,
-                strikes=strikes,
-                asked_ms=self._clock.now_ms(),
-            ),
-        )
+        self._records.quarantine(part_id, strikes=strikes)
+        self._tell_watchers(part_id)
         self._changes.quarantined[part_id] = None
         self._notify()
 
-    def _start_probe(self, part_id: str) -> None:
-        record = self._records[part_id]
-        record.epoch += 1
-        record.until_ms = self._clock.now_ms() + PROBE_MS
-        self._changes.quarantined[part_id] = None
-        LOG.info(
-            'quarantine ended; the next request probes the part',
-            extra={'part_id': part_id, 'strikes': record.strikes},
-        )
-        self._notify()
-
-    def _store(self, part_id: str, record: _Record) -> None:
-        self._records[part_id] = record
-        self._drop_surplus(part_id)
-        if record.until_ms > self._clock.now_ms():
-            for watcher in list(self._watchers):
-                watcher.on_quarantined(part_id)
-
-    def _drop_surplus(self, part_id: str) -> None:
-        """Drop the quarantine that was needed least recently, if too many.
-
-        Parts and requests are limited separately.
+    def _adopt(self, part_id: str, record: records.Record) -> None:
+        is_in_force = record.until_ms > self._clock.now_ms()
+        if self._records.adopt(part_id, record) and is_in_force:
+            self._tell_watchers(part_id)
 
-        :param part_id: the newest of its kind.
-        """
-        is_request = fingerprints.is_fingerprint(part_id)
-        others = [
-            one
-            for one in self._records
-            if one != part_id
-            and fingerprints.is_fingerprint(one) == is_request
-        ]
-        if len(others) < MAX_QUARANTINED:
-            return
-        dropped_id = min(others, key=lambda one: self._records[one].asked_ms)
-        del self._records[dropped_id]
-        LOG.warning(
-            'too many parts are quarantined; one was dropped',
-            extra={'part_id': dropped_id, 'limit': MAX_QUARANTINED},
-        )
-
-    def _adopt(self, part_id: str, record: _Record) -> None:
-        """Take over a peer's quarantine unless a newer decision is known."""
-        lifted_epoch, _ = self._lifted.get(part_id, (0, 0))
-        known = self._records.get(part_id)
-        if record.epoch <= lifted_epoch:
-            return
-        if known is None:
-            LOG.info(
-                'peer quarantined a %s',
-                _kind_of(part_id),
-                extra={'part_id': part_id, 'epoch': record.epoch},
-            )
-        elif record.epoch <= known.epoch:
-            return
-        self._store(part_id, record)
+    def _tell_watchers(self, part_id: str) -> None:
+        for watcher in list(self._watchers):
+            watcher.on_quarantined(part_id)
 
     def _add_whole(self, part_id: str, at_ms: int) -> None:
         is_suspected = self._evidence.is_suspected(part_id)
         self._evidence.add_whole(part_id=part_id, at_ms=at_ms)
-        record = self._records.get(part_id)
+        record = self._records.find(part_id)
         if record is not None:
-            self._lift(part_id, record.epoch)
+            self._records.lift(part_id, record.epoch)
             self._changes.lifted[part_id] = None
         if is_suspected or record is not None:
             self._changes.whole[part_id] = None
@@ -502,27 +357,6 @@
         self._changes.whole[part_id] = None
         self._notify()
 
-    def _lift(self, part_id: str, epoch: int) -> None:
-        """End a quarantine: a request with the part was answered."""
-        lifted_epoch, _ = self._lifted.get(part_id, (0, 0))
-        if epoch > lifted_epoch:
-            self._lifted[part_id] = (epoch, self._clock.now_ms())
-        record = self._records.get(part_id)
-        if record is not None and record.epoch <= epoch:
-            del self._records[part_id]
-            LOG.warning(
-                'quarantine of a %s lifted',
-                _kind_of(part_id),
-                extra={'part_id': part_id, 'epoch': epoch},
-            )
-
     def _notify(self) -> None:
         if self.on_change is not None:
             self.on_change()
-
-
-def _kind_of(part_id: str) -> str:
-    """Return what an id stands for, for the log."""
-    if fingerprints.is_fingerprint(part_id):
-        return 'request'
-    return 'part of prompts'
--- a/src/shallothinge/quarantine/tests/test_quarantine.py
+++ b/src/shallothinge/quarantine/tests/test_quarantine.py
@@ -11,6 +11,7 @@
 from shallothinge import wire
 from shallothinge.quarantine import evidence
 from shallothinge.quarantine import messages
+from shallothinge.quarantine import records
 from shallothinge.quarantine import state
 from shallothinge.quarantine.tests import simulation
 
@@ -64,7 +65,7 @@
             self.exchange()
         for gateway in (self.one, self.two):
             self.assertEqual(
-                state.QUARANTINE_MS,
+                records.QUARANTINE_MS,
                 gateway.admit((FIRST, BAD)).refused_ms,
             )
             self.assertEqual(0, gateway.admit((FIRST,)).refused_ms)
@@ -217,7 +218,7 @@
         self,
     ):
         self.quarantine()
-        self.clock.advance(duration_ms=state.QUARANTINE_MS)
+        self.clock.advance(duration_ms=records.QUARANTINE_MS)
         late = state.PartQuarantine(clock=self.clock)
         watcher = mock.Mock()
         late.watch(watcher)
@@ -247,7 +248,7 @@
 
     def test_after_the_quarantine_one_probe_is_sent_for_all_gateways(self):
         self.quarantine()
-        self.clock.advance(duration_ms=state.QUARANTINE_MS)
+        self.clock.advance(duration_ms=records.QUARANTINE_MS)
         self.assertTrue(self.one.admit((BAD,)).is_probe)
         self.exchange()
         for gateway in (self.one, self.two):
@@ -257,11 +258,11 @@
             self.exchange()
             for gateway in (self.one, self.two):
                 self.assertEqual(
-                    2 * state.QUARANTINE_MS,
+                    2 * records.QUARANTINE_MS,
                     gateway.admit((BAD,)).refused_ms,
                 )
         with self.subTest('the next probe is answered'):
-            self.clock.advance(duration_ms=2 * state.QUARANTINE_MS)
+            self.clock.advance(duration_ms=2 * records.QUARANTINE_MS)
             self.assertTrue(self.two.admit((BAD,)).is_probe)
             self.exchange()
             self.two.record_whole((BAD,))
@@ -368,7 +369,7 @@
         self.assertEqual([FIRST], list(self.one._evidence._whole_ms))
 
     def test_quarantine_that_is_needed_least_is_dropped(self):
-        for number in range(state.MAX_QUARANTINED):
+        for number in range(records.MAX_QUARANTINED):
             for crash in range(3):
                 self.crash(f'{number}-{crash}', f'request-{number}')
             self.one.judge()
@@ -383,7 +384,7 @@
             ('request-new', True),
         ):
             self.assertEqual(is_kept, self.one.is_quarantined((request,)))
-        self.assertEqual(state.MAX_QUARANTINED, self.one.request_count)
+        self.assertEqual(records.MAX_QUARANTINED, self.one.request_count)
 
     def test_what_is_remembered_is_bounded(self):
         for number in range(2_000):
@@ -395,7 +396,7 @@
         for number in range(3 * 80):
             self.crash(5_000 + number, f'bad-{number // 3}')
             self.one.judge()
-        self.assertEqual(state.MAX_QUARANTINED, self.one.count)
+        self.assertEqual(records.MAX_QUARANTINED, self.one.count)
         self.clock.advance(duration_ms=evidence.WINDOW_MS + 1)
         self.one.report(complete=False)
         self.one.remove_expired()
