Define the key of a server's incarnation once

notices, the quarantine's evidence and the limits each defined id and incarnation as a type of their own with the same shape; it stands beside BackendServer now. No behaviour changes; the tests of notices, servers, limits and quarantine pass.

--- a/src/shallothinge/gateway/notices.py
+++ b/src/shallothinge/gateway/notices.py
@@ -9,6 +9,7 @@
 
 from shallothinge import clock as clocks
 from shallothinge.membership.model import BackendServer
+from shallothinge.membership.model import ServerKey
 
 LOG = logging.getLogger(__name__)
 
@@ -20,9 +21,6 @@
 # get no requests until its next start.
 MAX_PAUSE_MS = 600_000
 
-# A server's id and incarnation.
-ServerKey = tuple[str, str]
-
 
 def key_of(server: BackendServer) -> ServerKey:
     """Return the key of one incarnation of a server."""
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -13,6 +13,7 @@
 from shallothinge.gateway import notices
 from shallothinge.leases import holder as holders
 from shallothinge.membership.model import BackendServer
+from shallothinge.membership.model import ServerKey
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
 from shallothinge.placement import server_queue
@@ -219,7 +220,7 @@
 
     def _limited_keys(
         self, service: str, tried_ids: frozenset[str]
-    ) -> list[notices.ServerKey]:
+    ) -> list[ServerKey]:
         """Return the servers of a service if all of them are limited."""
         if not self._limits.count:
             return []
--- a/src/shallothinge/membership/model.py
+++ b/src/shallothinge/membership/model.py
@@ -2,6 +2,9 @@
 
 import attrs
 
+# A server's id and incarnation.
+ServerKey = tuple[str, str]
+
 
 @attrs.frozen(kw_only=True)
 class BackendServer:
--- a/src/shallothinge/quarantine/evidence.py
+++ b/src/shallothinge/quarantine/evidence.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from shallothinge.membership.model import ServerKey
 from shallothinge.quarantine import fingerprints
 
 # Evidence older than this is dropped.
@@ -34,8 +35,6 @@
 # this number of them.
 CRASHES_TO_BLAME_ONE_OF_TWO = 5
 
-ServerKey = tuple[str, str]
-
 
 @attrs.define(kw_only=True)
 class Crash:
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -15,6 +15,7 @@
 import attrs
 
 from shallothinge import clock as clocks
+from shallothinge.membership.model import ServerKey
 from shallothinge.quarantine import blame
 from shallothinge.quarantine import evidence
 from shallothinge.quarantine import fingerprints
@@ -35,7 +36,7 @@
 class _Changes:
     """Ids of what has changed since the last report, in order."""
 
-    crashes: dict[evidence.ServerKey, None] = attrs.field(factory=dict)
+    crashes: dict[ServerKey, None] = attrs.field(factory=dict)
     whole: dict[str, None] = attrs.field(factory=dict)
     quarantined: dict[str, None] = attrs.field(factory=dict)
     lifted: dict[str, None] = attrs.field(factory=dict)
@@ -80,7 +81,7 @@
         self._blame = blame.Blame(
             evidence=self._evidence, quarantined=self._records
         )
-        self._own_crashes_ms: dict[evidence.ServerKey, int] = {}
+        self._own_crashes_ms: dict[ServerKey, int] = {}
         self._reported_ms: dict[str, int] = {}
         self._changes = _Changes()
         self._suspects: dict[str, None] = {}
@@ -141,7 +142,7 @@
         return any(record.until_ms > now_ms for record in found)
 
     def record_crash(
-        self, *, key: evidence.ServerKey, part_ids: tuple[str, ...]
+        self, *, key: ServerKey, part_ids: tuple[str, ...]
     ) -> None:
         """Record that a server closed a request before it was answered.
 
@@ -266,7 +267,7 @@
     def _add_crash(
         self,
         *,
-        key: evidence.ServerKey,
+        key: ServerKey,
         at_ms: int,
         positions: Mapping[str, int],
     ) -> None:
--- a/src/shallothinge/server_limits/state.py
+++ b/src/shallothinge/server_limits/state.py
@@ -21,6 +21,7 @@
 import attrs
 
 from shallothinge import clock as clocks
+from shallothinge.membership.model import ServerKey
 from shallothinge.server_limits import messages
 
 LOG = logging.getLogger(__name__)
@@ -35,9 +36,6 @@
 # A list that misses a server may be wrong for most of a minute.
 UNLISTED_RETENTION_MS = 60_000
 
-# A server's id and incarnation.
-ServerKey = tuple[str, str]
-
 
 @attrs.frozen(kw_only=True)
 class Gateways:
