Log why a request was refused for want of capacity

The line has 'detail' now, for refused requests what they would have had to wait for, which the caller gets in the body, too. The new test failed before (no such field); 98 tests of the request path pass.

--- a/src/shallothinge/gateway/caller_answer.py
+++ b/src/shallothinge/gateway/caller_answer.py
@@ -13,7 +13,8 @@
 class CallerAnswer:
     """Writes a stream, a complete answer or an error to the caller.
 
-    :param on_over: called once with outcome and status as the answer ends.
+    :param on_over: called once with outcome, status and detail as the
+        answer ends.
     :ivar is_over: whether the outcome is known.
     :ivar last_event_id: id of the last event that the caller has, or ''.
     :ivar times: times of the events that were written.
@@ -25,7 +26,7 @@
         parts: dependencies.Dependencies,
         exchange: exchanges.Exchange,
         request: model.CallerRequest,
-        on_over: Callable[[str, int], None],
+        on_over: Callable[[str, int, str], None],
     ):
         self._parts = parts
         self._exchange = exchange
@@ -83,7 +84,7 @@
             error=error, request_id=self._request_id
         )
         self._parts.metrics.count_refusal(kind=error.kind)
-        self.end(error.kind.value, status=status)
+        self.end(error.kind.value, status=status, detail=error.detail)
         self._exchange.respond(status=status, headers=headers, body=body)
 
     def abort(self, cause: str) -> None:
@@ -91,11 +92,14 @@
         self.end(f'cut_{cause}', status=0)
         self._exchange.abort()
 
-    def end(self, outcome: str, *, status: int) -> None:
-        """Record the outcome, unless there is one."""
+    def end(self, outcome: str, *, status: int, detail: str = '') -> None:
+        """Record the outcome, unless there is one.
+
+        :param detail: why it was refused, '' if it was not or it is plain.
+        """
         if not self.is_over:
             self.is_over = True
-            self._on_over(outcome, status)
+            self._on_over(outcome, status, detail)
 
     def _begin(self, head: model.AnswerHead) -> None:
         if not self.is_begun:
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -287,7 +287,7 @@
             self._attempts.cancel()
             self._answer.refuse(policy.fault_error(self._attempts.progress))
 
-    def _on_over(self, outcome: str, status: int) -> None:
+    def _on_over(self, outcome: str, status: int, detail: str) -> None:
         """Stop the timers and log the outcome."""
         self._admission.end()
         self._search.stop()
@@ -297,6 +297,7 @@
         self._log.ended(
             self._running.last,
             outcome=outcome,
+            detail=detail,
             status=status,
             sent=self._attempts.sent_count,
             queued_ms=self._wait.queued_ms,
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -245,13 +245,14 @@
     return _unknown_outcome_error(route, detail=cause.value)
 
 
-def full_error(free_in_ms: int) -> errors.ServingError:
+def full_error(free_in_ms: int, *, detail: str) -> errors.ServingError:
     """Return the error for a request that never ran for want of capacity.
 
     :param free_in_ms: time until there is likely to be some.
+    :param detail: what it would have had to wait for.
     """
     return errors.ServingError(
-        kind=ErrorKind.OVERLOADED, retry_after_ms=free_in_ms
+        kind=ErrorKind.OVERLOADED, detail=detail, retry_after_ms=free_in_ms
     )
 
 
--- a/src/shallothinge/gateway/server_search.py
+++ b/src/shallothinge/gateway/server_search.py
@@ -205,7 +205,9 @@
             return_in_ms = free_in_ms or choice.FREE_SLOT_MS
             if cause is WaitCause.SERVER_LIMIT:
                 return_in_ms = self._book_return(expected_ms)
-            self._answer.refuse(policy.full_error(return_in_ms))
+            self._answer.refuse(
+                policy.full_error(return_in_ms, detail=cause.value)
+            )
 
     def _book_return(self, expected_ms: float) -> int:
         """Return after which time in ms the caller is to return."""
--- a/src/shallothinge/gateway/tests/test_server_limits.py
+++ b/src/shallothinge/gateway/tests/test_server_limits.py
@@ -226,6 +226,15 @@
         self.assertGreaterEqual(min(gaps_s), 0.3)
         self.assertEqual([], self.calls)
 
+    def test_log_tells_who_was_refused_for_a_limit(self):
+        self.limit_all(0.5)
+        with self.assertLogs(test_forwarding.LOGGER, 'INFO') as logged:
+            self.rig.request(BOOKING)
+        [ended] = logged.records
+        self.assertEqual(
+            ('overloaded', 'server_limit'), (ended.outcome, ended.detail)
+        )
+
     def test_limited_server_is_no_helper(self):
         self.limit(0, 100, 'llm')
         self.limit(1, 100, 'llm')
