--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import json
+import logging
 import os
 import pathlib
 import random
@@ -591,6 +592,7 @@
 
 def main(folder, play):
     """Play a case; exit with 1 if the rule was broken, 0 if it held."""
+    logging.getLogger('asyncio').setLevel(logging.CRITICAL)
     record = Record(pathlib.Path(folder) / 'record.txt')
     record.write('disruption', 'on' if IS_TROUBLED else 'off')
     try:
