Cover later starts of a server by its departure

The second DELETE was acknowledged, a heartbeat from before it arrived 5 s late, and requests reached the server for some four seconds.

Cause: '' meant "any incarnation" in a question to the record of departures and "all incarnations" in an entry. A new leader, which had not heard of the server, asked for "any", found the departure of the former incarnation and recorded nothing. The opposite error was in the same words: an entry without an incarnation also covered later starts, so that a sound server was not listed for 10 s.

Ruled out: that the departure was recorded and not applied (nothing was proposed).

Change: a departure covers the incarnation that the leader knows and all that started up to the instant at which the DELETE reached its host. Whether it is recorded already is asked with the whole command. Records are kept for 300 s, since bytes behind a cut can come after 60 s, and are found by server id. Servers that drain first now get a second record with their DELETE. A server's start is part of its listing, so that gateways judge by it, too.

The model test of departures now draws restarts.

The check on messages of former releases compared nested records for equality, which no new field of a nested record can pass; it now compares each field that was sent, at any depth, and fails if one is lost.

--- a/src/shallothinge/control/announcements.py
+++ b/src/shallothinge/control/announcements.py
@@ -5,6 +5,7 @@
 
 from twisted.internet import defer
 
+from shallothinge import clock as clocks
 from shallothinge.control import api
 from shallothinge.control import departing as departures
 from shallothinge.control import leadership
@@ -28,6 +29,7 @@
         self,
         *,
         log: api.ReplicatedLog,
+        wall_clock: clocks.Clock,
         current: Callable[[], leadership.Leadership],
         departing: departures.DepartureTracker,
         send: Callable[..., bool],
@@ -35,6 +37,7 @@
         nudge_holders: Callable[[], None],
     ):
         self._log = log
+        self._wall_clock = wall_clock
         self._current = current
         self._departing = departing
         self._send = send
@@ -68,8 +71,11 @@
             self._acknowledge_once_in_force(
                 peer,
                 beat,
-                server_id=beat.server.server_id,
-                incarnation=beat.server.incarnation,
+                messages.RecordDeparture(
+                    server_id=beat.server.server_id,
+                    incarnation=beat.server.incarnation,
+                    started_to_ms=beat.started_ms,
+                ),
             )
             return
         self._send(route=peer.route, message=self._acknowledgement(beat))
@@ -79,15 +85,13 @@
         self, peer: endpoint.Peer, order: messages.ServerGone
     ) -> None:
         """Remove a server from the member list at its own request."""
-        heartbeat_filter = self._current().heartbeats
-        incarnation = heartbeat_filter.incarnation_of(order.server_id)
-        heartbeat_filter.remove(order.server_id)
-        self._acknowledge_once_in_force(
-            peer, order, server_id=order.server_id, incarnation=incarnation
+        command = self._current().heartbeats.apply_departure(
+            order, now_ms=self._wall_clock.now_ms()
         )
+        self._acknowledge_once_in_force(peer, order, command)
 
     def _acknowledge_once_in_force(
-        self, peer, message, *, server_id: str, incarnation: str
+        self, peer, message, command: messages.RecordDeparture
     ) -> None:
         """Acknowledge a departure once no gateway acts without it."""
         # The sender repeats the message until it is answered, which may
@@ -95,9 +99,7 @@
         if message.request_id in self._pending_request_ids:
             return
         self._pending_request_ids.add(message.request_id)
-        departed = self._departing.record_departure(
-            server_id=server_id, incarnation=incarnation
-        )
+        departed = self._departing.record_departure(command)
 
         def forget(result):
             self._pending_request_ids.discard(message.request_id)
@@ -107,8 +109,9 @@
             LOG.info(
                 'departure of a backend server is in force',
                 extra={
-                    'server_id': server_id,
-                    'incarnation': incarnation,
+                    'server_id': command.server_id,
+                    'incarnation': command.incarnation,
+                    'started_to_ms': command.started_to_ms,
                     'relayed_by': peer.process_id,
                     **self._membership_version(),
                 },
--- a/src/shallothinge/control/departing.py
+++ b/src/shallothinge/control/departing.py
@@ -54,38 +54,31 @@
         self._pending: list[_PendingDeparture] = []
 
     def record_departure(
-        self, *, server_id: str, incarnation: str
+        self, command: membership.RecordDeparture
     ) -> defer.Deferred:
         """Record a departure unless it is recorded already.
 
-        :param incarnation: incarnation of the server, or '' if unknown.
         :returns: a Deferred. It fires with None once each lease holder has
             confirmed the departure or its lease has expired. It fails
             after ``IN_FORCE_TIMEOUT_MS``, or if this host is no longer the
             leader.
         """
         recorded = defer.succeed(None)
-        if self._find(server_id, incarnation) is None:
-            recorded = self._propose(
-                membership.RecordDeparture(
-                    server_id=server_id, incarnation=incarnation
-                )
-            )
+        if self._find(command) is None:
+            recorded = self._propose(command)
         return recorded.addCallback(
-            lambda _: self._wait_until_in_force(server_id, incarnation)
+            lambda _: self._wait_until_in_force(command)
         )
 
-    def _find(self, server_id: str, incarnation: str):
-        return self._machine.data.departures.find(
-            server_id=server_id, incarnation=incarnation
-        )
+    def _find(self, command: membership.RecordDeparture):
+        return self._machine.data.departures.find_recorded(command)
 
     def _wait_until_in_force(
-        self, server_id: str, incarnation: str
+        self, command: membership.RecordDeparture
     ) -> defer.Deferred:
         departure = _PendingDeparture(
-            server_id=server_id,
-            version=self._find(server_id, incarnation).index,
+            server_id=command.server_id,
+            version=self._find(command).index,
             since_ms=self._clock.now_ms(),
             in_force=defer.Deferred(),
         )
--- a/src/shallothinge/control/fleet.py
+++ b/src/shallothinge/control/fleet.py
@@ -5,9 +5,11 @@
 """
 
 import secrets
+from typing import Protocol
 
 from twisted.internet import defer
 
+from shallothinge import clock as clocks
 from shallothinge.leases import client as clients
 from shallothinge.membership import messages as membership
 from shallothinge.operators import messages as operators
@@ -20,6 +22,13 @@
 STORE_TIMEOUT_MS = 3000
 
 
+class Caller(Protocol):
+    """The caller of the HTTP API who gave an order."""
+
+    def waited_ms(self) -> int:
+        """Return how long ago the order arrived at this host."""
+
+
 class FleetOrders:
     """Sends orders and queries to the leader.
 
@@ -29,9 +38,16 @@
     :param operator: the operator name recorded with zone outages.
     """
 
-    def __init__(self, *, client: clients.ControlClient, operator: str):
+    def __init__(
+        self,
+        *,
+        client: clients.ControlClient,
+        operator: str,
+        wall_clock: clocks.Clock,
+    ):
         self._client = client
         self._operator = operator
+        self._wall_clock = wall_clock
 
     def store_routes(self, *, version: int, document: bytes) -> defer.Deferred:
         """Store and activate a route table; fires with ``RoutesStored``."""
@@ -66,10 +82,14 @@
             heartbeat, timeout_ms=REQUEST_TIMEOUT_MS
         )
 
-    def remove_server(self, *, server_id: str) -> defer.Deferred:
+    def remove_server(
+        self, *, server_id: str, caller: Caller
+    ) -> defer.Deferred:
         """Remove a backend server; fires with ``HeartbeatTaken``."""
         order = membership.ServerGone(
-            request_id=_new_id(), server_id=server_id
+            request_id=_new_id(),
+            server_id=server_id,
+            asked_ms=self._wall_clock.now_ms() - caller.waited_ms(),
         )
         return self._client.send_request(order, timeout_ms=REQUEST_TIMEOUT_MS)
 
--- a/src/shallothinge/control/leadership.py
+++ b/src/shallothinge/control/leadership.py
@@ -65,7 +65,9 @@
         self.heartbeats = heartbeats.HeartbeatFilter(
             clock=clock,
             members=self.members,
-            read_departures=lambda: machine.data.departures,
+            find_departure=lambda server: machine.data.departures.find(
+                server=server
+            ),
         )
 
     def fence_needed(
--- a/src/shallothinge/control/process.py
+++ b/src/shallothinge/control/process.py
@@ -222,7 +222,12 @@
             )
         )
     api = control_api.ControlApi(
-        orders=fleet.FleetOrders(client=client, operator='platform'),
+        orders=fleet.FleetOrders(
+            client=client,
+            operator='platform',
+            wall_clock=clock.WallClock(),
+        ),
+        clock=process.clock,
         http_port=settings.api.address.rpartition(':')[2],
     )
     site = http_server.Site(
--- a/src/shallothinge/control/server.py
+++ b/src/shallothinge/control/server.py
@@ -108,6 +108,7 @@
         )
         self._announcements = announcements.Announcements(
             log=log,
+            wall_clock=wall_clock,
             current=self._current,
             departing=self._departing,
             send=send,
--- a/src/shallothinge/control/state.py
+++ b/src/shallothinge/control/state.py
@@ -288,10 +288,7 @@
 
     def _record_departure(self, command, index):
         is_new = self.data.departures.record(
-            server_id=command.server_id,
-            incarnation=command.incarnation,
-            index=index,
-            now_ms=self.data.now_ms,
+            command, index=index, now_ms=self.data.now_ms
         )
         if is_new:
             self._rebuild_config(index)
--- a/src/shallothinge/control/tests/test_departures.py
+++ b/src/shallothinge/control/tests/test_departures.py
@@ -3,6 +3,7 @@
 import unittest
 from unittest import mock
 
+import attrs
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
@@ -37,9 +38,11 @@
     )
 
 
-def gone():
+def gone(*, asked_ms=STARTED_MS + 1):
     """Return the message of a server that leaves unannounced."""
-    return membership.ServerGone(request_id='g', server_id=SERVER_ID)
+    return membership.ServerGone(
+        request_id=f'g{asked_ms}', server_id=SERVER_ID, asked_ms=asked_ms
+    )
 
 
 class Gateway:
@@ -161,6 +164,43 @@
         kinds = [type(answer).__name__ for answer in answers]
         self.assertCountEqual(['LeaseNudge', 'ControlRefused'], kinds)
 
+    def test_new_leader_does_not_take_a_former_departure_for_a_new_one(self):
+        # The second incarnation was unknown to the leader that it told.
+        for first in (beat(3, leaving=True), gone()):
+            with self.subTest(first=type(first).__name__):
+                self.leave_under_previous_leader(first)
+                started_ms = self.bench.clock.now_ms()
+                self.send(beat(1, started_ms=started_ms))
+                self.gateway.renew()
+                self.assertTrue(self.gateway.may_send())
+                self.elect()
+                self.bench.clock.advance(duration_ms=STEP_MS)
+                asked_ms = self.bench.clock.now_ms()
+                self.leave(gone(asked_ms=asked_ms), renewing=[self.gateway])
+                self.elect()
+                self.send(beat(2, started_ms=started_ms))
+                for gateway in (self.gateway, Gateway(self.bench, 'e2')):
+                    gateway.renew()
+                    self.assertFalse(gateway.may_send())
+
+    def test_restart_after_an_unknown_departure_is_listed_at_once(self):
+        asked_ms = self.bench.clock.now_ms()
+        self.leave(gone(asked_ms=asked_ms), renewing=[self.gateway])
+        self.send(beat(1, started_ms=asked_ms + 1))
+        self.gateway.renew()
+        self.assertTrue(self.gateway.may_send())
+
+    def test_late_heartbeat_after_minutes_does_not_restore_a_server(self):
+        # It was sent again and again behind a cut.
+        self.list_server()
+        self.leave(gone(), renewing=[self.gateway])
+        for _ in range(4 * 60):
+            self.bench.clock.advance(duration_ms=1000)
+            self.bench.server.tick()
+        self.send(beat(2))
+        self.gateway.renew()
+        self.assertFalse(self.gateway.may_send())
+
     def test_restart_under_the_same_id_is_no_leaving(self):
         self.list_server()
         self.leave(beat(3, leaving=True), renewing=[self.gateway])
@@ -170,11 +210,24 @@
         self.assertTrue(self.gateway.may_send())
 
 
+@attrs.define(kw_only=True)
+class Incarnation:
+    """One start of the server."""
+
+    started_ms: int
+    left_ms: int | None = None
+    is_acknowledged: bool = False
+
+    def acknowledge(self, _):
+        """Note that control has acknowledged its departure."""
+        self.is_acknowledged = True
+
+
 class DepartureMachine(test_leases.LeaseMachine):
-    """A server leaves while holders are disconnected and leaders change.
+    """Servers leave and start again under one id, while leaders change.
 
-    Heartbeats that it sent before may arrive late, at any leader. The long
-    ``member_silence_ms`` keeps the membership of a new leader incomplete
+    Heartbeats may arrive late, at any leader, and not at all at others. The
+    long ``member_silence_ms`` keeps the membership of a new leader incomplete
     for long, so that holders keep the list of the previous leader.
     """
 
@@ -183,8 +236,7 @@
     def __init__(self):
         super().__init__()
         self.departing = {}
-        self.left_ms = None
-        self.is_acknowledged = False
+        self.starts = [Incarnation(started_ms=STARTED_MS)]
 
     def _departing_of(self, leader):
         """Return the tracker of departures of one leader."""
@@ -205,36 +257,58 @@
         leaders = (self.leader, *self.old_leaders)
         return leaders[number % len(leaders)]
 
-    def _may_be_late(self):
-        if self.left_ms is None:
+    def _may_be_late(self, incarnation):
+        if incarnation.left_ms is None:
             return True
-        return self.clock.now_ms() - self.left_ms < MAX_HEARTBEAT_DELAY_MS
+        late_ms = self.clock.now_ms() - incarnation.left_ms
+        return late_ms < MAX_HEARTBEAT_DELAY_MS
 
-    @stateful.precondition(_may_be_late)
-    @stateful.rule(sequence=strategies.integers(1, 3))
-    def say_ready(self, sequence):
-        """A heartbeat from before the departure arrives, in any order."""
-        self.leader.current.heartbeats.apply(beat(sequence))
+    @stateful.rule(
+        number=strategies.integers(0, 3), sequence=strategies.integers(1, 3)
+    )
+    def say_ready(self, number, sequence):
+        """A heartbeat from before a departure arrives, in any order."""
+        incarnation = self.starts[-1 - number % len(self.starts)]
+        if self._may_be_late(incarnation):
+            self.leader.current.heartbeats.apply(
+                beat(sequence, started_ms=incarnation.started_ms)
+            )
 
     @stateful.rule(is_gone=strategies.booleans())
     def leave(self, is_gone):
         """The server leaves; the leader may acknowledge it later."""
         heard = self.leader.current.heartbeats
-        incarnation = str(STARTED_MS)
+        incarnation = self.starts[-1]
+        now_ms = self.clock.now_ms()
         if is_gone:
-            incarnation = heard.incarnation_of(SERVER_ID)
-            heard.remove(SERVER_ID)
+            command = heard.apply_departure(
+                gone(asked_ms=now_ms), now_ms=now_ms
+            )
         else:
-            heard.apply(beat(4, leaving=True))
-        if self.left_ms is None:
-            self.left_ms = self.clock.now_ms()
-        left = self._departing_of(self.leader).record_departure(
-            server_id=SERVER_ID, incarnation=incarnation
-        )
-        left.addCallbacks(self._acknowledged, lambda failure: None)
+            heard.apply(
+                beat(4, leaving=True, started_ms=incarnation.started_ms)
+            )
+            command = membership.RecordDeparture(
+                server_id=SERVER_ID,
+                incarnation=str(incarnation.started_ms),
+                started_to_ms=incarnation.started_ms,
+            )
+        if incarnation.left_ms is None:
+            incarnation.left_ms = now_ms
+        left = self._departing_of(self.leader).record_departure(command)
+        left.addCallbacks(incarnation.acknowledge, lambda failure: None)
 
-    def _acknowledged(self, _):
-        self.is_acknowledged = True
+    @stateful.precondition(lambda self: self.starts[-1].left_ms is not None)
+    @stateful.rule()
+    def start_again(self):
+        """The server starts again; a leader that hears of it lists it."""
+        self.clock.advance(duration_ms=1)
+        started_ms = self.clock.now_ms()
+        self.starts.append(Incarnation(started_ms=started_ms))
+        if self.leader.current.heartbeats.apply(
+            beat(1, started_ms=started_ms)
+        ):
+            assert self.leader.current.members.servers()
 
     @stateful.rule()
     def renew_for_a_while(self):
@@ -252,11 +326,16 @@
     @stateful.invariant()
     def nobody_sends_to_a_server_whose_leaving_was_acknowledged(self):
         """Holds for every list that a holder may have, from any leader."""
-        if not self.is_acknowledged:
-            return
+        left = {
+            incarnation.started_ms
+            for incarnation in self.starts
+            if incarnation.is_acknowledged
+        }
         for process in self.processes:
             listed = process.holder.members.get(SERVER_ID)
-            if process.holder.is_valid() and listed is not None:
+            if not process.holder.is_valid() or listed is None:
+                continue
+            if listed.started_ms in left:
                 assert listed.leaving or process.holder.has_left(listed)
 
 
--- a/src/shallothinge/leases/holder.py
+++ b/src/shallothinge/leases/holder.py
@@ -62,8 +62,8 @@
         self._members_sequence = 0
         self.config = ServingConfig()
         self.members: dict[str, BackendServer] = {}
-        # When a server's departure was received, by id and incarnation.
-        self._departure_received_ms: dict[tuple[str, str], int] = {}
+        # Recorded departures by server id, with their receive times.
+        self._departures: dict[str, dict[Departure, int]] = {}
         self._listed_peers: tuple[str, ...] = ()
         self._accepted_partial_list = False
         self._list_received_ms = clock.now_ms()
@@ -181,22 +181,24 @@
         The list is one leader's soft state and may miss the departure or
         reflect it late; a recorded departure is committed by a majority.
         """
-        return any(
-            (server.server_id, incarnation) in self._departure_received_ms
-            for incarnation in ('', server.incarnation)
-        )
+        known = self._departures.get(server.server_id, ())
+        return any(departure.covers(server) for departure in known)
 
     def _apply_departures(self, left: tuple[Departure, ...]) -> None:
         now_ms = self._clock.now_ms()
         for departure in left:
-            key = (departure.server_id, departure.incarnation)
-            self._departure_received_ms.setdefault(key, now_ms)
-        for (server_id, incarnation), since_ms in list(
-            self._departure_received_ms.items()
-        ):
-            retention_ms = departures.retention_ms(incarnation)
-            if since_ms < now_ms - retention_ms:
-                del self._departure_received_ms[server_id, incarnation]
+            known = self._departures.setdefault(departure.server_id, {})
+            known.setdefault(departure, now_ms)
+        for server_id, known in list(self._departures.items()):
+            kept = {
+                departure: since_ms
+                for departure, since_ms in known.items()
+                if since_ms >= now_ms - departures.retention_ms(departure)
+            }
+            if kept:
+                self._departures[server_id] = kept
+            else:
+                del self._departures[server_id]
 
     @property
     def peers(self) -> tuple[str, ...]:
--- a/src/shallothinge/membership/departures.py
+++ b/src/shallothinge/membership/departures.py
@@ -7,13 +7,16 @@
 
 import attrs
 
+from shallothinge.membership import messages
+from shallothinge.membership.model import BackendServer
 from shallothinge.membership.model import Departure
 
-# Longer than the known delay of a heartbeat on a link that was cut.
-RETENTION_MS = 60_000
-# If the incarnation is not known, a delayed heartbeat can't be distinguished
-# from a restart under the same id; heartbeats are seconds late at most.
-UNKNOWN_INCARNATION_RETENTION_MS = 10_000
+# Longer than a kernel repeats the last bytes of a connection that was closed
+# during a cut: a heartbeat among them may arrive until then.
+RETENTION_MS = 300_000
+# Without a stated start, a restart under the same id can't be distinguished
+# from a delayed heartbeat.
+UNSTATED_START_RETENTION_MS = 60_000
 
 
 @attrs.define(kw_only=True)
@@ -21,15 +24,28 @@
     """Backend servers that left recently, oldest first."""
 
     entries: tuple[Departure, ...] = ()
+    _by_server: dict[str, tuple[Departure, ...]] = attrs.field(
+        init=False, eq=False, repr=False, factory=dict
+    )
+
+    def __attrs_post_init__(self):
+        """Index the entries by their servers' ids."""
+        self._replace(self.entries)
+
+    def find(self, *, server: BackendServer) -> Departure | None:
+        """Return a departure that covers an incarnation of a server."""
+        for entry in self._by_server.get(server.server_id, ()):
+            if entry.covers(server):
+                return entry
+        return None
 
-    def find(self, *, server_id: str, incarnation: str) -> Departure | None:
-        """Return the departure that covers an incarnation.
-
-        :param incarnation: '' for any.
-        """
-        for entry in reversed(self.entries):
-            covers = not incarnation or entry.incarnation in ('', incarnation)
-            if entry.server_id == server_id and covers:
+    def find_recorded(
+        self, command: messages.RecordDeparture
+    ) -> Departure | None:
+        """Return a departure that covers all that the command would."""
+        for entry in self._by_server.get(command.server_id, ()):
+            is_same = entry.incarnation == command.incarnation
+            if is_same and entry.covered_to_ms >= command.started_to_ms:
                 return entry
         return None
 
@@ -38,40 +54,50 @@
         return tuple(entry for entry in self.entries if entry.index > index)
 
     def record(
-        self, *, server_id: str, incarnation: str, index: int, now_ms: int
+        self, command: messages.RecordDeparture, *, index: int, now_ms: int
     ) -> bool:
         """Record a departure and remove old ones.
 
-        :param incarnation: '' if not known, which covers all incarnations.
         :returns: whether the departure was not recorded yet.
         """
         self.forget_old(now_ms=now_ms)
-        if self.find(server_id=server_id, incarnation=incarnation) is not None:
+        if self.find_recorded(command) is not None:
             return False
         departure = Departure(
-            server_id=server_id,
-            incarnation=incarnation,
+            server_id=command.server_id,
+            incarnation=command.incarnation,
             index=index,
             at_ms=now_ms,
+            started_to_ms=command.started_to_ms,
         )
-        self.entries = (*self.entries, departure)
+        self._replace((*self.entries, departure))
         return True
 
     def forget_old(self, *, now_ms: int) -> None:
         """Remove departures whose retention period has ended."""
-        self.entries = tuple(
-            entry for entry in self.entries if not _is_old(entry, now_ms)
-        )
+        if self.has_old(now_ms=now_ms):
+            self._replace(
+                tuple(one for one in self.entries if not _is_old(one, now_ms))
+            )
 
     def has_old(self, *, now_ms: int) -> bool:
         """Return whether ``forget_old`` would remove any departure."""
         return any(_is_old(entry, now_ms) for entry in self.entries)
 
+    def _replace(self, entries: tuple[Departure, ...]) -> None:
+        self.entries = entries
+        self._by_server = {}
+        for entry in entries:
+            others = self._by_server.get(entry.server_id, ())
+            self._by_server[entry.server_id] = (*others, entry)
+
 
-def retention_ms(incarnation: str) -> int:
-    """Return the retention period of an incarnation's departure."""
-    return RETENTION_MS if incarnation else UNKNOWN_INCARNATION_RETENTION_MS
+def retention_ms(departure: Departure) -> int:
+    """Return the retention period of a departure."""
+    if departure.covered_to_ms:
+        return RETENTION_MS
+    return UNSTATED_START_RETENTION_MS
 
 
 def _is_old(entry: Departure, now_ms: int) -> bool:
-    return entry.at_ms < now_ms - retention_ms(entry.incarnation)
+    return entry.at_ms < now_ms - retention_ms(entry)
--- a/src/shallothinge/membership/heartbeats.py
+++ b/src/shallothinge/membership/heartbeats.py
@@ -11,8 +11,8 @@
 
 from shallothinge import clock as clocks
 from shallothinge.membership import messages
-from shallothinge.membership.departures import Departures
 from shallothinge.membership.model import BackendServer
+from shallothinge.membership.model import Departure
 from shallothinge.membership.table import MemberTable
 
 # Longer than the known delay of a heartbeat on a link that was cut.
@@ -38,7 +38,8 @@
 class HeartbeatFilter:
     """Applies heartbeats that are not outdated to a member table.
 
-    :param read_departures: returns the record of servers that left.
+    :param find_departure: returns the recorded departure that covers an
+        incarnation of a server, or None.
     """
 
     def __init__(
@@ -46,24 +47,41 @@
         *,
         clock: clocks.Clock,
         members: MemberTable,
-        read_departures: Callable[[], Departures],
+        find_departure: Callable[[BackendServer], Departure | None],
     ):
         self._clock = clock
         self._members = members
-        self._read_departures = read_departures
+        self._find_departure = find_departure
         self._latest: dict[str, _LatestHeartbeat] = {}
 
-    def incarnation_of(self, server_id: str) -> str:
-        """Return the incarnation in the latest heartbeat, or ''."""
-        latest = self._latest.get(server_id)
-        return '' if latest is None else latest.heartbeat.server.incarnation
+    def apply_departure(
+        self, order: messages.ServerGone, *, now_ms: int
+    ) -> messages.RecordDeparture:
+        """Remove a server at its own request; return what is to be recorded.
+
+        The order does not say which incarnation sent it. It is the latest
+        that this leader has heard of, or one that started before the order
+        and whose heartbeats did not reach this leader.
+
+        :param now_ms: the Unix time, for orders that state none.
+        """
+        latest = self._latest.get(order.server_id)
+        incarnation = ''
+        if latest is not None:
+            incarnation = latest.heartbeat.server.incarnation
+        self.remove(order.server_id)
+        return messages.RecordDeparture(
+            server_id=order.server_id,
+            incarnation=incarnation,
+            started_to_ms=order.asked_ms or now_ms,
+        )
 
     def apply(self, heartbeat: messages.Heartbeat) -> HeartbeatResult:
         """Apply a heartbeat unless it is outdated."""
         taken = self._classify(heartbeat)
         if taken is not HeartbeatResult.CHANGED:
             return taken
-        server = heartbeat.server
+        server = _with_start(heartbeat)
         for other_id in self._other_ids_at_address(server):
             self.remove(other_id)
         self._latest[server.server_id] = _LatestHeartbeat(
@@ -95,11 +113,8 @@
 
         ``CHANGED`` means here that the heartbeat is to be applied.
         """
-        server = heartbeat.server
-        has_left = self._read_departures().find(
-            server_id=server.server_id, incarnation=server.incarnation
-        )
-        if has_left and not server.leaving:
+        server = _with_start(heartbeat)
+        if not server.leaving and self._find_departure(server) is not None:
             return HeartbeatResult.OUTDATED
         latest = self._latest.get(server.server_id)
         if latest is not None:
@@ -126,3 +141,8 @@
             if server_id != server.server_id
             and latest.heartbeat.server.address == server.address
         ]
+
+
+def _with_start(heartbeat: messages.Heartbeat) -> BackendServer:
+    """Return the server with its start, also from a former release's host."""
+    return attrs.evolve(heartbeat.server, started_ms=heartbeat.started_ms)
--- a/src/shallothinge/membership/messages.py
+++ b/src/shallothinge/membership/messages.py
@@ -15,10 +15,15 @@
 
 @attrs.frozen(kw_only=True)
 class RecordDeparture:
-    """Record the departure of an incarnation; '' covers all of them."""
+    """Record that incarnations of a server have left.
+
+    These are ``incarnation``, '' if it is not known, and all that started at
+    or before ``started_to_ms``, a Unix time.
+    """
 
     server_id: str
     incarnation: str
+    started_to_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -42,10 +47,14 @@
 
 @attrs.frozen(kw_only=True)
 class ServerGone:
-    """A backend server without an agent announces that it has left."""
+    """A backend server without an agent announces that it has left.
+
+    ``asked_ms`` is the Unix time at which it did; 0 from a former release.
+    """
 
     request_id: str
     server_id: str
+    asked_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallothinge/membership/model.py
+++ b/src/shallothinge/membership/model.py
@@ -16,8 +16,9 @@
     ``engine_url`` is the backend server's own HTTP address, for other
     engines that hold a part of the same prompt. A backend server without
     an agent announces itself: ``address`` is then its ``IP:PORT``,
-    ``slots`` the number of requests that it runs concurrently, and
-    ``cold_ms`` the remaining time for which it is cold.
+    ``slots`` the number of requests that it runs concurrently,
+    ``cold_ms`` the remaining time for which it is cold, and ``started_ms``
+    the Unix time at which it started, by its own clock; 0 if not stated.
     """
 
     server_id: str
@@ -33,21 +34,45 @@
     engine_url: str = ''
     cold_ms: int = 0
     slots: int = 0
+    started_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
 class Departure:
     """Departure of a backend server, which gets no more work.
 
-    ``incarnation`` is '' if it is not known, which covers all of them.
-    ``index`` is the index of the log entry that recorded the departure,
-    ``at_ms`` the leader's time in Unix milliseconds.
+    It covers ``incarnation``, '' if the leader did not know it, and every
+    incarnation that started at or before ``started_to_ms``. ``index`` is the
+    index of the log entry that recorded the departure, ``at_ms`` the
+    leader's time in Unix milliseconds.
     """
 
     server_id: str
     incarnation: str
     index: int
     at_ms: int
+    started_to_ms: int = 0
+
+    @property
+    def covered_to_ms(self) -> int:
+        """Return the latest start that is covered, in Unix milliseconds.
+
+        A former release recorded no such time; a server whose incarnation it
+        did not know had started before the departure was recorded.
+        """
+        if self.started_to_ms or self.incarnation:
+            return self.started_to_ms
+        return self.at_ms
+
+    def covers(self, server: BackendServer) -> bool:
+        """Return whether an incarnation of the server has left."""
+        if server.server_id != self.server_id:
+            return False
+        if server.incarnation == self.incarnation:
+            return True
+        if not server.started_ms:
+            return not self.incarnation
+        return server.started_ms <= self.covered_to_ms
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallothinge/membership/tests/samples.py
+++ b/src/shallothinge/membership/tests/samples.py
@@ -23,6 +23,7 @@
             host='',
             services=('s',),
             leaving=leaving,
+            started_ms=started_ms,
         ),
         started_ms=started_ms,
         sequence=sequence,
--- a/src/shallothinge/membership/tests/test_departures.py
+++ b/src/shallothinge/membership/tests/test_departures.py
@@ -3,6 +3,12 @@
 import unittest
 
 from shallothinge.membership import departures
+from shallothinge.membership import messages
+from shallothinge.membership.model import Departure
+from shallothinge.membership.tests import samples
+
+# An order's time, and starts before and after it.
+ASKED_MS = 50
 
 
 class DeparturesTest(unittest.TestCase):
@@ -11,35 +17,72 @@
     def setUp(self):
         self.record = departures.Departures()
 
-    def leave(self, incarnation, *, index=7, now_ms=1000):
+    def leave(self, incarnation, *, started_to_ms=0, index=7, now_ms=1000):
         return self.record.record(
-            server_id='i', incarnation=incarnation, index=index, now_ms=now_ms
+            messages.RecordDeparture(
+                server_id='i',
+                incarnation=incarnation,
+                started_to_ms=started_to_ms,
+            ),
+            index=index,
+            now_ms=now_ms,
         )
 
-    def covers(self, incarnation, server_id='i'):
-        found = self.record.find(server_id=server_id, incarnation=incarnation)
-        return found is not None
+    def covers(self, started_ms, server_id='i'):
+        beat = samples.heartbeat(server_id, started_ms=started_ms)
+        return self.record.find(server=beat.server) is not None
 
-    def test_departure_covers_its_incarnation_or_all(self):
-        for left, covered in (
-            ('5', {'5': True, '6': False, '': True}),
-            ('', {'5': True, '6': True, '': True}),
-        ):
+    def test_departure_covers_its_incarnation_and_former_ones(self):
+        # incarnation and started_to_ms recorded, covered starts, others
+        rows = (
+            ('40', 40, (39, 40), (41, 60)),
+            ('40', ASKED_MS, (40, 49, 50), (51, 60)),
+            ('', ASKED_MS, (40, 50), (51, 60)),
+            # A server whose clock is ahead of the host's.
+            ('60', ASKED_MS, (40, 50, 60), (55, 61)),
+            # A former release records no start.
+            ('40', 0, (40,), (39, 41)),
+            ('', 0, (40, 999, 1000), (1001,)),
+        )
+        for incarnation, started_to_ms, covered, others in rows:
             self.setUp()
-            self.assertTrue(self.leave(left))
-            for incarnation, expected in covered.items():
-                with self.subTest(left=left, incarnation=incarnation):
-                    self.assertEqual(expected, self.covers(incarnation))
-                    self.assertFalse(self.covers(incarnation, 'j'))
+            self.leave(incarnation, started_to_ms=started_to_ms, now_ms=1000)
+            for started_ms in (*covered, *others):
+                with self.subTest(
+                    incarnation=incarnation,
+                    started_to_ms=started_to_ms,
+                    started_ms=started_ms,
+                ):
+                    expected = started_ms in covered
+                    self.assertEqual(expected, self.covers(started_ms))
+                    self.assertFalse(self.covers(started_ms, 'j'))
+
+    def test_unstated_start_is_covered_if_the_incarnation_is_not_known(self):
+        for incarnation, expected in (('', True), ('0', True), ('40', False)):
+            with self.subTest(incarnation=incarnation):
+                self.setUp()
+                self.leave(incarnation, started_to_ms=ASKED_MS)
+                self.assertEqual(expected, self.covers(0))
+
+    def test_former_departure_is_no_record_of_a_later_one(self):
+        # A leader that does not know the incarnation takes none for recorded.
+        self.leave('40', started_to_ms=40, index=7)
+        self.assertTrue(self.leave('', started_to_ms=60, index=9))
+        self.assertTrue(self.covers(50))
 
     def test_repeated_departure_is_recorded_once(self):
-        self.leave('5', index=7)
-        for incarnation in ('5', ''):
-            self.assertFalse(self.leave(incarnation, index=9))
-        self.assertTrue(self.leave('6', index=11))
-        self.assertEqual(
-            ['5', '6'], [one.incarnation for one in self.record.entries]
-        )
+        for incarnation in ('40', ''):
+            with self.subTest(incarnation=incarnation):
+                self.setUp()
+                self.leave(incarnation, started_to_ms=ASKED_MS)
+                for started_to_ms in (40, ASKED_MS):
+                    self.assertFalse(
+                        self.leave(incarnation, started_to_ms=started_to_ms)
+                    )
+                self.assertTrue(
+                    self.leave(incarnation, started_to_ms=ASKED_MS + 1)
+                )
+                self.assertEqual(2, len(self.record.entries))
 
     def test_since_returns_departures_after_an_index(self):
         self.leave('5', index=7)
@@ -48,12 +91,14 @@
             self.assertEqual(count, len(self.record.since(index=index)))
 
     def test_departures_are_removed_after_retention(self):
-        for incarnation, retention_ms in (
-            ('5', departures.RETENTION_MS),
-            ('', departures.UNKNOWN_INCARNATION_RETENTION_MS),
+        for incarnation, started_to_ms, retention_ms in (
+            ('40', ASKED_MS, departures.RETENTION_MS),
+            ('', ASKED_MS, departures.RETENTION_MS),
+            ('', 0, departures.RETENTION_MS),
+            ('0', 0, departures.UNSTATED_START_RETENTION_MS),
         ):
             self.setUp()
-            self.leave(incarnation, now_ms=1000)
+            self.leave(incarnation, started_to_ms=started_to_ms, now_ms=1000)
             for now_ms, is_kept in (
                 (1000 + retention_ms, True),
                 (1001 + retention_ms, False),
@@ -62,4 +107,11 @@
                     is_old = self.record.has_old(now_ms=now_ms)
                     self.assertEqual(is_kept, not is_old)
                     self.record.forget_old(now_ms=now_ms)
-                    self.assertEqual(is_kept, self.covers('5'))
+                    self.assertEqual(is_kept, bool(self.record.entries))
+                    started_ms = int(incarnation or ASKED_MS)
+                    self.assertEqual(is_kept, self.covers(started_ms))
+
+    def test_a_copy_of_the_record_finds_the_same(self):
+        entry = Departure(server_id='i', incarnation='40', index=7, at_ms=1000)
+        self.record = departures.Departures(entries=(entry,))
+        self.assertTrue(self.covers(40))
--- a/src/shallothinge/membership/tests/test_heartbeats.py
+++ b/src/shallothinge/membership/tests/test_heartbeats.py
@@ -2,9 +2,12 @@
 
 import unittest
 
+import attrs
+
 from shallothinge import clock
 from shallothinge.membership import departures
 from shallothinge.membership import heartbeats
+from shallothinge.membership import messages
 from shallothinge.membership import table
 from shallothinge.membership.tests import samples
 
@@ -13,7 +16,7 @@
     """Outdated and repeated heartbeats change nothing."""
 
     def setUp(self):
-        self.clock = clock.ManualClock()
+        self.clock = clock.ManualClock(start_ms=7)
         self.members = table.MemberTable(
             clock=self.clock, epoch='e', silence_ms=4000
         )
@@ -21,7 +24,7 @@
         self.log = heartbeats.HeartbeatFilter(
             clock=self.clock,
             members=self.members,
-            read_departures=lambda: self.departures,
+            find_departure=lambda server: self.departures.find(server=server),
         )
 
     def assertOutdated(self, taken):
@@ -31,14 +34,16 @@
         self.assertIs(heartbeats.HeartbeatResult.CHANGED, taken)
 
     def gone(self, server_id):
-        """Record a departure under the last known incarnation."""
+        """Record a departure now."""
+        now_ms = self.clock.now_ms()
+        order = messages.ServerGone(
+            request_id='g', server_id=server_id, asked_ms=now_ms
+        )
         self.departures.record(
-            server_id=server_id,
-            incarnation=self.log.incarnation_of(server_id),
+            self.log.apply_departure(order, now_ms=now_ms),
             index=1,
-            now_ms=self.clock.now_ms(),
+            now_ms=now_ms,
         )
-        self.log.remove(server_id)
 
     def listed(self):
         return {
@@ -61,14 +66,19 @@
         self.gone('i')
         self.assertOutdated(self.log.apply(samples.heartbeat('i', sequence=4)))
         self.assertEqual(('i',), self.members.preliminary_update().left)
-        self.clock.advance(
-            duration_ms=departures.UNKNOWN_INCARNATION_RETENTION_MS + 1
-        )
-        self.departures.forget_old(now_ms=self.clock.now_ms())
+        started_ms = self.clock.now_ms() + 1
         self.assertApplied(
-            self.log.apply(samples.heartbeat('i', started_ms=9))
+            self.log.apply(samples.heartbeat('i', started_ms=started_ms))
         )
 
+    def test_server_whose_start_a_former_release_left_out_is_listed_with_it(
+        self,
+    ):
+        beat = samples.heartbeat('i', started_ms=9)
+        server = attrs.evolve(beat.server, started_ms=0)
+        self.log.apply(attrs.evolve(beat, server=server))
+        self.assertEqual((beat.server,), self.members.servers())
+
     def test_resent_heartbeat_is_not_outdated(self):
         self.log.apply(samples.heartbeat('i', sequence=3))
         for sequence, taken in (
--- a/src/shallothinge/platform/control_api.py
+++ b/src/shallothinge/platform/control_api.py
@@ -3,6 +3,7 @@
 import json
 import logging
 
+from shallothinge import clock as clocks
 from shallothinge import errors
 from shallothinge.control import fleet
 from shallothinge.http1 import exchange as exchanges
@@ -16,14 +17,34 @@
 JSON = (('content-type', 'application/json'),)
 
 
+class _WaitingCaller:
+    """The sender of a request that has not been answered yet."""
+
+    def __init__(self, *, exchange: exchanges.Exchange, clock: clocks.Clock):
+        self._exchange = exchange
+        self._clock = clock
+
+    def waited_ms(self) -> int:
+        """Return how long ago the kernel received the request."""
+        return self._clock.now_ms() - self._exchange.received_ms
+
+
 class ControlApi:
     """Translates HTTP requests into orders for the leader.
 
     :param http_port: port of this API on every control host.
+    :param clock: clock of the exchanges.
     """
 
-    def __init__(self, *, orders: fleet.FleetOrders, http_port: str):
+    def __init__(
+        self,
+        *,
+        orders: fleet.FleetOrders,
+        http_port: str,
+        clock: clocks.Clock,
+    ):
         self._orders = orders
+        self._clock = clock
         self._http_port = http_port
 
     def handle(self, exchange: exchanges.Exchange) -> None:
@@ -128,9 +149,13 @@
             )
             self._acknowledge(exchange, answer)
 
-        self._finish(
-            exchange, self._orders.remove_server(server_id=server_id), taken
+        removed = self._orders.remove_server(
+            server_id=server_id, caller=self._caller_of(exchange)
         )
+        self._finish(exchange, removed, taken)
+
+    def _caller_of(self, exchange) -> _WaitingCaller:
+        return _WaitingCaller(exchange=exchange, clock=self._clock)
 
     def _acknowledge(self, exchange, answer) -> None:
         """Name the leader's address, which saves a hop later on."""
--- a/src/shallothinge/platform/tests/test_control_api.py
+++ b/src/shallothinge/platform/tests/test_control_api.py
@@ -6,6 +6,7 @@
 
 from twisted.internet import defer
 
+from shallothinge import clock
 from shallothinge import errors
 from shallothinge.errors import ErrorKind
 from shallothinge.gateway.tests import rig
@@ -17,20 +18,26 @@
 from shallothinge.platform.tests import samples
 from shallothinge.routes import messages as route_messages
 
+START_MS = 5000
+
 
 class ControlApiTest(unittest.TestCase):
     """What the platform asks, and what it is answered."""
 
     def setUp(self):
         self.orders = mock.Mock()
-        self.api = control_api.ControlApi(orders=self.orders, http_port='8229')
+        self.clock = clock.ManualClock(start_ms=START_MS)
+        self.api = control_api.ControlApi(
+            orders=self.orders, http_port='8229', clock=self.clock
+        )
 
-    def ask(self, method, target, body=b''):
+    def ask(self, method, target, body=b'', *, received_ms=START_MS):
         exchange = rig.Exchange(
             head=messages.RequestHead(
                 method=method, target=target, headers=()
             ),
             body=body,
+            received_ms=received_ms,
         )
         self.api.handle(exchange)
         return exchange
@@ -90,6 +97,13 @@
             self.assertEqual(status, exchange.status)
         self.orders.set_zone.assert_called_with(zone='z1', is_out=True)
 
+    def test_departure_is_dated_by_its_arrival(self):
+        # A host that was blocked reads it late.
+        self.ask('DELETE', '/instances/i-1', received_ms=START_MS - 700)
+        given = self.orders.remove_server.call_args.kwargs
+        self.assertEqual('i-1', given['server_id'])
+        self.assertEqual(700, given['caller'].waited_ms())
+
     def test_heartbeat_is_decoded_once(self):
         self.orders.forward_heartbeat.return_value = defer.succeed(
             membership.HeartbeatTaken(
--- a/src/shallothinge/platform/tests/test_odd_entries.py
+++ b/src/shallothinge/platform/tests/test_odd_entries.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 from twisted.internet import defer
 
+from shallothinge import clock
 from shallothinge import protocol
 from shallothinge.gateway.tests import rig
 from shallothinge.http1 import messages
@@ -84,7 +85,9 @@
         self.orders = mock.Mock()
         self.orders.forward_heartbeat.side_effect = self.forward
         self.orders.store_routes.side_effect = self.store
-        self.api = control_api.ControlApi(orders=self.orders, http_port='1')
+        self.api = control_api.ControlApi(
+            orders=self.orders, http_port='1', clock=clock.ManualClock()
+        )
 
     def forward(self, *, server, started_ms, sequence):
         beat = membership.Heartbeat(
--- a/testing/test_versions.py
+++ b/testing/test_versions.py
@@ -33,7 +33,20 @@
                     # What both releases know arrives as it was sent.
                     _, kept = msgpack.unpackb(self.codec.encode(message))
                     for field in sent.keys() & kept.keys():
-                        self.assertEqual(sent[field], kept[field], field)
+                        self.assertKept(sent[field], kept[field], field)
+
+    def assertKept(self, sent, kept, path):
+        """Check a value; records in it may have got new fields only."""
+        if isinstance(sent, dict) and isinstance(kept, dict):
+            self.assertLessEqual(sent.keys(), kept.keys(), path)
+            for field, value in sent.items():
+                self.assertKept(value, kept[field], f'{path}.{field}')
+        elif isinstance(sent, list) and isinstance(kept, list):
+            self.assertEqual(len(sent), len(kept), path)
+            for number, pair in enumerate(zip(sent, kept, strict=True)):
+                self.assertKept(*pair, f'{path}.{number}')
+        else:
+            self.assertEqual(sent, kept, path)
 
     def test_field_of_a_later_release_is_passed_over(self):
         for message_type in self.codec.message_types:
