Refuse orders that an opposite one has overtaken

A withdrawal that the operator had given up after a second waited in a frozen control host and was carried out when the host woke. On a related path a DELETE that had waited took the next incarnation of the server for departed.

Cause: nothing between the caller's bytes and the log asked whether the caller still wanted the order, and outages, unlike configurations and heartbeats, carry no version. That carrying an order out twice is harmless, as control/answers.py said, is false for an order that sets a state.

Ruled out: a late commit of what the frozen host had put into the log (its index would be below that of the second evacuation).

The leader refuses an order if an opposite one about the same zone, backend server or control host was accepted since, or if another leader gave the revision. It is checked where the order enters the log. Departures name the incarnation and the instant instead. The terminal's orders about zones, backend servers and control hosts go the same way. What isn't carried out is answered 503.

--- a/src/shallothinge/control/answers.py
+++ b/src/shallothinge/control/answers.py
@@ -3,8 +3,8 @@
 A first answer is kept across restarts and changes of leader. It is dropped
 once it is older than ``ANSWER_RETENTION_MS``, or when it is the oldest of
 more than ``MAX_KEPT_ANSWERS``. An order that is resent after that is executed
-as a new one. That is harmless: every order either is conditional on a version
-or sets a state.
+as a new one only if nothing opposite has followed: a roll names the version
+that it replaces, and an outage order the revision under which it was given.
 """
 
 import attrs
--- a/src/shallothinge/control/leadership.py
+++ b/src/shallothinge/control/leadership.py
@@ -7,6 +7,7 @@
 
 from shallothinge import clock
 from shallothinge.bundles.model import ServingConfig
+from shallothinge.control import revisions
 from shallothinge.control import state
 from shallothinge.errors import ErrorKind
 from shallothinge.leases import messages
@@ -54,6 +55,7 @@
         self._agents_config = ServingConfig()
         self._address_of_holder: dict[messages.Holder, str] = {}
         self._members_complete_ms = elected_ms + settings.member_silence_ms
+        self.revisions = revisions.Revisions(epoch=epoch)
         self.leases = table.LeaseTable(
             clock=clock,
             duration_ms=settings.duration_ms,
--- a/src/shallothinge/control/server.py
+++ b/src/shallothinge/control/server.py
@@ -23,6 +23,7 @@
 from shallothinge.control import leadership
 from shallothinge.control import maintenance
 from shallothinge.control import orders
+from shallothinge.control import revisions
 from shallothinge.control import state
 from shallothinge.control import views
 from shallothinge.errors import ErrorKind
@@ -185,6 +186,9 @@
                 roles=roles, handle=self._fetch_routes
             ),
             operators.SetZone: Route(roles=roles, handle=self._execute_order),
+            operators.RevisionRequested: Route(
+                roles=roles, handle=self._answer_revision
+            ),
             membership.Heartbeat: Route(
                 roles=roles, handle=self._announcements.handle_heartbeat
             ),
@@ -316,11 +320,57 @@
         for a caller of the HTTP API, who has no operator key, and the
         control host is trusted to send it.
         """
+        if self._refuse_overtaken(peer, order):
+            return
         command = order
         if peer.role != 'control':
             command = self._checker.build_command(order)
+        if command is order:
+            self._current().revisions.accept(order)
+            command = revisions.without_revision(order)
         self._reply_with(self.propose(command), peer, order)
 
+    def _refuse_overtaken(self, peer, order) -> bool:
+        """Refuse an order if an opposite one may have followed.
+
+        An order that was carried out before gets its first answer.
+
+        :returns: whether it was refused.
+        """
+        is_resent = order.order_id in self._machine.data.orders.by_id
+        current = self._current()
+        if is_resent or not current.revisions.is_overtaken(order):
+            return False
+        LOG.info(
+            'refused an order that was overtaken',
+            extra={
+                'order_id': order.order_id,
+                'order': type(order).__name__,
+                'epoch': order.epoch,
+                'revision': order.revision,
+                'leader_epoch': current.epoch,
+                'leader_revision': current.revisions.current,
+            },
+        )
+        answer = operators.OrderAnswered(
+            order_id=order.order_id,
+            kind=ErrorKind.VERSION_CONFLICT,
+            detail='an opposite order may have followed, or the leader has '
+            'changed; look at the status and give the order again',
+        )
+        self._send(route=peer.route, message=answer)
+        return True
+
+    def _answer_revision(self, peer, request) -> None:
+        current = self._current()
+        answer = operators.RevisionAnswered(
+            request_id=request.request_id,
+            epoch=current.epoch,
+            revision=current.revisions.current,
+            incarnation=current.heartbeats.incarnation_of(request.server_id),
+        )
+        self._send(route=peer.route, message=answer)
+
     def _answer_in_force(self, peer, request) -> None:
         self._read_and_reply(peer, request, lambda: self._in_force(request))
 
@@ -369,6 +419,9 @@
         self._reply_to_order(founded, peer, order)
 
     def _change_members(self, peer, order) -> None:
+        if self._refuse_overtaken(peer, order):
+            return
+        self._current().revisions.accept(order)
         if order.add_id:
             changed = self._log.add_member(process_id=order.add_id)
         else:
--- a/src/shallothinge/membership/heartbeats.py
+++ b/src/shallothinge/membership/heartbeats.py
@@ -13,6 +13,7 @@
 from shallothinge.membership import messages
 from shallothinge.membership.model import BackendServer
 from shallothinge.membership.model import Departure
+from shallothinge.membership.model import is_covered
 from shallothinge.membership.table import MemberTable
 
 # Longer than the known delay of a heartbeat on a link that was cut.
@@ -59,22 +60,35 @@
     ) -> messages.RecordDeparture:
         """Remove a server at its own request; return what is to be recorded.
 
-        The order does not say which incarnation sent it. It is the latest
-        that this leader has heard of, or one that started before the order
-        and whose heartbeats did not reach this leader.
+        The server does not say which incarnation leaves. It is the latest
+        that was known when it asked, or one that had started by then and
+        whose heartbeats did not reach the leader. One that started since
+        stays.
 
-        :param now_ms: the Unix time, for orders that state none.
+        :param now_ms: the Unix time, for orders of a former release, which
+            state neither the time nor the incarnation.
         """
-        latest = self._latest.get(order.server_id)
-        incarnation = ''
-        if latest is not None:
-            incarnation = latest.heartbeat.server.incarnation
-        self.remove(order.server_id)
-        return messages.RecordDeparture(
+        incarnation = order.incarnation
+        if not order.asked_ms:
+            incarnation = self.incarnation_of(order.server_id)
+        command = messages.RecordDeparture(
             server_id=order.server_id,
             incarnation=incarnation,
             started_to_ms=order.asked_ms or now_ms,
         )
+        latest = self._latest.get(order.server_id)
+        if latest is None or is_covered(
+            _with_start(latest.heartbeat),
+            incarnation=command.incarnation,
+            started_to_ms=command.started_to_ms,
+        ):
+            self.remove(order.server_id)
+        return command
+
+    def incarnation_of(self, server_id: str) -> str:
+        """Return the incarnation in the latest heartbeat, or ''."""
+        latest = self._latest.get(server_id)
+        return '' if latest is None else latest.heartbeat.server.incarnation
 
     def apply(self, heartbeat: messages.Heartbeat) -> HeartbeatResult:
         """Apply a heartbeat unless it is outdated."""
--- a/src/shallothinge/membership/messages.py
+++ b/src/shallothinge/membership/messages.py
@@ -50,11 +50,13 @@
     """A backend server without an agent announces that it has left.
 
     ``asked_ms`` is the Unix time at which it did; 0 from a former release.
+    ``incarnation`` is the one that the leader knew then, '' if none.
     """
 
     request_id: str
     server_id: str
     asked_ms: int = 0
+    incarnation: str = ''
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallothinge/membership/model.py
+++ b/src/shallothinge/membership/model.py
@@ -66,13 +66,25 @@
 
     def covers(self, server: BackendServer) -> bool:
         """Return whether an incarnation of the server has left."""
-        if server.server_id != self.server_id:
-            return False
-        if server.incarnation == self.incarnation:
-            return True
-        if not server.started_ms:
-            return not self.incarnation
-        return server.started_ms <= self.covered_to_ms
+        return server.server_id == self.server_id and is_covered(
+            server,
+            incarnation=self.incarnation,
+            started_to_ms=self.covered_to_ms,
+        )
+
+
+def is_covered(
+    server: BackendServer, *, incarnation: str, started_to_ms: int
+) -> bool:
+    """Return whether a server is of an incarnation or started up to a time.
+
+    One that states no start is, if the incarnation is not known ('').
+    """
+    if server.incarnation == incarnation:
+        return True
+    if not server.started_ms:
+        return not incarnation
+    return server.started_ms <= started_to_ms
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallothinge/operators/control_commands.py
+++ b/src/shallothinge/operators/control_commands.py
@@ -115,7 +115,7 @@
             operator=terminal.operator,
             **{field: arguments.process_id},
         )
-        return await orders.give(terminal, order, wait=False)
+        return await orders.give_reversible(terminal, order, wait=False)
 
     return common.run_action(arguments, act)
 
--- a/src/shallothinge/operators/messages.py
+++ b/src/shallothinge/operators/messages.py
@@ -1,6 +1,11 @@
 """Messages between an operator's terminal and control, and state dumps.
 
 Every order carries an ``order_id``; a resent order gets its first answer.
+
+An order that takes something out or back carries the ``revision`` of one
+leader's outage orders, read before it was given, with that leader's
+``epoch``. It is refused once an opposite order has followed, so that an order
+that was delayed does not undo a later one. A former release states neither.
 """
 
 import attrs
@@ -50,6 +55,8 @@
     operator: str
     zone: str
     out: bool
+    epoch: str = attrs.field(default='', repr=False)
+    revision: int = attrs.field(default=0, repr=False)
 
 
 @attrs.frozen(kw_only=True)
@@ -60,6 +67,33 @@
     operator: str
     server_id: str
     out: bool
+    epoch: str = attrs.field(default='', repr=False)
+    revision: int = attrs.field(default=0, repr=False)
+
+
+@attrs.frozen(kw_only=True)
+class RevisionRequested:
+    """To the leader: read the revision for an order that is to be given.
+
+    ``server_id`` names the backend server that the order is about, if any.
+    """
+
+    request_id: str
+    server_id: str = ''
+
+
+@attrs.frozen(kw_only=True)
+class RevisionAnswered:
+    """Revision of the leader's orders within its ``epoch``.
+
+    ``incarnation`` is that of the server which the request names, '' if the
+    leader has not heard of it.
+    """
+
+    request_id: str
+    epoch: str
+    revision: int
+    incarnation: str = ''
 
 
 @attrs.frozen(kw_only=True)
@@ -135,6 +169,8 @@
     operator: str
     add_id: str = ''
     remove_id: str = ''
+    epoch: str = attrs.field(default='', repr=False)
+    revision: int = attrs.field(default=0, repr=False)
 
 
 @attrs.frozen(kw_only=True)
@@ -158,6 +194,8 @@
     RollBundle,
     SetZone,
     SetServer,
+    RevisionRequested,
+    RevisionAnswered,
     OrderAnswered,
     InForceRequested,
     InForceAnswered,
--- a/src/shallothinge/operators/orders.py
+++ b/src/shallothinge/operators/orders.py
@@ -29,6 +29,21 @@
     return await report(terminal, answer, wait=wait)
 
 
+async def give_reversible(
+    terminal: terminals.Terminal, order: object, *, wait: bool
+) -> exit_codes.ExitCode:
+    """Give an order that is void once an opposite one has followed.
+
+    It may reach control after the operator has given up waiting and has
+    ordered the opposite.
+    """
+    read = await terminal.ask(
+        messages.RevisionRequested(request_id=terminals.new_id())
+    )
+    order = attrs.evolve(order, epoch=read.epoch, revision=read.revision)
+    return await give(terminal, order, wait=wait)
+
+
 async def report(
     terminal: terminals.Terminal,
     answer: messages.OrderAnswered,
--- a/src/shallothinge/operators/outage_commands.py
+++ b/src/shallothinge/operators/outage_commands.py
@@ -59,6 +59,8 @@
             name=arguments.name,
             out=arguments.out,
         )
-        return await orders.give(terminal, order, wait=arguments.wait)
+        return await orders.give_reversible(
+            terminal, order, wait=arguments.wait
+        )
 
     return common.run_action(arguments, act)
--- a/src/shallothinge/platform/control_api.py
+++ b/src/shallothinge/platform/control_api.py
@@ -28,6 +28,10 @@
         """Return how long ago the kernel received the request."""
         return self._clock.now_ms() - self._exchange.received_ms
 
+    def is_waiting(self) -> bool:
+        """Return whether the connection is open and the answer due."""
+        return not self._exchange.is_ended
+
 
 class ControlApi:
     """Translates HTTP requests into orders for the leader.
@@ -177,9 +181,10 @@
             )
             _answer(exchange, 200, {})
 
-        self._finish(
-            exchange, self._orders.set_zone(zone=zone, is_out=is_out), done
+        ordered = self._orders.set_zone(
+            zone=zone, is_out=is_out, caller=self._caller_of(exchange)
         )
+        self._finish(exchange, ordered, done)
 
     def _finish(self, exchange, deferred, answer) -> None:
         """Answer once the leader has, or that it can't be reached."""
--- a/src/shallothinge/platform/tests/test_control_api.py
+++ b/src/shallothinge/platform/tests/test_control_api.py
@@ -95,7 +95,25 @@
             )
             exchange = self.ask('POST', '/evacuation/z1')
             self.assertEqual(status, exchange.status)
-        self.orders.set_zone.assert_called_with(zone='z1', is_out=True)
+        self.orders.set_zone.assert_called_with(
+            zone='z1', is_out=True, caller=mock.ANY
+        )
+
+    def test_caller_waits_until_it_disconnects(self):
+        exchange = self.ask('POST', '/evacuation/z1')
+        caller = self.orders.set_zone.call_args.kwargs['caller']
+        self.assertTrue(caller.is_waiting())
+        exchange.abort()
+        self.assertFalse(caller.is_waiting())
+
+    def test_order_that_was_not_carried_out_is_refused_as_not_run(self):
+        # An order that was accepted before must never get a 4xx.
+        for kind in (ErrorKind.CANCELLED, ErrorKind.VERSION_CONFLICT):
+            with self.subTest(kind=kind):
+                failed = errors.ServingError(kind=kind)
+                self.orders.set_zone.return_value = defer.fail(failed)
+                exchange = self.ask('DELETE', '/evacuation/z1')
+                self.assertEqual(503, exchange.status)
 
     def test_departure_is_dated_by_its_arrival(self):
         # A host that was blocked reads it late.
