Need a key where the list of tenants is empty

Cause: absent, null, empty, false and 0 were read as one for `tenants`, and the look-up asked only whether there is a workspace. By the same habit the text "false" made a route anonymous, and a text in place of a list of keys became one key for each of its letters.

Ruled out: that the version had not reached the gateways (a key that was never held would get 401).

Change: the route table says whether keys are needed, and only an absent `tenants` means that none are. Lists and truth values of another type make a configuration that can't be read: 400, nothing kept. The document of a configuration in which nobody holds a key begins with a byte that gateways of the former release can't read, so that they refuse requests instead of letting any key pass.

The entry's path takes no key for granted, by reading.

--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -241,7 +241,7 @@
         workspace = index.find_workspace(request.api_key)
         if workspace is not None or route.is_anonymous:
             return workspace
-        if not index.has_workspaces:
+        if not index.table.needs_keys:
             return None
         raise errors.ServingError(
             kind=ErrorKind.UNAUTHENTICATED, detail='unknown API key'
--- a/src/shallothinge/platform/control_api.py
+++ b/src/shallothinge/platform/control_api.py
@@ -83,7 +83,8 @@
             _answer(exchange, 400, {'error': str(error)})
             return
         done = self._orders.store_routes(
-            version=table.version, document=routes.pack(exchange.body)
+            version=table.version,
+            document=routes.pack(exchange.body, is_closed=table.is_closed),
         )
 
         def stored(answer):
--- a/src/shallothinge/platform/fields.py
+++ b/src/shallothinge/platform/fields.py
@@ -57,6 +57,26 @@
     return value
 
 
+def flag(value: object, *, name: str) -> bool:
+    """Return a truth value.
+
+    :raises TypeError: if it is of another type, such as a text or null.
+    """
+    if type(value) is not bool:
+        raise TypeError(f'{name} is neither true nor false')
+    return value
+
+
+def entries(value: object, *, name: str) -> list:
+    """Return a list, which may be empty.
+
+    :raises TypeError: if it is of another type, such as a text or null.
+    """
+    if type(value) is not list:
+        raise TypeError(f'{name} is not a list')
+    return value
+
+
 def _is_unicode(value: str) -> bool:
     """Return whether a text can be encoded; lone surrogates can't."""
     try:
--- a/src/shallothinge/platform/routes.py
+++ b/src/shallothinge/platform/routes.py
@@ -10,20 +10,30 @@
 COMPRESSION_LEVEL = 6
 # Longer than a path prefix that a request can have.
 MAX_TEXT_CHARACTERS = 16_384
+# Gateways of a former release let any key pass if a configuration lists no
+# tenant. They can't read a document that begins so, and refuse requests.
+CLOSED_MARK = b'\0'
 
 
 class InvalidConfiguration(ValueError):
     """A configuration that must not be put in force; the text says why."""
 
 
-def pack(content: bytes) -> bytes:
-    """Return the document that is stored for a configuration's JSON."""
-    return zlib.compress(content, COMPRESSION_LEVEL)
+def pack(content: bytes, *, is_closed: bool = False) -> bytes:
+    """Return the document that is stored for a configuration's JSON.
+
+    :param is_closed: whether nobody holds a key, though keys are needed.
+    """
+    document = zlib.compress(content, COMPRESSION_LEVEL)
+    return CLOSED_MARK + document if is_closed else document
 
 
 def unpack(document: bytes) -> bytes:
-    """Return the JSON of a stored document."""
-    return zlib.decompress(document)
+    """Return the JSON of a stored document.
+
+    :raises zlib.error: if it is damaged.
+    """
+    return zlib.decompress(document.removeprefix(CLOSED_MARK))
 
 
 def read_document(document: bytes) -> model.RouteTable:
@@ -59,10 +69,14 @@
     usual = messages.Limits()
     return model.RouteTable(
         version=_whole(fields['version']),
-        routes=tuple(_read_route(one) for one in fields['routes']),
-        services=tuple(_read_service(one) for one in fields['services']),
+        routes=tuple(_read_route(one) for one in _entries(fields['routes'])),
+        services=tuple(
+            _read_service(one) for one in _entries(fields['services'])
+        ),
+        # With an empty list nobody holds a key.
+        needs_keys='tenants' in fields,
         workspaces=tuple(
-            _read_workspace(one) for one in fields.get('tenants') or ()
+            _read_workspace(one) for one in _entries(fields.get('tenants', []))
         ),
         limits=messages.Limits(
             header_bytes=_number(
@@ -94,8 +108,8 @@
         pause_objective_ms=_number(fields.get('target-gap-ms'), 0) or 1000,
         priority=_number(fields.get('priority'), 1),
         attempts=_number(fields.get('attempts'), 1),
-        is_anonymous=bool(fields.get('allow-anonymous', False)),
-        is_resumable=bool(fields.get('resume-streams', False)),
+        is_anonymous=_flag(fields.get('allow-anonymous', False)),
+        is_resumable=_flag(fields.get('resume-streams', False)),
     )
 
 
@@ -106,22 +120,21 @@
 
 
 def _read_split(fields: dict) -> tuple[model.Split, ...]:
-    if fields.get('traffic-split'):
-        return tuple(
-            model.Split(
-                service=_text(one['service']), weight=_number(one['weight'])
-            )
-            for one in fields['traffic-split']
+    if 'traffic-split' not in fields:
+        return (model.Split(service=_text(fields['service']), weight=1),)
+    return tuple(
+        model.Split(
+            service=_text(one['service']), weight=_number(one['weight'])
         )
-    return (model.Split(service=_text(fields['service']), weight=1),)
+        for one in _entries(fields['traffic-split'])
+    )
 
 
 def _read_service(fields: dict) -> model.Service:
-    engine = fields.get('engine')
     return model.Service(
         name=_text(fields['name']),
         cold_requests_per_s=_number(fields.get('cold-per-s'), 0.0),
-        engine=_read_engine(engine) if engine else None,
+        engine=_read_engine(fields['engine']) if 'engine' in fields else None,
     )
 
 
@@ -144,7 +157,7 @@
     priority = fields.get('priority')
     return model.Workspace(
         name=_text(fields['name']),
-        api_keys=tuple(_text(key) for key in fields['api-keys']),
+        api_keys=tuple(_text(key) for key in _entries(fields['api-keys'])),
         priority=_number(priority) if priority is not None else None,
     )
 
@@ -164,6 +177,14 @@
     return checks.text(value, name='a field', most=MAX_TEXT_CHARACTERS)
 
 
+def _flag(value: object) -> bool:
+    return checks.flag(value, name='a field')
+
+
+def _entries(value: object) -> list:
+    return checks.entries(value, name='a field')
+
+
 def _check(table: model.RouteTable) -> None:
     names = {service.name for service in table.services}
     places = set()
--- a/src/shallothinge/platform/tests/test_routes.py
+++ b/src/shallothinge/platform/tests/test_routes.py
@@ -2,6 +2,7 @@
 
 import json
 import unittest
+import zlib
 
 from shallothinge.http1 import messages
 from shallothinge.platform import routes
@@ -28,13 +29,34 @@
 )
 
 
-def change(path, value):
-    """Return the sample with the value at a path replaced or removed."""
+ODD_FLAGS = (None, [], {}, '', 0, 1, 'false', 'no', [0])
+ODD_LISTS = (None, {}, '', 0, False, True, 'no')
+
+
+def paths_of(value, path=()):
+    """Return the paths of all fields and entries below a value."""
+    if isinstance(value, dict):
+        inner = value.items()
+    elif isinstance(value, list):
+        inner = enumerate(value)
+    else:
+        return []
+    found = []
+    for key, one in inner:
+        found += [(*path, key), *paths_of(one, (*path, key))]
+    return found
+
+
+def change(path, value, *, null=False):
+    """Return the sample with the value at a path replaced or removed.
+
+    :param null: whether None is sent as a value; otherwise it removes.
+    """
     fields = samples.configuration()
     at = fields
     for key in path[:-1]:
         at = at[key]
-    if value is None:
+    if value is None and not null:
         del at[path[-1]]
     else:
         at[path[-1]] = value
@@ -88,6 +110,69 @@
                 with self.assertRaises(routes.InvalidConfiguration):
                     routes.read(content)
 
+    def test_only_absent_tenants_mean_that_no_keys_are_needed(self):
+        # An empty list was read like an absent one, so that any key passed.
+        for name, tenants, needs_keys in (
+            ('absent', None, False),
+            ('empty', [], True),
+            ('without keys', [{'name': 'w', 'api-keys': []}], True),
+        ):
+            with self.subTest(name):
+                table = routes.read(change(('tenants',), tenants))
+                self.assertEqual(needs_keys, table.needs_keys)
+                self.assertEqual(name == 'empty', table.is_closed)
+
+    def test_fields_of_another_type_are_refused(self):
+        # JSON text and numbers are true or false to Python, and texts are
+        # lists of their letters.
+        rows = (
+            (('tenants',), ODD_LISTS),
+            (('tenants', 0, 'api-keys'), (*ODD_LISTS, 'abc')),
+            (('routes', 0, 'allow-anonymous'), ODD_FLAGS),
+            (('routes', 0, 'resume-streams'), ODD_FLAGS),
+            (('routes',), ODD_LISTS),
+            (('services',), ODD_LISTS),
+            (('routes', 0, 'traffic-split'), (*ODD_LISTS, [])),
+            (('services', 0, 'engine'), (*ODD_LISTS, [])),
+        )
+        for path, values in rows:
+            for value in values:
+                with self.subTest(path=path, value=value):
+                    with self.assertRaises(routes.InvalidConfiguration):
+                        routes.read(change(path, value, null=True))
+
+    def test_odd_values_open_no_route(self):
+        for path in paths_of(samples.configuration()):
+            for value in (None, [], {}, '', 0, False, 'no', [0], '0', True):
+                fields = json.loads(change(path, value, null=True))
+                with self.subTest(path=path, value=value):
+                    try:
+                        table = routes.read(json.dumps(fields).encode())
+                    except routes.InvalidConfiguration:
+                        continue
+                    self.assertTrue(table.needs_keys)
+                    for read, sent in zip(
+                        table.routes, fields['routes'], strict=True
+                    ):
+                        is_open = sent.get('allow-anonymous') is True
+                        self.assertIs(is_open, read.is_anonymous)
+                    for read, sent in zip(
+                        table.workspaces, fields['tenants'], strict=True
+                    ):
+                        self.assertEqual(list(read.api_keys), sent['api-keys'])
+
+    def test_closed_configuration_is_read_back_as_it_was_sent(self):
+        content = change(('tenants',), [])
+        document = routes.pack(content, is_closed=True)
+        self.assertEqual(content, routes.unpack(document))
+        self.assertTrue(routes.read_document(document).is_closed)
+
+    def test_gateway_of_a_former_release_refuses_a_closed_configuration(self):
+        # It would let any key pass, if it could read the document.
+        document = routes.pack(change(('tenants',), []), is_closed=True)
+        with self.assertRaises(zlib.error):
+            zlib.decompress(document)
+
     def test_numbers_that_requests_could_not_be_served_with_are_refused(self):
         for path in NUMBERS:
             for value in ('1', [], True, float('nan'), float('inf'), 10**400):
--- a/src/shallothinge/routes/lookup.py
+++ b/src/shallothinge/routes/lookup.py
@@ -26,11 +26,6 @@
             for api_key in workspace.api_keys
         }
 
-    @property
-    def has_workspaces(self) -> bool:
-        """Return whether requests need an API key."""
-        return bool(self.table.workspaces)
-
     def find_route(self, *, host: str, path: str) -> model.Route | None:
         """Return the route with the longest prefix that matches a path.
 
--- a/src/shallothinge/routes/model.py
+++ b/src/shallothinge/routes/model.py
@@ -114,10 +114,20 @@
 
 @attrs.frozen(kw_only=True)
 class RouteTable:
-    """All routes of one version."""
+    """All routes of one version.
+
+    Unless ``needs_keys`` is False, only anonymous routes serve requests
+    without the key of a workspace, also if there is no workspace.
+    """
 
     version: int = 0
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
+    needs_keys: bool = True
     workspaces: tuple[Workspace, ...] = ()
     limits: messages.Limits = messages.Limits()
+
+    @property
+    def is_closed(self) -> bool:
+        """Return whether nobody holds a key, though keys are needed."""
+        return self.needs_keys and not self.workspaces
