Bound what a process holds by its memory limit

Cause, two of them: the bounds were constants (16 MiB a body, 256 MiB together) above the machine's limit; and a body that was dropped, and no longer counted, stayed until a garbage collection, as a failed attempt is referred to by what it refers to.

Change: memory.py divides `memory_mb`, which the settings templates pass on, into shares for answers and for requests' bodies; gateway, agent, entry and the control hosts' HTTP API use them. Over the share the longest answer fails, and a request is refused with 503, before its body is read if its length says so. Near the limit, with much held, a gateway refuses new work. The kernel keeps some 64 KiB of an unread answer. A log line, counters and gauges tell which share was used up.

The tests that patched the constant set the share instead; the one on bodies that were passed on now checks the bytes that are counted, which is as strict.

--- a/src/shallothinge/agent/engine.py
+++ b/src/shallothinge/agent/engine.py
@@ -7,6 +7,7 @@
 import attrs
 from twisted.internet import defer
 
+from shallothinge import memory
 from shallothinge.agent import http
 from shallothinge.agent import model
 
@@ -73,8 +74,10 @@
     nothing about them.
     """
 
-    def __init__(self, *, reactor, url: str):
-        self._http = http.HttpClient(reactor=reactor, url=url)
+    def __init__(
+        self, *, reactor, url: str, bodies: memory.Share | None = None
+    ):
+        self._http = http.HttpClient(reactor=reactor, url=url, bodies=bodies)
 
     def start(
         self, *, completion: Completion, may_send: Callable[[], bool]
--- a/src/shallothinge/agent/http.py
+++ b/src/shallothinge/agent/http.py
@@ -13,6 +13,7 @@
 import attrs
 from twisted.internet import defer
 
+from shallothinge import memory
 from shallothinge.http1 import client
 from shallothinge.http1 import messages
 
@@ -66,10 +67,11 @@
 
     def ended(self, why_not: str = '') -> None:
         """Give the body, or the failure."""
+        body, self._body = self._body, bytearray()
         if why_not:
             self.collected.errback(Broken(why_not))
         else:
-            self.collected.callback(bytes(self._body))
+            self.collected.callback(bytes(body))
 
 
 class Response:
@@ -130,6 +132,7 @@
     def on_failure(self, failure: client.Failure) -> None:
         """Tell that there is no whole answer."""
         detail = f'{failure.kind.value}: {failure.detail}'
+        self._early.clear()
         if self._head is not None:
             self._end(detail)
         elif failure.was_sent:
@@ -184,13 +187,18 @@
     """Sends requests to one backend server.
 
     :param url: address of the backend server.
+    :param bodies: memory for the bodies of unfinished answers.
     """
 
-    def __init__(self, *, reactor, url: str):
+    def __init__(
+        self, *, reactor, url: str, bodies: memory.Share | None = None
+    ):
         self._reactor = reactor
         self._url = url.rstrip('/')
         self._caller = client.HttpClient(
-            reactor=reactor, connect_timeout_ms=CONNECT_TIMEOUT_MS
+            reactor=reactor,
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            bodies=bodies,
         )
         self._asked: set[defer.Deferred] = set()
 
--- a/src/shallothinge/agent/parts.py
+++ b/src/shallothinge/agent/parts.py
@@ -109,7 +109,9 @@
     def _make_engine(self) -> None:
         backend = self._settings.backend
         self._engine = engines.EngineClient(
-            reactor=self._reactor, url=backend.url
+            reactor=self._reactor,
+            url=backend.url,
+            bodies=self._process.memory.answers,
         )
         self.streams = streams.StreamService(
             reactor=self._reactor,
@@ -137,7 +139,11 @@
         )
         self.calls = calls.CallService(
             clock=self._clock,
-            client=http.HttpClient(reactor=self._reactor, url=backend.url),
+            client=http.HttpClient(
+                reactor=self._reactor,
+                url=backend.url,
+                bodies=self._process.memory.answers,
+            ),
             holder=self.holder,
             authority=self.authority,
             gate=self.gate,
--- a/src/shallothinge/control/process.py
+++ b/src/shallothinge/control/process.py
@@ -235,6 +235,7 @@
         clock=process.clock,
         handle=api.handle,
         refusal=dialect.write_refusal,
+        bodies=process.memory.requests,
     )
     port = http_server.listen(
         site=site, address=settings.api.address, reactor=process.reactor
--- a/src/shallothinge/entry/channel.py
+++ b/src/shallothinge/entry/channel.py
@@ -10,6 +10,7 @@
 from twisted.web import server
 
 from shallothinge import errors
+from shallothinge import memory
 from shallothinge.entry import answers
 from shallothinge.errors import ErrorKind
 from shallothinge.settings.model import HttpSettings
@@ -30,7 +31,7 @@
     def handleContentChunk(self, data):
         """Keep a part of the body, unless it becomes too large."""
         total_bytes = self.content.tell() + len(data)
-        if self.channel.check_body_bytes(total_bytes):
+        if self.channel.check_body_bytes(total_bytes, len(data)):
             super().handleContentChunk(data)
 
 
@@ -40,13 +41,21 @@
     def __init__(self):
         super().__init__()
         self.limits = HttpSettings(address='')
+        self.bodies = memory.divide().requests
         self._rejected = False
         self._receiving = None
         self._lingering = None
 
-    def apply_limits(self, limits: HttpSettings) -> None:
-        """Set the limits, before the first byte is read."""
+    def apply_limits(
+        self, limits: HttpSettings, *, bodies: memory.Share
+    ) -> None:
+        """Set the limits, before the first byte is read.
+
+        :param bodies: memory for the bodies of requests until they are
+            answered.
+        """
         self.limits = limits
+        self.bodies = bodies
         self.totalHeadersSize = limits.max_header_bytes
         self.MAX_LENGTH = limits.max_header_bytes
 
@@ -74,13 +83,27 @@
     def connectionLost(self, reason):
         """Stop the timers."""
         self._stop_timer()
+        self.bodies.drop(self)
         _cancel(self._lingering)
         super().connectionLost(reason)
 
-    def check_body_bytes(self, total_bytes: int) -> bool:
-        """Return whether a body size is allowed; refuse if it is not."""
+    def requestDone(self, request):
+        """Go on after an answer; the request's body is no longer held."""
+        self.bodies.drop(self)
+        super().requestDone(request)
+
+    def check_body_bytes(self, total_bytes: int, count_bytes: int = 0) -> bool:
+        """Return whether a body size is allowed; refuse if it is not.
+
+        :param count_bytes: bytes of it that have just arrived.
+        """
         if total_bytes <= self.limits.max_body_bytes:
-            return True
+            if self.bodies.add(self, count_bytes) is None:
+                return True
+            self.reject(
+                kind=ErrorKind.OVERLOADED, detail='memory for bodies is full'
+            )
+            return False
         self.reject(
             kind=ErrorKind.BODY_TOO_LARGE,
             detail=f'allowed are {self.limits.max_body_bytes} bytes',
@@ -133,6 +156,7 @@
         if self._rejected:
             return
         self._rejected = True
+        self.bodies.drop(self)
         self._stop_timer()
         reply = answers.error_reply(
             error=errors.ServingError(kind=kind, detail=detail),
@@ -171,7 +195,14 @@
 
     protocol = CallerChannel
 
-    def __init__(self, *, root, limits: HttpSettings, reactor):
+    def __init__(
+        self,
+        *,
+        root,
+        limits: HttpSettings,
+        reactor,
+        bodies: memory.Share | None = None,
+    ):
         super().__init__(
             root,
             requestFactory=CallerRequest,
@@ -180,12 +211,13 @@
             parsePOSTFormSubmission=False,
         )
         self._limits = limits
+        self._bodies = bodies or memory.divide().requests
 
     def buildProtocol(self, addr):
         """Return a connection with the limits applied."""
         channel = super().buildProtocol(addr)
         channel.callLater = self.reactor.callLater
-        channel.apply_limits(self._limits)
+        channel.apply_limits(self._limits, bodies=self._bodies)
         return channel
 
     def acceptableProtocols(self):
--- a/src/shallothinge/entry/process.py
+++ b/src/shallothinge/entry/process.py
@@ -229,7 +229,10 @@
     def _listen_http(self):
         http = self._settings.http
         caller_site = channel.CallerSite(
-            root=self._api, limits=http, reactor=self._reactor
+            root=self._api,
+            limits=http,
+            reactor=self._reactor,
+            bodies=self.process.memory.requests,
         )
         host, _, port = http.address.rpartition(':')
         interface = host.strip('[]')
--- a/src/shallothinge/entry/tests/test_channel.py
+++ b/src/shallothinge/entry/tests/test_channel.py
@@ -11,6 +11,7 @@
 from twisted.trial import unittest
 from twisted.web import resource
 
+from shallothinge import memory
 from shallothinge.entry import channel
 from shallothinge.settings.model import HttpSettings
 
@@ -78,7 +79,10 @@
 
     @defer.inlineCallbacks
     def setUp(self):
-        site = channel.CallerSite(root=Echo(), limits=LIMITS, reactor=reactor)
+        self.bodies = memory.Share(name='requests', limit_bytes=2000)
+        site = channel.CallerSite(
+            root=Echo(), limits=LIMITS, reactor=reactor, bodies=self.bodies
+        )
         server = endpoints.TCP4ServerEndpoint(
             reactor, 0, interface='127.0.0.1'
         )
@@ -98,6 +102,18 @@
         head, _, body = received.partition(b'\r\n\r\n')
         return int(head.split()[1]), body
 
+    @defer.inlineCallbacks
+    def test_body_beyond_the_memory_for_bodies_is_refused(self):
+        self.bodies.add('another request', 1500)
+        status, body = yield self.send(post(length=800, body=b'x' * 800))
+        self.assertEqual(
+            (503, 'overloaded'), (status, json.loads(body)['error']['code'])
+        )
+        self.bodies.drop('another request')
+        status, _ = yield self.send(post(length=800, body=b'x' * 800))
+        self.assertEqual(200, status)
+        self.assertEqual(0, self.bodies.held_bytes)
+
     @defer.inlineCallbacks
     def test_requests(self):
         chunked = b'Transfer-Encoding: chunked\r\n'
--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -326,9 +326,9 @@
         if self._is_stream_answer():
             self._on_stream_end()
             return
-        self._end()
+        body = self._end()
         if self._answer.is_success:
-            self._owner.on_answer(self, bytes(self._body))
+            self._owner.on_answer(self, body)
         else:
             self._owner.on_failed(
                 self,
@@ -338,7 +338,7 @@
                     was_sent=True,
                     detail=f'status {self._answer.status}',
                     answer=self._answer if self._answer.is_signed else None,
-                    body=bytes(self._body),
+                    body=body,
                 ),
             )
 
@@ -455,13 +455,21 @@
             self._parts.load.end(work_id)
         del self._work_ids[1:]
 
-    def _end(self) -> None:
+    def _end(self) -> bytes:
+        """End the attempt; return the body, which is not kept.
+
+        The body is no longer counted, but what refers to the attempt may
+        refer to itself and so stay until the next garbage collection.
+        """
+        body = bytes(self._body)
+        self._body = bytearray()
         self._is_over = True
         self._stop_timer()
         for work_id in self._work_ids:
             self._parts.load.end(work_id)
         if self._reservation is not None:
             self._reservation.release()
+        return body
 
     def _stop_timer(self) -> None:
         if self._stall_timer is not None and self._stall_timer.active():
--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -189,6 +189,10 @@
         """
         if self.is_stopping:
             raise policy.unsent_stop_error()
+        if self._parts.process.memory.is_short:
+            raise errors.ServingError(
+                kind=ErrorKind.OVERLOADED, detail='memory is short'
+            )
         if not self._parts.holder.is_valid():
             raise errors.ServingError(
                 kind=ErrorKind.NO_LEASE, retry_after_ms=NO_LEASE_RETRY_AFTER_MS
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -155,7 +155,9 @@
                 secret=self._process.key_pair.secret.encode()
             ),
             caller=http_client.HttpClient(
-                reactor=self._reactor, connect_timeout_ms=CONNECT_TIMEOUT_MS
+                reactor=self._reactor,
+                connect_timeout_ms=CONNECT_TIMEOUT_MS,
+                bodies=self._process.memory.answers,
             ),
             process=self._process,
             shutdown=shutdown.Shutdown(clock=clock),
@@ -168,6 +170,7 @@
             clock=self._process.clock,
             handle=handle,
             refusal=dialect.write_refusal,
+            bodies=self._process.memory.requests,
         )
 
     def start(self, opened: socket.socket | None = None) -> None:
@@ -239,6 +242,7 @@
         exchange.respond(status=status, headers=(), body=body)
 
     def _tick(self) -> None:
+        self._process.memory.check()
         self._ingress.track_missing_lease()
         self._follow_lease()
         self._parts.servers.sync_members()
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -9,6 +9,7 @@
 from twisted.internet import task
 
 from shallothinge import clock
+from shallothinge import memory
 from shallothinge.bundles.model import ServingConfig
 from shallothinge.gateway import cold_rate_limiter
 from shallothinge.gateway import dependencies
@@ -261,7 +262,7 @@
             quarantine=quarantines.PartQuarantine(clock=self.clock),
             fingerprinter=fingerprints.Fingerprinter(secret=b'secret'),
             caller=self.caller,
-            process=mock.Mock(),
+            process=mock.Mock(memory=memory.divide()),
             shutdown=shutdown.Shutdown(clock=self.clock),
             zone='z1',
         )
--- a/src/shallothinge/gateway/tests/test_endless.py
+++ b/src/shallothinge/gateway/tests/test_endless.py
@@ -1,8 +1,10 @@
 """Tests of backend servers that send endless responses."""
 
+import gc
+import tracemalloc
 import unittest
-from unittest import mock
 
+from shallothinge import memory
 from shallothinge.gateway import reservation
 from shallothinge.gateway.tests import rig
 from shallothinge.gateway.tests import test_forwarding
@@ -56,13 +58,16 @@
 class EndlessTest(unittest.TestCase):
     """A gateway reads a bounded amount of any endless response."""
 
-    def setUp(self):
+    def setUp(self, *, answers_bytes=4 * client.MAX_BODY_BYTES):
         self.reactor = wires.Reactor()
+        self.bodies = memory.Share(name='answers', limit_bytes=answers_bytes)
         self.rig = rig.Rig(
             configuration=configuration(),
             reactor=self.reactor,
             caller=client.HttpClient(
-                reactor=self.reactor, connect_timeout_ms=1000
+                reactor=self.reactor,
+                connect_timeout_ms=1000,
+                bodies=self.bodies,
             ),
         )
 
@@ -279,13 +284,16 @@
         self.assertTrue(other.is_read)
 
     def test_bodies_of_many_servers_are_bounded_together(self):
+        self.setUp(answers_bytes=3_000_000)
         exchanges = [self.start(BOOKING) for _ in range(3)]
         opened = list(self.reactor.wires)
-        with mock.patch.object(client, 'MAX_BUFFERED_BYTES', 3_000_000):
-            opened[0].send(HEAD + b'\r\n' + b'x' * 1_000_000)
-            opened[1].send(HEAD + b'\r\n' + b'x' * 1_200_000)
-            self.assertTrue(all(wire.is_read for wire in opened))
+        opened[0].send(HEAD + b'\r\n' + b'x' * 1_000_000)
+        opened[1].send(HEAD + b'\r\n' + b'x' * 1_200_000)
+        self.assertTrue(all(wire.is_read for wire in opened))
+        with self.assertLogs('shallothinge.memory') as logs:
             opened[2].send(HEAD + b'\r\n' + b'x' * 900_000)
+        self.assertEqual('answers', logs.records[0].share)
+        self.assertEqual(1, self.bodies.exceeded_count)
         self.assertEqual(
             [True, False, True], [wire.is_read for wire in opened]
         )
@@ -293,16 +301,42 @@
         # Bodies that were passed on or dropped no longer count.
         opened[0].close()
         self.assertEqual(200, exchanges[0].status)
-        with mock.patch.object(client, 'MAX_BUFFERED_BYTES', 3_000_000):
-            opened[2].send(b'x' * 1_900_000)
+        self.assertEqual(900_000, self.bodies.held_bytes)
+        opened[2].send(b'x' * 600_000)
         self.assertTrue(opened[2].is_read)
 
+    def test_body_that_is_dropped_does_not_wait_for_garbage_collection(self):
+        # Bodies that no longer counted took a process over its limit.
+        self.setUp(answers_bytes=8_000_000)
+        gc.disable()
+        self.addCleanup(gc.enable)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for _ in range(2):
+            self.start(BOOKING)
+            wire = self.reactor.wires[-1]
+            wire.pour(HEAD + b'\r\n', b'x', most_bytes=9_000_000)
+            self.assertFalse(wire.is_read)
+        held_bytes, _ = tracemalloc.get_traced_memory()
+        self.assertLess(held_bytes, 1_000_000)
+
+    def test_one_body_may_take_half_of_the_memory_for_all(self):
+        self.setUp(answers_bytes=3_000_000)
+        exchange = self.start(BOOKING)
+        (wire,) = self.reactor.wires
+        wire.send(HEAD + b'\r\n' + b'x' * 1_500_000)
+        self.assertTrue(wire.is_read)
+        wire.send(b'x')
+        self.assertFalse(wire.is_read)
+        self.assertEqual(502, exchange.status)
+        self.assertEqual(0, self.bodies.held_bytes)
+
     def test_stream_does_not_count_towards_the_limit_of_all_bodies(self):
+        self.setUp(answers_bytes=300_000)
         self.start(STREAM, tokens=5000)
         (wire,) = self.reactor.wires
         event = b'data: ' + b'x' * 100_000 + b'\n\n'
-        with mock.patch.object(client, 'MAX_BUFFERED_BYTES', 300_000):
-            wire.send(HEAD + b'\r\n' + event * 10)
+        wire.send(HEAD + b'\r\n' + event * 10)
         self.assertTrue(wire.is_read)
 
     def test_bytes_after_a_whole_answer_are_ignored(self):
--- a/src/shallothinge/gateway/tests/test_ingress.py
+++ b/src/shallothinge/gateway/tests/test_ingress.py
@@ -55,6 +55,12 @@
         self.assertEqual(100, record.total_ms)
         self.assertEqual([], self.rig.reactor.getDelayedCalls())
 
+    def test_new_request_is_refused_while_memory_is_short(self):
+        self.rig.parts.process.memory.is_short = True
+        self.assert_refused_unrun(self.rig.request(BOOKING))
+        self.rig.parts.process.memory.is_short = False
+        self.assertIsNone(self.rig.request(BOOKING).status)
+
     def test_exception_while_waiting_for_the_lease_is_answered(self):
         for name, place, attribute in STEPS:
             with self.subTest(name):
--- a/src/shallothinge/http1/client.py
+++ b/src/shallothinge/http1/client.py
@@ -21,6 +21,7 @@
 from twisted.internet import protocol
 
 from shallothinge import clock as clocks
+from shallothinge import memory
 from shallothinge.http1 import messages
 
 # If bytes stay unacknowledged or probes unanswered for this long, the host
@@ -41,9 +42,10 @@
 STREAM_BYTES_PER_FRAMING_BYTE = 1
 # Four times the default limit for the body of a request.
 MAX_BODY_BYTES = 16 * 1024 * 1024
-# Limit for the bodies of all unfinished answers together: sixteen of the
-# longest. If it is exceeded, the exchange with the longest body fails.
-MAX_BUFFERED_BYTES = 16 * MAX_BODY_BYTES
+# Of the share of memory for all bodies, what one of them may take.
+ONE_BODY_PART = 0.5
+# Bytes of an answer that the kernel keeps until they are read.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 # Bytes to read from a connection before others get their turn. They hold up
 # to 1,365 chunks of one byte, which take some milliseconds.
 READ_BYTES = 8 * 1024
@@ -105,26 +107,6 @@
         """The exchange has failed; the answer will not be complete."""
 
 
-class BufferedBodies:
-    """Limits the memory that the bodies of unfinished answers take."""
-
-    def __init__(self):
-        self._bytes: dict['ClientExchange', int] = {}
-        self._total_bytes = 0
-
-    def add(self, exchange: 'ClientExchange', count_bytes: int) -> None:
-        """Count bytes of a body; over the limit, fail the longest one."""
-        self._bytes[exchange] = self._bytes.get(exchange, 0) + count_bytes
-        self._total_bytes += count_bytes
-        if self._total_bytes > MAX_BUFFERED_BYTES:
-            longest = max(self._bytes, key=self._bytes.__getitem__)
-            longest.give_up(f'answers hold over {MAX_BUFFERED_BYTES} bytes')
-
-    def drop(self, exchange: 'ClientExchange') -> None:
-        """Stop counting a body that was handed over or abandoned."""
-        self._total_bytes -= self._bytes.pop(exchange, 0)
-
-
 class ClientExchange(protocol.Protocol):
     """Sends one request and reads one answer.
 
@@ -133,7 +115,7 @@
     :param may_send: called once the connection is established, since the
         process may have been paused in the meantime; the request is sent only
         if it returns True.
-    :param buffered_bodies: counter shared by the exchanges of a process.
+    :param bodies: memory for the bodies of all exchanges of a process.
     """
 
     def __init__(
@@ -143,9 +125,9 @@
         body: bytes,
         listener: Listener,
         may_send: Callable[[], bool] = lambda: True,
-        buffered_bodies: BufferedBodies | None = None,
+        bodies: memory.Share,
     ):
-        self._buffered_bodies = buffered_bodies or BufferedBodies()
+        self._bodies = bodies
         self._may_send = may_send
         self._head = head
         self._body = body
@@ -172,7 +154,11 @@
             return
         self.transport.bufferSize = READ_BYTES
         self.transport.setTcpNoDelay(True)
-        _enable_dead_peer_detection(self.transport.getHandle())
+        handle = self.transport.getHandle()
+        _enable_dead_peer_detection(handle)
+        handle.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         fields = messages.encode(
             (
                 *self._head.headers,
@@ -221,7 +207,7 @@
     def read_as_stream(self) -> None:
         """Lift the limit on the body, because the owner keeps none of it."""
         self._is_stream = True
-        self._buffered_bodies.drop(self)
+        self._bodies.drop(self)
 
     def pause(self) -> None:
         """Stop reading; data that was already read is still delivered."""
@@ -275,10 +261,17 @@
     def _bound_body(self, count_bytes: int) -> None:
         if self._is_stream:
             return
-        if self._body_bytes > MAX_BODY_BYTES:
-            self.give_up(f'the body exceeds {MAX_BODY_BYTES} bytes')
-        else:
-            self._buffered_bodies.add(self, count_bytes)
+        most_bytes = min(
+            MAX_BODY_BYTES, int(ONE_BODY_PART * self._bodies.limit_bytes)
+        )
+        if self._body_bytes > most_bytes:
+            self.give_up(f'the body exceeds {most_bytes} bytes')
+            return
+        longest = self._bodies.add(self, count_bytes)
+        if longest is not None:
+            longest.give_up(
+                f'answers hold over {self._bodies.limit_bytes} bytes'
+            )
 
     def _feed(self, data: bytes) -> None:
         try:
@@ -337,7 +330,7 @@
     def _finish(self) -> None:
         """Mark the exchange as done, so that no more callbacks follow."""
         self._is_done = True
-        self._buffered_bodies.drop(self)
+        self._bodies.drop(self)
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         self._timer = None
@@ -364,12 +357,20 @@
     """Sends requests to backend servers.
 
     :param connect_timeout_ms: time limit for establishing a connection.
+    :param bodies: memory for the bodies of unfinished answers; over its
+        limit, the exchange with the longest body fails.
     """
 
-    def __init__(self, *, reactor, connect_timeout_ms: int):
+    def __init__(
+        self,
+        *,
+        reactor,
+        connect_timeout_ms: int,
+        bodies: memory.Share | None = None,
+    ):
         self._reactor = reactor
         self._connect_timeout_ms = connect_timeout_ms
-        self._buffered_bodies = BufferedBodies()
+        self._bodies = bodies or memory.divide().answers
 
     def call(
         self,
@@ -392,7 +393,7 @@
             body=body,
             listener=listener,
             may_send=may_send,
-            buffered_bodies=self._buffered_bodies,
+            bodies=self._bodies,
         )
         if within_ms is not None:
             exchange.set_timeout(reactor=self._reactor, duration_ms=within_ms)
--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -10,6 +10,7 @@
 from zope.interface import implementer
 
 from shallothinge import clock as clocks
+from shallothinge import memory
 from shallothinge.http1 import arrival
 from shallothinge.http1 import closing
 from shallothinge.http1 import early
@@ -106,6 +107,7 @@
     def connectionLost(self, reason=protocol.connectionDone) -> None:
         """Notify the owner of the request in progress."""
         self._cancel_timer()
+        self._drop_body()
         if self._lingering_close is not None:
             self._lingering_close.stop()
         self._is_closing = True
@@ -178,6 +180,7 @@
         if self._exchange is None:
             return
         self._unregister_flow()
+        self._drop_body()
         self._exchange = None
         is_last = self._http.our_state is h11.MUST_CLOSE
         if is_last or self._http.their_state is not h11.DONE:
@@ -198,6 +201,7 @@
     def reset(self) -> None:
         """Reset the connection."""
         self._unregister_flow()
+        self._drop_body()
         self._exchange = None
         self._is_closing = True
         self._partial.close(partial.Cause.ANSWER_CUT)
@@ -258,6 +262,8 @@
             self._body += event.data
             if len(self._body) > self._site.limits.body_bytes:
                 self._refuse(413)
+            elif self._site.bodies.add(self, len(event.data)) is not None:
+                self._refuse(UNAVAILABLE_STATUS)
         elif isinstance(event, h11.EndOfMessage):
             self._handle_request()
 
@@ -276,6 +282,10 @@
         if length and int(length) > self._site.limits.body_bytes:
             self._refuse(413)
             return
+        if length and int(length) > self._site.bodies.free_bytes:
+            self._site.bodies.note_exceeded(longest_bytes=int(length))
+            self._refuse(UNAVAILABLE_STATUS)
+            return
         self._head = head
         self._body.clear()
         self._set_timer(self._site.limits.idle_timeout_ms)
@@ -332,6 +342,7 @@
     def _refuse(self, status: int) -> None:
         """Refuse an invalid, oversized or late request, and close."""
         self._cancel_timer()
+        self._drop_body()
         self._is_closing = True
         headers, body = self._site.refusal(status)
         fields = (
@@ -350,6 +361,11 @@
                 self._write(self._http.send(event))
         self._start_lingering_close()
 
+    def _drop_body(self) -> None:
+        """Stop counting the body of the request, which ends."""
+        self._body.clear()
+        self._site.bodies.drop(self)
+
     def _start_idle_close(self) -> None:
         """Close the connection of a caller that waits for no answer."""
         self._is_idle_close = True
@@ -399,6 +415,8 @@
     :param handle: called with each ``Exchange``.
     :param refusal: returns the headers and the body of an error answer for a
         status, if a request is refused here or its handler fails.
+    :param bodies: memory for the bodies of requests until they are answered;
+        over its limit, the request that exceeds it is refused.
     :ivar is_stopping: answers announce that their connections close.
     :ivar is_ended: the process ends and cuts the open connections.
     """
@@ -411,7 +429,9 @@
         handle: Callable[[exchanges.Exchange], None],
         refusal: Callable[[int], tuple[messages.Headers, bytes]],
         limits: messages.Limits = messages.Limits(),
+        bodies: memory.Share | None = None,
     ):
+        self.bodies = bodies or memory.divide().requests
         self.reactor = reactor
         self.clock = clock
         self.handle = handle
--- a/src/shallothinge/http1/tests/test_client.py
+++ b/src/shallothinge/http1/tests/test_client.py
@@ -5,6 +5,7 @@
 from twisted.internet import error as net_errors
 from twisted.python import failure
 
+from shallothinge import memory
 from shallothinge.http1 import client
 from shallothinge.http1 import messages
 from shallothinge.http1.client import FailureKind
@@ -25,6 +26,7 @@
             ),
             body=b'abc',
             listener=self.listener,
+            bodies=memory.divide().answers,
         )
         self.transport = fakes.Transport()
         self.exchange.makeConnection(self.transport)
@@ -80,6 +82,7 @@
             head=messages.RequestHead(method='GET', target='/', headers=()),
             body=b'',
             listener=self.listener,
+            bodies=memory.divide().answers,
         )
         exchange.not_connected('refused')
         self.assertFalse(self.listener.failure.was_sent)
--- a/src/shallothinge/http1/tests/test_server.py
+++ b/src/shallothinge/http1/tests/test_server.py
@@ -7,6 +7,7 @@
 from twisted.internet import task
 
 from shallothinge import clock
+from shallothinge import memory
 from shallothinge.http1 import closing
 from shallothinge.http1 import exchange as exchanges
 from shallothinge.http1 import messages
@@ -66,6 +67,52 @@
     def respond(self, exchange):
         exchange.respond(status=200, headers=(), body=b'yes')
 
+    def connect(self):
+        """Return another connection of the site, with its transport."""
+        connection = self.site.buildProtocol(None)
+        transport = fakes.Transport()
+        connection.makeConnection(transport)
+        return connection, transport
+
+    def test_bodies_beyond_their_memory_are_refused_until_some_is_free(self):
+        # Callers with bodies took a process over its memory limit.
+        self.site.bodies = memory.Share(name='requests', limit_bytes=12)
+        self.receive(PUT + b'Content-Length: 8\r\n\r\n' + b'x' * 8)
+        rows = (
+            (PUT + b'Content-Length: 8\r\n\r\n', 0),
+            (CHUNKED + b'8\r\n' + b'x' * 8 + b'\r\n', 0),
+            (PUT + b'Content-Length: 4\r\n\r\n' + b'x' * 4, 1),
+        )
+        for data, taken in rows:
+            with self.subTest(data=data):
+                del self.exchanges[1:]
+                connection, transport = self.connect()
+                connection.dataReceived(data)
+                refused = transport.value().startswith(b'HTTP/1.1 503 ')
+                self.assertEqual(not taken, refused)
+                self.assertEqual(taken, len(self.exchanges) - 1)
+                connection.connectionLost()
+                self.assertEqual(8, self.site.bodies.held_bytes)
+        self.assertEqual(2, self.site.bodies.exceeded_count)
+        self.respond(self.exchanges[0])
+        self.assertEqual(0, self.site.bodies.held_bytes)
+
+    def test_memory_of_a_body_is_free_however_its_request_ends(self):
+        self.site.bodies = memory.Share(name='requests', limit_bytes=12)
+        whole = PUT + b'Content-Length: 8\r\n\r\n' + b'x' * 8
+        for name, data, end in (
+            ('answered', whole, lambda one: self.respond(self.exchanges[-1])),
+            ('cut', whole, lambda one: self.exchanges[-1].abort()),
+            ('caller gone', whole, lambda one: one.connectionLost()),
+            ('broken off', whole[:-2], lambda one: one.connectionLost()),
+            ('malformed', CHUNKED + b'2\r\nxx\r\nzz\r\n', lambda one: None),
+        ):
+            with self.subTest(name):
+                connection, _ = self.connect()
+                connection.dataReceived(data)
+                end(connection)
+                self.assertEqual(0, self.site.bodies.held_bytes)
+
     def test_whole_request_is_handed_over(self):
         self.receive(b'POST /a?b HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n')
         self.receive(b'Content-Length: 3\r\n\r\nab')
--- a/src/shallothinge/process.py
+++ b/src/shallothinge/process.py
@@ -13,6 +13,7 @@
 import zmq
 
 from shallothinge import clock
+from shallothinge import memory
 from shallothinge import protocol
 from shallothinge.settings import model
 from shallothinge.transport import authenticator
@@ -73,6 +74,7 @@
         self.process_id = settings.process_id
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
         self.clock = clock.MonotonicClock()
+        self.memory = memory.divide(settings.memory_mb)
         self.codec = protocol.build_codec()
         self.key_pair = keys.read_key_pair(
             path=folder / settings.key_file,
@@ -120,6 +122,15 @@
                     name=f'connections_{role}_{field.name}',
                     read=functools.partial(getattr, traffic, field.name),
                 )
+        made.observe(
+            name='memory_resident_bytes', read=memory.read_resident_bytes
+        )
+        for share in (self.memory.answers, self.memory.requests):
+            for name in ('held_bytes', 'exceeded_count'):
+                made.observe(
+                    name=f'memory_{share.name}_{name}',
+                    read=functools.partial(getattr, share, name),
+                )
         return made
 
     def listen(
--- a/src/shallothinge/settings/model.py
+++ b/src/shallothinge/settings/model.py
@@ -13,7 +13,8 @@
     ``address`` is the zmq address that this process listens on;
     ``key_file`` and ``trust_file`` are paths, relative to the file.
     ``is_host_shared`` is false where no other user is on the host, so that
-    the key file's mode doesn't matter.
+    the key file's mode doesn't matter. ``memory_mb`` is the memory that the
+    process may use; 0 if it is not limited to less than that of the host.
     """
 
     process_id: str
@@ -25,6 +26,7 @@
     log_level: str = 'INFO'
     metrics_address: str = ''
     is_host_shared: bool = True
+    memory_mb: int = 0
 
 
 @attrs.frozen(kw_only=True)
