Let the soak delay orders, keep servers' ids and send odd configurations

Opposite orders about a zone without servers now come all the while, each given to the next host after a second; the control hosts' lines tell whether one undid a later one. Two of the five servers start again under their ids. One change in five comes after a configuration with a field of another type, which no host may acknowledge.

--- a/src/shallothinge/platform/tests/samples.py
+++ b/src/shallothinge/platform/tests/samples.py
@@ -57,6 +57,16 @@
         {'name': 'w2', 'api-keys': ['k3']},
     ],
 }
+# Paths of a configuration's fields, and values of a type that they can't have.
+ODD_CHANGES = (
+    *((('tenants',), value) for value in (None, {}, '', 0, False)),
+    *(
+        (('routes', 0, 'allow-anonymous'), value)
+        for value in ('false', 'no', [0], None)
+    ),
+    (('tenants', 0, 'api-keys'), 'abc'),
+    (('routes',), {}),
+)
 
 
 def configuration(**changes):
--- a/testing/soak/backend.py
+++ b/testing/soak/backend.py
@@ -63,7 +63,11 @@
     def __init__(self, *, arguments: argparse.Namespace):
         self._arguments = arguments
         self._born_ms = clock.WallClock().now_ms()
-        self._server_id = f'{arguments.name}-{self._born_ms}'
+        # For the records, which tell the starts of a server apart.
+        self._start_id = f'{arguments.name}-{self._born_ms}'
+        # Some servers start again under the id that they had.
+        keeps_id = random.Random(f'id {arguments.name}').random() < 0.5
+        self._server_id = arguments.name if keeps_id else self._start_id
         self._running = 0
         self._sequence = 0
         self._record = arguments.record.open('a', encoding='utf-8')
@@ -304,7 +308,7 @@
         )
 
     def _write(self, what: str, **fields) -> None:
-        line = {'what': what, 'server_id': self._server_id, **fields}
+        line = {'what': what, 'server_id': self._start_id, **fields}
         self._record.write(json.dumps(line) + '\n')
         self._record.flush()
 
--- a/testing/soak/deployment.py
+++ b/testing/soak/deployment.py
@@ -171,12 +171,15 @@
         """Return the data folder of a control host."""
         return self.folder / 'data' / name
 
-    def names(self, role: str) -> list[str]:
-        """Return the names of a role's processes that are not gone."""
+    def names(self, role: str, *, with_gone: bool = False) -> list[str]:
+        """Return the names of a role's processes that are not gone.
+
+        :param with_gone: whether to return those that are gone, too.
+        """
         return [
             part.name
             for part in self.parts.values()
-            if part.role == role and not part.is_gone
+            if part.role == role and (with_gone or not part.is_gone)
         ]
 
     def api_address_of(self, name: str) -> str:
--- a/testing/soak/operator.py
+++ b/testing/soak/operator.py
@@ -10,6 +10,7 @@
 
 from shallothinge import clock
 from shallothinge.platform import names
+from shallothinge.platform.tests import samples
 from testing.soak import callers
 from testing.soak import tables
 from testing.soak import wire
@@ -20,6 +21,8 @@
 # Of the changes, those that another one follows at once.
 AT_ONCE_SHARE = 0.25
 READ_EVERY_S = 0.3
+# Of the changes, those before which one comes that can't be read.
+ODD_SHARE = 0.2
 # From the acknowledgement of a version to the first read that may show no
 # older one.
 PROPAGATION_MS = 2000
@@ -47,6 +50,7 @@
 
     :param addresses: of the control hosts that there are, which may change.
     :param rng: for what is changed.
+    :param odd_rng: for what is sent and can't be read.
     :ivar acknowledged: the highest version with a clear answer.
     :ivar acknowledged_s: when that was, on the monotonic clock.
     :ivar read_s: when the newest read that was answered had been sent.
@@ -55,10 +59,15 @@
     """
 
     def __init__(
-        self, *, addresses: list[str], rng: random.Random | None = None
+        self,
+        *,
+        addresses: list[str],
+        rng: random.Random | None = None,
+        odd_rng: random.Random | None = None,
     ):
         self._addresses = addresses
         self._rng = rng or random.Random(0)
+        self._odd_rng = odd_rng or random.Random(0)
         self._changes: dict[int, Change] = {}
         self._turn = 0
         self._sent: dict[int, bytes] = {}
@@ -135,6 +144,8 @@
         version = self.acknowledged
         while is_wanted():
             version += 3
+            if self._odd_rng.random() < ODD_SHARE:
+                await self._put_odd(version - 1)
             await self.put(
                 version,
                 api_keys=api_keys,
@@ -144,6 +155,20 @@
             if self._rng.random() >= AT_ONCE_SHARE:
                 await asyncio.sleep(CHANGE_EVERY_S)
 
+    async def _put_odd(self, version: int) -> None:
+        """Send once what can't be read; no host may acknowledge it."""
+        fields = tables.Table().configuration(version, [callers.KEPT_KEY])
+        path, value = self._odd_rng.choice(samples.ODD_CHANGES)
+        at = fields
+        for key in path[:-1]:
+            at = at[key]
+        at[path[-1]] = value
+        answer = await self._exchange('PUT', json.dumps(fields).encode())
+        if answer is not None and answer.status == 200:
+            self.faults.append(
+                f'{value!r} was acknowledged at {path} of a configuration'
+            )
+
     async def read_while(self, is_wanted: Callable[[], bool]) -> None:
         """Read the configuration again and again."""
         while is_wanted():
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -36,6 +36,7 @@
 from testing.soak import limits
 from testing.soak import notices
 from testing.soak import operator
+from testing.soak import orders
 from testing.soak import rounds
 from testing.soak import silences
 
@@ -102,6 +103,10 @@
         self._operator = operator.Operator(
             addresses=self._running.api_addresses,
             rng=random.Random(f'tables {seed}'),
+            odd_rng=random.Random(f'odd {seed}'),
+        )
+        self._zone_orders = orders.ZoneOrders(
+            addresses=self._running.api_addresses
         )
         self._injection = injection.Injection(
             running=self._running, callers=self._callers
@@ -157,6 +162,9 @@
             asyncio.create_task(
                 self._operator.read_while(lambda: self._is_disturbed)
             ),
+            asyncio.create_task(
+                self._zone_orders.order_while(lambda: self._is_disturbed)
+            ),
             asyncio.create_task(self._silence_servers()),
         ]
         await asyncio.gather(*map(self._inject, self._plan))
@@ -281,6 +289,9 @@
             ),
         )
         found += cut
+        found += orders.check(
+            orders=self._zone_orders.orders, executed=self._executed_orders()
+        )
         return Result(
             seed=self._seed,
             found=(*found, *self._operator.faults),
@@ -301,6 +312,17 @@
             folder=str(self._running.folder),
         )
 
+    def _executed_orders(self) -> list[orders.Executed]:
+        """Return what all control hosts have logged about zones."""
+        return [
+            executed
+            for name in self._running.names('control', with_gone=True)
+            for is_out, message in orders.LINES.items()
+            for executed in orders.read_lines(
+                self._running.log_lines(name, message), is_out=is_out
+            )
+        ]
+
     def _lines(self, what: str, kind: type) -> list:
         """Return what all backend servers have written of one sort."""
         return [
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -24,6 +24,7 @@
 from testing.soak import limits
 from testing.soak import notices
 from testing.soak import operator
+from testing.soak import orders as zone_orders
 from testing.soak import relay
 from testing.soak import rounds
 from testing.soak import run
@@ -1238,6 +1239,43 @@
                 self.assertEqual(1 + count, len(found))
 
 
+class ZoneOrdersTest(unittest.TestCase):
+    """An order that was undone by one that had waited somewhere."""
+
+    def check(self, *executed):
+        orders = [
+            zone_orders.Order(is_out=True, sent_ms=100, acknowledged_ms=120),
+            zone_orders.Order(is_out=False, sent_ms=300, acknowledged_ms=320),
+            zone_orders.Order(is_out=True, sent_ms=500, acknowledged_ms=520),
+            zone_orders.Order(is_out=False, sent_ms=900),
+        ]
+        usual = ((True, 115, 7), (False, 315, 8), (True, 515, 9))
+        return zone_orders.check(
+            orders=orders,
+            executed=[
+                zone_orders.Executed(
+                    is_out=is_out, at_ms=at_ms, state_version=version
+                )
+                for is_out, at_ms, version in (*usual, *executed)
+            ],
+        )
+
+    def test_only_a_later_opposite_order_undoes_one(self):
+        rows = (
+            ((), 0),
+            # The answer of the former order came late.
+            (((False, 530, 8),), 0),
+            # Sent again, and after the next order.
+            (((True, 600, 9),), 0),
+            (((False, 910, 10),), 0),
+            (((False, 600, 10),), 1),
+            (((True, 400, 9),), 1),
+        )
+        for executed, count in rows:
+            with self.subTest(executed=executed):
+                self.assertEqual(count, len(self.check(*executed)))
+
+
 class ShortSoakTest(unittest.TestCase):
     """The real programs under a few faults."""
 
