--- a/testing/soak/operator.py
+++ b/testing/soak/operator.py
@@ -163,7 +163,9 @@
         for key in path[:-1]:
             at = at[key]
         at[path[-1]] = value
-        answer = await self._exchange('PUT', json.dumps(fields).encode())
+        # A host that takes it all the same reads it back, too.
+        self._sent[version] = json.dumps(fields).encode()
+        answer = await self._exchange('PUT', self._sent[version])
         if answer is not None and answer.status == 200:
             self.faults.append(
                 f'{value!r} was acknowledged at {path} of a configuration'
