Run a periodic step again after an exception

What was noticed by the review: token counts of over 64 bits in one request raised an exception in each report of its gateway, and ended the loop of complete reports for good. Any exception in a step that schedules its next run at its end, or that a LoopingCall runs, does the same: the ticks of replica, control host and gateway, the control client, links.

Change: such steps run by periodic.run, which logs and counts an exception, with the trace of the 1st, 2nd, 4th, 8th, ... time, and are scheduled whatever happens. The entry's and the agent's own wrappers are replaced by it. One report that can't be made does not keep back the others. The adapter reads token counts and deadlines of at most 18 ASCII digits; others count as not stated, or are refused as a malformed deadline.

No input was found that raises in the other steps.

--- a/src/shallothinge/agent/service.py
+++ b/src/shallothinge/agent/service.py
@@ -8,6 +8,7 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from shallothinge import periodic
 from shallothinge import process as processes
 from shallothinge.agent import dump
 from shallothinge.agent import parts
@@ -73,17 +74,11 @@
         self._repeat(self._publish, status.STATUS_MS)
 
     def _repeat(self, function, interval_ms: int) -> None:
-        loop = task.LoopingCall(self._guard, function)
+        loop = task.LoopingCall(periodic.run, function)
         loop.clock = self._reactor
         self._loops.append(loop)
         loop.start(interval_ms / 1000)
 
-    def _guard(self, function) -> None:
-        try:
-            function()
-        except Exception:
-            LOG.exception('a regular duty failed')
-
     def stop(self) -> defer.Deferred:
         """Take no new work, finish what runs, then close.
 
--- a/src/shallothinge/control/process.py
+++ b/src/shallothinge/control/process.py
@@ -8,6 +8,7 @@
 from twisted.internet import task
 
 from shallothinge import clock
+from shallothinge import periodic
 from shallothinge import process as processes
 from shallothinge.control import api
 from shallothinge.control import discovery
@@ -55,7 +56,7 @@
         if changes is not None and settings.discovery is not None:
             changes.subscribe(self._host.update_seeds)
         self._endpoint = self._process.listen(on_message=self._receive)
-        self._tick_loop = task.LoopingCall(self._tick)
+        self._tick_loop = task.LoopingCall(periodic.run, self._tick)
         self._tick_loop.clock = reactor
 
     def start(self) -> None:
--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -9,6 +9,7 @@
 from twisted.internet import defer
 
 from shallothinge import errors
+from shallothinge import periodic
 from shallothinge.consensus import messages
 from shallothinge.consensus import model
 from shallothinge.consensus import node as nodes
@@ -338,6 +339,13 @@
         return node
 
     def _tick(self) -> None:
+        periodic.run(self._advance)
+        if not self._closed:
+            self._tick_call = self._reactor.callLater(
+                self._tick_ms / 1000, self._tick
+            )
+
+    def _advance(self) -> None:
         now_ms = self._clock.now_ms()
         self._node.tick(now_ms)
         self._membership.tick(now_ms)
@@ -355,10 +363,6 @@
             self._links.close_unused(
                 self.member_ids + self._former_members.process_ids
             )
-        if not self._closed:
-            self._tick_call = self._reactor.callLater(
-                self._tick_ms / 1000, self._tick
-            )
 
     def _schedule_flush(self) -> None:
         if self._flush_call is None and not self._closed:
--- a/src/shallothinge/entry/process.py
+++ b/src/shallothinge/entry/process.py
@@ -12,6 +12,7 @@
 
 from shallothinge import clock as clocks
 from shallothinge import metrics
+from shallothinge import periodic
 from shallothinge import process as processes
 from shallothinge.admission import queue as queues
 from shallothinge.calls import messages as call_messages
@@ -249,13 +250,7 @@
         )
 
     def _repeat(self, function, *, every_ms: int) -> None:
-        def guarded():
-            try:
-                function()
-            except Exception:
-                LOG.exception('a regular duty met an unexpected fault')
-
-        loop = task.LoopingCall(guarded)
+        loop = task.LoopingCall(periodic.run, function)
         loop.clock = self._reactor
         loop.start(every_ms / 1000, now=False)
         self._loops.append(loop)
--- a/src/shallothinge/gateway/peers.py
+++ b/src/shallothinge/gateway/peers.py
@@ -4,6 +4,7 @@
 import logging
 
 from shallothinge import clock as clocks
+from shallothinge import periodic
 from shallothinge import process as processes
 from shallothinge.leases import holder as holders
 from shallothinge.placement import fleet
@@ -83,14 +84,17 @@
 
     def _send_full_report(self) -> None:
         """Send a complete report, for peers that have missed a report."""
-        self._load.remove_expired()
-        self._quarantine.remove_expired()
-        self._sync_connections()
-        self._send(complete=True)
         self._process.reactor.callLater(
             FULL_REPORT_INTERVAL_MS / clocks.MS_PER_SECOND,
             self._send_full_report,
         )
+        for step in (
+            self._load.remove_expired,
+            self._quarantine.remove_expired,
+            self._sync_connections,
+            functools.partial(self._send, complete=True),
+        ):
+            periodic.run(step)
 
     def _schedule_report(self, is_urgent: bool) -> None:
         """Schedule a report of this change and of those until it is sent."""
@@ -116,13 +120,16 @@
         self._send(complete=False)
 
     def _send(self, *, complete: bool) -> None:
-        reports = (
-            self._load.report(complete=complete),
-            self._quarantine.report(complete=complete),
-            self._limits.report(complete=complete),
-        )
-        for opened in self._links.values():
-            _send_all(opened, reports)
+        for source in (self._load, self._quarantine, self._limits):
+            periodic.run(
+                functools.partial(self._send_report, source, complete)
+            )
+
+    def _send_report(self, source, complete: bool) -> None:
+        report = source.report(complete=complete)
+        if report is not None:
+            for opened in self._links.values():
+                opened.send(report)
 
     def _sync_connections(self) -> None:
         """Open and close connections to match the peers that control lists."""
@@ -159,6 +166,11 @@
 
     def _send_initial(self) -> None:
         self._initial_timer = None
+        periodic.run(self._send_initial_reports)
+        if self._awaiting_initial:
+            self._schedule_initial()
+
+    def _send_initial_reports(self) -> None:
         report = self._load.repeat_as_complete_report()
         others = (
             self._quarantine.repeat_as_complete_report(),
@@ -171,8 +183,6 @@
                 del self._awaiting_initial[address]
             else:
                 self._awaiting_initial[address] = tries_left - 1
-        if self._awaiting_initial:
-            self._schedule_initial()
 
 
 def peer_id(process_id: str, incarnation: str) -> str:
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -9,6 +9,7 @@
 from twisted.internet import task
 
 from shallothinge import clock as clocks
+from shallothinge import periodic
 from shallothinge import process as processes
 from shallothinge.control import discovery
 from shallothinge.gateway import cold_rate_limiter
@@ -242,10 +243,17 @@
         exchange.respond(status=status, headers=(), body=body)
 
     def _tick(self) -> None:
-        self._process.memory.check()
-        self._ingress.track_missing_lease()
-        self._follow_lease()
-        self._parts.servers.sync_members()
+        for step in (
+            self._process.memory.check,
+            self._ingress.track_missing_lease,
+            self._follow_lease,
+            self._parts.servers.sync_members,
+            self._update_limits,
+        ):
+            periodic.run(step)
+
+    def _update_limits(self) -> None:
+        """Follow the routes' limits and the number of gateways."""
         self._callers.limits = self._ingress.limits
         count = max(1, len(self._holder.peers))
         slack = self._settings.retries.slack_requests
--- a/src/shallothinge/gateway/tests/test_peers.py
+++ b/src/shallothinge/gateway/tests/test_peers.py
@@ -81,6 +81,20 @@
             heard.apply_report(peer='own', report=report)
         return heard
 
+    def test_reports_go_on_after_one_that_raised_an_exception(self):
+        # A number of over 64 bits ended them for good.
+        self.list_peers(OTHER)
+        self.links[OTHER].is_open = True
+        for name in ('load', 'quarantine'):
+            source = getattr(self, name)
+            with self.subTest(name):
+                fault = mock.Mock(side_effect=OverflowError('injected'))
+                with mock.patch.object(source, 'report', fault):
+                    self.reactor.advance(1.1)
+                del self.links[OTHER].sent[:]
+                self.reactor.advance(1.1)
+                self.assertTrue(self.links[OTHER].sent)
+
     def test_peer_gets_a_complete_report_once_it_can_be_reached(self):
         # Without the initial report, gateways that restart together place
         # their first requests up to a second before they learn of each
--- a/src/shallothinge/leases/client.py
+++ b/src/shallothinge/leases/client.py
@@ -3,12 +3,14 @@
 Renews the lease and sends requests to the current leader.
 """
 
+import functools
 import logging
 
 import attrs
 from twisted.internet import defer
 
 from shallothinge import errors
+from shallothinge import periodic
 from shallothinge import process as processes
 from shallothinge.leases import holder as holders
 from shallothinge.leases import messages
@@ -202,17 +204,20 @@
     def _renew(self) -> None:
         if self._closed:
             return
-        now_ms = self._process.clock.now_ms()
-        due_ms = RENEW_MS if self._renewed_ms is not None else 0
-        if now_ms - (self._renewed_ms or 0) >= due_ms:
-            self._rotate(self._unanswered_host_id)
-            self._send_renewal()
+        periodic.run(self._renew_if_due)
         is_urgent = not self._holder.is_valid()
         self._schedule(
             min(NO_LEASE_RETRY_MS, RETRY_MS) if is_urgent else RETRY_MS,
             self._renew,
         )
 
+    def _renew_if_due(self) -> None:
+        now_ms = self._process.clock.now_ms()
+        due_ms = RENEW_MS if self._renewed_ms is not None else 0
+        if now_ms - (self._renewed_ms or 0) >= due_ms:
+            self._rotate(self._unanswered_host_id)
+            self._send_renewal()
+
     def _send_renewal(self) -> None:
         if self._send(self._holder.next_request()):
             self._unanswered_host_id = self._host_order[0]
@@ -228,20 +233,25 @@
     def _resend(self) -> None:
         if self._closed:
             return
-        now_ms = self._process.clock.now_ms()
-        for key, pending in list(self._pending_requests.items()):
-            if now_ms >= pending.deadline_ms:
-                del self._pending_requests[key]
-                # The link to a dead host accepts messages until the silence is
-                # detected, so the next request goes to another host.
-                self._rotate(pending.sent_to_id)
-                self._fail(pending)
-            else:
-                self._send_pending(pending)
-        self._forget_silent_hosts()
-        self._close_idle_links()
+        for key in list(self._pending_requests):
+            periodic.run(functools.partial(self._resend_or_fail, key))
+        periodic.run(self._forget_silent_hosts)
+        periodic.run(self._close_idle_links)
         self._schedule(REQUEST_RETRY_MS, self._resend)
 
+    def _resend_or_fail(self, key: str) -> None:
+        pending = self._pending_requests.get(key)
+        if pending is None:
+            return
+        if self._process.clock.now_ms() < pending.deadline_ms:
+            self._send_pending(pending)
+            return
+        del self._pending_requests[key]
+        # The link to a dead host accepts messages until the silence is
+        # detected, so the next request goes to another host.
+        self._rotate(pending.sent_to_id)
+        self._fail(pending)
+
     def _fail(self, pending: _PendingRequest) -> None:
         pending.answered.errback(
             errors.ServingError(
--- a/src/shallothinge/platform/dialect.py
+++ b/src/shallothinge/platform/dialect.py
@@ -34,6 +34,8 @@
 MAX_PARTS = 64
 MAX_PART_ID_LENGTH = 64
 DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,18})?')
+# What messages between processes can hold.
+WHOLE = re.compile(r'[0-9]{1,18}')
 MAX_LOGGED_CHARACTERS = 40
 
 
@@ -171,7 +173,7 @@
     text = head.get(names.DEADLINE_MS)
     if not text:
         return None
-    if not text.isdigit():
+    if not WHOLE.fullmatch(text):
         raise errors.ServingError(
             kind=ErrorKind.BAD_REQUEST,
             detail=f'{names.DEADLINE_MS} is not a whole number',
@@ -218,11 +220,11 @@
     serve to choose a server.
     """
     prompt, _, answer = head.get(names.TOKEN_COUNTS).partition(',')
-    prompt, answer = prompt.strip(), answer.strip()
-    return (
-        int(prompt) if prompt.isdigit() else 0,
-        int(answer) if answer.isdigit() else 0,
-    )
+    return _read_whole(prompt.strip()), _read_whole(answer.strip())
+
+
+def _read_whole(text: str) -> int:
+    return int(text) if WHOLE.fullmatch(text) else 0
 
 
 def _read_part_ids(head: messages.RequestHead) -> tuple[str, ...]:
--- a/src/shallothinge/platform/tests/test_dialect.py
+++ b/src/shallothinge/platform/tests/test_dialect.py
@@ -82,15 +82,27 @@
         )
         self.assertEqual(len(dict(head.headers)), len(head.headers))
 
-    def test_malformed_deadline_is_refused(self):
+    def read(self, name, value):
         head = messages.RequestHead(
-            method='GET',
-            target='/',
-            headers=(('deadline-milliseconds', 'soon'),),
+            method='GET', target='/', headers=((name, value),)
         )
-        with self.assertRaises(errors.ServingError) as caught:
-            self.dialect.read_request(head=head, body=b'')
-        self.assertIs(ErrorKind.BAD_REQUEST, caught.exception.kind)
+        return self.dialect.read_request(head=head, body=b'')
+
+    def test_malformed_deadline_is_refused(self):
+        for text in ('soon', '-1', '\xb2', '9' * 26, '9' * 5000):
+            with self.subTest(text=text[:30]):
+                with self.assertRaises(errors.ServingError) as caught:
+                    self.read('deadline-milliseconds', text)
+                self.assertIs(ErrorKind.BAD_REQUEST, caught.exception.kind)
+
+    def test_tokens_that_messages_can_not_hold_count_as_not_stated(self):
+        # Reports to the other gateways could not be encoded.
+        for text in ('9' * 26, '9' * 5000, '\xb2', '-1', 'x', ''):
+            with self.subTest(text=text[:30]):
+                request = self.read('token-counts', f'{text},{text}')
+                self.assertEqual(
+                    (0, 0), (request.prompt_tokens, request.answer_tokens)
+                )
 
     def test_shared_parts_of_a_prompt_are_all_but_the_last(self):
         rows = (
--- a/src/shallothinge/process.py
+++ b/src/shallothinge/process.py
@@ -14,6 +14,7 @@
 
 from shallothinge import clock
 from shallothinge import memory
+from shallothinge import periodic
 from shallothinge import protocol
 from shallothinge.settings import model
 from shallothinge.transport import authenticator
@@ -122,6 +123,10 @@
                     name=f'connections_{role}_{field.name}',
                     read=functools.partial(getattr, traffic, field.name),
                 )
+        made.observe(
+            name='periodic_step_failures',
+            read=lambda: periodic.FAILURES.count,
+        )
         made.observe(
             name='memory_resident_bytes', read=memory.read_resident_bytes
         )
--- a/src/shallothinge/transport/endpoint.py
+++ b/src/shallothinge/transport/endpoint.py
@@ -7,6 +7,7 @@
 from twisted.internet import task
 import zmq
 
+from shallothinge import periodic
 from shallothinge import wire
 from shallothinge.transport import authenticator
 from shallothinge.transport import keys
@@ -71,7 +72,9 @@
         self._reactor = reactor
         self._peers: dict[bytes, Peer] = {}
         self._last_received_s: dict[bytes, float] = {}
-        self._peer_expiry = task.LoopingCall(self._remove_silent_peers)
+        self._peer_expiry = task.LoopingCall(
+            periodic.run, self._remove_silent_peers
+        )
         self._peer_expiry.clock = reactor
         socket = context.socket(zmq.ROUTER)
         socket.set(zmq.LINGER, 0)
--- a/src/shallothinge/transport/link.py
+++ b/src/shallothinge/transport/link.py
@@ -7,6 +7,7 @@
 import zmq
 
 from shallothinge import clock
+from shallothinge import periodic
 from shallothinge import wire
 from shallothinge.transport import endpoint
 from shallothinge.transport import keys
@@ -166,6 +167,12 @@
     def _check_for_silence(self) -> None:
         if self._closed:
             return
+        periodic.run(self._ping_or_reconnect)
+        self._timer = self._reactor.callLater(
+            CHECK_MS / 1000, self._check_for_silence
+        )
+
+    def _ping_or_reconnect(self) -> None:
         now_ms = self._clock.now_ms()
         self._accumulated_silent_ms = self.silent_ms
         self._checked_ms = now_ms
@@ -173,9 +180,6 @@
             self._reconnect()
         if now_ms - self._silent_since_ms >= PING_MS:
             self.send(messages.Ping())
-        self._timer = self._reactor.callLater(
-            CHECK_MS / 1000, self._check_for_silence
-        )
 
     def _reconnect(self) -> None:
         """Open a new connection.
