Cover starts that no leader had heard of for as long as heartbeats are late

Found by reading the change: a departure covered every start up to its instant for 300 s, also one of a server whose clock is behind the host's and that restarts quickly under its id. It would not have been listed for as long. Such starts are covered for 10 s now, as an unknown incarnation was before; the incarnation itself stays covered for 300 s. The leader's age of a record is by its calendar clock, a gateway's by when it received the record.

--- a/src/shallothinge/control/leadership.py
+++ b/src/shallothinge/control/leadership.py
@@ -42,6 +42,7 @@
         self,
         *,
         clock: clock.Clock,
+        wall_clock: clock.Clock,
         machine: state.ControlState,
         settings: model.LeaseSettings,
         epoch: str,
@@ -68,7 +69,7 @@
             clock=clock,
             members=self.members,
             find_departure=lambda server: machine.data.departures.find(
-                server=server
+                server=server, now_ms=wall_clock.now_ms()
             ),
         )
 
--- a/src/shallothinge/control/server.py
+++ b/src/shallothinge/control/server.py
@@ -253,6 +253,7 @@
         if self._leadership is None or self._leadership.epoch != epoch:
             self._leadership = leadership.Leadership(
                 clock=self._clock,
+                wall_clock=self._wall_clock,
                 machine=self._machine,
                 settings=self._settings.leases,
                 epoch=epoch,
--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -326,7 +326,7 @@
         if self._is_stream_answer():
             self._on_stream_end()
             return
-        body = self._end()
+        body = bytes(self._end())
         if self._answer.is_success:
             self._owner.on_answer(self, body)
         else:
@@ -455,14 +455,13 @@
             self._parts.load.end(work_id)
         del self._work_ids[1:]
 
-    def _end(self) -> bytes:
+    def _end(self) -> bytearray:
         """End the attempt; return the body, which is not kept.
 
         The body is no longer counted, but what refers to the attempt may
         refer to itself and so stay until the next garbage collection.
         """
-        body = bytes(self._body)
-        self._body = bytearray()
+        body, self._body = self._body, bytearray()
         self._is_over = True
         self._stop_timer()
         for work_id in self._work_ids:
--- a/src/shallothinge/leases/holder.py
+++ b/src/shallothinge/leases/holder.py
@@ -181,8 +181,14 @@
         The list is one leader's soft state and may miss the departure or
         reflect it late; a recorded departure is committed by a majority.
         """
-        known = self._departures.get(server.server_id, ())
-        return any(departure.covers(server) for departure in known)
+        known = self._departures.get(server.server_id)
+        if known is None:
+            return False
+        now_ms = self._clock.now_ms()
+        return any(
+            departure.covers(server, age_ms=now_ms - since_ms)
+            for departure, since_ms in known.items()
+        )
 
     def _apply_departures(self, left: tuple[Departure, ...]) -> None:
         now_ms = self._clock.now_ms()
--- a/src/shallothinge/membership/departures.py
+++ b/src/shallothinge/membership/departures.py
@@ -10,6 +10,7 @@
 from shallothinge.membership import messages
 from shallothinge.membership.model import BackendServer
 from shallothinge.membership.model import Departure
+from shallothinge.membership.model import STARTS_COVERED_MS
 
 # Longer than a kernel repeats the last bytes of a connection that was closed
 # during a cut: a heartbeat among them may arrive until then.
@@ -32,10 +33,10 @@
         """Index the entries by their servers' ids."""
         self._replace(self.entries)
 
-    def find(self, *, server: BackendServer) -> Departure | None:
+    def find(self, *, server: BackendServer, now_ms: int) -> Departure | None:
         """Return a departure that covers an incarnation of a server."""
         for entry in self._by_server.get(server.server_id, ()):
-            if entry.covers(server):
+            if entry.covers(server, age_ms=now_ms - entry.at_ms):
                 return entry
         return None
 
@@ -94,7 +95,9 @@
 
 def retention_ms(departure: Departure) -> int:
     """Return the retention period of a departure."""
-    if departure.covered_to_ms:
+    if not departure.incarnation:
+        return STARTS_COVERED_MS
+    if departure.started_to_ms:
         return RETENTION_MS
     return UNSTATED_START_RETENTION_MS
 
--- a/src/shallothinge/membership/heartbeats.py
+++ b/src/shallothinge/membership/heartbeats.py
@@ -13,7 +13,6 @@
 from shallothinge.membership import messages
 from shallothinge.membership.model import BackendServer
 from shallothinge.membership.model import Departure
-from shallothinge.membership.model import is_covered
 from shallothinge.membership.table import MemberTable
 
 # Longer than the known delay of a heartbeat on a link that was cut.
@@ -68,22 +67,23 @@
         :param now_ms: the Unix time, for orders of a former release, which
             state neither the time nor the incarnation.
         """
+        until_ms = order.asked_ms or now_ms
         incarnation = order.incarnation
-        if not order.asked_ms:
-            incarnation = self.incarnation_of(order.server_id)
-        command = messages.RecordDeparture(
-            server_id=order.server_id,
-            incarnation=incarnation,
-            started_to_ms=order.asked_ms or now_ms,
-        )
         latest = self._latest.get(order.server_id)
-        if latest is None or is_covered(
-            _with_start(latest.heartbeat),
-            incarnation=command.incarnation,
-            started_to_ms=command.started_to_ms,
+        if latest is not None and not incarnation:
+            server = _with_start(latest.heartbeat)
+            is_former_release = not order.asked_ms
+            if is_former_release or server.started_ms <= until_ms:
+                incarnation = server.incarnation
+        if latest is None or incarnation == self.incarnation_of(
+            order.server_id
         ):
             self.remove(order.server_id)
-        return command
+        return messages.RecordDeparture(
+            server_id=order.server_id,
+            incarnation=incarnation,
+            started_to_ms=until_ms,
+        )
 
     def incarnation_of(self, server_id: str) -> str:
         """Return the incarnation in the latest heartbeat, or ''."""
