Acknowledge a departure that is in force without waiting again

Change: where the incarnation is known, the first record of it decides when it is in force; the later ones are committed. Where it is not known, its own record does, as another start may have asked.

Test: both rows of test_departure_that_is_in_force_is_acknowledged_at_once failed with the former control/departing.py and pass now; the model test of departures passes.

--- a/src/shallothinge/control/departing.py
+++ b/src/shallothinge/control/departing.py
@@ -13,6 +13,7 @@
 from shallothinge import clock as clocks
 from shallothinge import errors
 from shallothinge.control import state
+from shallothinge.membership import departures
 from shallothinge.membership import messages as membership
 
 LOG = logging.getLogger(__name__)
@@ -64,21 +65,22 @@
             leader.
         """
         recorded = defer.succeed(None)
-        if self._find(command) is None:
+        if self._departures.find_recorded(command) is None:
             recorded = self._propose(command)
         return recorded.addCallback(
             lambda _: self._wait_until_in_force(command)
         )
 
-    def _find(self, command: membership.RecordDeparture):
-        return self._machine.data.departures.find_recorded(command)
+    @property
+    def _departures(self) -> departures.Departures:
+        return self._machine.data.departures
 
     def _wait_until_in_force(
         self, command: membership.RecordDeparture
     ) -> defer.Deferred:
         departure = _PendingDeparture(
             server_id=command.server_id,
-            version=self._find(command).index,
+            version=self._departures.first_index(command),
             since_ms=self._clock.now_ms(),
             in_force=defer.Deferred(),
         )
--- a/src/shallothinge/control/tests/test_departures.py
+++ b/src/shallothinge/control/tests/test_departures.py
@@ -164,6 +164,24 @@
         kinds = [type(answer).__name__ for answer in answers]
         self.assertCountEqual(['LeaseNudge', 'ControlRefused'], kinds)
 
+    def test_departure_that_is_in_force_is_acknowledged_at_once(self):
+        # A server that had drained waited again, for gateways to confirm a
+        # record that says the same of it.
+        for first in (beat(3, leaving=True), gone()):
+            with self.subTest(first=type(first).__name__):
+                self.setUp()
+                self.list_server()
+                self.leave(first, renewing=[self.gateway])
+                self.gateway.renew()
+                asked_ms = self.bench.clock.now_ms()
+                again = membership.ServerGone(
+                    request_id='again',
+                    server_id=SERVER_ID,
+                    asked_ms=asked_ms,
+                    incarnation=str(STARTED_MS),
+                )
+                self.assertTrue(self.send(again))
+
     def test_new_leader_does_not_take_a_former_departure_for_a_new_one(self):
         # The second incarnation was unknown to the leader that it told.
         for first in (beat(3, leaving=True), gone()):
--- a/src/shallothinge/membership/departures.py
+++ b/src/shallothinge/membership/departures.py
@@ -50,6 +50,23 @@
                 return entry
         return None
 
+    def first_index(self, command: messages.RecordDeparture) -> int | None:
+        """Return the index of the first record that covers who has left.
+
+        A server that drains and then leaves, or that asks again, is recorded
+        for each instant. If its incarnation is known, the first record covers
+        it as well as the last one.
+        """
+        if not command.incarnation:
+            found = self.find_recorded(command)
+            return None if found is None else found.index
+        indexes = (
+            entry.index
+            for entry in self._by_server.get(command.server_id, ())
+            if entry.incarnation == command.incarnation
+        )
+        return min(indexes, default=None)
+
     def since(self, *, index: int) -> tuple[Departure, ...]:
         """Return the departures recorded after a log index."""
         return tuple(entry for entry in self.entries if entry.index > index)
