--- a/src/shallothinge/http1/client.py
+++ b/src/shallothinge/http1/client.py
@@ -125,9 +125,9 @@
         body: bytes,
         listener: Listener,
         may_send: Callable[[], bool] = lambda: True,
-        bodies: memory.Share,
+        bodies: memory.Share | None = None,
     ):
-        self._bodies = bodies
+        self._bodies = bodies or memory.divide().answers
         self._may_send = may_send
         self._head = head
         self._body = body
