Split the execution of orders from the control server

Change: OrderExecutor in control/order_execution.py checks, commits and answers operators' orders, founds clusters and changes members; the server dispatches.

--- a/src/shallothinge/control/server.py
+++ b/src/shallothinge/control/server.py
@@ -12,7 +12,6 @@
 from twisted.internet import defer
 
 from shallothinge import clock as clocks
-from shallothinge import errors
 from shallothinge.allowances import messages as allowances
 from shallothinge.calls import messages as calls
 from shallothinge.control import announcements
@@ -22,8 +21,7 @@
 from shallothinge.control import granting
 from shallothinge.control import leadership
 from shallothinge.control import maintenance
-from shallothinge.control import orders
-from shallothinge.control import revisions
+from shallothinge.control import order_execution
 from shallothinge.control import state
 from shallothinge.control import views
 from shallothinge.errors import ErrorKind
@@ -85,7 +83,6 @@
         self._send = send
         self._incarnation = incarnation
         self._codec = commands.build_codec()
-        self._checker = orders.OrderChecker(operators=settings.operators)
         self._leadership: leadership.Leadership | None = None
         self._departing = departing.DepartureTracker(
             machine=machine,
@@ -116,6 +113,15 @@
             reply_with=self._reply_with,
             nudge_holders=self._granter.nudge_holders,
         )
+        self._orders = order_execution.OrderExecutor(
+            log=log,
+            machine=machine,
+            operators=settings.operators,
+            current=self._current,
+            propose=self.propose,
+            send=send,
+            reply_with=self._reply_with,
+        )
         self._maintenance = maintenance.Maintenance(
             machine=machine,
             clock=clock,
@@ -141,10 +147,10 @@
                 roles=operator, handle=self._answer_dump, needs_leader=False
             ),
             operators.FoundCluster: Route(
-                roles=operator, handle=self._found, needs_leader=False
+                roles=operator, handle=self._orders.found, needs_leader=False
             ),
             operators.ChangeMembers: Route(
-                roles=operator, handle=self._change_members
+                roles=operator, handle=self._orders.change_members
             ),
         }
         entry = ('entry',)
@@ -170,7 +176,7 @@
         routes[jobs.FetchJob] = Route(roles=entry, handle=self._fetch_job)
         for order_type in ORDERS:
             routes[order_type] = Route(
-                roles=operator, handle=self._execute_order
+                roles=operator, handle=self._orders.execute
             )
         routes.update(self._build_fleet_routes())
         return routes
@@ -185,9 +191,9 @@
             route_messages.FetchRoutes: Route(
                 roles=roles, handle=self._fetch_routes
             ),
-            operators.SetZone: Route(roles=roles, handle=self._execute_order),
+            operators.SetZone: Route(roles=roles, handle=self._orders.execute),
             operators.RevisionRequested: Route(
-                roles=roles, handle=self._answer_revision
+                roles=roles, handle=self._orders.answer_revision
             ),
             membership.Heartbeat: Route(
                 roles=roles, handle=self._announcements.handle_heartbeat
@@ -314,64 +320,6 @@
         confirmed.addCallback(lambda _: read())
         self._reply_with(confirmed, peer, message)
 
-    def _execute_order(self, peer, order) -> None:
-        """Check and commit an operator's order.
-
-        An order from another control host is not checked: it was forwarded
-        for a caller of the HTTP API, who has no operator key, and the
-        control host is trusted to send it.
-        """
-        if self._refuse_overtaken(peer, order):
-            return
-        command = order
-        if peer.role != 'control':
-            command = self._checker.build_command(order)
-        if command is order:
-            self._current().revisions.accept(order)
-            command = revisions.without_revision(order)
-        self._reply_with(self.propose(command), peer, order)
-
-    def _refuse_overtaken(self, peer, order) -> bool:
-        """Refuse an order if an opposite one may have followed.
-
-        An order that was carried out before gets its first answer.
-
-        :returns: whether it was refused.
-        """
-        is_resent = order.order_id in self._machine.data.orders.by_id
-        current = self._current()
-        if is_resent or not current.revisions.is_overtaken(order):
-            return False
-        LOG.info(
-            'refused an order that was overtaken',
-            extra={
-                'order_id': order.order_id,
-                'order': type(order).__name__,
-                'epoch': order.epoch,
-                'revision': order.revision,
-                'leader_epoch': current.epoch,
-                'leader_revision': current.revisions.current,
-            },
-        )
-        answer = operators.OrderAnswered(
-            order_id=order.order_id,
-            kind=ErrorKind.VERSION_CONFLICT,
-            detail='an opposite order may have followed, or the leader has '
-            'changed; look at the status and give the order again',
-        )
-        self._send(route=peer.route, message=answer)
-        return True
-
-    def _answer_revision(self, peer, request) -> None:
-        current = self._current()
-        answer = operators.RevisionAnswered(
-            request_id=request.request_id,
-            epoch=current.epoch,
-            revision=current.revisions.current,
-            incarnation=current.heartbeats.incarnation_of(request.server_id),
-        )
-        self._send(route=peer.route, message=answer)
-
     def _answer_in_force(self, peer, request) -> None:
         self._read_and_reply(peer, request, lambda: self._in_force(request))
 
@@ -413,40 +361,6 @@
         )
         self._send(route=peer.route, message=answer)
 
-    def _found(self, peer, order) -> None:
-        founded = self._log.found(
-            cluster_id=order.cluster_id, member_ids=order.member_ids
-        )
-        self._reply_to_order(founded, peer, order)
-
-    def _change_members(self, peer, order) -> None:
-        if self._refuse_overtaken(peer, order):
-            return
-        self._current().revisions.accept(order)
-        if order.add_id:
-            changed = self._log.add_member(process_id=order.add_id)
-        else:
-            changed = self._log.remove_member(process_id=order.remove_id)
-        self._reply_to_order(changed, peer, order)
-
-    def _reply_to_order(self, done: defer.Deferred, peer, order) -> None:
-        """Answer an order that is not a state machine command."""
-
-        def accept(_):
-            return operators.OrderAnswered(order_id=order.order_id)
-
-        def refuse(failure):
-            failure.trap(errors.ServingError)
-            error = failure.value
-            if error.kind is ErrorKind.NOT_LEADER:
-                return failure
-            return operators.OrderAnswered(
-                order_id=order.order_id, kind=error.kind, detail=error.detail
-            )
-
-        done.addCallbacks(accept, refuse)
-        self._reply_with(done, peer, order)
-
     def _fetch_routes(self, peer, request) -> None:
         self._read_and_reply(
             peer,
