Give a terminal's order again if another host leads

Found by reading the change. An order about a zone, a backend server or a control host carries the revision of one leader since; resent to the next leader it was refused as a version conflict, although the operator still waited.

Change: on a version conflict the terminal reads the revision again and, if another leader answers, gives the order again under the same id. Under the same leader the refusal stands: an opposite order followed. Over HTTP nothing changes: the answer is 503, and callers repeat the order.

Test: two of four rows of test_order_is_given_again_only_to_another_leader failed with the former operators/orders.py (no second order was given) and pass now.

--- a/src/shallothinge/operators/orders.py
+++ b/src/shallothinge/operators/orders.py
@@ -17,16 +17,25 @@
 
     :param wait: whether to wait until the change binds everywhere.
     """
+    answer = await _ask(terminal, order)
+    if answer is None:
+        return exit_codes.ExitCode.NO_ANSWER
+    return await report(terminal, answer, wait=wait)
+
+
+async def _ask(
+    terminal: terminals.Terminal, order: object
+) -> messages.OrderAnswered | None:
+    """Return the answer to an order; print that there is none in time."""
     try:
-        answer = await terminal.ask(order)
+        return await terminal.ask(order)
     except errors.ServingError as error:
         print(
             f'{error}\nthe order may have been accepted; repeat the command '
             f'with --order-id {order.order_id}',
             file=sys.stderr,
         )
-        return exit_codes.ExitCode.NO_ANSWER
-    return await report(terminal, answer, wait=wait)
+        return None
 
 
 async def give_reversible(
@@ -35,13 +44,23 @@
     """Give an order that is void once an opposite one has followed.
 
     It may reach control after the operator has given up waiting and has
-    ordered the opposite.
+    ordered the opposite. If another host leads by then, the order is given
+    again under the revision of that host, as the operator still waits.
     """
-    read = await terminal.ask(
-        messages.RevisionRequested(request_id=terminals.new_id())
-    )
-    order = attrs.evolve(order, epoch=read.epoch, revision=read.revision)
-    return await give(terminal, order, wait=wait)
+    answer = None
+    epoch = ''
+    while answer is None or answer.kind is errors.ErrorKind.VERSION_CONFLICT:
+        read = await terminal.ask(
+            messages.RevisionRequested(request_id=terminals.new_id())
+        )
+        if read.epoch == epoch:
+            break
+        epoch = read.epoch
+        order = attrs.evolve(order, epoch=epoch, revision=read.revision)
+        answer = await _ask(terminal, order)
+        if answer is None:
+            return exit_codes.ExitCode.NO_ANSWER
+    return await report(terminal, answer, wait=wait)
 
 
 async def report(
