--- a/src/shallothinge/control/tests/test_delayed_orders.py
+++ b/src/shallothinge/control/tests/test_delayed_orders.py
@@ -162,6 +162,13 @@
         [answer] = answers
         self.assertIsNone(answer.kind)
 
+    def hold(self, *, delivered):
+        """Deliver so many messages; hold up and return what follows."""
+        for _ in range(delivered):
+            self.network.deliver(self.network.sent[0])
+        held, self.network.sent = self.network.sent, []
+        return held
+
     def test_withdrawal_that_waited_does_not_undo_a_later_evacuation(self):
         # The number of messages that are delivered before the host or the way
         # to the leader stops for a while.
@@ -174,13 +181,7 @@
                     waiting = []
                     if delivered:
                         self.fixture.set_zone(caller, is_out=False)
-                        waiting = list(self.network.sent)
-                        self.network.sent.clear()
-                    if delivered > 1:
-                        self.network.sent.extend(waiting)
-                        self.network.deliver(waiting[0])
-                        waiting = list(self.network.sent)
-                        self.network.sent.clear()
+                        waiting = self.hold(delivered=delivered - 1)
                     self.fixture.clock.advance(duration_ms=CALLER_TIMEOUT_MS)
                     self.order(is_out=False)
                     self.order(is_out=True)
@@ -204,13 +205,7 @@
                 waiting = []
                 if delivered:
                     self.fixture.remove_server(caller)
-                    waiting = list(self.network.sent)
-                    self.network.sent.clear()
-                if delivered > 1:
-                    self.network.sent.extend(waiting)
-                    self.network.deliver(waiting[0])
-                    waiting = list(self.network.sent)
-                    self.network.sent.clear()
+                    waiting = self.hold(delivered=delivered - 1)
                 clock.advance(duration_ms=CALLER_TIMEOUT_MS)
                 self.fixture.remove_server(self.fixture.caller())
                 self.network.deliver_all()
