Refuse keys that a table without tenants does not hold

Cause: a table without `tenants` needs no keys, and the gateway then let a request pass whatever key it carried.

A key is now compared with the newest table whether or not that needs keys.

test_key_stays_revoked_when_a_later_version_lists_no_tenants failed before (got None, sent to a server, in place of 401). The table test expected that any key passes without tenants; that was wrong by the rule that no request with a key that no configuration holds may run, and its rows are now stricter.

--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -245,7 +245,9 @@
         workspace = index.find_workspace(request.api_key)
         if workspace is not None or route.is_anonymous:
             return workspace
-        if not index.table.needs_keys:
+        # A key that an earlier table held is revoked, also by a table that
+        # needs no keys.
+        if not request.api_key and not index.table.needs_keys:
             return None
         raise errors.ServingError(
             kind=ErrorKind.UNAUTHENTICATED, detail='unknown API key'
--- a/src/shallothinge/gateway/tests/test_closed_configurations.py
+++ b/src/shallothinge/gateway/tests/test_closed_configurations.py
@@ -84,14 +84,14 @@
         gateway = self.start_gateway()
         return gateway.request(BOOKING, credential=api_key).status
 
-    def test_a_key_passes_only_if_it_is_held_or_none_is_needed(self):
-        # tenants, status for a held key, and for another or none
+    def test_a_key_passes_only_if_it_is_held(self):
+        # tenants, status for a held key, for another one, and without a key
         held = [{'name': 'w', 'api-keys': ['k1']}]
         rows = (
-            (ABSENT, None, None),
-            (held, None, 401),
-            ([], 401, 401),
-            ([{'name': 'w', 'api-keys': []}], 401, 401),
+            (ABSENT, 401, 401, None),
+            (held, None, 401, 401),
+            ([], 401, 401, 401),
+            ([{'name': 'w', 'api-keys': []}], 401, 401, 401),
         )
         for version, row in enumerate(rows, start=8):
             tenants, *expected = row
@@ -102,9 +102,19 @@
                 if tenants is ABSENT:
                     del fields['tenants']
                 self.assertEqual(200, self.put(fields))
-                found = [self.status_of('k1'), self.status_of('other')]
+                found = [
+                    self.status_of(key) for key in ('k1', 'other', '')
+                ]
                 self.assertEqual(expected, found)
-                self.assertEqual(expected[1], self.status_of(''))
+
+    def test_key_stays_revoked_when_a_later_version_lists_no_tenants(self):
+        fields = samples.configuration()
+        self.assertEqual(200, self.put(fields))
+        self.assertIsNone(self.status_of('k1'))
+        del fields['tenants']
+        self.assertEqual(200, self.put({**fields, 'version': 9}))
+        self.assertEqual(401, self.status_of('k1'))
+        self.assertIsNone(self.status_of(''))
 
     def test_unreadable_tenants_leave_the_former_ones_in_force(self):
         fields = samples.configuration()
