Add the order of waiting requests as a pure slice

Requests that find no slot retry every 20 ms, each on its own: the last to arrive may be served first, and two gateways send to the same slot.

Nothing uses it yet.

The rank counts the requests of all gateways, so the rate for the expected wait has to as well; and a gateway with late requests only would never count to its late turn while others have requests in time.

--- a/src/shallothinge/protocol.py
+++ b/src/shallothinge/protocol.py
@@ -12,6 +12,7 @@
 from shallothinge.quarantine import messages as quarantine
 from shallothinge.reservations import messages as reservations
 from shallothinge.routes import messages as routes
+from shallothinge.scheduling import messages as scheduling
 from shallothinge.server_limits import messages as server_limits
 from shallothinge.streams import messages as streams
 from shallothinge.transport import messages as transport
@@ -34,6 +35,7 @@
             *placement.MESSAGES,
             *quarantine.MESSAGES,
             *server_limits.MESSAGES,
+            *scheduling.MESSAGES,
             *consensus.MESSAGES,
         )
     )
--- /dev/null
+++ b/src/shallothinge/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Order of waiting requests across gateways when capacity is scarce."""
--- /dev/null
+++ b/src/shallothinge/scheduling/demand.py
@@ -0,0 +1,429 @@
+"""Exchange of what waits at each gateway, and of the slots in use."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import itertools
+import logging
+import math
+from typing import Protocol
+
+import attrs
+
+from shallothinge import clock as clocks
+from shallothinge.scheduling import messages
+from shallothinge.scheduling import order as orders
+
+LOG = logging.getLogger(__name__)
+
+# Three reports in a row are lost before a peer's entries expire.
+DEMAND_TTL_MS = 300
+REPEAT_INTERVAL_MS = 100
+MIN_REPORT_INTERVAL_MS = 20
+MAX_ENTRIES_PER_SERVICE = 8
+MAX_WORKSPACES = 64
+# Limits on the fields of a peer's report.
+MAX_SERVICES = 64
+MAX_NAME_CHARS = 256
+MAX_URGENCY = 1_000_000
+MAX_TIME_MS = 3_600_000
+MAX_SLOTS = 1_000_000
+MAX_COUNT = 2**53
+# The placements of a silent peer still count for the late turns.
+PEER_RETENTION_MS = 60_000
+
+_ABOVE, _NOT_ABOVE = 'above', 'not above'
+
+
+@attrs.define(kw_only=True)
+class _Peer:
+    """What a peer has last reported."""
+
+    sequence: int = -1
+    received_ms: int = 0
+    entries: list[tuple[str, int]] = attrs.field(factory=list)
+    in_use: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    granted: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+
+
+class PeerDemand:
+    """What the other gateways have reported.
+
+    :ivar on_change: called when the entries of peers have changed.
+    :ivar on_granted: called with a service, the number of waiting requests
+        that a peer has placed since its last report, and how many of them had
+        a late turn.
+    """
+
+    def __init__(self, *, clock: clocks.Clock):
+        self._clock = clock
+        self._peers: dict[str, _Peer] = {}
+        self._orders: dict[str, orders.WaitingOrder] = {}
+        self._next_expiry_ms: int | None = None
+        self.on_change: Callable[[], None] | None = None
+        self.on_granted: Callable[[str, int, int], None] | None = None
+
+    def apply_report(
+        self, message: messages.DemandReported, *, peer_id: str
+    ) -> None:
+        """Replace what is known of a peer; ignore older reports.
+
+        Malformed entries are logged and skipped.
+
+        :param peer_id: identifies one run of the peer's process.
+        """
+        reader = _ReportReader(message, now_ms=self._clock.now_ms())
+        peer = self._peers.setdefault(peer_id, _Peer())
+        if reader.sequence is not None and reader.sequence > peer.sequence:
+            peer.sequence = reader.sequence
+            self._replace(peer_id, peer, reader)
+        if reader.skipped_count:
+            LOG.warning(
+                'report of waiting requests has malformed entries',
+                extra={
+                    'peer_id': peer_id,
+                    'skipped_count': reader.skipped_count,
+                    'example': reader.skipped_example,
+                },
+            )
+
+    def _replace(
+        self, peer_id: str, peer: _Peer, reader: '_ReportReader'
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        had_entries = bool(peer.entries)
+        self._remove_entries(peer_id, peer)
+        peer.received_ms = now_ms
+        for number, (service, entry) in enumerate(reader.waiting()):
+            entry.gateway_id = peer_id
+            entry.number = number
+            order = self._orders.setdefault(service, orders.WaitingOrder())
+            order.add(entry, now_ms=now_ms)
+            order.set_above(_ABOVE, True)
+            peer.entries.append((service, number))
+        peer.in_use = reader.in_use()
+        self._count_granted(peer, reader.granted())
+        expiry_ms = now_ms + DEMAND_TTL_MS + 1
+        if self._next_expiry_ms is None or self._next_expiry_ms > expiry_ms:
+            self._next_expiry_ms = expiry_ms
+        if had_entries or peer.entries:
+            self._notify()
+
+    def _count_granted(
+        self, peer: _Peer, granted: dict[str, tuple[int, int]]
+    ) -> None:
+        known_counts = peer.granted
+        if not known_counts.keys() <= granted.keys():
+            granted = dict(
+                itertools.islice(
+                    (granted | known_counts | granted).items(), MAX_SERVICES
+                )
+            )
+        peer.granted = granted
+        for service, counts in granted.items():
+            known = known_counts.get(service)
+            if known is None or self.on_granted is None:
+                continue
+            count = counts[0] - known[0]
+            if count > 0:
+                turn_count = max(0, min(count, counts[1] - known[1]))
+                self.on_granted(service, count, turn_count)
+
+    def remove_expired(self) -> None:
+        """Remove what peers that are silent have reported."""
+        now_ms = self._clock.now_ms()
+        if self._next_expiry_ms is None or now_ms < self._next_expiry_ms:
+            return
+        has_changed = False
+        self._next_expiry_ms = None
+        for peer_id, peer in list(self._peers.items()):
+            age_ms = now_ms - peer.received_ms
+            if age_ms > PEER_RETENTION_MS:
+                del self._peers[peer_id]
+                continue
+            if age_ms > DEMAND_TTL_MS:
+                has_changed = has_changed or bool(peer.entries)
+                self._remove_entries(peer_id, peer)
+                peer.in_use = {}
+                ttl_ms = PEER_RETENTION_MS
+            else:
+                ttl_ms = DEMAND_TTL_MS
+            expiry_ms = peer.received_ms + ttl_ms + 1
+            if self._next_expiry_ms is None:
+                self._next_expiry_ms = expiry_ms
+            self._next_expiry_ms = min(self._next_expiry_ms, expiry_ms)
+        if has_changed:
+            self._notify()
+
+    def order(self, service: str) -> orders.WaitingOrder | None:
+        """Return what waits for a service at the peers, None if nothing."""
+        self.remove_expired()
+        order = self._orders.get(service)
+        if order is not None:
+            order.advance(self._clock.now_ms())
+        return order
+
+    def has_demand(self, service: str | None = None) -> bool:
+        """Return whether requests wait at a peer, for any service if None."""
+        self.remove_expired()
+        if service is None:
+            return bool(self._orders)
+        return service in self._orders
+
+    def in_use(self) -> Mapping[tuple[str, str], float]:
+        """Return the slots that the peers use, by service and workspace."""
+        self.remove_expired()
+        total: dict[tuple[str, str], float] = {}
+        for peer in self._peers.values():
+            for key, slots in peer.in_use.items():
+                total[key] = total.get(key, 0.0) + slots
+        return total
+
+    def _remove_entries(self, peer_id: str, peer: _Peer) -> None:
+        for service, number in peer.entries:
+            order = self._orders[service]
+            order.remove(peer_id, number)
+            if not order:
+                del self._orders[service]
+        peer.entries = []
+
+    def _notify(self) -> None:
+        if self.on_change is not None:
+            self.on_change()
+
+
+class _ReportReader:
+    """Reads the fields of a report, skipping and counting malformed ones."""
+
+    def __init__(self, message: messages.DemandReported, *, now_ms: int):
+        self._message = message
+        self._now_ms = now_ms
+        self.skipped_count = 0
+        self.skipped_example = ''
+        self.sequence = message.sequence
+        if not _is_count(message.sequence):
+            self._skip(message.sequence)
+            self.sequence = None
+
+    def waiting(self) -> list[tuple[str, orders.Entry]]:
+        """Return the waiting requests with their services."""
+        found = []
+        counts: dict[str, int] = {}
+        for fields in self._tuples(self._message.waiting):
+            entry = self._read_entry(fields)
+            if entry is None:
+                self._skip(fields)
+                continue
+            service = fields[0]
+            count = counts.get(service, 0)
+            if count == MAX_ENTRIES_PER_SERVICE or (
+                not count and len(counts) == MAX_SERVICES
+            ):
+                self._skip(fields)
+                continue
+            counts[service] = count + 1
+            found.append((service, entry))
+        return found
+
+    def _read_entry(self, fields: tuple) -> orders.Entry | None:
+        if len(fields) < 5:
+            return None
+        service, urgency, is_above, start_by_in_ms, abandon_in_ms = fields[:5]
+        is_valid = (
+            _is_name(service)
+            and _is_count(urgency)
+            and urgency <= MAX_URGENCY
+            and is_above in (False, True)
+            and _is_number(start_by_in_ms)
+            and _is_number(abandon_in_ms)
+        )
+        if not is_valid:
+            return None
+        return orders.Entry(
+            group=_ABOVE if is_above else _NOT_ABOVE,
+            gateway_id='',
+            number=0,
+            urgency=urgency,
+            start_by_ms=self._now_ms + _clamp(start_by_in_ms),
+            abandon_ms=self._now_ms + _clamp(abandon_in_ms),
+        )
+
+    def in_use(self) -> dict[tuple[str, str], float]:
+        """Return the slots in use by service and workspace."""
+        found = {}
+        for fields in self._tuples(self._message.in_use):
+            is_valid = (
+                len(fields) >= 3
+                and _is_name(fields[0])
+                and _is_workspace(fields[1])
+                and _is_number(fields[2])
+                and 0 <= fields[2] <= MAX_SLOTS
+                and len(found) < MAX_WORKSPACES
+            )
+            if is_valid:
+                found[fields[0], fields[1]] = float(fields[2])
+            else:
+                self._skip(fields)
+        return found
+
+    def granted(self) -> dict[str, tuple[int, int]]:
+        """Return the placed requests and late turns, by service."""
+        found = {}
+        for fields in self._tuples(self._message.granted):
+            is_valid = (
+                len(fields) >= 3
+                and _is_name(fields[0])
+                and _is_count(fields[1])
+                and _is_count(fields[2])
+                and len(found) < MAX_SERVICES
+            )
+            if is_valid:
+                found[fields[0]] = (fields[1], fields[2])
+            else:
+                self._skip(fields)
+        return found
+
+    def _tuples(self, entries: object) -> list[tuple]:
+        """Return those entries of a field that are tuples."""
+        if not isinstance(entries, (tuple, list)):
+            self._skip(entries)
+            return []
+        found = []
+        for fields in entries:
+            if isinstance(fields, (tuple, list)):
+                found.append(tuple(fields))
+            else:
+                self._skip(fields)
+        return found
+
+    def _skip(self, fields: object) -> None:
+        if not self.skipped_count:
+            self.skipped_example = repr(fields)[:MAX_NAME_CHARS]
+        self.skipped_count += 1
+
+
+def _is_name(field: object) -> bool:
+    return _is_workspace(field) and field != ''
+
+
+def _is_workspace(field: object) -> bool:
+    return isinstance(field, str) and len(field) <= MAX_NAME_CHARS
+
+
+def _is_number(field: object) -> bool:
+    return (
+        isinstance(field, (int, float))
+        and not isinstance(field, bool)
+        and not math.isnan(field)
+    )
+
+
+def _is_count(field: object) -> bool:
+    return (
+        isinstance(field, int)
+        and not isinstance(field, bool)
+        and 0 <= field <= MAX_COUNT
+    )
+
+
+def _clamp(time_ms: float) -> float:
+    return max(-MAX_TIME_MS, min(MAX_TIME_MS, time_ms))
+
+
+class ReportedQueue(Protocol):
+    """The queue of which a reporter tells the peers."""
+
+    def summary(self) -> tuple[tuple, ...]:
+        """Return the first waiting requests of each service."""
+
+    def granted_counts(self) -> tuple[tuple, ...]:
+        """Return the placed requests and late turns of each service."""
+
+    def has_demand(self, service: str) -> bool:
+        """Return whether requests wait for a service, here or at a peer."""
+
+
+class DemandReporter:
+    """Decides when to report what waits at this gateway, and builds reports.
+
+    ``on_change`` of the queue is to be connected to ``record_change``.
+
+    :param in_use: returns the slots in use by this gateway's requests, by
+        service and workspace.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        queue: ReportedQueue,
+        in_use: Callable[[], Mapping[tuple[str, str], float]],
+    ):
+        self._clock = clock
+        self._queue = queue
+        self._in_use = in_use
+        self._sequence = 0
+        self._last_ms: int | None = None
+        self._has_changed = False
+        self._is_last_empty = True
+
+    def record_change(self) -> None:
+        """Record that the next report differs from the last one."""
+        self._has_changed = True
+
+    def next_report_in_ms(self) -> int | None:
+        """Return the time until ``report`` has something to report.
+
+        :returns: milliseconds, None if nothing is to be reported.
+        """
+        if self._has_changed:
+            interval_ms = MIN_REPORT_INTERVAL_MS
+        elif not self._is_last_empty or self._in_use_of_demand():
+            interval_ms = REPEAT_INTERVAL_MS
+        else:
+            return None
+        if self._last_ms is None:
+            return 0
+        return max(0, self._last_ms + interval_ms - self._clock.now_ms())
+
+    def report(self, *, complete: bool) -> messages.DemandReported | None:
+        """Return what waits and the slots in use, None if nothing is due.
+
+        After the last waiting request has left, one empty report follows, so
+        that the peers do not yield to it until its entry expires.
+
+        :param complete: whether to report also if no report is due.
+        """
+        if not complete and self.next_report_in_ms() != 0:
+            return None
+        report = self._build(self._sequence + 1)
+        is_empty = not report.waiting and not report.in_use
+        self._has_changed = False
+        if is_empty and self._is_last_empty:
+            return None
+        self._sequence += 1
+        self._last_ms = self._clock.now_ms()
+        self._is_last_empty = is_empty
+        return report
+
+    def repeat_as_complete_report(self) -> messages.DemandReported | None:
+        """Return a report for a peer that has received none yet."""
+        report = self._build(self._sequence)
+        return report if report.waiting or report.in_use else None
+
+    def _build(self, sequence: int) -> messages.DemandReported:
+        return messages.DemandReported(
+            sequence=sequence,
+            waiting=self._queue.summary(),
+            in_use=self._in_use_of_demand(),
+            granted=self._queue.granted_counts(),
+        )
+
+    def _in_use_of_demand(self) -> tuple[tuple, ...]:
+        """Return the largest uses of services for which requests wait."""
+        used = [
+            (service, workspace, slots)
+            for (service, workspace), slots in self._in_use().items()
+            if slots > 0 and self._queue.has_demand(service)
+        ]
+        used.sort(key=lambda fields: (-fields[2], *fields[:2]))
+        return tuple(used[:MAX_WORKSPACES])
--- /dev/null
+++ b/src/shallothinge/scheduling/messages.py
@@ -0,0 +1,30 @@
+"""Messages by which gateways share what waits for capacity."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class DemandReported:
+    """The requests that wait at a gateway, and the slots in use.
+
+    A report replaces the sender's earlier ones. Times are in ms, relative to
+    the time of sending, as clocks of hosts differ.
+
+    :ivar sequence: increases with each report of one run of a gateway.
+    :ivar waiting: the first waiting requests of each service: service,
+        urgency, whether the workspace is above its share, time until the
+        request must be sent to be answered in time (negative if it has
+        passed), time until its caller abandons it.
+    :ivar in_use: slots in use by the sender's requests: service, workspace,
+        number of slots.
+    :ivar granted: waiting requests that the sender has placed since it
+        started: service, their number, and how many of them had a late turn.
+    """
+
+    sequence: int
+    waiting: tuple[tuple, ...] = ()
+    in_use: tuple[tuple, ...] = ()
+    granted: tuple[tuple, ...] = ()
+
+
+MESSAGES = (DemandReported,)
--- /dev/null
+++ b/src/shallothinge/scheduling/queue.py
@@ -0,0 +1,332 @@
+"""The requests that wait at this gateway, ordered with those of its peers."""
+
+import bisect
+import collections
+from collections.abc import Callable
+import itertools
+import math
+
+import attrs
+
+from shallothinge import clock as clocks
+from shallothinge.scheduling import demand
+from shallothinge.scheduling import grants
+from shallothinge.scheduling import model
+from shallothinge.scheduling import order as orders
+from shallothinge.scheduling import shares as workspace_shares
+
+# Of this many consecutive placements of waiting requests of a service, one is
+# of the late request that is abandoned soonest.
+LATE_TURN_INTERVAL = 8
+# Requests that were placed without waiting change the slots in use, too.
+MAX_SHARES_AGE_MS = 20
+
+NO_ENTRIES = orders.WaitingOrder()
+
+
+@attrs.define(kw_only=True)
+class _Service:
+    """The waiting requests of one service.
+
+    ``since_turn_count`` counts the placements, of all gateways, since the
+    last late turn. ``shares_ms`` is when the workspaces above their shares
+    were last determined, None if that is due.
+    """
+
+    order: orders.WaitingOrder = attrs.field(factory=orders.WaitingOrder)
+    history: grants.GrantHistory = attrs.field(factory=grants.GrantHistory)
+    granted_count: int = 0
+    turn_count: int = 0
+    since_turn_count: int = 0
+    shares_ms: int | None = None
+    late_rank: tuple[tuple, int] | None = None
+
+
+class WaitQueue:
+    """Orders the waiting requests of all gateways, as far as they are known.
+
+    Requests that can be answered in time come before late ones, then the more
+    urgent, then those of workspaces that are not above their fair share, then
+    the one that must start soonest or, of late ones, is abandoned soonest. One
+    placement in ``LATE_TURN_INTERVAL`` goes to the late request of all
+    gateways that is abandoned soonest.
+
+    :param own_id: id of this gateway, as its peers know it.
+    :ivar on_change: called when the summary may have changed.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        shares: workspace_shares.WorkspaceShares,
+        peer_demand: demand.PeerDemand,
+        own_id: str = '',
+    ):
+        self._clock = clock
+        self._shares = shares
+        self._peers = peer_demand
+        self._own_id = own_id
+        self._services: dict[str, _Service] = collections.defaultdict(_Service)
+        self._requests: dict[int, model.WaitingRequest] = {}
+        self._next_id = 0
+        self.on_change: Callable[[], None] | None = None
+        peer_demand.on_granted = self._count_peer_grants
+
+    def join(self, request: model.WaitingRequest) -> int:
+        """Add a request.
+
+        :returns: an id for the other methods.
+        """
+        if not self.has_demand(request.service):
+            self._services[request.service].history.forget_recent()
+        service = self._refreshed(request.service)
+        self._next_id += 1
+        self._requests[self._next_id] = request
+        entry = orders.Entry(
+            group=request.workspace,
+            gateway_id=self._own_id,
+            number=self._next_id,
+            urgency=request.urgency,
+            start_by_ms=request.start_by_ms,
+            abandon_ms=request.abandon_ms,
+        )
+        if request.workspace not in service.order.group_names:
+            service.shares_ms = None
+        service.order.add(entry, now_ms=self._clock.now_ms())
+        self._notify()
+        return self._next_id
+
+    def leave(self, waiting_id: int) -> None:
+        """Remove a request; ignore unknown ids."""
+        request = self._requests.pop(waiting_id, None)
+        if request is None:
+            return
+        service = self._services[request.service]
+        service.order.remove(self._own_id, waiting_id)
+        if request.workspace not in service.order.group_names:
+            service.shares_ms = None
+        self._notify()
+
+    def granted(self, waiting_id: int) -> None:
+        """Record that a request was placed, and remove it."""
+        request = self._requests.get(waiting_id)
+        if request is None:
+            return
+        service = self._refreshed(request.service)
+        soonest = self._soonest_abandoned(request.service)
+        has_turn = soonest is service.order.find(self._own_id, waiting_id)
+        service.granted_count += 1
+        service.turn_count += has_turn
+        service.since_turn_count += 1
+        if has_turn:
+            service.since_turn_count = 0
+        service.history.record(now_ms=self._clock.now_ms())
+        service.shares_ms = None
+        self.leave(waiting_id)
+
+    def has_demand(self, service: str) -> bool:
+        """Return whether requests wait, here or at a peer."""
+        known = self._services.get(service)
+        return bool(known and known.order) or self._peers.has_demand(service)
+
+    def ranked(self, service: str) -> list[int]:
+        """Return the ids of this gateway's requests in order."""
+        if service not in self._services:
+            return []
+        known = self._refreshed(service)
+        ids = [entry.number for entry in known.order]
+        soonest = known.order.soonest_abandoned()
+        if soonest is not None:
+            if soonest is self._soonest_abandoned(service):
+                ids.remove(soonest.number)
+                rank = self.rank(soonest.number)
+                ids.insert(
+                    bisect.bisect_left(ids, rank, key=self.rank),
+                    soonest.number,
+                )
+        return ids
+
+    def rank(self, waiting_id: int) -> int:
+        """Return how many requests, of all gateways, are ahead of one.
+
+        :raises KeyError: if the request has left the queue.
+        """
+        name = self._requests[waiting_id].service
+        service = self._refreshed(name)
+        entry = service.order.find(self._own_id, waiting_id)
+        rank = self._rank_without_turn(name, entry)
+        soonest = self._soonest_abandoned(name)
+        if soonest is None:
+            return rank
+        late_rank = self._late_rank(name)
+        turn_rank = self._turn_rank(service)
+        if entry is soonest:
+            return min(late_rank, turn_rank)
+        return rank + (turn_rank <= rank < late_rank)
+
+    def expected_wait_ms(self, waiting_id: int) -> float | None:
+        """Return the expected time until a request is placed.
+
+        :returns: milliseconds, None while no rate of placements is known.
+        :raises KeyError: if the request has left the queue.
+        """
+        name = self._requests[waiting_id].service
+        service = self._services[name]
+        rate_per_ms = service.history.rate_per_ms(self._clock.now_ms())
+        if rate_per_ms is None:
+            return None
+        rank = self.rank(waiting_id)
+        entry = service.order.find(self._own_id, waiting_id)
+        if entry.is_late:
+            late_ahead = sum(
+                order.count_abandoned_before(entry)
+                for order in self._both(name)
+            )
+            turn_rank = self._turn_rank(service)
+            rank = min(rank, turn_rank + LATE_TURN_INTERVAL * late_ahead)
+        return (rank + 1) / rate_per_ms
+
+    def unservable(self, service: str) -> list[int]:
+        """Return the ids of requests that will be abandoned before an answer.
+
+        While no rate of placements is known, only those are returned that it
+        is too late to send.
+        """
+        found = []
+        now_ms = self._clock.now_ms()
+        for waiting_id in self.ranked(service):
+            request = self._requests[waiting_id]
+            answer_ms = now_ms + request.min_service_ms
+            if answer_ms < request.abandon_ms:
+                answer_ms += self.expected_wait_ms(waiting_id) or 0.0
+            if answer_ms >= request.abandon_ms:
+                found.append(waiting_id)
+        return found
+
+    def summary(self) -> tuple[tuple, ...]:
+        """Return the first requests of each service, for the peers.
+
+        :returns: entries as in ``DemandReported.waiting``.
+        """
+        now_ms = self._clock.now_ms()
+        found = []
+        for name, known in self._services.items():
+            if not known.order:
+                continue
+            self._refreshed(name)
+            first = itertools.islice(
+                known.order, demand.MAX_ENTRIES_PER_SERVICE
+            )
+            entries = list(first)
+            soonest = known.order.soonest_abandoned()
+            if soonest is not None and soonest not in entries:
+                entries[-1:] = [soonest]
+            found += (
+                (
+                    name,
+                    entry.urgency,
+                    known.order.is_above(entry),
+                    math.floor(entry.start_by_ms - now_ms),
+                    math.floor(entry.abandon_ms - now_ms),
+                )
+                for entry in entries
+            )
+        return tuple(found)
+
+    def granted_counts(self) -> tuple[tuple, ...]:
+        """Return the placed requests of services for which others wait.
+
+        :returns: entries as in ``DemandReported.granted``.
+        """
+        return tuple(
+            (name, known.granted_count, known.turn_count)
+            for name, known in self._services.items()
+            if known.granted_count and self.has_demand(name)
+        )
+
+    @property
+    def count(self) -> int:
+        """Return the number of waiting requests of this gateway."""
+        return len(self._requests)
+
+    @property
+    def late_count(self) -> int:
+        """Return how many of them can no longer be answered in time."""
+        now_ms = self._clock.now_ms()
+        for known in self._services.values():
+            known.order.advance(now_ms)
+        return sum(one.order.late_count for one in self._services.values())
+
+    def _refreshed(self, name: str) -> _Service:
+        """Return a service whose order is that of now."""
+        now_ms = self._clock.now_ms()
+        service = self._services[name]
+        has_changed = service.order.advance(now_ms)
+        shares_ms = service.shares_ms
+        if shares_ms is None or shares_ms + MAX_SHARES_AGE_MS <= now_ms:
+            service.shares_ms = now_ms
+            waiting = service.order.group_names
+            above = self._shares.above_share(name, waiting)
+            for workspace in waiting:
+                has_changed |= service.order.set_above(
+                    workspace, workspace in above
+                )
+        if has_changed:
+            self._notify()
+        return service
+
+    def _both(self, name: str) -> tuple[orders.WaitingOrder, ...]:
+        """Return the orders of this gateway's and its peers' requests."""
+        return (
+            self._services[name].order,
+            self._peers.order(name) or NO_ENTRIES,
+        )
+
+    def _rank_without_turn(self, name: str, entry: orders.Entry) -> int:
+        own, others = self._both(name)
+        order = own if entry.gateway_id == self._own_id else others
+        is_above = order.is_above(entry)
+        key = entry.key
+        return own.count_before(key, is_above=is_above) + others.count_before(
+            key, is_above=is_above
+        )
+
+    def _soonest_abandoned(self, name: str) -> orders.Entry | None:
+        """Return the late request of all gateways that has the next turn."""
+        found = [order.soonest_abandoned() for order in self._both(name)]
+        return min(
+            (entry for entry in found if entry is not None),
+            key=lambda entry: entry.abandon_key,
+            default=None,
+        )
+
+    def _late_rank(self, name: str) -> int:
+        """Return the rank without its turn of the request with the next."""
+        service = self._services[name]
+        own, others = self._both(name)
+        version = (own.version, others.version)
+        if service.late_rank is None or service.late_rank[0] != version:
+            soonest = self._soonest_abandoned(name)
+            rank = self._rank_without_turn(name, soonest)
+            service.late_rank = (version, rank)
+        return service.late_rank[1]
+
+    def _turn_rank(self, service: _Service) -> int:
+        """Return how many placements come before the next late turn."""
+        return max(0, LATE_TURN_INTERVAL - 1 - service.since_turn_count)
+
+    def _count_peer_grants(
+        self, name: str, count: int, turn_count: int
+    ) -> None:
+        service = self._services.get(name)
+        if service is None:
+            return
+        service.since_turn_count += count
+        if turn_count:
+            service.since_turn_count = 0
+        service.history.record(now_ms=self._clock.now_ms(), count=count)
+
+    def _notify(self) -> None:
+        if self.on_change is not None:
+            self.on_change()
--- /dev/null
+++ b/src/shallothinge/scheduling/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ``shallothinge.placement``."""
--- a/testing/test_pure_core.py
+++ b/testing/test_pure_core.py
@@ -43,6 +43,7 @@
     'reservations',
     'routes',
     'routing',
+    'scheduling',
     'server_limits',
     'streams',
 )
