Queue the requests that wait for a free slot, in one order

Short prompts that found no free slot tried again every 20 ms, each by itself, so the last to arrive could be served first, and in overload nearly all were late. Gateways that saw the same free slot both sent: servers held 7 to 10 requests in 6 slots.

Requests that wait for a slot now share a queue (gateway/room.py), in the order of scheduling/: in time before late, then by urgency, share of the workspace and start time. They are woken when a slot becomes free. Where requests wait, a gateway takes the slots that its own streams free first, and others in turn (placement/slot_turns.py), and leaves slots to a better class that waits at a peer, for 60 ms at most. Without waiting requests nothing changes, but that the last free slot of a server costs less for one gateway, so that gateways prefer different ones.

--- a/src/shallothinge/gateway/demands.py
+++ b/src/shallothinge/gateway/demands.py
@@ -6,6 +6,7 @@
 from shallothinge.placement import pricing
 from shallothinge.placement import server_queue
 from shallothinge.routes import model as routes
+from shallothinge.scheduling import model as scheduling
 
 
 def build_demand(
@@ -38,6 +39,28 @@
     )
 
 
+def build_waiting_request(
+    accepted: model.AcceptedRequest, *, started_ms: int
+) -> scheduling.WaitingRequest:
+    """Return the request as it waits for a slot.
+
+    :param started_ms: instant at which it arrived.
+    """
+    return scheduling.WaitingRequest(
+        service=accepted.service.name,
+        urgency=accepted.priority,
+        workspace=accepted.workspace,
+        due_ms=started_ms + accepted.route.objective_ms,
+        abandon_ms=started_ms
+        + policy.patience_ms(
+            route=accepted.route, limit_ms=accepted.time_limit_ms
+        ),
+        min_service_ms=choice.busy_first_event_ms(
+            accepted.service, accepted.request.prompt_tokens
+        ),
+    )
+
+
 def min_answer_ms(
     accepted: model.AcceptedRequest, *, first_event_ms: float = 0.0
 ) -> float:
--- a/src/shallothinge/gateway/dependencies.py
+++ b/src/shallothinge/gateway/dependencies.py
@@ -7,6 +7,7 @@
 from shallothinge import clock as clocks
 from shallothinge import process as processes
 from shallothinge.gateway import model
+from shallothinge.gateway import room
 from shallothinge.gateway import servers
 from shallothinge.gateway import shutdown
 from shallothinge.http1 import client
@@ -25,7 +26,8 @@
     """Dependencies that all requests of a gateway share.
 
     ``waiting`` holds the long prompts that wait for reads to end,
-    ``permit_queue`` the requests that wait for servers that limit their rate.
+    ``permit_queue`` the requests that wait for servers that limit their rate,
+    ``room`` those that wait for a free slot.
     """
 
     reactor: object
@@ -38,6 +40,7 @@
     chooser: choice.Chooser
     waiting: waiting.WaitingPrompts
     permit_queue: waiting.WaitingPrompts
+    room: room.RoomQueue
     returns: returns.ReturnSchedule
     budget: retries.RetryBudget
     quarantine: quarantines.PartQuarantine
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -88,6 +88,7 @@
             send=self._send,
         )
         self._deadline_timer = None
+        self._uses_slot = False
 
     @guards.guarded
     def start(self) -> None:
@@ -134,12 +135,14 @@
             guard=self._guard,
         )
         self._attempts.add(attempt)
+        self._occupy_slot()
         self._log.placed(
             placed,
             remaining_ms=order.remaining_ms,
             attempt=self._attempts.sent_count,
             is_takeover=is_takeover,
             queued_ms=self._wait.queued_ms,
+            is_contended=self._wait.turn.is_contended,
             last_event_id=self._answer.last_event_id,
             part_ids=self._request.part_ids,
             fingerprint=self._accepted.fingerprint,
@@ -148,6 +151,22 @@
         if is_stream and self._attempts.no_takeover_reason() is None:
             self._silence.expect_first_event(attempt, placed)
 
+    def _occupy_slot(self) -> None:
+        if not self._uses_slot:
+            self._uses_slot = True
+            self._parts.room.occupy(
+                service=self._accepted.service.name,
+                workspace=self._accepted.workspace,
+            )
+
+    def _vacate_slot(self) -> None:
+        if self._uses_slot:
+            self._uses_slot = False
+            self._parts.room.vacate(
+                service=self._accepted.service.name,
+                workspace=self._accepted.workspace,
+            )
+
     @guards.guarded
     def on_events(
         self,
@@ -290,6 +309,7 @@
     def _on_over(self, outcome: str, status: int, detail: str) -> None:
         """Stop the timers and log the outcome."""
         self._admission.end()
+        self._vacate_slot()
         self._search.stop()
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
--- a/src/shallothinge/gateway/ingress.py
+++ b/src/shallothinge/gateway/ingress.py
@@ -226,6 +226,7 @@
                 target=request.target,
                 body=request.body,
             ),
+            priority=priority,
             urgency=(
                 min(MAX_URGENCY, priority)
                 if self._is_prompt(request)
--- a/src/shallothinge/gateway/model.py
+++ b/src/shallothinge/gateway/model.py
@@ -39,12 +39,16 @@
     """An authorized request with its route, service and workspace.
 
     ``fingerprint`` is the same whenever the caller sends the request again.
+    ``priority`` is that of the workspace if it has one, else of the route, 0
+    being the highest. ``urgency`` is what the server is told of it, None for
+    a request without a prompt.
     """
 
     request: CallerRequest
     route: routes.Route
     service: routes.Service
     workspace: str
+    priority: int
     urgency: int | None
     fingerprint: str
 
--- a/src/shallothinge/gateway/peers.py
+++ b/src/shallothinge/gateway/peers.py
@@ -6,11 +6,14 @@
 from shallothinge import clock as clocks
 from shallothinge import periodic
 from shallothinge import process as processes
+from shallothinge.gateway import demand_reports
+from shallothinge.gateway import room as rooms
 from shallothinge.leases import holder as holders
 from shallothinge.placement import fleet
 from shallothinge.placement import messages
 from shallothinge.quarantine import messages as quarantine_messages
 from shallothinge.quarantine import state as quarantines
+from shallothinge.scheduling import messages as demand_messages
 from shallothinge.server_limits import messages as limit_messages
 from shallothinge.server_limits import state as server_limits
 from shallothinge.transport import endpoint
@@ -37,7 +40,8 @@
     Without the load reports each gateway would place its requests as if it
     were the only one, and several would choose the same idle server at once.
     The reports on parts of prompts find what crashes servers, and those on
-    limits keep the sum of the requests within what servers ask for.
+    limits keep the sum of the requests within what servers ask for. Those on
+    waiting requests keep the order among the requests of all gateways.
     """
 
     def __init__(
@@ -48,6 +52,7 @@
         load: fleet.FleetLoad,
         quarantine: quarantines.PartQuarantine,
         limits: server_limits.ServerLimits,
+        room: rooms.RoomQueue,
         address: str,
     ):
         self._process = process
@@ -55,6 +60,12 @@
         self._load = load
         self._quarantine = quarantine
         self._limits = limits
+        self._room = room
+        self._demand_reports = demand_reports.DemandReports(
+            reactor=process.reactor,
+            reporter=room.reporter,
+            send=self._send_all,
+        )
         self._address = address
         self._links: dict[str, link.Link] = {}
         self._report_timer = None
@@ -68,6 +79,8 @@
         report_soon = functools.partial(self._schedule_report, True)
         self._quarantine.on_change = report_soon
         self._limits.on_change = report_soon
+        self._room.queue.on_change = self._demand_reports.notify_change
+        self._room.peer_demand.on_change = self._demand_reports.schedule
         self._quarantine.on_suspicion = self._judge_later
         self._holder.on_peers_changed = self._sync_connections
         self._send_full_report()
@@ -81,6 +94,8 @@
             self._quarantine.apply_report(message)
         elif isinstance(message, limit_messages.LimitsReported):
             self._limits.apply_report(message, peer_id=sender_id)
+        elif isinstance(message, demand_messages.DemandReported):
+            self._room.peer_demand.apply_report(message, peer_id=sender_id)
 
     def _send_full_report(self) -> None:
         """Send a complete report, for peers that have missed a report."""
@@ -91,13 +106,18 @@
         for step in (
             self._load.remove_expired,
             self._quarantine.remove_expired,
+            self._room.peer_demand.remove_expired,
             self._sync_connections,
             functools.partial(self._send, complete=True),
         ):
             periodic.run(step)
 
     def _schedule_report(self, is_urgent: bool) -> None:
-        """Schedule a report of this change and of those until it is sent."""
+        """Schedule a report of this change and of those until it is sent.
+
+        While requests wait at a peer, it is told of free slots at once.
+        """
+        is_urgent = is_urgent or self._room.peer_demand.has_demand()
         delay_s = (
             URGENT_DELAY_MS if is_urgent else BATCH_DELAY_MS
         ) / clocks.MS_PER_SECOND
@@ -128,8 +148,11 @@
     def _send_report(self, source, complete: bool) -> None:
         report = source.report(complete=complete)
         if report is not None:
-            for opened in self._links.values():
-                opened.send(report)
+            self._send_all(report)
+
+    def _send_all(self, report: object) -> None:
+        for opened in self._links.values():
+            opened.send(report)
 
     def _sync_connections(self) -> None:
         """Open and close connections to match the peers that control lists."""
@@ -175,11 +198,12 @@
         others = (
             self._quarantine.repeat_as_complete_report(),
             self._limits.repeat_as_complete_report(),
+            self._room.reporter.repeat_as_complete_report(),
         )
         for address, tries_left in list(self._awaiting_initial.items()):
             opened = self._links[address]
             if opened.send(report) or tries_left <= 1:
-                _send_all(opened, others)
+                _send_present(opened, others)
                 del self._awaiting_initial[address]
             else:
                 self._awaiting_initial[address] = tries_left - 1
@@ -190,7 +214,7 @@
     return f'{process_id} {incarnation}'
 
 
-def _send_all(opened: link.Link, reports) -> None:
+def _send_present(opened: link.Link, reports) -> None:
     """Send those reports that there are."""
     for report in reports:
         if report is not None:
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -20,6 +20,7 @@
 from shallothinge.gateway import notices
 from shallothinge.gateway import peers as gateways
 from shallothinge.gateway import readiness as readinesses
+from shallothinge.gateway import room
 from shallothinge.gateway import servers
 from shallothinge.gateway import shutdown
 from shallothinge.http1 import client as http_client
@@ -82,6 +83,12 @@
         )
         self._load = fleet.FleetLoad(clock=self._process.clock)
         self._limits = self._build_limits()
+        self._room = room.RoomQueue(
+            clock=self._process.clock,
+            reactor=reactor,
+            load=self._load,
+            own_id=self._peer_id,
+        )
         self._parts = self._build_parts()
         self._ingress = ingresses.Ingress(parts=self._parts)
         self._readiness = readinesses.Readiness(
@@ -93,6 +100,7 @@
             load=self._parts.load,
             quarantine=self._parts.quarantine,
             limits=self._limits,
+            room=self._room,
             address=address,
         )
         self._endpoint = self._process.listen(on_message=self._peers.receive)
@@ -110,14 +118,18 @@
             shutdown=self._parts.shutdown,
         )
 
+    @property
+    def _peer_id(self) -> str:
+        return gateways.peer_id(
+            self._process.process_id, self._process.incarnation
+        )
+
     def _build_limits(self) -> server_limits.ServerLimits:
-        process = self._process
-        own_id = gateways.peer_id(process.process_id, process.incarnation)
         return server_limits.ServerLimits(
-            clock=process.clock,
-            own_id=own_id,
+            clock=self._process.clock,
+            own_id=self._peer_id,
             find_gateways=gateway_group.build_finder(
-                own_id=own_id, load=self._load, holder=self._holder
+                own_id=self._peer_id, load=self._load, holder=self._holder
             ),
         )
 
@@ -141,11 +153,13 @@
                 cold=cold,
                 notices=notices.ServerNotices(clock=clock),
                 limits=self._limits,
+                address=self._settings.process.address,
             ),
             load=load,
             chooser=choice.Chooser(rng=rng),
             waiting=waiting.WaitingPrompts(clock=clock),
             permit_queue=waiting.WaitingPrompts(clock=clock),
+            room=self._room,
             returns=returns.ReturnSchedule(clock=clock),
             budget=retries.RetryBudget(
                 percent=int(RETRY_FRACTION * self._settings.retries.percent),
@@ -223,6 +237,11 @@
         self._process.metrics.observe(
             name='quarantined_requests', read=lambda: quarantine.request_count
         )
+        for name in ('count', 'late_count'):
+            self._process.metrics.observe(
+                name=f'waiting_requests_{name}',
+                read=functools.partial(getattr, self._room.queue, name),
+            )
         for name in ('count', 'granted_count'):
             self._process.metrics.observe(
                 name=f'server_limits_{name}',
@@ -248,6 +267,7 @@
             self._ingress.track_missing_lease,
             self._follow_lease,
             self._parts.servers.sync_members,
+            self._parts.servers.update_slot_turns,
             self._update_limits,
         ):
             periodic.run(step)
--- a/src/shallothinge/gateway/server_search.py
+++ b/src/shallothinge/gateway/server_search.py
@@ -12,6 +12,7 @@
 from shallothinge.gateway import model
 from shallothinge.gateway import part_admission
 from shallothinge.gateway import policy
+from shallothinge.gateway import room
 from shallothinge.gateway import wait as waits
 from shallothinge.gateway.wait import WaitCause
 from shallothinge.placement import choice
@@ -55,12 +56,13 @@
     @property
     def is_waiting(self) -> bool:
         """Return whether the search goes on later."""
-        return self._timer is not None
+        return self._timer is not None or self._wait.is_parked
 
     @guards.guarded
     def start(self) -> None:
         """Choose a server and send the request to it, or wait and retry."""
         self._timer = None
+        self._wait.unpark()
         if self._answer.is_over or (
             self._attempts.running and self._attempts.no_takeover_reason()
         ):
@@ -134,12 +136,23 @@
         if not is_first:
             self._wait_or_refuse(WaitCause.TURN, free_in_ms=0)
             return
-        placed = self._parts.chooser.choose(
-            demand=demand, candidates=candidates
-        )
+        is_queued = not (self._is_at_server or demand.is_resumed)
+        turn = room.UNCONTENDED
+        if is_queued:
+            turn = self._wait.room_turn(
+                choice.free_slots(demand.service, candidates)
+            )
+        placed = choice.NoCapacity(free_in_ms=choice.FREE_SLOT_MS)
+        if turn.is_granted:
+            placed = self._parts.chooser.choose(
+                demand=demand,
+                candidates=candidates,
+                is_contended=turn.is_contended,
+            )
         if isinstance(placed, choice.NoCapacity):
-            self._wait_or_refuse(WaitCause.ROOM, free_in_ms=placed.free_in_ms)
+            self._wait_for_room(placed, is_queued=is_queued)
         elif isinstance(placed, choice.PlacementDeferred):
+            self._wait.leave_room()
             self._wait_or_refuse(
                 WaitCause.READS, free_in_ms=int(placed.start_in_ms)
             )
@@ -156,9 +169,50 @@
             if self._attempts.running:
                 self._parts.budget.take()
                 self._parts.metrics.count_retry()
+            self._wait.record_grant()
             self._wait.end()
             self._send(placed)
 
+    def _wait_for_room(
+        self, placed: choice.NoCapacity, *, is_queued: bool
+    ) -> None:
+        """Wait for a free slot, or refuse the request.
+
+        :param is_queued: whether it waits in the queue for slots; streams
+            that have begun come before those.
+        """
+        if is_queued and self._has_time(self._wait.room_wait_ms()):
+            self._wait.park(self)
+        else:
+            self._wait_or_refuse(
+                WaitCause.ROOM,
+                free_in_ms=max(
+                    placed.free_in_ms, int(self._wait.room_wait_ms())
+                ),
+                expected_ms=self._wait.room_wait_ms(),
+            )
+
+    def wake(self) -> None:
+        """Try again to take a free slot."""
+        self.start()
+
+    def has_to_end(self) -> bool:
+        """Return whether waiting for a slot is in vain, or not allowed."""
+        return not (
+            self._parts.holder.is_valid()
+            and self._has_time(self._wait.room_wait_ms())
+        )
+
+    def _has_time(self, expected_ms: float) -> bool:
+        """Return whether the request may be answered after a wait.
+
+        :param expected_ms: time in milliseconds that it has to wait.
+        """
+        can_answer = demands.can_still_answer(
+            self._accepted, waited_ms=self._waited_ms() + int(expected_ms)
+        )
+        return can_answer and self._wait.ends_before_stop()
+
     def _refuse_quarantined(self, admission: quarantines.Admission) -> None:
         self._attempts.cancel()
         self._answer.refuse(
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -17,6 +17,7 @@
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
 from shallothinge.placement import server_queue
+from shallothinge.placement import slot_turns
 from shallothinge.routes import model as routes
 from shallothinge.routing import breaker
 from shallothinge.server_limits import state as server_limits
@@ -39,6 +40,7 @@
 MAX_LOGGED_IDS = 20
 # Concurrent requests assumed for a server that does not report its slots.
 DEFAULT_SLOTS = 1
+NO_LOAD = server_queue.ServerLoad()
 
 
 @attrs.define(kw_only=True)
@@ -58,6 +60,7 @@
     :param cold: limits the rate of requests to cold servers.
     :param notices: leave and pause notices received from servers.
     :param limits: limits that servers have named.
+    :param address: address of this gateway, as it is listed.
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         cold: cold_rate_limiter.ColdRateLimiter,
         notices: notices.ServerNotices,
         limits: server_limits.ServerLimits,
+        address: str = '',
     ):
         self._clock = clock
         self._holder = holder
@@ -78,6 +82,7 @@
         self._limits = limits
         self._entries: dict[str, _ServerEntry] = {}
         self._ranks: dict[str, float] = {}
+        self._slot_turns = slot_turns.SlotTurns(own_id=address)
         load.on_failed = self._on_peer_failure_report
         load.on_leaving = notices.mark_leaving
 
@@ -110,21 +115,56 @@
         usable_slots = self._usable_slots(loads)
         now_ms = self._clock.now_ms()
         return tuple(
-            choice.Candidate(
-                server_id=entry.server.server_id,
-                zone=entry.server.zone,
+            self._candidate(
+                entry,
                 slots=usable_slots(entry.server),
+                load=loads.get(entry.server.server_id, NO_LOAD),
                 is_cold=entry.cold_until_ms > now_ms,
-                rank=self._ranks[entry.server.server_id],
-                load=loads.get(
-                    entry.server.server_id, server_queue.ServerLoad()
-                ),
                 is_rate_limited=has_limits
                 and self._is_rate_limited(entry.server),
             )
             for entry in healthy or listed
         )
 
+    def _candidate(
+        self,
+        entry: _ServerEntry,
+        *,
+        slots: int,
+        load: server_queue.ServerLoad,
+        is_cold: bool,
+        is_rate_limited: bool,
+    ) -> choice.Candidate:
+        server_id = entry.server.server_id
+        return choice.Candidate(
+            server_id=server_id,
+            zone=entry.server.zone,
+            slots=slots,
+            is_cold=is_cold,
+            rank=self._ranks[server_id],
+            load=load,
+            is_rate_limited=is_rate_limited,
+            is_last_slot_own=self._slot_turns.is_first(server_id),
+            unchanged_ms=self._load.unchanged_ms(server_id),
+            turn_in_ms=self._turn_in_ms(server_id, slots - load.active),
+        )
+
+    def _turn_in_ms(self, server_id: str, free_slots: int) -> int:
+        """Return the time until this gateway may take a contended slot.
+
+        While the list is partial, each gateway has slots of its own.
+        """
+        if (
+            self._holder.is_member_list_partial
+            or self._load.has_unreported_end(server_id)
+        ):
+            return 0
+        return self._slot_turns.wait_ms(
+            server_id,
+            free_slots=free_slots,
+            unchanged_ms=self._load.unchanged_ms(server_id),
+        )
+
     def _usable_slots(
         self, loads: dict[str, server_queue.ServerLoad]
     ) -> Callable[[BackendServer], int]:
@@ -404,8 +444,16 @@
         listed = {notices.key_of(server) for server in members.values()}
         self._notices.forget_unlisted(listed)
         self._limits.forget_unlisted(listed)
+        if joined or left:
+            self.update_slot_turns()
         self._log_changes(joined=joined, left=left, leaving=leaving)
 
+    def update_slot_turns(self) -> None:
+        """Follow the list of gateways; call this periodically."""
+        self._slot_turns.update(
+            gateway_ids=self._holder.peers, server_ids=self._entries
+        )
+
     def _is_current(self, server: BackendServer) -> bool:
         entry = self._entries.get(server.server_id)
         return entry is not None and entry.server is server
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -16,6 +16,7 @@
 from shallothinge.gateway import gateway_group
 from shallothinge.gateway import ingress
 from shallothinge.gateway import notices
+from shallothinge.gateway import room
 from shallothinge.gateway import servers
 from shallothinge.gateway import shutdown
 from shallothinge.http1 import client
@@ -236,6 +237,12 @@
                 own_id=own_id, load=self.load, holder=self.holder
             ),
         )
+        self.room = room.RoomQueue(
+            clock=self.clock,
+            reactor=self.reactor,
+            load=self.load,
+            own_id=own_id,
+        )
         rng = random.Random(seed)
         self.parts = dependencies.Dependencies(
             reactor=self.reactor,
@@ -257,6 +264,7 @@
             chooser=choice.Chooser(rng=rng),
             waiting=waiting.WaitingPrompts(clock=self.clock),
             permit_queue=waiting.WaitingPrompts(clock=self.clock),
+            room=self.room,
             returns=returns.ReturnSchedule(clock=self.clock),
             budget=retries.RetryBudget(percent=16, burst=10),
             quarantine=quarantines.PartQuarantine(clock=self.clock),
--- a/src/shallothinge/gateway/tests/test_closed_configurations.py
+++ b/src/shallothinge/gateway/tests/test_closed_configurations.py
@@ -102,9 +102,7 @@
                 if tenants is ABSENT:
                     del fields['tenants']
                 self.assertEqual(200, self.put(fields))
-                found = [
-                    self.status_of(key) for key in ('k1', 'other', '')
-                ]
+                found = [self.status_of(key) for key in ('k1', 'other', '')]
                 self.assertEqual(expected, found)
 
     def test_key_stays_revoked_when_a_later_version_lists_no_tenants(self):
--- a/src/shallothinge/gateway/tests/test_peers.py
+++ b/src/shallothinge/gateway/tests/test_peers.py
@@ -7,6 +7,7 @@
 
 from shallothinge import clock
 from shallothinge.gateway import peers
+from shallothinge.gateway import room
 from shallothinge.placement import fleet
 from shallothinge.placement import server_queue
 from shallothinge.quarantine import state as quarantines
@@ -57,6 +58,12 @@
                     'repeat_as_complete_report.return_value': None,
                 }
             ),
+            room=room.RoomQueue(
+                clock=self.clock,
+                reactor=process.reactor,
+                load=self.load,
+                own_id=OWN,
+            ),
             address=OWN,
         )
         self.peers.start()
--- a/src/shallothinge/gateway/wait.py
+++ b/src/shallothinge/gateway/wait.py
@@ -7,6 +7,7 @@
 from shallothinge.gateway import dependencies
 from shallothinge.gateway import model
 from shallothinge.gateway import policy
+from shallothinge.gateway import room
 from shallothinge.placement import choice
 from shallothinge.placement import waiting
 
@@ -32,6 +33,7 @@
 
     :param identity: log fields that identify the request.
     :ivar queued_ms: sum of the delays before its placement was retried.
+    :ivar turn: the last decision on whether it may take a free slot.
     """
 
     def __init__(
@@ -48,6 +50,9 @@
         self._started_ms = started_ms
         self._waiting_id: int | None = None
         self._permit_id: int | None = None
+        self._room_id: int | None = None
+        self._parked_ms: int | None = None
+        self.turn = room.UNCONTENDED
         self._logged_causes: set[WaitCause] = set()
         self.queued_ms = 0
 
@@ -88,6 +93,63 @@
             ),
         )
 
+    @property
+    def is_parked(self) -> bool:
+        """Return whether the request is woken when it may take a slot."""
+        return self._parked_ms is not None
+
+    def room_turn(self, slots: choice.FreeSlots) -> room.Turn:
+        """Return whether the request may take a free slot of its service.
+
+        If others wait for one, the request joins their queue.
+        """
+        if self._room_id is None and not self._parts.room.has_demand(
+            self._accepted.service.name
+        ):
+            self.turn = room.UNCONTENDED
+        else:
+            self.turn = self._parts.room.turn_of(self._join_room(), slots)
+        return self.turn
+
+    def park(self, waiter: room.Waiter) -> None:
+        """Wait in the queue for a free slot."""
+        self._log_once(WaitCause.ROOM, 0)
+        self._parked_ms = self._parts.clock.now_ms()
+        self._parts.room.park(self._join_room(), waiter)
+
+    def unpark(self) -> None:
+        """Record that the request was woken; it stays in the queue."""
+        if self._parked_ms is not None:
+            self.queued_ms += self._parts.clock.now_ms() - self._parked_ms
+            self._parked_ms = None
+
+    def room_wait_ms(self) -> float:
+        """Return how long the request still has to wait for a slot."""
+        if self._room_id is None:
+            return 0.0
+        return self._parts.room.expected_wait_ms(self._room_id)
+
+    def record_grant(self) -> None:
+        """Record that the request takes a slot."""
+        if self._room_id is not None:
+            self._parts.room.record_grant(self._room_id)
+
+    def leave_room(self) -> None:
+        """Leave the queue for slots, if the request is in it."""
+        self.unpark()
+        if self._room_id is not None:
+            self._parts.room.leave(self._room_id)
+            self._room_id = None
+
+    def _join_room(self) -> int:
+        if self._room_id is None:
+            self._room_id = self._parts.room.join(
+                demands.build_waiting_request(
+                    self._accepted, started_ms=self._started_ms
+                )
+            )
+        return self._room_id
+
     def leave_permit_queue(self) -> None:
         """Leave the queue for permits, if the request is in it."""
         if self._permit_id is not None:
@@ -150,6 +212,7 @@
         """Leave the queue; the request is sent or has ended."""
         self._logged_causes.clear()
         self.leave_permit_queue()
+        self.leave_room()
         if self._waiting_id is not None:
             self._parts.waiting.leave(self._waiting_id)
             self._waiting_id = None
@@ -162,9 +225,7 @@
         :param is_running: whether the request runs at a silent server, so
             that the delay is no time in a queue.
         """
-        if cause not in self._logged_causes:
-            self._logged_causes.add(cause)
-            self._log(cause, free_in_ms)
+        self._log_once(cause, free_in_ms)
         if is_running:
             return policy.TAKEOVER_POLL_INTERVAL_MS
         delay_ms = policy.POLL_INTERVAL_MS
@@ -175,7 +236,10 @@
         self.queued_ms += delay_ms
         return delay_ms
 
-    def _log(self, cause: WaitCause, free_in_ms: int) -> None:
+    def _log_once(self, cause: WaitCause, free_in_ms: int) -> None:
+        if cause in self._logged_causes:
+            return
+        self._logged_causes.add(cause)
         LOG.info(
             'request waits',
             extra={
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -36,9 +36,10 @@
 # Another gateway may take a slot at the same moment, and a request that finds
 # no free slot waits until a stream ends. LAST_SLOT_PRICE is the minimum price
 # of a server's last free slot; each further free slot multiplies the price by
-# NEXT_SLOT_FACTOR. Among servers with only their last slot free the price is
-# randomized, so that gateways choose different servers.
+# NEXT_SLOT_FACTOR. A gateway prefers the last slots that it owns. The price of
+# the others is randomized, so that gateways choose different servers.
 LAST_SLOT_PRICE = 0.3
+OTHERS_LAST_SLOT_FACTOR = 1.5
 NEXT_SLOT_FACTOR = 0.4
 # Traffic between zones costs a little, but less than any loss of service.
 OTHER_ZONE_PRICE = 0.02
@@ -140,6 +141,21 @@
     free_in_ms: int
 
 
+@attrs.frozen(kw_only=True)
+class FreeSlots:
+    """Free slots of a service.
+
+    ``own_count`` is the number of those for which this gateway has the turn,
+    ``next_turn_in_ms`` the time until it has that for another one, and
+    ``oldest_ms`` the time for which the first of them has been free. Both are
+    None if there is none.
+    """
+
+    own_count: int
+    next_turn_in_ms: int | None
+    oldest_ms: int | None
+
+
 @attrs.frozen(kw_only=True)
 class PlacementDeferred:
     """The best servers for a long prompt still have earlier reads to finish.
@@ -183,11 +199,17 @@
         self._rng = rng
 
     def choose(
-        self, *, demand: Demand, candidates: tuple[Candidate, ...]
+        self,
+        *,
+        demand: Demand,
+        candidates: tuple[Candidate, ...],
+        is_contended: bool = False,
     ) -> Placement | NoCapacity | PlacementDeferred:
         """Return the cheapest placement, or why there is none at present.
 
         :param candidates: the servers that accept requests at present.
+        :param is_contended: whether other requests wait for a slot, so that
+            this one takes only a slot for which this gateway has the turn.
         :returns: ``NoCapacity`` if no server has capacity,
             ``PlacementDeferred`` if a long prompt has to wait for earlier
             reads.
@@ -200,6 +222,8 @@
         ]
         if with_room and not has_engine:
             return self._choose_plain(demand, with_room)
+        if is_contended and not _is_divisible(demand):
+            with_room = [one for one in with_room if not one.turn_in_ms]
         if with_room:
             placed = self._choose_engine(demand, with_room)
             if placed is not None:
@@ -233,7 +257,7 @@
         engine = demand.service.engine
         read_ms = engine.read_ms(demand.tokens)
         max_count = 1
-        if read_ms >= SPLIT_READ_MS:
+        if _is_divisible(demand):
             max_count = min(MAX_HELPERS + 1, len(candidates))
         best = None
         best_count = 0
@@ -335,7 +359,7 @@
             price += pricing.price_for_reads(load, part_ms)
         spare_slots = candidate.slots - load.active - 1
         if not spare_slots:
-            price += LAST_SLOT_PRICE * (1 + self._rng.random())
+            price += self._last_slot_price(candidate)
         else:
             price += LAST_SLOT_PRICE * NEXT_SLOT_FACTOR**spare_slots
             if part_ms * count < SPLIT_READ_MS:
@@ -354,6 +378,12 @@
             free_tokens=max(0, usable_memory(engine) - load.memory_tokens),
         )
 
+    def _last_slot_price(self, candidate: Candidate) -> float:
+        if candidate.is_last_slot_own:
+            return LAST_SLOT_PRICE
+        factor = OTHERS_LAST_SLOT_FACTOR + 0.5 * self._rng.random()
+        return LAST_SLOT_PRICE * factor
+
 
 def _impairment_price(candidate: Candidate) -> float:
     return (
@@ -378,6 +408,20 @@
     return engine.read_ms(tokens) / (MAX_HELPERS + 1) + engine.pass_ms
 
 
+def busy_first_event_ms(service: model.Service, tokens: int) -> float:
+    """Return the time in ms to a first event where all servers are busy.
+
+    A prompt that is not divided is read beside the streams of its server.
+    """
+    engine = service.engine
+    if engine is None or not tokens:
+        return 0.0
+    read_ms = engine.read_ms(tokens)
+    if read_ms >= SPLIT_READ_MS:
+        return min_first_event_ms(service, tokens)
+    return read_ms + PASSES_WITH_WRITERS * engine.pass_ms
+
+
 def _needed_tokens(demand: Demand) -> int:
     """Return the maximum tokens that a request holds in memory."""
     return demand.tokens + demand.answer_tokens
@@ -429,16 +473,49 @@
     return PASSES_WITH_WRITERS if load.writers else PASSES_WITHOUT_WRITERS
 
 
+def _is_divisible(demand: Demand) -> bool:
+    """Return whether several servers may read parts of a prompt."""
+    engine = demand.service.engine
+    return engine is not None and (
+        engine.read_ms(demand.tokens) >= SPLIT_READ_MS
+    )
+
+
+def free_slots(
+    service: model.Service, candidates: tuple[Candidate, ...]
+) -> FreeSlots:
+    """Return the free slots of the servers of a service."""
+    has_engine = service.engine is not None
+    found = [
+        (candidate, count)
+        for candidate in candidates
+        if (count := _free_slots(candidate, has_engine=has_engine))
+    ]
+    return FreeSlots(
+        own_count=sum(
+            count for candidate, count in found if not candidate.turn_in_ms
+        ),
+        next_turn_in_ms=min(
+            (one.turn_in_ms for one, _ in found if one.turn_in_ms),
+            default=None,
+        ),
+        oldest_ms=max((one.unchanged_ms for one, _ in found), default=None),
+    )
+
+
 def _has_room(candidate: Candidate, *, has_engine: bool) -> bool:
-    """Return whether a server may get another request.
+    return _free_slots(candidate, has_engine=has_engine) > 0
+
+
+def _free_slots(candidate: Candidate, *, has_engine: bool) -> int:
+    """Return how many more requests a server may get.
 
     A full engine has a free slot only when a stream ends, so requests are
     not queued there. A server of a service without an engine completes
     several requests per slot within one request's objective.
     """
-    if has_engine:
-        return candidate.load.active < candidate.slots
-    return candidate.load.active < MAX_REQUESTS_PER_SLOT * candidate.slots
+    factor = 1 if has_engine else MAX_REQUESTS_PER_SLOT
+    return max(0, factor * candidate.slots - candidate.load.active)
 
 
 def _free_in_ms(candidates: tuple[Candidate, ...]) -> int:
--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -17,6 +17,8 @@
 # report for longer learns it from other sources by then.
 LEAVING_TTL_MS = 10_000
 PERCENT = 100
+# Longer than any wait for a turn to take a slot.
+LONG_UNCHANGED_MS = 60_000
 
 
 @attrs.define(kw_only=True)
@@ -50,6 +52,8 @@
         change is urgent, that is, peers should be informed at once.
     :ivar on_failed: called with the id of a server that a peer reports as
         failed.
+    :ivar on_room: called when work at a server has ended, so that a slot may
+        be free.
     :ivar on_leaving: called with id and incarnation of a server that a peer
         reports as leaving.
     """
@@ -59,12 +63,16 @@
         self._own_works: dict[int, server_queue.Work] = {}
         self._peers: dict[str, _PeerWork] = {}
         self._queues: dict[str, server_queue.ServerQueue] = {}
+        self._changed_ms: dict[str, int] = {}
+        # Servers at which own requests have ended, which no peer knows yet.
+        self._unreported_ends: set[str] = set()
         self._next_id = 0
         self._sequence = 0
         self._unreported = _UnreportedChanges()
         self.on_change: Callable[[bool], None] | None = None
         self.on_failed: Callable[[str], None] | None = None
         self.on_leaving: Callable[[tuple[str, str]], object] | None = None
+        self.on_room: Callable[[], None] | None = None
         self._leaving_since_ms: dict[tuple[str, str], int] = {}
 
     def start(self, work: server_queue.Work) -> int:
@@ -92,6 +100,8 @@
         work = self._own_works.pop(work_id, None)
         if work is not None:
             self._remove(work)
+            if not work.is_helping:
+                self._unreported_ends.add(work.server_id)
             if work_id in self._unreported.started:
                 self._unreported.started.discard(work_id)
             else:
@@ -130,6 +140,7 @@
     def report(self, *, complete: bool) -> messages.LoadReported:
         """Return the next report for the peers."""
         self._sequence += 1
+        self._unreported_ends.clear()
         changes, self._unreported = self._unreported, _UnreportedChanges()
         if complete:
             return self._complete_report(failed=tuple(changes.failed))
@@ -206,6 +217,11 @@
         for key, since_ms in list(self._leaving_since_ms.items()):
             if since_ms < now_ms - LEAVING_TTL_MS:
                 del self._leaving_since_ms[key]
+        self._changed_ms = {
+            server_id: changed_ms
+            for server_id, changed_ms in self._changed_ms.items()
+            if changed_ms > now_ms - LONG_UNCHANGED_MS
+        }
         oldest_ms = now_ms - REPORT_TTL_MS
         for peer, peer_work in list(self._peers.items()):
             if peer_work.received_ms < oldest_ms:
@@ -246,6 +262,20 @@
             if not work.is_helping
         )
 
+    def has_unreported_end(self, server_id: str) -> bool:
+        """Return whether only this gateway knows of a free slot."""
+        return server_id in self._unreported_ends
+
+    def unchanged_ms(self, server_id: str) -> int:
+        """Return for how long the known requests of a server are the same.
+
+        :returns: milliseconds, ``LONG_UNCHANGED_MS`` at most.
+        """
+        changed_ms = self._changed_ms.get(server_id)
+        if changed_ms is None:
+            return LONG_UNCHANGED_MS
+        return min(LONG_UNCHANGED_MS, self._clock.now_ms() - changed_ms)
+
     def loads(self) -> dict[str, server_queue.ServerLoad]:
         """Return the load of each backend server that has any."""
         now_ms = self._clock.now_ms()
@@ -279,6 +309,9 @@
             )
             self._queues[work.server_id] = queue
         queue.start(work, now_ms)
+        if not work.is_helping:
+            self._changed_ms[work.server_id] = now_ms
+            self._unreported_ends.discard(work.server_id)
 
     def _mark_writing(self, work: server_queue.Work) -> None:
         queue = self._queues[work.server_id]
@@ -289,6 +322,11 @@
         queue.end(work, self._clock.now_ms())
         if queue.is_empty():
             del self._queues[work.server_id]
+        if work.is_helping:
+            return
+        self._changed_ms[work.server_id] = self._clock.now_ms()
+        if self.on_room is not None:
+            self.on_room()
 
 
 def _pack(work_id: int, work: server_queue.Work, now_ms: int) -> tuple:
--- a/src/shallothinge/scheduling/queue.py
+++ b/src/shallothinge/scheduling/queue.py
@@ -165,6 +165,27 @@
             return min(late_rank, turn_rank)
         return rank + (turn_rank <= rank < late_rank)
 
+    def yields_to_peers(self, waiting_id: int) -> bool:
+        """Return whether a request of a better class waits at a peer.
+
+        A class is whether a request can be in time, and its urgency. Within a
+        class, every gateway serves its own requests in order.
+
+        :raises KeyError: if the request has left the queue.
+        """
+        name = self._requests[waiting_id].service
+        peers_order = self._peers.order(name)
+        if not peers_order:
+            return False
+        service = self._refreshed(name)
+        entry = service.order.find(self._own_id, waiting_id)
+        if entry is service.order.soonest_abandoned() and (
+            not self._turn_rank(service)
+        ):
+            return False
+        first = next(iter(peers_order))
+        return (first.is_late, first.urgency) < (entry.is_late, entry.urgency)
+
     def expected_wait_ms(self, waiting_id: int) -> float | None:
         """Return the expected time until a request is placed.
 
