Send calls with overdue answers to a second server

Cause: only streams had a stall timeout. A plain server that fell silent was not avoided either, as neither its answers nor its silence were recorded.

The first complete answer wins. Calls that may run once are watched, too, so that their silent server is avoided, but never sent twice.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -51,6 +51,9 @@
     def on_stream_end(self, attempt: 'Attempt', rest: bytes) -> None:
         """Handle the end of a stream and the bytes after its last event."""
 
+    def on_data(self, attempt: 'Attempt') -> None:
+        """Handle the arrival of a part of an answer that is no stream."""
+
     def on_answer(self, attempt: 'Attempt', body: bytes) -> None:
         """Handle a complete successful answer."""
 
@@ -105,6 +108,8 @@
         self._placed_ms = parts.clock.now_ms()
         self.sent_after_ms: int | None = None
         self._sent_ms = self._placed_ms
+        self._data_ms = self._placed_ms
+        self._timer_due_ms = self._placed_ms
         self._server: BackendServer | None = None
         self._exchange = None
         self._reservation = None
@@ -135,6 +140,21 @@
             return None
         return self._parts.clock.now_ms() - self._first_event_ms
 
+    @property
+    def age_ms(self) -> int:
+        """Return the time since the server was chosen."""
+        return self._parts.clock.now_ms() - self._placed_ms
+
+    @property
+    def silent_ms(self) -> int:
+        """Return for how long no part of a plain answer has arrived."""
+        return self._parts.clock.now_ms() - self._data_ms
+
+    @property
+    def timer_delay_ms(self) -> int:
+        """Return how long ago the stall timeout was due."""
+        return self._parts.clock.now_ms() - self._timer_due_ms
+
     @property
     def rest_bytes(self) -> int:
         """Return how many bytes came after the last whole event."""
@@ -233,6 +253,9 @@
         """Notify the owner again if the server is silent for longer."""
         self._stop_timer()
         if not self._is_over and not self._is_paused:
+            self._timer_due_ms = self._parts.clock.now_ms() + round(
+                duration_ms
+            )
             self._stall_timer = self._parts.reactor.callLater(
                 duration_ms / clocks.MS_PER_SECOND, self._on_stalled
             )
@@ -288,6 +311,8 @@
             self._answer = answer
             if self._is_stream_answer():
                 self._exchange.read_as_stream()
+            else:
+                self._on_plain_data()
 
     @guards.guarded
     def on_data(self, data: bytes) -> None:
@@ -296,6 +321,7 @@
             return
         if not self._is_stream_answer():
             self._body += data
+            self._on_plain_data()
             return
         try:
             events = self._splitter.feed(data)
@@ -304,6 +330,11 @@
             return
         self._on_events(events)
 
+    def _on_plain_data(self) -> None:
+        if not self._is_stream:
+            self._data_ms = self._parts.clock.now_ms()
+            self._owner.on_data(self)
+
     def _on_events(self, events: list[sse.StreamEvent]) -> None:
         if not events:
             return
--- a/src/shallothinge/gateway/attempt_record.py
+++ b/src/shallothinge/gateway/attempt_record.py
@@ -3,10 +3,12 @@
 from shallothinge.gateway import attempt as attempts
 from shallothinge.gateway import dependencies
 from shallothinge.gateway import fault_attribution
+from shallothinge.gateway import hedging
 from shallothinge.gateway import model
 from shallothinge.gateway import part_admission
 from shallothinge.gateway import policy
 from shallothinge.gateway import running_attempts
+from shallothinge.routes import model as routes
 
 
 class AttemptRecord:
@@ -28,6 +30,7 @@
     ):
         self._parts = parts
         self._route = accepted.route
+        self._is_stream = accepted.route.kind is routes.RequestKind.STREAMING
         self._admission = admission
         self._deadline_ms = deadline_ms
         self._tried_ids: set[str] = set()
@@ -67,9 +70,34 @@
         return policy.no_retry_reason(
             route=self._route,
             progress=self.progress.after_runs(len(self.running)),
-            remaining_ms=self.remaining_ms,
+            remaining_ms=self.remaining_ms - self._min_answer_ms(),
+        )
+
+    def _min_answer_ms(self) -> int:
+        """Return the time that a second server needs, 0 for streams."""
+        if self._is_stream:
+            return 0
+        return hedging.min_answer_ms(
+            route=self._route,
+            estimate=self._parts.answer_times.estimate(self._route.name),
         )
 
+    @property
+    def has_takeover_credit(self) -> bool:
+        """Return whether the retry budget covers a takeover."""
+        if self._is_stream:
+            return self._parts.budget.has_credit
+        return self._parts.budget.has_hedge_credit
+
+    def count_takeover(self) -> None:
+        """Take the credit of a takeover that starts, and count it."""
+        if self._is_stream:
+            self._parts.budget.take()
+        else:
+            self._parts.budget.take_hedge()
+            self._parts.metrics.count_hedge()
+        self._parts.metrics.count_retry()
+
     def record_failure(
         self, attempt: attempts.Attempt, outcome: attempts.Outcome
     ) -> None:
--- a/src/shallothinge/gateway/dependencies.py
+++ b/src/shallothinge/gateway/dependencies.py
@@ -6,6 +6,7 @@
 
 from shallothinge import clock as clocks
 from shallothinge import process as processes
+from shallothinge.gateway import hedging
 from shallothinge.gateway import model
 from shallothinge.gateway import servers
 from shallothinge.gateway import shutdown
@@ -40,6 +41,7 @@
     permit_queue: waiting.WaitingPrompts
     returns: returns.ReturnSchedule
     budget: retries.RetryBudget
+    answer_times: hedging.AnswerTimes
     quarantine: quarantines.PartQuarantine
     fingerprinter: fingerprints.Fingerprinter
     caller: client.HttpClient
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -10,6 +10,7 @@
 from shallothinge.gateway import dependencies
 from shallothinge.gateway import exchange_guard
 from shallothinge.gateway import model
+from shallothinge.gateway import overdue
 from shallothinge.gateway import part_admission
 from shallothinge.gateway import policy
 from shallothinge.gateway import request_log
@@ -42,6 +43,7 @@
         self._accepted = accepted
         self._request = accepted.request
         self._route = accepted.route
+        self._is_stream = accepted.route.kind is routes.RequestKind.STREAMING
         self._started_ms = exchange.received_ms
         self._answer = caller_answer.CallerAnswer(
             parts=parts,
@@ -70,6 +72,9 @@
             times=self._answer.times,
             log=self._log,
         )
+        self._overdue = overdue.OverdueWatch(
+            parts=parts, accepted=accepted, log=self._log
+        )
         self._wait = waits.Wait(
             parts=parts,
             accepted=accepted,
@@ -117,7 +122,6 @@
             remaining_ms=self._attempts.remaining_ms,
             last_event_id=self._answer.last_event_id,
         )
-        is_stream = self._route.kind is routes.RequestKind.STREAMING
         is_takeover = bool(self._running)
         attempt = attempts.Attempt(
             parts=self._parts,
@@ -129,7 +133,7 @@
                 started_ms=self._parts.clock.now_ms(),
                 due_ms=self._search.due_ms,
             ),
-            is_stream=is_stream,
+            is_stream=self._is_stream,
             owner=self,
             guard=self._guard,
         )
@@ -145,7 +149,13 @@
             fingerprint=self._accepted.fingerprint,
         )
         attempt.start(server=server)
-        if is_stream and self._attempts.no_takeover_reason() is None:
+        if not self._is_stream:
+            self._overdue.expect_answer(
+                attempt,
+                expected_ms=placed.first_event_ms,
+                remaining_ms=self._attempts.remaining_ms,
+            )
+        elif self._attempts.no_takeover_reason() is None:
             self._silence.expect_first_event(attempt, placed)
 
     @guards.guarded
@@ -176,6 +186,16 @@
         self._wait.record_answer()
         self._answer.finish(attempt.head, rest)
 
+    @guards.guarded
+    def on_data(self, attempt: attempts.Attempt) -> None:
+        """Record a part of an answer; its server is silent no more."""
+        self._parts.servers.record_activity(attempt.server_id)
+        if attempt.is_stalled:
+            self._search.stop()
+            self._overdue.expect_rest(
+                attempt, remaining_ms=self._attempts.remaining_ms
+            )
+
     @guards.guarded
     def on_answer(self, attempt: attempts.Attempt, body: bytes) -> None:
         """Pass on a complete answer, unless a stream has begun before it."""
@@ -194,6 +214,8 @@
         self._parts.servers.record_success(attempt.server_id)
         self._admission.record_whole()
         self._wait.record_answer()
+        if not self._is_stream:
+            self._overdue.record_answer(attempt)
         self._answer.respond('finished', attempt.head, body)
 
     def _settle_on(self, attempt: attempts.Attempt) -> None:
@@ -204,6 +226,9 @@
     @guards.guarded
     def on_stalled(self, attempt: attempts.Attempt) -> None:
         """Look for another server, while the silent one keeps the request."""
+        if not self._is_stream:
+            self._on_overdue(attempt)
+            return
         if self._silence.waits_for_read(attempt):
             return
         reason = self._attempts.no_takeover_reason()
@@ -215,6 +240,22 @@
         if reason is None and not self._search.is_waiting:
             self._search.start()
 
+    def _on_overdue(self, attempt: attempts.Attempt) -> None:
+        """Look for a second server if the call may run at two of them."""
+        if self._overdue.waits_for_data(attempt):
+            return
+        reason = (
+            self._attempts.no_takeover_reason()
+            or self._admission.no_retry_reason()
+        )
+        self._overdue.record_overdue(
+            attempt,
+            remaining_ms=self._attempts.remaining_ms,
+            no_takeover=reason,
+        )
+        if reason is None and not self._search.is_waiting:
+            self._search.start()
+
     @guards.guarded
     def on_failed(
         self, attempt: attempts.Attempt, outcome: attempts.Outcome
@@ -244,7 +285,7 @@
         """Replace the failed attempt if the other one is silent, too."""
         if self._running.are_stalled and not self._search.is_waiting:
             self._search.start()
-        elif self._attempts.no_takeover_reason() is None:
+        elif self._is_stream and self._attempts.no_takeover_reason() is None:
             self._running.expect_within(self._silence.stall_timeout_ms)
 
     def _fail(self, outcome: attempts.Outcome) -> None:
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -37,7 +37,7 @@
 # Polling interval of a request that waits for a lease, a server or capacity.
 # Slots become free as streams end, some tens a second over a fleet.
 POLL_INTERVAL_MS = 20
-# Polling interval of a request whose server has fallen silent. Callers leave
+# Polling interval of a stream whose server has fallen silent. Callers leave
 # silent streams after two seconds or more.
 TAKEOVER_POLL_INTERVAL_MS = 100
 # Placing a long prompt evaluates many sets of servers, so some polls are
@@ -188,6 +188,13 @@
     )
 
 
+def takeover_poll_delay_ms(route: routes.Route) -> int:
+    """Return the delay until the next poll for a second server."""
+    if route.kind is routes.RequestKind.STREAMING:
+        return TAKEOVER_POLL_INTERVAL_MS
+    return POLL_INTERVAL_MS
+
+
 def permit_poll_delay_ms(free_in_ms: int) -> int:
     """Return the delay until the next poll for a permit.
 
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -16,6 +16,7 @@
 from shallothinge.gateway import dependencies
 from shallothinge.gateway import drain
 from shallothinge.gateway import gateway_group
+from shallothinge.gateway import hedging
 from shallothinge.gateway import ingress as ingresses
 from shallothinge.gateway import notices
 from shallothinge.gateway import peers as gateways
@@ -151,6 +152,7 @@
                 percent=int(RETRY_FRACTION * self._settings.retries.percent),
                 burst=1,
             ),
+            answer_times=hedging.AnswerTimes(clock=clock),
             quarantine=quarantines.PartQuarantine(clock=clock),
             fingerprinter=fingerprints.Fingerprinter(
                 secret=self._process.key_pair.secret.encode()
--- a/src/shallothinge/gateway/request_log.py
+++ b/src/shallothinge/gateway/request_log.py
@@ -83,6 +83,22 @@
             **fields,
         )
 
+    def overdue(
+        self,
+        attempt: attempts.Attempt,
+        *,
+        no_takeover: policy.NoRetry | None,
+        **fields,
+    ) -> None:
+        """Log an overdue answer, and why no other server may be asked."""
+        self._write(
+            'answer overdue',
+            server_id=attempt.server_id,
+            sent_after_ms=attempt.sent_after_ms,
+            no_takeover=no_takeover and no_takeover.value,
+            **fields,
+        )
+
     def failed(
         self,
         attempt: attempts.Attempt,
--- a/src/shallothinge/gateway/server_search.py
+++ b/src/shallothinge/gateway/server_search.py
@@ -79,7 +79,7 @@
                 WaitCause.LEASE, kind=ErrorKind.NO_LEASE, may_recover=True
             )
             return
-        if self._attempts.running and not self._parts.budget.has_credit:
+        if self._attempts.running and not self._attempts.has_takeover_credit:
             self._retry_later(WaitCause.BUDGET)
             return
         if self._waits_for_permit():
@@ -154,8 +154,7 @@
             self._retry_later(WaitCause.COLD_LIMIT)
         else:
             if self._attempts.running:
-                self._parts.budget.take()
-                self._parts.metrics.count_retry()
+                self._attempts.count_takeover()
             self._wait.end()
             self._send(placed)
 
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -14,6 +14,7 @@
 from shallothinge.gateway import cold_rate_limiter
 from shallothinge.gateway import dependencies
 from shallothinge.gateway import gateway_group
+from shallothinge.gateway import hedging
 from shallothinge.gateway import ingress
 from shallothinge.gateway import notices
 from shallothinge.gateway import servers
@@ -259,6 +260,7 @@
             permit_queue=waiting.WaitingPrompts(clock=self.clock),
             returns=returns.ReturnSchedule(clock=self.clock),
             budget=retries.RetryBudget(percent=16, burst=10),
+            answer_times=hedging.AnswerTimes(clock=self.clock),
             quarantine=quarantines.PartQuarantine(clock=self.clock),
             fingerprinter=fingerprints.Fingerprinter(secret=b'secret'),
             caller=self.caller,
--- a/src/shallothinge/gateway/wait.py
+++ b/src/shallothinge/gateway/wait.py
@@ -166,7 +166,7 @@
             self._logged_causes.add(cause)
             self._log(cause, free_in_ms)
         if is_running:
-            return policy.TAKEOVER_POLL_INTERVAL_MS
+            return policy.takeover_poll_delay_ms(self._accepted.route)
         delay_ms = policy.POLL_INTERVAL_MS
         if cause is WaitCause.READS:
             delay_ms = policy.reads_poll_delay_ms(free_in_ms)
--- a/src/shallothinge/metrics.py
+++ b/src/shallothinge/metrics.py
@@ -104,6 +104,9 @@
         self._retries = meter.create_counter(
             'retries', description='Attempts after the first one.'
         )
+        self._hedges = meter.create_counter(
+            'hedges', description='Retries of calls with overdue answers.'
+        )
 
     def count_request(self, *, request_class: str, outcome: str) -> None:
         """Count a request that ended.
@@ -146,6 +149,10 @@
         """Count an attempt after the first one."""
         self._retries.add(1)
 
+    def count_hedge(self) -> None:
+        """Count a call sent to a second server while the first has it."""
+        self._hedges.add(1)
+
     def observe_lease(self, *, read_remaining_ms: Callable[[], int]) -> None:
         """Publish for how long the lease still runs."""
         self._observe('lease_remaining', 'ms', read_remaining_ms)
--- a/src/shallothinge/routing/tests/test_retries.py
+++ b/src/shallothinge/routing/tests/test_retries.py
@@ -46,6 +46,43 @@
         self.assertEqual(BURST, taken)
 
 
+class HedgeCreditTest(unittest.TestCase):
+    """Hedges leave most of the credit to requests that have failed."""
+
+    def test_hedges_alone_take_their_share_at_most(self):
+        for percent, burst in ((16, 1), (16, 10), (3, 50)):
+            with self.subTest(percent=percent, burst=burst):
+                budget = retries.RetryBudget(percent=percent, burst=burst)
+                taken = 0
+                for _ in range(10_000):
+                    budget.fresh()
+                    taken += budget.take_hedge()
+                share = retries.HEDGE_PERCENT / 100
+                allowed = share * percent * 100 + max(1, share * burst)
+                self.assertLessEqual(taken, allowed)
+                self.assertGreater(taken, 0.9 * allowed)
+                self.assertEqual(taken, budget.retry_count)
+
+    def test_hedges_and_retries_together_keep_the_budget(self):
+        budget = retries.RetryBudget(percent=16, burst=10)
+        for _ in range(10_000):
+            budget.fresh()
+            budget.take_hedge()
+            budget.take()
+        self.assertLessEqual(budget.retry_count, 1610)
+
+    def test_no_hedge_without_credit_for_a_retry(self):
+        budget = retries.RetryBudget(percent=16, burst=10)
+        while budget.take():
+            pass
+        self.assertFalse(budget.take_hedge())
+
+    def test_smaller_burst_limits_saved_hedges(self):
+        budget = retries.RetryBudget(percent=16, burst=10)
+        budget.limit_burst(1)
+        self.assertEqual(1, sum(budget.take_hedge() for _ in range(10)))
+
+
 class DelayTest(unittest.TestCase):
     """Delays with full jitter, and the deadline check."""
 
--- a/src/shallothinge/tests/test_metrics.py
+++ b/src/shallothinge/tests/test_metrics.py
@@ -25,6 +25,7 @@
         made.count_tokens(workspace='w', model='m', counts=counts)
         made.count_refusal(kind=errors.ErrorKind.OVERLOADED)
         made.count_retry()
+        made.count_hedge()
         made.observe_lease(read_remaining_ms=lambda: 2500)
         made.observe_queue(read_requests=lambda: 3)
         port = yield metrics.listen(
@@ -41,6 +42,7 @@
             'tokens_total{kind="generated",model="m",workspace="w"} 4',
             'refusals_total{kind="overloaded"} 1',
             'retries_total 1',
+            'hedges_total 1',
             'lease_remaining_milliseconds 2500',
             'queue_length 3',
         ):
--- a/testing/test_pure_core.py
+++ b/testing/test_pure_core.py
@@ -70,6 +70,7 @@
     'entry.workspaces',
     'errors',
     'gateway.cold_rate_limiter',
+    'gateway.hedging',
     'gateway.policy',
     'http1.messages',
     'leases.holder',
