Don't take comments of a stalled stream for progress

A backend server whose engine stood still, but which sent a comment, a blank line or an event without data now and then, kept its streams until their deadline: no other server was asked, and none avoided it.

Cause: such bytes were returned like events, and each of them restarted the stall timeout, ended a second attempt, and counted as activity and as the first event.

Only events with a data field count now. Other bytes are passed on while a single server has the stream, so that its caller reads what it did before.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -338,6 +338,12 @@
     def _on_events(self, events: list[sse.StreamEvent]) -> None:
         if not events:
             return
+        if any(event.has_data for event in events):
+            self._record_progress()
+        self._owner.on_events(self, events)
+
+    def _record_progress(self) -> None:
+        """End what lasts until the server sends the next event."""
         if self._first_event_ms is None:
             self._first_event_ms = self._parts.clock.now_ms()
         for work_id in self._work_ids:
@@ -346,7 +352,6 @@
         if self.is_stalled:
             self._stop_timer()
         self.is_stalled = False
-        self._owner.on_events(self, events)
 
     @guards.guarded
     def on_end(self, end: client.AnswerEnd) -> None:
--- a/src/shallothinge/gateway/caller_answer.py
+++ b/src/shallothinge/gateway/caller_answer.py
@@ -56,6 +56,10 @@
     def write(self, head: model.AnswerHead, data: bytes) -> None:
         """Write events; the head of the answer comes with the first one."""
         self.times.record(self._parts.clock.now_ms())
+        self.write_comments(head, data)
+
+    def write_comments(self, head: model.AnswerHead, data: bytes) -> None:
+        """Write bytes of a stream that are no event to its caller."""
         self._begin(head)
         self._exchange.write(data)
 
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -164,7 +164,16 @@
         attempt: attempts.Attempt,
         events: list[sse.StreamEvent],
     ) -> None:
-        """Pass on events, except those that the caller already has."""
+        """Pass on events, except those that the caller already has.
+
+        Comments and events without data say nothing of the server's engine.
+        """
+        if not any(event.has_data for event in events):
+            if len(self._running) == 1:
+                data = self._answer.take_unsent(events)
+                if data:
+                    self._answer.write_comments(attempt.head, data)
+            return
         self._parts.servers.record_activity(attempt.server_id)
         data = self._answer.take_unsent(events)
         if not data:
--- a/src/shallothinge/sse.py
+++ b/src/shallothinge/sse.py
@@ -30,11 +30,13 @@
 class StreamEvent:
     """One event as it arrived, with its blank line.
 
-    ``event_id`` is '' for an event without one.
+    ``event_id`` is '' for an event without one. ``has_data`` is whether it
+    has a data field, without which its receiver drops it.
     """
 
     data: bytes = attrs.field(repr=False)
     event_id: str
+    has_data: bool = True
 
 
 class EventSplitter:
@@ -97,7 +99,11 @@
 
     def _take(self, data: bytearray) -> StreamEvent:
         self.has_events = self.has_events or _has_field(data)
-        return StreamEvent(data=bytes(data), event_id=_id_of(data))
+        return StreamEvent(
+            data=bytes(data),
+            event_id=_id_of(data),
+            has_data=_has_data_field(data),
+        )
 
 
 class EventParser:
@@ -126,6 +132,13 @@
     )
 
 
+def _has_data_field(event: bytes) -> bool:
+    return any(
+        line.partition(b':')[0] == DATA_FIELD.rstrip(b':')
+        for line in event.splitlines()
+    )
+
+
 def _is_blank(line: bytes) -> bool:
     return not line.strip(LINE_ENDS)
 
--- a/src/shallothinge/tests/test_sse.py
+++ b/src/shallothinge/tests/test_sse.py
@@ -57,6 +57,24 @@
 class EventSplitterTest(unittest.TestCase):
     """Only complete events are returned."""
 
+    def test_what_has_no_data_is_told_from_events(self):
+        """Comments of a dark server passed for its progress."""
+        for data, has_data in (
+            (b'data: 1\n\n', True),
+            (b'data\n\n', True),
+            (b'id: 3\r\ndata:\r\n\r\n', True),
+            (b': c\rdata: 1\r\r', True),
+            (b'\n\n', False),
+            (b': data: 1\n\n', False),
+            (b'id: 3\nevent: data\n\n', False),
+            (b'database: 1\n\n', False),
+        ):
+            with self.subTest(data=data):
+                splitter = sse.EventSplitter()
+                (event,) = splitter.feed(data)
+                self.assertEqual(data, event.data)
+                self.assertIs(has_data, event.has_data)
+
     def test_events_over_pieces(self):
         splitter = sse.EventSplitter()
         events = []
