Tell callers when a server may be back, and what is missing

Callers of a service without an available server were told to come back after 2 s also where more was known: a server's pause ends sooner, but another one had been tried; the zone or the server was taken out, and may be returned at any time; a new leader had not heard of all servers. The refusal did not say what was missing.

Cause: the pause was used only if all servers in service paused, tried ones included, and nothing else was looked at.

`gateway/absence.py` counts the servers by what keeps work from them. A missing lease is not reported as a pause any more.

--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -6,6 +6,7 @@
 
 from shallothinge import errors
 from shallothinge.errors import ErrorKind
+from shallothinge.gateway import absence
 from shallothinge.quarantine import state as quarantines
 from shallothinge.routes import model as routes
 
@@ -335,19 +336,30 @@
 
 
 def unplaced_error(
-    *, progress: Progress, kind: ErrorKind, pause_ms: int | None
+    *,
+    progress: Progress,
+    kind: ErrorKind,
+    missing: absence.Absence,
+    is_list_settled: bool,
 ) -> errors.ServingError:
     """Return the error for a request that no server can be sent.
 
     :param kind: the error of a request that surely did not run.
-    :param pause_ms: time until the first server accepts requests again, if
-        all servers have requested a pause.
+    :param missing: what keeps requests from the servers.
+    :param is_list_settled: whether the leader has heard of all servers.
     """
+    is_for_servers = kind is not ErrorKind.NO_LEASE
     if progress.may_have_run:
-        return errors.ServingError(kind=ErrorKind.BACKEND_FAILED)
-    if pause_ms:
+        kind = ErrorKind.BACKEND_FAILED
+    elif is_for_servers and missing.first_pause_ms:
         kind = ErrorKind.OVERLOADED
-    return errors.ServingError(kind=kind, retry_after_ms=pause_ms)
+    if not is_for_servers:
+        return errors.ServingError(kind=kind)
+    return errors.ServingError(
+        kind=kind,
+        detail=missing.detail,
+        retry_after_ms=missing.return_in_ms(is_list_settled=is_list_settled),
+    )
 
 
 def fault_error(progress: Progress) -> errors.ServingError:
--- a/src/shallothinge/gateway/server_search.py
+++ b/src/shallothinge/gateway/server_search.py
@@ -277,7 +277,10 @@
                 policy.unplaced_error(
                     progress=self._attempts.progress,
                     kind=kind,
-                    pause_ms=self.shortest_pause_ms(),
+                    missing=self._parts.servers.absence_of(
+                        self._accepted.service.name
+                    ),
+                    is_list_settled=self._parts.holder.is_settled,
                 )
             )
 
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -8,6 +8,7 @@
 import attrs
 
 from shallothinge import clock as clocks
+from shallothinge.gateway import absence
 from shallothinge.gateway import cold_rate_limiter
 from shallothinge.gateway import model
 from shallothinge.gateway import notices
@@ -310,6 +311,27 @@
         ]
         return min(pauses_ms, default=0) or None
 
+    def absence_of(self, service: str) -> absence.Absence:
+        """Return what keeps requests from the servers of a service."""
+        listed = [
+            entry.server
+            for entry in self._entries.values()
+            if service in entry.server.services
+        ]
+        present = [server for server in listed if not self._leaves(server)]
+        serving = [server for server in present if self._is_serving(server)]
+        pauses_ms = [
+            self._notices.pause_ms(notices.key_of(server))
+            for server in serving
+        ]
+        return absence.Absence(
+            listed_count=len(listed),
+            leaving_count=len(listed) - len(present),
+            out_count=len(present) - len(serving),
+            paused_count=sum(pause_ms > 0 for pause_ms in pauses_ms),
+            first_pause_ms=min(filter(None, pauses_ms), default=None),
+        )
+
     def record_stall(self, server_id: str) -> None:
         """Record a stalled request; a failure if the server is silent."""
         entry = self._entries.get(server_id)
@@ -357,9 +379,14 @@
         """Return whether a server is in service, paused or not."""
         config = self._holder.config
         return not (
-            server.leaving
+            self._leaves(server)
             or server.zone in config.zones_out
             or server.server_id in config.servers_out
+        )
+
+    def _leaves(self, server: BackendServer) -> bool:
+        return (
+            server.leaving
             or self._holder.has_left(server)
             or self._notices.has_left(notices.key_of(server))
         )
--- a/testing/test_pure_core.py
+++ b/testing/test_pure_core.py
@@ -69,6 +69,7 @@
     'entry.requests',
     'entry.workspaces',
     'errors',
+    'gateway.absence',
     'gateway.cold_rate_limiter',
     'gateway.hedging',
     'gateway.policy',
