Avoid silent servers of calls that have no time for a hedge

A server that was silent to a call was not avoided if a second server could not have answered the call in time any more, as no timeout was set then. The next calls went there, too.

The timeout is set whenever it comes before the deadline; whether there is time for a second server is decided apart (`Timing.leaves_time`), and `no_takeover` of the log line says `deadline` if not.

test_silent_server_is_avoided_where_no_time_is_left failed before.

--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -253,14 +253,11 @@
         """Look for a second server if the call may run at two of them."""
         if self._overdue.waits_for_data(attempt):
             return
-        reason = (
-            self._attempts.no_takeover_reason()
-            or self._admission.no_retry_reason()
-        )
-        self._overdue.record_overdue(
+        reason = self._overdue.record_overdue(
             attempt,
             remaining_ms=self._attempts.remaining_ms,
-            no_takeover=reason,
+            no_takeover=self._attempts.no_takeover_reason()
+            or self._admission.no_retry_reason(),
         )
         if reason is None and not self._search.is_waiting:
             self._search.start()
--- a/src/shallothinge/gateway/hedging.py
+++ b/src/shallothinge/gateway/hedging.py
@@ -57,12 +57,14 @@
 
     ``delay_ms`` is the silence of its server after which it is overdue, and
     ``latest_ms`` the time from sending after which it is overdue although
-    parts of the answer arrive. ``estimate`` is None if too few answers are
-    known.
+    parts of the answer arrive. ``leaves_time`` is whether a second server
+    can answer in time after ``delay_ms``. ``estimate`` is None if too few
+    answers are known.
     """
 
     delay_ms: int
     latest_ms: int
+    leaves_time: bool
     estimate: Estimate | None
 
 
@@ -158,7 +160,7 @@
     :param estimate: times of recent answers of the route, if known.
     :param expected_ms: time that an engine needs to read the prompt, or 0.
     :param remaining_ms: time left until the deadline.
-    :returns: None if a second server could not answer in time.
+    :returns: None if it is not overdue before its deadline.
     """
     usual_ms = max(
         estimate.usual_ms if estimate else _assumed_usual_ms(route),
@@ -173,11 +175,12 @@
     least_ms = min_answer_ms(
         route=route, estimate=estimate, expected_ms=expected_ms
     )
-    if delay_ms + least_ms >= remaining_ms:
+    if delay_ms >= remaining_ms:
         return None
     return Timing(
         delay_ms=delay_ms,
         latest_ms=max(delay_ms, latest_ms),
+        leaves_time=delay_ms + least_ms < remaining_ms,
         estimate=estimate,
     )
 
--- a/src/shallothinge/gateway/overdue.py
+++ b/src/shallothinge/gateway/overdue.py
@@ -17,7 +17,7 @@
 
 @attrs.define(kw_only=True)
 class _Watched:
-    """An attempt's timing, None if no other server could answer in time."""
+    """An attempt's timing, None if it is not overdue before its deadline."""
 
     timing: hedging.Timing | None
     expected_ms: float
@@ -119,13 +119,17 @@
         *,
         remaining_ms: int,
         no_takeover: policy.NoRetry | None,
-    ) -> None:
+    ) -> policy.NoRetry | None:
         """Record a server whose answer is overdue.
 
         :param remaining_ms: time left until the deadline.
+        :param no_takeover: why the call may not run at another server.
+        :returns: why no other server is asked, None if one is.
         """
         self._parts.servers.record_stall(attempt.server_id)
         timing = self._watched[attempt].timing
+        if no_takeover is None and not timing.leaves_time:
+            no_takeover = policy.NoRetry.DEADLINE
         estimate = timing.estimate
         self._log.overdue(
             attempt,
@@ -139,6 +143,7 @@
             remaining_ms=remaining_ms,
             has_credit=self._parts.budget.has_hedge_credit,
         )
+        return no_takeover
 
     def record_answer(self, attempt: attempts.Attempt) -> None:
         """Record how long a complete answer took."""
