--- a/src/shallothinge/gateway/server_search.py
+++ b/src/shallothinge/gateway/server_search.py
@@ -81,7 +81,7 @@
                 WaitCause.LEASE, kind=ErrorKind.NO_LEASE, may_recover=True
             )
             return
-        if self._attempts.running and not self._parts.budget.has_credit:
+        if self._attempts.running and not self._attempts.has_takeover_credit:
             self._retry_later(WaitCause.BUDGET)
             return
         if self._waits_for_permit():
@@ -167,8 +167,7 @@
             self._retry_later(WaitCause.COLD_LIMIT)
         else:
             if self._attempts.running:
-                self._parts.budget.take()
-                self._parts.metrics.count_retry()
+                self._attempts.count_takeover()
             self._wait.record_grant()
             self._wait.end()
             self._send(placed)
@@ -332,7 +331,10 @@
                 policy.unplaced_error(
                     progress=self._attempts.progress,
                     kind=kind,
-                    pause_ms=self.shortest_pause_ms(),
+                    missing=self._parts.servers.absence_of(
+                        self._accepted.service.name
+                    ),
+                    is_list_settled=self._parts.holder.is_settled,
                 )
             )
 
