Refute a crash if its incarnation goes on sending

Cause: each connection that a server closed before the answer was complete counted as the end of its incarnation.

Data that arrives from the incarnation after the crash, on a connection that was open and read before it, now refutes the crash. The gateway reports it in `PartsReported.refuted`, and all gateways drop the crash and lift a quarantine whose remaining crashes do not suffice. Former gateways ignore the new fields and lift by `lifted`. While crashes are refuted, a crash is judged only after 150 ms.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -9,6 +9,7 @@
 from shallothinge import sse
 from shallothinge.gateway import dependencies
 from shallothinge.gateway import model
+from shallothinge.gateway import notices
 from shallothinge.gateway import reservation
 from shallothinge.gateway.policy import FailureCause
 from shallothinge.http1 import client
@@ -105,6 +106,8 @@
         self._placed_ms = parts.clock.now_ms()
         self.sent_after_ms: int | None = None
         self._sent_ms = self._placed_ms
+        # The connection was open and was read without a pause from then on.
+        self._reading_ms = self._placed_ms
         self._server: BackendServer | None = None
         self._exchange = None
         self._reservation = None
@@ -181,7 +184,7 @@
         )
         if not is_allowed:
             return False
-        self._sent_ms = self._parts.clock.now_ms()
+        self._sent_ms = self._reading_ms = self._parts.clock.now_ms()
         self.sent_after_ms = self._sent_ms - self._placed_ms
         self._parts.metrics.record_send_delay(duration_ms=self.sent_after_ms)
         return True
@@ -248,6 +251,8 @@
     @guards.guarded
     def resume(self) -> None:
         """Resume reading and restart the stall timer."""
+        if self._is_paused:
+            self._reading_ms = self._parts.clock.now_ms()
         self._is_paused = False
         if self._exchange is not None and not self._is_over:
             self._exchange.resume()
@@ -275,6 +280,8 @@
                 FailureCause.BROKEN, detail='response is to another request'
             )
             return
+        if not answer.is_misdirected:
+            self._record_incarnation()
         self._parts.servers.record_limit(
             self._server, answer=answer, sent_ms=self._sent_ms
         )
@@ -294,6 +301,7 @@
         """Handle a chunk of the body."""
         if self._is_over:
             return
+        self._record_incarnation()
         if not self._is_stream_answer():
             self._body += data
             return
@@ -304,6 +312,21 @@
             return
         self._on_events(events)
 
+    def _record_incarnation(self) -> None:
+        """Tell the quarantine that the server's incarnation sent data.
+
+        If the server is listed with another incarnation, it has restarted,
+        and what this connection leads to is not certain.
+        """
+        listed = self._parts.servers.find(self.server_id)
+        is_current = listed is None or (
+            listed.incarnation == self._server.incarnation
+        )
+        if is_current and not self._is_paused:
+            self._parts.quarantine.record_data(
+                key=notices.key_of(self._server), opened_ms=self._reading_ms
+            )
+
     def _on_events(self, events: list[sse.StreamEvent]) -> None:
         if not events:
             return
--- a/src/shallothinge/quarantine/blame.py
+++ b/src/shallothinge/quarantine/blame.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from shallothinge.membership.model import ServerKey
 from shallothinge.quarantine import evidence as evidences
 from shallothinge.quarantine import fingerprints
 from shallothinge.quarantine import records
@@ -64,6 +65,35 @@
             return max(parts, key=lambda one: one.rank)
         return _find_worst_request(requests)
 
+    def upholds(self, part_id: str, crashed: Iterable[ServerKey]) -> bool:
+        """Return whether crashes still speak against a quarantined part.
+
+        What was blamed because of enough crashes may now be blamed on one
+        request.
+
+        :param crashed: the crashes that are left.
+        """
+        if fingerprints.is_fingerprint(part_id) or not all(
+            map(self._evidence.has_crash, crashed)
+        ):
+            return True
+        others = _without_requests(frozenset(self._quarantined.ids)) - {
+            part_id
+        }
+        requests = filter(
+            fingerprints.is_fingerprint, self._evidence.parts_beside(part_id)
+        )
+        suspicions = (
+            self._evidence.suspicion(request, explained_by=others)
+            for request in requests
+        )
+        blamed_ids = frozenset(
+            one.part_id
+            for one in suspicions
+            if one is not None and one.is_enough
+        )
+        return self._is_common_cause(part_id, blamed_ids)
+
     def _is_common_cause(
         self, part_id: str, blamed_ids: frozenset[str]
     ) -> bool:
@@ -71,7 +101,7 @@
 
         :param blamed_ids: requests against which enough crashes speak.
         """
-        quarantined_ids = frozenset(self._quarantined.ids)
+        quarantined_ids = frozenset(self._quarantined.ids) - {part_id}
         unexplained = self._evidence.suspicion(
             part_id, explained_by=quarantined_ids | blamed_ids
         )
--- a/src/shallothinge/quarantine/evidence.py
+++ b/src/shallothinge/quarantine/evidence.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import itertools
@@ -24,6 +25,24 @@
 # Servers that crash within this time may have one cause outside of the
 # prompts, such as the loss of their zone, so they count once.
 SAME_MOMENT_MS = 100
+# Data that arrives this soon after a crash may have been sent before it: a
+# gateway reads up to 64 KiB of each connection from the kernel's receive
+# buffer, 8 KiB at a time, in turn with its other connections.
+IN_FLIGHT_MS = 20
+# If other closes were refuted lately, one counts only after this time, so that
+# it can be refuted first: a stream writes an event every 20 to 50 ms, the data
+# is not in flight, and its report takes some milliseconds.
+REFUTE_MS = 150
+# Reports give ages, so a peer's time of a crash is late by the delivery, which
+# usually takes 2 to 5 ms, and longer if a gateway is busy. Closes that are
+# reported within this time are the same one.
+REPORT_TOLERANCE_MS = 50
+# Limits on separate closes of one incarnation, and on refuted ones that are
+# remembered.
+MAX_CLOSES_OF_CRASH = 8
+MAX_REFUTED = 256
+# Refuted closes are remembered until no peer can repeat them.
+REFUTED_TTL_MS = 10_000
 # Crashes, apart in time, without a complete answer since the first of them.
 # Parts that had complete answers before are less likely to be the cause.
 CRASHES_TO_BLAME = 3
@@ -36,31 +55,139 @@
 CRASHES_TO_BLAME_ONE_OF_TWO = 5
 
 
-@attrs.define(kw_only=True)
-class Crash:
-    """The end of one incarnation of a server.
+@attrs.define(kw_only=True, eq=False)
+class Close:
+    """Connections to one incarnation that it closed at about one moment.
 
+    ``at_ms`` and ``last_ms`` are when the first and the last of them were
+    closed. ``is_own`` is whether this gateway saw it, not a peer.
     ``positions`` gives for each part of the requests that were in progress
-    there its greatest position in a prompt.
+    its greatest position in a prompt.
     """
 
     at_ms: int
+    last_ms: int
+    is_own: bool
+    positions: dict[str, int] = attrs.field(factory=dict)
+
+    def is_same(self, at_ms: int) -> bool:
+        """Return whether a report about this time is about this close."""
+        return abs(at_ms - self.at_ms) <= REPORT_TOLERANCE_MS
+
+    def is_refuted_by(self, *, opened_ms: int, received_ms: int) -> bool:
+        """Return whether data shows that the incarnation did not end then."""
+        return (
+            opened_ms < self.at_ms
+            and received_ms >= self.last_ms + IN_FLIGHT_MS
+        )
+
+
+@attrs.define(kw_only=True)
+class Crash:
+    """The end of one incarnation of a server, as its closes suggest."""
+
+    closes: list[Close]
     positions: dict[str, int] = attrs.field(factory=dict)
 
+    def time_of(self, part_id: str) -> int:
+        """Return the time of the newest close with a part."""
+        return max(
+            one.at_ms for one in self.closes if part_id in one.positions
+        )
+
+    def add(
+        self, *, at_ms: int, positions: Mapping[str, int], is_own: bool
+    ) -> None:
+        """Add parts of requests that a close ended."""
+        close = self._find_or_add(at_ms, is_own)
+        close.at_ms = min(close.at_ms, at_ms)
+        close.last_ms = max(close.last_ms, at_ms)
+        count = sum(len(one.positions) for one in self.closes)
+        for part_id, position in positions.items():
+            if part_id not in close.positions:
+                if count >= MAX_PARTS_OF_CRASH:
+                    continue
+                count += 1
+            for known in (close.positions, self.positions):
+                known[part_id] = max(position, known.get(part_id, 0))
+
+    def _find_or_add(self, at_ms: int, is_own: bool) -> Close:
+        """Return the close to which a report belongs.
+
+        Own closes are kept apart from those of peers, which report them.
+        """
+        for close in self.closes:
+            if close.is_own == is_own and close.is_same(at_ms):
+                return close
+        if len(self.closes) >= MAX_CLOSES_OF_CRASH:
+            for close in reversed(self.closes):
+                if close.is_own == is_own:
+                    return close
+        close = Close(at_ms=at_ms, last_ms=at_ms, is_own=is_own)
+        self.closes.append(close)
+        return close
+
+    def remove(self, closes: list[Close]) -> None:
+        """Remove closes that are refuted or too old."""
+        self.closes = [one for one in self.closes if one not in closes]
+        self.positions = {}
+        for close in self.closes:
+            for part_id, position in close.positions.items():
+                self.positions[part_id] = max(
+                    position, self.positions.get(part_id, 0)
+                )
+
+
+@attrs.frozen(kw_only=True)
+class Refutation:
+    """Closes that did not end their incarnation.
+
+    ``cleared_ids`` are the parts against which the crash is no evidence any
+    more.
+    """
+
+    closes: tuple[Close, ...]
+    cleared_ids: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class _Refuted:
+    """A refuted close, and the data that refuted it, if it came here."""
+
+    key: ServerKey
+    at_ms: int
+    noted_ms: int
+    opened_ms: float = math.inf
+
+    def covers(self, key: ServerKey, at_ms: int) -> bool:
+        """Return whether a crash that a peer reports is refuted already."""
+        if key != self.key:
+            return False
+        is_same = abs(at_ms - self.at_ms) <= REPORT_TOLERANCE_MS
+        return is_same or (
+            self.opened_ms < at_ms <= self.noted_ms - IN_FLIGHT_MS
+        )
+
 
 @attrs.frozen(kw_only=True)
 class Suspicion:
     """How strongly the crashes speak against a part.
 
     ``crashes`` counts the crashes, apart in time, since the last complete
-    answer with the part. ``server_ids`` are those that crashed.
+    answer with the part. ``times_ms`` are the times of all, by server.
     """
 
     part_id: str
     crashes: int
     is_proven: bool
     position: int
-    server_ids: tuple[str, ...]
+    times_ms: dict[ServerKey, int]
+
+    @property
+    def server_ids(self) -> tuple[str, ...]:
+        """Return the servers that crashed."""
+        by_time = sorted(self.times_ms, key=self.times_ms.__getitem__)
+        return tuple(server_id for server_id, _ in by_time)
 
     @property
     def is_of_request(self) -> bool:
@@ -70,12 +197,19 @@
     @property
     def is_enough(self) -> bool:
         """Return whether the part is to be quarantined."""
-        if self.is_of_request:
-            return self.crashes >= CRASHES_TO_BLAME
-        needed = (
-            CRASHES_TO_BLAME_PROVEN if self.is_proven else CRASHES_TO_BLAME
-        )
-        return self.crashes >= needed
+        return self.crashes >= self.needed
+
+    @property
+    def needed(self) -> int:
+        """Return how many crashes are enough."""
+        if self.is_proven and not self.is_of_request:
+            return CRASHES_TO_BLAME_PROVEN
+        return CRASHES_TO_BLAME
+
+    def is_enough_before(self, time_ms: int) -> bool:
+        """Return whether the crashes up to a time are enough."""
+        early = (one for one in self.times_ms.values() if one <= time_ms)
+        return count_moments(early) >= self.needed
 
     @property
     def rank(self) -> tuple[int, bool, int]:
@@ -89,29 +223,124 @@
     def __init__(self):
         self._crashes: dict[ServerKey, Crash] = {}
         self._whole_ms: dict[str, int] = {}
+        self._refuted: collections.deque[_Refuted] = collections.deque(
+            maxlen=MAX_REFUTED
+        )
 
     def add_crash(
-        self, *, key: ServerKey, at_ms: int, positions: Mapping[str, int]
+        self,
+        *,
+        key: ServerKey,
+        at_ms: int,
+        positions: Mapping[str, int],
+        is_own: bool,
     ) -> bool:
         """Add parts of requests that a crash ended.
 
         :param key: id and incarnation of the server.
         :param positions: positions of the parts in their prompts.
+        :param is_own: whether this gateway saw it; reports of peers about a
+            crash that was refuted are ignored.
         :returns: whether any of them was not known.
         """
-        crash = self._crashes.setdefault(key, Crash(at_ms=at_ms))
+        if not is_own and any(one.covers(key, at_ms) for one in self._refuted):
+            return False
+        crash = self._crashes.setdefault(key, Crash(closes=[]))
         if len(self._crashes) > MAX_CRASHES:
             del self._crashes[next(iter(self._crashes))]
         known_count = len(crash.positions)
-        for part_id, position in positions.items():
-            known = crash.positions.get(part_id)
-            if known is not None or len(crash.positions) < MAX_PARTS_OF_CRASH:
-                crash.positions[part_id] = max(position, known or 0)
+        crash.add(at_ms=at_ms, positions=positions, is_own=is_own)
         return len(crash.positions) > known_count
 
-    def crash(self, key: ServerKey) -> Crash | None:
-        """Return what is known of a crash, None if it was dropped."""
-        return self._crashes.get(key)
+    def refute_by_data(
+        self, *, key: ServerKey, opened_ms: int, now_ms: int
+    ) -> Refutation | None:
+        """Drop closes after which the same incarnation sends data.
+
+        :param opened_ms: instant from which on the connection that the data
+            came on was open and was read without a pause.
+        :returns: what was dropped, None if the data refutes nothing.
+        """
+        crash = self._crashes.get(key)
+        if crash is None:
+            return None
+        refuted = [
+            one
+            for one in crash.closes
+            if one.is_refuted_by(opened_ms=opened_ms, received_ms=now_ms)
+        ]
+        return self._remove(key, refuted, now_ms, opened_ms=opened_ms)
+
+    def refute_by_report(
+        self, *, key: ServerKey, at_ms: int, now_ms: int
+    ) -> Refutation | None:
+        """Drop closes at a time about which a peer knows better.
+
+        :returns: what was dropped, None if no such close is known.
+        """
+        if not any(
+            one.key == key and one.at_ms == at_ms for one in self._refuted
+        ):
+            self._refuted.append(
+                _Refuted(key=key, at_ms=at_ms, noted_ms=now_ms)
+            )
+        crash = self._crashes.get(key)
+        if crash is None:
+            return None
+        refuted = [one for one in crash.closes if one.is_same(at_ms)]
+        return self._remove(key, refuted, now_ms)
+
+    def _remove(
+        self,
+        key: ServerKey,
+        refuted: list[Close],
+        now_ms: int,
+        opened_ms: float = math.inf,
+    ) -> Refutation | None:
+        if not refuted:
+            return None
+        crash = self._crashes[key]
+        known_ids = tuple(crash.positions)
+        crash.remove(refuted)
+        if not crash.closes:
+            del self._crashes[key]
+        self._refuted.extend(
+            _Refuted(
+                key=key,
+                at_ms=one.at_ms,
+                noted_ms=now_ms,
+                opened_ms=opened_ms,
+            )
+            for one in refuted
+        )
+        return Refutation(
+            closes=tuple(refuted),
+            cleared_ids=tuple(
+                one for one in known_ids if one not in crash.positions
+            ),
+        )
+
+    @property
+    def has_refuted(self) -> bool:
+        """Return whether closes were refuted lately."""
+        return bool(self._refuted)
+
+    def parts_beside(self, part_id: str) -> set[str]:
+        """Return the parts that crashes with a part have."""
+        return set().union(
+            *(crash.positions for _, crash in self._unproven(part_id))
+        )
+
+    def has_crash(self, key: ServerKey) -> bool:
+        """Return whether a crash of an incarnation is known."""
+        return key in self._crashes
+
+    def own_closes(self, key: ServerKey) -> tuple[Close, ...]:
+        """Return what this gateway saw of a crash, if it is known."""
+        crash = self._crashes.get(key)
+        if crash is None:
+            return ()
+        return tuple(one for one in crash.closes if one.is_own)
 
     def add_whole(self, *, part_id: str, at_ms: int) -> None:
         """Record a complete answer to a prompt with a part."""
@@ -132,7 +361,9 @@
         """Yield the crashes with a part since its last complete answer."""
         whole_ms = self._whole_ms.get(part_id, -math.inf)
         for key, crash in self._crashes.items():
-            if crash.at_ms > whole_ms and part_id in crash.positions:
+            if part_id in crash.positions and (
+                crash.time_of(part_id) > whole_ms
+            ):
                 yield key, crash
 
     def suspicion(
@@ -148,15 +379,15 @@
             for key, crash in self._unproven(part_id)
             if explained_by.isdisjoint(crash.positions)
         ]
-        counted = sorted(found, key=lambda pair: pair[1].at_ms)
-        if not counted:
+        if not found:
             return None
+        times_ms = {key: crash.time_of(part_id) for key, crash in found}
         return Suspicion(
             part_id=part_id,
-            crashes=_count_moments([crash.at_ms for _, crash in counted]),
+            crashes=count_moments(times_ms.values()),
             is_proven=part_id in self._whole_ms,
-            position=max(crash.positions[part_id] for _, crash in counted),
-            server_ids=tuple(key[0] for key, _ in counted),
+            position=max(crash.positions[part_id] for _, crash in found),
+            times_ms=times_ms,
         )
 
     def has_many_requests(
@@ -189,11 +420,17 @@
     def remove_expired(self, now_ms: int) -> None:
         """Drop evidence that is older than the window."""
         oldest_ms = now_ms - WINDOW_MS
-        self._crashes = {
-            key: crash
-            for key, crash in self._crashes.items()
-            if crash.at_ms >= oldest_ms
-        }
+        for key, crash in list(self._crashes.items()):
+            expired = [one for one in crash.closes if one.at_ms < oldest_ms]
+            if expired:
+                crash.remove(expired)
+            if not crash.closes:
+                del self._crashes[key]
+        while (
+            self._refuted
+            and self._refuted[0].noted_ms < now_ms - REFUTED_TTL_MS
+        ):
+            self._refuted.popleft()
         while self._whole_ms:
             part_id = next(iter(self._whole_ms))
             if self._whole_ms[part_id] >= oldest_ms:
@@ -201,11 +438,11 @@
             del self._whole_ms[part_id]
 
 
-def _count_moments(times_ms: list[int]) -> int:
-    """Return how many of the ascending times are apart from each other."""
+def count_moments(times_ms: Iterable[int]) -> int:
+    """Return how many of the times are apart from each other."""
     count = 0
     moment_ms = None
-    for at_ms in times_ms:
+    for at_ms in sorted(times_ms):
         if moment_ms is None or at_ms > moment_ms + SAME_MOMENT_MS:
             count += 1
             moment_ms = at_ms
--- a/src/shallothinge/quarantine/messages.py
+++ b/src/shallothinge/quarantine/messages.py
@@ -18,12 +18,19 @@
     :ivar quarantined: parts in quarantine: id, epoch, remaining time, number
         of earlier quarantines without a complete answer between.
     :ivar lifted: parts whose quarantine was lifted, each with its epoch.
+    :ivar refuted: crashes after which the sender received data of the same
+        incarnation: id, incarnation, age of the crash.
+    :ivar unfounded: those of ``lifted`` whose evidence did not suffice any
+        more, with their epochs. Gateways of former releases do not know
+        ``refuted`` and lift them as if there had been a complete answer.
     """
 
     crashes: tuple[tuple, ...] = ()
     whole: tuple[tuple, ...] = ()
     quarantined: tuple[tuple, ...] = ()
     lifted: tuple[tuple, ...] = ()
+    refuted: tuple[tuple, ...] = ()
+    unfounded: tuple[tuple, ...] = ()
 
 
 MESSAGES = (PartsReported,)
--- a/src/shallothinge/quarantine/records.py
+++ b/src/shallothinge/quarantine/records.py
@@ -1,10 +1,13 @@
 """The quarantines in force and those that were lifted."""
 
+from collections.abc import Mapping
 import logging
 
 import attrs
 
 from shallothinge import clock as clocks
+from shallothinge.membership.model import ServerKey
+from shallothinge.quarantine import evidence
 from shallothinge.quarantine import fingerprints
 
 LOG = logging.getLogger(__name__)
@@ -22,19 +25,57 @@
 LIFTED_TTL_MS = 10_000
 
 
+@attrs.define(kw_only=True)
+class Grounds:
+    """The crashes that a quarantine rests on.
+
+    ``needed`` is how many of them, apart in time, suffice. ``is_renewal`` is
+    whether they only renewed a quarantine that had ended.
+    """
+
+    times_ms: dict[ServerKey, int]
+    needed: int
+    is_renewal: bool = False
+
+    @property
+    def is_enough(self) -> bool:
+        """Return whether the crashes still suffice."""
+        return evidence.count_moments(self.times_ms.values()) >= self.needed
+
+    def add(self, times_ms: Mapping[ServerKey, int]) -> None:
+        """Add crashes, up to the number that evidence holds."""
+        for key, at_ms in times_ms.items():
+            if len(self.times_ms) < evidence.MAX_CRASHES:
+                self.times_ms.setdefault(key, at_ms)
+
+
 @attrs.define(kw_only=True)
 class Record:
     """The quarantine of one part.
 
     ``epoch`` increases with each decision on the part. ``strikes`` counts
     the quarantines without a complete answer between. ``asked_ms`` is when a
-    request with the part came last.
+    request with the part came last. ``grounds`` is None if a peer decided
+    and its evidence is not known here.
     """
 
     epoch: int
     until_ms: int
     strikes: int
     asked_ms: int
+    grounds: Grounds | None = None
+
+
+@attrs.frozen(kw_only=True)
+class _Lifted:
+    """A quarantine that was lifted.
+
+    ``is_unfounded`` is whether crashes that it rested on were refuted.
+    """
+
+    epoch: int
+    at_ms: int
+    is_unfounded: bool
 
 
 class QuarantineRecords:
@@ -43,7 +84,7 @@
     def __init__(self, *, clock: clocks.Clock):
         self._clock = clock
         self._records: dict[str, Record] = {}
-        self._lifted: dict[str, tuple[int, int]] = {}
+        self._lifted: dict[str, _Lifted] = {}
 
     @property
     def count(self) -> int:
@@ -71,10 +112,17 @@
 
     def lifted_epoch(self, part_id: str) -> int:
         """Return the epoch in which a quarantine was lifted, or 0."""
-        epoch, _ = self._lifted.get(part_id, (0, 0))
-        return epoch
+        lifted = self._lifted.get(part_id)
+        return 0 if lifted is None else lifted.epoch
+
+    def is_unfounded(self, part_id: str) -> bool:
+        """Return whether a quarantine was lifted as its evidence was wrong."""
+        lifted = self._lifted.get(part_id)
+        return lifted is not None and lifted.is_unfounded
 
-    def quarantine(self, part_id: str, *, strikes: int) -> None:
+    def quarantine(
+        self, part_id: str, *, strikes: int, grounds: Grounds
+    ) -> None:
         """Begin or renew the quarantine of a part."""
         known = self._records.get(part_id)
         known_epoch = known.epoch if known else 0
@@ -87,9 +135,23 @@
                 until_ms=now_ms + for_ms,
                 strikes=strikes,
                 asked_ms=now_ms,
+                grounds=grounds,
             ),
         )
 
+    def undo_renewal(self, part_id: str) -> None:
+        """Let the next request probe a part: the last probe proved nothing."""
+        record = self._records[part_id]
+        record.epoch += 1
+        record.until_ms = self._clock.now_ms()
+        record.strikes = max(0, record.strikes - 1)
+        record.grounds = None
+        LOG.warning(
+            'renewal of a quarantine undone; the crash of its probe was'
+            ' refuted',
+            extra={'part_id': part_id, 'strikes': record.strikes},
+        )
+
     def start_probe(self, part_id: str) -> None:
         """Refuse others than the probe of a part until it is answered."""
         record = self._records[part_id]
@@ -119,26 +181,40 @@
         self._store(part_id, record)
         return True
 
-    def lift(self, part_id: str, epoch: int) -> None:
-        """End a quarantine: a request with the part was answered."""
+    def lift(
+        self, part_id: str, epoch: int, *, is_unfounded: bool = False
+    ) -> None:
+        """End a quarantine.
+
+        :param is_unfounded: whether crashes that it rested on were refuted;
+            else a request with the part was answered.
+        """
         if epoch > self.lifted_epoch(part_id):
-            self._lifted[part_id] = (epoch, self._clock.now_ms())
+            self._lifted[part_id] = _Lifted(
+                epoch=epoch,
+                at_ms=self._clock.now_ms(),
+                is_unfounded=is_unfounded,
+            )
         record = self._records.get(part_id)
         if record is not None and record.epoch <= epoch:
             del self._records[part_id]
             LOG.warning(
                 'quarantine of a %s lifted',
                 kind_of(part_id),
-                extra={'part_id': part_id, 'epoch': epoch},
+                extra={
+                    'part_id': part_id,
+                    'epoch': epoch,
+                    'is_unfounded': is_unfounded,
+                },
             )
 
     def remove_expired(self) -> None:
         """Drop what is too old to matter."""
         now_ms = self._clock.now_ms()
         self._lifted = {
-            part_id: (epoch, at_ms)
-            for part_id, (epoch, at_ms) in self._lifted.items()
-            if at_ms >= now_ms - LIFTED_TTL_MS
+            part_id: lifted
+            for part_id, lifted in self._lifted.items()
+            if lifted.at_ms >= now_ms - LIFTED_TTL_MS
         }
         for part_id, record in list(self._records.items()):
             if record.until_ms < now_ms - FORGET_MS:
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -17,6 +17,7 @@
 from shallothinge import clock as clocks
 from shallothinge.membership.model import ServerKey
 from shallothinge.quarantine import blame
+from shallothinge.quarantine import checks
 from shallothinge.quarantine import evidence
 from shallothinge.quarantine import fingerprints
 from shallothinge.quarantine import messages
@@ -40,6 +41,7 @@
     whole: dict[str, None] = attrs.field(factory=dict)
     quarantined: dict[str, None] = attrs.field(factory=dict)
     lifted: dict[str, None] = attrs.field(factory=dict)
+    refuted: dict[tuple[ServerKey, int], None] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
@@ -82,6 +84,8 @@
             evidence=self._evidence, quarantined=self._records
         )
         self._own_crashes_ms: dict[ServerKey, int] = {}
+        # When this gateway refuted crashes, by incarnation and time.
+        self._own_refuted_ms: dict[tuple[ServerKey, int], int] = {}
         self._reported_ms: dict[str, int] = {}
         self._changes = _Changes()
         self._suspects: dict[str, None] = {}
@@ -153,15 +157,50 @@
         if not part_ids:
             return
         now_ms = self._clock.now_ms()
-        self._own_crashes_ms.setdefault(key, now_ms)
+        self._own_crashes_ms[key] = now_ms
         self._changes.crashes[key] = None
         self._add_crash(
             key=key,
             at_ms=now_ms,
             positions={one: index for index, one in enumerate(part_ids)},
+            is_own=True,
         )
         self._notify()
 
+    def record_data(self, *, key: ServerKey, opened_ms: int) -> None:
+        """Record data from a server, which refutes earlier crashes of it.
+
+        :param key: id and incarnation of the server.
+        :param opened_ms: instant from which on the connection was open and
+            was read without a pause. A connection that was opened after the
+            crash may lead to the next incarnation, and what a pause left in
+            the kernel's receive buffer may have been sent before the crash.
+        """
+        now_ms = self._clock.now_ms()
+        refutation = self._evidence.refute_by_data(
+            key=key, opened_ms=opened_ms, now_ms=now_ms
+        )
+        if refutation is None:
+            return
+        for close in refutation.closes:
+            LOG.info(
+                'crash refuted; the backend server goes on sending',
+                extra={
+                    'server_id': key[0],
+                    'incarnation': key[1],
+                    'crash_age_ms': now_ms - close.at_ms,
+                    'connection_age_ms': now_ms - opened_ms,
+                    'is_own': close.is_own,
+                    'part_count': len(close.positions),
+                },
+            )
+            self._changes.refuted[key, close.at_ms] = None
+            self._own_refuted_ms[key, close.at_ms] = now_ms
+        while len(self._own_refuted_ms) > evidence.MAX_REFUTED:
+            del self._own_refuted_ms[next(iter(self._own_refuted_ms))]
+        self._reconsider(key, refutation.cleared_ids)
+        self._notify()
+
     def record_whole(self, part_ids: Iterable[str]) -> None:
         """Record that a request with these parts was answered completely.
 
@@ -196,15 +235,16 @@
             whole=whole,
             quarantined=dict.fromkeys(self._records.ids),
             lifted=dict.fromkeys(self._records.lifted_ids),
+            refuted=dict.fromkeys(self._own_refuted_ms),
         )
 
     def _build(self, changes: _Changes) -> messages.PartsReported | None:
         now_ms = self._clock.now_ms()
         made = messages.PartsReported(
             crashes=tuple(
-                (*key, now_ms - crash.at_ms, tuple(crash.positions.items()))
+                (*key, now_ms - close.at_ms, tuple(close.positions.items()))
                 for key in changes.crashes
-                if (crash := self._evidence.crash(key)) is not None
+                for close in self._evidence.own_closes(key)
             ),
             whole=tuple(
                 (part_id, now_ms - at_ms)
@@ -221,17 +261,33 @@
                 for part_id in changes.lifted
                 if (epoch := self._records.lifted_epoch(part_id))
             ),
+            refuted=tuple(
+                (*key, now_ms - at_ms) for key, at_ms in changes.refuted
+            ),
+            unfounded=tuple(
+                (part_id, self._records.lifted_epoch(part_id))
+                for part_id in changes.lifted
+                if self._records.is_unfounded(part_id)
+            ),
         )
         return None if made == messages.PartsReported() else made
 
     def apply_report(self, report: messages.PartsReported) -> None:
         """Apply what a peer has observed or decided."""
         now_ms = self._clock.now_ms()
-        for part_id, epoch in report.lifted:
-            self._records.lift(part_id, epoch)
-        for part_id, age_ms in report.whole:
+        unfounded = set(checks.valid_entries(report, 'unfounded'))
+        for server_id, incarnation, age_ms in checks.valid_entries(
+            report, 'refuted'
+        ):
+            self._apply_refutation((server_id, incarnation), now_ms - age_ms)
+        for part_id, epoch in checks.valid_entries(report, 'lifted'):
+            is_unfounded = (part_id, epoch) in unfounded
+            self._apply_lift(part_id, epoch, is_unfounded=is_unfounded)
+        for part_id, age_ms in checks.valid_entries(report, 'whole'):
             self._evidence.add_whole(part_id=part_id, at_ms=now_ms - age_ms)
-        for part_id, epoch, left_ms, strikes in report.quarantined:
+        for part_id, epoch, left_ms, strikes in checks.valid_entries(
+            report, 'quarantined'
+        ):
             self._adopt(
                 part_id,
                 records.Record(
@@ -241,13 +297,93 @@
                     asked_ms=now_ms,
                 ),
             )
-        for server_id, incarnation, age_ms, positions in report.crashes:
+        for server_id, incarnation, age_ms, positions in checks.valid_entries(
+            report, 'crashes'
+        ):
             self._add_crash(
                 key=(server_id, incarnation),
                 at_ms=now_ms - age_ms,
                 positions=dict(positions),
+                is_own=False,
             )
 
+    def _apply_refutation(self, key: ServerKey, at_ms: int) -> None:
+        now_ms = self._clock.now_ms()
+        refutation = self._evidence.refute_by_report(
+            key=key, at_ms=at_ms, now_ms=now_ms
+        )
+        if refutation is None:
+            return
+        LOG.info(
+            'peer refuted a crash',
+            extra={
+                'server_id': key[0],
+                'incarnation': key[1],
+                'crash_age_ms': now_ms - at_ms,
+                'part_count': len(refutation.cleared_ids),
+            },
+        )
+        self._reconsider(key, refutation.cleared_ids)
+
+    def _apply_lift(
+        self, part_id: str, epoch: int, *, is_unfounded: bool
+    ) -> None:
+        """Lift a quarantine as a peer did, unless it has grounds here.
+
+        :param is_unfounded: whether the peer lifted it since its evidence
+            does not suffice any more; this gateway may know more crashes.
+        """
+        record = self._records.find(part_id)
+        if (
+            is_unfounded
+            and record is not None
+            and record.epoch <= epoch
+            and record.grounds is not None
+            and record.grounds.is_enough
+        ):
+            record.epoch = epoch
+            self._quarantine(
+                part_id, strikes=record.strikes, grounds=record.grounds
+            )
+        else:
+            self._records.lift(part_id, epoch, is_unfounded=is_unfounded)
+
+    def _reconsider(
+        self, key: ServerKey, cleared_ids: tuple[str, ...]
+    ) -> None:
+        """End quarantines whose grounds do not suffice without a crash.
+
+        :param key: incarnation that did not end.
+        :param cleared_ids: parts against which its crash was evidence.
+        """
+        for part_id in cleared_ids:
+            record = self._records.find(part_id)
+            grounds = None if record is None else record.grounds
+            if grounds is None or grounds.times_ms.pop(key, None) is None:
+                continue
+            if grounds.is_enough and self._blame.upholds(
+                part_id, grounds.times_ms
+            ):
+                continue
+            if grounds.is_renewal:
+                self._records.undo_renewal(part_id)
+                self._changes.quarantined[part_id] = None
+                continue
+            LOG.warning(
+                'evidence for a quarantine does not suffice any more',
+                extra={
+                    'part_id': part_id,
+                    'refuted_server_id': key[0],
+                    'crashes_left': len(grounds.times_ms),
+                    'crashes_needed': grounds.needed,
+                },
+            )
+            self._records.lift(part_id, record.epoch, is_unfounded=True)
+            self._changes.lifted[part_id] = None
+            # The quarantine explained the crashes that are left.
+            self._suspect(self._evidence.parts_beside(part_id))
+        self._notify()
+
     def remove_expired(self) -> None:
         """Drop what is too old to matter."""
         now_ms = self._clock.now_ms()
@@ -258,6 +394,11 @@
             for key, at_ms in self._own_crashes_ms.items()
             if at_ms >= now_ms - REPEAT_MS
         }
+        self._own_refuted_ms = {
+            refuted: told_ms
+            for refuted, told_ms in self._own_refuted_ms.items()
+            if told_ms >= now_ms - REPEAT_MS
+        }
         self._reported_ms = {
             part_id: at_ms
             for part_id, at_ms in self._reported_ms.items()
@@ -270,9 +411,10 @@
         key: ServerKey,
         at_ms: int,
         positions: Mapping[str, int],
+        is_own: bool,
     ) -> None:
         if not self._evidence.add_crash(
-            key=key, at_ms=at_ms, positions=positions
+            key=key, at_ms=at_ms, positions=positions, is_own=is_own
         ):
             return
         for part_id in positions:
@@ -282,7 +424,13 @@
             if record is not None and record.until_ms <= (
                 at_ms + records.PROBE_MS
             ):
-                self._quarantine(part_id, strikes=record.strikes + 1)
+                self._quarantine(
+                    part_id,
+                    strikes=record.strikes + 1,
+                    grounds=records.Grounds(
+                        times_ms={key: at_ms}, needed=1, is_renewal=True
+                    ),
+                )
                 LOG.warning(
                     'quarantine renewed; a probe crashed a backend server',
                     extra={
@@ -291,23 +439,52 @@
                         'strikes': record.strikes + 1,
                     },
                 )
+            elif record is not None and record.grounds is None:
+                record.grounds = self._find_grounds(part_id)
+            elif record is not None:
+                record.grounds.add({key: at_ms})
+        self._suspect(positions)
+
+    def _suspect(self, part_ids: Iterable[str]) -> None:
+        """Judge soon if the crashes suffice to blame one of some parts."""
         suspected = [
-            one.part_id for one in self._blame.find_suspicions(positions)
+            one.part_id for one in self._blame.find_suspicions(part_ids)
         ]
         if suspected and not self._suspects:
-            self._judge_at_ms = self._clock.now_ms() + SETTLE_MS
-            if self.on_suspicion is not None:
-                self.on_suspicion()
+            self._judge_later()
         self._suspects.update(dict.fromkeys(suspected))
 
+    def _judge_later(self) -> None:
+        self._judge_at_ms = self._clock.now_ms() + SETTLE_MS
+        if self.on_suspicion is not None:
+            self.on_suspicion()
+
     def judge(self) -> None:
-        """Quarantine the most suspicious part, if evidence still suffices."""
+        """Quarantine the most suspicious part, if evidence still suffices.
+
+        While servers reset connections and go on, this waits until the
+        crashes could have been refuted.
+        """
         suspicions = self._blame.find_suspicions(self._suspects)
-        self._suspects.clear()
         worst = self._blame.find_culprit(suspicions)
+        oldest_ms = self._clock.now_ms() - evidence.REFUTE_MS
+        if (
+            worst is not None
+            and self._evidence.has_refuted
+            and not worst.is_enough_before(oldest_ms)
+        ):
+            self._judge_later()
+            return
+        self._suspects.clear()
         if worst is None:
             return
-        self._quarantine(worst.part_id, strikes=0)
+        self._quarantine(
+            worst.part_id,
+            strikes=0,
+            grounds=records.Grounds(
+                times_ms=dict(worst.times_ms), needed=worst.needed
+            ),
+        )
         LOG.warning(
             '%s quarantined; it crashed backend servers',
             records.kind_of(worst.part_id),
@@ -319,17 +496,31 @@
             },
         )
 
-    def _quarantine(self, part_id: str, *, strikes: int) -> None:
-        self._records.quarantine(part_id, strikes=strikes)
+    def _quarantine(
+        self, part_id: str, *, strikes: int, grounds: records.Grounds
+    ) -> None:
+        self._records.quarantine(part_id, strikes=strikes, grounds=grounds)
         self._tell_watchers(part_id)
         self._changes.quarantined[part_id] = None
         self._notify()
 
     def _adopt(self, part_id: str, record: records.Record) -> None:
         is_in_force = record.until_ms > self._clock.now_ms()
-        if self._records.adopt(part_id, record) and is_in_force:
+        if not self._records.adopt(part_id, record):
+            return
+        record.grounds = self._find_grounds(part_id)
+        if is_in_force:
             self._tell_watchers(part_id)
 
+    def _find_grounds(self, part_id: str) -> records.Grounds | None:
+        """Return the crashes that a peer's quarantine rests on, if known."""
+        suspicion = self._evidence.suspicion(part_id, explained_by=frozenset())
+        if suspicion is None or not suspicion.is_enough:
+            return None
+        return records.Grounds(
+            times_ms=dict(suspicion.times_ms), needed=suspicion.needed
+        )
+
     def _tell_watchers(self, part_id: str) -> None:
         for watcher in list(self._watchers):
             watcher.on_quarantined(part_id)
--- a/src/shallothinge/quarantine/tests/simulation.py
+++ b/src/shallothinge/quarantine/tests/simulation.py
@@ -18,6 +18,11 @@
 RESTART_MS = 3000
 ATTEMPTS = 2
 STEP_MS = 1
+EVENT_MS = 40
+# Requests that keep about 8 of 10 slots busy, so that the other streams of a
+# server show that it goes on. Some of their servers reset connections.
+BUSY_PER_S = 200.0
+RESET_SHARE = 0.1
 DEADLY_PART = 'deadly'
 DEADLY_REQUEST = f'{fingerprints.PREFIX}deadly'
 
@@ -34,6 +39,8 @@
     server: int = 0
     writes_at_ms: int = 0
     ends_at_ms: int = 0
+    opened_ms: int = 0
+    resets_at_ms: int | None = None
 
 
 class Simulation:
@@ -42,10 +49,15 @@
     :param share: part of the requests that hold the deadly part.
     :param repeated_share: part of the requests that are the deadly one, which
         is always the same and comes with parts of sound requests.
+    :param reset_share: part of the attempts at sound requests whose
+        connection a server resets as it begins to answer, and goes on.
+    :param deadly_from_ms: time without deadly requests at the start, in which
+        the parts of sound requests are answered.
     :ivar runs_after: runs of deadly requests that began after the last
         gateway had quarantined the part.
     :ivar deadly_runs_ms: instants at which deadly requests were sent.
     :ivar refused_sound: sound requests that were refused.
+    :ivar resets: connections that were reset by servers that went on.
     """
 
     def __init__(
@@ -57,8 +69,14 @@
         share: float,
         tenants: int = 10,
         repeated_share: float = 0.0,
+        reset_share: float = 0.0,
+        deadly_from_ms: int = 0,
     ):
         self._rng = random.Random(seed)
+        # Apart from the other numbers, which are those of plays without.
+        self._reset_rng = random.Random(-seed)
+        self._reset_share = reset_share
+        self.resets = 0
         self._per_s = per_s
         self._share = share
         self._repeated_share = repeated_share
@@ -69,6 +87,7 @@
         self.gateways = [
             state.PartQuarantine(clock=self.clock) for _ in range(gateways)
         ]
+        self._deadly_from_ms = self.clock.now_ms() + deadly_from_ms
         self._mail = []
         for index, one in enumerate(self.gateways):
             one.on_change = lambda index=index: self._due.add(index)
@@ -107,11 +126,12 @@
         part_ids = (f'tenant-{tenant}',)
         if self._rng.random() < 0.3:
             part_ids += (f'document-{self._rng.randrange(40)}',)
-        is_deadly = self._rng.random() < self._share
+        may_be_deadly = self.clock.now_ms() >= self._deadly_from_ms
+        is_deadly = self._rng.random() < self._share and may_be_deadly
         if is_deadly:
             part_ids = (f'tenant-{tenant % 3}', DEADLY_PART)
         part_ids += (f'{fingerprints.PREFIX}{next(self._numbers)}',)
-        if self._rng.random() < self._repeated_share:
+        if self._rng.random() < self._repeated_share and may_be_deadly:
             is_deadly = True
             part_ids = ('tenant-0', 'document-0', DEADLY_REQUEST)
         return Request(
@@ -148,6 +168,13 @@
         request.ends_at_ms = request.writes_at_ms + self._rng.randrange(
             WRITE_MS // 4, 2 * WRITE_MS
         )
+        request.opened_ms = now_ms
+        request.resets_at_ms = None
+        if (
+            not request.is_deadly
+            and self._reset_rng.random() < self._reset_share
+        ):
+            request.resets_at_ms = request.writes_at_ms
         self._running[request.server].append(request)
         if request.is_deadly:
             self.deadly_runs_ms.append(now_ms)
@@ -161,6 +188,9 @@
                     continue
                 if request.is_deadly and request.writes_at_ms <= now_ms:
                     self._crash(server)
+                elif request.resets_at_ms == now_ms:
+                    self._reset(request)
+                    continue
                 elif request.ends_at_ms <= now_ms:
                     self._running[server].remove(request)
                     for part_id in request.part_ids:
@@ -168,12 +198,34 @@
                     self.gateways[request.gateway].record_whole(
                         request.part_ids
                     )
+                if request in self._running[server]:
+                    self._send_event(request)
+
+    def _send_event(self, request: Request) -> None:
+        """Let an event arrive at a request's gateway if one is due."""
+        writing_ms = self.clock.now_ms() - request.writes_at_ms
+        if writing_ms >= 0 and writing_ms % EVENT_MS == 0:
+            self.gateways[request.gateway].record_data(
+                key=self._key(request.server), opened_ms=request.opened_ms
+            )
+
+    def _key(self, server: int) -> tuple[str, str]:
+        return f'server-{server}', str(self._lives[server])
+
+    def _reset(self, request: Request) -> None:
+        """Reset the connection of one request; its server goes on."""
+        self.resets += 1
+        self._running[request.server].remove(request)
+        self.gateways[request.gateway].record_crash(
+            key=self._key(request.server), part_ids=request.part_ids
+        )
+        self._send_again(request)
 
     def _crash(self, server: int) -> None:
         now_ms = self.clock.now_ms()
         self.crash_times_ms.append(now_ms)
         broken, self._running[server] = self._running[server], []
-        key = (f'server-{server}', str(self._lives[server]))
+        key = self._key(server)
         self._lives[server] += 1
         self._down_until_ms[server] = now_ms + RESTART_MS
         for request in broken:
@@ -182,10 +234,14 @@
                     key=key, part_ids=request.part_ids
                 )
         for request in broken:
-            if request.attempts < ATTEMPTS:
-                self._start(request)
-            elif not request.is_repeated:
-                self._start(self._repeat(request))
+            self._send_again(request)
+
+    def _send_again(self, request: Request) -> None:
+        """Let the gateway retry a request, and then its caller repeat it."""
+        if request.attempts < ATTEMPTS:
+            self._start(request)
+        elif not request.is_repeated:
+            self._start(self._repeat(request))
 
     def _repeat(self, request: Request) -> Request:
         """Return the request as its caller sends it once more."""
