Keep large prompts of several gateways on different servers

Cause: gateways that place within the some 5 ms that reports take see the same free memory. In a play of 4 gateways that each place one prompt of 230,000 tokens at once, 12 of 160 (20 servers) and 25 of 160 (8 servers) were put on a server whose requests then exceeded its memory, which crashes it.

Change: for prompts that need more than the memory of one slot, and with several gateways, the first server has an additional price. Each gateway claims another server by rendezvous hash; servers without memory for a second such prompt, and those where work of a silent gateway may still hold it, cost more. The sum is less than the price of a late answer, and servers with pending reads are never preferred. Memory of a gateway that falls silent counts as unconfirmed for 10 s after its report expires.

--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -112,7 +112,7 @@
 
     def _build_limits(self) -> server_limits.ServerLimits:
         process = self._process
-        own_id = gateways.peer_id(process.process_id, process.incarnation)
+        own_id = self._own_id()
         return server_limits.ServerLimits(
             clock=process.clock,
             own_id=own_id,
@@ -121,6 +121,11 @@
             ),
         )
 
+    def _own_id(self) -> str:
+        """Return the id of this gateway in the reports to its peers."""
+        process = self._process
+        return gateways.peer_id(process.process_id, process.incarnation)
+
     def _build_parts(self) -> dependencies.Dependencies:
         clock = self._process.clock
         rng = random.Random()
@@ -143,7 +148,11 @@
                 limits=self._limits,
             ),
             load=load,
-            chooser=choice.Chooser(rng=rng),
+            chooser=choice.Chooser(
+                rng=rng,
+                gateway_id=self._own_id(),
+                find_gateways=lambda: (self._own_id(), *load.known_peers()),
+            ),
             waiting=waiting.WaitingPrompts(clock=clock),
             permit_queue=waiting.WaitingPrompts(clock=clock),
             returns=returns.ReturnSchedule(clock=clock),
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -16,6 +16,8 @@
 short streams and can read long prompts without delaying any.
 """
 
+from collections.abc import Callable
+import functools
 import hashlib
 import random
 
@@ -56,6 +58,21 @@
 # Fraction of an engine's memory that placement may use: load reports lag, and
 # an answer may occupy a little more memory than its tokens.
 USABLE_MEMORY = 0.98
+# Another gateway may place a large prompt at the same moment. Two on one
+# server may exceed its memory, and the server crashes. OTHERS_SERVER_PRICE is
+# the maximum additional price, for the first server of such a prompt, of one
+# that other gateways prefer; SCARCE_MEMORY_PRICE is that of one without
+# memory for a second prompt of this size, and UNCONFIRMED_MEMORY_PRICE that
+# of one where work of a silent gateway may still hold the memory. Their sum
+# is less than the price of a late answer.
+OTHERS_SERVER_PRICE = 0.2
+SCARCE_MEMORY_PRICE = 0.1
+UNCONFIRMED_MEMORY_PRICE = 0.3
+MAX_PRIMARY_PRICE = (
+    OTHERS_SERVER_PRICE + SCARCE_MEMORY_PRICE + UNCONFIRMED_MEMORY_PRICE
+)
+# Pairs of gateway and server of which the hash is cached.
+MAX_CACHED_HASHES = 20_000
 # Shorter reads are not divided; a helper would not pay off.
 SPLIT_READ_MS = 100.0
 # Reads of at least this duration wait until their servers have finished
@@ -176,11 +193,29 @@
     ]
 
 
+def _find_no_gateways() -> tuple[str, ...]:
+    return ()
+
+
 class Chooser:
-    """Selects the servers with the lowest price."""
+    """Selects the servers with the lowest price.
+
+    :param gateway_id: id of this gateway.
+    :param find_gateways: returns the ids of all known gateways, including
+        this one. Unless there are several, nothing is done to choose other
+        servers than they do.
+    """
 
-    def __init__(self, *, rng: random.Random):
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        gateway_id: str = '',
+        find_gateways: Callable[[], tuple[str, ...]] = _find_no_gateways,
+    ):
         self._rng = rng
+        self._gateway_id = gateway_id
+        self._find_gateways = find_gateways
 
     def choose(
         self, *, demand: Demand, candidates: tuple[Candidate, ...]
@@ -237,9 +272,14 @@
             max_count = min(MAX_HELPERS + 1, len(candidates))
         best = None
         best_count = 0
+        primary_prices = self._price_primaries(demand, candidates)
         for count in range(1, max_count + 1):
             found = self._spread(
-                demand, candidates, read_ms=read_ms, count=count
+                demand,
+                candidates,
+                read_ms=read_ms,
+                count=count,
+                primary_prices=primary_prices,
             )
             if found is not None and (
                 best is None or found.price < best.price
@@ -267,8 +307,49 @@
             shares=_memory_shares(primary, helpers, needed),
         )
 
+    def _price_primaries(self, demand, candidates) -> dict[str, float]:
+        """Return the additional price of each server as the first server.
+
+        Servers without the memory and those with pending reads are left out,
+        as a prompt is not to wait for the sake of other gateways.
+
+        :returns: price by server id, empty if this is the only gateway, or
+            the prompt needs no more memory than that of one slot.
+        """
+        engine = demand.service.engine
+        needed = _needed_tokens(demand)
+        if needed <= engine.memory_tokens / engine.slots:
+            return {}
+        gateway_ids = self._find_gateways()
+        if len(gateway_ids) < 2:
+            return {}
+        memory_prices = {
+            candidate.server_id: _memory_price(candidate.load, engine, needed)
+            for candidate in candidates
+            if candidate.load.backlog_ms < server_queue.OVERDUE_READ_MS
+            and _free_tokens(candidate.load, engine) >= needed
+        }
+        claims = _claim_servers(memory_prices, gateway_ids)
+        return {
+            server_id: memory_price
+            + OTHERS_SERVER_PRICE
+            * _contention(
+                server_id=server_id,
+                claimant_id=claims.get(server_id),
+                gateway_id=self._gateway_id,
+                gateway_ids=gateway_ids,
+            )
+            for server_id, memory_price in memory_prices.items()
+        }
+
     def _spread(
-        self, demand, candidates, *, read_ms: float, count: int
+        self,
+        demand,
+        candidates,
+        *,
+        read_ms: float,
+        count: int,
+        primary_prices: dict[str, float],
     ) -> spread.Spread | None:
         """Return the cheapest way to read the prompt on ``count`` servers.
 
@@ -284,6 +365,10 @@
                 part_ms=read_ms / count,
                 count=count,
                 is_after_backlog=is_after_backlog,
+                primary_price=primary_prices.get(
+                    candidate.server_id,
+                    MAX_PRIMARY_PRICE if primary_prices else 0.0,
+                ),
             )
             for candidate in candidates
             if count == 1 or _may_share(candidate)
@@ -298,9 +383,25 @@
 
         if needed <= usable_memory(demand.service.engine):
             eligible = [part for part in parts if part.free_tokens >= needed]
-            return spread.find_cheapest_including(
+            found = spread.find_cheapest_including(
                 eligible, parts, count=count, price_delay=price_delay
             )
+            if found is None or not primary_prices:
+                return found
+            preferred = spread.find_cheapest_including(
+                _select_preferred(eligible, primary_prices),
+                parts,
+                count=count,
+                price_delay=price_delay,
+            )
+            return min(
+                (
+                    _add_primary_price(each, needed)
+                    for each in (found, preferred)
+                    if each is not None
+                ),
+                key=lambda each: each.price,
+            )
         found = spread.find_cheapest(
             parts, count=count, price_delay=price_delay
         )
@@ -310,7 +411,14 @@
         return found if free_tokens >= needed else None
 
     def _price_part(
-        self, demand, candidate, *, part_ms, count, is_after_backlog
+        self,
+        demand,
+        candidate,
+        *,
+        part_ms,
+        count,
+        is_after_backlog,
+        primary_price,
     ) -> spread.Part:
         """Return the price of reading a part of a prompt on one server.
 
@@ -318,6 +426,7 @@
         :param count: number of servers that read the prompt.
         :param is_after_backlog: whether the server reads the part after all
             its pending reads.
+        :param primary_price: additional price if the server is the first one.
         """
         engine = demand.service.engine
         load = candidate.load
@@ -351,7 +460,8 @@
             ready_ms=ahead_ms
             + part_ms
             + _passes_to_first_event(load) * engine.pass_ms,
-            free_tokens=max(0, usable_memory(engine) - load.memory_tokens),
+            free_tokens=_free_tokens(load, engine),
+            primary_price=primary_price,
         )
 
 
@@ -388,18 +498,121 @@
     return int(engine.memory_tokens * USABLE_MEMORY)
 
 
+def _free_tokens(
+    load: server_queue.ServerLoad, engine: model.EngineCost
+) -> int:
+    return max(0, usable_memory(engine) - load.memory_tokens)
+
+
 def _select_primary(
     parts: tuple[spread.Part, ...], needed: int
 ) -> spread.Part:
     """Return the part whose server is to generate the answer.
 
-    This is the server with the fewest active requests among those with enough
-    free memory, or the one with the most free memory if none has enough.
+    Among the servers with enough free memory, this is the one with the lowest
+    price as the first server, and then the fewest active requests. If none
+    has enough, it is the one with the most free memory.
     """
     eligible = [part for part in parts if part.free_tokens >= needed]
     if not eligible:
-        return max(parts, key=lambda part: part.free_tokens)
-    return min(eligible, key=lambda part: part.candidate.load.active)
+        return max(
+            parts, key=lambda part: (part.free_tokens, -part.primary_price)
+        )
+    return min(
+        eligible,
+        key=lambda part: (part.primary_price, part.candidate.load.active),
+    )
+
+
+def _select_preferred(
+    eligible: list[spread.Part], primary_prices: dict[str, float]
+) -> list[spread.Part]:
+    """Return the parts whose servers are the cheapest as the first server."""
+    least = min(primary_prices.values())
+    return [
+        part
+        for part in eligible
+        if primary_prices.get(part.candidate.server_id) == least
+    ]
+
+
+def _add_primary_price(found: spread.Spread, needed: int) -> spread.Spread:
+    """Return a spread whose price includes that of its first server."""
+    primary = _select_primary(found.parts, needed)
+    return attrs.evolve(found, price=found.price + primary.primary_price)
+
+
+def _memory_price(
+    load: server_queue.ServerLoad, engine: model.EngineCost, needed: int
+) -> float:
+    """Return the price of the risk that a server's memory is exceeded."""
+    free_tokens = _free_tokens(load, engine)
+    is_scarce = free_tokens < 2 * needed
+    is_unconfirmed = free_tokens - load.unconfirmed_tokens < needed
+    return (
+        SCARCE_MEMORY_PRICE * is_scarce
+        + UNCONFIRMED_MEMORY_PRICE * is_unconfirmed
+    )
+
+
+def _claim_servers(
+    memory_prices: dict[str, float], gateway_ids: tuple[str, ...]
+) -> dict[str, str]:
+    """Return a different server for each gateway, as long as there are any.
+
+    Each gateway in turn gets the server that comes first by the price of its
+    memory and the rendezvous hash of both. Gateways that know of each other
+    and see the same servers agree on the result, and most of it holds if one
+    sees a server more.
+
+    :param memory_prices: price by server id.
+    :returns: id of the gateway by id of the server.
+    """
+    unclaimed = set(memory_prices)
+    claims = {}
+    for gateway_id in sorted(gateway_ids):
+        if not unclaimed:
+            break
+        first = min(
+            unclaimed,
+            key=lambda server_id: (
+                memory_prices[server_id],
+                _rendezvous_hash(gateway_id, server_id),
+            ),
+        )
+        unclaimed.remove(first)
+        claims[first] = gateway_id
+    return claims
+
+
+def _contention(
+    *,
+    server_id: str,
+    claimant_id: str | None,
+    gateway_id: str,
+    gateway_ids: tuple[str, ...],
+) -> float:
+    """Return how far a gateway leaves a server to the others, from 0 to 1.
+
+    Of the servers that it has not claimed, a gateway prefers unclaimed ones,
+    and those where few gateways precede it by the rendezvous hash.
+
+    :param claimant_id: the gateway that has claimed the server, if any.
+    """
+    if claimant_id == gateway_id:
+        return 0.0
+    own_hash = _rendezvous_hash(gateway_id, server_id)
+    preceding = sum(
+        _rendezvous_hash(other_id, server_id) < own_hash
+        for other_id in gateway_ids
+    )
+    rank = preceding / len(gateway_ids)
+    return (rank + (claimant_id is not None)) / 2
+
+
+@functools.lru_cache(maxsize=MAX_CACHED_HASHES)
+def _rendezvous_hash(gateway_id: str, server_id: str) -> bytes:
+    return _hash_of(f'{gateway_id} {server_id}')
 
 
 def _memory_shares(
--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -13,6 +13,10 @@
 # Gateways send a complete report every second. If three in a row are missing,
 # the gateway has stopped or is unreachable, and its report expires.
 REPORT_TTL_MS = 3500
+# The requests of a gateway that is cut off from this one go on, unlike those
+# of one that has ended. Once its report has expired, their memory counts as
+# possibly in use for this long, in which most answers end.
+UNCONFIRMED_TTL_MS = 10_000
 # How long complete reports list a server as leaving. A peer that receives no
 # report for longer learns it from other sources by then.
 LEAVING_TTL_MS = 10_000
@@ -32,6 +36,14 @@
     works: dict[int, server_queue.Work] = attrs.field(factory=dict)
 
 
+@attrs.frozen(kw_only=True)
+class _UnconfirmedMemory:
+    """Tokens by server that work of a silent peer held at last."""
+
+    expires_ms: int
+    tokens: collections.Counter[str]
+
+
 @attrs.define(kw_only=True)
 class _UnreportedChanges:
     """Changes since the last report."""
@@ -58,6 +70,7 @@
         self._clock = clock
         self._own_works: dict[int, server_queue.Work] = {}
         self._peers: dict[str, _PeerWork] = {}
+        self._unconfirmed: dict[str, _UnconfirmedMemory] = {}
         self._queues: dict[str, server_queue.ServerQueue] = {}
         self._next_id = 0
         self._sequence = 0
@@ -180,6 +193,8 @@
             peer_work.is_complete = False
         peer_work.sequence = report.sequence
         peer_work.received_ms = now_ms
+        if report.complete:
+            self._unconfirmed.pop(peer, None)
         for fields in report.started:
             work_id, work = _unpack(fields, now_ms)
             if work_id not in peer_work.works:
@@ -206,18 +221,33 @@
         for key, since_ms in list(self._leaving_since_ms.items()):
             if since_ms < now_ms - LEAVING_TTL_MS:
                 del self._leaving_since_ms[key]
+        for peer, memory in list(self._unconfirmed.items()):
+            if memory.expires_ms < now_ms:
+                del self._unconfirmed[peer]
         oldest_ms = now_ms - REPORT_TTL_MS
         for peer, peer_work in list(self._peers.items()):
             if peer_work.received_ms < oldest_ms:
                 del self._peers[peer]
+                tokens = collections.Counter()
                 for work in peer_work.works.values():
                     self._remove(work)
+                    tokens[work.server_id] += work.memory_tokens
+                self._unconfirmed[peer] = _UnconfirmedMemory(
+                    expires_ms=now_ms + UNCONFIRMED_TTL_MS, tokens=+tokens
+                )
 
     @property
     def peer_count(self) -> int:
         """Return the number of peers of which no report is missing."""
         return sum(peer_work.is_complete for peer_work in self._peers.values())
 
+    def known_peers(self) -> list[str]:
+        """Return the peers that may place requests.
+
+        Those that have been silent for some seconds are included.
+        """
+        return [*self._peers, *(self._unconfirmed.keys() - self._peers.keys())]
+
     def heard_peers(self, *, within_ms: int) -> list[str]:
         """Return the peers whose newest report is at most this old."""
         oldest_ms = self._clock.now_ms() - within_ms
@@ -249,10 +279,17 @@
     def loads(self) -> dict[str, server_queue.ServerLoad]:
         """Return the load of each backend server that has any."""
         now_ms = self._clock.now_ms()
-        return {
+        loads = {
             server_id: queue.load(now_ms)
             for server_id, queue in self._queues.items()
         }
+        for memory in self._unconfirmed.values():
+            for server_id, tokens in memory.tokens.items():
+                load = loads.get(server_id, server_queue.ServerLoad())
+                loads[server_id] = attrs.evolve(
+                    load, unconfirmed_tokens=load.unconfirmed_tokens + tokens
+                )
+        return loads
 
     def read_end_in_ms(
         self, server_id: str, *, min_read_ms: float
--- a/src/shallothinge/placement/server_queue.py
+++ b/src/shallothinge/placement/server_queue.py
@@ -76,13 +76,15 @@
     ``active`` is the number of requests in its slots, ``helping`` that of
     the parts that it reads for other servers. ``backlog_ms`` is the
     remaining duration of all pending reads, ``memory_tokens`` the memory that
-    all work holds.
+    all work holds, ``unconfirmed_tokens`` the memory that work of silent
+    gateways may hold in addition.
     """
 
     active: int = 0
     helping: int = 0
     backlog_ms: float = 0.0
     memory_tokens: int = 0
+    unconfirmed_tokens: int = 0
     reads: tuple[PendingRead, ...] = ()
     writers: tuple[Writer, ...] = ()
 
--- a/src/shallothinge/placement/spread.py
+++ b/src/shallothinge/placement/spread.py
@@ -31,13 +31,15 @@
     """A part of a prompt on one server, and the price of reading it there.
 
     ``ready_ms`` is the expected time until it has been read, ``free_tokens``
-    the server's memory that is not known to be in use.
+    the server's memory that is not known to be in use. ``primary_price`` is
+    an additional price that is due if the server generates the answer.
     """
 
     candidate: Candidate
     price: float
     ready_ms: float
     free_tokens: int
+    primary_price: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallothinge/placement/tests/test_fleet.py
+++ b/src/shallothinge/placement/tests/test_fleet.py
@@ -74,6 +74,47 @@
         self.receiver.remove_expired()
         self.assertEqual({}, self.receiver.loads())
 
+    def test_memory_of_a_silent_peer_is_unconfirmed_for_some_time(self):
+        # A peer that falls silent has ended, and then its servers release the
+        # memory, or it is cut off, and then they still hold it. Its slots and
+        # reads are assumed to be free at once. Its memory is assumed to be
+        # free, too, but in doubt until most answers have ended: large prompts
+        # then prefer other servers, and are not refused.
+        self.sender.start(work(memory_tokens=300_000))
+        self.send_report(complete=True)
+        for after_ms, memory_tokens, unconfirmed_tokens in (
+            (0, 300_000, 0),
+            (fleet.REPORT_TTL_MS, 300_000, 0),
+            (1, 0, 300_000),
+            (fleet.UNCONFIRMED_TTL_MS, 0, 300_000),
+            (1, 0, 0),
+        ):
+            self.clock.advance(duration_ms=after_ms)
+            self.receiver.remove_expired()
+            load = self.receiver.loads().get('s', server_queue.ServerLoad())
+            with self.subTest(now_ms=self.clock.now_ms()):
+                self.assertEqual(
+                    (memory_tokens, unconfirmed_tokens),
+                    (load.memory_tokens, load.unconfirmed_tokens),
+                )
+                self.assertEqual(load.active, int(memory_tokens > 0))
+
+    def test_peer_that_is_heard_again_confirms_its_memory(self):
+        work_id = self.sender.start(work(memory_tokens=300_000))
+        self.send_report(complete=True)
+        self.clock.advance(duration_ms=fleet.REPORT_TTL_MS + 1)
+        self.receiver.remove_expired()
+        self.assertEqual(['one'], self.receiver.known_peers())
+        self.send_report(complete=True)
+        load = self.receiver.loads()['s']
+        self.assertEqual(
+            (300_000, 0), (load.memory_tokens, load.unconfirmed_tokens)
+        )
+        self.assertEqual(['one'], self.receiver.known_peers())
+        self.sender.end(work_id)
+        self.send_report()
+        self.assertEqual({}, self.receiver.loads())
+
     def test_long_read_counts_down_to_its_end_and_beyond(self):
         def end_in_ms():
             return self.receiver.read_end_in_ms('s', min_read_ms=200)
