Price slow servers by their measured pace

Cause: a server that takes a multiple of what its cost model says gets as many short prompts as the others, and makes each of them late.

Change: placement/pace.py keeps the median of recent times to the first event of short undivided prompts, relative to the cost model, by server and incarnation; 1.0 until 5 are known. It is a factor on read and pass time in the price.

With sound servers the results are the same with and without. Long prompts gain nothing: servers that only read parts of them are not measured.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -15,6 +15,7 @@
 from shallothinge.http1 import messages
 from shallothinge.membership.model import BackendServer
 from shallothinge.placement import choice
+from shallothinge.placement import pace
 from shallothinge.placement import server_queue
 
 
@@ -309,6 +310,7 @@
             return
         if self._first_event_ms is None:
             self._first_event_ms = self._parts.clock.now_ms()
+            self._measure_pace()
         for work_id in self._work_ids:
             self._parts.load.first_event(work_id)
         self._end_helper_work()
@@ -317,6 +319,24 @@
         self.is_stalled = False
         self._owner.on_events(self, events)
 
+    def _measure_pace(self) -> None:
+        """Record the time to the first event as a measure of the server.
+
+        The first event of a resumed stream comes after those that the caller
+        has, so it is left out.
+        """
+        if self._order.last_event_id or self.sent_after_ms is None:
+            return
+        first_event = pace.build_first_event(
+            self._placement,
+            measured_ms=self._first_event_ms - self._sent_ms,
+            assigned_since_ms=self._parts.load.assigned_since_ms(
+                self._work_ids[0]
+            ),
+            sent_after_ms=self.sent_after_ms,
+        )
+        self._parts.servers.record_first_event(self._server, first_event)
+
     @guards.guarded
     def on_end(self, end: client.AnswerEnd) -> None:
         """Handle the end of the answer."""
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -16,6 +16,7 @@
 from shallothinge.membership.model import ServerKey
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
+from shallothinge.placement import pace
 from shallothinge.placement import server_queue
 from shallothinge.routes import model as routes
 from shallothinge.routing import breaker
@@ -76,6 +77,7 @@
         self._cold = cold
         self._notices = notices
         self._limits = limits
+        self._paces = pace.ServerPaces(clock=clock)
         self._entries: dict[str, _ServerEntry] = {}
         self._ranks: dict[str, float] = {}
         load.on_failed = self._on_peer_failure_report
@@ -121,6 +123,7 @@
                 ),
                 is_rate_limited=has_limits
                 and self._is_rate_limited(entry.server),
+                pace=self._paces.pace(notices.key_of(entry.server)),
             )
             for entry in healthy or listed
         )
@@ -253,6 +256,12 @@
         if server_id in self._entries:
             self._entries[server_id].last_activity_ms = self._clock.now_ms()
 
+    def record_first_event(
+        self, server: BackendServer, first_event: pace.FirstEvent
+    ) -> None:
+        """Record how long a server took to the first event of a stream."""
+        self._paces.record(notices.key_of(server), first_event)
+
     def record_notices(
         self, server: BackendServer, *, is_leaving: bool, pause_ms: int
     ) -> None:
@@ -404,6 +413,7 @@
         listed = {notices.key_of(server) for server in members.values()}
         self._notices.forget_unlisted(listed)
         self._limits.forget_unlisted(listed)
+        self._paces.forget_unlisted(listed)
         self._log_changes(joined=joined, left=left, leaving=leaving)
 
     def _is_current(self, server: BackendServer) -> bool:
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -135,8 +135,9 @@
 
     ``part_ms`` is how long each of these servers reads, ``first_event_ms``
     the expected time to the first event or answer. ``load`` is the estimated
-    load of the server at the time of the choice. ``shares`` is the memory to
-    reserve at helpers if the server's own memory is not sufficient.
+    load of the server at the time of the choice, ``pace`` its pace. ``shares``
+    is the memory to reserve at helpers if the server's own memory is not
+    sufficient.
     """
 
     server_id: str
@@ -145,6 +146,7 @@
     first_event_ms: float
     load: server_queue.ServerLoad
     shares: tuple[MemoryShare, ...] = ()
+    pace: float = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -305,6 +307,7 @@
             first_event_ms=best.ready_ms,
             load=primary.candidate.load,
             shares=_memory_shares(primary, helpers, needed),
+            pace=primary.candidate.pace,
         )
 
     def _price_primaries(self, demand, candidates) -> dict[str, float]:
@@ -430,18 +433,20 @@
         """
         engine = demand.service.engine
         load = candidate.load
+        paced_ms = candidate.pace * part_ms
+        paced_pass_ms = candidate.pace * engine.pass_ms
         is_alone = count == 1
         price = JITTER * self._rng.random()
         if load.writers:
             price += pricing.price_for_writers(
-                load, read_ms=part_ms, pass_ms=engine.pass_ms
+                load, read_ms=paced_ms, pass_ms=paced_pass_ms
             )
         if is_alone:
             price += IDLE_SERVER_PRICE * (not load.active)
         else:
             price += HELPER_PRICE
         if not is_after_backlog:
-            price += pricing.price_for_reads(load, part_ms)
+            price += pricing.price_for_reads(load, paced_ms)
         spare_slots = candidate.slots - load.active - 1
         if not spare_slots:
             price += LAST_SLOT_PRICE * (1 + self._rng.random())
@@ -454,12 +459,13 @@
         # A share of a divided prompt is read before all pending reads, as
         # servers read the newest share first.
         ahead_ms = load.backlog_ms if is_after_backlog else 0.0
+        ahead_ms *= candidate.pace
         return spread.Part(
             candidate=candidate,
             price=price,
             ready_ms=ahead_ms
-            + part_ms
-            + _passes_to_first_event(load) * engine.pass_ms,
+            + paced_ms
+            + _passes_to_first_event(load) * paced_pass_ms,
             free_tokens=_free_tokens(load, engine),
             primary_price=primary_price,
         )
--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -307,6 +307,16 @@
             self._clock.now_ms(), min_read_ms=min_read_ms
         )
 
+    def assigned_since_ms(self, work_id: int) -> float:
+        """Return how long a server reads what it got after an own request.
+
+        :returns: milliseconds, 0 for an unknown id.
+        """
+        work = self._own_works.get(work_id)
+        if work is None:
+            return 0.0
+        return self._queues[work.server_id].assigned_since_ms(work)
+
     def _add(self, work: server_queue.Work) -> None:
         now_ms = self._clock.now_ms()
         queue = self._queues.get(work.server_id)
--- a/src/shallothinge/placement/server_queue.py
+++ b/src/shallothinge/placement/server_queue.py
@@ -26,6 +26,8 @@
     :ivar memory_tokens: tokens that the request holds in the server's memory.
     :ivar remaining_ms: estimated remaining duration of the read.
     :ivar overdue_ms: how long the read has been overdue by this estimate.
+    :ivar assigned_ms: total duration of the reads that the server had been
+        assigned when the work was added, its own included.
     """
 
     server_id: str
@@ -40,6 +42,7 @@
     is_divided: bool = False
     remaining_ms: float = attrs.field(init=False)
     overdue_ms: float = attrs.field(init=False, default=0.0)
+    assigned_ms: float = attrs.field(init=False, default=0.0)
 
     def __attrs_post_init__(self):
         self.remaining_ms = self.read_ms
@@ -101,11 +104,14 @@
     def __init__(self, *, now_ms: int):
         self._updated_ms = now_ms
         self._works: list[Work] = []
+        self._assigned_ms = 0.0
 
     def start(self, work: Work, now_ms: int) -> None:
         """Add a work."""
         self._advance(now_ms)
         self._works.append(work)
+        self._assigned_ms += work.read_ms
+        work.assigned_ms = self._assigned_ms
 
     def first_event(self, work: Work, now_ms: int) -> None:
         """Record that the prompt of a work has been read."""
@@ -117,6 +123,10 @@
         self._advance(now_ms)
         self._works = [one for one in self._works if one is not work]
 
+    def assigned_since_ms(self, work: Work) -> float:
+        """Return the total duration of the reads added after a work."""
+        return self._assigned_ms - work.assigned_ms
+
     def is_empty(self) -> bool:
         """Return whether no work is in progress."""
         return not self._works
--- a/src/shallothinge/placement/spread.py
+++ b/src/shallothinge/placement/spread.py
@@ -14,7 +14,8 @@
 
     ``rank`` is its position in the order of the servers of its zone, from 0
     for the first to below 1 for the last. ``is_rate_limited`` is whether it
-    limits the rate of requests that it takes.
+    limits the rate of requests that it takes, ``pace`` the time that it takes
+    as a multiple of what the cost model expects.
     """
 
     server_id: str
@@ -24,6 +25,7 @@
     rank: float = 0.0
     load: server_queue.ServerLoad = server_queue.ServerLoad()
     is_rate_limited: bool = False
+    pace: float = 1.0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallothinge/placement/tests/simulation.py
+++ b/src/shallothinge/placement/tests/simulation.py
@@ -7,12 +7,14 @@
 import collections
 import heapq
 import itertools
+import math
 
 import attrs
 
 from shallothinge import clock
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
+from shallothinge.placement import pace
 from shallothinge.placement import pricing
 from shallothinge.placement import server_queue
 from shallothinge.placement import waiting
@@ -42,6 +44,8 @@
     work_ids: tuple[int, ...] = ()
     server: 'Server | None' = None
     waiting_id: int | None = None
+    placed: choice.Placement | None = None
+    placed_ms: float = 0.0
 
     @property
     def is_in_time(self) -> bool:
@@ -64,10 +68,14 @@
 
 
 class Server:
-    """One engine; it reads parts of divided prompts first, newest first."""
+    """One engine; it reads parts of divided prompts first, newest first.
 
-    def __init__(self, *, engine: model.EngineCost):
+    :param pace: duration of its passes as a multiple of the cost model's.
+    """
+
+    def __init__(self, *, engine: model.EngineCost, pace: float = 1.0):
         self.engine = engine
+        self.pace = pace
         self.parts = collections.deque()
         self.reads = collections.deque()
         self.writers: list[Request] = []
@@ -93,13 +101,28 @@
             if read.tokens_left <= 0:
                 queue.popleft()
                 ended.append(read.request)
-        return spent_ms, ended
+        return spent_ms * self.pace, ended
 
 
 class Simulation:
-    """Runs requests on simulated servers, placed by a chooser."""
+    """Runs requests on simulated servers, placed by a chooser.
+
+    :param slow_paces: pace by id of the servers that are slow.
+    :param sound_from_ms: instant from which no server is slow.
+    :param measures_pace: whether the chooser is told the measured paces.
+    :ivar sent_counts: number of requests sent to each server.
+    """
 
-    def __init__(self, *, service: model.Service, server_count: int, chooser):
+    def __init__(
+        self,
+        *,
+        service: model.Service,
+        server_count: int,
+        chooser,
+        slow_paces: dict[str, float] | None = None,
+        sound_from_ms: float = math.inf,
+        measures_pace: bool = False,
+    ):
         self.service = service
         self.chooser = chooser
         self.clock = clock.ManualClock()
@@ -108,6 +131,12 @@
             f's{index}': Server(engine=service.engine)
             for index in range(server_count)
         }
+        for server_id, slow_pace in (slow_paces or {}).items():
+            self.servers[server_id].pace = slow_pace
+        self._sound_from_ms = sound_from_ms
+        self._measures_pace = measures_pace
+        self.paces = pace.ServerPaces(clock=self.clock)
+        self.sent_counts = collections.Counter()
         self.ranks = choice.rank_servers(self.servers)
         self.waiting = waiting.WaitingPrompts(clock=self.clock)
         self._events = []
@@ -185,11 +214,18 @@
                 is_cold=False,
                 rank=rank,
                 load=loads.get(server_id, server_queue.ServerLoad()),
+                pace=self._measured_pace(server_id),
             )
             for server_id, rank in self.ranks.items()
         )
 
+    def _measured_pace(self, server_id) -> float:
+        return self.paces.pace((server_id, '')) if self._measures_pace else 1.0
+
     def _start(self, now_ms, request, placed) -> None:
+        self.sent_counts[placed.server_id] += 1
+        request.placed = placed
+        request.placed_ms = now_ms
         read_ms = self.service.engine.read_ms(request.tokens)
         server_ids = (placed.server_id, *placed.helper_ids)
         request.parts_left = len(server_ids)
@@ -221,6 +257,8 @@
     def _start_pass(self, now_ms, server) -> None:
         if not server.is_running and server.has_work():
             server.is_running = True
+            if now_ms >= self._sound_from_ms:
+                server.pace = 1.0
             spent_ms, ended = server.run_pass()
             writers = tuple(server.writers)
             self._schedule(
@@ -239,9 +277,18 @@
                 self._start_pass(now_ms, request.server)
         self._start_pass(now_ms, server)
 
+    def _record_pace(self, now_ms, request) -> None:
+        first_event = pace.build_first_event(
+            request.placed,
+            measured_ms=now_ms - request.placed_ms,
+            assigned_since_ms=self.load.assigned_since_ms(request.work_ids[0]),
+        )
+        self.paces.record((request.placed.server_id, ''), first_event)
+
     def _emit_event(self, now_ms, server, request) -> None:
         if request.first_ms is None:
             request.first_ms = now_ms - request.at_ms
+            self._record_pace(now_ms, request)
             self.load.first_event(request.work_ids[0])
             for work_id in request.work_ids[1:]:
                 self.load.end(work_id)
--- a/src/shallothinge/placement/tests/test_choice.py
+++ b/src/shallothinge/placement/tests/test_choice.py
@@ -135,6 +135,34 @@
         )
         self.assertEqual('busy', placed.server_id)
 
+    def test_slow_server_gets_no_short_prompt_while_others_are_sound(self):
+        # Guards against first servers of a zone that are slow and yet get
+        # most of the short prompts.
+        for pace, server_id in ((1.0, 's0'), (4.0, 's1')):
+            placed = self.choose(
+                demand(),
+                candidate('s0', rank=0.0, pace=pace),
+                candidate('s1', rank=0.5),
+            )
+            with self.subTest(pace=pace):
+                self.assertEqual(server_id, placed.server_id)
+
+    def test_slow_server_helps_with_no_prompt_that_it_would_make_late(self):
+        placed = self.choose(
+            demand(tokens=160_000, objective_ms=3000.0),
+            *(candidate(f's{index}') for index in range(5)),
+            candidate('slow', pace=4.0),
+        )
+        self.assertNotIn('slow', (placed.server_id, *placed.helper_ids))
+
+    def test_first_event_is_expected_later_at_a_slow_server(self):
+        times = []
+        for pace in (1.0, 4.0):
+            placed = self.choose(demand(), candidate('s', pace=pace))
+            self.assertEqual(pace, placed.pace)
+            times.append(placed.first_event_ms)
+        self.assertAlmostEqual(4 * times[0], times[1])
+
     def test_short_prompts_gather_on_the_first_servers_of_a_zone(self):
         placed = self.choose(
             demand(),
@@ -309,6 +337,91 @@
             # The users' target for a standard day is nine of ten.
             self.assertGreaterEqual(mean, 0.9, kind)
 
+    def steady_requests(self, seed):
+        """Return 30 s of short prompts, with a few long ones among them."""
+        rng = random.Random(seed)
+        requests = []
+        for count, tokens, spread, kind in (
+            (1000, 4_000, 0.7, self.SHORT),
+            (30, 42_000, 0.3, self.MIDDLE),
+            (15, 160_000, 0.4, self.LONG),
+        ):
+            objective_ms, pause_ms, events = kind
+            for _ in range(count):
+                size = int(tokens * rng.lognormvariate(0, spread))
+                requests.append(
+                    simulation.Request(
+                        at_ms=rng.uniform(0, 30_000),
+                        tokens=min(size, 390_000),
+                        events=events,
+                        objective_ms=objective_ms,
+                        pause_ms=pause_ms,
+                    )
+                )
+        return sorted(requests, key=lambda request: request.at_ms)
+
+    def run_with_slow_servers(self, seed, **fields):
+        """Return requests and simulation of 24 servers, a sixth of them slow.
+
+        Slow servers take 4 times as long as the cost model expects.
+        """
+        slow_ids = random.Random(seed).sample(range(24), 4)
+        requests = self.steady_requests(seed)
+        played = simulation.Simulation(
+            service=LLM,
+            server_count=24,
+            chooser=choice.Chooser(rng=random.Random(seed)),
+            **{
+                'slow_paces': {f's{index}': 4.0 for index in slow_ids},
+                **fields,
+            },
+        )
+        played.run(requests)
+        return requests, played
+
+    def test_fewer_short_prompts_are_late_where_paces_are_measured(self):
+        late_shares = collections.defaultdict(list)
+        for measures_pace in (False, True):
+            for seed in (1, 2):
+                requests, _ = self.run_with_slow_servers(
+                    seed, measures_pace=measures_pace
+                )
+                share = _shares_in_time(requests)[self.SHORT]
+                late_shares[measures_pace].append(1 - share)
+        self.assertLess(sum(late_shares[True]), 0.8 * sum(late_shares[False]))
+
+    def test_measured_paces_change_nothing_where_servers_are_sound(self):
+        shares = [
+            _shares_in_time(
+                self.run_with_slow_servers(
+                    1, slow_paces={}, measures_pace=measures_pace
+                )[0]
+            )
+            for measures_pace in (False, True)
+        ]
+        self.assertEqual(*shares)
+
+    def test_server_that_has_recovered_is_found_again(self):
+        # The first server of the zone is slow for ten seconds.
+        first_id = min(
+            choice.rank_servers(f's{index}' for index in range(24)).items(),
+            key=lambda item: item[1],
+        )[0]
+        requests, played = self.run_with_slow_servers(
+            1,
+            slow_paces={first_id: 4.0},
+            sound_from_ms=10_000,
+            measures_pace=True,
+        )
+        at_first = [
+            one for one in requests if one.server is played.servers[first_id]
+        ]
+        counts = collections.Counter(
+            int(one.at_ms // 10_000) for one in at_first
+        )
+        self.assertLess(2 * counts[0], counts[2])
+        self.assertEqual(1.0, played.paces.pace((first_id, '')))
+
     def test_callers_of_all_lengths_are_served_in_time(self):
         for seed in (1, 2, 3):
             with self.subTest(seed=seed):
