--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -157,7 +157,11 @@
                 address=self._settings.process.address,
             ),
             load=load,
-            chooser=choice.Chooser(rng=rng),
+            chooser=choice.Chooser(
+                rng=rng,
+                gateway_id=self._peer_id,
+                find_gateways=lambda: (self._peer_id, *load.known_peers()),
+            ),
             waiting=waiting.WaitingPrompts(clock=clock),
             permit_queue=waiting.WaitingPrompts(clock=clock),
             room=self._room,
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -17,6 +17,7 @@
 from shallothinge.membership.model import ServerKey
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
+from shallothinge.placement import pace
 from shallothinge.placement import server_queue
 from shallothinge.placement import slot_turns
 from shallothinge.routes import model as routes
@@ -81,6 +82,7 @@
         self._cold = cold
         self._notices = notices
         self._limits = limits
+        self._paces = pace.ServerPaces(clock=clock)
         self._entries: dict[str, _ServerEntry] = {}
         self._ranks: dict[str, float] = {}
         self._slot_turns = slot_turns.SlotTurns(own_id=address)
@@ -145,6 +147,7 @@
             rank=self._ranks[server_id],
             load=load,
             is_rate_limited=is_rate_limited,
+            pace=self._paces.pace(notices.key_of(entry.server)),
             is_last_slot_own=self._slot_turns.is_first(server_id),
             unchanged_ms=self._load.unchanged_ms(server_id),
             turn_in_ms=self._turn_in_ms(server_id, slots - load.active),
@@ -294,6 +297,12 @@
         if server_id in self._entries:
             self._entries[server_id].last_activity_ms = self._clock.now_ms()
 
+    def record_first_event(
+        self, server: BackendServer, first_event: pace.FirstEvent
+    ) -> None:
+        """Record how long a server took to the first event of a stream."""
+        self._paces.record(notices.key_of(server), first_event)
+
     def record_notices(
         self, server: BackendServer, *, is_leaving: bool, pause_ms: int
     ) -> None:
@@ -473,6 +482,7 @@
         self._limits.forget_unlisted(listed)
         if joined or left:
             self.update_slot_turns()
+        self._paces.forget_unlisted(listed)
         self._log_changes(joined=joined, left=left, leaving=leaving)
 
     def update_slot_turns(self) -> None:
--- a/src/shallothinge/placement/spread.py
+++ b/src/shallothinge/placement/spread.py
@@ -17,7 +17,8 @@
     limits the rate of requests that it takes. ``is_last_slot_own`` is whether
     this gateway is the one to prefer its last free slot, ``unchanged_ms`` for
     how long its known requests have been the same, and ``turn_in_ms`` the time
-    until this gateway may take a slot for which others wait, too.
+    until this gateway may take a slot for which others wait, too. ``pace`` is
+    the time that it takes as a multiple of what the cost model expects.
     """
 
     server_id: str
@@ -30,6 +31,7 @@
     is_last_slot_own: bool = False
     unchanged_ms: int = 0
     turn_in_ms: int = 0
+    pace: float = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -37,13 +39,15 @@
     """A part of a prompt on one server, and the price of reading it there.
 
     ``ready_ms`` is the expected time until it has been read, ``free_tokens``
-    the server's memory that is not known to be in use.
+    the server's memory that is not known to be in use. ``primary_price`` is
+    an additional price that is due if the server generates the answer.
     """
 
     candidate: Candidate
     price: float
     ready_ms: float
     free_tokens: int
+    primary_price: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
