Skip only the malformed works of a peer's load report

Works are plain tuples whose fields the codec does not check, and FleetLoad unpacked them as they came. A malformed third work raised an exception after the sequence was advanced: the works behind it, the ended ones and the leaving servers of the report were lost, and the peer still counted as one of which no report is missing. A NaN or a huge weight was taken over.

A work that lacks a field, or has one of another type or out of bounds, is skipped and logged, and the peer counts as incomplete until a complete report has none. The codec turns an entry that is no array into an empty one, so that it costs the entry and not the message.

--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -7,6 +7,7 @@
 import attrs
 
 from shallothinge import clock as clocks
+from shallothinge import entries
 from shallothinge.placement import messages
 from shallothinge.placement import server_queue
 
@@ -17,6 +18,26 @@
 # report for longer learns it from other sources by then.
 LEAVING_TTL_MS = 10_000
 PERCENT = 100
+# No request lasts longer than a day or has more tokens. Work that a peer
+# states with more is a fault, and would keep requests from its server.
+MAX_WORK_MS = 86_400_000
+MAX_WORK_TOKENS = 1_000_000_000
+MAX_WEIGHT_PERCENT = 1_000_000
+MAX_WORK_ID = 2**62
+# Check of each field in ``messages.WORK_FIELDS``.
+_WORK_CHECKS = (
+    entries.whole(0, MAX_WORK_ID),
+    entries.text,
+    entries.number(0, MAX_WORK_MS),
+    entries.number(0, MAX_WORK_MS),
+    entries.number(-MAX_WORK_MS, MAX_WORK_MS),
+    entries.number(0, MAX_WORK_MS),
+    entries.number(0, MAX_WEIGHT_PERCENT),
+    entries.whole(0, MAX_WORK_TOKENS),
+    entries.flag,
+    entries.flag,
+    entries.flag,
+)
 
 
 @attrs.define(kw_only=True)
@@ -165,22 +186,30 @@
     ) -> None:
         """Apply a peer's report; ignore it if it is repeated or out of date.
 
+        Works that are malformed are skipped. They count as missing until a
+        complete report has none.
+
         :param peer: identifies one run of the peer's process.
         """
         peer_work = self._peers.setdefault(peer, _PeerWork())
         if report.sequence <= peer_work.sequence:
             return
         now_ms = self._clock.now_ms()
+        started = entries.well_formed(
+            report.started, checks=_WORK_CHECKS, kind='works'
+        )
         if report.complete:
             peer_work.is_complete = True
-            listed_ids = {fields[0] for fields in report.started}
+            listed_ids = {fields[0] for fields in started}
             for work_id in set(peer_work.works) - listed_ids:
                 self._remove(peer_work.works.pop(work_id))
         elif report.sequence != peer_work.sequence + 1:
             peer_work.is_complete = False
+        if len(started) < len(report.started):
+            peer_work.is_complete = False
         peer_work.sequence = report.sequence
         peer_work.received_ms = now_ms
-        for fields in report.started:
+        for fields in started:
             work_id, work = _unpack(fields, now_ms)
             if work_id not in peer_work.works:
                 peer_work.works[work_id] = work
--- a/src/shallothinge/wire.py
+++ b/src/shallothinge/wire.py
@@ -26,6 +26,9 @@
 
     def __init__(self, *, message_types: Iterable[type]):
         self._converter = cattrs_msgpack.make_converter()
+        self._converter.register_structure_hook_func(
+            lambda kind: kind is tuple, _structure_plain_tuple
+        )
         self._types = {}
         for message_type in message_types:
             name = message_type.__name__
@@ -62,3 +65,12 @@
             raise WireError('bytes hold no known message') from error
         except (msgpack.UnpackException, cattrs.BaseValidationError) as error:
             raise WireError('bytes hold a malformed message') from error
+
+
+def _structure_plain_tuple(value: object, _: type) -> tuple:
+    """Return an entry whose fields its receiver checks.
+
+    Anything else than an array becomes an empty entry, so that the receiver
+    skips it alone and not the message.
+    """
+    return tuple(value) if isinstance(value, list) else ()
