Skip only the malformed entries of a peer's report on parts

A malformed entry raised an exception and lost the rest of the report. An epoch of 64 bits, lifted or quarantined, made the next epoch of this gateway too large for a message: no report on parts could be encoded as long as it was known (OverflowError at each). A time until the end of a quarantine of centuries was taken over, and an age below 0 let a complete answer outlast all evidence.

Entries are checked before anything of them is applied.

--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -15,6 +15,7 @@
 import attrs
 
 from shallothinge import clock as clocks
+from shallothinge import entries
 from shallothinge.membership.model import ServerKey
 from shallothinge.quarantine import blame
 from shallothinge.quarantine import evidence
@@ -30,6 +31,28 @@
 # Complete reports repeat the crashes of this time, for peers that missed
 # one, and each complete answer is reported at most this often.
 REPEAT_MS = 3_000
+# Bounds on what a peer may state; more is a fault. It would outlast what this
+# gateway decides, or the next epoch would not fit into a message.
+_MAX_EPOCH = 1_000_000_000
+_MAX_STRIKES = 1_000_000
+_MAX_POSITION = 1_000_000_000
+_AGE = entries.whole(0, 2 * records.FORGET_MS)
+_EPOCH = entries.whole(1, _MAX_EPOCH)
+# Checks of the fields of ``messages.PartsReported``.
+_LIFTED_CHECKS = (entries.text, _EPOCH)
+_WHOLE_CHECKS = (entries.text, _AGE)
+_QUARANTINED_CHECKS = (
+    entries.text,
+    _EPOCH,
+    entries.whole(-2 * records.FORGET_MS, records.MAX_QUARANTINE_MS),
+    entries.whole(0, _MAX_STRIKES),
+)
+_CRASHES_CHECKS = (
+    entries.text,
+    entries.text,
+    _AGE,
+    entries.each(entries.text, entries.whole(0, _MAX_POSITION)),
+)
 
 
 @attrs.define(kw_only=True)
@@ -225,13 +248,22 @@
         return None if made == messages.PartsReported() else made
 
     def apply_report(self, report: messages.PartsReported) -> None:
-        """Apply what a peer has observed or decided."""
+        """Apply what a peer has observed or decided.
+
+        Entries that are malformed are skipped.
+        """
         now_ms = self._clock.now_ms()
-        for part_id, epoch in report.lifted:
+        for part_id, epoch in entries.well_formed(
+            report.lifted, checks=_LIFTED_CHECKS, kind='lifted'
+        ):
             self._records.lift(part_id, epoch)
-        for part_id, age_ms in report.whole:
+        for part_id, age_ms in entries.well_formed(
+            report.whole, checks=_WHOLE_CHECKS, kind='whole'
+        ):
             self._evidence.add_whole(part_id=part_id, at_ms=now_ms - age_ms)
-        for part_id, epoch, left_ms, strikes in report.quarantined:
+        for part_id, epoch, left_ms, strikes in entries.well_formed(
+            report.quarantined, checks=_QUARANTINED_CHECKS, kind='quarantined'
+        ):
             self._adopt(
                 part_id,
                 records.Record(
@@ -241,7 +273,9 @@
                     asked_ms=now_ms,
                 ),
             )
-        for server_id, incarnation, age_ms, positions in report.crashes:
+        for server_id, incarnation, age_ms, positions in entries.well_formed(
+            report.crashes, checks=_CRASHES_CHECKS, kind='crashes'
+        ):
             self._add_crash(
                 key=(server_id, incarnation),
                 at_ms=now_ms - age_ms,
