Bound what a peer's report on server limits may state

A request count of 2 ** 40 in a report kept the gateway in one loop: the test was ended after 20 s. A limit of NaN made wait_ms raise an exception for each request to the server, and a change count of 64 bits made the next one too large for a message.

Entries are checked first. Of the requests of one report no more count than the limit permits within two intervals of complete reports, so that a wrong count holds the server up for seconds only.

--- a/src/shallothinge/server_limits/state.py
+++ b/src/shallothinge/server_limits/state.py
@@ -21,6 +21,7 @@
 import attrs
 
 from shallothinge import clock as clocks
+from shallothinge import entries
 from shallothinge.membership.model import ServerKey
 from shallothinge.server_limits import messages
 
@@ -35,6 +36,25 @@
 RECENT_REQUESTS = 16
 # A list that misses a server may be wrong for most of a minute.
 UNLISTED_RETENTION_MS = 60_000
+# Gateways report their requests every second at least. Within twice this time
+# none can have sent more than the limit permits for it, and one more.
+REPORTED_MS = 2_000
+# Bounds on what a peer may state; a greater number is a fault.
+_MAX_PER_S = 1_000_000
+_MAX_CHANGE_COUNT = 1_000_000_000
+_MAX_REPORTED = 1_000_000
+# Checks of the fields of ``messages.LimitsReported``.
+_LIMITS_CHECKS = (
+    entries.text,
+    entries.text,
+    entries.optional(entries.number(0, _MAX_PER_S)),
+    entries.whole(1, _MAX_CHANGE_COUNT),
+)
+_REQUESTS_CHECKS = (
+    entries.text,
+    entries.text,
+    entries.whole(1, _MAX_REPORTED),
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -235,16 +255,27 @@
     ) -> None:
         """Adopt newer changes of limits, and count a peer's requests.
 
+        Entries that are malformed are skipped.
+
         :param peer_id: id of the peer, as in ``Gateways``.
         """
         self._adopt(report)
-        for server_id, incarnation, count in report.requests:
-            if self.limit_per_s((server_id, incarnation)) is not None:
-                for _ in range(count):
-                    self._count((server_id, incarnation), peer_id)
+        counts: collections.Counter[ServerKey] = collections.Counter()
+        for server_id, incarnation, count in entries.well_formed(
+            report.requests, checks=_REQUESTS_CHECKS, kind='requests'
+        ):
+            counts[server_id, incarnation] += count
+        for key, count in counts.items():
+            per_s = self.limit_per_s(key)
+            if per_s is not None:
+                permitted = 1 + int(REPORTED_MS / _interval_ms(per_s))
+                for _ in range(min(count, permitted)):
+                    self._count(key, peer_id)
 
     def _adopt(self, report: messages.LimitsReported) -> None:
-        for server_id, incarnation, per_s, change_count in report.limits:
+        for server_id, incarnation, per_s, change_count in entries.well_formed(
+            report.limits, checks=_LIMITS_CHECKS, kind='limits'
+        ):
             key = (server_id, incarnation)
             known = self._limits.get(key)
             if known is not None and (
