Refuse integers that no answer and no stored state can hold

The codec took a float like 1e300 for an integer of 300 digits and read integers of up to 64 bits. What is made of them, an answer that repeats a sequence or the next of a number, could not be encoded: OverflowError in a step that had applied the message already. Such a message is now dropped as malformed when it is read.

--- a/src/shallothinge/wire.py
+++ b/src/shallothinge/wire.py
@@ -12,6 +12,10 @@
 from cattrs.preconf import msgpack as cattrs_msgpack
 import msgpack
 
+# Integers of messages that are sent on or stored have to fit into messages
+# again, and so do sums of a few.
+MAX_INTEGER = 2**63 - 1
+
 
 class WireError(ValueError):
     """Bytes that are not a message which this codec knows."""
@@ -29,6 +33,11 @@
         self._converter.register_structure_hook_func(
             lambda kind: kind is tuple, _structure_plain_tuple
         )
+        self._converter.register_structure_hook(int, _structure_integer)
+        # The hook of ``int`` would also be that of its subclass.
+        self._converter.register_structure_hook(
+            bool, lambda value, _: bool(value)
+        )
         self._types = {}
         for message_type in message_types:
             name = message_type.__name__
@@ -74,3 +83,11 @@
     skips it alone and not the message.
     """
     return tuple(value) if isinstance(value, list) else ()
+
+
+def _structure_integer(value: object, _: type) -> int:
+    """Return an integer; a float like 1e300 makes one that fits nowhere."""
+    integer = int(value)
+    if abs(integer) > MAX_INTEGER:
+        raise ValueError('integer out of range')
+    return integer
