Answer the lease requests of a batch one by one

An exception while one lease request was answered refused the whole batch; a second one at its refusal ended the chain, the next batch waited for it for good, and the leader granted no lease any more until another host led.

Each request is answered by itself, and the next batch follows whatever happens.

--- a/src/shallothinge/control/granting.py
+++ b/src/shallothinge/control/granting.py
@@ -1,6 +1,7 @@
 """Grants leases, confirming leadership once for each batch of requests."""
 
 from collections.abc import Callable
+import logging
 
 import attrs
 
@@ -14,6 +15,8 @@
 from shallothinge.membership import messages as membership
 from shallothinge.transport import endpoint
 
+LOG = logging.getLogger(__name__)
+
 NUDGE_INTERVAL_MS = 500
 # A new leader learns of all servers within about a second, and holders that
 # were restarted with it can do little before they know the servers. So it
@@ -127,6 +130,7 @@
         confirmed = self._log.confirm_read()
         confirmed.addCallback(lambda _: self._grant(batch))
         confirmed.addErrback(lambda _: self._refuse_batch(batch))
+        confirmed.addErrback(_log_failure)
         confirmed.addCallback(lambda _: self._confirm_next())
 
     def _confirm_next(self) -> None:
@@ -134,20 +138,25 @@
         self._confirm_waiting()
 
     def _grant(self, batch: list[WaitingRequest]) -> None:
-        current = self._current()
         for waiting in batch:
-            answer = current.answer(waiting.request)
-            holder = table.holder_of(waiting.request)
-            if isinstance(answer, leases.LeaseRefused):
-                answer = attrs.evolve(answer, leader_id=self._log.leader_id)
-            else:
-                self._routes_of_holders[holder] = waiting.peer.route
-            self._send(route=waiting.peer.route, message=answer)
+            _run_for(waiting, self._grant_one)
         self._on_granted()
 
+    def _grant_one(self, waiting: WaitingRequest) -> None:
+        answer = self._current().answer(waiting.request)
+        holder = table.holder_of(waiting.request)
+        if isinstance(answer, leases.LeaseRefused):
+            answer = attrs.evolve(answer, leader_id=self._log.leader_id)
+        else:
+            self._routes_of_holders[holder] = waiting.peer.route
+        self._send(route=waiting.peer.route, message=answer)
+
     def _refuse_batch(self, batch: list[WaitingRequest]) -> None:
         for waiting in batch:
-            self._refuse(waiting.peer, waiting.request, ErrorKind.NOT_LEADER)
+            _run_for(waiting, self._refuse_one)
+
+    def _refuse_one(self, waiting: WaitingRequest) -> None:
+        self._refuse(waiting.peer, waiting.request, ErrorKind.NOT_LEADER)
 
     def nudge_holders(self) -> None:
         """Nudge holders after a change of configuration or membership.
@@ -194,6 +203,26 @@
                 del self._routes_of_holders[holder]
 
 
+def _log_failure(failure) -> None:
+    LOG.error(
+        'a step after lease grants failed',
+        extra={'cause': failure.getErrorMessage()},
+    )
+
+
+def _run_for(
+    waiting: WaitingRequest, step: Callable[[WaitingRequest], None]
+) -> None:
+    """Run a step; its exception must not cost other holders their leases."""
+    try:
+        step(waiting)
+    except Exception:
+        LOG.exception(
+            'a lease request could not be answered',
+            extra={'holder_id': waiting.request.holder_id},
+        )
+
+
 def is_same_process(peer: endpoint.Peer, holder: leases.Holder) -> bool:
     """Return whether a holder and a peer are the same process."""
     return (
