--- a/src/shallothinge/control/server.py
+++ b/src/shallothinge/control/server.py
@@ -36,6 +36,10 @@
 
 LOG = logging.getLogger(__name__)
 
+# More than all requests of a report can use. Sums of greater numbers would
+# soon exceed 64 bits: no snapshot could be taken, and the host would end.
+MAX_REPORTED_TOKENS = 10**12
+
 Handler = Callable[[endpoint.Peer, object], None]
 ORDERS = (
     operators.SubmitBundle,
@@ -397,10 +401,16 @@
         holder = leases.Holder(
             holder_id=report.entry_id, incarnation=report.entry_incarnation
         )
-        if granting.is_same_process(peer, holder):
+        is_plausible = all(map(_is_plausible, report.records))
+        if granting.is_same_process(peer, holder) and is_plausible:
             self._propose_and_reply(peer, report)
-        else:
-            self._refuse(peer, report, ErrorKind.FORBIDDEN)
+            return
+        if not is_plausible:
+            LOG.warning(
+                'refused a usage report with a number out of bounds',
+                extra={'peer': peer.process_id, 'sequence': report.sequence},
+            )
+        self._refuse(peer, report, ErrorKind.FORBIDDEN)
 
     def _propose_under_lease(self, peer, request) -> None:
         """Commit an entry's request unless its lease has surely expired."""
@@ -413,3 +423,16 @@
             self._refuse(peer, request, ErrorKind.NO_LEASE)
         else:
             self._propose_and_reply(peer, request)
+
+
+def _is_plausible(record: allowances.UsageRecord) -> bool:
+    """Return whether the numbers of a usage record may be summed up."""
+    return all(
+        0 <= number <= MAX_REPORTED_TOKENS
+        for number in (
+            record.requests,
+            record.prompt_tokens,
+            record.cached_tokens,
+            record.generated_tokens,
+        )
+    )
