Let the soak's servers reset connections of runs and go on

Operators of similar systems saw harmless requests quarantined after their connections were reset by servers that went on working. The soak had resets of whole relays only, which no request met three times.

A few requests are sent to all gateways and three times more under other ids; each server that runs one resets its connection once, before the answer. None of them may be refused as quarantined.

--- a/testing/soak/backend.py
+++ b/testing/soak/backend.py
@@ -8,7 +8,8 @@
 serves on for some seconds, as real ones may, and notes the requests that
 still reach it too late. Now and then it refuses a request and asks for a
 pause, or answers one that it runs with bytes that never end, or with a stream
-that ends inside an event. Some streams have no framing and end with their
+that ends inside an event. It resets the connections of some requests that it
+runs, once each, and goes on. Some streams have no framing and end with their
 connection. For some time it may name a limit of requests a second. What it
 says of itself is noted, with all requests that arrive. A datagram tells it to
 fall silent for a while, which is no fault.
@@ -31,6 +32,7 @@
 from testing.soak import checks
 from testing.soak import framing as framings
 from testing.soak import limits
+from testing.soak import resets
 from testing.soak import silences
 from testing.soak import wire
 
@@ -79,6 +81,7 @@
         self._limits = limits.Schedule(
             name=arguments.name, folder=arguments.record.parent
         )
+        self._resets = resets.Resets(name=arguments.name)
         self._left_ms: int | None = None
         self._silence = Silence()
 
@@ -230,6 +233,12 @@
         if self._endless_rng.random() < ENDLESS_SHARE:
             self._note_event('broken', request)
             await self._send_without_end(writer, fields)
+        reset_s = self._resets.draw_delay_s(request.target)
+        if reset_s is not None:
+            await asyncio.sleep(reset_s)
+            self._note_event('broken', request)
+            resets.reset(writer)
+            return
         # A route may send its requests to servers of either service.
         if not request.target.startswith(f'/{wire.STREAMS}/'):
             await asyncio.sleep(CALL_S)
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -15,6 +15,7 @@
 from testing.soak import checks
 from testing.soak import connections
 from testing.soak import deployment
+from testing.soak import resets
 from testing.soak import wire
 
 PAUSE_S = 0.08
@@ -77,6 +78,32 @@
         await asyncio.gather(*tasks)
         self._pool.close()
 
+    async def ask_again_while(self, is_wanted: Callable[[], bool]) -> None:
+        """Send requests that are reset, each to all gateways and again."""
+        while is_wanted():
+            token = resets.PREFIX + secrets.token_hex(4)
+            tasks = []
+            for _ in range(resets.TIMES):
+                tasks += [
+                    asyncio.create_task(self._ask_marked(name, token))
+                    for name in sorted(self._running.caller_addresses)
+                ]
+                await asyncio.sleep(resets.AGAIN_S)
+            await asyncio.gather(*tasks)
+            await asyncio.sleep(resets.GAP_S)
+
+    async def _ask_marked(self, name: str, token: str) -> None:
+        service, kind, deadline_ms, _ = KINDS[0]
+        await self._attempt(
+            name=name,
+            path=f'{service}/{kind}',
+            api_key=KEPT_KEY,
+            deadline_ms=deadline_ms,
+            is_after_faults=False,
+            is_new=True,
+            token=token,
+        )
+
     def disturb(self, name: str) -> None:
         """Note that a gateway is being disturbed now."""
         self.disturbed_s[name] = time.monotonic()
@@ -115,13 +142,15 @@
         deadline_ms: int,
         is_after_faults: bool,
         is_new: bool = False,
+        token: str = '',
     ) -> checks.Asked:
         """Send a request under an id of its own; keep what came back.
 
         :param is_new: whether to open a connection for it.
+        :param token: what requests that are the same but for their ids share.
         """
         request_id = secrets.token_hex(8)
-        target = f'/{path}/{request_id}'
+        target = f'/{path}/{token or request_id}'
         began_s = time.monotonic()
         sent_ms = clock.WallClock().now_ms()
         try:
@@ -190,7 +219,7 @@
                 connection.ask(
                     target=target,
                     fields=fields,
-                    body=request_id.encode(),
+                    body=target.rpartition('/')[2].encode(),
                     pauses_s=self._pool.draw_pauses(),
                 ),
                 max(0.0, left_s) + PATIENCE_S,
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -37,6 +37,7 @@
 from testing.soak import notices
 from testing.soak import operator
 from testing.soak import orders
+from testing.soak import resets
 from testing.soak import rounds
 from testing.soak import silences
 
@@ -166,6 +167,9 @@
                 self._zone_orders.order_while(lambda: self._is_disturbed)
             ),
             asyncio.create_task(self._silence_servers()),
+            asyncio.create_task(
+                self._callers.ask_again_while(lambda: self._is_disturbed)
+            ),
         ]
         await asyncio.gather(*map(self._inject, self._plan))
         await asyncio.sleep(began_s + self._duration_s - time.monotonic())
@@ -289,6 +293,12 @@
             ),
         )
         found += cut
+        found += resets.check(
+            asked=asked,
+            quarantined_ids=self._logged_ids(
+                *READ_MESSAGES, outcome='quarantined'
+            ),
+        )
         found += orders.check(
             orders=self._zone_orders.orders, executed=self._executed_orders()
         )
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -26,6 +26,7 @@
 from testing.soak import operator
 from testing.soak import orders as zone_orders
 from testing.soak import relay
+from testing.soak import resets
 from testing.soak import rounds
 from testing.soak import run
 from testing.soak import silences
@@ -1276,6 +1277,30 @@
                 self.assertEqual(count, len(self.check(*executed)))
 
 
+class ResetsTest(unittest.TestCase):
+    """Requests that sound servers reset."""
+
+    def test_server_resets_a_marked_request_once(self):
+        marked = f'/llm/stream/{resets.PREFIX}1'
+        one = resets.Resets(name='backend-1')
+        delay_s = one.draw_delay_s(marked)
+        self.assertLessEqual(resets.DELAY_S[0], delay_s)
+        self.assertIsNone(one.draw_delay_s(marked))
+        self.assertIsNone(one.draw_delay_s(STREAM))
+        self.assertIsNotNone(
+            resets.Resets(name='backend-2').draw_delay_s(marked)
+        )
+
+    def test_quarantined_request_is_found(self):
+        for refused_ids, count in ((frozenset(), 0), (frozenset({'r1'}), 1)):
+            with self.subTest(refused_ids=refused_ids):
+                found = resets.check(
+                    asked=[asked(), asked(request_id='r2')],
+                    quarantined_ids=refused_ids,
+                )
+                self.assertEqual(count, len(found))
+
+
 class ShortSoakTest(unittest.TestCase):
     """The real programs under a few faults."""
 
