Answer the callers that connect as a process ends

The port stayed open until the process ended. Connections that the kernel had accepted by then were reset, and one that had just been accepted was closed as idle, in both cases with a request on its way that nobody answered. A control host closed its port at once, and reset those that waited in the kernel.

Once no request is left, or at the limit, the connections that wait in the kernel are accepted and the port is closed directly after; new ones get 250 ms for their first request.

The mock of a site in gateway/tests/test_stopping.py takes the new argument; its times are checked as before.

--- a/src/shallothinge/control/process.py
+++ b/src/shallothinge/control/process.py
@@ -243,9 +243,11 @@
     )
 
     def stop():
-        port.stopListening()
         return draining.Drain(
-            site=site, reactor=process.reactor, limit_ms=API_STOP_LIMIT_MS
+            site=site,
+            reactor=process.reactor,
+            limit_ms=API_STOP_LIMIT_MS,
+            port=port,
         ).start()
 
     return stop
--- a/src/shallothinge/gateway/drain.py
+++ b/src/shallothinge/gateway/drain.py
@@ -37,10 +37,15 @@
         self._site = site
         self._shutdown = shutdown
         self._started_ms = 0
+        self._port = None
         self._drained: defer.Deferred = defer.Deferred()
 
-    def start(self) -> defer.Deferred:
-        """Start; the result fires when the process may end."""
+    def start(self, port=None) -> defer.Deferred:
+        """Start; the result fires when the process may end.
+
+        :param port: the callers' port, which is closed at the end.
+        """
+        self._port = port
         LOG.info('gateway is stopping')
         self._started_ms = self._clock.now_ms()
         self._shutdown.begin(duration_ms=self._callers.stop_limit_ms)
@@ -59,6 +64,7 @@
             site=self._site,
             reactor=self._reactor,
             limit_ms=self._callers.stop_limit_ms - passed_ms,
+            port=self._port,
         ).start().addCallback(self._end)
 
     def _end(self, _: None) -> None:
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -180,7 +180,7 @@
         :param opened: a socket that already listens on the callers' address.
         """
         callers = self._settings.callers
-        http_server.listen(
+        port = http_server.listen(
             site=self._callers,
             address=callers.address,
             reactor=self._reactor,
@@ -198,7 +198,7 @@
             processes.METRICS_DELAY_S, self._publish_servers
         )
         self._reactor.addSystemEventTrigger(
-            'before', 'shutdown', self._drain.start
+            'before', 'shutdown', self._drain.start, port
         )
         LOG.info(
             'gateway started',
--- a/src/shallothinge/gateway/tests/test_stopping.py
+++ b/src/shallothinge/gateway/tests/test_stopping.py
@@ -193,7 +193,9 @@
         """Stop a gateway; return when it ended its requests, and itself."""
         made = rig.Rig()
         site = mock.Mock(clock=made.clock)
-        site.is_drained.side_effect = lambda: passed_ms >= drained_after_ms
+        site.is_drained.side_effect = lambda **_: (
+            passed_ms >= drained_after_ms
+        )
 
         def end():
             nonlocal requests_ended_ms
--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -46,6 +46,8 @@
         self._timer = None
         self._is_closing = False
         self._is_idle_close = False
+        self._is_unused = True
+        self._made_ms = site.clock.now_ms()
         self._is_write_side_closed = False
         self._is_paused = False
         self._has_answered = False
@@ -84,6 +86,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Read requests."""
+        self._is_unused = False
         if self._is_idle_close and not self._is_write_side_closed:
             # The request came before the end of the connection was sent.
             self._is_idle_close = False
@@ -207,6 +210,14 @@
         self._partial.close(partial.Cause.ANSWER_CUT)
         self.transport.abortConnection()
 
+    def is_fresh(self, fresh_ms: int) -> bool:
+        """Return whether the first request may still be on its way.
+
+        :param fresh_ms: how long after the connection was accepted.
+        """
+        age_ms = self._site.clock.now_ms() - self._made_ms
+        return self._is_unused and not self._is_closing and age_ms < fresh_ms
+
     def close_if_idle(self) -> None:
         """Close the connection if no request is in progress."""
         if self.is_idle and not self._is_closing and not self._has_unread:
@@ -440,18 +451,34 @@
         self.is_stopping = False
         self.is_ended = False
         self.connections: set[ServerConnection] = set()
+        self._accepted_count = 0
 
     def buildProtocol(self, addr) -> ServerConnection:
         """Return the protocol of a new connection."""
+        self._accepted_count += 1
         connection = ServerConnection(site=self)
         connection.factory = self
         self.connections.add(connection)
         return connection
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request is in progress."""
+    def accept_waiting(self, port) -> None:
+        """Accept all connections that wait in the kernel.
+
+        :param port: the listening port of this site.
+        """
+        accepted_count = None
+        while accepted_count != self._accepted_count:
+            accepted_count = self._accepted_count
+            port.doRead()
+
+    def close_idle(self, *, fresh_ms: int = 0) -> None:
+        """Close the connections on which no request is in progress.
+
+        :param fresh_ms: leave new ones open for so long, see ``is_fresh``.
+        """
         for connection in list(self.connections):
-            connection.close_if_idle()
+            if not connection.is_fresh(fresh_ms):
+                connection.close_if_idle()
 
     def end(self) -> None:
         """Answer or cut what is in progress, as the process ends.
@@ -467,13 +494,16 @@
         for connection in in_progress:
             connection.end()
 
-    def is_drained(self) -> bool:
+    def is_drained(self, *, fresh_ms: int = 0) -> bool:
         """Return whether the process may exit without truncating an answer.
 
         Call ``close_idle`` first, so that idle connections are closed.
+
+        :param fresh_ms: wait for the requests of new connections for so long.
         """
         return not any(
-            connection.has_pending_output for connection in self.connections
+            connection.has_pending_output or connection.is_fresh(fresh_ms)
+            for connection in self.connections
         )
 
 
