--- a/src/shallothinge/placement/spread.py
+++ b/src/shallothinge/placement/spread.py
@@ -28,7 +28,7 @@
     rank: float = 0.0
     load: server_queue.ServerLoad = server_queue.ServerLoad()
     is_rate_limited: bool = False
-    is_last_slot_own: bool = False
+    is_last_slot_own: bool = True
     unchanged_ms: int = 0
     turn_in_ms: int = 0
     pace: float = 1.0
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -273,7 +273,10 @@
         return None if made == messages.PartsReported() else made
 
     def apply_report(self, report: messages.PartsReported) -> None:
-        """Apply what a peer has observed or decided."""
+        """Apply what a peer has observed or decided.
+
+        Entries that are malformed are skipped.
+        """
         now_ms = self._clock.now_ms()
         unfounded = set(checks.valid_entries(report, 'unfounded'))
         for server_id, incarnation, age_ms in checks.valid_entries(
