--- a/src/shallothinge/scheduling/demand.py
+++ b/src/shallothinge/scheduling/demand.py
@@ -112,13 +112,8 @@
         self, peer: _Peer, granted: dict[str, tuple[int, int]]
     ) -> None:
         known_counts = peer.granted
-        if not known_counts.keys() <= granted.keys():
-            granted = dict(
-                itertools.islice(
-                    (granted | known_counts | granted).items(), MAX_SERVICES
-                )
-            )
-        peer.granted = granted
+        merged = {**granted, **known_counts, **granted}
+        peer.granted = dict(itertools.islice(merged.items(), MAX_SERVICES))
         for service, counts in granted.items():
             known = known_counts.get(service)
             if known is None or self.on_granted is None:
@@ -338,8 +333,8 @@
     def granted_counts(self) -> tuple[tuple, ...]:
         """Return the placed requests and late turns of each service."""
 
-    def has_demand(self, service: str) -> bool:
-        """Return whether requests wait for a service, here or at a peer."""
+    def has_demand(self, service: str | None = None) -> bool:
+        """Return whether requests wait, here or at a peer."""
 
 
 class DemandReporter:
@@ -420,6 +415,8 @@
 
     def _in_use_of_demand(self) -> tuple[tuple, ...]:
         """Return the largest uses of services for which requests wait."""
+        if not self._queue.has_demand():
+            return ()
         used = [
             (service, workspace, slots)
             for (service, workspace), slots in self._in_use().items()
--- a/src/shallothinge/scheduling/grants.py
+++ b/src/shallothinge/scheduling/grants.py
@@ -13,12 +13,8 @@
 
 @attrs.define(kw_only=True)
 class GrantHistory:
-    """Times of the recent placements, for their rate.
+    """Times of the recent placements, for their rate."""
 
-    :ivar count: placements in all.
-    """
-
-    count: int = 0
     _recent: collections.deque[tuple[int, int]] = attrs.field(
         factory=collections.deque, init=False
     )
@@ -26,7 +22,6 @@
 
     def record(self, *, now_ms: int, count: int = 1) -> None:
         """Record placements."""
-        self.count += count
         self._recent.append((now_ms, count))
         self._recent_count += count
 
--- a/src/shallothinge/scheduling/order.py
+++ b/src/shallothinge/scheduling/order.py
@@ -49,9 +49,9 @@
         )
 
     @property
-    def abandon_key(self) -> tuple[float, str, int]:
+    def abandon_key(self) -> tuple[float, int, str, int]:
         """Return the position among late entries for a late turn."""
-        return self.abandon_ms, self.gateway_id, self.number
+        return self.abandon_ms, self.urgency, self.gateway_id, self.number
 
     @property
     def start_key(self) -> tuple[float, str, int]:
@@ -80,7 +80,7 @@
     def __init__(self):
         self._groups: dict[str, _Group] = {}
         self._by_start: list[tuple[float, str, int]] = []
-        self._late: list[tuple[float, str, int]] = []
+        self._late: list[tuple[float, int, str, int]] = []
         self._entries: dict[tuple[str, int], Entry] = {}
         self.version = next(_VERSIONS)
 
@@ -195,8 +195,7 @@
         """Return the late entry that is abandoned soonest, if any."""
         if not self._late:
             return None
-        _, gateway_id, number = self._late[0]
-        return self._entries[gateway_id, number]
+        return self._entries[self._late[0][-2:]]
 
     def count_abandoned_before(self, entry: Entry) -> int:
         """Return how many late entries are abandoned before a late one."""
--- a/src/shallothinge/scheduling/queue.py
+++ b/src/shallothinge/scheduling/queue.py
@@ -1,8 +1,8 @@
 """The requests that wait at this gateway, ordered with those of its peers."""
 
-import bisect
 import collections
 from collections.abc import Callable
+from collections.abc import Iterator
 import itertools
 import math
 
@@ -94,7 +94,8 @@
         if request.workspace not in service.order.group_names:
             service.shares_ms = None
         service.order.add(entry, now_ms=self._clock.now_ms())
-        self._notify()
+        if self._is_in_summary(service.order, entry):
+            self._notify()
         return self._next_id
 
     def leave(self, waiting_id: int) -> None:
@@ -103,10 +104,13 @@
         if request is None:
             return
         service = self._services[request.service]
+        entry = service.order.find(self._own_id, waiting_id)
+        is_reported = self._is_in_summary(service.order, entry)
         service.order.remove(self._own_id, waiting_id)
         if request.workspace not in service.order.group_names:
             service.shares_ms = None
-        self._notify()
+        if is_reported:
+            self._notify()
 
     def granted(self, waiting_id: int) -> None:
         """Record that a request was placed, and remove it."""
@@ -124,28 +128,49 @@
         service.history.record(now_ms=self._clock.now_ms())
         service.shares_ms = None
         self.leave(waiting_id)
+        self._notify()
 
-    def has_demand(self, service: str) -> bool:
-        """Return whether requests wait, here or at a peer."""
+    def has_demand(self, service: str | None = None) -> bool:
+        """Return whether requests wait, here or at a peer.
+
+        :param service: None for any.
+        """
+        if service is None:
+            return bool(self._requests) or self._peers.has_demand()
         known = self._services.get(service)
         return bool(known and known.order) or self._peers.has_demand(service)
 
     def ranked(self, service: str) -> list[int]:
         """Return the ids of this gateway's requests in order."""
-        if service not in self._services:
-            return []
-        known = self._refreshed(service)
-        ids = [entry.number for entry in known.order]
-        soonest = known.order.soonest_abandoned()
+        return self.first(service, self.count)
+
+    def first(self, service: str, count: int) -> list[int]:
+        """Return the ids of this gateway's first requests, in order."""
+        first = itertools.islice(self._in_order(service), count)
+        return [entry.number for entry, _ in first]
+
+    def _in_order(self, name: str) -> Iterator[tuple[orders.Entry, int]]:
+        """Yield this gateway's requests of a service with their ranks."""
+        if name not in self._services:
+            return
+        service = self._refreshed(name)
+        own, others = self._both(name)
+        late_rank, turn_rank = -1, self._turn_rank(service)
+        soonest = self._soonest_abandoned(name)
         if soonest is not None:
-            if soonest is self._soonest_abandoned(service):
-                ids.remove(soonest.number)
-                rank = self.rank(soonest.number)
-                ids.insert(
-                    bisect.bisect_left(ids, rank, key=self.rank),
-                    soonest.number,
-                )
-        return ids
+            late_rank = self._late_rank(name)
+        for index, entry in enumerate(own):
+            rank = index + others.count_before(
+                entry.key, is_above=own.is_above(entry)
+            )
+            if not turn_rank <= rank <= late_rank:
+                yield entry, rank
+                continue
+            if soonest is not None and soonest.gateway_id == self._own_id:
+                yield soonest, turn_rank
+                soonest = None
+            if rank < late_rank:
+                yield entry, rank + 1
 
     def rank(self, waiting_id: int) -> int:
         """Return how many requests, of all gateways, are ahead of one.
@@ -172,20 +197,27 @@
         :raises KeyError: if the request has left the queue.
         """
         name = self._requests[waiting_id].service
-        service = self._services[name]
-        rate_per_ms = service.history.rate_per_ms(self._clock.now_ms())
+        rate_per_ms = self._rate_per_ms(name)
         if rate_per_ms is None:
             return None
         rank = self.rank(waiting_id)
-        entry = service.order.find(self._own_id, waiting_id)
+        entry = self._services[name].order.find(self._own_id, waiting_id)
+        return self._count_until(name, entry, rank) / rate_per_ms
+
+    def _rate_per_ms(self, name: str) -> float | None:
+        """Return the rate of the recent placements of a service."""
+        return self._services[name].history.rate_per_ms(self._clock.now_ms())
+
+    def _count_until(self, name: str, entry: orders.Entry, rank: int) -> int:
+        """Return the number of placements until a request is placed."""
         if entry.is_late:
-            late_ahead = sum(
+            turns_ahead = sum(
                 order.count_abandoned_before(entry)
                 for order in self._both(name)
             )
-            turn_rank = self._turn_rank(service)
-            rank = min(rank, turn_rank + LATE_TURN_INTERVAL * late_ahead)
-        return (rank + 1) / rate_per_ms
+            turn_rank = self._turn_rank(self._services[name])
+            rank = min(rank, turn_rank + LATE_TURN_INTERVAL * turns_ahead)
+        return rank + 1
 
     def unservable(self, service: str) -> list[int]:
         """Return the ids of requests that will be abandoned before an answer.
@@ -195,13 +227,19 @@
         """
         found = []
         now_ms = self._clock.now_ms()
-        for waiting_id in self.ranked(service):
-            request = self._requests[waiting_id]
-            answer_ms = now_ms + request.min_service_ms
-            if answer_ms < request.abandon_ms:
-                answer_ms += self.expected_wait_ms(waiting_id) or 0.0
-            if answer_ms >= request.abandon_ms:
-                found.append(waiting_id)
+        for entry, rank in self._in_order(service):
+            request = self._requests[entry.number]
+            wait_ms = request.abandon_ms - request.min_service_ms - now_ms
+            if wait_ms > 0:
+                rate_per_ms = self._rate_per_ms(service)
+                if rate_per_ms is None:
+                    continue
+                if rank + 1 < wait_ms * rate_per_ms:
+                    continue
+                count = self._count_until(service, entry, rank)
+                if count < wait_ms * rate_per_ms:
+                    continue
+            found.append(entry.number)
         return found
 
     def summary(self) -> tuple[tuple, ...]:
@@ -234,6 +272,17 @@
             )
         return tuple(found)
 
+    def _is_in_summary(
+        self, order: orders.WaitingOrder, entry: orders.Entry
+    ) -> bool:
+        """Return whether the summary may contain an entry of the order."""
+        if entry is order.soonest_abandoned():
+            return True
+        ahead_count = order.count_before(
+            entry.key, is_above=order.is_above(entry)
+        )
+        return ahead_count < demand.MAX_ENTRIES_PER_SERVICE
+
     def granted_counts(self) -> tuple[tuple, ...]:
         """Return the placed requests of services for which others wait.
 
