--- a/src/shallothinge/scheduling/demand.py
+++ b/src/shallothinge/scheduling/demand.py
@@ -42,6 +42,7 @@
     received_ms: int = 0
     entries: list[tuple[str, int]] = attrs.field(factory=list)
     in_use: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    waiting: frozenset[tuple[str, str]] = frozenset()
     granted: dict[str, tuple[int, int]] = attrs.field(factory=dict)
 
 
@@ -100,7 +101,7 @@
             order.add(entry, now_ms=now_ms)
             order.set_above(_ABOVE, True)
             peer.entries.append((service, number))
-        peer.in_use = reader.in_use()
+        peer.in_use, peer.waiting = reader.workspaces()
         self._count_granted(peer, reader.granted())
         expiry_ms = now_ms + DEMAND_TTL_MS + 1
         if self._next_expiry_ms is None or self._next_expiry_ms > expiry_ms:
@@ -138,7 +139,7 @@
             if age_ms > DEMAND_TTL_MS:
                 has_changed = has_changed or bool(peer.entries)
                 self._remove_entries(peer_id, peer)
-                peer.in_use = {}
+                peer.in_use, peer.waiting = {}, frozenset()
                 ttl_ms = PEER_RETENTION_MS
             else:
                 ttl_ms = DEMAND_TTL_MS
@@ -173,6 +174,16 @@
                 total[key] = total.get(key, 0.0) + slots
         return total
 
+    def waiting_workspaces(self, service: str) -> set[str]:
+        """Return the workspaces of which requests wait at the peers."""
+        self.remove_expired()
+        return {
+            workspace
+            for peer in self._peers.values()
+            for waiting_service, workspace in peer.waiting
+            if waiting_service == service
+        }
+
     def _remove_entries(self, peer_id: str, peer: _Peer) -> None:
         for service, number in peer.entries:
             order = self._orders[service]
@@ -242,23 +253,29 @@
             abandon_ms=self._now_ms + _clamp(abandon_in_ms),
         )
 
-    def in_use(self) -> dict[tuple[str, str], float]:
-        """Return the slots in use by service and workspace."""
-        found = {}
+    def workspaces(
+        self,
+    ) -> tuple[dict[tuple[str, str], float], frozenset[tuple[str, str]]]:
+        """Return the slots in use, and who waits, by service and workspace."""
+        in_use = {}
+        waiting = set()
         for fields in self._tuples(self._message.in_use):
             is_valid = (
-                len(fields) >= 3
+                len(fields) >= 4
                 and _is_name(fields[0])
                 and _is_workspace(fields[1])
                 and _is_number(fields[2])
                 and 0 <= fields[2] <= MAX_SLOTS
-                and len(found) < MAX_WORKSPACES
+                and fields[3] in (False, True)
+                and len(in_use) < MAX_WORKSPACES
             )
-            if is_valid:
-                found[fields[0], fields[1]] = float(fields[2])
-            else:
+            if not is_valid:
                 self._skip(fields)
-        return found
+                continue
+            in_use[fields[0], fields[1]] = float(fields[2])
+            if fields[3]:
+                waiting.add((fields[0], fields[1]))
+        return in_use, frozenset(waiting)
 
     def granted(self) -> dict[str, tuple[int, int]]:
         """Return the placed requests and late turns, by service."""
@@ -333,6 +350,9 @@
     def granted_counts(self) -> tuple[tuple, ...]:
         """Return the placed requests and late turns of each service."""
 
+    def waiting_workspaces(self) -> set[tuple[str, str]]:
+        """Return by service the workspaces of which requests wait here."""
+
     def has_demand(self, service: str | None = None) -> bool:
         """Return whether requests wait, here or at a peer."""
 
@@ -414,13 +434,21 @@
         )
 
     def _in_use_of_demand(self) -> tuple[tuple, ...]:
-        """Return the largest uses of services for which requests wait."""
+        """Return the workspaces of services for which requests wait.
+
+        Those that wait are first, then those that use most.
+        """
         if not self._queue.has_demand():
             return ()
-        used = [
-            (service, workspace, slots)
-            for (service, workspace), slots in self._in_use().items()
-            if slots > 0 and self._queue.has_demand(service)
-        ]
-        used.sort(key=lambda fields: (-fields[2], *fields[:2]))
-        return tuple(used[:MAX_WORKSPACES])
+        waiting = self._queue.waiting_workspaces()
+        slots = dict.fromkeys(waiting, 0.0)
+        for key, used in self._in_use().items():
+            if used > 0 and (key in waiting or self._queue.has_demand(key[0])):
+                slots[key] = used
+        found = sorted(
+            (key not in waiting, -used, key) for key, used in slots.items()
+        )
+        return tuple(
+            (*key, -negative, not is_last)
+            for is_last, negative, key in found[:MAX_WORKSPACES]
+        )
--- a/src/shallothinge/scheduling/messages.py
+++ b/src/shallothinge/scheduling/messages.py
@@ -15,8 +15,8 @@
         urgency, whether the workspace is above its share, time until the
         request must be sent to be answered in time (negative if it has
         passed), time until its caller abandons it.
-    :ivar in_use: slots in use by the sender's requests: service, workspace,
-        number of slots.
+    :ivar in_use: workspaces that use or wait for slots at the sender: service,
+        workspace, number of slots in use, whether any request waits.
     :ivar granted: waiting requests that the sender has placed since it
         started: service, their number, and how many of them had a late turn.
     """
--- a/src/shallothinge/scheduling/queue.py
+++ b/src/shallothinge/scheduling/queue.py
@@ -294,6 +294,14 @@
             if known.granted_count and self.has_demand(name)
         )
 
+    def waiting_workspaces(self) -> set[tuple[str, str]]:
+        """Return by service the workspaces of which requests wait here."""
+        return {
+            (name, workspace)
+            for name, known in self._services.items()
+            for workspace in known.order.group_names
+        }
+
     @property
     def count(self) -> int:
         """Return the number of waiting requests of this gateway."""
@@ -316,7 +324,8 @@
         if shares_ms is None or shares_ms + MAX_SHARES_AGE_MS <= now_ms:
             service.shares_ms = now_ms
             waiting = service.order.group_names
-            above = self._shares.above_share(name, waiting)
+            everywhere = self._peers.waiting_workspaces(name).union(waiting)
+            above = self._shares.above_share(name, everywhere)
             for workspace in waiting:
                 has_changed |= service.order.set_above(
                     workspace, workspace in above
