Test demand reports and played loads; drop entries of long silent peers

A peer that was silent for longer than a minute was forgotten while its entries remained in the order (found by test_entries_expire_after_the_last_report, row `long expired`).

--- a/src/shallothinge/scheduling/demand.py
+++ b/src/shallothinge/scheduling/demand.py
@@ -73,10 +73,11 @@
         :param peer_id: identifies one run of the peer's process.
         """
         reader = _ReportReader(message, now_ms=self._clock.now_ms())
-        peer = self._peers.setdefault(peer_id, _Peer())
-        if reader.sequence is not None and reader.sequence > peer.sequence:
-            peer.sequence = reader.sequence
-            self._replace(peer_id, peer, reader)
+        if reader.sequence is not None:
+            peer = self._peers.setdefault(peer_id, _Peer())
+            if reader.sequence > peer.sequence:
+                peer.sequence = reader.sequence
+                self._replace(peer_id, peer, reader)
         if reader.skipped_count:
             LOG.warning(
                 'report of waiting requests has malformed entries',
@@ -133,16 +134,15 @@
         self._next_expiry_ms = None
         for peer_id, peer in list(self._peers.items()):
             age_ms = now_ms - peer.received_ms
-            if age_ms > PEER_RETENTION_MS:
-                del self._peers[peer_id]
-                continue
+            ttl_ms = DEMAND_TTL_MS
             if age_ms > DEMAND_TTL_MS:
                 has_changed = has_changed or bool(peer.entries)
                 self._remove_entries(peer_id, peer)
                 peer.in_use, peer.waiting = {}, frozenset()
                 ttl_ms = PEER_RETENTION_MS
-            else:
-                ttl_ms = DEMAND_TTL_MS
+            if age_ms > PEER_RETENTION_MS:
+                del self._peers[peer_id]
+                continue
             expiry_ms = peer.received_ms + ttl_ms + 1
             if self._next_expiry_ms is None:
                 self._next_expiry_ms = expiry_ms
--- a/src/shallothinge/scheduling/tests/test_queue.py
+++ b/src/shallothinge/scheduling/tests/test_queue.py
@@ -437,11 +437,12 @@
 class Steps:
     """Applies steps to a queue, and to what the requirements state."""
 
-    def __init__(self):
+    def __init__(self, *, granted_count):
         self.gateway = samples.Gateway()
         self.own = {}
         self.reported = {}
-        self.since_turn_count = 0
+        self.gateway.grant(granted_count)
+        self.since_turn_count = granted_count
 
     def apply(self, kind, value):
         """Apply a step."""
@@ -532,13 +533,19 @@
 class RequiredOrderTest(unittest.TestCase):
     """The order against the one that the requirements state."""
 
-    @hypothesis.given(steps=strategies.lists(STEP, max_size=40))
-    @hypothesis.settings(max_examples=150, deadline=None)
-    def test_order_is_as_required_after_any_steps(self, steps):
+    @hypothesis.given(
+        granted_count=strategies.integers(0, TURN),
+        joins=strategies.lists(FIELDS, max_size=20),
+        steps=strategies.lists(STEP, max_size=20),
+    )
+    @hypothesis.settings(max_examples=200, deadline=None)
+    def test_order_is_as_required_after_any_steps(
+        self, granted_count, joins, steps
+    ):
         # The order is kept sorted step by step; it must be the same as that
         # of a queue sorted anew.
-        played = Steps()
-        for kind, value in steps:
+        played = Steps(granted_count=granted_count)
+        for kind, value in [*(('join', one) for one in joins), *steps]:
             played.apply(kind, value)
             ordered = naive.order(
                 played.waiting(),
