Test the order over several gateways; keep times of reported requests

Reports take some ms, by which the requests of peers seem to start later, so that two gateways took themselves for first and sent to one slot. Entries now carry the number of the request, and the earliest time that a report gave counts.

--- a/experiments/scheduling_cost.py
+++ b/experiments/scheduling_cost.py
@@ -86,7 +86,7 @@
         """Receive a report of one of the peers."""
         start_by_in_ms = [
             self._rng.randint(-TIME_LIMIT_MS, TIME_LIMIT_MS)
-            for _ in range(demand.MAX_ENTRIES_PER_SERVICE)
+            for _ in range(messages.MAX_ENTRIES_PER_SERVICE)
         ]
         report = messages.DemandReported(
             sequence=next(self._sequences),
--- a/src/shallothinge/scheduling/demand.py
+++ b/src/shallothinge/scheduling/demand.py
@@ -4,7 +4,6 @@
 from collections.abc import Mapping
 import itertools
 import logging
-import math
 from typing import Protocol
 
 import attrs
@@ -12,6 +11,7 @@
 from shallothinge import clock as clocks
 from shallothinge.scheduling import messages
 from shallothinge.scheduling import order as orders
+from shallothinge.scheduling import report_reader
 
 LOG = logging.getLogger(__name__)
 
@@ -19,20 +19,9 @@
 DEMAND_TTL_MS = 300
 REPEAT_INTERVAL_MS = 100
 MIN_REPORT_INTERVAL_MS = 20
-MAX_ENTRIES_PER_SERVICE = 8
-MAX_WORKSPACES = 64
-# Limits on the fields of a peer's report.
-MAX_SERVICES = 64
-MAX_NAME_CHARS = 256
-MAX_URGENCY = 1_000_000
-MAX_TIME_MS = 3_600_000
-MAX_SLOTS = 1_000_000
-MAX_COUNT = 2**53
 # The placements of a silent peer still count for the late turns.
 PEER_RETENTION_MS = 60_000
 
-_ABOVE, _NOT_ABOVE = 'above', 'not above'
-
 
 @attrs.define(kw_only=True)
 class _Peer:
@@ -40,7 +29,7 @@
 
     sequence: int = -1
     received_ms: int = 0
-    entries: list[tuple[str, int]] = attrs.field(factory=list)
+    entries: dict[int, tuple[str, orders.Entry]] = attrs.field(factory=dict)
     in_use: dict[tuple[str, str], float] = attrs.field(factory=dict)
     waiting: frozenset[tuple[str, str]] = frozenset()
     granted: dict[str, tuple[int, int]] = attrs.field(factory=dict)
@@ -72,12 +61,14 @@
 
         :param peer_id: identifies one run of the peer's process.
         """
-        reader = _ReportReader(message, now_ms=self._clock.now_ms())
+        reader = report_reader.ReportReader(
+            message, peer_id=peer_id, now_ms=self._clock.now_ms()
+        )
         if reader.sequence is not None:
             peer = self._peers.setdefault(peer_id, _Peer())
             if reader.sequence > peer.sequence:
                 peer.sequence = reader.sequence
-                self._replace(peer_id, peer, reader)
+                self._replace(peer, reader)
         if reader.skipped_count:
             LOG.warning(
                 'report of waiting requests has malformed entries',
@@ -89,25 +80,30 @@
             )
 
     def _replace(
-        self, peer_id: str, peer: _Peer, reader: '_ReportReader'
+        self, peer: _Peer, reader: report_reader.ReportReader
     ) -> None:
         now_ms = self._clock.now_ms()
-        had_entries = bool(peer.entries)
-        self._remove_entries(peer_id, peer)
+        known, peer.entries = peer.entries, {}
         peer.received_ms = now_ms
-        for number, (service, entry) in enumerate(reader.waiting()):
-            entry.gateway_id = peer_id
-            entry.number = number
+        for service, entry in reader.waiting():
+            peer.entries[entry.number] = (service, entry)
+            known_service, known_entry = known.get(entry.number, ('', None))
+            if known_service == service and entry.number >= 0:
+                _keep_earliest(entry, known_entry)
+                if entry.fields == known_entry.fields:
+                    peer.entries[entry.number] = known.pop(entry.number)
+        self._remove_entries(known)
+        for service, entry in peer.entries.values():
             order = self._orders.setdefault(service, orders.WaitingOrder())
-            order.add(entry, now_ms=now_ms)
-            order.set_above(_ABOVE, True)
-            peer.entries.append((service, number))
+            if entry not in order:
+                order.add(entry, now_ms=now_ms)
+                order.set_above(report_reader.ABOVE, True)
         peer.in_use, peer.waiting = reader.workspaces()
         self._count_granted(peer, reader.granted())
         expiry_ms = now_ms + DEMAND_TTL_MS + 1
         if self._next_expiry_ms is None or self._next_expiry_ms > expiry_ms:
             self._next_expiry_ms = expiry_ms
-        if had_entries or peer.entries:
+        if known or peer.entries:
             self._notify()
 
     def _count_granted(
@@ -115,7 +111,9 @@
     ) -> None:
         known_counts = peer.granted
         merged = {**granted, **known_counts, **granted}
-        peer.granted = dict(itertools.islice(merged.items(), MAX_SERVICES))
+        peer.granted = dict(
+            itertools.islice(merged.items(), messages.MAX_SERVICES)
+        )
         for service, counts in granted.items():
             known = known_counts.get(service)
             if known is None or self.on_granted is None:
@@ -137,7 +135,8 @@
             ttl_ms = DEMAND_TTL_MS
             if age_ms > DEMAND_TTL_MS:
                 has_changed = has_changed or bool(peer.entries)
-                self._remove_entries(peer_id, peer)
+                self._remove_entries(peer.entries)
+                peer.entries = {}
                 peer.in_use, peer.waiting = {}, frozenset()
                 ttl_ms = PEER_RETENTION_MS
             if age_ms > PEER_RETENTION_MS:
@@ -184,161 +183,29 @@
             if waiting_service == service
         }
 
-    def _remove_entries(self, peer_id: str, peer: _Peer) -> None:
-        for service, number in peer.entries:
+    def _remove_entries(
+        self, entries: Mapping[int, tuple[str, orders.Entry]]
+    ) -> None:
+        for service, entry in entries.values():
             order = self._orders[service]
-            order.remove(peer_id, number)
+            order.remove(entry.gateway_id, entry.number)
             if not order:
                 del self._orders[service]
-        peer.entries = []
 
     def _notify(self) -> None:
         if self.on_change is not None:
             self.on_change()
 
 
-class _ReportReader:
-    """Reads the fields of a report, skipping and counting malformed ones."""
-
-    def __init__(self, message: messages.DemandReported, *, now_ms: int):
-        self._message = message
-        self._now_ms = now_ms
-        self.skipped_count = 0
-        self.skipped_example = ''
-        self.sequence = message.sequence
-        if not _is_count(message.sequence):
-            self._skip(message.sequence)
-            self.sequence = None
-
-    def waiting(self) -> list[tuple[str, orders.Entry]]:
-        """Return the waiting requests with their services."""
-        found = []
-        counts: dict[str, int] = {}
-        for fields in self._tuples(self._message.waiting):
-            entry = self._read_entry(fields)
-            if entry is None:
-                self._skip(fields)
-                continue
-            service = fields[0]
-            count = counts.get(service, 0)
-            if count == MAX_ENTRIES_PER_SERVICE or (
-                not count and len(counts) == MAX_SERVICES
-            ):
-                self._skip(fields)
-                continue
-            counts[service] = count + 1
-            found.append((service, entry))
-        return found
-
-    def _read_entry(self, fields: tuple) -> orders.Entry | None:
-        if len(fields) < 5:
-            return None
-        service, urgency, is_above, start_by_in_ms, abandon_in_ms = fields[:5]
-        is_valid = (
-            _is_name(service)
-            and _is_count(urgency)
-            and urgency <= MAX_URGENCY
-            and is_above in (False, True)
-            and _is_number(start_by_in_ms)
-            and _is_number(abandon_in_ms)
-        )
-        if not is_valid:
-            return None
-        return orders.Entry(
-            group=_ABOVE if is_above else _NOT_ABOVE,
-            gateway_id='',
-            number=0,
-            urgency=urgency,
-            start_by_ms=self._now_ms + _clamp(start_by_in_ms),
-            abandon_ms=self._now_ms + _clamp(abandon_in_ms),
-        )
-
-    def workspaces(
-        self,
-    ) -> tuple[dict[tuple[str, str], float], frozenset[tuple[str, str]]]:
-        """Return the slots in use, and who waits, by service and workspace."""
-        in_use = {}
-        waiting = set()
-        for fields in self._tuples(self._message.in_use):
-            is_valid = (
-                len(fields) >= 4
-                and _is_name(fields[0])
-                and _is_workspace(fields[1])
-                and _is_number(fields[2])
-                and 0 <= fields[2] <= MAX_SLOTS
-                and fields[3] in (False, True)
-                and len(in_use) < MAX_WORKSPACES
-            )
-            if not is_valid:
-                self._skip(fields)
-                continue
-            in_use[fields[0], fields[1]] = float(fields[2])
-            if fields[3]:
-                waiting.add((fields[0], fields[1]))
-        return in_use, frozenset(waiting)
-
-    def granted(self) -> dict[str, tuple[int, int]]:
-        """Return the placed requests and late turns, by service."""
-        found = {}
-        for fields in self._tuples(self._message.granted):
-            is_valid = (
-                len(fields) >= 3
-                and _is_name(fields[0])
-                and _is_count(fields[1])
-                and _is_count(fields[2])
-                and len(found) < MAX_SERVICES
-            )
-            if is_valid:
-                found[fields[0]] = (fields[1], fields[2])
-            else:
-                self._skip(fields)
-        return found
-
-    def _tuples(self, entries: object) -> list[tuple]:
-        """Return those entries of a field that are tuples."""
-        if not isinstance(entries, (tuple, list)):
-            self._skip(entries)
-            return []
-        found = []
-        for fields in entries:
-            if isinstance(fields, (tuple, list)):
-                found.append(tuple(fields))
-            else:
-                self._skip(fields)
-        return found
-
-    def _skip(self, fields: object) -> None:
-        if not self.skipped_count:
-            self.skipped_example = repr(fields)[:MAX_NAME_CHARS]
-        self.skipped_count += 1
-
-
-def _is_name(field: object) -> bool:
-    return _is_workspace(field) and field != ''
-
+def _keep_earliest(entry: orders.Entry, known: orders.Entry) -> None:
+    """Set the times of an entry to the earliest that reports gave.
 
-def _is_workspace(field: object) -> bool:
-    return isinstance(field, str) and len(field) <= MAX_NAME_CHARS
-
-
-def _is_number(field: object) -> bool:
-    return (
-        isinstance(field, (int, float))
-        and not isinstance(field, bool)
-        and not math.isnan(field)
-    )
-
-
-def _is_count(field: object) -> bool:
-    return (
-        isinstance(field, int)
-        and not isinstance(field, bool)
-        and 0 <= field <= MAX_COUNT
-    )
-
-
-def _clamp(time_ms: float) -> float:
-    return max(-MAX_TIME_MS, min(MAX_TIME_MS, time_ms))
+    Its times are relative to the time of sending, so the time that a report
+    takes makes them seem later. With the report that took the least, most
+    gateways agree on the order.
+    """
+    entry.start_by_ms = min(entry.start_by_ms, known.start_by_ms)
+    entry.abandon_ms = min(entry.abandon_ms, known.abandon_ms)
 
 
 class ReportedQueue(Protocol):
@@ -450,5 +317,5 @@
         )
         return tuple(
             (*key, -negative, not is_last)
-            for is_last, negative, key in found[:MAX_WORKSPACES]
+            for is_last, negative, key in found[: messages.MAX_WORKSPACES]
         )
--- a/src/shallothinge/scheduling/messages.py
+++ b/src/shallothinge/scheduling/messages.py
@@ -2,6 +2,12 @@
 
 import attrs
 
+# Limits of a report. The first entries of each gateway decide who is next;
+# more are unlikely to be placed before the next report.
+MAX_ENTRIES_PER_SERVICE = 8
+MAX_SERVICES = 64
+MAX_WORKSPACES = 64
+
 
 @attrs.frozen(kw_only=True)
 class DemandReported:
@@ -14,7 +20,8 @@
     :ivar waiting: the first waiting requests of each service: service,
         urgency, whether the workspace is above its share, time until the
         request must be sent to be answered in time (negative if it has
-        passed), time until its caller abandons it.
+        passed), time until its caller abandons it, number of the request,
+        the same in all reports.
     :ivar in_use: workspaces that use or wait for slots at the sender: service,
         workspace, number of slots in use, whether any request waits.
     :ivar granted: waiting requests that the sender has placed since it
--- a/src/shallothinge/scheduling/order.py
+++ b/src/shallothinge/scheduling/order.py
@@ -36,6 +36,11 @@
     abandon_ms: float
     is_late: bool = False
 
+    @property
+    def fields(self) -> tuple:
+        """Return all that decides on the order, except for the time."""
+        return self.group, self.urgency, self.start_by_ms, self.abandon_ms
+
     @property
     def key(self) -> Key:
         """Return the position of the entry among those of its group."""
@@ -87,6 +92,10 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    def __contains__(self, entry: Entry) -> bool:
+        known = self._entries.get((entry.gateway_id, entry.number))
+        return known is entry
+
     @property
     def late_count(self) -> int:
         """Return the number of late entries, as of the last ``advance``."""
--- a/src/shallothinge/scheduling/queue.py
+++ b/src/shallothinge/scheduling/queue.py
@@ -11,6 +11,7 @@
 from shallothinge import clock as clocks
 from shallothinge.scheduling import demand
 from shallothinge.scheduling import grants
+from shallothinge.scheduling import messages
 from shallothinge.scheduling import model
 from shallothinge.scheduling import order as orders
 from shallothinge.scheduling import shares as workspace_shares
@@ -254,7 +255,7 @@
                 continue
             self._refreshed(name)
             first = itertools.islice(
-                known.order, demand.MAX_ENTRIES_PER_SERVICE
+                known.order, messages.MAX_ENTRIES_PER_SERVICE
             )
             entries = list(first)
             soonest = known.order.soonest_abandoned()
@@ -267,6 +268,7 @@
                     known.order.is_above(entry),
                     math.floor(entry.start_by_ms - now_ms),
                     math.floor(entry.abandon_ms - now_ms),
+                    entry.number,
                 )
                 for entry in entries
             )
@@ -281,7 +283,7 @@
         ahead_count = order.count_before(
             entry.key, is_above=order.is_above(entry)
         )
-        return ahead_count < demand.MAX_ENTRIES_PER_SERVICE
+        return ahead_count < messages.MAX_ENTRIES_PER_SERVICE
 
     def granted_counts(self) -> tuple[tuple, ...]:
         """Return the placed requests of services for which others wait.
--- a/src/shallothinge/scheduling/tests/simulation.py
+++ b/src/shallothinge/scheduling/tests/simulation.py
@@ -60,6 +60,8 @@
         self.index = index
         self.has_crashed = False
         self.used = [0] * simulation.server_count
+        # Servers that were full, until more is known of their load.
+        self._full = set()
         self._in_use = {}
         self.waiting = {}
         clock = simulation.clock
@@ -116,9 +118,11 @@
         self.schedule_report()
         self.wake()
 
-    def note_use(self, server, change):
-        """Take a change of the slots in use at a server."""
-        self.used[server] += change
+    def note_uses(self, changes):
+        """Take changes of the slots in use at servers."""
+        for server, change in changes:
+            self.used[server] += change
+            self._full.discard(server)
         self.wake()
 
     def accept(self, arrival):
@@ -189,7 +193,7 @@
             server
             for level in range(slots)
             for server, used in enumerate(self.used)
-            if used <= level
+            if used <= level and server not in self._full
         ]
         self.free.record(SERVICE, len(free))
         return free
@@ -200,6 +204,7 @@
         :returns: whether the server has accepted it.
         """
         if not self._simulation.start(self, arrival, server, waits):
+            self._full.add(server)
             return False
         key = (SERVICE, arrival.workspace)
         self._in_use[key] = self._in_use.get(key, 0) + 1
@@ -209,7 +214,7 @@
     def end(self, arrival, server):
         """Take the end of one of its streams."""
         self._in_use[SERVICE, arrival.workspace] -= 1
-        self.note_use(server, -1)
+        self.note_uses([(server, -1)])
 
 
 class Simulation:
@@ -247,6 +252,8 @@
         self._order = itertools.count()
         self._used = [0] * servers
         self._idle_since_ms = None
+        self._delivered_ms = {}
+        self._unreported = {}
         self.placements = []
         self.rejected_count = 0
         self.longest_idle_ms = 0
@@ -314,8 +321,17 @@
                 continue
             if method == 'receive' and self._rng.random() < self.loss:
                 continue
-            at_ms = self.now_ms + self._rng.randint(*self._delay_ms)
-            self.at(at_ms, getattr(other, method), *arguments)
+            self._deliver(sender, other, getattr(other, method), *arguments)
+
+    def _deliver(self, sender, receiver, call, *arguments):
+        """Deliver a message; those of one sender do not overtake others."""
+        link = (sender, receiver)
+        at_ms = max(
+            self.now_ms + self._rng.randint(*self._delay_ms),
+            self._delivered_ms.get(link, 0),
+        )
+        self._delivered_ms[link] = at_ms
+        self.at(at_ms, call, *arguments)
 
     def start(self, gateway, arrival, server, waits):
         """Start a stream, unless the server is full.
@@ -345,8 +361,17 @@
         self._report_use(gateway, server, -1)
 
     def _report_use(self, gateway, server, change):
-        """Report the load; the streams of a crashed gateway end unheard."""
+        """Report a change of load together with those that follow soon.
+
+        Streams of a crashed gateway end nevertheless.
+        """
+        changes = self._unreported.setdefault(gateway, [])
+        if not changes:
+            self.at(self.now_ms + REPORT_DELAY_MS, self._send_use, gateway)
+        changes.append((server, change))
+
+    def _send_use(self, gateway):
+        changes = self._unreported.pop(gateway)
         for other in self.gateways:
             if other is not gateway:
-                delay_ms = REPORT_DELAY_MS + self._rng.randint(*self._delay_ms)
-                self.at(self.now_ms + delay_ms, other.note_use, server, change)
+                self._deliver(gateway, other, other.note_uses, changes)
--- a/src/shallothinge/scheduling/tests/test_demand.py
+++ b/src/shallothinge/scheduling/tests/test_demand.py
@@ -73,6 +73,46 @@
                 self.assertEqual(int(is_known), gateway.queue.rank(own))
                 self.assertEqual(1 if is_known else 2, len(changes))
 
+    def test_entry_keeps_the_earliest_time_that_was_reported(self):
+        # Reports take time, so that a peer's requests seem to start later
+        # than they must. Two gateways would both take themselves for first.
+        # Time that passes, delay and fields of the second report, rank of a
+        # request 1 ms later than the entry was at first.
+        number = 7
+        rows = (
+            ('no report', None, 1),
+            ('delayed', (40, 5, (0, False, 100, 1000, number)), 1),
+            ('less delayed', (40, -5, (0, False, 100, 1000, number)), 1),
+            ('another request', (40, 5, (0, False, 100, 1000, 8)), 0),
+            ('changed side', (40, 5, (0, True, 100, 1000, number)), 0),
+            ('not numbered', (40, 5, (0, False, 100, 1000)), 0),
+        )
+        for name, second, expected in rows:
+            with self.subTest(name):
+                gateway = samples.Gateway()
+                own = gateway.join(urgency=0, due_in_ms=201)
+                gateway.receive((SERVICE, 0, False, 100, 1000, number))
+                if second is not None:
+                    passed_ms, delay_ms, fields = second
+                    urgency, is_above, start_by_in_ms, *rest = fields
+                    gateway.pass_ms(passed_ms)
+                    start_by_in_ms += delay_ms - passed_ms
+                    gateway.receive(
+                        (SERVICE, urgency, is_above, start_by_in_ms, *rest)
+                    )
+                self.assertEqual(expected, gateway.queue.rank(own))
+
+    def test_two_entries_with_one_number(self):
+        gateway = samples.Gateway()
+        own = gateway.join(due_in_ms=9000)
+        numbered = (SERVICE, 0, False, 2000, 3000, 5)
+        with self.assertLogs(LOGGER, logging.WARNING):
+            gateway.receive(numbered, ('other', *numbered[1:]))
+        self.assertEqual(1, gateway.queue.rank(own))
+        gateway.receive(('other', *numbered[1:]))
+        self.assertEqual(0, gateway.queue.rank(own))
+        self.assertTrue(gateway.peers.has_demand('other'))
+
     def test_peers_are_told_apart(self):
         gateway = samples.Gateway()
         own = gateway.join()
@@ -98,13 +138,13 @@
 
     def test_counts_of_services_are_bounded(self):
         gateway = samples.Gateway()
-        for index in range(3 * demand.MAX_SERVICES):
+        for index in range(3 * messages.MAX_SERVICES):
             gateway.receive(granted=((f's-{index}', 1, 0),))
         counted = []
         gateway.peers.on_granted = lambda *fields: counted.append(fields)
-        for index in range(3 * demand.MAX_SERVICES):
+        for index in range(3 * messages.MAX_SERVICES):
             gateway.receive(granted=((f's-{index}', 2, 0),))
-        self.assertLessEqual(len(counted), demand.MAX_SERVICES)
+        self.assertLessEqual(len(counted), messages.MAX_SERVICES)
 
 
 class MalformedReportTest(unittest.TestCase):
@@ -128,6 +168,7 @@
             7,
             VALID[:4],
             (None, *VALID[1:]),
+            *((*VALID, number) for number in (-1, 0.5, HUGE, 'x', None)),
             (b'chat', *VALID[1:]),
             ('', *VALID[1:]),
             ('s' * 10_000, *VALID[1:]),
@@ -160,7 +201,7 @@
         malformed = (
             (),
             None,
-            valid[:3],
+            valid[:2],
             ('', *valid[1:]),
             (SERVICE, None, 1, False),
             (SERVICE, 'w' * 10_000, 1, False),
@@ -234,7 +275,7 @@
                 self.assertTrue(gateway.peers.has_demand())
 
     def test_entries_beyond_the_limits_are_skipped(self):
-        limit = demand.MAX_ENTRIES_PER_SERVICE
+        limit = messages.MAX_ENTRIES_PER_SERVICE
         rows = (
             ('of a service', {'waiting': (VALID,) * (limit + 3)}, 3),
             (
@@ -242,7 +283,7 @@
                 {
                     'waiting': tuple(
                         (f's-{index}', *VALID[1:])
-                        for index in range(demand.MAX_SERVICES + 3)
+                        for index in range(messages.MAX_SERVICES + 3)
                     )
                 },
                 3,
@@ -252,7 +293,7 @@
                 {
                     'in_use': tuple(
                         (SERVICE, f'w-{index}', 1, False)
-                        for index in range(demand.MAX_WORKSPACES + 3)
+                        for index in range(messages.MAX_WORKSPACES + 3)
                     )
                 },
                 3,
@@ -405,12 +446,12 @@
         # The workspaces that wait, and those that use most, matter most.
         reporting = Reporting()
         reporting.gateway.join(workspace='waits')
-        count = 2 * demand.MAX_WORKSPACES
+        count = 2 * messages.MAX_WORKSPACES
         reporting.used = {
             (SERVICE, str(index)): index + 1 for index in range(count)
         }
         in_use = reporting.report().in_use
-        self.assertEqual(demand.MAX_WORKSPACES, len(in_use))
+        self.assertEqual(messages.MAX_WORKSPACES, len(in_use))
         self.assertEqual((SERVICE, 'waits', 0.0, True), in_use[0])
         self.assertEqual((SERVICE, str(count - 1), count, False), in_use[1])
 
@@ -442,9 +483,20 @@
         self.assertEqual({'w'}, peer.peers.waiting_workspaces(SERVICE))
         self.assertEqual([(SERVICE, 1, 1)], counted)
 
-    def test_report_of_a_release_with_fewer_fields_is_taken(self):
+    def test_entries_with_fewer_or_more_fields_are_taken(self):
+        # Another release may report fewer or more of them.
         codec = protocol.build_codec()
-        data = codec.encode(build_report(waiting=(VALID,)))
+        data = codec.encode(
+            build_report(
+                waiting=(VALID, (*VALID, 1, 'more')),
+                in_use=((SERVICE, 'v', 1), (SERVICE, 'w', 2, True, 'more')),
+                granted=((SERVICE, 1, 2, 'more'),),
+            )
+        )
         peer = samples.Gateway()
-        peer.peers.apply_report(codec.decode(data), peer_id='p')
-        self.assertTrue(peer.peers.has_demand(SERVICE))
+        with self.assertNoLogs(LOGGER):
+            peer.peers.apply_report(codec.decode(data), peer_id='p')
+        self.assertEqual(2, peer.queue.rank(peer.join()))
+        self.assertEqual(
+            {(SERVICE, 'v'): 1.0, (SERVICE, 'w'): 2.0}, peer.peers.in_use()
+        )
--- a/src/shallothinge/scheduling/tests/test_queue.py
+++ b/src/shallothinge/scheduling/tests/test_queue.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 
 from shallothinge.scheduling import demand
+from shallothinge.scheduling import messages
 from shallothinge.scheduling import queue
 from shallothinge.scheduling.tests import naive
 from shallothinge.scheduling.tests import samples
@@ -344,13 +345,13 @@
         for index in range(12):
             gateway.join(due_in_ms=1000 + index)
         gateway.join(service='other', urgency=0)
-        limit = demand.MAX_ENTRIES_PER_SERVICE
+        limit = messages.MAX_ENTRIES_PER_SERVICE
         self.assertEqual(
             tuple(
-                (SERVICE, 1, False, 890 + index, 4990)
+                (SERVICE, 1, False, 890 + index, 4990, 1 + index)
                 for index in range(limit)
             )
-            + (('other', 0, False, 890, 4990),),
+            + (('other', 0, False, 890, 4990, 13),),
             gateway.queue.summary(),
         )
 
@@ -360,7 +361,8 @@
         gateway.join(**LATE, abandon_in_ms=300)
         for _ in range(12):
             gateway.join()
-        self.assertIn((SERVICE, 1, False, -50, 300), gateway.queue.summary())
+        entry = (SERVICE, 1, False, -50, 300, 1)
+        self.assertIn(entry, gateway.queue.summary())
 
     def test_changes_of_the_summary_are_announced(self):
         # Reports are sent upon announced changes only; a request of which no
@@ -394,7 +396,7 @@
 
     def test_changes_far_behind_are_not_announced(self):
         gateway = samples.Gateway()
-        for _ in range(demand.MAX_ENTRIES_PER_SERVICE):
+        for _ in range(messages.MAX_ENTRIES_PER_SERVICE):
             gateway.join()
         gateway.change_count = 0
         gateway.queue.leave(gateway.join(due_in_ms=2000))
