Play denser loads in the properties of the order

With 60 arrivals over 300 ms and slots up to 30 ms apart, seldom did a late request wait for eight placements: two of four properties passed although late turns were switched off or late ties went to the less urgent. With arrivals within 150 ms and slots 2 to 12 ms apart both changes are found, and a late turn after eight instead of seven placements as well.

--- a/src/shallothinge/scheduling/tests/test_played_loads.py
+++ b/src/shallothinge/scheduling/tests/test_played_loads.py
@@ -14,16 +14,17 @@
 DURATION_MS = 600
 ARRIVAL = strategies.builds(
     play.Arrival,
-    at_ms=strategies.integers(0, DURATION_MS // 2),
+    at_ms=strategies.integers(0, DURATION_MS // 4),
     urgency=strategies.integers(0, 2),
     workspace=strategies.sampled_from('abc'),
-    limit_ms=strategies.integers(0, 300),
-    patience_ms=strategies.integers(1, 400),
+    limit_ms=strategies.sampled_from((0, 10, 50, 300)),
+    patience_ms=strategies.sampled_from((50, 100, 400)),
     min_service_ms=strategies.sampled_from((0.0, 5.0, 40.0)),
 )
-ARRIVALS = strategies.lists(ARRIVAL, max_size=60)
-INTERVAL_MS = strategies.integers(2, 30)
-PLAYS = hypothesis.settings(max_examples=60, deadline=None)
+# Mostly more than there are slots for.
+ARRIVALS = strategies.lists(ARRIVAL, min_size=10, max_size=60)
+INTERVAL_MS = strategies.integers(2, 12)
+PLAYS = hypothesis.settings(max_examples=100, deadline=None)
 
 
 def steady(duration_ms, *, every_ms, **fields):
