Keep the sums over the reports of peers up to date

The shares of workspaces are determined after each placement. With 23 peers of 64 workspaces each, that summed up 1,472 numbers each time. The sums are now kept with each report; a property compares them with those of the reports in force.

--- a/experiments/scheduling_cost.py
+++ b/experiments/scheduling_cost.py
@@ -49,12 +49,13 @@
         self._used = dict.fromkeys(
             ((SERVICE, one) for one in self._workspaces), 0.0
         )
-        for _ in range(servers * SLOTS_PER_SERVER):
+        # The peers use the slots of the other servers.
+        for _ in range(servers * SLOTS_PER_SERVER // (1 + PEERS)):
             self._used[SERVICE, self._rng.choice(self._workspaces)] += 1
         self.peers = demand.PeerDemand(clock=self.clock)
         self.queue = queue.WaitQueue(
             clock=self.clock,
-            shares=shares.WorkspaceShares(in_use=lambda: self._used),
+            shares=shares.WorkspaceShares(in_use=self._all_in_use),
             peer_demand=self.peers,
             own_id='own',
         )
@@ -69,6 +70,12 @@
         for index in range(PEERS):
             self.receive(index)
 
+    def _all_in_use(self) -> dict[tuple[str, str], float]:
+        total = dict(self.peers.in_use())
+        for key, slots in self._used.items():
+            total[key] = total.get(key, 0.0) + slots
+        return total
+
     def _request(self) -> model.WaitingRequest:
         now_ms = self.clock.now_ms()
         is_late = self._rng.random() < self._late_share
@@ -94,6 +101,10 @@
                 (SERVICE, one % URGENCIES, one % 2 == 0, one, TIME_LIMIT_MS)
                 for one in start_by_in_ms
             ),
+            in_use=tuple(
+                (*key, slots + index % 2, True)
+                for key, slots in self._used.items()
+            ),
             granted=((SERVICE, next(self._sequences), 0),),
         )
         self.peers.apply_report(report, peer_id=f'peer-{index}')
--- a/src/shallothinge/scheduling/demand.py
+++ b/src/shallothinge/scheduling/demand.py
@@ -1,9 +1,12 @@
 """Exchange of what waits at each gateway, and of the slots in use."""
 
+import collections
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Mapping
 import itertools
 import logging
+import types
 from typing import Protocol
 
 import attrs
@@ -19,6 +22,8 @@
 DEMAND_TTL_MS = 300
 REPEAT_INTERVAL_MS = 100
 MIN_REPORT_INTERVAL_MS = 20
+# Sums of fewer slots are rounding errors.
+MIN_SLOTS = 1e-6
 # The placements of a silent peer still count for the late turns.
 PEER_RETENTION_MS = 60_000
 
@@ -38,6 +43,9 @@
 class PeerDemand:
     """What the other gateways have reported.
 
+    The callbacks are also called during look-ups, so they must defer what
+    they cause.
+
     :ivar on_change: called when the entries of peers have changed.
     :ivar on_granted: called with a service, the number of waiting requests
         that a peer has placed since its last report, and how many of them had
@@ -48,6 +56,9 @@
         self._clock = clock
         self._peers: dict[str, _Peer] = {}
         self._orders: dict[str, orders.WaitingOrder] = {}
+        # Over all peers, kept up to date as they are read far more often.
+        self._in_use: dict[tuple[str, str], float] = {}
+        self._waiting: dict[str, collections.Counter[str]] = {}
         self._next_expiry_ms: int | None = None
         self.on_change: Callable[[], None] | None = None
         self.on_granted: Callable[[str, int, int], None] | None = None
@@ -98,7 +109,7 @@
             if entry not in order:
                 order.add(entry, now_ms=now_ms)
                 order.set_above(report_reader.ABOVE, True)
-        peer.in_use, peer.waiting = reader.workspaces()
+        self._set_workspaces(peer, *reader.workspaces())
         self._count_granted(peer, reader.granted())
         expiry_ms = now_ms + DEMAND_TTL_MS + 1
         if self._next_expiry_ms is None or self._next_expiry_ms > expiry_ms:
@@ -137,7 +148,7 @@
                 has_changed = has_changed or bool(peer.entries)
                 self._remove_entries(peer.entries)
                 peer.entries = {}
-                peer.in_use, peer.waiting = {}, frozenset()
+                self._set_workspaces(peer, {}, frozenset())
                 ttl_ms = PEER_RETENTION_MS
             if age_ms > PEER_RETENTION_MS:
                 del self._peers[peer_id]
@@ -167,21 +178,37 @@
     def in_use(self) -> Mapping[tuple[str, str], float]:
         """Return the slots that the peers use, by service and workspace."""
         self.remove_expired()
-        total: dict[tuple[str, str], float] = {}
-        for peer in self._peers.values():
-            for key, slots in peer.in_use.items():
-                total[key] = total.get(key, 0.0) + slots
-        return total
+        return types.MappingProxyType(self._in_use)
 
-    def waiting_workspaces(self, service: str) -> set[str]:
+    def waiting_workspaces(self, service: str) -> Collection[str]:
         """Return the workspaces of which requests wait at the peers."""
         self.remove_expired()
-        return {
-            workspace
-            for peer in self._peers.values()
-            for waiting_service, workspace in peer.waiting
-            if waiting_service == service
-        }
+        return self._waiting.get(service, {}).keys()
+
+    def _set_workspaces(
+        self,
+        peer: _Peer,
+        in_use: dict[tuple[str, str], float],
+        waiting: frozenset[tuple[str, str]],
+    ) -> None:
+        """Replace the workspaces of a peer, also in the sums of all."""
+        for key in peer.in_use.keys() | in_use.keys():
+            change = in_use.get(key, 0.0) - peer.in_use.get(key, 0.0)
+            slots = self._in_use.get(key, 0.0) + change
+            self._in_use[key] = slots
+            if slots < MIN_SLOTS:
+                del self._in_use[key]
+        for service, workspace in waiting - peer.waiting:
+            counts = self._waiting.setdefault(service, collections.Counter())
+            counts[workspace] += 1
+        for service, workspace in peer.waiting - waiting:
+            counts = self._waiting[service]
+            counts[workspace] -= 1
+            if not counts[workspace]:
+                del counts[workspace]
+            if not counts:
+                del self._waiting[service]
+        peer.in_use, peer.waiting = in_use, waiting
 
     def _remove_entries(
         self, entries: Mapping[int, tuple[str, orders.Entry]]
@@ -227,7 +254,9 @@
 class DemandReporter:
     """Decides when to report what waits at this gateway, and builds reports.
 
-    ``on_change`` of the queue is to be connected to ``record_change``.
+    ``on_change`` of the queue is to be connected to ``record_change``. The
+    time of the next report may also change with the reports of peers, as the
+    slots in use are reported while requests wait there.
 
     :param in_use: returns the slots in use by this gateway's requests, by
         service and workspace.
--- a/src/shallothinge/scheduling/queue.py
+++ b/src/shallothinge/scheduling/queue.py
@@ -53,7 +53,8 @@
     gateways that is abandoned soonest.
 
     :param own_id: id of this gateway, as its peers know it.
-    :ivar on_change: called when the summary may have changed.
+    :ivar on_change: called when the summary may have changed, also during
+        look-ups, so it must defer what it causes.
     """
 
     def __init__(
@@ -223,6 +224,9 @@
     def unservable(self, service: str) -> list[int]:
         """Return the ids of requests that will be abandoned before an answer.
 
+        This takes a pass over all requests of the service, so it is not meant
+        for each decision.
+
         While no rate of placements is known, only those are returned that it
         is too late to send.
         """
@@ -326,7 +330,7 @@
         if shares_ms is None or shares_ms + MAX_SHARES_AGE_MS <= now_ms:
             service.shares_ms = now_ms
             waiting = service.order.group_names
-            everywhere = self._peers.waiting_workspaces(name).union(waiting)
+            everywhere = {*waiting, *self._peers.waiting_workspaces(name)}
             above = self._shares.above_share(name, everywhere)
             for workspace in waiting:
                 has_changed |= service.order.set_above(
--- a/src/shallothinge/scheduling/tests/test_demand.py
+++ b/src/shallothinge/scheduling/tests/test_demand.py
@@ -1,5 +1,6 @@
 """Tests of the exchange of what waits."""
 
+import collections
 import logging
 import math
 import unittest
@@ -146,6 +147,53 @@
             gateway.receive(granted=((f's-{index}', 2, 0),))
         self.assertLessEqual(len(counted), messages.MAX_SERVICES)
 
+    @hypothesis.given(
+        reports=strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(('p 1', 'p 2', 'p 3')),
+                strategies.lists(
+                    strategies.tuples(
+                        strategies.sampled_from((SERVICE, 'other')),
+                        strategies.sampled_from('ab'),
+                        strategies.sampled_from((0, 0.1, 0.7, 3)),
+                        strategies.booleans(),
+                    ),
+                    unique_by=lambda one: one[:2],
+                ),
+                strategies.sampled_from((0, 200)),
+            )
+        )
+    )
+    @hypothesis.settings(deadline=None)
+    def test_sums_are_those_of_the_reports_in_force(self, reports):
+        # The sums over all peers are kept step by step.
+        gateway = samples.Gateway()
+        in_force = {}
+        for peer_id, in_use, passed_ms in reports:
+            gateway.receive(peer_id=peer_id, in_use=tuple(in_use))
+            in_force[peer_id] = (gateway.clock.now_ms(), in_use)
+            gateway.pass_ms(passed_ms)
+            sums = collections.Counter()
+            waiting = collections.defaultdict(set)
+            for received_ms, entries in in_force.values():
+                age_ms = gateway.clock.now_ms() - received_ms
+                if age_ms <= demand.DEMAND_TTL_MS:
+                    for service, workspace, slots, waits in entries:
+                        sums[service, workspace] += slots
+                        if waits:
+                            waiting[service].add(workspace)
+            found = gateway.peers.in_use()
+            self.assertEqual(
+                {key for key, slots in sums.items() if slots}, set(found)
+            )
+            for key, slots in found.items():
+                self.assertAlmostEqual(sums[key], slots)
+            for service in (SERVICE, 'other'):
+                self.assertEqual(
+                    waiting[service],
+                    set(gateway.peers.waiting_workspaces(service)),
+                )
+
 
 class MalformedReportTest(unittest.TestCase):
     """Reports that no gateway of this release sends."""
@@ -480,7 +528,7 @@
         own = [peer.join(urgency=one, due_in_ms=2000) for one in (0, 1)]
         self.assertEqual([1, 2], [peer.queue.rank(one) for one in own])
         self.assertEqual({(SERVICE, 'w'): 3.0}, peer.peers.in_use())
-        self.assertEqual({'w'}, peer.peers.waiting_workspaces(SERVICE))
+        self.assertEqual({'w'}, set(peer.peers.waiting_workspaces(SERVICE)))
         self.assertEqual([(SERVICE, 1, 1)], counted)
 
     def test_entries_with_fewer_or_more_fields_are_taken(self):
