--- a/src/shallothinge/scheduling/demand.py
+++ b/src/shallothinge/scheduling/demand.py
@@ -1,10 +1,12 @@
 """Exchange of what waits at each gateway, and of the slots in use."""
 
+import collections
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Mapping
 import itertools
 import logging
-import math
+import types
 from typing import Protocol
 
 import attrs
@@ -12,6 +14,7 @@
 from shallothinge import clock as clocks
 from shallothinge.scheduling import messages
 from shallothinge.scheduling import order as orders
+from shallothinge.scheduling import report_reader
 
 LOG = logging.getLogger(__name__)
 
@@ -19,20 +22,11 @@
 DEMAND_TTL_MS = 300
 REPEAT_INTERVAL_MS = 100
 MIN_REPORT_INTERVAL_MS = 20
-MAX_ENTRIES_PER_SERVICE = 8
-MAX_WORKSPACES = 64
-# Limits on the fields of a peer's report.
-MAX_SERVICES = 64
-MAX_NAME_CHARS = 256
-MAX_URGENCY = 1_000_000
-MAX_TIME_MS = 3_600_000
-MAX_SLOTS = 1_000_000
-MAX_COUNT = 2**53
+# Sums of fewer slots are rounding errors.
+MIN_SLOTS = 1e-6
 # The placements of a silent peer still count for the late turns.
 PEER_RETENTION_MS = 60_000
 
-_ABOVE, _NOT_ABOVE = 'above', 'not above'
-
 
 @attrs.define(kw_only=True)
 class _Peer:
@@ -40,14 +34,18 @@
 
     sequence: int = -1
     received_ms: int = 0
-    entries: list[tuple[str, int]] = attrs.field(factory=list)
+    entries: dict[int, tuple[str, orders.Entry]] = attrs.field(factory=dict)
     in_use: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    waiting: frozenset[tuple[str, str]] = frozenset()
     granted: dict[str, tuple[int, int]] = attrs.field(factory=dict)
 
 
 class PeerDemand:
     """What the other gateways have reported.
 
+    The callbacks are also called during look-ups, so they must defer what
+    they cause.
+
     :ivar on_change: called when the entries of peers have changed.
     :ivar on_granted: called with a service, the number of waiting requests
         that a peer has placed since its last report, and how many of them had
@@ -58,6 +56,9 @@
         self._clock = clock
         self._peers: dict[str, _Peer] = {}
         self._orders: dict[str, orders.WaitingOrder] = {}
+        # Over all peers, kept up to date as they are read far more often.
+        self._in_use: dict[tuple[str, str], float] = {}
+        self._waiting: dict[str, collections.Counter[str]] = {}
         self._next_expiry_ms: int | None = None
         self.on_change: Callable[[], None] | None = None
         self.on_granted: Callable[[str, int, int], None] | None = None
@@ -71,11 +72,14 @@
 
         :param peer_id: identifies one run of the peer's process.
         """
-        reader = _ReportReader(message, now_ms=self._clock.now_ms())
-        peer = self._peers.setdefault(peer_id, _Peer())
-        if reader.sequence is not None and reader.sequence > peer.sequence:
-            peer.sequence = reader.sequence
-            self._replace(peer_id, peer, reader)
+        reader = report_reader.ReportReader(
+            message, peer_id=peer_id, now_ms=self._clock.now_ms()
+        )
+        if reader.sequence is not None:
+            peer = self._peers.setdefault(peer_id, _Peer())
+            if reader.sequence > peer.sequence:
+                peer.sequence = reader.sequence
+                self._replace(peer, reader)
         if reader.skipped_count:
             LOG.warning(
                 'report of waiting requests has malformed entries',
@@ -87,38 +91,40 @@
             )
 
     def _replace(
-        self, peer_id: str, peer: _Peer, reader: '_ReportReader'
+        self, peer: _Peer, reader: report_reader.ReportReader
     ) -> None:
         now_ms = self._clock.now_ms()
-        had_entries = bool(peer.entries)
-        self._remove_entries(peer_id, peer)
+        known, peer.entries = peer.entries, {}
         peer.received_ms = now_ms
-        for number, (service, entry) in enumerate(reader.waiting()):
-            entry.gateway_id = peer_id
-            entry.number = number
+        for service, entry in reader.waiting():
+            peer.entries[entry.number] = (service, entry)
+            known_service, known_entry = known.get(entry.number, ('', None))
+            if known_service == service and entry.number >= 0:
+                _keep_earliest(entry, known_entry)
+                if entry.fields == known_entry.fields:
+                    peer.entries[entry.number] = known.pop(entry.number)
+        self._remove_entries(known)
+        for service, entry in peer.entries.values():
             order = self._orders.setdefault(service, orders.WaitingOrder())
-            order.add(entry, now_ms=now_ms)
-            order.set_above(_ABOVE, True)
-            peer.entries.append((service, number))
-        peer.in_use = reader.in_use()
+            if entry not in order:
+                order.add(entry, now_ms=now_ms)
+                order.set_above(report_reader.ABOVE, True)
+        self._set_workspaces(peer, *reader.workspaces())
         self._count_granted(peer, reader.granted())
         expiry_ms = now_ms + DEMAND_TTL_MS + 1
         if self._next_expiry_ms is None or self._next_expiry_ms > expiry_ms:
             self._next_expiry_ms = expiry_ms
-        if had_entries or peer.entries:
+        if known or peer.entries:
             self._notify()
 
     def _count_granted(
         self, peer: _Peer, granted: dict[str, tuple[int, int]]
     ) -> None:
         known_counts = peer.granted
-        if not known_counts.keys() <= granted.keys():
-            granted = dict(
-                itertools.islice(
-                    (granted | known_counts | granted).items(), MAX_SERVICES
-                )
-            )
-        peer.granted = granted
+        merged = {**granted, **known_counts, **granted}
+        peer.granted = dict(
+            itertools.islice(merged.items(), messages.MAX_SERVICES)
+        )
         for service, counts in granted.items():
             known = known_counts.get(service)
             if known is None or self.on_granted is None:
@@ -137,16 +143,16 @@
         self._next_expiry_ms = None
         for peer_id, peer in list(self._peers.items()):
             age_ms = now_ms - peer.received_ms
-            if age_ms > PEER_RETENTION_MS:
-                del self._peers[peer_id]
-                continue
+            ttl_ms = DEMAND_TTL_MS
             if age_ms > DEMAND_TTL_MS:
                 has_changed = has_changed or bool(peer.entries)
-                self._remove_entries(peer_id, peer)
-                peer.in_use = {}
+                self._remove_entries(peer.entries)
+                peer.entries = {}
+                self._set_workspaces(peer, {}, frozenset())
                 ttl_ms = PEER_RETENTION_MS
-            else:
-                ttl_ms = DEMAND_TTL_MS
+            if age_ms > PEER_RETENTION_MS:
+                del self._peers[peer_id]
+                continue
             expiry_ms = peer.received_ms + ttl_ms + 1
             if self._next_expiry_ms is None:
                 self._next_expiry_ms = expiry_ms
@@ -172,161 +178,61 @@
     def in_use(self) -> Mapping[tuple[str, str], float]:
         """Return the slots that the peers use, by service and workspace."""
         self.remove_expired()
-        total: dict[tuple[str, str], float] = {}
-        for peer in self._peers.values():
-            for key, slots in peer.in_use.items():
-                total[key] = total.get(key, 0.0) + slots
-        return total
-
-    def _remove_entries(self, peer_id: str, peer: _Peer) -> None:
-        for service, number in peer.entries:
+        return types.MappingProxyType(self._in_use)
+
+    def waiting_workspaces(self, service: str) -> Collection[str]:
+        """Return the workspaces of which requests wait at the peers."""
+        self.remove_expired()
+        return self._waiting.get(service, {}).keys()
+
+    def _set_workspaces(
+        self,
+        peer: _Peer,
+        in_use: dict[tuple[str, str], float],
+        waiting: frozenset[tuple[str, str]],
+    ) -> None:
+        """Replace the workspaces of a peer, also in the sums of all."""
+        for key in peer.in_use.keys() | in_use.keys():
+            change = in_use.get(key, 0.0) - peer.in_use.get(key, 0.0)
+            slots = self._in_use.get(key, 0.0) + change
+            self._in_use[key] = slots
+            if slots < MIN_SLOTS:
+                del self._in_use[key]
+        for service, workspace in waiting - peer.waiting:
+            counts = self._waiting.setdefault(service, collections.Counter())
+            counts[workspace] += 1
+        for service, workspace in peer.waiting - waiting:
+            counts = self._waiting[service]
+            counts[workspace] -= 1
+            if not counts[workspace]:
+                del counts[workspace]
+            if not counts:
+                del self._waiting[service]
+        peer.in_use, peer.waiting = in_use, waiting
+
+    def _remove_entries(
+        self, entries: Mapping[int, tuple[str, orders.Entry]]
+    ) -> None:
+        for service, entry in entries.values():
             order = self._orders[service]
-            order.remove(peer_id, number)
+            order.remove(entry.gateway_id, entry.number)
             if not order:
                 del self._orders[service]
-        peer.entries = []
 
     def _notify(self) -> None:
         if self.on_change is not None:
             self.on_change()
 
 
-class _ReportReader:
-    """Reads the fields of a report, skipping and counting malformed ones."""
-
-    def __init__(self, message: messages.DemandReported, *, now_ms: int):
-        self._message = message
-        self._now_ms = now_ms
-        self.skipped_count = 0
-        self.skipped_example = ''
-        self.sequence = message.sequence
-        if not _is_count(message.sequence):
-            self._skip(message.sequence)
-            self.sequence = None
-
-    def waiting(self) -> list[tuple[str, orders.Entry]]:
-        """Return the waiting requests with their services."""
-        found = []
-        counts: dict[str, int] = {}
-        for fields in self._tuples(self._message.waiting):
-            entry = self._read_entry(fields)
-            if entry is None:
-                self._skip(fields)
-                continue
-            service = fields[0]
-            count = counts.get(service, 0)
-            if count == MAX_ENTRIES_PER_SERVICE or (
-                not count and len(counts) == MAX_SERVICES
-            ):
-                self._skip(fields)
-                continue
-            counts[service] = count + 1
-            found.append((service, entry))
-        return found
+def _keep_earliest(entry: orders.Entry, known: orders.Entry) -> None:
+    """Set the times of an entry to the earliest that reports gave.
 
-    def _read_entry(self, fields: tuple) -> orders.Entry | None:
-        if len(fields) < 5:
-            return None
-        service, urgency, is_above, start_by_in_ms, abandon_in_ms = fields[:5]
-        is_valid = (
-            _is_name(service)
-            and _is_count(urgency)
-            and urgency <= MAX_URGENCY
-            and is_above in (False, True)
-            and _is_number(start_by_in_ms)
-            and _is_number(abandon_in_ms)
-        )
-        if not is_valid:
-            return None
-        return orders.Entry(
-            group=_ABOVE if is_above else _NOT_ABOVE,
-            gateway_id='',
-            number=0,
-            urgency=urgency,
-            start_by_ms=self._now_ms + _clamp(start_by_in_ms),
-            abandon_ms=self._now_ms + _clamp(abandon_in_ms),
-        )
-
-    def in_use(self) -> dict[tuple[str, str], float]:
-        """Return the slots in use by service and workspace."""
-        found = {}
-        for fields in self._tuples(self._message.in_use):
-            is_valid = (
-                len(fields) >= 3
-                and _is_name(fields[0])
-                and _is_workspace(fields[1])
-                and _is_number(fields[2])
-                and 0 <= fields[2] <= MAX_SLOTS
-                and len(found) < MAX_WORKSPACES
-            )
-            if is_valid:
-                found[fields[0], fields[1]] = float(fields[2])
-            else:
-                self._skip(fields)
-        return found
-
-    def granted(self) -> dict[str, tuple[int, int]]:
-        """Return the placed requests and late turns, by service."""
-        found = {}
-        for fields in self._tuples(self._message.granted):
-            is_valid = (
-                len(fields) >= 3
-                and _is_name(fields[0])
-                and _is_count(fields[1])
-                and _is_count(fields[2])
-                and len(found) < MAX_SERVICES
-            )
-            if is_valid:
-                found[fields[0]] = (fields[1], fields[2])
-            else:
-                self._skip(fields)
-        return found
-
-    def _tuples(self, entries: object) -> list[tuple]:
-        """Return those entries of a field that are tuples."""
-        if not isinstance(entries, (tuple, list)):
-            self._skip(entries)
-            return []
-        found = []
-        for fields in entries:
-            if isinstance(fields, (tuple, list)):
-                found.append(tuple(fields))
-            else:
-                self._skip(fields)
-        return found
-
-    def _skip(self, fields: object) -> None:
-        if not self.skipped_count:
-            self.skipped_example = repr(fields)[:MAX_NAME_CHARS]
-        self.skipped_count += 1
-
-
-def _is_name(field: object) -> bool:
-    return _is_workspace(field) and field != ''
-
-
-def _is_workspace(field: object) -> bool:
-    return isinstance(field, str) and len(field) <= MAX_NAME_CHARS
-
-
-def _is_number(field: object) -> bool:
-    return (
-        isinstance(field, (int, float))
-        and not isinstance(field, bool)
-        and not math.isnan(field)
-    )
-
-
-def _is_count(field: object) -> bool:
-    return (
-        isinstance(field, int)
-        and not isinstance(field, bool)
-        and 0 <= field <= MAX_COUNT
-    )
-
-
-def _clamp(time_ms: float) -> float:
-    return max(-MAX_TIME_MS, min(MAX_TIME_MS, time_ms))
+    Its times are relative to the time of sending, so the time that a report
+    takes makes them seem later. With the report that took the least, most
+    gateways agree on the order.
+    """
+    entry.start_by_ms = min(entry.start_by_ms, known.start_by_ms)
+    entry.abandon_ms = min(entry.abandon_ms, known.abandon_ms)
 
 
 class ReportedQueue(Protocol):
@@ -338,14 +244,19 @@
     def granted_counts(self) -> tuple[tuple, ...]:
         """Return the placed requests and late turns of each service."""
 
-    def has_demand(self, service: str) -> bool:
-        """Return whether requests wait for a service, here or at a peer."""
+    def waiting_workspaces(self) -> set[tuple[str, str]]:
+        """Return by service the workspaces of which requests wait here."""
+
+    def has_demand(self, service: str | None = None) -> bool:
+        """Return whether requests wait, here or at a peer."""
 
 
 class DemandReporter:
     """Decides when to report what waits at this gateway, and builds reports.
 
-    ``on_change`` of the queue is to be connected to ``record_change``.
+    ``on_change`` of the queue is to be connected to ``record_change``. The
+    time of the next report may also change with the reports of peers, as the
+    slots in use are reported while requests wait there.
 
     :param in_use: returns the slots in use by this gateway's requests, by
         service and workspace.
@@ -419,11 +330,21 @@
         )
 
     def _in_use_of_demand(self) -> tuple[tuple, ...]:
-        """Return the largest uses of services for which requests wait."""
-        used = [
-            (service, workspace, slots)
-            for (service, workspace), slots in self._in_use().items()
-            if slots > 0 and self._queue.has_demand(service)
-        ]
-        used.sort(key=lambda fields: (-fields[2], *fields[:2]))
-        return tuple(used[:MAX_WORKSPACES])
+        """Return the workspaces of services for which requests wait.
+
+        Those that wait are first, then those that use most.
+        """
+        if not self._queue.has_demand():
+            return ()
+        waiting = self._queue.waiting_workspaces()
+        slots = dict.fromkeys(waiting, 0.0)
+        for key, used in self._in_use().items():
+            if used > 0 and (key in waiting or self._queue.has_demand(key[0])):
+                slots[key] = used
+        found = sorted(
+            (key not in waiting, -used, key) for key, used in slots.items()
+        )
+        return tuple(
+            (*key, -negative, not is_last)
+            for is_last, negative, key in found[: messages.MAX_WORKSPACES]
+        )
--- a/src/shallothinge/scheduling/order.py
+++ b/src/shallothinge/scheduling/order.py
@@ -36,6 +36,11 @@
     abandon_ms: float
     is_late: bool = False
 
+    @property
+    def fields(self) -> tuple:
+        """Return all that decides on the order, except for the time."""
+        return self.group, self.urgency, self.start_by_ms, self.abandon_ms
+
     @property
     def key(self) -> Key:
         """Return the position of the entry among those of its group."""
@@ -49,9 +54,9 @@
         )
 
     @property
-    def abandon_key(self) -> tuple[float, str, int]:
+    def abandon_key(self) -> tuple[float, int, str, int]:
         """Return the position among late entries for a late turn."""
-        return self.abandon_ms, self.gateway_id, self.number
+        return self.abandon_ms, self.urgency, self.gateway_id, self.number
 
     @property
     def start_key(self) -> tuple[float, str, int]:
@@ -80,13 +85,17 @@
     def __init__(self):
         self._groups: dict[str, _Group] = {}
         self._by_start: list[tuple[float, str, int]] = []
-        self._late: list[tuple[float, str, int]] = []
+        self._late: list[tuple[float, int, str, int]] = []
         self._entries: dict[tuple[str, int], Entry] = {}
         self.version = next(_VERSIONS)
 
     def __len__(self) -> int:
         return len(self._entries)
 
+    def __contains__(self, entry: Entry) -> bool:
+        known = self._entries.get((entry.gateway_id, entry.number))
+        return known is entry
+
     @property
     def late_count(self) -> int:
         """Return the number of late entries, as of the last ``advance``."""
@@ -195,8 +204,7 @@
         """Return the late entry that is abandoned soonest, if any."""
         if not self._late:
             return None
-        _, gateway_id, number = self._late[0]
-        return self._entries[gateway_id, number]
+        return self._entries[self._late[0][-2:]]
 
     def count_abandoned_before(self, entry: Entry) -> int:
         """Return how many late entries are abandoned before a late one."""
