--- a/src/shallothinge/gateway/room.py
+++ b/src/shallothinge/gateway/room.py
@@ -21,6 +21,9 @@
 # a report, as when a server joins, so the first request of each service is
 # tried again at this interval.
 FALLBACK_INTERVAL_MS = 20
+# The first placements of a time of scarcity give too low a rate, for which
+# requests would be refused that can be served.
+MIN_RATE_MS = 1000
 # Requests that can't be served any more are looked for less often.
 TICKS_PER_CHECK = 5
 
@@ -52,6 +55,11 @@
     position: int = 0
     yields: bool = False
 
+    @property
+    def min_free_ms(self) -> int:
+        """Return for how long the slot must have been free."""
+        return turns.MAX_YIELD_MS if self.yields else 0
+
 
 UNCONTENDED = Turn(is_granted=True)
 
@@ -74,7 +82,9 @@
         load: fleet.FleetLoad,
         own_id: str,
     ):
+        self._clock = clock
         self._reactor = reactor
+        self._scarce_since_ms: int | None = None
         self.peer_demand = demand.PeerDemand(clock=clock)
         self.queue = queues.WaitQueue(
             clock=clock,
@@ -137,6 +147,9 @@
 
     def expected_wait_ms(self, waiting_id: int) -> float:
         """Return how long a request still has to wait, 0 if not known."""
+        since_ms = self._scarce_since_ms
+        if since_ms is None or self._clock.now_ms() < since_ms + MIN_RATE_MS:
+            return 0.0
         return self.queue.expected_wait_ms(waiting_id) or 0.0
 
     def turn_of(self, waiting_id: int, slots: choice.FreeSlots) -> Turn:
@@ -164,6 +177,8 @@
 
     def park(self, waiting_id: int, waiter: Waiter) -> None:
         """Wake a request when it may be placed, or has to end."""
+        if self._scarce_since_ms is None:
+            self._scarce_since_ms = self._clock.now_ms()
         self._parked[waiting_id] = waiter
         self._tick_timer = self._schedule(
             self._tick_timer, FALLBACK_INTERVAL_MS, self._tick
@@ -200,10 +215,12 @@
         if self._tick_count % TICKS_PER_CHECK == 0:
             self._wake_those_that_end()
         self._wake_first()
-        if self._parked:
-            self._tick_timer = self._schedule(
-                None, FALLBACK_INTERVAL_MS, self._tick
-            )
+        if not self._parked:
+            self._scarce_since_ms = None
+            return
+        self._tick_timer = self._schedule(
+            None, FALLBACK_INTERVAL_MS, self._tick
+        )
 
     def _wake_those_that_end(self) -> None:
         for waiting_id, waiter in list(self._parked.items()):
--- a/src/shallothinge/gateway/server_search.py
+++ b/src/shallothinge/gateway/server_search.py
@@ -148,6 +148,7 @@
                 demand=demand,
                 candidates=candidates,
                 is_contended=turn.is_contended,
+                min_free_ms=turn.min_free_ms,
             )
         if isinstance(placed, choice.NoCapacity):
             self._wait_for_room(placed, is_queued=is_queued)
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -139,6 +139,14 @@
         is_rate_limited: bool,
     ) -> choice.Candidate:
         server_id = entry.server.server_id
+        free_slots = slots - load.active
+        free_ms = 0
+        turn_in_ms = 0
+        if free_slots > 0:
+            free_ms = self._load.free_ms(server_id, free_slots=free_slots)
+            turn_in_ms = self._turn_in_ms(
+                server_id, free_slots=free_slots, free_ms=free_ms
+            )
         return choice.Candidate(
             server_id=server_id,
             zone=entry.server.zone,
@@ -149,11 +157,13 @@
             is_rate_limited=is_rate_limited,
             pace=self._paces.pace(notices.key_of(entry.server)),
             is_last_slot_own=self._slot_turns.is_first(server_id),
-            unchanged_ms=self._load.unchanged_ms(server_id),
-            turn_in_ms=self._turn_in_ms(server_id, slots - load.active),
+            free_ms=free_ms,
+            turn_in_ms=turn_in_ms,
         )
 
-    def _turn_in_ms(self, server_id: str, free_slots: int) -> int:
+    def _turn_in_ms(
+        self, server_id: str, *, free_slots: int, free_ms: int
+    ) -> int:
         """Return the time until this gateway may take a contended slot.
 
         While the list is partial, each gateway has slots of its own.
@@ -164,9 +174,7 @@
         ):
             return 0
         return self._slot_turns.wait_ms(
-            server_id,
-            free_slots=free_slots,
-            unchanged_ms=self._load.unchanged_ms(server_id),
+            server_id, free_slots=free_slots, free_ms=free_ms
         )
 
     def _usable_slots(
--- a/src/shallothinge/gateway/tests/test_malformed_reports.py
+++ b/src/shallothinge/gateway/tests/test_malformed_reports.py
@@ -151,6 +151,10 @@
         )
         self.clock.advance(duration_ms=fleet.REPORT_TTL_MS + 1)
         self.load.remove_expired()
+        for load in self.load.loads().values():
+            self.assertEqual((0, 0.0), (load.active, load.backlog_ms))
+        self.clock.advance(duration_ms=fleet.UNCONFIRMED_TTL_MS + 1)
+        self.load.remove_expired()
         self.assertEqual({}, self.load.loads())
         self.clock.advance(duration_ms=4 * records.FORGET_MS)
         self.quarantine.remove_expired()
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -241,12 +241,14 @@
         demand: Demand,
         candidates: tuple[Candidate, ...],
         is_contended: bool = False,
+        min_free_ms: int = 0,
     ) -> Placement | NoCapacity | PlacementDeferred:
         """Return the cheapest placement, or why there is none at present.
 
         :param candidates: the servers that accept requests at present.
         :param is_contended: whether other requests wait for a slot, so that
             this one takes only a slot for which this gateway has the turn.
+        :param min_free_ms: for how long that slot must have been free.
         :returns: ``NoCapacity`` if no server has capacity,
             ``PlacementDeferred`` if a long prompt has to wait for earlier
             reads.
@@ -260,7 +262,11 @@
         if with_room and not has_engine:
             return self._choose_plain(demand, with_room)
         if is_contended and not _is_divisible(demand):
-            with_room = [one for one in with_room if not one.turn_in_ms]
+            with_room = [
+                one
+                for one in with_room
+                if not one.turn_in_ms and one.free_ms >= min_free_ms
+            ]
         if with_room:
             placed = self._choose_engine(demand, with_room)
             if placed is not None:
@@ -718,7 +724,7 @@
             (one.turn_in_ms for one, _ in found if one.turn_in_ms),
             default=None,
         ),
-        oldest_ms=max((one.unchanged_ms for one, _ in found), default=None),
+        oldest_ms=max((one.free_ms for one, _ in found), default=None),
     )
 
 
--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -22,8 +22,10 @@
 # report for longer learns it from other sources by then.
 LEAVING_TTL_MS = 10_000
 PERCENT = 100
+# Ends of requests that are known of each server, at least its slots.
+MAX_ENDS = 32
 # Longer than any wait for a turn to take a slot.
-LONG_UNCHANGED_MS = 60_000
+LONG_FREE_MS = 60_000
 # No request lasts longer than a day or has more tokens. Work that a peer
 # states with more is a fault, and would keep requests from its server.
 MAX_WORK_MS = 86_400_000
@@ -97,7 +99,7 @@
         self._peers: dict[str, _PeerWork] = {}
         self._unconfirmed: dict[str, _UnconfirmedMemory] = {}
         self._queues: dict[str, server_queue.ServerQueue] = {}
-        self._changed_ms: dict[str, int] = {}
+        self._ends_ms: dict[str, collections.deque[int]] = {}
         # Servers at which own requests have ended, which no peer knows yet.
         self._unreported_ends: set[str] = set()
         self._next_id = 0
@@ -261,10 +263,10 @@
         for key, since_ms in list(self._leaving_since_ms.items()):
             if since_ms < now_ms - LEAVING_TTL_MS:
                 del self._leaving_since_ms[key]
-        self._changed_ms = {
-            server_id: changed_ms
-            for server_id, changed_ms in self._changed_ms.items()
-            if changed_ms > now_ms - LONG_UNCHANGED_MS
+        self._ends_ms = {
+            server_id: ends_ms
+            for server_id, ends_ms in self._ends_ms.items()
+            if ends_ms[-1] > now_ms - LONG_FREE_MS
         }
         for peer, memory in list(self._unconfirmed.items()):
             if memory.expires_ms < now_ms:
@@ -325,15 +327,17 @@
         """Return whether only this gateway knows of a free slot."""
         return server_id in self._unreported_ends
 
-    def unchanged_ms(self, server_id: str) -> int:
-        """Return for how long the known requests of a server are the same.
+    def free_ms(self, server_id: str, *, free_slots: int) -> int:
+        """Return for how long a server has had a free slot.
 
-        :returns: milliseconds, ``LONG_UNCHANGED_MS`` at most.
+        :param free_slots: number of its free slots, 1 or more.
+        :returns: milliseconds, ``LONG_FREE_MS`` at most.
         """
-        changed_ms = self._changed_ms.get(server_id)
-        if changed_ms is None:
-            return LONG_UNCHANGED_MS
-        return min(LONG_UNCHANGED_MS, self._clock.now_ms() - changed_ms)
+        ends_ms = self._ends_ms.get(server_id, ())
+        if len(ends_ms) < free_slots:
+            return LONG_FREE_MS
+        age_ms = self._clock.now_ms() - ends_ms[-free_slots]
+        return min(LONG_FREE_MS, age_ms)
 
     def loads(self) -> dict[str, server_queue.ServerLoad]:
         """Return the load of each backend server that has any."""
@@ -386,7 +390,6 @@
             self._queues[work.server_id] = queue
         queue.start(work, now_ms)
         if not work.is_helping:
-            self._changed_ms[work.server_id] = now_ms
             self._unreported_ends.discard(work.server_id)
 
     def _mark_writing(self, work: server_queue.Work) -> None:
@@ -400,7 +403,10 @@
             del self._queues[work.server_id]
         if work.is_helping:
             return
-        self._changed_ms[work.server_id] = self._clock.now_ms()
+        ends_ms = self._ends_ms.setdefault(
+            work.server_id, collections.deque(maxlen=MAX_ENDS)
+        )
+        ends_ms.append(self._clock.now_ms())
         if self.on_room is not None:
             self.on_room()
 
--- a/src/shallothinge/placement/slot_turns.py
+++ b/src/shallothinge/placement/slot_turns.py
@@ -52,20 +52,17 @@
         """Return whether this gateway comes first at a server."""
         return self._positions.get(server_id) == 0
 
-    def wait_ms(
-        self, server_id: str, *, free_slots: int, unchanged_ms: int
-    ) -> int:
+    def wait_ms(self, server_id: str, *, free_slots: int, free_ms: int) -> int:
         """Return the time until this gateway may take a slot of a server.
 
         The first gateways of the order, as many as there are free slots, may
         take one at once.
 
-        :param unchanged_ms: time since the last known change of the server's
-            requests.
+        :param free_ms: for how long the server has had a free slot.
         """
         later_count = self._positions.get(server_id, 0) - free_slots + 1
         turn_ms = min(MAX_WAIT_MS, max(0, later_count) * TURN_MS)
-        return max(0, turn_ms - unchanged_ms)
+        return max(0, turn_ms - free_ms)
 
     def _compute(self, server_id: str) -> int:
         """Return how many gateways come before this one."""
--- a/src/shallothinge/placement/spread.py
+++ b/src/shallothinge/placement/spread.py
@@ -15,8 +15,8 @@
     ``rank`` is its position in the order of the servers of its zone, from 0
     for the first to below 1 for the last. ``is_rate_limited`` is whether it
     limits the rate of requests that it takes. ``is_last_slot_own`` is whether
-    this gateway is the one to prefer its last free slot, ``unchanged_ms`` for
-    how long its known requests have been the same, and ``turn_in_ms`` the time
+    this gateway is the one to prefer its last free slot, ``free_ms`` for
+    how long it has had a free slot, and ``turn_in_ms`` the time
     until this gateway may take a slot for which others wait, too. ``pace`` is
     the time that it takes as a multiple of what the cost model expects.
     """
@@ -29,7 +29,7 @@
     load: server_queue.ServerLoad = server_queue.ServerLoad()
     is_rate_limited: bool = False
     is_last_slot_own: bool = True
-    unchanged_ms: int = 0
+    free_ms: int = 0
     turn_in_ms: int = 0
     pace: float = 1.0
 
--- a/src/shallothinge/scheduling/queue.py
+++ b/src/shallothinge/scheduling/queue.py
@@ -193,10 +193,12 @@
         return rank + (turn_rank <= rank < late_rank)
 
     def yields_to_peers(self, waiting_id: int) -> bool:
-        """Return whether a request of a better class waits at a peer.
+        """Return whether a peer's request goes first.
 
-        A class is whether a request can be in time, and its urgency. Within a
-        class, every gateway serves its own requests in order.
+        That is so for one of a better class: in time before late, then by
+        urgency and share of the workspace. Within a class, every gateway
+        serves its own requests, so that slots are reused without delay. If a
+        late turn is due, all yield to the late request that has it.
 
         :raises KeyError: if the request has left the queue.
         """
@@ -206,12 +208,11 @@
             return False
         service = self._refreshed(name)
         entry = service.order.find(self._own_id, waiting_id)
-        if entry is service.order.soonest_abandoned() and (
-            not self._turn_rank(service)
-        ):
-            return False
+        soonest = self._soonest_abandoned(name)
+        if soonest is not None and not self._turn_rank(service):
+            return soonest is not entry
         first = next(iter(peers_order))
-        return (first.is_late, first.urgency) < (entry.is_late, entry.urgency)
+        return _class_of(first, peers_order) < _class_of(entry, service.order)
 
     def expected_wait_ms(self, waiting_id: int) -> float | None:
         """Return the expected time until a request is placed.
@@ -415,3 +416,9 @@
     def _notify(self) -> None:
         if self.on_change is not None:
             self.on_change()
+
+
+def _class_of(
+    entry: orders.Entry, order: orders.WaitingOrder
+) -> tuple[bool, int, bool]:
+    return entry.is_late, entry.urgency, order.is_above(entry)
