Keep the lease if control names a host that is no address

A refusal, a grant or a leader's name with text that is no address put that host first in the order. Each renewal then raised an exception before any other host was asked: the lease ended, and the gateway served nobody until its restart. Such a host is now passed over, as one that can not be reached.

leases/tests/test_client.py: the lease was lost in all three rows before.

--- a/src/shallothinge/leases/client.py
+++ b/src/shallothinge/leases/client.py
@@ -136,11 +136,26 @@
     def _send(self, message: object) -> bool:
         for process_id in self._host_order:
             self._last_used_ms[process_id] = self._process.clock.now_ms()
-            if self._link_to(process_id).send(message):
+            opened = self._open(process_id)
+            if opened is not None and opened.send(message):
                 return True
             self._rotate(process_id)
         return False
 
+    def _open(self, process_id: str) -> link.Link | None:
+        """Return the connection to a host, None if there can be none.
+
+        A host that control names may have an address that is none.
+        """
+        try:
+            return self._link_to(process_id)
+        except Exception:
+            LOG.exception(
+                'a control host can not be connected to',
+                extra={'control_id': process_id},
+            )
+            return None
+
     def _link_to(self, process_id: str) -> link.Link:
         if process_id not in self._links:
             self._links[process_id] = self._process.connect(
--- a/src/shallothinge/leases/tests/test_client.py
+++ b/src/shallothinge/leases/tests/test_client.py
@@ -38,6 +38,8 @@
 
     def connect(self, *, address, role, on_message):
         """Open a connection to a host whose address is its id."""
+        if 'odd' in address:
+            raise ValueError('injected: not an address')
         opened = FakeLink(
             control=self,
             host_id=address.removeprefix('tcp://'),
@@ -235,6 +237,31 @@
             self.control.advance(duration_ms=1000)
         return linked_ids
 
+    def test_host_without_an_address_costs_no_lease(self):
+        # It was asked first, which raised an exception at each renewal.
+        self._start()
+        rows = (
+            messages.LeaseRefused(
+                sequence=1, kind=ErrorKind.NOT_LEADER, leader_id='odd-1'
+            ),
+            messages.ControlRefused(
+                request_id='r', kind=ErrorKind.NOT_LEADER, leader_id='odd-2'
+            ),
+            messages.LeaseGranted(
+                sequence=10**6,
+                duration_ms=-1,
+                state_version=-1,
+                control_ids=('odd-3', ''),
+            ),
+        )
+        with self.assertLogs(client.LOG, 'ERROR'):
+            for message in rows:
+                with self.subTest(message=message):
+                    self.control.links[0]._on_message(message)
+                    for _ in range(10):
+                        self.control.advance(duration_ms=1000)
+                        self.assertTrue(self.holder.is_valid())
+
     def test_silent_former_member_is_removed(self):
         self.control.control_ids = (*HOST_IDS, 'control-4')
         self._start()
