Connect to the other gateways beside one that is no address

Gateways state their address in lease requests, and control passes it on as it is. One that is no address ended the connecting to the others of the list, at each try. Each peer is now connected to by itself.

gateway/tests/test_peers.py: ValueError before.

--- a/src/shallothinge/gateway/peers.py
+++ b/src/shallothinge/gateway/peers.py
@@ -141,15 +141,17 @@
             self._links.pop(address).close()
             self._awaiting_initial.pop(address, None)
         for address in wanted - set(self._links):
-            self._links[address] = self._process.connect(
-                address=address,
-                role='entry',
-                on_message=_ignore_message,
-                on_reset=functools.partial(
-                    self._queue_initial_report, address
-                ),
-            )
-            self._queue_initial_report(address)
+            # One that is no address must not cost the others their reports.
+            periodic.run(functools.partial(self._connect, address))
+
+    def _connect(self, address: str) -> None:
+        self._links[address] = self._process.connect(
+            address=address,
+            role='entry',
+            on_message=_ignore_message,
+            on_reset=functools.partial(self._queue_initial_report, address),
+        )
+        self._queue_initial_report(address)
 
     def _queue_initial_report(self, address: str) -> None:
         """Send a peer a complete report as soon as it is reachable."""
--- a/src/shallothinge/gateway/tests/test_peers.py
+++ b/src/shallothinge/gateway/tests/test_peers.py
@@ -62,6 +62,8 @@
         self.peers.start()
 
     def connect(self, *, address, role, on_message, on_reset):
+        if not address.startswith('tcp://'):
+            raise ValueError('injected: not an address')
         self.links[address] = Link(on_reset)
         return self.links[address]
 
@@ -95,6 +97,18 @@
                 self.reactor.advance(1.1)
                 self.assertTrue(self.links[OTHER].sent)
 
+    def test_peer_without_an_address_costs_no_other_its_reports(self):
+        # Those behind it in the list were never connected to.
+        odd = ('', 'odd', *map(str, range(20)))
+        self.list_peers(*odd, OTHER, THIRD)
+        self.assertEqual({OTHER, THIRD}, set(self.links))
+        for address in (OTHER, THIRD):
+            self.links[address].is_open = True
+        self.start_work()
+        self.reactor.advance(2.1)
+        for address in (OTHER, THIRD):
+            self.assertTrue(self.links[address].sent)
+
     def test_peer_gets_a_complete_report_once_it_can_be_reached(self):
         # Without the initial report, gateways that restart together place
         # their first requests up to a second before they learn of each
