Ignore lease grants that contradict themselves or last for centuries

A grant whose configuration has another version than the grant names was applied; with a version that none reaches, no later grant matched and the lease never came back. A duration of 63 bits made the holder act without control until its restart, under whatever configuration it had. The first is ignored, the second lasts for a minute at most.

leases/tests/test_holder.py: 3 rows failed before.

--- a/src/shallothinge/leases/holder.py
+++ b/src/shallothinge/leases/holder.py
@@ -14,6 +14,9 @@
 
 DRIFT_DIVISOR = 50
 MAX_PENDING_REQUESTS = 16
+# No lease lasts longer for its holder, whatever a grant says: until its end,
+# control waits for the holder with each change of the configuration.
+MAX_LEASE_MS = 60_000
 # A new leader lists only the holders that have renewed their leases with it.
 # The others renew within the duration of a lease plus an election.
 UNLISTED_PEER_RETENTION_MS = 5000
@@ -154,7 +157,7 @@
         :returns: whether the lease was renewed.
         """
         sent_ms = self._sent_ms.pop(grant.sequence, None)
-        if sent_ms is None:
+        if sent_ms is None or _contradicts_itself(grant):
             return False
         if grant.config is not None:
             self._apply_config(grant)
@@ -163,8 +166,8 @@
             return False
         if self._ends_ms is not None and not self.is_valid():
             self.lapses += 1
-        drift_ms = grant.duration_ms // DRIFT_DIVISOR
-        ends_ms = sent_ms + grant.duration_ms - drift_ms
+        duration_ms = min(grant.duration_ms, MAX_LEASE_MS)
+        ends_ms = sent_ms + duration_ms - duration_ms // DRIFT_DIVISOR
         self._ends_ms = max(ends_ms, self._ends_ms or 0)
         self.fence = max(self.fence, grant.fence)
         self.is_settled = grant.is_settled
@@ -294,6 +297,15 @@
             self.members.pop(server_id, None)
 
 
+def _contradicts_itself(grant: messages.LeaseGranted) -> bool:
+    """Return whether a grant carries another configuration than it names.
+
+    No later grant would match its version, if that is too high.
+    """
+    config = grant.config
+    return config is not None and config.state_version != grant.state_version
+
+
 @attrs.frozen(kw_only=True)
 class HolderState:
     """A holder's state, as shown in dumps."""
--- a/src/shallothinge/leases/tests/test_holder.py
+++ b/src/shallothinge/leases/tests/test_holder.py
@@ -109,6 +109,39 @@
         self.assertFalse(self.holder.apply_grant(grant))
         self.assertFalse(self.holder.is_valid())
 
+    def test_grant_that_contradicts_itself_changes_nothing(self):
+        # With a version that no grant reaches, the lease never came back.
+        for config_version in (2, 2**63 - 1):
+            with self.subTest(config_version=config_version):
+                request = self.holder.next_request()
+                config = ServingConfig(state_version=config_version)
+                odd = self._grant(
+                    sequence=request.sequence, version=1, config=config
+                )
+                self.assertFalse(self.holder.apply_grant(odd))
+                self.assertEqual(0, self.holder.config.state_version)
+                request = self.holder.next_request()
+                grant = self._grant(sequence=request.sequence)
+                self.assertTrue(self.holder.apply_grant(grant))
+
+    def test_lease_is_never_long(self):
+        # One of centuries would outlast each change of the configuration.
+        for duration_ms in (2**63 - 1, holder.MAX_LEASE_MS + 1):
+            with self.subTest(duration_ms=duration_ms):
+                self.setUp()
+                request = self.holder.next_request()
+                self.holder.apply_grant(
+                    messages.LeaseGranted(
+                        sequence=request.sequence,
+                        duration_ms=duration_ms,
+                        state_version=0,
+                    )
+                )
+                self.assertTrue(self.holder.is_valid())
+                self.assertLessEqual(
+                    self.holder.remaining_ms, holder.MAX_LEASE_MS
+                )
+
     def test_membership_updates(self):
         joined = MembershipUpdate(
             version=1, complete=True, joined=(_server('s1'), _server('s2'))
