Drop messages of replicas whose term no elections can have led to

A replica follows any higher term and stores it. After one of 63 bits the next did not fit into messages, and no leader could be elected any more, nor after a restart. A message whose term is below 0 or ahead by more than 2 ** 32 is dropped; each election adds 1.

--- a/src/shallothinge/consensus/node.py
+++ b/src/shallothinge/consensus/node.py
@@ -22,6 +22,9 @@
 
 # A voter that has not answered for this many heartbeat intervals may be down.
 CONTACT_TIMEOUT_HEARTBEATS = 1.5
+# A term that is ahead by more is a fault, as each election adds 1. The terms
+# after it would soon not fit into messages, and no leader could be elected.
+MAX_TERMS_AHEAD = 2**32
 
 
 class Node:
@@ -196,12 +199,15 @@
         """Process a message from another replica.
 
         Messages that are addressed to another replica, carry another
-        cluster's id or a false sender id are dropped.
+        cluster's id, a false sender id or an impossible term are dropped.
         """
         if message.sender_id != sender_id:
             return
         if message.target_id != self.replica_id:
             return
+        term = getattr(message, 'term', self.term)
+        if not 0 <= term <= self.term + MAX_TERMS_AHEAD:
+            return
         if isinstance(message, messages.FoundingRequest):
             self._on_founding_request(message)
             return
--- a/src/shallothinge/consensus/tests/test_node.py
+++ b/src/shallothinge/consensus/tests/test_node.py
@@ -78,6 +78,51 @@
     return sent[0].granted if sent else None
 
 
+class OddTermTest(unittest.TestCase):
+    """Terms that no elections can have led to."""
+
+    def test_impossible_term_does_not_end_elections(self):
+        # The replica followed it and stored it; the next term does not fit
+        # into a message, so that no leader could be elected any more.
+        odd = {'term': 2**63 - 1}
+        vote = {'last_index': 9, 'last_term': 1, **odd}
+        answer = {'match_index': 0, 'round': 0, **odd}
+        rows = (
+            (messages.VoteRequest, vote),
+            (messages.VoteAnswer, {'granted': False, **odd}),
+            (messages.PreVoteAnswer, {'granted': False, **odd}),
+            (
+                messages.AppendAnswer,
+                {'accepted': False, 'prev_index': 0, **answer},
+            ),
+            (
+                messages.AppendRequest,
+                {
+                    'prev_index': 1,
+                    'prev_term': 1,
+                    'entries': (),
+                    'commit_index': 1,
+                    'round': 1,
+                    **odd,
+                },
+            ),
+        )
+        for message_type, fields in rows:
+            for leads in (False, True):
+                with self.subTest(message_type.__name__, leads=leads):
+                    node = build_node()
+                    if leads:
+                        elect(node)
+                    term = node.term
+                    deliver_message(
+                        node, message_type, sender_id='b/2', **fields
+                    )
+                    self.assertEqual(term, node.term)
+                    if not leads:
+                        elect(node)
+                    self.assertIs(model.Role.LEADER, node.role)
+
+
 class VoteTest(unittest.TestCase):
     """Conditions for granting a vote."""
 
