--- a/src/shallothinge/reservations/table.py
+++ b/src/shallothinge/reservations/table.py
@@ -10,6 +10,9 @@
 from shallothinge import clock
 from shallothinge.reservations import messages
 
+# Owners ask for seconds. A reservation whose owner is gone for good must end.
+MAX_EXPIRY_MS = 60_000
+
 
 @attrs.define(kw_only=True)
 class Reservation:
@@ -59,13 +62,14 @@
         held = self._held.get(request.reservation_id)
         if held is not None:
             return held
+        expiry_ms = min(request.expiry_ms, MAX_EXPIRY_MS)
         held = Reservation(
             reservation_id=request.reservation_id,
             request_id=request.request_id,
             owner_id=owner_id,
             tokens=request.tokens,
-            expiry_ms=request.expiry_ms,
-            ends_ms=self._clock.now_ms() + request.expiry_ms,
+            expiry_ms=expiry_ms,
+            ends_ms=self._clock.now_ms() + expiry_ms,
         )
         self._held[request.reservation_id] = held
         return held
