Refuse streams and reservations of fewer than no tokens

A negative number of tokens in a request to an agent counted against all other work: the gate's sum fell to -997,300 in the test, and it would have admitted more than the engine's memory holds. They are refused as bad requests.

agent/tests/test_malformed_messages.py plays odd values into each field of each message that entries send; afterwards a stream runs, no periodic step has failed and nothing is held.

--- a/src/shallothinge/agent/holding.py
+++ b/src/shallothinge/agent/holding.py
@@ -85,6 +85,8 @@
         )
         if isinstance(permission, authorities.Denied):
             return permission.kind
+        if request.tokens < 0:
+            return ErrorKind.BAD_REQUEST
         if not self._watch.is_serving():
             return ErrorKind.NO_BACKEND_SERVER
         admitted = self._gate.may_reserve(tokens=request.tokens)
--- a/src/shallothinge/agent/streams.py
+++ b/src/shallothinge/agent/streams.py
@@ -129,6 +129,9 @@
             return permission.kind
         if waited_ms >= request.deadline_ms:
             return ErrorKind.EXPIRED_NOT_RUN
+        if request.max_tokens < 0:
+            # It would count against what other streams hold.
+            return ErrorKind.BAD_REQUEST
         if not request.delivered and not self._authority.may_use(
             state_version=request.state_version,
             workspace=request.workspace,
