Let the watch of hold-ups go on after a tick that failed

Its loop was the only one of the product whose step was not run by periodic.run; an exception ended it for good, and later hold-ups were not told.

--- a/src/shallothinge/holdups.py
+++ b/src/shallothinge/holdups.py
@@ -15,6 +15,7 @@
 from twisted.internet import task
 
 from shallothinge import clock as clocks
+from shallothinge import periodic
 
 LOG = logging.getLogger(__name__)
 
@@ -93,7 +94,7 @@
         self._read_spent = read_spent
         self._due_ms = 0
         self._spent = Spent(ran_ms=0, ready_ms=0)
-        self._ticking = task.LoopingCall(self._tick)
+        self._ticking = task.LoopingCall(periodic.run, self._tick)
         self._ticking.clock = reactor
 
     def start(self) -> None:
--- a/src/shallothinge/tests/test_holdups.py
+++ b/src/shallothinge/tests/test_holdups.py
@@ -1,6 +1,7 @@
 """Tests of what a process tells of its being held up."""
 
 import unittest
+from unittest import mock
 
 from twisted.internet import task
 
@@ -15,13 +16,13 @@
         self.reactor = task.Clock()
         self.clock = clocks.ManualClock()
         self.spent = holdups.Spent(ran_ms=0, ready_ms=0)
-        watch = holdups.HoldUpWatch(
+        self.watch = holdups.HoldUpWatch(
             reactor=self.reactor,
             clock=self.clock,
             read_spent=lambda: self.spent,
         )
-        watch.start()
-        self.addCleanup(watch.stop)
+        self.watch.start()
+        self.addCleanup(self.watch.stop)
 
     def pass_time(self, duration_ms):
         """Let time pass after which the reactor runs again."""
@@ -51,6 +52,15 @@
             for _ in range(50):
                 self.pass_time(holdups.TICK_MS + holdups.LATE_MS - 1)
 
+    def test_watch_goes_on_after_a_tick_that_raised_an_exception(self):
+        # The loop ended, and no later hold-up was told.
+        fault = mock.Mock(side_effect=ValueError('injected'))
+        with mock.patch.object(self.watch, '_read_spent', fault):
+            self.pass_time(holdups.TICK_MS)
+        fault.assert_called_once()
+        with self.assertLogs(holdups.LOG, 'WARNING'):
+            self.pass_time(60_000)
+
     def test_long_hold_up_is_told_once(self):
         with self.assertLogs(holdups.LOG, 'WARNING') as logs:
             self.pass_time(60_000)
