Answer the callers that connect as an entry ends

An entry ended in the moment in which nothing was under way: a connection that had been accepted, with its first request on the way, was cut. It now accepts what waits in the kernel, closes its port, and ends 250 ms later. The closing of a port moves to http1/closing.py for that.

entry/tests/test_process.py: no answer before.

--- a/src/shallothinge/entry/process.py
+++ b/src/shallothinge/entry/process.py
@@ -28,6 +28,7 @@
 from shallothinge.entry import readiness
 from shallothinge.entry import site
 from shallothinge.entry import spend
+from shallothinge.http1 import closing
 from shallothinge.leases import client as clients
 from shallothinge.leases import holder as holders
 from shallothinge.operators import messages as operators
@@ -48,6 +49,8 @@
 JOBS_MS = 1000
 DRAIN_POLL_MS = 50
 FLUSH_MS = 5000
+# Callers that have just connected send their requests within this time.
+LAST_CALLERS_MS = 250
 CALL_ANSWERS = (
     call_messages.CallAnswered,
     call_messages.CallRefused,
@@ -376,15 +379,19 @@
     def _flush(self, *, ends_ms: int) -> None:
         is_late = self.process.clock.now_ms() >= ends_ms
         if self.spending.is_reported or is_late:
-            LOG.info('stopped: all work is finished')
-            self.close()
-            self._stopped.callback(None)
+            closing.close_port(self._port, reactor=self._reactor)
+            self._reactor.callLater(LAST_CALLERS_MS / 1000, self._end)
             return
         self.spending.report()
         self._reactor.callLater(
             DRAIN_POLL_MS / 1000, lambda: self._flush(ends_ms=ends_ms)
         )
 
+    def _end(self) -> None:
+        LOG.info('stopped: all work is finished')
+        self.close()
+        self._stopped.callback(None)
+
     def close(self) -> None:
         """Drop everything at once."""
         if self._closed:
--- a/src/shallothinge/entry/tests/test_process.py
+++ b/src/shallothinge/entry/tests/test_process.py
@@ -7,6 +7,7 @@
 import tempfile
 
 from twisted.internet import defer
+from twisted.internet import protocol
 from twisted.internet import reactor
 from twisted.internet import task
 from twisted.trial import unittest
@@ -23,6 +24,7 @@
 
 POLL_MS = 20
 TOKENS = 5
+LIVE = b'GET /livez HTTP/1.1\r\nHost: h\r\n\r\n'
 
 
 class EntryTestCase(unittest.TestCase):
@@ -300,6 +302,27 @@
         self.assertEqual(200, response.code)
         yield stopped
 
+    @defer.inlineCallbacks
+    def test_caller_that_connects_as_the_process_ends_is_answered(self):
+        # Its connection was accepted and cut before its request arrived.
+        received = []
+
+        class Caller(protocol.Protocol):
+            def dataReceived(self, data):
+                received.append(data)
+
+        connected = protocol.ClientCreator(reactor, Caller).connectTCP(
+            '127.0.0.1', self.entry.http_port
+        )
+        caller = yield connected
+        stopped = self.entry.stop()
+        stopped.addCallback(lambda _: caller.transport.abortConnection())
+        yield self.until(lambda: self.entry.chats.is_stopping)
+        caller.transport.write(LIVE)
+        yield stopped
+        answer = b''.join(received)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200 '), answer)
+
     def _finish(self, start):
         for connection in self.entry.fleet.connections.values():
             if start.request_id in connection.in_flight:
--- a/src/shallothinge/http1/closing.py
+++ b/src/shallothinge/http1/closing.py
@@ -1,4 +1,4 @@
-"""Lingering close of connections whose peers may still be reading."""
+"""Close of connections whose peers may still be reading, and of ports."""
 
 import logging
 import socket
@@ -129,3 +129,21 @@
     return tcp_info.read_field(
         handle, offset=_ACKED_OFFSET, layout=_ACKED_FORMAT
     )
+
+
+def close_port(port, *, reactor) -> None:
+    """Accept the connections that wait in the kernel, and close the port.
+
+    The kernel resets those that were not accepted, although their callers may
+    have sent their requests. Both steps run in the next iteration of the
+    reactor, one directly after the other.
+    """
+    reactor.callLater(0, _accept_waiting, port)
+    port.stopListening()
+
+
+def _accept_waiting(port) -> None:
+    accepted = None
+    while accepted != port.sessionno:
+        accepted = port.sessionno
+        port.doRead()
--- a/src/shallothinge/http1/draining.py
+++ b/src/shallothinge/http1/draining.py
@@ -5,6 +5,7 @@
 from twisted.internet import defer
 
 from shallothinge import clock as clocks
+from shallothinge.http1 import closing
 from shallothinge.http1 import server
 
 POLL_INTERVAL_MS = 50
@@ -66,16 +67,9 @@
             self._call_later(POLL_INTERVAL_MS, self._check)
 
     def _stop_listening(self) -> None:
-        """Accept the connections that wait in the kernel, close the port.
-
-        The kernel resets those that were not accepted, although their callers
-        may have sent their requests. Both steps run in the next iteration of
-        the reactor, one directly after the other.
-        """
         port, self._port = self._port, None
         if port is not None:
-            self._reactor.callLater(0, self._site.accept_waiting, port)
-            port.stopListening()
+            closing.close_port(port, reactor=self._reactor)
 
     def _call_later(
         self, duration_ms: int, callback: Callable[[], None]
--- a/src/shallothinge/http1/server.py
+++ b/src/shallothinge/http1/server.py
@@ -451,26 +451,14 @@
         self.is_stopping = False
         self.is_ended = False
         self.connections: set[ServerConnection] = set()
-        self._accepted_count = 0
 
     def buildProtocol(self, addr) -> ServerConnection:
         """Return the protocol of a new connection."""
-        self._accepted_count += 1
         connection = ServerConnection(site=self)
         connection.factory = self
         self.connections.add(connection)
         return connection
 
-    def accept_waiting(self, port) -> None:
-        """Accept all connections that wait in the kernel.
-
-        :param port: the listening port of this site.
-        """
-        accepted_count = None
-        while accepted_count != self._accepted_count:
-            accepted_count = self._accepted_count
-            port.doRead()
-
     def close_idle(self, *, fresh_ms: int = 0) -> None:
         """Close the connections on which no request is in progress.
 
