Measure the pace of servers by pauses of streams, too

Change: the time between two events of a stream is measured, too, if the server read nothing meanwhile, the caller read all, and the last measured pause of the server is 200 ms old. Expected is one pass for each event. The expected time of a placement to its first event is that of the cost model again: with the pace in it, a stopping gateway counted a server's slowness twice, and test_delay_of_recent_answers_is_expected_of_the_next failed (a request was refused that has time).

Tests of placement and gateway pass.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -99,6 +99,8 @@
         self.is_stalled = False
         self.answer_end: client.AnswerEnd | None = None
         self._first_event_ms: int | None = None
+        self._last_event_ms = 0
+        self._idle_mark_ms: float | None = None
         self._is_over = False
         self._stall_timer = None
         self._is_paused = False
@@ -242,6 +244,7 @@
     def pause(self) -> None:
         """Stop reading and the stall timer until the caller catches up."""
         self._is_paused = True
+        self._idle_mark_ms = None
         self._stop_timer()
         if self._exchange is not None and not self._is_over:
             self._exchange.pause()
@@ -311,9 +314,13 @@
         if self._first_event_ms is None:
             self._first_event_ms = self._parts.clock.now_ms()
             self._measure_pace()
+        else:
+            self._measure_pause(len(events))
         for work_id in self._work_ids:
             self._parts.load.first_event(work_id)
         self._end_helper_work()
+        self._last_event_ms = self._parts.clock.now_ms()
+        self._idle_mark_ms = self._parts.load.idle_mark_ms(self._work_ids[0])
         if self.is_stalled:
             self._stop_timer()
         self.is_stalled = False
@@ -337,6 +344,21 @@
         )
         self._parts.servers.record_first_event(self._server, first_event)
 
+    def _measure_pause(self, event_count: int) -> None:
+        """Record the time since the last event if the server read nothing.
+
+        :param event_count: events that arrived together, one for each pass.
+        """
+        mark_ms = self._parts.load.idle_mark_ms(self._work_ids[0])
+        is_idle = mark_ms is not None and mark_ms == self._idle_mark_ms
+        if is_idle and self._placement.pass_ms:
+            pause_ms = self._parts.clock.now_ms() - self._last_event_ms
+            self._parts.servers.record_pause(
+                self._server,
+                measured_ms=pause_ms / event_count,
+                pass_ms=self._placement.pass_ms,
+            )
+
     @guards.guarded
     def on_end(self, end: client.AnswerEnd) -> None:
         """Handle the end of the answer."""
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -262,6 +262,17 @@
         """Record how long a server took to the first event of a stream."""
         self._paces.record(notices.key_of(server), first_event)
 
+    def record_pause(
+        self, server: BackendServer, *, measured_ms: float, pass_ms: float
+    ) -> None:
+        """Record the time between two events of a stream.
+
+        See ``ServerPaces.record_pause``.
+        """
+        self._paces.record_pause(
+            notices.key_of(server), measured_ms=measured_ms, pass_ms=pass_ms
+        )
+
     def record_notices(
         self, server: BackendServer, *, is_leaving: bool, pause_ms: int
     ) -> None:
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -134,10 +134,12 @@
     """The server selected for a request, and the helpers for its prompt.
 
     ``part_ms`` is how long each of these servers reads, ``first_event_ms``
-    the expected time to the first event or answer. ``load`` is the estimated
-    load of the server at the time of the choice, ``pace`` its pace. ``shares``
-    is the memory to reserve at helpers if the server's own memory is not
-    sufficient.
+    the expected time to the first event or answer, and ``pass_ms`` the
+    duration of a pass (0 without an engine), all by the cost model. A slow
+    server is not given more time than others: its pace only counts in the
+    choice. ``load`` is the estimated load of the server at that time.
+    ``shares`` is the memory to reserve at helpers if the server's own memory
+    is not sufficient.
     """
 
     server_id: str
@@ -146,7 +148,7 @@
     first_event_ms: float
     load: server_queue.ServerLoad
     shares: tuple[MemoryShare, ...] = ()
-    pace: float = 1.0
+    pass_ms: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -304,10 +306,12 @@
             server_id=primary.candidate.server_id,
             helper_ids=tuple(part.candidate.server_id for part in helpers),
             part_ms=read_ms / best_count,
-            first_event_ms=best.ready_ms,
+            first_event_ms=max(
+                part.ready_ms / part.candidate.pace for part in best.parts
+            ),
             load=primary.candidate.load,
             shares=_memory_shares(primary, helpers, needed),
-            pace=primary.candidate.pace,
+            pass_ms=engine.pass_ms,
         )
 
     def _price_primaries(self, demand, candidates) -> dict[str, float]:
--- a/src/shallothinge/placement/pace.py
+++ b/src/shallothinge/placement/pace.py
@@ -1,9 +1,11 @@
 """Measures how slow a backend server is compared with its cost model.
 
 A server may be slower than its model: its host is overloaded or throttled.
-Its pace is the time that it takes, as a multiple of the expected time. Only
-first events of which most of the time is known to be spent on the request
-itself are measured.
+Its pace is the time that it takes, as a multiple of the expected time. Two
+times are measured, if most of the time is known to be spent on the request
+itself: that to the first event of a short prompt, and that between two events
+of a stream. The latter is the only one known of a server that mostly reads
+long prompts, as these are divided among several servers.
 """
 
 import collections
@@ -18,7 +20,7 @@
 # is found.
 MIN_MEASUREMENTS = 5
 MAX_MEASUREMENTS = 9
-# Servers that mostly read parts of long prompts are measured rarely.
+# Servers that generate few streams are measured rarely.
 MEASUREMENT_TTL_MS = 30_000
 # A slow server gets no short prompts, and so is not measured. It counts as
 # sound for RETEST_WINDOW_MS every RETEST_INTERVAL_MS, and a single sound
@@ -36,6 +38,10 @@
 # time. The same holds for the time of other reads of the server.
 MAX_READ_MS = 100.0
 MAX_OTHER_READS_MS = 50.0
+# Streams of a server pause together, and a gateway that is held up sees all of
+# them pause. At most one pause of a server is measured in this time, so that
+# a slow server has been slow for MIN_MEASUREMENTS times this long.
+PAUSE_INTERVAL_MS = 200
 # A request that took longer to be sent waited for a connection.
 MAX_SEND_MS = 20
 
@@ -88,7 +94,7 @@
     backlog_ms = placement.load.backlog_ms
     return FirstEvent(
         measured_ms=measured_ms,
-        expected_ms=placement.first_event_ms / placement.pace - backlog_ms,
+        expected_ms=placement.first_event_ms - backlog_ms,
         read_ms=placement.part_ms,
         other_reads_ms=backlog_ms + assigned_since_ms,
         sent_after_ms=sent_after_ms,
@@ -107,12 +113,14 @@
     """What is known of one server.
 
     ``slow_pace`` is its pace since it was found to be slow, else None.
+    ``last_pause_ms`` is when a pause was last measured.
     """
 
     recent: collections.deque[_Measurement] = attrs.field(
         factory=lambda: collections.deque(maxlen=MAX_MEASUREMENTS)
     )
     slow_pace: float | None = None
+    last_pause_ms: int | None = None
 
     def add(self, measurement: _Measurement) -> None:
         """Add a measurement and judge the server anew."""
@@ -144,12 +152,31 @@
         if not first_event.is_significant:
             return
         expected_ms = first_event.expected_ms + first_event.other_reads_ms
+        self._add(key, first_event.measured_ms / expected_ms)
+
+    def record_pause(
+        self, key: tuple[str, str], *, measured_ms: float, pass_ms: float
+    ) -> None:
+        """Record the time between two events of a stream.
+
+        Call this only if the server read no prompt meanwhile.
+
+        :param key: id and incarnation of the server.
+        :param pass_ms: the time by the cost model, that of one pass.
+        """
+        server = self._servers.setdefault(key, _ServerPace())
+        now_ms = self._clock.now_ms()
+        if (
+            server.last_pause_ms is None
+            or now_ms - server.last_pause_ms >= PAUSE_INTERVAL_MS
+        ):
+            server.last_pause_ms = now_ms
+            self._add(key, measured_ms / pass_ms)
+
+    def _add(self, key: tuple[str, str], measured_pace: float) -> None:
         server = self._servers.setdefault(key, _ServerPace())
         server.add(
-            _Measurement(
-                at_ms=self._clock.now_ms(),
-                pace=first_event.measured_ms / expected_ms,
-            )
+            _Measurement(at_ms=self._clock.now_ms(), pace=measured_pace)
         )
 
     def pace(self, key: tuple[str, str]) -> float:
--- a/src/shallothinge/placement/server_queue.py
+++ b/src/shallothinge/placement/server_queue.py
@@ -127,6 +127,11 @@
         """Return the total duration of the reads added after a work."""
         return self._assigned_ms - work.assigned_ms
 
+    def is_reading(self, now_ms: int) -> bool:
+        """Return whether the server is likely still to read a prompt."""
+        self._advance(now_ms)
+        return bool(self._unread_works())
+
     def is_empty(self) -> bool:
         """Return whether no work is in progress."""
         return not self._works
--- a/src/shallothinge/placement/tests/simulation.py
+++ b/src/shallothinge/placement/tests/simulation.py
@@ -46,6 +46,7 @@
     waiting_id: int | None = None
     placed: choice.Placement | None = None
     placed_ms: float = 0.0
+    idle_mark_ms: float | None = None
 
     @property
     def is_in_time(self) -> bool:
@@ -285,6 +286,15 @@
         )
         self.paces.record((request.placed.server_id, ''), first_event)
 
+    def _record_pause(self, request, pause_ms) -> None:
+        mark_ms = self.load.idle_mark_ms(request.work_ids[0])
+        if mark_ms is not None and mark_ms == request.idle_mark_ms:
+            self.paces.record_pause(
+                (request.placed.server_id, ''),
+                measured_ms=pause_ms,
+                pass_ms=self.service.engine.pass_ms,
+            )
+
     def _emit_event(self, now_ms, server, request) -> None:
         if request.first_ms is None:
             request.first_ms = now_ms - request.at_ms
@@ -295,7 +305,9 @@
         else:
             pause_ms = now_ms - request.last_ms
             request.longest_pause_ms = max(request.longest_pause_ms, pause_ms)
+            self._record_pause(request, pause_ms)
         request.last_ms = now_ms
+        request.idle_mark_ms = self.load.idle_mark_ms(request.work_ids[0])
         request.events_left -= 1
         if not request.events_left:
             server.writers.remove(request)
--- a/src/shallothinge/placement/tests/test_pace.py
+++ b/src/shallothinge/placement/tests/test_pace.py
@@ -59,6 +59,21 @@
         self.record(attrs.evolve(SLOW, measured_ms=200, other_reads_ms=50.0))
         self.assertEqual(1.0, self.paces.pace(KEY))
 
+    def test_pauses_count_once_in_an_interval(self):
+        # Guards against servers that count as slow because the gateway was
+        # held up once, with several of their streams.
+        for interval_ms, is_slow in (
+            (0, False),
+            (pace.PAUSE_INTERVAL_MS // 2, False),
+            (pace.PAUSE_INTERVAL_MS, True),
+        ):
+            self.setUp()
+            for _ in range(pace.MIN_MEASUREMENTS):
+                self.paces.record_pause(KEY, measured_ms=180, pass_ms=45)
+                self.clock.advance(duration_ms=interval_ms)
+            with self.subTest(interval_ms=interval_ms):
+                self.assertEqual(is_slow, self.paces.pace(KEY) > 1)
+
     def test_slow_server_is_tried_again(self):
         # Guards against a server that is never used again, as it gets no
         # requests and therefore no new measurements.
