Ignore malformed works in load reports

Cause: a report with a negative memory was taken as it is, so that a full server seemed to have memory; one with text or null in place of a number was half applied, and each later call of FleetLoad.loads, thus each placement, raised TypeError. A missing field lost the rest of the report.

Change: each work is validated (type, range, number of fields) before any is applied; malformed ones are logged and left out.

Evidence: test_malformed_work_is_ignored.

--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -3,6 +3,8 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
+import logging
 
 import attrs
 
@@ -10,6 +12,8 @@
 from shallothinge.placement import messages
 from shallothinge.placement import server_queue
 
+LOG = logging.getLogger(__name__)
+
 # Gateways send a complete report every second. If three in a row are missing,
 # the gateway has stopped or is unreachable, and its report expires.
 REPORT_TTL_MS = 3500
@@ -21,6 +25,10 @@
 # report for longer learns it from other sources by then.
 LEAVING_TTL_MS = 10_000
 PERCENT = 100
+# Limit on each number of a reported work, far above all that occur.
+MAX_NUMBER = 2**40
+# Characters of a malformed work that are logged.
+MAX_LOGGED = 200
 
 
 @attrs.define(kw_only=True)
@@ -184,10 +192,10 @@
         if report.sequence <= peer_work.sequence:
             return
         now_ms = self._clock.now_ms()
+        started = dict(_unpack_valid(report.started, now_ms, peer=peer))
         if report.complete:
             peer_work.is_complete = True
-            listed_ids = {fields[0] for fields in report.started}
-            for work_id in set(peer_work.works) - listed_ids:
+            for work_id in peer_work.works.keys() - started.keys():
                 self._remove(peer_work.works.pop(work_id))
         elif report.sequence != peer_work.sequence + 1:
             peer_work.is_complete = False
@@ -195,8 +203,7 @@
         peer_work.received_ms = now_ms
         if report.complete:
             self._unconfirmed.pop(peer, None)
-        for fields in report.started:
-            work_id, work = _unpack(fields, now_ms)
+        for work_id, work in started.items():
             if work_id not in peer_work.works:
                 peer_work.works[work_id] = work
                 self._add(work)
@@ -370,6 +377,43 @@
     )
 
 
+def _unpack_valid(
+    started: Iterable[object], now_ms: int, *, peer: str
+) -> Iterator[tuple[int, server_queue.Work]]:
+    """Yield the works of a report; log and leave out malformed ones."""
+    for fields in started:
+        if _is_valid(fields):
+            yield _unpack(fields, now_ms)
+        else:
+            LOG.warning(
+                'peer reported a malformed work',
+                extra={'peer': peer, 'fields': repr(fields)[:MAX_LOGGED]},
+            )
+
+
+def _is_valid(fields: object) -> bool:
+    """Return whether fields from a peer make up a work.
+
+    A negative number would make a full server seem free, and one of another
+    type fails each later placement.
+    """
+    if not isinstance(fields, (tuple, list)) or len(fields) != len(
+        messages.WORK_FIELDS
+    ):
+        return False
+    named = dict(zip(messages.WORK_FIELDS, fields, strict=True))
+    server_id, due_ms = named.pop('server_id'), named.pop('due_ms')
+    return (
+        isinstance(server_id, str)
+        and isinstance(due_ms, int)
+        and abs(due_ms) <= MAX_NUMBER
+        and all(
+            isinstance(number, int) and 0 <= number <= MAX_NUMBER
+            for number in named.values()
+        )
+    )
+
+
 def _unpack(fields: tuple, now_ms: int) -> tuple[int, server_queue.Work]:
     """Return the id and the work from a tuple of a report."""
     named = dict(zip(messages.WORK_FIELDS, fields, strict=True))
--- a/src/shallothinge/placement/tests/test_fleet.py
+++ b/src/shallothinge/placement/tests/test_fleet.py
@@ -5,6 +5,7 @@
 from shallothinge import clock
 from shallothinge import protocol
 from shallothinge.placement import fleet
+from shallothinge.placement import messages
 from shallothinge.placement import server_queue
 
 
@@ -74,6 +75,41 @@
         self.receiver.remove_expired()
         self.assertEqual({}, self.receiver.loads())
 
+    def test_malformed_work_is_ignored(self):
+        # Guards against a peer whose report makes full servers seem free, or
+        # each later placement fail.
+        good = (1, 's', 10, 0, 100, 0, 100, 5000, 0, 0, 0)
+        for name, malformed in (
+            ('no tuple', 5),
+            ('no fields', ()),
+            ('missing fields', good[:2]),
+            ('unknown field', (*good, 0)),
+            ('negative memory', (*good[:7], -5000, *good[8:])),
+            ('huge memory', (*good[:7], 2**60, *good[8:])),
+            ('no number', (*good[:7], 'x', *good[8:])),
+            ('null', (*good[:7], None, *good[8:])),
+            ('not a number', (*good[:2], float('nan'), *good[3:])),
+            ('huge time', (*good[:4], -(2**60), *good[5:])),
+            ('id is a list', ([1], *good[1:])),
+            ('server is a number', (1, 5, *good[2:])),
+        ):
+            for is_complete in (False, True):
+                receiver = fleet.FleetLoad(clock=self.clock)
+                report = messages.LoadReported(
+                    sequence=1,
+                    complete=is_complete,
+                    started=(malformed, (2, 't', *good[2:])),
+                )
+                with (
+                    self.subTest(name, is_complete=is_complete),
+                    self.assertLogs('shallothinge.placement.fleet') as logs,
+                ):
+                    receiver.apply_report(peer='one', report=report)
+                    loads = receiver.loads()
+                    self.assertEqual({'t'}, set(loads))
+                    self.assertEqual(5000, loads['t'].memory_tokens)
+                    self.assertEqual(1, len(logs.records))
+
     def test_memory_of_a_silent_peer_is_unconfirmed_for_some_time(self):
         # A peer that falls silent has ended, and then its servers release the
         # memory, or it is cut off, and then they still hold it. Its slots and
