--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -144,9 +144,7 @@
         turn_in_ms = 0
         if free_slots > 0:
             free_ms = self._load.free_ms(server_id, free_slots=free_slots)
-            turn_in_ms = self._turn_in_ms(
-                server_id, free_slots=free_slots, free_ms=free_ms
-            )
+            turn_in_ms = self._turn_in_ms(server_id, free_slots)
         return choice.Candidate(
             server_id=server_id,
             zone=entry.server.zone,
@@ -161,9 +159,7 @@
             turn_in_ms=turn_in_ms,
         )
 
-    def _turn_in_ms(
-        self, server_id: str, *, free_slots: int, free_ms: int
-    ) -> int:
+    def _turn_in_ms(self, server_id: str, free_slots: int) -> int:
         """Return the time until this gateway may take a contended slot.
 
         While the list is partial, each gateway has slots of its own.
@@ -174,7 +170,9 @@
         ):
             return 0
         return self._slot_turns.wait_ms(
-            server_id, free_slots=free_slots, free_ms=free_ms
+            server_id,
+            free_slots=free_slots,
+            unchanged_ms=self._load.unchanged_ms(server_id),
         )
 
     def _usable_slots(
@@ -311,6 +309,17 @@
         """Record how long a server took to the first event of a stream."""
         self._paces.record(notices.key_of(server), first_event)
 
+    def record_pause(
+        self, server: BackendServer, *, measured_ms: float, pass_ms: float
+    ) -> None:
+        """Record the time between two events of a stream.
+
+        See ``ServerPaces.record_pause``.
+        """
+        self._paces.record_pause(
+            notices.key_of(server), measured_ms=measured_ms, pass_ms=pass_ms
+        )
+
     def record_notices(
         self, server: BackendServer, *, is_leaving: bool, pause_ms: int
     ) -> None:
--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -100,6 +100,7 @@
         self._unconfirmed: dict[str, _UnconfirmedMemory] = {}
         self._queues: dict[str, server_queue.ServerQueue] = {}
         self._ends_ms: dict[str, collections.deque[int]] = {}
+        self._changed_ms: dict[str, int] = {}
         # Servers at which own requests have ended, which no peer knows yet.
         self._unreported_ends: set[str] = set()
         self._next_id = 0
@@ -268,6 +269,11 @@
             for server_id, ends_ms in self._ends_ms.items()
             if ends_ms[-1] > now_ms - LONG_FREE_MS
         }
+        self._changed_ms = {
+            server_id: changed_ms
+            for server_id, changed_ms in self._changed_ms.items()
+            if changed_ms > now_ms - LONG_FREE_MS
+        }
         for peer, memory in list(self._unconfirmed.items()):
             if memory.expires_ms < now_ms:
                 del self._unconfirmed[peer]
@@ -327,6 +333,16 @@
         """Return whether only this gateway knows of a free slot."""
         return server_id in self._unreported_ends
 
+    def unchanged_ms(self, server_id: str) -> int:
+        """Return for how long no request is known to have begun or ended.
+
+        :returns: milliseconds, ``LONG_FREE_MS`` at most.
+        """
+        changed_ms = self._changed_ms.get(server_id)
+        if changed_ms is None:
+            return LONG_FREE_MS
+        return min(LONG_FREE_MS, self._clock.now_ms() - changed_ms)
+
     def free_ms(self, server_id: str, *, free_slots: int) -> int:
         """Return for how long a server has had a free slot.
 
@@ -390,6 +406,7 @@
             self._queues[work.server_id] = queue
         queue.start(work, now_ms)
         if not work.is_helping:
+            self._changed_ms[work.server_id] = now_ms
             self._unreported_ends.discard(work.server_id)
 
     def _mark_writing(self, work: server_queue.Work) -> None:
@@ -407,6 +424,7 @@
             work.server_id, collections.deque(maxlen=MAX_ENDS)
         )
         ends_ms.append(self._clock.now_ms())
+        self._changed_ms[work.server_id] = self._clock.now_ms()
         if self.on_room is not None:
             self.on_room()
 
--- a/src/shallothinge/scheduling/tests/simulation.py
+++ b/src/shallothinge/scheduling/tests/simulation.py
@@ -67,6 +67,7 @@
         self.waiting = {}
         clock = simulation.clock
         self._ends_ms = [[] for _ in self.used]
+        self._changed_ms = [-slot_turns.MAX_WAIT_MS] * len(self.used)
         # Servers at which its streams have ended, which no other one knows.
         self.unreported = set()
         self._turns = slot_turns.SlotTurns(own_id=str(index))
@@ -130,6 +131,7 @@
         """Take changes of the slots in use at servers."""
         for server, change in changes:
             self.used[server] += change
+            self._changed_ms[server] = self._simulation.now_ms
             if change < 0:
                 self._ends_ms[server].append(self._simulation.now_ms)
             self._full.discard(server)
@@ -224,7 +226,7 @@
         return self._turns.wait_ms(
             server,
             free_slots=self._simulation.slots - self.used[server],
-            free_ms=self._free_ms(server),
+            unchanged_ms=self._simulation.now_ms - self._changed_ms[server],
         )
 
     def _find_free(self):
@@ -247,6 +249,7 @@
         key = (SERVICE, arrival.workspace)
         self._in_use[key] = self._in_use.get(key, 0) + 1
         self.used[server] += 1
+        self._changed_ms[server] = self._simulation.now_ms
         self.unreported.discard(server)
         return True
 
