--- a/src/shallothinge/quarantine/evidence.py
+++ b/src/shallothinge/quarantine/evidence.py
@@ -37,8 +37,8 @@
 # usually takes 2 to 5 ms, and longer if a gateway is busy. Closes that are
 # reported within this time are the same one.
 REPORT_TOLERANCE_MS = 50
-# Limits on separate closes of one incarnation, and on refuted ones that are
-# remembered.
+# Limits on separate closes of one incarnation, and on incarnations with
+# refuted ones that are remembered.
 MAX_CLOSES_OF_CRASH = 8
 MAX_REFUTED = 256
 # Refuted closes are remembered until no peer can repeat them.
@@ -90,15 +90,31 @@
     positions: dict[str, int] = attrs.field(factory=dict)
 
     def time_of(self, part_id: str) -> int:
-        """Return the time of the newest close with a part."""
-        return max(
+        """Return the time of the newest moment at which a part was there.
+
+        Of what was seen of this moment the first counts: the reports of peers
+        are later by their delivery.
+        """
+        newest_ms = max(
             one.at_ms for one in self.closes if part_id in one.positions
         )
+        return min(
+            one.at_ms
+            for one in self.closes
+            if newest_ms - SAME_MOMENT_MS <= one.at_ms <= newest_ms
+        )
 
     def add(
         self, *, at_ms: int, positions: Mapping[str, int], is_own: bool
-    ) -> None:
-        """Add parts of requests that a close ended."""
+    ) -> bool:
+        """Add parts of requests that a close ended.
+
+        :returns: whether any of them was not known at this moment.
+        """
+        known_ms = {
+            one: self.time_of(one)
+            for one in positions.keys() & self.positions.keys()
+        }
         close = self._find_or_add(at_ms, is_own)
         close.at_ms = min(close.at_ms, at_ms)
         close.last_ms = max(close.last_ms, at_ms)
@@ -110,6 +126,10 @@
                 count += 1
             for known in (close.positions, self.positions):
                 known[part_id] = max(position, known.get(part_id, 0))
+        return any(
+            self.time_of(one) > known_ms.get(one, -math.inf) + SAME_MOMENT_MS
+            for one in positions.keys() & self.positions.keys()
+        )
 
     def _find_or_add(self, at_ms: int, is_own: bool) -> Close:
         """Return the close to which a report belongs.
@@ -154,17 +174,17 @@
 class _Refuted:
     """A refuted close, and the data that refuted it, if it came here."""
 
-    key: ServerKey
     at_ms: int
     noted_ms: int
     opened_ms: float = math.inf
 
-    def covers(self, key: ServerKey, at_ms: int) -> bool:
+    def is_same(self, at_ms: int) -> bool:
+        """Return whether a report about this time is about this close."""
+        return abs(at_ms - self.at_ms) <= REPORT_TOLERANCE_MS
+
+    def covers(self, at_ms: int) -> bool:
         """Return whether a crash that a peer reports is refuted already."""
-        if key != self.key:
-            return False
-        is_same = abs(at_ms - self.at_ms) <= REPORT_TOLERANCE_MS
-        return is_same or (
+        return self.is_same(at_ms) or (
             self.opened_ms < at_ms <= self.noted_ms - IN_FLIGHT_MS
         )
 
@@ -223,9 +243,7 @@
     def __init__(self):
         self._crashes: dict[ServerKey, Crash] = {}
         self._whole_ms: dict[str, int] = {}
-        self._refuted: collections.deque[_Refuted] = collections.deque(
-            maxlen=MAX_REFUTED
-        )
+        self._refuted: dict[ServerKey, list[_Refuted]] = {}
 
     def add_crash(
         self,
@@ -241,16 +259,16 @@
         :param positions: positions of the parts in their prompts.
         :param is_own: whether this gateway saw it; reports of peers about a
             crash that was refuted are ignored.
-        :returns: whether any of them was not known.
+        :returns: whether any of them was not known at this moment.
         """
-        if not is_own and any(one.covers(key, at_ms) for one in self._refuted):
+        if not is_own and any(
+            one.covers(at_ms) for one in self._refuted.get(key, ())
+        ):
             return False
         crash = self._crashes.setdefault(key, Crash(closes=[]))
         if len(self._crashes) > MAX_CRASHES:
             del self._crashes[next(iter(self._crashes))]
-        known_count = len(crash.positions)
-        crash.add(at_ms=at_ms, positions=positions, is_own=is_own)
-        return len(crash.positions) > known_count
+        return crash.add(at_ms=at_ms, positions=positions, is_own=is_own)
 
     def refute_by_data(
         self, *, key: ServerKey, opened_ms: int, now_ms: int
@@ -278,12 +296,7 @@
 
         :returns: what was dropped, None if no such close is known.
         """
-        if not any(
-            one.key == key and one.at_ms == at_ms for one in self._refuted
-        ):
-            self._refuted.append(
-                _Refuted(key=key, at_ms=at_ms, noted_ms=now_ms)
-            )
+        self._remember(key, _Refuted(at_ms=at_ms, noted_ms=now_ms))
         crash = self._crashes.get(key)
         if crash is None:
             return None
@@ -304,15 +317,13 @@
         crash.remove(refuted)
         if not crash.closes:
             del self._crashes[key]
-        self._refuted.extend(
-            _Refuted(
-                key=key,
-                at_ms=one.at_ms,
-                noted_ms=now_ms,
-                opened_ms=opened_ms,
+        for one in refuted:
+            self._remember(
+                key,
+                _Refuted(
+                    at_ms=one.at_ms, noted_ms=now_ms, opened_ms=opened_ms
+                ),
             )
-            for one in refuted
-        )
         return Refutation(
             closes=tuple(refuted),
             cleared_ids=tuple(
@@ -320,6 +331,20 @@
             ),
         )
 
+    def _remember(self, key: ServerKey, refuted: _Refuted) -> None:
+        """Ignore later reports of peers about a refuted close.
+
+        Own data says more than a peer's report of the same close.
+        """
+        known = self._refuted.pop(key, [])
+        if refuted.opened_ms < math.inf or not any(
+            one.is_same(refuted.at_ms) for one in known
+        ):
+            known.append(refuted)
+        self._refuted[key] = known[-MAX_CLOSES_OF_CRASH:]
+        if len(self._refuted) > MAX_REFUTED:
+            del self._refuted[next(iter(self._refuted))]
+
     @property
     def has_refuted(self) -> bool:
         """Return whether closes were refuted lately."""
@@ -426,11 +451,13 @@
                 crash.remove(expired)
             if not crash.closes:
                 del self._crashes[key]
-        while (
-            self._refuted
-            and self._refuted[0].noted_ms < now_ms - REFUTED_TTL_MS
-        ):
-            self._refuted.popleft()
+        oldest_refuted_ms = now_ms - REFUTED_TTL_MS
+        for key, known in list(self._refuted.items()):
+            kept = [one for one in known if one.noted_ms >= oldest_refuted_ms]
+            if kept:
+                self._refuted[key] = kept
+            else:
+                del self._refuted[key]
         while self._whole_ms:
             part_id = next(iter(self._whole_ms))
             if self._whole_ms[part_id] >= oldest_ms:
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -361,8 +361,9 @@
             grounds = None if record is None else record.grounds
             if grounds is None or grounds.times_ms.pop(key, None) is None:
                 continue
-            if grounds.is_enough and self._blame.upholds(
-                part_id, grounds.times_ms
+            if grounds.is_enough and (
+                grounds.is_renewal
+                or self._blame.upholds(part_id, grounds.times_ms)
             ):
                 continue
             if grounds.is_renewal:
--- a/src/shallothinge/quarantine/tests/simulation.py
+++ b/src/shallothinge/quarantine/tests/simulation.py
@@ -19,8 +19,8 @@
 ATTEMPTS = 2
 STEP_MS = 1
 EVENT_MS = 40
-# Requests that keep about 8 of 10 slots busy, so that the other streams of a
-# server show that it goes on. Some of their servers reset connections.
+# Requests that keep several slots of each server busy, so that its other
+# streams show that it goes on. Some of their servers reset connections.
 BUSY_PER_S = 200.0
 RESET_SHARE = 0.1
 DEADLY_PART = 'deadly'
