--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -365,17 +365,21 @@
     def _on_events(self, events: list[sse.StreamEvent]) -> None:
         if not events:
             return
-        if any(event.has_data for event in events):
-            self._record_progress()
+        data_count = sum(event.has_data for event in events)
+        if data_count:
+            self._record_progress(data_count)
         self._owner.on_events(self, events)
 
-    def _record_progress(self) -> None:
-        """End what lasts until the server sends the next event."""
+    def _record_progress(self, event_count: int) -> None:
+        """End what lasts until the server sends the next event.
+
+        :param event_count: events with data that arrived together.
+        """
         if self._first_event_ms is None:
             self._first_event_ms = self._parts.clock.now_ms()
             self._measure_pace()
         else:
-            self._measure_pause(len(events))
+            self._measure_pause(event_count)
         for work_id in self._work_ids:
             self._parts.load.first_event(work_id)
         self._end_helper_work()
--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -396,6 +396,21 @@
             return 0.0
         return self._queues[work.server_id].assigned_since_ms(work)
 
+    def idle_mark_ms(self, work_id: int) -> float | None:
+        """Return a value that is the same while a server reads no prompt.
+
+        :param work_id: id of an own request at the server.
+        :returns: total duration of the reads assigned after the request; None
+            while the server reads a prompt, and for an unknown id.
+        """
+        work = self._own_works.get(work_id)
+        if work is None:
+            return None
+        queue = self._queues[work.server_id]
+        if queue.is_reading(self._clock.now_ms()):
+            return None
+        return queue.assigned_since_ms(work)
+
     def _add(self, work: server_queue.Work) -> None:
         now_ms = self._clock.now_ms()
         queue = self._queues.get(work.server_id)
--- a/src/shallothinge/placement/slot_turns.py
+++ b/src/shallothinge/placement/slot_turns.py
@@ -60,8 +60,8 @@
         The first gateways of the order, as many as there are free slots, may
         take one at once.
 
-        :param unchanged_ms: time since a request of the server is known to have
-            begun or ended.
+        :param unchanged_ms: time since a request of the server has begun or
+            ended, as far as it is known.
         """
         later_count = self._positions.get(server_id, 0) - free_slots + 1
         turn_ms = min(MAX_WAIT_MS, max(0, later_count) * TURN_MS)
