Claim servers for large prompts by their hash alone

Cause: claims in the order of the price of memory exclude most servers from the claims, so gateways without one collide.

Change: a gateway claims a server by rendezvous hash; the price of scarce memory is still added to that of each server.

Tests of placement pass.

--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -17,6 +17,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import functools
 import hashlib
 import random
@@ -566,29 +567,24 @@
 
 
 def _claim_servers(
-    memory_prices: dict[str, float], gateway_ids: tuple[str, ...]
+    server_ids: Iterable[str], gateway_ids: tuple[str, ...]
 ) -> dict[str, str]:
     """Return a different server for each gateway, as long as there are any.
 
-    Each gateway in turn gets the server that comes first by the price of its
-    memory and the rendezvous hash of both. Gateways that know of each other
-    and see the same servers agree on the result, and most of it holds if one
-    sees a server more.
+    Each gateway in turn gets the server that comes first by the rendezvous
+    hash of both. Gateways that know of each other and see the same servers
+    agree on the result, and most of it holds if one sees a server more.
 
-    :param memory_prices: price by server id.
     :returns: id of the gateway by id of the server.
     """
-    unclaimed = set(memory_prices)
+    unclaimed = set(server_ids)
     claims = {}
     for gateway_id in sorted(gateway_ids):
         if not unclaimed:
             break
         first = min(
             unclaimed,
-            key=lambda server_id: (
-                memory_prices[server_id],
-                _rendezvous_hash(gateway_id, server_id),
-            ),
+            key=lambda server_id: _rendezvous_hash(gateway_id, server_id),
         )
         unclaimed.remove(first)
         claims[first] = gateway_id
