--- a/src/shallothinge/placement/tests/test_fleet.py
+++ b/src/shallothinge/placement/tests/test_fleet.py
@@ -102,7 +102,7 @@
                 )
                 with (
                     self.subTest(name, is_complete=is_complete),
-                    self.assertLogs('shallothinge.placement.fleet') as logs,
+                    self.assertLogs('shallothinge.entries') as logs,
                 ):
                     receiver.apply_report(peer='one', report=report)
                     loads = receiver.loads()
