Time the free slots of services without an engine

A request of a service without an engine that yielded to a more urgent one at another gateway waited until that one was late or its report expired, instead of 60 ms: its servers hold three requests per slot, but the time for which a slot had been free was determined by the slots alone, and was always 0 on a server that had more requests than slots. The chooser also ignored that time and the turns for these services.

The candidates now count the same capacity as the chooser, and the chooser applies both to all services.

Add tests of the waiting requests of a gateway: their order, when they are woken, how long they yield, refusals, and that nothing remains of them.

--- a/src/shallothinge/gateway/server_search.py
+++ b/src/shallothinge/gateway/server_search.py
@@ -89,6 +89,7 @@
         candidates = self._parts.servers.candidates(
             service=self._accepted.service.name,
             tried_ids=self._attempts.tried_ids,
+            requests_per_slot=choice.requests_per_slot(self._accepted.service),
         )
         if not candidates:
             self._wait_or_fail(
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -95,13 +95,18 @@
         return None if entry is None else entry.server
 
     def candidates(
-        self, *, service: str, tried_ids: frozenset[str]
+        self,
+        *,
+        service: str,
+        tried_ids: frozenset[str],
+        requests_per_slot: int = 1,
     ) -> tuple[choice.Candidate, ...]:
         """Return the servers of a service that may get a request now.
 
         Servers that failed recently are left out unless all of them did.
 
         :param tried_ids: servers to leave out.
+        :param requests_per_slot: how many requests a server may hold.
         """
         self.sync_members()
         has_limits = self._limits.count > 0
@@ -121,6 +126,7 @@
             self._candidate(
                 entry,
                 slots=usable_slots(entry.server),
+                requests_per_slot=requests_per_slot,
                 load=loads.get(entry.server.server_id, NO_LOAD),
                 is_cold=entry.cold_until_ms > now_ms,
                 is_rate_limited=has_limits
@@ -134,12 +140,13 @@
         entry: _ServerEntry,
         *,
         slots: int,
+        requests_per_slot: int,
         load: server_queue.ServerLoad,
         is_cold: bool,
         is_rate_limited: bool,
     ) -> choice.Candidate:
         server_id = entry.server.server_id
-        free_slots = slots - load.active
+        free_slots = requests_per_slot * slots - load.active
         free_ms = 0
         turn_in_ms = 0
         if free_slots > 0:
--- /dev/null
+++ b/src/shallothinge/gateway/tests/test_room.py
@@ -0,0 +1,453 @@
+"""Tests of the order in which waiting requests take free slots."""
+
+import unittest
+from unittest import mock
+
+from shallothinge.gateway import room
+from shallothinge.gateway import servers
+from shallothinge.gateway.tests import rig
+from shallothinge.gateway.tests import test_forwarding
+from shallothinge.http1 import exchange as exchanges
+from shallothinge.placement import fleet
+from shallothinge.placement import slot_turns
+from shallothinge.scheduling import demand
+from shallothinge.scheduling import messages
+from shallothinge.scheduling import queue
+from shallothinge.scheduling import turn
+
+STREAM = test_forwarding.STREAM
+URGENT_STREAM = '/urgent/1'
+PLAIN = '/plain/1'
+LOGGER = 'shallothinge.gateway'
+# The latency objective of the streams is 0.3 s; their callers leave after 2 s.
+LATE_MS = 300
+PATIENCE_MS = 2000
+PEER = 'peer'
+
+
+def configuration():
+    """Return one with two priorities of workspaces and of routes."""
+    fields = test_forwarding.only_engines()
+    stream = fields['routes'][0]
+    fields['routes'] += [
+        {
+            **stream,
+            'name': 'r-urgent',
+            'path-prefix': '/urgent/',
+            'priority': 0,
+        },
+        {
+            **stream,
+            'name': 'r-plain',
+            'path-prefix': '/plain/',
+            'service': 'desk',
+        },
+    ]
+    fields['tenants'] = [
+        {'name': 'w1', 'api-keys': ['k1']},
+        {'name': 'w2', 'api-keys': ['k2']},
+        {'name': 'w-urgent', 'api-keys': ['k-urgent'], 'priority': 0},
+        {'name': 'w-batch', 'api-keys': ['k-batch'], 'priority': 2},
+    ]
+    return fields
+
+
+class Play:
+    """A gateway whose few slots are full, and a peer.
+
+    :param slots: of the only server of the service.
+    """
+
+    def __init__(self, *, slots=1, service='llm', index=0):
+        self.rig = rig.Rig(configuration=configuration(), server_count=0)
+        self.rig.add_server(service, index, slots=slots)
+        self.server_id = f'{service}-{index}'
+        self.peer_load = fleet.FleetLoad(clock=self.rig.clock)
+        self._sequence = 0
+
+    @property
+    def calls(self):
+        return self.rig.caller.calls
+
+    @property
+    def queue(self):
+        return self.rig.room.queue
+
+    def request(self, path=STREAM, *, key='k1', tokens=500, **fields):
+        """Send a request of a workspace."""
+        return self.rig.request(path, tokens=tokens, credential=key, **fields)
+
+    def fill(self, count=1, **fields):
+        """Send requests that take all slots."""
+        for _ in range(count):
+            self.request(**fields)
+
+    def fill_all(self, path):
+        """Send requests until one has to wait; return how many were sent."""
+        while not self.queue.count:
+            self.request(path)
+        return len(self.calls)
+
+    def end(self, index):
+        """Let the stream of a request end."""
+        self.calls[index].answer(200, body=test_forwarding.event(1))
+
+    def pass_ms(self, duration_ms):
+        """Let time pass in steps of 1 ms."""
+        for _ in range(duration_ms):
+            self.rig.advance(1)
+
+    def deliver_peer_load(self):
+        """Deliver the peer's report of the requests that it has placed."""
+        self.rig.load.apply_report(
+            peer=PEER, report=self.peer_load.report(complete=False)
+        )
+
+    def report_demand(self, *waiting, granted=(), in_use=()):
+        """Deliver the peer's report of the requests that wait there."""
+        self._sequence += 1
+        self.rig.room.peer_demand.apply_report(
+            messages.DemandReported(
+                sequence=self._sequence,
+                waiting=tuple(waiting),
+                granted=granted,
+                in_use=in_use,
+            ),
+            peer_id=PEER,
+        )
+
+    def sent_bodies(self, since=0):
+        """Return the bodies of the requests that were sent, in order."""
+        return [call.body for call in self.calls[since:]]
+
+
+def waiting_at_peer(*, urgency=0, start_by_in_ms=200, service='llm'):
+    """Return an entry of a peer's report."""
+    return (service, urgency, False, start_by_in_ms, 5000, 1)
+
+
+class OrderTest(unittest.TestCase):
+    """Which of the waiting requests takes a slot that becomes free."""
+
+    # Requests in the order of their arrival, and that of their placement:
+    # how long they have waited on arrival, path, key.
+    ROWS = (
+        (
+            'in time before late',
+            ((LATE_MS + 1, STREAM, 'k1'), (0, STREAM, 'k1')),
+            (1, 0),
+        ),
+        (
+            'in time before late of a more urgent workspace',
+            ((LATE_MS + 1, STREAM, 'k-urgent'), (0, STREAM, 'k1')),
+            (1, 0),
+        ),
+        (
+            'must start soonest',
+            ((0, STREAM, 'k1'), (100, STREAM, 'k1')),
+            (1, 0),
+        ),
+        (
+            'abandoned soonest of late ones',
+            ((LATE_MS + 1, STREAM, 'k1'), (LATE_MS + 100, STREAM, 'k1')),
+            (1, 0),
+        ),
+        (
+            'urgent workspace',
+            ((100, STREAM, 'k1'), (0, STREAM, 'k-urgent')),
+            (1, 0),
+        ),
+        (
+            'urgent route',
+            ((100, STREAM, 'k1'), (0, URGENT_STREAM, 'k1')),
+            (1, 0),
+        ),
+        (
+            "workspace's urgency in place of the route's",
+            ((100, URGENT_STREAM, 'k-batch'), (0, STREAM, 'k1')),
+            (1, 0),
+        ),
+        (
+            'workspace above its share',
+            ((100, STREAM, 'k1'), (0, STREAM, 'k2')),
+            (1, 0),
+        ),
+        (
+            'urgency before shares',
+            ((0, STREAM, 'k2'), (0, URGENT_STREAM, 'k1')),
+            (1, 0),
+        ),
+    )
+
+    def test_order_of_placements(self):
+        for name, requests, expected in self.ROWS:
+            with self.subTest(name):
+                play = Play(slots=2)
+                play.fill(2, key='k1')
+                for index, (waited_ms, path, key) in enumerate(requests):
+                    play.request(
+                        path, key=key, waited_ms=waited_ms, body=b'%d' % index
+                    )
+                self.assertEqual(2, len(play.calls))
+                for index in range(2):
+                    play.end(index)
+                    play.pass_ms(1)
+                self.assertEqual(
+                    [b'%d' % index for index in expected],
+                    play.sent_bodies(since=2),
+                )
+                self.assertEqual(0, play.queue.count)
+
+    def test_one_placement_in_eight_is_of_a_late_request(self):
+        play = Play()
+        play.fill()
+        late_count = 2
+        for _ in range(late_count):
+            play.request(waited_ms=LATE_MS + 1, body=b'late')
+        sent = []
+        for index in range(late_count * queue.LATE_TURN_INTERVAL):
+            play.request(body=b'in time')
+            play.end(index)
+            play.pass_ms(1)
+            sent += play.sent_bodies(since=index + 1)
+        self.assertEqual(
+            ([b'in time'] * (queue.LATE_TURN_INTERVAL - 1) + [b'late'])
+            * late_count,
+            sent,
+        )
+
+
+class WakeTest(unittest.TestCase):
+    """When a waiting request is woken."""
+
+    def test_nothing_waits_while_there_is_room(self):
+        play = Play(slots=3)
+        with self.assertLogs(LOGGER, 'INFO') as logged:
+            for count in range(1, 4):
+                play.request()
+                self.assertEqual(count, len(play.calls))
+        self.assertNotIn('request waits', [one.msg for one in logged.records])
+        placed = [one for one in logged.records if hasattr(one, 'queued_ms')]
+        self.assertEqual({0}, {one.queued_ms for one in placed})
+        self.assertEqual(0, play.queue.count)
+
+    def test_woken_at_once_without_polling(self):
+        # Guards against the wait for the next poll, and against a server
+        # search for each poll of each request.
+        def end_own(play):
+            play.end(0)
+
+        def end_at_peer(play):
+            play.peer_load.end(1)
+            play.deliver_peer_load()
+
+        for name, end in (('own', end_own), ('peer', end_at_peer)):
+            with self.subTest(name):
+                play = Play()
+                if end is end_own:
+                    play.fill()
+                else:
+                    play.peer_load.start(play.rig.work_at('llm-0'))
+                    play.deliver_peer_load()
+                count = len(play.calls)
+                for _ in range(3):
+                    play.request()
+                play.pass_ms(room.FALLBACK_INTERVAL_MS - 5)
+                self.assertEqual(count, len(play.calls))
+                end(play)
+                play.rig.advance(0)
+                if end is end_at_peer:
+                    # The only slot may be the turn of the other gateway.
+                    play.pass_ms(4)
+                self.assertEqual(count + 1, len(play.calls))
+
+    def test_slot_that_another_gateway_is_first_for_is_taken_in_turn(self):
+        # Guards against two requests for the same slot, and against a slot
+        # that stays free because the other gateway does not need it.
+        found_ms = {}
+        for index in range(8):
+            play = Play(index=index)
+            play.peer_load.start(play.rig.work_at(play.server_id))
+            play.deliver_peer_load()
+            play.request()
+            play.peer_load.end(1)
+            play.deliver_peer_load()
+            play.rig.advance(0)
+            turn_ms = 0
+            while not play.calls and turn_ms < PATIENCE_MS:
+                turn_ms += 1
+                play.rig.advance(1)
+            found_ms[index] = turn_ms
+        # Each of the two gateways comes first at some of the servers.
+        self.assertEqual({0, slot_turns.TURN_MS}, set(found_ms.values()))
+
+
+class YieldTest(unittest.TestCase):
+    """Requests of a better class that wait at another gateway."""
+
+    def wait_ms(self, play, *, until_count=2):
+        """Return the time until the next request is sent."""
+        waited_ms = 0
+        play.rig.advance(0)
+        while len(play.calls) < until_count and waited_ms < PATIENCE_MS:
+            waited_ms += 1
+            play.rig.advance(1)
+        return waited_ms
+
+    def test_yields_to_a_better_class_only_and_for_a_while(self):
+        rows = (
+            ('more urgent', STREAM, {'urgency': 0}, turn.MAX_YIELD_MS),
+            ('same', STREAM, {'urgency': 1, 'start_by_in_ms': 10}, 0),
+            ('less urgent', STREAM, {'urgency': 2}, 0),
+            ('late', STREAM, {'urgency': 0, 'start_by_in_ms': -9}, 0),
+        )
+        for service, path in (('llm', STREAM), ('desk', PLAIN)):
+            for name, _, entry, expected_ms in rows:
+                with self.subTest(name=name, service=service):
+                    play = Play(service=service)
+                    count = play.fill_all(path)
+                    play.request(path)
+                    play.report_demand(
+                        waiting_at_peer(service=service, **entry)
+                    )
+                    play.pass_ms(5)
+                    play.end(0)
+                    self.assertEqual(
+                        expected_ms,
+                        self.wait_ms(play, until_count=count + 1),
+                    )
+
+    def test_peer_that_falls_silent_delays_nobody_for_longer(self):
+        # The entries of a peer that has crashed remain for a while.
+        play = Play()
+        play.fill()
+        for _ in range(2):
+            play.request()
+        play.report_demand(waiting_at_peer())
+        for index in range(2):
+            play.end(index)
+            waited_ms = self.wait_ms(play, until_count=index + 2)
+            self.assertEqual(turn.MAX_YIELD_MS, waited_ms)
+        play.pass_ms(demand.DEMAND_TTL_MS)
+        play.request()
+        play.end(2)
+        self.assertEqual(0, self.wait_ms(play, until_count=4))
+
+
+class RefusalTest(unittest.TestCase):
+    """Requests that can't be answered before their callers leave."""
+
+    def test_refused_at_once_if_the_wait_is_too_long(self):
+        # Streams end every 400 ms, so the eighth in the queue would wait for
+        # 3.2 s, but its caller leaves after 2 s.
+        play = Play()
+        play.fill()
+        exchanges = [play.request(deadline_ms=9000) for _ in range(4)]
+        for index in range(4):
+            play.pass_ms(400)
+            play.end(index)
+            play.rig.advance(0)
+            self.assertEqual(index + 2, len(play.calls))
+            if index < 3:
+                play.request(deadline_ms=9000)
+        count = len(play.calls)
+        exchanges = [play.request(body=b'shed') for _ in range(8)]
+        refused = [one for one in exchanges if one.status is not None]
+        self.assertTrue(0 < len(refused) < 8)
+        for one in refused:
+            self.assertEqual(503, one.status)
+            self.assertGreaterEqual(float(one.headers['retry-after']), 0.1)
+        self.assertEqual(count, len(play.calls))
+
+    def test_refused_before_the_caller_leaves_and_never_sent(self):
+        play = Play()
+        play.fill()
+        exchange = play.request()
+        play.pass_ms(PATIENCE_MS - 1)
+        self.assertEqual(503, exchange.status)
+        self.assertIn('retry-after', exchange.headers)
+        play.end(0)
+        play.pass_ms(room.FALLBACK_INTERVAL_MS)
+        self.assertEqual(1, len(play.calls))
+        self.assertEqual(0, play.queue.count)
+
+
+def lose_lease(play, exchange):
+    """Let the lease expire for longer than a request waits."""
+    play.rig.holder.is_leased = False
+    play.pass_ms(PATIENCE_MS)
+
+
+def reach_stop_limit(play, exchange):
+    """Let a stop limit end the request."""
+    exchange.early_end = exchanges.EarlyEnd.STOP_LIMIT
+    exchange.on_disconnect()
+
+
+def raise_in_step(play, exchange):
+    """Let the next step of the request raise an exception."""
+    raises = mock.Mock(side_effect=RuntimeError('injected'))
+    with mock.patch.object(servers.Servers, 'candidates', raises):
+        play.pass_ms(room.FALLBACK_INTERVAL_MS)
+
+
+ENDS = (
+    ('caller gone', lambda play, exchange: exchange.on_disconnect()),
+    ('stop limit', reach_stop_limit),
+    ('deadline', lambda play, exchange: play.pass_ms(5000)),
+    ('lease lost', lose_lease),
+    ('exception', raise_in_step),
+    (
+        'no server',
+        lambda play, exchange: (
+            play.rig.holder.members.clear(),
+            play.pass_ms(PATIENCE_MS),
+        ),
+    ),
+    (
+        'planned stop',
+        lambda play, exchange: (
+            play.rig.parts.shutdown.begin(duration_ms=0),
+            play.pass_ms(PATIENCE_MS),
+        ),
+    ),
+)
+
+
+class EndTest(unittest.TestCase):
+    """Nothing of a request remains after its end."""
+
+    def assert_empty(self, play):
+        """Check that nothing waits and no slot is in use."""
+        self.assertEqual(0, play.queue.count)
+        self.assertFalse(play.queue.has_demand())
+        self.assertEqual(0, play.queue.late_count)
+        self.assertIsNone(play.rig.room.reporter.next_report_in_ms())
+        self.assertEqual({}, play.rig.load.loads())
+        # Slots in use are reported while requests wait at a peer.
+        play.report_demand(waiting_at_peer())
+        report = play.rig.room.reporter.report(complete=True)
+        self.assertIsNone(report)
+        play.report_demand()
+
+    def test_nothing_remains_after_each_end(self):
+        for name, end in ENDS:
+            with self.subTest(name):
+                play = Play()
+                play.peer_load.start(play.rig.work_at(play.server_id))
+                play.deliver_peer_load()
+                exchange = play.request()
+                self.assertEqual(1, play.queue.count)
+                with self.assertLogs(level='INFO'):
+                    end(play, exchange)
+                play.peer_load.end(1)
+                play.deliver_peer_load()
+                self.assertTrue(exchange.status or name == 'caller gone')
+                self.assertEqual([], play.calls)
+                self.assert_empty(play)
+                play.pass_ms(room.FALLBACK_INTERVAL_MS)
+                self.assertEqual([], play.rig.reactor.getDelayedCalls())
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -262,14 +262,14 @@
             for candidate in candidates
             if _has_room(candidate, has_engine=has_engine)
         ]
-        if with_room and not has_engine:
-            return self._choose_plain(demand, with_room)
         if is_contended and not _is_divisible(demand):
             with_room = [
                 one
                 for one in with_room
                 if not one.turn_in_ms and one.free_ms >= min_free_ms
             ]
+        if with_room and not has_engine:
+            return self._choose_plain(demand, with_room)
         if with_room:
             placed = self._choose_engine(demand, with_room)
             if placed is not None:
@@ -739,10 +739,19 @@
     not queued there. A server of a service without an engine completes
     several requests per slot within one request's objective.
     """
-    factor = 1 if has_engine else MAX_REQUESTS_PER_SLOT
+    factor = _requests_per_slot(has_engine=has_engine)
     return max(0, factor * candidate.slots - candidate.load.active)
 
 
+def requests_per_slot(service: model.Service) -> int:
+    """Return how many requests a server may hold, by slot."""
+    return _requests_per_slot(has_engine=service.engine is not None)
+
+
+def _requests_per_slot(*, has_engine: bool) -> int:
+    return 1 if has_engine else MAX_REQUESTS_PER_SLOT
+
+
 def _free_in_ms(candidates: tuple[Candidate, ...]) -> int:
     """Return the estimated time in ms until a slot is free."""
     return FREE_SLOT_MS if candidates else NEXT_HEARTBEAT_MS
