Let no request that can't use a slot wait first for it

While a prompt that lacked memory was first in the queue, free slots stayed free: the requests behind it left them to it until it was abandoned. The same held for a request that the server with the free slot had refused before. Requests that waited for the lease or for reads kept their places, too, and other gateways yielded to them in vain.

A request leaves the queue whenever it is retried after an interval, unless it only waits for a permit of its server, and one that can't use a free slot is retried like this. A request whose attempt has failed no longer counts as using a slot of its workspace while it waits for another server.

All five tests of PlaceTest failed before.

--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -299,7 +299,9 @@
             return
         if self._running:
             self._continue_running()
-        elif refusal is None:
+            return
+        self._vacate_slot()
+        if refusal is None:
             self._search.stop()
             self._parts.metrics.count_retry()
             self._search.start()
--- a/src/shallothinge/gateway/server_search.py
+++ b/src/shallothinge/gateway/server_search.py
@@ -154,7 +154,6 @@
         if isinstance(placed, choice.NoCapacity):
             self._wait_for_room(placed, is_queued=is_queued)
         elif isinstance(placed, choice.PlacementDeferred):
-            self._wait.leave_room()
             self._wait_or_refuse(
                 WaitCause.READS, free_in_ms=int(placed.start_in_ms)
             )
@@ -179,10 +178,17 @@
     ) -> None:
         """Wait for a free slot, or refuse the request.
 
+        A request that can't use a free slot leaves the queue, as the others
+        would leave the slot to it, and tries again after an interval.
+
         :param is_queued: whether it waits in the queue for slots; streams
             that have begun come before those.
         """
-        if is_queued and self._has_time(self._wait.room_wait_ms()):
+        if (
+            is_queued
+            and not (placed.lacks_memory or self._has_slot_at_tried())
+            and self._has_time(self._wait.room_wait_ms())
+        ):
             self._wait.park(self)
         else:
             self._wait_or_refuse(
@@ -193,6 +199,18 @@
                 expected_ms=self._wait.room_wait_ms(),
             )
 
+    def _has_slot_at_tried(self) -> bool:
+        """Return whether a slot is free, maybe where the request failed."""
+        if not self._attempts.tried_ids:
+            return False
+        service = self._accepted.service
+        candidates = self._parts.servers.candidates(
+            service=service.name,
+            tried_ids=frozenset(),
+            requests_per_slot=choice.requests_per_slot(service),
+        )
+        return choice.free_slots(service, candidates).oldest_ms is not None
+
     def wake(self) -> None:
         """Try again to take a free slot."""
         self.start()
@@ -292,6 +310,13 @@
         )
 
     def _retry_later(self, cause: WaitCause, *, free_in_ms: int = 0) -> None:
+        """Try again after an interval.
+
+        Unless the request only waits for a permit of the server, others may
+        take the free slots until then.
+        """
+        if cause is not WaitCause.COLD_LIMIT:
+            self._wait.leave_room()
         after_ms = self._wait.retry_delay_ms(
             cause,
             free_in_ms=free_in_ms,
--- a/src/shallothinge/gateway/tests/test_room.py
+++ b/src/shallothinge/gateway/tests/test_room.py
@@ -9,6 +9,7 @@
 from shallothinge.gateway.tests import test_forwarding
 from shallothinge.http1 import exchange as exchanges
 from shallothinge.placement import fleet
+from shallothinge.placement import server_queue
 from shallothinge.placement import slot_turns
 from shallothinge.scheduling import demand
 from shallothinge.scheduling import messages
@@ -22,6 +23,8 @@
 # The latency objective of the streams is 0.3 s; their callers leave after 2 s.
 LATE_MS = 300
 PATIENCE_MS = 2000
+# Read in time by several servers, but half a server's memory.
+LARGE_TOKENS = 130_000
 PEER = 'peer'
 
 
@@ -414,6 +417,97 @@
 )
 
 
+class PlaceTest(unittest.TestCase):
+    """A request that can't use a free slot does not keep others from it."""
+
+    def occupy_memory(self, play):
+        """Let a stream of the peer occupy most of the server's memory."""
+        play.peer_load.start(
+            server_queue.Work(
+                server_id=play.server_id,
+                read_ms=0.0,
+                started_ms=play.rig.clock.now_ms(),
+                memory_tokens=300_000,
+                is_writing=True,
+            )
+        )
+        play.deliver_peer_load()
+
+    def test_prompt_that_lacks_memory(self):
+        # Guards against free slots that stay free while a large prompt at
+        # the head of the queue waits for memory.
+        play = Play(slots=2)
+        self.occupy_memory(play)
+        large = play.request(tokens=LARGE_TOKENS, key='k-urgent')
+        play.request()
+        play.pass_ms(room.FALLBACK_INTERVAL_MS)
+        self.assertIsNone(large.status)
+        self.assertEqual(1, len(play.calls))
+        play.calls[0].answer(200, body=test_forwarding.event(1), ends=False)
+        play.peer_load.end(1)
+        play.deliver_peer_load()
+        play.pass_ms(2 * room.FALLBACK_INTERVAL_MS)
+        self.assertEqual(2, len(play.calls))
+
+    def test_prompt_that_lacks_memory_is_first_as_a_slot_becomes_free(self):
+        play = Play(slots=2)
+        self.occupy_memory(play)
+        play.request()
+        large = play.request(tokens=LARGE_TOKENS, key='k-urgent')
+        play.request()
+        self.assertEqual(1, len(play.calls))
+        play.end(0)
+        play.pass_ms(room.FALLBACK_INTERVAL_MS)
+        self.assertIsNone(large.status)
+        self.assertEqual(2, len(play.calls))
+
+    def test_request_that_was_refused_by_the_server_with_the_free_slot(self):
+        play = Play()
+        play.rig.add_server('llm', 1, slots=1)
+        play.fill(2)
+        first = play.request(key='k-urgent', deadline_ms=9000)
+        play.end(0)
+        play.rig.advance(0)
+        self.assertEqual(3, len(play.calls))
+        play.calls[2].refuse()
+        play.pass_ms(servers.AVOID_MS)
+        # It is less urgent, so the other one comes first.
+        play.request(waited_ms=LATE_MS + 1)
+        play.pass_ms(room.FALLBACK_INTERVAL_MS)
+        self.assertIsNone(first.status)
+        self.assertEqual(4, len(play.calls))
+        play.end(1)
+        play.pass_ms(room.FALLBACK_INTERVAL_MS)
+        self.assertEqual(5, len(play.calls))
+
+    def test_request_that_waits_for_a_lease(self):
+        # Guards against peers that yield to a request that can't be sent.
+        play = Play()
+        play.fill()
+        play.request()
+        self.assertEqual(1, play.queue.count)
+        play.rig.holder.is_leased = False
+        play.pass_ms(6 * room.FALLBACK_INTERVAL_MS)
+        self.assertEqual(0, play.queue.count)
+        play.rig.holder.is_leased = True
+        play.pass_ms(room.FALLBACK_INTERVAL_MS)
+        self.assertEqual(1, play.queue.count)
+        play.end(0)
+        play.rig.advance(0)
+        self.assertEqual(2, len(play.calls))
+
+    def test_request_that_waits_for_a_second_server_uses_no_slot(self):
+        # Guards against a workspace that seems above its share.
+        play = Play()
+        play.rig.add_server('llm', 1, slots=1)
+        play.fill(2)
+        play.calls[0].refuse()
+        play.request(key='k2')
+        report = play.rig.room.reporter.report(complete=True)
+        used = {fields[1]: fields[2] for fields in report.in_use}
+        self.assertEqual(1, used['w1'])
+
+
 class EndTest(unittest.TestCase):
     """Nothing of a request remains after its end."""
 
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -157,10 +157,12 @@
 class NoCapacity:
     """No server has capacity for the request at present.
 
-    ``free_in_ms`` is the estimated time until one has.
+    ``free_in_ms`` is the estimated time until one has. ``lacks_memory`` is
+    whether there are slots to take, but not enough free memory.
     """
 
     free_in_ms: int
+    lacks_memory: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -274,7 +276,9 @@
             placed = self._choose_engine(demand, with_room)
             if placed is not None:
                 return placed
-        return NoCapacity(free_in_ms=_free_in_ms(candidates))
+        return NoCapacity(
+            free_in_ms=_free_in_ms(candidates), lacks_memory=bool(with_room)
+        )
 
     def _choose_plain(self, demand, candidates) -> Placement:
         def price(candidate: Candidate) -> float:
