Wake waiting requests by a bounded amount of work and one timer

After an exception in a step of the queue's timer, requests were tried again only when a slot became free or another request joined. A request that was parked again during the timer's step started a second timer, so all first requests were tried twice each 20 ms. The wait for a turn that came sooner than one already awaited ended with that one.

The timer is scheduled before its step, and each service and request is handled on its own. Timers are moved to the soonest time. Only the first requests are ordered.

Four tests of TimerTest, and the times in a fifth, failed before.

--- a/src/shallothinge/gateway/room.py
+++ b/src/shallothinge/gateway/room.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Mapping
+import functools
 from typing import Protocol
 
 import attrs
@@ -46,13 +47,11 @@
     """Whether a request may take a free slot now.
 
     ``is_contended`` is whether other requests of any gateway wait, too.
-    ``position`` is how many of this gateway's come before, ``yields`` whether
-    one of a better class waits at another gateway.
+    ``yields`` is whether one of a better class waits at another gateway.
     """
 
     is_granted: bool
     is_contended: bool = False
-    position: int = 0
     yields: bool = False
 
     @property
@@ -155,7 +154,11 @@
     def turn_of(self, waiting_id: int, slots: choice.FreeSlots) -> Turn:
         """Return whether a request may take one of the free slots."""
         service = self._services[waiting_id]
-        position = self.queue.ranked(service).index(waiting_id)
+        # Further positions make no difference.
+        first = self.queue.first(service, slots.own_count)
+        position = slots.own_count
+        if waiting_id in first:
+            position = first.index(waiting_id)
         yields = self.queue.yields_to_peers(waiting_id)
         wait_ms = turns.wait_ms(
             position=position,
@@ -171,7 +174,6 @@
         return Turn(
             is_granted=wait_ms == 0,
             is_contended=True,
-            position=position,
             yields=yields,
         )
 
@@ -191,38 +193,59 @@
             )
 
     def _schedule(self, timer, delay_ms: int, step: Callable[[], None]):
-        """Return a timer that runs a step, the given one if it is active."""
+        """Return a timer that runs a step after a delay or sooner.
+
+        :param timer: the last one that runs the step, if any. If it is
+            active, it is returned.
+        """
+        delay_s = delay_ms / clocks.MS_PER_SECOND
         if timer is not None and timer.active():
+            if timer.getTime() > self._reactor.seconds() + delay_s:
+                timer.reset(delay_s)
             return timer
-        return self._reactor.callLater(
-            delay_ms / clocks.MS_PER_SECOND, periodic.run, step
-        )
+        return self._reactor.callLater(delay_s, periodic.run, step)
 
     def _wake_first(self) -> None:
         """Wake the requests of each service in turn, until one has to wait."""
         for service in set(map(self._services.get, self._parked)):
-            for waiting_id in self.queue.ranked(service):
-                if waiting_id in self._parked:
-                    self._wake(waiting_id)
+            periodic.run(functools.partial(self._wake_first_of, service))
+
+    def _wake_first_of(self, service: str) -> None:
+        count = 1
+        while True:
+            first = self.queue.first(service, count)
+            waiting_id = next((one for one in first if one in self._parked), 0)
+            if waiting_id:
+                self._wake(waiting_id)
                 if waiting_id in self._parked:
-                    break
+                    return
+            elif len(first) < count:
+                return
+            else:
+                # They wait for permits of their servers.
+                count *= 2
 
     def _wake(self, waiting_id: int) -> None:
         self._parked.pop(waiting_id).wake()
 
     def _tick(self) -> None:
+        # First, as one of the requests may be parked again, or fail.
+        self._tick_timer = self._schedule(
+            None, FALLBACK_INTERVAL_MS, self._tick
+        )
         self._tick_count += 1
         if self._tick_count % TICKS_PER_CHECK == 0:
             self._wake_those_that_end()
         self._wake_first()
         if not self._parked:
             self._scarce_since_ms = None
-            return
-        self._tick_timer = self._schedule(
-            None, FALLBACK_INTERVAL_MS, self._tick
-        )
+            self._tick_timer.cancel()
 
     def _wake_those_that_end(self) -> None:
-        for waiting_id, waiter in list(self._parked.items()):
-            if waiting_id in self._parked and waiter.has_to_end():
-                self._wake(waiting_id)
+        for waiting_id in list(self._parked):
+            periodic.run(functools.partial(self._wake_to_end, waiting_id))
+
+    def _wake_to_end(self, waiting_id: int) -> None:
+        waiter = self._parked.get(waiting_id)
+        if waiter is not None and waiter.has_to_end():
+            self._wake(waiting_id)
--- a/src/shallothinge/gateway/tests/test_room.py
+++ b/src/shallothinge/gateway/tests/test_room.py
@@ -3,16 +3,20 @@
 import unittest
 from unittest import mock
 
+from shallothinge import periodic
 from shallothinge.gateway import room
 from shallothinge.gateway import servers
 from shallothinge.gateway.tests import rig
 from shallothinge.gateway.tests import test_forwarding
 from shallothinge.http1 import exchange as exchanges
+from shallothinge.placement import choice
 from shallothinge.placement import fleet
 from shallothinge.placement import server_queue
 from shallothinge.placement import slot_turns
 from shallothinge.scheduling import demand
 from shallothinge.scheduling import messages
+from shallothinge.scheduling import model
+from shallothinge.scheduling import order
 from shallothinge.scheduling import queue
 from shallothinge.scheduling import turn
 
@@ -417,6 +421,142 @@
 )
 
 
+class Waiter:
+    """A request that is parked again whenever it is woken.
+
+    :ivar woken_ms: times at which it was woken, from the start.
+    """
+
+    def __init__(self, play, *, raises_in='', **fields):
+        self._play = play
+        self._raises_in = raises_in
+        self._room = play.rig.room
+        self.woken_ms = []
+        self.waiting_id = self._room.join(
+            model.WaitingRequest(
+                **{
+                    'service': 'llm',
+                    'urgency': 1,
+                    'workspace': 'w1',
+                    'due_ms': rig.START_MS + 1000,
+                    'abandon_ms': rig.START_MS + 5000,
+                    'min_service_ms': 10.0,
+                    **fields,
+                }
+            )
+        )
+        self._room.park(self.waiting_id, self)
+
+    def wake(self):
+        """Record the time and wait again."""
+        self.woken_ms.append(self._play.rig.clock.now_ms() - rig.START_MS)
+        self._room.park(self.waiting_id, self)
+        if self._raises_in == 'wake':
+            raise RuntimeError('injected')
+
+    def has_to_end(self):
+        """Return that it may go on."""
+        if self._raises_in == 'has_to_end':
+            raise RuntimeError('injected')
+        return False
+
+
+class TimerTest(unittest.TestCase):
+    """The timers of the queue, and the work at each wake."""
+
+    def setUp(self):
+        # Of the failures of a process, not each is logged.
+        patcher = mock.patch.object(periodic, 'FAILURES', periodic.Failures())
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def test_exception_stops_no_timer_and_keeps_nobody_else_waiting(self):
+        for place in ('wake', 'has_to_end'):
+            with self.subTest(place), self.assertLogs(level='ERROR'):
+                periodic.FAILURES.count = 0
+                play = Play()
+                Waiter(play, raises_in=place)
+                Waiter(play, service='other', raises_in=place)
+                last = Waiter(play, service='third')
+                duration_ms = (
+                    2 * room.TICKS_PER_CHECK * room.FALLBACK_INTERVAL_MS
+                )
+                play.pass_ms(duration_ms)
+                self.assertEqual(
+                    list(
+                        range(
+                            room.FALLBACK_INTERVAL_MS,
+                            duration_ms + 1,
+                            room.FALLBACK_INTERVAL_MS,
+                        )
+                    ),
+                    last.woken_ms,
+                )
+
+    def test_exception_while_the_order_is_determined(self):
+        play = Play()
+        waiter = Waiter(play)
+        raises = mock.Mock(side_effect=RuntimeError('injected'))
+        with (
+            mock.patch.object(queue.WaitQueue, 'first', raises),
+            self.assertLogs(level='ERROR'),
+        ):
+            play.pass_ms(room.FALLBACK_INTERVAL_MS)
+        play.pass_ms(room.FALLBACK_INTERVAL_MS)
+        self.assertEqual([2 * room.FALLBACK_INTERVAL_MS], waiter.woken_ms)
+
+    def test_woken_at_the_soonest_of_several_turns(self):
+        # Guards against a turn that is missed as a later one is awaited.
+        play = Play()
+        waiter = Waiter(play)
+        for next_turn_in_ms in (50, 10):
+            found = play.rig.room.turn_of(
+                waiter.waiting_id,
+                choice.FreeSlots(
+                    own_count=0, next_turn_in_ms=next_turn_in_ms, oldest_ms=0
+                ),
+            )
+            self.assertFalse(found.is_granted)
+        play.pass_ms(room.FALLBACK_INTERVAL_MS - 1)
+        self.assertEqual([10], waiter.woken_ms)
+
+    def test_work_at_a_wake_does_not_grow_with_the_waiting(self):
+        counts = []
+        for waiting_count in (4, 400):
+            play = Play()
+            play.fill()
+            for _ in range(waiting_count):
+                play.request()
+            count_before = order.WaitingOrder.count_before
+            with mock.patch.object(
+                order.WaitingOrder,
+                'count_before',
+                autospec=True,
+                side_effect=count_before,
+            ) as counted:
+                play.end(0)
+                play.rig.advance(0)
+            self.assertEqual(2, len(play.calls))
+            counts.append(counted.call_count)
+        self.assertEqual(counts[0], counts[1])
+
+    def test_nothing_is_woken_twice_at_one_instant(self):
+        play = Play()
+        waiter = Waiter(play)
+        play.peer_load.start(play.rig.work_at(play.server_id))
+        play.deliver_peer_load()
+        play.peer_load.end(1)
+        play.deliver_peer_load()
+        play.rig.advance(0)
+        self.assertEqual([0], waiter.woken_ms)
+        # Guards against a second timer of a request that is parked again.
+        play.pass_ms(3 * room.FALLBACK_INTERVAL_MS)
+        self.assertEqual(
+            [0, *(n * room.FALLBACK_INTERVAL_MS for n in (1, 2, 3))],
+            waiter.woken_ms,
+        )
+
+
 class PlaceTest(unittest.TestCase):
     """A request that can't use a free slot does not keep others from it."""
 
