Go on with reports of waiting requests after an exception

After an exception while a report was built, the other gateways heard nothing until the next change, and the entries of this gateway expired. The report is tried again after the interval of repeated reports.

--- a/src/shallothinge/gateway/demand_reports.py
+++ b/src/shallothinge/gateway/demand_reports.py
@@ -48,7 +48,16 @@
             self._timer.reset(delay_s)
 
     def _report(self) -> None:
-        report = self._reporter.report(complete=False)
+        try:
+            report = self._reporter.report(complete=False)
+        except Exception:
+            # The cause may last, so it is not tried again at once.
+            self._timer = self._reactor.callLater(
+                demands.REPEAT_INTERVAL_MS / clocks.MS_PER_SECOND,
+                periodic.run,
+                self._report,
+            )
+            raise
         self.schedule()
         if report is not None:
             self._send(report)
