Release a request's slot and place before what may raise at its end

If the end of the admission of a request's parts raised an exception, the request stayed in the queue for slots for good, and others yielded to it; its time limit ran on as well. These are released first now.

Test that nothing remains of a waiting request after each kind of end.

--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -357,11 +357,12 @@
 
     def _on_over(self, outcome: str, status: int, detail: str) -> None:
         """Stop the timers and log the outcome."""
-        self._admission.end()
+        # First, as others wait for what the request keeps.
         self._vacate_slot()
         self._search.stop()
         if self._deadline_timer is not None and self._deadline_timer.active():
             self._deadline_timer.cancel()
+        self._admission.end()
         first_ms = self._answer.times.first_ms
         self._log.ended(
             self._running.last,
--- a/src/shallothinge/gateway/tests/test_room.py
+++ b/src/shallothinge/gateway/tests/test_room.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 from shallothinge import periodic
+from shallothinge.gateway import part_admission
 from shallothinge.gateway import room
 from shallothinge.gateway import servers
 from shallothinge.gateway.tests import rig
@@ -13,6 +14,7 @@
 from shallothinge.placement import fleet
 from shallothinge.placement import server_queue
 from shallothinge.placement import slot_turns
+from shallothinge.quarantine import evidence
 from shallothinge.scheduling import demand
 from shallothinge.scheduling import messages
 from shallothinge.scheduling import model
@@ -29,6 +31,7 @@
 PATIENCE_MS = 2000
 # Read in time by several servers, but half a server's memory.
 LARGE_TOKENS = 130_000
+DEADLY_PART = 'bad'
 PEER = 'peer'
 
 
@@ -385,6 +388,11 @@
     play.pass_ms(PATIENCE_MS)
 
 
+def disconnect(play, exchange):
+    """Let the caller close the connection."""
+    exchange.on_disconnect()
+
+
 def reach_stop_limit(play, exchange):
     """Let a stop limit end the request."""
     exchange.early_end = exchanges.EarlyEnd.STOP_LIMIT
@@ -398,8 +406,29 @@
         play.pass_ms(room.FALLBACK_INTERVAL_MS)
 
 
+def quarantine_part(play, exchange):
+    """Let a part of the prompt crash many servers elsewhere."""
+    quarantine = play.rig.parts.quarantine
+    for number in range(evidence.CRASHES_TO_BLAME_PROVEN):
+        quarantine.record_crash(
+            key=(f'llm-{number + 1}', '1'),
+            part_ids=(DEADLY_PART, f'request-{number}'),
+        )
+        play.pass_ms(evidence.SAME_MOMENT_MS + 50)
+        quarantine.judge()
+
+
+def raise_at_end(play, exchange):
+    """Let the caller go while the end raises an exception."""
+    raises = mock.Mock(side_effect=RuntimeError('injected'))
+    with mock.patch.object(part_admission.PartAdmission, 'end', raises):
+        exchange.on_disconnect()
+
+
 ENDS = (
-    ('caller gone', lambda play, exchange: exchange.on_disconnect()),
+    ('quarantine', quarantine_part),
+    ('exception at the end', raise_at_end),
+    ('caller gone', disconnect),
     ('stop limit', reach_stop_limit),
     ('deadline', lambda play, exchange: play.pass_ms(5000)),
     ('lease lost', lose_lease),
@@ -648,6 +677,9 @@
         self.assertEqual(1, used['w1'])
 
 
+CALLER_LEAVES = (disconnect, raise_at_end)
+
+
 class EndTest(unittest.TestCase):
     """Nothing of a request remains after its end."""
 
@@ -670,13 +702,17 @@
                 play = Play()
                 play.peer_load.start(play.rig.work_at(play.server_id))
                 play.deliver_peer_load()
-                exchange = play.request()
+                exchange = play.request(
+                    tokens=5000,
+                    **{'prompt-prefix': f'{DEADLY_PART}:400,end:1000'},
+                )
                 self.assertEqual(1, play.queue.count)
                 with self.assertLogs(level='INFO'):
                     end(play, exchange)
                 play.peer_load.end(1)
                 play.deliver_peer_load()
-                self.assertTrue(exchange.status or name == 'caller gone')
+                if end not in CALLER_LEAVES:
+                    self.assertGreaterEqual(exchange.status, 500)
                 self.assertEqual([], play.calls)
                 self.assert_empty(play)
                 play.pass_ms(room.FALLBACK_INTERVAL_MS)
