--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -157,10 +157,12 @@
 class NoCapacity:
     """No server has capacity for the request at present.
 
-    ``free_in_ms`` is the estimated time until one has.
+    ``free_in_ms`` is the estimated time until one has. ``lacks_memory`` is
+    whether there are slots to take, but not enough free memory.
     """
 
     free_in_ms: int
+    lacks_memory: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -262,19 +264,21 @@
             for candidate in candidates
             if _has_room(candidate, has_engine=has_engine)
         ]
-        if with_room and not has_engine:
-            return self._choose_plain(demand, with_room)
         if is_contended and not _is_divisible(demand):
             with_room = [
                 one
                 for one in with_room
                 if not one.turn_in_ms and one.free_ms >= min_free_ms
             ]
+        if with_room and not has_engine:
+            return self._choose_plain(demand, with_room)
         if with_room:
             placed = self._choose_engine(demand, with_room)
             if placed is not None:
                 return placed
-        return NoCapacity(free_in_ms=_free_in_ms(candidates))
+        return NoCapacity(
+            free_in_ms=_free_in_ms(candidates), lacks_memory=bool(with_room)
+        )
 
     def _choose_plain(self, demand, candidates) -> Placement:
         def price(candidate: Candidate) -> float:
@@ -739,10 +743,19 @@
     not queued there. A server of a service without an engine completes
     several requests per slot within one request's objective.
     """
-    factor = 1 if has_engine else MAX_REQUESTS_PER_SLOT
+    factor = _requests_per_slot(has_engine=has_engine)
     return max(0, factor * candidate.slots - candidate.load.active)
 
 
+def requests_per_slot(service: model.Service) -> int:
+    """Return how many requests a server may hold, by slot."""
+    return _requests_per_slot(has_engine=service.engine is not None)
+
+
+def _requests_per_slot(*, has_engine: bool) -> int:
+    return 1 if has_engine else MAX_REQUESTS_PER_SLOT
+
+
 def _free_in_ms(candidates: tuple[Candidate, ...]) -> int:
     """Return the estimated time in ms until a slot is free."""
     return FREE_SLOT_MS if candidates else NEXT_HEARTBEAT_MS
