--- a/src/shallothinge/gateway/room.py
+++ b/src/shallothinge/gateway/room.py
@@ -46,18 +46,13 @@
 class Turn:
     """Whether a request may take a free slot now.
 
-    ``is_contended`` is whether other requests of any gateway wait, too.
-    ``yields`` is whether one of a better class waits at another gateway.
+    ``is_contended`` is whether it takes only a slot for which this gateway
+    has the turn, which has been free for ``min_free_ms``.
     """
 
     is_granted: bool
     is_contended: bool = False
-    yields: bool = False
-
-    @property
-    def min_free_ms(self) -> int:
-        """Return for how long the slot must have been free."""
-        return turns.MAX_YIELD_MS if self.yields else 0
+    min_free_ms: int = 0
 
 
 UNCONTENDED = Turn(is_granted=True)
@@ -154,15 +149,17 @@
     def turn_of(self, waiting_id: int, slots: choice.FreeSlots) -> Turn:
         """Return whether a request may take one of the free slots."""
         service = self._services[waiting_id]
+        if self.queue.has_late_turn(waiting_id):
+            return Turn(is_granted=slots.oldest_ms is not None)
         # Further positions make no difference.
         first = self.queue.first(service, slots.own_count)
         position = slots.own_count
         if waiting_id in first:
             position = first.index(waiting_id)
-        yields = self.queue.yields_to_peers(waiting_id)
+        yield_ms = self.queue.yield_ms(waiting_id)
         wait_ms = turns.wait_ms(
             position=position,
-            yields=yields,
+            yield_ms=yield_ms,
             own_count=slots.own_count,
             next_turn_in_ms=slots.next_turn_in_ms,
             oldest_ms=slots.oldest_ms,
@@ -174,7 +171,7 @@
         return Turn(
             is_granted=wait_ms == 0,
             is_contended=True,
-            yields=yields,
+            min_free_ms=yield_ms,
         )
 
     def park(self, waiting_id: int, waiter: Waiter) -> None:
--- a/src/shallothinge/scheduling/queue.py
+++ b/src/shallothinge/scheduling/queue.py
@@ -15,6 +15,7 @@
 from shallothinge.scheduling import model
 from shallothinge.scheduling import order as orders
 from shallothinge.scheduling import shares as workspace_shares
+from shallothinge.scheduling import turn
 
 # Of this many consecutive placements of waiting requests of a service, one is
 # of the late request that is abandoned soonest.
@@ -192,27 +193,44 @@
             return min(late_rank, turn_rank)
         return rank + (turn_rank <= rank < late_rank)
 
-    def yields_to_peers(self, waiting_id: int) -> bool:
-        """Return whether a peer's request goes first.
+    def yield_ms(self, waiting_id: int) -> int:
+        """Return for how long a request leaves a free slot to a peer's.
 
-        That is so for one of a better class: in time before late, then by
-        urgency and share of the workspace. Within a class, every gateway
-        serves its own requests, so that slots are reused without delay. If a
-        late turn is due, all yield to the late request that has it.
+        It does so if one of a better class waits there: in time before late,
+        then by urgency and share of the workspace. Within a class, every
+        gateway serves its own requests, so that slots are reused without
+        delay. If a late turn is due, all yield to the request that has it.
 
+        :returns: milliseconds since the slot has become free.
         :raises KeyError: if the request has left the queue.
         """
         name = self._requests[waiting_id].service
         peers_order = self._peers.order(name)
-        if not peers_order:
-            return False
+        if not peers_order or self.has_late_turn(waiting_id):
+            return 0
         service = self._refreshed(name)
         entry = service.order.find(self._own_id, waiting_id)
+        first = next(iter(peers_order))
+        if _class_of(first, peers_order) < _class_of(entry, service.order):
+            return turn.MAX_YIELD_MS
         soonest = self._soonest_abandoned(name)
         if soonest is not None and not self._turn_rank(service):
-            return soonest is not entry
-        first = next(iter(peers_order))
-        return _class_of(first, peers_order) < _class_of(entry, service.order)
+            return turn.LATE_TURN_YIELD_MS
+        return 0
+
+    def has_late_turn(self, waiting_id: int) -> bool:
+        """Return whether the next slot goes to this late request.
+
+        :raises KeyError: if the request has left the queue.
+        """
+        name = self._requests[waiting_id].service
+        service = self._refreshed(name)
+        soonest = self._soonest_abandoned(name)
+        return (
+            not self._turn_rank(service)
+            and soonest is not None
+            and soonest is service.order.find(self._own_id, waiting_id)
+        )
 
     def expected_wait_ms(self, waiting_id: int) -> float | None:
         """Return the expected time until a request is placed.
--- a/src/shallothinge/scheduling/tests/simulation.py
+++ b/src/shallothinge/scheduling/tests/simulation.py
@@ -198,11 +198,13 @@
     def _find_turn(self, waiting_id):
         """Return how long its first request waits, and the server for it."""
         free = self._find_free()
+        if free and self.queue.has_late_turn(waiting_id):
+            return 0, max(free, key=self._free_ms)
         turns_ms = {server: self._turn_in_ms(server) for server in free}
         own = [server for server in free if not turns_ms[server]]
         wait_ms = turn.wait_ms(
             position=0,
-            yields=self.queue.yields_to_peers(waiting_id),
+            yield_ms=self.queue.yield_ms(waiting_id),
             own_count=len(own),
             next_turn_in_ms=min(filter(None, turns_ms.values()), default=None),
             oldest_ms=max(
--- a/src/shallothinge/scheduling/tests/test_turn.py
+++ b/src/shallothinge/scheduling/tests/test_turn.py
@@ -22,7 +22,7 @@
             with self.subTest(name=name):
                 found_ms = turn.wait_ms(
                     position=position,
-                    yields=False,
+                    yield_ms=0,
                     own_count=own_count,
                     next_turn_in_ms=next_ms,
                     oldest_ms=oldest_ms,
@@ -40,7 +40,7 @@
             with self.subTest(oldest_ms=oldest_ms):
                 found_ms = turn.wait_ms(
                     position=0,
-                    yields=True,
+                    yield_ms=FREE_MS,
                     own_count=1,
                     next_turn_in_ms=None,
                     oldest_ms=oldest_ms,
