Test the reports of waiting requests between gateways

Guard against slots whose end is reported late while requests wait at a peer, against a peer that joins and does not learn what waits, and against entries of a peer that remain after it has fallen silent.

--- a/src/shallothinge/gateway/tests/test_peers.py
+++ b/src/shallothinge/gateway/tests/test_peers.py
@@ -11,8 +11,13 @@
 from shallothinge.placement import fleet
 from shallothinge.placement import server_queue
 from shallothinge.quarantine import state as quarantines
+from shallothinge.scheduling import demand
+from shallothinge.scheduling import messages as demand_messages
+from shallothinge.scheduling import model
 from shallothinge.transport import endpoint
 
+# A request at a peer: service, urgency, above its share, times, number.
+WAITING = ('llm', 1, False, 500, 5000, 1)
 OWN, OTHER, THIRD = 'tcp://own', 'tcp://other', 'tcp://third'
 
 
@@ -47,6 +52,12 @@
         self.holder = mock.Mock(peers=(OWN,), on_peers_changed=None)
         self.load = fleet.FleetLoad(clock=self.clock)
         self.quarantine = quarantines.PartQuarantine(clock=self.clock)
+        self.room = room.RoomQueue(
+            clock=self.clock,
+            reactor=process.reactor,
+            load=self.load,
+            own_id=OWN,
+        )
         self.peers = peers.Peers(
             process=process,
             holder=self.holder,
@@ -58,12 +69,7 @@
                     'repeat_as_complete_report.return_value': None,
                 }
             ),
-            room=room.RoomQueue(
-                clock=self.clock,
-                reactor=process.reactor,
-                load=self.load,
-                own_id=OWN,
-            ),
+            room=self.room,
             address=OWN,
         )
         self.peers.start()
@@ -199,3 +205,67 @@
             other.report(complete=True),
         )
         self.assertEqual({'s'}, set(self.load.loads()))
+
+    def receive_demand(self, *waiting, sequence=1):
+        """Receive the report of what waits at a peer."""
+        self.peers.receive(
+            endpoint.Peer(
+                route=b'r', process_id='g2', role='entry', incarnation='1'
+            ),
+            demand_messages.DemandReported(sequence=sequence, waiting=waiting),
+        )
+
+    def reported_after_ms(self, link):
+        """Return the time until the next load report with an end."""
+        for passed_ms in range(1, peers.FULL_REPORT_INTERVAL_MS):
+            self.clock.advance(duration_ms=1)
+            self.reactor.advance(0.001)
+            if any(getattr(one, 'ended', ()) for one in link.sent):
+                return passed_ms
+        return None
+
+    def test_free_slot_is_reported_at_once_while_requests_wait_at_a_peer(self):
+        for waiting, expected_ms in (
+            ((), peers.BATCH_DELAY_MS),
+            ((WAITING,), peers.URGENT_DELAY_MS),
+        ):
+            with self.subTest(waiting=waiting):
+                self.setUp()
+                self.list_peers(OTHER)
+                link = self.links[OTHER]
+                link.is_open = True
+                self.start_work()
+                self.reactor.advance(0.1)
+                del link.sent[:]
+                self.receive_demand(*waiting)
+                self.load.end(1)
+                self.assertEqual(expected_ms, self.reported_after_ms(link))
+
+    def test_peer_that_joins_learns_what_waits(self):
+        # Guards against slots that it takes before the next report.
+        self.room.join(
+            model.WaitingRequest(
+                service='llm',
+                urgency=1,
+                workspace='w1',
+                due_ms=9000,
+                abandon_ms=9000,
+                min_service_ms=1.0,
+            )
+        )
+        self.reactor.advance(0.05)
+        self.list_peers(OTHER)
+        link = self.links[OTHER]
+        link.is_open = True
+        self.reactor.advance(peers.JOIN_POLL_MS / 1000)
+        heard = demand.PeerDemand(clock=self.clock)
+        for report in link.sent:
+            if isinstance(report, demand_messages.DemandReported):
+                heard.apply_report(report, peer_id='own')
+        self.assertTrue(heard.has_demand('llm'))
+
+    def test_demand_of_a_peer_expires(self):
+        self.receive_demand(WAITING)
+        self.assertTrue(self.room.has_demand('llm'))
+        self.clock.advance(duration_ms=demand.DEMAND_TTL_MS + 1)
+        self.assertFalse(self.room.has_demand('llm'))
