Measure the decisions of the queue as gateways make them

experiments/scheduling_cost.py ended with an AttributeError, as it used a class that has been removed.

--- a/experiments/scheduling_cost.py
+++ b/experiments/scheduling_cost.py
@@ -63,8 +63,6 @@
             clock=self.clock, queue=self.queue, in_use=lambda: self._used
         )
         self.queue.on_change = self.reporter.record_change
-        self.free = turn.FreeSlots(clock=self.clock)
-        self.free.record(SERVICE, 1)
         self._sequences = itertools.count()
         self.ids = [self.queue.join(self._request()) for _ in range(waiting)]
         for index in range(PEERS):
@@ -110,9 +108,18 @@
         self.peers.apply_report(report, peer_id=f'peer-{index}')
 
     def decide(self) -> None:
-        """Decide whether any one request may be sent."""
-        rank = self.queue.rank(self._rng.choice(self.ids))
-        self.free.may_send(SERVICE, rank=rank)
+        """Decide whether any one request may take one of some free slots."""
+        waiting_id = self._rng.choice(self.ids)
+        first = self.queue.first(SERVICE, SLOTS_PER_SERVER)
+        turn.wait_ms(
+            position=(
+                first.index(waiting_id) if waiting_id in first else len(first)
+            ),
+            yields=self.queue.yields_to_peers(waiting_id),
+            own_count=SLOTS_PER_SERVER,
+            next_turn_in_ms=None,
+            oldest_ms=0,
+        )
 
     def replace(self) -> None:
         """Place one request; another one arrives."""
