--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -225,6 +225,7 @@
         caller=None,
         seed=1,
         own_id='0',
+        address='',
     ):
         self.reactor = reactor or task.Clock()
         self.clock = clock.ManualClock(start_ms=START_MS)
@@ -260,6 +261,7 @@
                 ),
                 notices=notices.ServerNotices(clock=self.clock),
                 limits=self.limits,
+                address=address,
             ),
             load=self.load,
             chooser=choice.Chooser(rng=rng),
--- a/src/shallothinge/gateway/tests/test_room.py
+++ b/src/shallothinge/gateway/tests/test_room.py
@@ -10,6 +10,7 @@
 from shallothinge.gateway import servers
 from shallothinge.gateway.tests import rig
 from shallothinge.gateway.tests import test_forwarding
+from shallothinge.gateway.tests import test_wait
 from shallothinge.http1 import exchange as exchanges
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
@@ -374,6 +375,122 @@
         self.assertEqual(0, self.wait_ms(play, until_count=4))
 
 
+class Fleet:
+    """Several gateways that exchange reports, and servers with one slot.
+
+    Reports arrive ``REPORT_MS`` after a change.
+    """
+
+    REPORT_MS = 3
+
+    def __init__(self, *, gateway_count, server_count):
+        addresses = [f'tcp://{index}' for index in range(gateway_count)]
+        self.rigs = [
+            rig.Rig(
+                configuration=configuration(),
+                server_count=0,
+                seed=index,
+                own_id=str(index),
+                address=address,
+            )
+            for index, address in enumerate(addresses)
+        ]
+        for one in self.rigs:
+            one.holder.peers = tuple(addresses)
+            for index in range(server_count):
+                one.add_server('llm', index, slots=1)
+        self._silent = set()
+
+    def silence(self, index):
+        """Let no further report of a gateway arrive."""
+        self._silent.add(index)
+
+    def exchange_reports(self):
+        """Deliver all reports."""
+        for index, sender in enumerate(self.rigs):
+            load = sender.load.report(complete=False)
+            demands = sender.room.reporter.report(complete=True)
+            if index in self._silent:
+                continue
+            for receiver in self.rigs:
+                if receiver is sender:
+                    continue
+                receiver.load.apply_report(peer=str(index), report=load)
+                if demands is not None:
+                    receiver.room.peer_demand.apply_report(
+                        demands, peer_id=str(index)
+                    )
+
+    def pass_ms(self, duration_ms):
+        """Let time pass in steps of 1 ms."""
+        for passed_ms in range(1, duration_ms + 1):
+            for one in self.rigs:
+                one.advance(1)
+            if passed_ms % self.REPORT_MS == 0:
+                self.exchange_reports()
+
+    def fill(self, index, count):
+        """Let a gateway fill slots; return the calls."""
+        for _ in range(count):
+            self.rigs[index].request(STREAM, tokens=500, credential='k1')
+        self.exchange_reports()
+        return list(self.rigs[index].caller.calls)
+
+    def sent(self, skipped):
+        """Return index of the gateway and address of each later call."""
+        return [
+            (index, call.address)
+            for index, one in enumerate(self.rigs)
+            for call in one.caller.calls
+            if call not in skipped
+        ]
+
+
+class FleetTest(unittest.TestCase):
+    """The order over several gateways."""
+
+    def play(self, *, silent=()):
+        """Free three slots for which urgent requests wait at gateway 2.
+
+        :returns: the fleet, and the streams that have filled the slots.
+        """
+        fleet_of_three = Fleet(gateway_count=3, server_count=6)
+        streams = fleet_of_three.fill(0, 6)
+        self.assertEqual(6, len(streams))
+        for index, key in ((0, 'k1'), (1, 'k1'), (2, 'k-urgent')):
+            for _ in range(3):
+                fleet_of_three.rigs[index].request(
+                    STREAM, tokens=500, credential=key
+                )
+        fleet_of_three.pass_ms(2 * Fleet.REPORT_MS)
+        self.assertEqual([], fleet_of_three.sent(streams))
+        for index in silent:
+            fleet_of_three.silence(index)
+        for stream in streams[:3]:
+            stream.answer(200, body=test_forwarding.event(1))
+        return fleet_of_three, streams
+
+    def test_first_requests_of_all_gateways_take_different_slots(self):
+        play, streams = self.play()
+        play.pass_ms(turn.MAX_YIELD_MS - 1)
+        sent = play.sent(streams)
+        self.assertEqual([2, 2, 2], [index for index, _ in sent])
+        self.assertEqual(
+            {stream.address for stream in streams[:3]},
+            {address for _, address in sent},
+        )
+        play.pass_ms(turn.MAX_YIELD_MS)
+        self.assertEqual(3, len(play.sent(streams)))
+
+    def test_slots_that_the_others_do_not_hear_of_are_taken(self):
+        # The gateway whose streams have ended yields to gateway 2 in vain.
+        play, streams = self.play(silent=(0,))
+        play.pass_ms(turn.MAX_YIELD_MS - 1)
+        self.assertEqual([], play.sent(streams))
+        play.pass_ms(Fleet.REPORT_MS)
+        self.assertEqual(3, len(play.sent(streams)))
+
+
 class RefusalTest(unittest.TestCase):
     """Requests that can't be answered before their callers leave."""
 
@@ -696,6 +813,27 @@
         play.pass_ms(room.FALLBACK_INTERVAL_MS)
         self.assertEqual(5, len(play.calls))
 
+    def test_long_prompts_that_wait_for_reads(self):
+        # One waits for the read, and the other, which arrived first but is
+        # due later, for its turn. The short prompt behind them gets the slot.
+        play = Play(slots=2)
+        play.peer_load.start(play.rig.work_at(play.server_id, read_ms=1500.0))
+        play.deliver_peer_load()
+        play.request()
+        for waited_ms in (0, 100):
+            play.request(
+                tokens=test_wait.MIDDLE_TOKENS,
+                key='k-urgent',
+                waited_ms=waited_ms,
+            )
+        play.request(body=b'short')
+        self.assertEqual(1, len(play.calls))
+        self.assertEqual(3, play.queue.count)
+        play.end(0)
+        play.rig.advance(0)
+        self.assertEqual([b'short'], play.sent_bodies(since=1))
+        self.assertEqual(0, play.queue.count)
+
     def test_request_that_waits_for_a_lease(self):
         # Guards against peers that yield to a request that can't be sent.
         play = Play()
