--- a/src/shallothinge/gateway/tests/test_room.py
+++ b/src/shallothinge/gateway/tests/test_room.py
@@ -1,5 +1,6 @@
 """Tests of the order in which waiting requests take free slots."""
 
+import collections
 import unittest
 from unittest import mock
 
@@ -9,6 +10,7 @@
 from shallothinge.gateway import servers
 from shallothinge.gateway.tests import rig
 from shallothinge.gateway.tests import test_forwarding
+from shallothinge.gateway.tests import test_wait
 from shallothinge.http1 import exchange as exchanges
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
@@ -271,6 +273,35 @@
                     play.pass_ms(4)
                 self.assertEqual(count + 1, len(play.calls))
 
+    def test_queued_ms_is_the_time_in_the_queue(self):
+        def find(logged):
+            found = [
+                one for one in logged.records if hasattr(one, 'queued_ms')
+            ]
+            return [(one.msg, one.queued_ms) for one in found]
+
+        play = Play()
+        play.fill()
+        play.request()
+        play.pass_ms(37)
+        play.calls[0].answer(200, body=test_forwarding.event(1), ends=False)
+        with self.assertLogs(LOGGER, 'INFO') as logged:
+            play.calls[0].end()
+            play.rig.advance(0)
+            leaving = play.request()
+            play.pass_ms(23)
+            leaving.on_disconnect()
+            play.end(1)
+        self.assertEqual(
+            [
+                ('request ended', 0),
+                ('request placed', 37),
+                ('request ended', 23),
+                ('request ended', 37),
+            ],
+            find(logged),
+        )
+
     def test_slot_that_another_gateway_is_first_for_is_taken_in_turn(self):
         # Guards against two requests for the same slot, and against a slot
         # that stays free because the other gateway does not need it.
@@ -344,6 +375,122 @@
         self.assertEqual(0, self.wait_ms(play, until_count=4))
 
 
+class Fleet:
+    """Several gateways that exchange reports, and servers with one slot.
+
+    Reports arrive ``REPORT_MS`` after a change.
+    """
+
+    REPORT_MS = 3
+
+    def __init__(self, *, gateway_count, server_count):
+        addresses = [f'tcp://{index}' for index in range(gateway_count)]
+        self.rigs = [
+            rig.Rig(
+                configuration=configuration(),
+                server_count=0,
+                seed=index,
+                own_id=str(index),
+                address=address,
+            )
+            for index, address in enumerate(addresses)
+        ]
+        for one in self.rigs:
+            one.holder.peers = tuple(addresses)
+            for index in range(server_count):
+                one.add_server('llm', index, slots=1)
+        self._silent = set()
+
+    def silence(self, index):
+        """Let no further report of a gateway arrive."""
+        self._silent.add(index)
+
+    def exchange_reports(self):
+        """Deliver all reports."""
+        for index, sender in enumerate(self.rigs):
+            load = sender.load.report(complete=False)
+            demands = sender.room.reporter.report(complete=True)
+            if index in self._silent:
+                continue
+            for receiver in self.rigs:
+                if receiver is sender:
+                    continue
+                receiver.load.apply_report(peer=str(index), report=load)
+                if demands is not None:
+                    receiver.room.peer_demand.apply_report(
+                        demands, peer_id=str(index)
+                    )
+
+    def pass_ms(self, duration_ms):
+        """Let time pass in steps of 1 ms."""
+        for passed_ms in range(1, duration_ms + 1):
+            for one in self.rigs:
+                one.advance(1)
+            if passed_ms % self.REPORT_MS == 0:
+                self.exchange_reports()
+
+    def fill(self, index, count):
+        """Let a gateway fill slots; return the calls."""
+        for _ in range(count):
+            self.rigs[index].request(STREAM, tokens=500, credential='k1')
+        self.exchange_reports()
+        return list(self.rigs[index].caller.calls)
+
+    def sent(self, skipped):
+        """Return index of the gateway and address of each later call."""
+        return [
+            (index, call.address)
+            for index, one in enumerate(self.rigs)
+            for call in one.caller.calls
+            if call not in skipped
+        ]
+
+
+class FleetTest(unittest.TestCase):
+    """The order over several gateways."""
+
+    def play(self, *, silent=()):
+        """Free three slots for which urgent requests wait at gateway 2.
+
+        :returns: the fleet, and the streams that have filled the slots.
+        """
+        fleet_of_three = Fleet(gateway_count=3, server_count=6)
+        streams = fleet_of_three.fill(0, 6)
+        self.assertEqual(6, len(streams))
+        for index, key in ((0, 'k1'), (1, 'k1'), (2, 'k-urgent')):
+            for _ in range(3):
+                fleet_of_three.rigs[index].request(
+                    STREAM, tokens=500, credential=key
+                )
+        fleet_of_three.pass_ms(2 * Fleet.REPORT_MS)
+        self.assertEqual([], fleet_of_three.sent(streams))
+        for index in silent:
+            fleet_of_three.silence(index)
+        for stream in streams[:3]:
+            stream.answer(200, body=test_forwarding.event(1))
+        return fleet_of_three, streams
+
+    def test_first_requests_of_all_gateways_take_different_slots(self):
+        play, streams = self.play()
+        play.pass_ms(turn.MAX_YIELD_MS - 1)
+        sent = play.sent(streams)
+        self.assertEqual([2, 2, 2], [index for index, _ in sent])
+        self.assertEqual(
+            {stream.address for stream in streams[:3]},
+            {address for _, address in sent},
+        )
+        play.pass_ms(turn.MAX_YIELD_MS)
+        self.assertEqual(3, len(play.sent(streams)))
+
+    def test_slots_that_the_others_do_not_hear_of_are_taken(self):
+        # The gateway whose streams have ended yields to gateway 2 in vain.
+        play, streams = self.play(silent=(0,))
+        play.pass_ms(turn.MAX_YIELD_MS - 1)
+        self.assertEqual([], play.sent(streams))
+        play.pass_ms(Fleet.REPORT_MS)
+        self.assertEqual(3, len(play.sent(streams)))
+
+
 class RefusalTest(unittest.TestCase):
     """Requests that can't be answered before their callers leave."""
 
@@ -454,6 +601,7 @@
     """A request that is parked again whenever it is woken.
 
     :ivar woken_ms: times at which it was woken, from the start.
+    :ivar checked_ms: times at which it was asked whether it has to end.
     """
 
     def __init__(self, play, *, raises_in='', **fields):
@@ -461,6 +609,7 @@
         self._raises_in = raises_in
         self._room = play.rig.room
         self.woken_ms = []
+        self.checked_ms = []
         self.waiting_id = self._room.join(
             model.WaitingRequest(
                 **{
@@ -485,6 +634,7 @@
 
     def has_to_end(self):
         """Return that it may go on."""
+        self.checked_ms.append(self._play.rig.clock.now_ms() - rig.START_MS)
         if self._raises_in == 'has_to_end':
             raise RuntimeError('injected')
         return False
@@ -569,6 +719,20 @@
             counts.append(counted.call_count)
         self.assertEqual(counts[0], counts[1])
 
+    def test_checks_are_spread_over_time(self):
+        # Guards against a pause of the process: 1,000 checks take 5 to 13 ms.
+        play = Play()
+        waiters = [Waiter(play) for _ in range(100)]
+        interval_ms = room.TICKS_PER_CHECK * room.FALLBACK_INTERVAL_MS
+        play.pass_ms(2 * interval_ms)
+        counts = collections.Counter()
+        for waiter in waiters:
+            first_ms, second_ms = waiter.checked_ms
+            self.assertLessEqual(first_ms, interval_ms)
+            self.assertEqual(interval_ms, second_ms - first_ms)
+            counts.update(waiter.checked_ms)
+        self.assertEqual({100 // room.TICKS_PER_CHECK}, set(counts.values()))
+
     def test_nothing_is_woken_twice_at_one_instant(self):
         play = Play()
         waiter = Waiter(play)
@@ -649,6 +813,27 @@
         play.pass_ms(room.FALLBACK_INTERVAL_MS)
         self.assertEqual(5, len(play.calls))
 
+    def test_long_prompts_that_wait_for_reads(self):
+        # One waits for the read, and the other, which arrived first but is
+        # due later, for its turn. The short prompt behind them gets the slot.
+        play = Play(slots=2)
+        play.peer_load.start(play.rig.work_at(play.server_id, read_ms=1500.0))
+        play.deliver_peer_load()
+        play.request()
+        for waited_ms in (0, 100):
+            play.request(
+                tokens=test_wait.MIDDLE_TOKENS,
+                key='k-urgent',
+                waited_ms=waited_ms,
+            )
+        play.request(body=b'short')
+        self.assertEqual(1, len(play.calls))
+        self.assertEqual(3, play.queue.count)
+        play.end(0)
+        play.rig.advance(0)
+        self.assertEqual([b'short'], play.sent_bodies(since=1))
+        self.assertEqual(0, play.queue.count)
+
     def test_request_that_waits_for_a_lease(self):
         # Guards against peers that yield to a request that can't be sent.
         play = Play()
