Take one slot of a server at a time, and turns only beside other gateways

Several free slots at one server, as when the work of a silent gateway expires, were overbooked by up to 11 requests: each gateway took as many as its place in the order allowed, at the same moment. It takes a second one only after the time of a report. Without requests at peers, own requests take all free slots at once, as nobody else waits for them.

--- a/src/shallothinge/gateway/room.py
+++ b/src/shallothinge/gateway/room.py
@@ -152,6 +152,9 @@
         service = self._services[waiting_id]
         if self.queue.has_late_turn(waiting_id):
             return Turn(is_granted=slots.oldest_ms is not None)
+        if not self.peer_demand.has_demand(service):
+            first = self.queue.first(service, slots.count)
+            return Turn(is_granted=waiting_id in first)
         # Further positions make no difference.
         first = self.queue.first(service, slots.own_count)
         position = slots.own_count
--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -180,6 +180,7 @@
             server_id,
             free_slots=free_slots,
             unchanged_ms=self._load.unchanged_ms(server_id),
+            own_start_ms=self._load.own_start_ms(server_id),
         )
 
     def _usable_slots(
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -169,12 +169,14 @@
 class FreeSlots:
     """Free slots of a service.
 
-    ``own_count`` is the number of those for which this gateway has the turn,
+    ``count`` is their number, ``own_count`` that of those for which this
+    gateway has the turn,
     ``next_turn_in_ms`` the time until it has that for another one, and
     ``oldest_ms`` the time for which the first of them has been free. Both are
     None if there is none.
     """
 
+    count: int
     own_count: int
     next_turn_in_ms: int | None
     oldest_ms: int | None
@@ -721,6 +723,7 @@
         if (count := _free_slots(candidate, has_engine=has_engine))
     ]
     return FreeSlots(
+        count=sum(count for _, count in found),
         own_count=sum(
             count for candidate, count in found if not candidate.turn_in_ms
         ),
--- a/src/shallothinge/placement/fleet.py
+++ b/src/shallothinge/placement/fleet.py
@@ -101,6 +101,7 @@
         self._queues: dict[str, server_queue.ServerQueue] = {}
         self._ends_ms: dict[str, collections.deque[int]] = {}
         self._changed_ms: dict[str, int] = {}
+        self._own_start_ms: dict[str, int] = {}
         # Servers at which own requests have ended, which no peer knows yet.
         self._unreported_ends: set[str] = set()
         self._next_id = 0
@@ -120,6 +121,8 @@
         self._next_id += 1
         self._own_works[self._next_id] = work
         self._add(work)
+        if not work.is_helping:
+            self._own_start_ms[work.server_id] = self._clock.now_ms()
         self._unreported.started.add(self._next_id)
         self._notify_change(is_urgent=True)
         return self._next_id
@@ -269,11 +272,10 @@
             for server_id, ends_ms in self._ends_ms.items()
             if ends_ms[-1] > now_ms - LONG_FREE_MS
         }
-        self._changed_ms = {
-            server_id: changed_ms
-            for server_id, changed_ms in self._changed_ms.items()
-            if changed_ms > now_ms - LONG_FREE_MS
-        }
+        for times_ms in (self._changed_ms, self._own_start_ms):
+            for server_id, at_ms in list(times_ms.items()):
+                if at_ms <= now_ms - LONG_FREE_MS:
+                    del times_ms[server_id]
         for peer, memory in list(self._unconfirmed.items()):
             if memory.expires_ms < now_ms:
                 del self._unconfirmed[peer]
@@ -338,10 +340,19 @@
 
         :returns: milliseconds, ``LONG_FREE_MS`` at most.
         """
-        changed_ms = self._changed_ms.get(server_id)
-        if changed_ms is None:
+        return self._age_ms(self._changed_ms.get(server_id))
+
+    def own_start_ms(self, server_id: str) -> int:
+        """Return the time since the last own request began at a server.
+
+        :returns: milliseconds, ``LONG_FREE_MS`` at most.
+        """
+        return self._age_ms(self._own_start_ms.get(server_id))
+
+    def _age_ms(self, at_ms: int | None) -> int:
+        if at_ms is None:
             return LONG_FREE_MS
-        return min(LONG_FREE_MS, self._clock.now_ms() - changed_ms)
+        return min(LONG_FREE_MS, self._clock.now_ms() - at_ms)
 
     def free_ms(self, server_id: str, *, free_slots: int) -> int:
         """Return for how long a server has had a free slot.
@@ -352,8 +363,7 @@
         ends_ms = self._ends_ms.get(server_id, ())
         if len(ends_ms) < free_slots:
             return LONG_FREE_MS
-        age_ms = self._clock.now_ms() - ends_ms[-free_slots]
-        return min(LONG_FREE_MS, age_ms)
+        return self._age_ms(ends_ms[-free_slots])
 
     def loads(self) -> dict[str, server_queue.ServerLoad]:
         """Return the load of each backend server that has any."""
--- a/src/shallothinge/placement/slot_turns.py
+++ b/src/shallothinge/placement/slot_turns.py
@@ -53,19 +53,28 @@
         return self._positions.get(server_id) == 0
 
     def wait_ms(
-        self, server_id: str, *, free_slots: int, unchanged_ms: int
+        self,
+        server_id: str,
+        *,
+        free_slots: int,
+        unchanged_ms: int,
+        own_start_ms: int,
     ) -> int:
         """Return the time until this gateway may take a slot of a server.
 
         The first gateways of the order, as many as there are free slots, may
-        take one at once.
+        take one each at once. Each takes a second one only when it knows what
+        the others have taken.
 
         :param unchanged_ms: time since a request of the server has begun or
             ended, as far as it is known.
+        :param own_start_ms: time since this gateway has begun one.
         """
+        if len(self._gateway_ids) < 2:
+            return 0
         later_count = self._positions.get(server_id, 0) - free_slots + 1
         turn_ms = min(MAX_WAIT_MS, max(0, later_count) * TURN_MS)
-        return max(0, turn_ms - unchanged_ms)
+        return max(0, turn_ms - unchanged_ms, TURN_MS - own_start_ms)
 
     def _compute(self, server_id: str) -> int:
         """Return how many gateways come before this one."""
--- a/src/shallothinge/placement/tests/test_slot_turns.py
+++ b/src/shallothinge/placement/tests/test_slot_turns.py
@@ -16,10 +16,15 @@
     return turns
 
 
-def wait_of(turns, server_id, *, free_slots=1, unchanged_ms=0):
+def wait_of(
+    turns, server_id, *, free_slots=1, unchanged_ms=0, own_start_ms=10_000
+):
     """Return the wait of one gateway for a slot of a server."""
     return turns.wait_ms(
-        server_id, free_slots=free_slots, unchanged_ms=unchanged_ms
+        server_id,
+        free_slots=free_slots,
+        unchanged_ms=unchanged_ms,
+        own_start_ms=own_start_ms,
     )
 
 
@@ -87,6 +92,21 @@
             ]
             self.assertEqual(expected_count, waits_ms.count(0))
 
+    def test_second_slot_is_taken_only_when_reports_have_arrived(self):
+        # Three gateways that see three free slots would take six: the first
+        # one three, the next one two.
+        for own_start_ms, expected_ms in ((0, 10), (4, 6), (10, 0), (99, 0)):
+            for own_id in GATEWAYS:
+                found_ms = wait_of(
+                    turns_of(own_id),
+                    's1',
+                    free_slots=40,
+                    own_start_ms=own_start_ms,
+                )
+                self.assertEqual(expected_ms, found_ms)
+        lone = turns_of('g0', ())
+        self.assertEqual(0, wait_of(lone, 's1', own_start_ms=0))
+
     def test_wait_is_bounded_with_many_gateways(self):
         many = tuple(f'g{index}' for index in range(300))
         turns = turns_of('g0', many)
--- a/src/shallothinge/scheduling/tests/simulation.py
+++ b/src/shallothinge/scheduling/tests/simulation.py
@@ -68,6 +68,7 @@
         clock = simulation.clock
         self._ends_ms = [[] for _ in self.used]
         self._changed_ms = [-slot_turns.MAX_WAIT_MS] * len(self.used)
+        self._own_start_ms = [-slot_turns.MAX_WAIT_MS] * len(self.used)
         # Servers at which its streams have ended, which no other one knows.
         self.unreported = set()
         self._turns = slot_turns.SlotTurns(own_id=str(index))
@@ -229,6 +230,7 @@
             server,
             free_slots=self._simulation.slots - self.used[server],
             unchanged_ms=self._simulation.now_ms - self._changed_ms[server],
+            own_start_ms=self._simulation.now_ms - self._own_start_ms[server],
         )
 
     def _find_free(self):
@@ -252,6 +254,7 @@
         self._in_use[key] = self._in_use.get(key, 0) + 1
         self.used[server] += 1
         self._changed_ms[server] = self._simulation.now_ms
+        self._own_start_ms[server] = self._simulation.now_ms
         self.unreported.discard(server)
         return True
 
