Test the choice among slots for which others wait

Guard against slots that are taken out of turn or too soon, also by services without an engine, and against a lack of memory that looks like one of slots.

--- a/src/shallothinge/placement/tests/test_choice.py
+++ b/src/shallothinge/placement/tests/test_choice.py
@@ -470,3 +470,68 @@
         kind = (one.objective_ms, one.pause_ms, one.events)
         by_kind[kind].append(one.is_in_time)
     return {kind: sum(each) / len(each) for kind, each in by_kind.items()}
+
+
+class ContendedTest(unittest.TestCase):
+    """Slots for which other requests wait, too.
+
+    Guards against slots that are taken out of turn, and against requests that
+    wait for a time that never comes.
+    """
+
+    def test_free_slots(self):
+        rows = (
+            ('none', LLM, (candidate('a', load=FULL),), (0, None, None)),
+            (
+                'own and in turn',
+                LLM,
+                (
+                    candidate('a', slots=2, free_ms=5),
+                    candidate('b', slots=3, free_ms=9, turn_in_ms=20),
+                    candidate('c', slots=3, free_ms=7, turn_in_ms=10),
+                ),
+                (2, 10, 9),
+            ),
+            (
+                'three requests a slot without an engine',
+                DESK,
+                (candidate('a', load=FULL, free_ms=4),),
+                (16, None, 4),
+            ),
+        )
+        for name, service, candidates, expected in rows:
+            with self.subTest(name):
+                found = choice.free_slots(service, candidates)
+                self.assertEqual(
+                    expected,
+                    (found.own_count, found.next_turn_in_ms, found.oldest_ms),
+                )
+
+    def test_only_slots_in_turn_that_have_been_free_are_taken(self):
+        candidates = (
+            candidate('turn', turn_in_ms=1, free_ms=60),
+            candidate('new', free_ms=59),
+            candidate('old', free_ms=60, zone='other'),
+        )
+        for service in (LLM, DESK):
+            for count, expected in ((3, 'old'), (2, None)):
+                with self.subTest(service=service.name, expected=expected):
+                    placed = choice.Chooser(rng=random.Random(1)).choose(
+                        demand=demand(service=service),
+                        candidates=candidates[:count],
+                        is_contended=True,
+                        min_free_ms=60,
+                    )
+                    found = getattr(placed, 'server_id', None)
+                    self.assertEqual(expected, found)
+
+    def test_lack_of_memory_is_told_from_that_of_slots(self):
+        full = server_queue.ServerLoad(
+            active=1, memory_tokens=ENGINE.memory_tokens
+        )
+        for load, lacks_memory in ((FULL, False), (full, True)):
+            with self.subTest(lacks_memory=lacks_memory):
+                placed = choice.Chooser(rng=random.Random(1)).choose(
+                    demand=demand(), candidates=(candidate('a', load=load),)
+                )
+                self.assertEqual(lacks_memory, placed.lacks_memory)
