--- a/src/shallothinge/gateway/tests/test_room.py
+++ b/src/shallothinge/gateway/tests/test_room.py
@@ -311,6 +311,7 @@
             play.peer_load.start(play.rig.work_at(play.server_id))
             play.deliver_peer_load()
             play.request()
+            play.report_demand(waiting_at_peer(urgency=9))
             play.peer_load.end(1)
             play.deliver_peer_load()
             play.rig.advance(0)
@@ -688,11 +689,15 @@
         # Guards against a turn that is missed as a later one is awaited.
         play = Play()
         waiter = Waiter(play)
+        play.report_demand(waiting_at_peer(urgency=9))
         for next_turn_in_ms in (50, 10):
             found = play.rig.room.turn_of(
                 waiter.waiting_id,
                 choice.FreeSlots(
-                    own_count=0, next_turn_in_ms=next_turn_in_ms, oldest_ms=0
+                    count=1,
+                    own_count=0,
+                    next_turn_in_ms=next_turn_in_ms,
+                    oldest_ms=0,
                 ),
             )
             self.assertFalse(found.is_granted)
