Let short prompts queue where only slots without memory are free

Where a long prompt holds most of a server's memory, its other slots stay free and are of no use to others.

--- a/src/shallothinge/gateway/server_search.py
+++ b/src/shallothinge/gateway/server_search.py
@@ -140,9 +140,7 @@
         is_queued = not (self._is_at_server or demand.is_resumed)
         turn = room.UNCONTENDED
         if is_queued:
-            turn = self._wait.room_turn(
-                choice.free_slots(demand.service, candidates)
-            )
+            turn = self._wait.room_turn(choice.free_slots(demand, candidates))
         placed = choice.NoCapacity(free_in_ms=choice.FREE_SLOT_MS)
         if turn.is_granted:
             placed = self._parts.chooser.choose(
@@ -152,7 +150,7 @@
                 min_free_ms=turn.min_free_ms,
             )
         if isinstance(placed, choice.NoCapacity):
-            self._wait_for_room(placed, is_queued=is_queued)
+            self._wait_for_room(placed, demand, is_queued=is_queued)
         elif isinstance(placed, choice.PlacementDeferred):
             self._wait_or_refuse(
                 WaitCause.READS, free_in_ms=int(placed.start_in_ms)
@@ -174,7 +172,11 @@
             self._send(placed)
 
     def _wait_for_room(
-        self, placed: choice.NoCapacity, *, is_queued: bool
+        self,
+        placed: choice.NoCapacity,
+        demand: choice.Demand,
+        *,
+        is_queued: bool,
     ) -> None:
         """Wait for a free slot, or refuse the request.
 
@@ -186,7 +188,8 @@
         """
         if (
             is_queued
-            and not (placed.lacks_memory or self._has_slot_at_tried())
+            and not placed.lacks_memory
+            and not self._has_slot_at_tried(demand)
             and self._has_time(self._wait.room_wait_ms())
         ):
             self._wait.park(self)
@@ -199,17 +202,16 @@
                 expected_ms=self._wait.room_wait_ms(),
             )
 
-    def _has_slot_at_tried(self) -> bool:
+    def _has_slot_at_tried(self, demand: choice.Demand) -> bool:
         """Return whether a slot is free, maybe where the request failed."""
         if not self._attempts.tried_ids:
             return False
-        service = self._accepted.service
         candidates = self._parts.servers.candidates(
-            service=service.name,
+            service=demand.service.name,
             tried_ids=frozenset(),
-            requests_per_slot=choice.requests_per_slot(service),
+            requests_per_slot=choice.requests_per_slot(demand.service),
         )
-        return choice.free_slots(service, candidates).oldest_ms is not None
+        return choice.free_slots(demand, candidates).oldest_ms is not None
 
     def wake(self) -> None:
         """Try again to take a free slot."""
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -158,7 +158,8 @@
     """No server has capacity for the request at present.
 
     ``free_in_ms`` is the estimated time until one has. ``lacks_memory`` is
-    whether there are slots to take, but not enough free memory.
+    whether there are slots to take, but not enough free memory for a request
+    that needs more than that of one slot.
     """
 
     free_in_ms: int
@@ -279,7 +280,8 @@
             if placed is not None:
                 return placed
         return NoCapacity(
-            free_in_ms=_free_in_ms(candidates), lacks_memory=bool(with_room)
+            free_in_ms=_free_in_ms(candidates),
+            lacks_memory=bool(with_room) and _is_large(demand),
         )
 
     def _choose_plain(self, demand, candidates) -> Placement:
@@ -362,7 +364,7 @@
         """
         engine = demand.service.engine
         needed = _needed_tokens(demand)
-        if needed <= engine.memory_tokens / engine.slots:
+        if not _is_large(demand):
             return {}
         gateway_ids = self._find_gateways()
         if len(gateway_ids) < 2:
@@ -555,6 +557,14 @@
     return read_ms + PASSES_WITH_WRITERS * engine.pass_ms
 
 
+def _is_large(demand: Demand) -> bool:
+    """Return whether a request needs more memory than that of one slot."""
+    engine = demand.service.engine
+    return engine is not None and (
+        _needed_tokens(demand) > engine.memory_tokens / engine.slots
+    )
+
+
 def _needed_tokens(demand: Demand) -> int:
     """Return the maximum tokens that a request holds in memory."""
     return demand.tokens + demand.answer_tokens
@@ -712,15 +722,22 @@
     )
 
 
-def free_slots(
-    service: model.Service, candidates: tuple[Candidate, ...]
-) -> FreeSlots:
-    """Return the free slots of the servers of a service."""
-    has_engine = service.engine is not None
+def free_slots(demand: Demand, candidates: tuple[Candidate, ...]) -> FreeSlots:
+    """Return the free slots that a request may take.
+
+    Where a long prompt holds most of the memory, slots stay free that are of
+    no use to others.
+    """
+    engine = demand.service.engine
+    min_tokens = 0 if _is_large(demand) else _needed_tokens(demand)
     found = [
         (candidate, count)
         for candidate in candidates
-        if (count := _free_slots(candidate, has_engine=has_engine))
+        if (count := _free_slots(candidate, has_engine=engine is not None))
+        and (
+            engine is None
+            or _free_tokens(candidate.load, engine) >= min_tokens
+        )
     ]
     return FreeSlots(
         count=sum(count for _, count in found),
