Remove a look-up that nothing uses; measure the decision as it is

WaitQueue.unservable had no caller: each waiting request is asked whether it has to end (ServerSearch.has_to_end, tested in gateway/tests/test_room.py). Its two tests go with it.

--- a/experiments/scheduling_cost.py
+++ b/experiments/scheduling_cost.py
@@ -115,7 +115,7 @@
             position=(
                 first.index(waiting_id) if waiting_id in first else len(first)
             ),
-            yields=self.queue.yields_to_peers(waiting_id),
+            yield_ms=self.queue.yield_ms(waiting_id),
             own_count=SLOTS_PER_SERVER,
             next_turn_in_ms=None,
             oldest_ms=0,
@@ -154,10 +154,6 @@
         """Return the first requests in order."""
         self.queue.first(SERVICE, SLOTS_PER_SERVER)
 
-    def find_unservable(self) -> None:
-        """Return the requests that are to be shed."""
-        self.queue.unservable(SERVICE)
-
 
 def measure_us(call: Callable[[], None], *, rounds: int) -> float:
     """Return the mean time of a call in microseconds."""
@@ -189,7 +185,6 @@
             (load.report, ROUNDS),
             (load.first, ROUNDS),
             (load.order, ROUNDS // 100),
-            (load.find_unservable, ROUNDS // 100),
             (load.pass_time_and_decide, demand.DEMAND_TTL_MS),
         ):
             mean_us = measure_us(call, rounds=rounds)
--- a/src/shallothinge/scheduling/queue.py
+++ b/src/shallothinge/scheduling/queue.py
@@ -261,32 +261,6 @@
             rank = min(rank, turn_rank + LATE_TURN_INTERVAL * turns_ahead)
         return rank + 1
 
-    def unservable(self, service: str) -> list[int]:
-        """Return the ids of requests that will be abandoned before an answer.
-
-        This takes a pass over all requests of the service, so it is not meant
-        for each decision.
-
-        While no rate of placements is known, only those are returned that it
-        is too late to send.
-        """
-        found = []
-        now_ms = self._clock.now_ms()
-        for entry, rank in self._in_order(service):
-            request = self._requests[entry.number]
-            wait_ms = request.abandon_ms - request.min_service_ms - now_ms
-            if wait_ms > 0:
-                rate_per_ms = self._rate_per_ms(service)
-                if rate_per_ms is None:
-                    continue
-                if rank + 1 < wait_ms * rate_per_ms:
-                    continue
-                count = self._count_until(service, entry, rank)
-                if count < wait_ms * rate_per_ms:
-                    continue
-            found.append(entry.number)
-        return found
-
     def summary(self) -> tuple[tuple, ...]:
         """Return the first requests of each service, for the peers.
 
--- a/src/shallothinge/scheduling/tests/test_queue.py
+++ b/src/shallothinge/scheduling/tests/test_queue.py
@@ -293,48 +293,6 @@
         again = gateway.join()
         self.assertIsNone(gateway.queue.expected_wait_ms(again))
 
-    def test_unservable(self):
-        # Time until it is abandoned, minimum service time, whether a rate of
-        # one per 100 ms is known, whether it is unservable.
-        rows = (
-            ('servable', 301, 200.0, True, False),
-            ('as the wait ends', 300, 200.0, True, True),
-            ('too long a service', 400, 400.0, False, True),
-            ('rate unknown', 401, 400.0, False, False),
-            ('abandoned', 0, 0.0, False, True),
-        )
-        for name, abandon_in_ms, min_service_ms, is_known, expected in rows:
-            with self.subTest(name):
-                gateway = samples.Gateway()
-                if is_known:
-                    gateway, _ = self.build(rate_per_s=10)
-                now_ms = gateway.clock.now_ms() - samples.START_MS
-                found = gateway.join(
-                    abandon_in_ms=now_ms + abandon_in_ms,
-                    due_in_ms=now_ms + abandon_in_ms,
-                    min_service_ms=min_service_ms,
-                )
-                self.assertEqual(
-                    [found] if expected else [],
-                    gateway.queue.unservable(SERVICE),
-                )
-
-    def test_unservable_agrees_with_the_expected_wait(self):
-        gateway, _ = self.build(rate_per_s=10)
-        ids = [
-            gateway.join(due_in_ms=index % 7 * 900, abandon_in_ms=6000)
-            for index in range(100)
-        ]
-        now_ms = gateway.clock.now_ms()
-        expected = {
-            one
-            for one in ids
-            if now_ms + gateway.queue.expected_wait_ms(one) + 100.0
-            >= samples.START_MS + 6000
-        }
-        self.assertEqual(expected, set(gateway.queue.unservable(SERVICE)))
-        self.assertTrue(10 < len(expected) < 90)
-
 
 class SummaryTest(unittest.TestCase):
     """What peers are told."""
