Split the choice of servers by duty

Change: what a request needs is in demand.py (three functions of a demand are its properties), the claims and prices of memory in memory.py, free slots in free_slots.py; code is moved, not changed. The known gateways are still asked for only for large prompts.

--- a/src/shallothinge/gateway/room.py
+++ b/src/shallothinge/gateway/room.py
@@ -10,8 +10,8 @@
 
 from shallothinge import clock as clocks
 from shallothinge import periodic
-from shallothinge.placement import choice
 from shallothinge.placement import fleet
+from shallothinge.placement import free_slots
 from shallothinge.scheduling import demand
 from shallothinge.scheduling import model
 from shallothinge.scheduling import queue as queues
@@ -147,7 +147,7 @@
             return 0.0
         return self.queue.expected_wait_ms(waiting_id) or 0.0
 
-    def turn_of(self, waiting_id: int, slots: choice.FreeSlots) -> Turn:
+    def turn_of(self, waiting_id: int, slots: free_slots.FreeSlots) -> Turn:
         """Return whether a request may take one of the free slots."""
         service = self._services[waiting_id]
         if self.queue.has_late_turn(waiting_id):
--- a/src/shallothinge/gateway/server_search.py
+++ b/src/shallothinge/gateway/server_search.py
@@ -16,6 +16,7 @@
 from shallothinge.gateway import wait as waits
 from shallothinge.gateway.wait import WaitCause
 from shallothinge.placement import choice
+from shallothinge.placement import free_slots
 from shallothinge.quarantine import state as quarantines
 
 
@@ -89,7 +90,9 @@
         candidates = self._parts.servers.candidates(
             service=self._accepted.service.name,
             tried_ids=self._attempts.tried_ids,
-            requests_per_slot=choice.requests_per_slot(self._accepted.service),
+            requests_per_slot=free_slots.requests_per_slot(
+                self._accepted.service
+            ),
         )
         if not candidates:
             self._wait_or_fail(
@@ -140,7 +143,7 @@
         is_queued = not (self._is_at_server or demand.is_resumed)
         turn = room.UNCONTENDED
         if is_queued:
-            turn = self._wait.room_turn(choice.free_slots(demand, candidates))
+            turn = self._wait.room_turn(free_slots.find(demand, candidates))
         placed = choice.NoCapacity(free_in_ms=choice.FREE_SLOT_MS)
         if turn.is_granted:
             placed = self._parts.chooser.choose(
@@ -209,9 +212,9 @@
         candidates = self._parts.servers.candidates(
             service=demand.service.name,
             tried_ids=frozenset(),
-            requests_per_slot=choice.requests_per_slot(demand.service),
+            requests_per_slot=free_slots.requests_per_slot(demand.service),
         )
-        return choice.free_slots(demand, candidates).oldest_ms is not None
+        return free_slots.find(demand, candidates).oldest_ms is not None
 
     def wake(self) -> None:
         """Try again to take a free slot."""
--- a/src/shallothinge/gateway/silence.py
+++ b/src/shallothinge/gateway/silence.py
@@ -10,6 +10,7 @@
 from shallothinge.gateway import request_log
 from shallothinge.gateway import timeouts
 from shallothinge.placement import choice
+from shallothinge.placement import demand
 
 
 class SilenceWatch:
@@ -99,7 +100,7 @@
 
     def _read_ends_in_ms(self, attempt: attempts.Attempt) -> int | None:
         ends_in_ms = self._parts.load.read_end_in_ms(
-            attempt.server_id, min_read_ms=choice.LONG_READ_MS
+            attempt.server_id, min_read_ms=demand.LONG_READ_MS
         )
         return None if ends_in_ms is None else round(ends_in_ms)
 
--- a/src/shallothinge/gateway/tests/test_room.py
+++ b/src/shallothinge/gateway/tests/test_room.py
@@ -12,8 +12,8 @@
 from shallothinge.gateway.tests import test_forwarding
 from shallothinge.gateway.tests import test_wait
 from shallothinge.http1 import exchange as exchanges
-from shallothinge.placement import choice
 from shallothinge.placement import fleet
+from shallothinge.placement import free_slots
 from shallothinge.placement import server_queue
 from shallothinge.placement import slot_turns
 from shallothinge.quarantine import evidence
@@ -693,7 +693,7 @@
         for next_turn_in_ms in (50, 10):
             found = play.rig.room.turn_of(
                 waiter.waiting_id,
-                choice.FreeSlots(
+                free_slots.FreeSlots(
                     count=1,
                     own_count=0,
                     next_turn_in_ms=next_turn_in_ms,
--- a/src/shallothinge/gateway/tests/test_unplaced.py
+++ b/src/shallothinge/gateway/tests/test_unplaced.py
@@ -7,7 +7,7 @@
 
 from shallothinge.gateway.tests import rig
 from shallothinge.gateway.tests import test_overdue_calls
-from shallothinge.placement import choice
+from shallothinge.placement import free_slots
 
 STREAM = '/lohu930/1'
 SEARCH = test_overdue_calls.SEARCH
@@ -173,7 +173,7 @@
         ):
             with self.subTest(step=step.__name__):
                 self.build(server_count=1)
-                for _ in range(8 * choice.MAX_REQUESTS_PER_SLOT):
+                for _ in range(8 * free_slots.MAX_REQUESTS_PER_SLOT):
                     self.rig.load.start(self.rig.work_at('desk-0'))
                 exchange = self.rig.request(BOOKING)
                 self.rig.advance(10)
--- a/src/shallothinge/gateway/wait.py
+++ b/src/shallothinge/gateway/wait.py
@@ -9,6 +9,7 @@
 from shallothinge.gateway import policy
 from shallothinge.gateway import room
 from shallothinge.placement import choice
+from shallothinge.placement import free_slots
 from shallothinge.placement import waiting
 
 LOG = logging.getLogger(__name__)
@@ -98,7 +99,7 @@
         """Return whether the request is woken when it may take a slot."""
         return self._parked_ms is not None
 
-    def room_turn(self, slots: choice.FreeSlots) -> room.Turn:
+    def room_turn(self, slots: free_slots.FreeSlots) -> room.Turn:
         """Return whether the request may take a free slot of its service.
 
         If others wait for one, the request joins their queue.
--- a/src/shallothinge/placement/choice.py
+++ b/src/shallothinge/placement/choice.py
@@ -17,16 +17,17 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Iterable
-import functools
-import hashlib
 import random
 
 import attrs
 
+from shallothinge.placement import free_slots
+from shallothinge.placement import memory
 from shallothinge.placement import pricing
 from shallothinge.placement import server_queue
 from shallothinge.placement import spread
+from shallothinge.placement.demand import Demand
+from shallothinge.placement.demand import SPLIT_READ_MS
 from shallothinge.placement.spread import Candidate
 from shallothinge.routes import model
 
@@ -51,35 +52,9 @@
 # A server that limits the rate of its requests is idle because of that, and
 # yet short of capacity.
 RATE_LIMITED_PRICE = 0.5
-# Requests that a server of a service without an engine may hold, running and
-# queued, in multiples of its slots.
-MAX_REQUESTS_PER_SLOT = 3
 # Each part costs its helper a pass, however small the part is.
 HELPER_PRICE = 0.02
 MAX_HELPERS = 15
-# Fraction of an engine's memory that placement may use: load reports lag, and
-# an answer may occupy a little more memory than its tokens.
-USABLE_MEMORY = 0.98
-# Another gateway may place a large prompt at the same moment. Two on one
-# server may exceed its memory, and the server crashes. OTHERS_SERVER_PRICE is
-# the maximum additional price, for the first server of such a prompt, of one
-# that other gateways prefer; SCARCE_MEMORY_PRICE is that of one without
-# memory for a second prompt of this size, and UNCONFIRMED_MEMORY_PRICE that
-# of one where work of a silent gateway may still hold the memory. Their sum
-# is less than the price of a late answer.
-OTHERS_SERVER_PRICE = 0.2
-SCARCE_MEMORY_PRICE = 0.1
-UNCONFIRMED_MEMORY_PRICE = 0.3
-MAX_PRIMARY_PRICE = (
-    OTHERS_SERVER_PRICE + SCARCE_MEMORY_PRICE + UNCONFIRMED_MEMORY_PRICE
-)
-# Pairs of gateway and server of which the hash is cached.
-MAX_CACHED_HASHES = 20_000
-# Shorter reads are not divided; a helper would not pay off.
-SPLIT_READ_MS = 100.0
-# Reads of at least this duration wait until their servers have finished
-# earlier reads. Shorter reads delay no stream beyond its allowed pause.
-LONG_READ_MS = 200.0
 # Passes to the first event in addition to the read itself, on a server that
 # generates streams and on one that does not.
 PASSES_WITH_WRITERS = 2.5
@@ -92,37 +67,6 @@
 NEXT_HEARTBEAT_MS = 1000
 
 
-@attrs.frozen(kw_only=True)
-class Demand:
-    """A request to be placed on servers of one service.
-
-    ``objective_ms`` is the time left until the first event or answer is due,
-    0 or less if it is late already. ``patience_ms`` is the time left until
-    the caller abandons the request, None if unknown. ``answer_tokens`` is
-    the maximum length of the answer. ``is_resumed`` is set if the caller
-    already has a part of the answer.
-    """
-
-    service: model.Service
-    tokens: int
-    answer_tokens: int = 0
-    objective_ms: float
-    patience_ms: float | None = None
-    pause_objective_ms: int
-    zone: str
-    is_resumed: bool = False
-
-    @property
-    def waits_for_reads(self) -> bool:
-        """Return whether its servers must have finished all earlier reads."""
-        engine = self.service.engine
-        return (
-            engine is not None
-            and not self.is_resumed
-            and engine.read_ms(self.tokens) >= LONG_READ_MS
-        )
-
-
 @attrs.frozen(kw_only=True)
 class MemoryShare:
     """Memory, in tokens, to reserve at a helper for a part of a request."""
@@ -166,23 +110,6 @@
     lacks_memory: bool = False
 
 
-@attrs.frozen(kw_only=True)
-class FreeSlots:
-    """Free slots of a service.
-
-    ``count`` is their number, ``own_count`` that of those for which this
-    gateway has the turn,
-    ``next_turn_in_ms`` the time until it has that for another one, and
-    ``oldest_ms`` the time for which the first of them has been free. Both are
-    None if there is none.
-    """
-
-    count: int
-    own_count: int
-    next_turn_in_ms: int | None
-    oldest_ms: int | None
-
-
 @attrs.frozen(kw_only=True)
 class PlacementDeferred:
     """The best servers for a long prompt still have earlier reads to finish.
@@ -265,9 +192,9 @@
         with_room = [
             candidate
             for candidate in candidates
-            if _has_room(candidate, has_engine=has_engine)
+            if free_slots.has_room(candidate, has_engine=has_engine)
         ]
-        if is_contended and not _is_divisible(demand):
+        if is_contended and not demand.is_divisible:
             with_room = [
                 one
                 for one in with_room
@@ -281,7 +208,7 @@
                 return placed
         return NoCapacity(
             free_in_ms=_free_in_ms(candidates),
-            lacks_memory=bool(with_room) and _is_large(demand),
+            lacks_memory=bool(with_room) and demand.is_large,
         )
 
     def _choose_plain(self, demand, candidates) -> Placement:
@@ -311,11 +238,18 @@
         engine = demand.service.engine
         read_ms = engine.read_ms(demand.tokens)
         max_count = 1
-        if _is_divisible(demand):
+        if demand.is_divisible:
             max_count = min(MAX_HELPERS + 1, len(candidates))
         best = None
         best_count = 0
-        primary_prices = self._price_primaries(demand, candidates)
+        primary_prices = {}
+        if demand.is_large:
+            primary_prices = memory.price_primaries(
+                demand,
+                candidates,
+                gateway_id=self._gateway_id,
+                gateway_ids=self._find_gateways(),
+            )
         for count in range(1, max_count + 1):
             found = self._spread(
                 demand,
@@ -338,7 +272,7 @@
             and start_in_ms >= server_queue.OVERDUE_READ_MS
         ):
             return PlacementDeferred(start_in_ms=start_in_ms)
-        needed = _needed_tokens(demand)
+        needed = demand.needed_tokens
         primary = _select_primary(best.parts, needed)
         helpers = [part for part in best.parts if part is not primary]
         return Placement(
@@ -353,41 +287,6 @@
             pass_ms=engine.pass_ms,
         )
 
-    def _price_primaries(self, demand, candidates) -> dict[str, float]:
-        """Return the additional price of each server as the first server.
-
-        Servers without the memory and those with pending reads are left out,
-        as a prompt is not to wait for the sake of other gateways.
-
-        :returns: price by server id, empty if this is the only gateway, or
-            the prompt needs no more memory than that of one slot.
-        """
-        engine = demand.service.engine
-        needed = _needed_tokens(demand)
-        if not _is_large(demand):
-            return {}
-        gateway_ids = self._find_gateways()
-        if len(gateway_ids) < 2:
-            return {}
-        memory_prices = {
-            candidate.server_id: _memory_price(candidate.load, engine, needed)
-            for candidate in candidates
-            if candidate.load.backlog_ms < server_queue.OVERDUE_READ_MS
-            and _free_tokens(candidate.load, engine) >= needed
-        }
-        claims = _claim_servers(memory_prices, gateway_ids)
-        return {
-            server_id: memory_price
-            + OTHERS_SERVER_PRICE
-            * _contention(
-                server_id=server_id,
-                claimant_id=claims.get(server_id),
-                gateway_id=self._gateway_id,
-                gateway_ids=gateway_ids,
-            )
-            for server_id, memory_price in memory_prices.items()
-        }
-
     def _spread(
         self,
         demand,
@@ -413,21 +312,21 @@
                 is_after_backlog=is_after_backlog,
                 primary_price=primary_prices.get(
                     candidate.server_id,
-                    MAX_PRIMARY_PRICE if primary_prices else 0.0,
+                    memory.MAX_PRIMARY_PRICE if primary_prices else 0.0,
                 ),
             )
             for candidate in candidates
             if count == 1 or _may_share(candidate)
         ]
         weight = pricing.weight_of(demand.tokens)
-        needed = _needed_tokens(demand)
+        needed = demand.needed_tokens
 
         def price_delay(ready_ms: float) -> float:
             return weight * pricing.delay_price(
                 ready_ms, demand.objective_ms, demand.patience_ms
             )
 
-        if needed <= usable_memory(demand.service.engine):
+        if needed <= memory.usable_memory(demand.service.engine):
             eligible = [part for part in parts if part.free_tokens >= needed]
             found = spread.find_cheapest_including(
                 eligible, parts, count=count, price_delay=price_delay
@@ -509,7 +408,7 @@
             ready_ms=ahead_ms
             + paced_ms
             + _passes_to_first_event(load) * paced_pass_ms,
-            free_tokens=_free_tokens(load, engine),
+            free_tokens=memory.free_tokens(load, engine),
             primary_price=primary_price,
         )
 
@@ -557,30 +456,6 @@
     return read_ms + PASSES_WITH_WRITERS * engine.pass_ms
 
 
-def _is_large(demand: Demand) -> bool:
-    """Return whether a request needs more memory than that of one slot."""
-    engine = demand.service.engine
-    return engine is not None and (
-        _needed_tokens(demand) > engine.memory_tokens / engine.slots
-    )
-
-
-def _needed_tokens(demand: Demand) -> int:
-    """Return the maximum tokens that a request holds in memory."""
-    return demand.tokens + demand.answer_tokens
-
-
-def usable_memory(engine: model.EngineCost) -> int:
-    """Return how many tokens of an engine's memory placement may use."""
-    return int(engine.memory_tokens * USABLE_MEMORY)
-
-
-def _free_tokens(
-    load: server_queue.ServerLoad, engine: model.EngineCost
-) -> int:
-    return max(0, usable_memory(engine) - load.memory_tokens)
-
-
 def _select_primary(
     parts: tuple[spread.Part, ...], needed: int
 ) -> spread.Part:
@@ -619,74 +494,6 @@
     return attrs.evolve(found, price=found.price + primary.primary_price)
 
 
-def _memory_price(
-    load: server_queue.ServerLoad, engine: model.EngineCost, needed: int
-) -> float:
-    """Return the price of the risk that a server's memory is exceeded."""
-    free_tokens = _free_tokens(load, engine)
-    is_scarce = free_tokens < 2 * needed
-    is_unconfirmed = free_tokens - load.unconfirmed_tokens < needed
-    return (
-        SCARCE_MEMORY_PRICE * is_scarce
-        + UNCONFIRMED_MEMORY_PRICE * is_unconfirmed
-    )
-
-
-def _claim_servers(
-    server_ids: Iterable[str], gateway_ids: tuple[str, ...]
-) -> dict[str, str]:
-    """Return a different server for each gateway, as long as there are any.
-
-    Each gateway in turn gets the server that comes first by the rendezvous
-    hash of both. Gateways that know of each other and see the same servers
-    agree on the result, and most of it holds if one sees a server more.
-
-    :returns: id of the gateway by id of the server.
-    """
-    unclaimed = set(server_ids)
-    claims = {}
-    for gateway_id in sorted(gateway_ids):
-        if not unclaimed:
-            break
-        first = min(
-            unclaimed,
-            key=lambda server_id: _rendezvous_hash(gateway_id, server_id),
-        )
-        unclaimed.remove(first)
-        claims[first] = gateway_id
-    return claims
-
-
-def _contention(
-    *,
-    server_id: str,
-    claimant_id: str | None,
-    gateway_id: str,
-    gateway_ids: tuple[str, ...],
-) -> float:
-    """Return how far a gateway leaves a server to the others, from 0 to 1.
-
-    Of the servers that it has not claimed, a gateway prefers unclaimed ones,
-    and those where few gateways precede it by the rendezvous hash.
-
-    :param claimant_id: the gateway that has claimed the server, if any.
-    """
-    if claimant_id == gateway_id:
-        return 0.0
-    own_hash = _rendezvous_hash(gateway_id, server_id)
-    preceding = sum(
-        _rendezvous_hash(other_id, server_id) < own_hash
-        for other_id in gateway_ids
-    )
-    rank = preceding / len(gateway_ids)
-    return (rank + (claimant_id is not None)) / 2
-
-
-@functools.lru_cache(maxsize=MAX_CACHED_HASHES)
-def _rendezvous_hash(gateway_id: str, server_id: str) -> bytes:
-    return _hash_of(f'{gateway_id} {server_id}')
-
-
 def _memory_shares(
     primary: spread.Part, helpers: list[spread.Part], needed: int
 ) -> tuple[MemoryShare, ...]:
@@ -714,68 +521,6 @@
     return PASSES_WITH_WRITERS if load.writers else PASSES_WITHOUT_WRITERS
 
 
-def _is_divisible(demand: Demand) -> bool:
-    """Return whether several servers may read parts of a prompt."""
-    engine = demand.service.engine
-    return engine is not None and (
-        engine.read_ms(demand.tokens) >= SPLIT_READ_MS
-    )
-
-
-def free_slots(demand: Demand, candidates: tuple[Candidate, ...]) -> FreeSlots:
-    """Return the free slots that a request may take.
-
-    Where a long prompt holds most of the memory, slots stay free that are of
-    no use to others.
-    """
-    engine = demand.service.engine
-    min_tokens = 0 if _is_large(demand) else _needed_tokens(demand)
-    found = [
-        (candidate, count)
-        for candidate in candidates
-        if (count := _free_slots(candidate, has_engine=engine is not None))
-        and (
-            engine is None
-            or _free_tokens(candidate.load, engine) >= min_tokens
-        )
-    ]
-    return FreeSlots(
-        count=sum(count for _, count in found),
-        own_count=sum(
-            count for candidate, count in found if not candidate.turn_in_ms
-        ),
-        next_turn_in_ms=min(
-            (one.turn_in_ms for one, _ in found if one.turn_in_ms),
-            default=None,
-        ),
-        oldest_ms=max((one.free_ms for one, _ in found), default=None),
-    )
-
-
-def _has_room(candidate: Candidate, *, has_engine: bool) -> bool:
-    return _free_slots(candidate, has_engine=has_engine) > 0
-
-
-def _free_slots(candidate: Candidate, *, has_engine: bool) -> int:
-    """Return how many more requests a server may get.
-
-    A full engine has a free slot only when a stream ends, so requests are
-    not queued there. A server of a service without an engine completes
-    several requests per slot within one request's objective.
-    """
-    factor = _requests_per_slot(has_engine=has_engine)
-    return max(0, factor * candidate.slots - candidate.load.active)
-
-
-def requests_per_slot(service: model.Service) -> int:
-    """Return how many requests a server may hold, by slot."""
-    return _requests_per_slot(has_engine=service.engine is not None)
-
-
-def _requests_per_slot(*, has_engine: bool) -> int:
-    return 1 if has_engine else MAX_REQUESTS_PER_SLOT
-
-
 def _free_in_ms(candidates: tuple[Candidate, ...]) -> int:
     """Return the estimated time in ms until a slot is free."""
     return FREE_SLOT_MS if candidates else NEXT_HEARTBEAT_MS
@@ -788,12 +533,8 @@
     on the order, and a server that is added or removed moves the others by
     one position at most.
     """
-    ordered = sorted(server_ids, key=_hash_of)
+    ordered = sorted(server_ids, key=memory.hash_of)
     return {
         server_id: index / len(ordered)
         for index, server_id in enumerate(ordered)
     }
-
-
-def _hash_of(server_id: str) -> bytes:
-    return hashlib.blake2b(server_id.encode(), digest_size=8).digest()
--- a/src/shallothinge/placement/tests/test_choice.py
+++ b/src/shallothinge/placement/tests/test_choice.py
@@ -5,6 +5,7 @@
 import unittest
 
 from shallothinge.placement import choice
+from shallothinge.placement import free_slots
 from shallothinge.placement import server_queue
 from shallothinge.placement.tests import simulation
 from shallothinge.routes import model
@@ -215,7 +216,7 @@
     def test_no_room_is_told(self):
         for service in (LLM, DESK):
             full = server_queue.ServerLoad(
-                active=8 * choice.MAX_REQUESTS_PER_SLOT
+                active=8 * free_slots.MAX_REQUESTS_PER_SLOT
             )
             placed = self.choose(
                 demand(service=service), candidate('s', load=full)
@@ -516,7 +517,7 @@
         )
         for name, service, candidates, expected in rows:
             with self.subTest(name):
-                found = choice.free_slots(demand(service=service), candidates)
+                found = free_slots.find(demand(service=service), candidates)
                 self.assertEqual(
                     expected,
                     (found.own_count, found.next_turn_in_ms, found.oldest_ms),
--- a/src/shallothinge/placement/tests/test_several_gateways.py
+++ b/src/shallothinge/placement/tests/test_several_gateways.py
@@ -6,6 +6,7 @@
 import attrs
 
 from shallothinge.placement import choice
+from shallothinge.placement import memory
 from shallothinge.placement import pricing
 from shallothinge.placement import server_queue
 from shallothinge.placement.tests import gateways
@@ -132,7 +133,7 @@
 
     def test_prices_of_other_gateways_are_below_that_of_a_late_answer(self):
         self.assertLess(
-            choice.MAX_PRIMARY_PRICE,
+            memory.MAX_PRIMARY_PRICE,
             pricing.weight_of(0) * pricing.LATE_LOSS,
         )
 
