Measure the pace of a server apart from its attempt

Change: gateway/pace_probe.py keeps them; code is moved, the time to the first event is the same number worked out from the choice of the server.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -10,13 +10,13 @@
 from shallothinge.gateway import dependencies
 from shallothinge.gateway import model
 from shallothinge.gateway import notices
+from shallothinge.gateway import pace_probe
 from shallothinge.gateway import reservation
 from shallothinge.gateway.policy import FailureCause
 from shallothinge.http1 import client
 from shallothinge.http1 import messages
 from shallothinge.membership.model import BackendServer
 from shallothinge.placement import choice
-from shallothinge.placement import pace
 from shallothinge.placement import server_queue
 
 
@@ -103,13 +103,14 @@
         self.is_stalled = False
         self.answer_end: client.AnswerEnd | None = None
         self._first_event_ms: int | None = None
-        self._last_event_ms = 0
-        self._idle_mark_ms: float | None = None
         self._is_over = False
         self._stall_timer = None
         self._is_paused = False
         self._stall_timeout_ms: float | None = None
         self._placed_ms = parts.clock.now_ms()
+        self._pace = pace_probe.PaceProbe(
+            parts=parts, placement=placement, placed_ms=self._placed_ms
+        )
         self.sent_after_ms: int | None = None
         self._sent_ms = self._placed_ms
         self._data_ms = self._placed_ms
@@ -270,7 +271,7 @@
     def pause(self) -> None:
         """Stop reading and the stall timer until the caller catches up."""
         self._is_paused = True
-        self._idle_mark_ms = None
+        self._pace.note_pause()
         self._stop_timer()
         if self._exchange is not None and not self._is_over:
             self._exchange.pause()
@@ -377,51 +378,26 @@
         """
         if self._first_event_ms is None:
             self._first_event_ms = self._parts.clock.now_ms()
-            self._measure_pace()
+            if not self._order.last_event_id:
+                self._pace.record_first_event(
+                    self._server,
+                    sent_after_ms=self.sent_after_ms,
+                    work_id=self._work_ids[0],
+                )
         else:
-            self._measure_pause(event_count)
+            self._pace.record_pause(
+                self._server,
+                event_count=event_count,
+                work_id=self._work_ids[0],
+            )
         for work_id in self._work_ids:
             self._parts.load.first_event(work_id)
         self._end_helper_work()
-        self._last_event_ms = self._parts.clock.now_ms()
-        self._idle_mark_ms = self._parts.load.idle_mark_ms(self._work_ids[0])
+        self._pace.note_events(self._work_ids[0])
         if self.is_stalled:
             self._stop_timer()
         self.is_stalled = False
 
-    def _measure_pace(self) -> None:
-        """Record the time to the first event as a measure of the server.
-
-        The first event of a resumed stream comes after those that the caller
-        has, so it is left out.
-        """
-        if self._order.last_event_id or self.sent_after_ms is None:
-            return
-        first_event = pace.build_first_event(
-            self._placement,
-            measured_ms=self._first_event_ms - self._sent_ms,
-            assigned_since_ms=self._parts.load.assigned_since_ms(
-                self._work_ids[0]
-            ),
-            sent_after_ms=self.sent_after_ms,
-        )
-        self._parts.servers.record_first_event(self._server, first_event)
-
-    def _measure_pause(self, event_count: int) -> None:
-        """Record the time since the last event if the server read nothing.
-
-        :param event_count: events that arrived together, one for each pass.
-        """
-        mark_ms = self._parts.load.idle_mark_ms(self._work_ids[0])
-        is_idle = mark_ms is not None and mark_ms == self._idle_mark_ms
-        if is_idle and self._placement.pass_ms:
-            pause_ms = self._parts.clock.now_ms() - self._last_event_ms
-            self._parts.servers.record_pause(
-                self._server,
-                measured_ms=pause_ms / event_count,
-                pass_ms=self._placement.pass_ms,
-            )
-
     @guards.guarded
     def on_end(self, end: client.AnswerEnd) -> None:
         """Handle the end of the answer."""
