Build the quarantine's reports apart from its decisions

Change: reports.py holds what has changed and builds the message; code is moved. Result: the quarantine's tests passed with the same assertions.

--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -22,6 +22,7 @@
 from shallothinge.quarantine import fingerprints
 from shallothinge.quarantine import messages
 from shallothinge.quarantine import records
+from shallothinge.quarantine import reports
 
 LOG = logging.getLogger(__name__)
 
@@ -33,17 +34,6 @@
 REPEAT_MS = 3_000
 
 
-@attrs.define(kw_only=True)
-class _Changes:
-    """Ids of what has changed since the last report, in order."""
-
-    crashes: dict[ServerKey, None] = attrs.field(factory=dict)
-    whole: dict[str, None] = attrs.field(factory=dict)
-    quarantined: dict[str, None] = attrs.field(factory=dict)
-    lifted: dict[str, None] = attrs.field(factory=dict)
-    refuted: dict[tuple[ServerKey, int], None] = attrs.field(factory=dict)
-
-
 @attrs.frozen(kw_only=True)
 class Admission:
     """Whether a request may be sent to a server.
@@ -87,7 +77,7 @@
         # When this gateway refuted crashes, by incarnation and time.
         self._own_refuted_ms: dict[tuple[ServerKey, int], int] = {}
         self._reported_ms: dict[str, int] = {}
-        self._changes = _Changes()
+        self._changes = reports.Changes()
         self._suspects: dict[str, None] = {}
         self._judge_at_ms = 0
         self.on_change: Callable[[], None] | None = None
@@ -220,17 +210,17 @@
 
         :param complete: whether to repeat what a peer may have missed.
         """
-        changes, self._changes = self._changes, _Changes()
-        return self._build(
-            self._all_changes(changes.whole) if complete else changes
-        )
+        changes, self._changes = self._changes, reports.Changes()
+        if complete:
+            changes = self._all_changes(changes.whole)
+        return self._build(changes)
 
     def repeat_as_complete_report(self) -> messages.PartsReported | None:
         """Return a complete report for a peer that has received none yet."""
         return self._build(self._all_changes(self._changes.whole))
 
-    def _all_changes(self, whole: dict[str, None]) -> _Changes:
-        return _Changes(
+    def _all_changes(self, whole: dict[str, None]) -> reports.Changes:
+        return reports.Changes(
             crashes=dict.fromkeys(self._own_crashes_ms),
             whole=whole,
             quarantined=dict.fromkeys(self._records.ids),
@@ -238,39 +228,15 @@
             refuted=dict.fromkeys(self._own_refuted_ms),
         )
 
-    def _build(self, changes: _Changes) -> messages.PartsReported | None:
-        now_ms = self._clock.now_ms()
-        made = messages.PartsReported(
-            crashes=tuple(
-                (*key, now_ms - close.at_ms, tuple(close.positions.items()))
-                for key in changes.crashes
-                for close in self._evidence.own_closes(key)
-            ),
-            whole=tuple(
-                (part_id, now_ms - at_ms)
-                for part_id in changes.whole
-                if (at_ms := self._evidence.whole_ms(part_id)) is not None
-            ),
-            quarantined=tuple(
-                (part_id, one.epoch, one.until_ms - now_ms, one.strikes)
-                for part_id in changes.quarantined
-                if (one := self._records.find(part_id)) is not None
-            ),
-            lifted=tuple(
-                (part_id, epoch)
-                for part_id in changes.lifted
-                if (epoch := self._records.lifted_epoch(part_id))
-            ),
-            refuted=tuple(
-                (*key, now_ms - at_ms) for key, at_ms in changes.refuted
-            ),
-            unfounded=tuple(
-                (part_id, self._records.lifted_epoch(part_id))
-                for part_id in changes.lifted
-                if self._records.is_unfounded(part_id)
-            ),
+    def _build(
+        self, changes: reports.Changes
+    ) -> messages.PartsReported | None:
+        return reports.build(
+            changes,
+            evidence=self._evidence,
+            quarantined=self._records,
+            now_ms=self._clock.now_ms(),
         )
-        return None if made == messages.PartsReported() else made
 
     def apply_report(self, report: messages.PartsReported) -> None:
         """Apply what a peer has observed or decided.
