Decide on the slots of servers apart from their list

Change: server_slots.py ranks the servers, follows the turns and builds the candidates; code is moved. Result: the gateway's tests, test_pure_core and test_docs passed with the same assertions.

--- a/src/shallothinge/gateway/servers.py
+++ b/src/shallothinge/gateway/servers.py
@@ -1,8 +1,5 @@
 """Tracks the listed backend servers and their availability to a gateway."""
 
-import collections
-from collections.abc import Callable
-from collections.abc import Iterable
 import logging
 
 import attrs
@@ -12,6 +9,7 @@
 from shallothinge.gateway import cold_rate_limiter
 from shallothinge.gateway import model
 from shallothinge.gateway import notices
+from shallothinge.gateway import server_slots
 from shallothinge.leases import holder as holders
 from shallothinge.membership.model import BackendServer
 from shallothinge.membership.model import ServerKey
@@ -19,7 +17,6 @@
 from shallothinge.placement import fleet
 from shallothinge.placement import pace
 from shallothinge.placement import server_queue
-from shallothinge.placement import slot_turns
 from shallothinge.routes import model as routes
 from shallothinge.routing import breaker
 from shallothinge.server_limits import state as server_limits
@@ -35,13 +32,9 @@
 # and avoiding the server would overload the others. An engine pass that reads
 # a long prompt takes up to about this long.
 RECENT_ACTIVITY_MS = 1000
-# A restarted gateway learns its peers with its second lease, and receives
-# their load reports some round trips later.
-PEERS_KNOWN_MS = 400
 # Limit on server ids per log field; the first list may hold thousands.
 MAX_LOGGED_IDS = 20
-# Concurrent requests assumed for a server that does not report its slots.
-DEFAULT_SLOTS = 1
+
 NO_LOAD = server_queue.ServerLoad()
 
 
@@ -84,8 +77,9 @@
         self._limits = limits
         self._paces = pace.ServerPaces(clock=clock)
         self._entries: dict[str, _ServerEntry] = {}
-        self._ranks: dict[str, float] = {}
-        self._slot_turns = slot_turns.SlotTurns(own_id=address)
+        self._slots = server_slots.ServerSlots(
+            holder=holder, load=load, address=address
+        )
         load.on_failed = self._on_peer_failure_report
         load.on_leaving = notices.mark_leaving
 
@@ -120,95 +114,22 @@
         ]
         healthy = [entry for entry in listed if entry.breaker.allows_request()]
         loads = self._load.loads()
-        usable_slots = self._usable_slots(loads)
+        usable_slots = self._slots.usable_slots(loads)
         now_ms = self._clock.now_ms()
         return tuple(
-            self._candidate(
-                entry,
+            self._slots.build_candidate(
+                entry.server,
                 slots=usable_slots(entry.server),
                 requests_per_slot=requests_per_slot,
                 load=loads.get(entry.server.server_id, NO_LOAD),
                 is_cold=entry.cold_until_ms > now_ms,
                 is_rate_limited=has_limits
                 and self._is_rate_limited(entry.server),
+                pace=self._paces.pace(notices.key_of(entry.server)),
             )
             for entry in healthy or listed
         )
 
-    def _candidate(
-        self,
-        entry: _ServerEntry,
-        *,
-        slots: int,
-        requests_per_slot: int,
-        load: server_queue.ServerLoad,
-        is_cold: bool,
-        is_rate_limited: bool,
-    ) -> choice.Candidate:
-        server_id = entry.server.server_id
-        free_slots = requests_per_slot * slots - load.active
-        free_ms = 0
-        turn_in_ms = 0
-        if free_slots > 0:
-            free_ms = self._load.free_ms(server_id, free_slots=free_slots)
-            turn_in_ms = self._turn_in_ms(server_id, free_slots)
-        return choice.Candidate(
-            server_id=server_id,
-            zone=entry.server.zone,
-            slots=slots,
-            is_cold=is_cold,
-            rank=self._ranks[server_id],
-            load=load,
-            is_rate_limited=is_rate_limited,
-            pace=self._paces.pace(notices.key_of(entry.server)),
-            is_last_slot_own=self._slot_turns.is_first(server_id),
-            free_ms=free_ms,
-            turn_in_ms=turn_in_ms,
-        )
-
-    def _turn_in_ms(self, server_id: str, free_slots: int) -> int:
-        """Return the time until this gateway may take a contended slot.
-
-        While the list is partial, each gateway has slots of its own.
-        """
-        if (
-            self._holder.is_member_list_partial
-            or self._load.has_unreported_end(server_id)
-        ):
-            return 0
-        return self._slot_turns.wait_ms(
-            server_id,
-            free_slots=free_slots,
-            unchanged_ms=self._load.unchanged_ms(server_id),
-            own_start_ms=self._load.own_start_ms(server_id),
-        )
-
-    def _usable_slots(
-        self, loads: dict[str, server_queue.ServerLoad]
-    ) -> Callable[[BackendServer], int]:
-        """Return a function that gives the slots of a server to place on.
-
-        A new leader knows only a few servers at first, while all gateways
-        hold requests that waited for it. They would fill these servers at the
-        same moment, before they receive each other's load reports. So each
-        gateway uses only its share of the slots, and a single slot until it
-        knows how many gateways there are.
-        """
-        if not self._holder.is_member_list_partial:
-            return _slots_of
-        gateway_count = max(1, len(self._holder.peers))
-        knows_peers = self._holder.member_list_age_ms >= PEERS_KNOWN_MS
-        own = self._load.own_active()
-
-        def usable_slots_of(server: BackendServer) -> int:
-            slots = _slots_of(server)
-            load = loads.get(server.server_id, server_queue.ServerLoad())
-            others_active = load.active - own[server.server_id]
-            share = max(1, slots // gateway_count) if knows_peers else 1
-            return min(slots, others_active + share)
-
-        return usable_slots_of
-
     def take_permit(self, *, server_id: str, service: routes.Service) -> bool:
         """Take a permit if the rate limits of a server admit a request.
 
@@ -496,7 +417,7 @@
             if self._started_leaving(server)
         }
         if joined or left:
-            self._ranks = _rank_by_zone(members.values())
+            self._slots.rank(members.values())
         for server_id in left:
             del self._entries[server_id]
         for server in changed:
@@ -512,9 +433,7 @@
 
     def update_slot_turns(self) -> None:
         """Follow the list of gateways; call this periodically."""
-        self._slot_turns.update(
-            gateway_ids=self._holder.peers, server_ids=self._entries
-        )
+        self._slots.update_turns(self._entries)
 
     def _is_current(self, server: BackendServer) -> bool:
         entry = self._entries.get(server.server_id)
@@ -562,21 +481,6 @@
         )
 
 
-def _rank_by_zone(listed: Iterable[BackendServer]) -> dict[str, float]:
-    """Rank each server among those of its zone with the same services."""
-    groups = collections.defaultdict(list)
-    for server in listed:
-        groups[server.zone, server.services].append(server.server_id)
-    ranks = {}
-    for server_ids in groups.values():
-        ranks.update(choice.rank_servers(server_ids))
-    return ranks
-
-
-def _slots_of(server: BackendServer) -> int:
-    return server.slots or DEFAULT_SLOTS
-
-
 def _open_breaker(entry: _ServerEntry) -> bool:
     """Open a server's breaker, once for all requests that fail together.
 
--- a/src/shallothinge/gateway/tests/test_wait.py
+++ b/src/shallothinge/gateway/tests/test_wait.py
@@ -3,7 +3,7 @@
 import collections
 import unittest
 
-from shallothinge.gateway import servers
+from shallothinge.gateway import server_slots
 from shallothinge.gateway.tests import rig
 from shallothinge.gateway.tests import test_forwarding
 from shallothinge.placement import server_queue
@@ -114,7 +114,7 @@
         sent = collections.Counter(call.address for call in self.calls)
         self.assertEqual({1}, set(sent.values()))
         self.rig.holder.peers = tuple(f'tcp://{name}' for name in 'abcd')
-        self.rig.holder.member_list_age_ms = servers.PEERS_KNOWN_MS
+        self.rig.holder.member_list_age_ms = server_slots.PEERS_KNOWN_MS
         self.rig.advance(20)
         sent = collections.Counter(call.address for call in self.calls)
         self.assertEqual({2}, set(sent.values()))
