--- a/src/shallothinge/control/tests/test_process.py
+++ b/src/shallothinge/control/tests/test_process.py
@@ -11,6 +11,7 @@
 
 from shallothinge import process as processes
 from shallothinge.control import process as control
+from shallothinge.http1 import connection
 from shallothinge.http1 import server
 from shallothinge.settings import model
 from shallothinge.transport import keys
@@ -65,7 +66,7 @@
         ports = []
         listen = server.listen
         make_process = processes.Process
-        read = server.ServerConnection.dataReceived
+        read = connection.ServerConnection.dataReceived
 
         def listen_and_keep(**arguments):
             ports.append(listen(**arguments))
@@ -104,7 +105,7 @@
             mock.patch.object(server, 'listen', listen_and_keep),
             mock.patch.object(processes, 'Process', make_and_close),
             mock.patch.object(
-                server.ServerConnection, 'dataReceived', data_received
+                connection.ServerConnection, 'dataReceived', data_received
             ),
             mock.patch.object(control, 'API_STOP_LIMIT_MS', 1000 * TIMEOUT_S),
         ):
