Move the outcome of an attempt to a module of its own

Change: it is in gateway/outcome.py; code is moved. Result: the gateway's tests passed with the same assertions.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -10,6 +10,7 @@
 from shallothinge.gateway import dependencies
 from shallothinge.gateway import model
 from shallothinge.gateway import notices
+from shallothinge.gateway import outcome as outcomes
 from shallothinge.gateway import pace_probe
 from shallothinge.gateway import reservation
 from shallothinge.gateway.policy import FailureCause
@@ -20,28 +21,6 @@
 from shallothinge.placement import server_queue
 
 
-@attrs.frozen(kw_only=True)
-class Outcome:
-    """How an attempt failed.
-
-    ``is_disconnect`` is whether the server closed the connection before the
-    answer was complete. ``answer`` is the head of the server's refusal to run
-    the request or of its own error response, if that is complete and signed.
-    ``body`` is the body of the error response. ``fault_address`` or
-    ``fault_id`` names the helper that caused the failure, if one did.
-    """
-
-    cause: FailureCause
-    may_have_run: bool
-    was_sent: bool
-    is_disconnect: bool = False
-    detail: str = ''
-    fault_address: str = ''
-    fault_id: str = ''
-    answer: model.AnswerHead | None = None
-    body: bytes = attrs.field(default=b'', repr=False)
-
-
 class Owner(Protocol):
     """Callbacks from an attempt to the request that it belongs to."""
 
@@ -62,7 +41,7 @@
     def on_stalled(self, attempt: 'Attempt') -> None:
         """Handle the stall timeout; the attempt continues."""
 
-    def on_failed(self, attempt: 'Attempt', outcome: Outcome) -> None:
+    def on_failed(self, attempt: 'Attempt', outcome: outcomes.Outcome) -> None:
         """Handle the failure of the attempt."""
 
 
@@ -234,7 +213,7 @@
         self._end()
         self._owner.on_failed(
             self,
-            Outcome(
+            outcomes.Outcome(
                 cause=FailureCause.NO_MEMORY,
                 may_have_run=False,
                 was_sent=False,
@@ -413,7 +392,7 @@
         else:
             self._owner.on_failed(
                 self,
-                Outcome(
+                outcomes.Outcome(
                     cause=FailureCause.SERVER_ERROR,
                     may_have_run=True,
                     was_sent=True,
@@ -456,7 +435,7 @@
         self._end()
         self._owner.on_failed(
             self,
-            Outcome(
+            outcomes.Outcome(
                 cause=(
                     FailureCause.BROKEN
                     if failure.was_sent
@@ -487,7 +466,7 @@
             detail += f' for {answer.fault_address}'
         self._owner.on_failed(
             self,
-            Outcome(
+            outcomes.Outcome(
                 cause=FailureCause.REFUSED_UNRUN,
                 may_have_run=False,
                 was_sent=True,
@@ -515,7 +494,7 @@
             self._exchange.cancel()
         self._owner.on_failed(
             self,
-            Outcome(
+            outcomes.Outcome(
                 cause=cause,
                 may_have_run=may_have_run,
                 was_sent=may_have_run,
--- a/src/shallothinge/gateway/attempt_record.py
+++ b/src/shallothinge/gateway/attempt_record.py
@@ -5,6 +5,7 @@
 from shallothinge.gateway import fault_attribution
 from shallothinge.gateway import hedging
 from shallothinge.gateway import model
+from shallothinge.gateway import outcome as outcomes
 from shallothinge.gateway import part_admission
 from shallothinge.gateway import policy
 from shallothinge.gateway import running_attempts
@@ -99,7 +100,7 @@
         self._parts.metrics.count_retry()
 
     def record_failure(
-        self, attempt: attempts.Attempt, outcome: attempts.Outcome
+        self, attempt: attempts.Attempt, outcome: outcomes.Outcome
     ) -> None:
         """Record a failed attempt, and which server or prompt is at fault."""
         self.running.remove(attempt)
--- a/src/shallothinge/gateway/fault_attribution.py
+++ b/src/shallothinge/gateway/fault_attribution.py
@@ -1,6 +1,6 @@
 """Determines which server is at fault for a failed attempt."""
 
-from shallothinge.gateway import attempt as attempts
+from shallothinge.gateway import outcome as outcomes
 from shallothinge.gateway import servers as listed
 from shallothinge.gateway.policy import FailureCause
 
@@ -8,7 +8,7 @@
 def record_failure(
     *,
     server_id: str,
-    outcome: attempts.Outcome,
+    outcome: outcomes.Outcome,
     servers: listed.Servers,
     tried_ids: set[str],
 ) -> None:
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -10,6 +10,7 @@
 from shallothinge.gateway import dependencies
 from shallothinge.gateway import exchange_guard
 from shallothinge.gateway import model
+from shallothinge.gateway import outcome as outcomes
 from shallothinge.gateway import overdue
 from shallothinge.gateway import part_admission
 from shallothinge.gateway import policy
@@ -230,7 +231,7 @@
         if self._answer.is_begun:
             self.on_failed(
                 attempt,
-                attempts.Outcome(
+                outcomes.Outcome(
                     cause=policy.FailureCause.BROKEN,
                     may_have_run=True,
                     was_sent=True,
@@ -283,7 +284,7 @@
 
     @guards.guarded
     def on_failed(
-        self, attempt: attempts.Attempt, outcome: attempts.Outcome
+        self, attempt: attempts.Attempt, outcome: outcomes.Outcome
     ) -> None:
         """Retry at another server, or answer the caller with an error."""
         self._attempts.record_failure(attempt, outcome)
@@ -315,7 +316,7 @@
         elif self._is_stream and self._attempts.no_takeover_reason() is None:
             self._running.expect_within(self._silence.stall_timeout_ms)
 
-    def _fail(self, outcome: attempts.Outcome) -> None:
+    def _fail(self, outcome: outcomes.Outcome) -> None:
         """Give the caller the final answer for a failed request."""
         if self._answer.is_begun:
             self._answer.abort(outcome.cause.value)
--- a/src/shallothinge/gateway/part_admission.py
+++ b/src/shallothinge/gateway/part_admission.py
@@ -7,6 +7,7 @@
 from shallothinge.gateway import dependencies
 from shallothinge.gateway import model
 from shallothinge.gateway import notices
+from shallothinge.gateway import outcome as outcomes
 from shallothinge.gateway import policy
 from shallothinge.quarantine import state as quarantines
 
@@ -68,7 +69,7 @@
         self._parts.quarantine.record_whole(self._part_ids)
 
     def record_failure(
-        self, attempt: attempts.Attempt, outcome: attempts.Outcome
+        self, attempt: attempts.Attempt, outcome: outcomes.Outcome
     ) -> None:
         """Record what may be a crash that a part of the prompt has caused.
 
--- a/src/shallothinge/gateway/request_log.py
+++ b/src/shallothinge/gateway/request_log.py
@@ -5,6 +5,7 @@
 from shallothinge.gateway import attempt as attempts
 from shallothinge.gateway import dependencies
 from shallothinge.gateway import model
+from shallothinge.gateway import outcome as outcomes
 from shallothinge.gateway import policy
 from shallothinge.placement import choice
 
@@ -102,7 +103,7 @@
     def failed(
         self,
         attempt: attempts.Attempt,
-        outcome: attempts.Outcome,
+        outcome: outcomes.Outcome,
         *,
         no_retry: policy.NoRetry | None,
         **fields,
