Move the results of a choice and of an admission to their own modules

Cause: placement/choice.py and quarantine/state.py also held the types that other modules read. Change: placement/result.py and quarantine/admission.py; code is moved.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -18,6 +18,7 @@
 from shallothinge.http1 import messages
 from shallothinge.membership.model import BackendServer
 from shallothinge.placement import choice
+from shallothinge.placement import result
 from shallothinge.placement import server_queue
 
 
@@ -101,7 +102,7 @@
         self._reservation = None
         self._work_ids = [
             parts.load.start(one)
-            for one in choice.build_works(placement, work)
+            for one in result.build_works(placement, work)
         ]
 
     @property
--- a/src/shallothinge/placement/tests/gateways.py
+++ b/src/shallothinge/placement/tests/gateways.py
@@ -13,6 +13,7 @@
 from shallothinge import clock
 from shallothinge.placement import choice
 from shallothinge.placement import fleet
+from shallothinge.placement import result
 from shallothinge.placement import server_queue
 from shallothinge.routes import model
 
@@ -184,7 +185,7 @@
             memory_tokens=tokens,
         )
         work_ids = [
-            gateway.load.start(one) for one in choice.build_works(placed, work)
+            gateway.load.start(one) for one in result.build_works(placed, work)
         ]
         self.placed_count += 1
         self._held_tokens[placed.server_id] += tokens
--- a/src/shallothinge/placement/tests/simulation.py
+++ b/src/shallothinge/placement/tests/simulation.py
@@ -16,6 +16,7 @@
 from shallothinge.placement import fleet
 from shallothinge.placement import pace
 from shallothinge.placement import pricing
+from shallothinge.placement import result
 from shallothinge.placement import server_queue
 from shallothinge.placement import waiting
 from shallothinge.routes import model
@@ -239,7 +240,7 @@
             pause_ms=request.pause_ms,
             weight=pricing.weight_of(request.tokens),
         )
-        works = choice.build_works(placed, work)
+        works = result.build_works(placed, work)
         request.work_ids = tuple(self.load.start(one) for one in works)
         request.server = self.servers[placed.server_id]
         for server_id in server_ids:
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -10,9 +10,6 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import logging
-from typing import Protocol
-
-import attrs
 
 from shallothinge import clock as clocks
 from shallothinge.membership.model import ServerKey
@@ -23,6 +20,9 @@
 from shallothinge.quarantine import messages
 from shallothinge.quarantine import records
 from shallothinge.quarantine import reports
+from shallothinge.quarantine.admission import ADMITTED
+from shallothinge.quarantine.admission import Admission
+from shallothinge.quarantine.admission import Watcher
 
 LOG = logging.getLogger(__name__)
 
@@ -34,31 +34,6 @@
 REPEAT_MS = 3_000
 
 
-@attrs.frozen(kw_only=True)
-class Admission:
-    """Whether a request may be sent to a server.
-
-    ``refused_ms`` is how long it is refused for, 0 if it is not. ``wait_ms``
-    is the time until a decision on one of its parts, 0 if none is due.
-    ``is_probe`` is whether it tests a part whose quarantine has ended.
-    """
-
-    part_id: str = ''
-    refused_ms: int = 0
-    wait_ms: int = 0
-    is_probe: bool = False
-
-
-ADMITTED = Admission()
-
-
-class Watcher(Protocol):
-    """Callback to a request that waits or runs."""
-
-    def on_quarantined(self, part_id: str) -> None:
-        """Handle the quarantine of a part, or its renewal."""
-
-
 class PartQuarantine:
     """Quarantined parts, decided with what all gateways observe.
 
