Take no unreadable error of an engine for a refusal

The agent told the entry that a stream had not run if the engine answered 400, 404, 409 or 503, whatever the body, so that the stream was sent to another engine although this one may have generated it.

Cause: the status stood for the statement.

--- a/src/shallothinge/agent/running.py
+++ b/src/shallothinge/agent/running.py
@@ -19,30 +19,39 @@
 RECONNECTS = 20
 HEADERS_TIMEOUT_MS = 5000
 
+# The engine's errors that state that it did not run the stream.
 REFUSALS = {
+    'bad_request': ErrorKind.BAD_REQUEST,
     'duplicate_request': ErrorKind.BAD_REQUEST,
     'memory_full': ErrorKind.MEMORY_FULL,
-    'overloaded': ErrorKind.OVERLOADED,
+    'model_not_loaded': ErrorKind.NO_BACKEND_SERVER,
+    'not_found': ErrorKind.NO_BACKEND_SERVER,
     'not_ready': ErrorKind.NO_BACKEND_SERVER,
+    'overloaded': ErrorKind.OVERLOADED,
     'stale_fence': ErrorKind.STALE_FENCE,
+    'weight_store_busy': ErrorKind.OVERLOADED,
 }
-REFUSALS_BY_STATUS = {
-    400: ErrorKind.BAD_REQUEST,
-    404: ErrorKind.NO_BACKEND_SERVER,
-    409: ErrorKind.STALE_FENCE,
-    503: ErrorKind.OVERLOADED,
-}
+REFUSAL_STATUSES = (400, 404, 409, 503)
 
 
 def refusal_of(answer: http.Answer) -> ErrorKind | None:
-    """Return the kind of an engine's refusal, None if it is no refusal."""
-    if answer.status not in REFUSALS_BY_STATUS:
+    """Return the kind of an engine's refusal, None if it is no refusal.
+
+    The status alone states nothing: an engine that fails, or a proxy before
+    it, may answer a stream that has run with the same status.
+    """
+    if answer.status not in REFUSAL_STATUSES:
         return None
     try:
         error = model.read_json(answer.body, model.EngineError).error
-    except model.BadAnswer:
-        error = ''
-    return REFUSALS.get(error, REFUSALS_BY_STATUS[answer.status])
+    except model.BadAnswer as unreadable:
+        LOG.warning(
+            "an engine's error can't be read: %r",
+            unreadable,
+            extra={'status': answer.status},
+        )
+        return None
+    return REFUSALS.get(error)
 
 
 class StreamListener(Protocol):
