Promise no caller that a request has not run unless a server states it

Cause: the outcome of the attempt said that the request may have run, but a server's own answer was handed on without asking; only the gateway's own errors were checked. So there were two ways out and one check.

Change: CallerAnswer is the place that all answers of a request pass, and knows what has become of it over all attempts. A server's 408, 429 or 503 without a statement becomes 502: outcome_unknown where it may run once, backend_failed with the server's Retry-After where it may be repeated. Other failures are passed on unchanged. An error of the gateway's own that would promise too much is replaced and logged. `attempt failed` tells the server's status and whether it stated that the request has not run.

--- a/src/shallothinge/gateway/attempt_record.py
+++ b/src/shallothinge/gateway/attempt_record.py
@@ -54,6 +54,11 @@
         """Return at how many servers the request runs or may have run."""
         return self.progress.sent + len(self.running)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a server runs the request or may have run it."""
+        return self.progress.may_have_run or bool(self.running)
+
     def add(self, attempt: attempts.Attempt) -> None:
         """Add an attempt that starts."""
         self._tried_ids.add(attempt.server_id)
--- a/src/shallothinge/gateway/caller_answer.py
+++ b/src/shallothinge/gateway/caller_answer.py
@@ -1,18 +1,27 @@
 """The answer that the caller of one request gets."""
 
 from collections.abc import Callable
+import logging
 
 from shallothinge import errors
 from shallothinge import sse
 from shallothinge.gateway import dependencies
 from shallothinge.gateway import event_times
 from shallothinge.gateway import model
+from shallothinge.gateway import policy
 from shallothinge.http1 import exchange as exchanges
+from shallothinge.routes import model as routes
+
+LOG = logging.getLogger(__name__)
 
 
 class CallerAnswer:
     """Writes a stream, a complete answer or an error to the caller.
 
+    No answer promises that the request has not run if a server may have run
+    it, as callers send it again after such a promise.
+
+    :param may_have_run: returns whether an attempt may have run the request.
     :param on_over: called once with outcome, status and detail as the
         answer ends.
     :ivar is_over: whether the outcome is known.
@@ -26,11 +35,15 @@
         parts: dependencies.Dependencies,
         exchange: exchanges.Exchange,
         request: model.CallerRequest,
+        route: routes.Route,
+        may_have_run: Callable[[], bool],
         on_over: Callable[[str, int, str], None],
     ):
         self._parts = parts
         self._exchange = exchange
         self._request_id = request.request_id
+        self._route = route
+        self._may_have_run = may_have_run
         self._on_over = on_over
         self.is_over = False
         self.last_event_id = request.last_event_id
@@ -73,7 +86,19 @@
     def respond(
         self, outcome: str, head: model.AnswerHead, body: bytes
     ) -> None:
-        """Write the complete answer of a server."""
+        """Write the complete answer of a server.
+
+        It is replaced if its status promises what is not certain.
+        """
+        if head.promises_unrun and self._may_have_run():
+            self.refuse(
+                policy.unknown_outcome_error(
+                    self._route,
+                    detail=f'{outcome}: status {head.status}',
+                    retry_after_ms=head.retry_after_ms,
+                )
+            )
+            return
         self.end(outcome, status=head.status)
         self._exchange.respond(
             status=head.status, headers=head.headers, body=body
@@ -84,6 +109,7 @@
         if self.is_begun:
             self.abort(error.kind.value)
             return
+        error = self._without_false_promise(error)
         status, headers, body = self._parts.dialect.write_error(
             error=error, request_id=self._request_id
         )
@@ -91,6 +117,24 @@
         self.end(error.kind.value, status=status, detail=error.detail)
         self._exchange.respond(status=status, headers=headers, body=body)
 
+    def _without_false_promise(
+        self, error: errors.ServingError
+    ) -> errors.ServingError:
+        is_unrun = error.answer.work_state is errors.WorkState.NOT_RUN
+        if not is_unrun or not self._may_have_run():
+            return error
+        LOG.error(
+            'an error would promise that a request has not run that may have',
+            extra={
+                'request_id': self._request_id,
+                'outcome': error.kind.value,
+                'detail': error.detail,
+            },
+        )
+        return policy.unknown_outcome_error(
+            self._route, detail=error.detail or error.kind.value
+        )
+
     def abort(self, cause: str) -> None:
         """Abort an answer that has begun, so that it is seen as truncated."""
         self.end(f'cut_{cause}', status=0)
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -50,6 +50,8 @@
             parts=parts,
             exchange=exchange,
             request=self._request,
+            route=self._route,
+            may_have_run=lambda: self._attempts.may_have_run,
             on_over=self._on_over,
         )
         self._admission = part_admission.PartAdmission(
--- a/src/shallothinge/gateway/model.py
+++ b/src/shallothinge/gateway/model.py
@@ -102,7 +102,10 @@
     is whether the answer has the server's signature. ``is_leaving`` is
     whether the server announces that it leaves, ``pause_ms`` for how long it
     wants no further requests from this gateway. ``is_misdirected`` is whether
-    another server may have answered at the address.
+    another server may have answered at the address. ``promises_unrun`` is
+    whether callers take the status for a promise that the request has not
+    run, which the server itself may not have stated. ``retry_after_ms`` is
+    when the server would have the caller come back, 0 if it does not say.
 
     ``limit_per_s`` is the rate of requests that the server takes from all
     gateways together, None if it names none. ``unreadable_limit`` is the
@@ -119,6 +122,8 @@
     is_leaving: bool = False
     pause_ms: int = 0
     is_misdirected: bool = False
+    promises_unrun: bool = False
+    retry_after_ms: int = 0
     limit_per_s: float | None = None
     unreadable_limit: str = ''
 
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -250,7 +250,7 @@
             detail=cause.value,
             retry_after_ms=pause_ms,
         )
-    return _unknown_outcome_error(route, detail=cause.value)
+    return unknown_outcome_error(route, detail=cause.value)
 
 
 def full_error(free_in_ms: int, *, detail: str) -> errors.ServingError:
@@ -294,7 +294,7 @@
 ) -> errors.ServingError:
     """Return the error for a request that a planned stop ends."""
     if progress.may_have_run:
-        return _unknown_outcome_error(route, detail='stopping')
+        return unknown_outcome_error(route, detail='stopping')
     return unsent_stop_error()
 
 
@@ -305,14 +305,21 @@
     )
 
 
-def _unknown_outcome_error(
-    route: routes.Route, *, detail: str
+def unknown_outcome_error(
+    route: routes.Route, *, detail: str, retry_after_ms: int = 0
 ) -> errors.ServingError:
+    """Return the error for a request that may have run.
+
+    :param retry_after_ms: when a server would have the caller come back, 0
+        if it does not say; only told where the request may run once more.
+    """
     if route.is_repeatable:
-        kind = ErrorKind.BACKEND_FAILED
-    else:
-        kind = ErrorKind.OUTCOME_UNKNOWN
-    return errors.ServingError(kind=kind, detail=detail)
+        return errors.ServingError(
+            kind=ErrorKind.BACKEND_FAILED,
+            detail=detail,
+            retry_after_ms=retry_after_ms or None,
+        )
+    return errors.ServingError(kind=ErrorKind.OUTCOME_UNKNOWN, detail=detail)
 
 
 def quarantine_error(
@@ -327,7 +334,7 @@
     """
     detail = f'{admission.part_id} is quarantined'
     if progress.may_have_run:
-        return _unknown_outcome_error(route, detail=detail)
+        return unknown_outcome_error(route, detail=detail)
     return errors.ServingError(
         kind=ErrorKind.QUARANTINED,
         detail=detail,
--- a/src/shallothinge/gateway/request_log.py
+++ b/src/shallothinge/gateway/request_log.py
@@ -109,12 +109,15 @@
         **fields,
     ) -> None:
         """Log a failed attempt, and why the request is not retried."""
+        answer = outcome.answer or attempt.head
         self._write(
             'attempt failed',
             server_id=attempt.server_id,
             cause=outcome.cause.value,
             detail=outcome.detail,
             may_have_run=outcome.may_have_run,
+            server_status=answer and answer.status,
+            states_unrun=answer and answer.is_not_executed,
             writing_ms=attempt.writing_ms,
             sent_after_ms=attempt.sent_after_ms,
             no_retry=no_retry and no_retry.value,
--- a/src/shallothinge/platform/dialect.py
+++ b/src/shallothinge/platform/dialect.py
@@ -120,6 +120,7 @@
         """Return the head of a backend server's answer."""
         field_names = {name for name, _ in head.headers}
         limit_per_s, unreadable_limit = _read_limit(head)
+        retry_after_ms = _read_retry_after_ms(head)
         return model.AnswerHead(
             status=head.status,
             headers=messages.end_to_end(head.headers),
@@ -130,8 +131,10 @@
             fault_address=head.get(names.FAULT_ADDRESS),
             # A 421 may come from another server at the same address.
             is_leaving=head.get(names.LEAVING) == '1' and head.status != 421,
-            pause_ms=_read_pause_ms(head) if head.status == 503 else 0,
+            pause_ms=retry_after_ms if head.status == 503 else 0,
             is_misdirected=head.status == 421,
+            promises_unrun=head.status in PROMISING_STATUSES,
+            retry_after_ms=retry_after_ms,
             limit_per_s=limit_per_s,
             unreadable_limit=unreadable_limit,
         )
@@ -181,8 +184,8 @@
     return int(text)
 
 
-def _read_pause_ms(head: messages.ResponseHead) -> int:
-    """Return how long a server wants nothing, 0 if it can't be read.
+def _read_retry_after_ms(head: messages.ResponseHead) -> int:
+    """Return when a server would be asked again, 0 if it can't be read.
 
     The platform's seconds may have a fraction; dates are not used there.
     """
--- a/testing/soak/backend.py
+++ b/testing/soak/backend.py
@@ -9,10 +9,11 @@
 still reach it too late. Now and then it refuses a request and asks for a
 pause, or answers one that it runs with bytes that never end, or with a stream
 that ends inside an event. It resets the connections of some requests that it
-runs, once each, and goes on. Some streams have no framing and end with their
-connection. For some time it may name a limit of requests a second. What it
-says of itself is noted, with all requests that arrive. A datagram tells it to
-fall silent for a while, which is no fault.
+runs, once each, and goes on. Others it runs and answers with a status that
+promises that they have not run, which it does not state. Some streams have no
+framing and end with their connection. For some time it may name a limit of
+requests a second. What it says of itself is noted, with all requests that
+arrive. A datagram tells it to fall silent for a while, which is no fault.
 """
 
 import argparse
@@ -30,6 +31,7 @@
 from shallothinge.platform import names
 from shallothinge.platform.tests import samples
 from testing.soak import checks
+from testing.soak import failures
 from testing.soak import framing as framings
 from testing.soak import limits
 from testing.soak import resets
@@ -82,6 +84,7 @@
             name=arguments.name, folder=arguments.record.parent
         )
         self._resets = resets.Resets(name=arguments.name)
+        self._failures = failures.Failures(name=arguments.name)
         self._left_ms: int | None = None
         self._silence = Silence()
 
@@ -239,6 +242,12 @@
             self._note_event('broken', request)
             resets.reset(writer)
             return
+        status = self._failures.draw_status(request.target)
+        if status is not None:
+            await asyncio.sleep(EVENT_S)
+            await wire.respond(connection, writer, status, fields, b'failed')
+            self._note_if_told(request, fields)
+            return
         # A route may send its requests to servers of either service.
         if not request.target.startswith(f'/{wire.STREAMS}/'):
             await asyncio.sleep(CALL_S)
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -15,6 +15,7 @@
 from testing.soak import checks
 from testing.soak import connections
 from testing.soak import deployment
+from testing.soak import failures
 from testing.soak import resets
 from testing.soak import wire
 
@@ -36,6 +37,7 @@
 
     :param rng: for what is asked of which gateway.
     :param connection_rng: for how it is sent.
+    :param failure_rng: for which requests all servers fail.
     """
 
     def __init__(
@@ -44,9 +46,11 @@
         running: deployment.Deployment,
         rng: random.Random,
         connection_rng: random.Random,
+        failure_rng: random.Random,
     ):
         self._running = running
         self._rng = rng
+        self._failure_rng = failure_rng
         self._pool = connections.Pool(rng=connection_rng)
         self.asked: list[checks.Asked] = []
         self.disturbed_s: dict[str, float] = {}
@@ -116,12 +120,19 @@
         is_revoked = self._rng.random() < REVOKED_SHARE
         api_key = REVOKED_KEY if is_revoked else KEPT_KEY
         is_last = self.are_faults_over and not is_revoked
+        token = ''
+        if (
+            not self.are_faults_over
+            and self._failure_rng.random() < failures.SHARE
+        ):
+            token = failures.PREFIX + secrets.token_hex(8)
         one = await self._attempt(
             name=name,
             path=f'{service}/{kind}',
             api_key=api_key,
             deadline_ms=deadline_ms,
             is_after_faults=is_last,
+            token=token,
         )
         if one.is_reused and _may_ask_again(one):
             await self._attempt(
--- a/testing/soak/checks.py
+++ b/testing/soak/checks.py
@@ -136,13 +136,12 @@
 
 
 def _check_runs(one: Asked, count: int) -> list[str]:
-    if one.is_repeatable:
-        return []
-    if count > 1:
-        return [f'{one.request_id}: ran {count} times']
+    found = []
+    if count > 1 and not one.is_repeatable:
+        found.append(f'{one.request_id}: ran {count} times')
     if count and one.status in PROMISES:
-        return [f'{one.request_id}: ran, but was refused as not run']
-    return []
+        found.append(f'{one.request_id}: ran, but was refused as not run')
+    return found
 
 
 def _check_run(run: Run, one: Asked | None, revoked) -> list[str]:
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -100,6 +100,7 @@
             running=self._running,
             rng=random.Random(seed),
             connection_rng=random.Random(f'connections {seed}'),
+            failure_rng=random.Random(f'failures {seed}'),
         )
         self._operator = operator.Operator(
             addresses=self._running.api_addresses,
--- a/testing/test_soak.py
+++ b/testing/test_soak.py
@@ -19,6 +19,7 @@
 from testing.soak import connections
 from testing.soak import deployment
 from testing.soak import ends
+from testing.soak import failures
 from testing.soak import faults
 from testing.soak import injection
 from testing.soak import limits
@@ -117,6 +118,11 @@
             ('cut, looks whole', asked(target=STREAM, body=half), ()),
             ('ran twice', asked(), (ran(), ran())),
             ('refused, but ran', asked(status=503), (ran(),)),
+            (
+                'refused and may run again, but ran',
+                asked(target=STREAM, status=503),
+                (ran(target=STREAM),),
+            ),
             ('held too long', asked(took_ms=2600, status=504), ()),
             ('nobody asked', asked(), (ran(request_id='r2'),)),
             ('another target', asked(), (ran(target='/desk/book/2'),)),
@@ -1301,6 +1307,16 @@
                 self.assertEqual(count, len(found))
 
 
+class FailuresTest(unittest.TestCase):
+    """Requests that servers fail after they have run them."""
+
+    def test_server_fails_marked_requests_alone(self):
+        one = failures.Failures(name='backend-1')
+        marked = f'/desk/book/{failures.PREFIX}1'
+        self.assertIn(one.draw_status(marked), checks.PROMISES)
+        self.assertIsNone(one.draw_status('/desk/book/1'))
+
+
 class ShortSoakTest(unittest.TestCase):
     """The real programs under a few faults."""
 
