Look at all parts of a prompt, and drop evidence by its worth

Cause: memory was bounded by leaving out evidence by its place. The dialect read the first 64 parts and no id of over 64 characters; a crash kept the 512 parts that came first; 16,384 complete answers were kept, however many of one prompt's parts pushed out the proofs of others.

Change: all parts are read. Ids of bounded length: longer ones, and those that could be taken for a fingerprint, are replaced by a digest. Crashes have a common limit, over which parts that no other crash has go first, proven ones before others, then the oldest crashes. A complete answer clears its parts from the crashes before it. Proofs by several answers outlast those by one. What is dropped is logged and counted.

The test of the dialect that 64 of 99 parts are read, and none with an id of 65 characters, is replaced: they stated the fault. It now reads 4,999 of 5,000 parts, and checks that all ids are there, apart, and of bounded length.

--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -127,6 +127,7 @@
             last_event_id=self._answer.last_event_id,
         )
         is_takeover = bool(self._running)
+        part_ids = self._request.part_ids
         attempt = attempts.Attempt(
             parts=self._parts,
             order=order,
@@ -151,7 +152,8 @@
             queued_ms=self._wait.queued_ms,
             is_contended=self._wait.turn.is_contended,
             last_event_id=self._answer.last_event_id,
-            part_ids=self._request.part_ids,
+            part_ids=part_ids[-request_log.MAX_LOGGED_PARTS :],
+            part_count=len(part_ids),
             fingerprint=self._accepted.fingerprint,
         )
         attempt.start(server=server)
--- a/src/shallothinge/gateway/model.py
+++ b/src/shallothinge/gateway/model.py
@@ -16,8 +16,9 @@
     ``headers`` are those that are passed on unchanged. ``deadline_ms`` is
     how long the caller waits, from the request's arrival; None if the caller
     does not state it. ``prompt_tokens`` is 0 for a request without a prompt,
-    ``answer_tokens`` the greatest length of its answer. ``part_ids`` are the
-    parts of the prompt that other requests may share, without repetition.
+    ``answer_tokens`` the greatest length of its answer. ``joined_part_ids``
+    are the ``part_ids`` with commas between them: a head may list thousands,
+    which would take many times its bytes as objects.
     """
 
     request_id: str
@@ -30,9 +31,19 @@
     deadline_ms: int | None = None
     prompt_tokens: int = 0
     answer_tokens: int = 0
-    part_ids: tuple[str, ...] = ()
+    joined_part_ids: str = attrs.field(default='', repr=False)
     last_event_id: str = ''
 
+    @property
+    def part_ids(self) -> tuple[str, ...]:
+        """Return the parts of the prompt that other requests may share.
+
+        None of them comes twice.
+        """
+        if not self.joined_part_ids:
+            return ()
+        return tuple(self.joined_part_ids.split(','))
+
 
 @attrs.frozen(kw_only=True)
 class AcceptedRequest:
--- a/src/shallothinge/gateway/part_admission.py
+++ b/src/shallothinge/gateway/part_admission.py
@@ -30,11 +30,15 @@
         on_blocked: Callable[[], None],
     ):
         self._parts = parts
-        self._part_ids = (*accepted.request.part_ids, accepted.fingerprint)
+        self._accepted = accepted
         self._guard = guard
         self._on_blocked = on_blocked
         self._is_probe = False
 
+    @property
+    def _part_ids(self) -> tuple[str, ...]:
+        return *self._accepted.request.part_ids, self._accepted.fingerprint
+
     def start(self) -> None:
         """Watch for parts that are quarantined while the request lasts."""
         self._parts.quarantine.watch(self)
--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -243,6 +243,10 @@
         self._process.metrics.observe(
             name='quarantined_requests', read=lambda: quarantine.request_count
         )
+        self._process.metrics.observe(
+            name='quarantine_parts_dropped',
+            read=lambda: quarantine.dropped_count,
+        )
         for name in ('count', 'late_count'):
             self._process.metrics.observe(
                 name=f'waiting_requests_{name}',
--- a/src/shallothinge/gateway/request_log.py
+++ b/src/shallothinge/gateway/request_log.py
@@ -11,6 +11,9 @@
 
 LOG = logging.getLogger(__name__)
 
+# A prompt may have a thousand parts; the last ones are the most specific.
+MAX_LOGGED_PARTS = 16
+
 
 class RequestLog:
     """Writes the log lines of one request, and counts its end.
--- a/src/shallothinge/gateway/tests/test_quarantine.py
+++ b/src/shallothinge/gateway/tests/test_quarantine.py
@@ -16,6 +16,11 @@
 MOMENT_MS = 150
 
 
+def prompt(parts, number):
+    """Return the header of a prompt with some parts and one of its own."""
+    return {'prompt-prefix': ','.join((*parts, f'own-{number}:1000'))}
+
+
 class FleetTestCase(unittest.TestCase):
     """Some gateways of one fleet."""
 
@@ -68,10 +73,10 @@
         self.exchange()
         self.advance(20)
 
-    def answer_sound(self):
+    def answer_sound(self, fields=SOUND):
         """Answer sound requests that share a part with the deadly ones."""
         for index in range(len(self.rigs)):
-            exchange, calls = self.ask(index, SOUND)
+            exchange, calls = self.ask(index, fields)
             calls()[0].answer(200, body=EVENT)
             self.assertTrue(exchange.is_whole)
         self.exchange()
@@ -109,6 +114,28 @@
                 self.assertEqual(503, exchange.status)
                 self.assertGreater(float(exchange.headers['retry-after']), 500)
 
+    def test_deadly_part_is_found_wherever_it_stands_and_however_long(self):
+        # Parts behind the 64th and ids of over 64 characters were not seen.
+        for count, place, deadly in (
+            (70, 68, 'bad'),
+            (400, 399, 'bad'),
+            (1000, 500, 'bad'),
+            (4, 2, 'b' * 96),
+        ):
+            with self.subTest(count=count, place=place, deadly=deadly):
+                self.setUp()
+                sound = [f'{index:x}:4' for index in range(count)]
+                tainted = [*sound[:place], f'{deadly}:4', *sound[place:]]
+                self.answer_sound(prompt(sound, 0))
+                for number in range(5):
+                    _, calls = self.ask(number % 3, prompt(tainted, number))
+                    if calls():
+                        self.crash(calls()[0])
+                for index in range(3):
+                    _, calls = self.ask(index, prompt(tainted, 5 + index))
+                    self.assertEqual([], calls())
+                self.answer_sound(prompt(sound, 1))
+
     def test_sound_requests_with_the_other_parts_are_served(self):
         self.quarantine()
         self.answer_sound()
--- a/src/shallothinge/gateway/tests/test_refuted_crashes.py
+++ b/src/shallothinge/gateway/tests/test_refuted_crashes.py
@@ -6,7 +6,7 @@
 
 from shallothinge.gateway.tests import rig
 from shallothinge.gateway.tests import test_quarantine
-from shallothinge.quarantine import evidence
+from shallothinge.quarantine import crash_table
 from shallothinge.quarantine import state
 
 EVENT = test_quarantine.EVENT
@@ -52,7 +52,7 @@
         self.advance(test_quarantine.MOMENT_MS)
         call.fail(was_sent=True)
         self.exchange()
-        self.advance(evidence.IN_FLIGHT_MS)
+        self.advance(crash_table.IN_FLIGHT_MS)
         prove(call)
         self.judge()
 
--- a/src/shallothinge/platform/dialect.py
+++ b/src/shallothinge/platform/dialect.py
@@ -12,6 +12,7 @@
 from shallothinge.http1 import messages
 from shallothinge.platform import names
 from shallothinge.platform import routes
+from shallothinge.quarantine import part_ids
 
 # Fields that are read here and written anew, or meant for the gateway alone.
 OWN_FIELDS = frozenset(
@@ -30,9 +31,6 @@
 PROMISING_STATUSES = (408, 421, 429, 503)
 UNKNOWN_OUTCOME_STATUS = 502
 EVENT_STREAM = 'text/event-stream'
-# Limits of what is remembered of a prompt.
-MAX_PARTS = 64
-MAX_PART_ID_LENGTH = 64
 DECIMAL = re.compile(r'[0-9]{1,9}(\.[0-9]{1,18})?')
 # What messages between processes can hold.
 WHOLE = re.compile(r'[0-9]{1,18}')
@@ -67,7 +65,7 @@
             deadline_ms=_read_deadline(head),
             prompt_tokens=prompt_tokens,
             answer_tokens=answer_tokens,
-            part_ids=_read_part_ids(head),
+            joined_part_ids=_read_part_ids(head),
             last_event_id=head.get(names.LAST_EVENT_ID),
         )
 
@@ -230,18 +228,18 @@
     return int(text) if WHOLE.fullmatch(text) else 0
 
 
-def _read_part_ids(head: messages.RequestHead) -> tuple[str, ...]:
-    """Return the ids of the prompt's shared parts.
+def _read_part_ids(head: messages.RequestHead) -> str:
+    """Return the ids of the prompt's shared parts with commas between them.
 
     The header's name misleads: it lists the whole prompt. Its last part
-    belongs to the request or its session alone.
+    belongs to the request or its session alone. How many there are is limited
+    by the size of the head.
     """
     *shared, _ = head.get(names.PROMPT_PARTS).split(',')
     found = (entry.partition(':')[0].strip().lower() for entry in shared)
-    unique = dict.fromkeys(
-        part_id for part_id in found if 0 < len(part_id) <= MAX_PART_ID_LENGTH
+    return ','.join(
+        dict.fromkeys(part_ids.part_id_of(one) for one in found if one)
     )
-    return tuple(unique)[:MAX_PARTS]
 
 
 def _name_helper(helper: model.Helper) -> str:
--- a/src/shallothinge/platform/tests/test_dialect.py
+++ b/src/shallothinge/platform/tests/test_dialect.py
@@ -9,6 +9,8 @@
 from shallothinge.gateway import model
 from shallothinge.http1 import messages
 from shallothinge.platform import dialect
+from shallothinge.quarantine import fingerprints
+from shallothinge.quarantine import part_ids
 
 REQUEST = messages.RequestHead(
     method='POST',
@@ -112,21 +114,35 @@
             ('A1:40, b2 :410,c3', ('a1', 'b2')),
             ('a1:40,a1:40,c3:250', ('a1',)),
             (':40,,c3', ()),
-            (f'{"a" * 65}:40,b2:1,c3:1', ('b2',)),
-            (','.join(f'{one}:1' for one in range(99)), None),
+            (
+                ','.join(f'{one}:1' for one in range(5000)),
+                tuple(map(str, range(4999))),
+            ),
         )
-        for text, part_ids in rows:
-            with self.subTest(text=text):
+        for text, expected in rows:
+            with self.subTest(text=text[:40]):
                 request = self.dialect.read_request(
                     head=attrs.evolve(
                         REQUEST, headers=(('prompt-prefix', text),)
                     ),
                     body=b'',
                 )
-                if part_ids is None:
-                    self.assertEqual(64, len(request.part_ids))
-                else:
-                    self.assertEqual(part_ids, request.part_ids)
+                self.assertEqual(expected, request.part_ids)
+
+    def test_no_part_is_left_out_because_of_its_id(self):
+        # A part that is not seen can't be found to crash servers.
+        longest = 'a' * part_ids.MAX_LENGTH
+        texts = (longest, f'{longest}1', f'{longest}2', 'request-1')
+        listed = ','.join(f'{one}:40' for one in (*texts, 'last'))
+        request = self.dialect.read_request(
+            head=attrs.evolve(REQUEST, headers=(('prompt-prefix', listed),)),
+            body=b'',
+        )
+        self.assertEqual(longest, request.part_ids[0])
+        self.assertEqual(len(texts), len(set(request.part_ids)))
+        for part_id in request.part_ids:
+            self.assertLessEqual(len(part_id), part_ids.MAX_LENGTH)
+            self.assertFalse(fingerprints.is_fingerprint(part_id))
 
 
 class AnswerTest(unittest.TestCase):
--- a/src/shallothinge/quarantine/blame.py
+++ b/src/shallothinge/quarantine/blame.py
@@ -41,6 +41,8 @@
             )
             for part_id in part_ids
             if part_id not in quarantined_ids
+            and self._evidence.crash_count(part_id)
+            >= evidences.CRASHES_TO_BLAME
         )
         return [one for one in found if one is not None and one.is_enough]
 
--- a/src/shallothinge/quarantine/evidence.py
+++ b/src/shallothinge/quarantine/evidence.py
@@ -9,37 +9,27 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 import itertools
+import logging
 import math
 
 import attrs
 
 from shallothinge.membership.model import ServerKey
+from shallothinge.quarantine import complete_answers
+from shallothinge.quarantine import crash_table
 from shallothinge.quarantine import fingerprints
 
+LOG = logging.getLogger(__name__)
+
 # Evidence older than this is dropped.
 WINDOW_MS = 300_000
-# Limits on what is remembered; the oldest goes first.
-MAX_CRASHES = 256
-MAX_PARTS_OF_CRASH = 512
-MAX_WHOLE_PARTS = 16_384
-# Servers that crash within this time may have one cause outside of the
-# prompts, such as the loss of their zone, so they count once.
-SAME_MOMENT_MS = 100
-# Data that arrives this soon after a crash may have been sent before it: a
-# gateway reads up to 64 KiB of each connection from the kernel's receive
-# buffer, 8 KiB at a time, in turn with its other connections.
-IN_FLIGHT_MS = 20
 # If other closes were refuted lately, one counts only after this time, so that
 # it can be refuted first: a stream writes an event every 20 to 50 ms, the data
 # is not in flight, and its report takes some milliseconds.
 REFUTE_MS = 150
-# Reports give ages, so a peer's time of a crash is late by the delivery, which
-# usually takes 2 to 5 ms, and longer if a gateway is busy. Closes that are
-# reported within this time are the same one.
-REPORT_TOLERANCE_MS = 50
-# Limits on separate closes of one incarnation, and on incarnations with
-# refuted ones that are remembered.
-MAX_CLOSES_OF_CRASH = 8
+# Limit on the parts of a crash in one report.
+MAX_PARTS_REPORTED = 8192
+# Limit on incarnations with refuted closes that are remembered.
 MAX_REFUTED = 256
 # Refuted closes are remembered until no peer can repeat them.
 REFUTED_TTL_MS = 10_000
@@ -55,109 +45,6 @@
 CRASHES_TO_BLAME_ONE_OF_TWO = 5
 
 
-@attrs.define(kw_only=True, eq=False)
-class Close:
-    """Connections to one incarnation that it closed at about one moment.
-
-    ``at_ms`` and ``last_ms`` are when the first and the last of them were
-    closed. ``is_own`` is whether this gateway saw it, not a peer.
-    ``positions`` gives for each part of the requests that were in progress
-    its greatest position in a prompt.
-    """
-
-    at_ms: int
-    last_ms: int
-    is_own: bool
-    positions: dict[str, int] = attrs.field(factory=dict)
-
-    def is_same(self, at_ms: int) -> bool:
-        """Return whether a report about this time is about this close."""
-        return abs(at_ms - self.at_ms) <= REPORT_TOLERANCE_MS
-
-    def is_refuted_by(self, *, opened_ms: int, received_ms: int) -> bool:
-        """Return whether data shows that the incarnation did not end then."""
-        return (
-            opened_ms < self.at_ms
-            and received_ms >= self.last_ms + IN_FLIGHT_MS
-        )
-
-
-@attrs.define(kw_only=True)
-class Crash:
-    """The end of one incarnation of a server, as its closes suggest."""
-
-    closes: list[Close]
-    positions: dict[str, int] = attrs.field(factory=dict)
-
-    def time_of(self, part_id: str) -> int:
-        """Return the time of the newest moment at which a part was there.
-
-        Of what was seen of this moment the first counts: the reports of peers
-        are later by their delivery.
-        """
-        newest_ms = max(
-            one.at_ms for one in self.closes if part_id in one.positions
-        )
-        return min(
-            one.at_ms
-            for one in self.closes
-            if newest_ms - SAME_MOMENT_MS <= one.at_ms <= newest_ms
-        )
-
-    def add(
-        self, *, at_ms: int, positions: Mapping[str, int], is_own: bool
-    ) -> bool:
-        """Add parts of requests that a close ended.
-
-        :returns: whether any of them was not known at this moment.
-        """
-        known_ms = {
-            one: self.time_of(one)
-            for one in positions.keys() & self.positions.keys()
-        }
-        close = self._find_or_add(at_ms, is_own)
-        close.at_ms = min(close.at_ms, at_ms)
-        close.last_ms = max(close.last_ms, at_ms)
-        count = sum(len(one.positions) for one in self.closes)
-        for part_id, position in positions.items():
-            if part_id not in close.positions:
-                if count >= MAX_PARTS_OF_CRASH:
-                    continue
-                count += 1
-            for known in (close.positions, self.positions):
-                known[part_id] = max(position, known.get(part_id, 0))
-        return any(
-            self.time_of(one) > known_ms.get(one, -math.inf) + SAME_MOMENT_MS
-            for one in positions.keys() & self.positions.keys()
-        )
-
-    def _find_or_add(self, at_ms: int, is_own: bool) -> Close:
-        """Return the close to which a report belongs.
-
-        Own closes are kept apart from those of peers, which report them.
-        """
-        for close in self.closes:
-            if close.is_own == is_own and close.is_same(at_ms):
-                return close
-        if len(self.closes) >= MAX_CLOSES_OF_CRASH:
-            for close in reversed(self.closes):
-                if close.is_own == is_own:
-                    return close
-        close = Close(at_ms=at_ms, last_ms=at_ms, is_own=is_own)
-        self.closes.append(close)
-        return close
-
-    def remove(self, closes: list[Close]) -> None:
-        """Remove closes that are refuted or too old."""
-        self.closes = [one for one in self.closes if one not in closes]
-        self.positions = {}
-        for close in self.closes:
-            for part_id, position in close.positions.items():
-                self.positions[part_id] = max(
-                    position, self.positions.get(part_id, 0)
-                )
-
-
 @attrs.frozen(kw_only=True)
 class Refutation:
     """Closes that did not end their incarnation.
@@ -166,7 +53,7 @@
     more.
     """
 
-    closes: tuple[Close, ...]
+    closes: tuple[crash_table.Close, ...]
     cleared_ids: tuple[str, ...]
 
 
@@ -180,12 +67,12 @@
 
     def is_same(self, at_ms: int) -> bool:
         """Return whether a report about this time is about this close."""
-        return abs(at_ms - self.at_ms) <= REPORT_TOLERANCE_MS
+        return abs(at_ms - self.at_ms) <= crash_table.REPORT_TOLERANCE_MS
 
     def covers(self, at_ms: int) -> bool:
         """Return whether a crash that a peer reports is refuted already."""
         return self.is_same(at_ms) or (
-            self.opened_ms < at_ms <= self.noted_ms - IN_FLIGHT_MS
+            self.opened_ms < at_ms <= self.noted_ms - crash_table.IN_FLIGHT_MS
         )
 
 
@@ -241,8 +128,10 @@
     """Crashes and complete answers, by part. Times are in ms."""
 
     def __init__(self):
-        self._crashes: dict[ServerKey, Crash] = {}
-        self._whole_ms: dict[str, int] = {}
+        self._answers = complete_answers.CompleteAnswers()
+        self._crashes = crash_table.CrashTable(
+            is_proven=self._answers.__contains__
+        )
         self._refuted: dict[ServerKey, list[_Refuted]] = {}
 
     def add_crash(
@@ -265,10 +154,15 @@
             one.covers(at_ms) for one in self._refuted.get(key, ())
         ):
             return False
-        crash = self._crashes.setdefault(key, Crash(closes=[]))
-        if len(self._crashes) > MAX_CRASHES:
-            del self._crashes[next(iter(self._crashes))]
-        return crash.add(at_ms=at_ms, positions=positions, is_own=is_own)
+        unproven = {
+            part_id: position
+            for part_id, position in positions.items()
+            if (whole_ms := self._answers.find_ms(part_id)) is None
+            or whole_ms < at_ms
+        }
+        return self._crashes.add(
+            key, at_ms=at_ms, positions=unproven, is_own=is_own
+        )
 
     def refute_by_data(
         self, *, key: ServerKey, opened_ms: int, now_ms: int
@@ -279,7 +173,7 @@
             came on was open and was read without a pause.
         :returns: what was dropped, None if the data refutes nothing.
         """
-        crash = self._crashes.get(key)
+        crash = self._crashes.find(key)
         if crash is None:
             return None
         refuted = [
@@ -297,7 +191,7 @@
         :returns: what was dropped, None if no such close is known.
         """
         self._remember(key, _Refuted(at_ms=at_ms, noted_ms=now_ms))
-        crash = self._crashes.get(key)
+        crash = self._crashes.find(key)
         if crash is None:
             return None
         refuted = [one for one in crash.closes if one.is_same(at_ms)]
@@ -306,17 +200,13 @@
     def _remove(
         self,
         key: ServerKey,
-        refuted: list[Close],
+        refuted: list[crash_table.Close],
         now_ms: int,
         opened_ms: float = math.inf,
     ) -> Refutation | None:
         if not refuted:
             return None
-        crash = self._crashes[key]
-        known_ids = tuple(crash.positions)
-        crash.remove(refuted)
-        if not crash.closes:
-            del self._crashes[key]
+        cleared_ids = self._crashes.remove_closes(key, refuted)
         for one in refuted:
             self._remember(
                 key,
@@ -324,12 +214,7 @@
                     at_ms=one.at_ms, noted_ms=now_ms, opened_ms=opened_ms
                 ),
             )
-        return Refutation(
-            closes=tuple(refuted),
-            cleared_ids=tuple(
-                one for one in known_ids if one not in crash.positions
-            ),
-        )
+        return Refutation(closes=tuple(refuted), cleared_ids=cleared_ids)
 
     def _remember(self, key: ServerKey, refuted: _Refuted) -> None:
         """Ignore later reports of peers about a refuted close.
@@ -341,10 +226,15 @@
             one.is_same(refuted.at_ms) for one in known
         ):
             known.append(refuted)
-        self._refuted[key] = known[-MAX_CLOSES_OF_CRASH:]
+        self._refuted[key] = known[-crash_table.MAX_CLOSES_OF_CRASH :]
         if len(self._refuted) > MAX_REFUTED:
             del self._refuted[next(iter(self._refuted))]
 
+    @property
+    def dropped_count(self) -> int:
+        """Return how many parts of crashes were dropped."""
+        return self._crashes.dropped_count
+
     @property
     def has_refuted(self) -> bool:
         """Return whether closes were refuted lately."""
@@ -353,42 +243,74 @@
     def parts_beside(self, part_id: str) -> set[str]:
         """Return the parts that crashes with a part have."""
         return set().union(
-            *(crash.positions for _, crash in self._unproven(part_id))
+            *(crash.part_ids for _, crash in self._unproven(part_id))
         )
 
     def has_crash(self, key: ServerKey) -> bool:
         """Return whether a crash of an incarnation is known."""
-        return key in self._crashes
+        return self._crashes.find(key) is not None
 
-    def own_closes(self, key: ServerKey) -> tuple[Close, ...]:
+    def own_closes(self, key: ServerKey) -> tuple[crash_table.Close, ...]:
         """Return what this gateway saw of a crash, if it is known."""
-        crash = self._crashes.get(key)
+        crash = self._crashes.find(key)
         if crash is None:
             return ()
         return tuple(one for one in crash.closes if one.is_own)
 
-    def add_whole(self, *, part_id: str, at_ms: int) -> None:
-        """Record a complete answer to a prompt with a part."""
-        newest_ms = max(at_ms, self._whole_ms.pop(part_id, at_ms))
-        self._whole_ms[part_id] = newest_ms
-        if len(self._whole_ms) > MAX_WHOLE_PARTS:
-            del self._whole_ms[next(iter(self._whole_ms))]
+    def parts_to_report(
+        self, close: crash_table.Close
+    ) -> tuple[tuple[str, int], ...]:
+        """Return parts of a close with their positions, at most so many.
+
+        Those that say most are kept: requests, then what several crashes
+        have, what had no complete answer, and what is the more specific.
+        """
+        found = close.positions.items()
+        if len(found) <= MAX_PARTS_REPORTED:
+            return tuple(found)
+        LOG.warning(
+            'the report of a crash leaves out parts',
+            extra={'part_count': len(found), 'limit': MAX_PARTS_REPORTED},
+        )
+        return tuple(
+            sorted(
+                found,
+                key=lambda one: (
+                    fingerprints.is_fingerprint(one[0]),
+                    self._crashes.count_with(one[0]) > 1,
+                    one[0] not in self._answers,
+                    one[1],
+                ),
+            )[-MAX_PARTS_REPORTED:]
+        )
+
+    def add_whole(self, *, part_ids: Iterable[str], at_ms: int) -> None:
+        """Record a complete answer to a prompt with some parts.
+
+        The crashes before are no evidence against them any more.
+        """
+        self._answers.add(part_ids, at_ms)
+        self._crashes.clear(part_ids, at_ms)
 
     def whole_ms(self, part_id: str) -> int | None:
         """Return when the last complete answer came, None if none is known."""
-        return self._whole_ms.get(part_id)
+        return self._answers.find_ms(part_id)
+
+    def crash_count(self, part_id: str) -> int:
+        """Return how many crashes have a part."""
+        return self._crashes.count_with(part_id)
 
     def is_suspected(self, part_id: str) -> bool:
         """Return whether a crash has a part that is not proven since."""
         return any(True for _ in self._unproven(part_id))
 
-    def _unproven(self, part_id: str) -> Iterator[tuple[ServerKey, Crash]]:
+    def _unproven(
+        self, part_id: str
+    ) -> Iterator[tuple[ServerKey, crash_table.Crash]]:
         """Yield the crashes with a part since its last complete answer."""
-        whole_ms = self._whole_ms.get(part_id, -math.inf)
-        for key, crash in self._crashes.items():
-            if part_id in crash.positions and (
-                crash.time_of(part_id) > whole_ms
-            ):
+        whole_ms = self._answers.find_ms(part_id)
+        for key, crash in self._crashes.with_part(part_id):
+            if whole_ms is None or crash.time_of(part_id) > whole_ms:
                 yield key, crash
 
     def suspicion(
@@ -402,7 +324,7 @@
         found = [
             (key, crash)
             for key, crash in self._unproven(part_id)
-            if explained_by.isdisjoint(crash.positions)
+            if not crash.has_any(explained_by)
         ]
         if not found:
             return None
@@ -410,8 +332,8 @@
         return Suspicion(
             part_id=part_id,
             crashes=count_moments(times_ms.values()),
-            is_proven=part_id in self._whole_ms,
-            position=max(crash.positions[part_id] for _, crash in found),
+            is_proven=part_id in self._answers,
+            position=max(crash.position_of(part_id) for _, crash in found),
             times_ms=times_ms,
         )
 
@@ -427,9 +349,9 @@
         :param explained_by: as in ``suspicion``.
         """
         left = [
-            set(filter(fingerprints.is_fingerprint, crash.positions))
+            set(filter(fingerprints.is_fingerprint, crash.part_ids))
             for _, crash in self._unproven(part_id)
-            if explained_by.isdisjoint(crash.positions)
+            if not crash.has_any(explained_by)
         ]
         # Of the crashes without a known request each counts as one.
         numbers = [1] * left.count(set())
@@ -444,13 +366,8 @@
 
     def remove_expired(self, now_ms: int) -> None:
         """Drop evidence that is older than the window."""
-        oldest_ms = now_ms - WINDOW_MS
-        for key, crash in list(self._crashes.items()):
-            expired = [one for one in crash.closes if one.at_ms < oldest_ms]
-            if expired:
-                crash.remove(expired)
-            if not crash.closes:
-                del self._crashes[key]
+        self._crashes.remove_older(now_ms - WINDOW_MS)
+        self._answers.remove_older(now_ms - WINDOW_MS)
         oldest_refuted_ms = now_ms - REFUTED_TTL_MS
         for key, known in list(self._refuted.items()):
             kept = [one for one in known if one.noted_ms >= oldest_refuted_ms]
@@ -458,11 +375,6 @@
                 self._refuted[key] = kept
             else:
                 del self._refuted[key]
-        while self._whole_ms:
-            part_id = next(iter(self._whole_ms))
-            if self._whole_ms[part_id] >= oldest_ms:
-                return
-            del self._whole_ms[part_id]
 
 
 def count_moments(times_ms: Iterable[int]) -> int:
@@ -470,7 +382,7 @@
     count = 0
     moment_ms = None
     for at_ms in sorted(times_ms):
-        if moment_ms is None or at_ms > moment_ms + SAME_MOMENT_MS:
+        if moment_ms is None or at_ms > moment_ms + crash_table.SAME_MOMENT_MS:
             count += 1
             moment_ms = at_ms
     return count
--- a/src/shallothinge/quarantine/records.py
+++ b/src/shallothinge/quarantine/records.py
@@ -7,6 +7,7 @@
 
 from shallothinge import clock as clocks
 from shallothinge.membership.model import ServerKey
+from shallothinge.quarantine import crash_table
 from shallothinge.quarantine import evidence
 from shallothinge.quarantine import fingerprints
 
@@ -45,7 +46,7 @@
     def add(self, times_ms: Mapping[ServerKey, int]) -> None:
         """Add crashes, up to the number that evidence holds."""
         for key, at_ms in times_ms.items():
-            if len(self.times_ms) < evidence.MAX_CRASHES:
+            if len(self.times_ms) < crash_table.MAX_CRASHES:
                 self.times_ms.setdefault(key, at_ms)
 
 
--- a/src/shallothinge/quarantine/reports.py
+++ b/src/shallothinge/quarantine/reports.py
@@ -29,7 +29,7 @@
     """Return the report on changes, None if there is nothing to report."""
     made = messages.PartsReported(
         crashes=tuple(
-            (*key, now_ms - close.at_ms, tuple(close.positions.items()))
+            (*key, now_ms - close.at_ms, evidence.parts_to_report(close))
             for key in changes.crashes
             for close in evidence.own_closes(key)
         ),
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -6,6 +6,7 @@
 by its fingerprint, which counts as its last part.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -69,6 +70,11 @@
         """Return how many requests are quarantined."""
         return self._records.request_count
 
+    @property
+    def dropped_count(self) -> int:
+        """Return how many parts of crashes were dropped for want of room."""
+        return self._evidence.dropped_count
+
     def watch(self, watcher: Watcher) -> None:
         """Notify a request of parts that are quarantined from now on."""
         self._watchers[watcher] = None
@@ -172,13 +178,16 @@
         Most requests come only once, so their fingerprints are recorded only
         if there is something to clear.
         """
-        for part_id in part_ids:
-            if (
-                not fingerprints.is_fingerprint(part_id)
+        self._add_whole(
+            [
+                part_id
+                for part_id in part_ids
+                if not fingerprints.is_fingerprint(part_id)
                 or self._records.find(part_id) is not None
                 or self._evidence.is_suspected(part_id)
-            ):
-                self._add_whole(part_id, self._clock.now_ms())
+            ],
+            self._clock.now_ms(),
+        )
 
     def report(self, *, complete: bool) -> messages.PartsReported | None:
         """Return what the peers do not know yet, None if there is nothing.
@@ -227,8 +236,11 @@
         for part_id, epoch in checks.valid_entries(report, 'lifted'):
             is_unfounded = (part_id, epoch) in unfounded
             self._apply_lift(part_id, epoch, is_unfounded=is_unfounded)
+        whole_ids = collections.defaultdict(list)
         for part_id, age_ms in checks.valid_entries(report, 'whole'):
-            self._evidence.add_whole(part_id=part_id, at_ms=now_ms - age_ms)
+            whole_ids[age_ms].append(part_id)
+        for age_ms, part_ids in whole_ids.items():
+            self._evidence.add_whole(part_ids=part_ids, at_ms=now_ms - age_ms)
         for part_id, epoch, left_ms, strikes in checks.valid_entries(
             report, 'quarantined'
         ):
@@ -470,15 +482,19 @@
         for watcher in list(self._watchers):
             watcher.on_quarantined(part_id)
 
-    def _add_whole(self, part_id: str, at_ms: int) -> None:
-        is_suspected = self._evidence.is_suspected(part_id)
-        self._evidence.add_whole(part_id=part_id, at_ms=at_ms)
-        record = self._records.find(part_id)
-        if record is not None:
-            self._records.lift(part_id, record.epoch)
-            self._changes.lifted[part_id] = None
-        if is_suspected or record is not None:
-            self._changes.whole[part_id] = None
+    def _add_whole(self, part_ids: list[str], at_ms: int) -> None:
+        cleared_ids = [
+            one for one in part_ids if self._evidence.is_suspected(one)
+        ]
+        self._evidence.add_whole(part_ids=part_ids, at_ms=at_ms)
+        for part_id in part_ids:
+            record = self._records.find(part_id)
+            if record is not None:
+                self._records.lift(part_id, record.epoch)
+                self._changes.lifted[part_id] = None
+                cleared_ids.append(part_id)
+        if cleared_ids:
+            self._changes.whole.update(dict.fromkeys(cleared_ids))
             self._notify()
 
     def _report_whole(self, part_id: str) -> None:
--- a/src/shallothinge/quarantine/tests/test_quarantine.py
+++ b/src/shallothinge/quarantine/tests/test_quarantine.py
@@ -9,6 +9,8 @@
 
 from shallothinge import clock as clocks
 from shallothinge import wire
+from shallothinge.quarantine import complete_answers
+from shallothinge.quarantine import crash_table
 from shallothinge.quarantine import evidence
 from shallothinge.quarantine import messages
 from shallothinge.quarantine import records
@@ -366,7 +368,58 @@
         self.one.record_whole((FIRST,))
         for number in range(20_000):
             self.one.record_whole((f'request-{number}',))
-        self.assertEqual([FIRST], list(self.one._evidence._whole_ms))
+        self.assertEqual([FIRST], list(self.one._evidence._answers._single_ms))
+
+    def test_proofs_of_shared_parts_outlast_prompts_of_many_parts(self):
+        # A sound part without its proof takes half as many crashes.
+        for _ in range(2):
+            self.clock.advance(duration_ms=1)
+            self.one.record_whole((FIRST,))
+        for number in range(50):
+            self.one.record_whole(
+                tuple(f'{number}-{index}' for index in range(1000))
+            )
+        for number in range(5):
+            self.crash(number, FIRST)
+        self.exchange()
+        self.assertFalse(self.one.is_quarantined((FIRST,)))
+        self.assertLessEqual(
+            len(self.one._evidence._answers), 2 * complete_answers.MAX_PARTS
+        )
+
+    def test_part_is_found_among_more_parts_than_are_remembered(self):
+        # The first parts of a crash were kept, whatever they were.
+        for is_first in (True, False):
+            with self.subTest(is_first=is_first):
+                self.setUp()
+                for number in range(4):
+                    others = [f'{number}-{index}' for index in range(15_000)]
+                    ids = [BAD, *others] if is_first else [*others, BAD]
+                    self.crash(
+                        number,
+                        *ids,
+                        f'request-{number}',
+                        at=(self.one, self.two)[number % 2],
+                    )
+                    self.exchange()
+                for gateway in (self.one, self.two):
+                    self.assertTrue(gateway.is_quarantined((BAD,)))
+                    self.assertLessEqual(
+                        gateway._evidence._crashes.size, crash_table.MAX_PARTS
+                    )
+                    self.assertGreater(gateway.dropped_count, 0)
+
+    def test_report_of_a_crash_leaves_out_what_says_least(self):
+        ids = [f'0-{index}' for index in range(20_000)]
+        self.one.record_whole(ids[10_000:])
+        for number in range(3):
+            others = [f'{number}-{index}' for index in range(20_000)]
+            self.crash(number, BAD, *others, f'request-{number}')
+            report = self.one.report(complete=False)
+            [(_, _, _, parts)] = report.crashes
+            self.assertEqual(evidence.MAX_PARTS_REPORTED, len(parts))
+            self.assertIn(f'request-{number}', dict(parts))
+            self.assertEqual(number > 0, BAD in dict(parts))
 
     def test_quarantine_that_is_needed_least_is_dropped(self):
         for number in range(records.MAX_QUARANTINED):
@@ -392,7 +445,8 @@
             self.crash(number, *ids, after_ms=0)
             self.one.record_whole((f'whole-{number}',))
         crashes = self.one._evidence._crashes
-        self.assertEqual(evidence.MAX_CRASHES, len(crashes))
+        self.assertEqual(crash_table.MAX_CRASHES, len(crashes))
+        self.assertLessEqual(crashes.size, crash_table.MAX_PARTS)
         for number in range(3 * 80):
             self.crash(5_000 + number, f'bad-{number // 3}')
             self.one.judge()
@@ -400,8 +454,10 @@
         self.clock.advance(duration_ms=evidence.WINDOW_MS + 1)
         self.one.report(complete=False)
         self.one.remove_expired()
-        self.assertEqual({}, self.one._evidence._crashes)
-        self.assertEqual({}, self.one._evidence._whole_ms)
+        self.assertEqual(0, len(self.one._evidence._crashes))
+        self.assertEqual({}, self.one._evidence._crashes._keys)
+        self.assertEqual(0, self.one._evidence._crashes.size)
+        self.assertEqual(0, len(self.one._evidence._answers))
         self.assertEqual({}, self.one._own_crashes_ms)
 
     def test_reports_pass_the_codec(self):
--- a/src/shallothinge/quarantine/tests/test_refuted_crashes.py
+++ b/src/shallothinge/quarantine/tests/test_refuted_crashes.py
@@ -9,6 +9,7 @@
 
 from shallothinge import clock as clocks
 from shallothinge import wire
+from shallothinge.quarantine import crash_table
 from shallothinge.quarantine import evidence
 from shallothinge.quarantine import messages
 from shallothinge.quarantine import records
@@ -43,7 +44,7 @@
 
     def send_data(self, server_id, opened_ms, *, at=None):
         """Let data arrive that is not in flight any more."""
-        self.advance(evidence.IN_FLIGHT_MS)
+        self.advance(crash_table.IN_FLIGHT_MS)
         (at or self.one).record_data(key=(server_id, '1'), opened_ms=opened_ms)
 
     def exchange(self, *, complete=False, receivers=None):
@@ -76,7 +77,7 @@
     def test_only_later_data_on_an_older_connection_refutes_a_crash(self):
         # Guards against sound requests in quarantine, and against crashes
         # that are dropped although they happened.
-        margin_ms = evidence.IN_FLIGHT_MS
+        margin_ms = crash_table.IN_FLIGHT_MS
         rows = (
             ('goes on', ('s2', '1'), -1, margin_ms, True),
             ('goes on for long', ('s2', '1'), -1000, 2000, True),
@@ -442,13 +443,13 @@
         self.assertLessEqual(
             len(self.one._own_refuted_ms), evidence.MAX_REFUTED
         )
-        for crash in found._crashes.values():
+        for crash in found._crashes._crashes.values():
             self.assertLessEqual(
-                len(crash.closes), evidence.MAX_CLOSES_OF_CRASH + 1
+                len(crash.closes), crash_table.MAX_CLOSES_OF_CRASH + 1
             )
         self.advance(evidence.WINDOW_MS + 1)
         self.one.remove_expired()
-        self.assertEqual({}, found._crashes)
+        self.assertEqual(0, len(found._crashes))
         self.assertEqual(0, len(found._refuted))
         self.assertEqual({}, self.one._own_refuted_ms)
 
@@ -458,7 +459,7 @@
             self.send_data('s1', opened_ms)
         [record] = logs.records
         self.assertEqual(
-            ('s1', '1', evidence.IN_FLIGHT_MS, True, 1),
+            ('s1', '1', crash_table.IN_FLIGHT_MS, True, 1),
             (
                 record.server_id,
                 record.incarnation,
