Tell a request that crashes several servers at a moment from a lost zone

Cause: crashes within 100 ms counted once, whatever had run, as a lost zone may be their cause. That all of them ran one request, and that their neighbours went on, was not used.

Change: crashes of a moment count apart where another server of the zone has sent data since and none there crashed without the part, and once for each zone if all crashes of the moment have the part; otherwise once, as before, and so for parts that were answered before. They suffice only 1.5 s later, in which resets are refuted and sound requests answered elsewhere. Gateways tell each other which zones went on. Two requests at as many crashes are both to blame if they share none.

Ruled out: a second time constant alone; by time, a lost rack and a request look the same.

Evidence: test_request_of_many_callers_at_one_moment_is_found failed before in both rows.

--- a/src/shallothinge/gateway/process.py
+++ b/src/shallothinge/gateway/process.py
@@ -22,6 +22,7 @@
 from shallothinge.gateway import peers as gateways
 from shallothinge.gateway import readiness as readinesses
 from shallothinge.gateway import room
+from shallothinge.gateway import server_places
 from shallothinge.gateway import servers
 from shallothinge.gateway import shutdown
 from shallothinge.http1 import client as http_client
@@ -171,7 +172,10 @@
                 burst=1,
             ),
             answer_times=hedging.AnswerTimes(clock=clock),
-            quarantine=quarantines.PartQuarantine(clock=clock),
+            quarantine=quarantines.PartQuarantine(
+                clock=clock,
+                places=server_places.ListedPlaces(holder=self._holder),
+            ),
             fingerprinter=fingerprints.Fingerprinter(
                 secret=self._process.key_pair.secret.encode()
             ),
--- a/src/shallothinge/gateway/tests/rig.py
+++ b/src/shallothinge/gateway/tests/rig.py
@@ -18,6 +18,7 @@
 from shallothinge.gateway import ingress
 from shallothinge.gateway import notices
 from shallothinge.gateway import room
+from shallothinge.gateway import server_places
 from shallothinge.gateway import servers
 from shallothinge.gateway import shutdown
 from shallothinge.http1 import client
@@ -271,7 +272,10 @@
             returns=returns.ReturnSchedule(clock=self.clock),
             budget=retries.RetryBudget(percent=16, burst=10),
             answer_times=hedging.AnswerTimes(clock=self.clock),
-            quarantine=quarantines.PartQuarantine(clock=self.clock),
+            quarantine=quarantines.PartQuarantine(
+                clock=self.clock,
+                places=server_places.ListedPlaces(holder=self.holder),
+            ),
             fingerprinter=fingerprints.Fingerprinter(secret=b'secret'),
             caller=self.caller,
             process=mock.Mock(memory=memory.divide()),
--- a/src/shallothinge/gateway/tests/test_quarantine.py
+++ b/src/shallothinge/gateway/tests/test_quarantine.py
@@ -278,5 +278,68 @@
                     self.answer_sound()
 
 
+class OneMomentTest(FleetTestCase):
+    """A request that several callers send at one moment."""
+
+    BODY = b'deadly'
+    GATEWAYS = 4
+    # By then those that are judged are refused, and servers get no more.
+    LATER_MS = 3000
+
+    def spread(self, zone_count):
+        """Let the servers be in several zones."""
+        for one in self.rigs:
+            for index, server_id in enumerate(sorted(one.holder.members)):
+                one.holder.members[server_id] = attrs.evolve(
+                    one.holder.members[server_id],
+                    zone=f'z{index % zone_count}',
+                )
+
+    def crash_together(self):
+        """Let a request of each gateway crash another server at once."""
+        self.advance(MOMENT_MS)
+        sent = {}
+        for index, one in enumerate(self.rigs):
+            # Servers of other gateways are busy.
+            one.holder.left_ids.update(sent)
+            _, calls = self.ask(index, {'body': self.BODY})
+            sent[calls()[0].head.get('expected-instance')] = calls()[0]
+            one.holder.left_ids.clear()
+        for call in sent.values():
+            call.fail(was_sent=True)
+            self.advance(5)
+        self.exchange()
+        return sent.keys()
+
+    def go_on(self, crashed):
+        """Let each other server answer a sound request at some gateway."""
+        for one in self.rigs:
+            for server_id in one.holder.members.keys() - crashed:
+                one.parts.quarantine.record_data(
+                    key=(server_id, '1'), opened_ms=one.clock.now_ms() - 1
+                )
+        self.exchange()
+
+    def test_request_of_many_callers_at_one_moment_is_found(self):
+        # All its crashes counted once, so that it took three such groups.
+        for zone_count in (1, 3):
+            with self.subTest(zone_count=zone_count):
+                self.make(count=self.GATEWAYS, stream={'attempts': 1})
+                self.spread(zone_count)
+                crashed = self.crash_together()
+                self.assertEqual(self.GATEWAYS, len(crashed))
+                self.advance(40)
+                self.go_on(crashed)
+                for _ in range(self.LATER_MS // state.SETTLE_MS):
+                    self.advance(state.SETTLE_MS)
+                    for one in self.rigs:
+                        one.parts.quarantine.judge()
+                    self.exchange()
+                for index in range(self.GATEWAYS):
+                    exchange, calls = self.ask(index, {'body': self.BODY})
+                    self.assertEqual([], calls())
+                    self.assertEqual(503, exchange.status)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/src/shallothinge/gateway/tests/test_room.py
+++ b/src/shallothinge/gateway/tests/test_room.py
@@ -16,8 +16,8 @@
 from shallothinge.placement import free_slots
 from shallothinge.placement import server_queue
 from shallothinge.placement import slot_turns
-from shallothinge.quarantine import crash_table
 from shallothinge.quarantine import evidence
+from shallothinge.quarantine import moments
 from shallothinge.scheduling import demand
 from shallothinge.scheduling import messages
 from shallothinge.scheduling import model
@@ -563,7 +563,7 @@
             key=(f'llm-{number + 1}', '1'),
             part_ids=(DEADLY_PART, f'request-{number}'),
         )
-        play.pass_ms(crash_table.SAME_MOMENT_MS + 50)
+        play.pass_ms(moments.SAME_MOMENT_MS + 50)
         quarantine.judge()
 
 
--- a/src/shallothinge/quarantine/blame.py
+++ b/src/shallothinge/quarantine/blame.py
@@ -123,13 +123,17 @@
 def _find_worst_request(
     requests: list[evidences.Suspicion],
 ) -> evidences.Suspicion | None:
-    """Return the request at most crashes, None if two are at as many.
+    """Return the request at most crashes, None if two share as many.
 
     One of two is blamed nevertheless if they are always together.
     """
     if not requests:
         return None
     *others, worst = sorted(requests, key=lambda one: one.crashes)
-    is_alone = not others or others[-1].crashes < worst.crashes
+    is_alone = not any(
+        one.crashes == worst.crashes
+        and not one.sightings.keys().isdisjoint(worst.sightings)
+        for one in others
+    )
     needed = evidences.CRASHES_TO_BLAME_ONE_OF_TWO
     return worst if is_alone or worst.crashes >= needed else None
--- a/src/shallothinge/quarantine/checks.py
+++ b/src/shallothinge/quarantine/checks.py
@@ -29,6 +29,7 @@
     'lifted': (entries.text, _EPOCH),
     'refuted': (entries.text, entries.text, _AGE),
     'unfounded': (entries.text, _EPOCH),
+    'live_zones': (entries.text, entries.text),
 }
 
 
--- a/src/shallothinge/quarantine/crash_table.py
+++ b/src/shallothinge/quarantine/crash_table.py
@@ -13,6 +13,7 @@
 
 from shallothinge.membership.model import ServerKey
 from shallothinge.quarantine import fingerprints
+from shallothinge.quarantine import moments
 
 LOG = logging.getLogger(__name__)
 
@@ -22,9 +23,6 @@
 # exceeded, so that it is seldom.
 MAX_PARTS = 32_768
 PARTS_LEFT = 24_576
-# Servers that crash within this time may have one cause outside of the
-# prompts, such as the loss of their zone, so they count once.
-SAME_MOMENT_MS = 100
 # Data that arrives this soon after a crash may have been sent before it: a
 # gateway reads up to 64 KiB of each connection from the kernel's receive
 # buffer, 8 KiB at a time, in turn with its other connections.
@@ -66,9 +64,38 @@
 
 @attrs.define(kw_only=True)
 class Crash:
-    """The end of one incarnation of a server, as its closes suggest."""
+    """The end of one incarnation of a server, as its closes suggest.
+
+    ``place`` is where it ran, None if that is not known. ``neighbours`` are
+    the incarnations that were listed in its zone, and ``has_live_zone`` is
+    whether one of them has sent data since.
+    """
 
     closes: list[Close]
+    place: moments.Place | None = None
+    neighbours: frozenset[ServerKey] = attrs.field(
+        default=frozenset(), repr=False
+    )
+    has_live_zone: bool = False
+
+    @property
+    def times_ms(self) -> list[int]:
+        """Return when its connections were seen to close, in order."""
+        return sorted(one.at_ms for one in self.closes)
+
+    @property
+    def last_ms(self) -> int:
+        """Return when its last connection was seen to close."""
+        return max(one.last_ms for one in self.closes)
+
+    def is_near(self, moment: list[int]) -> bool:
+        """Return whether it was at a moment, or next to it."""
+        return any(
+            moment[0] - moments.SAME_MOMENT_MS
+            <= one.at_ms
+            <= moment[-1] + moments.SAME_MOMENT_MS
+            for one in self.closes
+        )
 
     def has(self, part_id: str) -> bool:
         """Return whether a part was there."""
@@ -84,6 +111,11 @@
         found = itertools.chain(*(one.positions for one in self.closes))
         return tuple(dict.fromkeys(found))
 
+    @property
+    def request_ids(self) -> tuple[str, ...]:
+        """Return the fingerprints of the requests that were there."""
+        return tuple(filter(fingerprints.is_fingerprint, self.part_ids))
+
     def time_of(self, part_id: str) -> int:
         """Return the time of the newest moment at which a part was there.
 
@@ -98,7 +130,7 @@
         return min(
             one.at_ms
             for one in self.closes
-            if newest_ms - SAME_MOMENT_MS <= one.at_ms <= newest_ms
+            if newest_ms - moments.SAME_MOMENT_MS <= one.at_ms <= newest_ms
         )
 
     def add(
@@ -119,7 +151,8 @@
                 position, close.positions.get(part_id, 0)
             )
         return any(
-            self.time_of(one) > known_ms.get(one, -math.inf) + SAME_MOMENT_MS
+            self.time_of(one)
+            > known_ms.get(one, -math.inf) + moments.SAME_MOMENT_MS
             for one in positions
         )
 
@@ -189,6 +222,10 @@
         """Return the crash of an incarnation, None if it is not known."""
         return self._crashes.get(key)
 
+    def list_near(self, moment: list[int]) -> list[Crash]:
+        """Return the crashes at a moment, or next to it."""
+        return [one for one in self._crashes.values() if one.is_near(moment)]
+
     def count_with(self, part_id: str) -> int:
         """Return how many crashes have a part."""
         return len(self._keys.get(part_id, ()))
--- a/src/shallothinge/quarantine/evidence.py
+++ b/src/shallothinge/quarantine/evidence.py
@@ -18,6 +18,7 @@
 from shallothinge.quarantine import complete_answers
 from shallothinge.quarantine import crash_table
 from shallothinge.quarantine import fingerprints
+from shallothinge.quarantine import moments
 
 LOG = logging.getLogger(__name__)
 
@@ -27,6 +28,12 @@
 # it can be refuted first: a stream writes an event every 20 to 50 ms, the data
 # is not in flight, and its report takes some milliseconds.
 REFUTE_MS = 150
+# Crashes at one moment suffice only after this time, in which resets are
+# refuted and sound requests answered.
+SAME_MOMENT_WAIT_MS = 1500
+# Data of neighbours tells for so long that a zone was not lost; its servers
+# may start again later.
+ZONE_WATCH_MS = 3000
 # Limit on the parts of a crash in one report.
 MAX_PARTS_REPORTED = 8192
 # Limit on incarnations with refuted closes that are remembered.
@@ -80,20 +87,22 @@
 class Suspicion:
     """How strongly the crashes speak against a part.
 
-    ``crashes`` counts the crashes, apart in time, since the last complete
-    answer with the part. ``times_ms`` are the times of all, by server.
+    ``crashes`` counts the crashes that are apart from each other, since the
+    last complete answer with the part. ``sightings`` are all, by server.
     """
 
     part_id: str
     crashes: int
     is_proven: bool
     position: int
-    times_ms: dict[ServerKey, int]
+    sightings: dict[ServerKey, moments.Sighting]
 
     @property
     def server_ids(self) -> tuple[str, ...]:
         """Return the servers that crashed."""
-        by_time = sorted(self.times_ms, key=self.times_ms.__getitem__)
+        by_time = sorted(
+            self.sightings, key=lambda key: self.sightings[key].at_ms
+        )
         return tuple(server_id for server_id, _ in by_time)
 
     @property
@@ -115,8 +124,24 @@
 
     def is_enough_before(self, time_ms: int) -> bool:
         """Return whether the crashes up to a time are enough."""
-        early = (one for one in self.times_ms.values() if one <= time_ms)
-        return count_moments(early) >= self.needed
+        early = (
+            one for one in self.sightings.values() if one.at_ms <= time_ms
+        )
+        return moments.count_crashes(early) >= self.needed
+
+    def is_settled(self, now_ms: int) -> bool:
+        """Return whether nothing is likely to clear the part any more.
+
+        Crashes at one moment say less than crashes in series: the connections
+        may have been reset, or the part may be answered elsewhere.
+        """
+        in_series = (
+            moments.Sighting(at_ms=one.at_ms)
+            for one in self.sightings.values()
+        )
+        return moments.count_crashes(
+            in_series
+        ) >= self.needed or self.is_enough_before(now_ms - SAME_MOMENT_WAIT_MS)
 
     @property
     def rank(self) -> tuple[int, bool, int]:
@@ -127,7 +152,12 @@
 class Evidence:
     """Crashes and complete answers, by part. Times are in ms."""
 
-    def __init__(self):
+    def __init__(self, *, places: moments.ServerPlaces):
+        self._places = places
+        # Crashes whose zones may still be shown to be alive.
+        self._watched: dict[ServerKey, crash_table.Crash] = {}
+        # What was listed in a zone when servers last crashed there.
+        self._listed: dict[str, tuple[float, frozenset[ServerKey]]] = {}
         self._answers = complete_answers.CompleteAnswers()
         self._crashes = crash_table.CrashTable(
             is_proven=self._answers.__contains__
@@ -160,9 +190,62 @@
             if (whole_ms := self._answers.find_ms(part_id)) is None
             or whole_ms < at_ms
         }
-        return self._crashes.add(
+        is_new = self._crashes.add(
             key, at_ms=at_ms, positions=unproven, is_own=is_own
         )
+        self._watch_zone(key, at_ms)
+        return is_new
+
+    def _watch_zone(self, key: ServerKey, at_ms: int) -> None:
+        """Note where a server crashed and which others may show its zone."""
+        crash = self._crashes.find(key)
+        place = self._places.find_place(key[0])
+        if crash is None or crash.place is not None or place is None:
+            return
+        listed_ms, neighbours = self._listed.get(place.zone, (-math.inf, None))
+        # As the moment began: what starts again after it is no neighbour.
+        if neighbours is None or at_ms > listed_ms + moments.SAME_MOMENT_MS:
+            neighbours = self._places.list_zone(place.zone)
+            self._listed[place.zone] = (at_ms, neighbours)
+        crash.place = place
+        crash.neighbours = neighbours
+        self._watched[key] = crash
+
+    @property
+    def watches_zones(self) -> bool:
+        """Return whether data may show that a server's zone was not lost."""
+        return bool(self._watched)
+
+    def record_alive(self, key: ServerKey, now_ms: int) -> list[ServerKey]:
+        """Record data from a server.
+
+        :returns: crashes of neighbours, whose zone was thus not lost.
+        """
+        found = []
+        for crashed, crash in list(self._watched.items()):
+            if not crash.closes or now_ms > crash.last_ms + ZONE_WATCH_MS:
+                del self._watched[crashed]
+            elif (
+                key in crash.neighbours
+                and now_ms >= crash.last_ms + crash_table.IN_FLIGHT_MS
+                and self._crashes.find(key) is None
+            ):
+                found.append(crashed)
+        for crashed in found:
+            self.record_live_zone(crashed)
+        return found
+
+    def record_live_zone(self, key: ServerKey) -> None:
+        """Record that the zone of a server that crashed was not lost."""
+        self._watched.pop(key, None)
+        crash = self._crashes.find(key)
+        if crash is not None:
+            crash.has_live_zone = True
+
+    def has_live_zone(self, key: ServerKey) -> bool:
+        """Return whether the zone of a server that crashed was not lost."""
+        crash = self._crashes.find(key)
+        return crash is not None and crash.has_live_zone
 
     def refute_by_data(
         self, *, key: ServerKey, opened_ms: int, now_ms: int
@@ -250,6 +333,22 @@
         """Return whether a crash of an incarnation is known."""
         return self._crashes.find(key) is not None
 
+    def parts_of_moment(self, key: ServerKey) -> list[str]:
+        """Return the parts of a crash that others at its moment have."""
+        crash = self._crashes.find(key)
+        if crash is None:
+            return []
+        others = [
+            one
+            for one in self._crashes.list_near(crash.times_ms)
+            if one is not crash
+        ]
+        return [
+            part_id
+            for part_id in crash.part_ids
+            if any(one.has(part_id) for one in others)
+        ]
+
     def own_closes(self, key: ServerKey) -> tuple[crash_table.Close, ...]:
         """Return what this gateway saw of a crash, if it is known."""
         crash = self._crashes.find(key)
@@ -328,14 +427,88 @@
         ]
         if not found:
             return None
-        times_ms = {key: crash.time_of(part_id) for key, crash in found}
+        is_proven = part_id in self._answers
+        sightings = {
+            key: moments.Sighting(at_ms=crash.time_of(part_id))
+            for key, crash in found
+        }
+        # A part that was answered before is one that many requests have.
+        if len(found) > 1 and not is_proven:
+            sightings = self._tell_apart(
+                part_id, dict(found), sightings, explained_by=explained_by
+            )
         return Suspicion(
             part_id=part_id,
-            crashes=count_moments(times_ms.values()),
-            is_proven=part_id in self._answers,
+            crashes=moments.count_crashes(sightings.values()),
+            is_proven=is_proven,
             position=max(crash.position_of(part_id) for _, crash in found),
-            times_ms=times_ms,
+            sightings=sightings,
+        )
+
+    def _tell_apart(
+        self,
+        part_id: str,
+        found: dict[ServerKey, crash_table.Crash],
+        sightings: dict[ServerKey, moments.Sighting],
+        *,
+        explained_by: frozenset[str],
+    ) -> dict[ServerKey, moments.Sighting]:
+        """Return the sightings with the causes that may explain them.
+
+        Where a neighbour went on and no server of the zone crashed without
+        the part, the zone was not lost. A rack, which may have been, takes
+        its servers whatever they ran. If all crashes of the moment have the
+        part, one lost zone does not explain those in others.
+        """
+        apart = dict(sightings)
+        for moment in moments.group_moments(
+            {one.at_ms for one in sightings.values()}
+        ):
+            keys = [one for one in found if sightings[one].at_ms in moment]
+            if len(keys) == 1:
+                continue
+            others = {
+                one.place
+                for one in self._unexplained(moment, explained_by | {part_id})
+            }
+            other_zones = {one.zone for one in others if one is not None}
+            live_zones = {
+                found[key].place.zone
+                for key in keys
+                if found[key].has_live_zone and found[key].place is not None
+            }
+            for key in keys:
+                place = found[key].place
+                cause = ''
+                if place is None or None in others:
+                    pass
+                elif place.zone in live_zones - other_zones:
+                    cause = f'host {place.host}' if place.host else key[0]
+                elif not others:
+                    cause = f'zone {place.zone}'
+                apart[key] = attrs.evolve(apart[key], cause=cause)
+        return apart
+
+    def _unexplained(
+        self, moment: list[int], explained_by: frozenset[str]
+    ) -> list[crash_table.Crash]:
+        """Return the crashes of a moment for which no request is known.
+
+        That is neither some parts nor a request that enough others have.
+        """
+        others = [
+            one
+            for one in self._crashes.list_near(moment)
+            if not one.has_any(explained_by)
+        ]
+        counts = collections.Counter(
+            itertools.chain.from_iterable(one.request_ids for one in others)
         )
+        return [
+            one
+            for one in others
+            if all(counts[id_] < CRASHES_TO_BLAME for id_ in one.request_ids)
+        ]
 
     def has_many_requests(
         self, part_id: str, *, explained_by: frozenset[str]
@@ -349,7 +522,7 @@
         :param explained_by: as in ``suspicion``.
         """
         left = [
-            set(filter(fingerprints.is_fingerprint, crash.part_ids))
+            set(crash.request_ids)
             for _, crash in self._unproven(part_id)
             if not crash.has_any(explained_by)
         ]
@@ -375,14 +548,3 @@
                 self._refuted[key] = kept
             else:
                 del self._refuted[key]
-
-
-def count_moments(times_ms: Iterable[int]) -> int:
-    """Return how many of the times are apart from each other."""
-    count = 0
-    moment_ms = None
-    for at_ms in sorted(times_ms):
-        if moment_ms is None or at_ms > moment_ms + crash_table.SAME_MOMENT_MS:
-            count += 1
-            moment_ms = at_ms
-    return count
--- a/src/shallothinge/quarantine/messages.py
+++ b/src/shallothinge/quarantine/messages.py
@@ -23,6 +23,8 @@
     :ivar unfounded: those of ``lifted`` whose evidence did not suffice any
         more, with their epochs. Gateways of former releases do not know
         ``refuted`` and lift them as if there had been a complete answer.
+    :ivar live_zones: crashes of servers in whose zones others have sent data
+        since: id, incarnation. Gateways of former releases do not know them.
     """
 
     crashes: tuple[tuple, ...] = ()
@@ -31,6 +33,7 @@
     lifted: tuple[tuple, ...] = ()
     refuted: tuple[tuple, ...] = ()
     unfounded: tuple[tuple, ...] = ()
+    live_zones: tuple[tuple, ...] = ()
 
 
 MESSAGES = (PartsReported,)
--- a/src/shallothinge/quarantine/records.py
+++ b/src/shallothinge/quarantine/records.py
@@ -1,6 +1,5 @@
 """The quarantines in force and those that were lifted."""
 
-from collections.abc import Mapping
 import logging
 
 import attrs
@@ -8,8 +7,8 @@
 from shallothinge import clock as clocks
 from shallothinge.membership.model import ServerKey
 from shallothinge.quarantine import crash_table
-from shallothinge.quarantine import evidence
 from shallothinge.quarantine import fingerprints
+from shallothinge.quarantine import moments
 
 LOG = logging.getLogger(__name__)
 
@@ -30,24 +29,23 @@
 class Grounds:
     """The crashes that a quarantine rests on.
 
-    ``needed`` is how many of them, apart in time, suffice. ``is_renewal`` is
-    whether they only renewed a quarantine that had ended.
+    ``needed`` is how many of them, apart from each other, suffice.
+    ``is_renewal`` is whether they only renewed a quarantine that had ended.
     """
 
-    times_ms: dict[ServerKey, int]
+    sightings: dict[ServerKey, moments.Sighting]
     needed: int
     is_renewal: bool = False
 
     @property
     def is_enough(self) -> bool:
         """Return whether the crashes still suffice."""
-        return evidence.count_moments(self.times_ms.values()) >= self.needed
+        return moments.count_crashes(self.sightings.values()) >= self.needed
 
-    def add(self, times_ms: Mapping[ServerKey, int]) -> None:
-        """Add crashes, up to the number that evidence holds."""
-        for key, at_ms in times_ms.items():
-            if len(self.times_ms) < crash_table.MAX_CRASHES:
-                self.times_ms.setdefault(key, at_ms)
+    def add(self, key: ServerKey, at_ms: int) -> None:
+        """Add a crash, up to the number that evidence holds."""
+        if len(self.sightings) < crash_table.MAX_CRASHES:
+            self.sightings.setdefault(key, moments.Sighting(at_ms=at_ms))
 
 
 @attrs.define(kw_only=True)
--- a/src/shallothinge/quarantine/reports.py
+++ b/src/shallothinge/quarantine/reports.py
@@ -17,6 +17,7 @@
     quarantined: dict[str, None] = attrs.field(factory=dict)
     lifted: dict[str, None] = attrs.field(factory=dict)
     refuted: dict[tuple[ServerKey, int], None] = attrs.field(factory=dict)
+    live_zones: dict[ServerKey, None] = attrs.field(factory=dict)
 
 
 def build(
@@ -51,6 +52,7 @@
         refuted=tuple(
             (*key, now_ms - at_ms) for key, at_ms in changes.refuted
         ),
+        live_zones=tuple(changes.live_zones),
         unfounded=tuple(
             (part_id, quarantined.lifted_epoch(part_id))
             for part_id in changes.lifted
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -19,6 +19,7 @@
 from shallothinge.quarantine import evidence
 from shallothinge.quarantine import fingerprints
 from shallothinge.quarantine import messages
+from shallothinge.quarantine import moments
 from shallothinge.quarantine import records
 from shallothinge.quarantine import reports
 from shallothinge.quarantine.admission import ADMITTED
@@ -38,13 +39,22 @@
 class PartQuarantine:
     """Quarantined parts, decided with what all gateways observe.
 
+    :param places: where servers run; if not known, servers that crash at one
+        moment count once.
     :ivar on_change: called when there is something to report to the peers.
     :ivar on_suspicion: called when ``judge`` is to be called in ``SETTLE_MS``.
     """
 
-    def __init__(self, *, clock: clocks.Clock):
+    def __init__(
+        self,
+        *,
+        clock: clocks.Clock,
+        places: moments.ServerPlaces | None = None,
+    ):
         self._clock = clock
-        self._evidence = evidence.Evidence()
+        self._evidence = evidence.Evidence(
+            places=places or moments.UnknownPlaces()
+        )
         self._records = records.QuarantineRecords(clock=clock)
         self._blame = blame.Blame(
             evidence=self._evidence, quarantined=self._records
@@ -148,6 +158,8 @@
             the kernel's receive buffer may have been sent before the crash.
         """
         now_ms = self._clock.now_ms()
+        if self._evidence.watches_zones:
+            self._record_alive(key, now_ms)
         refutation = self._evidence.refute_by_data(
             key=key, opened_ms=opened_ms, now_ms=now_ms
         )
@@ -172,6 +184,13 @@
         self._reconsider(key, refutation.cleared_ids)
         self._notify()
 
+    def _record_alive(self, key: ServerKey, now_ms: int) -> None:
+        """Note that the zones of servers that crashed were not lost."""
+        for crashed in self._evidence.record_alive(key, now_ms):
+            self._changes.live_zones[crashed] = None
+            self._notify()
+            self._suspect(self._evidence.parts_of_moment(crashed))
+
     def record_whole(self, part_ids: Iterable[str]) -> None:
         """Record that a request with these parts was answered completely.
 
@@ -210,6 +229,11 @@
             quarantined=dict.fromkeys(self._records.ids),
             lifted=dict.fromkeys(self._records.lifted_ids),
             refuted=dict.fromkeys(self._own_refuted_ms),
+            live_zones={
+                key: None
+                for key in self._own_crashes_ms
+                if self._evidence.has_live_zone(key)
+            },
         )
 
     def _build(
@@ -262,6 +286,15 @@
                 positions=dict(positions),
                 is_own=False,
             )
+        for server_id, incarnation in checks.valid_entries(
+            report, 'live_zones'
+        ):
+            self._apply_live_zone((server_id, incarnation))
+
+    def _apply_live_zone(self, key: ServerKey) -> None:
+        if not self._evidence.has_live_zone(key):
+            self._evidence.record_live_zone(key)
+            self._suspect(self._evidence.parts_of_moment(key))
 
     def _apply_refutation(self, key: ServerKey, at_ms: int) -> None:
         now_ms = self._clock.now_ms()
@@ -315,11 +348,11 @@
         for part_id in cleared_ids:
             record = self._records.find(part_id)
             grounds = None if record is None else record.grounds
-            if grounds is None or grounds.times_ms.pop(key, None) is None:
+            if grounds is None or grounds.sightings.pop(key, None) is None:
                 continue
             if grounds.is_enough and (
                 grounds.is_renewal
-                or self._blame.upholds(part_id, grounds.times_ms)
+                or self._blame.upholds(part_id, grounds.sightings)
             ):
                 continue
             if grounds.is_renewal:
@@ -331,7 +364,7 @@
                 extra={
                     'part_id': part_id,
                     'refuted_server_id': key[0],
-                    'crashes_left': len(grounds.times_ms),
+                    'crashes_left': len(grounds.sightings),
                     'crashes_needed': grounds.needed,
                 },
             )
@@ -385,7 +418,9 @@
                     part_id,
                     strikes=record.strikes + 1,
                     grounds=records.Grounds(
-                        times_ms={key: at_ms}, needed=1, is_renewal=True
+                        sightings={key: moments.Sighting(at_ms=at_ms)},
+                        needed=1,
+                        is_renewal=True,
                     ),
                 )
                 LOG.warning(
@@ -399,7 +434,7 @@
             elif record is not None and record.grounds is None:
                 record.grounds = self._find_grounds(part_id)
             elif record is not None:
-                record.grounds.add({key: at_ms})
+                record.grounds.add(key, at_ms)
         self._suspect(positions)
 
     def _suspect(self, part_ids: Iterable[str]) -> None:
@@ -416,20 +451,25 @@
         if self.on_suspicion is not None:
             self.on_suspicion()
 
-    def judge(self) -> None:
-        """Quarantine the most suspicious part, if evidence still suffices.
+    def _is_settled(self, suspicion: evidence.Suspicion) -> bool:
+        """Return whether crashes that may be refuted have had their time.
 
-        While servers reset connections and go on, this waits until the
-        crashes could have been refuted.
+        That is while servers reset connections and go on, and for crashes
+        that suffice only if those at one moment count apart.
         """
+        now_ms = self._clock.now_ms()
+        if not suspicion.is_settled(now_ms):
+            return False
+        oldest_ms = now_ms - evidence.REFUTE_MS
+        return not self._evidence.has_refuted or suspicion.is_enough_before(
+            oldest_ms
+        )
+
+    def judge(self) -> None:
+        """Quarantine the most suspicious part, if evidence still suffices."""
         suspicions = self._blame.find_suspicions(self._suspects)
         worst = self._blame.find_culprit(suspicions)
-        oldest_ms = self._clock.now_ms() - evidence.REFUTE_MS
-        if (
-            worst is not None
-            and self._evidence.has_refuted
-            and not worst.is_enough_before(oldest_ms)
-        ):
+        if worst is not None and not self._is_settled(worst):
             self._judge_later()
             return
         self._suspects.clear()
@@ -439,7 +479,7 @@
             worst.part_id,
             strikes=0,
             grounds=records.Grounds(
-                times_ms=dict(worst.times_ms), needed=worst.needed
+                sightings=dict(worst.sightings), needed=worst.needed
             ),
         )
         LOG.warning(
@@ -452,6 +492,12 @@
                 'for_ms': records.QUARANTINE_MS,
             },
         )
+        # Another request may be to blame for other crashes.
+        self._suspect(
+            one.part_id
+            for one in suspicions
+            if one is not worst and one.is_of_request
+        )
 
     def _quarantine(
         self, part_id: str, *, strikes: int, grounds: records.Grounds
@@ -475,7 +521,7 @@
         if suspicion is None or not suspicion.is_enough:
             return None
         return records.Grounds(
-            times_ms=dict(suspicion.times_ms), needed=suspicion.needed
+            sightings=dict(suspicion.sightings), needed=suspicion.needed
         )
 
     def _tell_watchers(self, part_id: str) -> None:
--- a/src/shallothinge/quarantine/tests/simulation.py
+++ b/src/shallothinge/quarantine/tests/simulation.py
@@ -7,7 +7,9 @@
 import attrs
 
 from shallothinge import clock as clocks
+from shallothinge.membership.model import ServerKey
 from shallothinge.quarantine import fingerprints
+from shallothinge.quarantine import moments
 from shallothinge.quarantine import state
 
 LINK_MS = 3
@@ -23,10 +25,16 @@
 # streams show that it goes on. Some of their servers reset connections.
 BUSY_PER_S = 200.0
 RESET_SHARE = 0.1
+ZONES = 3
 DEADLY_PART = 'deadly'
 DEADLY_REQUEST = f'{fingerprints.PREFIX}deadly'
 
 
+def zone_of(server: int) -> str:
+    """Return the zone of a server."""
+    return f'zone-{server % ZONES}'
+
+
 @attrs.define(kw_only=True, eq=False)
 class Request:
     """One request at one gateway."""
@@ -85,7 +93,8 @@
         self._tenants = tenants
         self.clock = clocks.ManualClock(start_ms=100_000)
         self.gateways = [
-            state.PartQuarantine(clock=self.clock) for _ in range(gateways)
+            state.PartQuarantine(clock=self.clock, places=self)
+            for _ in range(gateways)
         ]
         self._deadly_from_ms = self.clock.now_ms() + deadly_from_ms
         self._mail = []
@@ -108,6 +117,18 @@
         self.sound = 0
         self.wholes = collections.defaultdict(list)
 
+    def find_place(self, server_id: str) -> moments.Place:
+        """Return where a server runs."""
+        return moments.Place(zone=zone_of(int(server_id.partition('-')[2])))
+
+    def list_zone(self, zone: str) -> frozenset[ServerKey]:
+        """Return what is listed in a zone; who is down, as it was."""
+        return frozenset(
+            self._key(server, is_listed=True)
+            for server in range(SERVERS)
+            if zone_of(server) == zone
+        )
+
     def run(self, duration_ms: int) -> None:
         """Play for some time."""
         end_ms = self.clock.now_ms() + duration_ms
@@ -117,10 +138,14 @@
                 request = self._draw()
                 self.sound += not request.is_deadly
                 self._start(request)
+            self._disturb()
             self._work()
             self._judge()
             self._exchange()
 
+    def _disturb(self) -> None:
+        """Disturb servers in another way; nothing does so here."""
+
     def _draw(self) -> Request:
         tenant = self._rng.randrange(self._tenants)
         part_ids = (f'tenant-{tenant}',)
@@ -209,8 +234,10 @@
                 key=self._key(request.server), opened_ms=request.opened_ms
             )
 
-    def _key(self, server: int) -> tuple[str, str]:
-        return f'server-{server}', str(self._lives[server])
+    def _key(self, server: int, *, is_listed: bool = False) -> ServerKey:
+        is_down = self._down_until_ms[server] > self.clock.now_ms()
+        life = self._lives[server] - (is_listed and is_down)
+        return f'server-{server}', str(life)
 
     def _reset(self, request: Request) -> None:
         """Reset the connection of one request; its server goes on."""
