Take no bytes before a reset for a whole answer

Cause: without length or chunks the end of the bytes was taken for the end of the answer. After a reset the kernel may report that end, too, and a reset may follow it by a moment.

Change: at the end of the bytes of an unframed answer the connection's state is looked at: a connection that is closed in both directions was reset; the request has to be acknowledged; if it had a body, a reset may still come within 20 ms. Framed answers are whole as before. Statuses of 600 and above are no answers any more, as 000 and 099 were none before.

Two rows of test_client (600, 999) failed before.

--- a/src/shallothinge/http1/client.py
+++ b/src/shallothinge/http1/client.py
@@ -18,10 +18,13 @@
 import attrs
 import h11
 from twisted.internet import error as net_errors
+from twisted.internet import interfaces
 from twisted.internet import protocol
+from zope.interface import implementer
 
 from shallothinge import clock as clocks
 from shallothinge import memory
+from shallothinge.http1 import answer_close
 from shallothinge.http1 import messages
 
 # If bytes stay unacknowledged or probes unanswered for this long, the host
@@ -49,9 +52,13 @@
 # Bytes to read from a connection before others get their turn. They hold up
 # to 1,365 chunks of one byte, which take some milliseconds.
 READ_BYTES = 8 * 1024
+# Statuses above have no class that would tell a success from a failure.
+MAX_STATUS = 599
 # The status that h11 suggests if a head, a chunk header or a trailer is too
 # long.
 TOO_LONG_HINT = 431
+# Fields that state where a body ends.
+_FRAMING_FIELDS = frozenset((b'content-length', b'transfer-encoding'))
 # Error details are logged and may quote what a server sent, so they are cut
 # to this length.
 DETAIL_CHARACTERS = 120
@@ -107,9 +114,14 @@
         """The exchange has failed; the answer will not be complete."""
 
 
+@implementer(interfaces.IHalfCloseableProtocol)
 class ClientExchange(protocol.Protocol):
     """Sends one request and reads one answer.
 
+    An answer may have neither a length nor chunks and end with its connection.
+    It is complete if the server has taken the whole request and does not
+    reset the connection.
+
     The size of the body is limited unless ``read_as_stream`` was called.
 
     :param may_send: called once the connection is established, since the
@@ -142,6 +154,10 @@
         self._is_paused = False
         self._received_bytes = 0
         self._body_bytes = 0
+        self._sent_bytes = 0
+        self._is_unframed = False
+        self._reactor = None
+        self._close_check: answer_close.CloseCheck | None = None
         self._timer = None
 
     def connectionMade(self) -> None:
@@ -174,6 +190,7 @@
             data += self._http.send(h11.Data(data=self._body))
         data += self._http.send(h11.EndOfMessage())
         self._was_sent = True
+        self._sent_bytes = len(data)
         self.transport.write(data)
         if self._is_paused:
             self.transport.pauseProducing()
@@ -186,6 +203,33 @@
         self._feed(data)
         self._bound_framing()
 
+    def readConnectionLost(self) -> None:
+        """Find out whether the end of the bytes is the end of the answer."""
+        if self._is_done or self._close_check is not None:
+            return
+        if not self._is_unframed or self._reactor is None:
+            self._on_close_checked('')
+            return
+        self._close_check = answer_close.CloseCheck(
+            transport=self.transport,
+            reactor=self._reactor,
+            sent_bytes=self._sent_bytes,
+            has_body=bool(self._body),
+            on_result=self._on_close_checked,
+        )
+        self._close_check.start()
+
+    def writeConnectionLost(self) -> None:
+        """Do nothing: this side never closes its direction alone."""
+
+    def _on_close_checked(self, cut: str) -> None:
+        if cut:
+            self._fail(FailureKind.BROKEN, cut)
+            return
+        self._is_closed = True
+        self._feed(b'')
+        self._fail(FailureKind.BROKEN, 'the connection ended too soon')
+
     def connectionLost(self, reason=protocol.connectionDone) -> None:
         """Complete an answer that is framed by the close, or fail."""
         if self._is_done:
@@ -221,6 +265,10 @@
         if self.transport is not None and not self._is_done:
             self.transport.resumeProducing()
 
+    def check_close(self, *, reactor) -> None:
+        """Look for a reset where an answer ends with its connection."""
+        self._reactor = reactor
+
     def set_timeout(self, *, reactor, duration_ms: int) -> None:
         """Fail unless the answer is complete within this time."""
         self._timer = reactor.callLater(
@@ -295,6 +343,15 @@
 
     def _handle_event(self, event) -> None:
         if isinstance(event, h11.Response):
+            if event.status_code > MAX_STATUS:
+                # No client knows what such an answer means.
+                self._fail(
+                    FailureKind.MALFORMED, f'status {event.status_code}'
+                )
+                return
+            self._is_unframed = not _FRAMING_FIELDS.intersection(
+                name for name, _ in event.headers
+            )
             self._listener.on_head(
                 messages.ResponseHead(
                     status=event.status_code,
@@ -334,6 +391,8 @@
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         self._timer = None
+        if self._close_check is not None:
+            self._close_check.stop()
 
 
 class _Factory(protocol.ClientFactory):
@@ -395,6 +454,7 @@
             may_send=may_send,
             bodies=self._bodies,
         )
+        exchange.check_close(reactor=self._reactor)
         if within_ms is not None:
             exchange.set_timeout(reactor=self._reactor, duration_ms=within_ms)
         host, _, port = address.rpartition(':')
--- a/src/shallothinge/http1/closing.py
+++ b/src/shallothinge/http1/closing.py
@@ -113,12 +113,7 @@
 
     def _has_peer_left(self) -> bool:
         """Return whether the connection has ended, also if it isn't read."""
-        state = tcp_info.read_field(
-            self._transport.getHandle(),
-            offset=_STATE_OFFSET,
-            layout=_STATE_FORMAT,
-        )
-        return state == _TCP_CLOSE
+        return is_closed(self._transport.getHandle())
 
 
 def acked_bytes(handle: socket.socket) -> int | None:
@@ -131,6 +126,18 @@
     )
 
 
+def is_closed(handle: socket.socket) -> bool:
+    """Return whether a connection has ended in both directions.
+
+    One that this side has not closed was reset. The kernel reports an error
+    only once, which may be lost, but the state stays.
+    """
+    state = tcp_info.read_field(
+        handle, offset=_STATE_OFFSET, layout=_STATE_FORMAT
+    )
+    return state == _TCP_CLOSE
+
+
 def close_port(port, *, reactor) -> None:
     """Accept the connections that wait in the kernel, and close the port.
 
--- a/src/shallothinge/http1/tests/test_client.py
+++ b/src/shallothinge/http1/tests/test_client.py
@@ -65,6 +65,15 @@
             (head + b'Content-Length: 3\r\n\r\nok', DONE, FailureKind.BROKEN),
             (head + b'\r\nok', LOST, FailureKind.BROKEN),
             (b'\x00nonsense\r\n\r\n', None, FailureKind.MALFORMED),
+            *(
+                (
+                    b'HTTP/1.1 %s X\r\nContent-Length: 2\r\n\r\nok' % status,
+                    None,
+                    FailureKind.MALFORMED,
+                )
+                # No statuses of an answer, though some have three digits.
+                for status in (b'000', b'099', b'600', b'999', b'20')
+            ),
         )
         for data, reason, kind in cases:
             with self.subTest(data=data, reason=reason):
