Split the evidence of the quarantine by duty

The suspicion against one part and the watch over the zones of servers that crashed have modules of their own, as evidence.py had grown to 550 lines. No change in what is decided: the tests of the quarantine passed before and after.

--- a/src/shallothinge/gateway/tests/test_room.py
+++ b/src/shallothinge/gateway/tests/test_room.py
@@ -16,8 +16,8 @@
 from shallothinge.placement import free_slots
 from shallothinge.placement import server_queue
 from shallothinge.placement import slot_turns
-from shallothinge.quarantine import evidence
 from shallothinge.quarantine import moments
+from shallothinge.quarantine import suspicion as suspicions
 from shallothinge.scheduling import demand
 from shallothinge.scheduling import messages
 from shallothinge.scheduling import model
@@ -558,7 +558,7 @@
 def quarantine_part(play, exchange):
     """Let a part of the prompt crash many servers elsewhere."""
     quarantine = play.rig.parts.quarantine
-    for number in range(evidence.CRASHES_TO_BLAME_PROVEN):
+    for number in range(suspicions.CRASHES_TO_BLAME_PROVEN):
         quarantine.record_crash(
             key=(f'llm-{number + 1}', '1'),
             part_ids=(DEADLY_PART, f'request-{number}'),
--- a/src/shallothinge/quarantine/blame.py
+++ b/src/shallothinge/quarantine/blame.py
@@ -6,6 +6,7 @@
 from shallothinge.quarantine import evidence as evidences
 from shallothinge.quarantine import fingerprints
 from shallothinge.quarantine import records
+from shallothinge.quarantine import suspicion as suspicions
 
 
 class Blame:
@@ -22,7 +23,7 @@
 
     def find_suspicions(
         self, part_ids: Iterable[str]
-    ) -> list[evidences.Suspicion]:
+    ) -> list[suspicions.Suspicion]:
         """Return the suspicions that suffice for a quarantine.
 
         Crashes under a quarantined part are no evidence against others, and
@@ -42,13 +43,13 @@
             for part_id in part_ids
             if part_id not in quarantined_ids
             and self._evidence.crash_count(part_id)
-            >= evidences.CRASHES_TO_BLAME
+            >= suspicions.CRASHES_TO_BLAME
         )
         return [one for one in found if one is not None and one.is_enough]
 
     def find_culprit(
-        self, suspicions: list[evidences.Suspicion]
-    ) -> evidences.Suspicion | None:
+        self, suspicions: list[suspicions.Suspicion]
+    ) -> suspicions.Suspicion | None:
         """Return the worst suspicion, None if it is not settled.
 
         Crashes under one request speak against this request alone. A part is
@@ -121,8 +122,8 @@
 
 
 def _find_worst_request(
-    requests: list[evidences.Suspicion],
-) -> evidences.Suspicion | None:
+    requests: list[suspicions.Suspicion],
+) -> suspicions.Suspicion | None:
     """Return the request at most crashes, None if two share as many.
 
     One of two is blamed nevertheless if they are always together.
--- a/src/shallothinge/quarantine/evidence.py
+++ b/src/shallothinge/quarantine/evidence.py
@@ -19,6 +19,8 @@
 from shallothinge.quarantine import crash_table
 from shallothinge.quarantine import fingerprints
 from shallothinge.quarantine import moments
+from shallothinge.quarantine import suspicion as suspicions
+from shallothinge.quarantine import zone_watch
 
 LOG = logging.getLogger(__name__)
 
@@ -28,22 +30,12 @@
 # it can be refuted first: a stream writes an event every 20 to 50 ms, the data
 # is not in flight, and its report takes some milliseconds.
 REFUTE_MS = 150
-# Crashes at one moment suffice only after this time, in which resets are
-# refuted and sound requests answered.
-SAME_MOMENT_WAIT_MS = 1500
-# Data of neighbours tells for so long that a zone was not lost; its servers
-# may start again later.
-ZONE_WATCH_MS = 3000
 # Limit on the parts of a crash in one report.
 MAX_PARTS_REPORTED = 8192
 # Limit on incarnations with refuted closes that are remembered.
 MAX_REFUTED = 256
 # Refuted closes are remembered until no peer can repeat them.
 REFUTED_TTL_MS = 10_000
-# Crashes, apart in time, without a complete answer since the first of them.
-# Parts that had complete answers before are less likely to be the cause.
-CRASHES_TO_BLAME = 3
-CRASHES_TO_BLAME_PROVEN = 6
 # Requests that crashed servers under one part, so that they do not explain its
 # crashes any more.
 REQUESTS_TO_BLAME_PART = 3
@@ -83,81 +75,11 @@
         )
 
 
-@attrs.frozen(kw_only=True)
-class Suspicion:
-    """How strongly the crashes speak against a part.
-
-    ``crashes`` counts the crashes that are apart from each other, since the
-    last complete answer with the part. ``sightings`` are all, by server.
-    """
-
-    part_id: str
-    crashes: int
-    is_proven: bool
-    position: int
-    sightings: dict[ServerKey, moments.Sighting]
-
-    @property
-    def server_ids(self) -> tuple[str, ...]:
-        """Return the servers that crashed."""
-        by_time = sorted(
-            self.sightings, key=lambda key: self.sightings[key].at_ms
-        )
-        return tuple(server_id for server_id, _ in by_time)
-
-    @property
-    def is_of_request(self) -> bool:
-        """Return whether it is the suspicion against one request."""
-        return fingerprints.is_fingerprint(self.part_id)
-
-    @property
-    def is_enough(self) -> bool:
-        """Return whether the part is to be quarantined."""
-        return self.crashes >= self.needed
-
-    @property
-    def needed(self) -> int:
-        """Return how many crashes are enough."""
-        if self.is_proven and not self.is_of_request:
-            return CRASHES_TO_BLAME_PROVEN
-        return CRASHES_TO_BLAME
-
-    def is_enough_before(self, time_ms: int) -> bool:
-        """Return whether the crashes up to a time are enough."""
-        early = (
-            one for one in self.sightings.values() if one.at_ms <= time_ms
-        )
-        return moments.count_crashes(early) >= self.needed
-
-    def is_settled(self, now_ms: int) -> bool:
-        """Return whether nothing is likely to clear the part any more.
-
-        Crashes at one moment say less than crashes in series: the connections
-        may have been reset, or the part may be answered elsewhere.
-        """
-        in_series = (
-            moments.Sighting(at_ms=one.at_ms)
-            for one in self.sightings.values()
-        )
-        return moments.count_crashes(
-            in_series
-        ) >= self.needed or self.is_enough_before(now_ms - SAME_MOMENT_WAIT_MS)
-
-    @property
-    def rank(self) -> tuple[int, bool, int]:
-        """Return the order of suspects; later parts are the more specific."""
-        return len(self.server_ids), not self.is_proven, self.position
-
-
 class Evidence:
     """Crashes and complete answers, by part. Times are in ms."""
 
     def __init__(self, *, places: moments.ServerPlaces):
-        self._places = places
-        # Crashes whose zones may still be shown to be alive.
-        self._watched: dict[ServerKey, crash_table.Crash] = {}
-        # What was listed in a zone when servers last crashed there.
-        self._listed: dict[str, tuple[float, frozenset[ServerKey]]] = {}
+        self._zones = zone_watch.ZoneWatch(places=places)
         self._answers = complete_answers.CompleteAnswers()
         self._crashes = crash_table.CrashTable(
             is_proven=self._answers.__contains__
@@ -193,54 +115,30 @@
         is_new = self._crashes.add(
             key, at_ms=at_ms, positions=unproven, is_own=is_own
         )
-        self._watch_zone(key, at_ms)
-        return is_new
-
-    def _watch_zone(self, key: ServerKey, at_ms: int) -> None:
-        """Note where a server crashed and which others may show its zone."""
         crash = self._crashes.find(key)
-        place = self._places.find_place(key[0])
-        if crash is None or crash.place is not None or place is None:
-            return
-        listed_ms, neighbours = self._listed.get(place.zone, (-math.inf, None))
-        # As the moment began: what starts again after it is no neighbour.
-        if neighbours is None or at_ms > listed_ms + moments.SAME_MOMENT_MS:
-            neighbours = self._places.list_zone(place.zone)
-            self._listed[place.zone] = (at_ms, neighbours)
-        crash.place = place
-        crash.neighbours = neighbours
-        self._watched[key] = crash
+        if crash is not None and crash.place is None:
+            self._zones.watch(key, crash, at_ms=at_ms)
+        return is_new
 
     @property
     def watches_zones(self) -> bool:
         """Return whether data may show that a server's zone was not lost."""
-        return bool(self._watched)
+        return self._zones.is_watching
 
     def record_alive(self, key: ServerKey, now_ms: int) -> list[ServerKey]:
         """Record data from a server.
 
         :returns: crashes of neighbours, whose zone was thus not lost.
         """
-        found = []
-        for crashed, crash in list(self._watched.items()):
-            if not crash.closes or now_ms > crash.last_ms + ZONE_WATCH_MS:
-                del self._watched[crashed]
-            elif (
-                key in crash.neighbours
-                and now_ms >= crash.last_ms + crash_table.IN_FLIGHT_MS
-                and self._crashes.find(key) is None
-            ):
-                found.append(crashed)
-        for crashed in found:
-            self.record_live_zone(crashed)
-        return found
+        if self._crashes.find(key) is not None:
+            return []
+        return self._zones.record_alive(key, now_ms)
 
     def record_live_zone(self, key: ServerKey) -> None:
         """Record that the zone of a server that crashed was not lost."""
-        self._watched.pop(key, None)
         crash = self._crashes.find(key)
         if crash is not None:
-            crash.has_live_zone = True
+            self._zones.record_live_zone(key, crash)
 
     def has_live_zone(self, key: ServerKey) -> bool:
         """Return whether the zone of a server that crashed was not lost."""
@@ -414,7 +312,7 @@
 
     def suspicion(
         self, part_id: str, *, explained_by: frozenset[str]
-    ) -> Suspicion | None:
+    ) -> suspicions.Suspicion | None:
         """Return the suspicion against a part, None if there is none.
 
         :param explained_by: parts that are known to crash servers; a crash
@@ -437,7 +335,7 @@
             sightings = self._tell_apart(
                 part_id, dict(found), sightings, explained_by=explained_by
             )
-        return Suspicion(
+        return suspicions.Suspicion(
             part_id=part_id,
             crashes=moments.count_crashes(sightings.values()),
             is_proven=is_proven,
@@ -507,7 +405,10 @@
         return [
             one
             for one in others
-            if all(counts[id_] < CRASHES_TO_BLAME for id_ in one.request_ids)
+            if all(
+                counts[id_] < suspicions.CRASHES_TO_BLAME
+                for id_ in one.request_ids
+            )
         ]
 
     def has_many_requests(
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -22,6 +22,7 @@
 from shallothinge.quarantine import moments
 from shallothinge.quarantine import records
 from shallothinge.quarantine import reports
+from shallothinge.quarantine import suspicion as suspicions
 from shallothinge.quarantine.admission import ADMITTED
 from shallothinge.quarantine.admission import Admission
 from shallothinge.quarantine.admission import Watcher
@@ -451,7 +452,7 @@
         if self.on_suspicion is not None:
             self.on_suspicion()
 
-    def _is_settled(self, suspicion: evidence.Suspicion) -> bool:
+    def _is_settled(self, suspicion: suspicions.Suspicion) -> bool:
         """Return whether crashes that may be refuted have had their time.
 
         That is while servers reset connections and go on, and for crashes
--- a/src/shallothinge/quarantine/tests/test_moments.py
+++ b/src/shallothinge/quarantine/tests/test_moments.py
@@ -8,10 +8,11 @@
 
 from shallothinge import clock as clocks
 from shallothinge import wire
-from shallothinge.quarantine import evidence
 from shallothinge.quarantine import messages
 from shallothinge.quarantine import moments
 from shallothinge.quarantine import state
+from shallothinge.quarantine import suspicion as suspicions
+from shallothinge.quarantine import zone_watch
 from shallothinge.quarantine.tests import moments_simulation
 
 BAD, SHARED, REQUEST = 'bad', 'shared', 'request-1'
@@ -90,7 +91,7 @@
         """Let the gateways decide; return whether both refuse a part."""
         for _ in range(2):
             self.exchange()
-            self.clock.advance(duration_ms=evidence.SAME_MOMENT_WAIT_MS)
+            self.clock.advance(duration_ms=suspicions.SAME_MOMENT_WAIT_MS)
             for gateway in self.gateways:
                 gateway.judge()
         self.exchange()
@@ -158,7 +159,7 @@
 
         def start_again():
             self.crash((0, 3, 6), REQUEST)
-            self.clock.advance(duration_ms=evidence.ZONE_WATCH_MS)
+            self.clock.advance(duration_ms=zone_watch.ZONE_WATCH_MS)
             self.go_on((9,))
 
         def send_before():
@@ -214,7 +215,7 @@
         passed = codec.decode(codec.encode(report))
         self.assertEqual(3, len(passed.live_zones))
         self.one.apply_report(passed)
-        self.clock.advance(duration_ms=evidence.SAME_MOMENT_WAIT_MS)
+        self.clock.advance(duration_ms=suspicions.SAME_MOMENT_WAIT_MS)
         self.one.judge()
         self.assertTrue(self.one.is_quarantined((REQUEST,)))
 
