Count closes of one moment once if one gateway alone saw them

What callers would have seen: a gateway that loses its connections sees as many closes as it has requests under way, at servers in several zones whose neighbours go on.

Cause: the evidence named the servers, but not who had seen them close. Change: each close keeps the gateways that saw it; of one moment, those that a single gateway alone saw have one cause.

--- a/src/shallothinge/gateway/peers.py
+++ b/src/shallothinge/gateway/peers.py
@@ -91,7 +91,7 @@
         if isinstance(message, messages.LoadReported):
             self._load.apply_report(peer=sender_id, report=message)
         elif isinstance(message, quarantine_messages.PartsReported):
-            self._quarantine.apply_report(message)
+            self._quarantine.apply_report(message, peer_id=sender_id)
         elif isinstance(message, limit_messages.LimitsReported):
             self._limits.apply_report(message, peer_id=sender_id)
         elif isinstance(message, demand_messages.DemandReported):
--- a/src/shallothinge/gateway/tests/test_quarantine.py
+++ b/src/shallothinge/gateway/tests/test_quarantine.py
@@ -45,7 +45,9 @@
             report = sender.parts.quarantine.report(complete=False)
             for receiver in self.rigs:
                 if report is not None and receiver is not sender:
-                    receiver.parts.quarantine.apply_report(report)
+                    receiver.parts.quarantine.apply_report(
+                        report, peer_id=str(self.rigs.index(sender))
+                    )
 
     def ask(self, index, fields, **more):
         """Send a request; return its exchange and its calls to servers."""
--- a/src/shallothinge/quarantine/crash_table.py
+++ b/src/shallothinge/quarantine/crash_table.py
@@ -42,13 +42,14 @@
     ``at_ms`` and ``last_ms`` are when the first and the last of them were
     closed. ``is_own`` is whether this gateway saw it, not a peer.
     ``positions`` gives for each part of the requests that were in progress
-    its greatest position in a prompt.
+    its greatest position in a prompt. ``seers`` are the gateways that saw it.
     """
 
     at_ms: int
     last_ms: int
     is_own: bool
     positions: dict[str, int] = attrs.field(factory=dict)
+    seers: set[str] = attrs.field(factory=set)
 
     def is_same(self, at_ms: int) -> bool:
         """Return whether a report about this time is about this close."""
@@ -133,8 +134,18 @@
             if newest_ms - moments.SAME_MOMENT_MS <= one.at_ms <= newest_ms
         )
 
+    @property
+    def seers(self) -> set[str]:
+        """Return the gateways that saw connections close."""
+        return set().union(*(one.seers for one in self.closes))
+
     def add(
-        self, *, at_ms: int, positions: Mapping[str, int], is_own: bool
+        self,
+        *,
+        at_ms: int,
+        positions: Mapping[str, int],
+        is_own: bool,
+        seer: str,
     ) -> bool:
         """Add parts of requests that a close ended.
 
@@ -146,6 +157,7 @@
         close = self._find_or_add(at_ms, is_own)
         close.at_ms = min(close.at_ms, at_ms)
         close.last_ms = max(close.last_ms, at_ms)
+        close.seers.add(seer)
         for part_id, position in positions.items():
             close.positions[part_id] = max(
                 position, close.positions.get(part_id, 0)
@@ -242,6 +254,7 @@
         at_ms: int,
         positions: Mapping[str, int],
         is_own: bool,
+        seer: str,
     ) -> bool:
         """Add parts of requests that a crash ended.
 
@@ -252,7 +265,9 @@
             self._drop_crash(next(iter(self._crashes)))
         self._size -= crash.size
         unknown = [one for one in positions if not crash.has(one)]
-        is_new = crash.add(at_ms=at_ms, positions=positions, is_own=is_own)
+        is_new = crash.add(
+            at_ms=at_ms, positions=positions, is_own=is_own, seer=seer
+        )
         self._size += crash.size
         for part_id in unknown:
             self._keys[part_id] = (*self._keys.get(part_id, ()), key)
--- a/src/shallothinge/quarantine/evidence.py
+++ b/src/shallothinge/quarantine/evidence.py
@@ -30,6 +30,8 @@
 # it can be refuted first: a stream writes an event every 20 to 50 ms, the data
 # is not in flight, and its report takes some milliseconds.
 REFUTE_MS = 150
+# Stands for this gateway among those that saw a crash.
+OWN = 'own'
 # Limit on the parts of a crash in one report.
 MAX_PARTS_REPORTED = 8192
 # Limit on incarnations with refuted closes that are remembered.
@@ -93,6 +95,7 @@
         at_ms: int,
         positions: Mapping[str, int],
         is_own: bool,
+        seer: str = OWN,
     ) -> bool:
         """Add parts of requests that a crash ended.
 
@@ -100,6 +103,7 @@
         :param positions: positions of the parts in their prompts.
         :param is_own: whether this gateway saw it; reports of peers about a
             crash that was refuted are ignored.
+        :param seer: the gateway that saw it.
         :returns: whether any of them was not known at this moment.
         """
         if not is_own and any(
@@ -113,7 +117,7 @@
             or whole_ms < at_ms
         }
         is_new = self._crashes.add(
-            key, at_ms=at_ms, positions=unproven, is_own=is_own
+            key, at_ms=at_ms, positions=unproven, is_own=is_own, seer=seer
         )
         crash = self._crashes.find(key)
         if crash is not None and crash.place is None:
@@ -356,7 +360,8 @@
         Where a neighbour went on and no server of the zone crashed without
         the part, the zone was not lost. A rack, which may have been, takes
         its servers whatever they ran. If all crashes of the moment have the
-        part, one lost zone does not explain those in others.
+        part, one lost zone does not explain those in others. A gateway that
+        loses its connections sees as many closes as it has requests.
         """
         apart = dict(sightings)
         for moment in moments.group_moments(
@@ -384,7 +389,12 @@
                     cause = f'host {place.host}' if place.host else key[0]
                 elif not others:
                     cause = f'zone {place.zone}'
-                apart[key] = attrs.evolve(apart[key], cause=cause)
+                seers = found[key].seers
+                apart[key] = attrs.evolve(
+                    apart[key],
+                    cause=cause,
+                    seer=min(seers) if len(seers) == 1 else f'all of {key}',
+                )
         return apart
 
     def _unexplained(
--- a/src/shallothinge/quarantine/moments.py
+++ b/src/shallothinge/quarantine/moments.py
@@ -52,12 +52,14 @@
 class Sighting:
     """A crash as evidence against a part.
 
-    ``cause`` is the same for crashes that may have one cause outside of the
-    prompts if they were at one moment.
+    ``cause`` is the same for crashes that may have one cause at the servers'
+    side if they were at one moment, ``seer`` for those that only one gateway
+    saw, which may have lost its connections.
     """
 
     at_ms: int
     cause: str = ''
+    seer: str = ''
 
 
 def group_moments(times_ms: Iterable[int]) -> Iterator[list[int]]:
@@ -77,5 +79,8 @@
     found = list(sightings)
     count = 0
     for moment in group_moments({one.at_ms for one in found}):
-        count += len({one.cause for one in found if one.at_ms in moment})
+        there = [one for one in found if one.at_ms in moment]
+        count += min(
+            len({one.cause for one in there}), len({one.seer for one in there})
+        )
     return count
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -247,10 +247,14 @@
             now_ms=self._clock.now_ms(),
         )
 
-    def apply_report(self, report: messages.PartsReported) -> None:
+    def apply_report(
+        self, report: messages.PartsReported, *, peer_id: str = 'peer'
+    ) -> None:
         """Apply what a peer has observed or decided.
 
         Entries that are malformed are skipped.
+
+        :param peer_id: the gateway that reports.
         """
         now_ms = self._clock.now_ms()
         unfounded = set(checks.valid_entries(report, 'unfounded'))
@@ -286,6 +290,7 @@
                 at_ms=now_ms - age_ms,
                 positions=dict(positions),
                 is_own=False,
+                seer=peer_id,
             )
         for server_id, incarnation in checks.valid_entries(
             report, 'live_zones'
@@ -403,9 +408,14 @@
         at_ms: int,
         positions: Mapping[str, int],
         is_own: bool,
+        seer: str = evidence.OWN,
     ) -> None:
         if not self._evidence.add_crash(
-            key=key, at_ms=at_ms, positions=positions, is_own=is_own
+            key=key,
+            at_ms=at_ms,
+            positions=positions,
+            is_own=is_own,
+            seer=seer,
         ):
             return
         for part_id in positions:
--- a/src/shallothinge/quarantine/tests/moments_simulation.py
+++ b/src/shallothinge/quarantine/tests/moments_simulation.py
@@ -27,6 +27,7 @@
     ZONE = 'zone'
     RACK = 'rack'
     POWER = 'power'
+    CONNECTIONS = 'connections'
 
 
 class MomentSimulation(simulation.Simulation):
@@ -113,6 +114,8 @@
         if now_ms == self._loss_at_ms:
             for server in self._lost_servers():
                 self._crash(server)
+            if self._cause is Cause.CONNECTIONS:
+                self._reset_all(0)
 
     def _send_together(self, index: int) -> None:
         is_deadly = self._cause in (
@@ -123,7 +126,7 @@
         # As of an unsafe route, whose requests are sent once.
         request = simulation.Request(
             part_ids=self._part_ids(index),
-            gateway=index % len(self.gateways),
+            gateway=self._gateway(index),
             is_deadly=is_deadly,
             is_repeated=True,
             attempts=simulation.ATTEMPTS - 1,
@@ -137,6 +140,19 @@
                 + self._rng.randrange(BEGIN_SPREAD_MS)
             )
 
+    def _gateway(self, index: int) -> int:
+        """Return the gateway of a caller; one may get a whole group."""
+        if self._cause is Cause.CONNECTIONS:
+            return 0
+        return index % len(self.gateways)
+
+    def _reset_all(self, gateway: int) -> None:
+        """Reset all connections of a gateway; the servers go on."""
+        for running in list(self._running.values()):
+            for request in list(running):
+                if request.gateway == gateway:
+                    self._reset(request)
+
     def _part_ids(self, index: int) -> tuple[str, ...]:
         if self._cause is Cause.PART:
             own = f'{fingerprints.PREFIX}own-{next(self._unique)}'
--- a/src/shallothinge/quarantine/tests/simulation.py
+++ b/src/shallothinge/quarantine/tests/simulation.py
@@ -299,7 +299,7 @@
             _, sender, report = self._mail.pop(0)
             for index, one in enumerate(self.gateways):
                 if index != sender:
-                    one.apply_report(report)
+                    one.apply_report(report, peer_id=str(sender))
         if self.known_ms is None and all(
             one.is_quarantined((self._deadly_id,)) for one in self.gateways
         ):
--- a/src/shallothinge/quarantine/tests/test_moments.py
+++ b/src/shallothinge/quarantine/tests/test_moments.py
@@ -52,32 +52,31 @@
 
 
 class MomentTest(unittest.TestCase):
-    """What two gateways make of crashes at one moment."""
+    """What some gateways make of crashes at one moment."""
+
+    GATEWAYS = 4
 
     def setUp(self):
         self.clock = clocks.ManualClock(start_ms=1_000_000)
         self.places = Places()
-        self.one, self.two = (
+        self.gateways = [
             state.PartQuarantine(clock=self.clock, places=self.places)
-            for _ in range(2)
-        )
-        self.gateways = (self.one, self.two)
+            for _ in range(self.GATEWAYS)
+        ]
+        self.one, self.two, *_ = self.gateways
 
-    def crash(self, numbers, *part_ids):
-        """Crash servers under requests with some parts, at either gateway."""
-        for number in numbers:
-            self.gateways[number % 2].record_crash(
-                key=(f's{number}', '1'), part_ids=part_ids
-            )
+    def crash(self, numbers, *part_ids, at=None):
+        """Crash servers under requests with some parts, at all gateways."""
+        for index, number in enumerate(numbers):
+            gateway = at or self.gateways[index % self.GATEWAYS]
+            gateway.record_crash(key=(f's{number}', '1'), part_ids=part_ids)
 
     def exchange(self):
-        for sender, receiver in (
-            (self.one, self.two),
-            (self.two, self.one),
-        ):
+        for index, sender in enumerate(self.gateways):
             report = sender.report(complete=False)
-            if report is not None:
-                receiver.apply_report(report)
+            for receiver in self.gateways:
+                if report is not None and receiver is not sender:
+                    receiver.apply_report(report, peer_id=str(index))
 
     def go_on(self, numbers, *, at=None):
         """Let servers send data on new connections, after the crashes."""
@@ -166,6 +165,10 @@
             self.crash((0, 3, 6), REQUEST)
             self.one.record_data(key=('s9', '1'), opened_ms=0)
 
+        def lose_connections():
+            self.crash((0, 1, 2, 3, 4), REQUEST, at=self.one)
+            self.go_on((6, 7, 8), at=self.two)
+
         def know_no_places():
             self.places.find_place = lambda server_id: None
             self.crash((0, 1, 2, 3), REQUEST)
@@ -181,6 +184,7 @@
             answer_before,
             start_again,
             send_before,
+            lose_connections,
             know_no_places,
         ):
             with self.subTest(happen=happen.__name__):
@@ -193,6 +197,7 @@
     def test_crashes_that_are_refuted_in_time_blame_nothing(self):
         opened_ms = self.clock.now_ms() - 1
         self.crash((0, 1, 2, 3), REQUEST)
+        self.exchange()
         self.go_on((4, 5, 6))
         for number in range(4):
             self.one.record_data(key=(f's{number}', '1'), opened_ms=opened_ms)
@@ -214,7 +219,7 @@
         codec = wire.Codec(message_types=messages.MESSAGES)
         passed = codec.decode(codec.encode(report))
         self.assertEqual(3, len(passed.live_zones))
-        self.one.apply_report(passed)
+        self.one.apply_report(passed, peer_id='1')
         self.clock.advance(duration_ms=suspicions.SAME_MOMENT_WAIT_MS)
         self.one.judge()
         self.assertTrue(self.one.is_quarantined((REQUEST,)))
