Keep the requests of a crash apart from the other parts

Found in the read-through: to tell the crashes of one moment apart, the fingerprints were filtered out of all parts of each crash, for each part.

test_requests_of_a_crash_are_those_among_its_parts checks that they stay consistent as parts are added and answered.

--- a/src/shallothinge/quarantine/crash_table.py
+++ b/src/shallothinge/quarantine/crash_table.py
@@ -42,13 +42,15 @@
     ``at_ms`` and ``last_ms`` are when the first and the last of them were
     closed. ``is_own`` is whether this gateway saw it, not a peer.
     ``positions`` gives for each part of the requests that were in progress
-    its greatest position in a prompt. ``seers`` are the gateways that saw it.
+    its greatest position in a prompt, ``request_ids`` the fingerprints among
+    them. ``seers`` are the gateways that saw it.
     """
 
     at_ms: int
     last_ms: int
     is_own: bool
     positions: dict[str, int] = attrs.field(factory=dict)
+    request_ids: dict[str, None] = attrs.field(factory=dict)
     seers: set[str] = attrs.field(factory=set)
 
     def is_same(self, at_ms: int) -> bool:
@@ -115,7 +117,8 @@
     @property
     def request_ids(self) -> tuple[str, ...]:
         """Return the fingerprints of the requests that were there."""
-        return tuple(filter(fingerprints.is_fingerprint, self.part_ids))
+        found = itertools.chain(*(one.request_ids for one in self.closes))
+        return tuple(dict.fromkeys(found))
 
     def time_of(self, part_id: str) -> int:
         """Return the time of the newest moment at which a part was there.
@@ -162,6 +165,8 @@
             close.positions[part_id] = max(
                 position, close.positions.get(part_id, 0)
             )
+            if fingerprints.is_fingerprint(part_id):
+                close.request_ids[part_id] = None
         return any(
             self.time_of(one)
             > known_ms.get(one, -math.inf) + moments.SAME_MOMENT_MS
@@ -198,6 +203,7 @@
         for close in self.closes:
             for part_id in part_ids:
                 close.positions.pop(part_id, None)
+                close.request_ids.pop(part_id, None)
 
     def remove(self, closes: list[Close]) -> None:
         """Remove closes that are refuted or too old."""
--- a/src/shallothinge/quarantine/tests/test_quarantine.py
+++ b/src/shallothinge/quarantine/tests/test_quarantine.py
@@ -409,6 +409,16 @@
                     )
                     self.assertGreater(gateway.dropped_count, 0)
 
+    def test_requests_of_a_crash_are_those_among_its_parts(self):
+        # They are kept apart, as prompts may have a thousand parts.
+        self.crash(1, FIRST, REQUEST)
+        self.crash(1, OTHER, 'request-2')
+        crash = self.one._evidence._crashes.find(('s1', '1'))
+        self.assertEqual((REQUEST, 'request-2'), crash.request_ids)
+        self.one.record_whole((REQUEST,))
+        self.assertEqual(('request-2',), crash.request_ids)
+        self.assertEqual((FIRST, OTHER, 'request-2'), crash.part_ids)
+
     def test_report_of_a_crash_leaves_out_what_says_least(self):
         ids = [f'0-{index}' for index in range(20_000)]
         self.one.record_whole(ids[10_000:])
