Drop a part once from a crash that several gateways saw

Cause: to make room, the parts of a crash were listed once for each close, and a crash that this gateway and a peer saw has two closes with the same parts. Dropping the second one raised KeyError, in record_crash or apply_report, when the crashes together had more than 32,768 parts.

Change: the parts are taken from the crash, which names each once.

Result: test_crash_that_several_gateways_saw_may_have_too_many_parts ended with KeyError before, and finds the part that all crashes share after.

--- a/src/shallothinge/quarantine/crash_table.py
+++ b/src/shallothinge/quarantine/crash_table.py
@@ -342,8 +342,7 @@
                     break
                 lone_ids = [
                     one
-                    for close in crash.closes
-                    for one in close.positions
+                    for one in crash.part_ids
                     if len(self._keys[one]) == 1
                     and not fingerprints.is_fingerprint(one)
                     and is_worthless(one)
--- a/src/shallothinge/quarantine/tests/test_quarantine.py
+++ b/src/shallothinge/quarantine/tests/test_quarantine.py
@@ -409,6 +409,19 @@
                     )
                     self.assertGreater(gateway.dropped_count, 0)
 
+    def test_crash_that_several_gateways_saw_may_have_too_many_parts(self):
+        # A part that came with two closes was dropped twice: KeyError.
+        for number in range(4):
+            ids = [f'{number}-{index}' for index in range(8000)]
+            for at in (self.one, self.two):
+                self.crash(
+                    number, BAD, *ids, f'request-{number}', at=at, after_ms=100
+                )
+            self.exchange()
+        for gateway in (self.one, self.two):
+            self.assertGreater(gateway.dropped_count, 0)
+            self.assertTrue(gateway.is_quarantined((BAD,)))
+
     def test_requests_of_a_crash_are_those_among_its_parts(self):
         # They are kept apart, as prompts may have a thousand parts.
         self.crash(1, FIRST, REQUEST)
