Split the decisions of the quarantine by duty, and pass one observation on

Change: what peers are told (reports.Outbox), which parts are to be judged and when (suspects.py), what a refuted crash ends (refutations.py) and what else may explain crashes of a moment (causes.py) have modules of their own. A crash is passed on as one Observation. The test whether an answer came since a crash stands once.

--- a/src/shallothinge/gateway/peers.py
+++ b/src/shallothinge/gateway/peers.py
@@ -13,6 +13,7 @@
 from shallothinge.placement import messages
 from shallothinge.quarantine import messages as quarantine_messages
 from shallothinge.quarantine import state as quarantines
+from shallothinge.quarantine import suspects
 from shallothinge.scheduling import messages as demand_messages
 from shallothinge.server_limits import messages as limit_messages
 from shallothinge.server_limits import state as server_limits
@@ -132,7 +133,7 @@
 
     def _judge_later(self) -> None:
         self._process.reactor.callLater(
-            quarantines.SETTLE_MS / clocks.MS_PER_SECOND,
+            suspects.SETTLE_MS / clocks.MS_PER_SECOND,
             self._quarantine.judge,
         )
 
--- a/src/shallothinge/gateway/tests/test_quarantine.py
+++ b/src/shallothinge/gateway/tests/test_quarantine.py
@@ -7,7 +7,7 @@
 from shallothinge.gateway.tests import rig
 from shallothinge.gateway.tests import test_forwarding
 from shallothinge.quarantine import records
-from shallothinge.quarantine import state
+from shallothinge.quarantine import suspects
 
 STREAM = '/lohu930/1'
 EVENT = b'id: 1\ndata: 1\n\n'
@@ -69,7 +69,7 @@
                     incarnation=members[server_id].incarnation + '1',
                 )
         self.exchange()
-        self.advance(state.SETTLE_MS)
+        self.advance(suspects.SETTLE_MS)
         for one in self.rigs:
             one.parts.quarantine.judge()
         self.exchange()
@@ -332,8 +332,8 @@
                 self.assertEqual(self.GATEWAYS, len(crashed))
                 self.advance(40)
                 self.go_on(crashed)
-                for _ in range(self.LATER_MS // state.SETTLE_MS):
-                    self.advance(state.SETTLE_MS)
+                for _ in range(self.LATER_MS // suspects.SETTLE_MS):
+                    self.advance(suspects.SETTLE_MS)
                     for one in self.rigs:
                         one.parts.quarantine.judge()
                     self.exchange()
--- a/src/shallothinge/gateway/tests/test_refuted_crashes.py
+++ b/src/shallothinge/gateway/tests/test_refuted_crashes.py
@@ -7,7 +7,7 @@
 from shallothinge.gateway.tests import rig
 from shallothinge.gateway.tests import test_quarantine
 from shallothinge.quarantine import crash_table
-from shallothinge.quarantine import state
+from shallothinge.quarantine import suspects
 
 EVENT = test_quarantine.EVENT
 REQUEST = {'prompt-prefix': 'aa:40,c1:1000', 'body': b'sound'}
@@ -58,7 +58,7 @@
 
     def judge(self):
         self.exchange()
-        self.advance(state.SETTLE_MS)
+        self.advance(suspects.SETTLE_MS)
         for one in self.rigs:
             one.parts.quarantine.judge()
         self.exchange()
--- a/src/shallothinge/quarantine/blame.py
+++ b/src/shallothinge/quarantine/blame.py
@@ -48,7 +48,7 @@
         return [one for one in found if one is not None and one.is_enough]
 
     def find_culprit(
-        self, suspicions: list[suspicions.Suspicion]
+        self, found: list[suspicions.Suspicion]
     ) -> suspicions.Suspicion | None:
         """Return the worst suspicion, None if it is not settled.
 
@@ -56,11 +56,11 @@
         to blame if the crashes under other requests suffice, or if too many
         requests would have to be to blame.
         """
-        requests = [one for one in suspicions if one.is_of_request]
+        requests = [one for one in found if one.is_of_request]
         blamed_ids = frozenset(one.part_id for one in requests)
         parts = [
             one
-            for one in suspicions
+            for one in found
             if not one.is_of_request
             and self._is_common_cause(one.part_id, blamed_ids)
         ]
@@ -86,14 +86,12 @@
         requests = filter(
             fingerprints.is_fingerprint, self._evidence.parts_beside(part_id)
         )
-        suspicions = (
+        found = (
             self._evidence.suspicion(request, explained_by=others)
             for request in requests
         )
         blamed_ids = frozenset(
-            one.part_id
-            for one in suspicions
-            if one is not None and one.is_enough
+            one.part_id for one in found if one is not None and one.is_enough
         )
         return self._is_common_cause(part_id, blamed_ids)
 
--- a/src/shallothinge/quarantine/crash_table.py
+++ b/src/shallothinge/quarantine/crash_table.py
@@ -33,6 +33,26 @@
 REPORT_TOLERANCE_MS = 50
 # Limit on separate closes of one incarnation.
 MAX_CLOSES_OF_CRASH = 8
+# Stands for this gateway among those that saw a crash.
+OWN = 'own'
+
+
+@attrs.frozen(kw_only=True)
+class Observation:
+    """What a gateway saw of the crash of a server.
+
+    ``positions`` are the parts of the requests that were in progress, with
+    their greatest positions in a prompt. ``seer`` is the gateway.
+    """
+
+    at_ms: int
+    positions: Mapping[str, int]
+    seer: str = OWN
+
+    @property
+    def is_own(self) -> bool:
+        """Return whether this gateway saw it, not a peer."""
+        return self.seer == OWN
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -42,8 +62,9 @@
     ``at_ms`` and ``last_ms`` are when the first and the last of them were
     closed. ``is_own`` is whether this gateway saw it, not a peer.
     ``positions`` gives for each part of the requests that were in progress
-    its greatest position in a prompt, ``request_ids`` the fingerprints among
-    them. ``seers`` are the gateways that saw it.
+    its greatest position in a prompt. ``request_ids`` are the few fingerprints
+    among them, which are looked at for each part. ``seers`` are the gateways
+    that saw it.
     """
 
     at_ms: int
@@ -142,26 +163,19 @@
         """Return the gateways that saw connections close."""
         return set().union(*(one.seers for one in self.closes))
 
-    def add(
-        self,
-        *,
-        at_ms: int,
-        positions: Mapping[str, int],
-        is_own: bool,
-        seer: str,
-    ) -> bool:
+    def add(self, seen: Observation) -> bool:
         """Add parts of requests that a close ended.
 
         :returns: whether any of them was not known at this moment.
         """
         known_ms = {
-            one: self.time_of(one) for one in positions if self.has(one)
+            one: self.time_of(one) for one in seen.positions if self.has(one)
         }
-        close = self._find_or_add(at_ms, is_own)
-        close.at_ms = min(close.at_ms, at_ms)
-        close.last_ms = max(close.last_ms, at_ms)
-        close.seers.add(seer)
-        for part_id, position in positions.items():
+        close = self._find_or_add(seen.at_ms, seen.is_own)
+        close.at_ms = min(close.at_ms, seen.at_ms)
+        close.last_ms = max(close.last_ms, seen.at_ms)
+        close.seers.add(seen.seer)
+        for part_id, position in seen.positions.items():
             close.positions[part_id] = max(
                 position, close.positions.get(part_id, 0)
             )
@@ -170,7 +184,7 @@
         return any(
             self.time_of(one)
             > known_ms.get(one, -math.inf) + moments.SAME_MOMENT_MS
-            for one in positions
+            for one in seen.positions
         )
 
     def _find_or_add(self, at_ms: int, is_own: bool) -> Close:
@@ -253,15 +267,7 @@
         for key in self._keys.get(part_id, ()):
             yield key, self._crashes[key]
 
-    def add(
-        self,
-        key: ServerKey,
-        *,
-        at_ms: int,
-        positions: Mapping[str, int],
-        is_own: bool,
-        seer: str,
-    ) -> bool:
+    def add(self, key: ServerKey, seen: Observation) -> bool:
         """Add parts of requests that a crash ended.
 
         :returns: whether any of them was not known at this moment.
@@ -270,10 +276,8 @@
         if len(self._crashes) > MAX_CRASHES:
             self._drop_crash(next(iter(self._crashes)))
         self._size -= crash.size
-        unknown = [one for one in positions if not crash.has(one)]
-        is_new = crash.add(
-            at_ms=at_ms, positions=positions, is_own=is_own, seer=seer
-        )
+        unknown = [one for one in seen.positions if not crash.has(one)]
+        is_new = crash.add(seen)
         self._size += crash.size
         for part_id in unknown:
             self._keys[part_id] = (*self._keys.get(part_id, ()), key)
--- a/src/shallothinge/quarantine/evidence.py
+++ b/src/shallothinge/quarantine/evidence.py
@@ -7,7 +7,6 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
-from collections.abc import Mapping
 import itertools
 import logging
 import math
@@ -15,6 +14,7 @@
 import attrs
 
 from shallothinge.membership.model import ServerKey
+from shallothinge.quarantine import causes
 from shallothinge.quarantine import complete_answers
 from shallothinge.quarantine import crash_table
 from shallothinge.quarantine import fingerprints
@@ -30,8 +30,6 @@
 # it can be refuted first: a stream writes an event every 20 to 50 ms, the data
 # is not in flight, and its report takes some milliseconds.
 REFUTE_MS = 150
-# Stands for this gateway among those that saw a crash.
-OWN = 'own'
 # Limit on the parts of a crash in one report.
 MAX_PARTS_REPORTED = 8192
 # Limit on incarnations with refuted closes that are remembered.
@@ -88,42 +86,34 @@
         )
         self._refuted: dict[ServerKey, list[_Refuted]] = {}
 
-    def add_crash(
-        self,
-        *,
-        key: ServerKey,
-        at_ms: int,
-        positions: Mapping[str, int],
-        is_own: bool,
-        seer: str = OWN,
-    ) -> bool:
+    def add_crash(self, key: ServerKey, seen: crash_table.Observation) -> bool:
         """Add parts of requests that a crash ended.
 
+        Reports of peers about a crash that was refuted are ignored.
+
         :param key: id and incarnation of the server.
-        :param positions: positions of the parts in their prompts.
-        :param is_own: whether this gateway saw it; reports of peers about a
-            crash that was refuted are ignored.
-        :param seer: the gateway that saw it.
         :returns: whether any of them was not known at this moment.
         """
-        if not is_own and any(
-            one.covers(at_ms) for one in self._refuted.get(key, ())
+        if not seen.is_own and any(
+            one.covers(seen.at_ms) for one in self._refuted.get(key, ())
         ):
             return False
         unproven = {
             part_id: position
-            for part_id, position in positions.items()
-            if (whole_ms := self._answers.find_ms(part_id)) is None
-            or whole_ms < at_ms
+            for part_id, position in seen.positions.items()
+            if not self._is_answered_since(part_id, seen.at_ms)
         }
-        is_new = self._crashes.add(
-            key, at_ms=at_ms, positions=unproven, is_own=is_own, seer=seer
-        )
+        is_new = self._crashes.add(key, attrs.evolve(seen, positions=unproven))
         crash = self._crashes.find(key)
         if crash is not None and crash.place is None:
-            self._zones.watch(key, crash, at_ms=at_ms)
+            self._zones.watch(key, crash, at_ms=seen.at_ms)
         return is_new
 
+    def _is_answered_since(self, part_id: str, at_ms: int) -> bool:
+        """Return whether a complete answer came at a time or later."""
+        whole_ms = self._answers.find_ms(part_id)
+        return whole_ms is not None and whole_ms >= at_ms
+
     @property
     def watches_zones(self) -> bool:
         """Return whether data may show that a server's zone was not lost."""
@@ -309,9 +299,8 @@
         self, part_id: str
     ) -> Iterator[tuple[ServerKey, crash_table.Crash]]:
         """Yield the crashes with a part since its last complete answer."""
-        whole_ms = self._answers.find_ms(part_id)
         for key, crash in self._crashes.with_part(part_id):
-            if whole_ms is None or crash.time_of(part_id) > whole_ms:
+            if not self._is_answered_since(part_id, crash.time_of(part_id)):
                 yield key, crash
 
     def suspicion(
@@ -336,8 +325,12 @@
         }
         # A part that was answered before is one that many requests have.
         if len(found) > 1 and not is_proven:
-            sightings = self._tell_apart(
-                part_id, dict(found), sightings, explained_by=explained_by
+            sightings = causes.tell_apart(
+                part_id,
+                dict(found),
+                sightings,
+                crashes=self._crashes,
+                explained_by=explained_by,
             )
         return suspicions.Suspicion(
             part_id=part_id,
@@ -347,80 +340,6 @@
             sightings=sightings,
         )
 
-    def _tell_apart(
-        self,
-        part_id: str,
-        found: dict[ServerKey, crash_table.Crash],
-        sightings: dict[ServerKey, moments.Sighting],
-        *,
-        explained_by: frozenset[str],
-    ) -> dict[ServerKey, moments.Sighting]:
-        """Return the sightings with the causes that may explain them.
-
-        Where a neighbour went on and no server of the zone crashed without
-        the part, the zone was not lost. A rack, which may have been, takes
-        its servers whatever they ran. If all crashes of the moment have the
-        part, one lost zone does not explain those in others. A gateway that
-        loses its connections sees as many closes as it has requests.
-        """
-        apart = dict(sightings)
-        for moment in moments.group_moments(
-            {one.at_ms for one in sightings.values()}
-        ):
-            keys = [one for one in found if sightings[one].at_ms in moment]
-            if len(keys) == 1:
-                continue
-            others = {
-                one.place
-                for one in self._unexplained(moment, explained_by | {part_id})
-            }
-            other_zones = {one.zone for one in others if one is not None}
-            live_zones = {
-                found[key].place.zone
-                for key in keys
-                if found[key].has_live_zone and found[key].place is not None
-            }
-            for key in keys:
-                place = found[key].place
-                cause = ''
-                if place is None or None in others:
-                    pass
-                elif place.zone in live_zones - other_zones:
-                    cause = f'host {place.host}' if place.host else key[0]
-                elif not others:
-                    cause = f'zone {place.zone}'
-                seers = found[key].seers
-                apart[key] = attrs.evolve(
-                    apart[key],
-                    cause=cause,
-                    seer=min(seers) if len(seers) == 1 else f'all of {key}',
-                )
-        return apart
-
-    def _unexplained(
-        self, moment: list[int], explained_by: frozenset[str]
-    ) -> list[crash_table.Crash]:
-        """Return the crashes of a moment for which no request is known.
-
-        That is neither some parts nor a request that enough others have.
-        """
-        others = [
-            one
-            for one in self._crashes.list_near(moment)
-            if not one.has_any(explained_by)
-        ]
-        counts = collections.Counter(
-            itertools.chain.from_iterable(one.request_ids for one in others)
-        )
-        return [
-            one
-            for one in others
-            if all(
-                counts[id_] < suspicions.CRASHES_TO_BLAME
-                for id_ in one.request_ids
-            )
-        ]
-
     def has_many_requests(
         self, part_id: str, *, explained_by: frozenset[str]
     ) -> bool:
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -9,33 +9,27 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
 import logging
 
 from shallothinge import clock as clocks
 from shallothinge.membership.model import ServerKey
 from shallothinge.quarantine import blame
 from shallothinge.quarantine import checks
+from shallothinge.quarantine import crash_table
 from shallothinge.quarantine import evidence
 from shallothinge.quarantine import fingerprints
 from shallothinge.quarantine import messages
 from shallothinge.quarantine import moments
 from shallothinge.quarantine import records
+from shallothinge.quarantine import refutations
 from shallothinge.quarantine import reports
-from shallothinge.quarantine import suspicion as suspicions
+from shallothinge.quarantine import suspects
 from shallothinge.quarantine.admission import ADMITTED
 from shallothinge.quarantine.admission import Admission
 from shallothinge.quarantine.admission import Watcher
 
 LOG = logging.getLogger(__name__)
 
-# A crash is reported by several gateways. The parts of all its requests have
-# to be known before one of them is blamed.
-SETTLE_MS = 50
-# Complete reports repeat the crashes of this time, for peers that missed
-# one, and each complete answer is reported at most this often.
-REPEAT_MS = 3_000
-
 
 class PartQuarantine:
     """Quarantined parts, decided with what all gateways observe.
@@ -43,7 +37,8 @@
     :param places: where servers run; if not known, servers that crash at one
         moment count once.
     :ivar on_change: called when there is something to report to the peers.
-    :ivar on_suspicion: called when ``judge`` is to be called in ``SETTLE_MS``.
+    :ivar on_suspicion: called when ``judge`` is to be called in
+        ``suspects.SETTLE_MS``.
     """
 
     def __init__(
@@ -60,13 +55,26 @@
         self._blame = blame.Blame(
             evidence=self._evidence, quarantined=self._records
         )
-        self._own_crashes_ms: dict[ServerKey, int] = {}
-        # When this gateway refuted crashes, by incarnation and time.
-        self._own_refuted_ms: dict[tuple[ServerKey, int], int] = {}
-        self._reported_ms: dict[str, int] = {}
-        self._changes = reports.Changes()
-        self._suspects: dict[str, None] = {}
-        self._judge_at_ms = 0
+        self._outbox = reports.Outbox(
+            clock=clock,
+            evidence=self._evidence,
+            quarantined=self._records,
+            on_change=self._notify,
+        )
+        self._suspects = suspects.Suspects(
+            clock=clock,
+            evidence=self._evidence,
+            blame=self._blame,
+            call_later=self._call_for_verdict,
+        )
+        self._refutations = refutations.Refutations(
+            clock=clock,
+            evidence=self._evidence,
+            quarantined=self._records,
+            blame=self._blame,
+            suspects=self._suspects,
+            outbox=self._outbox,
+        )
         self.on_change: Callable[[], None] | None = None
         self.on_suspicion: Callable[[], None] | None = None
         self._watchers: dict[Watcher, None] = {}
@@ -111,12 +119,12 @@
             left_ms = record.until_ms - now_ms
             if left_ms > 0:
                 return Admission(part_id=part_id, refused_ms=left_ms)
-        if not self._suspects.keys().isdisjoint(part_ids):
-            return Admission(wait_ms=max(1, self._judge_at_ms - now_ms))
+        wait_ms = self._suspects.wait_ms(part_ids)
+        if wait_ms:
+            return Admission(wait_ms=wait_ms)
         for part_id in found:
             self._records.start_probe(part_id)
-            self._changes.quarantined[part_id] = None
-            self._notify()
+            self._outbox.add_quarantined(part_id)
         if not found:
             return ADMITTED
         return Admission(part_id=next(iter(found)), is_probe=True)
@@ -138,16 +146,14 @@
         """
         if not part_ids:
             return
-        now_ms = self._clock.now_ms()
-        self._own_crashes_ms[key] = now_ms
-        self._changes.crashes[key] = None
+        self._outbox.add_crash(key)
         self._add_crash(
-            key=key,
-            at_ms=now_ms,
-            positions={one: index for index, one in enumerate(part_ids)},
-            is_own=True,
+            key,
+            crash_table.Observation(
+                at_ms=self._clock.now_ms(),
+                positions={one: index for index, one in enumerate(part_ids)},
+            ),
         )
-        self._notify()
 
     def record_data(self, *, key: ServerKey, opened_ms: int) -> None:
         """Record data from a server, which refutes earlier crashes of it.
@@ -161,36 +167,13 @@
         now_ms = self._clock.now_ms()
         if self._evidence.watches_zones:
             self._record_alive(key, now_ms)
-        refutation = self._evidence.refute_by_data(
-            key=key, opened_ms=opened_ms, now_ms=now_ms
-        )
-        if refutation is None:
-            return
-        for close in refutation.closes:
-            LOG.info(
-                'crash refuted; the backend server goes on sending',
-                extra={
-                    'server_id': key[0],
-                    'incarnation': key[1],
-                    'crash_age_ms': now_ms - close.at_ms,
-                    'connection_age_ms': now_ms - opened_ms,
-                    'is_own': close.is_own,
-                    'part_count': len(close.positions),
-                },
-            )
-            self._changes.refuted[key, close.at_ms] = None
-            self._own_refuted_ms[key, close.at_ms] = now_ms
-        while len(self._own_refuted_ms) > evidence.MAX_REFUTED:
-            del self._own_refuted_ms[next(iter(self._own_refuted_ms))]
-        self._reconsider(key, refutation.cleared_ids)
-        self._notify()
+        self._refutations.record_data(key=key, opened_ms=opened_ms)
 
     def _record_alive(self, key: ServerKey, now_ms: int) -> None:
         """Note that the zones of servers that crashed were not lost."""
         for crashed in self._evidence.record_alive(key, now_ms):
-            self._changes.live_zones[crashed] = None
-            self._notify()
-            self._suspect(self._evidence.parts_of_moment(crashed))
+            self._outbox.add_live_zone(crashed)
+            self._suspects.add(self._evidence.parts_of_moment(crashed))
 
     def record_whole(self, part_ids: Iterable[str]) -> None:
         """Record that a request with these parts was answered completely.
@@ -214,38 +197,11 @@
 
         :param complete: whether to repeat what a peer may have missed.
         """
-        changes, self._changes = self._changes, reports.Changes()
-        if complete:
-            changes = self._all_changes(changes.whole)
-        return self._build(changes)
+        return self._outbox.report(complete=complete)
 
     def repeat_as_complete_report(self) -> messages.PartsReported | None:
         """Return a complete report for a peer that has received none yet."""
-        return self._build(self._all_changes(self._changes.whole))
-
-    def _all_changes(self, whole: dict[str, None]) -> reports.Changes:
-        return reports.Changes(
-            crashes=dict.fromkeys(self._own_crashes_ms),
-            whole=whole,
-            quarantined=dict.fromkeys(self._records.ids),
-            lifted=dict.fromkeys(self._records.lifted_ids),
-            refuted=dict.fromkeys(self._own_refuted_ms),
-            live_zones={
-                key: None
-                for key in self._own_crashes_ms
-                if self._evidence.has_live_zone(key)
-            },
-        )
-
-    def _build(
-        self, changes: reports.Changes
-    ) -> messages.PartsReported | None:
-        return reports.build(
-            changes,
-            evidence=self._evidence,
-            quarantined=self._records,
-            now_ms=self._clock.now_ms(),
-        )
+        return self._outbox.repeat_as_complete_report()
 
     def apply_report(
         self, report: messages.PartsReported, *, peer_id: str = 'peer'
@@ -261,7 +217,7 @@
         for server_id, incarnation, age_ms in checks.valid_entries(
             report, 'refuted'
         ):
-            self._apply_refutation((server_id, incarnation), now_ms - age_ms)
+            self._refutations.apply((server_id, incarnation), now_ms - age_ms)
         for part_id, epoch in checks.valid_entries(report, 'lifted'):
             is_unfounded = (part_id, epoch) in unfounded
             self._apply_lift(part_id, epoch, is_unfounded=is_unfounded)
@@ -286,11 +242,12 @@
             report, 'crashes'
         ):
             self._add_crash(
-                key=(server_id, incarnation),
-                at_ms=now_ms - age_ms,
-                positions=dict(positions),
-                is_own=False,
-                seer=peer_id,
+                (server_id, incarnation),
+                crash_table.Observation(
+                    at_ms=now_ms - age_ms,
+                    positions=dict(positions),
+                    seer=peer_id,
+                ),
             )
         for server_id, incarnation in checks.valid_entries(
             report, 'live_zones'
@@ -300,25 +257,7 @@
     def _apply_live_zone(self, key: ServerKey) -> None:
         if not self._evidence.has_live_zone(key):
             self._evidence.record_live_zone(key)
-            self._suspect(self._evidence.parts_of_moment(key))
-
-    def _apply_refutation(self, key: ServerKey, at_ms: int) -> None:
-        now_ms = self._clock.now_ms()
-        refutation = self._evidence.refute_by_report(
-            key=key, at_ms=at_ms, now_ms=now_ms
-        )
-        if refutation is None:
-            return
-        LOG.info(
-            'peer refuted a crash',
-            extra={
-                'server_id': key[0],
-                'incarnation': key[1],
-                'crash_age_ms': now_ms - at_ms,
-                'part_count': len(refutation.cleared_ids),
-            },
-        )
-        self._reconsider(key, refutation.cleared_ids)
+            self._suspects.add(self._evidence.parts_of_moment(key))
 
     def _apply_lift(
         self, part_id: str, epoch: int, *, is_unfounded: bool
@@ -343,93 +282,29 @@
         else:
             self._records.lift(part_id, epoch, is_unfounded=is_unfounded)
 
-    def _reconsider(
-        self, key: ServerKey, cleared_ids: tuple[str, ...]
-    ) -> None:
-        """End quarantines whose grounds do not suffice without a crash.
-
-        :param key: incarnation that did not end.
-        :param cleared_ids: parts against which its crash was evidence.
-        """
-        for part_id in cleared_ids:
-            record = self._records.find(part_id)
-            grounds = None if record is None else record.grounds
-            if grounds is None or grounds.sightings.pop(key, None) is None:
-                continue
-            if grounds.is_enough and (
-                grounds.is_renewal
-                or self._blame.upholds(part_id, grounds.sightings)
-            ):
-                continue
-            if grounds.is_renewal:
-                self._records.undo_renewal(part_id)
-                self._changes.quarantined[part_id] = None
-                continue
-            LOG.warning(
-                'evidence for a quarantine does not suffice any more',
-                extra={
-                    'part_id': part_id,
-                    'refuted_server_id': key[0],
-                    'crashes_left': len(grounds.sightings),
-                    'crashes_needed': grounds.needed,
-                },
-            )
-            self._records.lift(part_id, record.epoch, is_unfounded=True)
-            self._changes.lifted[part_id] = None
-            # The quarantine explained the crashes that are left.
-            self._suspect(self._evidence.parts_beside(part_id))
-        self._notify()
-
     def remove_expired(self) -> None:
         """Drop what is too old to matter."""
-        now_ms = self._clock.now_ms()
-        self._evidence.remove_expired(now_ms)
+        self._evidence.remove_expired(self._clock.now_ms())
         self._records.remove_expired()
-        self._own_crashes_ms = {
-            key: at_ms
-            for key, at_ms in self._own_crashes_ms.items()
-            if at_ms >= now_ms - REPEAT_MS
-        }
-        self._own_refuted_ms = {
-            refuted: told_ms
-            for refuted, told_ms in self._own_refuted_ms.items()
-            if told_ms >= now_ms - REPEAT_MS
-        }
-        self._reported_ms = {
-            part_id: at_ms
-            for part_id, at_ms in self._reported_ms.items()
-            if at_ms >= now_ms - REPEAT_MS
-        }
+        self._outbox.remove_expired()
 
     def _add_crash(
-        self,
-        *,
-        key: ServerKey,
-        at_ms: int,
-        positions: Mapping[str, int],
-        is_own: bool,
-        seer: str = evidence.OWN,
+        self, key: ServerKey, seen: crash_table.Observation
     ) -> None:
-        if not self._evidence.add_crash(
-            key=key,
-            at_ms=at_ms,
-            positions=positions,
-            is_own=is_own,
-            seer=seer,
-        ):
+        if not self._evidence.add_crash(key, seen):
             return
-        for part_id in positions:
-            self._report_whole(part_id)
+        self._outbox.add_known_whole(seen.positions)
+        for part_id in seen.positions:
             record = self._records.find(part_id)
             # Of the quarantined parts only a probe's ends within this time.
             if record is not None and record.until_ms <= (
-                at_ms + records.PROBE_MS
+                seen.at_ms + records.PROBE_MS
             ):
                 self._quarantine(
                     part_id,
                     strikes=record.strikes + 1,
                     grounds=records.Grounds(
-                        sightings={key: moments.Sighting(at_ms=at_ms)},
+                        sightings={key: moments.Sighting(at_ms=seen.at_ms)},
                         needed=1,
                         is_renewal=True,
                     ),
@@ -445,47 +320,15 @@
             elif record is not None and record.grounds is None:
                 record.grounds = self._find_grounds(part_id)
             elif record is not None:
-                record.grounds.add(key, at_ms)
-        self._suspect(positions)
-
-    def _suspect(self, part_ids: Iterable[str]) -> None:
-        """Judge soon if the crashes suffice to blame one of some parts."""
-        suspected = [
-            one.part_id for one in self._blame.find_suspicions(part_ids)
-        ]
-        if suspected and not self._suspects:
-            self._judge_later()
-        self._suspects.update(dict.fromkeys(suspected))
-
-    def _judge_later(self) -> None:
-        self._judge_at_ms = self._clock.now_ms() + SETTLE_MS
-        if self.on_suspicion is not None:
-            self.on_suspicion()
-
-    def _is_settled(self, suspicion: suspicions.Suspicion) -> bool:
-        """Return whether crashes that may be refuted have had their time.
-
-        That is while servers reset connections and go on, and for crashes
-        that suffice only if those at one moment count apart.
-        """
-        now_ms = self._clock.now_ms()
-        if not suspicion.is_settled(now_ms):
-            return False
-        oldest_ms = now_ms - evidence.REFUTE_MS
-        return not self._evidence.has_refuted or suspicion.is_enough_before(
-            oldest_ms
-        )
+                record.grounds.add(key, seen.at_ms)
+        self._suspects.add(seen.positions)
 
     def judge(self) -> None:
         """Quarantine the most suspicious part, if evidence still suffices."""
-        suspicions = self._blame.find_suspicions(self._suspects)
-        worst = self._blame.find_culprit(suspicions)
-        if worst is not None and not self._is_settled(worst):
-            self._judge_later()
-            return
-        self._suspects.clear()
-        if worst is None:
+        verdict = self._suspects.judge()
+        if verdict is None:
             return
+        worst = verdict.culprit
         self._quarantine(
             worst.part_id,
             strikes=0,
@@ -503,20 +346,14 @@
                 'for_ms': records.QUARANTINE_MS,
             },
         )
-        # Another request may be to blame for other crashes.
-        self._suspect(
-            one.part_id
-            for one in suspicions
-            if one is not worst and one.is_of_request
-        )
+        self._suspects.add(verdict.other_request_ids)
 
     def _quarantine(
         self, part_id: str, *, strikes: int, grounds: records.Grounds
     ) -> None:
         self._records.quarantine(part_id, strikes=strikes, grounds=grounds)
         self._tell_watchers(part_id)
-        self._changes.quarantined[part_id] = None
-        self._notify()
+        self._outbox.add_quarantined(part_id)
 
     def _adopt(self, part_id: str, record: records.Record) -> None:
         is_in_force = record.until_ms > self._clock.now_ms()
@@ -548,25 +385,15 @@
             record = self._records.find(part_id)
             if record is not None:
                 self._records.lift(part_id, record.epoch)
-                self._changes.lifted[part_id] = None
+                self._outbox.add_lifted(part_id)
                 cleared_ids.append(part_id)
         if cleared_ids:
-            self._changes.whole.update(dict.fromkeys(cleared_ids))
-            self._notify()
-
-    def _report_whole(self, part_id: str) -> None:
-        """Report the newest complete answer with a part that a crash has."""
-        at_ms = self._evidence.whole_ms(part_id)
-        now_ms = self._clock.now_ms()
-        told_ms = self._reported_ms.get(part_id)
-        if at_ms is None or (
-            told_ms is not None and told_ms > now_ms - REPEAT_MS
-        ):
-            return
-        self._reported_ms[part_id] = now_ms
-        self._changes.whole[part_id] = None
-        self._notify()
+            self._outbox.add_whole(cleared_ids)
 
     def _notify(self) -> None:
         if self.on_change is not None:
             self.on_change()
+
+    def _call_for_verdict(self) -> None:
+        if self.on_suspicion is not None:
+            self.on_suspicion()
--- a/src/shallothinge/quarantine/tests/simulation.py
+++ b/src/shallothinge/quarantine/tests/simulation.py
@@ -11,6 +11,7 @@
 from shallothinge.quarantine import fingerprints
 from shallothinge.quarantine import moments
 from shallothinge.quarantine import state
+from shallothinge.quarantine import suspects
 
 LINK_MS = 3
 SERVERS = 24
@@ -101,7 +102,7 @@
         for index, one in enumerate(self.gateways):
             one.on_change = lambda index=index: self._due.add(index)
             one.on_suspicion = lambda index=index: self._verdicts.append(
-                (self.clock.now_ms() + state.SETTLE_MS, index)
+                (self.clock.now_ms() + suspects.SETTLE_MS, index)
             )
         self._due = set()
         self._verdicts = []
--- a/src/shallothinge/quarantine/tests/test_moments.py
+++ b/src/shallothinge/quarantine/tests/test_moments.py
@@ -11,6 +11,7 @@
 from shallothinge.quarantine import messages
 from shallothinge.quarantine import moments
 from shallothinge.quarantine import state
+from shallothinge.quarantine import suspects
 from shallothinge.quarantine import suspicion as suspicions
 from shallothinge.quarantine import zone_watch
 from shallothinge.quarantine.tests import moments_simulation
@@ -206,7 +207,7 @@
     def test_request_waits_while_crashes_of_one_moment_are_judged(self):
         self.crash((0, 1, 2), REQUEST)
         self.exchange()
-        self.clock.advance(duration_ms=state.SETTLE_MS)
+        self.clock.advance(duration_ms=suspects.SETTLE_MS)
         self.one.judge()
         self.assertGreater(self.one.admit((REQUEST,)).wait_ms, 0)
         self.assertEqual(0, self.one.admit(('request-2',)).wait_ms)
--- a/src/shallothinge/quarantine/tests/test_quarantine.py
+++ b/src/shallothinge/quarantine/tests/test_quarantine.py
@@ -15,6 +15,7 @@
 from shallothinge.quarantine import messages
 from shallothinge.quarantine import records
 from shallothinge.quarantine import state
+from shallothinge.quarantine import suspects
 from shallothinge.quarantine.tests import simulation
 
 FIRST, BAD, OTHER = 'first', 'bad', 'other'
@@ -139,7 +140,9 @@
         for number in range(3):
             self.crash(number, OTHER)
             self.crash(number, FIRST, BAD, at=self.two, after_ms=1)
-        self.assertEqual(state.SETTLE_MS - 1, self.one.admit((OTHER,)).wait_ms)
+        self.assertEqual(
+            suspects.SETTLE_MS - 1, self.one.admit((OTHER,)).wait_ms
+        )
         self.crash(3, FIRST, BAD, at=self.two)
         self.exchange()
         self.exchange()
@@ -481,7 +484,7 @@
         self.assertEqual({}, self.one._evidence._crashes._keys)
         self.assertEqual(0, self.one._evidence._crashes.size)
         self.assertEqual(0, len(self.one._evidence._answers))
-        self.assertEqual({}, self.one._own_crashes_ms)
+        self.assertEqual({}, self.one._outbox._crashes_ms)
 
     def test_reports_pass_the_codec(self):
         self.quarantine()
--- a/src/shallothinge/quarantine/tests/test_refuted_crashes.py
+++ b/src/shallothinge/quarantine/tests/test_refuted_crashes.py
@@ -14,6 +14,7 @@
 from shallothinge.quarantine import messages
 from shallothinge.quarantine import records
 from shallothinge.quarantine import state
+from shallothinge.quarantine import suspects
 from shallothinge.quarantine.tests import simulation
 from shallothinge.quarantine.tests import test_quarantine
 
@@ -269,14 +270,14 @@
                     self.send_data('s9', opened_ms)
                 for number in range(3):
                     self.crash(f's{number}', BAD)
-                self.advance(state.SETTLE_MS)
+                self.advance(suspects.SETTLE_MS)
                 self.one.judge()
                 self.assertEqual(
                     not has_resets, self.one.is_quarantined((BAD,))
                 )
                 if has_resets:
                     self.assertTrue(self.one.admit((BAD,)).wait_ms)
-                    self.advance(evidence.REFUTE_MS - state.SETTLE_MS)
+                    self.advance(evidence.REFUTE_MS - suspects.SETTLE_MS)
                     self.one.judge()
                     self.assertTrue(self.one.is_quarantined((BAD,)))
 
@@ -328,8 +329,8 @@
         for server_id, opened_ms in resets.items():
             self.send_data(server_id, opened_ms)
         self.exchange()
-        for _ in range(evidence.REFUTE_MS // state.SETTLE_MS + 1):
-            self.advance(state.SETTLE_MS)
+        for _ in range(evidence.REFUTE_MS // suspects.SETTLE_MS + 1):
+            self.advance(suspects.SETTLE_MS)
             self.judge()
         self.assertQuarantined(True, BAD)
         self.assertQuarantined(False, OTHER)
@@ -441,7 +442,7 @@
         found = self.one._evidence
         self.assertLessEqual(len(found._refuted), evidence.MAX_REFUTED)
         self.assertLessEqual(
-            len(self.one._own_refuted_ms), evidence.MAX_REFUTED
+            len(self.one._outbox._refuted_ms), evidence.MAX_REFUTED
         )
         for crash in found._crashes._crashes.values():
             self.assertLessEqual(
@@ -451,7 +452,7 @@
         self.one.remove_expired()
         self.assertEqual(0, len(found._crashes))
         self.assertEqual(0, len(found._refuted))
-        self.assertEqual({}, self.one._own_refuted_ms)
+        self.assertEqual({}, self.one._outbox._refuted_ms)
 
     def test_refuted_crash_is_logged_with_what_decided_it(self):
         opened_ms = self.crash('s1', BAD)
