Split one attempt at a server by duty

The state of its stall timeout was spread over seven of its methods, the ids of its work over four, and each way to fail wrote out its outcome.

One test that lets a step raise an exception names the method in its new class; no assertion changed.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -4,21 +4,21 @@
 
 import attrs
 
-from shallothinge import clock as clocks
 from shallothinge import guard as guards
 from shallothinge import sse
 from shallothinge.gateway import dependencies
+from shallothinge.gateway import load_entry
 from shallothinge.gateway import model
 from shallothinge.gateway import notices
 from shallothinge.gateway import outcome as outcomes
 from shallothinge.gateway import pace_probe
 from shallothinge.gateway import reservation
+from shallothinge.gateway import stall_timer
 from shallothinge.gateway.policy import FailureCause
 from shallothinge.http1 import client
 from shallothinge.http1 import messages
 from shallothinge.membership.model import BackendServer
 from shallothinge.placement import choice
-from shallothinge.placement import result
 from shallothinge.placement import server_queue
 
 
@@ -55,7 +55,7 @@
     :param work: the work at the server itself, without its helpers.
     :ivar sent_after_ms: time from the choice of the server until the request
         was sent, None until then.
-    :ivar is_stalled: the stall timeout has expired and no event came since.
+    :ivar stall: the timeout after which the owner is notified of silence.
     :ivar answer_end: what marked the end of the answer, None before it has
         ended or if it broke off.
     """
@@ -80,13 +80,15 @@
         self._splitter = sse.EventSplitter()
         self._answer: model.AnswerHead | None = None
         self._body = bytearray()
-        self.is_stalled = False
         self.answer_end: client.AnswerEnd | None = None
         self._first_event_ms: int | None = None
         self._is_over = False
-        self._stall_timer = None
         self._is_paused = False
-        self._stall_timeout_ms: float | None = None
+        self.stall = stall_timer.StallTimer(
+            reactor=parts.reactor,
+            clock=parts.clock,
+            on_expired=self._on_stalled,
+        )
         self._placed_ms = parts.clock.now_ms()
         self._pace = pace_probe.PaceProbe(
             parts=parts, placement=placement, placed_ms=self._placed_ms
@@ -94,16 +96,17 @@
         self.sent_after_ms: int | None = None
         self._sent_ms = self._placed_ms
         self._data_ms = self._placed_ms
-        self._timer_due_ms = self._placed_ms
         # The connection was open and was read without a pause from then on.
         self._reading_ms = self._placed_ms
         self._server: BackendServer | None = None
         self._exchange = None
         self._reservation = None
-        self._work_ids = [
-            parts.load.start(one)
-            for one in result.build_works(placement, work)
-        ]
+        self._load = load_entry.LoadEntry(
+            load=parts.load,
+            placement=placement,
+            work=work,
+            keeps_helpers=bool(placement.shares),
+        )
 
     @property
     def server_id(self) -> str:
@@ -137,11 +140,6 @@
         """Return for how long no part of a plain answer has arrived."""
         return self._parts.clock.now_ms() - self._data_ms
 
-    @property
-    def timer_delay_ms(self) -> int:
-        """Return how long ago the stall timeout was due."""
-        return self._parts.clock.now_ms() - self._timer_due_ms
-
     @property
     def rest_bytes(self) -> int:
         """Return how many bytes came after the last whole event."""
@@ -212,47 +210,14 @@
         if self._is_over:
             return
         self._end()
-        self._owner.on_failed(
-            self,
-            outcomes.Outcome(
-                cause=FailureCause.NO_MEMORY,
-                may_have_run=False,
-                was_sent=False,
-                detail=f'no memory at {server_id}',
-                fault_id=server_id,
-            ),
-        )
-
-    def expect_within(self, duration_ms: float) -> None:
-        """Set the stall timeout, of which the owner is notified.
-
-        Any earlier timeout is replaced.
-        """
-        self._stall_timeout_ms = duration_ms
-        self.check_again(duration_ms)
-
-    def extend(self, duration_ms: float) -> None:
-        """Let an attempt whose stall timeout has expired go on for longer."""
-        self.is_stalled = False
-        self.check_again(duration_ms)
-
-    def check_again(self, duration_ms: float) -> None:
-        """Notify the owner again if the server is silent for longer."""
-        self._stop_timer()
-        if not self._is_over and not self._is_paused:
-            self._timer_due_ms = self._parts.clock.now_ms() + round(
-                duration_ms
-            )
-            self._stall_timer = self._parts.reactor.callLater(
-                duration_ms / clocks.MS_PER_SECOND, self._on_stalled
-            )
+        self._owner.on_failed(self, outcomes.of_no_memory(server_id))
 
     @guards.guarded
     def pause(self) -> None:
         """Stop reading and the stall timer until the caller catches up."""
         self._is_paused = True
         self._pace.note_pause()
-        self._stop_timer()
+        self.stall.pause()
         if self._exchange is not None and not self._is_over:
             self._exchange.pause()
 
@@ -264,8 +229,7 @@
         self._is_paused = False
         if self._exchange is not None and not self._is_over:
             self._exchange.resume()
-        if self._stall_timeout_ms is not None and not self.is_stalled:
-            self.expect_within(self._stall_timeout_ms)
+        self.stall.resume()
 
     def cancel(self) -> None:
         """Cancel the request at the server; no callback follows."""
@@ -362,21 +326,17 @@
                 self._pace.record_first_event(
                     self._server,
                     sent_after_ms=self.sent_after_ms,
-                    work_id=self._work_ids[0],
+                    work_id=self._load.work_id,
                 )
         else:
             self._pace.record_pause(
                 self._server,
                 event_count=event_count,
-                work_id=self._work_ids[0],
+                work_id=self._load.work_id,
             )
-        for work_id in self._work_ids:
-            self._parts.load.first_event(work_id)
-        self._end_helper_work()
-        self._pace.note_events(self._work_ids[0])
-        if self.is_stalled:
-            self._stop_timer()
-        self.is_stalled = False
+        self._load.note_event()
+        self._pace.note_events(self._load.work_id)
+        self.stall.note_event()
 
     @guards.guarded
     def on_end(self, end: client.AnswerEnd) -> None:
@@ -392,15 +352,7 @@
             self._owner.on_answer(self, body)
         else:
             self._owner.on_failed(
-                self,
-                outcomes.Outcome(
-                    cause=FailureCause.SERVER_ERROR,
-                    may_have_run=True,
-                    was_sent=True,
-                    detail=f'status {self._answer.status}',
-                    answer=self._answer if self._answer.is_signed else None,
-                    body=body,
-                ),
+                self, outcomes.of_server_error(self._answer, body)
             )
 
     def _on_stream_end(self) -> None:
@@ -434,21 +386,7 @@
         if self._is_over:
             return
         self._end()
-        self._owner.on_failed(
-            self,
-            outcomes.Outcome(
-                cause=(
-                    FailureCause.BROKEN
-                    if failure.was_sent
-                    else FailureCause.NOT_SENT
-                ),
-                may_have_run=failure.was_sent,
-                was_sent=failure.was_sent,
-                is_disconnect=failure.was_sent
-                and failure.kind is client.FailureKind.BROKEN,
-                detail=f'{failure.kind.value}: {failure.detail}',
-            ),
-        )
+        self._owner.on_failed(self, outcomes.of_failure(failure))
 
     def _is_stream_answer(self) -> bool:
         return (
@@ -462,25 +400,10 @@
         """Fail because the server states that it did not run the request."""
         self._end()
         self._exchange.cancel()
-        detail = f'status {answer.status}'
-        if answer.fault_address:
-            detail += f' for {answer.fault_address}'
-        self._owner.on_failed(
-            self,
-            outcomes.Outcome(
-                cause=FailureCause.REFUSED_UNRUN,
-                may_have_run=False,
-                was_sent=True,
-                detail=detail,
-                fault_address=answer.fault_address,
-                answer=answer,
-            ),
-        )
+        self._owner.on_failed(self, outcomes.of_refusal(answer))
 
     @guards.guarded
     def _on_stalled(self) -> None:
-        self._stall_timer = None
-        self.is_stalled = True
         self._owner.on_stalled(self)
 
     def _fail(
@@ -504,18 +427,6 @@
             ),
         )
 
-    def _end_helper_work(self) -> None:
-        """End the work of helpers, which have read their parts of the prompt.
-
-        With a reservation their work goes on counting until the attempt
-        ends, because they still hold the reserved memory.
-        """
-        if self._reservation is not None:
-            return
-        for work_id in self._work_ids[1:]:
-            self._parts.load.end(work_id)
-        del self._work_ids[1:]
-
     def _end(self) -> bytearray:
         """End the attempt; return the body, which is not kept.
 
@@ -524,14 +435,8 @@
         """
         body, self._body = self._body, bytearray()
         self._is_over = True
-        self._stop_timer()
-        for work_id in self._work_ids:
-            self._parts.load.end(work_id)
+        self.stall.end()
+        self._load.end()
         if self._reservation is not None:
             self._reservation.release()
         return body
-
-    def _stop_timer(self) -> None:
-        if self._stall_timer is not None and self._stall_timer.active():
-            self._stall_timer.cancel()
-        self._stall_timer = None
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -208,7 +208,7 @@
             not self._answer.is_over
             and self._attempts.no_takeover_reason() is None
         ):
-            attempt.expect_within(self._silence.stall_timeout_ms)
+            attempt.stall.expect_within(self._silence.stall_timeout_ms)
 
     @guards.guarded
     def on_stream_end(self, attempt: attempts.Attempt, rest: bytes) -> None:
@@ -223,7 +223,7 @@
     def on_data(self, attempt: attempts.Attempt) -> None:
         """Record a part of an answer; its server is silent no more."""
         self._parts.servers.record_activity(attempt.server_id)
-        if attempt.is_stalled:
+        if attempt.stall.is_expired:
             self._search.stop()
             self._overdue.expect_rest(
                 attempt, remaining_ms=self._attempts.remaining_ms
--- a/src/shallothinge/gateway/overdue.py
+++ b/src/shallothinge/gateway/overdue.py
@@ -54,7 +54,7 @@
         """
         timing = self._watch(attempt, expected_ms, remaining_ms)
         if timing is not None:
-            attempt.expect_within(timing.delay_ms)
+            attempt.stall.expect_within(timing.delay_ms)
 
     def expect_rest(
         self, attempt: attempts.Attempt, *, remaining_ms: int
@@ -66,7 +66,7 @@
         expected_ms = self._watched[attempt].expected_ms
         timing = self._watch(attempt, expected_ms, remaining_ms)
         if timing is not None:
-            attempt.extend(timing.delay_ms)
+            attempt.stall.extend(timing.delay_ms)
 
     def _watch(
         self,
@@ -95,10 +95,10 @@
         watched = self._watched[attempt]
         if (
             not watched.was_delayed
-            and attempt.timer_delay_ms > MAX_TIMER_DELAY_MS
+            and attempt.stall.delay_ms > MAX_TIMER_DELAY_MS
         ):
             watched.was_delayed = True
-            attempt.extend(READ_FIRST_MS)
+            attempt.stall.extend(READ_FIRST_MS)
             return True
         latest_in_ms = (
             watched.decided_ms
@@ -110,7 +110,7 @@
         )
         if wait_ms <= 0:
             return False
-        attempt.extend(wait_ms)
+        attempt.stall.extend(wait_ms)
         return True
 
     def record_overdue(
--- a/src/shallothinge/gateway/running_attempts.py
+++ b/src/shallothinge/gateway/running_attempts.py
@@ -33,14 +33,14 @@
     def are_stalled(self) -> bool:
         """Return whether there are attempts, none of which makes progress."""
         return bool(self._running) and all(
-            one.is_stalled for one in self._running
+            one.stall.is_expired for one in self._running
         )
 
     def expect_within(self, duration_ms: float) -> None:
         """Set the stall timeout of the attempts that make progress."""
         for one in self._running:
-            if not one.is_stalled:
-                one.expect_within(duration_ms)
+            if not one.stall.is_expired:
+                one.stall.expect_within(duration_ms)
 
     def add(self, attempt: attempts.Attempt) -> None:
         """Add an attempt that starts."""
--- a/src/shallothinge/gateway/silence.py
+++ b/src/shallothinge/gateway/silence.py
@@ -47,7 +47,7 @@
         self, attempt: attempts.Attempt, placed: choice.Placement
     ) -> None:
         """Set the stall timeout of an attempt that starts."""
-        attempt.expect_within(
+        attempt.stall.expect_within(
             timeouts.first_event_timeout_ms(
                 route=self._route, expected_ms=placed.first_event_ms
             )
@@ -69,7 +69,7 @@
         )
         if wait_ms <= 0:
             return False
-        attempt.extend(wait_ms)
+        attempt.stall.extend(wait_ms)
         self._log.waits_for_read(
             attempt, read_ends_in_ms=read_ends_in_ms, wait_ms=wait_ms
         )
@@ -88,7 +88,7 @@
             route=self._route, read_ends_in_ms=read_ends_in_ms
         )
         if explained_ms > 0:
-            attempt.check_again(math.ceil(explained_ms))
+            attempt.stall.check_again(math.ceil(explained_ms))
         else:
             self._parts.servers.record_stall(attempt.server_id)
         self._log.stalled(
--- a/src/shallothinge/gateway/tests/test_ingress.py
+++ b/src/shallothinge/gateway/tests/test_ingress.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from shallothinge.gateway import attempt
 from shallothinge.gateway import readiness
+from shallothinge.gateway import stall_timer
 from shallothinge.gateway.tests import rig
 from shallothinge.platform import dialect
 from shallothinge.platform import routes
@@ -109,7 +109,7 @@
                 self.rig.holder.is_leased = not has_waited
                 with (
                     mock.patch.object(
-                        attempt.Attempt, 'expect_within', fault()
+                        stall_timer.StallTimer, 'expect_within', fault()
                     ),
                     self.assertLogs(level='ERROR'),
                 ):
