Ask once whether an error denies a run, and test the last check

The client ended an answer in two ways with the same three lines. The log of a quarantine did not tell how crashes of one moment were counted, so that it could not be told from crashes in series.

Change: errors.is_false_promise serves entry and gateway. test_promises tries every kind of error. The client has one end of the bytes. `quarantined` lines name the causes.

--- a/src/shallothinge/entry/outcomes.py
+++ b/src/shallothinge/entry/outcomes.py
@@ -17,7 +17,6 @@
     """
     if has_part and kind not in NAMED_WHATEVER_RAN:
         return ErrorKind.STREAM_BROKEN
-    work_state = errors.ANSWERS[kind].work_state
-    if work_state is errors.WorkState.NOT_RUN and may_have_run:
+    if errors.is_false_promise(kind, may_have_run=may_have_run):
         return ErrorKind.BACKEND_FAILED
     return kind
--- a/src/shallothinge/errors.py
+++ b/src/shallothinge/errors.py
@@ -191,6 +191,11 @@
 }
 
 
+def is_false_promise(kind: ErrorKind, *, may_have_run: bool) -> bool:
+    """Return whether a kind states that work has not run that may have."""
+    return may_have_run and ANSWERS[kind].work_state is WorkState.NOT_RUN
+
+
 class ServingError(Exception):
     """An error that is answered by its kind.
 
--- a/src/shallothinge/gateway/caller_answer.py
+++ b/src/shallothinge/gateway/caller_answer.py
@@ -120,8 +120,9 @@
     def _without_false_promise(
         self, error: errors.ServingError
     ) -> errors.ServingError:
-        is_unrun = error.answer.work_state is errors.WorkState.NOT_RUN
-        if not is_unrun or not self._may_have_run():
+        if not errors.is_false_promise(
+            error.kind, may_have_run=self._may_have_run()
+        ):
             return error
         LOG.error(
             'an error would promise that a request has not run that may have',
--- a/src/shallothinge/gateway/tests/test_promises.py
+++ b/src/shallothinge/gateway/tests/test_promises.py
@@ -6,7 +6,10 @@
 
 import json
 import unittest
+from unittest import mock
 
+from shallothinge import errors
+from shallothinge.gateway import caller_answer
 from shallothinge.gateway.tests import rig
 from shallothinge.gateway.tests import test_forwarding
 
@@ -133,3 +136,33 @@
                         last(tested.caller.calls[-1])
                         tested.advance(100)
                     self.assertEqual(502, exchange.status)
+
+
+class OwnErrorTest(unittest.TestCase):
+    """Errors of the gateway's own, whatever step they come from."""
+
+    def test_error_that_would_deny_a_run_is_replaced_and_logged(self):
+        # Each step is to ask what may have run; this is the last one to.
+        for kind, answer in errors.ANSWERS.items():
+            for may_have_run in (False, True):
+                with self.subTest(kind=kind, may_have_run=may_have_run):
+                    exchange = rig.Exchange(head=None)
+                    tested = rig.Rig(configuration=with_lookups())
+                    answered = caller_answer.CallerAnswer(
+                        parts=tested.parts,
+                        exchange=exchange,
+                        request=mock.Mock(
+                            request_id=rig.REQUEST_ID, last_event_id=''
+                        ),
+                        route=mock.Mock(is_repeatable=False),
+                        may_have_run=lambda may=may_have_run: may,
+                        on_over=mock.Mock(),
+                    )
+                    is_unrun = answer.work_state is errors.WorkState.NOT_RUN
+                    if may_have_run and is_unrun:
+                        with self.assertLogs(level='ERROR'):
+                            answered.refuse(errors.ServingError(kind=kind))
+                        self.assertEqual(502, exchange.status)
+                    else:
+                        answered.refuse(errors.ServingError(kind=kind))
+                        self.assertEqual(answer.http_status, exchange.status)
--- a/src/shallothinge/http1/client.py
+++ b/src/shallothinge/http1/client.py
@@ -59,6 +59,7 @@
 TOO_LONG_HINT = 431
 # Fields that state where a body ends.
 _FRAMING_FIELDS = frozenset((b'content-length', b'transfer-encoding'))
+ENDED = 'the connection ended too soon'
 # Error details are logged and may quote what a server sent, so they are cut
 # to this length.
 DETAIL_CHARACTERS = 120
@@ -208,7 +209,7 @@
         if self._is_done or self._close_check is not None:
             return
         if not self._is_unframed or self._reactor is None:
-            self._on_close_checked('')
+            self._end_bytes(ENDED)
             return
         self._close_check = answer_close.CloseCheck(
             transport=self.transport,
@@ -222,22 +223,26 @@
     def writeConnectionLost(self) -> None:
         """Do nothing: this side never closes its direction alone."""
 
-    def _on_close_checked(self, cut: str) -> None:
-        if cut:
-            self._fail(FailureKind.BROKEN, cut)
-            return
-        self._is_closed = True
-        self._feed(b'')
-        self._fail(FailureKind.BROKEN, 'the connection ended too soon')
-
     def connectionLost(self, reason=protocol.connectionDone) -> None:
         """Complete an answer that is framed by the close, or fail."""
         if self._is_done:
             return
         if reason.check(net_errors.ConnectionDone):
-            self._is_closed = True
-            self._feed(b'')
-        self._fail(FailureKind.BROKEN, reason.getErrorMessage())
+            self._end_bytes(reason.getErrorMessage())
+        else:
+            self._fail(FailureKind.BROKEN, reason.getErrorMessage())
+
+    def _on_close_checked(self, cut: str) -> None:
+        if cut:
+            self._fail(FailureKind.BROKEN, cut)
+        else:
+            self._end_bytes(ENDED)
+
+    def _end_bytes(self, detail: str) -> None:
+        """Complete the answer if the end of the bytes is its end, or fail."""
+        self._is_closed = True
+        self._feed(b'')
+        self._fail(FailureKind.BROKEN, detail)
 
     def not_connected(self, detail: str) -> None:
         """Fail because no connection was established and nothing sent."""
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -343,6 +343,7 @@
                 'part_id': worst.part_id,
                 'crashes': worst.crashes,
                 'server_ids': worst.server_ids,
+                'causes': worst.causes,
                 'for_ms': records.QUARANTINE_MS,
             },
         )
--- a/src/shallothinge/quarantine/suspicion.py
+++ b/src/shallothinge/quarantine/suspicion.py
@@ -37,6 +37,15 @@
         )
         return tuple(server_id for server_id, _ in by_time)
 
+    @property
+    def causes(self) -> tuple[str, ...]:
+        """Return what may explain crashes of one moment, by time of crash.
+
+        '' stands for a cause that all crashes of a moment may have.
+        """
+        by_time = sorted(self.sightings.values(), key=lambda one: one.at_ms)
+        return tuple(one.cause for one in by_time)
+
     @property
     def is_of_request(self) -> bool:
         """Return whether it is the suspicion against one request."""
