--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -79,6 +79,8 @@
         self.settings.write_text(text)
 
     def start(self):
+        if self.deployment.is_over:
+            return
         self.write_settings()
         run = render(self.deployment.roles[self.role]['run'],
                      self.deployment.fields(self.host))
@@ -134,6 +136,7 @@
             for index in range(max(3, gateways))
         ]
         self.first_start = True
+        self.is_over = False
         self.controls = [Process(self, 'control', one)
                          for one in self.hosts if one.has_disk]
         self.gateways = [Process(self, 'gateway', one)
@@ -228,6 +231,7 @@
 
     def stop(self):
         """End every process that was started, and remove the folder."""
+        self.is_over = True
         for process in self.processes:
             if process.is_running():
                 process.signal(signal.SIGCONT)
