--- a/review/lib-3/case3.py
+++ b/review/lib-3/case3.py
@@ -32,14 +32,19 @@
     record = Record(folder)
 
     async def bounded():
-        return await asyncio.wait_for(play(record), limit_s)
-
-    try:
-        is_broken = asyncio.run(bounded())
-    except Exception:
-        record.note('could not run', traceback.format_exc())
-        traceback.print_exc()
-        sys.exit(NOT_RUN)
-    record.note('the rule was broken' if is_broken else 'the rule held')
-    record.close()
-    sys.exit(BROKEN if is_broken else HELD)
+        try:
+            is_broken = await asyncio.wait_for(play(record), limit_s)
+            status = BROKEN if is_broken else HELD
+            record.note('the rule was broken' if is_broken
+                        else 'the rule held')
+        except Exception:
+            status = NOT_RUN
+            record.note('could not run', traceback.format_exc())
+            traceback.print_exc()
+        record.close()
+        # Consumers and servers may still be waiting; all processes have ended.
+        sys.stdout.flush()
+        sys.stderr.flush()
+        os._exit(status)
+
+    asyncio.run(bounded())
