Compact the log by its bytes, and hold it once at a start

Callers saw: after some hundreds of changes of a large configuration a restart took every control host over its memory, again and again.

Cause: the log was bounded by its number of entries, though each StoreRoutes holds a whole document, and a start held several copies of it: the file, its frames, the records and the one frame in which it was written anew. What a start had read stayed referenced by the data folder until the process ended.

Ruled out: a leak while running (the memory before the kill is that of the log), and the orders (the peak is reached before the first one).

Frames are checked in chunks and records decoded one by one, also from the one frame of a former release. A start does not write the log anew: it syncs what a killed process may not have synced, and checks for space. Sizes and the peak of a start are logged and published.

--- /dev/null
+++ b/experiments/start_memory.py
@@ -0,0 +1,119 @@
+"""Measures the memory of a start of a control host against what it stores.
+
+``python -m experiments.start_memory``: for each size of the configuration a
+process writes the log of some changes and starts from it, alone, as the
+process of a control host does. Figures are of the resident memory.
+"""
+
+import argparse
+import pathlib
+import random
+import subprocess
+import sys
+import tempfile
+
+from shallothinge import memory
+from shallothinge.consensus import model
+from shallothinge.control import commands
+from shallothinge.control import compaction
+from shallothinge.control import replica_store
+from shallothinge.control import state
+from shallothinge.routes import messages as routes
+from shallothinge.storage import data_folder
+
+MEGABYTE = 1024 * 1024
+PROCESS_ID = 'c1'
+LATE_MS = 10_000
+SIZES = ((45_000, 0), (45_000, 60), (45_000, 600), (4 * MEGABYTE, 6))
+
+
+def open_store(path: pathlib.Path) -> replica_store.ReplicaStore:
+    """Open a data folder as a control host with 200 MB and 64 MB of disk."""
+    return replica_store.ReplicaStore(
+        folder=data_folder.DataFolder(path=path, process_id=PROCESS_ID),
+        policy=compaction.make_policy(
+            snapshot_entries=1000, memory_bytes=200 * MEGABYTE, disk_mb=64
+        ),
+        timing=model.Timing(kept_entries=250),
+        machine=state.ControlState(),
+        rng=random.Random(1),
+    )
+
+
+def write_log(path: pathlib.Path, *, size_bytes: int, changes: int) -> None:
+    """Write a log that was never compacted."""
+    store = open_store(path)
+    store.node.found_cluster(name='test', replica_ids=(store.node.replica_id,))
+    store.store(store.node.take_effects(0))
+    store.close()
+    codec = commands.build_codec()
+    rng = random.Random(1)
+    folder = data_folder.DataFolder(path=path, process_id=PROCESS_ID)
+    for number in range(changes):
+        order = routes.StoreRoutes(
+            request_id=str(number),
+            version=number + 1,
+            document=rng.randbytes(size_bytes),
+        )
+        command = commands.Stamped(now_ms=1, command=codec.encode(order))
+        entry = model.Entry(
+            index=number + 2, term=1, data=codec.encode(command)
+        )
+        folder.append((entry,))
+    folder.close()
+
+
+def start(path: pathlib.Path) -> None:
+    """Start from a log, apply it, compact it and print the figures."""
+    before_bytes = memory.read_peak_bytes()
+    store = open_store(path)
+    log_bytes = store.sizes().log_bytes
+    read_bytes = memory.read_peak_bytes()
+    for now_ms in (0, LATE_MS):
+        store.node.tick(now_ms)
+    effects = store.node.take_effects(LATE_MS)
+    store.store(effects)
+    for _ in store.apply(effects):
+        pass
+    del effects
+    store.compact_if_due()
+    figures = (
+        log_bytes,
+        store.sizes().snapshot_bytes,
+        before_bytes,
+        read_bytes,
+        memory.read_peak_bytes(),
+        store.sizes().log_bytes,
+    )
+    print('| ' + ' | '.join(f'{one / MEGABYTE:.1f}' for one in figures) + ' |')
+    store.close()
+
+
+def main() -> None:
+    """Print a table in MB, one line for each size."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument('--folder', help='start from this folder')
+    folder = parser.parse_args().folder
+    if folder:
+        start(pathlib.Path(folder))
+        return
+    print('| log | snapshot | before | read | compacted | log then |')
+    print('|---|---|---|---|---|---|', flush=True)
+    for size_bytes, changes in SIZES:
+        with tempfile.TemporaryDirectory() as name:
+            path = pathlib.Path(name) / PROCESS_ID
+            write_log(path, size_bytes=size_bytes, changes=changes)
+            subprocess.run(
+                (
+                    sys.executable,
+                    '-m',
+                    'experiments.start_memory',
+                    '--folder',
+                    str(path),
+                ),
+                check=True,
+            )
+
+
+if __name__ == '__main__':
+    main()
--- a/src/shallothinge/consensus/log.py
+++ b/src/shallothinge/consensus/log.py
@@ -104,6 +104,31 @@
         start = first - self._base.index - 1
         return tuple(self._entries[start : last - self._base.index])
 
+    def bytes_after(self, index: int) -> int:
+        """Return the size of the entries after an index, about as stored."""
+        first = max(index, self._base.index) + 1
+        return sum(
+            _size_of(entry)
+            for entry in self.entries_between(first, self.last_index)
+        )
+
+    def first_within(self, index: int, *, count: int, limit_bytes: int) -> int:
+        """Return where the entries up to ``index`` begin that fit a limit.
+
+        They are at most ``count`` entries of ``limit_bytes`` in all, but the
+        last one if it is larger on its own. The result is ``index + 1`` if
+        there are none.
+        """
+        first = index + 1
+        oldest = max(self._base.index + 1, first - count)
+        size_bytes = 0
+        while first > oldest:
+            size_bytes += _size_of(self.entry_at(first - 1))
+            if size_bytes > limit_bytes and first <= index:
+                break
+            first -= 1
+        return first
+
     def batch(self, first: int, *, limit_bytes: int) -> tuple:
         """Return entries from ``first`` on, up to ``limit_bytes``.
 
@@ -114,7 +139,7 @@
         size_bytes = 0
         for index in range(first, self.last_index + 1):
             entry = self.entry_at(index)
-            size_bytes += len(entry.data) + ENTRY_OVERHEAD_BYTES
+            size_bytes += _size_of(entry)
             if selected and size_bytes > limit_bytes:
                 break
             selected.append(entry)
@@ -163,3 +188,7 @@
     def reset(self, base: model.LogBase) -> None:
         """Discard all entries and start the log after ``base``."""
         self.__init__(base=base)
+
+
+def _size_of(entry: model.Entry) -> int:
+    return len(entry.data) + ENTRY_OVERHEAD_BYTES
--- a/src/shallothinge/consensus/model.py
+++ b/src/shallothinge/consensus/model.py
@@ -46,7 +46,8 @@
     sooner. ``batch_bytes`` limits the entries in one message and
     ``chunk_bytes`` the size of a snapshot chunk. ``kept_entries`` is how
     many entries before a snapshot stay in the log, for replicas that lag
-    slightly. A replica that is silent for longer than ``replace_silent_ms``
+    slightly, and ``kept_bytes`` how many bytes of them do if the snapshot is
+    not large. A replica that is silent for longer than ``replace_silent_ms``
     counts as unavailable; it is removed while there are more than
     ``min_voters`` voters. 0 disables automatic removal.
     """
@@ -58,6 +59,7 @@
     batch_bytes: int = 256 * 1024
     chunk_bytes: int = 256 * 1024
     kept_entries: int = 200
+    kept_bytes: int = 1024 * 1024
     replace_silent_ms: int = 0
     min_voters: int = 3
 
--- a/src/shallothinge/consensus/snapshots.py
+++ b/src/shallothinge/consensus/snapshots.py
@@ -6,6 +6,9 @@
 from shallothinge.consensus import model
 from shallothinge.consensus import state as states
 
+# Of the snapshot's size: entries before it that stay in the log.
+KEPT_PART = 0.25
+
 
 @attrs.define(kw_only=True)
 class _IncomingSnapshot:
@@ -28,7 +31,9 @@
 def compact(*, state: states.NodeState, index: int, data: bytes) -> None:
     """Make ``data`` the snapshot at ``index`` and compact the log.
 
-    The last ``kept_entries`` entries before it remain in the log.
+    The last ``kept_entries`` entries before it remain in the log, but no
+    more than ``kept_bytes`` or a part of the snapshot's size, so that a
+    replica gets the snapshot where that is shorter.
 
     :param data: the state of the state machine after the entry at ``index``.
     :raises ValueError: if the entry was not delivered yet, or is not newer
@@ -43,7 +48,12 @@
         configuration=state.log.configuration_at(index),
         data=data,
     )
-    state.log.compact(index - state.timing.kept_entries)
+    first_kept = state.log.first_within(
+        index,
+        count=state.timing.kept_entries,
+        limit_bytes=max(state.timing.kept_bytes, int(KEPT_PART * len(data))),
+    )
+    state.log.compact(first_kept - 1)
 
 
 class SnapshotSender:
--- a/src/shallothinge/control/api.py
+++ b/src/shallothinge/control/api.py
@@ -5,6 +5,7 @@
 from twisted.internet import defer
 
 from shallothinge.consensus import quorum
+from shallothinge.control import replica_store
 from shallothinge.transport import endpoint
 
 
@@ -50,6 +51,9 @@
     def quorum(self) -> quorum.QuorumView | None:
         """Return the voters and which are heard; None without a replica."""
 
+    def storage_sizes(self) -> replica_store.StoreSizes | None:
+        """Return how much is stored; None without a replica."""
+
     def leave(self) -> defer.Deferred:
         """Give up the vote; fire once the cluster no longer needs it."""
 
--- a/src/shallothinge/control/hosting.py
+++ b/src/shallothinge/control/hosting.py
@@ -27,8 +27,8 @@
     Data that a full disk did not accept was never made known to others, so
     the replica can continue from the data on the disk. It stops as if the
     process had ended, and is opened again at intervals until that succeeds;
-    a successful attempt rewrites the whole log. Any other disk failure ends
-    the process.
+    an attempt succeeds only if the disk takes what a message may append. Any
+    other disk failure ends the process.
 
     :param make_machine: returns an empty state machine.
     :param on_replaced: called with the new replica, or with its stand-in
--- a/src/shallothinge/control/process.py
+++ b/src/shallothinge/control/process.py
@@ -17,6 +17,7 @@
 from shallothinge.control import quorum_metrics
 from shallothinge.control import server as servers
 from shallothinge.control import state
+from shallothinge.control import storage_metrics
 from shallothinge.leases import client as clients
 from shallothinge.settings import model
 from shallothinge.settings import watch
@@ -103,6 +104,10 @@
             metrics=self._process.metrics,
             read=lambda: self._replica.quorum(),
         )
+        storage_metrics.publish(
+            metrics=self._process.metrics,
+            read=lambda: self._replica.storage_sizes(),
+        )
 
     def _found_cluster_if_first_seed(self) -> None:
         """Found the cluster on the first start of a deployment.
--- a/src/shallothinge/control/replica.py
+++ b/src/shallothinge/control/replica.py
@@ -12,8 +12,8 @@
 from shallothinge import periodic
 from shallothinge.consensus import messages
 from shallothinge.consensus import model
-from shallothinge.consensus import node as nodes
 from shallothinge.consensus import quorum
+from shallothinge.control import compaction
 from shallothinge.control import former_members
 from shallothinge.control import joining
 from shallothinge.control import machine as machines
@@ -21,6 +21,7 @@
 from shallothinge.control import quorum_log
 from shallothinge.control import replica_dump
 from shallothinge.control import replica_links
+from shallothinge.control import replica_store
 from shallothinge.control import stopping
 from shallothinge.control import timing
 from shallothinge.settings import model as settings_model
@@ -70,22 +71,31 @@
         self._reactor = process.reactor
         self._clock = process.clock
         self._process_id = process.process_id
-        self._machine = machine
         self._on_leadership = on_leadership
         self._on_failure = on_failure
         self._discovery = settings.discovery
-        self._snapshot_entries = settings.log.snapshot_entries
         self._tick_ms = settings.log.heartbeat_ms // TICKS_PER_HEARTBEAT
-        self._folder = data_folder.DataFolder(
+        folder = data_folder.DataFolder(
             path=process.folder / pathlib.Path(settings.log.data_folder),
             process_id=process.process_id,
             rejoin=timing.rejoins(settings.discovery),
         )
         try:
-            self._node = self._restore(settings, rng or random.Random())
+            self._store = replica_store.ReplicaStore(
+                folder=folder,
+                policy=compaction.make_policy(
+                    snapshot_entries=settings.log.snapshot_entries,
+                    memory_bytes=process.memory.limit_bytes,
+                    disk_mb=settings.log.disk_mb,
+                ),
+                timing=timing.protocol_timing(settings),
+                machine=machine,
+                rng=rng or random.Random(),
+            )
         except Exception:
-            self._folder.close()
+            folder.close()
             raise
+        self._node = self._store.node
         self._pending = pending.PendingWork()
         self._links = replica_links.ReplicaLinks(
             process=process, settings=settings
@@ -93,7 +103,7 @@
         self._membership = joining.MembershipChanges(
             node=self._node,
             process_id=process.process_id,
-            rejoin=self._folder.identity.rejoin,
+            rejoin=folder.identity.rejoin,
             broadcast=self._links.broadcast,
             adds_all_announced=settings.discovery is not None,
         )
@@ -128,7 +138,7 @@
     @property
     def applied_index(self) -> int:
         """Return the index of the last entry that was applied."""
-        return self._applied_index
+        return self._store.applied_index
 
     def start(self) -> None:
         """Start the periodic tick, and with it the protocol."""
@@ -144,7 +154,7 @@
             if call is not None and call.active():
                 call.cancel()
         self._links.close()
-        self._folder.close()
+        self._store.close()
         self._pending.fail_all(leader_id='')
         self._membership.fail_all(self._not_leader)
         self._stopping.close()
@@ -316,27 +326,14 @@
             node=self._node,
             view=self.quorum(),
             work=self._pending,
-            applied_index=self._applied_index,
+            applied_index=self._store.applied_index,
             elected_ms=self.elected_ms,
-            log_bytes=self._folder.log_bytes,
+            log_bytes=self.storage_sizes().log_bytes,
         )
 
-    def _restore(
-        self, settings: settings_model.ControlSettings, rng: random.Random
-    ) -> nodes.Node:
-        restored = self._folder.restored
-        node = nodes.Node(
-            replica_id=self._folder.identity.replica_id,
-            rng=rng,
-            timing=timing.protocol_timing(settings),
-            restored=restored,
-        )
-        self._folder.rewrite(node.durable_records())
-        self._applied_index = 0
-        if restored.snapshot is not None:
-            self._machine.restore(restored.snapshot.data)
-            self._applied_index = restored.snapshot.index
-        return node
+    def storage_sizes(self) -> replica_store.StoreSizes:
+        """Return how much this replica stores."""
+        return self._store.sizes()
 
     def _tick(self) -> None:
         periodic.run(self._advance)
@@ -378,12 +375,12 @@
             return
         effects = self._node.take_effects(self._clock.now_ms())
         try:
-            self._store(effects)
+            self._store.store(effects)
             for message in effects.messages:
                 self._links.send(message)
             self._apply(effects)
             if not self._closed:
-                self._compact_if_due()
+                self._store.compact_if_due()
         except Exception as error:
             self._fail(error)
         if self._closed:
@@ -396,47 +393,12 @@
         self._on_failure(error)
         self.close()
 
-    def _store(self, effects: model.Effects) -> None:
-        if effects.snapshot is not None:
-            self._folder.store_snapshot(effects.snapshot)
-            self._folder.rewrite(self._node.durable_records())
-        elif effects.records:
-            self._folder.append(effects.records)
-
     def _apply(self, effects: model.Effects) -> None:
-        if effects.snapshot is not None:
-            self._machine.restore(effects.snapshot.data)
-            self._applied_index = effects.snapshot.index
-        for entry in effects.committed:
-            answer = b''
-            if entry.kind is model.EntryKind.COMMAND:
-                answer = self._machine.apply(
-                    index=entry.index, command=entry.data
-                )
-            self._applied_index = entry.index
+        for entry, answer in self._store.apply(effects):
             self._pending.answer_proposal(
                 index=entry.index, term=entry.term, answer=answer
             )
 
-    def _compact_if_due(self) -> None:
-        """Take a snapshot if enough entries were applied since the last.
-
-        The log must also have grown by the size of the last snapshot, so
-        that snapshots of a large state write at most as many bytes as the
-        log does.
-        """
-        snapshot = self._node.snapshot
-        newest = snapshot.index if snapshot else 0
-        if self._applied_index - newest < self._snapshot_entries:
-            return
-        if snapshot and self._folder.log_bytes < len(snapshot.data):
-            return
-        snapshot = self._node.compact(
-            index=self._applied_index, data=self._machine.snapshot()
-        )
-        self._folder.store_snapshot(snapshot)
-        self._folder.rewrite(self._node.durable_records())
-
     def _handle_role_change(self, changed: model.RoleChanged | None) -> None:
         if changed is not None:
             LOG.info(
@@ -456,7 +418,7 @@
             self._led_term = self._node.term
             self.elected_ms = self._clock.now_ms()
         if leads and not self._ready:
-            if self._applied_index >= self._node.first_index_of_term:
+            if self._store.applied_index >= self._node.first_index_of_term:
                 self._ready = True
                 self._notify_leadership(True)
 
@@ -480,7 +442,7 @@
             self._pending.confirm_read(read_id=read.read_id, index=read.index)
         for read_id in effects.failed_reads:
             self._pending.fail_read(read_id=read_id, leader_id=self.leader_id)
-        self._pending.answer_reads(applied_index=self._applied_index)
+        self._pending.answer_reads(applied_index=self._store.applied_index)
 
     def _not_leader(self) -> errors.ServingError:
         return pending.NotLeader(leader_id=self.leader_id)
--- a/src/shallothinge/control/tests/hosts.py
+++ b/src/shallothinge/control/tests/hosts.py
@@ -8,6 +8,7 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from shallothinge import memory as memories
 from shallothinge.consensus import model as consensus_model
 from shallothinge.control import hosting
 from shallothinge.settings import model
@@ -119,6 +120,7 @@
     reactor: FreezableReactor
     clock: ReactorClock
     folder: object
+    memory: memories.Budget = attrs.field(factory=memories.divide)
 
     def connect(self, *, address, role, on_message):
         """Open a connection; the address holds the other host's id."""
--- a/src/shallothinge/control/unavailable_replica.py
+++ b/src/shallothinge/control/unavailable_replica.py
@@ -53,6 +53,9 @@
     def quorum(self) -> None:
         """Return None, as nothing is known of the voters."""
 
+    def storage_sizes(self) -> None:
+        """Return None, as nothing is stored."""
+
     def leave(self) -> defer.Deferred:
         """Succeed at once, as there is no vote to give up."""
         return defer.succeed(None)
--- a/src/shallothinge/memory.py
+++ b/src/shallothinge/memory.py
@@ -30,6 +30,9 @@
 MUCH_HELD_PART = 0.25
 STATM_PATH = pathlib.Path('/proc/self/statm')
 RESIDENT_FIELD = 1
+STATUS_PATH = pathlib.Path('/proc/self/status')
+PEAK_FIELD = 'VmHWM:'
+KILOBYTE = 1024
 
 
 class Share:
@@ -93,6 +96,16 @@
         return None
 
 
+def read_peak_bytes() -> int | None:
+    """Return the most resident memory used so far, None if not known."""
+    try:
+        lines = STATUS_PATH.read_text(encoding='ascii').splitlines()
+        [line] = [one for one in lines if one.startswith(PEAK_FIELD)]
+        return int(line.split()[1]) * KILOBYTE
+    except (OSError, ValueError, IndexError):
+        return None
+
+
 @attrs.define(kw_only=True)
 class Budget:
     """The memory that a process may use, and its shares.
--- a/src/shallothinge/settings/model.py
+++ b/src/shallothinge/settings/model.py
@@ -60,7 +60,9 @@
     """The replicated log at a control host: table ``[log]``.
 
     Without a ``data_folder`` the host keeps no replica and passes what it
-    is asked on to the others.
+    is asked on to the others. ``disk_mb`` is the size of the disk; 0 if it
+    is not limited. A snapshot is taken after ``snapshot_entries`` changes,
+    or sooner if they are large.
     """
 
     data_folder: str
@@ -68,6 +70,7 @@
     election_min_ms: int = 500
     election_max_ms: int = 1000
     snapshot_entries: int = 1000
+    disk_mb: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/shallothinge/storage/data_folder.py
+++ b/src/shallothinge/storage/data_folder.py
@@ -16,6 +16,9 @@
 LOG_NAME = 'log'
 SNAPSHOT_NAME = 'snapshot'
 LOCK_NAME = 'lock'
+PROBE_NAME = 'space'
+# What one message of the leader may append.
+PROBE_BYTES = 256 * 1024
 DISK_ID_BYTES = 8
 
 
@@ -25,6 +28,9 @@
     The identity is the first record of the log file, so that a lost log
     cannot be mistaken for an empty log of the same replica.
 
+    ``restored`` is what the files held when they were read, until
+    ``release_restored`` is called.
+
     :param rejoin: create a new folder with an identity that may replace the
         former replica of this process.
     :param sync: flushes a file descriptor to disk.
@@ -88,11 +94,24 @@
         """
         files.replace_file(
             self.path / SNAPSHOT_NAME,
-            payload=self._codec.encode(snapshot),
+            payloads=(self._codec.encode(snapshot),),
             salt=frames.new_salt(),
             sync=self._sync,
         )
 
+    def check_space(self) -> None:
+        """Write as much as a message may append, and remove it.
+
+        :raises WriteFailed: if the disk does not take it.
+        """
+        files.check_space(
+            self.path / PROBE_NAME, size_bytes=PROBE_BYTES, sync=self._sync
+        )
+
+    def release_restored(self) -> None:
+        """Drop what was read, so that it is held only while it is used."""
+        self.restored = None
+
     def close(self) -> None:
         """Close the log file and release the lock."""
         self._log_file.close()
@@ -130,24 +149,28 @@
 
     def _read(self) -> None:
         records = self._log_file.read()
-        self.identity = records[0]
+        self.identity = next(records)
         self.restored = restore(records, snapshot=self._read_snapshot())
 
     def _read_snapshot(self) -> model.Snapshot | None:
         path = self.path / SNAPSHOT_NAME
         if not path.exists():
             return None
-        _, scan = files.read_frames(path)
-        if len(scan.payloads) != 1:
-            raise errors.StorageDamaged(
-                path=path,
-                offset_bytes=scan.valid_bytes,
-                detail='the snapshot does not match its checksum',
-            )
-        return self._codec.decode(scan.payloads[0])
-
-
-def restore(records: tuple, *, snapshot: model.Snapshot | None):
+        with path.open('rb') as file:
+            _, scan = files.scan_frames(file, path=path)
+            if len(scan.spans) != 1:
+                raise errors.StorageDamaged(
+                    path=path,
+                    offset_bytes=scan.valid_bytes,
+                    detail='the snapshot does not match its checksum',
+                )
+            payload = frames.SpanReader(file=file, span=scan.spans[0])
+            return self._codec.decode(payload.read(payload.left_bytes))
+
+
+def restore(
+    records: Iterable, *, snapshot: model.Snapshot | None
+) -> model.Restored:
     """Return the state that results from replaying a log file's records.
 
     An entry replaces any earlier entry with its index and all entries after
--- a/src/shallothinge/storage/files.py
+++ b/src/shallothinge/storage/files.py
@@ -1,8 +1,10 @@
 """Durable file writes, and reads of files made of frames."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import os
 import pathlib
+from typing import BinaryIO
 
 from shallothinge.storage import errors
 from shallothinge.storage import frames
@@ -32,20 +34,25 @@
 
 
 def replace_file(
-    path: pathlib.Path, *, payload: bytes, salt: bytes, sync: Sync
+    path: pathlib.Path, *, payloads: Iterable[bytes], salt: bytes, sync: Sync
 ) -> None:
-    """Atomically replace a file by one that holds a single frame.
+    """Atomically replace a file by one that holds a frame for each payload.
+
+    Each payload is written before the next one is asked for, so that they
+    need not be in memory together.
 
     :raises WriteFailed: if the new file may not be durable.
     """
     temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
     flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
-    data = frames.encode_header(salt=salt)
-    data += frames.encode_frame(payload, salt=salt)
     try:
         descriptor = os.open(temporary, flags, FILE_MODE)
         try:
-            write_all(descriptor, data)
+            write_all(descriptor, frames.encode_header(salt=salt))
+            for payload in payloads:
+                header = frames.encode_frame_header(payload, salt=salt)
+                write_all(descriptor, header)
+                write_all(descriptor, payload)
             sync(descriptor)
         finally:
             os.close(descriptor)
@@ -57,19 +64,38 @@
         raise errors.write_error(path=path, error=error) from error
 
 
-def read_frames(path: pathlib.Path) -> tuple[bytes, frames.Scan]:
-    """Return a file's salt and the scan of its frames.
+def check_space(path: pathlib.Path, *, size_bytes: int, sync: Sync) -> None:
+    """Write a file of some size and remove it.
+
+    :raises WriteFailed: if the disk does not take it.
+    """
+    flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
+    try:
+        descriptor = os.open(path, flags, FILE_MODE)
+        try:
+            write_all(descriptor, bytes(size_bytes))
+            sync(descriptor)
+        finally:
+            os.close(descriptor)
+            path.unlink()
+    except OSError as error:
+        raise errors.write_error(path=path, error=error) from error
+
+
+def scan_frames(
+    file: BinaryIO, *, path: pathlib.Path
+) -> tuple[bytes, frames.Scan]:
+    """Return an open file's salt and the scan of its frames.
 
     :raises StorageDamaged: if the header is invalid, or if a valid frame
         follows an invalid one.
     """
-    data = path.read_bytes()
-    salt = frames.salt_of(data)
+    salt = frames.read_salt(file)
     if salt is None:
         raise errors.StorageDamaged(
             path=path, offset_bytes=0, detail='the file header is not valid'
         )
-    scan = frames.scan(data, salt=salt)
+    scan = frames.scan(file, salt=salt)
     if scan.damaged:
         raise errors.StorageDamaged(
             path=path,
--- a/src/shallothinge/storage/tests/test_data_folder.py
+++ b/src/shallothinge/storage/tests/test_data_folder.py
@@ -1,10 +1,12 @@
 """Tests of a data folder's content after crashes and file damage."""
 
+import io
 import os
 import pathlib
 import shutil
 import tempfile
 import unittest
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies
@@ -13,6 +15,7 @@
 from shallothinge.storage import data_folder
 from shallothinge.storage import errors
 from shallothinge.storage import frames
+from shallothinge.storage import log_file
 
 
 def entry(index, *, term=1, data=b'x'):
@@ -20,6 +23,17 @@
     return model.Entry(index=index, term=term, data=data)
 
 
+def scan(data, *, salt):
+    """Return the scan of a file's bytes and the payloads that it found."""
+    file = io.BytesIO(data)
+    found = frames.scan(file, salt=salt)
+    payloads = tuple(
+        frames.SpanReader(file=file, span=span).read(len(data))
+        for span in found.spans
+    )
+    return found, payloads
+
+
 SNAPSHOT = model.Snapshot(
     index=2, term=1, configuration=model.Configuration(), data=b'state'
 )
@@ -98,6 +112,27 @@
         path.write_bytes(data)
         self.assertEqual(2, len(self.open().restored.entries))
 
+    def test_damage_in_a_rewritten_log_loses_no_record(self):
+        folder = self.open()
+        entries = tuple(entry(index, data=bytes(3)) for index in (1, 2, 3))
+        with mock.patch.object(log_file, 'REWRITE_FRAME_BYTES', 1):
+            folder.rewrite(entries)
+        folder.close()
+        path = self.path / data_folder.LOG_NAME
+        data = path.read_bytes()
+        last = data.rfind(frames.FRAME_MAGIC)
+        for offset in range(len(data)):
+            damaged = bytearray(data)
+            damaged[offset] ^= 0x40
+            path.write_bytes(damaged)
+            with self.subTest(offset=offset):
+                if offset < last:
+                    self.assertRaises(errors.StorageError, self.open)
+                    continue
+                folder = self.open()
+                self.assertEqual(entries, folder.restored.entries)
+                folder.close()
+
     def test_damaged_snapshot_is_refused(self):
         folder = self.open()
         folder.store_snapshot(SNAPSHOT)
@@ -178,13 +213,26 @@
         data = frames.encode_header(salt=salt)
         for payload in payloads:
             data += frames.encode_frame(payload, salt=salt)
-        found = frames.scan(data[: frames.HEADER_BYTES + cut], salt=salt)
+        found, read = scan(data[: frames.HEADER_BYTES + cut], salt=salt)
         self.assertFalse(found.damaged)
-        intact = tuple(payloads[: len(found.payloads)])
-        self.assertEqual(intact, found.payloads)
+        self.assertEqual(tuple(payloads[: len(read)]), read)
 
     def test_frame_inside_a_payload_is_not_taken_for_one(self):
         other = frames.encode_frame(b'inner', salt=b'another1')
         frame = frames.encode_frame(other * 3, salt=b'salty123')
         data = frames.encode_header(salt=b'salty123') + frame[:-1]
-        self.assertFalse(frames.scan(data, salt=b'salty123').damaged)
+        self.assertFalse(scan(data, salt=b'salty123')[0].damaged)
+
+    def test_frames_are_found_wherever_the_chunks_of_a_read_end(self):
+        salt = b'salty123'
+        frame = frames.encode_frame(b'payload', salt=salt)
+        for short_by in range(len(frame) + 2):
+            junk = bytes(frames.CHUNK_BYTES - short_by)
+            with self.subTest(short_by=short_by):
+                data = frames.encode_header(salt=salt)
+                long = frames.encode_frame(junk, salt=salt)
+                self.assertEqual(
+                    (junk, b'payload'), scan(data + long + frame, salt=salt)[1]
+                )
+                found, payloads = scan(data + junk + frame, salt=salt)
+                self.assertEqual(((), True), (payloads, found.damaged))
--- a/src/shallothinge/storage/tests/test_power_loss.py
+++ b/src/shallothinge/storage/tests/test_power_loss.py
@@ -16,7 +16,7 @@
     index=9, term=1, configuration=model.Configuration(), data=b'state'
 )
 # All of a start and of the work after it.
-MAX_SYNCS = 6
+MAX_SYNCS = 8
 # Each chooses other unsynced changes to survive.
 SEEDS = range(10)
 
@@ -111,3 +111,19 @@
                 self.assertEqual(ENTRIES, folder.restored.entries)
 
         self.check(before=None, work=append, check=check)
+
+    def test_records_that_a_start_found_are_durable(self):
+        """What a killed process wrote counts once its successor read it."""
+        found = {}
+
+        def append(folder):
+            found[folder.path] = folder.restored.entries
+            folder.append(ENTRIES)
+
+        def check(folder):
+            self.assertEqual(
+                found.get(folder.path, ()),
+                folder.restored.entries[: len(found.get(folder.path, ()))],
+            )
+
+        self.check(before=None, work=append, check=check)
--- a/src/shallothinge/tests/test_memory.py
+++ b/src/shallothinge/tests/test_memory.py
@@ -100,3 +100,6 @@
 
     def test_resident_memory_of_this_process_is_known(self):
         self.assertGreater(memory.read_resident_bytes(), MEGABYTE)
+        self.assertGreaterEqual(
+            memory.read_peak_bytes(), memory.read_resident_bytes() // 2
+        )
