Find prompts that crash servers after they were written for a while

Each crash broke the answers of all others at that server.

Cause: the crash of a stream that had been written for 250 ms was dropped, as most such streams are victims. A part that crashes servers later left no evidence.

Ruled out: the threshold itself (whatever it is, a crash may come after it), and peers that lose reports (the gateways had none to lose).

Change: all closed connections are recorded, late ones apart. These count only if the part is at too many crashes for chance, given its share of the servers' time since its first crash, over all gateways. What counted before counts in the same way. Former releases ignore what is reported of late ones. The log line of a failed attempt tells how it counts.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -53,6 +53,7 @@
     load of the server and of its helpers until it ends there.
 
     :param work: the work at the server itself, without its helpers.
+    :ivar placed_ms: instant at which the server was chosen.
     :ivar sent_after_ms: time from the choice of the server until the request
         was sent, None until then.
     :ivar stall: the timeout after which the owner is notified of silence.
@@ -89,15 +90,15 @@
             clock=parts.clock,
             on_expired=self._on_stalled,
         )
-        self._placed_ms = parts.clock.now_ms()
+        self.placed_ms = parts.clock.now_ms()
         self._pace = pace_probe.PaceProbe(
-            parts=parts, placement=placement, placed_ms=self._placed_ms
+            parts=parts, placement=placement, placed_ms=self.placed_ms
         )
         self.sent_after_ms: int | None = None
-        self._sent_ms = self._placed_ms
-        self._data_ms = self._placed_ms
+        self._sent_ms = self.placed_ms
+        self._data_ms = self.placed_ms
         # The connection was open and was read without a pause from then on.
-        self._reading_ms = self._placed_ms
+        self._reading_ms = self.placed_ms
         self._server: BackendServer | None = None
         self._exchange = None
         self._reservation = None
@@ -133,7 +134,7 @@
     @property
     def age_ms(self) -> int:
         """Return the time since the server was chosen."""
-        return self._parts.clock.now_ms() - self._placed_ms
+        return self._parts.clock.now_ms() - self.placed_ms
 
     @property
     def silent_ms(self) -> int:
@@ -181,13 +182,13 @@
         is_allowed = (
             self._parts.holder.is_valid()
             and self._parts.servers.may_send(
-                self.server_id, placed_ms=self._placed_ms
+                self.server_id, placed_ms=self.placed_ms
             )
         )
         if not is_allowed:
             return False
         self._sent_ms = self._reading_ms = self._parts.clock.now_ms()
-        self.sent_after_ms = self._sent_ms - self._placed_ms
+        self.sent_after_ms = self._sent_ms - self.placed_ms
         self._parts.metrics.record_send_delay(duration_ms=self.sent_after_ms)
         return True
 
--- a/src/shallothinge/gateway/attempt_record.py
+++ b/src/shallothinge/gateway/attempt_record.py
@@ -27,6 +27,7 @@
         parts: dependencies.Dependencies,
         accepted: model.AcceptedRequest,
         admission: part_admission.PartAdmission,
+        running: running_attempts.RunningAttempts,
         deadline_ms: int,
     ):
         self._parts = parts
@@ -35,7 +36,7 @@
         self._admission = admission
         self._deadline_ms = deadline_ms
         self._tried_ids: set[str] = set()
-        self.running = running_attempts.RunningAttempts()
+        self.running = running
         self.progress = policy.Progress()
         self.failed_ms = 0
 
@@ -106,8 +107,11 @@
 
     def record_failure(
         self, attempt: attempts.Attempt, outcome: outcomes.Outcome
-    ) -> None:
-        """Record a failed attempt, and which server or prompt is at fault."""
+    ) -> part_admission.CrashEvidence:
+        """Record a failed attempt, and which server or prompt is at fault.
+
+        :returns: whether it is evidence that the prompt crashes servers.
+        """
         self.running.remove(attempt)
         self.failed_ms = self._parts.clock.now_ms()
         self.progress = self.progress.after_failure(
@@ -119,7 +123,7 @@
             servers=self._parts.servers,
             tried_ids=self._tried_ids,
         )
-        self._admission.record_failure(attempt, outcome)
+        return self._admission.record_failure(attempt, outcome)
 
     def take_retry(self, *, was_sent: bool) -> policy.NoRetry | None:
         """Return why the request is not retried, None if it is.
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -15,6 +15,7 @@
 from shallothinge.gateway import part_admission
 from shallothinge.gateway import policy
 from shallothinge.gateway import request_log
+from shallothinge.gateway import running_attempts
 from shallothinge.gateway import server_search
 from shallothinge.gateway import silence
 from shallothinge.gateway import wait as waits
@@ -54,19 +55,21 @@
             may_have_run=lambda: self._attempts.may_have_run,
             on_over=self._on_over,
         )
+        self._running = running_attempts.RunningAttempts()
         self._admission = part_admission.PartAdmission(
             parts=parts,
             accepted=accepted,
             guard=self._guard,
+            running=self._running,
             on_blocked=self._on_blocked,
         )
         self._attempts = attempt_record.AttemptRecord(
             parts=parts,
             accepted=accepted,
             admission=self._admission,
+            running=self._running,
             deadline_ms=self._started_ms + accepted.time_limit_ms,
         )
-        self._running = self._attempts.running
         self._log = request_log.RequestLog(parts=parts, accepted=accepted)
         self._silence = silence.SilenceWatch(
             parts=parts,
@@ -291,12 +294,13 @@
         self, attempt: attempts.Attempt, outcome: outcomes.Outcome
     ) -> None:
         """Retry at another server, or answer the caller with an error."""
-        self._attempts.record_failure(attempt, outcome)
+        evidence = self._attempts.record_failure(attempt, outcome)
         refusal = self._attempts.take_retry(was_sent=outcome.was_sent)
         self._log.failed(
             attempt,
             outcome,
             no_retry=refusal,
+            crash_evidence=evidence.value,
             sent=self._attempts.progress.sent,
             last_event_id=self._answer.last_event_id,
         )
--- a/src/shallothinge/gateway/part_admission.py
+++ b/src/shallothinge/gateway/part_admission.py
@@ -1,6 +1,7 @@
 """Admission of one request by the quarantine of requests and parts."""
 
 from collections.abc import Callable
+import enum
 
 from shallothinge import guard as guards
 from shallothinge.gateway import attempt as attempts
@@ -9,15 +10,32 @@
 from shallothinge.gateway import notices
 from shallothinge.gateway import outcome as outcomes
 from shallothinge.gateway import policy
+from shallothinge.gateway import running_attempts
+from shallothinge.quarantine import chance
 from shallothinge.quarantine import state as quarantines
 
 
+class CrashEvidence(enum.Enum):
+    """Whether a failed attempt says that its prompt crashes servers.
+
+    ``LATE`` counts only together with others, as the stream had been written
+    for a while. The rest is none: the connection was not closed, or the
+    server leaves or is out of service, so that its failures are expected.
+    """
+
+    EARLY = 'early'
+    LATE = 'late'
+    NOT_CLOSED = 'not_closed'
+    SERVER_LEAVES = 'server_leaves'
+
+
 class PartAdmission:
     """Keeps a request that is quarantined, or has such parts, from servers.
 
     It also tells the quarantine what became of the request.
 
     :param guard: guard of the request's steps.
+    :param running: the attempts under way.
     :param on_blocked: called when a part of the prompt has been quarantined.
     """
 
@@ -27,65 +45,86 @@
         parts: dependencies.Dependencies,
         accepted: model.AcceptedRequest,
         guard: guards.RequestGuard,
+        running: running_attempts.RunningAttempts,
         on_blocked: Callable[[], None],
     ):
         self._parts = parts
         self._accepted = accepted
         self._guard = guard
+        self._running = running
+        running.on_end = self._on_attempt_end
         self._on_blocked = on_blocked
         self._is_probe = False
 
     @property
-    def _part_ids(self) -> tuple[str, ...]:
+    def part_ids(self) -> tuple[str, ...]:
+        """Return the parts of the prompt and the request's fingerprint."""
         return *self._accepted.request.part_ids, self._accepted.fingerprint
 
+    @property
+    def runs(self) -> tuple[chance.Run, ...]:
+        """Return the attempts that are in progress at servers."""
+        return tuple(map(self._run_since, self._running.placed_ms))
+
+    def _run_since(self, placed_ms: int) -> chance.Run:
+        return chance.Run(part_ids=self.part_ids, started_ms=placed_ms)
+
+    def _on_attempt_end(self, attempt: attempts.Attempt) -> None:
+        self._parts.quarantine.record_run_end(
+            self._run_since(attempt.placed_ms)
+        )
+
     def start(self) -> None:
         """Watch for parts that are quarantined while the request lasts."""
         self._parts.quarantine.watch(self)
 
     def end(self) -> None:
-        """Stop watching."""
+        """Stop watching, as the request and its attempts have ended."""
         self._parts.quarantine.unwatch(self)
+        for run in self.runs:
+            self._parts.quarantine.record_run_end(run)
 
     def admit(self) -> quarantines.Admission:
         """Return whether the request may be sent to a server now."""
         if self._is_probe:
             return quarantines.ADMITTED
-        admission = self._parts.quarantine.admit(self._part_ids)
+        admission = self._parts.quarantine.admit(self.part_ids)
         self._is_probe = admission.is_probe
         return admission
 
     def no_retry_reason(self) -> policy.NoRetry | None:
         """Return why a failed request is not retried, None if it may be."""
         is_blocked = self._is_probe or self._parts.quarantine.is_quarantined(
-            self._part_ids
+            self.part_ids
         )
         return policy.NoRetry.QUARANTINED if is_blocked else None
 
     @guards.guarded
     def on_quarantined(self, part_id: str) -> None:
         """Tell the request if the part is one of its own."""
-        if part_id in self._part_ids and not self._is_probe:
+        if part_id in self.part_ids and not self._is_probe:
             self._on_blocked()
 
     def record_whole(self) -> None:
         """Record that the answer was complete."""
-        self._parts.quarantine.record_whole(self._part_ids)
+        self._parts.quarantine.record_whole(self.part_ids)
 
     def record_failure(
         self, attempt: attempts.Attempt, outcome: outcomes.Outcome
-    ) -> None:
+    ) -> CrashEvidence:
         """Record what may be a crash that a part of the prompt has caused.
 
-        The failures of a server that leaves or is out of service are
-        expected, and a stream that was being written has not caused one.
+        :returns: how it counts.
         """
-        writing_ms = attempt.writing_ms
-        is_settled = (
-            writing_ms is not None and writing_ms >= policy.SETTLED_WRITING_MS
+        if not outcome.is_disconnect:
+            return CrashEvidence.NOT_CLOSED
+        if not self._parts.servers.is_in_service(attempt.server_id):
+            return CrashEvidence.SERVER_LEAVES
+        writing_ms = attempt.writing_ms or 0
+        is_late = writing_ms >= policy.SETTLED_WRITING_MS
+        self._parts.quarantine.record_crash(
+            key=notices.key_of(attempt.server),
+            part_ids=self.part_ids,
+            is_late=is_late,
         )
-        is_expected = not self._parts.servers.is_in_service(attempt.server_id)
-        if outcome.is_disconnect and not is_settled and not is_expected:
-            self._parts.quarantine.record_crash(
-                key=notices.key_of(attempt.server), part_ids=self._part_ids
-            )
+        return CrashEvidence.LATE if is_late else CrashEvidence.EARLY
--- a/src/shallothinge/gateway/policy.py
+++ b/src/shallothinge/gateway/policy.py
@@ -30,7 +30,8 @@
 ABANDON_OBJECTIVES = 4
 ABANDON_PAUSES = 8
 
-# A stream that has been written for this long does not crash its server.
+# A crash of a stream that has been written for this long says little: it may
+# have been at the server when another request crashed it.
 SETTLED_WRITING_MS = 250
 # A caller that retries reaches another gateway, which usually can serve it.
 STOPPING_RETRY_AFTER_MS = 100
--- a/src/shallothinge/gateway/server_places.py
+++ b/src/shallothinge/gateway/server_places.py
@@ -26,3 +26,16 @@
             for one in self._holder.members.values()
             if one.zone == zone
         )
+
+    def find_services(self, server_id: str) -> frozenset[str]:
+        """Return the services of a server, none if it is not listed."""
+        server = self._holder.members.get(server_id)
+        return frozenset(() if server is None else server.services)
+
+    def list_serving(self, services: frozenset[str]) -> frozenset[ServerKey]:
+        """Return the incarnations that are listed for any of some services."""
+        return frozenset(
+            notices.key_of(one)
+            for one in self._holder.members.values()
+            if not services.isdisjoint(one.services)
+        )
--- a/src/shallothinge/gateway/tests/test_malformed_reports.py
+++ b/src/shallothinge/gateway/tests/test_malformed_reports.py
@@ -37,6 +37,7 @@
 LIMIT = ('s', '1', 2.0, 1)
 REQUESTS = ('s', '1', 1)
 CRASH = ('s', '1', 10, [['part', 0]])
+USED = ('part', 500)
 WHOLE = ('part', 10)
 QUARANTINED = ('part', 1, 60_000, 0)
 LIFTED = ('part', 1)
@@ -44,6 +45,8 @@
 ENTRIES = (
     ('LoadReported', 'started', WORK),
     ('PartsReported', 'crashes', CRASH),
+    ('PartsReported', 'late_crashes', CRASH),
+    ('PartsReported', 'used', USED),
     ('PartsReported', 'whole', WHOLE),
     ('PartsReported', 'quarantined', QUARANTINED),
     ('PartsReported', 'lifted', LIFTED),
--- a/src/shallothinge/gateway/tests/test_quarantine.py
+++ b/src/shallothinge/gateway/tests/test_quarantine.py
@@ -215,6 +215,53 @@
                 _, calls = self.ask(0, DEADLY)
                 self.assertEqual(1, len(calls()))
 
+    def count_until_refused(self, ask, *, most):
+        """Ask up to so many times; return how many reached a server."""
+        for number in range(most):
+            calls = ask(number % len(self.rigs))
+            if not calls:
+                return number
+            self.advance(1000)
+        return most
+
+    # Guards against a part that was never found as it crashed servers late.
+    def test_part_that_crashes_servers_as_they_write_is_found(self):
+        def ask(index):
+            _, calls = self.ask(index, DEADLY)
+            for call in calls():
+                call.answer(200, body=EVENT, ends=False)
+                self.advance(400)
+                self.crash(call)
+            return calls()
+
+        self.answer_sound()
+        self.assertLess(self.count_until_refused(ask, most=8), 8)
+        self.assertFalse(self.ask(0, SOUND)[0].is_ended)
+
+    def test_log_tells_how_a_failed_attempt_counts(self):
+        table = (
+            (0, {'was_sent': True}, 'early'),
+            (400, {'was_sent': True}, 'late'),
+            (0, {'was_sent': False}, 'not_closed'),
+        )
+        for writing_ms, fields, expected in table:
+            with self.subTest(expected):
+                self.make(count=1)
+                _, calls = self.ask(0, DEADLY)
+                if writing_ms:
+                    calls()[0].answer(200, body=EVENT, ends=False)
+                    self.advance(writing_ms)
+                with self.assertLogs(
+                    'shallothinge.gateway.request_log'
+                ) as logs:
+                    calls()[0].fail(**fields)
+                found = [
+                    one.crash_evidence
+                    for one in logs.records
+                    if one.getMessage() == 'attempt failed'
+                ]
+                self.assertEqual([expected], found)
+
     def test_own_cancels_and_deadlines_quarantine_nothing(self):
         self.make(count=1)
         for index in range(8):
--- a/src/shallothinge/quarantine/admission.py
+++ b/src/shallothinge/quarantine/admission.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from shallothinge.quarantine import chance
+
 
 @attrs.frozen(kw_only=True)
 class Admission:
@@ -24,7 +26,12 @@
 
 
 class Watcher(Protocol):
-    """Callback to a request that waits or runs."""
+    """A request that waits or runs.
+
+    ``runs`` are its attempts that are in progress at servers.
+    """
+
+    runs: tuple[chance.Run, ...]
 
     def on_quarantined(self, part_id: str) -> None:
         """Handle the quarantine of a part, or its renewal."""
--- a/src/shallothinge/quarantine/checks.py
+++ b/src/shallothinge/quarantine/checks.py
@@ -9,6 +9,8 @@
 _MAX_EPOCH = 1_000_000_000
 _MAX_STRIKES = 1_000_000
 _MAX_POSITION = 1_000_000_000
+# Thousands of requests for as long as evidence lasts.
+_MAX_USED_MS = 1_000_000_000
 _AGE = entries.whole(0, 2 * records.FORGET_MS)
 _EPOCH = entries.whole(1, _MAX_EPOCH)
 # Checks of the entries of each field of ``messages.PartsReported``.
@@ -19,6 +21,13 @@
         _AGE,
         entries.each(entries.text, entries.whole(0, _MAX_POSITION)),
     ),
+    'late_crashes': (
+        entries.text,
+        entries.text,
+        _AGE,
+        entries.each(entries.text, entries.whole(0, _MAX_POSITION)),
+    ),
+    'used': (entries.text, entries.whole(0, _MAX_USED_MS)),
     'whole': (entries.text, _AGE),
     'quarantined': (
         entries.text,
--- a/src/shallothinge/quarantine/crash_table.py
+++ b/src/shallothinge/quarantine/crash_table.py
@@ -42,11 +42,13 @@
     """What a gateway saw of the crash of a server.
 
     ``positions`` are the parts of the requests that were in progress, with
-    their greatest positions in a prompt. ``seer`` is the gateway.
+    their greatest positions in a prompt. ``is_late`` is whether these had
+    been written for a while. ``seer`` is the gateway.
     """
 
     at_ms: int
     positions: Mapping[str, int]
+    is_late: bool = False
     seer: str = OWN
 
     @property
@@ -62,15 +64,17 @@
     ``at_ms`` and ``last_ms`` are when the first and the last of them were
     closed. ``is_own`` is whether this gateway saw it, not a peer.
     ``positions`` gives for each part of the requests that were in progress
-    its greatest position in a prompt. ``request_ids`` are the few fingerprints
-    among them, which are looked at for each part. ``seers`` are the gateways
-    that saw it.
+    its greatest position in a prompt. ``late_ids`` are those parts whose
+    requests had all been written for a while. ``request_ids`` are the few
+    fingerprints, which are looked at for each part. ``seers`` are the
+    gateways that saw it.
     """
 
     at_ms: int
     last_ms: int
     is_own: bool
     positions: dict[str, int] = attrs.field(factory=dict)
+    late_ids: set[str] = attrs.field(factory=set)
     request_ids: dict[str, None] = attrs.field(factory=dict)
     seers: set[str] = attrs.field(factory=set)
 
@@ -78,6 +82,29 @@
         """Return whether a report about this time is about this close."""
         return abs(at_ms - self.at_ms) <= REPORT_TOLERANCE_MS
 
+    def add(self, seen: Observation) -> None:
+        """Add parts of requests that it ended."""
+        self.at_ms = min(self.at_ms, seen.at_ms)
+        self.last_ms = max(self.last_ms, seen.at_ms)
+        self.seers.add(seen.seer)
+        for part_id, position in seen.positions.items():
+            if not seen.is_late:
+                self.late_ids.discard(part_id)
+            elif part_id not in self.positions:
+                self.late_ids.add(part_id)
+            self.positions[part_id] = max(
+                position, self.positions.get(part_id, 0)
+            )
+            if fingerprints.is_fingerprint(part_id):
+                self.request_ids[part_id] = None
+
+    def drop(self, part_ids: Iterable[str]) -> None:
+        """Forget that parts were there."""
+        for part_id in part_ids:
+            self.positions.pop(part_id, None)
+            self.late_ids.discard(part_id)
+            self.request_ids.pop(part_id, None)
+
     def is_refuted_by(self, *, opened_ms: int, received_ms: int) -> bool:
         """Return whether data shows that the incarnation did not end then."""
         return (
@@ -125,6 +152,14 @@
         """Return whether a part was there."""
         return any(part_id in one.positions for one in self.closes)
 
+    def is_late(self, part_id: str) -> bool:
+        """Return whether all requests with a part had been written."""
+        return all(
+            part_id in one.late_ids
+            for one in self.closes
+            if part_id in one.positions
+        )
+
     def position_of(self, part_id: str) -> int:
         """Return the greatest position of a part that was there."""
         return max(one.positions.get(part_id, 0) for one in self.closes)
@@ -169,18 +204,11 @@
         :returns: whether any of them was not known at this moment.
         """
         known_ms = {
-            one: self.time_of(one) for one in seen.positions if self.has(one)
+            one: self.time_of(one)
+            for one in seen.positions
+            if self.has(one) and (seen.is_late or not self.is_late(one))
         }
-        close = self._find_or_add(seen.at_ms, seen.is_own)
-        close.at_ms = min(close.at_ms, seen.at_ms)
-        close.last_ms = max(close.last_ms, seen.at_ms)
-        close.seers.add(seen.seer)
-        for part_id, position in seen.positions.items():
-            close.positions[part_id] = max(
-                position, close.positions.get(part_id, 0)
-            )
-            if fingerprints.is_fingerprint(part_id):
-                close.request_ids[part_id] = None
+        self._find_or_add(seen.at_ms, seen.is_own).add(seen)
         return any(
             self.time_of(one)
             > known_ms.get(one, -math.inf) + moments.SAME_MOMENT_MS
@@ -215,9 +243,7 @@
     def drop(self, part_ids: Iterable[str]) -> None:
         """Forget that parts were there."""
         for close in self.closes:
-            for part_id in part_ids:
-                close.positions.pop(part_id, None)
-                close.request_ids.pop(part_id, None)
+            close.drop(part_ids)
 
     def remove(self, closes: list[Close]) -> None:
         """Remove closes that are refuted or too old."""
@@ -334,12 +360,16 @@
     def _shrink(self) -> None:
         """Drop parts until few enough are left.
 
-        First go parts that only one crash has, those with a complete answer
-        before others, then whole crashes; the oldest first. Requests stay as
-        long as their crashes.
+        First go parts that only one crash has: late ones, then those with a
+        complete answer, then others; then whole crashes. Each time the oldest
+        goes first. Requests stay as long as their crashes.
         """
         before = self._size
-        for is_worthless in (self._is_proven, lambda _: True):
+        for is_worthless in (
+            Crash.is_late,
+            lambda _, one: self._is_proven(one),
+            lambda *_: True,
+        ):
             for key, crash in self._crashes.items():
                 excess = self._size - PARTS_LEFT
                 if excess <= 0:
@@ -349,7 +379,7 @@
                     for one in crash.part_ids
                     if len(self._keys[one]) == 1
                     and not fingerprints.is_fingerprint(one)
-                    and is_worthless(one)
+                    and is_worthless(crash, one)
                 ]
                 self._drop_parts(key, lone_ids[:excess])
         while self._size > PARTS_LEFT and len(self._crashes) > 1:
--- a/src/shallothinge/quarantine/evidence.py
+++ b/src/shallothinge/quarantine/evidence.py
@@ -15,6 +15,7 @@
 
 from shallothinge.membership.model import ServerKey
 from shallothinge.quarantine import causes
+from shallothinge.quarantine import chance
 from shallothinge.quarantine import complete_answers
 from shallothinge.quarantine import crash_table
 from shallothinge.quarantine import fingerprints
@@ -76,10 +77,14 @@
 
 
 class Evidence:
-    """Crashes and complete answers, by part. Times are in ms."""
+    """Crashes and complete answers, by part. Times are in ms.
+
+    :ivar chances: how likely a part is at its crashes by chance.
+    """
 
     def __init__(self, *, places: moments.ServerPlaces):
         self._zones = zone_watch.ZoneWatch(places=places)
+        self.chances = chance.ChanceTable(groups=places)
         self._answers = complete_answers.CompleteAnswers()
         self._crashes = crash_table.CrashTable(
             is_proven=self._answers.__contains__
@@ -104,6 +109,7 @@
             if not self._is_answered_since(part_id, seen.at_ms)
         }
         is_new = self._crashes.add(key, attrs.evolve(seen, positions=unproven))
+        self.chances.start(unproven, key)
         crash = self._crashes.find(key)
         if crash is not None and crash.place is None:
             self._zones.watch(key, crash, at_ms=seen.at_ms)
@@ -182,6 +188,8 @@
         if not refuted:
             return None
         cleared_ids = self._crashes.remove_closes(key, refuted)
+        if not self.has_crash(key):
+            self.chances.remove_crash(key)
         for one in refuted:
             self._remember(
                 key,
@@ -249,14 +257,19 @@
         return tuple(one for one in crash.closes if one.is_own)
 
     def parts_to_report(
-        self, close: crash_table.Close
+        self, close: crash_table.Close, *, is_late: bool
     ) -> tuple[tuple[str, int], ...]:
-        """Return parts of a close with their positions, at most so many.
+        """Return late or other parts of a close with their positions.
 
-        Those that say most are kept: requests, then what several crashes
-        have, what had no complete answer, and what is the more specific.
+        Of too many those that say most are kept: requests, then what several
+        crashes have, what had no complete answer, and what is the more
+        specific.
         """
-        found = close.positions.items()
+        found = [
+            one
+            for one in close.positions.items()
+            if (one[0] in close.late_ids) == is_late
+        ]
         if len(found) <= MAX_PARTS_REPORTED:
             return tuple(found)
         LOG.warning(
@@ -275,6 +288,12 @@
             )[-MAX_PARTS_REPORTED:]
         )
 
+    def used_to_report(self) -> tuple[tuple[str, int], ...]:
+        """Return the servers' time with parts that several crashes have."""
+        return self.chances.to_report(
+            lambda one: self._crashes.count_with(one) > 1
+        )
+
     def add_whole(self, *, part_ids: Iterable[str], at_ms: int) -> None:
         """Record a complete answer to a prompt with some parts.
 
@@ -282,6 +301,9 @@
         """
         self._answers.add(part_ids, at_ms)
         self._crashes.clear(part_ids, at_ms)
+        self.chances.forget(
+            one for one in part_ids if not self._crashes.count_with(one)
+        )
 
     def whole_ms(self, part_id: str) -> int | None:
         """Return when the last complete answer came, None if none is known."""
@@ -308,6 +330,10 @@
     ) -> suspicions.Suspicion | None:
         """Return the suspicion against a part, None if there is none.
 
+        Crashes of servers that had been writing on the part for a while
+        count if the part is at too many crashes for chance: a server that
+        crashes for another reason ends many such requests.
+
         :param explained_by: parts that are known to crash servers; a crash
             under one of them is no evidence against others.
         """
@@ -318,13 +344,36 @@
         ]
         if not found:
             return None
+        early = [one for one in found if not one[1].is_late(part_id)]
+        if len(early) < len(found):
+            suspicion = self._weigh(part_id, found)
+            if suspicion.is_enough and self.chances.is_unlikely(
+                part_id, suspicion.crashes
+            ):
+                return suspicion
+        if not early:
+            return None
+        return self._weigh(part_id, early, explained_by=explained_by)
+
+    def _weigh(
+        self,
+        part_id: str,
+        found: list[tuple[ServerKey, crash_table.Crash]],
+        *,
+        explained_by: frozenset[str] | None = None,
+    ) -> suspicions.Suspicion:
+        """Return the suspicion that crashes give.
+
+        :param explained_by: as in ``suspicion``, to count crashes of one
+            moment apart where they are; None to count each moment once.
+        """
         is_proven = part_id in self._answers
         sightings = {
             key: moments.Sighting(at_ms=crash.time_of(part_id))
             for key, crash in found
         }
         # A part that was answered before is one that many requests have.
-        if len(found) > 1 and not is_proven:
+        if explained_by is not None and len(found) > 1 and not is_proven:
             sightings = causes.tell_apart(
                 part_id,
                 dict(found),
@@ -370,6 +419,7 @@
     def remove_expired(self, now_ms: int) -> None:
         """Drop evidence that is older than the window."""
         self._crashes.remove_older(now_ms - WINDOW_MS)
+        self.chances.keep_if(self._crashes.count_with)
         self._answers.remove_older(now_ms - WINDOW_MS)
         oldest_refuted_ms = now_ms - REFUTED_TTL_MS
         for key, known in list(self._refuted.items()):
--- a/src/shallothinge/quarantine/messages.py
+++ b/src/shallothinge/quarantine/messages.py
@@ -13,6 +13,10 @@
     :ivar crashes: servers that closed requests before their answers were
         complete: id, incarnation, age, and each part of the requests with its
         greatest position in a prompt.
+    :ivar late_crashes: the same for requests that had been written for a
+        while. Gateways of former releases do not know them.
+    :ivar used: parts of several crashes, each with the time that requests of
+        the sender with it were in progress since the first one.
     :ivar whole: parts with which an answer was complete, each with the age of
         the newest one.
     :ivar quarantined: parts in quarantine: id, epoch, remaining time, number
@@ -28,6 +32,8 @@
     """
 
     crashes: tuple[tuple, ...] = ()
+    late_crashes: tuple[tuple, ...] = ()
+    used: tuple[tuple, ...] = ()
     whole: tuple[tuple, ...] = ()
     quarantined: tuple[tuple, ...] = ()
     lifted: tuple[tuple, ...] = ()
--- a/src/shallothinge/quarantine/moments.py
+++ b/src/shallothinge/quarantine/moments.py
@@ -35,6 +35,12 @@
     def list_zone(self, zone: str) -> frozenset[ServerKey]:
         """Return the incarnations that are listed in a zone."""
 
+    def find_services(self, server_id: str) -> frozenset[str]:
+        """Return the services of a server, none if it is not listed."""
+
+    def list_serving(self, services: frozenset[str]) -> frozenset[ServerKey]:
+        """Return the incarnations that are listed for any of some services."""
+
 
 class UnknownPlaces:
     """Places of which none is known, so that a moment counts once."""
@@ -47,6 +53,14 @@
         """Return no incarnations."""
         return frozenset()
 
+    def find_services(self, server_id: str) -> frozenset[str]:
+        """Return no services."""
+        return frozenset()
+
+    def list_serving(self, services: frozenset[str]) -> frozenset[ServerKey]:
+        """Return no incarnations."""
+        return frozenset()
+
 
 @attrs.frozen(kw_only=True)
 class Sighting:
--- a/src/shallothinge/quarantine/reports.py
+++ b/src/shallothinge/quarantine/reports.py
@@ -21,6 +21,7 @@
     """Ids of what has changed since the last report, in order."""
 
     crashes: dict[ServerKey, None] = attrs.field(factory=dict)
+    has_used: bool = False
     whole: dict[str, None] = attrs.field(factory=dict)
     quarantined: dict[str, None] = attrs.field(factory=dict)
     lifted: dict[str, None] = attrs.field(factory=dict)
@@ -37,11 +38,9 @@
 ) -> messages.PartsReported | None:
     """Return the report on changes, None if there is nothing to report."""
     made = messages.PartsReported(
-        crashes=tuple(
-            (*key, now_ms - close.at_ms, evidence.parts_to_report(close))
-            for key in changes.crashes
-            for close in evidence.own_closes(key)
-        ),
+        crashes=_crashes(changes, evidence, now_ms, is_late=False),
+        late_crashes=_crashes(changes, evidence, now_ms, is_late=True),
+        used=evidence.used_to_report() if changes.has_used else (),
         whole=tuple(
             (part_id, now_ms - at_ms)
             for part_id in changes.whole
@@ -70,6 +69,22 @@
     return None if made == messages.PartsReported() else made
 
 
+def _crashes(
+    changes: Changes,
+    evidence: evidences.Evidence,
+    now_ms: int,
+    *,
+    is_late: bool,
+) -> tuple[tuple, ...]:
+    """Return what this gateway saw of crashes, by the kind of its requests."""
+    return tuple(
+        (*key, now_ms - close.at_ms, parts)
+        for key in changes.crashes
+        for close in evidence.own_closes(key)
+        if (parts := evidence.parts_to_report(close, is_late=is_late))
+    )
+
+
 class Outbox:
     """What this gateway has seen or decided and its peers do not know yet.
 
@@ -100,6 +115,12 @@
         self._changes.crashes[key] = None
         self._on_change()
 
+    def add_used(self) -> None:
+        """Report for how long servers have run parts of crashes."""
+        if self._evidence.used_to_report():
+            self._changes.has_used = True
+            self._on_change()
+
     def add_refuted(self, key: ServerKey, at_ms: int) -> None:
         """Report that an incarnation did not end at a time."""
         self._changes.refuted[key, at_ms] = None
@@ -174,6 +195,7 @@
     def _all_changes(self, whole: dict[str, None]) -> Changes:
         return Changes(
             crashes=dict.fromkeys(self._crashes_ms),
+            has_used=True,
             whole=whole,
             quarantined=dict.fromkeys(self._quarantined.ids),
             lifted=dict.fromkeys(self._quarantined.lifted_ids),
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -9,11 +9,13 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+import itertools
 import logging
 
 from shallothinge import clock as clocks
 from shallothinge.membership.model import ServerKey
 from shallothinge.quarantine import blame
+from shallothinge.quarantine import chance
 from shallothinge.quarantine import checks
 from shallothinge.quarantine import crash_table
 from shallothinge.quarantine import evidence
@@ -136,11 +138,16 @@
         return any(record.until_ms > now_ms for record in found)
 
     def record_crash(
-        self, *, key: ServerKey, part_ids: tuple[str, ...]
+        self,
+        *,
+        key: ServerKey,
+        part_ids: tuple[str, ...],
+        is_late: bool = False,
     ) -> None:
         """Record that a server closed a request before it was answered.
 
         :param key: id and incarnation of the server.
+        :param is_late: whether the answer had been written for a while.
         :param part_ids: shared parts of the request's prompt, and its
             fingerprint.
         """
@@ -152,9 +159,14 @@
             crash_table.Observation(
                 at_ms=self._clock.now_ms(),
                 positions={one: index for index, one in enumerate(part_ids)},
+                is_late=is_late,
             ),
         )
 
+    def record_run_end(self, run: chance.Run) -> None:
+        """Record that a server does not run a request any more."""
+        self._evidence.chances.note_end(run, self._clock.now_ms())
+
     def record_data(self, *, key: ServerKey, opened_ms: int) -> None:
         """Record data from a server, which refutes earlier crashes of it.
 
@@ -238,17 +250,24 @@
                     asked_ms=now_ms,
                 ),
             )
-        for server_id, incarnation, age_ms, positions in checks.valid_entries(
-            report, 'crashes'
-        ):
-            self._add_crash(
-                (server_id, incarnation),
-                crash_table.Observation(
-                    at_ms=now_ms - age_ms,
-                    positions=dict(positions),
-                    seer=peer_id,
-                ),
-            )
+        for field, is_late in (('crashes', False), ('late_crashes', True)):
+            for (
+                server_id,
+                incarnation,
+                age_ms,
+                positions,
+            ) in checks.valid_entries(report, field):
+                self._add_crash(
+                    (server_id, incarnation),
+                    crash_table.Observation(
+                        at_ms=now_ms - age_ms,
+                        positions=dict(positions),
+                        is_late=is_late,
+                        seer=peer_id,
+                    ),
+                )
+        for part_id, used_ms in checks.valid_entries(report, 'used'):
+            self._evidence.chances.apply_report(part_id, used_ms, peer_id)
         for server_id, incarnation in checks.valid_entries(
             report, 'live_zones'
         ):
@@ -291,6 +310,8 @@
     def _add_crash(
         self, key: ServerKey, seen: crash_table.Observation
     ) -> None:
+        if not self._evidence.has_crash(key):
+            self._note_runs(key, seen.at_ms)
         if not self._evidence.add_crash(key, seen):
             return
         self._outbox.add_known_whole(seen.positions)
@@ -323,6 +344,16 @@
                 record.grounds.add(key, seen.at_ms)
         self._suspects.add(seen.positions)
 
+    def _note_runs(self, key: ServerKey, at_ms: int) -> None:
+        """Note a crash and what runs, which it might have hit by chance."""
+        self._evidence.chances.note_crash(
+            key,
+            at_ms=at_ms,
+            is_down=self._evidence.has_crash,
+            running=itertools.chain(*(one.runs for one in self._watchers)),
+        )
+        self._outbox.add_used()
+
     def judge(self) -> None:
         """Quarantine the most suspicious part, if evidence still suffices."""
         verdict = self._suspects.judge()
--- a/src/shallothinge/quarantine/tests/moments_simulation.py
+++ b/src/shallothinge/quarantine/tests/moments_simulation.py
@@ -139,6 +139,7 @@
                 + BEGIN_MS
                 + self._rng.randrange(BEGIN_SPREAD_MS)
             )
+            request.crashes_at_ms = request.writes_at_ms
 
     def _gateway(self, index: int) -> int:
         """Return the gateway of a caller; one may get a whole group."""
--- a/src/shallothinge/quarantine/tests/simulation.py
+++ b/src/shallothinge/quarantine/tests/simulation.py
@@ -8,6 +8,7 @@
 
 from shallothinge import clock as clocks
 from shallothinge.membership.model import ServerKey
+from shallothinge.quarantine import chance
 from shallothinge.quarantine import fingerprints
 from shallothinge.quarantine import moments
 from shallothinge.quarantine import state
@@ -36,20 +37,34 @@
     return f'zone-{server % ZONES}'
 
 
+# Parts that many long streams share, beside one that all of them have.
+LONG_PARTS = 10
+# The stream of a deadly request ends here if its server does not crash.
+DEADLY_WRITE_MS = 5000
+# Streams of which gateways report crashes apart.
+LATE_MS = 250
+
+
 @attrs.define(kw_only=True, eq=False)
 class Request:
-    """One request at one gateway."""
+    """One request at one gateway, which watches it while it runs."""
 
     part_ids: tuple[str, ...]
     gateway: int
     is_deadly: bool
+    is_long: bool = False
     is_repeated: bool = False
     attempts: int = 0
     server: int = 0
     writes_at_ms: int = 0
+    crashes_at_ms: int = 0
     ends_at_ms: int = 0
     opened_ms: int = 0
     resets_at_ms: int | None = None
+    runs: tuple[chance.Run, ...] = ()
+
+    def on_quarantined(self, part_id: str) -> None:
+        """Run on, as what has begun is not cancelled."""
 
 
 class Simulation:
@@ -62,6 +77,12 @@
         connection a server resets as it begins to answer, and goes on.
     :param deadly_from_ms: time without deadly requests at the start, in which
         the parts of sound requests are answered.
+    :param crash_after_ms: times from the first event of a deadly request to
+        the crash, of which one is drawn each time.
+    :param long_share: part of the sound requests that are streams of up to
+        ``long_ms``. They have parts of their own, which each come with many.
+    :param crashes_per_s: crashes of servers that no request causes.
+    :ivar deadly_crashes_ms: instants of crashes by deadly requests.
     :ivar runs_after: runs of deadly requests that began after the last
         gateway had quarantined the part.
     :ivar deadly_runs_ms: instants at which deadly requests were sent.
@@ -80,7 +101,20 @@
         repeated_share: float = 0.0,
         reset_share: float = 0.0,
         deadly_from_ms: int = 0,
+        crash_after_ms: tuple[int, ...] = (0,),
+        long_share: float = 0.0,
+        long_ms: int = 60_000,
+        crashes_per_s: float = 0.0,
+        servers: int = SERVERS,
     ):
+        self.servers = servers
+        self._crash_after_ms = crash_after_ms
+        self._long_share = long_share
+        self._long_ms = long_ms
+        self._crashes_per_s = crashes_per_s
+        # Apart from the other numbers, as for resets.
+        self._late_rng = random.Random(-seed - 1)
+        self.deadly_crashes_ms = []
         self._rng = random.Random(seed)
         # Apart from the other numbers, which are those of plays without.
         self._reset_rng = random.Random(-seed)
@@ -108,8 +142,8 @@
         self._verdicts = []
         self._retries = []
         self._running = collections.defaultdict(list)
-        self._down_until_ms = [0] * SERVERS
-        self._lives = [0] * SERVERS
+        self._down_until_ms = [0] * servers
+        self._lives = [0] * servers
         self.crash_times_ms = []
         self.known_ms = None
         self.runs_after = 0
@@ -126,10 +160,20 @@
         """Return what is listed in a zone; who is down, as it was."""
         return frozenset(
             self._key(server, is_listed=True)
-            for server in range(SERVERS)
+            for server in range(self.servers)
             if zone_of(server) == zone
         )
 
+    def find_services(self, server_id: str) -> frozenset[str]:
+        """Return the only service."""
+        return frozenset(('service',))
+
+    def list_serving(self, services: frozenset[str]) -> frozenset[ServerKey]:
+        """Return all servers, as there is one service."""
+        return frozenset(
+            self._key(one, is_listed=True) for one in range(self.servers)
+        )
+
     def run(self, duration_ms: int) -> None:
         """Play for some time."""
         end_ms = self.clock.now_ms() + duration_ms
@@ -145,7 +189,11 @@
             self._exchange()
 
     def _disturb(self) -> None:
-        """Disturb servers in another way; nothing does so here."""
+        """Crash a server for a reason of its own now and then."""
+        if self._late_rng.random() < self._crashes_per_s * STEP_MS / 1000:
+            server = self._late_rng.randrange(self.servers)
+            if self._down_until_ms[server] <= self.clock.now_ms():
+                self._crash(server)
 
     def _draw(self) -> Request:
         tenant = self._rng.randrange(self._tenants)
@@ -160,10 +208,18 @@
         if self._rng.random() < self._repeated_share and may_be_deadly:
             is_deadly = True
             part_ids = ('tenant-0', 'document-0', DEADLY_REQUEST)
+        is_long = not is_deadly and self._late_rng.random() < self._long_share
+        if is_long:
+            part_ids = (
+                'long',
+                f'long-{self._late_rng.randrange(LONG_PARTS)}',
+                f'{fingerprints.PREFIX}{next(self._numbers)}',
+            )
         return Request(
             part_ids=part_ids,
             gateway=self._rng.randrange(len(self.gateways)),
             is_deadly=is_deadly,
+            is_long=is_long,
         )
 
     def _start(self, request: Request) -> None:
@@ -180,7 +236,7 @@
         now_ms = self.clock.now_ms()
         free = [
             one
-            for one in range(SERVERS)
+            for one in range(self.servers)
             if self._down_until_ms[one] <= now_ms
             and len(self._running[one]) < SLOTS
         ]
@@ -194,6 +250,20 @@
         request.ends_at_ms = request.writes_at_ms + self._rng.randrange(
             WRITE_MS // 4, 2 * WRITE_MS
         )
+        if request.is_deadly:
+            request.ends_at_ms = request.writes_at_ms + DEADLY_WRITE_MS
+            request.crashes_at_ms = (
+                request.writes_at_ms
+                + self._late_rng.choice(self._crash_after_ms)
+            )
+        elif request.is_long:
+            request.ends_at_ms = request.writes_at_ms + (
+                self._late_rng.randrange(self._long_ms // 8, self._long_ms)
+            )
+        request.runs = (
+            chance.Run(part_ids=request.part_ids, started_ms=now_ms),
+        )
+        quarantine.watch(request)
         request.opened_ms = now_ms
         request.resets_at_ms = None
         if (
@@ -208,17 +278,18 @@
 
     def _work(self) -> None:
         now_ms = self.clock.now_ms()
-        for server in range(SERVERS):
+        for server in range(self.servers):
             for request in list(self._running[server]):
                 if request not in self._running[server]:
                     continue
-                if request.is_deadly and request.writes_at_ms <= now_ms:
+                if request.is_deadly and request.crashes_at_ms <= now_ms:
+                    self.deadly_crashes_ms.append(now_ms)
                     self._crash(server)
                 elif request.resets_at_ms == now_ms:
                     self._reset(request)
                     continue
                 elif request.ends_at_ms <= now_ms:
-                    self._running[server].remove(request)
+                    self._end(request)
                     for part_id in request.part_ids:
                         self.wholes[part_id].append(now_ms)
                     self.gateways[request.gateway].record_whole(
@@ -243,7 +314,7 @@
     def _reset(self, request: Request) -> None:
         """Reset the connection of one request; its server goes on."""
         self.resets += 1
-        self._running[request.server].remove(request)
+        self._end(request)
         self.gateways[request.gateway].record_crash(
             key=self._key(request.server), part_ids=request.part_ids
         )
@@ -252,15 +323,17 @@
     def _crash(self, server: int) -> None:
         now_ms = self.clock.now_ms()
         self.crash_times_ms.append(now_ms)
-        broken, self._running[server] = self._running[server], []
+        broken = list(self._running[server])
         key = self._key(server)
         self._lives[server] += 1
         self._down_until_ms[server] = now_ms + RESTART_MS
         for request in broken:
-            if request.writes_at_ms + 250 > now_ms:
-                self.gateways[request.gateway].record_crash(
-                    key=key, part_ids=request.part_ids
-                )
+            self._end(request)
+            self.gateways[request.gateway].record_crash(
+                key=key,
+                part_ids=request.part_ids,
+                is_late=request.writes_at_ms + LATE_MS <= now_ms,
+            )
         for request in broken:
             self._send_again(request)
 
@@ -271,12 +344,22 @@
         elif not request.is_repeated:
             self._start(self._repeat(request))
 
+    def _end(self, request: Request) -> None:
+        """End a request at its server."""
+        self._running[request.server].remove(request)
+        quarantine = self.gateways[request.gateway]
+        for run in request.runs:
+            quarantine.record_run_end(run)
+        request.runs = ()
+        quarantine.unwatch(request)
+
     def _repeat(self, request: Request) -> Request:
         """Return the request as its caller sends it once more."""
         return Request(
             part_ids=request.part_ids,
             gateway=self._rng.randrange(len(self.gateways)),
             is_deadly=request.is_deadly,
+            is_long=request.is_long,
             is_repeated=True,
         )
 
--- a/src/shallothinge/quarantine/tests/test_moments.py
+++ b/src/shallothinge/quarantine/tests/test_moments.py
@@ -51,6 +51,14 @@
             if f'z{number % self.zone_count}' == zone
         )
 
+    def find_services(self, server_id):
+        """Return the only service."""
+        return frozenset(('service',))
+
+    def list_serving(self, services):
+        """Return all servers, as they have one service."""
+        return frozenset((f's{number}', '1') for number in range(SERVERS))
+
 
 class MomentTest(unittest.TestCase):
     """What some gateways make of crashes at one moment."""
