Clear no part by the rest of a stream that another server had begun

Cause: the stream was resumed at another server, which wrote its short rest and ended, and this complete answer cleared the part each time. It shows only that the part does not crash a server in less time.

Change: a complete answer clears the parts of its prompt only if the last server wrote for at least as long as any server that crashed under the request had.

Evidence: test_rest_of_a_resumed_stream_does_not_clear_a_part fails without the change; test_stream_that_another_server_writes_for_longer_clears_a_part keeps what still clears.

--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -218,7 +218,7 @@
         """Write the rest of the body and end the caller's stream."""
         self._settle_on(attempt)
         self._parts.servers.record_success(attempt.server_id)
-        self._admission.record_whole()
+        self._admission.record_whole(attempt)
         self._wait.record_answer()
         self._answer.finish(attempt.head, rest)
 
@@ -248,7 +248,7 @@
             return
         self._settle_on(attempt)
         self._parts.servers.record_success(attempt.server_id)
-        self._admission.record_whole()
+        self._admission.record_whole(attempt)
         self._wait.record_answer()
         if not self._is_stream:
             self._overdue.record_answer(attempt)
--- a/src/shallothinge/gateway/part_admission.py
+++ b/src/shallothinge/gateway/part_admission.py
@@ -55,6 +55,7 @@
         running.on_end = self._on_attempt_end
         self._on_blocked = on_blocked
         self._is_probe = False
+        self._crashed_after_ms = 0
 
     @property
     def part_ids(self) -> tuple[str, ...]:
@@ -105,9 +106,14 @@
         if part_id in self.part_ids and not self._is_probe:
             self._on_blocked()
 
-    def record_whole(self) -> None:
-        """Record that the answer was complete."""
-        self._parts.quarantine.record_whole(self.part_ids)
+    def record_whole(self, attempt: attempts.Attempt) -> None:
+        """Record that the answer was complete.
+
+        The rest of a stream that another server has begun shows nothing if
+        it was written for less time than the server that crashed had.
+        """
+        if (attempt.writing_ms or 0) >= self._crashed_after_ms:
+            self._parts.quarantine.record_whole(self.part_ids)
 
     def record_failure(
         self, attempt: attempts.Attempt, outcome: outcomes.Outcome
@@ -122,6 +128,7 @@
             return CrashEvidence.SERVER_LEAVES
         writing_ms = attempt.writing_ms or 0
         is_late = writing_ms >= policy.SETTLED_WRITING_MS
+        self._crashed_after_ms = max(self._crashed_after_ms, writing_ms)
         self._parts.quarantine.record_crash(
             key=notices.key_of(attempt.server),
             part_ids=self.part_ids,
--- a/src/shallothinge/gateway/tests/test_quarantine.py
+++ b/src/shallothinge/gateway/tests/test_quarantine.py
@@ -238,6 +238,33 @@
         self.assertLess(self.count_until_refused(ask, most=8), 8)
         self.assertFalse(self.ask(0, SOUND)[0].is_ended)
 
+    # Guards against a part that the rest of each resumed stream had cleared.
+    def test_rest_of_a_resumed_stream_does_not_clear_a_part(self):
+        def ask(index):
+            _, calls = self.ask(index, DEADLY)
+            if calls():
+                calls()[0].answer(200, body=EVENT, ends=False)
+                self.advance(400)
+                self.crash(calls()[0])
+            if len(calls()) > 1:
+                calls()[1].answer(200, body=b'id: 2\ndata: 2\n\n')
+                self.exchange()
+            return calls()
+
+        self.assertLess(self.count_until_refused(ask, most=8), 8)
+
+    def test_stream_that_another_server_writes_for_longer_clears_a_part(self):
+        for _ in range(10):
+            exchange, calls = self.ask(0, DEADLY)
+            calls()[0].answer(200, body=EVENT, ends=False)
+            self.advance(400)
+            self.crash(calls()[0])
+            calls()[1].answer(200, body=b'id: 2\ndata: 2\n\n', ends=False)
+            self.advance(600)
+            calls()[1].end()
+            self.assertTrue(exchange.is_whole)
+            self.exchange()
+
     def test_log_tells_how_a_failed_attempt_counts(self):
         table = (
             (0, {'was_sent': True}, 'early'),
