Keep the time of servers for parts of known crashes only

The first crash with a part is asked of the table of crashes, and a time is kept only for parts that run again while it knows one.

--- a/src/shallothinge/quarantine/chance.py
+++ b/src/shallothinge/quarantine/chance.py
@@ -50,27 +50,6 @@
     up: int
 
 
-@attrs.define(kw_only=True)
-class _Track:
-    """For how long servers have run a part since the first crash with it.
-
-    ``services`` are those of the server that crashed. ``ended_ms`` is the
-    time of requests of this gateway that have ended, ``live_ms`` that of its
-    other requests until the last crash, ``peers_ms`` that of its peers'.
-    """
-
-    services: frozenset[str]
-    since_ms: int
-    ended_ms: int = 0
-    live_ms: int = 0
-    peers_ms: dict[str, int] = attrs.field(factory=dict)
-
-    @property
-    def own_ms(self) -> int:
-        """Return the time of requests of this gateway."""
-        return self.ended_ms + self.live_ms
-
-
 def probability_of(crashes: int, *, of: int, share: float) -> float:
     """Return how likely a part is at so many crashes, or more, by chance.
 
@@ -85,20 +64,34 @@
     )
 
 
+class FirstCrashes(Protocol):
+    """The first known crash with each part."""
+
+    def find_first(self, part_id: str) -> tuple[ServerKey, int] | None:
+        """Return which incarnation crashed when, None if none is known."""
+
+
 class ChanceTable:
-    """Time of servers with each part, since the first crash with it.
+    """Time of servers with the parts of crashes, since the first crash each.
+
+    Only parts of crashes that are known, and that run again, take room.
 
     :param groups: which servers are listed for which services.
     """
 
-    def __init__(self, *, groups: ServerGroups):
+    def __init__(self, *, groups: ServerGroups, first_crashes: FirstCrashes):
         self._groups = groups
-        self._tracks: dict[str, _Track] = {}
+        self._first_crashes = first_crashes
         self._crashes: dict[ServerKey, _Crash] = {}
+        # Of requests of this gateway that have ended, of its others until the
+        # last crash, and of its peers'.
+        self._ended_ms: dict[str, int] = {}
+        self._live_ms: dict[str, int] = {}
+        self._peers_ms: dict[str, dict[str, int]] = {}
 
     def __len__(self) -> int:
-        """Return how many parts are tracked."""
-        return len(self._tracks)
+        """Return for how many parts a time is known."""
+        return len(self._known_ids)
 
     def note_crash(
         self,
@@ -121,13 +114,9 @@
         self._crashes[key] = _Crash(services=services, at_ms=at_ms, up=up + 1)
         if len(self._crashes) > MAX_CRASHES:
             del self._crashes[next(iter(self._crashes))]
-        for track in self._tracks.values():
-            track.live_ms = 0
+        self._live_ms.clear()
         for run in running:
-            for part_id in run.part_ids:
-                track = self._tracks.get(part_id)
-                if track is not None:
-                    track.live_ms += _overlap_ms(track, run, at_ms)
+            self._add(self._live_ms, run, at_ms)
 
     def remove_crash(self, key: ServerKey) -> None:
         """Drop a crash that was refuted."""
@@ -135,79 +124,79 @@
 
     def note_end(self, run: Run, now_ms: int) -> None:
         """Count the time of a request that ends at its server."""
+        self._add(self._ended_ms, run, now_ms)
+
+    def _add(self, used_ms: dict[str, int], run: Run, now_ms: int) -> None:
         for part_id in run.part_ids:
-            track = self._tracks.get(part_id)
-            if track is not None:
-                track.ended_ms += _overlap_ms(track, run, now_ms)
-
-    def start(self, part_ids: Iterable[str], key: ServerKey) -> None:
-        """Track parts from a crash on, unless they are tracked already."""
-        crash = self._crashes.get(key)
-        if crash is None:
-            return
-        for part_id in part_ids:
-            if part_id not in self._tracks:
-                self._tracks[part_id] = _Track(
-                    services=crash.services, since_ms=crash.at_ms
-                )
+            first = self._first_crashes.find_first(part_id)
+            if first is not None:
+                since_ms = max(run.started_ms, first[1])
+                if now_ms > since_ms:
+                    used_ms[part_id] = (
+                        used_ms.get(part_id, 0) + now_ms - since_ms
+                    )
 
     def forget(self, part_ids: Iterable[str]) -> None:
-        """Stop tracking parts, as they were answered."""
+        """Drop the time of parts, as they were answered."""
         for part_id in part_ids:
-            self._tracks.pop(part_id, None)
+            for known in (self._ended_ms, self._live_ms, self._peers_ms):
+                known.pop(part_id, None)
 
     def keep_if(self, is_kept: Callable[[str], bool]) -> None:
-        """Stop tracking other parts than some."""
-        self.forget([one for one in self._tracks if not is_kept(one)])
+        """Drop the time of other parts than some."""
+        self.forget([one for one in self._known_ids if not is_kept(one)])
 
     def is_unlikely(self, part_id: str, crashes: int) -> bool:
         """Return whether a part is at too many crashes for chance.
 
-        The first of them says nothing: each part is tracked from one on.
+        The first of them says nothing: the time is counted from it on.
         """
-        track = self._tracks.get(part_id)
-        if track is None:
+        first = self._first_crashes.find_first(part_id)
+        if first is None or first[0] not in self._crashes:
             return False
+        key, since_ms = first
+        services = self._crashes[key].services
         found = [
             one
             for one in self._crashes.values()
-            if one.at_ms > track.since_ms
+            if one.at_ms > since_ms
             and (
-                one.services == track.services
-                or not one.services.isdisjoint(track.services)
+                one.services == services
+                or not one.services.isdisjoint(services)
             )
         ]
         if not found:
             return False
-        servers_ms = (found[-1].at_ms - track.since_ms) * (
+        servers_ms = (found[-1].at_ms - since_ms) * (
             sum(one.up for one in found) / len(found)
         )
-        used_ms = track.own_ms + sum(track.peers_ms.values())
-        return (
-            probability_of(
-                crashes - 1,
-                of=max(crashes - 1, len(found)),
-                share=min(1.0, used_ms / servers_ms),
-            )
-            <= LEAST_PROBABILITY
+        peers_ms = self._peers_ms.get(part_id, {})
+        used_ms = self._own_ms(part_id) + sum(peers_ms.values())
+        probability = probability_of(
+            crashes - 1,
+            of=max(crashes - 1, len(found)),
+            share=min(1.0, used_ms / servers_ms),
         )
+        return probability <= LEAST_PROBABILITY
 
     def to_report(
         self, is_wanted: Callable[[str], bool]
     ) -> tuple[tuple[str, int], ...]:
         """Return parts with the time of this gateway's requests, in ms."""
         return tuple(
-            (part_id, track.own_ms)
-            for part_id, track in self._tracks.items()
-            if track.own_ms and is_wanted(part_id)
+            (part_id, self._own_ms(part_id))
+            for part_id in self._ended_ms.keys() | self._live_ms.keys()
+            if is_wanted(part_id)
         )
 
     def apply_report(self, part_id: str, used_ms: int, peer: str) -> None:
-        """Note the time of a peer's requests."""
-        track = self._tracks.get(part_id)
-        if track is not None:
-            track.peers_ms[peer] = used_ms
+        """Note the time of a peer's requests with a part of a known crash."""
+        if self._first_crashes.find_first(part_id) is not None:
+            self._peers_ms.setdefault(part_id, {})[peer] = used_ms
 
+    @property
+    def _known_ids(self) -> set[str]:
+        return {*self._ended_ms, *self._live_ms, *self._peers_ms}
 
-def _overlap_ms(track: _Track, run: Run, now_ms: int) -> int:
-    return max(0, now_ms - max(run.started_ms, track.since_ms))
+    def _own_ms(self, part_id: str) -> int:
+        return self._ended_ms.get(part_id, 0) + self._live_ms.get(part_id, 0)
--- a/src/shallothinge/quarantine/crash_table.py
+++ b/src/shallothinge/quarantine/crash_table.py
@@ -288,6 +288,13 @@
         """Return how many crashes have a part."""
         return len(self._keys.get(part_id, ()))
 
+    def find_first(self, part_id: str) -> tuple[ServerKey, int] | None:
+        """Return the first known crash with a part and its time, or None."""
+        keys = self._keys.get(part_id)
+        if keys is None:
+            return None
+        return keys[0], self._crashes[keys[0]].time_of(part_id)
+
     def with_part(self, part_id: str) -> Iterator[tuple[ServerKey, Crash]]:
         """Yield the crashes that have a part."""
         for key in self._keys.get(part_id, ()):
--- a/src/shallothinge/quarantine/evidence.py
+++ b/src/shallothinge/quarantine/evidence.py
@@ -84,11 +84,13 @@
 
     def __init__(self, *, places: moments.ServerPlaces):
         self._zones = zone_watch.ZoneWatch(places=places)
-        self.chances = chance.ChanceTable(groups=places)
         self._answers = complete_answers.CompleteAnswers()
         self._crashes = crash_table.CrashTable(
             is_proven=self._answers.__contains__
         )
+        self.chances = chance.ChanceTable(
+            groups=places, first_crashes=self._crashes
+        )
         self._refuted: dict[ServerKey, list[_Refuted]] = {}
 
     def add_crash(self, key: ServerKey, seen: crash_table.Observation) -> bool:
@@ -109,7 +111,6 @@
             if not self._is_answered_since(part_id, seen.at_ms)
         }
         is_new = self._crashes.add(key, attrs.evolve(seen, positions=unproven))
-        self.chances.start(unproven, key)
         crash = self._crashes.find(key)
         if crash is not None and crash.place is None:
             self._zones.watch(key, crash, at_ms=seen.at_ms)
--- a/src/shallothinge/quarantine/tests/test_late_crashes.py
+++ b/src/shallothinge/quarantine/tests/test_late_crashes.py
@@ -4,6 +4,7 @@
 
 from shallothinge import clock as clocks
 from shallothinge.quarantine import chance
+from shallothinge.quarantine import crash_table
 from shallothinge.quarantine import fingerprints
 from shallothinge.quarantine import moments
 from shallothinge.quarantine import state
@@ -200,6 +201,29 @@
         self.assertNotIn(BAD, [part_id for part_id, _ in late])
 
 
+class ChanceTableTest(unittest.TestCase):
+    """What is kept to tell chance from causes."""
+
+    # Guards against a record for each part that ever ran beside a crash.
+    def test_only_parts_of_known_crashes_take_room(self):
+        crashes = crash_table.CrashTable(is_proven=lambda _: False)
+        table = chance.ChanceTable(groups=Places(), first_crashes=crashes)
+        key = ('s0', '1')
+        crashes.add(
+            key, crash_table.Observation(at_ms=1000, positions={BAD: 0})
+        )
+        table.note_crash(key, at_ms=1000, is_down=lambda _: True, running=())
+        for number in range(1000):
+            run = chance.Run(part_ids=(f'p{number}', BAD), started_ms=900)
+            table.note_end(run, 1500)
+            table.apply_report(f'p{number}', 500, 'peer')
+        self.assertEqual(1, len(table))
+        self.assertEqual(((BAD, 500_000),), table.to_report(lambda one: True))
+        crashes.remove_older(2000)
+        table.keep_if(crashes.count_with)
+        self.assertEqual(0, len(table))
+
+
 class ProbabilityTest(unittest.TestCase):
     """How likely a part is at so many crashes."""
 
