--- a/src/shallothinge/control/replica_store.py
+++ b/src/shallothinge/control/replica_store.py
@@ -1,5 +1,6 @@
 """What a replica keeps on its disk: snapshot, log, and when they change."""
 
+from collections.abc import Iterator
 import logging
 import random
 
@@ -34,8 +35,11 @@
     """The data folder of a replica, compacted as its log grows.
 
     :param folder: the opened data folder.
+    :param policy: when the log is compacted.
     :param timing: parameters of the protocol.
+    :param machine: the state machine; restored from the snapshot.
     :ivar node: the replica, made from what the folder held.
+    :ivar applied_index: index of the last entry that was applied.
     :raises WriteFailed: if the disk does not take what a start writes.
     """
 
@@ -85,7 +89,9 @@
         elif effects.records:
             self._folder.append(effects.records)
 
-    def apply(self, effects: model.Effects):
+    def apply(
+        self, effects: model.Effects
+    ) -> Iterator[tuple[model.Entry, bytes]]:
         """Apply a snapshot and committed entries to the state machine.
 
         Generates each entry with the state machine's answer, which is empty
@@ -128,8 +134,8 @@
     def _restore(self, timing: model.Timing, rng: random.Random) -> nodes.Node:
         """Make the node and the state machine from what is on the disk.
 
-        The log is written anew only if the snapshot replaces it: else a
-        start would need the disk and the time for a second copy of it.
+        The log is rewritten only if the snapshot replaces it: else a start
+        would need the disk and the time for a second copy of it.
         """
         restored = self._folder.restored
         node = nodes.Node(
--- a/src/shallothinge/quarantine/chance.py
+++ b/src/shallothinge/quarantine/chance.py
@@ -77,6 +77,7 @@
     Only parts of crashes that are known, and that run again, take room.
 
     :param groups: which servers are listed for which services.
+    :param first_crashes: tells since when the time of a part counts.
     """
 
     def __init__(self, *, groups: ServerGroups, first_crashes: FirstCrashes):
@@ -116,7 +117,7 @@
             del self._crashes[next(iter(self._crashes))]
         self._live_ms.clear()
         for run in running:
-            self._add(self._live_ms, run, at_ms)
+            self._count(self._live_ms, run, at_ms)
 
     def remove_crash(self, key: ServerKey) -> None:
         """Drop a crash that was refuted."""
@@ -124,9 +125,9 @@
 
     def note_end(self, run: Run, now_ms: int) -> None:
         """Count the time of a request that ends at its server."""
-        self._add(self._ended_ms, run, now_ms)
+        self._count(self._ended_ms, run, now_ms)
 
-    def _add(self, used_ms: dict[str, int], run: Run, now_ms: int) -> None:
+    def _count(self, used_ms: dict[str, int], run: Run, now_ms: int) -> None:
         for part_id in run.part_ids:
             first = self._first_crashes.find_first(part_id)
             if first is not None:
