--- a/src/shallothinge/quarantine/tests/simulation.py
+++ b/src/shallothinge/quarantine/tests/simulation.py
@@ -28,6 +28,12 @@
 BUSY_PER_S = 200.0
 RESET_SHARE = 0.1
 ZONES = 3
+# Parts that many long streams share, beside one that all of them have.
+LONG_PARTS = 10
+# The stream of a deadly request ends here if its server does not crash.
+DEADLY_WRITE_MS = 5000
+# Crashes of streams that were written for longer are reported as late.
+LATE_MS = 250
 DEADLY_PART = 'deadly'
 DEADLY_REQUEST = f'{fingerprints.PREFIX}deadly'
 
@@ -37,14 +43,6 @@
     return f'zone-{server % ZONES}'
 
 
-# Parts that many long streams share, beside one that all of them have.
-LONG_PARTS = 10
-# The stream of a deadly request ends here if its server does not crash.
-DEADLY_WRITE_MS = 5000
-# Streams of which gateways report crashes apart.
-LATE_MS = 250
-
-
 @attrs.define(kw_only=True, eq=False)
 class Request:
     """One request at one gateway, which watches it while it runs."""
@@ -80,7 +78,7 @@
     :param crash_after_ms: times from the first event of a deadly request to
         the crash, of which one is drawn each time.
     :param long_share: part of the sound requests that are streams of up to
-        ``long_ms``. They have parts of their own, which each come with many.
+        ``long_ms``. They have parts of their own, which many of them share.
     :param crashes_per_s: crashes of servers that no request causes.
     :ivar deadly_crashes_ms: instants of crashes by deadly requests.
     :ivar runs_after: runs of deadly requests that began after the last
