Count the time of attempts that are cancelled, too

Callers would have seen: a part of prompts whose callers often leave early was quarantined, though it was at eight of nine servers when they crashed.

Cause: the time for which servers run a part was counted as attempts fail and as requests end, but not in RunningAttempts.cancel_all, by which attempts end whose caller leaves, whose deadline comes or which another one takes over from. So the part seemed to be hardly anywhere but at the crashes.

Change: an attempt starts and ends its run at the quarantine itself, beside its load and its reservation, in the one place where each attempt ends. The callback of RunningAttempts, the runs of PartAdmission and of watchers go.

Evidence: test_part_whose_callers_leave_is_not_blamed_for_crashes fails without the change. test_part_that_crashes_servers_as_they_write_is_found had passed by the fault: it left each second attempt running, which its docstring's servers were to crash; it now crashes them, its assertions are the same, and it still fails if late crashes are dropped.

--- a/src/shallothinge/gateway/attempt.py
+++ b/src/shallothinge/gateway/attempt.py
@@ -53,7 +53,7 @@
     load of the server and of its helpers until it ends there.
 
     :param work: the work at the server itself, without its helpers.
-    :ivar placed_ms: instant at which the server was chosen.
+    :param part_ids: parts of the prompt, and the request's fingerprint.
     :ivar sent_after_ms: time from the choice of the server until the request
         was sent, None until then.
     :ivar stall: the timeout after which the owner is notified of silence.
@@ -68,6 +68,7 @@
         order: model.ForwardOrder,
         placement: choice.Placement,
         work: server_queue.Work,
+        part_ids: tuple[str, ...],
         is_stream: bool,
         owner: Owner,
         guard: guards.RequestGuard,
@@ -90,18 +91,19 @@
             clock=parts.clock,
             on_expired=self._on_stalled,
         )
-        self.placed_ms = parts.clock.now_ms()
+        self._placed_ms = parts.clock.now_ms()
         self._pace = pace_probe.PaceProbe(
-            parts=parts, placement=placement, placed_ms=self.placed_ms
+            parts=parts, placement=placement, placed_ms=self._placed_ms
         )
         self.sent_after_ms: int | None = None
-        self._sent_ms = self.placed_ms
-        self._data_ms = self.placed_ms
+        self._sent_ms = self._placed_ms
+        self._data_ms = self._placed_ms
         # The connection was open and was read without a pause from then on.
-        self._reading_ms = self.placed_ms
+        self._reading_ms = self._placed_ms
         self._server: BackendServer | None = None
         self._exchange = None
         self._reservation = None
+        self._run = parts.quarantine.start_run(part_ids)
         self._load = load_entry.LoadEntry(
             load=parts.load,
             placement=placement,
@@ -134,7 +136,7 @@
     @property
     def age_ms(self) -> int:
         """Return the time since the server was chosen."""
-        return self._parts.clock.now_ms() - self.placed_ms
+        return self._parts.clock.now_ms() - self._placed_ms
 
     @property
     def silent_ms(self) -> int:
@@ -182,13 +184,13 @@
         is_allowed = (
             self._parts.holder.is_valid()
             and self._parts.servers.may_send(
-                self.server_id, placed_ms=self.placed_ms
+                self.server_id, placed_ms=self._placed_ms
             )
         )
         if not is_allowed:
             return False
         self._sent_ms = self._reading_ms = self._parts.clock.now_ms()
-        self.sent_after_ms = self._sent_ms - self.placed_ms
+        self.sent_after_ms = self._sent_ms - self._placed_ms
         self._parts.metrics.record_send_delay(duration_ms=self.sent_after_ms)
         return True
 
@@ -438,6 +440,7 @@
         self._is_over = True
         self.stall.end()
         self._load.end()
+        self._parts.quarantine.end_run(self._run)
         if self._reservation is not None:
             self._reservation.release()
         return body
--- a/src/shallothinge/gateway/attempt_record.py
+++ b/src/shallothinge/gateway/attempt_record.py
@@ -27,7 +27,6 @@
         parts: dependencies.Dependencies,
         accepted: model.AcceptedRequest,
         admission: part_admission.PartAdmission,
-        running: running_attempts.RunningAttempts,
         deadline_ms: int,
     ):
         self._parts = parts
@@ -36,7 +35,7 @@
         self._admission = admission
         self._deadline_ms = deadline_ms
         self._tried_ids: set[str] = set()
-        self.running = running
+        self.running = running_attempts.RunningAttempts()
         self.progress = policy.Progress()
         self.failed_ms = 0
 
--- a/src/shallothinge/gateway/forwarding.py
+++ b/src/shallothinge/gateway/forwarding.py
@@ -15,7 +15,6 @@
 from shallothinge.gateway import part_admission
 from shallothinge.gateway import policy
 from shallothinge.gateway import request_log
-from shallothinge.gateway import running_attempts
 from shallothinge.gateway import server_search
 from shallothinge.gateway import silence
 from shallothinge.gateway import wait as waits
@@ -55,21 +54,19 @@
             may_have_run=lambda: self._attempts.may_have_run,
             on_over=self._on_over,
         )
-        self._running = running_attempts.RunningAttempts()
         self._admission = part_admission.PartAdmission(
             parts=parts,
             accepted=accepted,
             guard=self._guard,
-            running=self._running,
             on_blocked=self._on_blocked,
         )
         self._attempts = attempt_record.AttemptRecord(
             parts=parts,
             accepted=accepted,
             admission=self._admission,
-            running=self._running,
             deadline_ms=self._started_ms + accepted.time_limit_ms,
         )
+        self._running = self._attempts.running
         self._log = request_log.RequestLog(parts=parts, accepted=accepted)
         self._silence = silence.SilenceWatch(
             parts=parts,
@@ -141,6 +138,7 @@
                 started_ms=self._parts.clock.now_ms(),
                 due_ms=self._search.due_ms,
             ),
+            part_ids=self._admission.part_ids,
             is_stream=self._is_stream,
             owner=self,
             guard=self._guard,
--- a/src/shallothinge/gateway/part_admission.py
+++ b/src/shallothinge/gateway/part_admission.py
@@ -10,8 +10,6 @@
 from shallothinge.gateway import notices
 from shallothinge.gateway import outcome as outcomes
 from shallothinge.gateway import policy
-from shallothinge.gateway import running_attempts
-from shallothinge.quarantine import chance
 from shallothinge.quarantine import state as quarantines
 
 
@@ -35,7 +33,6 @@
     It also tells the quarantine what became of the request.
 
     :param guard: guard of the request's steps.
-    :param running: the attempts under way.
     :param on_blocked: called when a part of the prompt has been quarantined.
     """
 
@@ -45,14 +42,11 @@
         parts: dependencies.Dependencies,
         accepted: model.AcceptedRequest,
         guard: guards.RequestGuard,
-        running: running_attempts.RunningAttempts,
         on_blocked: Callable[[], None],
     ):
         self._parts = parts
         self._accepted = accepted
         self._guard = guard
-        self._running = running
-        running.on_end = self._on_attempt_end
         self._on_blocked = on_blocked
         self._is_probe = False
         self._crashed_after_ms = 0
@@ -62,28 +56,13 @@
         """Return the parts of the prompt and the request's fingerprint."""
         return *self._accepted.request.part_ids, self._accepted.fingerprint
 
-    @property
-    def runs(self) -> tuple[chance.Run, ...]:
-        """Return the attempts that are in progress at servers."""
-        return tuple(map(self._run_since, self._running.placed_ms))
-
-    def _run_since(self, placed_ms: int) -> chance.Run:
-        return chance.Run(part_ids=self.part_ids, started_ms=placed_ms)
-
-    def _on_attempt_end(self, attempt: attempts.Attempt) -> None:
-        self._parts.quarantine.record_run_end(
-            self._run_since(attempt.placed_ms)
-        )
-
     def start(self) -> None:
         """Watch for parts that are quarantined while the request lasts."""
         self._parts.quarantine.watch(self)
 
     def end(self) -> None:
-        """Stop watching, as the request and its attempts have ended."""
+        """Stop watching."""
         self._parts.quarantine.unwatch(self)
-        for run in self.runs:
-            self._parts.quarantine.record_run_end(run)
 
     def admit(self) -> quarantines.Admission:
         """Return whether the request may be sent to a server now."""
--- a/src/shallothinge/gateway/running_attempts.py
+++ b/src/shallothinge/gateway/running_attempts.py
@@ -1,7 +1,5 @@
 """The attempts of one request that are under way at backend servers."""
 
-from collections.abc import Callable
-
 from shallothinge.gateway import attempt as attempts
 
 # A silent server and the one that is to take over from it.
@@ -13,7 +11,6 @@
 
     As the source of the caller's answer it pauses all of them.
 
-    :ivar on_end: called with an attempt that is under way no more.
     :ivar last: the attempt that was kept, or else the newest; None before
         the first.
     """
@@ -21,18 +18,12 @@
     def __init__(self):
         self._running: list[attempts.Attempt] = []
         self.last: attempts.Attempt | None = None
-        self.on_end: Callable[[attempts.Attempt], None] = lambda _: None
         self._is_paused = False
 
     def __len__(self) -> int:
         """Return the number of attempts."""
         return len(self._running)
 
-    @property
-    def placed_ms(self) -> tuple[int, ...]:
-        """Return when the servers of the attempts were chosen."""
-        return tuple(one.placed_ms for one in self._running)
-
     @property
     def is_full(self) -> bool:
         """Return whether no more attempts may be started."""
@@ -61,7 +52,6 @@
     def remove(self, attempt: attempts.Attempt) -> None:
         """Remove an attempt that has ended."""
         self._running.remove(attempt)
-        self.on_end(attempt)
 
     def cancel_all(self, *, kept: attempts.Attempt | None = None) -> int:
         """Cancel all attempts but one.
--- a/src/shallothinge/quarantine/admission.py
+++ b/src/shallothinge/quarantine/admission.py
@@ -4,8 +4,6 @@
 
 import attrs
 
-from shallothinge.quarantine import chance
-
 
 @attrs.frozen(kw_only=True)
 class Admission:
@@ -26,12 +24,7 @@
 
 
 class Watcher(Protocol):
-    """A request that waits or runs.
-
-    ``runs`` are its attempts that are in progress at servers.
-    """
-
-    runs: tuple[chance.Run, ...]
+    """Callback to a request that waits or runs."""
 
     def on_quarantined(self, part_id: str) -> None:
         """Handle the quarantine of a part, or its renewal."""
--- a/src/shallothinge/quarantine/chance.py
+++ b/src/shallothinge/quarantine/chance.py
@@ -30,7 +30,7 @@
         """Return the incarnations that are listed for any of some services."""
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen(kw_only=True, eq=False)
 class Run:
     """A request that is in progress at a server since some time."""
 
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -9,7 +9,6 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
-import itertools
 import logging
 
 from shallothinge import clock as clocks
@@ -80,6 +79,7 @@
         self.on_change: Callable[[], None] | None = None
         self.on_suspicion: Callable[[], None] | None = None
         self._watchers: dict[Watcher, None] = {}
+        self._runs: dict[chance.Run, None] = {}
 
     @property
     def count(self) -> int:
@@ -163,8 +163,19 @@
             ),
         )
 
-    def record_run_end(self, run: chance.Run) -> None:
-        """Record that a server does not run a request any more."""
+    def start_run(self, part_ids: tuple[str, ...]) -> chance.Run:
+        """Record that a request is sent to a server.
+
+        :param part_ids: as in ``record_crash``.
+        :returns: what ``end_run`` is to be called with, however it ends.
+        """
+        run = chance.Run(part_ids=part_ids, started_ms=self._clock.now_ms())
+        self._runs[run] = None
+        return run
+
+    def end_run(self, run: chance.Run) -> None:
+        """Record that the server does not run the request any more."""
+        self._runs.pop(run, None)
         self._evidence.chances.note_end(run, self._clock.now_ms())
 
     def record_data(self, *, key: ServerKey, opened_ms: int) -> None:
@@ -350,7 +361,7 @@
             key,
             at_ms=at_ms,
             is_down=self._evidence.has_crash,
-            running=itertools.chain(*(one.runs for one in self._watchers)),
+            running=self._runs,
         )
         self._outbox.add_used()
 
