Keep what chance needs of a crash with the crash itself

Callers would have seen: a deadly part was found later, or not, while servers reset connections beside it.

Cause: the table of chance kept crashes of its own, beside the table of crashes. A crash that a peer repeated after it had been refuted was ignored there and counted here, so that crashes with the part looked like some among many.

Change: the crash holds its services and how many servers were up; what is refuted, dropped or expired is gone in one place. ServerTime (ChanceTable before) asks the table of crashes and the places that the rest uses.

Evidence: test_crashes_that_peers_repeat_after_they_were_refuted_do_not_count fails without the change.

--- a/src/shallothinge/quarantine/crash_table.py
+++ b/src/shallothinge/quarantine/crash_table.py
@@ -117,12 +117,16 @@
 class Crash:
     """The end of one incarnation of a server, as its closes suggest.
 
+    ``services`` are those of the server, none if they are not known, and
+    ``servers_up`` is how many servers of them were up until then.
     ``place`` is where it ran, None if that is not known. ``neighbours`` are
     the incarnations that were listed in its zone, and ``has_live_zone`` is
     whether one of them has sent data since.
     """
 
     closes: list[Close]
+    services: frozenset[str] = frozenset()
+    servers_up: int = 1
     place: moments.Place | None = None
     neighbours: frozenset[ServerKey] = attrs.field(
         default=frozenset(), repr=False
@@ -134,11 +138,22 @@
         """Return when its connections were seen to close, in order."""
         return sorted(one.at_ms for one in self.closes)
 
+    @property
+    def first_ms(self) -> int:
+        """Return when its first connection was seen to close."""
+        return min(one.at_ms for one in self.closes)
+
     @property
     def last_ms(self) -> int:
         """Return when its last connection was seen to close."""
         return max(one.last_ms for one in self.closes)
 
+    def shares_service(self, other: 'Crash') -> bool:
+        """Return whether both servers did the same work, or may have."""
+        return self.services == other.services or not (
+            self.services.isdisjoint(other.services)
+        )
+
     def is_near(self, moment: list[int]) -> bool:
         """Return whether it was at a moment, or next to it."""
         return any(
@@ -288,12 +303,16 @@
         """Return how many crashes have a part."""
         return len(self._keys.get(part_id, ()))
 
-    def find_first(self, part_id: str) -> tuple[ServerKey, int] | None:
-        """Return the first known crash with a part and its time, or None."""
+    def first_ms(self, part_id: str) -> int | None:
+        """Return the time of the first known crash with a part, or None."""
         keys = self._keys.get(part_id)
-        if keys is None:
-            return None
-        return keys[0], self._crashes[keys[0]].time_of(part_id)
+        return keys and self._crashes[keys[0]].time_of(part_id)
+
+    def list_since(self, time_ms: int) -> list[Crash]:
+        """Return the crashes after a time."""
+        return [
+            one for one in self._crashes.values() if one.first_ms > time_ms
+        ]
 
     def with_part(self, part_id: str) -> Iterator[tuple[ServerKey, Crash]]:
         """Yield the crashes that have a part."""
--- a/src/shallothinge/quarantine/evidence.py
+++ b/src/shallothinge/quarantine/evidence.py
@@ -79,7 +79,7 @@
 class Evidence:
     """Crashes and complete answers, by part. Times are in ms.
 
-    :ivar chances: how likely a part is at its crashes by chance.
+    :ivar server_time: tells whether a part is at its crashes by chance.
     """
 
     def __init__(self, *, places: moments.ServerPlaces):
@@ -88,8 +88,8 @@
         self._crashes = crash_table.CrashTable(
             is_proven=self._answers.__contains__
         )
-        self.chances = chance.ChanceTable(
-            groups=places, first_crashes=self._crashes
+        self.server_time = chance.ServerTime(
+            places=places, crashes=self._crashes
         )
         self._refuted: dict[ServerKey, list[_Refuted]] = {}
 
@@ -189,8 +189,6 @@
         if not refuted:
             return None
         cleared_ids = self._crashes.remove_closes(key, refuted)
-        if not self.has_crash(key):
-            self.chances.remove_crash(key)
         for one in refuted:
             self._remember(
                 key,
@@ -291,7 +289,7 @@
 
     def used_to_report(self) -> tuple[tuple[str, int], ...]:
         """Return the servers' time with parts that several crashes have."""
-        return self.chances.to_report(
+        return self.server_time.to_report(
             lambda one: self._crashes.count_with(one) > 1
         )
 
@@ -302,7 +300,7 @@
         """
         self._answers.add(part_ids, at_ms)
         self._crashes.clear(part_ids, at_ms)
-        self.chances.forget(
+        self.server_time.forget(
             one for one in part_ids if not self._crashes.count_with(one)
         )
 
@@ -348,7 +346,7 @@
         early = [one for one in found if not one[1].is_late(part_id)]
         if len(early) < len(found):
             suspicion = self._weigh(part_id, found)
-            if suspicion.is_enough and self.chances.is_unlikely(
+            if suspicion.is_enough and self.server_time.is_unlikely(
                 part_id, suspicion.crashes
             ):
                 return suspicion
@@ -420,7 +418,7 @@
     def remove_expired(self, now_ms: int) -> None:
         """Drop evidence that is older than the window."""
         self._crashes.remove_older(now_ms - WINDOW_MS)
-        self.chances.keep_if(self._crashes.count_with)
+        self.server_time.keep_if(self._crashes.count_with)
         self._answers.remove_older(now_ms - WINDOW_MS)
         oldest_refuted_ms = now_ms - REFUTED_TTL_MS
         for key, known in list(self._refuted.items()):
--- a/src/shallothinge/quarantine/reports.py
+++ b/src/shallothinge/quarantine/reports.py
@@ -117,9 +117,8 @@
 
     def add_used(self) -> None:
         """Report for how long servers have run parts of crashes."""
-        if self._evidence.used_to_report():
-            self._changes.has_used = True
-            self._on_change()
+        self._changes.has_used = True
+        self._on_change()
 
     def add_refuted(self, key: ServerKey, at_ms: int) -> None:
         """Report that an incarnation did not end at a time."""
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -176,7 +176,7 @@
     def end_run(self, run: chance.Run) -> None:
         """Record that the server does not run the request any more."""
         self._runs.pop(run, None)
-        self._evidence.chances.note_end(run, self._clock.now_ms())
+        self._evidence.server_time.note_end(run, self._clock.now_ms())
 
     def record_data(self, *, key: ServerKey, opened_ms: int) -> None:
         """Record data from a server, which refutes earlier crashes of it.
@@ -278,7 +278,7 @@
                     ),
                 )
         for part_id, used_ms in checks.valid_entries(report, 'used'):
-            self._evidence.chances.apply_report(part_id, used_ms, peer_id)
+            self._evidence.server_time.apply_report(part_id, used_ms, peer_id)
         for server_id, incarnation in checks.valid_entries(
             report, 'live_zones'
         ):
@@ -321,9 +321,14 @@
     def _add_crash(
         self, key: ServerKey, seen: crash_table.Observation
     ) -> None:
-        if not self._evidence.has_crash(key):
-            self._note_runs(key, seen.at_ms)
-        if not self._evidence.add_crash(key, seen):
+        was_known = self._evidence.has_crash(key)
+        is_new = self._evidence.add_crash(key, seen)
+        if not was_known and self._evidence.has_crash(key):
+            self._evidence.server_time.note_crash(
+                key, at_ms=seen.at_ms, running=self._runs
+            )
+            self._outbox.add_used()
+        if not is_new:
             return
         self._outbox.add_known_whole(seen.positions)
         for part_id in seen.positions:
@@ -355,16 +360,6 @@
                 record.grounds.add(key, seen.at_ms)
         self._suspects.add(seen.positions)
 
-    def _note_runs(self, key: ServerKey, at_ms: int) -> None:
-        """Note a crash and what runs, which it might have hit by chance."""
-        self._evidence.chances.note_crash(
-            key,
-            at_ms=at_ms,
-            is_down=self._evidence.has_crash,
-            running=self._runs,
-        )
-        self._outbox.add_used()
-
     def judge(self) -> None:
         """Quarantine the most suspicious part, if evidence still suffices."""
         verdict = self._suspects.judge()
--- a/src/shallothinge/quarantine/tests/test_late_crashes.py
+++ b/src/shallothinge/quarantine/tests/test_late_crashes.py
@@ -185,6 +185,30 @@
         for one in self.gateways:
             self.assertFalse(one.is_quarantined((BAD,)))
 
+    # Guards against refuted crashes that made others look like chance.
+    def test_crashes_that_peers_repeat_after_they_were_refuted_do_not_count(
+        self,
+    ):
+        one, other = self.gateways[:2]
+        opened_ms = self.clock.now_ms()
+        self.clock.advance(duration_ms=100)
+
+        def reset(number):
+            key = (f's{number}', '1')
+            other.record_crash(key=key, part_ids=(TENANT,))
+            one.apply_report(other.report(complete=False), peer_id='1')
+            self.clock.advance(duration_ms=30)
+            one.record_data(key=key, opened_ms=opened_ms)
+            one.apply_report(other.report(complete=True), peer_id='1')
+
+        def request(number):
+            for server in range(4 + 2 * number, 6 + 2 * number):
+                reset(server)
+            return self.run_request(0, BAD)
+
+        found = self.crash_until_found(BAD, request, writing_ms=400, most=4)
+        self.assertEqual(4, found)
+
     def test_late_parts_are_reported_apart_for_former_releases(self):
         self.run_request(0, TENANT).end(key=('s0', '1'))
         self.gateways[0].record_crash(key=('s0', '1'), part_ids=(BAD,))
@@ -196,18 +220,18 @@
         self.assertNotIn(BAD, [part_id for part_id, _ in late])
 
 
-class ChanceTableTest(unittest.TestCase):
+class ServerTimeTest(unittest.TestCase):
     """What is kept to tell chance from causes."""
 
     # Guards against a record for each part that ever ran beside a crash.
     def test_only_parts_of_known_crashes_take_room(self):
         crashes = crash_table.CrashTable(is_proven=lambda _: False)
-        table = chance.ChanceTable(groups=Places(), first_crashes=crashes)
+        table = chance.ServerTime(places=Places(), crashes=crashes)
         key = ('s0', '1')
         crashes.add(
             key, crash_table.Observation(at_ms=1000, positions={BAD: 0})
         )
-        table.note_crash(key, at_ms=1000, is_down=lambda _: True, running=())
+        table.note_crash(key, at_ms=1000, running=())
         for number in range(1000):
             run = chance.Run(part_ids=(f'p{number}', BAD), started_ms=900)
             table.note_end(run, 1500)
