Report a crash of which no part is left again

Cause: since late parts are reported apart, a crash whose parts had all been answered was left out of the reports. That a server crashed without a part tells peers that a zone may have been lost with it, and they did not hear of it.

Change: such a crash is reported as an early one, as on, unless it has late parts, whose report tells of it.

Evidence: test_crash_whose_parts_were_answered_is_reported_all_the_same fails without the change.

--- a/src/shallothinge/quarantine/reports.py
+++ b/src/shallothinge/quarantine/reports.py
@@ -76,12 +76,17 @@
     *,
     is_late: bool,
 ) -> tuple[tuple, ...]:
-    """Return what this gateway saw of crashes, by the kind of its requests."""
+    """Return what this gateway saw of crashes, by the kind of its requests.
+
+    A crash of which no part is left is reported as well: that a server
+    crashed without a part tells peers that a zone may have been lost.
+    """
     return tuple(
         (*key, now_ms - close.at_ms, parts)
         for key in changes.crashes
         for close in evidence.own_closes(key)
         if (parts := evidence.parts_to_report(close, is_late=is_late))
+        or not (is_late or close.late_ids)
     )
 
 
--- a/src/shallothinge/quarantine/tests/test_late_crashes.py
+++ b/src/shallothinge/quarantine/tests/test_late_crashes.py
@@ -209,6 +209,14 @@
         found = self.crash_until_found(BAD, request, writing_ms=400, most=4)
         self.assertEqual(4, found)
 
+    def test_crash_whose_parts_were_answered_is_reported_all_the_same(self):
+        self.gateways[0].record_crash(key=('s0', '1'), part_ids=(TENANT,))
+        self.gateways[0].record_whole((TENANT,))
+        report = self.gateways[0].report(complete=False)
+        self.assertEqual(
+            [('s0', '1')], [crash[:2] for crash in report.crashes]
+        )
+
     def test_late_parts_are_reported_apart_for_former_releases(self):
         self.run_request(0, TENANT).end(key=('s0', '1'))
         self.gateways[0].record_crash(key=('s0', '1'), part_ids=(BAD,))
