Make one piece of what the large log wrote twice

Metrics of a view that may be missing were published by a loop of its own in storage_metrics as in quorum_metrics; a file was opened, written, synced and closed in check_space as in replace_file; the megabyte of memory.py had two more copies; a replica on its own was founded and elected in the test as in the experiment.

Change: Metrics.observe_view, files._write_file, memory.MEGABYTE and control/tests/lone_stores.py serve both sides. Names and values of metrics, the order of writes and syncs, and what the tests assert stay as they are.

--- a/experiments/start_memory.py
+++ b/experiments/start_memory.py
@@ -15,40 +15,20 @@
 from shallothinge import memory
 from shallothinge.consensus import model
 from shallothinge.control import commands
-from shallothinge.control import compaction
-from shallothinge.control import replica_store
 from shallothinge.control import state
+from shallothinge.control.tests import lone_stores
 from shallothinge.routes import messages as routes
-from shallothinge.storage import data_folder
 
-MEGABYTE = 1024 * 1024
-PROCESS_ID = 'c1'
-LATE_MS = 10_000
+MEGABYTE = memory.MEGABYTE
 SIZES = ((45_000, 0), (45_000, 60), (45_000, 600), (4 * MEGABYTE, 6))
 
 
-def open_store(path: pathlib.Path) -> replica_store.ReplicaStore:
-    """Open a data folder as a control host with 200 MB and 64 MB of disk."""
-    return replica_store.ReplicaStore(
-        folder=data_folder.DataFolder(path=path, process_id=PROCESS_ID),
-        policy=compaction.make_policy(
-            snapshot_entries=1000, memory_bytes=200 * MEGABYTE, disk_mb=64
-        ),
-        timing=model.Timing(kept_entries=250),
-        machine=state.ControlState(),
-        rng=random.Random(1),
-    )
-
-
 def write_log(path: pathlib.Path, *, size_bytes: int, changes: int) -> None:
     """Write a log that was never compacted."""
-    store = open_store(path)
-    store.node.found_cluster(name='test', replica_ids=(store.node.replica_id,))
-    store.store(store.node.take_effects(0))
-    store.close()
+    lone_stores.found(path, machine=state.ControlState())
     codec = commands.build_codec()
     rng = random.Random(1)
-    folder = data_folder.DataFolder(path=path, process_id=PROCESS_ID)
+    folder = lone_stores.open_folder(path)
     for number in range(changes):
         order = routes.StoreRoutes(
             request_id=str(number),
@@ -66,16 +46,10 @@
 def start(path: pathlib.Path) -> None:
     """Start from a log, apply it, compact it and print the figures."""
     before_bytes = memory.read_peak_bytes()
-    store = open_store(path)
+    store = lone_stores.open_store(path, machine=state.ControlState())
     log_bytes = store.sizes().log_bytes
     read_bytes = memory.read_peak_bytes()
-    for now_ms in (0, LATE_MS):
-        store.node.tick(now_ms)
-    effects = store.node.take_effects(LATE_MS)
-    store.store(effects)
-    for _ in store.apply(effects):
-        pass
-    del effects
+    lone_stores.apply_all(store)
     store.compact_if_due()
     figures = (
         log_bytes,
@@ -101,7 +75,7 @@
     print('|---|---|---|---|---|---|', flush=True)
     for size_bytes, changes in SIZES:
         with tempfile.TemporaryDirectory() as name:
-            path = pathlib.Path(name) / PROCESS_ID
+            path = pathlib.Path(name) / lone_stores.PROCESS_ID
             write_log(path, size_bytes=size_bytes, changes=changes)
             subprocess.run(
                 (
--- a/src/shallothinge/control/compaction.py
+++ b/src/shallothinge/control/compaction.py
@@ -2,9 +2,10 @@
 
 import attrs
 
-MEGABYTE = 1024 * 1024
+from shallothinge import memory
+
 # A log of less is short to read, whatever the state.
-LEAST_LOG_BYTES = 4 * MEGABYTE
+LEAST_LOG_BYTES = 4 * memory.MEGABYTE
 # The log and what it keeps before a snapshot are held in memory once, and
 # twice on the disk while they are rewritten.
 MEMORY_PART = 1 / 8
@@ -53,7 +54,9 @@
     """
     ceiling_bytes = MEMORY_PART * memory_bytes
     if disk_mb:
-        ceiling_bytes = min(ceiling_bytes, DISK_PART * disk_mb * MEGABYTE)
+        ceiling_bytes = min(
+            ceiling_bytes, DISK_PART * disk_mb * memory.MEGABYTE
+        )
     return CompactionPolicy(
         snapshot_entries=snapshot_entries, ceiling_bytes=int(ceiling_bytes)
     )
--- a/src/shallothinge/control/quorum_metrics.py
+++ b/src/shallothinge/control/quorum_metrics.py
@@ -27,20 +27,11 @@
         disk; the host then reports that no leader is known, and nothing of
         the voters.
     """
-    for name, read_number in READERS.items():
-        metrics.observe(name=name, read=_reader(read, read_number))
+    metrics.observe_view(readers=READERS, read=read)
     metrics.observe(
         name='control_leader_known', read=lambda: _is_leader_known(read())
     )
 
 
-def _reader(read, read_number):
-    def read_if_known() -> int | None:
-        view = read()
-        return None if view is None else read_number(view)
-
-    return read_if_known
-
-
 def _is_leader_known(view: quorum.QuorumView | None) -> int:
     return int(view is not None and bool(view.leader_id))
--- a/src/shallothinge/control/storage_metrics.py
+++ b/src/shallothinge/control/storage_metrics.py
@@ -1,12 +1,17 @@
 """Metrics of what a replica stores."""
 
 from collections.abc import Callable
-import functools
+import operator
 
 import attrs
 
 from shallothinge.control import replica_store
 
+READERS = {
+    f'replica_{field.name}': operator.attrgetter(field.name)
+    for field in attrs.fields(replica_store.StoreSizes)
+}
+
 
 def publish(
     *,
@@ -15,18 +20,8 @@
 ) -> None:
     """Register the sizes as metrics whose names begin with ``replica_``.
 
-    :param metrics: the metrics of the process. It has no type annotation, as
-        the import would load the metrics libraries.
+    :param metrics: as in ``quorum_metrics.publish``.
     :param read: returns None if there is no replica, for example on a full
         disk; the metrics are left out then.
     """
-    for field in attrs.fields(replica_store.StoreSizes):
-        metrics.observe(
-            name=f'replica_{field.name}',
-            read=functools.partial(_read_field, read, field.name),
-        )
-
-
-def _read_field(read, name: str) -> int | None:
-    sizes = read()
-    return None if sizes is None else getattr(sizes, name)
+    metrics.observe_view(readers=READERS, read=read)
--- a/src/shallothinge/control/tests/test_large_logs.py
+++ b/src/shallothinge/control/tests/test_large_logs.py
@@ -10,20 +10,18 @@
 import attrs
 import msgpack
 
+from shallothinge import memory
 from shallothinge import wire
 from shallothinge.consensus import model
 from shallothinge.control import compaction
-from shallothinge.control import replica_store
 from shallothinge.control.tests import hosts
+from shallothinge.control.tests import lone_stores
 from shallothinge.storage import data_folder
 from shallothinge.storage import files
 from shallothinge.storage import frames
 
-MEGABYTE = 1024 * 1024
+MEGABYTE = memory.MEGABYTE
 ENTRY_BYTES = 45_000
-POLICY = compaction.make_policy(
-    snapshot_entries=1000, memory_bytes=200 * MEGABYTE, disk_mb=64
-)
 LEAST_BYTES = compaction.LEAST_LOG_BYTES
 
 
@@ -58,7 +56,7 @@
 
 def write_in_frames(path, entries):
     """Write a log as it grows, a frame for each entry."""
-    folder = data_folder.DataFolder(path=path, process_id='c1')
+    folder = lone_stores.open_folder(path)
     for entry in entries:
         folder.append((entry,))
     folder.close()
@@ -66,7 +64,7 @@
 
 def write_in_one_frame(path, entries):
     """Write a log as former releases did at each start, in one frame."""
-    folder = data_folder.DataFolder(path=path, process_id='c1')
+    folder = lone_stores.open_folder(path)
     folder.close()
     codec = wire.Codec(message_types=model.RECORDS)
     records = (folder.identity, model.LogBase(), *entries)
@@ -78,15 +76,9 @@
     )
 
 
-def start(path, *, machine=None):
+def start(path):
     """Open a data folder as the control process does."""
-    return replica_store.ReplicaStore(
-        folder=data_folder.DataFolder(path=path, process_id='c1'),
-        policy=POLICY,
-        timing=model.Timing(kept_entries=250),
-        machine=machine or LastCommandMachine(),
-        rng=random.Random(1),
-    )
+    return lone_stores.open_store(path, machine=LastCommandMachine())
 
 
 class LargeLogTest(unittest.TestCase):
@@ -132,27 +124,15 @@
 
     # Guards against memory that entries took after they had left the log.
     def test_entries_of_a_start_are_released_with_the_log(self):
-        store = start(self.folder / 'c1')
-        store.node.found_cluster(
-            name='test', replica_ids=(store.node.replica_id,)
-        )
-        store.store(store.node.take_effects(0))
-        store.close()
-        folder = data_folder.DataFolder(
-            path=self.folder / 'c1', process_id='c1'
-        )
+        lone_stores.found(self.folder / 'c1', machine=LastCommandMachine())
+        folder = lone_stores.open_folder(self.folder / 'c1')
         for entry in make_entries(300):
             folder.append((attrs.evolve(entry, index=entry.index + 1),))
         folder.close()
         tracemalloc.start()
         self.addCleanup(tracemalloc.stop)
         store = start(self.folder / 'c1')
-        for now_ms in (0, 10_000):
-            store.node.tick(now_ms)
-        effects = store.node.take_effects(10_000)
-        store.store(effects)
-        list(store.apply(effects))
-        del effects
+        lone_stores.apply_all(store)
         self.assertGreater(store.applied_index, 300)
         store.compact_if_due()
         kept_bytes = tracemalloc.get_traced_memory()[0]
@@ -161,9 +141,7 @@
 
     def test_snapshot_that_replaces_the_log_is_followed_by_a_new_log(self):
         write_in_frames(self.folder / 'c1', make_entries(3, size_bytes=1))
-        folder = data_folder.DataFolder(
-            path=self.folder / 'c1', process_id='c1'
-        )
+        folder = lone_stores.open_folder(self.folder / 'c1')
         folder.store_snapshot(
             model.Snapshot(
                 index=9,
@@ -262,7 +240,7 @@
             with self.subTest(name):
                 self.assertEqual(
                     is_due,
-                    POLICY.is_due(
+                    lone_stores.POLICY.is_due(
                         entries=entries,
                         log_bytes=log_mb * MEGABYTE,
                         snapshot_bytes=snapshot_mb * MEGABYTE,
--- a/src/shallothinge/metrics.py
+++ b/src/shallothinge/metrics.py
@@ -169,6 +169,28 @@
         """
         self._observe(name, '', read)
 
+    def observe_view(
+        self,
+        *,
+        readers: dict[str, Callable[[object], int | None]],
+        read: Callable[[], object | None],
+    ) -> None:
+        """Publish several numbers of one view of the process's state.
+
+        :param readers: by name, each returns a number of the view, or None.
+        :param read: returns the view, None while there is none.
+        """
+
+        def reader_of(read_number):
+            def read_if_known() -> int | None:
+                view = read()
+                return None if view is None else read_number(view)
+
+            return read_if_known
+
+        for name, read_number in readers.items():
+            self.observe(name=name, read=reader_of(read_number))
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/shallothinge/storage/files.py
+++ b/src/shallothinge/storage/files.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 import os
 import pathlib
 from typing import BinaryIO
@@ -33,6 +34,20 @@
         os.close(descriptor)
 
 
+def _write_file(
+    path: pathlib.Path, pieces: Iterable[bytes], *, sync: Sync
+) -> None:
+    """Write a file in pieces and sync it, but not its name."""
+    flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
+    descriptor = os.open(path, flags, FILE_MODE)
+    try:
+        for piece in pieces:
+            write_all(descriptor, piece)
+        sync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
 def replace_file(
     path: pathlib.Path, *, payloads: Iterable[bytes], salt: bytes, sync: Sync
 ) -> None:
@@ -44,18 +59,8 @@
     :raises WriteFailed: if the new file may not be durable.
     """
     temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
-    flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
     try:
-        descriptor = os.open(temporary, flags, FILE_MODE)
-        try:
-            write_all(descriptor, frames.encode_header(salt=salt))
-            for payload in payloads:
-                header = frames.encode_frame_header(payload, salt=salt)
-                write_all(descriptor, header)
-                write_all(descriptor, payload)
-            sync(descriptor)
-        finally:
-            os.close(descriptor)
+        _write_file(temporary, _pieces(payloads, salt=salt), sync=sync)
         os.rename(temporary, path)
         sync_folder(path.parent, sync=sync)
     except OSError as error:
@@ -64,20 +69,23 @@
         raise errors.write_error(path=path, error=error) from error
 
 
+def _pieces(payloads: Iterable[bytes], *, salt: bytes) -> Iterator[bytes]:
+    yield frames.encode_header(salt=salt)
+    for payload in payloads:
+        yield frames.encode_frame_header(payload, salt=salt)
+        yield payload
+
+
 def check_space(path: pathlib.Path, *, size_bytes: int, sync: Sync) -> None:
     """Write a file of some size and remove it.
 
     :raises WriteFailed: if the disk does not take it.
     """
-    flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
     try:
-        descriptor = os.open(path, flags, FILE_MODE)
         try:
-            write_all(descriptor, bytes(size_bytes))
-            sync(descriptor)
+            _write_file(path, (bytes(size_bytes),), sync=sync)
         finally:
-            os.close(descriptor)
-            path.unlink()
+            path.unlink(missing_ok=True)
     except OSError as error:
         raise errors.write_error(path=path, error=error) from error
 
