Say once what a crash entry is and which deadly runs are late

Change: one _CRASH, one _apply_crashes, Simulation.late_runs with the arguments that MomentSimulation's has, and Simulation takes what makes a quarantine.

--- a/experiments/late_crashes.py
+++ b/experiments/late_crashes.py
@@ -48,17 +48,17 @@
 def play(fields: dict, drops_late: bool, duration_ms: int, seed: int):
     """Play one seed."""
     logging.disable(logging.CRITICAL)
-    if drops_late:
-        state.PartQuarantine = DroppingQuarantine
-    played = simulation.Simulation(seed=seed, **fields)
+    played = simulation.Simulation(
+        seed=seed,
+        make_quarantine=(
+            DroppingQuarantine if drops_late else state.PartQuarantine
+        ),
+        **fields,
+    )
     played.run(duration_ms)
     crashes = REQUEST_CRASHES if fields['repeated_share'] else PART_CRASHES
-    late_runs = 0
-    if len(played.deadly_crashes_ms) >= crashes:
-        late_ms = played.deadly_crashes_ms[crashes - 1] + CONTACT_MS
-        late_runs = sum(one > late_ms for one in played.deadly_runs_ms)
     return Result(
-        late_runs=late_runs,
+        late_runs=played.late_runs(crashes, CONTACT_MS),
         refused_sound=played.refused_sound,
         sound=played.sound,
     )
--- a/src/shallothinge/quarantine/checks.py
+++ b/src/shallothinge/quarantine/checks.py
@@ -13,20 +13,16 @@
 _MAX_USED_MS = 1_000_000_000
 _AGE = entries.whole(0, 2 * records.FORGET_MS)
 _EPOCH = entries.whole(1, _MAX_EPOCH)
+_CRASH = (
+    entries.text,
+    entries.text,
+    _AGE,
+    entries.each(entries.text, entries.whole(0, _MAX_POSITION)),
+)
 # Checks of the entries of each field of ``messages.PartsReported``.
 _CHECKS = {
-    'crashes': (
-        entries.text,
-        entries.text,
-        _AGE,
-        entries.each(entries.text, entries.whole(0, _MAX_POSITION)),
-    ),
-    'late_crashes': (
-        entries.text,
-        entries.text,
-        _AGE,
-        entries.each(entries.text, entries.whole(0, _MAX_POSITION)),
-    ),
+    'crashes': _CRASH,
+    'late_crashes': _CRASH,
     'used': (entries.text, entries.whole(0, _MAX_USED_MS)),
     'whole': (entries.text, _AGE),
     'quarantined': (
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -261,22 +261,8 @@
                     asked_ms=now_ms,
                 ),
             )
-        for field, is_late in (('crashes', False), ('late_crashes', True)):
-            for (
-                server_id,
-                incarnation,
-                age_ms,
-                positions,
-            ) in checks.valid_entries(report, field):
-                self._add_crash(
-                    (server_id, incarnation),
-                    crash_table.Observation(
-                        at_ms=now_ms - age_ms,
-                        positions=dict(positions),
-                        is_late=is_late,
-                        seer=peer_id,
-                    ),
-                )
+        self._apply_crashes(report, 'crashes', peer_id)
+        self._apply_crashes(report, 'late_crashes', peer_id, is_late=True)
         for part_id, used_ms in checks.valid_entries(report, 'used'):
             self._evidence.server_time.apply_report(part_id, used_ms, peer_id)
         for server_id, incarnation in checks.valid_entries(
@@ -284,6 +270,28 @@
         ):
             self._apply_live_zone((server_id, incarnation))
 
+    def _apply_crashes(
+        self,
+        report: messages.PartsReported,
+        field: str,
+        peer_id: str,
+        *,
+        is_late: bool = False,
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        for server_id, incarnation, age_ms, positions in checks.valid_entries(
+            report, field
+        ):
+            self._add_crash(
+                (server_id, incarnation),
+                crash_table.Observation(
+                    at_ms=now_ms - age_ms,
+                    positions=dict(positions),
+                    is_late=is_late,
+                    seer=peer_id,
+                ),
+            )
+
     def _apply_live_zone(self, key: ServerKey) -> None:
         if not self._evidence.has_live_zone(key):
             self._evidence.record_live_zone(key)
--- a/src/shallothinge/quarantine/tests/simulation.py
+++ b/src/shallothinge/quarantine/tests/simulation.py
@@ -1,6 +1,7 @@
 """Gateways that share servers, some requests to which crash them."""
 
 import collections
+from collections.abc import Callable
 import itertools
 import random
 
@@ -77,6 +78,7 @@
     :param long_share: part of the sound requests that are streams of up to
         ``long_ms``. They have parts of their own, which many of them share.
     :param crashes_per_s: crashes of servers that no request causes.
+    :param make_quarantine: makes what each gateway decides by.
     :ivar deadly_crashes_ms: instants of crashes by deadly requests.
     :ivar runs_after: runs of deadly requests that began after the last
         gateway had quarantined the part.
@@ -101,6 +103,9 @@
         long_ms: int = 60_000,
         crashes_per_s: float = 0.0,
         servers: int = SERVERS,
+        make_quarantine: Callable[..., state.PartQuarantine] = (
+            state.PartQuarantine
+        ),
     ):
         self.servers = servers
         self._crash_after_ms = crash_after_ms
@@ -123,7 +128,7 @@
         self._tenants = tenants
         self.clock = clocks.ManualClock(start_ms=100_000)
         self.gateways = [
-            state.PartQuarantine(clock=self.clock, places=self)
+            make_quarantine(clock=self.clock, places=self)
             for _ in range(gateways)
         ]
         self._deadly_from_ms = self.clock.now_ms() + deadly_from_ms
@@ -147,6 +152,13 @@
         self.sound = 0
         self.wholes = collections.defaultdict(list)
 
+    def late_runs(self, crash_number: int, contact_ms: int) -> int:
+        """Return the deadly runs that began too long after a crash."""
+        if len(self.deadly_crashes_ms) < crash_number:
+            return 0
+        late_ms = self.deadly_crashes_ms[crash_number - 1] + contact_ms
+        return sum(one > late_ms for one in self.deadly_runs_ms)
+
     def find_place(self, server_id: str) -> moments.Place:
         """Return where a server runs."""
         return moments.Place(zone=zone_of(int(server_id.partition('-')[2])))
--- a/src/shallothinge/quarantine/tests/test_late_crashes.py
+++ b/src/shallothinge/quarantine/tests/test_late_crashes.py
@@ -283,13 +283,6 @@
         played.run(20_000)
         return played
 
-    def late_runs(self, played, *, after_crash):
-        """Return the deadly runs that began too long after a crash."""
-        if len(played.deadly_crashes_ms) < after_crash:
-            return 0
-        late_ms = played.deadly_crashes_ms[after_crash - 1] + CONTACT_MS
-        return sum(one > late_ms for one in played.deadly_runs_ms)
-
     def test_deadly_parts_and_requests_stop_whenever_they_crash_servers(self):
         for seed, after_ms in enumerate(
             ((0,), (400,), (0, 300, 600, 1200, 2400))
@@ -302,10 +295,10 @@
                     seed=seed, repeated_share=0.0125, crash_after_ms=after_ms
                 )
                 self.assertLessEqual(
-                    self.late_runs(part, after_crash=5), MAX_LATE_RUNS
+                    part.late_runs(5, CONTACT_MS), MAX_LATE_RUNS
                 )
                 self.assertLessEqual(
-                    self.late_runs(request, after_crash=3), MAX_LATE_RUNS
+                    request.late_runs(3, CONTACT_MS), MAX_LATE_RUNS
                 )
 
     def test_crashes_in_series_have_no_long_stream_refused(self):
