Log how likely late crashes of a part are by chance

Cause: the log told that an attempt's crash counted as late, but neither on what a quarantine for late crashes rested nor why there was none.

Change: the decision is an Assessment (crashes, of how many, share of the servers' time, probability).

Evidence: test_log_tells_why_late_crashes_count_or_not, new; there was no such line before.

--- a/src/shallothinge/quarantine/chance.py
+++ b/src/shallothinge/quarantine/chance.py
@@ -27,6 +27,30 @@
     started_ms: int
 
 
+@attrs.frozen(kw_only=True)
+class Assessment:
+    """How likely a part is at its crashes by chance.
+
+    It was at ``crashes`` out of ``of``, each without its first one, and in
+    progress for a ``share`` of the servers' time.
+    """
+
+    part_id: str
+    crashes: int
+    of: int
+    share: float
+
+    @property
+    def probability(self) -> float:
+        """Return how likely so many crashes, or more, are by chance."""
+        return probability_of(self.crashes, of=self.of, share=self.share)
+
+    @property
+    def is_unlikely(self) -> bool:
+        """Return whether the crashes speak against the part."""
+        return self.probability <= LEAST_PROBABILITY
+
+
 def probability_of(crashes: int, *, of: int, share: float) -> float:
     """Return how likely a part is at so many crashes, or more, by chance.
 
@@ -110,10 +134,12 @@
         """Drop the time of other parts than some."""
         self.forget([one for one in self._known_ids if not is_kept(one)])
 
-    def is_unlikely(self, part_id: str, crashes: int) -> bool:
-        """Return whether a part of crashes is at too many of them for chance.
+    def assess(self, part_id: str, crashes: int) -> Assessment:
+        """Return how likely a part is at some crashes by chance.
 
         The first of them says nothing: the time is counted from it on.
+
+        :param part_id: a part of known crashes.
         """
         _, first = next(self._crashes.with_part(part_id))
         since_ms = first.time_of(part_id)
@@ -122,19 +148,20 @@
             for one in self._crashes.list_since(since_ms)
             if one.shares_service(first)
         ]
-        if not found:
-            return False
-        servers_ms = (max(one.first_ms for one in found) - since_ms) * (
-            sum(one.servers_up for one in found) / len(found)
-        )
-        peers_ms = self._peers_ms.get(part_id, {})
-        used_ms = self._own_ms(part_id) + sum(peers_ms.values())
-        probability = probability_of(
-            crashes - 1,
+        share = 1.0
+        if found:
+            servers_ms = (max(one.first_ms for one in found) - since_ms) * (
+                sum(one.servers_up for one in found) / len(found)
+            )
+            peers_ms = self._peers_ms.get(part_id, {})
+            used_ms = self._own_ms(part_id) + sum(peers_ms.values())
+            share = min(1.0, used_ms / servers_ms)
+        return Assessment(
+            part_id=part_id,
+            crashes=crashes - 1,
             of=max(crashes - 1, len(found)),
-            share=min(1.0, used_ms / servers_ms),
+            share=share,
         )
-        return probability <= LEAST_PROBABILITY
 
     def to_report(
         self, is_wanted: Callable[[str], bool]
--- a/src/shallothinge/quarantine/evidence.py
+++ b/src/shallothinge/quarantine/evidence.py
@@ -92,6 +92,7 @@
             places=places, crashes=self._crashes
         )
         self._refuted: dict[ServerKey, list[_Refuted]] = {}
+        self._doubt: chance.Assessment | None = None
 
     def add_crash(self, key: ServerKey, seen: crash_table.Observation) -> bool:
         """Add parts of requests that a crash ended.
@@ -346,10 +347,13 @@
         early = [one for one in found if not one[1].is_late(part_id)]
         if len(early) < len(found):
             suspicion = self._weigh(part_id, found)
-            if suspicion.is_enough and self.server_time.is_unlikely(
-                part_id, suspicion.crashes
-            ):
-                return suspicion
+            if suspicion.is_enough:
+                assessment = self.server_time.assess(
+                    part_id, suspicion.crashes
+                )
+                if assessment.is_unlikely:
+                    return attrs.evolve(suspicion, chance=assessment)
+                self._note_doubt(assessment)
         if not early:
             return None
         return self._weigh(part_id, early, explained_by=explained_by)
@@ -415,8 +419,28 @@
             len(numbers) == 2 and min(numbers) >= 2
         )
 
+    def _note_doubt(self, assessment: chance.Assessment) -> None:
+        """Keep the least likely of the assessments since the last line."""
+        if self._doubt is None or (
+            assessment.probability < self._doubt.probability
+        ):
+            self._doubt = assessment
+
+    def _log_doubt(self) -> None:
+        """Log which part late crashes nearly speak against."""
+        if self._doubt is not None:
+            LOG.info(
+                'late crashes with a part may be chance',
+                extra={
+                    **attrs.asdict(self._doubt),
+                    'probability': self._doubt.probability,
+                },
+            )
+            self._doubt = None
+
     def remove_expired(self, now_ms: int) -> None:
-        """Drop evidence that is older than the window."""
+        """Drop evidence that is older than the window; call periodically."""
+        self._log_doubt()
         self._crashes.remove_older(now_ms - WINDOW_MS)
         self.server_time.keep_if(self._crashes.count_with)
         self._answers.remove_older(now_ms - WINDOW_MS)
--- a/src/shallothinge/quarantine/state.py
+++ b/src/shallothinge/quarantine/state.py
@@ -389,6 +389,8 @@
                 'crashes': worst.crashes,
                 'server_ids': worst.server_ids,
                 'causes': worst.causes,
+                'server_time_share': worst.chance and worst.chance.share,
+                'probability': worst.chance and worst.chance.probability,
                 'for_ms': records.QUARANTINE_MS,
             },
         )
--- a/src/shallothinge/quarantine/suspicion.py
+++ b/src/shallothinge/quarantine/suspicion.py
@@ -3,6 +3,7 @@
 import attrs
 
 from shallothinge.membership.model import ServerKey
+from shallothinge.quarantine import chance as chances
 from shallothinge.quarantine import fingerprints
 from shallothinge.quarantine import moments
 
@@ -21,6 +22,7 @@
 
     ``crashes`` counts the crashes that are apart from each other, since the
     last complete answer with the part. ``sightings`` are all, by server.
+    ``chance`` is how likely it is at them by chance, if late crashes count.
     """
 
     part_id: str
@@ -28,6 +30,7 @@
     is_proven: bool
     position: int
     sightings: dict[ServerKey, moments.Sighting]
+    chance: chances.Assessment | None = None
 
     @property
     def server_ids(self) -> tuple[str, ...]:
--- a/src/shallothinge/quarantine/tests/test_late_crashes.py
+++ b/src/shallothinge/quarantine/tests/test_late_crashes.py
@@ -174,6 +174,33 @@
         for one in self.gateways:
             self.assertFalse(one.is_quarantined((own,)))
 
+    def test_log_tells_why_late_crashes_count_or_not(self):
+        self.crash_until_found(
+            BAD,
+            lambda number: self.run_request(0, BAD),
+            writing_ms=400,
+            most=3,
+        )
+        one = self.gateways[0]
+        with self.assertLogs('shallothinge.quarantine.evidence') as logs:
+            one.remove_expired()
+        [doubt] = logs.records
+        self.assertEqual((BAD, 2, 2), (doubt.part_id, doubt.crashes, doubt.of))
+        self.assertGreater(doubt.probability, chance.LEAST_PROBABILITY)
+        with self.assertNoLogs('shallothinge.quarantine.evidence'):
+            one.remove_expired()
+        with self.assertLogs('shallothinge.quarantine.state') as logs:
+            self.crash_until_found(
+                BAD,
+                lambda number: self.run_request(0, BAD),
+                writing_ms=400,
+                most=3,
+            )
+        verdict = logs.records[0]
+        self.assertEqual(BAD, verdict.part_id)
+        self.assertLess(verdict.server_time_share, 0.1)
+        self.assertLessEqual(verdict.probability, chance.LEAST_PROBABILITY)
+
     def test_complete_answer_clears_late_crashes(self):
         for number in range(12):
             request = self.run_request(number % 3, TENANT, BAD)
